--- /dev/null
+++ b/src/cassiahitch/agent/__init__.py
@@ -0,0 +1,3 @@
+"""Tasks of an agent process."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/cassiahitch/cli/__init__.py
@@ -0,0 +1,3 @@
+"""Command line of all roles and of the operators."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/cassiahitch/controllers/__init__.py
@@ -0,0 +1,3 @@
+"""Controllers that bring the declared state into force."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/cassiahitch/entry/__init__.py
@@ -0,0 +1,3 @@
+"""Tasks of an entry process."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/cassiahitch/ledger/__init__.py
@@ -0,0 +1,3 @@
+"""At-most-once execution: request ledger, claims and tickets."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/cassiahitch/limits/__init__.py
@@ -0,0 +1,3 @@
+"""Admission: fair queues, organisation limits and retry budgets."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/cassiahitch/members/__init__.py
@@ -0,0 +1,3 @@
+"""Live and leaving hosts."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/cassiahitch/metrics/__init__.py
@@ -0,0 +1,3 @@
+"""Counters and latency histograms."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/cassiahitch/requests/__init__.py
@@ -0,0 +1,3 @@
+"""Filter chain that a request passes."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/cassiahitch/resources/__init__.py
@@ -0,0 +1,3 @@
+"""Resources that operators declare."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/cassiahitch/routing/__init__.py
@@ -0,0 +1,3 @@
+"""Choice of a replica for a request."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/cassiahitch/settings/__init__.py
@@ -0,0 +1,3 @@
+"""Settings files and their validation."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/cassiahitch/util/__init__.py
@@ -0,0 +1,3 @@
+"""Small pure helpers."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/cassiahitch/weights/__init__.py
@@ -0,0 +1,3 @@
+"""Distribution of model weights over hosts."""
+
+from __future__ import annotations
