--- /dev/null
+++ b/src/cassiahitch/routing/api.py
@@ -0,0 +1,86 @@
+"""What the choice of a replica takes in and gives out."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+@dataclass(frozen=True, slots=True)
+class Replica:
+    """A backend server host that serves; no ``services`` means that it serves all."""
+
+    host: str
+    incarnation: int
+    region: str
+    failure_domain: str
+    services: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """Load of a replica; ``at`` is when it was measured, in the receiver's clock."""
+
+    running: int
+    queued: int
+    capacity: int
+    at: float
+    digest: str = ''
+    load_epoch: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class RouteQuery:
+    """A request that needs a replica; an empty ``digest`` accepts any loaded version."""
+
+    service: str
+    prefix: str = ''
+    excluded: frozenset[str] = frozenset()
+    digest: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """The replica chosen for a request."""
+
+    host: str
+    incarnation: int
+    score_s: float
+    prefix_hit: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class NoReplica:
+    """No replica may take the request now."""
+
+    retry_after_s: float
+
+
+class Outcome(StrEnum):
+    """How a dispatched request ended."""
+
+    success = 'success'
+    failed = 'failed'
+    timed_out = 'timed_out'
+    crashed = 'crashed'
+    refused = 'refused'
+    cancelled = 'cancelled'
+
+
+@dataclass(frozen=True, slots=True)
+class Distances:
+    """Costs in seconds of leaving the own failure domain or region."""
+
+    failure_domain_s: float = 0.001
+    region_s: float = 0.05
+
+
+__all__ = (
+    'Choice',
+    'Distances',
+    'LoadReport',
+    'NoReplica',
+    'Outcome',
+    'Replica',
+    'RouteQuery',
+)
