--- /dev/null
+++ b/src/cassiahitch/limits/fairqueue.py
@@ -0,0 +1,293 @@
+"""Weighted fair queue over organisations and priorities, with bounded lengths."""
+
+from __future__ import annotations
+
+import heapq
+from collections import deque
+from dataclasses import dataclass, field
+from itertools import chain
+
+from cassiahitch.limits.api import Admitted, Shed, Verdict, Waiting
+from cassiahitch.limits.rate import AdmissionRate
+from cassiahitch.resources.models import Priority
+
+#: Every this-many-th request is taken from a lower priority, whose first waits longest.
+RESERVED_EVERY = 8
+#: Longest Retry-After in seconds.
+LONGEST_RETRY_S = 30.0
+#: Shortest Retry-After in seconds.
+SHORTEST_RETRY_S = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class QueueLimits:
+    """Bounds on the number of requests that wait."""
+
+    total: int = 1_000
+    per_organisation: int = 250
+
+
+@dataclass(slots=True)
+class Line:
+    """Requests of one organisation and priority, in order of arrival."""
+
+    requests: deque[Waiting] = field(default_factory=deque)
+    arrived_at: deque[float] = field(default_factory=deque)
+    listed: bool = False
+
+
+@dataclass(slots=True)
+class Tenant:
+    """Queue state of one organisation; ``virtual_time`` is what it has used per weight."""
+
+    weight: float = 1
+    virtual_time: float = 0
+    length: int = 0
+    lines: dict[Priority, Line] = field(
+        default_factory=lambda: {priority: Line() for priority in Priority},
+    )
+
+    def late(self, now: float) -> list[Waiting]:
+        """Return the requests whose deadline has passed.
+
+        :param now: seconds.
+        :return: requests.
+        """
+        waiting = chain.from_iterable(line.requests for line in self.lines.values())
+        return [request for request in waiting if request.deadline <= now]
+
+
+#: Organisations by virtual time.
+Heap = list[tuple[float, str]]
+
+
+class FairQueue:
+    """Requests that wait for a slot at one entry."""
+
+    def __init__(self, limits: QueueLimits) -> None:
+        """Create an empty queue.
+
+        :param limits: bounds on its length.
+        """
+        self.limits = limits
+        self.tenants: dict[str, Tenant] = {}
+        self.heaps: dict[Priority, Heap] = {priority: [] for priority in Priority}
+        self.length = 0
+        self.virtual_time: float = 0
+        self.pops = 0
+        self.rate = AdmissionRate()
+
+    def set_weight(self, organisation: str, weight: float) -> None:
+        """Set the weight of an organisation.
+
+        :param organisation: its name.
+        :param weight: its weight, above 0.
+        """
+        self.tenants.setdefault(organisation, Tenant()).weight = weight
+
+    def push(self, request: Waiting, now: float) -> tuple[Verdict, ...]:
+        """Let a request wait, or shed it or a request of the organisation that waits most.
+
+        :param request: the request.
+        :param now: seconds.
+        :return: what was shed.
+        """
+        tenant = self.tenants.setdefault(request.organisation, Tenant())
+        if tenant.length >= self.limits.per_organisation:
+            return (self.shed(request, now),)
+        if now + self.expected_wait_s(tenant, request.priority, now) > request.deadline:
+            return (self.shed(request, now),)
+        shed: tuple[Verdict, ...] = ()
+        if self.length >= self.limits.total:
+            evicted = self.evict(tenant)
+            if evicted is None:
+                return (self.shed(request, now),)
+            shed = (self.shed(evicted, now),)
+        self.append(tenant, request, now)
+        return shed
+
+    def pop(self, now: float) -> tuple[Verdict, ...]:
+        """Take the next request out.
+
+        :param now: seconds.
+        :return: shed requests whose deadline has passed, then the admitted one, if any.
+        """
+        verdicts: list[Verdict] = []
+        while self.length:
+            request = self.take(now)
+            if request.deadline > now:
+                self.rate.count(now)
+                self.charge(request)
+                verdicts.append(Admitted(request))
+                break
+            verdicts.append(self.shed(request, now))
+        return tuple(verdicts)
+
+    def remove(self, request: Waiting) -> bool:
+        """Remove a request whose caller has gone.
+
+        :param request: the request.
+        :return: whether it waited.
+        """
+        tenant = self.tenants.get(request.organisation, Tenant())
+        line = tenant.lines[request.priority]
+        if request not in line.requests:
+            return False
+        index = line.requests.index(request)
+        del line.requests[index]
+        del line.arrived_at[index]
+        self.shrink(tenant)
+        return True
+
+    def expire(self, now: float) -> tuple[Verdict, ...]:
+        """Shed all requests whose deadline has passed, so that each gets its answer at once.
+
+        :param now: seconds.
+        :return: what was shed.
+        """
+        late: list[Waiting] = []
+        for tenant in self.tenants.values():
+            if tenant.length:
+                late += tenant.late(now)
+        return tuple(self.shed(request, now) for request in late if self.remove(request))
+
+    def append(self, tenant: Tenant, request: Waiting, now: float) -> None:
+        """Append a request to its line.
+
+        :param tenant: its organisation.
+        :param request: the request.
+        :param now: seconds.
+        """
+        if not tenant.length:
+            tenant.virtual_time = max(tenant.virtual_time, self.virtual_time)
+        line = tenant.lines[request.priority]
+        if not line.listed:
+            line.listed = True
+            place = (tenant.virtual_time, request.organisation)
+            heapq.heappush(self.heaps[request.priority], place)
+        line.requests.append(request)
+        line.arrived_at.append(now)
+        tenant.length += 1
+        self.length += 1
+
+    def take(self, now: float) -> Waiting:
+        """Take the next request out of a queue that is not empty.
+
+        :param now: seconds.
+        :return: the request.
+        """
+        self.pops += 1
+        waiting = [priority for priority in Priority if self.head(priority)]
+        chosen = waiting[0]
+        if self.pops % RESERVED_EVERY == 0:
+            chosen = min(waiting[1:] or waiting, key=self.first_arrival)
+        organisation = self.head(chosen)
+        tenant = self.tenants[organisation or '']
+        line = tenant.lines[chosen]
+        line.arrived_at.popleft()
+        request = line.requests.popleft()
+        self.shrink(tenant)
+        return request
+
+    def charge(self, request: Waiting) -> None:
+        """Charge an organisation for an admitted request.
+
+        :param request: the request.
+        """
+        tenant = self.tenants[request.organisation]
+        self.virtual_time = max(self.virtual_time, tenant.virtual_time)
+        tenant.virtual_time += 1 / tenant.weight
+
+    def head(self, priority: Priority) -> str | None:
+        """Return the organisation whose turn it is, and bring the heap up to date.
+
+        :param priority: the priority.
+        :return: its name; nothing if no request of this priority waits.
+        """
+        heap = self.heaps[priority]
+        while heap:
+            virtual_time, organisation = heap[0]
+            tenant = self.tenants[organisation]
+            if virtual_time >= tenant.virtual_time and tenant.lines[priority].requests:
+                return organisation
+            heapq.heappop(heap)
+            tenant.lines[priority].listed = bool(tenant.lines[priority].requests)
+            if tenant.lines[priority].listed:
+                heapq.heappush(heap, (tenant.virtual_time, organisation))
+        return None
+
+    def first_arrival(self, priority: Priority) -> float:
+        """Return when the request whose turn it is arrived.
+
+        :param priority: a priority of which requests wait.
+        :return: seconds.
+        """
+        tenant = self.tenants[self.head(priority) or '']
+        return tenant.lines[priority].arrived_at[0]
+
+    def evict(self, newcomer: Tenant) -> Waiting | None:
+        """Take the last request of the organisation that waits most per weight out.
+
+        :param newcomer: the organisation that needs the place.
+        :return: the request; nothing if the newcomer itself waits most.
+        """
+        longest = max(self.tenants.values(), key=lambda tenant: tenant.length / tenant.weight)
+        if longest.length / longest.weight <= (newcomer.length + 1) / newcomer.weight:
+            return None
+        lines = [longest.lines[priority] for priority in reversed(Priority)]
+        line = next(line for line in lines if line.requests)
+        line.arrived_at.pop()
+        request = line.requests.pop()
+        self.shrink(longest)
+        return request
+
+    def shrink(self, tenant: Tenant) -> None:
+        """Count a request that left the queue.
+
+        :param tenant: its organisation.
+        """
+        tenant.length -= 1
+        self.length -= 1
+
+    def expected_wait_s(self, tenant: Tenant, priority: Priority, now: float) -> float:
+        """Return how long a new request of an organisation would wait.
+
+        :param tenant: the organisation.
+        :param priority: the priority of the request.
+        :param now: seconds.
+        :return: seconds; 0 while the rate is not known.
+        """
+        rate = self.rate.per_s(now)
+        if not rate:
+            return 0
+        weights = sum(other.weight for other in self.tenants.values() if other.length)
+        weights += 0 if tenant.length else tenant.weight
+        ahead = sum(len(tenant.lines[level].requests) for level in levels_up_to(priority))
+        return min(self.length, ahead * weights / tenant.weight) / rate
+
+    def shed(self, request: Waiting, now: float) -> Shed:
+        """Return the refusal of a request.
+
+        :param request: the request.
+        :param now: seconds.
+        :return: the refusal, with the time until its organisation's queue has drained.
+        """
+        tenant = self.tenants.setdefault(request.organisation, Tenant())
+        wait_s = self.expected_wait_s(tenant, Priority.draft, now)
+        return Shed(request, min(LONGEST_RETRY_S, max(SHORTEST_RETRY_S, wait_s)))
+
+
+def levels_up_to(priority: Priority) -> tuple[Priority, ...]:
+    """Return the priorities that are served no later than one.
+
+    :param priority: the priority.
+    :return: priorities, first served first.
+    """
+    levels = tuple(Priority)
+    return levels[: levels.index(priority) + 1]
+
+
+__all__ = (
+    'FairQueue',
+    'QueueLimits',
+)
--- /dev/null
+++ b/src/cassiahitch/limits/organisations.py
@@ -0,0 +1,226 @@
+"""Organisation limits that hold over all entries together.
+
+Each entry owns a share of an organisation's limit. A share only moves by a transfer that its
+owner records in its own row, as in a bounded counter of replicated data types: rows are
+merged by their largest values, so that lost, doubled or reordered messages never raise the sum.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+#: Thousandths of a request per second, the unit of shares.
+MILLI = 1_000
+#: Seconds of an unused share that can be spent at once.
+BURST_S = 1.0
+#: Seconds without news after which a peer gets no share; it keeps what it has.
+HEARD_S = 3.0
+#: Part of an equal share that every entry keeps for sudden demand.
+KEPT_SHARE = 0.2
+#: Seconds over which demand is averaged.
+DEMAND_S = 2.0
+#: Part of what is above the own target that is given away by one update.
+GIVEN_PART = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class ShareNews:
+    """What an entry has given to others so far, and what it asks for; sent to all entries."""
+
+    entry: str
+    organisation: str
+    epoch: int
+    given: tuple[tuple[str, int], ...]
+    share: int
+    demand: int
+
+
+@dataclass(frozen=True, slots=True)
+class Within:
+    """The request is within the limit."""
+
+
+@dataclass(frozen=True, slots=True)
+class OverLimit:
+    """The request is refused with code ``organisation_limit`` and ``ran: no``."""
+
+    retry_after_s: float
+
+
+@dataclass(slots=True)
+class Peer:
+    """What is known of another entry."""
+
+    share: int
+    demand: int
+    heard_at: float
+
+
+@dataclass(slots=True)
+class Bucket:
+    """Token bucket of one entry for one organisation."""
+
+    tokens: float = 0
+    filled_at: float | None = None
+
+    def fill(self, rate: float, now: float) -> None:
+        """Add the tokens of the time since the last call.
+
+        :param rate: tokens per second.
+        :param now: seconds.
+        """
+        if self.filled_at is not None:
+            self.tokens += rate * (now - self.filled_at)
+        self.tokens = min(self.tokens, max(1, rate * BURST_S))
+        self.filled_at = now
+
+
+@dataclass(slots=True)
+class Demand:
+    """Requests per second asked for, averaged."""
+
+    per_s: float = 0
+    count: int = 0
+    since: float = 0
+
+    def update(self, now: float) -> None:
+        """Take the requests since the last update in.
+
+        :param now: seconds.
+        """
+        elapsed_s = now - self.since
+        if elapsed_s <= 0:
+            return
+        gain = min(1, elapsed_s / DEMAND_S)
+        self.per_s += gain * (self.count / elapsed_s - self.per_s)
+        self.count = 0
+        self.since = now
+
+
+@dataclass(slots=True)
+class OrganisationLimit:
+    """The part that one entry has in the limit of one organisation.
+
+    ``entries`` are those among which the limit was first divided, the same everywhere in one
+    ``epoch``; an entry that is not among them starts without a share and is given one.
+    """
+
+    entry: str
+    organisation: str
+    limit_per_s: float
+    entries: tuple[str, ...]
+    epoch: int = 0
+    given: dict[str, dict[str, int]] = field(default_factory=dict)
+    peers: dict[str, Peer] = field(default_factory=dict)
+    bucket: Bucket = field(default_factory=Bucket)
+    demand: Demand = field(default_factory=Demand)
+
+    @property
+    def share(self) -> int:
+        """Own share in thousandths of a request per second."""
+        received = sum(row.get(self.entry, 0) for row in self.given.values())
+        return self.first_share(self.entry) + received - sum(self.row().values())
+
+    def first_share(self, entry: str) -> int:
+        """Return the share that an entry starts with.
+
+        :param entry: the entry.
+        :return: thousandths of a request per second.
+        """
+        if entry not in self.entries:
+            return 0
+        return int(self.limit_per_s * MILLI) // len(self.entries)
+
+    def row(self) -> dict[str, int]:
+        """Return what this entry has given to others.
+
+        :return: sums by entry.
+        """
+        return self.given.setdefault(self.entry, {})
+
+    def admit(self, now: float) -> Within | OverLimit:
+        """Decide whether a request is within the limit.
+
+        :param now: seconds.
+        :return: the decision.
+        """
+        self.demand.count += 1
+        rate = self.share / MILLI
+        self.bucket.fill(rate, now)
+        if self.bucket.tokens >= 1:
+            self.bucket.tokens -= 1
+            return Within()
+        missing = 1 - self.bucket.tokens
+        return OverLimit(min(BURST_S, missing / max(rate, 1 / MILLI)))
+
+    def update(self, now: float) -> ShareNews:
+        """Give away what is above the own target, and return the news for all entries.
+
+        :param now: seconds.
+        :return: the message to send.
+        """
+        self.demand.update(now)
+        self.bucket.fill(self.share / MILLI, now)
+        self.give(now)
+        row = tuple(sorted(self.row().items()))
+        demand = int(self.demand.per_s * MILLI)
+        return ShareNews(self.entry, self.organisation, self.epoch, row, self.share, demand)
+
+    def heard(self, news: ShareNews, now: float) -> None:
+        """Take the news of another entry in; in any order, any number of times.
+
+        :param news: its message.
+        :param now: seconds.
+        """
+        if news.epoch != self.epoch or news.entry == self.entry:
+            return
+        self.bucket.fill(self.share / MILLI, now)
+        row = self.given.setdefault(news.entry, {})
+        for receiver, amount in news.given:
+            row[receiver] = max(amount, row.get(receiver, 0))
+        self.peers[news.entry] = Peer(news.share, news.demand, now)
+
+    def give(self, now: float) -> None:
+        """Give a part of what is above the own target to peers below theirs.
+
+        :param now: seconds.
+        """
+        heard = {
+            entry: peer for entry, peer in self.peers.items() if now - peer.heard_at <= HEARD_S
+        }
+        own = Peer(self.share, int(self.demand.per_s * MILLI), now)
+        targets = share_targets({self.entry: own, **heard})
+        surplus = int(GIVEN_PART * (own.share - targets[self.entry]))
+        missing = {
+            entry: max(0, targets[entry] - peer.share) for entry, peer in sorted(heard.items())
+        }
+        total = sum(missing.values())
+        if surplus <= 0 or not total:
+            return
+        row = self.row()
+        for entry, amount in missing.items():
+            row[entry] = row.get(entry, 0) + min(surplus, total) * amount // total
+            heard[entry].share += min(surplus, total) * amount // total
+
+
+def share_targets(peers: dict[str, Peer]) -> dict[str, int]:
+    """Return the shares that entries should have: a part equally, the rest by demand.
+
+    :param peers: the entries.
+    :return: thousandths of a request per second by entry; their sum is that of the shares.
+    """
+    whole = sum(peer.share for peer in peers.values())
+    demand = sum(peer.demand for peer in peers.values())
+    kept = whole * KEPT_SHARE / len(peers)
+    if not demand:
+        return {entry: whole // len(peers) for entry in peers}
+    by_demand = whole * (1 - KEPT_SHARE) / demand
+    return {entry: int(kept + by_demand * peer.demand) for entry, peer in peers.items()}
+
+
+__all__ = (
+    'OrganisationLimit',
+    'OverLimit',
+    'ShareNews',
+    'Within',
+)
--- /dev/null
+++ b/tests/limits/test_fairqueue.py
@@ -0,0 +1,168 @@
+"""Tests of the fair queue."""
+
+from __future__ import annotations
+
+from collections import Counter
+from itertools import count
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from cassiahitch.codes import Code
+from cassiahitch.limits.api import Admitted, Shed, Waiting
+from cassiahitch.limits.fairqueue import FairQueue, QueueLimits
+from cassiahitch.resources.models import Priority
+
+LARGE = ('large-1', 'large-2')
+SMALL = tuple(f'small-{index}' for index in range(8))
+NAMES = st.sampled_from(LARGE + SMALL)
+LIMITS = QueueLimits(total=40, per_organisation=15)
+
+
+def waiting(name: str, number: int, priority: Priority = Priority.draft) -> Waiting:
+    return Waiting(f'{name}-{number}', name, priority, deadline=1e9)
+
+
+def admitted(queue: FairQueue, now: float) -> Waiting | None:
+    found = [verdict.request for verdict in queue.pop(now) if isinstance(verdict, Admitted)]
+    return found[0] if found else None
+
+
+class QueueMachine(RuleBasedStateMachine):
+    """Compares the queue with a plain dictionary of waiting requests."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.queue = FairQueue(LIMITS)
+        self.oracle: dict[str, Waiting] = {}
+        self.serial = count()
+        self.now: float = 0
+
+    @rule(name=NAMES, priority=st.sampled_from(Priority), patience=st.floats(0.1, 5))
+    def push(self, name: str, priority: Priority, patience: float) -> None:
+        request = Waiting(f'{next(self.serial)}', name, priority, self.now + patience)
+        self.oracle[request.request_id] = request
+        self.settle(self.queue.push(request, self.now))
+
+    @rule()
+    def pop(self) -> None:
+        verdicts = self.queue.pop(self.now)
+        assert verdicts or not self.oracle
+        self.settle(verdicts)
+
+    @rule(seconds=st.floats(0.01, 1))
+    def advance(self, seconds: float) -> None:
+        self.now += seconds
+        self.settle(self.queue.expire(self.now))
+        assert all(request.deadline > self.now for request in self.oracle.values())
+
+    @rule(index=st.integers(0, 100))
+    def remove(self, index: int) -> None:
+        if self.oracle:
+            request = list(self.oracle.values())[index % len(self.oracle)]
+            assert self.queue.remove(request)
+            assert not self.queue.remove(request)
+            self.oracle.pop(request.request_id)
+
+    def settle(self, verdicts: tuple[Admitted | Shed, ...]) -> None:
+        for verdict in verdicts:
+            request = self.oracle.pop(verdict.request.request_id)
+            assert request == verdict.request
+            if isinstance(verdict, Shed):
+                assert verdict.code is Code.overloaded
+                assert verdict.retry_after_s > 0
+
+    @invariant()
+    def lengths_are_bounded(self) -> None:
+        lengths = Counter(request.organisation for request in self.oracle.values())
+        assert self.queue.length == len(self.oracle)
+        assert self.queue.length <= LIMITS.total
+        assert max(lengths.values(), default=0) <= LIMITS.per_organisation
+
+    @invariant()
+    def heaps_are_bounded(self) -> None:
+        assert all(len(heap) <= len(LARGE + SMALL) for heap in self.queue.heaps.values())
+
+
+QueueMachine.TestCase.settings = settings(max_examples=40, stateful_step_count=60)
+TestQueueMachine = QueueMachine.TestCase
+
+
+@given(pushes=st.lists(NAMES, min_size=40, max_size=120), factor=st.integers(2, 20))
+@settings(max_examples=60)
+def test_small_organisations_keep_their_share_under_overload(
+    pushes: list[str], factor: int
+) -> None:
+    queue = FairQueue(QueueLimits(total=100, per_organisation=50))
+    served: Counter[str] = Counter()
+    number = count()
+    for name in pushes:
+        for large in (name, *LARGE * factor):
+            queue.push(waiting(large, next(number)), 0)
+        for organisation in SMALL:
+            queue.push(waiting(organisation, next(number)), 0)
+        for _ in range(10):
+            request = admitted(queue, 0)
+            if request is not None:
+                served[request.organisation] += 1
+    assert min(served[small] for small in SMALL) >= 0.9 * len(pushes)
+
+
+def test_weights_divide_the_service() -> None:
+    queue = FairQueue(QueueLimits())
+    queue.set_weight('large-1', 3)
+    for number in range(100):
+        queue.push(waiting('large-1', number), 0)
+        queue.push(waiting('large-2', number), 0)
+    served = Counter(request.organisation for _ in range(80) if (request := admitted(queue, 0)))
+    assert abs(served['large-1'] - 60) <= 1
+
+
+def test_organisation_that_was_idle_does_not_save_up_service() -> None:
+    queue = FairQueue(QueueLimits())
+    for number in range(200):
+        queue.push(waiting('large-1', number), 0)
+    for _ in range(100):
+        admitted(queue, 0)
+    for number in range(100):
+        queue.push(waiting('large-2', number), 0)
+    served = Counter(request.organisation for _ in range(40) if (request := admitted(queue, 0)))
+    assert served['large-1'] >= 19
+
+
+def test_desk_goes_before_lookup_before_draft_without_starving_them() -> None:
+    queue = FairQueue(QueueLimits())
+    for priority in reversed(Priority):
+        for number in range(80):
+            queue.push(waiting(f'small-{number % 8}', number, priority), number)
+    served = [request.priority for _ in range(64) if (request := admitted(queue, 100))]
+    counts = Counter(served)
+    assert set(served[:7]) == {Priority.desk}
+    assert counts[Priority.desk] == 56
+    assert counts[Priority.lookup] + counts[Priority.draft] == 8
+
+
+def test_full_queue_sheds_the_organisation_that_waits_most() -> None:
+    queue = FairQueue(QueueLimits(total=20, per_organisation=20))
+    for number in range(20):
+        assert not queue.push(waiting('large-1', number), 0)
+    shed = queue.push(waiting('small-1', 0), 0)
+    assert [verdict.request.organisation for verdict in shed] == ['large-1']
+    shed = queue.push(waiting('large-1', 99), 0)
+    assert [verdict.request.request_id for verdict in shed] == ['large-1-99']
+
+
+def test_request_that_cannot_meet_its_deadline_is_shed_early() -> None:
+    queue = FairQueue(QueueLimits())
+    for number in range(100):
+        queue.push(waiting('large-1', number), 0)
+    for step in range(50):
+        admitted(queue, step * 0.1)
+    late = Waiting('late', 'large-1', Priority.draft, deadline=6)
+    shed = queue.push(late, 5)
+    assert [verdict.request for verdict in shed] == [late]
+    assert isinstance(shed[0], Shed)
+    assert 4 <= shed[0].retry_after_s <= 6
+    small = Waiting('small', 'small-1', Priority.draft, deadline=6)
+    assert not queue.push(small, 5)
--- /dev/null
+++ b/tests/limits/test_organisations.py
@@ -0,0 +1,126 @@
+"""Tests of organisation limits over several entries."""
+
+from __future__ import annotations
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from cassiahitch.limits.organisations import (
+    BURST_S,
+    MILLI,
+    OrganisationLimit,
+    OverLimit,
+    ShareNews,
+    Within,
+)
+
+LIMIT_PER_S = 90.0
+NAMES = ('entry-1', 'entry-2', 'entry-3', 'entry-4')
+ENTRY = st.integers(0, 3)
+
+
+def make_limits() -> list[OrganisationLimit]:
+    """Return the parts of four entries, the last of which was not there at first."""
+    return [OrganisationLimit(name, 'caterers', LIMIT_PER_S, NAMES[:3]) for name in NAMES]
+
+
+class LimitMachine(RuleBasedStateMachine):
+    """Messages between entries are lost, doubled, delayed and reordered."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.limits = make_limits()
+        self.mail: list[tuple[int, ShareNews]] = []
+        self.now: float = 0
+        self.admitted = 0
+
+    @rule(entry=ENTRY, requests=st.integers(1, 200))
+    def ask(self, entry: int, requests: int) -> None:
+        for _ in range(requests):
+            self.admitted += self.limits[entry].admit(self.now) == Within()
+
+    @rule(entry=ENTRY)
+    def update(self, entry: int) -> None:
+        news = self.limits[entry].update(self.now)
+        self.mail += [(peer, news) for peer in range(4) if peer != entry]
+
+    @rule(index=st.integers(0, 200), keep=st.booleans())
+    def deliver(self, index: int, *, keep: bool) -> None:
+        if self.mail:
+            peer, news = self.mail[index % len(self.mail)]
+            self.limits[peer].heard(news, self.now)
+            if not keep:
+                self.mail.pop(index % len(self.mail))
+
+    @rule()
+    def lose_all(self) -> None:
+        self.mail.clear()
+
+    @rule(seconds=st.floats(0.01, 2))
+    def advance(self, seconds: float) -> None:
+        self.now += seconds
+
+    @invariant()
+    def sum_of_shares_stays_within_the_limit(self) -> None:
+        assert all(limit.share >= 0 for limit in self.limits)
+        assert sum(limit.share for limit in self.limits) <= LIMIT_PER_S * MILLI
+
+    @invariant()
+    def admitted_requests_stay_within_the_limit(self) -> None:
+        burst = LIMIT_PER_S * BURST_S + len(NAMES)
+        assert self.admitted <= LIMIT_PER_S * self.now + burst
+
+
+LimitMachine.TestCase.settings = settings(max_examples=60, stateful_step_count=60)
+TestLimitMachine = LimitMachine.TestCase
+
+
+def ask(limit: OrganisationLimit, demand: int, second: int) -> int:
+    """Spread requests over a second; return how many were admitted."""
+    verdicts = [limit.admit(second + step / demand) for step in range(demand)]
+    return verdicts.count(Within())
+
+
+def run_rounds(
+    limits: list[OrganisationLimit],
+    demands: tuple[int, ...],
+    seconds: range,
+    silent: tuple[int, ...] = (),
+) -> list[int]:
+    """Let entries ask and exchange news each second; return what was admitted in the last."""
+    counts: list[int] = []
+    for second in seconds:
+        counts = [ask(*pair, second) for pair in zip(limits, demands, strict=True)]
+        for index, limit in enumerate(limits):
+            if index in silent:
+                continue
+            news = limit.update(second + 1)
+            for peer, other in enumerate(limits):
+                if peer not in silent:
+                    other.heard(news, second + 1)
+    return counts
+
+
+def test_share_follows_demand() -> None:
+    limits = make_limits()
+    counts = run_rounds(limits, (70, 2, 0, 0), range(30))
+    assert counts[0] >= 64
+    counts = run_rounds(limits, (2, 2, 0, 70), range(30, 60))
+    assert counts[3] >= 64
+
+
+def test_unheard_peer_keeps_its_share() -> None:
+    limits = make_limits()
+    run_rounds(limits, (30, 30, 30, 0), range(10))
+    kept = limits[2].share
+    run_rounds(limits, (100, 100, 0, 0), range(10, 40), silent=(2,))
+    assert limits[2].share == kept
+    assert sum(limit.share for limit in limits) <= LIMIT_PER_S * MILLI
+
+
+def test_refusal_says_when_to_come_back() -> None:
+    limit = make_limits()[0]
+    verdicts = [limit.admit(0) for _ in range(100)]
+    assert isinstance(verdicts[-1], OverLimit)
+    assert 0 < verdicts[-1].retry_after_s <= BURST_S
