Add the settings of entries and agents

Cause: the roles have no settings yet; a process must learn its addresses and failure domain from a YAML file.

--- /dev/null
+++ b/src/cassiahitch/settings/fields.py
@@ -0,0 +1,94 @@
+"""Types of settings that are read from text or from files."""
+
+from __future__ import annotations
+
+from ipaddress import ip_address
+from pathlib import Path
+from typing import Annotated
+
+from pydantic import AfterValidator, BeforeValidator, Field, SecretBytes, ValidationInfo
+
+from cassiahitch.resources.models import Digest
+from cassiahitch.util.endpoints import MAX_PORT, Endpoint, parse_endpoint
+
+MAX_SECRET_BYTES = 4096
+MIN_SECRET_BYTES = 32
+MAX_DIGESTS = 1024
+MAX_DIGEST_FILE_BYTES = 128 * 1024
+
+
+def read_bounded(path: Path, max_bytes: int) -> bytes:
+    """Read a file that must not be larger than a bound.
+
+    :param path: the file.
+    :param max_bytes: the bound.
+    :return: its content.
+    :raises ValueError: if it cannot be read or is too large.
+    """
+    try:
+        with path.open('rb') as file:
+            content = file.read(max_bytes + 1)
+    except OSError as error:
+        raise ValueError(f'cannot read {path}: {error.strerror}') from None
+    if len(content) > max_bytes:
+        raise ValueError(f'{path} is larger than {max_bytes} bytes')
+    return content
+
+
+def _resolve(path: str, info: ValidationInfo) -> Path:
+    folder = (info.context or {}).get('folder', Path())
+    return Path(folder, path)
+
+
+def _read_secret(given: object, info: ValidationInfo) -> object:
+    if not isinstance(given, str):
+        return given
+    secret = read_bounded(_resolve(given, info), MAX_SECRET_BYTES).strip()
+    if len(secret) < MIN_SECRET_BYTES:
+        raise ValueError(f'the file holds fewer than {MIN_SECRET_BYTES} bytes')
+    return secret
+
+
+def _read_digests(given: object, info: ValidationInfo) -> object:
+    if not isinstance(given, str):
+        return given
+    content = read_bounded(_resolve(given, info), MAX_DIGEST_FILE_BYTES)
+    return content.decode('ascii', 'replace').split()
+
+
+def _read_endpoint(given: object) -> object:
+    if isinstance(given, str):
+        return parse_endpoint(given)
+    return given
+
+
+def _check_address(address: str) -> str:
+    return str(ip_address(address))
+
+
+#: Secret bytes; a settings file names the file that holds them.
+SecretFile = Annotated[SecretBytes, BeforeValidator(_read_secret, json_schema_input_type=str)]
+#: Digests, as a list or as the path of a file with one on each line.
+DigestList = Annotated[
+    tuple[Digest, ...],
+    Field(max_length=MAX_DIGESTS),
+    BeforeValidator(_read_digests, json_schema_input_type=list[str] | str),
+]
+#: An ``address:port``.
+EndpointText = Annotated[Endpoint, BeforeValidator(_read_endpoint, json_schema_input_type=str)]
+#: An IP number.
+Address = Annotated[str, AfterValidator(_check_address)]
+#: A port; 0 takes any that is free.
+Port = Annotated[int, Field(ge=0, le=MAX_PORT)]
+#: A URL of an HTTP service.
+Url = Annotated[str, Field(pattern=r'^https?://[^\s/?#@]+(/[^\s?#]*)?$', max_length=1024)]
+
+__all__ = (
+    'Address',
+    'DigestList',
+    'EndpointText',
+    'Port',
+    'SecretFile',
+    'Url',
+    'read_bounded',
+)
