--- /dev/null
+++ b/src/cassiahitch/metrics/names.py
@@ -0,0 +1,81 @@
+"""Names of all metrics."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+
+class CounterName(StrEnum):
+    """Counts that only rise."""
+
+    requests_received = 'requests_received'
+    requests_answered = 'requests_answered'
+    requests_failed = 'requests_failed'
+    requests_dispatched = 'requests_dispatched'
+    requests_retried = 'requests_retried'
+    requests_cancelled = 'requests_cancelled'
+    requests_voided = 'requests_voided'
+    runs_started = 'runs_started'
+    runs_finished = 'runs_finished'
+    answers_dropped = 'answers_dropped'
+    claims_committed = 'claims_committed'
+    claim_transactions = 'claim_transactions'
+    tickets_issued = 'tickets_issued'
+    suspects_marked = 'suspects_marked'
+    replicas_ejected = 'replicas_ejected'
+    cache_hits = 'cache_hits'
+    origin_bytes = 'origin_bytes'
+    region_bytes = 'region_bytes'
+    chunk_bytes_received = 'chunk_bytes_received'
+    chunk_bytes_sent = 'chunk_bytes_sent'
+    chunks_refused = 'chunks_refused'
+    loads_finished = 'loads_finished'
+    loads_failed = 'loads_failed'
+    revisions_applied = 'revisions_applied'
+    resources_changed = 'resources_changed'
+    leases_acquired = 'leases_acquired'
+    connections_opened = 'connections_opened'
+    connections_silent = 'connections_silent'
+    connections_refused = 'connections_refused'
+    frames_sent = 'frames_sent'
+    frames_received = 'frames_received'
+    frame_bytes_sent = 'frame_bytes_sent'
+    frame_bytes_received = 'frame_bytes_received'
+    frames_refused = 'frames_refused'
+    platform_calls = 'platform_calls'
+    platform_errors = 'platform_errors'
+    timeline_dropped = 'timeline_dropped'
+
+
+class GaugeName(StrEnum):
+    """Values that rise and fall."""
+
+    requests_in_flight = 'requests_in_flight'
+    requests_queued = 'requests_queued'
+    ledger_records = 'ledger_records'
+    staging_bytes = 'staging_bytes'
+    revision = 'revision'
+    live_entries = 'live_entries'
+    live_agents = 'live_agents'
+    leases_held = 'leases_held'
+
+
+class LatencyName(StrEnum):
+    """Durations, kept as histograms."""
+
+    request = 'request'
+    first_part = 'first_part'
+    queue_wait = 'queue_wait'
+    run = 'run'
+    claim = 'claim'
+    platform_call = 'platform_call'
+    chunk_fetch = 'chunk_fetch'
+    load = 'load'
+    configuration = 'configuration'
+
+
+__all__ = (
+    'CounterName',
+    'GaugeName',
+    'LatencyName',
+)
