Add the wire, the platform's clients and the stand-ins

Cause: the path needs connections between processes and something to speak to. Change: Thrift frames with a keyed handshake and heartbeats, HTTP clients of the platform and of engines, stand-ins over loopback. Conclusion: the agent and the entry can be built on these.

--- /dev/null
+++ b/src/cassiahitch/engine/http.py
@@ -0,0 +1,164 @@
+"""HTTP client of a model engine; the answer is a stream of JSON lines with an explicit end."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import AsyncGenerator, AsyncIterator
+from contextlib import aclosing
+from dataclasses import asdict, dataclass
+from typing import Annotated
+
+from pydantic import BaseModel, ConfigDict, Field, TypeAdapter, ValidationError
+
+from cassiahitch.codes import Code
+from cassiahitch.engine.api import CacheEvent, EngineState, GenerateOrder, LoadOrder
+from cassiahitch.errors import PlatformError
+from cassiahitch.platform.caller import Call, CallFailed, HttpCaller, Reply
+
+HTTP_OK = 200
+HTTP_CONFLICT = 409
+#: Longest time for which an engine may run a request, in seconds.
+GENERATE_TIMEOUT_S = 600
+#: Longest time for which an engine may load a version, in seconds.
+LOAD_TIMEOUT_S = 600
+#: Largest line of an engine's answer, in bytes.
+MAX_LINE_BYTES = 1024 * 1024
+
+
+class PartModel(BaseModel):
+    """A line of an answer: a part of its text, or its end with the length in bytes."""
+
+    model_config = ConfigDict(extra='forbid')
+
+    text: str | None = None
+    length: Annotated[int, Field(ge=0)] | None = None
+
+
+_STATE = TypeAdapter(EngineState)
+_CACHE_EVENTS = TypeAdapter(tuple[CacheEvent, ...])
+
+
+@dataclass(frozen=True, slots=True)
+class HttpEngine:
+    """Client of a model engine."""
+
+    caller: HttpCaller
+    url: str
+    timeout_s: float = 3
+
+    async def state(self) -> EngineState:
+        """Return what the engine has loaded and its load.
+
+        :return: the state; the load lags.
+        :raises PlatformError: ``engine_unavailable`` or ``engine_answer_corrupt``.
+        """
+        reply = await self._call(Call('GET', f'{self.url}/v1/state', timeout_s=self.timeout_s))
+        return _parse_state(reply)
+
+    async def load(self, order: LoadOrder) -> EngineState:
+        """Load a version.
+
+        :param order: the version and the fencing number.
+        :return: the state after the load.
+        :raises PlatformError: ``load_refused``, ``engine_unavailable`` or
+            ``engine_answer_corrupt``.
+        """
+        body = json.dumps(asdict(order)).encode()
+        call = Call('POST', f'{self.url}/v1/load', body, LOAD_TIMEOUT_S, repeatable=False)
+        return _parse_state(await self._call(call))
+
+    async def generate(self, order: GenerateOrder) -> AsyncGenerator[bytes, None]:
+        """Run a request.
+
+        :param order: the request.
+        :yield: parts of the answer, UTF-8 text.
+        :raises PlatformError: ``engine_unavailable`` if the engine did not take the request,
+            ``answer_cut_short`` or ``engine_answer_corrupt`` after that.
+        """
+        body = json.dumps({**asdict(order), 'body': order.body.decode(errors='replace')}).encode()
+        call = Call('POST', f'{self.url}/v1/generate', body, GENERATE_TIMEOUT_S, repeatable=False)
+        length = order.resume_from
+        async with aclosing(self.caller.stream(call)) as chunks:
+            async for part in _parts(chunks):
+                if part.text is None:
+                    _check_length(part, length)
+                    return
+                text = part.text.encode()
+                length += len(text)
+                yield text
+        raise PlatformError(Code.answer_cut_short, 'the engine ended its answer without an end')
+
+    async def cancel(self, request_id: str) -> None:
+        """Stop a request that runs.
+
+        :param request_id: hexadecimal request id.
+        :raises PlatformError: ``engine_unavailable``.
+        """
+        await self._call(Call('POST', f'{self.url}/v1/cancel/{request_id}', b''))
+
+    async def cache_events(self, after: int) -> tuple[CacheEvent, ...]:
+        """Return the cache events after a sequence number.
+
+        :param after: the last sequence number seen.
+        :return: the events, perhaps late and with gaps.
+        :raises PlatformError: ``engine_unavailable`` or ``engine_event_corrupt``.
+        """
+        reply = await self._call(Call('GET', f'{self.url}/v1/cache-events?after={after}'))
+        try:
+            return _CACHE_EVENTS.validate_json(reply.body)
+        except ValidationError as error:
+            raise PlatformError(Code.engine_event_corrupt, str(error.error_count())) from error
+
+    async def _call(self, call: Call) -> Reply:
+        try:
+            reply = await self.caller.call(call)
+        except CallFailed as error:
+            raise PlatformError(Code.engine_unavailable, str(error)) from error
+        if reply.status == HTTP_CONFLICT:
+            raise PlatformError(Code.load_refused, 'the engine refused the fencing number')
+        if reply.status != HTTP_OK:
+            raise PlatformError(Code.engine_unavailable, f'status {reply.status}')
+        return reply
+
+
+def _parse_state(reply: Reply) -> EngineState:
+    try:
+        return _STATE.validate_json(reply.body)
+    except ValidationError as error:
+        detail = f'{error.error_count()} faults in the state'
+        raise PlatformError(Code.engine_answer_corrupt, detail) from error
+
+
+def _parse_part(line: bytes) -> PartModel:
+    try:
+        part = PartModel.model_validate_json(line)
+    except ValidationError as error:
+        raise PlatformError(Code.engine_answer_corrupt, 'a line is not a part') from error
+    if (part.text is None) == (part.length is None):
+        raise PlatformError(Code.engine_answer_corrupt, 'a line is neither a part nor the end')
+    return part
+
+
+def _check_length(end: PartModel, length: int) -> None:
+    if end.length != length:
+        raise PlatformError(Code.answer_cut_short, f'{length} bytes of {end.length}')
+
+
+async def _parts(chunks: AsyncIterator[bytes]) -> AsyncGenerator[PartModel, None]:
+    pending = b''
+    try:
+        async for chunk in chunks:
+            *lines, pending = (pending + chunk).split(b'\n')
+            for line in lines:
+                yield _parse_part(line)
+            if len(pending) > MAX_LINE_BYTES:
+                raise PlatformError(Code.engine_answer_corrupt, 'a line is too long')
+    except CallFailed as error:
+        code = Code.answer_cut_short if error.sent else Code.engine_unavailable
+        raise PlatformError(code, str(error)) from error
+
+
+__all__ = (
+    'HttpEngine',
+    'PartModel',
+)
--- /dev/null
+++ b/src/cassiahitch/platform/caller.py
@@ -0,0 +1,172 @@
+"""HTTP calls to the platform and to backend servers through tornado's curl client."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import AsyncGenerator
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+import pycurl
+from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
+from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
+
+from cassiahitch.codes import Code
+from cassiahitch.errors import PlatformError
+
+if TYPE_CHECKING:
+    from types import TracebackType
+
+#: Calls under way at once; further ones wait in the client.
+MAX_CLIENTS = 256
+#: Largest answer to a call, in bytes.
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+
+HTTP_SERVER_ERRORS = 500
+_NOT_SENT = frozenset((pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST))
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """An HTTP call; one that is not ``repeatable`` uses a fresh connection."""
+
+    method: str
+    url: str
+    body: bytes | None = None
+    timeout_s: float = 5
+    repeatable: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Status and body of an answer."""
+
+    status: int
+    body: bytes
+
+    def json(self) -> Any:
+        """Return the decoded body.
+
+        :return: plain JSON values.
+        :raises PlatformError: ``store_row_corrupt`` if it is not JSON.
+        """
+        try:
+            return json.loads(self.body)
+        except ValueError as error:
+            raise PlatformError(Code.store_row_corrupt, 'the answer is not JSON') from error
+
+
+class CallFailed(Exception):
+    """A call without an answer; ``sent`` tells whether the peer may have seen it."""
+
+    def __init__(self, detail: str, *, sent: bool) -> None:
+        """Create the error.
+
+        :param detail: one line.
+        :param sent: whether the peer may have seen the call.
+        """
+        super().__init__(detail)
+        self.sent = sent
+
+
+def _fresh_connection(curl: pycurl.Curl) -> None:
+    # libcurl repeats a request by itself when a reused connection closes before any answer.
+    curl.setopt(pycurl.FRESH_CONNECT, 1)
+    curl.setopt(pycurl.FORBID_REUSE, 1)
+
+
+def _reuse_connection(curl: pycurl.Curl) -> None:
+    curl.setopt(pycurl.FRESH_CONNECT, 0)
+    curl.setopt(pycurl.FORBID_REUSE, 0)
+
+
+def _was_sent(error: BaseException) -> bool:
+    return not (isinstance(error, CurlError) and error.errno in _NOT_SENT)
+
+
+class HttpCaller:
+    """Owns a curl client; an asynchronous context manager."""
+
+    def __init__(self) -> None:
+        """Create the caller within a running event loop."""
+        self.client = CurlAsyncHTTPClient(force_instance=True, max_clients=MAX_CLIENTS)
+
+    async def __aenter__(self) -> HttpCaller:
+        """Return the caller."""
+        return self
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Close the client."""
+        self.client.close()
+
+    async def call(self, call: Call) -> Reply:
+        """Make a call and wait for its whole answer.
+
+        :param call: what to send.
+        :return: the answer, whatever its status.
+        :raises CallFailed: without an answer.
+        """
+        try:
+            answer = await self.client.fetch(self._request(call), raise_error=False)
+            return _reply(answer)
+        except (HTTPClientError, OSError) as error:
+            raise CallFailed(str(error), sent=_was_sent(error)) from error
+
+    async def stream(self, call: Call) -> AsyncGenerator[bytes, None]:
+        """Make a call and yield its answer as it arrives.
+
+        :param call: what to send.
+        :yield: parts of the body.
+        :raises CallFailed: if the answer is cut short or its status is not 200.
+        """
+        parts: asyncio.Queue[bytes | None] = asyncio.Queue()
+        request = self._request(call)
+        request.streaming_callback = parts.put_nowait
+        answer = asyncio.ensure_future(self.client.fetch(request, raise_error=False))
+        answer.add_done_callback(lambda _: parts.put_nowait(None))
+        while True:
+            part = await parts.get()
+            if part is None:
+                break
+            yield part
+        _check_stream(answer.result())
+
+    def _request(self, call: Call) -> HTTPRequest:
+        return HTTPRequest(
+            call.url,
+            method=call.method,
+            body=call.body,
+            allow_nonstandard_methods=True,
+            follow_redirects=False,
+            connect_timeout=min(call.timeout_s, 2),
+            request_timeout=call.timeout_s,
+            prepare_curl_callback=_reuse_connection if call.repeatable else _fresh_connection,
+        )
+
+
+def _reply(answer: HTTPResponse) -> Reply:
+    if isinstance(answer.error, CurlError):
+        raise answer.error
+    if len(answer.body) > MAX_ANSWER_BYTES:
+        raise CallFailed('the answer is too large', sent=True)
+    return Reply(answer.code, answer.body)
+
+
+def _check_stream(answer: HTTPResponse) -> None:
+    if answer.error is not None:
+        raise CallFailed(str(answer.error), sent=_was_sent(answer.error))
+
+
+__all__ = (
+    'HTTP_SERVER_ERRORS',
+    'Call',
+    'CallFailed',
+    'HttpCaller',
+    'Reply',
+)
--- /dev/null
+++ b/src/cassiahitch/standins/engines.py
@@ -0,0 +1,233 @@
+"""Stand-ins of backend servers: a model engine and a plain sequence service."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import json
+from collections import Counter
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from dataclasses import asdict, dataclass, field
+
+from cassiahitch.engine.api import EngineState
+from cassiahitch.standins.http import StandInHandler, StandInServer
+
+HTTP_CONFLICT = 409
+HTTP_UNAVAILABLE = 503
+#: Parts in which an engine sends its answer.
+ANSWER_PARTS = 4
+
+
+def draft(digest: str, body: bytes) -> bytes:
+    """Return the answer that an engine gives, which depends on its weights.
+
+    :param digest: digest of the loaded weights.
+    :param body: the request.
+    :return: UTF-8 text.
+    """
+    mark = hashlib.sha256(digest.encode() + body).hexdigest()
+    return f'draft {mark} of {body.decode(errors="replace")}'.encode()
+
+
+@dataclass(slots=True)
+class StandInEngine:
+    """A model engine; one that does not check fencing numbers takes every order."""
+
+    checks_fencing: bool = True
+    step_s: float = 0.005
+    load_s: float = 0.05
+    digest: str = ''
+    load_epoch: int = 0
+    running: int = 0
+    highest_fencing_number: int = 0
+    loading: bool = False
+    runs: Counter[str] = field(default_factory=Counter)
+    cancelled: set[str] = field(default_factory=set)
+
+    def state(self) -> EngineState:
+        """Return what is loaded and the load.
+
+        :return: the state.
+        """
+        return EngineState(self.digest, self.load_epoch, self.running, queued=0)
+
+    @contextmanager
+    def run(self) -> Iterator[None]:
+        """Count a request as running.
+
+        :yield: while it runs.
+        """
+        with ExitStack() as stack:
+            self.running += 1
+            stack.callback(self._end_run)
+            yield
+
+    def _end_run(self) -> None:
+        self.running -= 1
+
+    async def load(self, digest: str, fencing_number: int) -> bool:
+        """Load a version.
+
+        :param digest: digest of the version.
+        :param fencing_number: that of the order.
+        :return: whether the order was taken.
+        """
+        if self.checks_fencing and fencing_number < self.highest_fencing_number:
+            return False
+        self.highest_fencing_number = max(fencing_number, self.highest_fencing_number)
+        self.loading = True
+        await asyncio.sleep(self.load_s)
+        self.digest = digest
+        self.load_epoch += 1
+        self.loading = False
+        return True
+
+
+@dataclass(slots=True)
+class SequenceService:
+    """A plain service that issues the next number of a sequence; not idempotent."""
+
+    issued: int = 0
+    runs: Counter[str] = field(default_factory=Counter)
+
+    def issue(self, request_id: str) -> int:
+        """Issue the next number.
+
+        :param request_id: hexadecimal request id.
+        :return: the number.
+        """
+        self.runs[request_id] += 1
+        self.issued += 1
+        return self.issued
+
+
+class EngineStateHandler(StandInHandler):
+    """Serves the state of an engine."""
+
+    target: StandInEngine
+
+    def get(self) -> None:
+        """Return the state."""
+        self.write(asdict(self.target.state()))
+
+
+class EngineLoadHandler(StandInHandler):
+    """Takes orders to load."""
+
+    target: StandInEngine
+
+    async def post(self) -> None:
+        """Load a version."""
+        order = json.loads(self.request.body)
+        if not await self.target.load(order['digest'], order['fencing_number']):
+            self.set_status(HTTP_CONFLICT)
+            return
+        self.write(asdict(self.target.state()))
+
+
+class EngineGenerateHandler(StandInHandler):
+    """Runs requests."""
+
+    target: StandInEngine
+
+    async def post(self) -> None:
+        """Run a request and send its answer in parts."""
+        if self.target.loading or not self.target.digest:
+            self.set_status(HTTP_UNAVAILABLE)
+            return
+        order = json.loads(self.request.body)
+        self.target.runs[order['request_id']] += 1
+        answer = draft(self.target.digest, order['body'].encode())
+        with self.target.run():
+            await self._send(answer, order['request_id'])
+
+    async def _send(self, answer: bytes, request_id: str) -> None:
+        size = len(answer) // ANSWER_PARTS + 1
+        text = answer.decode()
+        for start in range(0, len(text), size):
+            await asyncio.sleep(self.target.step_s)
+            if request_id in self.target.cancelled:
+                return
+            self._line({'text': text[start : start + size]})
+            self.flush()
+        self._line({'length': len(answer)})
+
+    def _line(self, part: dict[str, str | int]) -> None:
+        self.write(f'{json.dumps(part)}\n')
+
+
+class EngineCancelHandler(StandInHandler):
+    """Stops requests."""
+
+    target: StandInEngine
+
+    def post(self, request_id: str) -> None:
+        """Stop a request.
+
+        :param request_id: hexadecimal request id.
+        """
+        self.target.cancelled.add(request_id)
+
+
+class EngineCacheHandler(StandInHandler):
+    """Publishes cache events; this engine has none."""
+
+    def get(self) -> None:
+        """Return no events."""
+        self.write(json.dumps([]))
+
+
+class PlainStateHandler(StandInHandler):
+    """Serves the state of a plain service, which has no weights."""
+
+    def get(self) -> None:
+        """Return the state."""
+        self.write(asdict(EngineState(digest='', load_epoch=0, running=0, queued=0)))
+
+
+class SequenceHandler(StandInHandler):
+    """Issues numbers."""
+
+    target: SequenceService
+
+    def post(self) -> None:
+        """Issue the next number."""
+        order = json.loads(self.request.body)
+        text = str(self.target.issue(order['request_id']))
+        self.write(f'{json.dumps({"text": text})}\n{json.dumps({"length": len(text)})}\n')
+
+
+def serve_engine(engine: StandInEngine) -> StandInServer:
+    """Serve a model engine over HTTP.
+
+    :param engine: the engine.
+    :return: the running server.
+    """
+    routes = [
+        ('/v1/state', EngineStateHandler),
+        ('/v1/load', EngineLoadHandler),
+        ('/v1/generate', EngineGenerateHandler),
+        (r'/v1/cancel/(\w+)', EngineCancelHandler),
+        ('/v1/cache-events', EngineCacheHandler),
+    ]
+    return StandInServer(routes, engine)
+
+
+def serve_sequence(service: SequenceService) -> StandInServer:
+    """Serve a sequence service over HTTP.
+
+    :param service: the service.
+    :return: the running server.
+    """
+    routes = [('/v1/state', PlainStateHandler), ('/v1/generate', SequenceHandler)]
+    return StandInServer(routes, service)
+
+
+__all__ = (
+    'SequenceService',
+    'StandInEngine',
+    'draft',
+    'serve_engine',
+    'serve_sequence',
+)
--- /dev/null
+++ b/src/cassiahitch/standins/http.py
@@ -0,0 +1,62 @@
+"""Base of the HTTP servers that stand in for the systems around."""
+
+from __future__ import annotations
+
+import socket
+from typing import Any
+
+from tornado.httpserver import HTTPServer
+from tornado.web import Application, RequestHandler
+
+#: Largest body that a stand-in accepts, in bytes.
+MAX_BODY_BYTES = 64 * 1024 * 1024
+
+
+class StandInHandler(RequestHandler):
+    """A request handler that holds the object it serves."""
+
+    def initialize(self, target: Any) -> None:
+        """Keep the object that the handler serves.
+
+        :param target: the stand-in behind the server.
+        """
+        self.target = target
+
+    def log_exception(self, *_args: Any) -> None:
+        """Keep the failures of stand-ins out of the log."""
+
+
+Routes = list[tuple[str, type[StandInHandler]]]
+
+
+class StandInServer:
+    """An HTTP server on a free port of loopback."""
+
+    def __init__(self, routes: Routes, target: Any) -> None:
+        """Start the server within a running event loop.
+
+        :param routes: patterns and their handlers.
+        :param target: the stand-in that the handlers serve.
+        """
+        rules = [(pattern, handler, {'target': target}) for pattern, handler in routes]
+        own = socket.create_server(('127.0.0.1', 0), backlog=1024)
+        own.setblocking(False)  # noqa: WPS425 the only argument of the call
+        self.port = int(own.getsockname()[1])
+        self.server = HTTPServer(Application(rules), max_body_size=MAX_BODY_BYTES)
+        self.server.add_socket(own)
+
+    @property
+    def url(self) -> str:
+        """Where the server answers."""
+        return f'http://127.0.0.1:{self.port}'
+
+    async def close(self) -> None:
+        """Stop the server and close its connections."""
+        self.server.stop()
+        await self.server.close_all_connections()
+
+
+__all__ = (
+    'StandInHandler',
+    'StandInServer',
+)
--- /dev/null
+++ b/src/cassiahitch/wire/connection.py
@@ -0,0 +1,216 @@
+"""A connection between two processes: calls, streams of replies and heartbeats."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import AsyncGenerator, Awaitable, Callable, Iterator
+from contextlib import ExitStack, aclosing, contextmanager, suppress
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from tornado.iostream import StreamClosedError
+
+from cassiahitch.codes import Code
+from cassiahitch.errors import CassiahitchError, WireError
+from cassiahitch.wire.codec import Envelope, decode, encode
+from cassiahitch.wire.framing import pack, read_frame
+from cassiahitch.wire.messages import AnswerPart, Failure, Heartbeat
+
+if TYPE_CHECKING:
+    from tornado.iostream import IOStream
+
+    from cassiahitch.clock import Clock
+    from cassiahitch.wire.messages import Hello, Message
+
+Reply = Callable[['Message'], Awaitable[None]]
+Handler = Callable[['Connection', 'Message', Reply], Awaitable[None]]
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionLimits:
+    """Bounds of a connection."""
+
+    max_frame_bytes: int = 8 * 1024 * 1024
+    max_calls_handled: int = 1024
+    heartbeat_s: float = 0.5
+    silent_after_s: float = 3
+
+
+class Connection:
+    """Owns one stream; ends with a :class:`WireError` when it closes or falls silent."""
+
+    def __init__(
+        self,
+        stream: IOStream,
+        peer: Hello,
+        clock: Clock,
+        limits: ConnectionLimits,
+        handler: Handler,
+        heartbeat: Callable[[], Heartbeat],
+    ) -> None:
+        """Create a connection after its handshake.
+
+        :param stream: the byte stream, owned from now on.
+        :param peer: what the other process says of itself.
+        :param clock: source of time.
+        :param limits: bounds.
+        :param handler: called as a task for each message that is not a reply.
+        :param heartbeat: gives the heartbeat to send.
+        """
+        self.stream = stream
+        self.peer = peer
+        self.clock = clock
+        self.limits = limits
+        self.handler = handler
+        self.heartbeat = heartbeat
+        self.numbers = itertools.count(1)
+        self.waiting: dict[int, asyncio.Queue[Message | WireError]] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.heard_at = clock.monotonic()
+        self.closed: WireError | None = None
+
+    async def run(self) -> WireError:
+        """Read until the connection ends.
+
+        :return: why it ended.
+        """
+        beating = asyncio.create_task(self._beat())
+        try:
+            await self._read()
+        except WireError as error:
+            self.close(error)
+        finally:
+            beating.cancel()
+            self.close(WireError(Code.connection_closed, 'closed by this process'))
+        return self.closed or WireError(Code.connection_closed, 'closed')
+
+    def close(self, reason: WireError) -> None:
+        """Close the connection and end every call that waits for a reply.
+
+        :param reason: what the waiting calls raise.
+        """
+        if self.closed is not None:
+            return
+        self.closed = reason
+        self.stream.close()
+        for queue in self.waiting.values():
+            queue.put_nowait(reason)
+        for task in tuple(self.tasks):
+            task.cancel()
+
+    async def send(self, message: Message, reply_to: int = 0, number: int | None = None) -> None:
+        """Send a message.
+
+        :param message: the message.
+        :param reply_to: the number of the call that it replies to.
+        :param number: its own number, the next one by default.
+        :raises WireError: if the connection is closed.
+        """
+        if self.closed is not None:
+            raise self.closed
+        own = next(self.numbers) if number is None else number
+        body = encode(Envelope(own, reply_to, int(self.clock.wall() * 1000), message))
+        try:
+            await self.stream.write(pack(body))
+        except StreamClosedError as error:
+            raise WireError(Code.connection_closed, 'the connection closed') from error
+
+    async def call(self, message: Message) -> Message:
+        """Send a message and wait for its reply.
+
+        :param message: the message.
+        :return: the reply.
+        :raises WireError: if the connection ends first.
+        :raises CassiahitchError: if the peer answered with a failure.
+        """
+        async with aclosing(self.stream_call(message)) as replies:
+            return await anext(replies)
+
+    async def stream_call(self, message: Message) -> AsyncGenerator[Message, None]:
+        """Send a message and yield its replies, the last of which is not an answer part.
+
+        :param message: the message.
+        :yield: the replies.
+        :raises WireError: if the connection ends first.
+        :raises CassiahitchError: if the peer answered with a failure.
+        """
+        number = next(self.numbers)
+        with self._expect(number) as queue:
+            await self.send(message, number=number)
+            while True:
+                reply = _received(await queue.get())
+                yield reply
+                if not isinstance(reply, AnswerPart):
+                    return
+
+    @contextmanager
+    def _expect(self, number: int) -> Iterator[asyncio.Queue[Message | WireError]]:
+        queue: asyncio.Queue[Message | WireError] = asyncio.Queue()
+        with ExitStack() as stack:
+            self.waiting[number] = queue
+            stack.callback(self.waiting.pop, number)
+            yield queue
+
+    async def _read(self) -> None:
+        while self.closed is None:
+            envelope = decode(await read_frame(self.stream, self.limits.max_frame_bytes))
+            self.heard_at = self.clock.monotonic()
+            if envelope.reply_to:
+                self._deliver(envelope)
+            else:
+                self._start(envelope)
+
+    def _deliver(self, envelope: Envelope) -> None:
+        queue = self.waiting.get(envelope.reply_to)
+        if queue is not None:
+            queue.put_nowait(envelope.message)
+
+    def _start(self, envelope: Envelope) -> None:
+        if len(self.tasks) >= self.limits.max_calls_handled:
+            raise WireError(Code.queue_full, f'{len(self.tasks)} calls are being handled')
+        task = asyncio.create_task(self._handle(envelope))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _handle(self, envelope: Envelope) -> None:
+        async def reply(message: Message) -> None:  # noqa: WPS430 binds the number of the call
+            await self.send(message, reply_to=envelope.id)
+
+        with suppress(WireError):
+            try:
+                await self.handler(self, envelope.message, reply)
+            except CassiahitchError as error:
+                await reply(Failure(error.code, error.detail))
+
+    async def _beat(self) -> None:
+        while self.closed is None:
+            with suppress(WireError):
+                await asyncio.wait_for(self.send(self.heartbeat()), self.limits.silent_after_s)
+            await asyncio.sleep(self.limits.heartbeat_s)
+            silence = self.clock.monotonic() - self.heard_at
+            if silence > self.limits.silent_after_s:
+                self.close(WireError(Code.connection_silent, f'silent for {silence:.1f} s'))
+
+
+def _received(reply: Message | WireError) -> Message:
+    if isinstance(reply, WireError):
+        raise reply
+    if isinstance(reply, Failure):
+        raise CassiahitchError(_known(reply.code), reply.detail)
+    return reply
+
+
+def _known(code: int) -> Code:
+    try:
+        return Code(code)
+    except ValueError:
+        return Code.internal
+
+
+__all__ = (
+    'Connection',
+    'ConnectionLimits',
+    'Handler',
+    'Reply',
+)
--- /dev/null
+++ b/src/cassiahitch/wire/endpoint.py
@@ -0,0 +1,154 @@
+"""Opens and accepts connections between processes and owns them until it closes."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Awaitable
+from contextlib import suppress
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Protocol
+
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.tcpserver import TCPServer
+
+from cassiahitch.codes import Code
+from cassiahitch.errors import WireError
+from cassiahitch.wire.connection import Connection, ConnectionLimits, Reply
+from cassiahitch.wire.handshake import accept_handshake, dial_handshake
+
+if TYPE_CHECKING:
+    from cassiahitch.clock import Clock
+    from cassiahitch.wire.messages import Heartbeat, Hello, Message
+
+#: Longest time in which a peer must prove the system key, in seconds.
+HANDSHAKE_TIMEOUT_S = 3
+
+
+class Process(Protocol):
+    """The process that an endpoint speaks for."""
+
+    def hello(self) -> Hello:
+        """Return what the process says of itself."""
+
+    def heartbeat(self) -> Heartbeat:
+        """Return the heartbeat to send now."""
+
+    def opened(self, connection: Connection) -> None:
+        """Take note of a new connection."""
+
+    def ended(self, connection: Connection, reason: WireError) -> None:
+        """Take note that a connection ended."""
+
+    async def handle(self, connection: Connection, message: Message, reply: Reply) -> None:
+        """Handle a message that is not a reply."""
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointSettings:
+    """What all connections of a process share."""
+
+    key: bytes
+    limits: ConnectionLimits
+
+
+class Endpoint(TCPServer):
+    """Listens for connections, dials peers and runs every connection as a task."""
+
+    def __init__(self, settings: EndpointSettings, process: Process, clock: Clock) -> None:
+        """Create an endpoint.
+
+        :param settings: the system key and bounds.
+        :param process: the process that it speaks for.
+        :param clock: source of time.
+        """
+        super().__init__()
+        self.settings = settings
+        self.process = process
+        self.clock = clock
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.connections: set[Connection] = set()
+
+    def bind_port(self, address: str, port: int) -> int:
+        """Start to listen.
+
+        :param address: IP address.
+        :param port: TCP port, 0 for any free one.
+        :return: the port.
+        """
+        own = socket.create_server((address, port), backlog=1024)
+        own.setblocking(False)  # noqa: WPS425 the only argument of the call
+        self.add_socket(own)
+        return int(own.getsockname()[1])
+
+    async def handle_stream(self, stream: IOStream, address: tuple[str, int]) -> None:
+        """Accept a connection.
+
+        :param stream: the accepted stream.
+        :param address: where the peer dialled from.
+        """
+        with suppress(WireError, StreamClosedError, TimeoutError):
+            handshake = accept_handshake(stream, self.settings.key, self.process.hello())
+            peer = await self._handshake(stream, handshake)
+            self._start(stream, peer)
+
+    async def dial(self, address: str, port: int) -> Connection:
+        """Open a connection to a peer.
+
+        :param address: IP address.
+        :param port: TCP port.
+        :return: the connection, which runs until it ends.
+        :raises WireError: if the peer cannot be reached or refuses the handshake.
+        """
+        stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+        try:
+            await asyncio.wait_for(stream.connect((address, port)), HANDSHAKE_TIMEOUT_S)
+            handshake = dial_handshake(stream, self.settings.key, self.process.hello())
+            peer = await self._handshake(stream, handshake)
+        except (StreamClosedError, TimeoutError) as error:
+            stream.close()
+            raise WireError(Code.connection_closed, f'cannot reach {address}:{port}') from error
+        return self._start(stream, peer)
+
+    async def close(self) -> None:
+        """Stop to listen and close every connection."""
+        self.stop()
+        for connection in tuple(self.connections):
+            connection.close(WireError(Code.connection_closed, 'this process is stopping'))
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    async def _handshake(self, stream: IOStream, handshake: Awaitable[Hello]) -> Hello:
+        try:
+            return await asyncio.wait_for(handshake, HANDSHAKE_TIMEOUT_S)
+        except (StreamClosedError, TimeoutError, WireError):
+            stream.close()
+            raise
+
+    def _start(self, stream: IOStream, peer: Hello) -> Connection:
+        stream.set_nodelay(True)  # noqa: WPS425 the only argument of the call
+        connection = Connection(
+            stream,
+            peer,
+            self.clock,
+            self.settings.limits,
+            self.process.handle,
+            self.process.heartbeat,
+        )
+        task = asyncio.create_task(self._run(connection))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return connection
+
+    async def _run(self, connection: Connection) -> None:
+        self.connections.add(connection)
+        self.process.opened(connection)
+        reason = await connection.run()
+        self.connections.discard(connection)
+        self.process.ended(connection, reason)
+
+
+__all__ = (
+    'Endpoint',
+    'EndpointSettings',
+    'Process',
+)
--- /dev/null
+++ b/src/cassiahitch/wire/messages.py
@@ -0,0 +1,303 @@
+"""Messages between the processes of the system.
+
+Times are milliseconds; digests of weights are hexadecimal SHA-256, other digests raw bytes.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Challenge:
+    """The first frame of the accepting side."""
+
+    nonce: bytes = b''
+
+
+@dataclass(frozen=True, slots=True)
+class Hello:
+    """Names a process and proves that it knows the system key."""
+
+    role: str = ''
+    host: str = ''
+    incarnation: int = 0
+    region: str = ''
+    failure_domain: str = ''
+    address: str = ''
+    port: int = 0
+    nonce: bytes = b''
+    proof: bytes = b''
+    clock_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """State of a process, sent at a fixed interval in both directions."""
+
+    incarnation: int = 0
+    revision: int = 0
+    leaving: bool = False
+    ready: bool = False
+    clock_ms: int = 0
+    running: int = 0
+    queued: int = 0
+    capacity: int = 0
+    service_name: str = ''
+    loaded_digest: str = ''
+    load_epoch: int = 0
+    complete_digests: tuple[str, ...] = ()
+    lowest_fencing_number: int = 0
+    http_port: int = 0
+    rollout_id: str = ''
+    chunks_complete: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Dispatch:
+    """A request for the backend server of an agent."""
+
+    request_id: bytes = b''
+    ledger_key: str = ''
+    incarnation: int = 0
+    not_after_ms: int = 0
+    organisation: str = ''
+    service_name: str = ''
+    body_digest: bytes = b''
+    body: bytes = b''
+    priority: int = 0
+    stream: bool = False
+    claim_key: str = ''
+    idempotent: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerPart:
+    """A part of a streamed answer."""
+
+    request_id: bytes = b''
+    index: int = 0
+    body: bytes = b''
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """The end of an answer, with its length and SHA-256 checksum."""
+
+    request_id: bytes = b''
+    body_digest: bytes = b''
+    code: int = 0
+    ran: str = ''
+    detail: str = ''
+    body: bytes = b''
+    length: int = 0
+    checksum: bytes = b''
+    weights_digest: str = ''
+    backend_crashed: bool = False
+    replayed: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Void:
+    """Asks an agent never to run a request."""
+
+    ledger_key: str = ''
+    incarnation: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Status:
+    """Asks an agent what became of a request."""
+
+    ledger_key: str = ''
+    incarnation: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class LedgerState:
+    """What the ledger of an agent holds for a key."""
+
+    ledger_key: str = ''
+    state: str = ''
+    incarnation: int = 0
+    answer: bytes = b''
+    weights_digest: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class Cancel:
+    """Stops a request whose caller has left."""
+
+    request_id: bytes = b''
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationPull:
+    """Asks a peer for the configuration after a revision."""
+
+    after_revision: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationUpdate:
+    """Changes from a base revision to a revision, or a whole snapshot, as JSON."""
+
+    base_revision: int = 0
+    revision: int = 0
+    snapshot: bool = False
+    document: bytes = b''
+
+
+@dataclass(frozen=True, slots=True)
+class PeerAddress:
+    """Where the connections of a host are accepted."""
+
+    host: str = ''
+    address: str = ''
+    port: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class FetchOrder:
+    """Orders an agent to fetch a version as a participant of a plan."""
+
+    rollout_id: str = ''
+    manifest_digest: str = ''
+    origin: str = ''
+    plan: bytes = b''
+    fencing_number: int = 0
+    peers: tuple[PeerAddress, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class CancelRollout:
+    """Orders an agent to give up a rollout."""
+
+    rollout_id: str = ''
+    fencing_number: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class OrderLoad:
+    """Orders an agent to load a version that is complete on its host."""
+
+    rollout_id: str = ''
+    manifest_digest: str = ''
+    service_name: str = ''
+    fencing_number: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class OrderReply:
+    """Whether an order was taken."""
+
+    code: int = 0
+    detail: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class ChunkRequest:
+    """Asks an agent for a chunk; it may wait until the chunk has arrived there."""
+
+    manifest_digest: str = ''
+    index: int = 0
+    host: str = ''
+    wait_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ChunkReply:
+    """A chunk, or the code that says why there is none."""
+
+    manifest_digest: str = ''
+    index: int = 0
+    code: int = 0
+    content: bytes = b''
+
+
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """Demand of an organisation at an entry, in requests a second."""
+
+    organisation: str = ''
+    demand_per_s: float = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Suspect:
+    """A fingerprint of a request that was in flight when a backend server crashed."""
+
+    fingerprint: bytes = b''
+    crashes: int = 0
+    cleared: bool = False
+    running: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class EntryGossip:
+    """Demand and suspects that entries share."""
+
+    host: str = ''
+    incarnation: int = 0
+    usages: tuple[Usage, ...] = ()
+    suspects: tuple[Suspect, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Failure:
+    """A call that could not be handled."""
+
+    code: int = 0
+    detail: str = ''
+
+
+#: Every message that a frame can carry.
+Message = (
+    Challenge
+    | Hello
+    | Heartbeat
+    | Dispatch
+    | AnswerPart
+    | Answer
+    | Void
+    | Status
+    | LedgerState
+    | Cancel
+    | ConfigurationPull
+    | ConfigurationUpdate
+    | FetchOrder
+    | CancelRollout
+    | OrderLoad
+    | OrderReply
+    | ChunkRequest
+    | ChunkReply
+    | EntryGossip
+    | Failure
+)
+
+__all__ = (
+    'Answer',
+    'AnswerPart',
+    'Cancel',
+    'CancelRollout',
+    'Challenge',
+    'ChunkReply',
+    'ChunkRequest',
+    'ConfigurationPull',
+    'ConfigurationUpdate',
+    'Dispatch',
+    'EntryGossip',
+    'Failure',
+    'FetchOrder',
+    'Heartbeat',
+    'Hello',
+    'LedgerState',
+    'Message',
+    'OrderLoad',
+    'OrderReply',
+    'PeerAddress',
+    'Status',
+    'Suspect',
+    'Usage',
+    'Void',
+)
