--- /dev/null
+++ b/src/cassiahitch/wire/api.py
@@ -0,0 +1,44 @@
+"""What a process offers to its connections."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from cassiahitch.errors import WireError
+    from cassiahitch.wire.connection import Connection
+    from cassiahitch.wire.messages import Heartbeat, Hello, Message
+
+Reply = Callable[['Message'], Awaitable[None]]
+
+
+class Process(Protocol):
+    """The process that a connection speaks for."""
+
+    def hello(self) -> Hello:
+        """Return what the process says of itself."""
+
+    def heartbeat(self) -> Heartbeat:
+        """Return the heartbeat to send now."""
+
+    def stamp(self) -> int:
+        """Return the time of the hybrid clock for a message to send."""
+
+    def merge(self, stamp: int) -> None:
+        """Take in the time of the hybrid clock of a message that arrived."""
+
+    def opened(self, connection: Connection) -> None:
+        """Take note of a new connection."""
+
+    def ended(self, connection: Connection, reason: WireError) -> None:
+        """Take note that a connection ended."""
+
+    async def handle(self, connection: Connection, message: Message, reply: Reply) -> None:
+        """Handle a message that is not a reply; raises to answer with a failure."""
+
+
+__all__ = (
+    'Process',
+    'Reply',
+)
--- a/src/cassiahitch/wire/cassiahitch.thrift
+++ b/src/cassiahitch/wire/cassiahitch.thrift
@@ -51,6 +51,7 @@
   10: bool stream
   11: string claim_key
   12: bool idempotent
+  13: i64 deadline_ms
 }
 
 struct AnswerPart {
@@ -76,19 +77,21 @@
 struct Void {
   1: string ledger_key
   2: i64 incarnation
+  3: i64 not_after_ms
+  4: bool takeover
 }
 
 struct Status {
   1: string ledger_key
   2: i64 incarnation
+  3: i64 not_after_ms
 }
 
 struct LedgerState {
   1: string ledger_key
   2: string state
   3: i64 incarnation
-  4: binary answer
-  5: string weights_digest
+  4: list<Answer> answers
 }
 
 struct Cancel {
@@ -153,23 +156,10 @@
   4: binary content
 }
 
-struct Usage {
-  1: string organisation
-  2: double demand_per_s
-}
-
-struct Suspect {
-  1: binary fingerprint
-  2: i32 crashes
-  3: bool cleared
-  4: bool running
-}
-
 struct EntryGossip {
   1: string host
   2: i64 incarnation
-  3: list<Usage> usages
-  4: list<Suspect> suspects
+  3: binary news
 }
 
 struct Failure {
--- a/src/cassiahitch/wire/connection.py
+++ b/src/cassiahitch/wire/connection.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import itertools
-from collections.abc import AsyncGenerator, Awaitable, Callable, Iterator
+from collections.abc import AsyncGenerator, Iterator
 from contextlib import ExitStack, aclosing, contextmanager, suppress
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -15,17 +15,15 @@
 from cassiahitch.errors import CassiahitchError, WireError
 from cassiahitch.wire.codec import Envelope, decode, encode
 from cassiahitch.wire.framing import pack, read_frame
-from cassiahitch.wire.messages import AnswerPart, Failure, Heartbeat
+from cassiahitch.wire.messages import AnswerPart, Failure
 
 if TYPE_CHECKING:
     from tornado.iostream import IOStream
 
     from cassiahitch.clock import Clock
+    from cassiahitch.wire.api import Process
     from cassiahitch.wire.messages import Hello, Message
 
-Reply = Callable[['Message'], Awaitable[None]]
-Handler = Callable[['Connection', 'Message', Reply], Awaitable[None]]
-
 
 @dataclass(frozen=True, slots=True)
 class ConnectionLimits:
@@ -46,8 +44,7 @@
         peer: Hello,
         clock: Clock,
         limits: ConnectionLimits,
-        handler: Handler,
-        heartbeat: Callable[[], Heartbeat],
+        process: Process,
     ) -> None:
         """Create a connection after its handshake.
 
@@ -55,15 +52,13 @@
         :param peer: what the other process says of itself.
         :param clock: source of time.
         :param limits: bounds.
-        :param handler: called as a task for each message that is not a reply.
-        :param heartbeat: gives the heartbeat to send.
+        :param process: handles each message that is not a reply, in a task.
         """
         self.stream = stream
         self.peer = peer
         self.clock = clock
         self.limits = limits
-        self.handler = handler
-        self.heartbeat = heartbeat
+        self.process = process
         self.numbers = itertools.count(1)
         self.waiting: dict[int, asyncio.Queue[Message | WireError]] = {}
         self.tasks: set[asyncio.Task[None]] = set()
@@ -110,7 +105,7 @@
         if self.closed is not None:
             raise self.closed
         own = next(self.numbers) if number is None else number
-        body = encode(Envelope(own, reply_to, int(self.clock.wall() * 1000), message))
+        body = encode(Envelope(own, reply_to, self.process.stamp(), message))
         try:
             await self.stream.write(pack(body))
         except StreamClosedError as error:
@@ -156,6 +151,7 @@
         while self.closed is None:
             envelope = decode(await read_frame(self.stream, self.limits.max_frame_bytes))
             self.heard_at = self.clock.monotonic()
+            self.process.merge(envelope.clock)
             if envelope.reply_to:
                 self._deliver(envelope)
             else:
@@ -179,14 +175,16 @@
 
         with suppress(WireError):
             try:
-                await self.handler(self, envelope.message, reply)
+                await self.process.handle(self, envelope.message, reply)
             except CassiahitchError as error:
                 await reply(Failure(error.code, error.detail))
 
     async def _beat(self) -> None:
         while self.closed is None:
             with suppress(WireError):
-                await asyncio.wait_for(self.send(self.heartbeat()), self.limits.silent_after_s)
+                await asyncio.wait_for(
+                    self.send(self.process.heartbeat()), self.limits.silent_after_s
+                )
             await asyncio.sleep(self.limits.heartbeat_s)
             silence = self.clock.monotonic() - self.heard_at
             if silence > self.limits.silent_after_s:
@@ -211,6 +209,4 @@
 __all__ = (
     'Connection',
     'ConnectionLimits',
-    'Handler',
-    'Reply',
 )
--- a/src/cassiahitch/wire/endpoint.py
+++ b/src/cassiahitch/wire/endpoint.py
@@ -7,43 +7,25 @@
 from collections.abc import Awaitable
 from contextlib import suppress
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpserver import TCPServer
 
 from cassiahitch.codes import Code
 from cassiahitch.errors import WireError
-from cassiahitch.wire.connection import Connection, ConnectionLimits, Reply
+from cassiahitch.wire.connection import Connection, ConnectionLimits
 from cassiahitch.wire.handshake import accept_handshake, dial_handshake
 
 if TYPE_CHECKING:
     from cassiahitch.clock import Clock
-    from cassiahitch.wire.messages import Heartbeat, Hello, Message
+    from cassiahitch.wire.api import Process
+    from cassiahitch.wire.messages import Hello
 
 #: Longest time in which a peer must prove the system key, in seconds.
 HANDSHAKE_TIMEOUT_S = 3
 
 
-class Process(Protocol):
-    """The process that an endpoint speaks for."""
-
-    def hello(self) -> Hello:
-        """Return what the process says of itself."""
-
-    def heartbeat(self) -> Heartbeat:
-        """Return the heartbeat to send now."""
-
-    def opened(self, connection: Connection) -> None:
-        """Take note of a new connection."""
-
-    def ended(self, connection: Connection, reason: WireError) -> None:
-        """Take note that a connection ended."""
-
-    async def handle(self, connection: Connection, message: Message, reply: Reply) -> None:
-        """Handle a message that is not a reply."""
-
-
 @dataclass(frozen=True, slots=True)
 class EndpointSettings:
     """What all connections of a process share."""
@@ -126,14 +108,7 @@
 
     def _start(self, stream: IOStream, peer: Hello) -> Connection:
         stream.set_nodelay(True)  # noqa: WPS425 the only argument of the call
-        connection = Connection(
-            stream,
-            peer,
-            self.clock,
-            self.settings.limits,
-            self.process.handle,
-            self.process.heartbeat,
-        )
+        connection = Connection(stream, peer, self.clock, self.settings.limits, self.process)
         task = asyncio.create_task(self._run(connection))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
@@ -150,5 +125,4 @@
 __all__ = (
     'Endpoint',
     'EndpointSettings',
-    'Process',
 )
--- a/src/cassiahitch/wire/gen/messages/ttypes.py
+++ b/src/cassiahitch/wire/gen/messages/ttypes.py
@@ -531,6 +531,7 @@
      - stream
      - claim_key
      - idempotent
+     - deadline_ms
 
     """
 
@@ -547,10 +548,11 @@
         'stream',
         'claim_key',
         'idempotent',
+        'deadline_ms',
     )
 
 
-    def __init__(self, request_id=None, ledger_key=None, incarnation=None, not_after_ms=None, organisation=None, service_name=None, body_digest=None, body=None, priority=None, stream=None, claim_key=None, idempotent=None,):
+    def __init__(self, request_id=None, ledger_key=None, incarnation=None, not_after_ms=None, organisation=None, service_name=None, body_digest=None, body=None, priority=None, stream=None, claim_key=None, idempotent=None, deadline_ms=None,):
         self.request_id = request_id
         self.ledger_key = ledger_key
         self.incarnation = incarnation
@@ -563,6 +565,7 @@
         self.stream = stream
         self.claim_key = claim_key
         self.idempotent = idempotent
+        self.deadline_ms = deadline_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -633,6 +636,11 @@
                     self.idempotent = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I64:
+                    self.deadline_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -691,6 +699,10 @@
             oprot.writeFieldBegin('idempotent', TType.BOOL, 12)
             oprot.writeBool(self.idempotent)
             oprot.writeFieldEnd()
+        if self.deadline_ms is not None:
+            oprot.writeFieldBegin('deadline_ms', TType.I64, 13)
+            oprot.writeI64(self.deadline_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1001,18 +1013,24 @@
     Attributes:
      - ledger_key
      - incarnation
+     - not_after_ms
+     - takeover
 
     """
 
     __slots__ = (
         'ledger_key',
         'incarnation',
+        'not_after_ms',
+        'takeover',
     )
 
 
-    def __init__(self, ledger_key=None, incarnation=None,):
+    def __init__(self, ledger_key=None, incarnation=None, not_after_ms=None, takeover=None,):
         self.ledger_key = ledger_key
         self.incarnation = incarnation
+        self.not_after_ms = not_after_ms
+        self.takeover = takeover
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1033,6 +1051,16 @@
                     self.incarnation = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.not_after_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.takeover = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1051,6 +1079,14 @@
             oprot.writeFieldBegin('incarnation', TType.I64, 2)
             oprot.writeI64(self.incarnation)
             oprot.writeFieldEnd()
+        if self.not_after_ms is not None:
+            oprot.writeFieldBegin('not_after_ms', TType.I64, 3)
+            oprot.writeI64(self.not_after_ms)
+            oprot.writeFieldEnd()
+        if self.takeover is not None:
+            oprot.writeFieldBegin('takeover', TType.BOOL, 4)
+            oprot.writeBool(self.takeover)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1081,18 +1117,21 @@
     Attributes:
      - ledger_key
      - incarnation
+     - not_after_ms
 
     """
 
     __slots__ = (
         'ledger_key',
         'incarnation',
+        'not_after_ms',
     )
 
 
-    def __init__(self, ledger_key=None, incarnation=None,):
+    def __init__(self, ledger_key=None, incarnation=None, not_after_ms=None,):
         self.ledger_key = ledger_key
         self.incarnation = incarnation
+        self.not_after_ms = not_after_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1113,6 +1152,11 @@
                     self.incarnation = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.not_after_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1131,6 +1175,10 @@
             oprot.writeFieldBegin('incarnation', TType.I64, 2)
             oprot.writeI64(self.incarnation)
             oprot.writeFieldEnd()
+        if self.not_after_ms is not None:
+            oprot.writeFieldBegin('not_after_ms', TType.I64, 3)
+            oprot.writeI64(self.not_after_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1162,8 +1210,7 @@
      - ledger_key
      - state
      - incarnation
-     - answer
-     - weights_digest
+     - answers
 
     """
 
@@ -1171,17 +1218,15 @@
         'ledger_key',
         'state',
         'incarnation',
-        'answer',
-        'weights_digest',
+        'answers',
     )
 
 
-    def __init__(self, ledger_key=None, state=None, incarnation=None, answer=None, weights_digest=None,):
+    def __init__(self, ledger_key=None, state=None, incarnation=None, answers=None,):
         self.ledger_key = ledger_key
         self.state = state
         self.incarnation = incarnation
-        self.answer = answer
-        self.weights_digest = weights_digest
+        self.answers = answers
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1208,13 +1253,14 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.STRING:
-                    self.answer = iprot.readBinary()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.STRING:
-                    self.weights_digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.LIST:
+                    self.answers = []
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = Answer()
+                        _elem12.read(iprot)
+                        self.answers.append(_elem12)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             else:
@@ -1239,13 +1285,12 @@
             oprot.writeFieldBegin('incarnation', TType.I64, 3)
             oprot.writeI64(self.incarnation)
             oprot.writeFieldEnd()
-        if self.answer is not None:
-            oprot.writeFieldBegin('answer', TType.STRING, 4)
-            oprot.writeBinary(self.answer)
-            oprot.writeFieldEnd()
-        if self.weights_digest is not None:
-            oprot.writeFieldBegin('weights_digest', TType.STRING, 5)
-            oprot.writeString(self.weights_digest.encode('utf-8') if sys.version_info[0] == 2 else self.weights_digest)
+        if self.answers is not None:
+            oprot.writeFieldBegin('answers', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.answers))
+            for iter13 in self.answers:
+                iter13.write(oprot)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -1671,11 +1716,11 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.peers = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = PeerAddress()
-                        _elem12.read(iprot)
-                        self.peers.append(_elem12)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = PeerAddress()
+                        _elem19.read(iprot)
+                        self.peers.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1712,8 +1757,8 @@
         if self.peers is not None:
             oprot.writeFieldBegin('peers', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.peers))
-            for iter13 in self.peers:
-                iter13.write(oprot)
+            for iter20 in self.peers:
+                iter20.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2213,213 +2258,26 @@
         return not (self == other)
 
 
-class Usage(object):
-    """
-    Attributes:
-     - organisation
-     - demand_per_s
-
-    """
-
-    __slots__ = (
-        'organisation',
-        'demand_per_s',
-    )
-
-
-    def __init__(self, organisation=None, demand_per_s=None,):
-        self.organisation = organisation
-        self.demand_per_s = demand_per_s
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.STRING:
-                    self.organisation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.DOUBLE:
-                    self.demand_per_s = iprot.readDouble()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('Usage')
-        if self.organisation is not None:
-            oprot.writeFieldBegin('organisation', TType.STRING, 1)
-            oprot.writeString(self.organisation.encode('utf-8') if sys.version_info[0] == 2 else self.organisation)
-            oprot.writeFieldEnd()
-        if self.demand_per_s is not None:
-            oprot.writeFieldBegin('demand_per_s', TType.DOUBLE, 2)
-            oprot.writeDouble(self.demand_per_s)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, getattr(self, key))
-             for key in self.__slots__]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        if not isinstance(other, self.__class__):
-            return False
-        for attr in self.__slots__:
-            my_val = getattr(self, attr)
-            other_val = getattr(other, attr)
-            if my_val != other_val:
-                return False
-        return True
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
-class Suspect(object):
-    """
-    Attributes:
-     - fingerprint
-     - crashes
-     - cleared
-     - running
-
-    """
-
-    __slots__ = (
-        'fingerprint',
-        'crashes',
-        'cleared',
-        'running',
-    )
-
-
-    def __init__(self, fingerprint=None, crashes=None, cleared=None, running=None,):
-        self.fingerprint = fingerprint
-        self.crashes = crashes
-        self.cleared = cleared
-        self.running = running
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.STRING:
-                    self.fingerprint = iprot.readBinary()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.I32:
-                    self.crashes = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.BOOL:
-                    self.cleared = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.BOOL:
-                    self.running = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('Suspect')
-        if self.fingerprint is not None:
-            oprot.writeFieldBegin('fingerprint', TType.STRING, 1)
-            oprot.writeBinary(self.fingerprint)
-            oprot.writeFieldEnd()
-        if self.crashes is not None:
-            oprot.writeFieldBegin('crashes', TType.I32, 2)
-            oprot.writeI32(self.crashes)
-            oprot.writeFieldEnd()
-        if self.cleared is not None:
-            oprot.writeFieldBegin('cleared', TType.BOOL, 3)
-            oprot.writeBool(self.cleared)
-            oprot.writeFieldEnd()
-        if self.running is not None:
-            oprot.writeFieldBegin('running', TType.BOOL, 4)
-            oprot.writeBool(self.running)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, getattr(self, key))
-             for key in self.__slots__]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        if not isinstance(other, self.__class__):
-            return False
-        for attr in self.__slots__:
-            my_val = getattr(self, attr)
-            other_val = getattr(other, attr)
-            if my_val != other_val:
-                return False
-        return True
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
 class EntryGossip(object):
     """
     Attributes:
      - host
      - incarnation
-     - usages
-     - suspects
+     - news
 
     """
 
     __slots__ = (
         'host',
         'incarnation',
-        'usages',
-        'suspects',
+        'news',
     )
 
 
-    def __init__(self, host=None, incarnation=None, usages=None, suspects=None,):
+    def __init__(self, host=None, incarnation=None, news=None,):
         self.host = host
         self.incarnation = incarnation
-        self.usages = usages
-        self.suspects = suspects
+        self.news = news
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2441,25 +2299,8 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.LIST:
-                    self.usages = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = Usage()
-                        _elem19.read(iprot)
-                        self.usages.append(_elem19)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.LIST:
-                    self.suspects = []
-                    (_etype23, _size20) = iprot.readListBegin()
-                    for _i24 in range(_size20):
-                        _elem25 = Suspect()
-                        _elem25.read(iprot)
-                        self.suspects.append(_elem25)
-                    iprot.readListEnd()
+                if ftype == TType.STRING:
+                    self.news = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
             else:
@@ -2480,19 +2321,9 @@
             oprot.writeFieldBegin('incarnation', TType.I64, 2)
             oprot.writeI64(self.incarnation)
             oprot.writeFieldEnd()
-        if self.usages is not None:
-            oprot.writeFieldBegin('usages', TType.LIST, 3)
-            oprot.writeListBegin(TType.STRUCT, len(self.usages))
-            for iter26 in self.usages:
-                iter26.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.suspects is not None:
-            oprot.writeFieldBegin('suspects', TType.LIST, 4)
-            oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter27 in self.suspects:
-                iter27.write(oprot)
-            oprot.writeListEnd()
+        if self.news is not None:
+            oprot.writeFieldBegin('news', TType.STRING, 3)
+            oprot.writeBinary(self.news)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -3003,6 +2834,7 @@
     (10, TType.BOOL, 'stream', None, None, ),  # 10
     (11, TType.STRING, 'claim_key', 'UTF8', None, ),  # 11
     (12, TType.BOOL, 'idempotent', None, None, ),  # 12
+    (13, TType.I64, 'deadline_ms', None, None, ),  # 13
 )
 all_structs.append(AnswerPart)
 AnswerPart.thrift_spec = (
@@ -3031,12 +2863,15 @@
     None,  # 0
     (1, TType.STRING, 'ledger_key', 'UTF8', None, ),  # 1
     (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.I64, 'not_after_ms', None, None, ),  # 3
+    (4, TType.BOOL, 'takeover', None, None, ),  # 4
 )
 all_structs.append(Status)
 Status.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'ledger_key', 'UTF8', None, ),  # 1
     (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.I64, 'not_after_ms', None, None, ),  # 3
 )
 all_structs.append(LedgerState)
 LedgerState.thrift_spec = (
@@ -3044,8 +2879,7 @@
     (1, TType.STRING, 'ledger_key', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'state', 'UTF8', None, ),  # 2
     (3, TType.I64, 'incarnation', None, None, ),  # 3
-    (4, TType.STRING, 'answer', 'BINARY', None, ),  # 4
-    (5, TType.STRING, 'weights_digest', 'UTF8', None, ),  # 5
+    (4, TType.LIST, 'answers', (TType.STRUCT, [Answer, None], False), None, ),  # 4
 )
 all_structs.append(Cancel)
 Cancel.thrift_spec = (
@@ -3118,27 +2952,12 @@
     (3, TType.I32, 'code', None, None, ),  # 3
     (4, TType.STRING, 'content', 'BINARY', None, ),  # 4
 )
-all_structs.append(Usage)
-Usage.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'organisation', 'UTF8', None, ),  # 1
-    (2, TType.DOUBLE, 'demand_per_s', None, None, ),  # 2
-)
-all_structs.append(Suspect)
-Suspect.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'fingerprint', 'BINARY', None, ),  # 1
-    (2, TType.I32, 'crashes', None, None, ),  # 2
-    (3, TType.BOOL, 'cleared', None, None, ),  # 3
-    (4, TType.BOOL, 'running', None, None, ),  # 4
-)
 all_structs.append(EntryGossip)
 EntryGossip.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
     (2, TType.I64, 'incarnation', None, None, ),  # 2
-    (3, TType.LIST, 'usages', (TType.STRUCT, [Usage, None], False), None, ),  # 3
-    (4, TType.LIST, 'suspects', (TType.STRUCT, [Suspect, None], False), None, ),  # 4
+    (3, TType.STRING, 'news', 'BINARY', None, ),  # 3
 )
 all_structs.append(Failure)
 Failure.thrift_spec = (
--- a/src/cassiahitch/wire/messages.py
+++ b/src/cassiahitch/wire/messages.py
@@ -69,6 +69,7 @@
     stream: bool = False
     claim_key: str = ''
     idempotent: bool = False
+    deadline_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,6 +104,8 @@
 
     ledger_key: str = ''
     incarnation: int = 0
+    not_after_ms: int = 0
+    takeover: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,17 +114,17 @@
 
     ledger_key: str = ''
     incarnation: int = 0
+    not_after_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class LedgerState:
-    """What the ledger of an agent holds for a key."""
+    """What the ledger of an agent holds for a key, with the answer if there is one."""
 
     ledger_key: str = ''
     state: str = ''
     incarnation: int = 0
-    answer: bytes = b''
-    weights_digest: str = ''
+    answers: tuple[Answer, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -215,32 +218,13 @@
     content: bytes = b''
 
 
-@dataclass(frozen=True, slots=True)
-class Usage:
-    """Demand of an organisation at an entry, in requests a second."""
-
-    organisation: str = ''
-    demand_per_s: float = 0
-
-
-@dataclass(frozen=True, slots=True)
-class Suspect:
-    """A fingerprint of a request that was in flight when a backend server crashed."""
-
-    fingerprint: bytes = b''
-    crashes: int = 0
-    cleared: bool = False
-    running: bool = False
-
-
 @dataclass(frozen=True, slots=True)
 class EntryGossip:
-    """Demand and suspects that entries share."""
+    """News that entries share, as JSON."""
 
     host: str = ''
     incarnation: int = 0
-    usages: tuple[Usage, ...] = ()
-    suspects: tuple[Suspect, ...] = ()
+    news: bytes = b''
 
 
 @dataclass(frozen=True, slots=True)
@@ -297,7 +281,5 @@
     'OrderReply',
     'PeerAddress',
     'Status',
-    'Suspect',
-    'Usage',
     'Void',
 )
