Prove the promises of routing and limits by breaking each mechanism

Cause: a check that cannot fail proves nothing. The router gives the load of a service to the bound on requests in flight.

--- a/src/cassiahitch/limits/concurrency.py
+++ b/src/cassiahitch/limits/concurrency.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from cassiahitch.routing.api import ServiceLoad
 
 #: Requests kept at the replicas beyond their slots, as a share of the slots, so that none idles.
 SLACK = 0.1
@@ -14,15 +17,6 @@
 LEAST = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class ServiceLoad:
-    """Load of the replicas of a service that may get requests, by all entries."""
-
-    capacity: int
-    requests: float
-    entries: int = 1
-
-
 class ConcurrencyLimit:
     """Requests that an entry may have in flight for one service.
 
@@ -53,13 +47,14 @@
         """Count a request that ended."""
         self.in_flight = max(0, self.in_flight - 1)
 
-    def update(self, load: ServiceLoad) -> None:
-        """Adapt the bound to the load that the replicas report.
+    def update(self, load: ServiceLoad, entries: int) -> None:
+        """Adapt the bound to the load of the replicas.
 
-        :param load: their load.
+        :param load: their load, by all entries.
+        :param entries: entries that send to them.
         """
         target = load.capacity * (1 + SLACK)
-        fair = target / max(1, load.entries)
+        fair = target / max(1, entries)
         if not self.started:
             self.started = True
             self.bound = max(LEAST, fair)
@@ -68,11 +63,8 @@
             self.bound *= max(1 - LARGEST_STEP, factor)
         elif self.peak + 1 >= self.bound:
             self.bound *= min(1 + LARGEST_STEP, factor)
-        self.bound = max(LEAST, min(target, self.bound + INCREASE / max(1, load.entries)))
+        self.bound = max(LEAST, min(target, self.bound + INCREASE / max(1, entries)))
         self.peak = self.in_flight
 
 
-__all__ = (
-    'ConcurrencyLimit',
-    'ServiceLoad',
-)
+__all__ = ('ConcurrencyLimit',)
--- a/src/cassiahitch/routing/api.py
+++ b/src/cassiahitch/routing/api.py
@@ -56,6 +56,14 @@
     retry_after_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class ServiceLoad:
+    """Load of the replicas that may get requests of a service, by all entries."""
+
+    capacity: int
+    requests: float
+
+
 class Outcome(StrEnum):
     """How a dispatched request ended."""
 
@@ -83,4 +91,5 @@
     'Outcome',
     'Replica',
     'RouteQuery',
+    'ServiceLoad',
 )
--- a/src/cassiahitch/routing/router.py
+++ b/src/cassiahitch/routing/router.py
@@ -6,7 +6,14 @@
 from typing import TYPE_CHECKING
 
 from cassiahitch.routing import score
-from cassiahitch.routing.api import Choice, Distances, NoReplica, Outcome
+from cassiahitch.routing.api import (
+    Choice,
+    Distances,
+    NoReplica,
+    Outcome,
+    RouteQuery,
+    ServiceLoad,
+)
 from cassiahitch.routing.ejection import OutlierEjection
 from cassiahitch.routing.pools import Pools
 from cassiahitch.routing.prefixes import PrefixIndex
@@ -18,7 +25,7 @@
     from random import Random
 
     from cassiahitch.engine.api import CacheEvent
-    from cassiahitch.routing.api import LoadReport, Replica, RouteQuery
+    from cassiahitch.routing.api import LoadReport, Replica
     from cassiahitch.routing.pools import Pool
 
 #: Random candidates compared for one request.
@@ -184,6 +191,21 @@
         incarnation = self.states[best.host].replica.incarnation
         return Choice(best.host, incarnation, best.seconds, best.prefix_hit)
 
+    def service_load(self, service: str, now: float) -> ServiceLoad:
+        """Return the load of the replicas that may get requests of a service.
+
+        :param service: the service.
+        :param now: seconds.
+        :return: slots and requests of all these replicas, by all entries.
+        """
+        query = RouteQuery(service)
+        pools = self.pools.find(service, local=True) + self.pools.find(service, local=False)
+        states = [self.states[host] for host in self.eligible(pools, query, now)]
+        return ServiceLoad(
+            capacity=sum(state.capacity for state in states if state.report is not None),
+            requests=sum(score.estimated_load(state, self.mean_others, now) for state in states),
+        )
+
     def best_of(self, query: RouteQuery, now: float, *, local: bool) -> Scored | None:
         """Return the best candidate of the own region or of all others.
 
--- a/tests/limits/test_concurrency.py
+++ b/tests/limits/test_concurrency.py
@@ -4,7 +4,8 @@
 
 from collections.abc import Sequence
 
-from cassiahitch.limits.concurrency import SLACK, ConcurrencyLimit, ServiceLoad
+from cassiahitch.limits.concurrency import SLACK, ConcurrencyLimit
+from cassiahitch.routing.api import ServiceLoad
 
 EQUAL = (500, 500, 500, 500)
 
@@ -18,7 +19,7 @@
                 limit.dispatched()
         requests = sum(limit.in_flight for limit in limits)
         for limit in limits:
-            limit.update(ServiceLoad(capacity, requests, entries=len(limits)))
+            limit.update(ServiceLoad(capacity, requests), len(limits))
     return [limit.in_flight for limit in limits]
 
 
--- a/tests/limits/test_fairqueue.py
+++ b/tests/limits/test_fairqueue.py
@@ -54,6 +54,9 @@
     @rule(seconds=st.floats(0.01, 1))
     def advance(self, seconds: float) -> None:
         self.now += seconds
+
+    @rule()
+    def expire(self) -> None:
         self.settle(self.queue.expire(self.now))
         assert all(request.deadline > self.now for request in self.oracle.values())
 
@@ -69,7 +72,9 @@
         for verdict in verdicts:
             request = self.oracle.pop(verdict.request.request_id)
             assert request == verdict.request
-            if isinstance(verdict, Shed):
+            if isinstance(verdict, Admitted):
+                assert request.deadline > self.now
+            else:
                 assert verdict.code is Code.overloaded
                 assert verdict.retry_after_s > 0
 
@@ -143,6 +148,12 @@
     assert counts[Priority.lookup] + counts[Priority.draft] == 8
 
 
+def test_one_organisation_cannot_hold_the_whole_queue() -> None:
+    queue = FairQueue(LIMITS)
+    shed = [queue.push(waiting('large-1', number), 0) for number in range(20)]
+    assert [bool(verdicts) for verdicts in shed] == [number >= 15 for number in range(20)]
+
+
 def test_full_queue_sheds_the_organisation_that_waits_most() -> None:
     queue = FairQueue(QueueLimits(total=20, per_organisation=20))
     for number in range(20):
--- a/tests/limits/test_organisations.py
+++ b/tests/limits/test_organisations.py
@@ -114,7 +114,10 @@
     limits = make_limits()
     run_rounds(limits, (30, 30, 30, 0), range(10))
     kept = limits[2].share
-    run_rounds(limits, (100, 100, 0, 0), range(10, 40), silent=(2,))
+    run_rounds(limits, (5, 5, 0, 0), range(10, 14), silent=(2,))
+    given = limits[0].row().get('entry-3', 0)
+    run_rounds(limits, (0, 100, 0, 0), range(14, 40), silent=(2,))
+    assert limits[0].row().get('entry-3', 0) == given
     assert limits[2].share == kept
     assert sum(limit.share for limit in limits) <= LIMIT_PER_S * MILLI
 
--- a/tests/routing/test_poison.py
+++ b/tests/routing/test_poison.py
@@ -204,7 +204,7 @@
             self.crash_poisoned()
             for server in self.servers.values():
                 self.finish(server, 0)
-                if not server.up and step % 4 == 0:
+                if not server.up and step % 24 == 0:
                     self.restart(server)
             for call in self.calls:
                 if call.place == 'caller':
@@ -312,6 +312,20 @@
     assert isinstance(guard.admit(POISON, 1), RunAlone)
 
 
+def test_suspect_waits_until_the_other_requests_of_its_replica_have_ended(
+    guard: PoisonGuard,
+) -> None:
+    lose(guard, POISON, 'host-a', 1)
+    guard.update_replica('host-a', DRAFTS, 2)
+    decision = guard.admit(POISON, 1)
+    assert isinstance(decision, RunAlone)
+    guard.dispatched('other', Running(INNOCENT, decision.host, 1, alone=False))
+    assert guard.admit(POISON, 1) == Hold()
+    assert guard.quarantined(1) == {decision.host}
+    guard.ended('other')
+    assert guard.admit(POISON, 1) == decision
+
+
 def test_completed_suspect_is_cleared_at_all_entries(guard: PoisonGuard) -> None:
     lose(guard, INNOCENT, 'host-a', 1)
     guard.update_replica('host-a', DRAFTS, 2)
