Measure routing under load with lagging reports, a slow and a silent replica

Change: a model of replicas with batching slots and prefix caches in virtual time, nine entries with the project's own queue, bound, budget and router, and random, round robin and least reported load in the router's place.

--- /dev/null
+++ b/src/cassiahitch/bench/scene.py
@@ -0,0 +1,322 @@
+"""Entries with the project's own decisions before replicas, in virtual time."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from functools import partial
+from random import Random
+from typing import TYPE_CHECKING
+
+from cassiahitch.bench.choices import make_pick
+from cassiahitch.bench.tally import Tally
+from cassiahitch.bench.traffic import (
+    CLIENTS,
+    SLOTS,
+    SLOW_SPEED,
+    Arrival,
+    Batch,
+    Events,
+    arrivals,
+    capacity_per_s,
+)
+from cassiahitch.codes import Ran
+from cassiahitch.limits.api import Admitted, Waiting
+from cassiahitch.limits.concurrency import ConcurrencyLimit
+from cassiahitch.limits.fairqueue import FairQueue, QueueLimits
+from cassiahitch.limits.retries import Attempt, RetryBudget, SendAgain
+from cassiahitch.routing.api import LoadReport, Outcome, Replica, RouteQuery
+from cassiahitch.routing.router import Router
+
+if TYPE_CHECKING:
+    from cassiahitch.engine.api import CacheEvent
+
+SERVICE = 'drafts'
+REGION = 'lagos'
+FAILURE_DOMAINS = 3
+#: Entries, each with its own router, queue and retry budget.
+ENTRIES = 9
+#: Share of the capacity that is offered before a burst.
+WARM_LOAD = 0.5
+#: Seconds before a burst, and of a burst.
+WARM_S = 15.0
+BURST_S = 60.0
+#: Seconds after a burst in which its requests may still end.
+TAIL_S = 12.0
+#: Seconds between load reports, and by which they and cache events are late.
+REPORT_S = 0.5
+LAG_S = 1.0
+#: Share of the cache events that are lost.
+CACHE_EVENT_LOSS = 0.02
+#: Seconds between updates of the bound on requests in flight.
+UPDATE_S = 0.25
+#: Seconds after which a request without an answer is given up or sent again.
+ATTEMPT_S = 6.0
+#: Bounds of each entry's queue.
+QUEUE = QueueLimits(total=60, per_organisation=20)
+
+
+@dataclass(slots=True)
+class Sent:
+    """One send of a request; it ends once, by an answer or by its timeout."""
+
+    arrival: Arrival
+    host: str
+    at: float
+    ended: bool = False
+
+
+class Entry:
+    """An entry with the project's own decisions; the choice of a replica can be replaced."""
+
+    def __init__(self, scene: Scene, index: int, policy: str) -> None:
+        """Create an entry.
+
+        :param scene: what it is part of.
+        :param index: its number.
+        :param policy: how it chooses replicas.
+        """
+        self.scene = scene
+        self.index = index
+        self.router = Router(REGION, f'd{index % FAILURE_DOMAINS}', Random(scene.seed + index))
+        self.queue = FairQueue(QUEUE)
+        self.limit = ConcurrencyLimit()
+        self.budget = RetryBudget()
+        self.waiting: dict[str, Arrival] = {}
+        self.pick = make_pick(policy, index, self.router, tuple(scene.batches))
+        for client in CLIENTS:
+            self.queue.set_weight(client.name, client.weight)
+
+    def arrive(self, arrival: Arrival) -> None:
+        """Take a request of a caller in.
+
+        :param arrival: the request.
+        """
+        request = Waiting(
+            str(arrival.number), arrival.client.name, arrival.priority, arrival.deadline
+        )
+        self.waiting[request.request_id] = arrival
+        for verdict in self.queue.push(request, self.scene.events.now):
+            self.shed(verdict.request)
+        self.pump()
+
+    def update(self) -> None:
+        """Adapt the bound on requests in flight, and shed what waited too long."""
+        now = self.scene.events.now
+        self.limit.update(self.router.service_load(SERVICE, now), ENTRIES)
+        for verdict in self.queue.expire(now):
+            self.shed(verdict.request)
+        self.pump()
+
+    def pump(self) -> None:
+        """Dispatch waiting requests while the bound allows it."""
+        while self.queue.length and self.limit.allows():
+            for verdict in self.queue.pop(self.scene.events.now):
+                if isinstance(verdict, Admitted):
+                    arrival = self.waiting.pop(verdict.request.request_id)
+                    self.dispatch(arrival, frozenset())
+                else:
+                    self.shed(verdict.request)
+
+    def shed(self, request: Waiting) -> None:
+        """Answer a request that was not dispatched.
+
+        :param request: the request.
+        """
+        arrival = self.waiting.pop(request.request_id)
+        if self.scene.counts(arrival):
+            self.scene.tally.shed += 1
+
+    def dispatch(self, arrival: Arrival, excluded: frozenset[str]) -> None:
+        """Send a request to a replica.
+
+        :param arrival: the request.
+        :param excluded: replicas that had it before.
+        """
+        now = self.scene.events.now
+        host = self.pick(RouteQuery(SERVICE, arrival.prefix, excluded), now)
+        if host is None:
+            self.scene.count_failure(arrival)
+            return
+        arrival.sends += 1
+        self.scene.tally.sends += self.scene.counts(arrival)
+        self.router.dispatched(host)
+        self.limit.dispatched()
+        sent = Sent(arrival, host, now)
+        self.scene.batches[host].send(arrival, partial(self.answer, sent))
+        self.scene.events.at(now + ATTEMPT_S, partial(self.time_out, sent))
+
+    def answer(self, sent: Sent, slot_s: float, hit: bool) -> None:
+        """Take an answer of a replica in.
+
+        :param sent: the send that it answers.
+        :param slot_s: its slot time.
+        :param hit: whether its prefix was cached.
+        """
+        if sent.ended:
+            return
+        self.end(sent, Outcome.success)
+        self.budget.succeeded()
+        work_s = slot_s * self.scene.batches[sent.host].speed
+        self.scene.count_answer(sent.arrival, work_s, hit=hit)
+        self.pump()
+
+    def time_out(self, sent: Sent) -> None:
+        """Give a request without an answer up, or send it again.
+
+        :param sent: the send.
+        """
+        if sent.ended:
+            return
+        self.end(sent, Outcome.timed_out)
+        arrival = sent.arrival
+        attempt = Attempt(arrival.sends, Ran.unknown, idempotent=True, deadline=arrival.deadline)
+        match self.budget.decide(attempt, self.scene.events.now):
+            case SendAgain():
+                self.dispatch(arrival, frozenset((sent.host,)))
+            case _:
+                self.scene.count_failure(arrival)
+        self.pump()
+
+    def end(self, sent: Sent, outcome: Outcome) -> None:
+        """End a send.
+
+        :param sent: the send.
+        :param outcome: how it ended.
+        """
+        sent.ended = True
+        now = self.scene.events.now
+        self.limit.finished()
+        self.router.finished(sent.host, outcome, now - sent.at, now)
+
+
+class Scene:
+    """One run: a policy at a load."""
+
+    def __init__(self, seed: int, replicas: int, policy: str, load: float) -> None:
+        """Create the replicas, the entries and the load.
+
+        :param seed: seed of all chance.
+        :param replicas: number of replicas, one of them slow and one that goes silent.
+        :param policy: how replicas are chosen.
+        :param load: offered load as a share of the capacity.
+        """
+        self.seed = seed
+        self.random = Random(seed)
+        self.events = Events()
+        self.tally = Tally()
+        hosts = [f'host-{index}' for index in range(replicas)]
+        self.batches = {host: Batch(host, self.events) for host in hosts}
+        self.batches['host-1'].speed = SLOW_SPEED
+        self.entries = [Entry(self, index, policy) for index in range(ENTRIES)]
+        healthy = tuple(batch for host, batch in self.batches.items() if host != 'host-2')
+        self.rate = capacity_per_s(healthy)
+        self.tally.capacity_s = sum(batch.speed for batch in healthy) * SLOTS * BURST_S
+        self.load = load
+
+    def run(self) -> Tally:
+        """Run the warm-up, the burst and its tail.
+
+        :return: what became of the requests of the burst.
+        """
+        for host in self.batches:
+            domain = f'd{int(host.removeprefix("host-")) % FAILURE_DOMAINS}'
+            for entry in self.entries:
+                entry.router.update_replica(Replica(host, 1, REGION, domain), 0)
+        end = WARM_S + BURST_S
+        self.offer(WARM_LOAD, 0, WARM_S)
+        self.offer(self.load, WARM_S, end)
+        self.events.at(WARM_S, self.silence)
+        self.report()
+        self.update()
+        self.events.run_until(end + TAIL_S)
+        return self.tally
+
+    def offer(self, load: float, start: float, end: float) -> None:
+        """Schedule the requests of callers.
+
+        :param load: share of the capacity.
+        :param start: seconds.
+        :param end: seconds.
+        """
+        for arrival in arrivals(self.random, load * self.rate, start, end):
+            if self.counts(arrival):
+                self.tally.offered[arrival.client.name] += 1
+            entry = self.random.choice(self.entries)
+            self.events.at(arrival.arrived_at, partial(entry.arrive, arrival))
+
+    def silence(self) -> None:
+        """Silence one replica for good."""
+        self.batches['host-2'].silent = True
+
+    def report(self) -> None:
+        """Send the load and the cache events of all replicas, late."""
+        due = self.events.now + LAG_S
+        for host, batch in self.batches.items():
+            report = LoadReport(batch.running, len(batch.queue), SLOTS, self.events.now)
+            log = batch.take_log()
+            if not batch.silent:
+                self.events.at(due, partial(self.deliver, host, report, log))
+        self.events.at(self.events.now + REPORT_S, self.report)
+
+    def deliver(self, host: str, report: LoadReport, log: list[CacheEvent]) -> None:
+        """Hand a report to all entries, and its cache events but for lost ones.
+
+        :param host: the replica.
+        :param report: its load.
+        :param log: its cache events.
+        """
+        for entry in self.entries:
+            entry.router.report(host, report, self.events.now)
+            for event in log:
+                if self.random.random() >= CACHE_EVENT_LOSS:
+                    entry.router.cache_event(host, event)
+
+    def update(self) -> None:
+        """Update all entries."""
+        for entry in self.entries:
+            entry.update()
+        self.events.at(self.events.now + UPDATE_S, self.update)
+
+    def counts(self, arrival: Arrival) -> bool:
+        """Tell whether a request belongs to the burst.
+
+        :param arrival: the request.
+        :return: whether it does.
+        """
+        return arrival.arrived_at >= WARM_S
+
+    def count_failure(self, arrival: Arrival) -> None:
+        """Count a request that was given up.
+
+        :param arrival: the request.
+        """
+        if self.counts(arrival):
+            self.tally.unknown += arrival.sends > 0
+            self.tally.shed += arrival.sends == 0
+
+    def count_answer(self, arrival: Arrival, work_s: float, *, hit: bool) -> None:
+        """Count an answer.
+
+        :param arrival: the request.
+        :param work_s: its slot time at full speed.
+        :param hit: whether its prefix was cached.
+        """
+        now = self.events.now
+        if now > arrival.deadline:
+            self.tally.late += self.counts(arrival)
+            return
+        if WARM_S <= now < WARM_S + BURST_S:
+            self.tally.useful_s += work_s
+        if not self.counts(arrival):
+            return
+        self.tally.successes += 1
+        self.tally.served[arrival.client.name] += 1
+        self.tally.hits += hit
+        self.tally.prefixed += bool(arrival.prefix)
+        self.tally.record_latency(now - arrival.arrived_at)
+
+
+__all__ = (
+    'Entry',
+    'Scene',
+)
