Do not start requests that cannot end before their deadline

Change: the queue learns how long requests take, sheds those that it is too late to start, and those whose expected wait takes half of the time left.

--- a/src/cassiahitch/limits/fairqueue.py
+++ b/src/cassiahitch/limits/fairqueue.py
@@ -8,11 +8,13 @@
 from itertools import chain
 
 from cassiahitch.limits.api import Admitted, Shed, Verdict, Waiting
-from cassiahitch.limits.rate import AdmissionRate
+from cassiahitch.limits.rate import AdmissionRate, RunTime
 from cassiahitch.resources.models import Priority
 
 #: Every this-many-th request is taken from a lower priority, whose first waits longest.
 RESERVED_EVERY = 8
+#: Part of the time that a request may wait which its expected wait may take.
+WAIT_PART = 0.5
 #: Longest Retry-After in seconds.
 LONGEST_RETRY_S = 30.0
 #: Shortest Retry-After in seconds.
@@ -76,6 +78,7 @@
         self.virtual_time: float = 0
         self.pops = 0
         self.rate = AdmissionRate()
+        self.run_time = RunTime()
 
     def set_weight(self, organisation: str, weight: float) -> None:
         """Set the weight of an organisation.
@@ -95,7 +98,8 @@
         tenant = self.tenants.setdefault(request.organisation, Tenant())
         if tenant.length >= self.limits.per_organisation:
             return (self.shed(request, now),)
-        if now + self.expected_wait_s(tenant, request.priority, now) > request.deadline:
+        wait_s = self.expected_wait_s(tenant, request.priority, now)
+        if wait_s > WAIT_PART * self.spare_s(request, now):
             return (self.shed(request, now),)
         shed: tuple[Verdict, ...] = ()
         if self.length >= self.limits.total:
@@ -110,12 +114,12 @@
         """Take the next request out.
 
         :param now: seconds.
-        :return: shed requests whose deadline has passed, then the admitted one, if any.
+        :return: shed requests that it is too late to start, then the admitted one, if any.
         """
         verdicts: list[Verdict] = []
         while self.length:
             request = self.take(now)
-            if request.deadline > now:
+            if self.spare_s(request, now) > 0:
                 self.rate.count(now)
                 self.charge(request)
                 verdicts.append(Admitted(request))
@@ -139,8 +143,24 @@
         self.shrink(tenant)
         return True
 
+    def answered(self, seconds: float) -> None:
+        """Learn how long requests take, so that none starts that cannot end in time.
+
+        :param seconds: from dispatch to answer.
+        """
+        self.run_time.learn(seconds)
+
+    def spare_s(self, request: Waiting, now: float) -> float:
+        """Return how long a request may still wait.
+
+        :param request: the request.
+        :param now: seconds.
+        :return: seconds; 0 or less if it is too late to start it.
+        """
+        return request.deadline - now - self.run_time.likely_s
+
     def expire(self, now: float) -> tuple[Verdict, ...]:
-        """Shed all requests whose deadline has passed, so that each gets its answer at once.
+        """Shed all requests that it is too late to start, so that each gets its answer at once.
 
         :param now: seconds.
         :return: what was shed.
@@ -148,7 +168,7 @@
         late: list[Waiting] = []
         for tenant in self.tenants.values():
             if tenant.length:
-                late += tenant.late(now)
+                late += tenant.late(now + self.run_time.likely_s)
         return tuple(self.shed(request, now) for request in late if self.remove(request))
 
     def append(self, tenant: Tenant, request: Waiting, now: float) -> None:
--- a/src/cassiahitch/limits/rate.py
+++ b/src/cassiahitch/limits/rate.py
@@ -6,6 +6,10 @@
 
 #: Seconds over which the rate is measured.
 RATE_WINDOW_S = 2.0
+#: Share of a new answer in the mean time to an answer.
+RUN_GAIN = 0.05
+#: Mean deviations above the mean within which most requests are answered.
+DEVIATIONS = 3.0
 
 
 class AdmissionRate:
@@ -46,4 +50,30 @@
         return len(self.moments) / RATE_WINDOW_S
 
 
-__all__ = ('AdmissionRate',)
+class RunTime:
+    """Mean and deviation of the time from dispatch to answer."""
+
+    def __init__(self) -> None:
+        """Create it without any answer."""
+        self.mean_s: float = 0
+        self.deviation_s: float = 0
+
+    def learn(self, seconds: float) -> None:
+        """Learn from an answer.
+
+        :param seconds: from dispatch to answer.
+        """
+        difference = seconds - self.mean_s
+        self.mean_s += RUN_GAIN * difference
+        self.deviation_s += RUN_GAIN * (abs(difference) - self.deviation_s)
+
+    @property
+    def likely_s(self) -> float:
+        """Seconds within which most requests are answered."""
+        return self.mean_s + DEVIATIONS * self.deviation_s
+
+
+__all__ = (
+    'AdmissionRate',
+    'RunTime',
+)
--- a/tests/limits/test_fairqueue.py
+++ b/tests/limits/test_fairqueue.py
@@ -164,6 +164,14 @@
     assert [verdict.request.request_id for verdict in shed] == ['large-1-99']
 
 
+def test_request_that_cannot_end_in_time_is_not_started() -> None:
+    queue = FairQueue(QueueLimits())
+    queue.push(Waiting('late', 'large-1', Priority.draft, deadline=2), 0)
+    for _ in range(200):
+        queue.answered(1.5)
+    assert [type(verdict) for verdict in queue.pop(1)] == [Shed]
+
+
 def test_request_that_cannot_meet_its_deadline_is_shed_early() -> None:
     queue = FairQueue(QueueLimits())
     for number in range(100):
