Tighten the bound on excess and notice silent replicas by missed reports

Cause: idle slots beside queues at other replicas, and requests that waited 6 s at a silent replica made up the 99th percentile. Change: the bound on excess is 1.25 shares and one request and is kept while candidates are drawn; others' load decays to its mean per replica within a service time; a replica is silent after three missed reports, and requests at a silent one are settled at once.

--- a/src/cassiahitch/routing/ejection.py
+++ b/src/cassiahitch/routing/ejection.py
@@ -14,8 +14,8 @@
 LONGEST_EJECTION_S = 60.0
 #: Largest share of the replicas that is ejected at once.
 EJECTED_SHARE = 0.34
-#: Seconds without a report after which a replica counts as silent.
-SILENT_AFTER_S = 3.0
+#: Missed reports after which a replica counts as silent.
+MISSED_REPORTS = 3.0
 
 
 @dataclass(slots=True)
@@ -108,6 +108,13 @@
         """
         return health.silent or now < health.ejected_until
 
+    def silent_hosts(self) -> frozenset[str]:
+        """Return the replicas that are ejected because they are silent.
+
+        :return: hosts.
+        """
+        return frozenset(host for host in self.ejected if self.health[host].silent)
+
     def heard(self, host: str) -> None:
         """End the silence of a replica.
 
@@ -117,16 +124,16 @@
         if health is not None:
             health.silent = False
 
-    def allows(self, host: str, silence_s: float, now: float) -> bool:
+    def allows(self, host: str, missed_reports: float, now: float) -> bool:
         """Tell whether a replica may get a request.
 
         :param host: the replica.
-        :param silence_s: seconds since it last reported.
+        :param missed_reports: time since its last report, in mean times between reports.
         :param now: seconds.
         :return: whether it may.
         """
         health = self.health[host]
-        if silence_s > SILENT_AFTER_S and not health.silent and self.has_room(now):
+        if missed_reports > MISSED_REPORTS and not health.silent and self.has_room(now):
             health.silent = True
             self.ejected.add(host)
         return not (host in self.ejected and self.is_out(health, now))
--- a/src/cassiahitch/routing/replicas.py
+++ b/src/cassiahitch/routing/replicas.py
@@ -11,8 +11,16 @@
 SAMPLE_S = 0.05
 #: Samples kept; together with SAMPLE_S the largest age of a report that can be corrected.
 SAMPLES = 80
+#: Seconds between reports that are assumed at first, at least and at most.
+INTERVAL_S = 1.0
+LEAST_INTERVAL_S = 0.5
+LONGEST_INTERVAL_S = 2.0
+#: Share of a new time between reports in the mean one.
+INTERVAL_GAIN = 0.2
 #: Service time in seconds assumed before the first answer.
 SERVICE_S = 0.5
+#: Share of a new report in the mean number of requests of others.
+OTHERS_GAIN = 0.1
 #: Share of a new sample in the mean service time.
 SERVICE_GAIN = 0.1
 
@@ -60,7 +68,9 @@
     in_flight: int = 0
     report: LoadReport | None = None
     reported_at: float = 0
+    interval_s: float = INTERVAL_S
     others: float = 0
+    mean_others: float = 0
     service_s: float = SERVICE_S
     measured: bool = False
     history: InFlightHistory = field(default_factory=InFlightHistory)
@@ -81,12 +91,24 @@
         """
         if self.report is not None and report.at < self.report.at:
             return False
+        if self.report is not None:
+            interval_s = min(LONGEST_INTERVAL_S, now - self.reported_at)
+            self.interval_s += INTERVAL_GAIN * (interval_s - self.interval_s)
         self.report = report
         self.reported_at = now
         own = self.history.at(report.at)
         self.others = max(0, report.running + report.queued - own)
+        self.mean_others += OTHERS_GAIN * (self.others - self.mean_others)
         return True
 
+    def missed_reports(self, now: float) -> float:
+        """Return the time since the last report, in mean times between reports.
+
+        :param now: seconds.
+        :return: up to about 1 while reports come.
+        """
+        return (now - self.reported_at) / max(LEAST_INTERVAL_S, self.interval_s)
+
     def change(self, difference: int, now: float) -> None:
         """Change the number of own requests in flight.
 
--- a/src/cassiahitch/routing/router.py
+++ b/src/cassiahitch/routing/router.py
@@ -33,17 +33,15 @@
 #: Random draws before all replicas of a pool are looked at.
 DRAWS = 8
 #: Own requests that a replica may have beyond its share of all own requests, as a factor.
-EXCESS = 1.5
+EXCESS = 1.25
 #: Own requests that any replica may have whatever its share.
-EXCESS_FLOOR = 2
+EXCESS_FLOOR = 1
 #: Holders of a cached prefix that are compared besides the random candidates.
 PREFIX_HOLDERS = 2
 #: Part of the service time that a cached prefix saves.
 PREFIX_GAIN = 0.4
 #: Seconds after which a caller that found no replica may try again.
 RETRY_AFTER_S = 1.0
-#: Share of a new report in the mean load that others cause.
-MEAN_GAIN = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,7 +80,6 @@
         self.prefixes = PrefixIndex()
         self.in_flight = 0
         self.capacity = 0
-        self.mean_others: float = 0
         self.now: float = 0
 
     def update_replica(self, replica: Replica, now: float) -> None:
@@ -132,8 +129,6 @@
         if not state.accept(report, now):
             return
         self.capacity += state.capacity - capacity
-        others = state.others / state.capacity
-        self.mean_others += MEAN_GAIN * (others - self.mean_others)
         version = (state.replica.incarnation, report.load_epoch, report.digest)
         self.slow_start.observe(host, version, now)
 
@@ -169,7 +164,7 @@
             return
         self.now = max(self.now, now)
         if outcome is Outcome.success:
-            load = score.estimated_load(state, self.mean_others, now)
+            load = score.estimated_load(state, now)
             state.learn_latency(latency_s, load)
         self.in_flight -= min(1, state.in_flight)
         state.change(-1, now)
@@ -196,16 +191,25 @@
 
         :param service: the service.
         :param now: seconds.
-        :return: slots and requests of all these replicas, by all entries.
+        :return: slots and requests of all these replicas, and the mean moment of the reports.
         """
         query = RouteQuery(service)
         pools = self.pools.find(service, local=True) + self.pools.find(service, local=False)
-        states = [self.states[host] for host in self.eligible(pools, query, now)]
+        hosts = self.eligible(pools, query, now)
+        reports = [report for host in hosts if (report := self.states[host].report)]
         return ServiceLoad(
-            capacity=sum(state.capacity for state in states if state.report is not None),
-            requests=sum(score.estimated_load(state, self.mean_others, now) for state in states),
+            capacity=sum(report.capacity for report in reports),
+            requests=sum(report.running + report.queued for report in reports),
+            at=sum(report.at for report in reports) / max(1, len(reports)),
         )
 
+    def silent_hosts(self) -> frozenset[str]:
+        """Return the replicas that stopped reporting; their requests are to be settled.
+
+        :return: hosts.
+        """
+        return self.ejection.silent_hosts()
+
     def best_of(self, query: RouteQuery, now: float, *, local: bool) -> Scored | None:
         """Return the best candidate of the own region or of all others.
 
@@ -237,7 +241,8 @@
         drawn: list[str] = []
         for _ in range(DRAWS):
             host = pool.sample(self.random)
-            if host not in drawn and self.is_eligible(host, query, now):
+            fits = self.is_eligible(host, query, now) and self.within_bound(host, now)
+            if fits and host not in drawn:
                 drawn.append(host)
             if len(drawn) == CANDIDATES:
                 break
@@ -290,7 +295,7 @@
         state = self.states[host]
         if query.digest and (state.report is None or state.report.digest != query.digest):
             return False
-        return self.ejection.allows(host, now - state.reported_at, now)
+        return self.ejection.allows(host, state.missed_reports(now), now)
 
     def within_bound(self, host: str, now: float) -> bool:
         """Tell whether one more own request keeps a replica within the bound on excess.
@@ -313,7 +318,7 @@
         :return: the candidate.
         """
         state = self.states[host]
-        load = score.estimated_load(state, self.mean_others, now)
+        load = score.estimated_load(state, now)
         share = self.slow_start.share(host, now)
         wait = score.wait_s(state, load, share)
         trust = max((self.prefixes.trust(host, prefix) for prefix in cached), default=0)
--- a/src/cassiahitch/routing/score.py
+++ b/src/cassiahitch/routing/score.py
@@ -8,8 +8,8 @@
 from cassiahitch.routing.api import Distances, Replica
 from cassiahitch.routing.replicas import ReplicaState
 
-#: Seconds after which the load that others cause is mostly the mean of all replicas.
-AGE_S = 3.0
+#: Service times after which a report says little of the requests of others that run now.
+AGE_SERVICE_TIMES = 1.0
 #: Part of the service time that a full batch adds to each of its requests.
 BATCH_COST = 0.3
 
@@ -35,20 +35,20 @@
         return 0
 
 
-def estimated_load(state: ReplicaState, mean_others: float, now: float) -> float:
+def estimated_load(state: ReplicaState, now: float) -> float:
     """Return the requests at a replica: own ones exactly, those of others by age.
 
+    What a report shows beyond the mean has mostly ended after a service time.
+
     :param state: what is known of the replica.
-    :param mean_others: requests of others per unit of capacity, over all replicas.
     :param now: seconds.
     :return: the estimated number of requests.
     """
-    prior = mean_others * state.capacity
     if state.report is None:
-        return state.in_flight + prior
+        return state.in_flight
     age_s = max(0, now - state.report.at)
-    trust = math.exp(-age_s / AGE_S)
-    return state.in_flight + trust * state.others + (1 - trust) * prior
+    trust = math.exp(-age_s / (AGE_SERVICE_TIMES * state.service_s))
+    return state.in_flight + state.mean_others + trust * (state.others - state.mean_others)
 
 
 def wait_s(state: ReplicaState, load: float, share: float) -> float:
