--- /dev/null
+++ b/src/cassiahitch/agent/executor.py
@@ -0,0 +1,298 @@
+"""Takes dispatches through the ledger to the backend server and back to who waits."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from cassiahitch.codes import Code, Ran
+from cassiahitch.engine.api import GenerateOrder
+from cassiahitch.ledger.api import (
+    Action,
+    Answered,
+    Begin,
+    Dispatch,
+    Fail,
+    Failure,
+    Finish,
+    Outcome,
+    Refused,
+    Run,
+    Start,
+    StateReply,
+    Status,
+    Sweep,
+    Void,
+)
+from cassiahitch.ledger.claim_api import AskOwner, Claim, Commit, ReadRow
+from cassiahitch.metrics.names import CounterName, LatencyName
+from cassiahitch.timeline.events import EventKind
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cassiahitch.agent.backend import Backend, RunResult
+    from cassiahitch.agent.claims import ClaimStore
+    from cassiahitch.ledger.claim_api import ClaimAction, ClaimMessage
+    from cassiahitch.ledger.claims import ClaimMachine
+    from cassiahitch.wire import messages
+    from cassiahitch.wire.node import Node
+
+#: Seconds between sweeps of the ledger.
+SWEEP_S = 1.0
+SWEEP_LIMIT = 200
+MS_PER_S = 1000
+
+
+@dataclass(slots=True)
+class Waiter:
+    """A request that waits for the outcome of its key."""
+
+    request_id: str
+    on_part: Callable[[bytes], None]
+    ended: asyncio.Future[Answered | Refused]
+
+
+@dataclass(order=True, slots=True)
+class QueuedRun:
+    """A key that waits for a slot of the backend server."""
+
+    priority: int
+    serial: int
+    key: str = field(compare=False)
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """End of a dispatch; ``crashed`` tells whether the backend server went down meanwhile."""
+
+    outcome: Outcome
+    crashed: bool
+    replayed: bool
+
+
+class Executor:
+    """Owns the ledger, the queue before the backend server and the runs on it."""
+
+    def __init__(
+        self,
+        node: Node,
+        machine: ClaimMachine,
+        backend: Backend,
+        store: ClaimStore,
+        slots: int,
+    ) -> None:
+        """Create an executor.
+
+        :param node: this process.
+        :param machine: claims and ledger.
+        :param backend: the backend server.
+        :param store: carries out what the claims ask for.
+        :param slots: requests that run at once.
+        """
+        self.node = node
+        self.machine = machine
+        self.backend = backend
+        self.store = store
+        self.slots = slots
+        self.admitted_digest = ''
+        self.admitting = False
+        self.running = 0
+        self.serial = 0
+        self.idle = asyncio.Event()
+        self.idle.set()
+        self.queue: asyncio.PriorityQueue[QueuedRun] = asyncio.PriorityQueue()
+        self.dispatches: dict[str, messages.Dispatch] = {}
+        self.waiters: dict[str, Waiter] = {}
+        self.crashed: set[str] = set()
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def work(self) -> None:
+        """Run queued keys until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            for _ in range(self.slots):
+                group.create_task(self._work_slot())
+            group.create_task(self._sweep())
+
+    async def run(
+        self,
+        dispatch: messages.Dispatch,
+        on_part: Callable[[bytes], None],
+    ) -> Ended:
+        """Take a dispatch and wait for its outcome.
+
+        :param dispatch: the request.
+        :param on_part: takes the parts of its answer, unless it joins a key that runs.
+        :return: the outcome.
+        """
+        request_id = dispatch.request_id.hex()
+        ended: asyncio.Future[Answered | Refused] = asyncio.get_running_loop().create_future()
+        self.waiters[request_id] = Waiter(request_id, on_part, ended)
+        key = request_id if dispatch.claim_key else dispatch.ledger_key
+        if key not in self.dispatches:
+            self.dispatches[key] = dispatch
+        self.handle(_ledger_message(dispatch, self.node.clock.wall()))
+        outcome = await asyncio.shield(ended)
+        return _ended(outcome, crashed=request_id in self.crashed)
+
+    def settle(self, message: messages.Void | messages.Status) -> StateReply:
+        """Void a key, or tell its state.
+
+        :param message: the key.
+        :return: its state.
+        """
+        not_after = message.not_after_ms / MS_PER_S
+        question: Void | Status = Status(message.ledger_key, not_after, message.incarnation)
+        takeover = getattr(message, 'takeover', None)
+        if takeover is not None:
+            question = Void(message.ledger_key, not_after, message.incarnation, takeover)
+        replies = [one for one in self.handle(question) if isinstance(one, StateReply)]
+        return replies[-1]
+
+    def handle(self, message: ClaimMessage) -> tuple[ClaimAction, ...]:
+        """Pass a message to the claims and the ledger and carry out what follows.
+
+        :param message: the message.
+        :return: what followed.
+        """
+        actions = self.machine.handle(message, self.node.clock.monotonic())
+        for action in actions:
+            self._perform(action)
+        return actions
+
+    async def pause(self) -> None:
+        """Admit no work and wait until nothing runs."""
+        self.admitting = False
+        await self.idle.wait()
+
+    def admit(self, digest: str) -> None:
+        """Admit work under the weights that are loaded.
+
+        :param digest: their digest, hexadecimal.
+        """
+        self.admitted_digest = digest
+        self.admitting = True
+
+    def _perform(self, action: Action | ClaimAction) -> None:
+        match action:
+            case Run(key=key):
+                self._enqueue(key)
+            case Answered(request_id=request_id) | Refused(request_id=request_id):
+                self._resolve(request_id, action)
+            case Commit() | ReadRow() | AskOwner():
+                self._spawn_store(action)
+
+    def _enqueue(self, key: str) -> None:
+        self.serial += 1
+        self.queue.put_nowait(QueuedRun(self.dispatches[key].priority, self.serial, key))
+
+    def _resolve(self, request_id: str, end: Answered | Refused) -> None:
+        waiter = self.waiters.pop(request_id, None)
+        if waiter is not None and not waiter.ended.done():
+            waiter.ended.set_result(end)
+
+    def _spawn_store(self, action: Commit | ReadRow | AskOwner) -> None:
+        task = asyncio.create_task(self._ask_store(action))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _ask_store(self, action: Commit | ReadRow | AskOwner) -> None:
+        self.handle(await self.store.carry_out(action))
+
+    async def _work_slot(self) -> None:
+        while True:
+            queued = await self.queue.get()
+            await self._run_key(queued.key)
+
+    async def _run_key(self, key: str) -> None:
+        dispatch = self.dispatches.pop(key)
+        if not self.admitting:
+            self.handle(Fail(key, Code.not_ready, Ran.no))
+            return
+        began = any(isinstance(action, Begin) for action in self.handle(Start(key)))
+        if not began:
+            return
+        self._count(1)
+        started = self.node.clock.monotonic()
+        outcome = await self._generate(key, dispatch)
+        self._count(-1)
+        self.node.metrics.latency(LatencyName.run, self.node.clock.monotonic() - started)
+        self.handle(outcome)
+
+    async def _generate(self, key: str, dispatch: messages.Dispatch) -> Finish | Fail:
+        request_id = dispatch.request_id.hex()
+        self._note(EventKind.request_started, CounterName.runs_started, request_id)
+        order = GenerateOrder(request_id, dispatch.body, dispatch.priority)
+        waiter = self.waiters.get(request_id)
+        on_part = waiter.on_part if waiter else _ignore_part
+        run = await self.backend.run(order, self.admitted_digest, on_part)
+        self._note(EventKind.request_finished, CounterName.runs_finished, request_id)
+        return self._end_of(key, request_id, run)
+
+    def _end_of(self, key: str, request_id: str, run: RunResult) -> Finish | Fail:
+        if run.crashed:
+            self.crashed.add(request_id)
+        match run.outcome:
+            case Failure(code=code, ran=ran):
+                return Fail(key, code, ran)
+            case answer:
+                return Finish(key, answer)
+
+    def _count(self, change: int) -> None:
+        self.running += change
+        if self.running:
+            self.idle.clear()
+        else:
+            self.idle.set()
+
+    def _note(self, kind: EventKind, counter: CounterName, request_id: str) -> None:
+        self.node.timeline.record(kind, request_id=request_id)
+        self.node.metrics.count(counter)
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            self.handle(Sweep(SWEEP_LIMIT))
+
+
+def _ignore_part(_part: bytes) -> None:
+    """Drop a part that nobody waits for."""
+
+
+def _ledger_message(dispatch: messages.Dispatch, wall: float) -> Dispatch | Claim:
+    request_id = dispatch.request_id.hex()
+    body_digest = dispatch.body_digest.hex()
+    not_after = dispatch.not_after_ms / MS_PER_S
+    if not dispatch.claim_key:
+        return Dispatch(
+            dispatch.ledger_key,
+            request_id,
+            body_digest,
+            dispatch.incarnation,
+            not_after,
+        )
+    return Claim(
+        request_id=request_id,
+        key=dispatch.claim_key,
+        organisation=dispatch.organisation,
+        body_digest=body_digest,
+        incarnation=dispatch.incarnation,
+        not_after=not_after,
+        deadline=dispatch.deadline_ms / MS_PER_S,
+        created=wall,
+    )
+
+
+def _ended(end: Answered | Refused, *, crashed: bool) -> Ended:
+    match end:
+        case Refused(code=code, ran=ran):
+            return Ended(Failure(code, ran), crashed, replayed=False)
+        case Answered(outcome=outcome, replayed=replayed):
+            return Ended(outcome, crashed, replayed)
+
+
+__all__ = (
+    'Ended',
+    'Executor',
+)
--- a/src/cassiahitch/engine/api.py
+++ b/src/cassiahitch/engine/api.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -54,7 +54,7 @@
     async def load(self, order: LoadOrder) -> EngineState:
         """Load a version; raises ``load_refused`` for an old fencing number."""
 
-    def generate(self, order: GenerateOrder) -> AsyncIterator[bytes]:
+    def generate(self, order: GenerateOrder) -> AsyncGenerator[bytes, None]:
         """Run a request and yield the parts of its answer."""
 
     async def cancel(self, request_id: str) -> None:
--- a/src/cassiahitch/wire/cassiahitch.thrift
+++ b/src/cassiahitch/wire/cassiahitch.thrift
@@ -21,21 +21,22 @@
 
 struct Heartbeat {
   1: i64 incarnation
-  2: i64 revision
-  3: bool leaving
-  4: bool ready
-  5: i64 clock_ms
-  6: i32 running
-  7: i32 queued
-  8: i32 capacity
-  9: string service_name
-  10: string loaded_digest
-  11: i64 load_epoch
-  12: list<string> complete_digests
-  13: i64 lowest_fencing_number
-  14: i32 http_port
-  15: string rollout_id
+  2: i64 sequence
+  3: i64 uptime_ms
+  4: i64 clock_ms
+  5: i64 revision
+  6: bool leaving
+  7: bool ready
+  8: i32 running
+  9: i32 queued
+  10: i32 capacity
+  11: string deployment
+  12: string loaded_digest
+  13: string loading_digest
+  14: i64 load_epoch
+  15: list<string> complete_digests
   16: i32 chunks_complete
+  17: i32 http_port
 }
 
 struct Dispatch {
@@ -52,6 +53,7 @@
   11: string claim_key
   12: bool idempotent
   13: i64 deadline_ms
+  14: bool alone
 }
 
 struct AnswerPart {
@@ -113,27 +115,22 @@
   1: string host
   2: string address
   3: i32 port
+  4: i64 incarnation
 }
 
 struct FetchOrder {
-  1: string rollout_id
+  1: string deployment
   2: string manifest_digest
   3: string origin
   4: binary plan
   5: i64 fencing_number
-  6: list<PeerAddress> peers
 }
 
 
-struct CancelRollout {
-  1: string rollout_id
-  2: i64 fencing_number
-}
-
 struct OrderLoad {
-  1: string rollout_id
-  2: string manifest_digest
-  3: string service_name
+  1: string deployment
+  2: string digest
+  3: list<string> manifests
   4: i64 fencing_number
 }
 
@@ -167,6 +164,24 @@
   2: string detail
 }
 
+struct Release {
+  1: string deployment
+  2: i64 fencing_number
+}
+
+struct CancelLoad {
+  1: string digest
+  2: i64 fencing_number
+}
+
+struct OrderDrain {
+  1: i64 fencing_number
+}
+
+struct Locate {
+  1: string host
+}
+
 struct Frame {
   1: i64 id
   2: i64 reply_to
@@ -184,11 +199,15 @@
   20: optional ConfigurationPull configuration_pull
   21: optional ConfigurationUpdate configuration_update
   22: optional FetchOrder fetch_order
-  23: optional CancelRollout cancel_rollout
+  23: optional CancelLoad cancel_load
   24: optional OrderLoad order_load
   25: optional OrderReply order_reply
   26: optional ChunkRequest chunk_request
   27: optional ChunkReply chunk_reply
   28: optional EntryGossip entry_gossip
   29: optional Failure failure
+  30: optional Release release
+  31: optional OrderDrain order_drain
+  32: optional Locate locate
+  33: optional PeerAddress peer_address
 }
--- a/src/cassiahitch/wire/gen/messages/ttypes.py
+++ b/src/cassiahitch/wire/gen/messages/ttypes.py
@@ -264,61 +264,64 @@
     """
     Attributes:
      - incarnation
+     - sequence
+     - uptime_ms
+     - clock_ms
      - revision
      - leaving
      - ready
-     - clock_ms
      - running
      - queued
      - capacity
-     - service_name
+     - deployment
      - loaded_digest
+     - loading_digest
      - load_epoch
      - complete_digests
-     - lowest_fencing_number
-     - http_port
-     - rollout_id
      - chunks_complete
+     - http_port
 
     """
 
     __slots__ = (
         'incarnation',
+        'sequence',
+        'uptime_ms',
+        'clock_ms',
         'revision',
         'leaving',
         'ready',
-        'clock_ms',
         'running',
         'queued',
         'capacity',
-        'service_name',
+        'deployment',
         'loaded_digest',
+        'loading_digest',
         'load_epoch',
         'complete_digests',
-        'lowest_fencing_number',
-        'http_port',
-        'rollout_id',
         'chunks_complete',
+        'http_port',
     )
 
 
-    def __init__(self, incarnation=None, revision=None, leaving=None, ready=None, clock_ms=None, running=None, queued=None, capacity=None, service_name=None, loaded_digest=None, load_epoch=None, complete_digests=None, lowest_fencing_number=None, http_port=None, rollout_id=None, chunks_complete=None,):
+    def __init__(self, incarnation=None, sequence=None, uptime_ms=None, clock_ms=None, revision=None, leaving=None, ready=None, running=None, queued=None, capacity=None, deployment=None, loaded_digest=None, loading_digest=None, load_epoch=None, complete_digests=None, chunks_complete=None, http_port=None,):
         self.incarnation = incarnation
+        self.sequence = sequence
+        self.uptime_ms = uptime_ms
+        self.clock_ms = clock_ms
         self.revision = revision
         self.leaving = leaving
         self.ready = ready
-        self.clock_ms = clock_ms
         self.running = running
         self.queued = queued
         self.capacity = capacity
-        self.service_name = service_name
+        self.deployment = deployment
         self.loaded_digest = loaded_digest
+        self.loading_digest = loading_digest
         self.load_epoch = load_epoch
         self.complete_digests = complete_digests
-        self.lowest_fencing_number = lowest_fencing_number
-        self.http_port = http_port
-        self.rollout_id = rollout_id
         self.chunks_complete = chunks_complete
+        self.http_port = http_port
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -336,55 +339,70 @@
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.I64:
-                    self.revision = iprot.readI64()
+                    self.sequence = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.BOOL:
-                    self.leaving = iprot.readBool()
+                if ftype == TType.I64:
+                    self.uptime_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.BOOL:
-                    self.ready = iprot.readBool()
+                if ftype == TType.I64:
+                    self.clock_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.I64:
-                    self.clock_ms = iprot.readI64()
+                    self.revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.ready = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
                 if ftype == TType.I32:
                     self.running = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 7:
+            elif fid == 9:
                 if ftype == TType.I32:
                     self.queued = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 8:
+            elif fid == 10:
                 if ftype == TType.I32:
                     self.capacity = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 9:
+            elif fid == 11:
                 if ftype == TType.STRING:
-                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.deployment = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
-            elif fid == 10:
+            elif fid == 12:
                 if ftype == TType.STRING:
                     self.loaded_digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
-            elif fid == 11:
+            elif fid == 13:
+                if ftype == TType.STRING:
+                    self.loading_digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
                 if ftype == TType.I64:
                     self.load_epoch = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 12:
+            elif fid == 15:
                 if ftype == TType.LIST:
                     self.complete_digests = []
                     (_etype3, _size0) = iprot.readListBegin()
@@ -394,24 +412,14 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 13:
-                if ftype == TType.I64:
-                    self.lowest_fencing_number = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 14:
+            elif fid == 16:
                 if ftype == TType.I32:
-                    self.http_port = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 15:
-                if ftype == TType.STRING:
-                    self.rollout_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.chunks_complete = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 16:
+            elif fid == 17:
                 if ftype == TType.I32:
-                    self.chunks_complete = iprot.readI32()
+                    self.http_port = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             else:
@@ -428,69 +436,73 @@
             oprot.writeFieldBegin('incarnation', TType.I64, 1)
             oprot.writeI64(self.incarnation)
             oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 2)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.uptime_ms is not None:
+            oprot.writeFieldBegin('uptime_ms', TType.I64, 3)
+            oprot.writeI64(self.uptime_ms)
+            oprot.writeFieldEnd()
+        if self.clock_ms is not None:
+            oprot.writeFieldBegin('clock_ms', TType.I64, 4)
+            oprot.writeI64(self.clock_ms)
+            oprot.writeFieldEnd()
         if self.revision is not None:
-            oprot.writeFieldBegin('revision', TType.I64, 2)
+            oprot.writeFieldBegin('revision', TType.I64, 5)
             oprot.writeI64(self.revision)
             oprot.writeFieldEnd()
         if self.leaving is not None:
-            oprot.writeFieldBegin('leaving', TType.BOOL, 3)
+            oprot.writeFieldBegin('leaving', TType.BOOL, 6)
             oprot.writeBool(self.leaving)
             oprot.writeFieldEnd()
         if self.ready is not None:
-            oprot.writeFieldBegin('ready', TType.BOOL, 4)
+            oprot.writeFieldBegin('ready', TType.BOOL, 7)
             oprot.writeBool(self.ready)
             oprot.writeFieldEnd()
-        if self.clock_ms is not None:
-            oprot.writeFieldBegin('clock_ms', TType.I64, 5)
-            oprot.writeI64(self.clock_ms)
-            oprot.writeFieldEnd()
         if self.running is not None:
-            oprot.writeFieldBegin('running', TType.I32, 6)
+            oprot.writeFieldBegin('running', TType.I32, 8)
             oprot.writeI32(self.running)
             oprot.writeFieldEnd()
         if self.queued is not None:
-            oprot.writeFieldBegin('queued', TType.I32, 7)
+            oprot.writeFieldBegin('queued', TType.I32, 9)
             oprot.writeI32(self.queued)
             oprot.writeFieldEnd()
         if self.capacity is not None:
-            oprot.writeFieldBegin('capacity', TType.I32, 8)
+            oprot.writeFieldBegin('capacity', TType.I32, 10)
             oprot.writeI32(self.capacity)
             oprot.writeFieldEnd()
-        if self.service_name is not None:
-            oprot.writeFieldBegin('service_name', TType.STRING, 9)
-            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+        if self.deployment is not None:
+            oprot.writeFieldBegin('deployment', TType.STRING, 11)
+            oprot.writeString(self.deployment.encode('utf-8') if sys.version_info[0] == 2 else self.deployment)
             oprot.writeFieldEnd()
         if self.loaded_digest is not None:
-            oprot.writeFieldBegin('loaded_digest', TType.STRING, 10)
+            oprot.writeFieldBegin('loaded_digest', TType.STRING, 12)
             oprot.writeString(self.loaded_digest.encode('utf-8') if sys.version_info[0] == 2 else self.loaded_digest)
             oprot.writeFieldEnd()
+        if self.loading_digest is not None:
+            oprot.writeFieldBegin('loading_digest', TType.STRING, 13)
+            oprot.writeString(self.loading_digest.encode('utf-8') if sys.version_info[0] == 2 else self.loading_digest)
+            oprot.writeFieldEnd()
         if self.load_epoch is not None:
-            oprot.writeFieldBegin('load_epoch', TType.I64, 11)
+            oprot.writeFieldBegin('load_epoch', TType.I64, 14)
             oprot.writeI64(self.load_epoch)
             oprot.writeFieldEnd()
         if self.complete_digests is not None:
-            oprot.writeFieldBegin('complete_digests', TType.LIST, 12)
+            oprot.writeFieldBegin('complete_digests', TType.LIST, 15)
             oprot.writeListBegin(TType.STRING, len(self.complete_digests))
             for iter6 in self.complete_digests:
                 oprot.writeString(iter6.encode('utf-8') if sys.version_info[0] == 2 else iter6)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.lowest_fencing_number is not None:
-            oprot.writeFieldBegin('lowest_fencing_number', TType.I64, 13)
-            oprot.writeI64(self.lowest_fencing_number)
-            oprot.writeFieldEnd()
-        if self.http_port is not None:
-            oprot.writeFieldBegin('http_port', TType.I32, 14)
-            oprot.writeI32(self.http_port)
-            oprot.writeFieldEnd()
-        if self.rollout_id is not None:
-            oprot.writeFieldBegin('rollout_id', TType.STRING, 15)
-            oprot.writeString(self.rollout_id.encode('utf-8') if sys.version_info[0] == 2 else self.rollout_id)
-            oprot.writeFieldEnd()
         if self.chunks_complete is not None:
             oprot.writeFieldBegin('chunks_complete', TType.I32, 16)
             oprot.writeI32(self.chunks_complete)
             oprot.writeFieldEnd()
+        if self.http_port is not None:
+            oprot.writeFieldBegin('http_port', TType.I32, 17)
+            oprot.writeI32(self.http_port)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -532,6 +544,7 @@
      - claim_key
      - idempotent
      - deadline_ms
+     - alone
 
     """
 
@@ -549,10 +562,11 @@
         'claim_key',
         'idempotent',
         'deadline_ms',
+        'alone',
     )
 
 
-    def __init__(self, request_id=None, ledger_key=None, incarnation=None, not_after_ms=None, organisation=None, service_name=None, body_digest=None, body=None, priority=None, stream=None, claim_key=None, idempotent=None, deadline_ms=None,):
+    def __init__(self, request_id=None, ledger_key=None, incarnation=None, not_after_ms=None, organisation=None, service_name=None, body_digest=None, body=None, priority=None, stream=None, claim_key=None, idempotent=None, deadline_ms=None, alone=None,):
         self.request_id = request_id
         self.ledger_key = ledger_key
         self.incarnation = incarnation
@@ -566,6 +580,7 @@
         self.claim_key = claim_key
         self.idempotent = idempotent
         self.deadline_ms = deadline_ms
+        self.alone = alone
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -641,6 +656,11 @@
                     self.deadline_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.BOOL:
+                    self.alone = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -703,6 +723,10 @@
             oprot.writeFieldBegin('deadline_ms', TType.I64, 13)
             oprot.writeI64(self.deadline_ms)
             oprot.writeFieldEnd()
+        if self.alone is not None:
+            oprot.writeFieldBegin('alone', TType.BOOL, 14)
+            oprot.writeBool(self.alone)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1563,6 +1587,7 @@
      - host
      - address
      - port
+     - incarnation
 
     """
 
@@ -1570,13 +1595,15 @@
         'host',
         'address',
         'port',
+        'incarnation',
     )
 
 
-    def __init__(self, host=None, address=None, port=None,):
+    def __init__(self, host=None, address=None, port=None, incarnation=None,):
         self.host = host
         self.address = address
         self.port = port
+        self.incarnation = incarnation
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1602,6 +1629,11 @@
                     self.port = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1624,6 +1656,10 @@
             oprot.writeFieldBegin('port', TType.I32, 3)
             oprot.writeI32(self.port)
             oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 4)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1652,32 +1688,29 @@
 class FetchOrder(object):
     """
     Attributes:
-     - rollout_id
+     - deployment
      - manifest_digest
      - origin
      - plan
      - fencing_number
-     - peers
 
     """
 
     __slots__ = (
-        'rollout_id',
+        'deployment',
         'manifest_digest',
         'origin',
         'plan',
         'fencing_number',
-        'peers',
     )
 
 
-    def __init__(self, rollout_id=None, manifest_digest=None, origin=None, plan=None, fencing_number=None, peers=None,):
-        self.rollout_id = rollout_id
+    def __init__(self, deployment=None, manifest_digest=None, origin=None, plan=None, fencing_number=None,):
+        self.deployment = deployment
         self.manifest_digest = manifest_digest
         self.origin = origin
         self.plan = plan
         self.fencing_number = fencing_number
-        self.peers = peers
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1690,7 +1723,7 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.rollout_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.deployment = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
@@ -1713,17 +1746,6 @@
                     self.fencing_number = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 6:
-                if ftype == TType.LIST:
-                    self.peers = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = PeerAddress()
-                        _elem19.read(iprot)
-                        self.peers.append(_elem19)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1734,9 +1756,9 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('FetchOrder')
-        if self.rollout_id is not None:
-            oprot.writeFieldBegin('rollout_id', TType.STRING, 1)
-            oprot.writeString(self.rollout_id.encode('utf-8') if sys.version_info[0] == 2 else self.rollout_id)
+        if self.deployment is not None:
+            oprot.writeFieldBegin('deployment', TType.STRING, 1)
+            oprot.writeString(self.deployment.encode('utf-8') if sys.version_info[0] == 2 else self.deployment)
             oprot.writeFieldEnd()
         if self.manifest_digest is not None:
             oprot.writeFieldBegin('manifest_digest', TType.STRING, 2)
@@ -1754,93 +1776,6 @@
             oprot.writeFieldBegin('fencing_number', TType.I64, 5)
             oprot.writeI64(self.fencing_number)
             oprot.writeFieldEnd()
-        if self.peers is not None:
-            oprot.writeFieldBegin('peers', TType.LIST, 6)
-            oprot.writeListBegin(TType.STRUCT, len(self.peers))
-            for iter20 in self.peers:
-                iter20.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, getattr(self, key))
-             for key in self.__slots__]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        if not isinstance(other, self.__class__):
-            return False
-        for attr in self.__slots__:
-            my_val = getattr(self, attr)
-            other_val = getattr(other, attr)
-            if my_val != other_val:
-                return False
-        return True
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
-class CancelRollout(object):
-    """
-    Attributes:
-     - rollout_id
-     - fencing_number
-
-    """
-
-    __slots__ = (
-        'rollout_id',
-        'fencing_number',
-    )
-
-
-    def __init__(self, rollout_id=None, fencing_number=None,):
-        self.rollout_id = rollout_id
-        self.fencing_number = fencing_number
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.STRING:
-                    self.rollout_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.I64:
-                    self.fencing_number = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('CancelRollout')
-        if self.rollout_id is not None:
-            oprot.writeFieldBegin('rollout_id', TType.STRING, 1)
-            oprot.writeString(self.rollout_id.encode('utf-8') if sys.version_info[0] == 2 else self.rollout_id)
-            oprot.writeFieldEnd()
-        if self.fencing_number is not None:
-            oprot.writeFieldBegin('fencing_number', TType.I64, 2)
-            oprot.writeI64(self.fencing_number)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1869,25 +1804,25 @@
 class OrderLoad(object):
     """
     Attributes:
-     - rollout_id
-     - manifest_digest
-     - service_name
+     - deployment
+     - digest
+     - manifests
      - fencing_number
 
     """
 
     __slots__ = (
-        'rollout_id',
-        'manifest_digest',
-        'service_name',
+        'deployment',
+        'digest',
+        'manifests',
         'fencing_number',
     )
 
 
-    def __init__(self, rollout_id=None, manifest_digest=None, service_name=None, fencing_number=None,):
-        self.rollout_id = rollout_id
-        self.manifest_digest = manifest_digest
-        self.service_name = service_name
+    def __init__(self, deployment=None, digest=None, manifests=None, fencing_number=None,):
+        self.deployment = deployment
+        self.digest = digest
+        self.manifests = manifests
         self.fencing_number = fencing_number
 
     def read(self, iprot):
@@ -1901,17 +1836,22 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.rollout_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.deployment = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.STRING:
-                    self.manifest_digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.STRING:
-                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.LIST:
+                    self.manifests = []
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.manifests.append(_elem19)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
@@ -1929,17 +1869,20 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('OrderLoad')
-        if self.rollout_id is not None:
-            oprot.writeFieldBegin('rollout_id', TType.STRING, 1)
-            oprot.writeString(self.rollout_id.encode('utf-8') if sys.version_info[0] == 2 else self.rollout_id)
-            oprot.writeFieldEnd()
-        if self.manifest_digest is not None:
-            oprot.writeFieldBegin('manifest_digest', TType.STRING, 2)
-            oprot.writeString(self.manifest_digest.encode('utf-8') if sys.version_info[0] == 2 else self.manifest_digest)
-            oprot.writeFieldEnd()
-        if self.service_name is not None:
-            oprot.writeFieldBegin('service_name', TType.STRING, 3)
-            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+        if self.deployment is not None:
+            oprot.writeFieldBegin('deployment', TType.STRING, 1)
+            oprot.writeString(self.deployment.encode('utf-8') if sys.version_info[0] == 2 else self.deployment)
+            oprot.writeFieldEnd()
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.STRING, 2)
+            oprot.writeString(self.digest.encode('utf-8') if sys.version_info[0] == 2 else self.digest)
+            oprot.writeFieldEnd()
+        if self.manifests is not None:
+            oprot.writeFieldBegin('manifests', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.manifests))
+            for iter20 in self.manifests:
+                oprot.writeString(iter20.encode('utf-8') if sys.version_info[0] == 2 else iter20)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.fencing_number is not None:
             oprot.writeFieldBegin('fencing_number', TType.I64, 4)
@@ -2430,6 +2373,302 @@
         return not (self == other)
 
 
+class Release(object):
+    """
+    Attributes:
+     - deployment
+     - fencing_number
+
+    """
+
+    __slots__ = (
+        'deployment',
+        'fencing_number',
+    )
+
+
+    def __init__(self, deployment=None, fencing_number=None,):
+        self.deployment = deployment
+        self.fencing_number = fencing_number
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.deployment = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.fencing_number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Release')
+        if self.deployment is not None:
+            oprot.writeFieldBegin('deployment', TType.STRING, 1)
+            oprot.writeString(self.deployment.encode('utf-8') if sys.version_info[0] == 2 else self.deployment)
+            oprot.writeFieldEnd()
+        if self.fencing_number is not None:
+            oprot.writeFieldBegin('fencing_number', TType.I64, 2)
+            oprot.writeI64(self.fencing_number)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CancelLoad(object):
+    """
+    Attributes:
+     - digest
+     - fencing_number
+
+    """
+
+    __slots__ = (
+        'digest',
+        'fencing_number',
+    )
+
+
+    def __init__(self, digest=None, fencing_number=None,):
+        self.digest = digest
+        self.fencing_number = fencing_number
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.fencing_number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CancelLoad')
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.STRING, 1)
+            oprot.writeString(self.digest.encode('utf-8') if sys.version_info[0] == 2 else self.digest)
+            oprot.writeFieldEnd()
+        if self.fencing_number is not None:
+            oprot.writeFieldBegin('fencing_number', TType.I64, 2)
+            oprot.writeI64(self.fencing_number)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class OrderDrain(object):
+    """
+    Attributes:
+     - fencing_number
+
+    """
+
+    __slots__ = (
+        'fencing_number',
+    )
+
+
+    def __init__(self, fencing_number=None,):
+        self.fencing_number = fencing_number
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.fencing_number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('OrderDrain')
+        if self.fencing_number is not None:
+            oprot.writeFieldBegin('fencing_number', TType.I64, 1)
+            oprot.writeI64(self.fencing_number)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Locate(object):
+    """
+    Attributes:
+     - host
+
+    """
+
+    __slots__ = (
+        'host',
+    )
+
+
+    def __init__(self, host=None,):
+        self.host = host
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Locate')
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 1)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Frame(object):
     """
     Attributes:
@@ -2449,13 +2688,17 @@
      - configuration_pull
      - configuration_update
      - fetch_order
-     - cancel_rollout
+     - cancel_load
      - order_load
      - order_reply
      - chunk_request
      - chunk_reply
      - entry_gossip
      - failure
+     - release
+     - order_drain
+     - locate
+     - peer_address
 
     """
 
@@ -2476,17 +2719,21 @@
         'configuration_pull',
         'configuration_update',
         'fetch_order',
-        'cancel_rollout',
+        'cancel_load',
         'order_load',
         'order_reply',
         'chunk_request',
         'chunk_reply',
         'entry_gossip',
         'failure',
+        'release',
+        'order_drain',
+        'locate',
+        'peer_address',
     )
 
 
-    def __init__(self, id=None, reply_to=None, clock=None, challenge=None, hello=None, heartbeat=None, dispatch=None, answer_part=None, answer=None, void_=None, status=None, ledger_state=None, cancel=None, configuration_pull=None, configuration_update=None, fetch_order=None, cancel_rollout=None, order_load=None, order_reply=None, chunk_request=None, chunk_reply=None, entry_gossip=None, failure=None,):
+    def __init__(self, id=None, reply_to=None, clock=None, challenge=None, hello=None, heartbeat=None, dispatch=None, answer_part=None, answer=None, void_=None, status=None, ledger_state=None, cancel=None, configuration_pull=None, configuration_update=None, fetch_order=None, cancel_load=None, order_load=None, order_reply=None, chunk_request=None, chunk_reply=None, entry_gossip=None, failure=None, release=None, order_drain=None, locate=None, peer_address=None,):
         self.id = id
         self.reply_to = reply_to
         self.clock = clock
@@ -2503,13 +2750,17 @@
         self.configuration_pull = configuration_pull
         self.configuration_update = configuration_update
         self.fetch_order = fetch_order
-        self.cancel_rollout = cancel_rollout
+        self.cancel_load = cancel_load
         self.order_load = order_load
         self.order_reply = order_reply
         self.chunk_request = chunk_request
         self.chunk_reply = chunk_reply
         self.entry_gossip = entry_gossip
         self.failure = failure
+        self.release = release
+        self.order_drain = order_drain
+        self.locate = locate
+        self.peer_address = peer_address
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2615,8 +2866,8 @@
                     iprot.skip(ftype)
             elif fid == 23:
                 if ftype == TType.STRUCT:
-                    self.cancel_rollout = CancelRollout()
-                    self.cancel_rollout.read(iprot)
+                    self.cancel_load = CancelLoad()
+                    self.cancel_load.read(iprot)
                 else:
                     iprot.skip(ftype)
             elif fid == 24:
@@ -2655,6 +2906,30 @@
                     self.failure.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 30:
+                if ftype == TType.STRUCT:
+                    self.release = Release()
+                    self.release.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 31:
+                if ftype == TType.STRUCT:
+                    self.order_drain = OrderDrain()
+                    self.order_drain.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 32:
+                if ftype == TType.STRUCT:
+                    self.locate = Locate()
+                    self.locate.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 33:
+                if ftype == TType.STRUCT:
+                    self.peer_address = PeerAddress()
+                    self.peer_address.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2729,9 +3004,9 @@
             oprot.writeFieldBegin('fetch_order', TType.STRUCT, 22)
             self.fetch_order.write(oprot)
             oprot.writeFieldEnd()
-        if self.cancel_rollout is not None:
-            oprot.writeFieldBegin('cancel_rollout', TType.STRUCT, 23)
-            self.cancel_rollout.write(oprot)
+        if self.cancel_load is not None:
+            oprot.writeFieldBegin('cancel_load', TType.STRUCT, 23)
+            self.cancel_load.write(oprot)
             oprot.writeFieldEnd()
         if self.order_load is not None:
             oprot.writeFieldBegin('order_load', TType.STRUCT, 24)
@@ -2757,6 +3032,22 @@
             oprot.writeFieldBegin('failure', TType.STRUCT, 29)
             self.failure.write(oprot)
             oprot.writeFieldEnd()
+        if self.release is not None:
+            oprot.writeFieldBegin('release', TType.STRUCT, 30)
+            self.release.write(oprot)
+            oprot.writeFieldEnd()
+        if self.order_drain is not None:
+            oprot.writeFieldBegin('order_drain', TType.STRUCT, 31)
+            self.order_drain.write(oprot)
+            oprot.writeFieldEnd()
+        if self.locate is not None:
+            oprot.writeFieldBegin('locate', TType.STRUCT, 32)
+            self.locate.write(oprot)
+            oprot.writeFieldEnd()
+        if self.peer_address is not None:
+            oprot.writeFieldBegin('peer_address', TType.STRUCT, 33)
+            self.peer_address.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2803,21 +3094,22 @@
 Heartbeat.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'incarnation', None, None, ),  # 1
-    (2, TType.I64, 'revision', None, None, ),  # 2
-    (3, TType.BOOL, 'leaving', None, None, ),  # 3
-    (4, TType.BOOL, 'ready', None, None, ),  # 4
-    (5, TType.I64, 'clock_ms', None, None, ),  # 5
-    (6, TType.I32, 'running', None, None, ),  # 6
-    (7, TType.I32, 'queued', None, None, ),  # 7
-    (8, TType.I32, 'capacity', None, None, ),  # 8
-    (9, TType.STRING, 'service_name', 'UTF8', None, ),  # 9
-    (10, TType.STRING, 'loaded_digest', 'UTF8', None, ),  # 10
-    (11, TType.I64, 'load_epoch', None, None, ),  # 11
-    (12, TType.LIST, 'complete_digests', (TType.STRING, 'UTF8', False), None, ),  # 12
-    (13, TType.I64, 'lowest_fencing_number', None, None, ),  # 13
-    (14, TType.I32, 'http_port', None, None, ),  # 14
-    (15, TType.STRING, 'rollout_id', 'UTF8', None, ),  # 15
+    (2, TType.I64, 'sequence', None, None, ),  # 2
+    (3, TType.I64, 'uptime_ms', None, None, ),  # 3
+    (4, TType.I64, 'clock_ms', None, None, ),  # 4
+    (5, TType.I64, 'revision', None, None, ),  # 5
+    (6, TType.BOOL, 'leaving', None, None, ),  # 6
+    (7, TType.BOOL, 'ready', None, None, ),  # 7
+    (8, TType.I32, 'running', None, None, ),  # 8
+    (9, TType.I32, 'queued', None, None, ),  # 9
+    (10, TType.I32, 'capacity', None, None, ),  # 10
+    (11, TType.STRING, 'deployment', 'UTF8', None, ),  # 11
+    (12, TType.STRING, 'loaded_digest', 'UTF8', None, ),  # 12
+    (13, TType.STRING, 'loading_digest', 'UTF8', None, ),  # 13
+    (14, TType.I64, 'load_epoch', None, None, ),  # 14
+    (15, TType.LIST, 'complete_digests', (TType.STRING, 'UTF8', False), None, ),  # 15
     (16, TType.I32, 'chunks_complete', None, None, ),  # 16
+    (17, TType.I32, 'http_port', None, None, ),  # 17
 )
 all_structs.append(Dispatch)
 Dispatch.thrift_spec = (
@@ -2835,6 +3127,7 @@
     (11, TType.STRING, 'claim_key', 'UTF8', None, ),  # 11
     (12, TType.BOOL, 'idempotent', None, None, ),  # 12
     (13, TType.I64, 'deadline_ms', None, None, ),  # 13
+    (14, TType.BOOL, 'alone', None, None, ),  # 14
 )
 all_structs.append(AnswerPart)
 AnswerPart.thrift_spec = (
@@ -2905,29 +3198,23 @@
     (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'address', 'UTF8', None, ),  # 2
     (3, TType.I32, 'port', None, None, ),  # 3
+    (4, TType.I64, 'incarnation', None, None, ),  # 4
 )
 all_structs.append(FetchOrder)
 FetchOrder.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'rollout_id', 'UTF8', None, ),  # 1
+    (1, TType.STRING, 'deployment', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'manifest_digest', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'origin', 'UTF8', None, ),  # 3
     (4, TType.STRING, 'plan', 'BINARY', None, ),  # 4
     (5, TType.I64, 'fencing_number', None, None, ),  # 5
-    (6, TType.LIST, 'peers', (TType.STRUCT, [PeerAddress, None], False), None, ),  # 6
-)
-all_structs.append(CancelRollout)
-CancelRollout.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'rollout_id', 'UTF8', None, ),  # 1
-    (2, TType.I64, 'fencing_number', None, None, ),  # 2
 )
 all_structs.append(OrderLoad)
 OrderLoad.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'rollout_id', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'manifest_digest', 'UTF8', None, ),  # 2
-    (3, TType.STRING, 'service_name', 'UTF8', None, ),  # 3
+    (1, TType.STRING, 'deployment', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'digest', 'UTF8', None, ),  # 2
+    (3, TType.LIST, 'manifests', (TType.STRING, 'UTF8', False), None, ),  # 3
     (4, TType.I64, 'fencing_number', None, None, ),  # 4
 )
 all_structs.append(OrderReply)
@@ -2965,6 +3252,28 @@
     (1, TType.I32, 'code', None, None, ),  # 1
     (2, TType.STRING, 'detail', 'UTF8', None, ),  # 2
 )
+all_structs.append(Release)
+Release.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'deployment', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'fencing_number', None, None, ),  # 2
+)
+all_structs.append(CancelLoad)
+CancelLoad.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'digest', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'fencing_number', None, None, ),  # 2
+)
+all_structs.append(OrderDrain)
+OrderDrain.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'fencing_number', None, None, ),  # 1
+)
+all_structs.append(Locate)
+Locate.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
+)
 all_structs.append(Frame)
 Frame.thrift_spec = (
     None,  # 0
@@ -2990,13 +3299,17 @@
     (20, TType.STRUCT, 'configuration_pull', [ConfigurationPull, None], None, ),  # 20
     (21, TType.STRUCT, 'configuration_update', [ConfigurationUpdate, None], None, ),  # 21
     (22, TType.STRUCT, 'fetch_order', [FetchOrder, None], None, ),  # 22
-    (23, TType.STRUCT, 'cancel_rollout', [CancelRollout, None], None, ),  # 23
+    (23, TType.STRUCT, 'cancel_load', [CancelLoad, None], None, ),  # 23
     (24, TType.STRUCT, 'order_load', [OrderLoad, None], None, ),  # 24
     (25, TType.STRUCT, 'order_reply', [OrderReply, None], None, ),  # 25
     (26, TType.STRUCT, 'chunk_request', [ChunkRequest, None], None, ),  # 26
     (27, TType.STRUCT, 'chunk_reply', [ChunkReply, None], None, ),  # 27
     (28, TType.STRUCT, 'entry_gossip', [EntryGossip, None], None, ),  # 28
     (29, TType.STRUCT, 'failure', [Failure, None], None, ),  # 29
+    (30, TType.STRUCT, 'release', [Release, None], None, ),  # 30
+    (31, TType.STRUCT, 'order_drain', [OrderDrain, None], None, ),  # 31
+    (32, TType.STRUCT, 'locate', [Locate, None], None, ),  # 32
+    (33, TType.STRUCT, 'peer_address', [PeerAddress, None], None, ),  # 33
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/cassiahitch/wire/messages.py
+++ b/src/cassiahitch/wire/messages.py
@@ -36,21 +36,22 @@
     """State of a process, sent at a fixed interval in both directions."""
 
     incarnation: int = 0
+    sequence: int = 0
+    uptime_ms: int = 0
+    clock_ms: int = 0
     revision: int = 0
     leaving: bool = False
     ready: bool = False
-    clock_ms: int = 0
     running: int = 0
     queued: int = 0
     capacity: int = 0
-    service_name: str = ''
+    deployment: str = ''
     loaded_digest: str = ''
+    loading_digest: str = ''
     load_epoch: int = 0
     complete_digests: tuple[str, ...] = ()
-    lowest_fencing_number: int = 0
-    http_port: int = 0
-    rollout_id: str = ''
     chunks_complete: int = 0
+    http_port: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,6 +71,7 @@
     claim_key: str = ''
     idempotent: bool = False
     deadline_ms: int = 0
+    alone: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,7 +85,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Answer:
-    """The end of an answer, with its length and SHA-256 checksum."""
+    """The end of an answer; its checksum is SHA-256."""
 
     request_id: bytes = b''
     body_digest: bytes = b''
@@ -153,40 +155,32 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerAddress:
-    """Where the connections of a host are accepted."""
+    """Where a host accepts connections."""
 
     host: str = ''
     address: str = ''
     port: int = 0
+    incarnation: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class FetchOrder:
-    """Orders an agent to fetch a version as a participant of a plan."""
+    """Orders an agent to fetch a manifest as a participant of a plan."""
 
-    rollout_id: str = ''
+    deployment: str = ''
     manifest_digest: str = ''
     origin: str = ''
     plan: bytes = b''
     fencing_number: int = 0
-    peers: tuple[PeerAddress, ...] = ()
-
-
-@dataclass(frozen=True, slots=True)
-class CancelRollout:
-    """Orders an agent to give up a rollout."""
-
-    rollout_id: str = ''
-    fencing_number: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class OrderLoad:
-    """Orders an agent to load a version that is complete on its host."""
+    """Orders an agent to load versions that are complete on its host."""
 
-    rollout_id: str = ''
-    manifest_digest: str = ''
-    service_name: str = ''
+    deployment: str = ''
+    digest: str = ''
+    manifests: tuple[str, ...] = ()
     fencing_number: int = 0
 
 
@@ -235,6 +229,36 @@
     detail: str = ''
 
 
+@dataclass(frozen=True, slots=True)
+class Release:
+    """Orders an agent to serve a deployment no longer."""
+
+    deployment: str = ''
+    fencing_number: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class CancelLoad:
+    """Orders an agent to give up a load."""
+
+    digest: str = ''
+    fencing_number: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class OrderDrain:
+    """Orders an agent to refuse new work and to finish what runs."""
+
+    fencing_number: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Locate:
+    """Asks an entry where a host accepts connections."""
+
+    host: str = ''
+
+
 #: Every message that a frame can carry.
 Message = (
     Challenge
@@ -250,20 +274,24 @@
     | ConfigurationPull
     | ConfigurationUpdate
     | FetchOrder
-    | CancelRollout
+    | CancelLoad
     | OrderLoad
     | OrderReply
     | ChunkRequest
     | ChunkReply
     | EntryGossip
     | Failure
+    | Release
+    | OrderDrain
+    | Locate
+    | PeerAddress
 )
 
 __all__ = (
     'Answer',
     'AnswerPart',
     'Cancel',
-    'CancelRollout',
+    'CancelLoad',
     'Challenge',
     'ChunkReply',
     'ChunkRequest',
@@ -276,10 +304,13 @@
     'Heartbeat',
     'Hello',
     'LedgerState',
+    'Locate',
     'Message',
+    'OrderDrain',
     'OrderLoad',
     'OrderReply',
     'PeerAddress',
+    'Release',
     'Status',
     'Void',
 )
