Add the decisions of weight distribution

Cause: rollouts need manifests, plans, one tree per chunk, fetching, serving, pacing, load waves and a guard of the engine's loads. Change: weights/ holds each as a pure decision with its messages and actions in weights/api.py.

--- /dev/null
+++ b/src/cassiahitch/weights/plan.py
@@ -0,0 +1,135 @@
+"""Rollout plans: the hosts that take part in the distribution of a manifest."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from dataclasses import dataclass
+from functools import cached_property
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from cassiahitch.codes import Code
+from cassiahitch.errors import CassiahitchError
+from cassiahitch.resources.models import Digest, Objective
+
+MAX_PLAN_BYTES = 16_777_216
+MAX_PARTICIPANTS = 20_000
+MAX_NAME_LENGTH = 255
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Participant:
+    """A host that receives the chunks of a rollout."""
+
+    host: str
+    region: str
+    failure_domain: str
+
+
+class _ParticipantModel(BaseModel):
+    """The JSON form of a participant."""
+
+    model_config = ConfigDict(extra='forbid', frozen=True, strict=True)
+
+    host: str = Field(min_length=1, max_length=MAX_NAME_LENGTH)
+    region: str = Field(min_length=1, max_length=MAX_NAME_LENGTH)
+    failure_domain: str = Field(min_length=1, max_length=MAX_NAME_LENGTH)
+
+
+class _PlanModel(BaseModel):
+    """The JSON form of a plan."""
+
+    model_config = ConfigDict(extra='forbid', frozen=True)
+
+    rollout: str = Field(min_length=1, max_length=MAX_NAME_LENGTH)
+    manifest: Digest
+    objective: Objective
+    participants: list[_ParticipantModel] = Field(min_length=1, max_length=MAX_PARTICIPANTS)
+
+
+@dataclass(frozen=True)
+class RolloutPlan:
+    """The participants of a rollout, sorted, and the objective that shapes its trees."""
+
+    rollout: str
+    manifest: str
+    objective: Objective
+    participants: tuple[Participant, ...]
+
+    @cached_property
+    def digest(self) -> str:
+        """The SHA-256 digest of the JSON form, by which the plan is stored."""
+        return hashlib.sha256(self.to_json()).hexdigest()
+
+    def to_json(self) -> bytes:
+        """Return the canonical JSON form.
+
+        :return: UTF-8 JSON with sorted keys and no spaces.
+        """
+        fields = {
+            'rollout': self.rollout,
+            'manifest': self.manifest,
+            'objective': self.objective.value,
+            'participants': [
+                {
+                    'host': participant.host,
+                    'region': participant.region,
+                    'failure_domain': participant.failure_domain,
+                }
+                for participant in self.participants
+            ],
+        }
+        return json.dumps(fields, sort_keys=True, separators=(',', ':')).encode()
+
+
+def build_plan(
+    rollout: str,
+    manifest: str,
+    objective: Objective,
+    participants: tuple[Participant, ...],
+) -> RolloutPlan:
+    """Build a plan.
+
+    :param rollout: the identifier of the rollout.
+    :param manifest: the digest of the manifest.
+    :param objective: what the rollout spends least of.
+    :param participants: the hosts, in any order.
+    :return: the plan, with its participants sorted.
+    :raises CassiahitchError: ``plan_corrupt`` if a host is named twice or in no valid way.
+    """
+    plan = RolloutPlan(rollout, manifest, objective, tuple(sorted(participants)))
+    return parse_plan(plan.to_json())
+
+
+def parse_plan(raw: bytes) -> RolloutPlan:
+    """Parse a plan.
+
+    :param raw: the JSON form.
+    :return: the plan.
+    :raises CassiahitchError: ``plan_corrupt`` if it cannot be used.
+    """
+    if len(raw) > MAX_PLAN_BYTES:
+        raise CassiahitchError(Code.plan_corrupt, 'the plan is too large')
+    try:
+        model = _PlanModel.model_validate_json(raw)
+    except ValidationError as error:
+        first = error.errors(include_url=False, include_input=False)[0]
+        raise CassiahitchError(Code.plan_corrupt, str(first['msg'])) from error
+    participants = tuple(
+        sorted(
+            Participant(member.host, member.region, member.failure_domain)
+            for member in model.participants
+        )
+    )
+    if len({member.host for member in participants}) != len(participants):
+        raise CassiahitchError(Code.plan_corrupt, 'a host is named twice')
+    return RolloutPlan(model.rollout, model.manifest, model.objective, participants)
+
+
+__all__ = (
+    'Participant',
+    'RolloutPlan',
+    'build_plan',
+    'parse_plan',
+)
--- /dev/null
+++ b/tests/weights/test_fetcher.py
@@ -0,0 +1,169 @@
+"""Tests of the fetcher of one host."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from cassiahitch.codes import Code
+from cassiahitch.resources.models import Objective
+from cassiahitch.weights.api import (
+    Cancelled,
+    CheckOrigin,
+    ChunkArrived,
+    ChunksComplete,
+    ChunkStored,
+    DiscardChunks,
+    Failed,
+    FetchAction,
+    FetchChunk,
+    FetchMessage,
+    ManifestKnown,
+    OriginChecked,
+    ParticipantGone,
+    SourceAlive,
+    SourceFailed,
+    StagingFull,
+    Tick,
+)
+from cassiahitch.weights.fetcher import Fetcher, FetchLimits
+from cassiahitch.weights.manifest import Manifest, build_manifest
+from cassiahitch.weights.plan import Participant, RolloutPlan, build_plan
+from cassiahitch.weights.tree import Trees
+
+MEMBERS = tuple(Participant(f'h{number}', 'lagos', 'l1') for number in range(8))
+MANIFEST = build_manifest('v1', bytes(range(40)), 4)
+NEWER = build_manifest('v2', bytes(range(1, 41)), 4)
+LIMITS = FetchLimits(in_flight=3, stall_s=3, wait_s=60, retry_s=1, suspect_s=30, stagger_s=2)
+
+
+def plan_for(manifest: Manifest) -> RolloutPlan:
+    return build_plan('r1', manifest.digest, Objective.origin_bytes, MEMBERS)
+
+
+PLAN = plan_for(MANIFEST)
+ORDER = Trees(PLAN).order(0)
+
+
+class Driver:
+    """Feeds one fetcher and keeps its fetches of chunk 0."""
+
+    def __init__(self, rank: int, limits: FetchLimits = LIMITS) -> None:
+        self.fetcher = Fetcher(ORDER[rank], random.Random(1), limits)
+        self.asked: list[FetchChunk] = []
+        self.send(ManifestKnown(PLAN, MANIFEST), 0)
+
+    def send(self, message: FetchMessage, now: float) -> tuple[FetchAction, ...]:
+        actions = self.fetcher.handle(message, now)
+        self.asked += [
+            action for action in actions if isinstance(action, FetchChunk) and action.index == 0
+        ]
+        return actions
+
+    def hosts(self) -> list[str]:
+        return [action.source.host for action in self.asked]
+
+
+def test_requests_at_once_are_bounded() -> None:
+    driver = Driver(7)
+    assert len(driver.fetcher.flights) == 3
+    arrival = ChunkArrived(MANIFEST.digest, 0, driver.asked[0].source, verified=True)
+    fetched = [act for act in driver.send(arrival, 1) if isinstance(act, FetchChunk)]
+    assert [action.index for action in fetched] == [3]
+
+
+def test_silent_parent_is_replaced_by_the_next_ancestor() -> None:
+    driver = Driver(7, FetchLimits(in_flight=1, stall_s=3))
+    for now in (3, 6):
+        driver.send(Tick(), now)
+    assert driver.hosts() == [ORDER[rank].host for rank in (3, 1, 0)]
+
+
+def test_parent_that_gives_signs_of_life_is_waited_for() -> None:
+    driver = Driver(7)
+    for now in range(0, 58, 2):
+        driver.send(SourceAlive(ORDER[3].host), now)
+    assert driver.hosts() == [ORDER[3].host]
+
+
+def test_parent_that_is_gone_is_replaced_at_once() -> None:
+    driver = Driver(7)
+    driver.send(ParticipantGone(ORDER[3].host), 1)
+    assert len(driver.hosts()) == 2
+
+
+def test_corrupt_chunk_is_fetched_from_another_source() -> None:
+    driver = Driver(7)
+    corrupt = ChunkArrived(MANIFEST.digest, 0, driver.asked[0].source, verified=False)
+    driver.send(corrupt, 1)
+    driver.send(Tick(), 1)
+    assert driver.hosts() == [ORDER[3].host, ORDER[1].host]
+    assert driver.fetcher.sources.corrupt == {ORDER[3].host: 1}
+
+
+def test_only_the_root_turns_to_the_origin_and_the_next_waits_for_its_turn() -> None:
+    assert Driver(0).hosts() == ['']
+    second = Driver(1, FetchLimits(in_flight=16, stall_s=3, stagger_s=2))
+    second.send(Tick(), 3)
+    assert second.hosts() == [ORDER[0].host]
+    second.send(Tick(), 5)
+    assert second.hosts() == [ORDER[0].host, '']
+
+
+@pytest.mark.parametrize(
+    ('message', 'code'),
+    [
+        pytest.param(
+            OriginChecked(MANIFEST.digest, NEWER.digest), Code.manifest_changed, id='new-origin'
+        ),
+        pytest.param(StagingFull(MANIFEST.digest, 0), Code.staging_full, id='full'),
+        pytest.param(Cancelled(MANIFEST.digest), Code.rollout_cancelled, id='cancelled'),
+    ],
+)
+def test_rollout_that_cannot_go_on_discards_its_chunks(message: FetchMessage, code: Code) -> None:
+    driver = Driver(0)
+    actions = driver.send(message, 1)
+    assert actions[-2:] == (DiscardChunks(MANIFEST.digest), Failed(MANIFEST.digest, code))
+    assert not driver.fetcher.flights
+
+
+def test_origin_is_checked_after_a_corrupt_chunk_and_asked_again() -> None:
+    driver = Driver(0)
+    corrupt = ChunkArrived(MANIFEST.digest, 0, driver.asked[0].source, verified=False)
+    assert CheckOrigin(MANIFEST.digest) in driver.send(corrupt, 1)
+    driver.send(Tick(), 1.5)
+    assert driver.hosts() == ['']
+    driver.send(Tick(), 4)
+    assert driver.hosts() == ['', '']
+
+
+def test_chunk_of_another_manifest_changes_nothing() -> None:
+    driver = Driver(7)
+    stray = ChunkArrived(NEWER.digest, 0, driver.asked[0].source, verified=True)
+    assert not driver.send(stray, 1)
+    assert not driver.fetcher.arrived
+
+
+def test_newer_manifest_restarts_from_nothing() -> None:
+    driver = Driver(7)
+    arrival = ChunkArrived(MANIFEST.digest, 0, driver.asked[0].source, verified=True)
+    driver.send(arrival, 1)
+    actions = driver.send(ManifestKnown(plan_for(NEWER), NEWER), 2)
+    assert DiscardChunks(MANIFEST.digest) in actions
+    assert not driver.fetcher.arrived
+    late = SourceFailed(MANIFEST.digest, 1, driver.asked[0].source, Code.connection_closed)
+    driver.send(late, 3)
+    assert not driver.fetcher.sources.suspects
+
+
+def test_rollout_completes_when_every_chunk_is_stored() -> None:
+    driver = Driver(0)
+    origin = driver.asked[0].source
+    indices = range(len(MANIFEST.chunks))
+    for index in indices:
+        driver.send(ChunkArrived(MANIFEST.digest, index, origin, verified=True), 1)
+    stored = [driver.send(ChunkStored(MANIFEST.digest, index), 2) for index in indices]
+    complete = [ChunksComplete(MANIFEST.digest) in actions for actions in stored]
+    assert complete[-1]
+    assert not any(complete[:-1])
