Run benchmarks by name and report them beside their targets

Cause: each benchmark needs the same table, JSON form and plot. Change: a registry of lazily imported modules, a table that says MISSED, JSON and a matplotlib plot of the series. Checked: tests/bench; an unknown or absent name gives 6004 bench_unknown. Conclusion: benchmark modules only need run(seed, sizes).

--- /dev/null
+++ b/src/cassiahitch/bench/report.py
@@ -0,0 +1,94 @@
+"""Table, JSON form and plot of a benchmark's report."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pydantic import TypeAdapter
+from rich.table import Table
+
+from cassiahitch.bench.api import BenchReport, Bound, Figure
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+REPORT: TypeAdapter[BenchReport] = TypeAdapter(BenchReport)
+PLOT_DPI = 120
+
+
+def verdict(figure: Figure) -> str:
+    """Say whether a figure meets its target.
+
+    :param figure: the figure.
+    :return: ``met``, ``MISSED``, or nothing if it has no target.
+    """
+    if figure.bound is Bound.reported:
+        return ''
+    return 'met' if figure.met else 'MISSED'
+
+
+def report_table(report: BenchReport) -> Table:
+    """Lay out the figures beside their targets.
+
+    :param report: the report.
+    :return: the table.
+    """
+    sizes = ' '.join(str(size) for size in report.sizes)
+    table = Table(title=f'{report.name}, seed {report.seed}, sizes {sizes}')
+    table.add_column('figure')
+    table.add_column('value', justify='right')
+    table.add_column('unit')
+    table.add_column('target', justify='right')
+    table.add_column('verdict')
+    for figure in report.figures:
+        table.add_row(
+            figure.name,
+            f'{figure.value:.6g}',
+            figure.unit,
+            _target(figure),
+            verdict(figure),
+        )
+    return table
+
+
+def encode_report(report: BenchReport) -> bytes:
+    """Write a report as JSON.
+
+    :param report: the report.
+    :return: UTF-8 text.
+    """
+    return REPORT.dump_json(report, indent=2)
+
+
+def write_plot(report: BenchReport, path: Path) -> None:
+    """Draw the series of a report.
+
+    :param report: the report.
+    :param path: the file; its suffix names the format, such as ``.svg`` or ``.png``.
+    """
+    from matplotlib.figure import Figure as Canvas  # noqa: PLC0415, WPS433 (optional dependency)
+
+    canvas = Canvas(layout='constrained')
+    axes = canvas.subplots()
+    for series in report.series:
+        axes.plot(*zip(*series.points, strict=True), marker='o', label=series.name)
+    axes.set_title(report.name)
+    axes.set_xlabel(report.axes[0])
+    axes.set_ylabel(report.axes[1])
+    if report.series:
+        axes.legend()
+    canvas.savefig(path, dpi=PLOT_DPI)
+
+
+def _target(figure: Figure) -> str:
+    if figure.bound is Bound.reported:
+        return ''
+    return f'{figure.bound} {figure.target:.6g}'
+
+
+__all__ = (
+    'encode_report',
+    'report_table',
+    'verdict',
+    'write_plot',
+)
--- /dev/null
+++ b/src/cassiahitch/bench/runner.py
@@ -0,0 +1,64 @@
+"""Benchmarks by name."""
+
+from __future__ import annotations
+
+from importlib import import_module
+from types import MappingProxyType
+from typing import TYPE_CHECKING
+
+from cassiahitch.codes import Code
+from cassiahitch.errors import CassiahitchError
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from cassiahitch.bench.api import Bench, BenchReport
+
+#: Module of each benchmark, imported only when it runs.
+BENCHES = MappingProxyType(
+    {
+        'control': 'cassiahitch.bench.control',
+        'ledger': 'cassiahitch.bench.ledger',
+        'recovery': 'cassiahitch.bench.recovery',
+        'rollout': 'cassiahitch.bench.rollout',
+        'routing': 'cassiahitch.bench.routing',
+    }
+)
+
+
+def find_bench(name: str, benches: Mapping[str, str] = BENCHES) -> Bench:
+    """Return a benchmark.
+
+    :param name: its name.
+    :param benches: the module of each name.
+    :return: the benchmark.
+    :raises CassiahitchError: ``bench_unknown`` if there is none of this name.
+    """
+    if name not in benches:
+        known = ', '.join(sorted(benches))
+        raise CassiahitchError(Code.bench_unknown, f'{name} is none of {known}')
+    try:
+        module = import_module(benches[name])
+    except ModuleNotFoundError as error:
+        raise CassiahitchError(Code.bench_unknown, f'{name} is not there yet: {error}') from None
+    bench: Bench = module.run
+    return bench
+
+
+def run_bench(name: str, seed: int, sizes: tuple[int, ...]) -> BenchReport:
+    """Run a benchmark.
+
+    :param name: its name.
+    :param seed: the seed of all its random choices.
+    :param sizes: its sizes; none means its standard sizes.
+    :return: its report.
+    :raises CassiahitchError: ``bench_unknown`` if there is none of this name.
+    """
+    return find_bench(name)(seed, sizes)
+
+
+__all__ = (
+    'BENCHES',
+    'find_bench',
+    'run_bench',
+)
