Add an in-memory table service with seeded faults

Cause: tests and the local run need the platform's table service, with outages, slow spells, bounded calls and answers lost after the write took effect.

--- /dev/null
+++ b/src/cassiahitch/standins/tables.py
@@ -0,0 +1,209 @@
+"""An in-memory table service whose faults are seeded."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from bisect import bisect_right, insort
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Protocol
+
+from cassiahitch.codes import Code
+from cassiahitch.errors import PlatformError
+from cassiahitch.platform.api import ABSENT, Committed, Condition, Conflicted, Row, Write
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+#: Calls under way at once before further ones are refused.
+MAX_CALLS = 256
+
+
+class Sleep(Protocol):
+    """Waits for a number of seconds."""
+
+    async def __call__(self, delay: float, /) -> None:
+        """Wait.
+
+        :param delay: seconds.
+        """
+
+
+@dataclass(slots=True)
+class TableFaults:
+    """Faults of the table service; shares are between 0 and 1.
+
+    ``delay_s`` is spent half before and half after a call takes effect. ``refused_share`` of
+    the calls fail before they take effect, ``lost_share`` of the commits lose their answer
+    after it.
+    """
+
+    down: bool = False
+    delay_s: float = 0
+    refused_share: float = 0
+    lost_share: float = 0
+
+
+@dataclass(slots=True)
+class TableCounters:
+    """Calls that reached the table service."""
+
+    reads: int = 0
+    scans: int = 0
+    commits: int = 0
+    conflicts: int = 0
+    refused: int = 0
+    lost: int = 0
+
+
+class MemoryTables:
+    """A :class:`~cassiahitch.platform.api.TableService` that keeps its rows in memory."""
+
+    def __init__(
+        self,
+        rng: random.Random | None = None,
+        max_calls: int = MAX_CALLS,
+        sleep: Sleep = asyncio.sleep,
+    ) -> None:
+        """Create an empty service without faults.
+
+        :param rng: draws the faults.
+        :param max_calls: calls under way at once before further ones get ``store_busy``.
+        :param sleep: waits for the delays.
+        """
+        self.rng = rng or random.Random(0)
+        self.max_calls = max_calls
+        self.sleep = sleep
+        self.faults = TableFaults()
+        self.counters = TableCounters()
+        self.under_way = 0
+        self.last_version = ABSENT
+        self.rows: dict[tuple[str, str], Row] = {}
+        self.keys: dict[str, list[str]] = {}
+
+    async def read(self, table: str, key: str) -> Row | None:
+        """Return a row, or nothing if it does not exist.
+
+        :param table: its table.
+        :param key: its key.
+        :return: the row.
+        :raises PlatformError: with ``store_unavailable`` or ``store_busy``.
+        """
+        async with self.call():
+            self.counters.reads += 1
+            return self.rows.get((table, key))
+
+    async def scan(self, table: str, prefix: str, after: str, limit: int) -> tuple[Row, ...]:
+        """Return rows in the order of their keys.
+
+        :param table: their table.
+        :param prefix: what their keys start with.
+        :param after: the key after which to start.
+        :param limit: how many to return at most.
+        :return: the rows.
+        :raises PlatformError: with ``store_unavailable`` or ``store_busy``.
+        """
+        async with self.call():
+            self.counters.scans += 1
+            return self._range(table, prefix, after, limit)
+
+    async def commit(
+        self,
+        conditions: tuple[Condition, ...],
+        writes: tuple[Write, ...],
+    ) -> Committed | Conflicted:
+        """Apply all writes if all conditions hold, else nothing.
+
+        :param conditions: versions that rows must have.
+        :param writes: rows to set or delete.
+        :return: the new versions, or the rows that differ.
+        :raises PlatformError: with ``store_unavailable``, ``store_busy`` or, if the answer
+            was lost, ``store_outcome_unknown``.
+        """
+        async with self.call():
+            self.counters.commits += 1
+            outcome = self._apply(conditions, writes)
+        if self.rng.random() < self.faults.lost_share:
+            self.counters.lost += 1
+            raise PlatformError(Code.store_outcome_unknown, 'the answer was lost')
+        return outcome
+
+    @asynccontextmanager
+    async def call(self) -> AsyncIterator[None]:
+        """Bound, delay or refuse one call.
+
+        :raises PlatformError: with ``store_unavailable`` or ``store_busy``.
+        :yields: nothing, at the moment when the call takes effect.
+        """
+        if self.under_way >= self.max_calls:
+            raise PlatformError(Code.store_busy, f'{self.max_calls} calls are under way')
+        self.under_way += 1
+        try:
+            async with self._delayed():
+                yield
+        finally:
+            self.under_way -= 1
+
+    @asynccontextmanager
+    async def _delayed(self) -> AsyncIterator[None]:
+        half_s = self.faults.delay_s / 2
+        await self.sleep(half_s)
+        if self.faults.down or self.rng.random() < self.faults.refused_share:
+            self.counters.refused += 1
+            raise PlatformError(Code.store_unavailable, 'the table service does not answer')
+        yield
+        await self.sleep(half_s)
+
+    def _range(self, table: str, prefix: str, after: str, limit: int) -> tuple[Row, ...]:
+        keys = self.keys.get(table, [])
+        first = bisect_right(keys, after)
+        found: list[Row] = []
+        for key in keys[first:]:
+            if len(found) == limit or (key > prefix and not key.startswith(prefix)):
+                break
+            if key.startswith(prefix):
+                found.append(self.rows[table, key])
+        return tuple(found)
+
+    def _apply(
+        self,
+        conditions: tuple[Condition, ...],
+        writes: tuple[Write, ...],
+    ) -> Committed | Conflicted:
+        current = [self._current(condition) for condition in conditions]
+        differing = tuple(
+            row
+            for row, condition in zip(current, conditions, strict=True)
+            if row.version != condition.version
+        )
+        if differing:
+            self.counters.conflicts += 1
+            return Conflicted(differing)
+        return Committed(tuple(self._write(write) for write in writes))
+
+    def _current(self, condition: Condition) -> Row:
+        absent = Row(condition.table, condition.key, b'', ABSENT)
+        return self.rows.get((condition.table, condition.key), absent)
+
+    def _write(self, write: Write) -> int:
+        place = (write.table, write.key)
+        keys = self.keys.setdefault(write.table, [])
+        self.last_version += 1
+        if write.content is None:
+            if self.rows.pop(place, None):
+                keys.remove(write.key)
+            return ABSENT
+        if place not in self.rows:
+            insort(keys, write.key)
+        self.rows[place] = Row(write.table, write.key, write.content, self.last_version)
+        return self.last_version
+
+
+__all__ = (
+    'MAX_CALLS',
+    'MemoryTables',
+    'Sleep',
+    'TableCounters',
+    'TableFaults',
+)
