--- a/src/cassiahitch/resources/models.py
+++ b/src/cassiahitch/resources/models.py
@@ -5,13 +5,32 @@
 from enum import StrEnum
 from typing import Annotated, Literal
 
-from pydantic import BaseModel, ConfigDict, Field
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field
+
+#: Names that one list in a resource may hold.
+MAX_NAMES = 1024
+
+
+def check_unique(names: tuple[str, ...]) -> tuple[str, ...]:
+    """Refuse a list that holds a name twice.
+
+    :param names: the list.
+    :return: the list.
+    :raises ValueError: if a name is repeated.
+    """
+    if len(set(names)) < len(names):
+        raise ValueError('a name is repeated')
+    return names
+
 
 #: Name of a resource: lower-case words joined by hyphens or dots.
 Name = Annotated[str, Field(pattern=r'^[a-z0-9][a-z0-9.-]{0,62}$')]
 #: Hexadecimal SHA-256 digest.
 Digest = Annotated[str, Field(pattern=r'^[0-9a-f]{64}$')]
 
+#: List of names, each at most once.
+Names = Annotated[tuple[Name, ...], Field(max_length=MAX_NAMES), AfterValidator(check_unique)]
+
 
 class Objective(StrEnum):
     """What a rollout spends least of."""
@@ -78,10 +97,10 @@
     kind: Literal['Deployment'] = 'Deployment'
     service: Name
     model: Name
-    adapters: tuple[Name, ...] = ()
+    adapters: Names = ()
     replicas: int = Field(ge=0, le=20_000)
-    failure_domains: tuple[Name, ...] = ()
-    organisations: tuple[Name, ...] = ()
+    failure_domains: Names = ()
+    organisations: Names = ()
     objective: Objective = Objective.time
 
 
@@ -89,7 +108,10 @@
     """A customer of a reseller; keys are stored as SHA-256 digests only."""
 
     kind: Literal['Organisation'] = 'Organisation'
-    key_digests: tuple[Digest, ...] = Field(default=(), max_length=16)
+    key_digests: Annotated[tuple[Digest, ...], AfterValidator(check_unique)] = Field(
+        default=(),
+        max_length=16,
+    )
     weight: float = Field(default=1, gt=0, le=1000)
     requests_per_s: float = Field(default=100, gt=0, le=1_000_000)
 
@@ -123,6 +145,7 @@
     'Drain',
     'Model',
     'Name',
+    'Names',
     'Objective',
     'Organisation',
     'Priority',
