--- /dev/null
+++ b/src/cassiahitch/controllers/configuration.py
@@ -0,0 +1,199 @@
+"""The configuration that is in force on one node."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+from itertools import islice
+from typing import TYPE_CHECKING
+
+from cassiahitch.codes import Code
+from cassiahitch.controllers.changes import Change, Delta, Snapshot
+from cassiahitch.errors import ResourceError
+from cassiahitch.resources.parsing import parse_stored, resource_key
+
+if TYPE_CHECKING:
+    from cassiahitch.resources.models import Resource
+
+#: Bytes of recent changes that a node keeps for its peers.
+KEPT_BYTES = 1_048_576
+#: Changes that a node keeps for its peers.
+KEPT_CHANGES = 4096
+
+
+@dataclass(frozen=True, slots=True)
+class InForce:
+    """A higher revision is in force; ``keys`` are the resources that it changed."""
+
+    revision: int
+    keys: tuple[str, ...]
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class AskMore:
+    """Changes after a revision are missing and are to be asked for."""
+
+    after: int
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """A message was corrupt and changed nothing."""
+
+    code: Code
+    detail: str
+
+
+ConfigurationAction = InForce | AskMore | Refused
+
+
+class Configuration:
+    """Applies snapshots and deltas; its revision never falls."""
+
+    def __init__(self, kept_bytes: int = KEPT_BYTES) -> None:
+        """Create a node without any configuration.
+
+        :param kept_bytes: bytes of recent changes to keep for peers.
+        """
+        self.kept_bytes = kept_bytes
+        self.revision = 0
+        self.ready = False
+        self.in_force_since: float = 0
+        self.resources: dict[str, Resource] = {}
+        self.documents: dict[str, Change] = {}
+        self.recent: deque[Change] = deque()
+        self.recent_bytes = 0
+
+    def apply(self, message: Snapshot | Delta, now: float) -> tuple[ConfigurationAction, ...]:
+        """Bring a snapshot or a delta into force if it is newer.
+
+        :param message: from the store, a peer or the object store.
+        :param now: seconds.
+        :return: what came into force, what to ask for, or the refusal.
+        """
+        try:
+            match message:
+                case Snapshot():
+                    return self._apply_snapshot(message, now)
+                case Delta():
+                    return self._apply_delta(message, now)
+        except ResourceError as error:
+            return (Refused(error.code, error.detail),)
+
+    def delta_since(self, revision: int, byte_bound: int) -> Delta | Snapshot:
+        """Return what a peer at a revision lacks.
+
+        :param revision: the peer's revision.
+        :param byte_bound: bytes of changes after which the delta ends early; it holds at
+            least one change.
+        :return: a delta, or a snapshot if older changes are no longer kept.
+        """
+        if revision >= self.revision:
+            return Delta(revision, (), self.revision)
+        first = self.recent[0].revision if self.recent else self.revision + 1
+        if revision + 1 < first:
+            return self.snapshot()
+        return Delta(revision, self._kept_after(revision - first + 1, byte_bound), self.revision)
+
+    def snapshot(self) -> Snapshot:
+        """Return all resources in force.
+
+        :return: the snapshot.
+        """
+        return Snapshot(self.revision, tuple(self.documents.values()))
+
+    def _apply_snapshot(self, message: Snapshot, now: float) -> tuple[ConfigurationAction, ...]:
+        if self.ready and message.revision <= self.revision:
+            return ()
+        parsed = {found.key: _parse(found) for found in message.resources}
+        _check_bounded(message)
+        changed = _differing(self.documents, message.resources)
+        self.resources = {key: resource for key, resource in parsed.items() if resource}
+        self.documents = {change.key: change for change in message.resources}
+        self.recent.clear()
+        self.recent_bytes = 0
+        return (self._enter(message.revision, changed, now),)
+
+    def _apply_delta(self, message: Delta, now: float) -> tuple[ConfigurationAction, ...]:
+        if message.latest > self.revision and message.after > self.revision:
+            return (AskMore(self.revision),)
+        _check_consecutive(message)
+        fresh = tuple(change for change in message.changes if change.revision > self.revision)
+        parsed = tuple(_parse(change) for change in fresh)
+        for accepted, resource in zip(fresh, parsed, strict=True):
+            self._set(accepted, resource)
+        actions: list[ConfigurationAction] = []
+        if fresh:
+            keys = tuple(sorted({change.key for change in fresh}))
+            actions.append(self._enter(fresh[-1].revision, keys, now))
+        if message.latest > self.revision:
+            actions.append(AskMore(self.revision))
+        return tuple(actions)
+
+    def _enter(self, revision: int, keys: tuple[str, ...], now: float) -> InForce:
+        self.revision = revision
+        self.ready = True
+        self.in_force_since = now
+        return InForce(revision, keys, now)
+
+    def _set(self, change: Change, resource: Resource | None) -> None:
+        self.resources.pop(change.key, None)
+        self.documents.pop(change.key, None)
+        if resource is not None:
+            self.resources[change.key] = resource
+            self.documents[change.key] = change
+        self.recent.append(change)
+        self.recent_bytes += change.size
+        while self.recent_bytes > self.kept_bytes or len(self.recent) > KEPT_CHANGES:
+            self.recent_bytes -= self.recent.popleft().size
+
+    def _kept_after(self, start: int, byte_bound: int) -> tuple[Change, ...]:
+        chosen: list[Change] = []
+        size = 0
+        for change in islice(self.recent, start, None):
+            size += change.size
+            if chosen and size > byte_bound:
+                break
+            chosen.append(change)
+        return tuple(chosen)
+
+
+def _check_bounded(message: Snapshot) -> None:
+    if max((found.revision for found in message.resources), default=0) > message.revision:
+        detail = 'a resource is newer than its snapshot'
+        raise ResourceError(Code.configuration_row_corrupt, detail)
+
+
+def _check_consecutive(message: Delta) -> None:
+    first = message.after + 1
+    due = range(first, first + len(message.changes))
+    if tuple(due) != tuple(change.revision for change in message.changes):
+        detail = f'the changes after {message.after} are not consecutive'
+        raise ResourceError(Code.configuration_row_corrupt, detail)
+
+
+def _parse(change: Change) -> Resource | None:
+    if change.document is None:
+        return None
+    resource = parse_stored(change.document)
+    if resource_key(resource) != change.key:
+        detail = f'{change.key} holds {resource_key(resource)}'
+        raise ResourceError(Code.configuration_row_corrupt, detail)
+    return resource
+
+
+def _differing(before: dict[str, Change], after: tuple[Change, ...]) -> tuple[str, ...]:
+    new = {change.key: change.revision for change in after}
+    old = {key: change.revision for key, change in before.items()}
+    return tuple(sorted(key for key in new.keys() | old.keys() if new.get(key) != old.get(key)))
+
+
+__all__ = (
+    'KEPT_BYTES',
+    'AskMore',
+    'Configuration',
+    'ConfigurationAction',
+    'InForce',
+    'Refused',
+)
