--- /dev/null
+++ b/src/cassiahitch/controllers/assignment.py
@@ -0,0 +1,122 @@
+"""Choice of the hosts that serve each deployment."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from functools import partial
+from hashlib import blake2b
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from cassiahitch.resources.models import Deployment
+
+#: Bytes of the hash that orders hosts.
+SCORE_BYTES = 8
+
+
+@dataclass(frozen=True, slots=True)
+class ObservedNode:
+    """A backend server host, as its heartbeats told.
+
+    ``deployment`` is the one that it was last ordered to serve, ``loaded`` and ``loading`` are
+    serving digests, ``complete`` holds the manifest digests whose chunks are all verified.
+    """
+
+    host: str
+    incarnation: int
+    region: str
+    failure_domain: str
+    deployment: str = ''
+    loaded: str = ''
+    loading: str = ''
+    complete: frozenset[str] = frozenset()
+    leaving: bool = False
+    ready: bool = True
+
+    @property
+    def eligible(self) -> bool:
+        """Whether it may serve a deployment."""
+        return self.ready and not self.leaving
+
+
+def assign(
+    deployments: Iterable[Deployment],
+    nodes: Iterable[ObservedNode],
+) -> dict[str, tuple[ObservedNode, ...]]:
+    """Choose hosts for all deployments, spread over failure domains.
+
+    A host stays with the deployment that it serves; further ones are chosen by rendezvous
+    hashing, so that every caller with the same view chooses the same.
+
+    :param deployments: what is desired.
+    :param nodes: the hosts.
+    :return: the hosts of each deployment by name, fewer than desired if there are too few.
+    """
+    eligible = [node for node in nodes if node.eligible]
+    ordered = sorted(deployments, key=_name)
+    names = {deployment.name for deployment in ordered}
+    free = [node for node in eligible if node.deployment not in names]
+    chosen: dict[str, tuple[ObservedNode, ...]] = {}
+    for kept in ordered:
+        own = [node for node in eligible if node.deployment == kept.name]
+        chosen[kept.name] = _spread(kept, own, ())
+        free.extend(node for node in own if node not in chosen[kept.name])
+    for deployment in ordered:
+        full = _spread(deployment, free, chosen[deployment.name])
+        chosen[deployment.name] = full
+        taken = {node.host for node in full}
+        free = [node for node in free if node.host not in taken]
+    return chosen
+
+
+def rank(deployment: str, host: str) -> bytes:
+    """Return the order of a host for a deployment; the lowest comes first.
+
+    :param deployment: name of the deployment.
+    :param host: the host.
+    :return: a hash.
+    """
+    return blake2b(f'{deployment}\n{host}'.encode(), digest_size=SCORE_BYTES).digest()
+
+
+def _name(deployment: Deployment) -> str:
+    return deployment.name
+
+
+def _node_rank(deployment: str, node: ObservedNode) -> bytes:
+    return rank(deployment, node.host)
+
+
+def _spread(
+    deployment: Deployment,
+    candidates: list[ObservedNode],
+    kept: tuple[ObservedNode, ...],
+) -> tuple[ObservedNode, ...]:
+    """Add candidates, each to the failure domain with the fewest, until there are enough."""
+    allowed = deployment.failure_domains
+    domains: dict[str, list[ObservedNode]] = {}
+    for candidate in candidates:
+        if not allowed or candidate.failure_domain in allowed:
+            domains.setdefault(candidate.failure_domain, []).append(candidate)
+    by_rank = partial(_node_rank, deployment.name)
+    for queue in domains.values():
+        queue.sort(key=by_rank, reverse=True)
+    counts = Counter(node.failure_domain for node in kept)
+    chosen = list(kept)
+    while domains and len(chosen) < deployment.replicas:
+        domain = min((counts[name], name) for name in domains)[1]
+        chosen.append(domains[domain].pop())
+        counts[domain] += 1
+        if not domains[domain]:
+            domains.pop(domain)
+    return tuple(chosen)
+
+
+__all__ = (
+    'ObservedNode',
+    'assign',
+    'rank',
+)
--- /dev/null
+++ b/src/cassiahitch/controllers/rollout.py
@@ -0,0 +1,330 @@
+"""Rollouts: from desired deployments to orders for hosts."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, replace
+from hashlib import sha256
+from typing import TYPE_CHECKING
+
+from cassiahitch.controllers.assignment import ObservedNode, assign
+from cassiahitch.resources.models import Adapter, Deployment, Model, Objective
+
+if TYPE_CHECKING:
+    from cassiahitch.resources.models import Resource
+
+
+#: Seconds after which the effect of an order shows in the heartbeats.
+OBSERVED_AFTER_S = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """What the hosts of a deployment are to load.
+
+    ``digest`` names the whole; it is the model's manifest digest if there is no adapter.
+    """
+
+    deployment: str
+    digest: str
+    manifests: tuple[str, ...]
+    objective: Objective
+
+
+@dataclass(frozen=True, slots=True)
+class WritePlan:
+    """Write the plan that fixes the participants of a manifest's distribution."""
+
+    manifest: str
+    objective: Objective
+    participants: tuple[ObservedNode, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class OrderFetch:
+    """Order a host to fetch the chunks of a manifest by a plan."""
+
+    host: str
+    incarnation: int
+    deployment: str
+    manifest: str
+    plan: str
+    fencing_number: int
+
+
+@dataclass(frozen=True, slots=True)
+class OrderLoad:
+    """Order a host to load a target and to serve its deployment."""
+
+    host: str
+    incarnation: int
+    target: Target
+    fencing_number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Release:
+    """Order a host to serve a deployment no longer."""
+
+    host: str
+    incarnation: int
+    deployment: str
+    fencing_number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Cancel:
+    """Order a host to give up the load of a digest that is no longer wanted."""
+
+    host: str
+    incarnation: int
+    digest: str
+    fencing_number: int
+
+
+RolloutAction = WritePlan | OrderFetch | OrderLoad | Release | Cancel
+
+#: Chooses from the hosts that are complete those that may load now, given all of the target.
+MayLoad = Callable[
+    [Target, tuple[ObservedNode, ...], tuple[ObservedNode, ...]],
+    tuple[ObservedNode, ...],
+]
+
+
+def load_half(
+    target: Target,
+    hosts: tuple[ObservedNode, ...],
+    candidates: tuple[ObservedNode, ...],
+) -> tuple[ObservedNode, ...]:
+    """Keep at least half of the replicas that serve; idle hosts load at once.
+
+    :param target: what is to be loaded.
+    :param hosts: all hosts of the deployment.
+    :param candidates: those that are complete and do not load yet.
+    :return: those that may load now.
+    """
+    idle = tuple(node for node in candidates if not node.loaded)
+    replacing = tuple(node for node in candidates if node.loaded)
+    loading = sum(1 for node in hosts if node.loading)
+    serving = sum(1 for node in hosts if node.loaded and not node.loading)
+    spare = (serving + loading) // 2 - loading
+    if serving == 1 and not loading and len(hosts) == 1:
+        spare = 1
+    return (*idle, *replacing[: max(0, spare)])
+
+
+@dataclass(frozen=True, slots=True)
+class _Ordered:
+    """A load that was ordered."""
+
+    digest: str
+    at: float
+
+
+class RolloutController:
+    """Compares what is desired with what is observed.
+
+    It remembers only which loads it ordered in the last seconds, since their effect is not
+    observed yet; a new holder of the lease waits as long before its first one.
+    """
+
+    def __init__(self, started: float, may_load: MayLoad = load_half) -> None:
+        """Create the controller.
+
+        :param started: the moment when its lease was gained, seconds.
+        :param may_load: chooses the hosts that may load now.
+        """
+        self.may_load = may_load
+        self.started = started
+        self.ordered: dict[tuple[str, int], _Ordered] = {}
+
+    def reconcile(
+        self,
+        resources: Mapping[str, Resource],
+        nodes: tuple[ObservedNode, ...],
+        plans: Mapping[str, str],
+        fencing_number: int,
+        now: float,
+    ) -> tuple[RolloutAction, ...]:
+        """Return the orders that bring the hosts nearer to what is desired.
+
+        Orders are idempotent and are given again until their effect is observed, so a new
+        holder of the lease goes on where the former one stopped.
+
+        :param resources: the configuration in force, by key.
+        :param nodes: the hosts.
+        :param plans: digests of the plans that are written, by manifest digest.
+        :param fencing_number: number of the controller's lease.
+        :param now: seconds.
+        :return: the actions.
+        """
+        found = targets(resources)
+        deployments = tuple(
+            resource
+            for resource in resources.values()
+            if isinstance(resource, Deployment) and resource.name in found
+        )
+        self._forget(now)
+        chosen = assign(deployments, tuple(self._expected(node) for node in nodes))
+        actions: list[RolloutAction] = _plans(found, chosen, plans)
+        for name, hosts in chosen.items():
+            actions.extend(self._advance(found[name], hosts, plans, fencing_number, now))
+        actions.extend(_withdraw(found, chosen, nodes, fencing_number))
+        return tuple(actions)
+
+    def _advance(
+        self,
+        target: Target,
+        hosts: tuple[ObservedNode, ...],
+        plans: Mapping[str, str],
+        fencing_number: int,
+        now: float,
+    ) -> list[RolloutAction]:
+        actions: list[RolloutAction] = []
+        ready: list[ObservedNode] = []
+        for node in hosts:
+            missing = _missing(target, node)
+            actions.extend(_fetches(target, node, missing, plans, fencing_number))
+            if not missing and _differs(target, node):
+                ready.append(node)
+        if now < self.started + OBSERVED_AFTER_S:
+            return actions
+        for chosen in self.may_load(target, hosts, tuple(ready)):
+            self.ordered[chosen.host, chosen.incarnation] = _Ordered(target.digest, now)
+            order = OrderLoad(chosen.host, chosen.incarnation, target, fencing_number)
+            actions.append(order)
+        return actions
+
+    def _expected(self, node: ObservedNode) -> ObservedNode:
+        """Count a host as loading from the moment when that was ordered."""
+        ordered = self.ordered.get((node.host, node.incarnation))
+        if ordered is None or node.loaded == ordered.digest or node.loading:
+            return node
+        return replace(node, loading=ordered.digest)
+
+    def _forget(self, now: float) -> None:
+        for key, ordered in tuple(self.ordered.items()):
+            if now >= ordered.at + OBSERVED_AFTER_S:
+                self.ordered.pop(key)
+
+
+def targets(resources: Mapping[str, Resource]) -> dict[str, Target]:
+    """Return what each deployment is to load.
+
+    :param resources: the configuration in force, by key.
+    :return: targets by the names of deployments whose model and adapters exist.
+    """
+    found: dict[str, Target] = {}
+    for resource in resources.values():
+        if isinstance(resource, Deployment):
+            manifests = _manifests(resource, resources)
+            if manifests:
+                digest = serving_digest(manifests)
+                found[resource.name] = Target(
+                    resource.name,
+                    digest,
+                    manifests,
+                    resource.objective,
+                )
+    return found
+
+
+def serving_digest(manifests: tuple[str, ...]) -> str:
+    """Name the whole of a model and its adapters.
+
+    :param manifests: manifest digests, the model's first.
+    :return: the model's manifest digest if it is alone, else a digest of all.
+    """
+    if len(manifests) == 1:
+        return manifests[0]
+    return sha256('\n'.join(manifests).encode()).hexdigest()
+
+
+def _manifests(deployment: Deployment, resources: Mapping[str, Resource]) -> tuple[str, ...]:
+    keys = (f'Model/{deployment.model}', *(f'Adapter/{name}' for name in deployment.adapters))
+    parts = tuple(resources.get(key) for key in keys)
+    found = tuple(part.manifest for part in parts if isinstance(part, Model | Adapter))
+    return found if len(found) == len(keys) else ()
+
+
+def _plans(
+    found: Mapping[str, Target],
+    chosen: Mapping[str, tuple[ObservedNode, ...]],
+    plans: Mapping[str, str],
+) -> list[RolloutAction]:
+    participants: dict[str, dict[str, ObservedNode]] = {}
+    objectives: dict[str, Objective] = {}
+    for name, hosts in chosen.items():
+        for manifest in found[name].manifests:
+            lacking = {node.host: node for node in hosts if manifest not in node.complete}
+            if manifest not in plans and lacking:
+                participants.setdefault(manifest, {}).update(lacking)
+                objectives.setdefault(manifest, found[name].objective)
+    return [
+        WritePlan(digest, objectives[digest], tuple(members[host] for host in sorted(members)))
+        for digest, members in participants.items()
+    ]
+
+
+def _missing(target: Target, node: ObservedNode) -> tuple[str, ...]:
+    return tuple(digest for digest in target.manifests if digest not in node.complete)
+
+
+def _fetches(
+    target: Target,
+    node: ObservedNode,
+    missing: tuple[str, ...],
+    plans: Mapping[str, str],
+    fencing_number: int,
+) -> list[RolloutAction]:
+    return [
+        OrderFetch(
+            node.host,
+            node.incarnation,
+            target.deployment,
+            manifest,
+            plans[manifest],
+            fencing_number,
+        )
+        for manifest in missing
+        if manifest in plans and target.digest not in {node.loaded, node.loading}
+    ]
+
+
+def _differs(target: Target, node: ObservedNode) -> bool:
+    if target.digest == node.loading:
+        return False
+    return target.digest != node.loaded or node.deployment != target.deployment
+
+
+def _withdraw(
+    found: Mapping[str, Target],
+    chosen: Mapping[str, tuple[ObservedNode, ...]],
+    nodes: tuple[ObservedNode, ...],
+    fencing_number: int,
+) -> list[RolloutAction]:
+    wanted = {node.host: found[name].digest for name, hosts in chosen.items() for node in hosts}
+    actions: list[RolloutAction] = []
+    for node in nodes:
+        if node.loading and node.loading != wanted.get(node.host):
+            actions.append(Cancel(node.host, node.incarnation, node.loading, fencing_number))
+        if node.deployment and node.eligible and node.host not in wanted:
+            release = Release(node.host, node.incarnation, node.deployment, fencing_number)
+            actions.append(release)
+    return actions
+
+
+__all__ = (
+    'Cancel',
+    'MayLoad',
+    'OrderFetch',
+    'OrderLoad',
+    'Release',
+    'RolloutAction',
+    'RolloutController',
+    'Target',
+    'WritePlan',
+    'load_half',
+    'serving_digest',
+    'targets',
+)
--- /dev/null
+++ b/tests/controllers/test_rollout.py
@@ -0,0 +1,181 @@
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import replace
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from cassiahitch.controllers.assignment import ObservedNode, assign
+from cassiahitch.controllers.rollout import (
+    OBSERVED_AFTER_S,
+    Cancel,
+    OrderFetch,
+    OrderLoad,
+    Release,
+    RolloutAction,
+    RolloutController,
+    WritePlan,
+    serving_digest,
+    targets,
+)
+from cassiahitch.resources.models import Adapter, Deployment, Model, Resource
+from cassiahitch.resources.parsing import resource_key
+
+OLD = 'a' * 64
+NEW = 'b' * 64
+ADAPTER = 'c' * 64
+
+
+def model(manifest: str) -> Model:
+    return Model(name='menu', version='v1', origin='menu/v1', manifest=manifest)
+
+
+def deployment(replicas: int = 6, **fields: object) -> Deployment:
+    base = {'name': 'draft', 'service': 'draft', 'model': 'menu', 'replicas': replicas}
+    return Deployment.model_validate({**base, **fields})
+
+
+def desired(*resources: Resource) -> dict[str, Resource]:
+    return {resource_key(resource): resource for resource in resources}
+
+
+def hosts(count: int, **fields: object) -> tuple[ObservedNode, ...]:
+    return tuple(
+        ObservedNode(f'h{index}', 1, 'west', f'w{index % 3}', **fields)  # type: ignore[arg-type]
+        for index in range(count)
+    )
+
+
+def reconcile(
+    resources: dict[str, Resource],
+    nodes: tuple[ObservedNode, ...],
+    plans: dict[str, str],
+) -> tuple[RolloutAction, ...]:
+    controller = RolloutController(started=0)
+    return controller.reconcile(resources, nodes, plans, fencing_number=4, now=100)
+
+
+def test_plan_comes_before_fetches_and_fetches_before_loads() -> None:
+    wanted = desired(model(NEW), deployment(3))
+    nodes = hosts(3)
+    planned = reconcile(wanted, nodes, {})
+    assert [type(action) for action in planned] == [WritePlan]
+    fetches = reconcile(wanted, nodes, {NEW: 'p'})
+    assert {type(action) for action in fetches} == {OrderFetch}
+    complete = hosts(3, deployment='draft', complete=frozenset((NEW,)))
+    loads = reconcile(wanted, complete, {NEW: 'p'})
+    assert [type(action) for action in loads] == [OrderLoad, OrderLoad, OrderLoad]
+    done = hosts(3, deployment='draft', complete=frozenset((NEW,)), loaded=NEW)
+    assert not reconcile(wanted, done, {NEW: 'p'})
+
+
+def test_target_names_model_and_adapters() -> None:
+    adapter = Adapter(name='soup', version='1', model='menu', origin='o', manifest=ADAPTER)
+    wanted = desired(model(NEW), adapter, deployment(adapters=('soup',)))
+    found = targets(wanted)['draft']
+    assert found.manifests == (NEW, ADAPTER)
+    assert found.digest == serving_digest((NEW, ADAPTER))
+    assert found.digest not in {NEW, ADAPTER}
+    assert not targets(desired(model(NEW), deployment(adapters=('soup',))))
+
+
+def test_superseded_load_is_cancelled_and_surplus_is_released() -> None:
+    wanted = desired(model(NEW), deployment(1))
+    nodes = (
+        ObservedNode('h0', 1, 'west', 'w0', 'draft', OLD, 'd' * 64),
+        ObservedNode('h1', 1, 'west', 'w0', 'draft', OLD),
+    )
+    actions = reconcile(wanted, nodes, {NEW: 'p'})
+    kinds = Counter(type(action) for action in actions)
+    assert kinds[Cancel] == 1
+    assert kinds[Release] == 1
+
+
+def test_new_holder_waits_for_orders_of_the_former_one_to_show() -> None:
+    wanted = desired(model(NEW), deployment(3))
+    nodes = hosts(3, deployment='draft', complete=frozenset((NEW,)), loaded=OLD)
+    controller = RolloutController(started=50)
+    early = controller.reconcile(wanted, nodes, {NEW: 'p'}, 2, 50 + OBSERVED_AFTER_S / 2)
+    assert not early
+    later = controller.reconcile(wanted, nodes, {NEW: 'p'}, 2, 50 + OBSERVED_AFTER_S)
+    assert [type(action) for action in later] == [OrderLoad]
+    assert not controller.reconcile(wanted, nodes, {NEW: 'p'}, 2, 51 + OBSERVED_AFTER_S)
+
+
+def test_assignment_spreads_and_stays() -> None:
+    nodes = hosts(12)
+    first = assign((deployment(6),), nodes)['draft']
+    assert Counter(node.failure_domain for node in first) == {'w0': 2, 'w1': 2, 'w2': 2}
+    held = tuple(replace(node, deployment='draft') if node in first else node for node in nodes)
+    again = assign((deployment(6),), tuple(reversed(held)))['draft']
+    assert {node.host for node in again} == {node.host for node in first}
+    lost = tuple(replace(node, ready=node.host != first[0].host) for node in held)
+    repaired = assign((deployment(6),), lost)['draft']
+    assert len({node.host for node in repaired} & {node.host for node in first}) == 5
+    assert len(repaired) == 6
+
+
+def test_leaving_and_foreign_hosts_are_not_chosen() -> None:
+    nodes = (*hosts(3, leaving=True), ObservedNode('x', 1, 'east', 'e0'))
+    assert assign((deployment(failure_domains=('w0', 'w1')),), nodes) == {'draft': ()}
+
+
+class WaveMachine(RuleBasedStateMachine):
+    """Six serving replicas get a new version while orders and heartbeats take their time."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now: float = 0
+        self.wanted = desired(model(NEW), deployment(6))
+        complete = frozenset((NEW,))
+        nodes = hosts(6, deployment='draft', complete=complete, loaded=OLD)
+        self.real = {node.host: node for node in nodes}
+        self.seen = dict(self.real)
+        self.ordered: dict[str, float] = {}
+        self.controller = RolloutController(started=-OBSERVED_AFTER_S)
+
+    @rule(seconds=st.floats(0.1, 2))
+    def advance(self, seconds: float) -> None:
+        self.now += seconds
+        for host, at in tuple(self.ordered.items()):
+            if self.now >= at + 1:
+                self.start(host)
+
+    @rule(host=st.sampled_from([f'h{index}' for index in range(6)]))
+    def start(self, host: str) -> None:
+        if self.ordered.pop(host, None) is not None:
+            self.real[host] = replace(self.real[host], loading=NEW, loaded='')
+            self.seen[host] = self.real[host]
+
+    @rule(host=st.sampled_from([f'h{index}' for index in range(6)]))
+    def finish(self, host: str) -> None:
+        if self.real[host].loading:
+            self.real[host] = replace(self.real[host], loading='', loaded=NEW)
+            self.seen[host] = self.real[host]
+
+    @rule()
+    def reconcile(self) -> None:
+        seen = tuple(self.seen.values())
+        for order in self.controller.reconcile(self.wanted, seen, {NEW: 'p'}, 1, self.now):
+            assert isinstance(order, OrderLoad)
+            self.ordered.setdefault(order.host, self.now)
+
+    @rule()
+    def change_holder(self) -> None:
+        self.controller = RolloutController(self.now)
+
+    @invariant()
+    def half_serves(self) -> None:
+        assert sum(1 for node in self.real.values() if node.loaded) >= 3
+
+    def teardown(self) -> None:
+        for _ in range(40):
+            self.advance(1)
+            self.reconcile()
+            for host in self.real:
+                self.finish(host)
+        assert {node.loaded for node in self.real.values()} == {NEW}
+
+
+TestWaveMachine = WaveMachine.TestCase
