Write the entry and the rest of the agent

Cause: the path needs an entry that serves callers and operators, and agents that load. Checked: nothing runs yet.

--- a/src/cassiahitch/agent/backend.py
+++ b/src/cassiahitch/agent/backend.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import hashlib
-from contextlib import aclosing
+from contextlib import aclosing, suppress
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -65,6 +65,14 @@
             ran = Ran.no if error.code is Code.engine_unavailable else Ran.unknown
             return RunResult(Failure(error.code, ran), crashed=await self._is_down(error))
 
+    async def cancel(self, request_id: str) -> None:
+        """Stop a request that runs; a failure to do so is harmless.
+
+        :param request_id: hexadecimal request id.
+        """
+        with suppress(PlatformError):
+            await self.engine.cancel(request_id)
+
     async def _generate(
         self,
         order: GenerateOrder,
--- a/src/cassiahitch/agent/distribution.py
+++ b/src/cassiahitch/agent/distribution.py
@@ -249,6 +249,15 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
+    def heard(self, host: str) -> None:
+        """Take note of a sign of life of another host.
+
+        :param host: the host.
+        """
+        for fetcher in self.fetchers.values():
+            if not fetcher.ended:
+                fetcher.inbox.put_nowait(api.SourceAlive(host))
+
     async def serve(self, request: ChunkRequest) -> ChunkReply:
         """Return a chunk, once it is on this host.
 
--- a/src/cassiahitch/agent/executor.py
+++ b/src/cassiahitch/agent/executor.py
@@ -42,6 +42,8 @@
 #: Seconds between sweeps of the ledger.
 SWEEP_S = 1.0
 SWEEP_LIMIT = 200
+#: Seconds between looks at whether everything has finished.
+FINISHED_POLL_S = 0.02
 MS_PER_S = 1000
 
 
@@ -98,6 +100,7 @@
         self.slots = slots
         self.admitted_digest = ''
         self.admitting = False
+        self.accepting = True
         self.running = 0
         self.serial = 0
         self.idle = asyncio.Event()
@@ -106,6 +109,7 @@
         self.dispatches: dict[str, messages.Dispatch] = {}
         self.waiters: dict[str, Waiter] = {}
         self.crashed: set[str] = set()
+        self.running_ids: set[str] = set()
         self.tasks: set[asyncio.Task[None]] = set()
 
     async def work(self) -> None:
@@ -130,10 +134,11 @@
         ended: asyncio.Future[Answered | Refused] = asyncio.get_running_loop().create_future()
         self.waiters[request_id] = Waiter(request_id, on_part, ended)
         key = request_id if dispatch.claim_key else dispatch.ledger_key
-        if key not in self.dispatches:
-            self.dispatches[key] = dispatch
+        self.dispatches.setdefault(key, dispatch)
         self.handle(_ledger_message(dispatch, self.node.clock.wall()))
         outcome = await asyncio.shield(ended)
+        if self.dispatches.get(key) is dispatch:
+            self.dispatches.pop(key)
         return _ended(outcome, crashed=request_id in self.crashed)
 
     def settle(self, message: messages.Void | messages.Status) -> StateReply:
@@ -161,10 +166,18 @@
             self._perform(action)
         return actions
 
-    async def pause(self) -> None:
-        """Admit no work and wait until nothing runs."""
-        self.admitting = False
-        await self.idle.wait()
+    async def finished(self) -> None:
+        """Wait until nothing runs and nothing waits to run."""
+        while self.running or not self.queue.empty() or self.waiters:
+            await asyncio.sleep(FINISHED_POLL_S)
+
+    async def cancel(self, request_id: str) -> None:
+        """Stop a request whose caller has left, if the backend server runs it.
+
+        :param request_id: hexadecimal request id.
+        """
+        if request_id in self.running_ids:
+            await self.backend.cancel(request_id)
 
     def admit(self, digest: str) -> None:
         """Admit work under the weights that are loaded.
@@ -184,9 +197,16 @@
                 self._spawn_store(action)
 
     def _enqueue(self, key: str) -> None:
+        if not self.accepting:
+            self._refuse(key, Code.leaving)
+            return
         self.serial += 1
         self.queue.put_nowait(QueuedRun(self.dispatches[key].priority, self.serial, key))
 
+    def _refuse(self, key: str, code: Code) -> None:
+        self.dispatches.pop(key, None)
+        self.handle(Fail(key, code, Ran.no))
+
     def _resolve(self, request_id: str, end: Answered | Refused) -> None:
         waiter = self.waiters.pop(request_id, None)
         if waiter is not None and not waiter.ended.done():
@@ -206,10 +226,10 @@
             await self._run_key(queued.key)
 
     async def _run_key(self, key: str) -> None:
-        dispatch = self.dispatches.pop(key)
         if not self.admitting:
-            self.handle(Fail(key, Code.not_ready, Ran.no))
+            self._refuse(key, Code.not_ready)
             return
+        dispatch = self.dispatches.pop(key)
         began = any(isinstance(action, Begin) for action in self.handle(Start(key)))
         if not began:
             return
@@ -224,9 +244,11 @@
         request_id = dispatch.request_id.hex()
         self._note(EventKind.request_started, CounterName.runs_started, request_id)
         order = GenerateOrder(request_id, dispatch.body, dispatch.priority)
+        self.running_ids.add(request_id)
         waiter = self.waiters.get(request_id)
         on_part = waiter.on_part if waiter else _ignore_part
         run = await self.backend.run(order, self.admitted_digest, on_part)
+        self.running_ids.discard(request_id)
         self._note(EventKind.request_finished, CounterName.runs_finished, request_id)
         return self._end_of(key, request_id, run)
 
--- /dev/null
+++ b/src/cassiahitch/agent/process.py
@@ -0,0 +1,293 @@
+"""The agent process: one for each backend server host."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from contextlib import AsyncExitStack, suppress
+from typing import TYPE_CHECKING
+
+from cassiahitch.agent.backend import Backend
+from cassiahitch.agent.claims import ClaimStore
+from cassiahitch.agent.dialer import Dialer
+from cassiahitch.agent.distribution import Distribution, Surroundings
+from cassiahitch.agent.executor import Executor
+from cassiahitch.agent.loading import Loader
+from cassiahitch.agent.peers import PeerPool
+from cassiahitch.agent.staging import Staging
+from cassiahitch.codes import Code
+from cassiahitch.controllers.configuration import Configuration
+from cassiahitch.engine.http import HttpEngine
+from cassiahitch.errors import CassiahitchError, WireError
+from cassiahitch.ledger.claims import ClaimMachine
+from cassiahitch.ledger.ledger import Ledger
+from cassiahitch.metrics.names import CounterName
+from cassiahitch.platform.caller import HttpCaller
+from cassiahitch.platform.http import HttpOrigin, HttpTables
+from cassiahitch.settings.models import EngineKind
+from cassiahitch.timeline.events import EventKind
+from cassiahitch.wire import messages
+from cassiahitch.wire.answers import answer_of, ledger_state
+from cassiahitch.wire.configuration import from_update
+from cassiahitch.wire.endpoint import Endpoint
+from cassiahitch.wire.node import MS_PER_S, Node
+
+if TYPE_CHECKING:
+    from cassiahitch.agent.executor import Ended
+    from cassiahitch.clock import Clock
+    from cassiahitch.settings.models import AgentSettings
+    from cassiahitch.wire.api import Reply
+    from cassiahitch.wire.connection import Connection
+
+#: Requests that run at once on a backend server.
+SLOTS = 16
+#: Largest answer of a backend server, in bytes.
+MAX_ANSWER_BYTES = 4 * 1024 * 1024
+
+
+class AgentProcess:
+    """Wires the parts of an agent; owns all of them through one exit stack."""
+
+    def __init__(self, settings: AgentSettings, clock: Clock | None = None) -> None:
+        """Create an agent that is not started.
+
+        :param settings: its settings.
+        :param clock: source of time, that of the host by default.
+        """
+        self.settings = settings
+        self.node = Node(settings, 'agent') if clock is None else Node(settings, 'agent', clock)
+        self.started_at = self.node.clock.monotonic()
+        self.sequence = 0
+        self.leaving = False
+        self.configuration = Configuration()
+        self.stack = AsyncExitStack()
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Open the sockets and start the tasks."""
+        settings = self.settings
+        caller = await self.stack.enter_async_context(HttpCaller())
+        self.endpoint = Endpoint(self.node.endpoint_settings, self, self.node.clock)
+        self.stack.push_async_callback(self.endpoint.close)
+        self.node.port = self.endpoint.bind_port(settings.address, settings.port)
+        self.staging = Staging(settings.staging_path, settings.staging_bytes)
+        self.stack.callback(self.staging.close)
+        self.dialer = Dialer(self.endpoint, self.node.incarnation)
+        self.peers = PeerPool(self.endpoint, self.dialer.live)
+        self._build(caller)
+        self._start_tasks()
+        self.node.timeline.record(EventKind.process_started)
+
+    def _build(self, caller: HttpCaller) -> None:
+        settings = self.settings
+        platform = settings.platform
+        plain = settings.engine_kind is EngineKind.plain
+        engine = HttpEngine(caller, settings.engine_url)
+        backend = Backend(engine, settings.timeouts.engine_s, MAX_ANSWER_BYTES, plain)
+        ledger = Ledger(self.node.incarnation)
+        rng = random.Random(self.node.incarnation)
+        machine = ClaimMachine(settings.host, ledger, rng)
+        tables = HttpTables(caller, platform.table_service_url, settings.timeouts.platform_s)
+        store = ClaimStore(self.node, tables, self.peers)
+        self.executor = Executor(self.node, machine, backend, store, SLOTS)
+        self.loader = Loader(self.node, engine, self.executor, self.staging)
+        origin = HttpOrigin(caller, platform.origin_url)
+        surroundings = Surroundings(self.node, origin, self.staging, self.peers)
+        self.distribution = Distribution(surroundings, self.loader.completed)
+        if plain:
+            self.executor.admit('')
+
+    def _start_tasks(self) -> None:
+        works = (
+            self.dialer.work(self.settings.entries),
+            self.executor.work(),
+            self.loader.work(),
+            self.loader.watch(self.settings.timeouts.heartbeat_s),
+        )
+        for work in works:
+            task = asyncio.create_task(work)
+            self.stack.callback(task.cancel)
+
+    async def stop(self) -> None:
+        """Refuse new work, finish what runs and close everything."""
+        self.leaving = True
+        self.executor.accepting = False
+        self.node.timeline.record(EventKind.process_leaving)
+        for connection in tuple(self.endpoint.connections):
+            with suppress(WireError):
+                await connection.send(self.heartbeat())
+        await self.executor.finished()
+        await self.stack.aclose()
+        self.node.timeline.record(EventKind.process_stopped)
+
+    async def kill(self) -> None:
+        """Close everything at once, as a crash would."""
+        await self.stack.aclose()
+
+    def hello(self) -> messages.Hello:
+        """Return what the process says of itself.
+
+        :return: the message.
+        """
+        return self.node.hello()
+
+    def stamp(self) -> int:
+        """Return the time of the hybrid clock for a message to send.
+
+        :return: the time.
+        """
+        return self.node.stamp()
+
+    def merge(self, stamp: int) -> None:
+        """Take in the time of the hybrid clock of a message that arrived.
+
+        :param stamp: the time.
+        """
+        self.node.merge(stamp)
+
+    def heartbeat(self) -> messages.Heartbeat:
+        """Return the heartbeat to send now.
+
+        :return: the message.
+        """
+        self.sequence += 1
+        clock = self.node.clock.monotonic()
+        return messages.Heartbeat(
+            incarnation=self.node.incarnation,
+            sequence=self.sequence,
+            uptime_ms=int((clock - self.started_at) * MS_PER_S),
+            clock_ms=self.node.clock_ms(),
+            revision=self.configuration.revision,
+            leaving=self.leaving,
+            ready=self.executor.admitting and not self.leaving,
+            running=self.executor.running,
+            queued=self.executor.queue.qsize(),
+            capacity=SLOTS,
+            deployment=self.loader.deployment,
+            plain_service=self.settings.service,
+            loaded_digest=self.loader.loaded,
+            loading_digest=self.loader.loading,
+            load_epoch=self.loader.load_epoch,
+            complete_digests=tuple(sorted(self.loader.complete)),
+            chunks_complete=self.distribution.chunks_complete,
+        )
+
+    def opened(self, connection: Connection) -> None:
+        """Take note of a new connection.
+
+        :param connection: the connection.
+        """
+        self.node.connection_opened(connection)
+
+    def ended(self, connection: Connection, reason: WireError) -> None:
+        """Take note that a connection ended.
+
+        :param connection: the connection.
+        :param reason: why it ended.
+        """
+        self.node.connection_ended(connection, reason)
+
+    async def handle(
+        self,
+        connection: Connection,
+        message: messages.Message,
+        reply: Reply,
+    ) -> None:
+        """Handle a message that is not a reply.
+
+        :param connection: where it arrived.
+        :param message: the message.
+        :param reply: sends a reply.
+        """
+        match message:
+            case messages.Heartbeat():
+                self._note_heartbeat(connection)
+            case messages.Dispatch():
+                await self._dispatch(message, reply)
+            case messages.Void() | messages.Status():
+                state = self.executor.settle(message)
+                await reply(ledger_state(state, self.node.incarnation))
+            case messages.Cancel(request_id=request_id):
+                await self.executor.cancel(request_id.hex())
+            case messages.ConfigurationUpdate():
+                self._configure(message)
+            case messages.ChunkRequest():
+                await reply(await self.distribution.serve(message))
+            case _:
+                self._take_order(message)
+                await reply(messages.OrderReply(Code.ok))
+
+    def _note_heartbeat(self, connection: Connection) -> None:
+        self.distribution.heard(connection.peer.host)
+
+    def _take_order(self, message: messages.Message) -> None:
+        match message:
+            case messages.FetchOrder():
+                self.distribution.fetch(message)
+            case messages.OrderLoad():
+                self.loader.order(message)
+            case messages.Release():
+                self.loader.release(message)
+            case messages.CancelLoad():
+                self.loader.cancel(message)
+            case messages.OrderDrain():
+                self._drain()
+            case _:
+                raise CassiahitchError(Code.message_unknown, type(message).__name__)
+
+    def _drain(self) -> None:
+        self.leaving = True
+        self.executor.accepting = False
+
+    def _configure(self, update: messages.ConfigurationUpdate) -> None:
+        now = self.node.clock.monotonic()
+        before = self.configuration.revision
+        self.configuration.apply(from_update(update), now)
+        if self.configuration.revision > before:
+            self.node.metrics.count(CounterName.revisions_applied)
+            detail = f'revision {self.configuration.revision}'
+            self.node.timeline.record(EventKind.revision_applied, detail=detail)
+
+    async def _dispatch(self, dispatch: messages.Dispatch, reply: Reply) -> None:
+        parts: asyncio.Queue[bytes | None] = asyncio.Queue()
+        run = asyncio.create_task(self.executor.run(dispatch, parts.put_nowait))
+        run.add_done_callback(lambda _: parts.put_nowait(None))
+        sent = await _forward(dispatch, parts, reply)
+        await reply(_answer(dispatch, run.result(), sent))
+
+
+async def _forward(
+    dispatch: messages.Dispatch,
+    parts: asyncio.Queue[bytes | None],
+    reply: Reply,
+) -> int:
+    sent = 0
+    index = 0
+    while True:
+        part = await parts.get()
+        if part is None:
+            return sent
+        if dispatch.stream:
+            await reply(messages.AnswerPart(dispatch.request_id, index, part))
+            sent += len(part)
+            index += 1
+
+
+def _answer(dispatch: messages.Dispatch, ended: Ended, sent: int) -> messages.Answer:
+    answer = answer_of(ended.outcome, dispatch.request_id, dispatch.body_digest)
+    body = b'' if sent and sent == answer.length else answer.body
+    return messages.Answer(
+        request_id=answer.request_id,
+        body_digest=answer.body_digest,
+        code=answer.code,
+        ran=answer.ran,
+        body=body,
+        length=answer.length,
+        checksum=answer.checksum,
+        weights_digest=answer.weights_digest,
+        backend_crashed=ended.crashed,
+        replayed=ended.replayed,
+    )
+
+
+__all__ = ('AgentProcess',)
--- /dev/null
+++ b/src/cassiahitch/entry/callers.py
@@ -0,0 +1,253 @@
+"""HTTP handlers for callers: addresses, tickets and requests."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import math
+from contextlib import suppress
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+from tornado.iostream import StreamClosedError
+from tornado.web import RequestHandler
+
+from cassiahitch.codes import Code, Ran
+from cassiahitch.entry.statuses import http_status
+from cassiahitch.errors import CassiahitchError, RequestError
+from cassiahitch.requests.api import Request
+from cassiahitch.routing.api import Choice, RouteQuery
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cassiahitch.ledger.tickets import TicketOffice
+    from cassiahitch.requests.api import Answered, Proceed
+    from cassiahitch.requests.identification import Identification
+    from cassiahitch.routing.addresses import AddressBook
+    from cassiahitch.routing.router import Router
+    from cassiahitch.wire.node import Node
+
+MS_PER_S = 1000
+EVENT_STREAM = 'text/event-stream'
+BEARER = 'Bearer '
+#: Seconds after which a leaving entry's callers may come back, to another entry.
+LEAVING_RETRY_S = 1.0
+
+
+@dataclass(slots=True)
+class CallerService:
+    """What the handlers use."""
+
+    node: Node
+    chain: Proceed
+    identification: Identification
+    addresses: AddressBook
+    tickets: TicketOffice
+    router: Router
+    is_leaving: Callable[[], bool]
+    running: set[asyncio.Task[Answered]] = field(default_factory=set)
+
+
+class CallerHandler(RequestHandler):
+    """Base of the handlers; every failure is an answer with a numbered code."""
+
+    def initialize(self, service: CallerService) -> None:
+        """Keep what the handler uses.
+
+        :param service: the parts of the entry.
+        """
+        self.service = service
+
+    def bearer(self) -> str:
+        """Return the secret of the request.
+
+        :return: the secret, or nothing.
+        """
+        header = self.request.headers.get('Authorization', '')
+        return header.removeprefix(BEARER) if header.startswith(BEARER) else ''
+
+    def fail(self, error: CassiahitchError) -> None:
+        """Answer with an error.
+
+        :param error: the error.
+        """
+        retry_after_s = getattr(error, 'retry_after_s', None)
+        if retry_after_s is not None:
+            self.set_header('Retry-After', str(math.ceil(retry_after_s)))
+        self.set_status(http_status(error.code))
+        self.finish(error_document(error))
+
+    def write_error(self, status_code: int, **_details: Any) -> None:
+        """Answer in the form of all errors where tornado refuses a request.
+
+        :param status_code: status of the answer.
+        """
+        code = Code.bad_request if status_code < http_status(Code.internal) else Code.internal
+        ran = Ran.no if code is Code.bad_request else Ran.unknown
+        self.finish(error_document(RequestError(code, self._reason, ran)))
+
+    def log_exception(self, *details: Any) -> None:
+        """Count a failure; the time line and the answer tell the rest."""
+
+
+class MissingHandler(CallerHandler):
+    """Answers for a path that does not exist."""
+
+    def prepare(self) -> None:
+        """Refuse the request."""
+        self.fail(RequestError(Code.not_found, f'nothing at {self.request.path}', Ran.no))
+
+
+class AddressHandler(CallerHandler):
+    """Tells callers which entries to use."""
+
+    def get(self) -> None:
+        """Return a few addresses and their lifetime."""
+        answer = self.service.addresses.answer(self.service.node.clock.monotonic())
+        addresses = [
+            {'address': found.address, 'weight': found.weight} for found in answer.addresses
+        ]
+        self.finish({'addresses': addresses, 'lifetime_s': answer.lifetime_s})
+
+
+class TicketHandler(CallerHandler):
+    """Gives out tickets."""
+
+    def post(self) -> None:
+        """Return a ticket for a service."""
+        try:
+            self.finish({'ticket': self._mint()})
+        except RequestError as error:
+            self.fail(error)
+
+    def _mint(self) -> str:
+        if not self.service.identification.find(self.bearer()):
+            raise RequestError(Code.unauthorised, 'the key is not known', Ran.no)
+        query = RouteQuery(self.get_query_argument('service', ''))
+        choice = self.service.router.choose(query, self.service.node.clock.monotonic())
+        if not isinstance(choice, Choice):
+            detail = f'no replica serves {query.service}'
+            raise RequestError(Code.no_replica, detail, Ran.no, choice.retry_after_s)
+        wall = self.service.node.clock.wall()
+        return self.service.tickets.mint(choice.host, choice.incarnation, wall)
+
+
+class RequestsHandler(CallerHandler):
+    """Runs requests, unary or as a stream of events."""
+
+    task: asyncio.Task[Answered] | None = None
+
+    async def post(self, service: str) -> None:
+        """Run a request.
+
+        :param service: name of the service.
+        """
+        try:
+            request = self._parse(service)
+            answer = await self._run(request)
+        except RequestError as error:
+            self._fail_request(error)
+            return
+        except (asyncio.CancelledError, StreamClosedError):
+            return
+        self._finish_request(request, answer)
+
+    def on_connection_close(self) -> None:
+        """Cancel the request of a caller that has left."""
+        if self.task is not None:
+            self.task.cancel()
+
+    def _parse(self, service: str) -> Request:
+        if self.service.is_leaving():
+            raise RequestError(Code.leaving, 'use another entry', Ran.no, LEAVING_RETRY_S)
+        headers = self.request.headers
+        request = Request(
+            service,
+            self.request.body,
+            secret=self.bearer(),
+            idempotency_key=headers.get('Idempotency-Key', ''),
+            ticket=headers.get('X-Ticket', ''),
+            timeout_s=_timeout_s(headers.get('X-Timeout-Ms')),
+            stream=EVENT_STREAM in headers.get('Accept', ''),
+        )
+        if request.stream:
+            request.on_part = self._send_part
+        return request
+
+    async def _run(self, request: Request) -> Answered:
+        self.set_header('X-Request-Id', request.id)
+        self.task = asyncio.ensure_future(self.service.chain(request))
+        self.service.running.add(self.task)
+        self.task.add_done_callback(self.service.running.discard)
+        return await self.task
+
+    def _finish_request(self, request: Request, answer: Answered) -> None:
+        end = {
+            'request_id': request.id,
+            'code': Code.ok.value,
+            'length': len(answer.content),
+            'sha256': answer.checksum,
+            'weights': answer.weights_digest,
+            'replayed': answer.replayed,
+        }
+        if not request.stream:
+            self.finish({**end, 'answer': answer.content.decode()})
+            return
+        missing = answer.content[request.streamed_bytes :]
+        if missing:
+            self._send_part(missing)
+        self._send_event('end', end)
+        self.finish()
+
+    def _send_part(self, part: bytes) -> None:
+        self._send_event('part', {'text': part.decode(errors='replace')})
+        with suppress(StreamClosedError):
+            self.flush()
+
+    def _send_event(self, kind: str, document: dict[str, Any]) -> None:
+        self.set_header('Content-Type', EVENT_STREAM)
+        self.write(f'event: {kind}\ndata: {json.dumps(document)}\n\n')
+
+    def _fail_request(self, error: RequestError) -> None:
+        if self._headers_written:
+            self._send_event('error', error_document(error))
+            self.finish()
+            return
+        self.fail(error)
+
+
+def error_document(error: CassiahitchError) -> dict[str, Any]:
+    """Return the JSON form of an error.
+
+    :param error: the error.
+    :return: code, name, detail and whether the request has run.
+    """
+    ran = getattr(error, 'ran', Ran.no)
+    return {
+        'code': error.code.value,
+        'name': error.code.name,
+        'detail': error.detail,
+        'ran': ran.value,
+    }
+
+
+def _timeout_s(header: str | None) -> float | None:
+    if header is None:
+        return None
+    try:
+        return int(header) / MS_PER_S
+    except ValueError:
+        detail = 'X-Timeout-Ms is not a number'
+        raise RequestError(Code.bad_request, detail, Ran.no) from None
+
+
+__all__ = (
+    'AddressHandler',
+    'CallerHandler',
+    'CallerService',
+    'MissingHandler',
+    'RequestsHandler',
+    'TicketHandler',
+    'error_document',
+)
--- /dev/null
+++ b/src/cassiahitch/entry/process.py
@@ -0,0 +1,381 @@
+"""The entry process: serves callers and operators and runs controllers under a lease."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+from contextlib import AsyncExitStack, suppress
+from typing import TYPE_CHECKING
+
+from tornado.httpserver import HTTPServer
+from tornado.web import Application
+
+from cassiahitch.agent.dialer import Dialer
+from cassiahitch.codes import Code
+from cassiahitch.controllers.configuration import Configuration
+from cassiahitch.controllers.store import ConfigurationStore
+from cassiahitch.entry import callers, operators
+from cassiahitch.entry.directory import Directory
+from cassiahitch.entry.leadership import Leadership
+from cassiahitch.entry.rollouts import Rollouts
+from cassiahitch.entry.synchronisation import Synchroniser, save_snapshots
+from cassiahitch.errors import PlatformError, WireError
+from cassiahitch.ledger.tickets import TicketOffice
+from cassiahitch.limits.retries import RetryBudget
+from cassiahitch.platform.caller import HttpCaller
+from cassiahitch.platform.http import HttpHosts, HttpObjects, HttpTables
+from cassiahitch.requests.chain import build_chain
+from cassiahitch.requests.dispatch import Dispatching
+from cassiahitch.requests.identification import Identification
+from cassiahitch.requests.recording import Recording
+from cassiahitch.requests.validation import Validation
+from cassiahitch.routing.addresses import AddressBook, EntryState
+from cassiahitch.routing.router import Router
+from cassiahitch.timeline.events import EventKind
+from cassiahitch.wire import messages
+from cassiahitch.wire.configuration import from_update
+from cassiahitch.wire.endpoint import Endpoint
+from cassiahitch.wire.node import MS_PER_S, Node
+
+if TYPE_CHECKING:
+    from cassiahitch.clock import Clock
+    from cassiahitch.settings.models import EntrySettings
+    from cassiahitch.wire.api import Reply
+    from cassiahitch.wire.connection import Connection
+
+#: Seconds for which a ticket holds.
+TICKET_LIFETIME_S = 600
+#: Seconds between looks at the host list.
+HOST_LIST_POLL_S = 1.0
+#: Seconds between looks at silent members.
+MEMBER_POLL_S = 0.2
+SNAPSHOT_INTERVAL_S = 5.0
+#: Seconds for which a leaving entry goes on serving, the longest lifetime of its address.
+LEAVE_GRACE_S = 36.0
+
+
+class EntryProcess:
+    """Wires the parts of an entry; owns all of them through one exit stack."""
+
+    def __init__(self, settings: EntrySettings, clock: Clock | None = None) -> None:
+        """Create an entry that is not started.
+
+        :param settings: its settings.
+        :param clock: source of time, that of the host by default.
+        """
+        self.settings = settings
+        self.node = Node(settings, 'entry') if clock is None else Node(settings, 'entry', clock)
+        self.rng = random.Random(self.node.incarnation)
+        self.started_at = self.node.clock.monotonic()
+        self.sequence = 0
+        self.leaving = False
+        self.closing = False
+        self.http_port = 0
+        self.configuration = Configuration()
+        self.router = Router(settings.region, settings.failure_domain, self.rng)
+        self.directory = Directory(self.node, self.configuration, self.router)
+        self.addresses = AddressBook(settings.region, self.rng)
+        self.entries: dict[str, Connection] = {}
+        self.stack = AsyncExitStack()
+
+    async def start(self) -> None:
+        """Open the sockets and start the tasks."""
+        caller = await self.stack.enter_async_context(HttpCaller())
+        self.endpoint = Endpoint(self.node.endpoint_settings, self, self.node.clock)
+        self.stack.push_async_callback(self.endpoint.close)
+        self.node.port = self.endpoint.bind_port(self.settings.address, self.settings.port)
+        self._build(caller)
+        self._serve_http()
+        self._start_tasks()
+        self.node.timeline.record(EventKind.process_started)
+
+    def _build(self, caller: HttpCaller) -> None:
+        platform = self.settings.platform
+        timeout_s = self.settings.timeouts.platform_s
+        tables = HttpTables(caller, platform.table_service_url, timeout_s)
+        objects = HttpObjects(caller, platform.object_store_url)
+        self.hosts = HttpHosts(caller, platform.host_list_url)
+        self.store = ConfigurationStore(tables)
+        self.synchroniser = Synchroniser(
+            self.node,
+            self.configuration,
+            self.store,
+            objects,
+            lambda: tuple(self.entries.values()),
+        )
+        self.synchroniser.listeners.append(lambda _: self._push_configuration())
+        self.rollouts = Rollouts(self.node, self.configuration, self.directory, tables)
+        self.leadership = Leadership(self.node, tables, self.rollouts.begin_term)
+        self.dialer = Dialer(self.endpoint, self.node.incarnation)
+        key = self.settings.system_key.get_secret_value()
+        self.tickets = TicketOffice((key,), self.node.incarnation, TICKET_LIFETIME_S)
+
+    def _serve_http(self) -> None:
+        identification = Identification(self.configuration)
+        sizes = self.settings.sizes
+        clock = self.node.clock
+        chain = build_chain(
+            (
+                Recording(self.node),
+                identification,
+                Validation(self.configuration, clock, sizes.max_body_bytes),
+                Dispatching(
+                    self.node,
+                    self.directory,
+                    self.router,
+                    self,
+                    self.tickets,
+                    RetryBudget(),
+                ),
+            ),
+        )
+        self.caller_service = callers.CallerService(
+            self.node,
+            chain,
+            identification,
+            self.addresses,
+            self.tickets,
+            self.router,
+            lambda: self.closing,
+        )
+        own = socket.create_server((self.settings.address, self.settings.http_port), backlog=1024)
+        own.setblocking(False)  # noqa: WPS425 the only argument of the call
+        self.http_port = int(own.getsockname()[1])
+        server = HTTPServer(
+            self._application(),
+            max_body_size=sizes.max_body_bytes,
+            max_header_size=sizes.max_header_bytes,
+        )
+        server.add_socket(own)
+        self.stack.push_async_callback(server.close_all_connections)
+        self.stack.callback(server.stop)
+
+    def _application(self) -> Application:
+        service = {'service': self.caller_service}
+        operator = {
+            'operators': operators.OperatorService(
+                self.node,
+                self.store,
+                self.synchroniser,
+                self.directory,
+                frozenset(self.settings.operator_token_digests),
+            ),
+        }
+        return Application(
+            [
+                ('/v1/addresses', callers.AddressHandler, service),
+                ('/v1/tickets', callers.TicketHandler, service),
+                (r'/v1/services/([^/]+)/requests', callers.RequestsHandler, service),
+                (r'/v1/resources/(\w+)/([^/]+)', operators.ResourceHandler, operator),
+                (r'/v1/resources/(\w+)', operators.ListHandler, operator),
+                (r'/v1/watch/(\w+)', operators.WatchHandler, operator),
+                ('/v1/status', operators.StatusHandler, operator),
+                ('/v1/timeline', operators.TimelineHandler, operator),
+                ('/v1/metrics', operators.MetricsHandler, operator),
+            ],
+            default_handler_class=callers.MissingHandler,
+            default_handler_args=service,
+            log_function=lambda _: None,
+        )
+
+    def _start_tasks(self) -> None:
+        works = (
+            self.synchroniser.work(),
+            self.leadership.work(),
+            self.rollouts.work(self.leadership),
+            self.dialer.work(self.settings.entries),
+            save_snapshots(self.synchroniser, SNAPSHOT_INTERVAL_S),
+            self._poll_hosts(),
+            self._poll_members(),
+        )
+        for work in works:
+            task = asyncio.create_task(work)
+            self.stack.callback(task.cancel)
+
+    async def stop(self, grace_s: float = LEAVE_GRACE_S) -> None:
+        """Leave the addresses, serve for the grace, finish what runs and close everything.
+
+        :param grace_s: seconds for which callers may still use this entry.
+        """
+        self.leaving = True
+        self.node.timeline.record(EventKind.process_leaving)
+        self._note_self()
+        for connection in tuple(self.endpoint.connections):
+            with suppress(WireError):
+                await connection.send(self.heartbeat())
+        await self.leadership.resign()
+        await asyncio.sleep(grace_s)
+        self.closing = True
+        running = tuple(self.caller_service.running)
+        if running:
+            await asyncio.wait(running)
+        await asyncio.sleep(0)
+        await self.stack.aclose()
+        self.node.timeline.record(EventKind.process_stopped)
+
+    async def kill(self) -> None:
+        """Close everything at once, as a crash would."""
+        await self.stack.aclose()
+
+    async def redial(self, host: str, incarnation: int) -> Connection:
+        """Open a new connection to an agent, to settle what is unclear.
+
+        :param host: its host.
+        :param incarnation: its incarnation.
+        :return: the connection.
+        :raises WireError: if the agent cannot be reached in that incarnation.
+        """
+        peer = self.directory.locate(host)
+        connection = await self.endpoint.dial(peer.address, peer.port)
+        if (connection.peer.host, connection.peer.incarnation) != (host, incarnation):
+            connection.close(WireError(Code.wrong_incarnation, 'another process answered'))
+            raise WireError(Code.wrong_incarnation, f'{host} has restarted')
+        return connection
+
+    def hello(self) -> messages.Hello:
+        """Return what the process says of itself.
+
+        :return: the message.
+        """
+        return self.node.hello()
+
+    def stamp(self) -> int:
+        """Return the time of the hybrid clock for a message to send.
+
+        :return: the time.
+        """
+        return self.node.stamp()
+
+    def merge(self, stamp: int) -> None:
+        """Take in the time of the hybrid clock of a message that arrived.
+
+        :param stamp: the time.
+        """
+        self.node.merge(stamp)
+
+    def heartbeat(self) -> messages.Heartbeat:
+        """Return the heartbeat to send now.
+
+        :return: the message.
+        """
+        self.sequence += 1
+        clock = self.node.clock.monotonic()
+        return messages.Heartbeat(
+            incarnation=self.node.incarnation,
+            sequence=self.sequence,
+            uptime_ms=int((clock - self.started_at) * MS_PER_S),
+            clock_ms=self.node.clock_ms(),
+            revision=self.configuration.revision,
+            leaving=self.leaving,
+            ready=self.configuration.ready,
+            http_port=self.http_port,
+        )
+
+    def opened(self, connection: Connection) -> None:
+        """Take note of a new connection.
+
+        :param connection: the connection.
+        """
+        self.node.connection_opened(connection)
+        if connection.peer.role == 'entry':
+            self.entries[connection.peer.host] = connection
+
+    def ended(self, connection: Connection, reason: WireError) -> None:
+        """Take note that a connection ended.
+
+        :param connection: the connection.
+        :param reason: why it ended.
+        """
+        self.node.connection_ended(connection, reason)
+        if self.entries.get(connection.peer.host) is connection:
+            self.entries.pop(connection.peer.host)
+        self.directory.ended(connection)
+
+    async def handle(
+        self,
+        connection: Connection,
+        message: messages.Message,
+        reply: Reply,
+    ) -> None:
+        """Handle a message that is not a reply.
+
+        :param connection: where it arrived.
+        :param message: the message.
+        :param reply: sends a reply.
+        :raises WireError: ``message_unknown``.
+        """
+        match message:
+            case messages.Heartbeat() if connection.peer.role == 'agent':
+                self.directory.heard(connection, message)
+                await self._update_agent(connection, message.revision)
+            case messages.Heartbeat():
+                self._hear_entry(connection, message)
+            case messages.ConfigurationPull(after_revision=revision):
+                await reply(self.synchroniser.update_for(revision))
+            case messages.ConfigurationUpdate():
+                self.synchroniser.apply(from_update(message))
+            case messages.Locate(host=host):
+                await reply(self.directory.locate(host))
+            case _:
+                raise WireError(Code.message_unknown, type(message).__name__)
+
+    async def _update_agent(self, connection: Connection, revision: int) -> None:
+        if self.configuration.ready and revision < self.configuration.revision:
+            await connection.send(self.synchroniser.update_for(revision))
+
+    def _hear_entry(self, connection: Connection, beat: messages.Heartbeat) -> None:
+        peer = connection.peer
+        state = EntryState(
+            f'{peer.host}/{peer.incarnation}',
+            f'{peer.address}:{beat.http_port}',
+            peer.region,
+            peer.failure_domain,
+            beat.ready,
+            beat.leaving,
+            load=0,
+        )
+        self.addresses.update(state, self.node.clock.monotonic())
+
+    def _note_self(self) -> None:
+        settings = self.settings
+        state = EntryState(
+            f'{settings.host}/{self.node.incarnation}',
+            f'{settings.address}:{self.http_port}',
+            settings.region,
+            settings.failure_domain,
+            self.configuration.ready,
+            self.leaving,
+            load=0,
+        )
+        self.addresses.update(state, self.node.clock.monotonic())
+
+    def _push_configuration(self) -> None:
+        self.directory.refresh()
+        for agent in tuple(self.directory.agents.values()):
+            task = asyncio.create_task(
+                self._push(agent.connection, agent.heartbeat.revision),
+            )
+            self.node.background.add(task)
+            task.add_done_callback(self.node.background.discard)
+
+    async def _push(self, connection: Connection, revision: int) -> None:
+        with suppress(WireError):
+            await connection.send(self.synchroniser.update_for(revision))
+
+    async def _poll_hosts(self) -> None:
+        while True:
+            with suppress(PlatformError):
+                listed = await self.hosts.hosts()
+                now = self.node.clock.monotonic()
+                self.directory.act(self.directory.membership.listed(listed, now))
+            await asyncio.sleep(HOST_LIST_POLL_S * self.rng.uniform(1 / 2, 1))
+
+    async def _poll_members(self) -> None:
+        while True:
+            self._note_self()
+            self.directory.poll()
+            await asyncio.sleep(MEMBER_POLL_S)
+
+
+__all__ = ('EntryProcess',)
--- /dev/null
+++ b/src/cassiahitch/requests/dispatch.py
@@ -0,0 +1,200 @@
+"""Chooses replicas for a request and sends it until it is answered or given up."""
+
+from __future__ import annotations
+
+import hashlib
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from cassiahitch.codes import Code, Ran
+from cassiahitch.errors import RequestError
+from cassiahitch.ledger.api import Answer, Failure
+from cassiahitch.limits import retries
+from cassiahitch.metrics.names import CounterName
+from cassiahitch.requests.api import Answered
+from cassiahitch.requests.attempts import Attempt, AttemptEnd, Target
+from cassiahitch.routing.api import Choice, NoReplica, Outcome, RouteQuery
+from cassiahitch.timeline.events import EventKind
+from cassiahitch.wire.answers import WEIGHTS
+
+if TYPE_CHECKING:
+    from cassiahitch.entry.directory import Directory
+    from cassiahitch.ledger.tickets import TicketOffice
+    from cassiahitch.requests.api import Proceed, Request
+    from cassiahitch.requests.attempts import Redialler
+    from cassiahitch.routing.router import Router
+    from cassiahitch.wire.node import Node
+
+#: Bytes of a request's body that identify its cached prefix.
+PREFIX_CHARACTERS = 256
+#: Failures that another replica would answer in the same way.
+FINAL_CODES = frozenset(
+    (
+        Code.key_reused,
+        Code.key_expired,
+        Code.claim_store_down,
+        Code.claim_unclear,
+        Code.request_in_progress,
+        Code.deadline_exceeded,
+    ),
+)
+#: Failures before anything was sent.
+UNSENT_CODES = frozenset((Code.host_unknown, Code.connection_closed))
+
+
+@dataclass(slots=True)
+class Sends:
+    """What was sent for a request so far."""
+
+    count: int = 0
+    tried: set[str] = field(default_factory=set)
+
+
+@dataclass(frozen=True, slots=True)
+class Dispatching:
+    """The innermost filter."""
+
+    node: Node
+    directory: Directory
+    router: Router
+    redialler: Redialler
+    tickets: TicketOffice
+    budget: retries.RetryBudget
+
+    async def handle(self, request: Request, _proceed: Proceed) -> Answered:
+        """Send a request until it is answered or given up.
+
+        :param request: the request.
+        :return: the answer.
+        :raises RequestError: whatever ended the last attempt.
+        """
+        if request.ticket:
+            return await self._run_ticket(request)
+        sends = Sends()
+        while True:
+            choice = self._choose(request, sends)
+            ended = await self._send(request, self._target(request, choice, sends), sends)
+            match ended.outcome:
+                case Answer():
+                    self.budget.succeeded()
+                    return _answered(ended)
+                case Failure() as failure:
+                    self._check_retry(request, failure, sends)
+
+    def _choose(self, request: Request, sends: Sends) -> Choice:
+        prefix = request.body[:PREFIX_CHARACTERS].decode(errors='replace')
+        query = RouteQuery(request.service, prefix, frozenset(sends.tried))
+        match self.router.choose(query, self.node.clock.monotonic()):
+            case NoReplica(retry_after_s=retry_after_s):
+                detail = f'no replica serves {request.service}'
+                raise RequestError(Code.no_replica, detail, Ran.no, retry_after_s)
+            case Choice() as choice:
+                self.node.timeline.record(
+                    EventKind.replica_chosen,
+                    request_id=request.id,
+                    detail=choice.host,
+                )
+                return choice
+
+    def _target(self, request: Request, choice: Choice, sends: Sends) -> Target:
+        key = (request.identifier + bytes([sends.count])).hex()
+        claim = ''
+        if request.idempotency_key and not request.idempotent:
+            claim = claim_key(request.organisation, request.idempotency_key)
+        return Target(choice.host, choice.incarnation, key, claim)
+
+    async def _send(self, request: Request, target: Target, sends: Sends) -> AttemptEnd:
+        attempt = Attempt(self.node, self.directory, self.redialler, request, sends.count)
+        sends.count += 1
+        sends.tried.add(target.host)
+        self.router.dispatched(target.host)
+        self.node.metrics.count(CounterName.requests_dispatched)
+        started = self.node.clock.monotonic()
+        ended = AttemptEnd(Failure(Code.internal, Ran.unknown))
+        try:
+            ended = await attempt.run(target)
+        finally:  # noqa: WPS501 the router must count the end of every dispatch
+            now = self.node.clock.monotonic()
+            self.router.finished(target.host, _routing_outcome(ended), now - started, now)
+        return ended
+
+    async def _run_ticket(self, request: Request) -> Answered:
+        wall = self.node.clock.wall()
+        ticket = self.tickets.verify(request.ticket, wall)
+        target = Target(ticket.agent, ticket.agent_incarnation, request.ticket)
+        agent = self.directory.agents.get(ticket.agent)
+        if agent is None or agent.heartbeat.incarnation != ticket.agent_incarnation:
+            detail = f'{ticket.agent} is not connected in that incarnation'
+            raise RequestError(Code.ticket_owner_gone, detail, Ran.unknown)
+        ended = await self._send(request, target, Sends())
+        match ended.outcome:
+            case Answer():
+                return _answered(ended)
+            case Failure(code=code, ran=Ran.no) if code not in UNSENT_CODES:
+                detail = f'{code.name}; the ticket runs nowhere any more'
+                raise RequestError(Code.ticket_voided, detail, Ran.no, retries.RETRY_AFTER_S)
+            case Failure(code=code):
+                # Another entry may have sent the same ticket, so its fate is not known here.
+                raise RequestError(code, f'at {ticket.agent}', Ran.unknown)
+
+    def _check_retry(self, request: Request, failure: Failure, sends: Sends) -> None:
+        if failure.code in FINAL_CODES or request.streamed_bytes:
+            raise _error(failure, retry_after_s=retries.RETRY_AFTER_S)
+        attempt = retries.Attempt(
+            sends.count,
+            failure.ran,
+            request.idempotent,
+            request.deadline,
+        )
+        match self.budget.decide(attempt, self.node.clock.monotonic()):
+            case retries.GiveUp(retry_after_s=retry_after_s):
+                raise _error(failure, retry_after_s)
+            case retries.SendAgain():
+                self.node.metrics.count(CounterName.requests_retried)
+                self.node.timeline.record(
+                    EventKind.request_retried,
+                    request_id=request.id,
+                    code=failure.code,
+                )
+
+
+def claim_key(organisation: str, key: str) -> str:
+    """Return the key of the claim of a request.
+
+    :param organisation: the organisation.
+    :param key: the key that its caller chose.
+    :return: hexadecimal SHA-256.
+    """
+    return hashlib.sha256(f'{organisation}\n{key}'.encode()).hexdigest()
+
+
+def _error(failure: Failure, retry_after_s: float) -> RequestError:
+    detail = 'the request was not answered'
+    return RequestError(failure.code, detail, failure.ran, retry_after_s)
+
+
+def _answered(ended: AttemptEnd) -> Answered:
+    answer = ended.outcome
+    assert isinstance(answer, Answer)  # noqa: S101 checked by the caller
+    weights = dict(answer.metadata).get(WEIGHTS, '')
+    return Answered(answer.content, answer.digest, weights, ended.replayed)
+
+
+def _routing_outcome(ended: AttemptEnd) -> Outcome:
+    match ended.outcome:
+        case Answer():
+            return Outcome.success
+        case _ if ended.crashed:
+            return Outcome.crashed
+        case Failure(code=Code.deadline_exceeded):
+            return Outcome.timed_out
+        case Failure(ran=Ran.no):
+            return Outcome.refused
+        case _:
+            return Outcome.failed
+
+
+__all__ = (
+    'Dispatching',
+    'claim_key',
+)
--- /dev/null
+++ b/src/cassiahitch/requests/validation.py
@@ -0,0 +1,65 @@
+"""Checks a request against its service and sets its deadline."""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from cassiahitch.codes import Code, Ran
+from cassiahitch.errors import RequestError
+from cassiahitch.resources.models import Service
+
+if TYPE_CHECKING:
+    from cassiahitch.clock import Clock
+    from cassiahitch.controllers.configuration import Configuration
+    from cassiahitch.requests.api import Answered, Proceed, Request
+
+#: Form of a key that a caller chooses.
+IDEMPOTENCY_KEY = re.compile(r'[\x21-\x7e]{1,200}')
+
+
+@dataclass(frozen=True, slots=True)
+class Validation:
+    """Refuses what cannot be run."""
+
+    configuration: Configuration
+    clock: Clock
+    max_body_bytes: int
+
+    async def handle(self, request: Request, proceed: Proceed) -> Answered:
+        """Check a request.
+
+        :param request: the request.
+        :param proceed: the rest of the chain.
+        :return: the answer.
+        :raises RequestError: ``unknown_service``, ``body_too_large`` or ``bad_request``.
+        """
+        service = self.configuration.resources.get(f'Service/{request.service}')
+        if not isinstance(service, Service):
+            raise RequestError(Code.unknown_service, f'no service {request.service}', Ran.no)
+        if len(request.body) > self.max_body_bytes:
+            detail = f'{len(request.body)} bytes, at most {self.max_body_bytes}'
+            raise RequestError(Code.body_too_large, detail, Ran.no)
+        self._check_form(request)
+        request.idempotent = service.idempotent
+        request.priority = service.priority
+        timeout_s = min(request.timeout_s or service.deadline_s, service.deadline_s)
+        request.deadline = self.clock.monotonic() + timeout_s
+        return await proceed(request)
+
+    def _check_form(self, request: Request) -> None:
+        if request.timeout_s is not None and not request.timeout_s > 0:
+            raise RequestError(Code.deadline_exceeded, 'the deadline has passed', Ran.no)
+        if request.ticket and request.idempotency_key:
+            raise RequestError(Code.bad_request, 'both a ticket and a key', Ran.no)
+        key = request.idempotency_key
+        if key and not IDEMPOTENCY_KEY.fullmatch(key):
+            raise RequestError(Code.bad_request, 'the key is not 1 to 200 ASCII letters', Ran.no)
+        try:
+            request.body.decode()
+        except UnicodeDecodeError as error:
+            raise RequestError(Code.bad_request, 'the body is not UTF-8', Ran.no) from error
+
+
+__all__ = ('Validation',)
--- a/src/cassiahitch/settings/models.py
+++ b/src/cassiahitch/settings/models.py
@@ -204,6 +204,10 @@
         default=EngineKind.model,
         description='Whether it is a model engine or a plain service.',
     )
+    service: Name | Literal[''] = Field(
+        default='',
+        description='Service that a plain backend server answers.',
+    )
     checks_fencing_numbers: bool = Field(
         default=False,
         description='Whether the engine refuses an order with an old fencing number.',
--- a/src/cassiahitch/wire/answers.py
+++ b/src/cassiahitch/wire/answers.py
@@ -39,7 +39,9 @@
     return Answer(answer.body, checksum.hexdigest(), ((WEIGHTS, answer.weights_digest),))
 
 
-def answer_of(outcome: Outcome, request_id: bytes = b'', body_digest: bytes = b'') -> messages.Answer:
+def answer_of(
+    outcome: Outcome, request_id: bytes = b'', body_digest: bytes = b''
+) -> messages.Answer:
     """Return the answer that carries an outcome.
 
     :param outcome: the outcome.
--- a/src/cassiahitch/wire/cassiahitch.thrift
+++ b/src/cassiahitch/wire/cassiahitch.thrift
@@ -37,6 +37,7 @@
   15: list<string> complete_digests
   16: i32 chunks_complete
   17: i32 http_port
+  18: string plain_service
 }
 
 struct Dispatch {
--- a/src/cassiahitch/wire/connection.py
+++ b/src/cassiahitch/wire/connection.py
@@ -64,6 +64,7 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.heard_at = clock.monotonic()
         self.closed: WireError | None = None
+        self.ended = asyncio.Event()
 
     async def run(self) -> WireError:
         """Read until the connection ends.
@@ -88,6 +89,7 @@
         if self.closed is not None:
             return
         self.closed = reason
+        self.ended.set()
         self.stream.close()
         for queue in self.waiting.values():
             queue.put_nowait(reason)
--- a/src/cassiahitch/wire/gen/messages/ttypes.py
+++ b/src/cassiahitch/wire/gen/messages/ttypes.py
@@ -280,6 +280,7 @@
      - complete_digests
      - chunks_complete
      - http_port
+     - plain_service
 
     """
 
@@ -301,10 +302,11 @@
         'complete_digests',
         'chunks_complete',
         'http_port',
+        'plain_service',
     )
 
 
-    def __init__(self, incarnation=None, sequence=None, uptime_ms=None, clock_ms=None, revision=None, leaving=None, ready=None, running=None, queued=None, capacity=None, deployment=None, loaded_digest=None, loading_digest=None, load_epoch=None, complete_digests=None, chunks_complete=None, http_port=None,):
+    def __init__(self, incarnation=None, sequence=None, uptime_ms=None, clock_ms=None, revision=None, leaving=None, ready=None, running=None, queued=None, capacity=None, deployment=None, loaded_digest=None, loading_digest=None, load_epoch=None, complete_digests=None, chunks_complete=None, http_port=None, plain_service=None,):
         self.incarnation = incarnation
         self.sequence = sequence
         self.uptime_ms = uptime_ms
@@ -322,6 +324,7 @@
         self.complete_digests = complete_digests
         self.chunks_complete = chunks_complete
         self.http_port = http_port
+        self.plain_service = plain_service
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -422,6 +425,11 @@
                     self.http_port = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.STRING:
+                    self.plain_service = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -503,6 +511,10 @@
             oprot.writeFieldBegin('http_port', TType.I32, 17)
             oprot.writeI32(self.http_port)
             oprot.writeFieldEnd()
+        if self.plain_service is not None:
+            oprot.writeFieldBegin('plain_service', TType.STRING, 18)
+            oprot.writeString(self.plain_service.encode('utf-8') if sys.version_info[0] == 2 else self.plain_service)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3110,6 +3122,7 @@
     (15, TType.LIST, 'complete_digests', (TType.STRING, 'UTF8', False), None, ),  # 15
     (16, TType.I32, 'chunks_complete', None, None, ),  # 16
     (17, TType.I32, 'http_port', None, None, ),  # 17
+    (18, TType.STRING, 'plain_service', 'UTF8', None, ),  # 18
 )
 all_structs.append(Dispatch)
 Dispatch.thrift_spec = (
--- a/src/cassiahitch/wire/messages.py
+++ b/src/cassiahitch/wire/messages.py
@@ -52,6 +52,7 @@
     complete_digests: tuple[str, ...] = ()
     chunks_complete: int = 0
     http_port: int = 0
+    plain_service: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cassiahitch/wire/node.py
+++ b/src/cassiahitch/wire/node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import secrets
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -37,6 +38,7 @@
     clock: Clock = field(default_factory=SystemClock)
     incarnation: int = field(default_factory=lambda: secrets.randbits(INCARNATION_BITS))
     port: int = 0
+    background: set[asyncio.Task[None]] = field(default_factory=set)
     timeline: Timeline = field(init=False)
     metrics: Metrics = field(init=False)
 
