--- a/src/cassiahitch/codes.py
+++ b/src/cassiahitch/codes.py
@@ -56,6 +56,7 @@
     request_voided = 1110
     request_in_progress = 1111
     ledger_full = 1112
+    answer_not_kept = 1113
 
     # 2000: resources and configuration
     resource_invalid = 2000
--- /dev/null
+++ b/src/cassiahitch/ledger/claim_api.py
@@ -0,0 +1,181 @@
+"""Messages and actions of the claims of an agent.
+
+The task that carries out ``Commit``, ``ReadRow`` and ``AskOwner`` answers each of them with
+exactly one message, after a bounded time also if nothing came back.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from cassiahitch.ledger.api import Action as LedgerAction
+from cassiahitch.ledger.api import Message as LedgerMessage
+from cassiahitch.ledger.api import Outcome, State
+from cassiahitch.platform.api import Condition, Row, Write
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """A request under a key that its caller chose.
+
+    ``request_id`` is the claim's identifier and its key in the ledger; ``key`` is the key of
+    its row; ``not_after`` and ``deadline`` are in seconds of the agent's monotonic clock, and
+    ``created`` in seconds since the Unix epoch.
+    """
+
+    request_id: str
+    key: str
+    organisation: str
+    body_digest: str
+    incarnation: int
+    not_after: float
+    deadline: float
+    created: float
+
+
+@dataclass(frozen=True, slots=True)
+class BatchCommitted:
+    """A batch took effect; ``versions`` are those of its writes, in order."""
+
+    batch: int
+    versions: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class BatchConflicted:
+    """A batch was refused and wrote nothing; ``rows`` are those that differ."""
+
+    batch: int
+    rows: tuple[Row, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class BatchFailed:
+    """The store was unavailable and a batch wrote nothing."""
+
+    batch: int
+
+
+@dataclass(frozen=True, slots=True)
+class BatchUnclear:
+    """The answer to a batch was lost; it may have taken effect, or may yet."""
+
+    batch: int
+
+
+@dataclass(frozen=True, slots=True)
+class RowRead:
+    """The row of a claim's key, or nothing if there is none."""
+
+    claim_id: str
+    row: Row | None
+
+
+@dataclass(frozen=True, slots=True)
+class ReadFailed:
+    """The row of a claim's key could not be read."""
+
+    claim_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerReplied:
+    """The agent that holds the row told the state of its claim."""
+
+    claim_id: str
+    state: State
+    outcome: Outcome | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerSilent:
+    """The agent that holds the row could not be asked."""
+
+    claim_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """Time passed; sent every few milliseconds while claims are pending."""
+
+
+BatchReply = BatchCommitted | BatchConflicted | BatchFailed | BatchUnclear
+ReadReply = RowRead | ReadFailed
+OwnerReply = OwnerReplied | OwnerSilent
+ClaimMessage = Claim | BatchReply | ReadReply | OwnerReply | Tick | LedgerMessage
+
+
+@dataclass(frozen=True, slots=True)
+class Commit:
+    """Commit one transaction; answered by a batch reply with the same number."""
+
+    batch: int
+    conditions: tuple[Condition, ...]
+    writes: tuple[Write, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ReadRow:
+    """Read the row of a claim's key; answered by ``RowRead`` or ``ReadFailed``."""
+
+    claim_id: str
+    key: str
+
+
+@dataclass(frozen=True, slots=True)
+class AskOwner:
+    """Send ``Void`` with ``takeover`` to another agent.
+
+    Answered by ``OwnerReplied``, or by ``OwnerSilent`` if that agent could not be reached in
+    that incarnation.
+    """
+
+    claim_id: str
+    agent: str
+    incarnation: int
+    owner_claim_id: str
+    not_after: float
+
+
+ClaimAction = Commit | ReadRow | AskOwner | LedgerAction
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimLimits:
+    """Bounds of the claims of an agent.
+
+    :param batch_size: largest number of rows in a transaction.
+    :param interval_s: shortest time between the starts of two transactions.
+    :param retry_s: time before a failed step is tried again, at most twice that with jitter.
+    :param store_attempts: failed transactions after which a claim is refused.
+    :param clean_attempts: reads after which the row of a void claim is left to the sweep.
+    """
+
+    batch_size: int = 64
+    interval_s: float = 0.01
+    retry_s: float = 0.2
+    store_attempts: int = 3
+    clean_attempts: int = 5
+
+
+__all__ = (
+    'AskOwner',
+    'BatchCommitted',
+    'BatchConflicted',
+    'BatchFailed',
+    'BatchReply',
+    'BatchUnclear',
+    'Claim',
+    'ClaimAction',
+    'ClaimLimits',
+    'ClaimMessage',
+    'Commit',
+    'OwnerReplied',
+    'OwnerReply',
+    'OwnerSilent',
+    'ReadFailed',
+    'ReadReply',
+    'ReadRow',
+    'RowRead',
+    'Tick',
+)
--- /dev/null
+++ b/src/cassiahitch/ledger/rows.py
@@ -0,0 +1,160 @@
+"""Rows of the table service that hold claims."""
+
+from __future__ import annotations
+
+import hashlib
+from enum import StrEnum
+from typing import TYPE_CHECKING, Annotated
+
+from pydantic import Base64Bytes, BaseModel, ConfigDict, Field, ValidationError
+
+from cassiahitch.codes import Code, Ran
+from cassiahitch.errors import PlatformError
+from cassiahitch.ledger.api import Answer, Failure
+from cassiahitch.resources.models import Digest, Name
+
+if TYPE_CHECKING:
+    from cassiahitch.ledger.api import Outcome
+    from cassiahitch.platform.api import Row
+
+TABLE = 'claims'
+#: Largest answer that is kept on its row; larger ones are fetched from the agent that ran it.
+INLINE_ANSWER_BYTES = 4096
+MAX_ROW_BYTES = 16_384
+MAX_PAIRS = 16
+MAX_TEXT_LENGTH = 256
+
+Text = Annotated[str, Field(max_length=MAX_TEXT_LENGTH)]
+
+
+class RowState(StrEnum):
+    """State of a claim on its row."""
+
+    claimed = 'claimed'
+    done = 'done'
+
+
+class ClaimRow(BaseModel):
+    """The claim of one caller's key; ``not_after`` is in the clock of the agent that holds it."""
+
+    model_config = ConfigDict(extra='forbid', frozen=True, allow_inf_nan=False)
+
+    key: Digest
+    organisation: Name
+    body_digest: Digest
+    agent: Text
+    incarnation: int = Field(ge=0)
+    claim_id: Text
+    not_after: float
+    created: float
+    state: RowState = RowState.claimed
+    code: Code = Code.ok
+    ran: Ran = Ran.unknown
+    answer: Base64Bytes | None = None
+    answer_digest: Digest | None = None
+    metadata: tuple[tuple[Text, Text], ...] = Field(default=(), max_length=MAX_PAIRS)
+
+    def outcome(self) -> Outcome | None:
+        """Return the outcome that the row holds.
+
+        :return: the outcome, or nothing if it is not done or its answer is kept by its agent.
+        """
+        if self.state == RowState.claimed:
+            return None
+        if self.code != Code.ok:
+            return Failure(self.code, self.ran)
+        if self.answer is None or self.answer_digest is None:
+            return None
+        return Answer(self.answer, self.answer_digest, self.metadata)
+
+    def done(self, outcome: Outcome) -> ClaimRow:
+        """Return the row with an outcome.
+
+        :param outcome: what came of the claim.
+        :return: a new row.
+        """
+        match outcome:
+            case Answer():
+                return self.model_copy(update=answer_fields(outcome))
+            case Failure(code=code, ran=ran):
+                return self.model_copy(update={'state': RowState.done, 'code': code, 'ran': ran})
+
+    def encode(self) -> bytes:
+        """Return the content of the row.
+
+        :return: JSON.
+        """
+        return self.model_dump_json(exclude_defaults=True).encode()
+
+
+def answer_fields(answer: Answer) -> dict[str, object]:
+    """Return the fields of a row that hold an answer.
+
+    :param answer: the answer; its content is left out above the bound.
+    :return: the fields by name.
+    """
+    fits = len(answer.content) <= INLINE_ANSWER_BYTES
+    return {
+        'state': RowState.done,
+        'answer': answer.content if fits else None,
+        'answer_digest': answer.digest,
+        'metadata': answer.metadata,
+    }
+
+
+def row_key(organisation: str, caller_key: str) -> str:
+    """Return the key of a caller's claim in the table.
+
+    :param organisation: name of the organisation.
+    :param caller_key: the key that the caller chose.
+    :return: hexadecimal digest.
+    """
+    return hashlib.sha256(f'{organisation}\0{caller_key}'.encode()).hexdigest()
+
+
+def parse_row(row: Row) -> ClaimRow:
+    """Return the claim that a row holds.
+
+    :param row: the row as the table service returned it.
+    :return: the claim.
+    :raises PlatformError: ``store_row_corrupt``.
+    """
+    if len(row.content) > MAX_ROW_BYTES:
+        raise corrupt(row)
+    try:
+        claim = ClaimRow.model_validate_json(row.content)
+    except ValidationError as error:
+        raise corrupt(row) from error
+    if claim.key != row.key or not is_whole(claim):
+        raise corrupt(row)
+    return claim
+
+
+def is_whole(claim: ClaimRow) -> bool:
+    """Whether the answer on a row matches its digest.
+
+    :param claim: the claim.
+    :return: whether it does; true if there is no answer.
+    """
+    if claim.answer is None:
+        return True
+    return hashlib.sha256(claim.answer).hexdigest() == claim.answer_digest
+
+
+def corrupt(row: Row) -> PlatformError:
+    """Return the error of a row that holds no claim.
+
+    :param row: the row.
+    :return: the error.
+    """
+    return PlatformError(Code.store_row_corrupt, f'row {row.key[:MAX_TEXT_LENGTH]} holds no claim')
+
+
+__all__ = (
+    'INLINE_ANSWER_BYTES',
+    'TABLE',
+    'ClaimRow',
+    'RowState',
+    'parse_row',
+    'row_key',
+)
--- /dev/null
+++ b/tests/ledger/test_tickets.py
@@ -0,0 +1,58 @@
+"""Tests of tickets."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cassiahitch.codes import Code, Ran
+from cassiahitch.errors import RequestError
+from cassiahitch.ledger.tickets import Ticket, TicketOffice
+
+WALL = 1_800_000_000.5
+URL_SAFE = 'ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_'
+
+
+def office(*secrets: bytes) -> TicketOffice:
+    return TicketOffice(secrets or (b'secret',), 5, 60)
+
+
+def test_ticket_of_one_entry_is_verified_by_another() -> None:
+    text = office().mint('10.0.0.7', 9, WALL)
+    other = TicketOffice((b'newer', b'secret'), 6, 60)
+    assert other.verify(text, WALL) == Ticket('10.0.0.7', 9, 5, 1, 1_800_000_060)
+
+
+def test_no_two_tickets_are_alike() -> None:
+    mint = office()
+    assert len({mint.mint('host', 9, WALL) for _ in range(50)}) == 50
+
+
+def test_expired_ticket_may_have_run() -> None:
+    text = office().mint('host', 9, WALL)
+    with pytest.raises(RequestError) as caught:
+        office().verify(text, WALL + 61)
+    assert (caught.value.code, caught.value.ran) == (Code.key_expired, Ran.unknown)
+
+
+def test_ticket_of_another_secret_is_refused() -> None:
+    with pytest.raises(RequestError) as caught:
+        office(b'other').verify(office().mint('host', 9, WALL), WALL)
+    assert (caught.value.code, caught.value.ran) == (Code.ticket_invalid, Ran.no)
+
+
+@given(position=st.integers(0, 200), character=st.sampled_from(URL_SAFE))
+def test_no_second_spelling_of_a_ticket_is_accepted(position: int, character: str) -> None:
+    text = office().mint('host', 9, WALL)
+    position %= len(text)
+    changed = text[:position] + character + text[position + 1 :]
+    if changed != text:
+        with pytest.raises(RequestError, match='ticket_invalid'):
+            office().verify(changed, WALL)
+
+
+@given(st.text() | st.text(URL_SAFE, min_size=40, max_size=200))
+def test_text_that_is_no_ticket_gives_only_its_code(text: str) -> None:
+    with pytest.raises(RequestError, match='ticket_invalid'):
+        office().verify(text, WALL)
