--- /dev/null
+++ b/src/cassiahitch/agent/assembly.py
@@ -0,0 +1,89 @@
+"""Puts the parts of an agent together."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from cassiahitch.agent.backend import Backend
+from cassiahitch.agent.claims import ClaimStore
+from cassiahitch.agent.distribution import Distribution, Surroundings
+from cassiahitch.agent.executor import Executor
+from cassiahitch.agent.loading import Loader
+from cassiahitch.engine.http import HttpEngine
+from cassiahitch.ledger.claims import ClaimMachine
+from cassiahitch.ledger.ledger import Ledger
+from cassiahitch.platform.http import HttpOrigin, HttpTables
+from cassiahitch.settings.models import EngineKind
+
+if TYPE_CHECKING:
+    from cassiahitch.agent.peers import PeerPool
+    from cassiahitch.agent.staging import Staging
+    from cassiahitch.platform.caller import HttpCaller
+    from cassiahitch.settings.models import AgentSettings
+    from cassiahitch.wire.node import Node
+
+#: Requests that run at once on a backend server.
+SLOTS = 16
+#: Largest answer of a backend server, in bytes.
+MAX_ANSWER_BYTES = 4 * 1024 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class AgentParts:
+    """The parts that an agent process drives."""
+
+    executor: Executor
+    loader: Loader
+    distribution: Distribution
+
+
+def assemble(
+    node: Node,
+    settings: AgentSettings,
+    caller: HttpCaller,
+    peers: PeerPool,
+    staging: Staging,
+) -> AgentParts:
+    """Create the parts of an agent.
+
+    :param node: the process.
+    :param settings: its settings.
+    :param caller: makes HTTP calls.
+    :param peers: calls other agents.
+    :param staging: keeps chunks.
+    :return: the parts; nothing runs yet.
+    """
+    engine = HttpEngine(caller, settings.engine_url)
+    executor = _executor(node, settings, caller, peers, engine)
+    loader = Loader(node, engine, executor, staging)
+    origin = HttpOrigin(caller, settings.platform.origin_url)
+    distribution = Distribution(Surroundings(node, origin, staging, peers), loader.completed)
+    return AgentParts(executor, loader, distribution)
+
+
+def _executor(
+    node: Node,
+    settings: AgentSettings,
+    caller: HttpCaller,
+    peers: PeerPool,
+    engine: HttpEngine,
+) -> Executor:
+    plain = settings.engine_kind is EngineKind.plain
+    backend = Backend(engine, settings.timeouts.engine_s, MAX_ANSWER_BYTES, plain)
+    rng = random.Random(node.incarnation)
+    machine = ClaimMachine(settings.host, Ledger(node.incarnation), rng)
+    platform = settings.platform
+    tables = HttpTables(caller, platform.table_service_url, settings.timeouts.platform_s)
+    executor = Executor(node, machine, backend, ClaimStore(node, tables, peers), SLOTS)
+    if plain:
+        executor.admit('')
+    return executor
+
+
+__all__ = (
+    'SLOTS',
+    'AgentParts',
+    'assemble',
+)
--- a/src/cassiahitch/agent/distribution.py
+++ b/src/cassiahitch/agent/distribution.py
@@ -235,6 +235,15 @@
         """Number of verified chunks on this host."""
         return sum(len(task.stored.indexes) for task in self.fetchers.values())
 
+    def chunks_of(self, manifest: str) -> int:
+        """Return how many verified chunks of a manifest are on this host.
+
+        :param manifest: its digest.
+        :return: the number.
+        """
+        fetcher = self.fetchers.get(manifest)
+        return len(fetcher.stored.indexes) if fetcher else 0
+
     def fetch(self, order: FetchOrder) -> None:
         """Start to fetch a manifest; an order for one under way changes nothing.
 
--- a/src/cassiahitch/agent/executor.py
+++ b/src/cassiahitch/agent/executor.py
@@ -25,7 +25,7 @@
     Sweep,
     Void,
 )
-from cassiahitch.ledger.claim_api import AskOwner, Claim, Commit, ReadRow
+from cassiahitch.ledger.claim_api import AskOwner, Claim, Commit, ReadRow, Tick
 from cassiahitch.metrics.names import CounterName, LatencyName
 from cassiahitch.timeline.events import EventKind
 
@@ -42,6 +42,8 @@
 #: Seconds between sweeps of the ledger.
 SWEEP_S = 1.0
 SWEEP_LIMIT = 200
+#: Seconds between looks at claims that are due.
+TICK_S = 0.02
 #: Seconds between looks at whether everything has finished.
 FINISHED_POLL_S = 0.02
 MS_PER_S = 1000
@@ -118,6 +120,7 @@
             for _ in range(self.slots):
                 group.create_task(self._work_slot())
             group.create_task(self._sweep())
+            group.create_task(self._tick())
 
     async def run(
         self,
@@ -277,6 +280,11 @@
             await asyncio.sleep(SWEEP_S)
             self.handle(Sweep(SWEEP_LIMIT))
 
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            self.handle(Tick())
+
 
 def _ignore_part(_part: bytes) -> None:
     """Drop a part that nobody waits for."""
--- a/src/cassiahitch/agent/loading.py
+++ b/src/cassiahitch/agent/loading.py
@@ -126,11 +126,11 @@
 
     def _handle(self, message: guard.GuardMessage) -> list[guard.RefuseOrder]:
         actions = self.guard.handle(message, self.node.clock.monotonic())
+        if guard.StopAdmitting() in actions:
+            self.executor.admitting = False
         for action in actions:
-            if isinstance(action, guard.StopAdmitting):
-                self.executor.admitting = False
             self.actions.put_nowait(action)
-        return [action for action in actions if isinstance(action, guard.RefuseOrder)]
+        return [refusal for refusal in actions if isinstance(refusal, guard.RefuseOrder)]
 
     async def _perform(self, action: guard.GuardAction) -> None:
         match action:
--- a/src/cassiahitch/agent/process.py
+++ b/src/cassiahitch/agent/process.py
@@ -3,32 +3,22 @@
 from __future__ import annotations
 
 import asyncio
-import random
-from contextlib import AsyncExitStack, suppress
+from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING
 
-from cassiahitch.agent.backend import Backend
-from cassiahitch.agent.claims import ClaimStore
-from cassiahitch.agent.dialer import Dialer
-from cassiahitch.agent.distribution import Distribution, Surroundings
-from cassiahitch.agent.executor import Executor
-from cassiahitch.agent.loading import Loader
+from cassiahitch.agent.assembly import SLOTS, assemble
 from cassiahitch.agent.peers import PeerPool
 from cassiahitch.agent.staging import Staging
 from cassiahitch.codes import Code
 from cassiahitch.controllers.configuration import Configuration
-from cassiahitch.engine.http import HttpEngine
 from cassiahitch.errors import CassiahitchError, WireError
-from cassiahitch.ledger.claims import ClaimMachine
-from cassiahitch.ledger.ledger import Ledger
 from cassiahitch.metrics.names import CounterName
 from cassiahitch.platform.caller import HttpCaller
-from cassiahitch.platform.http import HttpOrigin, HttpTables
-from cassiahitch.settings.models import EngineKind
 from cassiahitch.timeline.events import EventKind
 from cassiahitch.wire import messages
 from cassiahitch.wire.answers import answer_of, ledger_state
-from cassiahitch.wire.configuration import from_update
+from cassiahitch.wire.configuration import decode_update
+from cassiahitch.wire.dialer import Dialer
 from cassiahitch.wire.endpoint import Endpoint
 from cassiahitch.wire.node import MS_PER_S, Node
 
@@ -39,11 +29,6 @@
     from cassiahitch.wire.api import Reply
     from cassiahitch.wire.connection import Connection
 
-#: Requests that run at once on a backend server.
-SLOTS = 16
-#: Largest answer of a backend server, in bytes.
-MAX_ANSWER_BYTES = 4 * 1024 * 1024
-
 
 class AgentProcess:
     """Wires the parts of an agent; owns all of them through one exit stack."""
@@ -73,30 +58,14 @@
         self.staging = Staging(settings.staging_path, settings.staging_bytes)
         self.stack.callback(self.staging.close)
         self.dialer = Dialer(self.endpoint, self.node.incarnation)
-        self.peers = PeerPool(self.endpoint, self.dialer.live)
-        self._build(caller)
+        peers = PeerPool(self.endpoint, self.dialer.live)
+        parts = assemble(self.node, settings, caller, peers, self.staging)
+        self.executor = parts.executor
+        self.loader = parts.loader
+        self.distribution = parts.distribution
         self._start_tasks()
         self.node.timeline.record(EventKind.process_started)
 
-    def _build(self, caller: HttpCaller) -> None:
-        settings = self.settings
-        platform = settings.platform
-        plain = settings.engine_kind is EngineKind.plain
-        engine = HttpEngine(caller, settings.engine_url)
-        backend = Backend(engine, settings.timeouts.engine_s, MAX_ANSWER_BYTES, plain)
-        ledger = Ledger(self.node.incarnation)
-        rng = random.Random(self.node.incarnation)
-        machine = ClaimMachine(settings.host, ledger, rng)
-        tables = HttpTables(caller, platform.table_service_url, settings.timeouts.platform_s)
-        store = ClaimStore(self.node, tables, self.peers)
-        self.executor = Executor(self.node, machine, backend, store, SLOTS)
-        self.loader = Loader(self.node, engine, self.executor, self.staging)
-        origin = HttpOrigin(caller, platform.origin_url)
-        surroundings = Surroundings(self.node, origin, self.staging, self.peers)
-        self.distribution = Distribution(surroundings, self.loader.completed)
-        if plain:
-            self.executor.admit('')
-
     def _start_tasks(self) -> None:
         works = (
             self.dialer.work(self.settings.entries),
@@ -113,9 +82,7 @@
         self.leaving = True
         self.executor.accepting = False
         self.node.timeline.record(EventKind.process_leaving)
-        for connection in tuple(self.endpoint.connections):
-            with suppress(WireError):
-                await connection.send(self.heartbeat())
+        await self.endpoint.announce()
         await self.executor.finished()
         await self.stack.aclose()
         self.node.timeline.record(EventKind.process_stopped)
@@ -211,11 +178,14 @@
                 await self.executor.cancel(request_id.hex())
             case messages.ConfigurationUpdate():
                 self._configure(message)
-            case messages.ChunkRequest():
-                await reply(await self.distribution.serve(message))
             case _:
-                self._take_order(message)
-                await reply(messages.OrderReply(Code.ok))
+                await reply(await self._serve(message))
+
+    async def _serve(self, message: messages.Message) -> messages.Message:
+        if isinstance(message, messages.ChunkRequest):
+            return await self.distribution.serve(message)
+        self._take_order(message)
+        return messages.OrderReply(Code.ok)
 
     def _note_heartbeat(self, connection: Connection) -> None:
         self.distribution.heard(connection.peer.host)
@@ -242,7 +212,7 @@
     def _configure(self, update: messages.ConfigurationUpdate) -> None:
         now = self.node.clock.monotonic()
         before = self.configuration.revision
-        self.configuration.apply(from_update(update), now)
+        self.configuration.apply(decode_update(update), now)
         if self.configuration.revision > before:
             self.node.metrics.count(CounterName.revisions_applied)
             detail = f'revision {self.configuration.revision}'
--- a/src/cassiahitch/cli/commands.py
+++ b/src/cassiahitch/cli/commands.py
@@ -4,13 +4,7 @@
 
 import defopt
 
-
-def local() -> int:
-    """Roll out a model over loopback while callers are served.
-
-    :return: the exit code of the process.
-    """
-    return 0
+from cassiahitch.cli.roles import local
 
 
 def main(arguments: list[str] | None = None) -> int:
--- a/src/cassiahitch/entry/callers.py
+++ b/src/cassiahitch/entry/callers.py
@@ -46,7 +46,7 @@
     tickets: TicketOffice
     router: Router
     is_leaving: Callable[[], bool]
-    running: set[asyncio.Task[Answered]] = field(default_factory=set)
+    running: dict[int, asyncio.Future[Answered]] = field(default_factory=dict)
 
 
 class CallerHandler(RequestHandler):
@@ -87,9 +87,6 @@
         ran = Ran.no if code is Code.bad_request else Ran.unknown
         self.finish(error_document(RequestError(code, self._reason, ran)))
 
-    def log_exception(self, *details: Any) -> None:
-        """Count a failure; the time line and the answer tell the rest."""
-
 
 class MissingHandler(CallerHandler):
     """Answers for a path that does not exist."""
@@ -136,8 +133,6 @@
 class RequestsHandler(CallerHandler):
     """Runs requests, unary or as a stream of events."""
 
-    task: asyncio.Task[Answered] | None = None
-
     async def post(self, service: str) -> None:
         """Run a request.
 
@@ -155,8 +150,9 @@
 
     def on_connection_close(self) -> None:
         """Cancel the request of a caller that has left."""
-        if self.task is not None:
-            self.task.cancel()
+        task = self.service.running.get(id(self))
+        if task is not None:
+            task.cancel()
 
     def _parse(self, service: str) -> Request:
         if self.service.is_leaving():
@@ -177,10 +173,11 @@
 
     async def _run(self, request: Request) -> Answered:
         self.set_header('X-Request-Id', request.id)
-        self.task = asyncio.ensure_future(self.service.chain(request))
-        self.service.running.add(self.task)
-        self.task.add_done_callback(self.service.running.discard)
-        return await self.task
+        running = self.service.running
+        task = asyncio.ensure_future(self.service.chain(request))
+        running[id(self)] = task
+        task.add_done_callback(lambda _: running.pop(id(self)))
+        return await task
 
     def _finish_request(self, request: Request, answer: Answered) -> None:
         end = {
--- a/src/cassiahitch/entry/directory.py
+++ b/src/cassiahitch/entry/directory.py
@@ -10,16 +10,14 @@
 from cassiahitch.members.membership import Heartbeat, Load, Membership, Place, Role, Weights
 from cassiahitch.resources.models import Deployment
 from cassiahitch.routing.api import LoadReport, Replica
-from cassiahitch.wire.messages import PeerAddress
+from cassiahitch.wire import messages
 from cassiahitch.wire.node import MS_PER_S
 
 if TYPE_CHECKING:
     from cassiahitch.controllers.configuration import Configuration
     from cassiahitch.members.membership import MembershipAction
     from cassiahitch.routing.router import Router
-    from cassiahitch.wire import messages
     from cassiahitch.wire.connection import Connection
-    from cassiahitch.wire.messages import Message
     from cassiahitch.wire.node import Node
 
 
@@ -105,7 +103,7 @@
         deployment = self.configuration.resources.get(f'Deployment/{beat.deployment}')
         return deployment.service if isinstance(deployment, Deployment) else ''
 
-    def locate(self, host: str) -> PeerAddress:
+    def locate(self, host: str) -> messages.PeerAddress:
         """Return where a host accepts connections.
 
         :param host: the host.
@@ -116,9 +114,11 @@
         if agent is None:
             raise WireError(Code.host_unknown, f'{host} was not heard')
         peer = agent.connection.peer
-        return PeerAddress(host, peer.address, peer.port, peer.incarnation)
+        return messages.PeerAddress(host, peer.address, peer.port, peer.incarnation)
 
-    async def call(self, host: str, incarnation: int, message: Message) -> Message:
+    async def call(
+        self, host: str, incarnation: int, message: messages.Message
+    ) -> messages.Message:
         """Send a message to an agent and wait for its reply.
 
         :param host: its host.
--- a/src/cassiahitch/entry/process.py
+++ b/src/cassiahitch/entry/process.py
@@ -9,43 +9,30 @@
 from typing import TYPE_CHECKING
 
 from tornado.httpserver import HTTPServer
-from tornado.web import Application
 
-from cassiahitch.agent.dialer import Dialer
 from cassiahitch.codes import Code
 from cassiahitch.controllers.configuration import Configuration
-from cassiahitch.controllers.store import ConfigurationStore
-from cassiahitch.entry import callers, operators
+from cassiahitch.entry.assembly import EntryCore, assemble
 from cassiahitch.entry.directory import Directory
-from cassiahitch.entry.leadership import Leadership
-from cassiahitch.entry.rollouts import Rollouts
-from cassiahitch.entry.synchronisation import Synchroniser, save_snapshots
+from cassiahitch.entry.synchronisation import save_snapshots
 from cassiahitch.errors import PlatformError, WireError
-from cassiahitch.ledger.tickets import TicketOffice
-from cassiahitch.limits.retries import RetryBudget
 from cassiahitch.platform.caller import HttpCaller
-from cassiahitch.platform.http import HttpHosts, HttpObjects, HttpTables
-from cassiahitch.requests.chain import build_chain
-from cassiahitch.requests.dispatch import Dispatching
-from cassiahitch.requests.identification import Identification
-from cassiahitch.requests.recording import Recording
-from cassiahitch.requests.validation import Validation
 from cassiahitch.routing.addresses import AddressBook, EntryState
 from cassiahitch.routing.router import Router
 from cassiahitch.timeline.events import EventKind
 from cassiahitch.wire import messages
-from cassiahitch.wire.configuration import from_update
+from cassiahitch.wire.configuration import decode_update
+from cassiahitch.wire.dialer import Dialer
 from cassiahitch.wire.endpoint import Endpoint
 from cassiahitch.wire.node import MS_PER_S, Node
 
 if TYPE_CHECKING:
     from cassiahitch.clock import Clock
+    from cassiahitch.controllers.configuration import InForce
     from cassiahitch.settings.models import EntrySettings
     from cassiahitch.wire.api import Reply
     from cassiahitch.wire.connection import Connection
 
-#: Seconds for which a ticket holds.
-TICKET_LIFETIME_S = 600
 #: Seconds between looks at the host list.
 HOST_LIST_POLL_S = 1.0
 #: Seconds between looks at silent members.
@@ -85,65 +72,37 @@
         self.endpoint = Endpoint(self.node.endpoint_settings, self, self.node.clock)
         self.stack.push_async_callback(self.endpoint.close)
         self.node.port = self.endpoint.bind_port(self.settings.address, self.settings.port)
-        self._build(caller)
+        self.dialer = Dialer(self.endpoint, self.node.incarnation)
+        self.parts = assemble(self._core(), caller)
+        self.parts.synchroniser.listeners.append(self._push_configuration)
         self._serve_http()
         self._start_tasks()
         self.node.timeline.record(EventKind.process_started)
 
-    def _build(self, caller: HttpCaller) -> None:
-        platform = self.settings.platform
-        timeout_s = self.settings.timeouts.platform_s
-        tables = HttpTables(caller, platform.table_service_url, timeout_s)
-        objects = HttpObjects(caller, platform.object_store_url)
-        self.hosts = HttpHosts(caller, platform.host_list_url)
-        self.store = ConfigurationStore(tables)
-        self.synchroniser = Synchroniser(
+    def _core(self) -> EntryCore:
+        return EntryCore(
             self.node,
-            self.configuration,
-            self.store,
-            objects,
-            lambda: tuple(self.entries.values()),
+            self.settings,
+            self.directory,
+            self.addresses,
+            self,
+            self._live_entries,
+            self._is_closing,
         )
-        self.synchroniser.listeners.append(lambda _: self._push_configuration())
-        self.rollouts = Rollouts(self.node, self.configuration, self.directory, tables)
-        self.leadership = Leadership(self.node, tables, self.rollouts.begin_term)
-        self.dialer = Dialer(self.endpoint, self.node.incarnation)
-        key = self.settings.system_key.get_secret_value()
-        self.tickets = TicketOffice((key,), self.node.incarnation, TICKET_LIFETIME_S)
+
+    def _live_entries(self) -> tuple[Connection, ...]:
+        return tuple(self.entries.values())
+
+    def _is_closing(self) -> bool:
+        return self.closing
 
     def _serve_http(self) -> None:
-        identification = Identification(self.configuration)
         sizes = self.settings.sizes
-        clock = self.node.clock
-        chain = build_chain(
-            (
-                Recording(self.node),
-                identification,
-                Validation(self.configuration, clock, sizes.max_body_bytes),
-                Dispatching(
-                    self.node,
-                    self.directory,
-                    self.router,
-                    self,
-                    self.tickets,
-                    RetryBudget(),
-                ),
-            ),
-        )
-        self.caller_service = callers.CallerService(
-            self.node,
-            chain,
-            identification,
-            self.addresses,
-            self.tickets,
-            self.router,
-            lambda: self.closing,
-        )
         own = socket.create_server((self.settings.address, self.settings.http_port), backlog=1024)
         own.setblocking(False)  # noqa: WPS425 the only argument of the call
         self.http_port = int(own.getsockname()[1])
         server = HTTPServer(
-            self._application(),
+            self.parts.application,
             max_body_size=sizes.max_body_bytes,
             max_header_size=sizes.max_header_bytes,
         )
@@ -151,41 +110,13 @@
         self.stack.push_async_callback(server.close_all_connections)
         self.stack.callback(server.stop)
 
-    def _application(self) -> Application:
-        service = {'service': self.caller_service}
-        operator = {
-            'operators': operators.OperatorService(
-                self.node,
-                self.store,
-                self.synchroniser,
-                self.directory,
-                frozenset(self.settings.operator_token_digests),
-            ),
-        }
-        return Application(
-            [
-                ('/v1/addresses', callers.AddressHandler, service),
-                ('/v1/tickets', callers.TicketHandler, service),
-                (r'/v1/services/([^/]+)/requests', callers.RequestsHandler, service),
-                (r'/v1/resources/(\w+)/([^/]+)', operators.ResourceHandler, operator),
-                (r'/v1/resources/(\w+)', operators.ListHandler, operator),
-                (r'/v1/watch/(\w+)', operators.WatchHandler, operator),
-                ('/v1/status', operators.StatusHandler, operator),
-                ('/v1/timeline', operators.TimelineHandler, operator),
-                ('/v1/metrics', operators.MetricsHandler, operator),
-            ],
-            default_handler_class=callers.MissingHandler,
-            default_handler_args=service,
-            log_function=lambda _: None,
-        )
-
     def _start_tasks(self) -> None:
         works = (
-            self.synchroniser.work(),
-            self.leadership.work(),
-            self.rollouts.work(self.leadership),
+            self.parts.synchroniser.work(),
+            self.parts.leadership.work(),
+            self.parts.rollouts.work(self.parts.leadership),
             self.dialer.work(self.settings.entries),
-            save_snapshots(self.synchroniser, SNAPSHOT_INTERVAL_S),
+            save_snapshots(self.parts.synchroniser, SNAPSHOT_INTERVAL_S),
             self._poll_hosts(),
             self._poll_members(),
         )
@@ -201,16 +132,12 @@
         self.leaving = True
         self.node.timeline.record(EventKind.process_leaving)
         self._note_self()
-        for connection in tuple(self.endpoint.connections):
-            with suppress(WireError):
-                await connection.send(self.heartbeat())
-        await self.leadership.resign()
+        await self.endpoint.announce()
+        await self.parts.leadership.resign()
         await asyncio.sleep(grace_s)
         self.closing = True
-        running = tuple(self.caller_service.running)
-        if running:
-            await asyncio.wait(running)
-        await asyncio.sleep(0)
+        while self.parts.caller_service.running:
+            await asyncio.wait(self.parts.caller_service.running.values())
         await self.stack.aclose()
         self.node.timeline.record(EventKind.process_stopped)
 
@@ -311,18 +238,23 @@
                 await self._update_agent(connection, message.revision)
             case messages.Heartbeat():
                 self._hear_entry(connection, message)
-            case messages.ConfigurationPull(after_revision=revision):
-                await reply(self.synchroniser.update_for(revision))
             case messages.ConfigurationUpdate():
-                self.synchroniser.apply(from_update(message))
+                self.parts.synchroniser.apply(decode_update(message))
+            case _:
+                await reply(self._answer(message))
+
+    def _answer(self, message: messages.Message) -> messages.Message:
+        match message:
+            case messages.ConfigurationPull(after_revision=revision):
+                return self.parts.synchroniser.update_for(revision)
             case messages.Locate(host=host):
-                await reply(self.directory.locate(host))
+                return self.directory.locate(host)
             case _:
                 raise WireError(Code.message_unknown, type(message).__name__)
 
     async def _update_agent(self, connection: Connection, revision: int) -> None:
         if self.configuration.ready and revision < self.configuration.revision:
-            await connection.send(self.synchroniser.update_for(revision))
+            await connection.send(self.parts.synchroniser.update_for(revision))
 
     def _hear_entry(self, connection: Connection, beat: messages.Heartbeat) -> None:
         peer = connection.peer
@@ -350,7 +282,7 @@
         )
         self.addresses.update(state, self.node.clock.monotonic())
 
-    def _push_configuration(self) -> None:
+    def _push_configuration(self, _in_force: InForce) -> None:
         self.directory.refresh()
         for agent in tuple(self.directory.agents.values()):
             task = asyncio.create_task(
@@ -361,12 +293,12 @@
 
     async def _push(self, connection: Connection, revision: int) -> None:
         with suppress(WireError):
-            await connection.send(self.synchroniser.update_for(revision))
+            await connection.send(self.parts.synchroniser.update_for(revision))
 
     async def _poll_hosts(self) -> None:
         while True:
             with suppress(PlatformError):
-                listed = await self.hosts.hosts()
+                listed = await self.parts.hosts.hosts()
                 now = self.node.clock.monotonic()
                 self.directory.act(self.directory.membership.listed(listed, now))
             await asyncio.sleep(HOST_LIST_POLL_S * self.rng.uniform(1 / 2, 1))
--- a/src/cassiahitch/entry/synchronisation.py
+++ b/src/cassiahitch/entry/synchronisation.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 from cassiahitch.codes import Code
@@ -12,7 +13,7 @@
 from cassiahitch.errors import CassiahitchError, PlatformError
 from cassiahitch.metrics.names import CounterName, GaugeName
 from cassiahitch.timeline.events import EventKind
-from cassiahitch.wire.configuration import from_update, to_update
+from cassiahitch.wire.configuration import decode_update, encode_update
 from cassiahitch.wire.messages import ConfigurationPull, ConfigurationUpdate
 
 if TYPE_CHECKING:
@@ -103,7 +104,7 @@
         :param revision: its revision.
         :return: the message.
         """
-        return to_update(self.configuration.delta_since(revision, UPDATE_BYTES))
+        return encode_update(self.configuration.delta_since(revision, UPDATE_BYTES))
 
     async def save_snapshot(self) -> None:
         """Store a snapshot for entries that start in an outage."""
@@ -131,20 +132,16 @@
 
     async def _pull_elsewhere(self) -> None:
         for peer in tuple(self.peers()):
-            try:
+            with suppress(CassiahitchError):
                 reply = await peer.call(ConfigurationPull(self._known_revision()))
                 if isinstance(reply, ConfigurationUpdate):
-                    self.apply(from_update(reply))
-            except CassiahitchError:
-                continue
+                    self.apply(decode_update(reply))
         if not self.configuration.ready:
             await self._pull_snapshot()
 
     async def _pull_snapshot(self) -> None:
-        try:
+        with suppress(CassiahitchError):
             self.apply(decode_snapshot(await self.objects.get(SNAPSHOT_KEY)))
-        except CassiahitchError:
-            return
 
     def _known_revision(self) -> int:
         return self.configuration.revision if self.configuration.ready else -1
@@ -175,10 +172,8 @@
     """
     while True:
         await asyncio.sleep(interval_s)
-        try:
+        with suppress(PlatformError):
             await synchroniser.save_snapshot()
-        except PlatformError:
-            continue
 
 
 __all__ = (
--- a/src/cassiahitch/platform/caller.py
+++ b/src/cassiahitch/platform/caller.py
@@ -11,6 +11,7 @@
 import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
 from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
+from tornado.httputil import HTTPHeaders
 
 from cassiahitch.codes import Code
 from cassiahitch.errors import PlatformError
@@ -23,7 +24,6 @@
 #: Largest answer to a call, in bytes.
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 
-HTTP_SERVER_ERRORS = 500
 _NOT_SENT = frozenset((pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST))
 
 
@@ -36,6 +36,7 @@
     body: bytes | None = None
     timeout_s: float = 5
     repeatable: bool = True
+    headers: tuple[tuple[str, str], ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,12 +86,21 @@
     return not (isinstance(error, CurlError) and error.errno in _NOT_SENT)
 
 
+class _CurlClient(CurlAsyncHTTPClient):
+    """Ignores the timer that libcurl may have set before the client was closed."""
+
+    def _handle_timeout(self) -> None:
+        if self._multi is not None:
+            super()._handle_timeout()
+
+
 class HttpCaller:
     """Owns a curl client; an asynchronous context manager."""
 
     def __init__(self) -> None:
         """Create the caller within a running event loop."""
-        self.client = CurlAsyncHTTPClient(force_instance=True, max_clients=MAX_CLIENTS)
+        self.client = _CurlClient(force_instance=True, max_clients=MAX_CLIENTS)
+        self.closed = False
 
     async def __aenter__(self) -> HttpCaller:
         """Return the caller."""
@@ -103,6 +113,7 @@
         traceback: TracebackType | None,
     ) -> None:
         """Close the client."""
+        self.closed = True
         self.client.close()
 
     async def call(self, call: Call) -> Reply:
@@ -112,6 +123,8 @@
         :return: the answer, whatever its status.
         :raises CallFailed: without an answer.
         """
+        if self.closed:
+            raise CallFailed('the client is closed', sent=False)
         try:
             answer = await self.client.fetch(self._request(call), raise_error=False)
             return _reply(answer)
@@ -141,6 +154,7 @@
         return HTTPRequest(
             call.url,
             method=call.method,
+            headers=HTTPHeaders(dict(call.headers)),
             body=call.body,
             allow_nonstandard_methods=True,
             follow_redirects=False,
@@ -164,7 +178,6 @@
 
 
 __all__ = (
-    'HTTP_SERVER_ERRORS',
     'Call',
     'CallFailed',
     'HttpCaller',
--- a/src/cassiahitch/platform/http.py
+++ b/src/cassiahitch/platform/http.py
@@ -18,7 +18,7 @@
     Row,
     Write,
 )
-from cassiahitch.platform.caller import HTTP_SERVER_ERRORS, Call, CallFailed, HttpCaller, Reply
+from cassiahitch.platform.caller import Call, CallFailed, HttpCaller, Reply
 from cassiahitch.platform.rows import (
     ConditionModel,
     OutcomeModel,
@@ -30,6 +30,7 @@
 
 HTTP_NOT_FOUND = 404
 HTTP_OK = 200
+HTTP_UNAVAILABLE = 503
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,9 +101,12 @@
         except CallFailed as error:
             code = Code.store_outcome_unknown if error.sent else Code.store_unavailable
             raise PlatformError(code, str(error)) from error
-        if reply.status >= HTTP_SERVER_ERRORS:
-            raise PlatformError(Code.store_unavailable, f'status {reply.status}')
-        return reply
+        if reply.status == HTTP_OK:
+            return reply
+        # Only 503 says that the transaction was not begun.
+        refused = reply.status == HTTP_UNAVAILABLE
+        code = Code.store_unavailable if refused else Code.store_outcome_unknown
+        raise PlatformError(code, f'status {reply.status}')
 
     async def _rows(self, operation: str, query: dict[str, str | int]) -> tuple[Row, ...]:
         body = json.dumps(query).encode()
--- a/src/cassiahitch/requests/attempts.py
+++ b/src/cassiahitch/requests/attempts.py
@@ -115,7 +115,7 @@
             incarnation=target.incarnation,
             not_after_ms=deadline_ms,
             organisation=request.organisation,
-            service=request.service,
+            service_name=request.service,
             body_digest=request.body_digest,
             body=request.body,
             priority=PRIORITIES.index(request.priority.value),
@@ -133,16 +133,14 @@
     ) -> AttemptEnd:
         async with aclosing(connection.stream_call(dispatch)) as replies:
             async for reply in replies:
-                match reply:
-                    case messages.AnswerPart():
-                        self._take_part(reply)
-                    case messages.Answer():
-                        return self._take_answer(reply)
-                    case _:
-                        break
-        raise WireError(Code.message_unknown, 'an answer was expected')
-
-    def _take_part(self, part: messages.AnswerPart) -> None:
+                if isinstance(reply, messages.Answer):
+                    return self._take_answer(reply)
+                self._take_part(reply)
+        raise WireError(Code.connection_closed, 'no answer')
+
+    def _take_part(self, part: messages.Message) -> None:
+        if not isinstance(part, messages.AnswerPart):
+            raise WireError(Code.message_unknown, 'an answer was expected')
         if part.request_id != self.request_id:
             raise WireError(Code.answer_corrupt, 'a part of another answer')
         self.streamed += part.body
--- a/src/cassiahitch/requests/chain.py
+++ b/src/cassiahitch/requests/chain.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from functools import partial
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from cassiahitch.codes import Code, Ran
@@ -12,7 +12,28 @@
     from cassiahitch.requests.api import Answered, Filter, Proceed, Request
 
 
-async def _end(request: Request) -> Answered:
+@dataclass(frozen=True, slots=True)
+class Step:
+    """A filter and the rest of the chain behind it."""
+
+    filter: Filter
+    proceed: Proceed
+
+    async def __call__(self, request: Request) -> Answered:
+        """Pass a request through the filter.
+
+        :param request: the request.
+        :return: the answer.
+        """
+        return await self.filter.handle(request, self.proceed)
+
+
+async def refuse_unanswered(request: Request) -> Answered:
+    """Refuse a request that no filter answered.
+
+    :param request: the request.
+    :raises RequestError: ``internal``.
+    """
     raise RequestError(Code.internal, f'no filter answered {request.id}', Ran.no)
 
 
@@ -22,10 +43,13 @@
     :param filters: the first one sees a request first.
     :return: passes a request through all of them.
     """
-    proceed: Proceed = _end
+    proceed: Proceed = refuse_unanswered
     for step in reversed(filters):
-        proceed = partial(step.handle, proceed=proceed)
+        proceed = Step(step, proceed)
     return proceed
 
 
-__all__ = ('build_chain',)
+__all__ = (
+    'Step',
+    'build_chain',
+)
--- a/src/cassiahitch/requests/dispatch.py
+++ b/src/cassiahitch/requests/dispatch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import hashlib
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -75,9 +76,9 @@
             choice = self._choose(request, sends)
             ended = await self._send(request, self._target(request, choice, sends), sends)
             match ended.outcome:
-                case Answer():
+                case Answer() as answer:
                     self.budget.succeeded()
-                    return _answered(ended)
+                    return _answered(answer, replayed=ended.replayed)
                 case Failure() as failure:
                     self._check_retry(request, failure, sends)
 
@@ -110,14 +111,18 @@
         self.router.dispatched(target.host)
         self.node.metrics.count(CounterName.requests_dispatched)
         started = self.node.clock.monotonic()
-        ended = AttemptEnd(Failure(Code.internal, Ran.unknown))
         try:
             ended = await attempt.run(target)
-        finally:  # noqa: WPS501 the router must count the end of every dispatch
-            now = self.node.clock.monotonic()
-            self.router.finished(target.host, _routing_outcome(ended), now - started, now)
+        except asyncio.CancelledError:
+            self._finished(target.host, Outcome.cancelled, started)
+            raise
+        self._finished(target.host, _routing_outcome(ended), started)
         return ended
 
+    def _finished(self, host: str, outcome: Outcome, started: float) -> None:
+        now = self.node.clock.monotonic()
+        self.router.finished(host, outcome, now - started, now)
+
     async def _run_ticket(self, request: Request) -> Answered:
         wall = self.node.clock.wall()
         ticket = self.tickets.verify(request.ticket, wall)
@@ -128,8 +133,8 @@
             raise RequestError(Code.ticket_owner_gone, detail, Ran.unknown)
         ended = await self._send(request, target, Sends())
         match ended.outcome:
-            case Answer():
-                return _answered(ended)
+            case Answer() as answer:
+                return _answered(answer, replayed=ended.replayed)
             case Failure(code=code, ran=Ran.no) if code not in UNSENT_CODES:
                 detail = f'{code.name}; the ticket runs nowhere any more'
                 raise RequestError(Code.ticket_voided, detail, Ran.no, retries.RETRY_AFTER_S)
@@ -173,11 +178,9 @@
     return RequestError(failure.code, detail, failure.ran, retry_after_s)
 
 
-def _answered(ended: AttemptEnd) -> Answered:
-    answer = ended.outcome
-    assert isinstance(answer, Answer)  # noqa: S101 checked by the caller
+def _answered(answer: Answer, *, replayed: bool) -> Answered:
     weights = dict(answer.metadata).get(WEIGHTS, '')
-    return Answered(answer.content, answer.digest, weights, ended.replayed)
+    return Answered(answer.content, answer.digest, weights, replayed)
 
 
 def _routing_outcome(ended: AttemptEnd) -> Outcome:
--- a/src/cassiahitch/requests/validation.py
+++ b/src/cassiahitch/requests/validation.py
@@ -51,15 +51,19 @@
     def _check_form(self, request: Request) -> None:
         if request.timeout_s is not None and not request.timeout_s > 0:
             raise RequestError(Code.deadline_exceeded, 'the deadline has passed', Ran.no)
-        if request.ticket and request.idempotency_key:
-            raise RequestError(Code.bad_request, 'both a ticket and a key', Ran.no)
-        key = request.idempotency_key
-        if key and not IDEMPOTENCY_KEY.fullmatch(key):
-            raise RequestError(Code.bad_request, 'the key is not 1 to 200 ASCII letters', Ran.no)
+        _check_keys(request)
         try:
             request.body.decode()
         except UnicodeDecodeError as error:
             raise RequestError(Code.bad_request, 'the body is not UTF-8', Ran.no) from error
 
 
+def _check_keys(request: Request) -> None:
+    if request.ticket and request.idempotency_key:
+        raise RequestError(Code.bad_request, 'both a ticket and a key', Ran.no)
+    key = request.idempotency_key
+    if key and not IDEMPOTENCY_KEY.fullmatch(key):
+        raise RequestError(Code.bad_request, 'the key is not 1 to 200 ASCII letters', Ran.no)
+
+
 __all__ = ('Validation',)
--- a/src/cassiahitch/standins/platform.py
+++ b/src/cassiahitch/standins/platform.py
@@ -5,6 +5,7 @@
 import json
 from dataclasses import asdict, dataclass, field
 
+from cassiahitch.codes import Code
 from cassiahitch.errors import PlatformError
 from cassiahitch.platform.api import Conflicted, HostRecord, TableService
 from cassiahitch.platform.rows import OutcomeModel, RowModel, RowsModel, TransactionModel
@@ -27,10 +28,16 @@
         try:
             answer = await self._run(operation)
         except PlatformError as error:
-            self.set_status(HTTP_UNAVAILABLE, error.code.name)
+            self._fail(error)
             return
         self.write(answer)
 
+    def _fail(self, error: PlatformError) -> None:
+        if error.code is Code.store_outcome_unknown:
+            self.detach().close()
+            return
+        self.set_status(HTTP_UNAVAILABLE, error.code.name)
+
     async def _run(self, operation: str) -> str:
         if operation == 'commit':
             return await self._commit()
--- /dev/null
+++ b/src/cassiahitch/standins/scenario.py
@@ -0,0 +1,255 @@
+"""The main job on a local site: a rollout while callers are served."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import json
+import random
+import secrets
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+from cassiahitch.codes import Code
+from cassiahitch.errors import CassiahitchError
+from cassiahitch.platform.caller import Call, HttpCaller
+from cassiahitch.standins.engines import draft
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cassiahitch.standins.site import Site
+    from cassiahitch.weights.manifest import Manifest
+
+WEIGHT_BYTES = 2_000_000
+CHUNK_BYTES = 65_536
+CALLERS = 4
+#: Seconds between the requests of a caller.
+PAUSE_S = 0.02
+#: Seconds after which a rollout counts as stuck.
+ROLLOUT_TIMEOUT_S = 60
+POLL_S = 0.1
+HTTP_OK = 200
+SERVICE = 'draft'
+SEQUENCE = 'invoice-number'
+
+
+@dataclass(slots=True)
+class Tally:
+    """What the callers saw."""
+
+    correct: int = 0
+    wrong: int = 0
+    failures: Counter[str] = field(default_factory=Counter)
+    digests: Counter[str] = field(default_factory=Counter)
+    numbers: list[int] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class Progress:
+    """State of a rollout: replicas that serve its version, and chunks on their hosts."""
+
+    version: str
+    serving: int
+    replicas: int
+    chunks: int
+    answers: int
+
+
+class Operator:
+    """Calls the operators' API of an entry."""
+
+    def __init__(self, caller: HttpCaller, url: str, token: str) -> None:
+        """Create a client.
+
+        :param caller: makes the calls.
+        :param url: where the entry serves HTTP.
+        :param token: the operator's token.
+        """
+        self.caller = caller
+        self.url = url
+        self.token = token
+
+    async def create(self, resource: dict[str, Any]) -> int:
+        """Create a resource.
+
+        :param resource: the resource.
+        :return: the revision.
+        """
+        return await self._put(resource, ('If-None-Match', '*'))
+
+    async def replace(self, resource: dict[str, Any], revision: int) -> int:
+        """Replace a resource.
+
+        :param resource: the new one.
+        :param revision: that of the old one.
+        :return: the new revision.
+        """
+        return await self._put(resource, ('If-Match', str(revision)))
+
+    async def status(self) -> dict[str, Any]:
+        """Return the status of all nodes.
+
+        :return: the JSON document.
+        """
+        return await self._call('GET', '/v1/status', None, ())
+
+    async def _put(self, resource: dict[str, Any], header: tuple[str, str]) -> int:
+        path = f'/v1/resources/{resource["kind"]}/{resource["name"]}'
+        body = json.dumps(resource).encode()
+        document = await self._call('PUT', path, body, (header,))
+        return int(document['revision'])
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        headers: tuple[tuple[str, str], ...],
+    ) -> dict[str, Any]:
+        authorisation = ('Authorization', f'Bearer {self.token}')
+        call = Call(method, f'{self.url}{path}', body, headers=(*headers, authorisation))
+        reply = await self.caller.call(call)
+        document: dict[str, Any] = reply.json()
+        if reply.status != HTTP_OK:
+            raise CassiahitchError(Code(document['code']), document['detail'])
+        return document
+
+
+class Scenario:
+    """Publishes two versions and keeps callers asking meanwhile."""
+
+    def __init__(self, site: Site, show: Callable[[Progress], None]) -> None:
+        """Create a scenario.
+
+        :param site: a started site.
+        :param show: takes the progress of each rollout.
+        """
+        self.site = site
+        self.show = show
+        self.tally = Tally()
+        self.secret = secrets.token_urlsafe()
+        self.rng = random.Random(1)
+        self.manifests: dict[str, Manifest] = {}
+
+    async def run(self) -> Tally:
+        """Roll out two versions, the second one under requests.
+
+        :return: what the callers saw.
+        :raises CassiahitchError: ``load_failed`` if a rollout is stuck.
+        """
+        async with HttpCaller() as caller:
+            operator = Operator(caller, self.site.urls[0], self.site.token)
+            await self._declare(operator)
+            await self._wait(operator, 'v1')
+            async with asyncio.TaskGroup() as group:
+                tasks = [group.create_task(self._call_on(caller)) for _ in range(CALLERS)]
+                await self._upgrade(operator)
+                for task in tasks:
+                    task.cancel()
+        return self.tally
+
+    def _publish(self, version: str) -> dict[str, Any]:
+        origin = f'menus/{version}'
+        weights = self.rng.randbytes(WEIGHT_BYTES)
+        manifest = self.site.publish(origin, version, weights, CHUNK_BYTES)
+        self.manifests[version] = manifest
+        return {
+            'kind': 'Model',
+            'name': 'menus',
+            'version': version,
+            'origin': origin,
+            'manifest': manifest.digest,
+        }
+
+    async def _declare(self, operator: Operator) -> None:
+        digest = hashlib.sha256(self.secret.encode()).hexdigest()
+        model = self._publish('v1')
+        resources: tuple[dict[str, Any], ...] = (
+            {'kind': 'Organisation', 'name': 'chop-house', 'key_digests': [digest]},
+            {'kind': 'Service', 'name': SERVICE, 'type': 'model', 'idempotent': True},
+            {'kind': 'Service', 'name': SEQUENCE, 'type': 'plain', 'idempotent': False},
+            model,
+            {
+                'kind': 'Deployment',
+                'name': SERVICE,
+                'service': SERVICE,
+                'model': 'menus',
+                'replicas': self.site.size.model_hosts,
+            },
+        )
+        for resource in resources:
+            revision = await operator.create(resource)
+            if resource is model:
+                self.model_revision = revision
+
+    async def _upgrade(self, operator: Operator) -> None:
+        await operator.replace(self._publish('v2'), self.model_revision)
+        await self._wait(operator, 'v2')
+
+    async def _wait(self, operator: Operator, version: str) -> None:
+        try:
+            async with asyncio.timeout(ROLLOUT_TIMEOUT_S):
+                while not await self._serves(operator, version):
+                    await asyncio.sleep(POLL_S)
+        except TimeoutError as error:
+            raise CassiahitchError(Code.load_failed, f'{version} is stuck') from error
+
+    async def _serves(self, operator: Operator, version: str) -> bool:
+        digest = self.manifests[version].digest
+        status = await operator.status()
+        serving = sum(node['loaded'] == digest for node in status['nodes'])
+        chunks = sum(agent.distribution.chunks_of(digest) for agent in self.site.agents.values())
+        replicas = self.site.size.model_hosts
+        self.show(Progress(version, serving, replicas, chunks, self.tally.correct))
+        return bool(serving == replicas)
+
+    async def _call_on(self, caller: HttpCaller) -> None:
+        number = 0
+        while True:
+            number += 1
+            service = SERVICE if number % 4 else SEQUENCE
+            body = f'menu {self.rng.random()}'.encode()
+            url = await self._address(caller)
+            headers = (
+                ('Authorization', f'Bearer {self.secret}'),
+                ('Idempotency-Key', secrets.token_hex()),
+            )
+            path = f'{url}/v1/services/{service}/requests'
+            reply = await caller.call(
+                Call('POST', path, body, timeout_s=30, repeatable=False, headers=headers),
+            )
+            self._judge(service, body, reply.json())
+            await asyncio.sleep(PAUSE_S)
+
+    async def _address(self, caller: HttpCaller) -> str:
+        entry = self.rng.choice(self.site.urls)
+        reply = await caller.call(Call('GET', f'{entry}/v1/addresses'))
+        addresses = reply.json()['addresses']
+        weights = [address['weight'] for address in addresses]
+        chosen = self.rng.choices(addresses, weights)[0]
+        return f'http://{chosen["address"]}'
+
+    def _judge(self, service: str, body: bytes, document: dict[str, Any]) -> None:
+        if document['code'] != Code.ok:
+            self.tally.failures[f'{document["name"]} ran={document["ran"]}'] += 1
+            return
+        if service == SEQUENCE:
+            self.tally.numbers.append(int(document['answer']))
+            self.tally.correct += 1
+            return
+        digest = document['weights']
+        self.tally.digests[digest] += 1
+        known = any(manifest.digest == digest for manifest in self.manifests.values())
+        if known and document['answer'] == draft(digest, body).decode():
+            self.tally.correct += 1
+        else:
+            self.tally.wrong += 1
+
+
+__all__ = (
+    'Progress',
+    'Scenario',
+    'Tally',
+)
--- a/src/cassiahitch/wire/configuration.py
+++ b/src/cassiahitch/wire/configuration.py
@@ -13,7 +13,7 @@
 from cassiahitch.wire.messages import ConfigurationUpdate
 
 
-def to_update(content: Delta | Snapshot) -> ConfigurationUpdate:
+def encode_update(content: Delta | Snapshot) -> ConfigurationUpdate:
     """Return the message that carries changes or a snapshot.
 
     :param content: the changes or the snapshot.
@@ -28,7 +28,7 @@
             return ConfigurationUpdate(after, latest, snapshot=False, document=lines)
 
 
-def from_update(update: ConfigurationUpdate) -> Delta | Snapshot:
+def decode_update(update: ConfigurationUpdate) -> Delta | Snapshot:
     """Return what a message carries.
 
     :param update: the message.
@@ -43,6 +43,6 @@
 
 
 __all__ = (
-    'from_update',
-    'to_update',
+    'decode_update',
+    'encode_update',
 )
--- a/src/cassiahitch/wire/endpoint.py
+++ b/src/cassiahitch/wire/endpoint.py
@@ -92,6 +92,12 @@
             raise WireError(Code.connection_closed, f'cannot reach {address}:{port}') from error
         return self._start(stream, peer)
 
+    async def announce(self) -> None:
+        """Send a heartbeat to all peers now."""
+        for connection in tuple(self.connections):
+            with suppress(WireError):
+                await connection.send(self.process.heartbeat())
+
     async def close(self) -> None:
         """Stop to listen and close every connection."""
         self.stop()
--- /dev/null
+++ b/tests/wire/test_codec.py
@@ -0,0 +1,48 @@
+"""Tests of the encoding of messages."""
+
+from __future__ import annotations
+
+import typing
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cassiahitch.codes import Code
+from cassiahitch.errors import WireError
+from cassiahitch.wire import messages
+from cassiahitch.wire.codec import Envelope, decode, encode
+
+SMALL = st.integers(min_value=-(2**31), max_value=2**31 - 1)
+st.register_type_strategy(int, SMALL)
+
+MESSAGES = st.one_of(
+    *(st.from_type(kind) for kind in typing.get_args(messages.Message) if isinstance(kind, type)),
+)
+
+
+@given(SMALL, SMALL, MESSAGES)
+def test_message_survives_the_wire(number: int, clock: int, message: messages.Message) -> None:
+    envelope = Envelope(number, number, clock, message)
+    assert decode(encode(envelope)) == envelope
+
+
+@given(st.binary(max_size=200))
+def test_arbitrary_bytes_give_only_numbered_errors(body: bytes) -> None:
+    with pytest.raises(WireError) as caught:
+        decode(body)
+    assert caught.value.code in {Code.frame_corrupt, Code.message_unknown}
+
+
+@given(MESSAGES, st.data())
+def test_changed_frame_gives_a_message_or_a_numbered_error(
+    message: messages.Message,
+    draw: st.DataObject,
+) -> None:
+    body = bytearray(encode(Envelope(1, 0, 0, message)))
+    position = draw.draw(st.integers(0, len(body) - 1))
+    body[position] ^= draw.draw(st.integers(1, 255))
+    try:
+        decode(bytes(body))
+    except WireError as error:
+        assert error.code in {Code.frame_corrupt, Code.message_unknown}
--- /dev/null
+++ b/tests/wire/test_endpoint.py
@@ -0,0 +1,182 @@
+"""Tests of connections over loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from contextlib import AsyncExitStack
+from typing import TYPE_CHECKING
+
+import pytest
+from tornado.iostream import IOStream
+
+from cassiahitch.clock import SystemClock
+from cassiahitch.codes import Code
+from cassiahitch.errors import CassiahitchError, WireError
+from cassiahitch.wire.connection import ConnectionLimits
+from cassiahitch.wire.endpoint import Endpoint, EndpointSettings
+from cassiahitch.wire.messages import (
+    Answer,
+    AnswerPart,
+    Heartbeat,
+    Hello,
+    Locate,
+    Message,
+    PeerAddress,
+    Status,
+)
+
+if TYPE_CHECKING:
+    from cassiahitch.wire.api import Reply
+    from cassiahitch.wire.connection import Connection
+
+KEY = b'0123456789abcdef0123456789abcdef'
+LOOPBACK = '127.0.0.1'
+LIMITS = ConnectionLimits(max_frame_bytes=65_536, heartbeat_s=0.02, silent_after_s=0.2)
+
+
+class EchoProcess:
+    """Answers calls and keeps the reasons why its connections ended."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.reasons: asyncio.Queue[WireError] = asyncio.Queue()
+
+    def hello(self) -> Hello:
+        return Hello(role='agent', host=self.name)
+
+    def heartbeat(self) -> Heartbeat:
+        return Heartbeat()
+
+    def stamp(self) -> int:
+        return 1
+
+    def merge(self, stamp: int) -> None:
+        assert stamp == 1
+
+    def opened(self, connection: Connection) -> None:
+        assert connection.peer.host != self.name
+
+    def ended(self, _connection: Connection, reason: WireError) -> None:
+        self.reasons.put_nowait(reason)
+
+    async def handle(self, _connection: Connection, message: Message, reply: Reply) -> None:
+        match message:
+            case Locate(host=''):
+                raise WireError(Code.host_unknown, 'no host')
+            case Locate(host=host):
+                await reply(PeerAddress(host, LOOPBACK, 1))
+            case Status():
+                await reply(AnswerPart(body=b'a'))
+                await reply(AnswerPart(body=b'b'))
+                await reply(Answer())
+
+
+class Pair:
+    """A listening and a dialling endpoint."""
+
+    def __init__(self, stack: AsyncExitStack, dialler_key: bytes = KEY) -> None:
+        self.server = EchoProcess('server')
+        self.client = EchoProcess('client')
+        clock = SystemClock()
+        self.listening = Endpoint(EndpointSettings(KEY, LIMITS), self.server, clock)
+        self.dialling = Endpoint(EndpointSettings(dialler_key, LIMITS), self.client, clock)
+        stack.push_async_callback(self.listening.close)
+        stack.push_async_callback(self.dialling.close)
+        self.port = self.listening.bind_port(LOOPBACK, 0)
+
+
+async def call_concurrently() -> list[Message]:
+    async with AsyncExitStack() as stack:
+        pair = Pair(stack)
+        connection = await pair.dialling.dial(LOOPBACK, pair.port)
+        hosts = [f'host-{number}' for number in range(50)]
+        return await asyncio.gather(*(connection.call(Locate(host)) for host in hosts))
+
+
+def test_each_call_gets_its_own_reply() -> None:
+    replies = asyncio.run(call_concurrently())
+    assert replies == [PeerAddress(f'host-{number}', LOOPBACK, 1) for number in range(50)]
+
+
+async def stream() -> list[Message]:
+    async with AsyncExitStack() as stack:
+        pair = Pair(stack)
+        connection = await pair.dialling.dial(LOOPBACK, pair.port)
+        return [reply async for reply in connection.stream_call(Status())]
+
+
+def test_parts_arrive_in_order_before_the_answer() -> None:
+    assert asyncio.run(stream()) == [AnswerPart(body=b'a'), AnswerPart(body=b'b'), Answer()]
+
+
+async def call_that_fails() -> CassiahitchError:
+    async with AsyncExitStack() as stack:
+        pair = Pair(stack)
+        connection = await pair.dialling.dial(LOOPBACK, pair.port)
+        with pytest.raises(CassiahitchError) as caught:
+            await connection.call(Locate(''))
+        return caught.value
+
+
+def test_failure_of_the_peer_carries_its_code() -> None:
+    assert asyncio.run(call_that_fails()).code is Code.host_unknown
+
+
+async def dial_with_wrong_key() -> WireError:
+    async with AsyncExitStack() as stack:
+        pair = Pair(stack, dialler_key=b'x' * 32)
+        with pytest.raises(WireError) as caught:
+            await pair.dialling.dial(LOOPBACK, pair.port)
+        assert not pair.listening.connections
+        return caught.value
+
+
+def test_process_without_the_system_key_is_refused() -> None:
+    error = asyncio.run(dial_with_wrong_key())
+    assert error.code in {Code.connection_closed, Code.handshake_refused}
+
+
+async def fall_silent() -> tuple[WireError, WireError]:
+    """Stop the peer's reading and writing while a call waits for it."""
+    async with AsyncExitStack() as stack:
+        pair = Pair(stack)
+        connection = await pair.dialling.dial(LOOPBACK, pair.port)
+        waiting = asyncio.ensure_future(connection.call(Heartbeat()))
+        while not pair.listening.connections:
+            await asyncio.sleep(0)
+        for peer in pair.listening.connections:
+            peer.closed = WireError(Code.connection_silent, 'frozen by the test')
+        reason = await pair.client.reasons.get()
+        with pytest.raises(WireError) as caught:
+            await waiting
+        return reason, caught.value
+
+
+def test_silent_connection_ends_and_settles_its_calls() -> None:
+    reason, failure = asyncio.run(fall_silent())
+    assert (reason.code, failure.code) == (Code.connection_silent, Code.connection_silent)
+
+
+async def send_raw(raw: bytes) -> int:
+    """Send bytes in place of a handshake; return the number of connections accepted."""
+    async with AsyncExitStack() as stack:
+        pair = Pair(stack)
+        peer = IOStream(socket.socket())
+        stack.callback(peer.close)
+        await peer.connect((LOOPBACK, pair.port))
+        await peer.write(raw)
+        await peer.read_until_close()
+        return len(pair.listening.connections)
+
+
+@pytest.mark.parametrize(
+    'raw',
+    [
+        pytest.param(b'\xff' * 64, id='huge-frame'),
+        pytest.param(b'\x00\x00\x00\x04\x00\x00\x00\x00abcd', id='wrong-checksum'),
+        pytest.param(b'GET / HTTP/1.1\r\n\r\n', id='http'),
+    ],
+)
+def test_stranger_is_refused_before_it_is_heard(raw: bytes) -> None:
+    assert asyncio.run(send_raw(raw)) == 0
