Start a fresh node from the store, peers or the archive

Cause: a node that starts in an outage of the table service needs a configuration, and none that is lower than one which was in force. Change: the store is asked first, then several peers and the object store; the highest is taken unless a higher revision was heard of. Checked: a hypothesis machine with racing operators, lost commit answers, refused calls, entries that die in a commit, outages, restarts, bounded deltas between peers and late messages finds one history and no node that goes down in revision.

--- /dev/null
+++ b/tests/controllers/test_bootstrap.py
@@ -0,0 +1,127 @@
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from cassiahitch.codes import Code
+from cassiahitch.controllers.archive import SLOT_S, SnapshotArchive, pointer_key, snapshot_key
+from cassiahitch.controllers.bootstrap import (
+    ALONE_S,
+    ROUND_S,
+    STORE_WAIT_S,
+    ArchiveAnswer,
+    AskArchive,
+    AskPeers,
+    AskStore,
+    Bootstrap,
+    PeerAnswer,
+    Start,
+    StoreAnswer,
+)
+from cassiahitch.controllers.changes import Snapshot
+from cassiahitch.errors import PlatformError
+
+
+def snapshot(revision: int) -> Snapshot:
+    return Snapshot(revision, ())
+
+
+def fresh() -> Bootstrap:
+    return Bootstrap(random.Random(1), 0)
+
+
+def in_outage() -> Bootstrap:
+    node = fresh()
+    assert node.poll(0) == (AskStore(1),)
+    assert node.handle(StoreAnswer(1, None), 0) == (AskPeers(1, 3), AskArchive(1))
+    return node
+
+
+def test_store_is_asked_first_and_is_enough() -> None:
+    node = fresh()
+    assert node.poll(0) == (AskStore(1),)
+    assert node.handle(StoreAnswer(1, snapshot(7)), 0) == (Start(snapshot(7), confirmed=True),)
+    assert not node.poll(99)
+
+
+def test_slow_store_is_not_waited_for() -> None:
+    node = fresh()
+    node.poll(0)
+    assert node.poll(STORE_WAIT_S) == (AskPeers(1, 3), AskArchive(1))
+
+
+def test_highest_of_several_peers_and_the_archive_is_taken() -> None:
+    node = in_outage()
+    assert not node.handle(ArchiveAnswer(1, snapshot(4)), 0)
+    assert not node.handle(PeerAnswer(1, 'a', snapshot(3), 3), 0)
+    assert not node.handle(PeerAnswer(1, 'b', snapshot(5), 5), 0)
+    started = node.handle(PeerAnswer(1, 'c', None, 0), 0)
+    assert started == (Start(snapshot(5), confirmed=True),)
+
+
+def test_revision_that_is_lower_than_one_heard_of_is_not_brought_into_force() -> None:
+    node = in_outage()
+    node.handle(PeerAnswer(1, 'a', snapshot(3), 9), 0)
+    assert not node.poll(ROUND_S)
+    assert not node.done
+    again = node.poll(ROUND_S * 2)
+    assert again == (AskStore(2),)
+    node.handle(PeerAnswer(2, 'b', snapshot(9), 9), ROUND_S * 2)
+    assert node.poll(ROUND_S * 3) == (Start(snapshot(9), confirmed=True),)
+
+
+def test_archive_alone_is_trusted_only_after_a_while() -> None:
+    node = in_outage()
+    node.handle(ArchiveAnswer(1, snapshot(4)), 0)
+    now: float = 0
+    while now < ALONE_S:
+        assert not any(isinstance(action, Start) for action in node.poll(now))
+        now += 0.5
+    while not node.done:
+        actions = node.poll(now)
+        now += 0.5
+    assert actions == (Start(snapshot(4), confirmed=False),)
+    assert now < ALONE_S + 2 * ROUND_S
+
+
+class Objects:
+    """An object store in memory."""
+
+    def __init__(self) -> None:
+        self.kept: dict[str, bytes] = {}
+
+    async def get(self, key: str) -> bytes:
+        found = self.kept.get(key)
+        if found is None:
+            raise PlatformError(Code.object_missing, key)
+        return found
+
+    async def put(self, key: str, content: bytes) -> None:
+        assert self.kept.setdefault(key, content) == content
+
+
+def test_archive_returns_the_newest_and_passes_over_a_corrupt_one() -> None:
+    objects = Objects()
+    archive = SnapshotArchive(objects)
+
+    async def check() -> None:
+        assert await archive.latest(0) is None
+        assert await archive.write(snapshot(4), 0)
+        assert await archive.write(snapshot(4), SLOT_S)
+        assert not await archive.write(snapshot(5), SLOT_S + 1)
+        assert await archive.write(snapshot(6), 2 * SLOT_S)
+        assert await archive.latest(2 * SLOT_S) == snapshot(6)
+        objects.kept[snapshot_key(6)] = b'[6'
+        assert await archive.latest(3 * SLOT_S) == snapshot(4)
+
+    asyncio.run(check())
+
+
+@pytest.mark.parametrize('pointer', [b'', b'-1', b'x'], ids=repr)
+def test_corrupt_pointer_is_passed_over(pointer: bytes) -> None:
+    objects = Objects()
+    asyncio.run(SnapshotArchive(objects).write(snapshot(4), 0))
+    objects.kept[pointer_key(SLOT_S, 0)] = pointer
+    assert asyncio.run(SnapshotArchive(objects).latest(SLOT_S)) == snapshot(4)
--- /dev/null
+++ b/tests/controllers/test_history.py
@@ -0,0 +1,221 @@
+from __future__ import annotations
+
+import random
+from collections.abc import Coroutine, Generator
+from dataclasses import dataclass, field
+from types import coroutine
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from cassiahitch.codes import Code
+from cassiahitch.controllers.bootstrap import Bootstrap, PeerAnswer, Start, StoreAnswer
+from cassiahitch.controllers.changes import Change, Delta, Snapshot, decode_change
+from cassiahitch.controllers.configuration import Configuration
+from cassiahitch.controllers.store import CHANGES, Accepted, ConfigurationStore, Proposal
+from cassiahitch.errors import CassiahitchError
+from cassiahitch.resources.models import Service, ServiceType
+from cassiahitch.resources.parsing import parse_stored, resource_key
+from cassiahitch.standins.tables import MemoryTables, TableFaults
+
+NODES = 3
+NODE = st.integers(0, NODES - 1)
+
+
+@coroutine
+def hand_back() -> Generator[None, None, None]:
+    """Hand control back to the machine once."""
+    yield
+
+
+async def one_step(delay: float, /) -> None:
+    await hand_back()
+
+
+def finish(call: Coroutine[None, None, object]) -> object:
+    """Run a call to its end without any other in between."""
+    while True:
+        try:
+            call.send(None)
+        except StopIteration as stop:
+            return stop.value
+
+
+@dataclass
+class Operator:
+    """A change that an operator asks for, and what the operator was told."""
+
+    proposal: Proposal
+    call: Coroutine[None, None, Accepted] | None
+    told: list[Accepted | Code] = field(default_factory=list)
+
+
+class HistoryMachine(RuleBasedStateMachine):
+    """Operators race, answers are lost, the store goes down, nodes restart and lag."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.tables = MemoryTables(random.Random(7), sleep=one_step)
+        self.tables.faults.lost_share = 0.3
+        self.tables.faults.refused_share = 0.05
+        self.store = ConfigurationStore(self.tables)
+        self.operators: list[Operator] = []
+        self.nodes = [Configuration() for _ in range(NODES)]
+        self.highest = [0 for _ in range(NODES)]
+        self.late: list[Delta | Snapshot] = []
+
+    def history(self) -> list[Change]:
+        rows = sorted(key for table, key in self.tables.rows if table == CHANGES)
+        return [decode_change(self.tables.rows[CHANGES, key].content) for key in rows]
+
+    def apply(self, index: int, message: Delta | Snapshot) -> None:
+        self.nodes[index].apply(message, 0)
+        self.late.append(message)
+
+    @rule(name=st.sampled_from('ab'), guess=st.integers(0, 2), deletes=st.booleans())
+    def propose(self, name: str, guess: int, deletes: bool) -> None:
+        number = len(self.operators)
+        service = Service(name=name, type=ServiceType.plain, idempotent=True, deadline_s=number + 1)
+        key = resource_key(service)
+        current = [change.revision for change in self.history() if change.key == key]
+        if_match = [0, *current][-1 - min(guess, len(current))]
+        if current and self.history()[current[-1] - 1].document is None and guess == 0:
+            if_match = 0
+        proposal = Proposal(f'c{number}', key, None if deletes else service, if_match)
+        self.operators.append(Operator(proposal, self.store.accept(proposal)))
+
+    @rule(pick=st.integers(0, 30), steps=st.integers(1, 12))
+    def step(self, pick: int, steps: int) -> None:
+        busy = [operator for operator in self.operators if operator.call is not None]
+        for _ in range(steps if busy else 0):
+            self.advance(busy[pick % len(busy)])
+
+    @rule(pick=st.integers(0, 30))
+    def retry(self, pick: int) -> None:
+        idle = [operator for operator in self.operators if operator.call is None]
+        if idle:
+            operator = idle[pick % len(idle)]
+            operator.call = self.store.accept(operator.proposal)
+
+    @rule(pick=st.integers(0, 30))
+    def entry_dies(self, pick: int) -> None:
+        busy = [operator for operator in self.operators if operator.call is not None]
+        if busy:
+            operator = busy[pick % len(busy)]
+            assert operator.call is not None
+            operator.call.close()
+            operator.call = None
+
+    @rule(down=st.booleans())
+    def outage(self, down: bool) -> None:
+        self.tables.faults.down = down
+
+    @rule(index=NODE, limit=st.integers(1, 3))
+    def pull(self, index: int, limit: int) -> None:
+        try:
+            delta = finish(self.store.changes(self.nodes[index].revision, limit))
+        except CassiahitchError:
+            return
+        assert isinstance(delta, Delta)
+        self.apply(index, delta)
+
+    @rule(index=NODE, peer=NODE, bound=st.integers(1, 400))
+    def pull_from_peer(self, index: int, peer: int, bound: int) -> None:
+        if self.nodes[peer].ready:
+            revision = self.nodes[index].revision
+            self.apply(index, self.nodes[peer].delta_since(revision, bound))
+
+    @rule(index=NODE, pick=st.integers(0, 30))
+    def late_message(self, index: int, pick: int) -> None:
+        if self.late:
+            self.nodes[index].apply(self.late[pick % len(self.late)], 0)
+
+    @rule(index=NODE)
+    def restart(self, index: int) -> None:
+        peers = [peer for peer in range(NODES) if peer != index]
+        floor = max(self.highest)
+        self.nodes[index] = Configuration()
+        bootstrap = Bootstrap(random.Random(1), 0)
+        bootstrap.poll(0)
+        try:
+            found = finish(self.store.snapshot())
+        except CassiahitchError:
+            found = None
+        assert found is None or isinstance(found, Snapshot)
+        actions = bootstrap.handle(StoreAnswer(1, found), 0)
+        for peer in peers:
+            node = self.nodes[peer]
+            answer = PeerAnswer(1, str(peer), node.snapshot() if node.ready else None, floor)
+            actions = (*actions, *bootstrap.handle(answer, 0))
+        for action in (*actions, *bootstrap.poll(3)):
+            if isinstance(action, Start):
+                self.nodes[index].apply(action.snapshot, 0)
+        if self.nodes[index].ready:
+            assert self.nodes[index].revision >= self.highest[index]
+        else:
+            self.highest[index] = 0
+
+    @invariant()
+    def one_history(self) -> None:
+        history = self.history()
+        assert [change.revision for change in history] == list(range(1, len(history) + 1))
+        ids = [change.change_id for change in history]
+        assert len(set(ids)) == len(ids)
+        proposals = {operator.proposal.change_id: operator.proposal for operator in self.operators}
+        current: dict[str, int] = {}
+        for change in history:
+            assert proposals[change.change_id].if_match == current.get(change.key, 0)
+            assert proposals[change.change_id].document == change.document
+            current[change.key] = 0 if change.document is None else change.revision
+
+    @invariant()
+    def operators_are_told_the_truth(self) -> None:
+        accepted = {change.change_id: change.revision for change in self.history()}
+        for operator in self.operators:
+            for told in operator.told:
+                if isinstance(told, Accepted):
+                    assert accepted[operator.proposal.change_id] == told.revision
+
+    @invariant()
+    def nodes_follow_the_history_and_never_go_down(self) -> None:
+        history = self.history()
+        for index, node in enumerate(self.nodes):
+            assert node.revision >= self.highest[index]
+            self.highest[index] = node.revision
+            expected: dict[str, object] = {}
+            for change in history[: node.revision]:
+                expected.pop(change.key, None)
+                if change.document is not None:
+                    expected[change.key] = parse_stored(change.document)
+            assert node.resources == expected
+
+    def advance(self, operator: Operator) -> None:
+        if operator.call is None:
+            return
+        before = {change.change_id for change in self.history()}
+        try:
+            operator.call.send(None)
+        except StopIteration as stop:
+            operator.told.append(stop.value)
+        except CassiahitchError as error:
+            operator.told.append(error.code)
+            if error.code is not Code.store_outcome_unknown and len(operator.told) == 1:
+                assert operator.proposal.change_id not in before
+        else:
+            return
+        operator.call = None
+
+    def teardown(self) -> None:
+        self.tables.faults = TableFaults()
+        for operator in self.operators:
+            while operator.call is not None:
+                self.advance(operator)
+        for index, node in enumerate(self.nodes):
+            delta = finish(self.store.changes(node.revision, 999))
+            assert isinstance(delta, Delta)
+            self.apply(index, delta)
+        self.nodes_follow_the_history_and_never_go_down()
+        assert {node.revision for node in self.nodes} == {len(self.history())}
+
+
+TestHistoryMachine = HistoryMachine.TestCase
