Move the reading of YAML and of bounded files to util

Cause: the operator's files need the same bounds as settings. Change: util/documents.py refuses aliases and repeated keys, util/files.py bounds size. Conclusion: one loader for both.

--- a/src/cassiahitch/settings/fields.py
+++ b/src/cassiahitch/settings/fields.py
@@ -10,6 +10,7 @@
 
 from cassiahitch.resources.models import Digest
 from cassiahitch.util.endpoints import MAX_PORT, Endpoint, parse_endpoint
+from cassiahitch.util.files import read_bounded
 
 MAX_SECRET_BYTES = 4096
 MIN_SECRET_BYTES = 32
@@ -17,24 +18,6 @@
 MAX_DIGEST_FILE_BYTES = 128 * 1024
 
 
-def read_bounded(path: Path, max_bytes: int) -> bytes:
-    """Read a file that must not be larger than a bound.
-
-    :param path: the file.
-    :param max_bytes: the bound.
-    :return: its content.
-    :raises ValueError: if it cannot be read or is too large.
-    """
-    try:
-        with path.open('rb') as file:
-            content = file.read(max_bytes + 1)
-    except OSError as error:
-        raise ValueError(f'cannot read {path}: {error.strerror}') from None
-    if len(content) > max_bytes:
-        raise ValueError(f'{path} is larger than {max_bytes} bytes')
-    return content
-
-
 def _resolve(path: str, info: ValidationInfo) -> Path:
     folder = (info.context or {}).get('folder', Path())
     return Path(folder, path)
@@ -90,5 +73,4 @@
     'Port',
     'SecretFile',
     'Url',
-    'read_bounded',
 )
--- a/src/cassiahitch/settings/loader.py
+++ b/src/cassiahitch/settings/loader.py
@@ -5,13 +5,13 @@
 from pathlib import Path
 from typing import Literal, overload
 
-import yaml
 from pydantic import ValidationError
 
 from cassiahitch.codes import Code
 from cassiahitch.errors import SettingsError
-from cassiahitch.settings.fields import read_bounded
 from cassiahitch.settings.models import AgentSettings, EntrySettings, Role
+from cassiahitch.util.documents import load_documents
+from cassiahitch.util.files import read_bounded
 
 MAX_SETTINGS_BYTES = 256 * 1024
 
@@ -19,41 +19,6 @@
 MISSING = 'missing'
 
 
-class UniqueKeyLoader(yaml.SafeLoader):
-    """A loader of YAML that refuses aliases and a key that stands twice."""
-
-    def construct_mapping(self, node: yaml.MappingNode, deep: bool = False) -> dict[object, object]:
-        """Return a mapping without merged or repeated keys.
-
-        :param node: the node of the mapping.
-        :param deep: whether nested nodes are built at once.
-        :return: the mapping.
-        :raises ConstructorError: if a key stands twice.
-        """
-        names = [str(key_node.value) for key_node, _ in node.value]
-        repeated = sorted({name for name in names if names.count(name) > 1})
-        if repeated:
-            raise yaml.constructor.ConstructorError(
-                None,
-                None,
-                f'the key {repeated[0]} stands twice',
-                node.start_mark,
-            )
-        return super().construct_mapping(node, deep=deep)
-
-    def compose_node(self, parent: yaml.Node | None, index: int) -> yaml.Node | None:
-        """Return the next node, which must not be an alias.
-
-        :param parent: the node that holds it.
-        :param index: its place there.
-        :return: the node.
-        :raises ComposerError: if it is an alias, which could grow without bound.
-        """
-        if self.check_event(yaml.events.AliasEvent):
-            raise yaml.composer.ComposerError(None, None, 'aliases are not allowed')
-        return super().compose_node(parent, index)
-
-
 def parse_settings(
     document: bytes,
     role: Role,
@@ -105,10 +70,12 @@
 
 def _parse_yaml(document: bytes) -> object:
     try:
-        return yaml.load(document, UniqueKeyLoader)  # noqa: S506 (derives from the safe loader)
-    except (yaml.YAMLError, ValueError, RecursionError) as error:
-        detail = ' '.join(str(error).split())
-        raise SettingsError(Code.settings_invalid, f'not YAML: {detail}') from None
+        documents = load_documents(document)
+    except ValueError as error:
+        raise SettingsError(Code.settings_invalid, str(error)) from None
+    if len(documents) != 1:
+        raise SettingsError(Code.settings_invalid, 'not one YAML document')
+    return documents[0]
 
 
 def _settings_error(error: ValidationError) -> SettingsError:
