Add the commands of operators and of benchmarks

Cause: operators drive the system only by resources and watching their state. Change: apply, get, delete, watch, status, drain, timeline, metrics over one client of the operators' API, and bench.

--- a/src/cassiahitch/bench/report.py
+++ b/src/cassiahitch/bench/report.py
@@ -8,6 +8,8 @@
 from rich.table import Table
 
 from cassiahitch.bench.api import BenchReport, Bound, Figure
+from cassiahitch.codes import Code
+from cassiahitch.errors import CassiahitchError
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -65,9 +67,14 @@
 
     :param report: the report.
     :param path: the file; its suffix names the format, such as ``.svg`` or ``.png``.
+    :raises CassiahitchError: ``bench_failed`` without matplotlib, ``usage_invalid`` for a file
+        that cannot be written.
     """
-    from matplotlib.figure import Figure as Canvas  # noqa: PLC0415, WPS433 (optional dependency)
-
+    try:
+        from matplotlib.figure import Figure as Canvas  # noqa: WPS433 (optional dependency)
+    except ModuleNotFoundError:
+        detail = 'a plot needs matplotlib: install cassiahitch[plot]'
+        raise CassiahitchError(Code.bench_failed, detail) from None
     canvas = Canvas(layout='constrained')
     axes = canvas.subplots()
     for series in report.series:
@@ -77,7 +84,10 @@
     axes.set_ylabel(report.axes[1])
     if report.series:
         axes.legend()
-    canvas.savefig(path, dpi=PLOT_DPI)
+    try:
+        canvas.savefig(path, dpi=PLOT_DPI)
+    except (OSError, ValueError) as error:
+        raise CassiahitchError(Code.usage_invalid, f'cannot write {path}: {error}') from None
 
 
 def _target(figure: Figure) -> str:
--- /dev/null
+++ b/src/cassiahitch/cli/answers.py
@@ -0,0 +1,107 @@
+"""Answers of the operators' API, validated."""
+
+from __future__ import annotations
+
+from typing import TypeVar
+
+from pydantic import BaseModel, ConfigDict, Field, JsonValue, ValidationError
+
+from cassiahitch.codes import Code, Ran
+from cassiahitch.errors import CassiahitchError, RequestError
+from cassiahitch.resources.models import Resource
+
+MAX_DETAIL_LENGTH = 1024
+
+
+class Answer(BaseModel):
+    """Base of all answers; members that a newer entry adds are ignored."""
+
+    model_config = ConfigDict(extra='ignore', frozen=True)
+
+
+class ErrorAnswer(Answer):
+    """An answer that is not a success."""
+
+    code: int
+    name: str = ''
+    detail: str = Field(default='', max_length=MAX_DETAIL_LENGTH)
+    ran: Ran = Ran.unknown
+
+
+class ConditionAnswer(Answer):
+    """A condition of a resource, as of the revision that was observed."""
+
+    type: str
+    status: bool
+    observed_revision: int = 0
+    detail: str = ''
+
+
+class ResourceAnswer(Answer):
+    """A resource, or what is left of it in a watch after it was deleted."""
+
+    revision: int = Field(ge=0)
+    resource: Resource | None = None
+    conditions: tuple[ConditionAnswer, ...] = ()
+    kind: str = ''
+    name: str = ''
+
+
+class ListAnswer(Answer):
+    """All resources of a kind."""
+
+    revision: int = Field(default=0, ge=0)
+    resources: tuple[ResourceAnswer, ...]
+
+
+class StatusAnswer(Answer):
+    """What an entry knows of the system; its members are shown as they come."""
+
+    model_config = ConfigDict(extra='allow', frozen=True)
+
+    __pydantic_extra__: dict[str, JsonValue]
+
+
+AnswerType = TypeVar('AnswerType', bound=Answer)
+
+
+def parse_answer(model: type[AnswerType], body: bytes) -> AnswerType:
+    """Validate the body of an answer.
+
+    :param model: what it must be.
+    :param body: JSON in UTF-8.
+    :return: the answer.
+    :raises CassiahitchError: ``answer_corrupt`` if it is something else.
+    """
+    try:
+        return model.model_validate_json(body)
+    except ValidationError as error:
+        first = error.errors(include_url=False, include_input=False)[0]
+        path = '.'.join(str(part) for part in first['loc']) or '(top)'
+        raise CassiahitchError(Code.answer_corrupt, f'{path}: {first["msg"]}') from None
+
+
+def parse_error(status: int, body: bytes) -> CassiahitchError:
+    """Turn the answer to a failed call into an error.
+
+    :param status: the HTTP status.
+    :param body: JSON in UTF-8.
+    :return: the error; ``answer_corrupt`` if the body does not say what went wrong.
+    """
+    try:
+        answer = ErrorAnswer.model_validate_json(body)
+        return RequestError(Code(answer.code), answer.detail, answer.ran)
+    except ValueError:
+        detail = f'the entry answered status {status} without a known code'
+        return RequestError(Code.answer_corrupt, detail, Ran.unknown)
+
+
+__all__ = (
+    'Answer',
+    'ConditionAnswer',
+    'ListAnswer',
+    'ResourceAnswer',
+    'StatusAnswer',
+    'parse_answer',
+    'parse_error',
+)
--- a/src/cassiahitch/cli/commands.py
+++ b/src/cassiahitch/cli/commands.py
@@ -4,13 +4,13 @@
 
 import defopt
 
+from cassiahitch.cli.benches import bench
+from cassiahitch.cli.observing import metrics, timeline
+from cassiahitch.cli.operators import apply, delete, drain, get, status, watch
+from cassiahitch.cli.roles import agent, entry, local
 
-def local() -> int:
-    """Roll out a model over loopback while callers are served.
-
-    :return: the exit code of the process.
-    """
-    return 0
+ROLES = (entry, agent, local)
+OPERATORS = (apply, get, delete, watch, status, drain, timeline, metrics)
 
 
 def main(arguments: list[str] | None = None) -> int:
@@ -19,7 +19,8 @@
     :param arguments: the command line, that of the process by default.
     :return: the exit code of the process.
     """
-    return int(defopt.run({'local': local}, argv=arguments))
+    commands = {command.__name__: command for command in (*ROLES, *OPERATORS, bench)}
+    return int(defopt.run(commands, argv=arguments, short={}))
 
 
 __all__ = ('main',)
--- a/src/cassiahitch/run.py
+++ b/src/cassiahitch/run.py
@@ -5,8 +5,12 @@
 import sys
 
 from cassiahitch.cli.commands import main
+from cassiahitch.cli.exits import exit_code
 from cassiahitch.errors import CassiahitchError
 
+#: Exit code of a process that SIGINT ended, as shells report it.
+INTERRUPTED = 130
+
 
 def run(arguments: list[str] | None = None) -> int:
     """Run the program.
@@ -18,7 +22,9 @@
         return main(arguments)
     except CassiahitchError as error:
         sys.stderr.write(f'cassiahitch: {error}\n')
-        return 1
+        return exit_code(error)
+    except KeyboardInterrupt:
+        return INTERRUPTED
 
 
 __all__ = ('run',)
