--- a/src/cassiahitch/cli/roles.py
+++ b/src/cassiahitch/cli/roles.py
@@ -1,66 +1,88 @@
-"""Commands that run a process of the system."""
+"""Commands that run a role of the system until a signal ends it."""
 
 from __future__ import annotations
 
 import asyncio
-import time
+import logging
+import signal
+import sys
+from contextlib import ExitStack
+from pathlib import Path
+from typing import Protocol
 
-from rich.console import Console
-from rich.progress import Progress as Display
+from cassiahitch.agent.process import AgentProcess
+from cassiahitch.cli.exits import ExitCode
+from cassiahitch.cli.rendering import print_line
+from cassiahitch.entry.process import EntryProcess
+from cassiahitch.metrics.logs import configure_logs
+from cassiahitch.settings.loader import load_settings
+from cassiahitch.settings.models import AgentSettings, EntrySettings, Role
 
-from cassiahitch.standins.scenario import Progress, Scenario, Tally
-from cassiahitch.standins.site import Site, SiteSize
+LOGGER = logging.getLogger('cassiahitch')
 
 
-def local(*, entries: int = 3, hosts: int = 6) -> int:
-    """Roll out a model over loopback while callers are served.
+class RoleProcess(Protocol):
+    """A process that starts, runs its tasks and stops gracefully."""
 
-    :param entries: number of entries.
-    :param hosts: number of hosts with model engines.
-    :return: 0 if every replica serves the new version and every answer was right.
+    async def start(self) -> None:
+        """Open the sockets and start the tasks."""
+
+    async def stop(self) -> None:
+        """Finish what runs and close everything."""
+
+
+def entry(settings: Path, *, check: bool = False) -> int:
+    """Serve callers and operators.
+
+    :param settings: settings in YAML.
+    :param check: only validate the settings.
+    :return: the exit code.
+    """
+    loaded = load_settings(settings, Role.entry)
+    if check:
+        print_line(f'{settings}: settings of the entry {loaded.name} are valid')
+        return ExitCode.fine
+    return _run(EntryProcess(loaded), loaded)
+
+
+def agent(settings: Path, *, check: bool = False) -> int:
+    """Serve the backend server of a host.
+
+    :param settings: settings in YAML.
+    :param check: only validate the settings.
+    :return: the exit code.
     """
-    console = Console()
-    started = time.monotonic()
-    with Display(console=console) as display:
-        tally = asyncio.run(_run_local(SiteSize(entries, hosts), display))
-    elapsed_s = time.monotonic() - started
-    return _report(console, tally, elapsed_s)
-
-
-async def _run_local(size: SiteSize, display: Display) -> Tally:
-    async with Site(size) as site:
-        bars = _Bars(display)
-        return await Scenario(site, bars.show).run()
-
-
-class _Bars:
-    """One progress bar for each version."""
-
-    def __init__(self, display: Display) -> None:
-        self.display = display
-        self.tasks: dict[str, object] = {}
-
-    def show(self, progress: Progress) -> None:
-        """Move the bar of a version."""
-        text = f'{progress.version}: {progress.chunks} chunks, {progress.answers} right answers'
-        if progress.version not in self.tasks:
-            self.tasks[progress.version] = self.display.add_task(text, total=progress.replicas)
-        self.display.update(
-            self.tasks[progress.version],  # type: ignore[arg-type]
-            completed=progress.serving,
-            description=text,
-        )
-
-
-def _report(console: Console, tally: Tally, elapsed_s: float) -> int:
-    doubled = len(tally.numbers) - len(set(tally.numbers))
-    console.print(f'every replica serves v2 after {elapsed_s:.1f} s')
-    console.print(
-        f'{tally.correct} right answers, {tally.wrong} wrong, {doubled} doubled numbers, '
-        f'{sum(tally.failures.values())} failures {dict(tally.failures)}',
-    )
-    right = tally.correct > 0 and not (tally.wrong or doubled or tally.failures)
-    return 0 if right else 1
-
-
-__all__ = ('local',)
+    loaded = load_settings(settings, Role.agent)
+    if check:
+        print_line(f'{settings}: settings of the agent {loaded.name} are valid')
+        return ExitCode.fine
+    return _run(AgentProcess(loaded), loaded)
+
+
+def _run(process: RoleProcess, settings: EntrySettings | AgentSettings) -> int:
+    key = settings.system_key.get_secret_value().decode(errors='replace')
+    with ExitStack() as stack:
+        handler = configure_logs(settings.log_level, (key,), sys.stderr)
+        stack.callback(logging.getLogger().removeHandler, handler)
+        asyncio.run(_serve(process, settings.name))
+    return ExitCode.fine
+
+
+async def _serve(process: RoleProcess, name: str) -> None:
+    # The handlers stay in place while the process stops, so a second signal cuts nothing short.
+    ended = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, ended.set)
+    await process.start()
+    LOGGER.info('started', extra={'process_name': name})
+    await ended.wait()
+    LOGGER.info('leaving', extra={'process_name': name})
+    await process.stop()
+    LOGGER.info('stopped', extra={'process_name': name})
+
+
+__all__ = (
+    'agent',
+    'entry',
+)
--- a/src/cassiahitch/entry/process.py
+++ b/src/cassiahitch/entry/process.py
@@ -38,8 +38,6 @@
 #: Seconds between looks at silent members.
 MEMBER_POLL_S = 0.2
 SNAPSHOT_INTERVAL_S = 5.0
-#: Seconds for which a leaving entry goes on serving, the longest lifetime of its address.
-LEAVE_GRACE_S = 36.0
 
 
 class EntryProcess:
@@ -124,17 +122,14 @@
             task = asyncio.create_task(work)
             self.stack.callback(task.cancel)
 
-    async def stop(self, grace_s: float = LEAVE_GRACE_S) -> None:
-        """Leave the addresses, serve for the grace, finish what runs and close everything.
-
-        :param grace_s: seconds for which callers may still use this entry.
-        """
+    async def stop(self) -> None:
+        """Leave the addresses, serve for the grace, finish what runs and close everything."""
         self.leaving = True
         self.node.timeline.record(EventKind.process_leaving)
         self._note_self()
         await self.endpoint.announce()
         await self.parts.leadership.resign()
-        await asyncio.sleep(grace_s)
+        await asyncio.sleep(self.settings.leave_grace_s)
         self.closing = True
         while self.parts.caller_service.running:
             await asyncio.wait(self.parts.caller_service.running.values())
