Test separate processes under kill -9 and SIGTERM

Cause: a killed agent with four requests in flight left one unanswered, since the retry budget starts at 2 and only successes fill it. Change: the budget holds the requests in flight on two replicas from the start; tests with entries and agents as processes of their own. Conclusion: a retry storm stays within 0.1 sends per success beyond the first 32.

--- a/src/cassiahitch/agent/process.py
+++ b/src/cassiahitch/agent/process.py
@@ -77,6 +77,13 @@
             task = asyncio.create_task(work)
             self.stack.callback(task.cancel)
 
+    def ports(self) -> dict[str, int]:
+        """Return the ports that are listened on.
+
+        :return: port numbers by the names of their settings.
+        """
+        return {'port': self.node.port}
+
     async def stop(self) -> None:
         """Refuse new work, finish what runs and close everything."""
         self.leaving = True
--- a/src/cassiahitch/cli/roles.py
+++ b/src/cassiahitch/cli/roles.py
@@ -27,6 +27,9 @@
     async def start(self) -> None:
         """Open the sockets and start the tasks."""
 
+    def ports(self) -> dict[str, int]:
+        """Return the ports that are listened on, by the names of their settings."""
+
     async def stop(self) -> None:
         """Finish what runs and close everything."""
 
@@ -75,7 +78,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, ended.set)
     await process.start()
-    LOGGER.info('started', extra={'process_name': name})
+    LOGGER.info('started', extra={'process_name': name, **process.ports()})
     await ended.wait()
     LOGGER.info('leaving', extra={'process_name': name})
     await process.stop()
--- a/src/cassiahitch/entry/process.py
+++ b/src/cassiahitch/entry/process.py
@@ -122,6 +122,13 @@
             task = asyncio.create_task(work)
             self.stack.callback(task.cancel)
 
+    def ports(self) -> dict[str, int]:
+        """Return the ports that are listened on.
+
+        :return: port numbers by the names of their settings.
+        """
+        return {'port': self.node.port, 'http_port': self.http_port}
+
     async def stop(self) -> None:
         """Leave the addresses, serve for the grace, finish what runs and close everything."""
         self.leaving = True
--- a/src/cassiahitch/limits/retries.py
+++ b/src/cassiahitch/limits/retries.py
@@ -8,10 +8,10 @@
 
 #: Retries earned by each success.
 RETRIES_PER_SUCCESS = 0.1
-#: Retries that can be saved up.
-LARGEST_BALANCE = 10.0
+#: Retries that can be saved up; covers the requests in flight on two replicas that die.
+LARGEST_BALANCE = 32.0
 #: Retries at the start, before any success.
-FIRST_BALANCE = 2.0
+FIRST_BALANCE = LARGEST_BALANCE
 #: Sends of one request.
 ATTEMPTS = 3
 #: Seconds after which the caller may try again when the budget is spent.
--- a/src/cassiahitch/standins/engines.py
+++ b/src/cassiahitch/standins/engines.py
@@ -89,8 +89,22 @@
     """A plain service that issues the next number of a sequence; not idempotent."""
 
     issued: int = 0
+    delay_s: float = 0
+    running: int = 0
     runs: Counter[str] = field(default_factory=Counter)
 
+    async def run(self, request_id: str) -> int:
+        """Issue the next number after a delay.
+
+        :param request_id: hexadecimal request id.
+        :return: the number.
+        """
+        self.running += 1
+        number = self.issue(request_id)
+        await asyncio.sleep(self.delay_s)
+        self.running -= 1
+        return number
+
     def issue(self, request_id: str) -> int:
         """Issue the next number.
 
@@ -191,10 +205,10 @@
 
     target: SequenceService
 
-    def post(self) -> None:
+    async def post(self) -> None:
         """Issue the next number."""
         order = json.loads(self.request.body)
-        text = str(self.target.issue(order['request_id']))
+        text = str(await self.target.run(order['request_id']))
         self.write(f'{json.dumps({"text": text})}\n{json.dumps({"length": len(text)})}\n')
 
 
--- /dev/null
+++ b/tests/support/process_site.py
@@ -0,0 +1,224 @@
+"""A site whose entries and agents are processes of their own, before stand-ins in the test."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import json
+import secrets
+import signal
+import sys
+import tempfile
+from asyncio.subprocess import DEVNULL, PIPE, Process
+from contextlib import AsyncExitStack
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import yaml
+
+from cassiahitch.platform.caller import Call, HttpCaller, Reply
+from cassiahitch.standins.engines import (
+    SequenceService,
+    StandInEngine,
+    serve_engine,
+    serve_sequence,
+)
+from cassiahitch.standins.origin import MemoryOrigin, PublishedVersion, serve_origin
+from cassiahitch.standins.platform import (
+    MemoryHosts,
+    MemoryObjects,
+    serve_hosts,
+    serve_objects,
+    serve_tables,
+)
+from cassiahitch.standins.scenario import Operator
+from cassiahitch.standins.tables import MemoryTables
+from cassiahitch.weights.manifest import build_manifest
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cassiahitch.standins.http import StandInServer
+
+LOOPBACK = '127.0.0.1'
+TOKEN = 'operator-token-of-the-test'
+SECRET = 'key-of-the-chop-house'
+WEIGHTS = bytes(range(256)) * 512
+CHUNK_BYTES = 16_384
+TIMEOUT_S = 30
+
+
+def sha256(text: str) -> str:
+    """Return a hexadecimal digest."""
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+class RunningProcess:
+    """A process of the system and the settings that start it again on the same ports."""
+
+    def __init__(self, role: str, path: Path, settings: dict[str, Any]) -> None:
+        self.role = role
+        self.path = path
+        self.settings = settings
+        self.process: Process | None = None
+
+    async def start(self) -> None:
+        """Start it and wait until it listens."""
+        self.path.write_text(yaml.safe_dump(self.settings))
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'cassiahitch',
+            self.role,
+            str(self.path),
+            stdout=DEVNULL,
+            stderr=PIPE,
+        )
+        assert self.process.stderr is not None
+        started = json.loads(await self.process.stderr.readline())
+        ports = {name: started[name] for name in ('port', 'http_port') if name in started}
+        self.settings.update(ports)
+
+    async def end(self, number: signal.Signals) -> int:
+        """Send a signal and wait for the exit code."""
+        assert self.process is not None
+        if self.process.returncode is None:
+            self.process.send_signal(number)
+        return await self.process.wait()
+
+
+class ProcessSite:
+    """Stand-ins in this process; entries and agents beside it."""
+
+    def __init__(self) -> None:
+        self.tables = MemoryTables()
+        self.origin = MemoryOrigin(50_000_000)
+        self.engines: dict[str, StandInEngine] = {}
+        self.sequence = SequenceService()
+        self.entries: list[RunningProcess] = []
+        self.agents: dict[str, RunningProcess] = {}
+        self.stack = AsyncExitStack()
+
+    async def __aenter__(self) -> ProcessSite:
+        self.folder = Path(self.stack.enter_context(tempfile.TemporaryDirectory()))
+        (self.folder / 'system.key').write_text(secrets.token_hex())
+        self.caller = await self.stack.enter_async_context(HttpCaller())
+        self.platform = {
+            'table_service_url': self.own(serve_tables(self.tables)).url,
+            'object_store_url': self.own(serve_objects(MemoryObjects())).url,
+            'origin_url': self.own(serve_origin(self.origin)).url,
+            'host_list_url': self.own(serve_hosts(MemoryHosts())).url,
+        }
+        return self
+
+    async def __aexit__(self, *_details: object) -> None:
+        for process in (*self.entries, *self.agents.values()):
+            await process.end(signal.SIGKILL)
+        await self.stack.aclose()
+
+    async def start(self, entries: int, models: int) -> None:
+        """Start entries, agents of models and one agent of the sequence service."""
+        for number in range(entries):
+            extra = {'operator_token_digests': [sha256(TOKEN)], 'leave_grace_s': 0.5}
+            entry = self.prepare('entry', f'entry-{number}', number, extra)
+            await entry.start()
+            self.entries.append(entry)
+        await asyncio.gather(*(self.start_model(number) for number in range(models)))
+        url = self.own(serve_sequence(self.sequence)).url
+        await self.start_agent('plain', 0, url, {'engine_kind': 'plain', 'service': 'numbers'})
+
+    async def start_model(self, number: int) -> None:
+        """Start an engine and its agent."""
+        engine = StandInEngine()
+        self.engines[f'model-{number}'] = engine
+        await self.start_agent(f'model-{number}', number, self.own(serve_engine(engine)).url, {})
+
+    async def start_agent(self, host: str, number: int, url: str, extra: dict[str, Any]) -> None:
+        """Start an agent."""
+        extra = {**extra, 'engine_url': url, 'staging_path': str(self.folder / f'{host}.staging')}
+        self.agents[host] = self.prepare('agent', host, number, extra)
+        await self.agents[host].start()
+
+    def prepare(self, role: str, host: str, number: int, extra: dict[str, Any]) -> RunningProcess:
+        """Return a process that is not started."""
+        settings = {
+            'name': host,
+            'host': host,
+            'region': f'region-{number % 3}',
+            'failure_domain': f'domain-{number % 3}',
+            'address': LOOPBACK,
+            'system_key_file': 'system.key',
+            'entries': [f'{LOOPBACK}:{entry.settings["port"]}' for entry in self.entries],
+            'platform': self.platform,
+            'timeouts': {'heartbeat_s': 0.1, 'silent_after_s': 1},
+            **extra,
+        }
+        return RunningProcess(role, self.folder / f'{host}.yaml', settings)
+
+    def own(self, server: StandInServer) -> StandInServer:
+        """Close a server at the end."""
+        self.stack.push_async_callback(server.close)
+        return server
+
+    def publish(self, version: str) -> str:
+        """Publish weights and return their digest."""
+        weights = WEIGHTS + version.encode()
+        manifest = build_manifest(version, weights, CHUNK_BYTES)
+        starts = range(0, len(weights), CHUNK_BYTES)
+        chunks = tuple(weights[start : start + CHUNK_BYTES] for start in starts)
+        self.origin.versions[version] = PublishedVersion(manifest.to_json(), chunks)
+        return manifest.digest
+
+    def url(self, entry: int) -> str:
+        """Return where an entry serves HTTP."""
+        return f'http://{LOOPBACK}:{self.entries[entry].settings["http_port"]}'
+
+    def operator(self, entry: int = 0) -> Operator:
+        """Return a client of the operators' API."""
+        return Operator(self.caller, self.url(entry), TOKEN)
+
+    async def declare(self, replicas: int) -> str:
+        """Declare services and a deployment; return the digest of the model."""
+        digest = self.publish('v1')
+        model = {'kind': 'Model', 'name': 'menus', 'version': 'v1', 'origin': 'v1'}
+        for resource in (
+            {'kind': 'Organisation', 'name': 'chop-house', 'key_digests': [sha256(SECRET)]},
+            {'kind': 'Service', 'name': 'draft', 'type': 'model', 'idempotent': True},
+            {'kind': 'Service', 'name': 'numbers', 'type': 'plain', 'idempotent': False},
+            {**model, 'manifest': digest},
+            {
+                'kind': 'Deployment',
+                'name': 'draft',
+                'service': 'draft',
+                'model': 'menus',
+                'replicas': replicas,
+            },
+        ):
+            await self.operator().create(resource)
+        return digest
+
+    async def serving(self, digest: str, entry: int = 0) -> int:
+        """Return how many nodes an entry sees serving a version."""
+        status = await self.operator(entry).status()
+        return sum(node['loaded'] == digest for node in status['nodes'])
+
+    async def ask(self, service: str, body: str, entry: int = 0, **headers: str) -> dict[str, Any]:
+        """Send a request and return the JSON answer."""
+        return dict((await self.ask_raw(service, body, entry, **headers)).json())
+
+    async def ask_raw(self, service: str, body: str, entry: int = 0, **headers: str) -> Reply:
+        """Send a request and return the answer as it came."""
+        named = ((name.replace('_', '-'), text) for name, text in headers.items())
+        authorisation = ('Authorization', f'Bearer {SECRET}')
+        url = f'{self.url(entry)}/v1/services/{service}/requests'
+        call = Call(
+            'POST', url, body.encode(), 30, repeatable=False, headers=(*named, authorisation)
+        )
+        return await self.caller.call(call)
+
+
+async def until(check: Callable[[], Any]) -> None:
+    """Wait until a condition holds; the bound only ends a test that is stuck."""
+    async with asyncio.timeout(TIMEOUT_S):
+        while not await check():
+            await asyncio.sleep(0.02)
