--- a/src/cassiahitch/agent/assembly.py
+++ b/src/cassiahitch/agent/assembly.py
@@ -10,6 +10,7 @@
 from cassiahitch.agent.claims import ClaimStore
 from cassiahitch.agent.distribution import Distribution, Surroundings
 from cassiahitch.agent.executor import Executor
+from cassiahitch.agent.health import BackendHealth
 from cassiahitch.agent.loading import Loader
 from cassiahitch.engine.http import HttpEngine
 from cassiahitch.ledger.claims import ClaimMachine
@@ -35,6 +36,7 @@
     """The parts that an agent process drives."""
 
     executor: Executor
+    health: BackendHealth
     loader: Loader
     distribution: Distribution
 
@@ -56,11 +58,12 @@
     :return: the parts; nothing runs yet.
     """
     engine = HttpEngine(caller, settings.engine_url)
-    executor = _executor(node, settings, caller, peers, engine)
+    health = BackendHealth(engine)
+    executor = _executor(node, settings, caller, peers, health)
     loader = Loader(node, engine, executor, staging)
     origin = HttpOrigin(caller, settings.platform.origin_url)
     distribution = Distribution(Surroundings(node, origin, staging, peers), loader.completed)
-    return AgentParts(executor, loader, distribution)
+    return AgentParts(executor, health, loader, distribution)
 
 
 def _executor(
@@ -68,15 +71,15 @@
     settings: AgentSettings,
     caller: HttpCaller,
     peers: PeerPool,
-    engine: HttpEngine,
+    health: BackendHealth,
 ) -> Executor:
     plain = settings.engine_kind is EngineKind.plain
-    backend = Backend(engine, settings.timeouts.engine_s, MAX_ANSWER_BYTES, plain)
+    backend = Backend(health.engine, settings.timeouts.engine_s, MAX_ANSWER_BYTES, plain)
     rng = random.Random(node.incarnation)
     machine = ClaimMachine(settings.host, Ledger(node.incarnation), rng)
     platform = settings.platform
     tables = HttpTables(caller, platform.table_service_url, settings.timeouts.platform_s)
-    executor = Executor(node, machine, backend, ClaimStore(node, tables, peers), SLOTS)
+    executor = Executor(node, machine, backend, ClaimStore(node, tables, peers), SLOTS, health)
     if plain:
         executor.admit('')
     return executor
--- a/src/cassiahitch/agent/executor.py
+++ b/src/cassiahitch/agent/executor.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from cassiahitch.agent.exclusive import RunGate
 from cassiahitch.codes import Code, Ran
 from cassiahitch.engine.api import GenerateOrder
 from cassiahitch.ledger.api import (
@@ -34,6 +35,7 @@
 
     from cassiahitch.agent.backend import Backend, RunResult
     from cassiahitch.agent.claims import ClaimStore
+    from cassiahitch.agent.health import BackendHealth
     from cassiahitch.ledger.claim_api import ClaimAction, ClaimMessage
     from cassiahitch.ledger.claims import ClaimMachine
     from cassiahitch.wire import messages
@@ -86,6 +88,7 @@
         backend: Backend,
         store: ClaimStore,
         slots: int,
+        health: BackendHealth,
     ) -> None:
         """Create an executor.
 
@@ -94,12 +97,15 @@
         :param backend: the backend server.
         :param store: carries out what the claims ask for.
         :param slots: requests that run at once.
+        :param health: counts crashes of the backend server.
         """
         self.node = node
         self.machine = machine
         self.backend = backend
         self.store = store
         self.slots = slots
+        self.health = health
+        self.gate = RunGate()
         self.admitted_digest = ''
         self.admitting = False
         self.accepting = True
@@ -226,7 +232,9 @@
     async def _work_slot(self) -> None:
         while True:
             queued = await self.queue.get()
-            await self._run_key(queued.key)
+            dispatch = self.dispatches.get(queued.key)
+            async with self.gate.enter(alone=dispatch is not None and dispatch.alone):
+                await self._run_key(queued.key)
 
     async def _run_key(self, key: str) -> None:
         if not self.admitting:
@@ -258,6 +266,7 @@
     def _end_of(self, key: str, request_id: str, run: RunResult) -> Finish | Fail:
         if run.crashed:
             self.crashed.add(request_id)
+            self.health.note_crash()
         match run.outcome:
             case Failure(code=code, ran=ran):
                 return Fail(key, code, ran)
--- a/src/cassiahitch/agent/process.py
+++ b/src/cassiahitch/agent/process.py
@@ -14,6 +14,7 @@
 from cassiahitch.errors import CassiahitchError, WireError
 from cassiahitch.metrics.names import CounterName
 from cassiahitch.platform.caller import HttpCaller
+from cassiahitch.settings.models import EngineKind
 from cassiahitch.timeline.events import EventKind
 from cassiahitch.wire import messages
 from cassiahitch.wire.answers import answer_of, ledger_state
@@ -23,6 +24,8 @@
 from cassiahitch.wire.node import MS_PER_S, Node
 
 if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
     from cassiahitch.agent.executor import Ended
     from cassiahitch.clock import Clock
     from cassiahitch.settings.models import AgentSettings
@@ -61,6 +64,7 @@
         peers = PeerPool(self.endpoint, self.dialer.live)
         parts = assemble(self.node, settings, caller, peers, self.staging)
         self.executor = parts.executor
+        self.health = parts.health
         self.loader = parts.loader
         self.distribution = parts.distribution
         self._start_tasks()
@@ -70,13 +74,19 @@
         works = (
             self.dialer.work(self.settings.entries),
             self.executor.work(),
+            self.health.work(),
             self.loader.work(),
             self.loader.watch(self.settings.timeouts.heartbeat_s),
         )
-        for work in works:
+        for work in (*works, *self._model_works()):
             task = asyncio.create_task(work)
             self.stack.callback(task.cancel)
 
+    def _model_works(self) -> tuple[Coroutine[None, None, None], ...]:
+        if self.settings.engine_kind is EngineKind.plain:
+            return ()
+        return (self.health.watch_cache(),)
+
     def ports(self) -> dict[str, int]:
         """Return the ports that are listened on.
 
@@ -133,7 +143,7 @@
             clock_ms=self.node.clock_ms(),
             revision=self.configuration.revision,
             leaving=self.leaving,
-            ready=self.executor.admitting and not self.leaving,
+            ready=self.executor.admitting and not self.leaving and not self.health.down,
             running=self.executor.running,
             queued=self.executor.queue.qsize(),
             capacity=SLOTS,
@@ -144,6 +154,12 @@
             load_epoch=self.loader.load_epoch,
             complete_digests=tuple(sorted(self.loader.complete)),
             chunks_complete=self.distribution.chunks_complete,
+            backend_crashes=self.health.crashes,
+            cache_sequence=self.health.cache_sequence,
+            cache_events=tuple(
+                messages.CachedPrefix(event.sequence, event.prefix, event.cached)
+                for event in self.health.cache_events
+            ),
         )
 
     def opened(self, connection: Connection) -> None:
@@ -230,7 +246,7 @@
         run = asyncio.create_task(self.executor.run(dispatch, parts.put_nowait))
         run.add_done_callback(lambda _: parts.put_nowait(None))
         sent = await _forward(dispatch, parts, reply)
-        await reply(_answer(dispatch, run.result(), sent))
+        await reply(_answer(dispatch, run.result(), sent, self.health.crashes))
 
 
 async def _forward(
@@ -250,7 +266,12 @@
             index += 1
 
 
-def _answer(dispatch: messages.Dispatch, ended: Ended, sent: int) -> messages.Answer:
+def _answer(
+    dispatch: messages.Dispatch,
+    ended: Ended,
+    sent: int,
+    crashes: int,
+) -> messages.Answer:
     answer = answer_of(ended.outcome, dispatch.request_id, dispatch.body_digest)
     body = b'' if sent and sent == answer.length else answer.body
     return messages.Answer(
@@ -264,6 +285,7 @@
         weights_digest=answer.weights_digest,
         backend_crashed=ended.crashed,
         replayed=ended.replayed,
+        backend_crashes=crashes,
     )
 
 
--- a/src/cassiahitch/entry/assembly.py
+++ b/src/cassiahitch/entry/assembly.py
@@ -18,6 +18,8 @@
 from cassiahitch.requests.chain import build_chain
 from cassiahitch.requests.dispatch import Dispatching
 from cassiahitch.requests.identification import Identification
+from cassiahitch.requests.limiting import Limiting
+from cassiahitch.requests.queueing import Queueing
 from cassiahitch.requests.recording import Recording
 from cassiahitch.requests.validation import Validation
 
@@ -25,6 +27,7 @@
     from collections.abc import Callable, Iterable
 
     from cassiahitch.entry.directory import Directory
+    from cassiahitch.entry.gossip import Gossip
     from cassiahitch.platform.caller import HttpCaller
     from cassiahitch.requests.attempts import Redialler
     from cassiahitch.routing.addresses import AddressBook
@@ -47,6 +50,7 @@
     redialler: Redialler
     peers: Callable[[], Iterable[Connection]]
     is_closing: Callable[[], bool]
+    gossip: Gossip
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,6 +62,7 @@
     leadership: Leadership
     rollouts: Rollouts
     caller_service: callers.CallerService
+    queueing: Queueing
     application: Application
 
 
@@ -75,7 +80,13 @@
     configuration = core.directory.configuration
     synchroniser = Synchroniser(core.node, configuration, store, objects, core.peers)
     rollouts = Rollouts(core.node, configuration, core.directory, tables)
-    caller_service = _caller_service(core)
+    queueing = Queueing(
+        configuration,
+        core.node.clock,
+        core.directory.router,
+        lambda: len(tuple(core.peers())) + 1,
+    )
+    caller_service = _caller_service(core, queueing)
     operator_service = operators.OperatorService(
         core.node,
         store,
@@ -89,11 +100,12 @@
         Leadership(core.node, tables, rollouts.begin_term),
         rollouts,
         caller_service,
+        queueing,
         _application(caller_service, operator_service),
     )
 
 
-def _caller_service(core: EntryCore) -> callers.CallerService:
+def _caller_service(core: EntryCore, queueing: Queueing) -> callers.CallerService:
     configuration = core.directory.configuration
     key = core.settings.system_key.get_secret_value()
     tickets = TicketOffice((key,), core.node.incarnation, TICKET_LIFETIME_S)
@@ -104,6 +116,8 @@
         Recording(core.node),
         identification,
         Validation(configuration, core.node.clock, sizes.max_body_bytes),
+        Limiting(configuration, core.node.clock, core.gossip.registry),
+        queueing,
         Dispatching(
             core.node,
             core.directory,
@@ -111,6 +125,7 @@
             core.redialler,
             tickets,
             RetryBudget(),
+            core.directory.gate,
         ),
     )
     return callers.CallerService(
--- a/src/cassiahitch/entry/callers.py
+++ b/src/cassiahitch/entry/callers.py
@@ -166,6 +166,7 @@
             ticket=headers.get('X-Ticket', ''),
             timeout_s=_timeout_s(headers.get('X-Timeout-Ms')),
             stream=EVENT_STREAM in headers.get('Accept', ''),
+            retry='X-Retry' in headers,
         )
         if request.stream:
             request.on_part = self._send_part
--- a/src/cassiahitch/entry/directory.py
+++ b/src/cassiahitch/entry/directory.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from cassiahitch.codes import Code
+from cassiahitch.engine.api import CacheEvent
 from cassiahitch.errors import WireError
 from cassiahitch.members.membership import Heartbeat, Load, Membership, Place, Role, Weights
 from cassiahitch.resources.models import Deployment
@@ -16,6 +17,7 @@
 if TYPE_CHECKING:
     from cassiahitch.controllers.configuration import Configuration
     from cassiahitch.members.membership import MembershipAction
+    from cassiahitch.requests.poison import PoisonGate
     from cassiahitch.routing.router import Router
     from cassiahitch.wire.connection import Connection
     from cassiahitch.wire.node import Node
@@ -42,6 +44,7 @@
     node: Node
     configuration: Configuration
     router: Router
+    gate: PoisonGate
     membership: Membership = field(default_factory=Membership)
     agents: dict[str, Agent] = field(default_factory=dict)
 
@@ -63,7 +66,10 @@
             # A message takes time, so the largest offset seen is still a lower bound.
             offset = max(offset, known.clock_offset_s)
         self.agents[host] = Agent(connection, beat, offset)
+        self.gate.heard(host, beat, self.service_of(beat))
         self._update_router(host, now)
+        for event in beat.cache_events:
+            self.router.cache_event(host, CacheEvent(event.sequence, event.prefix, event.cached))
         self.act(actions)
 
     def ended(self, connection: Connection) -> None:
@@ -171,6 +177,7 @@
             if member is None or not self.membership.usable(action.host, action.incarnation):
                 self.router.remove_replica(action.host)
             if member is None:
+                self.gate.removed(action.host)
                 self._forget(action.host, action.incarnation)
 
     def _forget(self, host: str, incarnation: int) -> None:
--- /dev/null
+++ b/src/cassiahitch/entry/gossip.py
@@ -0,0 +1,143 @@
+"""News that entries share with each other: suspects and shares of organisation limits."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from pydantic import TypeAdapter, ValidationError
+
+from cassiahitch.codes import Code
+from cassiahitch.errors import WireError
+from cassiahitch.limits.organisations import ShareNews
+from cassiahitch.limits.registry import Division, LimitRegistry
+from cassiahitch.requests.poison import PoisonGate
+from cassiahitch.routing.poison import ClearNews, CrashNews, PoisonGuard, ReserveNews
+from cassiahitch.wire import messages
+
+if TYPE_CHECKING:
+    from cassiahitch.routing.poison import News
+    from cassiahitch.wire.connection import Connection
+    from cassiahitch.wire.node import Node
+
+#: Seconds between the news of shares.
+GOSSIP_S = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class Bulletin:
+    """What one message carries."""
+
+    division: Division = Division()
+    shares: tuple[ShareNews, ...] = ()
+    crashes: tuple[CrashNews, ...] = ()
+    clearings: tuple[ClearNews, ...] = ()
+    reservations: tuple[ReserveNews, ...] = ()
+
+
+BULLETIN = TypeAdapter(Bulletin)
+
+
+@dataclass(slots=True)
+class Gossip:
+    """Exchanges news over the connections between entries."""
+
+    node: Node
+    connections: Callable[[], Iterable[Connection]]
+    registry: LimitRegistry
+    leads: Callable[[], int]
+    guard: PoisonGuard
+
+    @property
+    def gate(self) -> PoisonGate:
+        """Connects requests and agents with the poison guard."""
+        return PoisonGate(self.node.clock, self.guard, self.share)
+
+    async def work(self) -> None:
+        """Send the news of shares until cancelled."""
+        while True:
+            await asyncio.sleep(GOSSIP_S)
+            now = self.node.clock.monotonic()
+            peers = frozenset(one.peer.host for one in self.connections())
+            self.guard.update_peers(peers)
+            self.registry.connected(peers, now)
+            fencing_number = self.leads()
+            if fencing_number:
+                self.registry.lead(fencing_number, now)
+            self._send(Bulletin(self.registry.division, self.registry.news(now)))
+
+    def share(self, news: tuple[News, ...]) -> None:
+        """Send news of suspects to all entries at once.
+
+        :param news: the news.
+        """
+        if not news:
+            return
+        bulletin = Bulletin(
+            crashes=tuple(one for one in news if isinstance(one, CrashNews)),
+            clearings=tuple(one for one in news if isinstance(one, ClearNews)),
+            reservations=tuple(one for one in news if isinstance(one, ReserveNews)),
+        )
+        self._send(bulletin)
+
+    def heard(self, entry: str, message: messages.EntryGossip) -> None:
+        """Take the news of another entry in.
+
+        :param entry: its host.
+        :param message: the message.
+        :raises WireError: ``frame_corrupt``.
+        """
+        try:
+            bulletin = BULLETIN.validate_json(message.news)
+        except ValidationError as error:
+            raise WireError(Code.frame_corrupt, f'{error.error_count()} faults') from error
+        now = self.node.clock.monotonic()
+        self.registry.heard(entry, bulletin.division, bulletin.shares, now)
+        received: tuple[News, ...] = (
+            *bulletin.crashes,
+            *bulletin.clearings,
+            *bulletin.reservations,
+        )
+        for news in received:
+            self.share(self.guard.heard(news, now))
+
+    def _send(self, bulletin: Bulletin) -> None:
+        news = BULLETIN.dump_json(bulletin)
+        message = messages.EntryGossip(self.node.settings.host, self.node.incarnation, news)
+        for connection in tuple(self.connections()):
+            task = asyncio.create_task(_deliver(connection, message))
+            self.node.background.add(task)
+            task.add_done_callback(self.node.background.discard)
+
+
+def make_gossip(
+    node: Node,
+    connections: Callable[[], Iterable[Connection]],
+    leads: Callable[[], int],
+) -> Gossip:
+    """Create the exchange of news of an entry.
+
+    :param node: the entry.
+    :param connections: gives the connections to other entries.
+    :param leads: gives the fencing number of the controllers' lease, or 0 without it.
+    :return: the exchange; nothing runs yet.
+    """
+    host = node.settings.host
+    return Gossip(node, connections, LimitRegistry(host), leads, PoisonGuard(host))
+
+
+async def _deliver(connection: Connection, message: messages.EntryGossip) -> None:
+    try:
+        await connection.send(message)
+    except WireError:
+        # Shares are sent again, and suspects of a lost connection are held by their entry.
+        return
+
+
+__all__ = (
+    'Bulletin',
+    'Gossip',
+    'make_gossip',
+)
--- a/src/cassiahitch/entry/process.py
+++ b/src/cassiahitch/entry/process.py
@@ -14,6 +14,7 @@
 from cassiahitch.controllers.configuration import Configuration
 from cassiahitch.entry.assembly import EntryCore, assemble
 from cassiahitch.entry.directory import Directory
+from cassiahitch.entry.gossip import Gossip, make_gossip
 from cassiahitch.entry.synchronisation import save_snapshots
 from cassiahitch.errors import PlatformError, WireError
 from cassiahitch.platform.caller import HttpCaller
@@ -38,6 +39,8 @@
 #: Seconds between looks at silent members.
 MEMBER_POLL_S = 0.2
 SNAPSHOT_INTERVAL_S = 5.0
+#: An entry tells its load in these parts.
+LOAD_SCALE = 1000
 
 
 class EntryProcess:
@@ -59,7 +62,13 @@
         self.http_port = 0
         self.configuration = Configuration()
         self.router = Router(settings.region, settings.failure_domain, self.rng)
-        self.directory = Directory(self.node, self.configuration, self.router)
+        self.gossip: Gossip = make_gossip(self.node, self._live_entries, self._held_term)
+        self.directory = Directory(
+            self.node,
+            self.configuration,
+            self.router,
+            self.gossip.gate,
+        )
         self.addresses = AddressBook(settings.region, self.rng)
         self.entries: dict[str, Connection] = {}
         self.stack = AsyncExitStack()
@@ -86,11 +95,16 @@
             self,
             self._live_entries,
             self._is_closing,
+            self.gossip,
         )
 
     def _live_entries(self) -> tuple[Connection, ...]:
         return tuple(self.entries.values())
 
+    def _held_term(self) -> int:
+        leadership = self.parts.leadership
+        return leadership.term if leadership.held else 0
+
     def _is_closing(self) -> bool:
         return self.closing
 
@@ -116,6 +130,8 @@
             self.dialer.work(self.settings.entries),
             save_snapshots(self.parts.synchroniser, SNAPSHOT_INTERVAL_S),
             self._poll_hosts(),
+            self.gossip.work(),
+            self.parts.queueing.work(),
             self._poll_members(),
         )
         for work in works:
@@ -199,6 +215,8 @@
             leaving=self.leaving,
             ready=self.configuration.ready,
             http_port=self.http_port,
+            running=int(LOAD_SCALE * self.parts.queueing.load),
+            capacity=LOAD_SCALE,
         )
 
     def opened(self, connection: Connection) -> None:
@@ -240,6 +258,8 @@
                 await self._update_agent(connection, message.revision)
             case messages.Heartbeat():
                 self._hear_entry(connection, message)
+            case messages.EntryGossip():
+                self.gossip.heard(connection.peer.host, message)
             case messages.ConfigurationUpdate():
                 self.parts.synchroniser.apply(decode_update(message))
             case _:
@@ -267,7 +287,7 @@
             peer.failure_domain,
             beat.ready,
             beat.leaving,
-            load=0,
+            load=beat.running / max(1, beat.capacity),
         )
         self.addresses.update(state, self.node.clock.monotonic())
 
@@ -280,7 +300,7 @@
             settings.failure_domain,
             self.configuration.ready,
             self.leaving,
-            load=0,
+            load=self.parts.queueing.load,
         )
         self.addresses.update(state, self.node.clock.monotonic())
 
--- a/src/cassiahitch/limits/concurrency.py
+++ b/src/cassiahitch/limits/concurrency.py
@@ -45,6 +45,13 @@
         """Count a request that ended."""
         self.in_flight = max(0, self.in_flight - 1)
 
+    def hold(self, *, held: bool) -> None:
+        """Give the slot of a request that is held back to others, or take it again.
+
+        :param held: whether it is held back from now on.
+        """
+        self.in_flight += -1 if held else 1
+
     def update(self, load: ServiceLoad, entries: int, now: float) -> None:
         """Adapt the bound to the load of the replicas.
 
--- a/src/cassiahitch/limits/organisations.py
+++ b/src/cassiahitch/limits/organisations.py
@@ -9,8 +9,12 @@
 
 from dataclasses import dataclass, field
 
-#: Thousandths of a request per second, the unit of shares.
+#: Shares are whole numbers of these parts of a limit, so that no rounding adds to their sum.
+WHOLE = 1_000_000_000
+#: Demand is told in thousandths of a request per second.
 MILLI = 1_000
+#: Seconds after a new division in which an entry uses the smaller of both shares.
+OVERLAP_S = 2.0
 #: Seconds of an unused share that can be spent at once.
 BURST_S = 1.0
 #: Seconds without news after which a peer gets no share; it keeps what it has.
@@ -64,14 +68,14 @@
     filled_at: float | None = None
 
     def fill(self, rate: float, now: float) -> None:
-        """Add the tokens of the time since the last call.
+        """Add the tokens of the time since the last call; the first call fills the bucket.
 
         :param rate: tokens per second.
         :param now: seconds.
         """
-        if self.filled_at is not None:
-            self.tokens += rate * (now - self.filled_at)
-        self.tokens = min(self.tokens, max(1, rate * BURST_S))
+        depth = max(1, rate * BURST_S)
+        added = depth if self.filled_at is None else rate * (now - self.filled_at)
+        self.tokens = min(depth, self.tokens + added)
         self.filled_at = now
 
 
@@ -110,6 +114,8 @@
     limit_per_s: float
     entries: tuple[str, ...]
     epoch: int = 0
+    former_share: int = WHOLE
+    former_until: float = 0
     given: dict[str, dict[str, int]] = field(default_factory=dict)
     peers: dict[str, Peer] = field(default_factory=dict)
     bucket: Bucket = field(default_factory=Bucket)
@@ -117,7 +123,7 @@
 
     @property
     def share(self) -> int:
-        """Own share in thousandths of a request per second."""
+        """Own share in parts of the limit."""
         received = sum(row.get(self.entry, 0) for row in self.given.values())
         return self.first_share(self.entry) + received - sum(self.row().values())
 
@@ -125,11 +131,45 @@
         """Return the share that an entry starts with.
 
         :param entry: the entry.
-        :return: thousandths of a request per second.
+        :return: parts of the limit.
         """
         if entry not in self.entries:
             return 0
-        return int(self.limit_per_s * MILLI) // len(self.entries)
+        return WHOLE // len(self.entries)
+
+    def rate(self, now: float) -> float:
+        """Return how many requests this entry may admit.
+
+        :param now: seconds.
+        :return: requests per second.
+        """
+        share = min(self.share, self.former_share) if now < self.former_until else self.share
+        return self.limit_per_s * share / WHOLE
+
+    def fill(self, now: float) -> None:
+        """Fill the bucket up to now; it starts full once the limit is known.
+
+        :param now: seconds.
+        """
+        if self.limit_per_s:
+            self.bucket.fill(self.rate(now), now)
+
+    def divide(self, entries: tuple[str, ...], epoch: int, now: float) -> None:
+        """Start again with equal shares, because an entry that owned some is gone.
+
+        :param entries: the entries that get one.
+        :param epoch: number of the division; an old one is ignored.
+        :param now: seconds.
+        """
+        if epoch <= self.epoch:
+            return
+        self.fill(now)
+        if self.epoch:
+            self.former_share = self.share
+            self.former_until = now + OVERLAP_S
+        self.entries = entries
+        self.epoch = epoch
+        self.given.clear()
 
     def row(self) -> dict[str, int]:
         """Return what this entry has given to others.
@@ -145,8 +185,8 @@
         :return: the decision.
         """
         self.demand.count += 1
-        rate = self.share / MILLI
-        self.bucket.fill(rate, now)
+        rate = self.rate(now)
+        self.fill(now)
         if self.bucket.tokens >= 1:
             self.bucket.tokens -= 1
             return Within()
@@ -160,7 +200,7 @@
         :return: the message to send.
         """
         self.demand.update(now)
-        self.bucket.fill(self.share / MILLI, now)
+        self.fill(now)
         self.give(now)
         row = tuple(sorted(self.row().items()))
         demand = int(self.demand.per_s * MILLI)
@@ -174,7 +214,7 @@
         """
         if news.epoch != self.epoch or news.entry == self.entry:
             return
-        self.bucket.fill(self.share / MILLI, now)
+        self.fill(now)
         row = self.given.setdefault(news.entry, {})
         for receiver, amount in news.given:
             row[receiver] = max(amount, row.get(receiver, 0))
@@ -207,7 +247,7 @@
     """Return the shares that entries should have: a part equally, the rest by demand.
 
     :param peers: the entries.
-    :return: thousandths of a request per second by entry; their sum is that of the shares.
+    :return: parts of the limit by entry; their sum is that of the shares.
     """
     whole = sum(peer.share for peer in peers.values())
     demand = sum(peer.demand for peer in peers.values())
--- /dev/null
+++ b/src/cassiahitch/limits/registry.py
@@ -0,0 +1,133 @@
+"""Limits of all organisations at one entry, and the division that their shares start from."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from cassiahitch.limits.organisations import OrganisationLimit
+
+if TYPE_CHECKING:
+    from cassiahitch.limits.organisations import OverLimit, ShareNews, Within
+
+#: Seconds for which an entry is not heard before its shares are divided among the others.
+GONE_AFTER_S = 10.0
+#: Seconds after the start before a first division is made, so that all entries are in it.
+SETTLE_S = 1.0
+#: Divisions that one holder of the controllers' lease can make.
+DIVISIONS_PER_TERM = 1_048_576
+
+
+@dataclass(frozen=True, slots=True)
+class Division:
+    """Entries that share all limits equally at first; the holder of the lease numbers it."""
+
+    epoch: int = 0
+    entries: tuple[str, ...] = ()
+
+
+@dataclass(slots=True)
+class LimitRegistry:
+    """The limits of all organisations that sent requests to an entry or its peers.
+
+    Before any division is known, an entry takes an equal part among those that it hears.
+    """
+
+    entry: str
+    division: Division = Division()
+    limits: dict[str, OrganisationLimit] = field(default_factory=dict)
+    heard_at: dict[str, float] = field(default_factory=dict)
+    settles_at: float | None = None
+
+    def admit(self, organisation: str, limit_per_s: float, now: float) -> Within | OverLimit:
+        """Decide whether a request is within the limit of its organisation.
+
+        :param organisation: the organisation.
+        :param limit_per_s: its requests per second over all entries.
+        :param now: seconds.
+        :return: the decision.
+        """
+        limit = self.limit(organisation)
+        limit.limit_per_s = limit_per_s
+        return limit.admit(now)
+
+    def limit(self, organisation: str) -> OrganisationLimit:
+        """Return the limit of an organisation.
+
+        :param organisation: the organisation.
+        :return: its limit, under the division that is known.
+        """
+        known = self.limits.get(organisation)
+        if known is None:
+            entries = self.division.entries or tuple(sorted({self.entry, *self.heard_at}))
+            epoch = self.division.epoch
+            known = OrganisationLimit(self.entry, organisation, 0, entries, epoch)
+            self.limits[organisation] = known
+        return known
+
+    def news(self, now: float) -> tuple[ShareNews, ...]:
+        """Return the news of all shares, for all entries.
+
+        :param now: seconds.
+        :return: the messages to send.
+        """
+        return tuple(limit.update(now) for limit in self.limits.values())
+
+    def heard(
+        self, entry: str, division: Division, news: tuple[ShareNews, ...], now: float
+    ) -> None:
+        """Take the news of another entry in.
+
+        :param entry: the entry.
+        :param division: the latest division that it knows.
+        :param news: its shares.
+        :param now: seconds.
+        """
+        self.heard_at[entry] = now
+        self.divide(division, now)
+        for share in news:
+            self.limit(share.organisation).heard(share, now)
+
+    def divide(self, division: Division, now: float) -> None:
+        """Adopt a division if it is later than the known one.
+
+        :param division: the division.
+        :param now: seconds.
+        """
+        if division.epoch <= self.division.epoch:
+            return
+        self.division = division
+        for limit in self.limits.values():
+            limit.divide(division.entries, division.epoch, now)
+
+    def connected(self, entries: frozenset[str], now: float) -> None:
+        """Take in which other entries are connected.
+
+        :param entries: their names.
+        :param now: seconds.
+        """
+        self.heard_at.update(dict.fromkeys(entries, now))
+        if self.settles_at is None:
+            self.settles_at = now + SETTLE_S
+
+    def lead(self, fencing_number: int, now: float) -> None:
+        """Divide anew if there is no division yet, an entry joined or one is gone for long.
+
+        :param fencing_number: that of the lease that this entry holds.
+        :param now: seconds.
+        """
+        live = {
+            entry for entry, heard_at in self.heard_at.items() if now - heard_at <= GONE_AFTER_S
+        } | {self.entry}
+        if self.division.epoch and live == set(self.division.entries):
+            return
+        if self.settles_at is None or now < self.settles_at:
+            return
+        epoch = max(fencing_number * DIVISIONS_PER_TERM, self.division.epoch) + 1
+        self.divide(Division(epoch, tuple(sorted(live))), now)
+
+
+__all__ = (
+    'Division',
+    'LimitRegistry',
+)
--- a/src/cassiahitch/requests/api.py
+++ b/src/cassiahitch/requests/api.py
@@ -39,6 +39,8 @@
     priority: Priority = Priority.draft
     streamed_bytes: int = 0
     body_digest: bytes = b''
+    retry: bool = False
+    on_hold: HoldCall | None = None
 
     def __post_init__(self) -> None:
         """Compute the digest of the body."""
@@ -63,6 +65,13 @@
 Proceed = Callable[[Request], Awaitable[Answered]]
 
 
+class HoldCall(Protocol):
+    """Called when a request is held back before a dispatch, and when it goes on."""
+
+    def __call__(self, *, held: bool) -> None:
+        """Take note of it."""
+
+
 class Filter(Protocol):
     """One step of the filter chain."""
 
--- a/src/cassiahitch/requests/attempts.py
+++ b/src/cassiahitch/requests/attempts.py
@@ -50,12 +50,16 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptEnd:
-    """How an attempt ended; ``crashed`` tells that the backend server went down meanwhile."""
+    """How an attempt ended; ``crashed`` tells that the backend server went down meanwhile.
+
+    ``crashes`` counts its crashes, that one included.
+    """
 
     outcome: Outcome
     crashed: bool = False
     replayed: bool = False
     silent: bool = False
+    crashes: int = 0
 
 
 class Attempt:
@@ -160,7 +164,13 @@
                 checksum=answer.checksum,
                 weights_digest=answer.weights_digest,
             )
-        return AttemptEnd(outcome_of(whole), answer.backend_crashed, answer.replayed)
+        crashes = answer.backend_crashes if answer.backend_crashed else 0
+        return AttemptEnd(
+            outcome_of(whole),
+            answer.backend_crashed,
+            answer.replayed,
+            crashes=crashes,
+        )
 
     async def _give_up(
         self,
--- a/src/cassiahitch/requests/dispatch.py
+++ b/src/cassiahitch/requests/dispatch.py
@@ -23,6 +23,7 @@
     from cassiahitch.ledger.tickets import TicketOffice
     from cassiahitch.requests.api import Proceed, Request
     from cassiahitch.requests.attempts import Redialler
+    from cassiahitch.requests.poison import Permit, PoisonGate
     from cassiahitch.routing.router import Router
     from cassiahitch.wire.node import Node
 
@@ -45,9 +46,10 @@
 
 @dataclass(slots=True)
 class Sends:
-    """What was sent for a request so far."""
+    """What was sent for a request so far, and whether it has run."""
 
     count: int = 0
+    ran: Ran = Ran.no
     tried: set[str] = field(default_factory=set)
 
 
@@ -61,6 +63,7 @@
     redialler: Redialler
     tickets: TicketOffice
     budget: retries.RetryBudget
+    gate: PoisonGate
 
     async def handle(self, request: Request, _proceed: Proceed) -> Answered:
         """Send a request until it is answered or given up.
@@ -73,22 +76,30 @@
             return await self._run_ticket(request)
         sends = Sends()
         while True:
-            choice = self._choose(request, sends)
-            ended = await self._send(request, self._target(request, choice, sends), sends)
+            permit = await self.gate.admit(request, sends.count, sends.ran)
+            choice = self._choose(request, sends, permit)
+            target = self._target(request, choice, sends, alone=bool(permit.host))
+            ended = await self._send(request, target, sends)
             match ended.outcome:
                 case Answer() as answer:
                     self.budget.succeeded()
                     return _answered(answer, replayed=ended.replayed)
                 case Failure() as failure:
+                    sends.ran = _later(sends.ran, failure.ran)
                     self._check_retry(request, failure, sends)
 
-    def _choose(self, request: Request, sends: Sends) -> Choice:
+    def _choose(self, request: Request, sends: Sends, permit: Permit) -> Choice:
         prefix = request.body[:PREFIX_CHARACTERS].decode(errors='replace')
-        query = RouteQuery(request.service, prefix, frozenset(sends.tried))
+        query = RouteQuery(
+            request.service,
+            prefix,
+            frozenset(sends.tried) | permit.avoided,
+            only=permit.host,
+        )
         match self.router.choose(query, self.node.clock.monotonic()):
             case NoReplica(retry_after_s=retry_after_s):
                 detail = f'no replica serves {request.service}'
-                raise RequestError(Code.no_replica, detail, Ran.no, retry_after_s)
+                raise RequestError(Code.no_replica, detail, sends.ran, retry_after_s)
             case Choice() as choice:
                 self.node.timeline.record(
                     EventKind.replica_chosen,
@@ -97,25 +108,36 @@
                 )
                 return choice
 
-    def _target(self, request: Request, choice: Choice, sends: Sends) -> Target:
+    def _target(
+        self,
+        request: Request,
+        choice: Choice,
+        sends: Sends,
+        *,
+        alone: bool,
+    ) -> Target:
         key = (request.identifier + bytes([sends.count])).hex()
         claim = ''
         if request.idempotency_key and not request.idempotent:
             claim = claim_key(request.organisation, request.idempotency_key)
-        return Target(choice.host, choice.incarnation, key, claim)
+        return Target(choice.host, choice.incarnation, key, claim, alone)
 
     async def _send(self, request: Request, target: Target, sends: Sends) -> AttemptEnd:
         attempt = Attempt(self.node, self.directory, self.redialler, request, sends.count)
         sends.count += 1
         sends.tried.add(target.host)
+        attempt_id = attempt.request_id.hex()
         self.router.dispatched(target.host)
+        self.gate.dispatched(attempt_id, request, target.host, alone=target.alone)
         self.node.metrics.count(CounterName.requests_dispatched)
         started = self.node.clock.monotonic()
         try:
             ended = await attempt.run(target)
         except asyncio.CancelledError:
+            self.gate.cancelled(attempt_id)
             self._finished(target.host, Outcome.cancelled, started)
             raise
+        self.gate.ended(attempt_id, ended)
         self._finished(target.host, _routing_outcome(ended), started)
         return ended
 
@@ -173,6 +195,10 @@
     return hashlib.sha256(f'{organisation}\n{key}'.encode()).hexdigest()
 
 
+def _later(known: Ran, latest: Ran) -> Ran:
+    return known if latest is Ran.no else latest
+
+
 def _error(failure: Failure, retry_after_s: float) -> RequestError:
     detail = 'the request was not answered'
     return RequestError(failure.code, detail, failure.ran, retry_after_s)
--- /dev/null
+++ b/src/cassiahitch/requests/limiting.py
@@ -0,0 +1,47 @@
+"""Holds organisations to their limits, over all entries together."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from cassiahitch.codes import Code, Ran
+from cassiahitch.errors import RequestError
+from cassiahitch.limits.organisations import OverLimit
+from cassiahitch.resources.models import Organisation
+
+if TYPE_CHECKING:
+    from cassiahitch.clock import Clock
+    from cassiahitch.controllers.configuration import Configuration
+    from cassiahitch.limits.registry import LimitRegistry
+    from cassiahitch.requests.api import Answered, Proceed, Request
+
+
+@dataclass(frozen=True, slots=True)
+class Limiting:
+    """Refuses what is over the limit of its organisation."""
+
+    configuration: Configuration
+    clock: Clock
+    registry: LimitRegistry
+
+    async def handle(self, request: Request, proceed: Proceed) -> Answered:
+        """Check a request against the limit of its organisation.
+
+        :param request: the request.
+        :param proceed: the rest of the chain.
+        :return: the answer.
+        :raises RequestError: ``organisation_limit``.
+        """
+        organisation = self.configuration.resources.get(f'Organisation/{request.organisation}')
+        if isinstance(organisation, Organisation):
+            limit_per_s = organisation.requests_per_s
+            verdict = self.registry.admit(organisation.name, limit_per_s, self.clock.monotonic())
+            if isinstance(verdict, OverLimit):
+                detail = f'{organisation.name} may send {limit_per_s} requests a second'
+                code = Code.organisation_limit
+                raise RequestError(code, detail, Ran.no, verdict.retry_after_s)
+        return await proceed(request)
+
+
+__all__ = ('Limiting',)
--- a/src/cassiahitch/routing/api.py
+++ b/src/cassiahitch/routing/api.py
@@ -31,12 +31,16 @@
 
 @dataclass(frozen=True, slots=True)
 class RouteQuery:
-    """A request that needs a replica; an empty ``digest`` accepts any loaded version."""
+    """A request that needs a replica.
+
+    An empty ``digest`` accepts any loaded version, an empty ``only`` any host.
+    """
 
     service: str
     prefix: str = ''
     excluded: frozenset[str] = frozenset()
     digest: str = ''
+    only: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cassiahitch/routing/router.py
+++ b/src/cassiahitch/routing/router.py
@@ -178,6 +178,8 @@
         :return: the choice, or when to try again.
         """
         self.now = max(self.now, now)
+        if query.only:
+            return self.choose_only(query, now)
         best = self.best_of(query, now, local=True)
         if best is None or best.wait_s > self.place.distances.region_s:
             best = cheaper(best, self.best_of(query, now, local=False))
@@ -186,6 +188,19 @@
         incarnation = self.states[best.host].replica.incarnation
         return Choice(best.host, incarnation, best.seconds, best.prefix_hit)
 
+    def choose_only(self, query: RouteQuery, now: float) -> Choice | NoReplica:
+        """Choose the only replica that a request may use, also when it is ejected.
+
+        :param query: the request.
+        :param now: seconds.
+        :return: the choice, or when to try again.
+        """
+        state = self.states.get(query.only)
+        if state is None:
+            return NoReplica(RETRY_AFTER_S)
+        scored = self.scored(query.only, (), now)
+        return Choice(query.only, state.replica.incarnation, scored.seconds)
+
     def service_load(self, service: str, now: float) -> ServiceLoad:
         """Return the load of the replicas that may get requests of a service.
 
--- a/src/cassiahitch/wire/cassiahitch.thrift
+++ b/src/cassiahitch/wire/cassiahitch.thrift
@@ -19,6 +19,12 @@
   10: i64 clock_ms
 }
 
+struct CachedPrefix {
+  1: i64 sequence
+  2: string prefix
+  3: bool cached
+}
+
 struct Heartbeat {
   1: i64 incarnation
   2: i64 sequence
@@ -38,6 +44,9 @@
   16: i32 chunks_complete
   17: i32 http_port
   18: string plain_service
+  19: i64 backend_crashes
+  20: i64 cache_sequence
+  21: list<CachedPrefix> cache_events
 }
 
 struct Dispatch {
@@ -75,6 +84,7 @@
   9: string weights_digest
   10: bool backend_crashed
   11: bool replayed
+  12: i64 backend_crashes
 }
 
 struct Void {
--- a/src/cassiahitch/wire/gen/messages/ttypes.py
+++ b/src/cassiahitch/wire/gen/messages/ttypes.py
@@ -260,6 +260,98 @@
         return not (self == other)
 
 
+class CachedPrefix(object):
+    """
+    Attributes:
+     - sequence
+     - prefix
+     - cached
+
+    """
+
+    __slots__ = (
+        'sequence',
+        'prefix',
+        'cached',
+    )
+
+
+    def __init__(self, sequence=None, prefix=None, cached=None,):
+        self.sequence = sequence
+        self.prefix = prefix
+        self.cached = cached
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.prefix = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.cached = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CachedPrefix')
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 1)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.prefix is not None:
+            oprot.writeFieldBegin('prefix', TType.STRING, 2)
+            oprot.writeString(self.prefix.encode('utf-8') if sys.version_info[0] == 2 else self.prefix)
+            oprot.writeFieldEnd()
+        if self.cached is not None:
+            oprot.writeFieldBegin('cached', TType.BOOL, 3)
+            oprot.writeBool(self.cached)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Heartbeat(object):
     """
     Attributes:
@@ -281,6 +373,9 @@
      - chunks_complete
      - http_port
      - plain_service
+     - backend_crashes
+     - cache_sequence
+     - cache_events
 
     """
 
@@ -303,10 +398,13 @@
         'chunks_complete',
         'http_port',
         'plain_service',
+        'backend_crashes',
+        'cache_sequence',
+        'cache_events',
     )
 
 
-    def __init__(self, incarnation=None, sequence=None, uptime_ms=None, clock_ms=None, revision=None, leaving=None, ready=None, running=None, queued=None, capacity=None, deployment=None, loaded_digest=None, loading_digest=None, load_epoch=None, complete_digests=None, chunks_complete=None, http_port=None, plain_service=None,):
+    def __init__(self, incarnation=None, sequence=None, uptime_ms=None, clock_ms=None, revision=None, leaving=None, ready=None, running=None, queued=None, capacity=None, deployment=None, loaded_digest=None, loading_digest=None, load_epoch=None, complete_digests=None, chunks_complete=None, http_port=None, plain_service=None, backend_crashes=None, cache_sequence=None, cache_events=None,):
         self.incarnation = incarnation
         self.sequence = sequence
         self.uptime_ms = uptime_ms
@@ -325,6 +423,9 @@
         self.chunks_complete = chunks_complete
         self.http_port = http_port
         self.plain_service = plain_service
+        self.backend_crashes = backend_crashes
+        self.cache_sequence = cache_sequence
+        self.cache_events = cache_events
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -430,6 +531,27 @@
                     self.plain_service = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.I64:
+                    self.backend_crashes = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.I64:
+                    self.cache_sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.LIST:
+                    self.cache_events = []
+                    (_etype9, _size6) = iprot.readListBegin()
+                    for _i10 in range(_size6):
+                        _elem11 = CachedPrefix()
+                        _elem11.read(iprot)
+                        self.cache_events.append(_elem11)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -499,8 +621,8 @@
         if self.complete_digests is not None:
             oprot.writeFieldBegin('complete_digests', TType.LIST, 15)
             oprot.writeListBegin(TType.STRING, len(self.complete_digests))
-            for iter6 in self.complete_digests:
-                oprot.writeString(iter6.encode('utf-8') if sys.version_info[0] == 2 else iter6)
+            for iter12 in self.complete_digests:
+                oprot.writeString(iter12.encode('utf-8') if sys.version_info[0] == 2 else iter12)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.chunks_complete is not None:
@@ -515,6 +637,21 @@
             oprot.writeFieldBegin('plain_service', TType.STRING, 18)
             oprot.writeString(self.plain_service.encode('utf-8') if sys.version_info[0] == 2 else self.plain_service)
             oprot.writeFieldEnd()
+        if self.backend_crashes is not None:
+            oprot.writeFieldBegin('backend_crashes', TType.I64, 19)
+            oprot.writeI64(self.backend_crashes)
+            oprot.writeFieldEnd()
+        if self.cache_sequence is not None:
+            oprot.writeFieldBegin('cache_sequence', TType.I64, 20)
+            oprot.writeI64(self.cache_sequence)
+            oprot.writeFieldEnd()
+        if self.cache_events is not None:
+            oprot.writeFieldBegin('cache_events', TType.LIST, 21)
+            oprot.writeListBegin(TType.STRUCT, len(self.cache_events))
+            for iter13 in self.cache_events:
+                iter13.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -870,6 +1007,7 @@
      - weights_digest
      - backend_crashed
      - replayed
+     - backend_crashes
 
     """
 
@@ -885,10 +1023,11 @@
         'weights_digest',
         'backend_crashed',
         'replayed',
+        'backend_crashes',
     )
 
 
-    def __init__(self, request_id=None, body_digest=None, code=None, ran=None, detail=None, body=None, length=None, checksum=None, weights_digest=None, backend_crashed=None, replayed=None,):
+    def __init__(self, request_id=None, body_digest=None, code=None, ran=None, detail=None, body=None, length=None, checksum=None, weights_digest=None, backend_crashed=None, replayed=None, backend_crashes=None,):
         self.request_id = request_id
         self.body_digest = body_digest
         self.code = code
@@ -900,6 +1039,7 @@
         self.weights_digest = weights_digest
         self.backend_crashed = backend_crashed
         self.replayed = replayed
+        self.backend_crashes = backend_crashes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -965,6 +1105,11 @@
                     self.replayed = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I64:
+                    self.backend_crashes = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1019,6 +1164,10 @@
             oprot.writeFieldBegin('replayed', TType.BOOL, 11)
             oprot.writeBool(self.replayed)
             oprot.writeFieldEnd()
+        if self.backend_crashes is not None:
+            oprot.writeFieldBegin('backend_crashes', TType.I64, 12)
+            oprot.writeI64(self.backend_crashes)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1291,11 +1440,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.answers = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = Answer()
-                        _elem12.read(iprot)
-                        self.answers.append(_elem12)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = Answer()
+                        _elem19.read(iprot)
+                        self.answers.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1324,8 +1473,8 @@
         if self.answers is not None:
             oprot.writeFieldBegin('answers', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.answers))
-            for iter13 in self.answers:
-                iter13.write(oprot)
+            for iter20 in self.answers:
+                iter20.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1859,10 +2008,10 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.manifests = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.manifests.append(_elem19)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.manifests.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1892,8 +2041,8 @@
         if self.manifests is not None:
             oprot.writeFieldBegin('manifests', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.manifests))
-            for iter20 in self.manifests:
-                oprot.writeString(iter20.encode('utf-8') if sys.version_info[0] == 2 else iter20)
+            for iter27 in self.manifests:
+                oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.fencing_number is not None:
@@ -3102,6 +3251,13 @@
     (9, TType.STRING, 'proof', 'BINARY', None, ),  # 9
     (10, TType.I64, 'clock_ms', None, None, ),  # 10
 )
+all_structs.append(CachedPrefix)
+CachedPrefix.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'sequence', None, None, ),  # 1
+    (2, TType.STRING, 'prefix', 'UTF8', None, ),  # 2
+    (3, TType.BOOL, 'cached', None, None, ),  # 3
+)
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
     None,  # 0
@@ -3123,6 +3279,9 @@
     (16, TType.I32, 'chunks_complete', None, None, ),  # 16
     (17, TType.I32, 'http_port', None, None, ),  # 17
     (18, TType.STRING, 'plain_service', 'UTF8', None, ),  # 18
+    (19, TType.I64, 'backend_crashes', None, None, ),  # 19
+    (20, TType.I64, 'cache_sequence', None, None, ),  # 20
+    (21, TType.LIST, 'cache_events', (TType.STRUCT, [CachedPrefix, None], False), None, ),  # 21
 )
 all_structs.append(Dispatch)
 Dispatch.thrift_spec = (
@@ -3163,6 +3322,7 @@
     (9, TType.STRING, 'weights_digest', 'UTF8', None, ),  # 9
     (10, TType.BOOL, 'backend_crashed', None, None, ),  # 10
     (11, TType.BOOL, 'replayed', None, None, ),  # 11
+    (12, TType.I64, 'backend_crashes', None, None, ),  # 12
 )
 all_structs.append(Void)
 Void.thrift_spec = (
--- a/src/cassiahitch/wire/messages.py
+++ b/src/cassiahitch/wire/messages.py
@@ -31,6 +31,15 @@
     clock_ms: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class CachedPrefix:
+    """A prompt prefix that entered or left the cache of an engine."""
+
+    sequence: int = 0
+    prefix: str = ''
+    cached: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
     """State of a process, sent at a fixed interval in both directions."""
@@ -53,6 +62,9 @@
     chunks_complete: int = 0
     http_port: int = 0
     plain_service: str = ''
+    backend_crashes: int = 0
+    cache_sequence: int = 0
+    cache_events: tuple[CachedPrefix, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,6 +111,7 @@
     weights_digest: str = ''
     backend_crashed: bool = False
     replayed: bool = False
+    backend_crashes: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -291,6 +304,7 @@
 __all__ = (
     'Answer',
     'AnswerPart',
+    'CachedPrefix',
     'Cancel',
     'CancelLoad',
     'Challenge',
--- a/tests/limits/test_organisations.py
+++ b/tests/limits/test_organisations.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from cassiahitch.limits.organisations import (
     BURST_S,
-    MILLI,
+    WHOLE,
     OrganisationLimit,
     OverLimit,
     ShareNews,
@@ -64,7 +65,7 @@
     @invariant()
     def sum_of_shares_stays_within_the_limit(self) -> None:
         assert all(limit.share >= 0 for limit in self.limits)
-        assert sum(limit.share for limit in self.limits) <= LIMIT_PER_S * MILLI
+        assert sum(limit.share for limit in self.limits) <= WHOLE
 
     @invariant()
     def admitted_requests_stay_within_the_limit(self) -> None:
@@ -119,7 +120,17 @@
     run_rounds(limits, (0, 100, 0, 0), range(14, 40), silent=(2,))
     assert limits[0].row().get('entry-3', 0) == given
     assert limits[2].share == kept
-    assert sum(limit.share for limit in limits) <= LIMIT_PER_S * MILLI
+    assert sum(limit.share for limit in limits) <= WHOLE
+
+
+def test_new_division_takes_back_the_share_of_an_entry_that_is_gone() -> None:
+    limits = make_limits()
+    for limit in limits[:2]:
+        limit.epoch = 1
+        limit.divide(NAMES[:2], 2, 10)
+        limit.divide(NAMES, 1, 10)
+        assert limit.rate(10) == pytest.approx(LIMIT_PER_S / 3)
+        assert limit.rate(13) == pytest.approx(LIMIT_PER_S / 2)
 
 
 def test_refusal_says_when_to_come_back() -> None:
--- /dev/null
+++ b/tests/limits/test_registry.py
@@ -0,0 +1,53 @@
+"""Tests of the division of organisation limits."""
+
+from __future__ import annotations
+
+import pytest
+
+from cassiahitch.limits.organisations import Within
+from cassiahitch.limits.registry import GONE_AFTER_S, SETTLE_S, Division, LimitRegistry
+
+
+def make_leader() -> LimitRegistry:
+    registry = LimitRegistry('entry-1')
+    registry.connected(frozenset(('entry-2',)), 0)
+    return registry
+
+
+def test_holder_of_the_lease_divides_among_the_entries_that_it_hears() -> None:
+    registry = make_leader()
+    registry.lead(3, SETTLE_S / 2)
+    assert registry.division == Division()
+    registry.lead(3, SETTLE_S)
+    assert registry.division.entries == ('entry-1', 'entry-2')
+
+
+def test_entry_that_is_gone_for_long_or_joins_leads_to_a_new_division() -> None:
+    registry = make_leader()
+    registry.lead(3, SETTLE_S)
+    first = registry.division
+    registry.lead(3, GONE_AFTER_S)
+    assert registry.division == first
+    registry.lead(3, GONE_AFTER_S + SETTLE_S)
+    assert registry.division.entries == ('entry-1',)
+    registry.connected(frozenset(('entry-3',)), 20)
+    registry.lead(4, 20)
+    assert registry.division.entries == ('entry-1', 'entry-3')
+    assert registry.division.epoch > first.epoch
+
+
+def test_old_division_is_ignored() -> None:
+    registry = LimitRegistry('entry-1')
+    registry.heard('entry-2', Division(5, ('entry-1', 'entry-2')), (), 0)
+    registry.heard('entry-3', Division(4, ('entry-3',)), (), 0)
+    assert registry.division.epoch == 5
+
+
+def test_limit_known_first_by_news_starts_with_a_full_bucket() -> None:
+    sender = LimitRegistry('entry-2')
+    sender.heard('entry-1', Division(1, ('entry-1', 'entry-2')), (), 0)
+    sender.admit('caterers', 20, 0)
+    registry = LimitRegistry('entry-1')
+    registry.heard('entry-2', sender.division, sender.news(1), 1)
+    verdicts = [registry.admit('caterers', 20, 1) for _ in range(12)]
+    assert verdicts.count(Within()) == pytest.approx(10, abs=1)
