--- /dev/null
+++ b/src/cassiahitch/cli/roles.py
@@ -0,0 +1,88 @@
+"""Commands that run a role of the system until a signal ends it."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+import sys
+from contextlib import ExitStack
+from pathlib import Path
+from typing import Protocol
+
+from cassiahitch.agent.process import AgentProcess
+from cassiahitch.cli.exits import ExitCode
+from cassiahitch.cli.rendering import print_line
+from cassiahitch.entry.process import EntryProcess
+from cassiahitch.metrics.logs import configure_logs
+from cassiahitch.settings.loader import load_settings
+from cassiahitch.settings.models import AgentSettings, EntrySettings, Role
+
+LOGGER = logging.getLogger('cassiahitch')
+
+
+class RoleProcess(Protocol):
+    """A process that starts, runs its tasks and stops gracefully."""
+
+    async def start(self) -> None:
+        """Open the sockets and start the tasks."""
+
+    async def stop(self) -> None:
+        """Finish what runs and close everything."""
+
+
+def entry(settings: Path, *, check: bool = False) -> int:
+    """Serve callers and operators.
+
+    :param settings: settings in YAML.
+    :param check: only validate the settings.
+    :return: the exit code.
+    """
+    loaded = load_settings(settings, Role.entry)
+    if check:
+        print_line(f'{settings}: settings of the entry {loaded.name} are valid')
+        return ExitCode.fine
+    return _run(EntryProcess(loaded), loaded)
+
+
+def agent(settings: Path, *, check: bool = False) -> int:
+    """Serve the backend server of a host.
+
+    :param settings: settings in YAML.
+    :param check: only validate the settings.
+    :return: the exit code.
+    """
+    loaded = load_settings(settings, Role.agent)
+    if check:
+        print_line(f'{settings}: settings of the agent {loaded.name} are valid')
+        return ExitCode.fine
+    return _run(AgentProcess(loaded), loaded)
+
+
+def _run(process: RoleProcess, settings: EntrySettings | AgentSettings) -> int:
+    key = settings.system_key.get_secret_value().decode(errors='replace')
+    with ExitStack() as stack:
+        handler = configure_logs(settings.log_level, (key,), sys.stderr)
+        stack.callback(logging.getLogger().removeHandler, handler)
+        asyncio.run(_serve(process, settings.name))
+    return ExitCode.fine
+
+
+async def _serve(process: RoleProcess, name: str) -> None:
+    # The handlers stay in place while the process stops, so a second signal cuts nothing short.
+    ended = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, ended.set)
+    await process.start()
+    LOGGER.info('started', extra={'process_name': name})
+    await ended.wait()
+    LOGGER.info('leaving', extra={'process_name': name})
+    await process.stop()
+    LOGGER.info('stopped', extra={'process_name': name})
+
+
+__all__ = (
+    'agent',
+    'entry',
+)
