Mend a vanished row, ask for a request by its body, and check the executor

Review of the wiring against the claim machine's contract: - The store names a missing row with version 0; it was taken for a corrupt row and the caller was told unknown. It is read and written anew now. - Void and Status carry the body digest on the wire too; `reused` means key_reused, ran: no. - The key of a claim covers the service, and a ticket only runs for the service that its host answers: the same key elsewhere is another request. - Each ask of the store is answered exactly once, also if a peer's reply is corrupt or a commit returns too few versions. - A run that may not be repeated is not cancelled, so a retry gets its answer; a stop waits up to 5 s for outcomes to be recorded.

--- a/src/cassiahitch/agent/claims.py
+++ b/src/cassiahitch/agent/claims.py
@@ -75,6 +75,8 @@
             if error.code in {Code.store_unavailable, Code.store_busy}:
                 return BatchFailed(action.batch)
             return BatchUnclear(action.batch)
+        if isinstance(outcome, Committed) and len(outcome.versions) != len(action.writes):
+            return BatchUnclear(action.batch)
         if isinstance(outcome, Committed):
             self.node.metrics.count(CounterName.claims_committed, by=len(action.writes))
             return BatchCommitted(action.batch, outcome.versions)
@@ -89,15 +91,25 @@
 
     async def _ask(self, action: AskOwner) -> OwnerReply:
         not_after_ms = int(action.not_after * MS_PER_S)
-        question = Void(action.owner_claim_id, action.incarnation, not_after_ms, takeover=True)
+        question = Void(
+            action.owner_claim_id,
+            action.incarnation,
+            not_after_ms,
+            takeover=True,
+            body_digest=bytes.fromhex(action.body_digest),
+        )
         try:
             reply = await self.peers.call(action.agent, question)
-        except CassiahitchError:
-            return OwnerSilent(action.claim_id)
-        if not isinstance(reply, LedgerState) or reply.incarnation != action.incarnation:
+            return _owner_reply(action, reply)
+        except (CassiahitchError, ValueError):
             return OwnerSilent(action.claim_id)
-        outcome = outcome_of(reply.answers[0]) if reply.answers else None
-        return OwnerReplied(action.claim_id, State(reply.state), outcome)
+
+
+def _owner_reply(action: AskOwner, reply: Message) -> OwnerReply:
+    if not isinstance(reply, LedgerState) or reply.incarnation != action.incarnation:
+        return OwnerSilent(action.claim_id)
+    outcome = outcome_of(reply.answers[0]) if reply.answers else None
+    return OwnerReplied(action.claim_id, State(reply.state), outcome)
 
 
 Reply = BatchReply | ReadReply | OwnerReply
--- a/src/cassiahitch/agent/executor.py
+++ b/src/cassiahitch/agent/executor.py
@@ -46,6 +46,8 @@
 TICK_S = 0.02
 #: Seconds between looks at whether everything has finished.
 FINISHED_POLL_S = 0.02
+#: Longest wait for the outcomes of claims to be recorded before a stop, in seconds.
+RECORD_TIMEOUT_S = 5
 MS_PER_S = 1000
 
 
@@ -151,10 +153,11 @@
         :return: its state.
         """
         not_after = message.not_after_ms / MS_PER_S
-        question: Void | Status = Status(message.ledger_key, not_after, message.incarnation)
+        request = (message.ledger_key, message.body_digest.hex(), not_after, message.incarnation)
+        question: Void | Status = Status(*request)
         takeover = getattr(message, 'takeover', None)
         if takeover is not None:
-            question = Void(message.ledger_key, not_after, message.incarnation, takeover)
+            question = Void(*request, takeover)
         replies = [one for one in self.handle(question) if isinstance(one, StateReply)]
         return replies[-1]
 
@@ -170,9 +173,12 @@
         return actions
 
     async def finished(self) -> None:
-        """Wait until nothing runs and nothing waits to run."""
+        """Wait until nothing runs or waits to run, and a while for outcomes to be recorded."""
         while self.running or not self.queue.empty() or self.waiters:
             await asyncio.sleep(FINISHED_POLL_S)
+        until = self.node.clock.monotonic() + RECORD_TIMEOUT_S
+        while self.machine.book.by_id and self.node.clock.monotonic() < until:
+            await asyncio.sleep(FINISHED_POLL_S)
 
     async def cancel(self, request_id: str) -> None:
         """Stop a request whose caller has left, if the backend server runs it.
@@ -195,6 +201,8 @@
             case Run(key=key):
                 self._enqueue(key)
             case Answered(request_id=request_id) | Refused(request_id=request_id):
+                # A claim that ends before it runs is under its request's identifier.
+                self.dispatches.pop(request_id, None)
                 self._resolve(request_id, action)
             case Commit() | ReadRow() | AskOwner():
                 self._spawn_store(action)
@@ -232,9 +240,9 @@
         if not self.admitting:
             self._refuse(key, Code.not_ready)
             return
-        dispatch = self.dispatches.pop(key)
+        dispatch = self.dispatches.pop(key, None)
         began = any(isinstance(action, Begin) for action in self.handle(Start(key)))
-        if not began:
+        if dispatch is None or not began:
             return
         self._count(1)
         started = self.node.clock.monotonic()
@@ -247,7 +255,9 @@
         request_id = dispatch.request_id.hex()
         self._note(EventKind.request_started, CounterName.runs_started, request_id)
         order = GenerateOrder(request_id, dispatch.body, dispatch.priority)
-        self.running_ids.add(request_id)
+        if dispatch.idempotent:
+            # Any other run goes on to its end, so that a retry under its key gets the answer.
+            self.running_ids.add(request_id)
         waiter = self.waiters.get(request_id)
         on_part = waiter.on_part if waiter else _ignore_part
         run = await self.backend.run(order, self.admitted_digest, on_part)
--- a/src/cassiahitch/ledger/api.py
+++ b/src/cassiahitch/ledger/api.py
@@ -198,7 +198,7 @@
     bytes_kept: int = 33_554_432
     answer_bytes: int = 65_536
     waiters: int = 32
-    horizon_s: float = 600
+    horizon_s: float = 900
     void_s: float = 7200
     retention_s: float = 86_400
 
--- a/src/cassiahitch/ledger/commits.py
+++ b/src/cassiahitch/ledger/commits.py
@@ -127,7 +127,8 @@
         """Queue the members of a refused transaction again whose conditions held.
 
         :param members: its members.
-        :param rows: the rows that the store named as different.
+        :param rows: the rows that the store named as different; a missing one may be left
+            out or have the version ``ABSENT``.
         :return: the others; if the store named no member's row, those that need a row to exist.
         """
         by_key = {row.key: row for row in rows}
@@ -136,7 +137,8 @@
         suspects = suspects or list(members)
         failed = {member.claim_id for member in suspects}
         self.requeue(member for member in members if member.claim_id not in failed)
-        return tuple(Suspect(member, by_key.get(member.key)) for member in suspects)
+        present = {key: row for key, row in by_key.items() if row.version != ABSENT}
+        return tuple(Suspect(member, present.get(member.key)) for member in suspects)
 
     def requeue(self, members: Iterable[Member]) -> None:
         """Queue members again, ahead of the others.
--- a/src/cassiahitch/ledger/rows.py
+++ b/src/cassiahitch/ledger/rows.py
@@ -102,14 +102,15 @@
     }
 
 
-def row_key(organisation: str, caller_key: str) -> str:
+def row_key(organisation: str, service: str, caller_key: str) -> str:
     """Return the key of a caller's claim in the table.
 
     :param organisation: name of the organisation.
+    :param service: name of the service that the request is for.
     :param caller_key: the key that the caller chose.
     :return: hexadecimal digest.
     """
-    return hashlib.sha256(f'{organisation}\0{caller_key}'.encode()).hexdigest()
+    return hashlib.sha256(f'{organisation}\0{service}\0{caller_key}'.encode()).hexdigest()
 
 
 def parse_row(row: Row) -> ClaimRow:
--- a/src/cassiahitch/requests/attempts.py
+++ b/src/cassiahitch/requests/attempts.py
@@ -212,7 +212,12 @@
             await asyncio.sleep(SETTLE_POLL_S)
 
     def _void(self, target: Target, dispatch: messages.Dispatch) -> messages.Void:
-        return messages.Void(target.ledger_key, target.incarnation, dispatch.not_after_ms)
+        return messages.Void(
+            target.ledger_key,
+            target.incarnation,
+            dispatch.not_after_ms,
+            body_digest=dispatch.body_digest,
+        )
 
     def _record(self, kind: EventKind, host: str) -> None:
         self.node.timeline.record(kind, request_id=self.request.id, detail=host)
--- a/src/cassiahitch/requests/dispatch.py
+++ b/src/cassiahitch/requests/dispatch.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import hashlib
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from cassiahitch.codes import Code, Ran
 from cassiahitch.errors import RequestError
 from cassiahitch.ledger.api import Answer, Failure
+from cassiahitch.ledger.rows import row_key
 from cassiahitch.limits import retries
 from cassiahitch.metrics.names import CounterName
 from cassiahitch.requests.api import Answered
@@ -20,7 +20,7 @@
 
 if TYPE_CHECKING:
     from cassiahitch.entry.directory import Directory
-    from cassiahitch.ledger.tickets import TicketOffice
+    from cassiahitch.ledger.tickets import Ticket, TicketOffice
     from cassiahitch.requests.api import Proceed, Request
     from cassiahitch.requests.attempts import Redialler
     from cassiahitch.routing.router import Router
@@ -101,7 +101,7 @@
         key = (request.identifier + bytes([sends.count])).hex()
         claim = ''
         if request.idempotency_key and not request.idempotent:
-            claim = claim_key(request.organisation, request.idempotency_key)
+            claim = row_key(request.organisation, request.service, request.idempotency_key)
         return Target(choice.host, choice.incarnation, key, claim)
 
     async def _send(self, request: Request, target: Target, sends: Sends) -> AttemptEnd:
@@ -127,10 +127,7 @@
         wall = self.node.clock.wall()
         ticket = self.tickets.verify(request.ticket, wall)
         target = Target(ticket.agent, ticket.agent_incarnation, request.ticket)
-        agent = self.directory.agents.get(ticket.agent)
-        if agent is None or agent.heartbeat.incarnation != ticket.agent_incarnation:
-            detail = f'{ticket.agent} is not connected in that incarnation'
-            raise RequestError(Code.ticket_owner_gone, detail, Ran.unknown)
+        self._check_owner(ticket, request.service)
         ended = await self._send(request, target, Sends())
         match ended.outcome:
             case Answer() as answer:
@@ -142,6 +139,15 @@
                 # Another entry may have sent the same ticket, so its fate is not known here.
                 raise RequestError(code, f'at {ticket.agent}', Ran.unknown)
 
+    def _check_owner(self, ticket: Ticket, service: str) -> None:
+        agent = self.directory.agents.get(ticket.agent)
+        if agent is None or agent.heartbeat.incarnation != ticket.agent_incarnation:
+            detail = f'{ticket.agent} is not connected in that incarnation'
+            raise RequestError(Code.ticket_owner_gone, detail, Ran.unknown)
+        if self.directory.service_of(agent.heartbeat) != service:
+            detail = f'the ticket is not for {service}'
+            raise RequestError(Code.ticket_invalid, detail, Ran.no)
+
     def _check_retry(self, request: Request, failure: Failure, sends: Sends) -> None:
         if failure.code in FINAL_CODES or request.streamed_bytes:
             raise _error(failure, retry_after_s=retries.RETRY_AFTER_S)
@@ -163,16 +169,6 @@
                 )
 
 
-def claim_key(organisation: str, key: str) -> str:
-    """Return the key of the claim of a request.
-
-    :param organisation: the organisation.
-    :param key: the key that its caller chose.
-    :return: hexadecimal SHA-256.
-    """
-    return hashlib.sha256(f'{organisation}\n{key}'.encode()).hexdigest()
-
-
 def _error(failure: Failure, retry_after_s: float) -> RequestError:
     detail = 'the request was not answered'
     return RequestError(failure.code, detail, failure.ran, retry_after_s)
@@ -197,7 +193,4 @@
             return Outcome.failed
 
 
-__all__ = (
-    'Dispatching',
-    'claim_key',
-)
+__all__ = ('Dispatching',)
--- a/src/cassiahitch/wire/answers.py
+++ b/src/cassiahitch/wire/answers.py
@@ -86,6 +86,8 @@
         return outcome_of(state.answers[0])
     if state.state == State.void:
         return Failure(Code.request_voided, Ran.no)
+    if state.state == State.reused:
+        return Failure(Code.key_reused, Ran.no)
     return None
 
 
--- a/src/cassiahitch/wire/cassiahitch.thrift
+++ b/src/cassiahitch/wire/cassiahitch.thrift
@@ -82,12 +82,14 @@
   2: i64 incarnation
   3: i64 not_after_ms
   4: bool takeover
+  5: binary body_digest
 }
 
 struct Status {
   1: string ledger_key
   2: i64 incarnation
   3: i64 not_after_ms
+  4: binary body_digest
 }
 
 struct LedgerState {
--- a/src/cassiahitch/wire/gen/messages/ttypes.py
+++ b/src/cassiahitch/wire/gen/messages/ttypes.py
@@ -1051,6 +1051,7 @@
      - incarnation
      - not_after_ms
      - takeover
+     - body_digest
 
     """
 
@@ -1059,14 +1060,16 @@
         'incarnation',
         'not_after_ms',
         'takeover',
+        'body_digest',
     )
 
 
-    def __init__(self, ledger_key=None, incarnation=None, not_after_ms=None, takeover=None,):
+    def __init__(self, ledger_key=None, incarnation=None, not_after_ms=None, takeover=None, body_digest=None,):
         self.ledger_key = ledger_key
         self.incarnation = incarnation
         self.not_after_ms = not_after_ms
         self.takeover = takeover
+        self.body_digest = body_digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1097,6 +1100,11 @@
                     self.takeover = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.body_digest = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1123,6 +1131,10 @@
             oprot.writeFieldBegin('takeover', TType.BOOL, 4)
             oprot.writeBool(self.takeover)
             oprot.writeFieldEnd()
+        if self.body_digest is not None:
+            oprot.writeFieldBegin('body_digest', TType.STRING, 5)
+            oprot.writeBinary(self.body_digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1154,6 +1166,7 @@
      - ledger_key
      - incarnation
      - not_after_ms
+     - body_digest
 
     """
 
@@ -1161,13 +1174,15 @@
         'ledger_key',
         'incarnation',
         'not_after_ms',
+        'body_digest',
     )
 
 
-    def __init__(self, ledger_key=None, incarnation=None, not_after_ms=None,):
+    def __init__(self, ledger_key=None, incarnation=None, not_after_ms=None, body_digest=None,):
         self.ledger_key = ledger_key
         self.incarnation = incarnation
         self.not_after_ms = not_after_ms
+        self.body_digest = body_digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1193,6 +1208,11 @@
                     self.not_after_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.body_digest = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1215,6 +1235,10 @@
             oprot.writeFieldBegin('not_after_ms', TType.I64, 3)
             oprot.writeI64(self.not_after_ms)
             oprot.writeFieldEnd()
+        if self.body_digest is not None:
+            oprot.writeFieldBegin('body_digest', TType.STRING, 4)
+            oprot.writeBinary(self.body_digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3171,6 +3195,7 @@
     (2, TType.I64, 'incarnation', None, None, ),  # 2
     (3, TType.I64, 'not_after_ms', None, None, ),  # 3
     (4, TType.BOOL, 'takeover', None, None, ),  # 4
+    (5, TType.STRING, 'body_digest', 'BINARY', None, ),  # 5
 )
 all_structs.append(Status)
 Status.thrift_spec = (
@@ -3178,6 +3203,7 @@
     (1, TType.STRING, 'ledger_key', 'UTF8', None, ),  # 1
     (2, TType.I64, 'incarnation', None, None, ),  # 2
     (3, TType.I64, 'not_after_ms', None, None, ),  # 3
+    (4, TType.STRING, 'body_digest', 'BINARY', None, ),  # 4
 )
 all_structs.append(LedgerState)
 LedgerState.thrift_spec = (
--- a/src/cassiahitch/wire/messages.py
+++ b/src/cassiahitch/wire/messages.py
@@ -109,6 +109,7 @@
     incarnation: int = 0
     not_after_ms: int = 0
     takeover: bool = False
+    body_digest: bytes = b''
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,6 +119,7 @@
     ledger_key: str = ''
     incarnation: int = 0
     not_after_ms: int = 0
+    body_digest: bytes = b''
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/ledger/test_at_most_once.py
+++ b/tests/ledger/test_at_most_once.py
@@ -49,7 +49,7 @@
 )
 from cassiahitch.ledger.claims import ClaimMachine
 from cassiahitch.ledger.ledger import Ledger
-from cassiahitch.ledger.rows import row_key
+from cassiahitch.ledger.rows import TABLE, row_key
 from cassiahitch.ledger.sweep import (
     PageScanned,
     RemovalEnded,
@@ -90,9 +90,7 @@
     ) -> tuple[int, ...] | tuple[Row, ...]:
         differ = [one.key for one in conditions if self.version_of(one.key) != one.version]
         if differ:
-            return tuple(self.rows[key] for key in differ if key in self.rows) or (
-                Row('', '', b'', 0),
-            )
+            return tuple(self.rows.get(key, Row(TABLE, key, b'', ABSENT)) for key in differ)
         return tuple(self.write(one) for one in writes)
 
     def is_down(self) -> bool:
@@ -231,7 +229,7 @@
         rows = tuple(entry for entry in got if isinstance(entry, Row))
         versions = tuple(entry for entry in got if isinstance(entry, int))
         if rows:
-            return BatchConflicted(action.batch, tuple(row for row in rows if row.key))
+            return BatchConflicted(action.batch, rows)
         return BatchCommitted(action.batch, versions)
 
     def question(self, action: AskOwner, *, lost: bool) -> ClaimMessage:
@@ -285,7 +283,7 @@
         incarnation = self.agents[agent].ledger.incarnation
         message: Claim | Dispatch
         if key.startswith('key'):
-            row = row_key('okonkwo', key)
+            row = row_key('okonkwo', 'reorder', key)
             stamp = (not_after, self.now + 5, self.now)
             message = Claim(request_id, row, 'okonkwo', digest, incarnation, *stamp)
         else:
--- a/tests/ledger/test_claims.py
+++ b/tests/ledger/test_claims.py
@@ -59,7 +59,7 @@
 
 
 def claim(name: str = 'a', request_id: str = '', body: str = BODY) -> Claim:
-    key = row_key('tallowmere', name)
+    key = row_key('tallowmere', 'sequence', name)
     stamp = (INCARNATION, 10, DEADLINE_S, 1000)
     return Claim(request_id or f'claim-{name}', key, 'tallowmere', body, *stamp)
 
@@ -72,7 +72,7 @@
     outcome: Outcome | None = None,
 ) -> Row:
     content = ClaimRow(
-        key=row_key('tallowmere', name),
+        key=row_key('tallowmere', 'sequence', name),
         organisation='tallowmere',
         body_digest=BODY,
         agent=agent,
@@ -213,6 +213,23 @@
     assert machine.handle(BatchCommitted(2, (10,)), 0) == (Run('claim-a'),)
 
 
+@pytest.mark.parametrize(
+    'rows',
+    [
+        pytest.param((), id='left-out'),
+        pytest.param((Row(TABLE, claim().key, b'', ABSENT),), id='absent'),
+    ],
+)
+def test_row_that_vanished_before_the_takeover_is_written_anew(
+    machine: ClaimMachine, rows: tuple[Row, ...]
+) -> None:
+    meet(machine, row())
+    machine.handle(OwnerReplied('claim-a', State.void), 0)
+    assert only(machine.handle(BatchConflicted(2, rows), 0)) == ReadRow('claim-a', claim().key)
+    anew = committed(machine.handle(RowRead('claim-a', None), 0))
+    assert anew.conditions == (Condition(TABLE, claim().key, ABSENT),)
+
+
 @pytest.mark.parametrize(
     ('reply', 'outcome'),
     [
--- a/tests/ledger/test_sweep.py
+++ b/tests/ledger/test_sweep.py
@@ -29,7 +29,7 @@
 
 
 def row(name: str, age: float) -> Row:
-    key = row_key('okonkwo', name)
+    key = row_key('okonkwo', 'reorder', name)
     content = ClaimRow(
         key=key,
         organisation='okonkwo',
