Refuse waiting claims early in a store outage, and batch outcomes with claims

After three failed transactions in a row all waiting claims are refused, and any claim is refused 50 ms before its deadline. Outcomes and removals wait up to 0.25 s to share the transaction of a claim.

--- a/src/cassiahitch/ledger/claim_api.py
+++ b/src/cassiahitch/ledger/claim_api.py
@@ -148,13 +148,17 @@
     :param batch_size: largest number of rows in a transaction.
     :param interval_s: shortest time between the starts of two transactions.
     :param retry_s: time before a failed step is tried again, at most twice that with jitter.
-    :param store_attempts: failed transactions after which a claim is refused.
+    :param background_wait_s: how long outcomes and removals wait to share a claim's transaction.
+    :param margin_s: time before its deadline at which a claim is refused.
+    :param store_attempts: failed transactions in a row after which waiting claims are refused.
     :param clean_attempts: reads after which the row of a void claim is left to the sweep.
     """
 
     batch_size: int = 64
     interval_s: float = 0.01
     retry_s: float = 0.2
+    background_wait_s: float = 0.25
+    margin_s: float = 0.05
     store_attempts: int = 3
     clean_attempts: int = 5
 
--- a/src/cassiahitch/ledger/claims.py
+++ b/src/cassiahitch/ledger/claims.py
@@ -155,14 +155,18 @@
         members = self.commits.finish(reply.batch)
         match reply:
             case BatchCommitted(versions=versions):
+                self.commits.failures = 0
                 pairs = zip(members, versions, strict=False)
                 parts = [self.written(member, version, now) for member, version in pairs]
             case BatchConflicted(rows=rows):
+                self.commits.failures = 0
                 suspects = self.commits.split(members, rows)
                 parts = [self.conflicted(suspect, now) for suspect in suspects]
             case BatchFailed():
                 self.commits.next_at = self.book.retry_at(now)
+                self.commits.failures += 1
                 parts = [self.unwritten(member, now) for member in members]
+                parts.append(self.refuse_waiting(now))
             case BatchUnclear():
                 self.commits.next_at = self.book.retry_at(now)
                 parts = [self.unclear(member) for member in members]
@@ -209,13 +213,23 @@
             self.book.clean_later(pending, now)
             return ()
         self.commits.add(member)
-        pending.attempts += 1
-        if member.purpose != Purpose.claim:
-            return ()
-        pending.failure = Failure(Code.claim_store_down, Ran.no)
-        if pending.attempts < self.limits.store_attempts:
+        if member.purpose == Purpose.claim:
+            pending.failure = Failure(Code.claim_store_down, Ran.no)
+        return ()
+
+    def refuse_waiting(self, now: float) -> tuple[ClaimAction, ...]:
+        """Refuse all claims that wait to be written once the store has failed too often.
+
+        Those that arrive later wait for the next transaction, which tries the store again.
+
+        :param now: seconds.
+        :return: a refusal for each request that waits.
+        """
+        if self.commits.failures < self.limits.store_attempts:
             return ()
-        return self.book.refuse(pending, pending.failure, now)
+        failure = Failure(Code.claim_store_down, Ran.no)
+        waiting = [self.book.by_id[claim_id] for claim_id in self.commits.claims]
+        return joined([self.book.refuse(pending, failure, now) for pending in waiting])
 
     def unclear(self, member: Member) -> tuple[ClaimAction, ...]:
         """Take in that the answer to a write was lost: read a claim's row back.
@@ -247,7 +261,7 @@
         :param now: seconds.
         :return: what to do.
         """
-        late = now >= pending.claim.deadline
+        late = now >= pending.claim.deadline - self.limits.margin_s
         match pending.stage:
             case Stage.committing | Stage.reading if late:
                 return self.book.refuse(pending, pending.failure, now)
--- a/src/cassiahitch/ledger/commits.py
+++ b/src/cassiahitch/ledger/commits.py
@@ -58,6 +58,8 @@
         self.flight: tuple[Member, ...] = ()
         self.batch = 0
         self.next_at: float = 0
+        self.failures = 0
+        self.background_due: float | None = None
 
     def add(self, member: Member) -> None:
         """Queue a member; it replaces one of the same claim.
@@ -88,7 +90,7 @@
         :param now: seconds.
         :return: the transaction, or nothing.
         """
-        if self.flight or now < self.next_at or not (self.claims or self.background):
+        if self.flight or now < self.next_at or not self.is_due(now):
             return None
         self.flight = self.choose()
         self.batch += 1
@@ -97,6 +99,19 @@
         writes = (Write(TABLE, member.key, member.content) for member in self.flight)
         return Commit(self.batch, tuple(conditions), tuple(writes))
 
+    def is_due(self, now: float) -> bool:
+        """Whether there is something to write that waits no longer.
+
+        :param now: seconds.
+        :return: whether a claim waits, or other rows have waited long enough.
+        """
+        if not self.background:
+            self.background_due = None
+        elif self.background_due is None:
+            self.background_due = now + self.limits.background_wait_s
+        due = self.background_due is not None and now >= self.background_due
+        return due or bool(self.claims)
+
     def choose(self) -> tuple[Member, ...]:
         """Take the members of the next transaction off the queues.
 
