--- a/src/cassiahitch/cli/commands.py
+++ b/src/cassiahitch/cli/commands.py
@@ -5,9 +5,10 @@
 import defopt
 
 from cassiahitch.cli.benches import bench
+from cassiahitch.cli.local import local
 from cassiahitch.cli.observing import metrics, timeline
 from cassiahitch.cli.operators import apply, delete, drain, get, status, watch
-from cassiahitch.cli.roles import agent, entry, local
+from cassiahitch.cli.roles import agent, entry
 
 ROLES = (entry, agent, local)
 OPERATORS = (apply, get, delete, watch, status, drain, timeline, metrics)
