--- a/src/cassiahitch/agent/executor.py
+++ b/src/cassiahitch/agent/executor.py
@@ -47,6 +47,8 @@
 #: Seconds between looks at whether everything has finished.
 FINISHED_POLL_S = 0.02
 MS_PER_S = 1000
+#: Hexadecimal digits of a request's identifier; those of its attempt's number follow.
+REQUEST_ID_LENGTH = 30
 
 
 @dataclass(slots=True)
@@ -272,7 +274,11 @@
             self.idle.set()
 
     def _note(self, kind: EventKind, counter: CounterName, request_id: str) -> None:
-        self.node.timeline.record(kind, request_id=request_id)
+        self.node.timeline.record(
+            kind,
+            request_id=request_id[:REQUEST_ID_LENGTH],
+            detail=f'attempt {request_id[REQUEST_ID_LENGTH:]}',
+        )
         self.node.metrics.count(counter)
 
     async def _sweep(self) -> None:
--- a/src/cassiahitch/cli/local.py
+++ b/src/cassiahitch/cli/local.py
@@ -1,4 +1,4 @@
-"""Command that runs every role and stand-ins of their surroundings on loopback."""
+"""The embedded default: a whole site in one process."""
 
 from __future__ import annotations
 
--- a/src/cassiahitch/cli/roles.py
+++ b/src/cassiahitch/cli/roles.py
@@ -1,4 +1,4 @@
-"""Commands that run a process of the system."""
+"""Commands that run a role of the system until a signal ends it."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 import sys
 from contextlib import ExitStack
 from pathlib import Path
-from typing import TYPE_CHECKING, Protocol
+from typing import Protocol
 
 from cassiahitch.agent.process import AgentProcess
 from cassiahitch.cli.exits import ExitCode
@@ -18,27 +18,23 @@
 from cassiahitch.errors import CassiahitchError
 from cassiahitch.metrics.logs import configure_logs
 from cassiahitch.settings.loader import load_settings
-from cassiahitch.settings.models import Role
+from cassiahitch.settings.models import AgentSettings, EntrySettings, Role
 
-if TYPE_CHECKING:
-    from cassiahitch.settings.models import CommonSettings
-
-LOGGER = logging.getLogger(__name__)
-STOP_SIGNALS = (signal.SIGINT, signal.SIGTERM)
+LOGGER = logging.getLogger('cassiahitch')
 
 
 class RoleProcess(Protocol):
-    """A process that a command runs until it is told to stop."""
+    """A process that starts, runs its tasks and stops gracefully."""
 
     async def start(self) -> None:
         """Open the sockets and start the tasks."""
 
     async def stop(self) -> None:
-        """Leave without cutting a request and close everything."""
+        """Finish what runs and close everything."""
 
 
 def entry(settings: Path, *, check: bool = False) -> int:
-    """Serve callers and operators until SIGTERM.
+    """Serve callers and operators.
 
     :param settings: settings in YAML.
     :param check: only validate the settings.
@@ -46,12 +42,13 @@
     """
     loaded = load_settings(settings, Role.entry)
     if check:
-        return _say_valid(settings, loaded)
-    return _run_role(loaded, EntryProcess(loaded))
+        print_line(f'{settings}: settings of the entry {loaded.name} are valid')
+        return ExitCode.fine
+    return _run(EntryProcess(loaded), loaded)
 
 
 def agent(settings: Path, *, check: bool = False) -> int:
-    """Serve the backend server of a host until SIGTERM.
+    """Serve the backend server of a host.
 
     :param settings: settings in YAML.
     :param check: only validate the settings.
@@ -59,39 +56,35 @@
     """
     loaded = load_settings(settings, Role.agent)
     if check:
-        return _say_valid(settings, loaded)
-    return _run_role(loaded, AgentProcess(loaded))
-
-
-def _say_valid(path: Path, settings: CommonSettings) -> int:
-    print_line(f'{path}: the settings of {settings.name} are valid')
-    return ExitCode.fine
+        print_line(f'{settings}: settings of the agent {loaded.name} are valid')
+        return ExitCode.fine
+    return _run(AgentProcess(loaded), loaded)
 
 
-def _run_role(settings: CommonSettings, process: RoleProcess) -> int:
-    secret = settings.system_key.get_secret_value().decode('ascii', 'replace')
+def _run(process: RoleProcess, settings: EntrySettings | AgentSettings) -> int:
+    key = settings.system_key.get_secret_value().decode(errors='replace')
     with ExitStack() as stack:
-        handler = configure_logs(settings.log_level, (secret,), sys.stderr)
+        handler = configure_logs(settings.log_level, (key,), sys.stderr)
         stack.callback(logging.getLogger().removeHandler, handler)
-        asyncio.run(_serve(settings, process))
+        asyncio.run(_serve(process, settings.name))
     return ExitCode.fine
 
 
-async def _serve(settings: CommonSettings, process: RoleProcess) -> None:
-    stopping = asyncio.Event()
+async def _serve(process: RoleProcess, name: str) -> None:
+    # The handlers stay in place while the process stops, so a second signal cuts nothing short.
+    ended = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for number in STOP_SIGNALS:
-        loop.add_signal_handler(number, stopping.set)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, ended.set)
     try:
         await process.start()
     except OSError as error:
-        detail = f'cannot listen on {settings.address}: {error.strerror}'
-        raise CassiahitchError(Code.address_in_use, detail) from None
-    LOGGER.info('started', extra={'process_name': settings.name})
-    await stopping.wait()
-    LOGGER.info('leaving', extra={'process_name': settings.name})
+        raise CassiahitchError(Code.address_in_use, f'cannot listen: {error.strerror}') from None
+    LOGGER.info('started', extra={'process_name': name})
+    await ended.wait()
+    LOGGER.info('leaving', extra={'process_name': name})
     await process.stop()
-    LOGGER.info('stopped', extra={'process_name': settings.name})
+    LOGGER.info('stopped', extra={'process_name': name})
 
 
 __all__ = (
--- a/src/cassiahitch/entry/process.py
+++ b/src/cassiahitch/entry/process.py
@@ -25,6 +25,7 @@
 from cassiahitch.wire.dialer import Dialer
 from cassiahitch.wire.endpoint import Endpoint
 from cassiahitch.wire.node import MS_PER_S, Node
+from cassiahitch.wire.reports import make_report
 
 if TYPE_CHECKING:
     from cassiahitch.clock import Clock
@@ -38,8 +39,6 @@
 #: Seconds between looks at silent members.
 MEMBER_POLL_S = 0.2
 SNAPSHOT_INTERVAL_S = 5.0
-#: Seconds for which a leaving entry goes on serving, the longest lifetime of its address.
-LEAVE_GRACE_S = 36.0
 
 
 class EntryProcess:
@@ -124,17 +123,14 @@
             task = asyncio.create_task(work)
             self.stack.callback(task.cancel)
 
-    async def stop(self, grace_s: float = LEAVE_GRACE_S) -> None:
-        """Leave the addresses, serve for the grace, finish what runs and close everything.
-
-        :param grace_s: seconds for which callers may still use this entry.
-        """
+    async def stop(self) -> None:
+        """Leave the addresses, serve for the grace, finish what runs and close everything."""
         self.leaving = True
         self.node.timeline.record(EventKind.process_leaving)
         self._note_self()
         await self.endpoint.announce()
         await self.parts.leadership.resign()
-        await asyncio.sleep(grace_s)
+        await asyncio.sleep(self.settings.leave_grace_s)
         self.closing = True
         while self.parts.caller_service.running:
             await asyncio.wait(self.parts.caller_service.running.values())
@@ -247,6 +243,8 @@
         match message:
             case messages.ConfigurationPull(after_revision=revision):
                 return self.parts.synchroniser.update_for(revision)
+            case messages.ReportPull():
+                return make_report(self.node, message)
             case messages.Locate(host=host):
                 return self.directory.locate(host)
             case _:
--- a/src/cassiahitch/settings/models.py
+++ b/src/cassiahitch/settings/models.py
@@ -193,6 +193,12 @@
         default=(),
         description='SHA-256 digests of the tokens of operators: a list, or a file of lines.',
     )
+    leave_grace_s: float = Field(
+        default=36,
+        ge=0,
+        le=600,
+        description='Seconds for which a leaving entry serves on, the longest address lifetime.',
+    )
 
 
 class AgentSettings(CommonSettings):
