--- a/src/cassiahitch/agent/process.py
+++ b/src/cassiahitch/agent/process.py
@@ -21,6 +21,7 @@
 from cassiahitch.wire.dialer import Dialer
 from cassiahitch.wire.endpoint import Endpoint
 from cassiahitch.wire.node import MS_PER_S, Node
+from cassiahitch.wire.reports import make_report
 
 if TYPE_CHECKING:
     from cassiahitch.agent.executor import Ended
@@ -191,6 +192,8 @@
     async def _serve(self, message: messages.Message) -> messages.Message:
         if isinstance(message, messages.ChunkRequest):
             return await self.distribution.serve(message)
+        if isinstance(message, messages.ReportPull):
+            return make_report(self.node, message)
         self._take_order(message)
         return messages.OrderReply(Code.ok)
 
--- a/src/cassiahitch/cli/client.py
+++ b/src/cassiahitch/cli/client.py
@@ -102,13 +102,21 @@
         """
         return parse_answer(ResourceAnswer, await self.call(Call('GET', _path(kind, name))))
 
-    async def list(self, kind: str) -> ListAnswer:
-        """Return all resources of a kind.
+    async def list(self, kind: str) -> tuple[ResourceAnswer, ...]:
+        """Return all resources of a kind, in the order of their names.
 
         :param kind: the kind.
         :return: the resources.
         """
-        return parse_answer(ListAnswer, await self.call(Call('GET', f'/v1/resources/{kind}')))
+        found: list[ResourceAnswer] = []
+        after = ''
+        while True:
+            call = Call('GET', f'/v1/resources/{kind}?after={quote(after, safe="")}')
+            page = parse_answer(ListAnswer, await self.call(call)).resources
+            found.extend(page)
+            if not page or page[-1].resource is None:
+                return tuple(found)
+            after = f'{kind}/{page[-1].resource.name}'
 
     async def put(self, resource: Resource, revision: int | None) -> ResourceAnswer:
         """Create or change a resource.
@@ -152,16 +160,15 @@
         :param query: the query of the URL, which selects events.
         :return: the events of each entry.
         """
-        bodies = await self._call_each(Call('GET', f'/v1/timeline?{query}'))
+        bodies = await self._call_each(Call('GET', f'/v1/timeline?all=1&{query}'))
         return tuple(decode_events(body) for body in bodies)
 
-    async def metrics(self) -> tuple[Snapshot, ...]:
-        """Return the metrics of each entry that answers.
+    async def metrics(self) -> Snapshot:
+        """Return the metrics of all processes that the first entry which answers reaches.
 
-        :return: the snapshots.
+        :return: their sums.
         """
-        bodies = await self._call_each(Call('GET', '/v1/metrics'))
-        return tuple(decode_snapshot(body) for body in bodies)
+        return decode_snapshot(await self.call(Call('GET', '/v1/metrics?all=1')))
 
     async def call(self, call: Call) -> bytes:
         """Make a call at the first entry that answers and does not leave.
--- a/src/cassiahitch/cli/roles.py
+++ b/src/cassiahitch/cli/roles.py
@@ -13,7 +13,9 @@
 from cassiahitch.agent.process import AgentProcess
 from cassiahitch.cli.exits import ExitCode
 from cassiahitch.cli.rendering import print_line
+from cassiahitch.codes import Code
 from cassiahitch.entry.process import EntryProcess
+from cassiahitch.errors import CassiahitchError
 from cassiahitch.metrics.logs import configure_logs
 from cassiahitch.settings.loader import load_settings
 from cassiahitch.settings.models import AgentSettings, EntrySettings, Role
@@ -77,7 +79,10 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, ended.set)
-    await process.start()
+    try:
+        await process.start()
+    except OSError as error:
+        raise CassiahitchError(Code.address_in_use, f'cannot listen: {error.strerror}') from None
     LOGGER.info('started', extra={'process_name': name, **process.ports()})
     await ended.wait()
     LOGGER.info('leaving', extra={'process_name': name})
--- a/src/cassiahitch/wire/cassiahitch.thrift
+++ b/src/cassiahitch/wire/cassiahitch.thrift
@@ -183,6 +183,16 @@
   1: string host
 }
 
+struct ReportPull {
+  1: string topic
+  2: string request_id
+  3: string rollout_id
+}
+
+struct Report {
+  1: binary document
+}
+
 struct Frame {
   1: i64 id
   2: i64 reply_to
@@ -211,4 +221,6 @@
   31: optional OrderDrain order_drain
   32: optional Locate locate
   33: optional PeerAddress peer_address
+  34: optional ReportPull report_pull
+  35: optional Report report
 }
--- a/src/cassiahitch/wire/gen/messages/ttypes.py
+++ b/src/cassiahitch/wire/gen/messages/ttypes.py
@@ -2681,6 +2681,166 @@
         return not (self == other)
 
 
+class ReportPull(object):
+    """
+    Attributes:
+     - topic
+     - request_id
+     - rollout_id
+
+    """
+
+    __slots__ = (
+        'topic',
+        'request_id',
+        'rollout_id',
+    )
+
+
+    def __init__(self, topic=None, request_id=None, rollout_id=None,):
+        self.topic = topic
+        self.request_id = request_id
+        self.rollout_id = rollout_id
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.topic = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.rollout_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ReportPull')
+        if self.topic is not None:
+            oprot.writeFieldBegin('topic', TType.STRING, 1)
+            oprot.writeString(self.topic.encode('utf-8') if sys.version_info[0] == 2 else self.topic)
+            oprot.writeFieldEnd()
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.STRING, 2)
+            oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
+            oprot.writeFieldEnd()
+        if self.rollout_id is not None:
+            oprot.writeFieldBegin('rollout_id', TType.STRING, 3)
+            oprot.writeString(self.rollout_id.encode('utf-8') if sys.version_info[0] == 2 else self.rollout_id)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Report(object):
+    """
+    Attributes:
+     - document
+
+    """
+
+    __slots__ = (
+        'document',
+    )
+
+
+    def __init__(self, document=None,):
+        self.document = document
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.document = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Report')
+        if self.document is not None:
+            oprot.writeFieldBegin('document', TType.STRING, 1)
+            oprot.writeBinary(self.document)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Frame(object):
     """
     Attributes:
@@ -2711,6 +2871,8 @@
      - order_drain
      - locate
      - peer_address
+     - report_pull
+     - report
 
     """
 
@@ -2742,10 +2904,12 @@
         'order_drain',
         'locate',
         'peer_address',
+        'report_pull',
+        'report',
     )
 
 
-    def __init__(self, id=None, reply_to=None, clock=None, challenge=None, hello=None, heartbeat=None, dispatch=None, answer_part=None, answer=None, void_=None, status=None, ledger_state=None, cancel=None, configuration_pull=None, configuration_update=None, fetch_order=None, cancel_load=None, order_load=None, order_reply=None, chunk_request=None, chunk_reply=None, entry_gossip=None, failure=None, release=None, order_drain=None, locate=None, peer_address=None,):
+    def __init__(self, id=None, reply_to=None, clock=None, challenge=None, hello=None, heartbeat=None, dispatch=None, answer_part=None, answer=None, void_=None, status=None, ledger_state=None, cancel=None, configuration_pull=None, configuration_update=None, fetch_order=None, cancel_load=None, order_load=None, order_reply=None, chunk_request=None, chunk_reply=None, entry_gossip=None, failure=None, release=None, order_drain=None, locate=None, peer_address=None, report_pull=None, report=None,):
         self.id = id
         self.reply_to = reply_to
         self.clock = clock
@@ -2773,6 +2937,8 @@
         self.order_drain = order_drain
         self.locate = locate
         self.peer_address = peer_address
+        self.report_pull = report_pull
+        self.report = report
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2942,6 +3108,18 @@
                     self.peer_address.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 34:
+                if ftype == TType.STRUCT:
+                    self.report_pull = ReportPull()
+                    self.report_pull.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 35:
+                if ftype == TType.STRUCT:
+                    self.report = Report()
+                    self.report.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3060,6 +3238,14 @@
             oprot.writeFieldBegin('peer_address', TType.STRUCT, 33)
             self.peer_address.write(oprot)
             oprot.writeFieldEnd()
+        if self.report_pull is not None:
+            oprot.writeFieldBegin('report_pull', TType.STRUCT, 34)
+            self.report_pull.write(oprot)
+            oprot.writeFieldEnd()
+        if self.report is not None:
+            oprot.writeFieldBegin('report', TType.STRUCT, 35)
+            self.report.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3287,6 +3473,18 @@
     None,  # 0
     (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
 )
+all_structs.append(ReportPull)
+ReportPull.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'topic', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'request_id', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'rollout_id', 'UTF8', None, ),  # 3
+)
+all_structs.append(Report)
+Report.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'document', 'BINARY', None, ),  # 1
+)
 all_structs.append(Frame)
 Frame.thrift_spec = (
     None,  # 0
@@ -3323,6 +3521,8 @@
     (31, TType.STRUCT, 'order_drain', [OrderDrain, None], None, ),  # 31
     (32, TType.STRUCT, 'locate', [Locate, None], None, ),  # 32
     (33, TType.STRUCT, 'peer_address', [PeerAddress, None], None, ),  # 33
+    (34, TType.STRUCT, 'report_pull', [ReportPull, None], None, ),  # 34
+    (35, TType.STRUCT, 'report', [Report, None], None, ),  # 35
 )
 fix_spec(all_structs)
 del all_structs
