--- a/src/cassiahitch/agent/executor.py
+++ b/src/cassiahitch/agent/executor.py
@@ -49,6 +49,8 @@
 #: Longest wait for the outcomes of claims to be recorded before a stop, in seconds.
 RECORD_TIMEOUT_S = 5
 MS_PER_S = 1000
+#: Hexadecimal digits of a request's identifier; those of its attempt's number follow.
+REQUEST_ID_LENGTH = 30
 
 
 @dataclass(slots=True)
@@ -282,7 +284,11 @@
             self.idle.set()
 
     def _note(self, kind: EventKind, counter: CounterName, request_id: str) -> None:
-        self.node.timeline.record(kind, request_id=request_id)
+        self.node.timeline.record(
+            kind,
+            request_id=request_id[:REQUEST_ID_LENGTH],
+            detail=f'attempt {request_id[REQUEST_ID_LENGTH:]}',
+        )
         self.node.metrics.count(counter)
 
     async def _sweep(self) -> None:
--- a/src/cassiahitch/cli/rendering.py
+++ b/src/cassiahitch/cli/rendering.py
@@ -91,7 +91,8 @@
     table = Table('kind', 'name', 'revision', 'resource', 'conditions')
     for answer in answers:
         if answer.resource is None:
-            table.add_row(plain(answer.kind), plain(answer.name), str(answer.revision), 'deleted')
+            kind, _, name = answer.key.partition('/')
+            table.add_row(plain(kind), plain(name), str(answer.revision), 'deleted')
             continue
         declared = answer.resource.model_dump_json(exclude={'kind', 'name'}, exclude_defaults=True)
         table.add_row(
--- a/src/cassiahitch/entry/process.py
+++ b/src/cassiahitch/entry/process.py
@@ -25,6 +25,7 @@
 from cassiahitch.wire.dialer import Dialer
 from cassiahitch.wire.endpoint import Endpoint
 from cassiahitch.wire.node import MS_PER_S, Node
+from cassiahitch.wire.reports import make_report
 
 if TYPE_CHECKING:
     from cassiahitch.clock import Clock
@@ -249,6 +250,8 @@
         match message:
             case messages.ConfigurationPull(after_revision=revision):
                 return self.parts.synchroniser.update_for(revision)
+            case messages.ReportPull():
+                return make_report(self.node, message)
             case messages.Locate(host=host):
                 return self.directory.locate(host)
             case _:
