--- a/src/cassiahitch/entry/assembly.py
+++ b/src/cassiahitch/entry/assembly.py
@@ -8,8 +8,9 @@
 from tornado.web import Application
 
 from cassiahitch.controllers.store import ConfigurationStore
-from cassiahitch.entry import callers, operators, reports
+from cassiahitch.entry import audit, callers, operators, reports
 from cassiahitch.entry.leadership import Leadership
+from cassiahitch.entry.retention import Retention
 from cassiahitch.entry.rollouts import Rollouts
 from cassiahitch.entry.synchronisation import Synchroniser
 from cassiahitch.ledger.tickets import TicketOffice
@@ -57,6 +58,7 @@
     synchroniser: Synchroniser
     leadership: Leadership
     rollouts: Rollouts
+    retention: Retention
     caller_service: callers.CallerService
     application: Application
 
@@ -83,12 +85,14 @@
         core.directory,
         frozenset(core.settings.operator_token_digests),
         reports.Reports(core.node, core.directory, core.peers),
+        tables,
     )
     return EntryParts(
         HttpHosts(caller, platform.host_list_url),
         synchroniser,
         Leadership(core.node, tables, rollouts.begin_term),
         rollouts,
+        Retention(core.node, tables),
         caller_service,
         _application(caller_service, operator_service),
     )
@@ -140,6 +144,7 @@
             (r'/v1/resources/(\w+)', operators.ListHandler, operator),
             (r'/v1/watch/(\w+)', operators.WatchHandler, operator),
             ('/v1/status', operators.StatusHandler, operator),
+            ('/v1/unknown-keys', audit.UnknownKeysHandler, operator),
             ('/v1/timeline', reports.TimelineHandler, operator),
             ('/v1/metrics', reports.MetricsHandler, operator),
         ],
--- a/src/cassiahitch/entry/process.py
+++ b/src/cassiahitch/entry/process.py
@@ -114,6 +114,7 @@
             self.parts.synchroniser.work(),
             self.parts.leadership.work(),
             self.parts.rollouts.work(self.parts.leadership),
+            self.parts.retention.work(self.parts.leadership),
             self.dialer.work(self.settings.entries),
             save_snapshots(self.parts.synchroniser, SNAPSHOT_INTERVAL_S),
             self._poll_hosts(),
--- /dev/null
+++ b/src/cassiahitch/entry/retention.py
@@ -0,0 +1,95 @@
+"""Runs the retention sweep of the claims while this entry holds the lease."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING
+
+from cassiahitch.errors import PlatformError
+from cassiahitch.ledger.sweep import (
+    PageFailed,
+    PageScanned,
+    RemovalEnded,
+    RemoveRows,
+    RetentionSweep,
+    ScanPage,
+    SweepLimits,
+    SweepTick,
+)
+from cassiahitch.metrics.names import CounterName, GaugeName
+from cassiahitch.platform.api import Committed
+
+if TYPE_CHECKING:
+    from cassiahitch.entry.leadership import Leadership
+    from cassiahitch.ledger.sweep import SweepAction, SweepMessage
+    from cassiahitch.platform.api import TableService
+    from cassiahitch.wire.node import Node
+
+#: Seconds between looks at whether a page is due.
+TICK_S = 0.1
+
+
+class Retention:
+    """Owns the sweep; one call to the table service is under way at a time."""
+
+    def __init__(
+        self,
+        node: Node,
+        tables: TableService,
+        limits: SweepLimits | None = None,
+    ) -> None:
+        """Create it before its first pass.
+
+        :param node: this process.
+        :param tables: the table service.
+        :param limits: rate of the sweep.
+        """
+        self.node = node
+        self.tables = tables
+        self.sweep = RetentionSweep(random.Random(node.incarnation), limits)
+
+    async def work(self, leadership: Leadership) -> None:
+        """Sweep until cancelled.
+
+        :param leadership: tells whether this entry may act.
+        """
+        while True:
+            await asyncio.sleep(TICK_S)
+            if leadership.held:
+                await self.step()
+
+    async def step(self) -> None:
+        """Read the next page if it is due, and remove what is too old."""
+        pending: list[SweepMessage] = [SweepTick(self.node.clock.wall())]
+        while pending:
+            actions = self.sweep.handle(pending.pop(), self.node.clock.monotonic())
+            pending += [await self._ask(action) for action in actions]
+        self.node.metrics.gauge(GaugeName.unknown_keys, len(self.sweep.unknown))
+
+    async def _ask(self, action: SweepAction) -> SweepMessage:
+        match action:
+            case ScanPage():
+                return await self._scan(action)
+            case RemoveRows():
+                return await self._remove(action)
+
+    async def _scan(self, action: ScanPage) -> SweepMessage:
+        try:
+            rows = await self.tables.scan(action.table, '', action.after, action.limit)
+        except PlatformError:
+            return PageFailed()
+        return PageScanned(rows, self.node.clock.wall())
+
+    async def _remove(self, action: RemoveRows) -> SweepMessage:
+        try:
+            outcome = await self.tables.commit(action.conditions, action.writes)
+        except PlatformError:
+            return RemovalEnded(committed=False)
+        committed = isinstance(outcome, Committed)
+        if committed:
+            self.node.metrics.count(CounterName.claims_swept, by=len(action.writes))
+        return RemovalEnded(committed)
+
+
+__all__ = ('Retention',)
--- a/src/cassiahitch/ledger/sweep.py
+++ b/src/cassiahitch/ledger/sweep.py
@@ -189,25 +189,10 @@
         except PlatformError:
             self.corrupt += 1
             return False
-        age = wall - claim.created
-        if is_unknown(claim) and age > self.limits.settle_s:
-            self.note(claim)
-        return age > self.limits.retention_s
-
-    def note(self, claim: ClaimRow) -> None:
-        """List a key whose outcome is unknown, if there is room.
-
-        :param claim: its row.
-        """
-        if len(self.found) < self.limits.listed:
-            self.found[claim.key] = UnknownKey(
-                claim.key,
-                claim.organisation,
-                claim.agent,
-                claim.incarnation,
-                claim.claim_id,
-                claim.created,
-            )
+        unknown = unknown_key(row, wall, self.limits.settle_s)
+        if unknown is not None and len(self.found) < self.limits.listed:
+            self.found[unknown.key] = unknown
+        return wall - claim.created > self.limits.retention_s
 
     def advance(self, rows: tuple[Row, ...], now: float) -> None:
         """Move on to the next page, or to the next pass after the last one.
@@ -235,6 +220,30 @@
         self.next_at = max(self.next_at, jittered)
 
 
+def unknown_key(row: Row, wall: float, settle_s: float) -> UnknownKey | None:
+    """Return the key of a row, if its outcome is unknown for good.
+
+    :param row: the row.
+    :param wall: seconds since the Unix epoch.
+    :param settle_s: age below which a claim may still run.
+    :return: the key, or nothing if its outcome is known or the row holds no claim.
+    """
+    try:
+        claim = parse_row(row)
+    except PlatformError:
+        return None
+    if not is_unknown(claim) or wall - claim.created <= settle_s:
+        return None
+    return UnknownKey(
+        claim.key,
+        claim.organisation,
+        claim.agent,
+        claim.incarnation,
+        claim.claim_id,
+        claim.created,
+    )
+
+
 def is_unknown(claim: ClaimRow) -> bool:
     """Whether a row does not tell what came of its key.
 
@@ -257,4 +266,5 @@
     'SweepMessage',
     'SweepTick',
     'UnknownKey',
+    'unknown_key',
 )
