--- /dev/null
+++ b/src/cassiahitch/bench/swarm.py
@@ -0,0 +1,430 @@
+"""Hosts that distribute chunks over modelled links with the project's own decisions."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from cassiahitch.bench.links import Event, Flow, Link, Network, VirtualTime
+from cassiahitch.codes import Code
+from cassiahitch.weights.api import (
+    AbandonFetch,
+    CheckOrigin,
+    ChunkArrived,
+    ChunkRequested,
+    ChunksComplete,
+    ChunkStored,
+    DiscardChunks,
+    Failed,
+    FetchAction,
+    FetchChunk,
+    FetchMessage,
+    ManifestDropped,
+    ManifestKnown,
+    ManifestOffered,
+    OriginChecked,
+    ParticipantGone,
+    RefuseRequest,
+    RequestGone,
+    SendChunk,
+    ServeAction,
+    ServeMessage,
+    SourceAlive,
+    SourceFailed,
+    StoreChunk,
+    Tick,
+    UploadEnded,
+    UploadProgressed,
+    WakeAt,
+)
+from cassiahitch.weights.fetcher import Fetcher, FetchLimits, Phase
+from cassiahitch.weights.server import ChunkServer, ServeLimits
+from cassiahitch.weights.tree import Trees
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cassiahitch.weights.manifest import Manifest
+    from cassiahitch.weights.plan import Participant, RolloutPlan
+
+HEARTBEAT_S = 2
+#: Seconds after which all hosts know of a death.
+DEATH_KNOWN_S = 5
+LATENCY_S = 0.001
+
+
+@dataclass(frozen=True, slots=True)
+class Rates:
+    """What chunks may use of each link, in bytes per second."""
+
+    origin: float
+    region: float
+    host: float
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """A fetch that is under way."""
+
+    number: int
+    host: Host
+    action: FetchChunk
+    size: int
+
+
+@dataclass(eq=False)
+class Host:
+    """A host with its links, its fetchers by manifest and its server."""
+
+    member: Participant
+    up: Link
+    down: Link
+    server: ChunkServer
+    fetchers: dict[str, Fetcher] = field(default_factory=dict)
+    wakes: dict[str, Event] = field(default_factory=dict)
+    alive: bool = True
+    stalled: bool = False
+    inbox: list[Callable[[], None]] = field(default_factory=list)
+
+    @property
+    def answers(self) -> bool:
+        """Whether the host runs and its links carry traffic."""
+        return self.alive and not self.stalled
+
+
+@dataclass(frozen=True, slots=True)
+class Rollout:
+    """A plan, its manifest and its priority."""
+
+    plan: RolloutPlan
+    manifest: Manifest
+    trees: Trees
+    priority: int = 0
+
+
+class Swarm:
+    """Turns the actions of all hosts into messages, over modelled links."""
+
+    def __init__(
+        self,
+        rates: Rates,
+        rng: random.Random,
+        fetch_limits: FetchLimits | None = None,
+        serve_limits: ServeLimits | None = None,
+    ) -> None:
+        """Create a swarm without hosts.
+
+        :param rates: what chunks may use of the links.
+        :param rng: draws corrupt chunks and the hosts' own jitter.
+        :param fetch_limits: bounds of each fetcher.
+        :param serve_limits: bounds of each server.
+        """
+        self.rates = rates
+        self.rng = rng
+        self.fetch_limits = fetch_limits
+        self.serve_limits = serve_limits
+        self.time = VirtualTime()
+        self.network = Network(self.time)
+        self.origin = Link(rates.origin)
+        self.region_up: dict[str, Link] = {}
+        self.region_down: dict[str, Link] = {}
+        self.hosts: dict[str, Host] = {}
+        self.requests: dict[int, Request] = {}
+        self.numbers: dict[tuple[str, str, int, str], int] = {}
+        self.flows: dict[int, Flow] = {}
+        self.completed: dict[tuple[str, str], float] = {}
+        self.failed: dict[tuple[str, str], Code] = {}
+        self.published: dict[str, str] = {}
+        self.corrupt_share = float(0)
+        self.heartbeat_s = float(HEARTBEAT_S)
+        self.serial = 0
+
+    def add_host(self, member: Participant) -> Host:
+        """Add a host.
+
+        :param member: its name and place.
+        :return: the host.
+        """
+        for links in (self.region_up, self.region_down):
+            links.setdefault(member.region, Link(self.rates.region))
+        host = Host(
+            member,
+            Link(self.rates.host),
+            Link(self.rates.host),
+            ChunkServer(self.serve_limits),
+        )
+        self.hosts[member.host] = host
+        first = self.time.now + self.heartbeat_s * self.rng.random()
+        self.time.at(first, lambda: self.beat(host))
+        return host
+
+    def begin(self, host: Host, rollout: Rollout) -> None:
+        """Tell a host of a rollout.
+
+        :param host: the host.
+        :param rollout: the plan and its manifest.
+        """
+        digest = rollout.manifest.digest
+        rng = random.Random(self.rng.random())
+        fetcher = Fetcher(host.member, rng, self.fetch_limits, rollout.trees)
+        host.fetchers[digest] = fetcher
+        self.published.setdefault(digest, digest)
+        self.serve(host, ManifestOffered(digest, rollout.priority))
+        self.fetch(host, fetcher, ManifestKnown(rollout.plan, rollout.manifest))
+
+    def kill(self, host: Host) -> None:
+        """End a host at once; the others learn of it some seconds later.
+
+        :param host: the host.
+        """
+        host.alive = False
+        mine = [number for number, request in self.requests.items() if request.host is host]
+        for number in (*mine, *host.server.uploads):
+            self.drop_flow(number)
+        self.time.at(self.time.now + DEATH_KNOWN_S, lambda: self.announce_death(host))
+
+    def plan_death(self, host: Host, time: float) -> None:
+        """End a host at a time.
+
+        :param host: the host.
+        :param time: seconds.
+        """
+        self.time.at(time, lambda: self.kill(host))
+
+    def plan_stall(self, host: Host, time: float, seconds: float) -> None:
+        """Stop the links of a host at a time.
+
+        :param host: the host.
+        :param time: seconds.
+        :param seconds: how long.
+        """
+        self.time.at(time, lambda: self.stall(host, seconds))
+
+    def announce_death(self, host: Host) -> None:
+        """Tell all hosts that one is gone."""
+        for other in self.hosts.values():
+            for fetcher in tuple(other.fetchers.values()):
+                self.fetch(other, fetcher, ParticipantGone(host.member.host))
+
+    def stall(self, host: Host, seconds: float) -> None:
+        """Stop the links of a host for some time.
+
+        :param host: the host.
+        :param seconds: how long.
+        """
+        host.stalled = True
+        until = self.time.now + seconds
+        host.up.stall(until)
+        host.down.stall(until)
+        self.time.at(until, lambda: self.resume(host))
+
+    def resume(self, host: Host) -> None:
+        """Let the links of a host carry traffic again."""
+        host.stalled = False
+        waiting = tuple(host.inbox)
+        host.inbox.clear()
+        for call in waiting:
+            self.deliver(host, call)
+
+    def send(self, host: Host, call: Callable[[], None]) -> None:
+        """Deliver something to a host, later if its links stand still."""
+        self.time.at(self.time.now + LATENCY_S, lambda: self.deliver(host, call))
+
+    def deliver(self, host: Host, call: Callable[[], None]) -> None:
+        """Deliver something to a host now."""
+        if host.stalled:
+            host.inbox.append(call)
+        elif host.alive:
+            call()
+
+    def beat(self, host: Host) -> None:
+        """Send the heartbeats of a host to those that wait for it."""
+        if not host.alive:
+            return
+        self.time.at(self.time.now + self.heartbeat_s, lambda: self.beat(host))
+        if host.stalled:
+            return
+        for number in tuple(host.server.uploads):
+            self.beat_upload(host, number)
+        for fetcher in tuple(host.fetchers.values()):
+            self.beat_sources(host, fetcher)
+
+    def beat_upload(self, host: Host, number: int) -> None:
+        """Tell a server that one of its uploads goes on."""
+        request = self.requests.get(number)
+        if request is not None and request.host.answers:
+            self.serve(host, UploadProgressed(number))
+
+    def beat_sources(self, host: Host, fetcher: Fetcher) -> None:
+        """Tell a fetcher which of its sources give signs of life."""
+        peers = sorted({flight.source.host for flight in fetcher.flights.values()})
+        for peer in peers:
+            if not peer or self.hosts[peer].answers:
+                self.fetch(host, fetcher, SourceAlive(peer))
+
+    def fetch(self, host: Host, fetcher: Fetcher, message: FetchMessage) -> None:
+        """Pass a message to a fetcher and do what it decides."""
+        if host.alive:
+            for action in fetcher.handle(message, self.time.now):
+                self.do_fetch(host, fetcher, action)
+
+    def serve(self, host: Host, message: ServeMessage) -> None:
+        """Pass a message to a server and do what it decides."""
+        if host.alive:
+            for action in host.server.handle(message, self.time.now):
+                self.do_serve(host, action)
+
+    def do_fetch(self, host: Host, fetcher: Fetcher, action: FetchAction) -> None:
+        """Do one action of a fetcher."""
+        match action:
+            case FetchChunk():
+                self.request(host, fetcher, action)
+            case AbandonFetch():
+                self.abandon(host, action)
+            case StoreChunk(manifest, index):
+                self.serve(host, ChunkStored(manifest, index))
+                self.fetch(host, fetcher, ChunkStored(manifest, index))
+            case CheckOrigin(manifest):
+                found = OriginChecked(manifest, self.published[manifest])
+                self.send(host, lambda: self.fetch(host, fetcher, found))
+            case DiscardChunks(manifest):
+                self.serve(host, ManifestDropped(manifest))
+            case ChunksComplete(manifest):
+                self.completed[manifest, host.member.host] = self.time.now
+            case Failed(manifest, code):
+                self.failed[manifest, host.member.host] = code
+            case WakeAt(time):
+                self.wake(host, fetcher.digest, time, lambda: self.fetch(host, fetcher, Tick()))
+
+    def do_serve(self, host: Host, action: ServeAction) -> None:
+        """Do one action of a server."""
+        match action:
+            case SendChunk(number):
+                self.upload(host, number)
+            case RefuseRequest(number, code):
+                request = self.drop_flow(number)
+                if request is not None:
+                    self.fail(request, code)
+            case WakeAt(time):
+                self.wake(host, '', time, lambda: self.serve(host, Tick()))
+
+    def wake(self, host: Host, name: str, time: float, call: Callable[[], None]) -> None:
+        """Replace a wish to be woken."""
+        earlier = host.wakes.get(name)
+        if earlier is not None:
+            earlier.cancelled = True
+        host.wakes[name] = self.time.at(time, call)
+
+    def request(self, host: Host, fetcher: Fetcher, action: FetchChunk) -> None:
+        """Start a fetch from the origin or ask a peer."""
+        self.serial += 1
+        manifest = fetcher.manifest
+        size = manifest.sizes[action.index] if manifest else 0
+        request = Request(self.serial, host, action, size)
+        self.requests[request.number] = request
+        self.numbers[self.key(host, action)] = request.number
+        if action.source.is_origin:
+            links = (self.origin, self.region_down[host.member.region], host.down)
+            self.flow(request, links, lambda: self.arrive(request))
+            return
+        peer = self.hosts[action.source.host]
+        asked = ChunkRequested(
+            request.number,
+            host.member.host,
+            action.manifest,
+            action.index,
+            action.source.tier,
+        )
+        self.send(peer, lambda: self.ask(peer, asked))
+
+    def ask(self, peer: Host, asked: ChunkRequested) -> None:
+        """Pass a request to a server, unless it was abandoned on the way."""
+        if asked.request in self.requests:
+            self.serve(peer, asked)
+
+    def upload(self, host: Host, number: int) -> None:
+        """Send a chunk from one host to another, unless the request was abandoned."""
+        if number not in self.requests:
+            self.serve(host, RequestGone(number))
+            return
+        request = self.requests[number]
+        source, target = host.member, request.host.member
+        crossing: tuple[Link, ...] = ()
+        if source.region != target.region:
+            crossing = (self.region_up[source.region], self.region_down[target.region])
+        links = (host.up, *crossing, request.host.down)
+        self.flow(request, links, lambda: self.finish_upload(host, request))
+
+    def finish_upload(self, host: Host, request: Request) -> None:
+        """Tell both ends that a chunk was sent."""
+        self.arrive(request)
+        self.serve(host, UploadEnded(request.number))
+
+    def arrive(self, request: Request) -> None:
+        """Pass a chunk to the fetcher that asked for it."""
+        self.drop_flow(request.number)
+        action = request.action
+        intact = self.rng.random() >= self.corrupt_share
+        current = self.published[action.manifest] == action.manifest
+        verified = intact and (current or not action.source.is_origin)
+        fetcher = request.host.fetchers[action.manifest]
+        message = ChunkArrived(action.manifest, action.index, action.source, verified)
+        self.fetch(request.host, fetcher, message)
+
+    def fail(self, request: Request, code: Code) -> None:
+        """Tell a fetcher that its request ended without a chunk."""
+        action = request.action
+        fetcher = request.host.fetchers[action.manifest]
+        message = SourceFailed(action.manifest, action.index, action.source, code)
+        self.send(request.host, lambda: self.fetch(request.host, fetcher, message))
+
+    def abandon(self, host: Host, action: AbandonFetch) -> None:
+        """End a fetch that its host no longer wants."""
+        number = self.number_of(host, action)
+        request = self.drop_flow(number)
+        if request is not None and not action.source.is_origin:
+            peer = self.hosts[action.source.host]
+            self.send(peer, lambda: self.serve(peer, RequestGone(number)))
+
+    def number_of(self, host: Host, action: AbandonFetch) -> int:
+        """Return the number of a request that is under way, or 0."""
+        return self.numbers.get(self.key(host, action), 0)
+
+    def flow(self, request: Request, links: tuple[Link, ...], call: Callable[[], None]) -> None:
+        """Start a transfer for a request."""
+        self.flows[request.number] = self.network.start(links, request.size, call)
+
+    def drop_flow(self, number: int) -> Request | None:
+        """Forget a request and cancel its transfer."""
+        flow = self.flows.pop(number, None)
+        if flow is not None:
+            self.network.cancel(flow)
+        request = self.requests.pop(number, None)
+        if request is not None:
+            self.numbers.pop(self.key(request.host, request.action), None)
+        return request
+
+    def key(
+        self,
+        host: Host,
+        action: FetchChunk | AbandonFetch,
+    ) -> tuple[str, str, int, str]:
+        """Return the key under which a request can be abandoned."""
+        return (host.member.host, action.manifest, action.index, action.source.host)
+
+    def unfinished(self) -> bool:
+        """Tell whether a live host still fetches."""
+        return any(
+            host.alive and fetcher.phase is Phase.fetching
+            for host in self.hosts.values()
+            for fetcher in host.fetchers.values()
+        )
+
+
+__all__ = (
+    'Host',
+    'Rates',
+    'Rollout',
+    'Swarm',
+)
--- a/src/cassiahitch/weights/bucket.py
+++ b/src/cassiahitch/weights/bucket.py
@@ -5,11 +5,14 @@
 from dataclasses import dataclass
 
 #: Share of the link that is used at most, so that live requests find it free.
-UTILISATION = 0.9
+UTILISATION = 0.95
 #: Levels of priority of the transfers; level 0 goes first.
 LEVELS = 8
+#: Seconds that a slice of a chunk takes the link, which a live message may have to wait.
+SLICE_S = 0.001
+LEAST_SLICE_BYTES = 1_024
 #: Seconds of unused capacity that may be used at once.
-BURST_S = 0.005
+BURST_S = 0.001
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,6 +23,11 @@
     utilisation: float = UTILISATION
     burst_s: float = BURST_S
 
+    @property
+    def slice_bytes(self) -> int:
+        """How many bytes of a chunk to reserve and send at once."""
+        return max(LEAST_SLICE_BYTES, round(self.bytes_per_s * SLICE_S))
+
 
 class LinkBucket:
     """A token bucket for one direction of a link.
--- a/src/cassiahitch/weights/fetcher.py
+++ b/src/cassiahitch/weights/fetcher.py
@@ -44,6 +44,10 @@
 MAX_BACKOFF_STEPS = 4
 #: Time of a wish to be woken that there is none of.
 NEVER = float('inf')
+#: Sources that must fall silent at once before this host takes its own link to be silent.
+CUT_OFF_SOURCES = 3
+#: Times in a row that all sources are waited for longer.
+CUT_OFF_LIMIT = 30
 #: Failures that tell of the whole host, not of one chunk.
 HOST_FAILURES = frozenset((Code.connection_silent, Code.connection_closed, Code.chunk_stalled))
 
@@ -65,9 +69,11 @@
 class FetchLimits:
     """Bounds of a fetcher: requests at once, and seconds."""
 
-    in_flight: int = 16
+    in_flight: int = 32
+    origin_in_flight: int = 2
     stall_s: float = 3
-    wait_s: float = 60
+    wait_s: float = 300
+    origin_wait_s: float = 60
     retry_s: float = 1
     suspect_s: float = 30
     stagger_s: float = 2
@@ -112,7 +118,9 @@
         self.flights: dict[int, Flight] = {}
         self.ready: list[int] = []
         self.delayed: list[tuple[float, int]] = []
+        self.origin_ready: list[int] = []
         self.origin_failures = 0
+        self.cut_off = 0
         self.wake = NEVER
 
     @property
@@ -135,7 +143,8 @@
             case ParticipantBack(host):
                 actions = self.restore(host)
             case SourceAlive(host):
-                actions = self.prolong(host, now)
+                self.prolong(host, now)
+                return ()
             case Tick():
                 self.wake = NEVER
                 actions = []
@@ -204,6 +213,7 @@
         self.stored.clear()
         self.ready.clear()
         self.delayed.clear()
+        self.origin_ready.clear()
         self.origin_failures = 0
         return actions
 
@@ -292,13 +302,18 @@
             self.book.restore(host)
         return []
 
-    def prolong(self, host: str, now: float) -> list[FetchAction]:
+    def prolong(self, host: str, now: float) -> None:
         """Move the deadlines of a host that gave a sign of life."""
+        self.cut_off = 0
         for flight in self.flights.values():
             if flight.source.host == host:
-                latest = flight.started + self.limits.wait_s
-                flight.deadline = min(now + self.limits.stall_s, latest)
-        return []
+                flight.deadline = self.deadline(flight, now)
+
+    def deadline(self, flight: Flight, now: float) -> float:
+        """Return when a request is abandoned without a further sign of life."""
+        if flight.source.is_origin:
+            return now + self.limits.origin_wait_s
+        return min(now + self.limits.stall_s, flight.started + self.limits.wait_s)
 
     def advance(self, now: float) -> list[FetchAction]:
         """Act on the time and use the free requests."""
@@ -308,6 +323,8 @@
         actions = self.expire_flights(now)
         while self.delayed and self.delayed[0][0] <= now:
             heapq.heappush(self.ready, heapq.heappop(self.delayed)[1])
+        while self.origin_ready and self.origin_is_free():
+            actions.extend(self.fetch(heapq.heappop(self.origin_ready), now))
         while self.ready and len(self.flights) < self.limits.in_flight:
             actions.extend(self.fetch(heapq.heappop(self.ready), now))
         actions.extend(self.next_wake())
@@ -325,13 +342,26 @@
         if choice.not_before > now:
             self.requeue(index, min(choice.not_before, now + self.limits.suspect_s))
             return []
-        flight = Flight(choice.source, now, now + self.limits.stall_s)
+        if choice.source.is_origin and not self.origin_is_free():
+            heapq.heappush(self.origin_ready, index)
+            return []
+        flight = Flight(choice.source, now, now)
+        flight.deadline = self.deadline(flight, now)
         self.flights[index] = flight
         return [FetchChunk(self.digest, index, flight.source, flight.deadline)]
 
+    def origin_is_free(self) -> bool:
+        """Tell whether one more chunk may be asked of the origin."""
+        asked = sum(flight.source.is_origin for flight in self.flights.values())
+        return asked < self.limits.origin_in_flight
+
     def expire_flights(self, now: float) -> list[FetchAction]:
         """Replace the sources whose deadlines have passed."""
         late = tuple(index for index, flight in self.flights.items() if flight.deadline <= now)
+        if late and self.is_cut_off(late):
+            self.cut_off += 1
+            self.extend(late, now)
+            return []
         actions: list[FetchAction] = []
         for index in late:
             flight = self.flights.get(index)
@@ -339,10 +369,21 @@
                 actions.extend(self.expire_flight(index, flight, now))
         return actions
 
+    def is_cut_off(self, late: tuple[int, ...]) -> bool:
+        """Tell whether all sources fell silent at once, which blames this host's own link."""
+        silent = {self.flights[index].source.host for index in late}
+        asked = {flight.source.host for flight in self.flights.values()} - {''}
+        return silent == asked and len(silent) >= CUT_OFF_SOURCES and self.cut_off < CUT_OFF_LIMIT
+
+    def extend(self, late: tuple[int, ...], now: float) -> None:
+        """Wait once more for all sources."""
+        for index in late:
+            self.flights[index].deadline = now + self.limits.stall_s
+
     def expire_flight(self, index: int, flight: Flight, now: float) -> list[FetchAction]:
         """Replace the source of one chunk; one that gave no sign of life is suspected."""
         source = flight.source
-        if source.is_origin or now - flight.started >= self.limits.wait_s:
+        if source.is_origin or flight.deadline >= flight.started + self.limits.wait_s:
             self.end_flight(index, source)
             self.sources.fail_chunk(index, source)
             self.requeue(index, self.pause(source, now))
--- a/src/cassiahitch/weights/server.py
+++ b/src/cassiahitch/weights/server.py
@@ -38,10 +38,10 @@
 class ServeLimits:
     """Bounds of a server: uploads at once, waiting requests, and seconds."""
 
-    uploads: int = 2
+    uploads: int = 8
     waiting: int = 4_096
-    waiting_per_peer: int = 64
-    wait_s: float = 90
+    waiting_per_peer: int = 128
+    wait_s: float = 330
     stall_s: float = 3
 
 
--- a/tests/weights/test_fetcher.py
+++ b/tests/weights/test_fetcher.py
@@ -87,6 +87,25 @@
     assert driver.hosts() == [ORDER[3].host]
 
 
+def test_chunk_that_a_live_parent_lacks_for_long_is_asked_of_the_next_ancestor() -> None:
+    driver = Driver(7, FetchLimits(in_flight=1, stall_s=3, wait_s=10.1))
+    for tenth in range(3, 202):
+        now = tenth / 10
+        driver.send(SourceAlive(ORDER[3].host), now)
+        driver.send(Tick(), now)
+    assert driver.hosts()[:2] == [ORDER[3].host, ORDER[1].host]
+    assert ORDER[3].host not in driver.fetcher.sources.suspects
+
+
+def test_host_whose_sources_all_fall_silent_at_once_blames_itself() -> None:
+    driver = Driver(7, FetchLimits(in_flight=10, stall_s=3))
+    flights = dict(driver.fetcher.flights)
+    assert len({flight.source.host for flight in flights.values()}) >= 3
+    driver.send(Tick(), 3)
+    assert not driver.fetcher.sources.suspects
+    assert driver.fetcher.flights == flights
+
+
 def test_parent_that_is_gone_is_replaced_at_once() -> None:
     driver = Driver(7)
     driver.send(ParticipantGone(ORDER[3].host), 1)
@@ -104,7 +123,10 @@
 
 def test_only_the_root_turns_to_the_origin_and_the_next_waits_for_its_turn() -> None:
     assert Driver(0).hosts() == ['']
-    second = Driver(1, FetchLimits(in_flight=16, stall_s=3, stagger_s=2))
+    second = Driver(1, FetchLimits(origin_in_flight=16, stall_s=3, stagger_s=2))
+    for member in MEMBERS:
+        if member.host != ORDER[0].host:
+            second.send(SourceAlive(member.host), 2)
     second.send(Tick(), 3)
     assert second.hosts() == [ORDER[0].host]
     second.send(Tick(), 5)
@@ -129,7 +151,7 @@
 
 
 def test_origin_is_checked_after_a_corrupt_chunk_and_asked_again() -> None:
-    driver = Driver(0)
+    driver = Driver(0, FetchLimits(in_flight=16, origin_in_flight=16, retry_s=1))
     corrupt = ChunkArrived(MANIFEST.digest, 0, driver.asked[0].source, verified=False)
     assert CheckOrigin(MANIFEST.digest) in driver.send(corrupt, 1)
     driver.send(Tick(), 1.5)
