--- a/src/cassiahitch/settings/models.py
+++ b/src/cassiahitch/settings/models.py
@@ -193,6 +193,12 @@
         default=(),
         description='SHA-256 digests of the tokens of operators: a list, or a file of lines.',
     )
+    leave_grace_s: float = Field(
+        default=36,
+        ge=0,
+        le=600,
+        description='Seconds for which a leaving entry serves on, the longest address lifetime.',
+    )
 
 
 class AgentSettings(CommonSettings):
@@ -204,6 +210,10 @@
         default=EngineKind.model,
         description='Whether it is a model engine or a plain service.',
     )
+    service: Name | Literal[''] = Field(
+        default='',
+        description='Service that a plain backend server answers.',
+    )
     checks_fencing_numbers: bool = Field(
         default=False,
         description='Whether the engine refuses an order with an old fencing number.',
