--- a/src/cassiahitch/bench/swarm.py
+++ b/src/cassiahitch/bench/swarm.py
@@ -10,6 +10,7 @@
 from cassiahitch.codes import Code
 from cassiahitch.weights.api import (
     AbandonFetch,
+    Cancelled,
     CheckOrigin,
     ChunkArrived,
     ChunkRequested,
@@ -173,6 +174,16 @@
         self.serve(host, ManifestOffered(digest, rollout.priority))
         self.fetch(host, fetcher, ManifestKnown(rollout.plan, rollout.manifest))
 
+    def cancel(self, host: Host, manifest: str) -> None:
+        """Tell a host that a newer version replaces a rollout.
+
+        :param host: the host.
+        :param manifest: the digest of the manifest that is replaced.
+        """
+        fetcher = host.fetchers.get(manifest)
+        if fetcher is not None:
+            self.deliver(host, lambda: self.fetch(host, fetcher, Cancelled(manifest)))
+
     def kill(self, host: Host) -> None:
         """End a host at once; the others learn of it some seconds later.
 
@@ -368,6 +379,11 @@
         intact = self.rng.random() >= self.corrupt_share
         current = self.published[action.manifest] == action.manifest
         verified = intact and (current or not action.source.is_origin)
+        self.pass_chunk(request, verified=verified)
+
+    def pass_chunk(self, request: Request, *, verified: bool) -> None:
+        """Pass a chunk whose digest was compared to a fetcher."""
+        action = request.action
         fetcher = request.host.fetchers[action.manifest]
         message = ChunkArrived(action.manifest, action.index, action.source, verified)
         self.fetch(request.host, fetcher, message)
@@ -425,6 +441,7 @@
 __all__ = (
     'Host',
     'Rates',
+    'Request',
     'Rollout',
     'Swarm',
 )
