--- a/src/cassiahitch/agent/process.py
+++ b/src/cassiahitch/agent/process.py
@@ -21,6 +21,7 @@
 from cassiahitch.wire.dialer import Dialer
 from cassiahitch.wire.endpoint import Endpoint
 from cassiahitch.wire.node import MS_PER_S, Node
+from cassiahitch.wire.reports import make_report
 
 if TYPE_CHECKING:
     from cassiahitch.agent.executor import Ended
@@ -77,6 +78,13 @@
             task = asyncio.create_task(work)
             self.stack.callback(task.cancel)
 
+    def ports(self) -> dict[str, int]:
+        """Return the ports that are listened on.
+
+        :return: port numbers by the names of their settings.
+        """
+        return {'port': self.node.port}
+
     async def stop(self) -> None:
         """Refuse new work, finish what runs and close everything."""
         self.leaving = True
@@ -184,6 +192,8 @@
     async def _serve(self, message: messages.Message) -> messages.Message:
         if isinstance(message, messages.ChunkRequest):
             return await self.distribution.serve(message)
+        if isinstance(message, messages.ReportPull):
+            return make_report(self.node, message)
         self._take_order(message)
         return messages.OrderReply(Code.ok)
 
--- a/src/cassiahitch/cli/answers.py
+++ b/src/cassiahitch/cli/answers.py
@@ -43,8 +43,7 @@
     revision: int = Field(ge=0)
     resource: Resource | None = None
     conditions: tuple[ConditionAnswer, ...] = ()
-    kind: str = ''
-    name: str = ''
+    key: str = ''
 
 
 class ListAnswer(Answer):
--- a/src/cassiahitch/entry/assembly.py
+++ b/src/cassiahitch/entry/assembly.py
@@ -8,7 +8,7 @@
 from tornado.web import Application
 
 from cassiahitch.controllers.store import ConfigurationStore
-from cassiahitch.entry import callers, operators
+from cassiahitch.entry import callers, operators, reports
 from cassiahitch.entry.leadership import Leadership
 from cassiahitch.entry.rollouts import Rollouts
 from cassiahitch.entry.synchronisation import Synchroniser
@@ -82,6 +82,7 @@
         synchroniser,
         core.directory,
         frozenset(core.settings.operator_token_digests),
+        reports.Reports(core.node, core.directory, core.peers),
     )
     return EntryParts(
         HttpHosts(caller, platform.host_list_url),
@@ -139,8 +140,8 @@
             (r'/v1/resources/(\w+)', operators.ListHandler, operator),
             (r'/v1/watch/(\w+)', operators.WatchHandler, operator),
             ('/v1/status', operators.StatusHandler, operator),
-            ('/v1/timeline', operators.TimelineHandler, operator),
-            ('/v1/metrics', operators.MetricsHandler, operator),
+            ('/v1/timeline', reports.TimelineHandler, operator),
+            ('/v1/metrics', reports.MetricsHandler, operator),
         ],
         default_handler_class=callers.MissingHandler,
         default_handler_args=service,
--- a/src/cassiahitch/entry/operators.py
+++ b/src/cassiahitch/entry/operators.py
@@ -13,18 +13,15 @@
 from cassiahitch.controllers.status import revision_status
 from cassiahitch.entry.callers import CallerHandler
 from cassiahitch.errors import CassiahitchError, ResourceError
-from cassiahitch.metrics.encoding import encode_snapshot
 from cassiahitch.resources.models import KINDS
 from cassiahitch.resources.parsing import parse_resource, resource_key
-from cassiahitch.timeline.encoding import encode_events
-from cassiahitch.timeline.events import EventFilter
-from cassiahitch.timeline.ring import START
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
 
     from cassiahitch.controllers.store import Accepted, ConfigurationStore, Stored
     from cassiahitch.entry.directory import Directory
+    from cassiahitch.entry.reports import Reports
     from cassiahitch.entry.synchronisation import Synchroniser
     from cassiahitch.wire.node import Node
 
@@ -42,6 +39,7 @@
     synchroniser: Synchroniser
     directory: Directory
     token_digests: frozenset[str]
+    reports: Reports
 
 
 class OperatorHandler(CallerHandler):
@@ -202,29 +200,6 @@
         self.finish({**asdict(status), 'everywhere': status.everywhere, 'nodes': nodes})
 
 
-class TimelineHandler(OperatorHandler):
-    """Returns the time line of this process."""
-
-    def get(self) -> None:
-        """Return the events, filtered by identifiers."""
-        matching = EventFilter(
-            self.get_query_argument('request', ''),
-            self.get_query_argument('rollout', ''),
-        )
-        events = self.operators.node.timeline.events(START, matching)
-        self.set_header('Content-Type', 'application/json')
-        self.finish(encode_events(events))
-
-
-class MetricsHandler(OperatorHandler):
-    """Returns the metrics of this process."""
-
-    def get(self) -> None:
-        """Return counters, gauges and latencies."""
-        self.set_header('Content-Type', 'application/json')
-        self.finish(encode_snapshot(self.operators.node.metrics.snapshot()))
-
-
 def resource_document(operators: OperatorService, stored: Stored) -> dict[str, Any]:
     """Return the JSON form of a resource with its conditions.
 
@@ -273,11 +248,9 @@
 
 __all__ = (
     'ListHandler',
-    'MetricsHandler',
     'OperatorHandler',
     'OperatorService',
     'ResourceHandler',
     'StatusHandler',
-    'TimelineHandler',
     'WatchHandler',
 )
--- a/src/cassiahitch/entry/process.py
+++ b/src/cassiahitch/entry/process.py
@@ -25,6 +25,7 @@
 from cassiahitch.wire.dialer import Dialer
 from cassiahitch.wire.endpoint import Endpoint
 from cassiahitch.wire.node import MS_PER_S, Node
+from cassiahitch.wire.reports import make_report
 
 if TYPE_CHECKING:
     from cassiahitch.clock import Clock
@@ -122,6 +123,13 @@
             task = asyncio.create_task(work)
             self.stack.callback(task.cancel)
 
+    def ports(self) -> dict[str, int]:
+        """Return the ports that are listened on.
+
+        :return: port numbers by the names of their settings.
+        """
+        return {'port': self.node.port, 'http_port': self.http_port}
+
     async def stop(self) -> None:
         """Leave the addresses, serve for the grace, finish what runs and close everything."""
         self.leaving = True
@@ -242,6 +250,8 @@
         match message:
             case messages.ConfigurationPull(after_revision=revision):
                 return self.parts.synchroniser.update_for(revision)
+            case messages.ReportPull():
+                return make_report(self.node, message)
             case messages.Locate(host=host):
                 return self.directory.locate(host)
             case _:
--- /dev/null
+++ b/src/cassiahitch/entry/reports.py
@@ -0,0 +1,124 @@
+"""Time line and metrics of all processes that an entry reaches."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from cassiahitch.entry.operators import OperatorHandler
+from cassiahitch.errors import CassiahitchError
+from cassiahitch.metrics.encoding import decode_snapshot, encode_snapshot
+from cassiahitch.metrics.snapshots import merge_snapshots
+from cassiahitch.timeline.encoding import decode_events, encode_events
+from cassiahitch.timeline.merging import merge
+from cassiahitch.wire.messages import Report, ReportPull
+from cassiahitch.wire.reports import Topic, make_report
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from cassiahitch.entry.directory import Directory
+    from cassiahitch.wire.connection import Connection
+    from cassiahitch.wire.node import Node
+
+#: Seconds after which a process that does not answer is left out.
+REPORT_TIMEOUT_S = 2
+PULLS_AT_ONCE = 32
+#: Header that names the hosts which did not answer.
+MISSING_HEADER = 'X-Missing-Hosts'
+
+
+@dataclass(frozen=True, slots=True)
+class Collected:
+    """Reports of this process and of others, and the hosts that sent none."""
+
+    documents: tuple[bytes, ...]
+    missing: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Reports:
+    """Pulls reports from other processes over the connections that exist."""
+
+    node: Node
+    directory: Directory
+    entries: Callable[[], Iterable[Connection]]
+
+    async def collect(self, pull: ReportPull, *, everywhere: bool) -> Collected:
+        """Collect reports.
+
+        :param pull: what is asked for.
+        :param everywhere: whether other processes are asked too.
+        :return: the reports.
+        """
+        own = make_report(self.node, pull).document
+        if not everywhere:
+            return Collected((own,), ())
+        agents = [agent.connection for agent in self.directory.agents.values()]
+        slots = asyncio.Semaphore(PULLS_AT_ONCE)
+        connections = (*self.entries(), *agents)
+        documents = await asyncio.gather(*(_pull(one, pull, slots) for one in connections))
+        answered = zip(connections, documents, strict=True)
+        missing = tuple(one.peer.host for one, document in answered if document is None)
+        return Collected((own, *(document for document in documents if document)), missing)
+
+
+class ReportHandler(OperatorHandler):
+    """Base of the handlers; ``all=1`` asks the other processes too."""
+
+    async def collect(self, pull: ReportPull) -> tuple[bytes, ...]:
+        """Collect reports and name the hosts that sent none in a header.
+
+        :param pull: what is asked for.
+        :return: the reports.
+        """
+        everywhere = self.get_query_argument('all', '') == '1'
+        collected = await self.operators.reports.collect(pull, everywhere=everywhere)
+        self.set_header('Content-Type', 'application/json')
+        self.set_header(MISSING_HEADER, ','.join(collected.missing))
+        return collected.documents
+
+
+class TimelineHandler(ReportHandler):
+    """Returns events in one order."""
+
+    async def get(self) -> None:
+        """Return the events, filtered by identifiers."""
+        pull = ReportPull(
+            Topic.timeline,
+            self.get_query_argument('request', ''),
+            self.get_query_argument('rollout', ''),
+        )
+        documents = await self.collect(pull)
+        self.finish(encode_events(merge(decode_events(document) for document in documents)))
+
+
+class MetricsHandler(ReportHandler):
+    """Returns the sums of metrics."""
+
+    async def get(self) -> None:
+        """Return counters, gauges and latencies."""
+        documents = await self.collect(ReportPull(Topic.metrics))
+        merged = merge_snapshots(decode_snapshot(document) for document in documents)
+        self.finish(encode_snapshot(merged))
+
+
+async def _pull(
+    connection: Connection,
+    pull: ReportPull,
+    slots: asyncio.Semaphore,
+) -> bytes | None:
+    try:
+        async with slots, asyncio.timeout(REPORT_TIMEOUT_S):
+            reply = await connection.call(pull)
+    except (CassiahitchError, TimeoutError):
+        return None
+    return reply.document if isinstance(reply, Report) else None
+
+
+__all__ = (
+    'MetricsHandler',
+    'Reports',
+    'TimelineHandler',
+)
