Start entries by the bootstrap and fence every order

Change: an entry without configuration answers not_ready; the bootstrap decides what starts an entry; agents pull what is missing and check the fencing number of every order; the lease holder compacts change rows; redials are paced and jittered; status counts entries, too.

--- a/src/cassiahitch/agent/process.py
+++ b/src/cassiahitch/agent/process.py
@@ -10,7 +10,9 @@
 from cassiahitch.agent.peers import PeerPool
 from cassiahitch.agent.staging import Staging
 from cassiahitch.codes import Code
-from cassiahitch.controllers.configuration import Configuration
+from cassiahitch.controllers.configuration import AskMore, Configuration, Refused
+from cassiahitch.controllers.fencing import FencingGuard
+from cassiahitch.controllers.lease import CONTROLLERS as LEASE
 from cassiahitch.errors import CassiahitchError, WireError
 from cassiahitch.metrics.names import CounterName
 from cassiahitch.platform.caller import HttpCaller
@@ -45,6 +47,7 @@
         self.sequence = 0
         self.leaving = False
         self.configuration = Configuration()
+        self.guard = FencingGuard(self.node.incarnation)
         self.stack = AsyncExitStack()
         self.tasks: set[asyncio.Task[None]] = set()
 
@@ -171,19 +174,18 @@
                 self._note_heartbeat(connection)
             case messages.Dispatch():
                 await self._dispatch(message, reply)
-            case messages.Void() | messages.Status():
-                state = self.executor.settle(message)
-                await reply(ledger_state(state, self.node.incarnation))
             case messages.Cancel(request_id=request_id):
                 await self.executor.cancel(request_id.hex())
             case messages.ConfigurationUpdate():
-                self._configure(message)
+                await self._configure(connection, message)
             case _:
                 await reply(await self._serve(message))
 
     async def _serve(self, message: messages.Message) -> messages.Message:
         if isinstance(message, messages.ChunkRequest):
             return await self.distribution.serve(message)
+        if isinstance(message, messages.Void | messages.Status):
+            return ledger_state(self.executor.settle(message), self.node.incarnation)
         self._take_order(message)
         return messages.OrderReply(Code.ok)
 
@@ -191,6 +193,9 @@
         self.distribution.heard(connection.peer.host)
 
     def _take_order(self, message: messages.Message) -> None:
+        number = getattr(message, 'fencing_number', None)
+        if number is not None:
+            self.guard.check(LEASE, self.node.incarnation, number)
         match message:
             case messages.FetchOrder():
                 self.distribution.fetch(message)
@@ -209,14 +214,28 @@
         self.leaving = True
         self.executor.accepting = False
 
-    def _configure(self, update: messages.ConfigurationUpdate) -> None:
-        now = self.node.clock.monotonic()
+    async def _configure(
+        self, connection: Connection, update: messages.ConfigurationUpdate
+    ) -> None:
+        more = self._apply(update)
+        while more:
+            pull = messages.ConfigurationPull(self.configuration.revision)
+            answer = await connection.call(pull)
+            more = isinstance(answer, messages.ConfigurationUpdate) and self._apply(answer)
+
+    def _apply(self, update: messages.ConfigurationUpdate) -> bool:
+        """Bring an update into force; tell whether it brought some and there is more."""
         before = self.configuration.revision
-        self.configuration.apply(decode_update(update), now)
+        now = self.node.clock.monotonic()
+        actions = self.configuration.apply(decode_update(update), now)
+        for refused in actions:
+            if isinstance(refused, Refused):
+                raise CassiahitchError(refused.code, refused.detail)
         if self.configuration.revision > before:
             self.node.metrics.count(CounterName.revisions_applied)
             detail = f'revision {self.configuration.revision}'
             self.node.timeline.record(EventKind.revision_applied, detail=detail)
+        return any(isinstance(action, AskMore) for action in actions)
 
     async def _dispatch(self, dispatch: messages.Dispatch, reply: Reply) -> None:
         parts: asyncio.Queue[bytes | None] = asyncio.Queue()
--- a/src/cassiahitch/bench/heartbeats.py
+++ b/src/cassiahitch/bench/heartbeats.py
@@ -2,27 +2,18 @@
 
 from __future__ import annotations
 
+import random
 import time
 import tracemalloc
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from hashlib import sha256
-from typing import TYPE_CHECKING
-
-from cassiahitch.members.membership import (
-    HEARTBEAT_S,
-    Heartbeat,
-    Load,
-    Membership,
-    Place,
-    Role,
-    Weights,
-)
+
+from cassiahitch.entry.directory import member_heartbeat
+from cassiahitch.members.membership import HEARTBEAT_S, Membership, Role
 from cassiahitch.wire import messages
 from cassiahitch.wire.codec import Envelope, decode, encode
 from cassiahitch.wire.framing import pack
-
-if TYPE_CHECKING:
-    import random
+from cassiahitch.wire.node import MS_PER_S
 
 #: Heartbeats that each peer sends in a measurement.
 ROUNDS = 10
@@ -30,6 +21,12 @@
 COMPLETE_VERSIONS = 2
 #: Failure domains over which the hosts are spread.
 FAILURE_DOMAINS = 13
+REGIONS = 6
+#: Bytes before the body of a frame.
+HEADER_BYTES = 8
+PORT = 7000
+SLOTS = 64
+HOSTS_OF_NETWORK = 250
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,12 +51,12 @@
     node = _Node(rng, peers, role)
     node.exchange(0)
     start = time.process_time()
-    for round_number in range(1, ROUNDS + 1):
-        node.exchange(round_number)
+    for number in range(1, ROUNDS + 1):
+        node.exchange(number)
     spent_s = time.process_time() - start
     return HeartbeatCost(
         spent_s / ROUNDS / HEARTBEAT_S,
-        sum(len(frame) for frame in node.frames) / HEARTBEAT_S,
+        sum(len(frame) for frame in node.rounds[0]) / HEARTBEAT_S,
         node.sent_bytes / (ROUNDS + 1) / HEARTBEAT_S,
         2 * peers / HEARTBEAT_S,
         _memory(rng, peers, role),
@@ -72,78 +69,64 @@
     def __init__(self, rng: random.Random, peers: int, role: Role) -> None:
         self.membership = Membership()
         self.role = role
-        self.own = messages.Heartbeat(incarnation=rng.getrandbits(63), revision=rng.getrandbits(24))
-        self.frames = tuple(pack(encode(_envelope(rng, role))) for _ in range(peers))
-        self.places = tuple(_place(peer, role) for peer in range(peers))
+        self.own = messages.Heartbeat(incarnation=rng.getrandbits(62), revision=rng.getrandbits(24))
+        self.hellos = tuple(_hello(peer, role) for peer in range(peers))
+        self.rounds = tuple(
+            tuple(_frame(random.Random(peer), role, number) for peer in range(peers))
+            for number in range(ROUNDS + 1)
+        )
         self.sent_bytes = 0
 
-    def exchange(self, round_number: int) -> None:
+    def exchange(self, number: int) -> None:
         """Hear each peer once, answer each and look for silent ones."""
-        now = round_number * HEARTBEAT_S
-        for peer, frame in enumerate(self.frames):
-            envelope = decode(frame[8:])
-            self.membership.heard(self._heartbeat(peer, envelope, now), now)
-            reply = Envelope(round_number, 0, envelope.clock, self.own)
+        now = number * HEARTBEAT_S
+        for hello, frame in zip(self.hellos, self.rounds[number], strict=True):
+            envelope = decode(frame[HEADER_BYTES:])
+            beat = envelope.message
+            if isinstance(beat, messages.Heartbeat):
+                self.membership.heard(member_heartbeat(hello, beat, self.role), now)
+            reply = Envelope(number, 0, envelope.clock, self.own)
             self.sent_bytes += len(pack(encode(reply)))
         self.membership.poll(now)
 
-    def _heartbeat(self, peer: int, envelope: Envelope, now: float) -> Heartbeat:
-        message = envelope.message
-        if not isinstance(message, messages.Heartbeat):
-            raise TypeError(f'{type(message).__name__} is not a heartbeat')
-        return Heartbeat(
-            f'{self.role}-{peer}',
-            message.incarnation,
-            int(now / HEARTBEAT_S),
-            self.places[peer],
-            now,
-            message.revision,
-            message.leaving,
-            Load(message.running, message.queued),
-            Weights(
-                loaded=message.loaded_digest,
-                load_epoch=message.load_epoch,
-                complete=message.complete_digests,
-            ),
-        )
 
-
-def _place(peer: int, role: Role) -> Place:
-    return Place(
-        role, f'10.0.{peer // 250}.{peer % 250}:7000', 'west', f'w{peer % FAILURE_DOMAINS}'
+def _hello(peer: int, role: Role) -> messages.Hello:
+    return messages.Hello(
+        role=role.value,
+        host=f'{role.value}-{peer}',
+        region=f'region-{peer % REGIONS}',
+        failure_domain=f'domain-{peer % FAILURE_DOMAINS}',
+        address=f'10.0.{peer // HOSTS_OF_NETWORK}.{peer % HOSTS_OF_NETWORK}',
+        port=PORT,
     )
 
 
-def _envelope(rng: random.Random, role: Role) -> Envelope:
+def _frame(rng: random.Random, role: Role, number: int) -> bytes:
     beat = messages.Heartbeat(
-        incarnation=rng.getrandbits(63),
+        incarnation=rng.getrandbits(62),
+        sequence=number + 1,
+        uptime_ms=rng.getrandbits(24) + int(number * HEARTBEAT_S * MS_PER_S),
+        clock_ms=rng.getrandbits(40),
         revision=rng.getrandbits(24),
         ready=True,
-        clock_ms=rng.getrandbits(40),
-        http_port=8080,
+        http_port=PORT,
     )
     if role is Role.agent:
         beat = _with_weights(rng, beat)
-    return Envelope(rng.getrandbits(24), 0, rng.getrandbits(50), beat)
+    return pack(encode(Envelope(rng.getrandbits(24), 0, rng.getrandbits(50), beat)))
 
 
 def _with_weights(rng: random.Random, beat: messages.Heartbeat) -> messages.Heartbeat:
     digests = tuple(sha256(rng.randbytes(8)).hexdigest() for _ in range(COMPLETE_VERSIONS))
-    return messages.Heartbeat(
-        incarnation=beat.incarnation,
-        revision=beat.revision,
-        ready=True,
-        clock_ms=beat.clock_ms,
-        running=rng.randrange(64),
-        queued=rng.randrange(64),
-        capacity=64,
-        service_name='draft',
+    return replace(
+        beat,
+        running=rng.randrange(SLOTS),
+        queued=rng.randrange(SLOTS),
+        capacity=SLOTS,
+        deployment='draft',
         loaded_digest=digests[0],
-        load_epoch=rng.randrange(1, 99),
+        load_epoch=1 + rng.randrange(SLOTS),
         complete_digests=digests,
-        lowest_fencing_number=rng.randrange(999),
-        http_port=8080,
-        rollout_id=digests[0][:16],
     )
 
 
--- a/src/cassiahitch/controllers/bootstrap.py
+++ b/src/cassiahitch/controllers/bootstrap.py
@@ -60,6 +60,14 @@
     snapshot: Snapshot | None
 
 
+@dataclass(frozen=True, slots=True)
+class PeersAsked:
+    """How many peers were asked; fewer than wanted if fewer are connected."""
+
+    round: int
+    count: int
+
+
 @dataclass(frozen=True, slots=True)
 class PeerAnswer:
     """Snapshot of a peer, or nothing if it has none; ``floor`` is the highest revision that
@@ -81,7 +89,7 @@
 
 
 BootstrapAction = AskStore | AskPeers | AskArchive | Start
-BootstrapEvent = StoreAnswer | PeerAnswer | ArchiveAnswer
+BootstrapEvent = StoreAnswer | PeersAsked | PeerAnswer | ArchiveAnswer
 
 
 class Bootstrap:
@@ -99,6 +107,7 @@
         self.round_began = now
         self.next_round = now
         self.asked_peers = False
+        self.expected = PEERS
         self.done = False
         self.floor = 0
         self.peers: dict[str, Snapshot | None] = {}
@@ -120,6 +129,13 @@
             return self._ask_others()
         return ()
 
+    def hear(self, revision: int) -> None:
+        """Note a revision that some node was heard to have in force.
+
+        :param revision: the revision.
+        """
+        self.floor = max(self.floor, revision)
+
     def handle(self, event: BootstrapEvent, now: float) -> tuple[BootstrapAction, ...]:
         """Take an answer; one of a former round counts, too, since revisions only rise.
 
@@ -135,9 +151,12 @@
             case StoreAnswer(snapshot=snapshot):
                 return self._start(snapshot, confirmed=True)
             case PeerAnswer():
-                self.floor = max(self.floor, event.floor)
+                self.hear(event.floor)
                 self.peers[event.peer] = event.snapshot
-                return self._choose(now) if len(self.peers) >= PEERS else ()
+                return self._choose_if_complete(now)
+            case PeersAsked(count=count):
+                self.expected = count
+                return ()
             case ArchiveAnswer(snapshot=snapshot):
                 self.archive = snapshot
                 return ()
@@ -159,6 +178,9 @@
         self.asked_peers = True
         return (AskPeers(self.round, PEERS), AskArchive(self.round))
 
+    def _choose_if_complete(self, now: float) -> tuple[BootstrapAction, ...]:
+        return self._choose(now) if len(self.peers) >= self.expected else ()
+
     def _choose(self, now: float) -> tuple[BootstrapAction, ...]:
         """Take the highest snapshot, unless a higher revision was heard of."""
         of_peers = [snapshot for snapshot in self.peers.values() if snapshot is not None]
@@ -197,6 +219,7 @@
     'BootstrapAction',
     'BootstrapEvent',
     'PeerAnswer',
+    'PeersAsked',
     'Start',
     'StoreAnswer',
 )
--- a/src/cassiahitch/controllers/lease.py
+++ b/src/cassiahitch/controllers/lease.py
@@ -16,6 +16,8 @@
 
 #: Table of the leases, by name.
 TABLE = 'leases'
+#: Name of the lease of all controllers.
+CONTROLLERS = 'controllers'
 #: Seconds that a lease lasts.
 DURATION_S = 10.0
 #: Share of the duration by which a holder stops early and a candidate waits longer.
@@ -341,6 +343,7 @@
 
 
 __all__ = (
+    'CONTROLLERS',
     'DURATION_S',
     'CommitLease',
     'Gained',
--- a/src/cassiahitch/entry/assembly.py
+++ b/src/cassiahitch/entry/assembly.py
@@ -73,7 +73,14 @@
     objects = HttpObjects(caller, platform.object_store_url)
     store = ConfigurationStore(tables)
     configuration = core.directory.configuration
-    synchroniser = Synchroniser(core.node, configuration, store, objects, core.peers)
+    synchroniser = Synchroniser(
+        core.node,
+        configuration,
+        store,
+        objects,
+        core.peers,
+        core.directory.highest_heard,
+    )
     rollouts = Rollouts(core.node, configuration, core.directory, tables)
     caller_service = _caller_service(core)
     operator_service = operators.OperatorService(
--- a/src/cassiahitch/entry/directory.py
+++ b/src/cassiahitch/entry/directory.py
@@ -15,7 +15,7 @@
 
 if TYPE_CHECKING:
     from cassiahitch.controllers.configuration import Configuration
-    from cassiahitch.members.membership import MembershipAction
+    from cassiahitch.members.membership import Member, MembershipAction
     from cassiahitch.routing.router import Router
     from cassiahitch.wire.connection import Connection
     from cassiahitch.wire.node import Node
@@ -43,6 +43,7 @@
     configuration: Configuration
     router: Router
     membership: Membership = field(default_factory=Membership)
+    entries: Membership = field(default_factory=Membership)
     agents: dict[str, Agent] = field(default_factory=dict)
 
     def heard(self, connection: Connection, beat: messages.Heartbeat) -> None:
@@ -53,7 +54,7 @@
         """
         now = self.node.clock.monotonic()
         host = connection.peer.host
-        actions = self.membership.heard(_member_heartbeat(connection, beat), now)
+        actions = self.membership.heard(member_heartbeat(connection.peer, beat, Role.agent), now)
         member = self.membership.members.get(host)
         if member is None or member.heartbeat.incarnation != beat.incarnation:
             return
@@ -66,6 +67,27 @@
         self._update_router(host, now)
         self.act(actions)
 
+    @property
+    def members(self) -> tuple[Member, ...]:
+        """Entries and agents, this process among them."""
+        return (*self.entries.members.values(), *self.membership.members.values())
+
+    def highest_heard(self) -> int:
+        """Return the highest revision that a node was heard to have in force.
+
+        :return: the revision, 0 if none was heard.
+        """
+        return max((member.heartbeat.revision for member in self.members), default=0)
+
+    def heard_entry(self, peer: messages.Hello, beat: messages.Heartbeat) -> None:
+        """Take a heartbeat of an entry.
+
+        :param peer: what the entry says of itself.
+        :param beat: the heartbeat.
+        """
+        heartbeat = member_heartbeat(peer, beat, Role.entry)
+        self.entries.heard(heartbeat, self.node.clock.monotonic())
+
     def ended(self, connection: Connection) -> None:
         """Take note that a connection ended.
 
@@ -82,6 +104,7 @@
         :return: what changed.
         """
         now = self.node.clock.monotonic()
+        self.entries.poll(now)
         actions = self.membership.poll(now)
         self.act(actions)
         return actions
@@ -190,10 +213,16 @@
     )
 
 
-def _member_heartbeat(connection: Connection, beat: messages.Heartbeat) -> Heartbeat:
-    peer = connection.peer
+def member_heartbeat(peer: messages.Hello, beat: messages.Heartbeat, role: Role) -> Heartbeat:
+    """Translate a heartbeat from the wire.
+
+    :param peer: what the process says of itself.
+    :param beat: its heartbeat.
+    :param role: what the process does.
+    :return: the heartbeat for the membership.
+    """
     place = Place(
-        Role.agent,
+        role,
         f'{peer.address}:{peer.port}',
         peer.region,
         peer.failure_domain,
@@ -221,4 +250,5 @@
 __all__ = (
     'Agent',
     'Directory',
+    'member_heartbeat',
 )
--- a/src/cassiahitch/entry/leadership.py
+++ b/src/cassiahitch/entry/leadership.py
@@ -7,6 +7,8 @@
 from typing import TYPE_CHECKING
 
 from cassiahitch.controllers.lease import (
+    CONTROLLERS,
+    TABLE,
     CommitLease,
     Gained,
     Lease,
@@ -26,7 +28,6 @@
     from cassiahitch.platform.api import TableService
     from cassiahitch.wire.node import Node
 
-LEASE = 'controllers'
 #: Seconds between looks at what is due.
 TICK_S = 0.1
 
@@ -46,7 +47,7 @@
         self.on_gained = on_gained
         self.term = 0
         holder = f'{node.settings.name}/{node.incarnation}'
-        self.lease = Lease(LEASE, holder, random.Random(node.incarnation))
+        self.lease = Lease(CONTROLLERS, holder, random.Random(node.incarnation))
 
     @property
     def held(self) -> bool:
@@ -92,7 +93,7 @@
         try:
             match action:
                 case ReadLease(attempt=attempt, key=key):
-                    return LeaseRead(attempt, await self.tables.read('leases', key))
+                    return LeaseRead(attempt, await self.tables.read(TABLE, key))
                 case CommitLease(attempt=attempt, condition=condition, write=write):
                     outcome = await self.tables.commit((condition,), (write,))
                     return LeaseAnswer(attempt, outcome)
--- a/src/cassiahitch/entry/operators.py
+++ b/src/cassiahitch/entry/operators.py
@@ -11,6 +11,7 @@
 
 from cassiahitch.codes import Code
 from cassiahitch.controllers.status import revision_status
+from cassiahitch.controllers.store import check_change_id
 from cassiahitch.entry.callers import CallerHandler
 from cassiahitch.errors import CassiahitchError, ResourceError
 from cassiahitch.metrics.encoding import encode_snapshot
@@ -127,7 +128,10 @@
 
     def _change_id(self) -> str:
         drawn = secrets.token_hex(NO_CHANGE_ID_BYTES)
-        return str(self.request.headers.get('X-Change-Id', drawn))
+        change_id = str(self.request.headers.get('X-Change-Id', drawn))
+        check_change_id(change_id)
+        self.set_header('X-Change-Id', change_id)
+        return change_id
 
     def _if_match(self) -> int:
         header = self.request.headers.get('If-Match', '').strip('"')
@@ -195,10 +199,10 @@
     def get(self) -> None:
         """Return the revision and all nodes."""
         operators = self.operators
-        members = operators.directory.membership.members
+        members = operators.directory.members
         revision = operators.synchroniser.configuration.revision
-        status = revision_status(revision, members.values())
-        nodes = [_node_document(member) for member in members.values()]
+        status = revision_status(revision, members)
+        nodes = [_node_document(member) for member in members]
         self.finish({**asdict(status), 'everywhere': status.everywhere, 'nodes': nodes})
 
 
@@ -232,8 +236,7 @@
     :param stored: the resource and its revision.
     :return: revision, resource and conditions.
     """
-    members = operators.directory.membership.members.values()
-    status = revision_status(stored.revision, members)
+    status = revision_status(stored.revision, operators.directory.members)
     condition = {
         'type': 'in_force',
         'status': status.everywhere,
@@ -252,6 +255,7 @@
     beat = member.heartbeat
     return {
         'host': beat.host,
+        'role': beat.place.role.value,
         'incarnation': str(beat.incarnation),
         'region': beat.place.region,
         'failure_domain': beat.place.failure_domain,
--- a/src/cassiahitch/entry/process.py
+++ b/src/cassiahitch/entry/process.py
@@ -13,6 +13,7 @@
 from cassiahitch.codes import Code
 from cassiahitch.controllers.configuration import Configuration
 from cassiahitch.entry.assembly import EntryCore, assemble
+from cassiahitch.entry.compaction import compact_changes
 from cassiahitch.entry.directory import Directory
 from cassiahitch.entry.synchronisation import save_snapshots
 from cassiahitch.errors import PlatformError, WireError
@@ -117,6 +118,7 @@
             self.parts.rollouts.work(self.parts.leadership),
             self.dialer.work(self.settings.entries),
             save_snapshots(self.parts.synchroniser, SNAPSHOT_INTERVAL_S),
+            compact_changes(self.parts.synchroniser.store, self.parts.leadership, self.rng),
             self._poll_hosts(),
             self._poll_members(),
         )
@@ -258,6 +260,7 @@
 
     def _hear_entry(self, connection: Connection, beat: messages.Heartbeat) -> None:
         peer = connection.peer
+        self.directory.heard_entry(peer, beat)
         state = EntryState(
             f'{peer.host}/{peer.incarnation}',
             f'{peer.address}:{beat.http_port}',
@@ -271,6 +274,7 @@
 
     def _note_self(self) -> None:
         settings = self.settings
+        self.directory.heard_entry(self.node.hello(), self.heartbeat())
         state = EntryState(
             f'{settings.host}/{self.node.incarnation}',
             f'{settings.address}:{self.http_port}',
--- a/src/cassiahitch/entry/rollouts.py
+++ b/src/cassiahitch/entry/rollouts.py
@@ -91,11 +91,12 @@
         for action in actions:
             if leadership.held:
                 await self._perform(action)
-        for drain in drain_orders(
-            self.configuration.resources,
-            self.directory.membership.members,
-            number,
-        ):
+        if leadership.held:
+            self._order_drains(number)
+
+    def _order_drains(self, number: int) -> None:
+        members = self.directory.membership.members
+        for drain in drain_orders(self.configuration.resources, members, number):
             self._send(drain.host, drain.incarnation, messages.OrderDrain(number))
 
     async def _load_plans(self) -> None:
--- a/src/cassiahitch/entry/synchronisation.py
+++ b/src/cassiahitch/entry/synchronisation.py
@@ -8,9 +8,11 @@
 from typing import TYPE_CHECKING
 
 from cassiahitch.codes import Code
-from cassiahitch.controllers.changes import Delta, Snapshot, decode_snapshot, encode_snapshot
+from cassiahitch.controllers.archive import SnapshotArchive
+from cassiahitch.controllers.changes import Delta, Snapshot
 from cassiahitch.controllers.configuration import AskMore, InForce, Refused
-from cassiahitch.errors import CassiahitchError, PlatformError
+from cassiahitch.entry.starting import Starter
+from cassiahitch.errors import CassiahitchError, PlatformError, WireError
 from cassiahitch.metrics.names import CounterName, GaugeName
 from cassiahitch.timeline.events import EventKind
 from cassiahitch.wire.configuration import decode_update, encode_update
@@ -28,8 +30,8 @@
 #: Seconds between polls of the revision.
 POLL_S = 0.5
 JITTER = 0.25
-#: Key of the newest snapshot in the object store.
-SNAPSHOT_KEY = 'configuration/snapshot'
+#: Seconds between looks of an entry without any configuration.
+START_POLL_S = 0.1
 #: Bytes of changes in one message.
 UPDATE_BYTES = 262_144
 
@@ -44,6 +46,7 @@
         store: ConfigurationStore,
         objects: ObjectStore,
         peers: Callable[[], Iterable[Connection]],
+        highest_heard: Callable[[], int],
     ) -> None:
         """Create it.
 
@@ -52,25 +55,32 @@
         :param store: the configuration in the table service.
         :param objects: keeps a snapshot for outages.
         :param peers: gives the connections to other entries.
+        :param highest_heard: gives the highest revision that a node was heard to have.
         """
         self.node = node
         self.configuration = configuration
         self.store = store
-        self.objects = objects
+        self.archive = SnapshotArchive(objects)
+        self.starter = Starter(node, store, objects, peers, self.apply)
         self.peers = peers
+        self.highest_heard = highest_heard
         self.rng = random.Random(node.incarnation)
         self.listeners: list[Callable[[InForce], None]] = []
-        self.saved_revision = -1
         self.store_up = True
 
     async def work(self) -> None:
         """Keep the configuration current until cancelled."""
+        while not self.configuration.ready:
+            self.starter.poll(self.highest_heard())
+            await asyncio.sleep(START_POLL_S)
         while True:
             await self.synchronise()
             await asyncio.sleep(POLL_S * self.rng.uniform(1 - JITTER, 1 + JITTER))
 
     async def synchronise(self) -> None:
-        """Pull what is newer, from the store or in its outage from elsewhere."""
+        """Pull what is newer, from the store or in its outage from the other entries."""
+        if not self.configuration.ready:
+            return
         try:
             await self._pull_store()
         except CassiahitchError as error:
@@ -103,21 +113,18 @@
 
         :param revision: its revision.
         :return: the message.
+        :raises WireError: ``not_ready`` while no configuration is in force here.
         """
+        if not self.configuration.ready:
+            raise WireError(Code.not_ready, 'no configuration is in force here')
         return encode_update(self.configuration.delta_since(revision, UPDATE_BYTES))
 
     async def save_snapshot(self) -> None:
         """Store a snapshot for entries that start in an outage."""
-        snapshot = self.configuration.snapshot()
-        if snapshot.revision == self.saved_revision:
-            return
-        await self.objects.put(SNAPSHOT_KEY, encode_snapshot(snapshot))
-        self.saved_revision = snapshot.revision
+        if self.configuration.ready:
+            await self.archive.write(self.configuration.snapshot(), self.node.clock.wall())
 
     async def _pull_store(self) -> None:
-        if not self.configuration.ready:
-            self.apply(await self.store.snapshot())
-            return
         while True:
             try:
                 delta = await self.store.changes(self.configuration.revision)
@@ -133,18 +140,9 @@
     async def _pull_elsewhere(self) -> None:
         for peer in tuple(self.peers()):
             with suppress(CassiahitchError):
-                reply = await peer.call(ConfigurationPull(self._known_revision()))
+                reply = await peer.call(ConfigurationPull(self.configuration.revision))
                 if isinstance(reply, ConfigurationUpdate):
                     self.apply(decode_update(reply))
-        if not self.configuration.ready:
-            await self._pull_snapshot()
-
-    async def _pull_snapshot(self) -> None:
-        with suppress(CassiahitchError):
-            self.apply(decode_snapshot(await self.objects.get(SNAPSHOT_KEY)))
-
-    def _known_revision(self) -> int:
-        return self.configuration.revision if self.configuration.ready else -1
 
     def _entered(self, action: InForce) -> None:
         self.node.metrics.count(CounterName.revisions_applied)
@@ -165,13 +163,13 @@
 
 
 async def save_snapshots(synchroniser: Synchroniser, interval_s: float) -> None:
-    """Store snapshots until cancelled; an outage only delays them.
+    """Archive snapshots until cancelled; an outage only delays them.
 
     :param synchroniser: what is in force.
-    :param interval_s: seconds between looks.
+    :param interval_s: longest time between looks, in seconds.
     """
     while True:
-        await asyncio.sleep(interval_s)
+        await asyncio.sleep(interval_s * synchroniser.rng.uniform(1 - JITTER, 1))
         with suppress(PlatformError):
             await synchroniser.save_snapshot()
 
--- a/src/cassiahitch/wire/dialer.py
+++ b/src/cassiahitch/wire/dialer.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from cassiahitch.errors import WireError
-from cassiahitch.members.backoff import Backoff
+from cassiahitch.members.backoff import Backoff, Pace
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -16,6 +16,12 @@
     from cassiahitch.wire.connection import Connection
     from cassiahitch.wire.endpoint import Endpoint
 
+#: Dials that one process starts in a second, and without a pause after a quiet time.
+DIALS_PER_S = 20
+DIALS_AT_ONCE = 9
+#: Seconds after which a connection counts as stable, so that the next delay is short again.
+STABLE_S = 5.0
+
 
 class Dialer:
     """Dials addresses again and again, with jittered delays after failures."""
@@ -28,6 +34,7 @@
         """
         self.endpoint = endpoint
         self.seed = seed
+        self.pace = Pace(DIALS_PER_S, DIALS_AT_ONCE)
         self.connections: dict[Address, Connection] = {}
 
     async def work(self, addresses: Iterable[Address]) -> None:
@@ -46,17 +53,25 @@
         """
         return tuple(one for one in self.connections.values() if one.closed is None)
 
+    async def _pause(self) -> None:
+        now = self.endpoint.clock.monotonic()
+        await asyncio.sleep(self.pace.reserve(now) - now)
+
     async def _keep(self, address: Address) -> None:
         backoff = Backoff(random.Random(f'{self.seed} {address}'))
         while True:
+            await self._pause()
+            started = self.endpoint.clock.monotonic()
             try:
                 connection = await self.endpoint.dial(address.address, address.port)
             except WireError:
                 await asyncio.sleep(backoff.failed())
                 continue
-            backoff.succeeded()
             self.connections[address] = connection
             await connection.ended.wait()
+            if connection.clock.monotonic() - started > STABLE_S:
+                backoff.succeeded()
+            await asyncio.sleep(backoff.failed())
 
 
 __all__ = ('Dialer',)
