--- a/src/cassiahitch/entry/process.py
+++ b/src/cassiahitch/entry/process.py
@@ -39,8 +39,6 @@
 #: Seconds between looks at silent members.
 MEMBER_POLL_S = 0.2
 SNAPSHOT_INTERVAL_S = 5.0
-#: Seconds for which a leaving entry goes on serving, the longest lifetime of its address.
-LEAVE_GRACE_S = 36.0
 
 
 class EntryProcess:
@@ -126,17 +124,21 @@
             task = asyncio.create_task(work)
             self.stack.callback(task.cancel)
 
-    async def stop(self, grace_s: float = LEAVE_GRACE_S) -> None:
-        """Leave the addresses, serve for the grace, finish what runs and close everything.
+    def ports(self) -> dict[str, int]:
+        """Return the ports that are listened on.
 
-        :param grace_s: seconds for which callers may still use this entry.
+        :return: port numbers by the names of their settings.
         """
+        return {'port': self.node.port, 'http_port': self.http_port}
+
+    async def stop(self) -> None:
+        """Leave the addresses, serve for the grace, finish what runs and close everything."""
         self.leaving = True
         self.node.timeline.record(EventKind.process_leaving)
         self._note_self()
         await self.endpoint.announce()
         await self.parts.leadership.resign()
-        await asyncio.sleep(grace_s)
+        await asyncio.sleep(self.settings.leave_grace_s)
         self.closing = True
         while self.parts.caller_service.running:
             await asyncio.wait(self.parts.caller_service.running.values())
