--- a/src/cassiahitch/cli/roles.py
+++ b/src/cassiahitch/cli/roles.py
@@ -29,6 +29,9 @@
     async def start(self) -> None:
         """Open the sockets and start the tasks."""
 
+    def ports(self) -> dict[str, int]:
+        """Return the ports that are listened on, by the names of their settings."""
+
     async def stop(self) -> None:
         """Finish what runs and close everything."""
 
@@ -80,7 +83,7 @@
         await process.start()
     except OSError as error:
         raise CassiahitchError(Code.address_in_use, f'cannot listen: {error.strerror}') from None
-    LOGGER.info('started', extra={'process_name': name})
+    LOGGER.info('started', extra={'process_name': name, **process.ports()})
     await ended.wait()
     LOGGER.info('leaving', extra={'process_name': name})
     await process.stop()
