Share samples of what the engine has loaded

Cause: each request asked the engine twice what it has loaded, and a sample that failed after a run of a plain service was told as ran: no, though the request had run. Change: the latest sample serves as the one before a run, since the load epoch only rises; samples after runs are shared by requests that end together; a plain service needs none, and a failed one after a run is weights_changed with ran: yes.

--- a/src/cassiahitch/agent/assembly.py
+++ b/src/cassiahitch/agent/assembly.py
@@ -11,6 +11,7 @@
 from cassiahitch.agent.distribution import Distribution, Surroundings
 from cassiahitch.agent.executor import Executor
 from cassiahitch.agent.loading import Loader
+from cassiahitch.agent.sampler import StateSampler
 from cassiahitch.engine.http import HttpEngine
 from cassiahitch.ledger.claims import ClaimMachine
 from cassiahitch.ledger.ledger import Ledger
@@ -55,9 +56,9 @@
     :param staging: keeps chunks.
     :return: the parts; nothing runs yet.
     """
-    engine = HttpEngine(caller, settings.engine_url)
-    executor = _executor(node, settings, caller, peers, engine)
-    loader = Loader(node, engine, executor, staging)
+    sampler = StateSampler(HttpEngine(caller, settings.engine_url))
+    executor = _executor(node, settings, caller, peers, sampler)
+    loader = Loader(node, sampler, executor, staging)
     origin = HttpOrigin(caller, settings.platform.origin_url)
     distribution = Distribution(Surroundings(node, origin, staging, peers), loader.completed)
     return AgentParts(executor, loader, distribution)
@@ -68,10 +69,10 @@
     settings: AgentSettings,
     caller: HttpCaller,
     peers: PeerPool,
-    engine: HttpEngine,
+    sampler: StateSampler,
 ) -> Executor:
     plain = settings.engine_kind is EngineKind.plain
-    backend = Backend(engine, settings.timeouts.engine_s, MAX_ANSWER_BYTES, plain)
+    backend = Backend(sampler.engine, sampler, settings.timeouts.engine_s, MAX_ANSWER_BYTES, plain)
     rng = random.Random(node.incarnation)
     machine = ClaimMachine(settings.host, Ledger(node.incarnation), rng)
     platform = settings.platform
--- a/src/cassiahitch/agent/backend.py
+++ b/src/cassiahitch/agent/backend.py
@@ -17,6 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator, Callable
 
+    from cassiahitch.agent.sampler import StateSampler
     from cassiahitch.engine.api import Engine, EngineState
 
 
@@ -36,6 +37,7 @@
     """The backend server of a host; a plain one has no weights."""
 
     engine: Engine
+    sampler: StateSampler
     progress_timeout_s: float
     max_answer_bytes: int
     plain: bool = False
@@ -54,7 +56,7 @@
         :return: the whole answer, or the failure.
         """
         try:
-            before = await self._sample()
+            before = await self.sampler.known()
         except PlatformError as error:
             return RunResult(Failure(error.code, Ran.no), crashed=_is_crash(error))
         if not self.plain and before.digest != expected_digest:
@@ -86,13 +88,19 @@
                 if len(content) > self.max_answer_bytes:
                     return RunResult(Failure(Code.engine_answer_corrupt, Ran.yes))
                 on_part(part)
-        after = await self._sample()
-        if (after.digest, after.load_epoch) != (before.digest, before.load_epoch):
+        if not (self.plain or await self._is_unchanged(before)):
             return RunResult(Failure(Code.weights_changed, Ran.yes))
         whole = bytes(content)
         metadata = ((WEIGHTS, before.digest),)
         return RunResult(Answer(whole, hashlib.sha256(whole).hexdigest(), metadata))
 
+    async def _is_unchanged(self, before: EngineState) -> bool:
+        try:
+            after = await self.sampler.sample()
+        except PlatformError:
+            return False
+        return (after.digest, after.load_epoch) == (before.digest, before.load_epoch)
+
     async def _parts(self, order: GenerateOrder) -> AsyncGenerator[bytes, None]:
         async with aclosing(self.engine.generate(order)) as parts:
             while True:
@@ -105,14 +113,11 @@
                     raise PlatformError(Code.answer_cut_short, detail) from error
                 yield part
 
-    async def _sample(self) -> EngineState:
-        return await self.engine.state()
-
     async def _is_down(self, error: PlatformError) -> bool:
         if not _is_crash(error):
             return False
         try:
-            await self.engine.state()
+            await self.sampler.sample()
         except PlatformError as probe:
             return probe.code is Code.engine_unavailable
         return False
--- a/src/cassiahitch/agent/loading.py
+++ b/src/cassiahitch/agent/loading.py
@@ -14,8 +14,8 @@
 
 if TYPE_CHECKING:
     from cassiahitch.agent.executor import Executor
+    from cassiahitch.agent.sampler import StateSampler
     from cassiahitch.agent.staging import Staging
-    from cassiahitch.engine.api import Engine
     from cassiahitch.wire.messages import CancelLoad, OrderLoad, Release
     from cassiahitch.wire.node import Node
 
@@ -23,16 +23,22 @@
 class Loader:
     """Owns the guard; performs its actions one after another."""
 
-    def __init__(self, node: Node, engine: Engine, executor: Executor, staging: Staging) -> None:
+    def __init__(
+        self,
+        node: Node,
+        sampler: StateSampler,
+        executor: Executor,
+        staging: Staging,
+    ) -> None:
         """Create a loader.
 
         :param node: this process.
-        :param engine: the engine of the host.
+        :param sampler: the engine of the host, and samples of it.
         :param executor: what admits work.
         :param staging: where the chunks are.
         """
         self.node = node
-        self.engine = engine
+        self.sampler = sampler
         self.executor = executor
         self.staging = staging
         self.guard = guard.LoadGuard()
@@ -111,7 +117,7 @@
         if not admitted:
             return
         try:
-            state = await self.engine.state()
+            state = await self.sampler.sample()
         except PlatformError:
             return
         changed = (state.digest, state.load_epoch) != (admitted, self.load_epoch)
@@ -152,7 +158,7 @@
         order = LoadOrder(manifest, path, action.fencing_number)
         code = Code.ok
         try:
-            await self.engine.load(order)
+            await self.sampler.engine.load(order)
         except PlatformError as error:
             code = error.code
         self._handle(guard.LoadEnded(action.number, code))
@@ -160,7 +166,7 @@
     async def _read(self, number: int) -> None:
         digest = ''
         try:
-            state = await self.engine.state()
+            state = await self.sampler.sample()
         except PlatformError:
             self._handle(guard.LoadedRead(number, digest))
             return
--- a/src/cassiahitch/standins/http.py
+++ b/src/cassiahitch/standins/http.py
@@ -26,6 +26,10 @@
         """Keep the failures of stand-ins out of the log."""
 
 
+def _log_nothing(_handler: object) -> None:
+    """Keep the calls to stand-ins out of the log."""
+
+
 Routes = list[tuple[str, type[StandInHandler]]]
 
 
@@ -42,7 +46,9 @@
         own = socket.create_server(('127.0.0.1', 0), backlog=1024)
         own.setblocking(False)  # noqa: WPS425 the only argument of the call
         self.port = int(own.getsockname()[1])
-        self.server = HTTPServer(Application(rules), max_body_size=MAX_BODY_BYTES)
+        self.server = HTTPServer(
+            Application(rules, log_function=_log_nothing), max_body_size=MAX_BODY_BYTES
+        )
         self.server.add_socket(own)
 
     @property
