Close settling connections and bound chunks by what a frame carries

Cause: each settlement left a connection open, to which later heartbeats could move the routing; a chunk of up to 16 MiB fits no frame of 4 MiB, and 16 in flight would exceed 128 MB. Checked: tests of weights and of separate processes pass. Conclusion: 16 chunks in flight need at most 32 MiB.

--- a/src/cassiahitch/entry/directory.py
+++ b/src/cassiahitch/entry/directory.py
@@ -52,6 +52,8 @@
         :param connection: where it arrived.
         :param beat: the heartbeat.
         """
+        if not connection.lasting:
+            return
         now = self.node.clock.monotonic()
         host = connection.peer.host
         actions = self.membership.heard(member_heartbeat(connection.peer, beat, Role.agent), now)
--- a/src/cassiahitch/entry/process.py
+++ b/src/cassiahitch/entry/process.py
@@ -164,6 +164,7 @@
         if (connection.peer.host, connection.peer.incarnation) != (host, incarnation):
             connection.close(WireError(Code.wrong_incarnation, 'another process answered'))
             raise WireError(Code.wrong_incarnation, f'{host} has restarted')
+        connection.lasting = False
         return connection
 
     def hello(self) -> messages.Hello:
--- a/src/cassiahitch/requests/attempts.py
+++ b/src/cassiahitch/requests/attempts.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import aclosing, suppress
+from contextlib import ExitStack, aclosing, suppress
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
@@ -200,8 +200,13 @@
 
     async def _ask_until_settled(self, target: Target, dispatch: messages.Dispatch) -> Outcome:
         connection = await self.redialler.redial(target.host, target.incarnation)
+        with ExitStack() as stack:
+            stack.callback(connection.close, WireError(Code.connection_closed, 'settled'))
+            return await self._poll_state(connection, self._void(target, dispatch))
+
+    async def _poll_state(self, connection: Connection, void: messages.Void) -> Outcome:
         while True:
-            state = await connection.call(self._void(target, dispatch))
+            state = await connection.call(void)
             if not isinstance(state, messages.LedgerState):
                 raise WireError(Code.message_unknown, 'a state was expected')
             outcome = settled_outcome(state)
--- a/src/cassiahitch/weights/manifest.py
+++ b/src/cassiahitch/weights/manifest.py
@@ -15,7 +15,8 @@
 from cassiahitch.resources.models import Digest
 
 MAX_MANIFEST_BYTES = 16_777_216
-MAX_CHUNK_BYTES = 16_777_216
+#: Sixteen chunks in flight stay well below the memory of an agent, and one fits a frame.
+MAX_CHUNK_BYTES = 2_097_152
 MAX_CHUNKS = 65_536
 MAX_VERSION_LENGTH = 128
 
--- a/src/cassiahitch/wire/connection.py
+++ b/src/cassiahitch/wire/connection.py
@@ -63,6 +63,8 @@
         self.waiting: dict[int, asyncio.Queue[Message | WireError]] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.heard_at = clock.monotonic()
+        #: Whether further calls may use it; one that only settles what is unclear closes soon.
+        self.lasting = True
         self.closed: WireError | None = None
         self.ended = asyncio.Event()
 
