--- a/src/cassiahitch/entry/callers.py
+++ b/src/cassiahitch/entry/callers.py
@@ -15,6 +15,7 @@
 from cassiahitch.codes import Code, Ran
 from cassiahitch.entry.statuses import http_status
 from cassiahitch.errors import CassiahitchError, RequestError
+from cassiahitch.ledger.sweep import SweepLimits
 from cassiahitch.requests.api import Request
 from cassiahitch.routing.api import Choice, RouteQuery
 
@@ -29,6 +30,8 @@
     from cassiahitch.wire.node import Node
 
 MS_PER_S = 1000
+#: Seconds for which an answer is kept for retries under its key.
+RETENTION_S = SweepLimits().retention_s
 EVENT_STREAM = 'text/event-stream'
 BEARER = 'Bearer '
 #: Seconds after which a leaving entry's callers may come back, to another entry.
@@ -188,6 +191,9 @@
             'weights': answer.weights_digest,
             'replayed': answer.replayed,
         }
+        if request.idempotency_key or request.ticket:
+            # A retry under the key gets the same answer for this long.
+            end['retention_s'] = RETENTION_S
         if not request.stream:
             self.finish({**end, 'answer': answer.content.decode()})
             return
--- /dev/null
+++ b/tests/e2e/test_claims_and_tickets.py
@@ -0,0 +1,204 @@
+"""No number is issued twice, over real sockets and through faults."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import time
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from typing import Any
+
+from cassiahitch.codes import Code
+from cassiahitch.ledger.rows import TABLE, ClaimRow, row_key
+from cassiahitch.ledger.sweep import SweepLimits
+from cassiahitch.platform.api import Write
+from cassiahitch.platform.caller import Call, HttpCaller
+from cassiahitch.standins.scenario import Operator
+from cassiahitch.standins.site import Site, SiteSize
+
+SERVICE = 'invoice-number'
+SECRET = 'secret'
+KEYS = 8
+WAIT_S = 15
+Document = dict[str, Any]
+
+
+@dataclass
+class Desk:
+    """Callers of a site whose plain hosts issue numbers."""
+
+    site: Site
+    caller: HttpCaller
+
+    async def call(self, method: str, entry: int, path: str, body: bytes | None = None) -> Document:
+        return await self.send(Call(method, f'{self.site.urls[entry]}{path}', body))
+
+    async def send(self, call: Call, *headers: tuple[str, str], secret: str = SECRET) -> Document:
+        bearer = ('Authorization', f'Bearer {secret}')
+        sent = Call(
+            call.method,
+            call.url,
+            call.body,
+            timeout_s=WAIT_S,
+            repeatable=False,
+            headers=(bearer, *headers),
+        )
+        document: Document = (await self.caller.call(sent)).json()
+        return document
+
+    async def ask(self, entry: int, *headers: tuple[str, str]) -> Document:
+        url = f'{self.site.urls[entry]}/v1/services/{SERVICE}/requests'
+        return await self.send(Call('POST', url, b'next'), *headers)
+
+    async def ask_key(self, entry: int, key: str) -> Document:
+        return await self.ask(entry, ('Idempotency-Key', key))
+
+    async def ticket(self, entry: int) -> str:
+        url = f'{self.site.urls[entry]}/v1/tickets?service={SERVICE}'
+        return str((await self.send(Call('POST', url, b'')))['ticket'])
+
+    def issued(self) -> int:
+        return sum(service.issued for service in self.site.backends.sequences.values())
+
+
+async def until(met: Callable[[], bool]) -> None:
+    async with asyncio.timeout(WAIT_S):
+        while not met():
+            await asyncio.sleep(0.01)
+
+
+@asynccontextmanager
+async def open_desk(*rows: ClaimRow) -> AsyncIterator[Desk]:
+    site = Site(SiteSize(entries=3, model_hosts=0, plain_hosts=2))
+    writes = tuple(Write(TABLE, row.key, row.encode()) for row in rows)
+    await site.tables.commit((), writes)
+    async with site, HttpCaller() as caller:
+        operator = Operator(caller, site.urls[0], site.token)
+        digest = hashlib.sha256(SECRET.encode()).hexdigest()
+        await operator.create(
+            {'kind': 'Organisation', 'name': 'tallowmere', 'key_digests': [digest]}
+        )
+        await operator.create(
+            {'kind': 'Service', 'name': SERVICE, 'type': 'plain', 'idempotent': False}
+        )
+        desk = Desk(site, caller)
+        async with asyncio.timeout(WAIT_S):
+            for entry, _ in enumerate(site.entries):
+                while 'answer' not in await desk.ask(entry):
+                    await asyncio.sleep(0.01)
+        yield desk
+
+
+async def kill_agent_that_runs() -> tuple[list[Document], int]:
+    async with open_desk() as desk:
+        before = desk.issued()
+        sequences = desk.site.backends.sequences
+        for service in sequences.values():
+            service.delay_s = 0.5
+        first = asyncio.ensure_future(desk.ask_key(0, 'invoice'))
+        await until(lambda: any(service.running for service in sequences.values()))
+        host = next(name for name, service in sequences.items() if service.running)
+        await desk.site.agents[host].kill()
+        answers = [await first]
+        answers += [await desk.ask_key(entry, 'invoice') for entry in (1, 2, 0)]
+        return answers, desk.issued() - before
+
+
+def test_number_is_not_issued_again_after_its_agent_was_killed() -> None:
+    answers, issued = asyncio.run(kill_agent_that_runs())
+    assert issued == 1
+    assert {answer['ran'] for answer in answers} == {'unknown'}
+
+
+async def lose_commit_answers() -> tuple[list[Document], list[Document], int]:
+    async with open_desk() as desk:
+        before = desk.issued()
+        desk.site.tables.faults.lost_share = 0.5
+        asking = [desk.ask_key(number % 3, f'key-{number % KEYS}') for number in range(2 * KEYS)]
+        during = await asyncio.gather(*asking)
+        desk.site.tables.faults.lost_share = 0
+        after = [await desk.ask_key(number % 3, f'key-{number}') for number in range(KEYS)]
+        return during, after, desk.issued() - before
+
+
+def test_lost_commit_answers_neither_double_nor_lose_a_number() -> None:
+    during, after, issued = asyncio.run(lose_commit_answers())
+    assert issued == KEYS
+    answers = [document['answer'] for document in after]
+    for number, document in enumerate(during):
+        assert document.get('answer', answers[number % KEYS]) == answers[number % KEYS]
+        assert document['code'] == Code.ok or document['ran'] in {'no', 'unknown'}
+
+
+async def take_store_down() -> tuple[Document, Document, Document, int]:
+    async with open_desk() as desk:
+        before = desk.issued()
+        desk.site.tables.faults.down = True
+        refused = await desk.ask_key(0, 'key')
+        ticket = await desk.ticket(1)
+        through_ticket = await desk.ask(2, ('X-Ticket', ticket))
+        desk.site.tables.faults.down = False
+        retried = await desk.ask_key(1, 'key')
+        return refused, through_ticket, retried, desk.issued() - before
+
+
+def test_store_outage_refuses_claims_and_lets_tickets_go_on() -> None:
+    refused, through_ticket, retried, issued = asyncio.run(take_store_down())
+    assert (refused['code'], refused['ran']) == (Code.claim_store_down, 'no')
+    assert 'answer' in through_ticket
+    assert 'answer' in retried
+    assert retried['retention_s'] == SweepLimits().retention_s
+    assert issued == 2
+
+
+async def send_one_ticket_through_all() -> tuple[list[Document], Document, int]:
+    async with open_desk() as desk:
+        before = desk.issued()
+        ticket = ('X-Ticket', await desk.ticket(0))
+        answers = await asyncio.gather(*(desk.ask(number % 3, ticket) for number in range(9)))
+        url = f'{desk.site.urls[0]}/v1/services/{SERVICE}/requests'
+        other = await desk.send(Call('POST', url, b'another body'), ticket)
+        return answers, other, desk.issued() - before
+
+
+def test_ticket_through_all_entries_at_once_runs_once() -> None:
+    answers, other, issued = asyncio.run(send_one_ticket_through_all())
+    assert issued == 1
+    assert len({answer['answer'] for answer in answers}) == 1
+    assert 'answer' not in other
+
+
+def row(name: str, age_s: float) -> ClaimRow:
+    key = row_key('tallowmere', SERVICE, name)
+    return ClaimRow(
+        key=key,
+        organisation='tallowmere',
+        body_digest=key,
+        agent='gone',
+        incarnation=1,
+        claim_id=name,
+        not_after=0,
+        created=time.time() - age_s,
+    )
+
+
+async def list_unknown_keys() -> tuple[Document, Document, bool]:
+    old, unknown, young = row('old', 100_000), row('unknown', 1000), row('young', 1)
+    async with open_desk(old, unknown, young) as desk:
+        rows = desk.site.tables.rows
+        await until(lambda: (TABLE, old.key) not in rows)
+        url = f'{desk.site.urls[2]}/v1/unknown-keys'
+        listed = await desk.send(Call('GET', url), secret=desk.site.token)
+        refused = await desk.send(Call('GET', url))
+        return listed, refused, (TABLE, young.key) in rows
+
+
+def test_old_claims_are_swept_and_unknown_keys_listed_for_operators() -> None:
+    listed, refused, kept = asyncio.run(list_unknown_keys())
+    assert [(key['claim_id'], key['organisation']) for key in listed['keys']] == [
+        ('unknown', 'tallowmere')
+    ]
+    assert refused['code'] == Code.unauthorised
+    assert kept
