Keep outcomes only as long as someone may ask for them

An outcome is now kept beyond its end and its not_after for 60 s for a request that no caller can name again, for 1800 s under a ticket (it holds 600 s), and for the retention under a claim until its row holds it, then 60 s. A question about a key that is absent and older than 60 s past its not_after is answered as forgotten, never as void.

--- a/src/cassiahitch/agent/executor.py
+++ b/src/cassiahitch/agent/executor.py
@@ -41,7 +41,11 @@
 
 #: Seconds between sweeps of the ledger.
 SWEEP_S = 1.0
-SWEEP_LIMIT = 200
+SWEEP_LIMIT = 1000
+#: Seconds for which the outcome of a request without a caller's key is kept.
+REQUEST_KEEP_S = 60
+#: Seconds for which the outcome of a ticket is kept, longer than it holds and may be asked for.
+TICKET_KEEP_S = 1800
 #: Seconds between looks at claims that are due.
 TICK_S = 0.02
 #: Seconds between looks at whether everything has finished.
@@ -317,6 +321,7 @@
             body_digest,
             dispatch.incarnation,
             not_after,
+            REQUEST_KEEP_S if dispatch.ledger_key == request_id else TICKET_KEEP_S,
         )
     return Claim(
         request_id=request_id,
--- a/src/cassiahitch/ledger/api.py
+++ b/src/cassiahitch/ledger/api.py
@@ -7,6 +7,9 @@
 
 from cassiahitch.codes import Code, Ran
 
+#: Seconds for which the outcome of a caller's key is kept.
+RETENTION_S = 86_400
+
 
 class State(StrEnum):
     """State of a key at an agent."""
@@ -44,13 +47,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Dispatch:
-    """A request for this agent; ``not_after`` is in seconds of the agent's monotonic clock."""
+    """A request for this agent; ``not_after`` is in seconds of the agent's monotonic clock.
+
+    Its outcome is kept for ``keep_s`` seconds beyond its end and its ``not_after``.
+    """
 
     key: str
     request_id: str
     body_digest: str
     incarnation: int
     not_after: float
+    keep_s: float = RETENTION_S
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,7 +118,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Sweep:
-    """Removes up to ``limit`` records of each kind whose retention has passed."""
+    """Removes up to ``limit`` records whose retention has passed."""
 
     limit: int
 
@@ -189,21 +196,22 @@
     :param answer_bytes: largest answer that is kept for retries.
     :param waiters: largest number of requests that wait for one key.
     :param horizon_s: how far ahead a ``not_after`` may lie.
-    :param void_s: how long a void key is kept; longer than any horizon or ticket lifetime.
-    :param retention_s: how long an outcome is kept.
+    :param void_s: how long a void key is kept; longer than any horizon or use of a ticket.
+    :param settle_s: how long after its ``not_after`` any outcome is kept at least.
     """
 
-    entries: int = 100_000
-    voids: int = 100_000
+    entries: int = 40_000
+    voids: int = 20_000
     bytes_kept: int = 33_554_432
     answer_bytes: int = 65_536
     waiters: int = 32
     horizon_s: float = 900
-    void_s: float = 7200
-    retention_s: float = 86_400
+    void_s: float = 1800
+    settle_s: float = 60
 
 
 __all__ = (
+    'RETENTION_S',
     'Action',
     'Answer',
     'Answered',
--- a/src/cassiahitch/ledger/claim_api.py
+++ b/src/cassiahitch/ledger/claim_api.py
@@ -8,9 +8,9 @@
 
 from dataclasses import dataclass
 
+from cassiahitch.ledger.api import RETENTION_S, Outcome, State
 from cassiahitch.ledger.api import Action as LedgerAction
 from cassiahitch.ledger.api import Message as LedgerMessage
-from cassiahitch.ledger.api import Outcome, State
 from cassiahitch.platform.api import Condition, Row, Write
 
 
@@ -151,6 +151,7 @@
     :param background_wait_s: how long outcomes and removals wait to share a claim's transaction.
     :param margin_s: time before its deadline at which a claim is refused.
     :param store_attempts: failed transactions in a row after which waiting claims are refused.
+    :param retention_s: how long an outcome is kept that is not on the row.
     :param clean_attempts: reads after which the row of a void claim is left to the sweep.
     """
 
@@ -160,6 +161,7 @@
     background_wait_s: float = 0.25
     margin_s: float = 0.05
     store_attempts: int = 3
+    retention_s: float = RETENTION_S
     clean_attempts: int = 5
 
 
--- a/src/cassiahitch/ledger/claim_book.py
+++ b/src/cassiahitch/ledger/claim_book.py
@@ -10,7 +10,7 @@
 from cassiahitch.codes import Code, Ran
 from cassiahitch.ledger.api import Failure, Run, State
 from cassiahitch.ledger.commits import GroupCommit, Member, Purpose
-from cassiahitch.ledger.rows import ClaimRow
+from cassiahitch.ledger.rows import ClaimRow, is_inline
 from cassiahitch.platform.api import ABSENT
 
 if TYPE_CHECKING:
@@ -183,7 +183,19 @@
         if isinstance(outcome, Failure):
             self.ledger.records.unalias(record, pending.claim.key)
         self.forget(pending)
-        return self.ledger.settle(record.key, outcome, now)
+        actions = self.ledger.settle(record.key, outcome, now)
+        self.ledger.records.shorten(record.key, now)
+        return actions
+
+    def recorded(self, key: str, now: float) -> None:
+        """Take in that a claim's outcome is on its row.
+
+        :param key: the claim.
+        :param now: seconds.
+        """
+        record = self.ledger.records.by_key.get(key)
+        if record is not None and is_inline(record.outcome):
+            self.ledger.records.shorten(key, now)
 
     def follow(self, key: str, now: float) -> None:
         """Bring the row of a claim up to date with the ledger.
--- a/src/cassiahitch/ledger/claims.py
+++ b/src/cassiahitch/ledger/claims.py
@@ -132,6 +132,7 @@
             claim.body_digest,
             claim.incarnation,
             claim.not_after,
+            self.limits.retention_s,
         )
         actions = self.ledger.handle(dispatch, now)
         if actions != (Run(claim_id),):
@@ -184,6 +185,8 @@
         if member.purpose == Purpose.claim:
             return self.book.own(pending, version, now)
         self.book.forget(pending)
+        if member.purpose == Purpose.record:
+            self.book.recorded(member.claim_id, now)
         return ()
 
     def conflicted(self, suspect: Suspect, now: float) -> tuple[ClaimAction, ...]:
--- a/src/cassiahitch/ledger/ledger.py
+++ b/src/cassiahitch/ledger/ledger.py
@@ -112,7 +112,7 @@
             return (self.refuse(message, Code.dispatch_too_late, now),)
         if not self.records.has_room():
             return (self.refuse(message, Code.ledger_full, now),)
-        self.records.queue(message.key, message.body_digest, message.request_id)
+        self.records.queue(message)
         return (Run(message.key),)
 
     def repeat(self, record: Record, message: Dispatch) -> tuple[Action, ...]:
@@ -255,7 +255,7 @@
         :param now: seconds.
         :return: whether an outcome that old may have been removed.
         """
-        return now > not_after - self.limits.horizon_s + self.limits.retention_s
+        return now > not_after + self.limits.settle_s
 
 
 def drain(record: Record) -> list[str]:
--- a/src/cassiahitch/ledger/records.py
+++ b/src/cassiahitch/ledger/records.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+import heapq
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -10,7 +10,7 @@
 from cassiahitch.ledger.api import Answer, Failure, LedgerLimits, State
 
 if TYPE_CHECKING:
-    from cassiahitch.ledger.api import Outcome
+    from cassiahitch.ledger.api import Dispatch, Outcome
 
 
 @dataclass(slots=True)
@@ -20,6 +20,8 @@
     key: str
     body_digest: str
     state: State
+    not_after: float = 0
+    keep_s: float = 0
     waiters: list[str] = field(default_factory=list)
     aliases: list[str] = field(default_factory=list)
     outcome: Outcome | None = None
@@ -39,8 +41,7 @@
         self.aliases: dict[str, str] = {}
         self.bytes_kept = 0
         self.void_count = 0
-        self.done_order: deque[str] = deque()
-        self.void_order: deque[str] = deque()
+        self.expiries: list[tuple[float, str]] = []
 
     def find(self, key: str) -> Record | None:
         """Return the record of a key, or of the key that it joined.
@@ -59,14 +60,19 @@
         expected = self.bytes_kept + self.limits.answer_bytes
         return live < self.limits.entries and expected <= self.limits.bytes_kept
 
-    def queue(self, key: str, body_digest: str, request_id: str) -> None:
+    def queue(self, message: Dispatch) -> None:
         """Add a queued key and reserve the bytes of its answer.
 
-        :param key: the key, unknown so far.
-        :param body_digest: hexadecimal digest of the request's body.
-        :param request_id: the request that waits for it.
+        :param message: the request, its key unknown so far.
         """
-        self.by_key[key] = Record(key, body_digest, State.queued, [request_id])
+        self.by_key[message.key] = Record(
+            message.key,
+            message.body_digest,
+            State.queued,
+            message.not_after,
+            message.keep_s,
+            [message.request_id],
+        )
         self.bytes_kept += self.limits.answer_bytes
 
     def alias(self, record: Record, request_id: str) -> None:
@@ -108,8 +114,26 @@
         self.bytes_kept += self.size_of(outcome) - self.limits.answer_bytes
         record.outcome = self.kept(outcome)
         record.state = State.done
-        record.expires_at = now + self.limits.retention_s
-        self.done_order.append(record.key)
+        self.expire(record, max(now, record.not_after) + record.keep_s)
+
+    def shorten(self, key: str, now: float) -> None:
+        """Keep an outcome that is kept elsewhere too only while it may still be asked for.
+
+        :param key: a key; ignored if it is not done.
+        :param now: seconds of the agent's monotonic clock.
+        """
+        record = self.by_key.get(key)
+        if record is not None and record.state == State.done:
+            self.expire(record, max(now, record.not_after) + self.limits.settle_s)
+
+    def expire(self, record: Record, when: float) -> None:
+        """Plan the removal of a record.
+
+        :param record: the record.
+        :param when: seconds of the agent's monotonic clock.
+        """
+        record.expires_at = when
+        heapq.heappush(self.expiries, (when, record.key))
 
     def kept(self, outcome: Outcome) -> Outcome:
         """Return what retries are told of an outcome.
@@ -149,35 +173,27 @@
             self.bytes_kept -= self.limits.answer_bytes
         record = record or Record(key, '', State.void)
         record.state = State.void
-        record.expires_at = now + self.limits.void_s
         self.by_key[key] = record
         self.void_count += 1
-        self.void_order.append(key)
+        self.expire(record, now + self.limits.void_s)
         return True
 
     def sweep(self, limit: int, now: float) -> int:
         """Remove records whose retention has passed.
 
-        :param limit: largest number to remove of each kind.
-        :param now: seconds of the agent's monotonic clock.
-        :return: how many were removed.
-        """
-        voids = self.sweep_order(self.void_order, limit, now)
-        self.void_count -= voids
-        return voids + self.sweep_order(self.done_order, limit, now)
-
-    def sweep_order(self, order: deque[str], limit: int, now: float) -> int:
-        """Remove the oldest records of one kind.
-
-        :param order: their keys, oldest first.
-        :param limit: largest number to remove.
+        :param limit: largest number of records to look at.
         :param now: seconds of the agent's monotonic clock.
         :return: how many were removed.
         """
         removed = 0
-        while order and removed < limit and self.by_key[order[0]].expires_at < now:
-            self.remove(self.by_key[order.popleft()])
-            removed += 1
+        for _ in range(limit):
+            if not self.expiries or self.expiries[0][0] >= now:
+                break
+            when, key = heapq.heappop(self.expiries)
+            record = self.by_key.get(key)
+            if record is not None and record.expires_at == when:
+                self.remove(record)
+                removed += 1
         return removed
 
     def remove(self, record: Record) -> None:
@@ -186,6 +202,7 @@
         :param record: the record.
         """
         self.bytes_kept -= self.size_of(record.outcome)
+        self.void_count -= record.state == State.void
         for request_id in record.aliases:
             self.unalias(record, request_id)
         self.by_key.pop(record.key)
--- a/src/cassiahitch/ledger/rows.py
+++ b/src/cassiahitch/ledger/rows.py
@@ -93,15 +93,27 @@
     :param answer: the answer; its content is left out above the bound.
     :return: the fields by name.
     """
-    fits = len(answer.content) <= INLINE_ANSWER_BYTES
     return {
         'state': RowState.done,
-        'answer': answer.content if fits else None,
+        'answer': answer.content if is_inline(answer) else None,
         'answer_digest': answer.digest,
         'metadata': answer.metadata,
     }
 
 
+def is_inline(outcome: Outcome | None) -> bool:
+    """Whether a row holds the whole of an outcome.
+
+    :param outcome: the outcome of a claim, if there is one.
+    :return: whether it does; not for a large answer.
+    """
+    match outcome:
+        case Answer(content=content):
+            return len(content) <= INLINE_ANSWER_BYTES
+        case _:
+            return outcome is not None
+
+
 def row_key(organisation: str, service: str, caller_key: str) -> str:
     """Return the key of a caller's claim in the table.
 
@@ -156,6 +168,7 @@
     'TABLE',
     'ClaimRow',
     'RowState',
+    'is_inline',
     'parse_row',
     'row_key',
 )
--- a/tests/ledger/test_at_most_once.py
+++ b/tests/ledger/test_at_most_once.py
@@ -66,10 +66,9 @@
 YOUNG_KEYS = 3
 RETENTION_S = 60.0
 HORIZON_S = 20.0
-LIMITS = LedgerLimits(
-    entries=10, voids=12, horizon_s=HORIZON_S, void_s=70, retention_s=RETENTION_S + HORIZON_S
-)
-CLAIM_LIMITS = ClaimLimits(3, interval_s=0, retry_s=0.1, background_wait_s=0)
+KEEP_S = RETENTION_S + HORIZON_S
+LIMITS = LedgerLimits(entries=10, voids=12, horizon_s=HORIZON_S, void_s=70, settle_s=HORIZON_S)
+CLAIM_LIMITS = ClaimLimits(3, interval_s=0, retry_s=0.1, background_wait_s=0, retention_s=KEEP_S)
 SWEEP_LIMITS = SweepLimits(RETENTION_S, page_rows=2, interval_s=0, pause_s=0, settle_s=HORIZON_S)
 PICK = st.integers(0, 1023)
 DISTURBANCES = ('agent', 'agent', 'agent', 'entry', 'store', 'store', 'wait', 'late', 'age')
@@ -305,7 +304,8 @@
         else:
             ticket = self.offices[entry].verify(key, self.now)
             agent = int(ticket.agent.removeprefix('host-'))
-            message = Dispatch(key, request_id, digest, ticket.agent_incarnation, not_after)
+            stamp = (ticket.agent_incarnation, not_after, KEEP_S)
+            message = Dispatch(key, request_id, digest, *stamp)
         attempt = Attempt(request_id, key, entry, agent, message)
         self.attempts[request_id] = attempt
         return attempt
--- a/tests/ledger/test_claims.py
+++ b/tests/ledger/test_claims.py
@@ -22,6 +22,7 @@
     Start,
     State,
     StateReply,
+    Sweep,
     Void,
 )
 from cassiahitch.ledger.claim_api import (
@@ -310,6 +311,24 @@
     assert machine.handle(Void('again', BODY, 10, INCARNATION), 1) == done
 
 
+@pytest.mark.parametrize(
+    ('size', 'state'),
+    [pytest.param(10, State.absent, id='on-row'), pytest.param(5000, State.done, id='too-large')],
+)
+def test_recorded_outcome_leaves_the_ledger_if_its_row_holds_it(
+    machine: ClaimMachine, size: int, state: State
+) -> None:
+    machine.handle(claim(), 0)
+    machine.handle(BatchCommitted(1, (4,)), 0)
+    machine.handle(Start('claim-a'), 0)
+    machine.handle(Finish('claim-a', Answer(b'x' * size, 'd' * 64)), 1)
+    machine.handle(BatchCommitted(2, (5,)), 1)
+    machine.handle(Sweep(9), 69)
+    assert machine.ledger.state('claim-a') == State.done
+    machine.handle(Sweep(9), 71)
+    assert machine.ledger.state('claim-a') == state
+
+
 @pytest.mark.parametrize(
     ('end', 'outcome'),
     [
--- a/tests/ledger/test_ledger.py
+++ b/tests/ledger/test_ledger.py
@@ -29,6 +29,7 @@
 from cassiahitch.ledger.ledger import Ledger
 
 INCARNATION = 7
+KEEP_S = 100
 ANSWER = Answer(b'menu', 'digest')
 LIMITS = LedgerLimits(
     entries=3,
@@ -38,7 +39,7 @@
     waiters=2,
     horizon_s=10,
     void_s=20,
-    retention_s=100,
+    settle_s=90,
 )
 
 
@@ -48,7 +49,7 @@
 
 
 def dispatch(key: str = 'k', request_id: str = 'r', body: str = 'b', at: float = 5) -> Dispatch:
-    return Dispatch(key, request_id, body, INCARNATION, at)
+    return Dispatch(key, request_id, body, INCARNATION, at, KEEP_S)
 
 
 def void(key: str = 'k', at: float = 5) -> Void:
@@ -154,9 +155,10 @@
     ledger.handle(dispatch(), 0)
     ledger.handle(Start('k'), 0)
     ledger.handle(Finish('k', ANSWER), 1)
-    assert ledger.handle(Sweep(9), 102) == (Swept(1),)
-    assert ledger.handle(void(), 102) == (StateReply('k', State.forgotten),)
-    assert ledger.handle(Status('k', 'b', 5, INCARNATION), 102) == (
+    assert ledger.handle(Sweep(9), 105) == (Swept(0),)
+    assert ledger.handle(Sweep(9), 106) == (Swept(1),)
+    assert ledger.handle(void(), 106) == (StateReply('k', State.forgotten),)
+    assert ledger.handle(Status('k', 'b', 5, INCARNATION), 106) == (
         StateReply('k', State.forgotten),
     )
 
