--- a/src/cassiahitch/agent/assembly.py
+++ b/src/cassiahitch/agent/assembly.py
@@ -12,6 +12,7 @@
 from cassiahitch.agent.executor import Executor
 from cassiahitch.agent.health import BackendHealth
 from cassiahitch.agent.loading import Loader
+from cassiahitch.agent.sampler import StateSampler
 from cassiahitch.engine.http import HttpEngine
 from cassiahitch.ledger.claims import ClaimMachine
 from cassiahitch.ledger.ledger import Ledger
@@ -57,10 +58,10 @@
     :param staging: keeps chunks.
     :return: the parts; nothing runs yet.
     """
-    engine = HttpEngine(caller, settings.engine_url)
-    health = BackendHealth(engine)
-    executor = _executor(node, settings, caller, peers, health)
-    loader = Loader(node, engine, executor, staging)
+    sampler = StateSampler(HttpEngine(caller, settings.engine_url))
+    health = BackendHealth(sampler.engine)
+    executor = _executor(node, settings, caller, peers, sampler, health)
+    loader = Loader(node, sampler, executor, staging)
     origin = HttpOrigin(caller, settings.platform.origin_url)
     distribution = Distribution(Surroundings(node, origin, staging, peers), loader.completed)
     return AgentParts(executor, health, loader, distribution)
@@ -71,10 +72,11 @@
     settings: AgentSettings,
     caller: HttpCaller,
     peers: PeerPool,
+    sampler: StateSampler,
     health: BackendHealth,
 ) -> Executor:
     plain = settings.engine_kind is EngineKind.plain
-    backend = Backend(health.engine, settings.timeouts.engine_s, MAX_ANSWER_BYTES, plain)
+    backend = Backend(sampler.engine, sampler, settings.timeouts.engine_s, MAX_ANSWER_BYTES, plain)
     rng = random.Random(node.incarnation)
     machine = ClaimMachine(settings.host, Ledger(node.incarnation), rng)
     platform = settings.platform
--- a/src/cassiahitch/cli/operators.py
+++ b/src/cassiahitch/cli/operators.py
@@ -80,7 +80,7 @@
     if name:
         answers = (run_with_client(target, lambda client: client.get(known, name)),)
     else:
-        answers = run_with_client(target, lambda client: client.list(known)).resources
+        answers = run_with_client(target, lambda client: client.list(known))
     if output is Output.json:
         print_json(answers)
     else:
--- a/src/cassiahitch/entry/assembly.py
+++ b/src/cassiahitch/entry/assembly.py
@@ -8,8 +8,9 @@
 from tornado.web import Application
 
 from cassiahitch.controllers.store import ConfigurationStore
-from cassiahitch.entry import callers, operators
+from cassiahitch.entry import audit, callers, operators, reports
 from cassiahitch.entry.leadership import Leadership
+from cassiahitch.entry.retention import Retention
 from cassiahitch.entry.rollouts import Rollouts
 from cassiahitch.entry.synchronisation import Synchroniser
 from cassiahitch.ledger.tickets import TicketOffice
@@ -61,6 +62,7 @@
     synchroniser: Synchroniser
     leadership: Leadership
     rollouts: Rollouts
+    retention: Retention
     caller_service: callers.CallerService
     queueing: Queueing
     application: Application
@@ -78,7 +80,14 @@
     objects = HttpObjects(caller, platform.object_store_url)
     store = ConfigurationStore(tables)
     configuration = core.directory.configuration
-    synchroniser = Synchroniser(core.node, configuration, store, objects, core.peers)
+    synchroniser = Synchroniser(
+        core.node,
+        configuration,
+        store,
+        objects,
+        core.peers,
+        core.directory.highest_heard,
+    )
     rollouts = Rollouts(core.node, configuration, core.directory, tables)
     queueing = Queueing(
         configuration,
@@ -93,12 +102,15 @@
         synchroniser,
         core.directory,
         frozenset(core.settings.operator_token_digests),
+        reports.Reports(core.node, core.directory, core.peers),
+        tables,
     )
     return EntryParts(
         HttpHosts(caller, platform.host_list_url),
         synchroniser,
         Leadership(core.node, tables, rollouts.begin_term),
         rollouts,
+        Retention(core.node, tables),
         caller_service,
         queueing,
         _application(caller_service, operator_service),
@@ -154,8 +166,9 @@
             (r'/v1/resources/(\w+)', operators.ListHandler, operator),
             (r'/v1/watch/(\w+)', operators.WatchHandler, operator),
             ('/v1/status', operators.StatusHandler, operator),
-            ('/v1/timeline', operators.TimelineHandler, operator),
-            ('/v1/metrics', operators.MetricsHandler, operator),
+            ('/v1/unknown-keys', audit.UnknownKeysHandler, operator),
+            ('/v1/timeline', reports.TimelineHandler, operator),
+            ('/v1/metrics', reports.MetricsHandler, operator),
         ],
         default_handler_class=callers.MissingHandler,
         default_handler_args=service,
--- a/src/cassiahitch/entry/gossip.py
+++ b/src/cassiahitch/entry/gossip.py
@@ -11,8 +11,8 @@
 
 from cassiahitch.codes import Code
 from cassiahitch.errors import WireError
+from cassiahitch.limits.division import Division, LimitRegistry
 from cassiahitch.limits.organisations import ShareNews
-from cassiahitch.limits.registry import Division, LimitRegistry
 from cassiahitch.requests.poison import PoisonGate
 from cassiahitch.routing.poison import ClearNews, CrashNews, PoisonGuard, ReserveNews
 from cassiahitch.wire import messages
--- a/src/cassiahitch/entry/operators.py
+++ b/src/cassiahitch/entry/operators.py
@@ -11,21 +11,20 @@
 
 from cassiahitch.codes import Code
 from cassiahitch.controllers.status import revision_status
+from cassiahitch.controllers.store import check_change_id
 from cassiahitch.entry.callers import CallerHandler
 from cassiahitch.errors import CassiahitchError, ResourceError
-from cassiahitch.metrics.encoding import encode_snapshot
 from cassiahitch.resources.models import KINDS
 from cassiahitch.resources.parsing import parse_resource, resource_key
-from cassiahitch.timeline.encoding import encode_events
-from cassiahitch.timeline.events import EventFilter
-from cassiahitch.timeline.ring import START
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
 
     from cassiahitch.controllers.store import Accepted, ConfigurationStore, Stored
     from cassiahitch.entry.directory import Directory
+    from cassiahitch.entry.reports import Reports
     from cassiahitch.entry.synchronisation import Synchroniser
+    from cassiahitch.platform.api import TableService
     from cassiahitch.wire.node import Node
 
 NO_CHANGE_ID_BYTES = 16
@@ -42,6 +41,8 @@
     synchroniser: Synchroniser
     directory: Directory
     token_digests: frozenset[str]
+    reports: Reports
+    tables: TableService
 
 
 class OperatorHandler(CallerHandler):
@@ -127,7 +128,10 @@
 
     def _change_id(self) -> str:
         drawn = secrets.token_hex(NO_CHANGE_ID_BYTES)
-        return str(self.request.headers.get('X-Change-Id', drawn))
+        change_id = str(self.request.headers.get('X-Change-Id', drawn))
+        check_change_id(change_id)
+        self.set_header('X-Change-Id', change_id)
+        return change_id
 
     def _if_match(self) -> int:
         header = self.request.headers.get('If-Match', '').strip('"')
@@ -195,36 +199,13 @@
     def get(self) -> None:
         """Return the revision and all nodes."""
         operators = self.operators
-        members = operators.directory.membership.members
+        members = operators.directory.members
         revision = operators.synchroniser.configuration.revision
-        status = revision_status(revision, members.values())
-        nodes = [_node_document(member) for member in members.values()]
+        status = revision_status(revision, members)
+        nodes = [_node_document(member) for member in members]
         self.finish({**asdict(status), 'everywhere': status.everywhere, 'nodes': nodes})
 
 
-class TimelineHandler(OperatorHandler):
-    """Returns the time line of this process."""
-
-    def get(self) -> None:
-        """Return the events, filtered by identifiers."""
-        matching = EventFilter(
-            self.get_query_argument('request', ''),
-            self.get_query_argument('rollout', ''),
-        )
-        events = self.operators.node.timeline.events(START, matching)
-        self.set_header('Content-Type', 'application/json')
-        self.finish(encode_events(events))
-
-
-class MetricsHandler(OperatorHandler):
-    """Returns the metrics of this process."""
-
-    def get(self) -> None:
-        """Return counters, gauges and latencies."""
-        self.set_header('Content-Type', 'application/json')
-        self.finish(encode_snapshot(self.operators.node.metrics.snapshot()))
-
-
 def resource_document(operators: OperatorService, stored: Stored) -> dict[str, Any]:
     """Return the JSON form of a resource with its conditions.
 
@@ -232,8 +213,7 @@
     :param stored: the resource and its revision.
     :return: revision, resource and conditions.
     """
-    members = operators.directory.membership.members.values()
-    status = revision_status(stored.revision, members)
+    status = revision_status(stored.revision, operators.directory.members)
     condition = {
         'type': 'in_force',
         'status': status.everywhere,
@@ -252,6 +232,7 @@
     beat = member.heartbeat
     return {
         'host': beat.host,
+        'role': beat.place.role.value,
         'incarnation': str(beat.incarnation),
         'region': beat.place.region,
         'failure_domain': beat.place.failure_domain,
@@ -273,11 +254,9 @@
 
 __all__ = (
     'ListHandler',
-    'MetricsHandler',
     'OperatorHandler',
     'OperatorService',
     'ResourceHandler',
     'StatusHandler',
-    'TimelineHandler',
     'WatchHandler',
 )
--- a/src/cassiahitch/entry/process.py
+++ b/src/cassiahitch/entry/process.py
@@ -13,6 +13,7 @@
 from cassiahitch.codes import Code
 from cassiahitch.controllers.configuration import Configuration
 from cassiahitch.entry.assembly import EntryCore, assemble
+from cassiahitch.entry.compaction import compact_changes
 from cassiahitch.entry.directory import Directory
 from cassiahitch.entry.gossip import Gossip, make_gossip
 from cassiahitch.entry.synchronisation import save_snapshots
@@ -26,6 +27,7 @@
 from cassiahitch.wire.dialer import Dialer
 from cassiahitch.wire.endpoint import Endpoint
 from cassiahitch.wire.node import MS_PER_S, Node
+from cassiahitch.wire.reports import make_report
 
 if TYPE_CHECKING:
     from cassiahitch.clock import Clock
@@ -127,8 +129,10 @@
             self.parts.synchroniser.work(),
             self.parts.leadership.work(),
             self.parts.rollouts.work(self.parts.leadership),
+            self.parts.retention.work(self.parts.leadership),
             self.dialer.work(self.settings.entries),
             save_snapshots(self.parts.synchroniser, SNAPSHOT_INTERVAL_S),
+            compact_changes(self.parts.synchroniser.store, self.parts.leadership, self.rng),
             self._poll_hosts(),
             self.gossip.work(),
             self.parts.queueing.work(),
@@ -176,6 +180,7 @@
         if (connection.peer.host, connection.peer.incarnation) != (host, incarnation):
             connection.close(WireError(Code.wrong_incarnation, 'another process answered'))
             raise WireError(Code.wrong_incarnation, f'{host} has restarted')
+        connection.lasting = False
         return connection
 
     def hello(self) -> messages.Hello:
@@ -269,6 +274,8 @@
         match message:
             case messages.ConfigurationPull(after_revision=revision):
                 return self.parts.synchroniser.update_for(revision)
+            case messages.ReportPull():
+                return make_report(self.node, message)
             case messages.Locate(host=host):
                 return self.directory.locate(host)
             case _:
@@ -280,6 +287,7 @@
 
     def _hear_entry(self, connection: Connection, beat: messages.Heartbeat) -> None:
         peer = connection.peer
+        self.directory.heard_entry(peer, beat)
         state = EntryState(
             f'{peer.host}/{peer.incarnation}',
             f'{peer.address}:{beat.http_port}',
@@ -293,6 +301,7 @@
 
     def _note_self(self) -> None:
         settings = self.settings
+        self.directory.heard_entry(self.node.hello(), self.heartbeat())
         state = EntryState(
             f'{settings.host}/{self.node.incarnation}',
             f'{settings.address}:{self.http_port}',
--- a/src/cassiahitch/ledger/api.py
+++ b/src/cassiahitch/ledger/api.py
@@ -7,6 +7,9 @@
 
 from cassiahitch.codes import Code, Ran
 
+#: Seconds for which the outcome of a caller's key is kept.
+RETENTION_S = 86_400
+
 
 class State(StrEnum):
     """State of a key at an agent."""
@@ -16,6 +19,8 @@
     done = 'done'
     void = 'void'
     absent = 'absent'
+    #: Known with another body than the one asked for, which never runs under the key.
+    reused = 'reused'
     #: So old that the ledger may have forgotten it.
     forgotten = 'forgotten'
 
@@ -42,13 +47,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Dispatch:
-    """A request for this agent; ``not_after`` is in seconds of the agent's monotonic clock."""
+    """A request for this agent; ``not_after`` is in seconds of the agent's monotonic clock.
+
+    Its outcome is kept for ``keep_s`` seconds beyond its end and its ``not_after``.
+    """
 
     key: str
     request_id: str
     body_digest: str
     incarnation: int
     not_after: float
+    keep_s: float = RETENTION_S
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,12 +94,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Void:
-    """Asks that a key never runs; ``not_after`` is that of its dispatch.
+    """Asks that a request never runs; ``not_after`` is that of its dispatch.
 
     ``takeover`` states that another agent asks, to run the caller's key itself.
     """
 
     key: str
+    body_digest: str
     not_after: float
     incarnation: int
     takeover: bool = False
@@ -98,16 +108,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Status:
-    """Asks for the state of a key; ``not_after`` is that of its dispatch."""
+    """Asks for the state of a request; ``not_after`` is that of its dispatch."""
 
     key: str
+    body_digest: str
     not_after: float
     incarnation: int
 
 
 @dataclass(frozen=True, slots=True)
 class Sweep:
-    """Removes up to ``limit`` records of each kind whose retention has passed."""
+    """Removes up to ``limit`` records whose retention has passed."""
 
     limit: int
 
@@ -185,21 +196,22 @@
     :param answer_bytes: largest answer that is kept for retries.
     :param waiters: largest number of requests that wait for one key.
     :param horizon_s: how far ahead a ``not_after`` may lie.
-    :param void_s: how long a void key is kept; longer than any horizon or ticket lifetime.
-    :param retention_s: how long an outcome is kept.
+    :param void_s: how long a void key is kept; longer than any horizon or use of a ticket.
+    :param settle_s: how long after its ``not_after`` any outcome is kept at least.
     """
 
-    entries: int = 100_000
-    voids: int = 100_000
+    entries: int = 40_000
+    voids: int = 20_000
     bytes_kept: int = 33_554_432
     answer_bytes: int = 65_536
     waiters: int = 32
-    horizon_s: float = 600
-    void_s: float = 7200
-    retention_s: float = 86_400
+    horizon_s: float = 900
+    void_s: float = 1800
+    settle_s: float = 60
 
 
 __all__ = (
+    'RETENTION_S',
     'Action',
     'Answer',
     'Answered',
--- a/src/cassiahitch/ledger/ledger.py
+++ b/src/cassiahitch/ledger/ledger.py
@@ -112,7 +112,7 @@
             return (self.refuse(message, Code.dispatch_too_late, now),)
         if not self.records.has_room():
             return (self.refuse(message, Code.ledger_full, now),)
-        self.records.queue(message.key, message.body_digest, message.request_id)
+        self.records.queue(message)
         return (Run(message.key),)
 
     def repeat(self, record: Record, message: Dispatch) -> tuple[Action, ...]:
@@ -205,7 +205,7 @@
         :param now: seconds.
         :return: the state of the key last, after refusals of the requests that wait for it.
         """
-        reply = self.status(Status(message.key, message.not_after, message.incarnation), now)
+        reply = self.status(message, now)
         match reply.state:
             case State.absent:
                 recorded = self.records.void(message.key, now)
@@ -231,19 +231,22 @@
         self.records.void(record.key, now)
         return tuple(Refused(waiter, failure.code, failure.ran) for waiter in drain(record))
 
-    def status(self, message: Status, now: float) -> StateReply:
-        """Return the state of a key, with its outcome if it is done.
+    def status(self, message: Status | Void, now: float) -> StateReply:
+        """Return the state of a request, with its outcome if it is done.
 
-        :param message: the key, and the bound of its dispatch.
+        :param message: its key and body, and the bound of its dispatch.
         :param now: seconds.
         :return: the state.
         """
+        if message.incarnation != self.incarnation:
+            return StateReply(message.key, State.forgotten)
         record = self.records.find(message.key)
-        if record is not None and message.incarnation == self.incarnation:
-            return StateReply(message.key, record.state, record.outcome)
-        forgotten = message.incarnation != self.incarnation
-        forgotten = forgotten or self.is_forgotten(message.not_after, now)
-        return StateReply(message.key, State.forgotten if forgotten else State.absent)
+        if record is None:
+            forgotten = self.is_forgotten(message.not_after, now)
+            return StateReply(message.key, State.forgotten if forgotten else State.absent)
+        if record.state != State.void and record.body_digest != message.body_digest:
+            return StateReply(message.key, State.reused)
+        return StateReply(message.key, record.state, record.outcome)
 
     def is_forgotten(self, not_after: float, now: float) -> bool:
         """Whether an unknown key may have been done and swept.
@@ -252,7 +255,7 @@
         :param now: seconds.
         :return: whether an outcome that old may have been removed.
         """
-        return now > not_after - self.limits.horizon_s + self.limits.retention_s
+        return now > not_after + self.limits.settle_s
 
 
 def drain(record: Record) -> list[str]:
--- a/src/cassiahitch/requests/limiting.py
+++ b/src/cassiahitch/requests/limiting.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from cassiahitch.clock import Clock
     from cassiahitch.controllers.configuration import Configuration
-    from cassiahitch.limits.registry import LimitRegistry
+    from cassiahitch.limits.division import LimitRegistry
     from cassiahitch.requests.api import Answered, Proceed, Request
 
 
--- a/src/cassiahitch/wire/cassiahitch.thrift
+++ b/src/cassiahitch/wire/cassiahitch.thrift
@@ -92,12 +92,14 @@
   2: i64 incarnation
   3: i64 not_after_ms
   4: bool takeover
+  5: binary body_digest
 }
 
 struct Status {
   1: string ledger_key
   2: i64 incarnation
   3: i64 not_after_ms
+  4: binary body_digest
 }
 
 struct LedgerState {
@@ -193,6 +195,16 @@
   1: string host
 }
 
+struct ReportPull {
+  1: string topic
+  2: string request_id
+  3: string rollout_id
+}
+
+struct Report {
+  1: binary document
+}
+
 struct Frame {
   1: i64 id
   2: i64 reply_to
@@ -221,4 +233,6 @@
   31: optional OrderDrain order_drain
   32: optional Locate locate
   33: optional PeerAddress peer_address
+  34: optional ReportPull report_pull
+  35: optional Report report
 }
--- a/src/cassiahitch/wire/messages.py
+++ b/src/cassiahitch/wire/messages.py
@@ -122,6 +122,7 @@
     incarnation: int = 0
     not_after_ms: int = 0
     takeover: bool = False
+    body_digest: bytes = b''
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,6 +132,7 @@
     ledger_key: str = ''
     incarnation: int = 0
     not_after_ms: int = 0
+    body_digest: bytes = b''
 
 
 @dataclass(frozen=True, slots=True)
@@ -273,6 +275,22 @@
     host: str = ''
 
 
+@dataclass(frozen=True, slots=True)
+class ReportPull:
+    """Asks a process for its time line or its metrics; an empty identifier selects all."""
+
+    topic: str = ''
+    request_id: str = ''
+    rollout_id: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """Events or metrics of a process, as JSON."""
+
+    document: bytes = b''
+
+
 #: Every message that a frame can carry.
 Message = (
     Challenge
@@ -299,6 +317,8 @@
     | OrderDrain
     | Locate
     | PeerAddress
+    | ReportPull
+    | Report
 )
 
 __all__ = (
@@ -326,6 +346,8 @@
     'OrderReply',
     'PeerAddress',
     'Release',
+    'Report',
+    'ReportPull',
     'Status',
     'Void',
 )
--- a/tests/ledger/test_ledger.py
+++ b/tests/ledger/test_ledger.py
@@ -29,6 +29,7 @@
 from cassiahitch.ledger.ledger import Ledger
 
 INCARNATION = 7
+KEEP_S = 100
 ANSWER = Answer(b'menu', 'digest')
 LIMITS = LedgerLimits(
     entries=3,
@@ -38,7 +39,7 @@
     waiters=2,
     horizon_s=10,
     void_s=20,
-    retention_s=100,
+    settle_s=90,
 )
 
 
@@ -48,11 +49,11 @@
 
 
 def dispatch(key: str = 'k', request_id: str = 'r', body: str = 'b', at: float = 5) -> Dispatch:
-    return Dispatch(key, request_id, body, INCARNATION, at)
+    return Dispatch(key, request_id, body, INCARNATION, at, KEEP_S)
 
 
 def void(key: str = 'k', at: float = 5) -> Void:
-    return Void(key, at, INCARNATION)
+    return Void(key, 'b', at, INCARNATION)
 
 
 def test_request_runs_once_and_each_retry_gets_its_answer(ledger: Ledger) -> None:
@@ -97,6 +98,15 @@
     assert ledger.handle(other, 0) == (Refused('other', Code.key_reused, Ran.no),)
 
 
+def test_question_for_another_body_tells_nothing_of_the_key(ledger: Ledger) -> None:
+    ledger.handle(dispatch(), 0)
+    assert ledger.handle(Void('k', 'c', 5, INCARNATION), 0) == (StateReply('k', State.reused),)
+    ledger.handle(Start('k'), 0)
+    ledger.handle(Finish('k', ANSWER), 1)
+    reused = (StateReply('k', State.reused),)
+    assert ledger.handle(Status('k', 'c', 5, INCARNATION), 1) == reused
+
+
 def test_void_of_absent_key_refuses_its_late_dispatch(ledger: Ledger) -> None:
     assert ledger.handle(void(), 0) == (StateReply('k', State.void),)
     assert ledger.handle(dispatch(), 1) == (Refused('r', Code.request_voided, Ran.no),)
@@ -145,13 +155,16 @@
     ledger.handle(dispatch(), 0)
     ledger.handle(Start('k'), 0)
     ledger.handle(Finish('k', ANSWER), 1)
-    assert ledger.handle(Sweep(9), 102) == (Swept(1),)
-    assert ledger.handle(void(), 102) == (StateReply('k', State.forgotten),)
-    assert ledger.handle(Status('k', 5, INCARNATION), 102) == (StateReply('k', State.forgotten),)
+    assert ledger.handle(Sweep(9), 105) == (Swept(0),)
+    assert ledger.handle(Sweep(9), 106) == (Swept(1),)
+    assert ledger.handle(void(), 106) == (StateReply('k', State.forgotten),)
+    assert ledger.handle(Status('k', 'b', 5, INCARNATION), 106) == (
+        StateReply('k', State.forgotten),
+    )
 
 
 def test_question_for_another_incarnation_is_not_answered(ledger: Ledger) -> None:
-    assert ledger.handle(Void('k', 5, 8), 0) == (StateReply('k', State.forgotten),)
+    assert ledger.handle(Void('k', 'b', 5, 8), 0) == (StateReply('k', State.forgotten),)
 
 
 def full(ledger: Ledger, count: int) -> tuple[Action, ...]:
--- a/tests/limits/test_registry.py
+++ b/tests/limits/test_division.py
@@ -4,8 +4,8 @@
 
 import pytest
 
+from cassiahitch.limits.division import GONE_AFTER_S, SETTLE_S, Division, LimitRegistry
 from cassiahitch.limits.organisations import Within
-from cassiahitch.limits.registry import GONE_AFTER_S, SETTLE_S, Division, LimitRegistry
 
 
 def make_leader() -> LimitRegistry:
