Prove poison, overload, limits and cancelled callers over sockets

Cause: the filters were not driven by failures over real sockets. An engine that closed a connection before its first byte ended the agent's slots for good: the stream raised CurlError, which nothing caught. Change: stand-in engines crash on a marked body and restart; streams turn CurlError into CallFailed; an attempt whose caller left voids its key and, if it may be repeated, cancels the run.

--- a/src/cassiahitch/platform/caller.py
+++ b/src/cassiahitch/platform/caller.py
@@ -148,7 +148,10 @@
             if part is None:
                 break
             yield part
-        _check_stream(answer.result())
+        try:
+            _check_stream(answer.result())
+        except CurlError as error:
+            raise CallFailed(str(error), sent=_was_sent(error)) from error
 
     def _request(self, call: Call) -> HTTPRequest:
         return HTTPRequest(
--- a/src/cassiahitch/requests/attempts.py
+++ b/src/cassiahitch/requests/attempts.py
@@ -109,6 +109,9 @@
             return await self._settle(target, dispatch, error.code)
         except TimeoutError:
             return await self._give_up(agent.connection, target, dispatch)
+        except asyncio.CancelledError:
+            self._abandon(agent.connection, target, dispatch)
+            raise
 
     def _dispatch(self, target: Target, clock_offset_s: float) -> messages.Dispatch:
         request = self.request
@@ -188,6 +191,29 @@
             return AttemptEnd(Failure(Code.deadline_exceeded, Ran.unknown))
         return AttemptEnd(_late_outcome(state))
 
+    def _abandon(
+        self,
+        connection: Connection,
+        target: Target,
+        dispatch: messages.Dispatch,
+    ) -> None:
+        """Stop what runs for a caller that has left, without waiting for it."""
+        task = asyncio.create_task(self._withdraw(connection, target, dispatch))
+        self.node.background.add(task)
+        task.add_done_callback(self.node.background.discard)
+
+    async def _withdraw(
+        self,
+        connection: Connection,
+        target: Target,
+        dispatch: messages.Dispatch,
+    ) -> None:
+        with suppress(WireError):
+            await connection.call(self._void(target, dispatch))
+            # What must not run twice goes on, so that its caller can ask for its answer again.
+            if self.request.idempotent:
+                await connection.send(messages.Cancel(self.request_id))
+
     async def _settle(
         self,
         target: Target,
--- a/src/cassiahitch/requests/queueing.py
+++ b/src/cassiahitch/requests/queueing.py
@@ -31,7 +31,7 @@
 class ServiceQueue:
     """The queue of a service and the bound on its requests in flight."""
 
-    queue: FairQueue = field(default_factory=lambda: FairQueue(QueueLimits()))
+    queue: FairQueue
     limit: ConcurrencyLimit = field(default_factory=ConcurrencyLimit)
     admitted: dict[str, asyncio.Future[None]] = field(default_factory=dict)
 
@@ -69,6 +69,7 @@
     clock: Clock
     router: Router
     count_entries: Callable[[], int]
+    limits: QueueLimits = QueueLimits()
     queues: dict[str, ServiceQueue] = field(default_factory=dict)
 
     async def handle(self, request: Request, proceed: Proceed) -> Answered:
@@ -110,7 +111,7 @@
     def _service(self, name: str) -> ServiceQueue:
         service = self.queues.get(name)
         if service is None:
-            service = ServiceQueue()
+            service = ServiceQueue(FairQueue(self.limits))
             self.queues[name] = service
             self._update(name, service)
         return service
--- a/src/cassiahitch/standins/engines.py
+++ b/src/cassiahitch/standins/engines.py
@@ -10,6 +10,9 @@
 from contextlib import ExitStack, contextmanager
 from dataclasses import asdict, dataclass, field
 
+from tornado.http1connection import HTTP1Connection
+from tornado.web import Finish
+
 from cassiahitch.engine.api import EngineState
 from cassiahitch.standins.http import StandInHandler, StandInServer
 
@@ -44,6 +47,19 @@
     loading: bool = False
     runs: Counter[str] = field(default_factory=Counter)
     cancelled: set[str] = field(default_factory=set)
+    poison: str = ''
+    restart_s: float = 0.3
+    crashes: int = 0
+    down: bool = False
+
+    def crash(self) -> None:
+        """Cut all requests and answer nothing until the restart."""
+        self.crashes += 1
+        self.down = True
+        asyncio.get_running_loop().call_later(self.restart_s, self._restart)
+
+    def _restart(self) -> None:
+        self.down = False
 
     def state(self) -> EngineState:
         """Return what is loaded and the load.
@@ -116,7 +132,28 @@
         return self.issued
 
 
-class EngineStateHandler(StandInHandler):
+class EngineHandler(StandInHandler):
+    """Base of the handlers of an engine, which answers nothing while it is down."""
+
+    target: StandInEngine
+
+    def prepare(self) -> None:
+        """Close the connection while the engine is down."""
+        if self.target.down:
+            self.cut()
+
+    def cut(self) -> None:
+        """Close the connection without an answer.
+
+        :raises Finish: always.
+        """
+        connection = self.request.connection
+        if isinstance(connection, HTTP1Connection):
+            connection.stream.close()
+        raise Finish
+
+
+class EngineStateHandler(EngineHandler):
     """Serves the state of an engine."""
 
     target: StandInEngine
@@ -126,7 +163,7 @@
         self.write(asdict(self.target.state()))
 
 
-class EngineLoadHandler(StandInHandler):
+class EngineLoadHandler(EngineHandler):
     """Takes orders to load."""
 
     target: StandInEngine
@@ -140,7 +177,7 @@
         self.write(asdict(self.target.state()))
 
 
-class EngineGenerateHandler(StandInHandler):
+class EngineGenerateHandler(EngineHandler):
     """Runs requests."""
 
     target: StandInEngine
@@ -152,15 +189,21 @@
             return
         order = json.loads(self.request.body)
         self.target.runs[order['request_id']] += 1
+        if self.target.poison and self.target.poison in order['body']:
+            self.target.crash()
+            self.cut()
         answer = draft(self.target.digest, order['body'].encode())
         with self.target.run():
             await self._send(answer, order['request_id'])
 
     async def _send(self, answer: bytes, request_id: str) -> None:
         size = len(answer) // ANSWER_PARTS + 1
+        crashes = self.target.crashes
         text = answer.decode()
         for start in range(0, len(text), size):
             await asyncio.sleep(self.target.step_s)
+            if self.target.crashes != crashes:
+                self.cut()
             if request_id in self.target.cancelled:
                 return
             self._line({'text': text[start : start + size]})
