Wire serving, pacing, cancelling and load waves

Cause: the agent served chunks without the server's decision, did not pace its link and kept every version; loads followed a rule of half. Chunks go in parts. controllers/wavegate.py puts next_wave before loads; two manifests of one deployment are ordered side by side.

--- a/src/cassiahitch/agent/assembly.py
+++ b/src/cassiahitch/agent/assembly.py
@@ -8,9 +8,12 @@
 
 from cassiahitch.agent.backend import Backend
 from cassiahitch.agent.claims import ClaimStore
-from cassiahitch.agent.distribution import Distribution, Surroundings
+from cassiahitch.agent.distribution import Distribution
 from cassiahitch.agent.executor import Executor
+from cassiahitch.agent.fetching import Surroundings
+from cassiahitch.agent.links import HostLinks
 from cassiahitch.agent.loading import Loader
+from cassiahitch.agent.serving import ChunkService
 from cassiahitch.engine.http import HttpEngine
 from cassiahitch.ledger.claims import ClaimMachine
 from cassiahitch.ledger.ledger import Ledger
@@ -59,7 +62,11 @@
     executor = _executor(node, settings, caller, peers, engine)
     loader = Loader(node, engine, executor, staging)
     origin = HttpOrigin(caller, settings.platform.origin_url)
-    distribution = Distribution(Surroundings(node, origin, staging, peers), loader.completed)
+    links = HostLinks(settings.link_bytes_per_s, node.clock)
+    service = ChunkService(node, staging, links)
+    around = Surroundings(node, origin, staging, peers, service, links)
+    distribution = Distribution(around, loader.completed)
+    loader.on_loaded = distribution.retain
     return AgentParts(executor, loader, distribution)
 
 
--- /dev/null
+++ b/src/cassiahitch/agent/fetching.py
@@ -0,0 +1,289 @@
+"""Fetches the chunks of one manifest by its plan."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from contextlib import ExitStack, aclosing, suppress
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from cassiahitch.codes import Code
+from cassiahitch.errors import CassiahitchError, WireError
+from cassiahitch.metrics.names import CounterName
+from cassiahitch.timeline.events import EventKind
+from cassiahitch.weights import api
+from cassiahitch.weights.fetcher import Fetcher, FetchLimits
+from cassiahitch.weights.manifest import Manifest, parse_manifest, verify_chunk
+from cassiahitch.weights.plan import Participant, parse_plan
+from cassiahitch.wire.messages import AnswerPart, ChunkReply, ChunkRequest
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+
+    from cassiahitch.agent.links import HostLinks
+    from cassiahitch.agent.peers import PeerPool
+    from cassiahitch.agent.serving import ChunkService
+    from cassiahitch.agent.staging import Staging
+    from cassiahitch.platform.api import WeightOrigin
+    from cassiahitch.weights.tree import Source
+    from cassiahitch.wire.messages import FetchOrder
+    from cassiahitch.wire.node import Node
+
+#: Longest time for which a peer keeps a request before it is sent again, in milliseconds.
+WAIT_MS = 10_000
+#: Longest time without a message, in seconds.
+IDLE_S = 30
+#: Memory for chunks that are requested, in bytes; few are under way at once.
+REQUESTED_BYTES = 33_554_432
+LEAST_REQUESTS = 4
+NEVER = float('inf')
+
+
+@dataclass(frozen=True, slots=True)
+class Surroundings:
+    """What fetching uses."""
+
+    node: Node
+    origin: WeightOrigin
+    staging: Staging
+    peers: PeerPool
+    service: ChunkService
+    links: HostLinks
+
+
+class FetchTask:
+    """Drives the fetcher of one manifest and owns the requests for its chunks."""
+
+    def __init__(
+        self,
+        surroundings: Surroundings,
+        order: FetchOrder,
+        on_complete: Callable[[str], None],
+    ) -> None:
+        """Create the task.
+
+        :param surroundings: what it uses.
+        :param order: the order of the controller.
+        :param on_complete: takes the digest of the complete manifest.
+        """
+        self.around = surroundings
+        self.order = order
+        self.on_complete = on_complete
+        self.inbox: asyncio.Queue[api.FetchMessage] = asyncio.Queue()
+        self.contents: dict[int, bytes] = {}
+        self.fetches: dict[int, asyncio.Task[None]] = {}
+        self.background: set[asyncio.Task[None]] = set()
+        self.stored: set[int] = set()
+        self.manifest: Manifest | None = None
+        self.wake = NEVER
+        self.code: Code | None = None
+
+    @property
+    def ended(self) -> bool:
+        """Whether the manifest is complete or the fetch has failed."""
+        return self.code is not None
+
+    def tell(self, message: api.FetchMessage) -> None:
+        """Pass a message to the fetcher.
+
+        :param message: what happened.
+        """
+        if not self.ended:
+            self.inbox.put_nowait(message)
+
+    async def run(self) -> None:
+        """Fetch until the manifest is complete or the rollout ends."""
+        try:
+            known = await self._prepare()
+        except CassiahitchError as error:
+            self._fail(error.code)
+            return
+        with ExitStack() as stack:
+            stack.callback(self._cancel_all)
+            await self._drive(known)
+
+    def _cancel_all(self) -> None:
+        for task in (*self.fetches.values(), *self.background):
+            task.cancel()
+
+    async def _prepare(self) -> api.ManifestKnown:
+        plan = parse_plan(self.order.plan)
+        raw = await self.around.origin.manifest(self.order.origin)
+        manifest = parse_manifest(raw, self.order.manifest_digest)
+        self.around.service.offer(plan)
+        return api.ManifestKnown(plan, manifest)
+
+    async def _drive(self, known: api.ManifestKnown) -> None:
+        self._record(EventKind.rollout_joined)
+        self.manifest = known.manifest
+        settings = self.around.node.settings
+        member = Participant(settings.host, settings.region, settings.failure_domain)
+        fetcher = Fetcher(member, random.Random(self.around.node.incarnation), _limits(known))
+        message: api.FetchMessage = known
+        while True:
+            for action in fetcher.handle(message, self._now()):
+                await self._perform(action)
+            if self.ended:
+                return
+            message = await self._next()
+
+    async def _next(self) -> api.FetchMessage:
+        left = self.wake - self._now()
+        if left > 0:
+            with suppress(TimeoutError):
+                async with asyncio.timeout(min(left, IDLE_S)):
+                    return await self.inbox.get()
+        self.wake = NEVER
+        return api.Tick()
+
+    async def _perform(self, action: api.FetchAction) -> None:
+        match action:
+            case api.FetchChunk():
+                self.fetches[action.index] = asyncio.create_task(self._fetch(action))
+            case api.AbandonFetch(index=index):
+                self._abandon(index)
+            case api.StoreChunk(index=index):
+                self._spawn(self._store(index))
+            case api.CheckOrigin():
+                self._spawn(self._check_origin())
+            case api.DiscardChunks(manifest=manifest):
+                await self._discard(manifest)
+            case api.ChunksComplete(manifest=manifest):
+                self._complete(manifest)
+            case api.Failed(code=code):
+                self._fail(code)
+            case api.WakeAt(time=time):
+                self.wake = time
+
+    def _complete(self, manifest: str) -> None:
+        self._record(EventKind.weights_verified)
+        self.code = Code.ok
+        self.on_complete(manifest)
+
+    def _fail(self, code: Code) -> None:
+        self.code = code
+        cancelled = code is Code.rollout_cancelled
+        kind = EventKind.rollout_cancelled if cancelled else EventKind.chunk_refused
+        self._record(kind, code)
+
+    def _abandon(self, index: int) -> None:
+        fetch = self.fetches.pop(index, None)
+        if fetch is not None:
+            fetch.cancel()
+        self._record(EventKind.source_replaced)
+
+    async def _discard(self, manifest: str) -> None:
+        self.around.service.drop(manifest)
+        self.stored.clear()
+        await self.around.staging.discard(manifest)
+
+    async def _fetch(self, action: api.FetchChunk) -> None:
+        source = action.source
+        try:
+            content = await self._request(action.index, source)
+        except CassiahitchError as error:
+            if error.code is Code.host_unknown:
+                self.tell(api.ParticipantGone(source.host))
+            self.tell(api.SourceFailed(action.manifest, action.index, source, error.code))
+            return
+        manifest = self.manifest
+        verified = manifest is not None and await asyncio.to_thread(
+            verify_chunk,
+            manifest,
+            action.index,
+            content,
+        )
+        self._count_received(source, content, verified=verified)
+        if verified:
+            self.contents[action.index] = content
+        self.tell(api.ChunkArrived(action.manifest, action.index, source, verified))
+
+    async def _request(self, index: int, source: Source) -> bytes:
+        if source.is_origin:
+            await self.around.links.receive(self._size(index))
+            return await self.around.origin.chunk(self.order.origin, index)
+        while True:
+            content = bytearray()
+            code = await self._receive(index, source.host, content)
+            if code is Code.ok:
+                return bytes(content)
+            if code is not Code.chunk_stalled:
+                raise CassiahitchError(code, f'chunk {index} from {source.host}')
+
+    async def _receive(self, index: int, host: str, content: bytearray) -> Code:
+        """Take the parts of a chunk; the code ``chunk_stalled`` asks to send the request again."""
+        own = self.around.node.settings.host
+        request = ChunkRequest(self.order.manifest_digest, index, own, WAIT_MS)
+        async with aclosing(self.around.peers.stream(host, request)) as replies:
+            async for reply in replies:
+                if isinstance(reply, ChunkReply):
+                    return Code(reply.code)
+                if isinstance(reply, AnswerPart):
+                    await self._take_part(index, host, content, reply.body)
+        raise WireError(Code.message_unknown, 'expected a chunk')
+
+    async def _take_part(self, index: int, host: str, content: bytearray, body: bytes) -> None:
+        if len(content) + len(body) > self._size(index):
+            raise CassiahitchError(Code.chunk_corrupt, f'chunk {index} of {host} is too long')
+        content.extend(body)
+        self.tell(api.SourceAlive(host))
+        await self.around.links.receive(len(body))
+
+    def _size(self, index: int) -> int:
+        return self.manifest.sizes[index] if self.manifest else 0
+
+    async def _store(self, index: int) -> None:
+        content = self.contents.pop(index)
+        digest = self.order.manifest_digest
+        try:
+            await self.around.staging.write(digest, index, content)
+        except CassiahitchError:
+            self.tell(api.StagingFull(digest, index))
+            return
+        self.stored.add(index)
+        self.around.service.stored(digest, index)
+        self.tell(api.ChunkStored(digest, index))
+
+    async def _check_origin(self) -> None:
+        digest = self.order.manifest_digest
+        try:
+            raw = await self.around.origin.manifest(self.order.origin)
+            found = parse_manifest(raw, digest).digest
+        except CassiahitchError as error:
+            if error.code not in {Code.manifest_changed, Code.manifest_corrupt}:
+                return
+            found = ''
+        self.tell(api.OriginChecked(digest, found))
+
+    def _count_received(self, source: Source, content: bytes, *, verified: bool) -> None:
+        metrics = self.around.node.metrics
+        metrics.count(CounterName.chunk_bytes_received, by=len(content))
+        if source.is_origin:
+            metrics.count(CounterName.origin_bytes, by=len(content))
+        if not verified:
+            metrics.count(CounterName.chunks_refused, source.host)
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
+        self.background.add(task)
+        task.add_done_callback(self.background.discard)
+
+    def _record(self, kind: EventKind, code: Code = Code.ok) -> None:
+        rollout = self.order.manifest_digest
+        self.around.node.timeline.record(kind, rollout_id=rollout, code=code)
+
+    def _now(self) -> float:
+        return self.around.node.clock.monotonic()
+
+
+def _limits(known: api.ManifestKnown) -> FetchLimits:
+    standard = FetchLimits()
+    fitting = REQUESTED_BYTES // known.manifest.chunk_bytes
+    return FetchLimits(in_flight=max(LEAST_REQUESTS, min(standard.in_flight, fitting)))
+
+
+__all__ = (
+    'FetchTask',
+    'Surroundings',
+)
--- a/src/cassiahitch/agent/loading.py
+++ b/src/cassiahitch/agent/loading.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable, Callable, Iterable
 from typing import TYPE_CHECKING
 
 from cassiahitch.codes import Code
@@ -11,15 +12,20 @@
 from cassiahitch.metrics.names import CounterName
 from cassiahitch.timeline.events import EventKind
 from cassiahitch.weights import guard
+from cassiahitch.wire.messages import OrderLoad
 
 if TYPE_CHECKING:
     from cassiahitch.agent.executor import Executor
     from cassiahitch.agent.staging import Staging
     from cassiahitch.engine.api import Engine
-    from cassiahitch.wire.messages import CancelLoad, OrderLoad, Release
+    from cassiahitch.wire.messages import CancelLoad, Release
     from cassiahitch.wire.node import Node
 
 
+#: Discards all manifests but these and those ordered later than a time; returns which.
+Retain = Callable[[Iterable[str], float], Awaitable[tuple[str, ...]]]
+
+
 class Loader:
     """Owns the guard; performs its actions one after another."""
 
@@ -40,6 +46,9 @@
         self.loading = ''
         self.load_epoch = 0
         self.complete: set[str] = set()
+        self.last_order = OrderLoad()
+        self.ordered_at = float(0)
+        self.on_loaded: Retain = _retain_all
         self.actions: asyncio.Queue[guard.GuardAction] = asyncio.Queue()
 
     @property
@@ -68,6 +77,9 @@
         if refusals:
             raise CassiahitchError(refusals[0].code, f'load of {order.digest}')
         self.deployment = order.deployment
+        if order.digest != self.last_order.digest:
+            self.last_order = order
+            self.ordered_at = self.node.clock.monotonic()
         if self.loaded != order.digest:
             self.loading = order.digest
 
@@ -142,9 +154,19 @@
                 await self._read(number)
             case guard.AdmitWork(manifest=manifest):
                 self.executor.admit(manifest)
+                await self._discard_replaced(manifest)
             case guard.ReportLoad():
                 self._report(action)
 
+    async def _discard_replaced(self, digest: str) -> None:
+        """Keep the chunks of what is loaded and of newer versions only."""
+        order = self.last_order
+        if digest != order.digest:
+            return
+        for manifest in await self.on_loaded(order.manifests, self.ordered_at):
+            self.complete.discard(manifest)
+            self._handle(guard.ChunksDropped(manifest))
+
     async def _load(self, action: guard.LoadEngine) -> None:
         manifest = action.manifest
         self.node.timeline.record(EventKind.load_ordered, rollout_id=manifest)
@@ -175,4 +197,8 @@
         self.node.metrics.count(CounterName.loads_failed if failed else CounterName.loads_finished)
 
 
+async def _retain_all(_manifests: Iterable[str], _ordered_at: float) -> tuple[str, ...]:
+    return ()
+
+
 __all__ = ('Loader',)
--- a/src/cassiahitch/agent/peers.py
+++ b/src/cassiahitch/agent/peers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import defaultdict
+from contextlib import aclosing
 from typing import TYPE_CHECKING
 
 from cassiahitch.codes import Code
@@ -11,7 +12,7 @@
 from cassiahitch.wire.messages import Locate, PeerAddress
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import AsyncGenerator, Callable, Iterable
 
     from cassiahitch.wire.connection import Connection
     from cassiahitch.wire.endpoint import Endpoint
@@ -47,6 +48,19 @@
         connection = await self._connection(host)
         return await connection.call(message)
 
+    async def stream(self, host: str, message: Message) -> AsyncGenerator[Message, None]:
+        """Send a message to a host and yield its replies.
+
+        :param host: the host of the other agent.
+        :param message: the message.
+        :yield: the replies.
+        :raises WireError: if the host cannot be reached.
+        """
+        connection = await self._connection(host)
+        async with aclosing(connection.stream_call(message)) as replies:
+            async for reply in replies:
+                yield reply
+
     async def _connection(self, host: str) -> Connection:
         async with self.locks[host]:
             known = self.connections.get(host)
--- a/src/cassiahitch/agent/process.py
+++ b/src/cassiahitch/agent/process.py
@@ -161,6 +161,8 @@
         :param reason: why it ended.
         """
         self.node.connection_ended(connection, reason)
+        if connection.peer.role == 'agent':
+            self.distribution.lost(connection.peer.host)
 
     async def handle(
         self,
@@ -187,15 +189,17 @@
             case messages.ConfigurationUpdate():
                 self._configure(message)
             case _:
-                await reply(await self._serve(message))
+                await self._serve(message, reply)
 
-    async def _serve(self, message: messages.Message) -> messages.Message:
-        if isinstance(message, messages.ChunkRequest):
-            return await self.distribution.serve(message)
-        if isinstance(message, messages.ReportPull):
-            return make_report(self.node, message)
-        self._take_order(message)
-        return messages.OrderReply(Code.ok)
+    async def _serve(self, message: messages.Message, reply: Reply) -> None:
+        match message:
+            case messages.ChunkRequest():
+                await self.distribution.serve(message, reply)
+            case messages.ReportPull():
+                await reply(make_report(self.node, message))
+            case _:
+                self._take_order(message)
+                await reply(messages.OrderReply(Code.ok))
 
     def _note_heartbeat(self, connection: Connection) -> None:
         self.distribution.heard(connection.peer.host)
@@ -229,11 +233,15 @@
             self.node.timeline.record(EventKind.revision_applied, detail=detail)
 
     async def _dispatch(self, dispatch: messages.Dispatch, reply: Reply) -> None:
+        links = self.distribution.around.links
+        links.live_in(len(dispatch.body))
         parts: asyncio.Queue[bytes | None] = asyncio.Queue()
         run = asyncio.create_task(self.executor.run(dispatch, parts.put_nowait))
         run.add_done_callback(lambda _: parts.put_nowait(None))
         sent = await _forward(dispatch, parts, reply)
-        await reply(_answer(dispatch, run.result(), sent))
+        answer = _answer(dispatch, run.result(), sent)
+        links.live_out(answer.length)
+        await reply(answer)
 
 
 async def _forward(
--- a/src/cassiahitch/entry/rollouts.py
+++ b/src/cassiahitch/entry/rollouts.py
@@ -9,6 +9,7 @@
 from cassiahitch.controllers import rollout
 from cassiahitch.controllers.assignment import ObservedNode
 from cassiahitch.controllers.drain import drain_orders
+from cassiahitch.controllers.wavegate import WaveGate
 from cassiahitch.errors import CassiahitchError
 from cassiahitch.members.membership import Health
 from cassiahitch.platform.api import ABSENT, Condition, Conflicted, Write
@@ -54,7 +55,7 @@
         self.configuration = configuration
         self.directory = directory
         self.tables = tables
-        self.controller = rollout.RolloutController(0)
+        self.controller = rollout.RolloutController(0, WaveGate())
         self.plans: dict[str, bytes] = {}
         self.digests: dict[str, str] = {}
         self.loaded_plans = False
@@ -62,7 +63,7 @@
 
     def begin_term(self) -> None:
         """Start anew after the lease was gained."""
-        self.controller = rollout.RolloutController(self.node.clock.monotonic())
+        self.controller = rollout.RolloutController(self.node.clock.monotonic(), WaveGate())
         self.loaded_plans = False
 
     async def work(self, leadership: Leadership) -> None:
@@ -188,7 +189,7 @@
         return ''
 
     def _send(self, host: str, incarnation: int, order: messages.Message) -> None:
-        key = (host, type(order).__name__)
+        key = (host, _kind(order))
         if key in self.orders:
             return
         task = asyncio.create_task(self._deliver(host, incarnation, order))
@@ -208,6 +209,12 @@
         self.node.timeline.record(EventKind.load_refused, code=code, detail=host)
 
 
+def _kind(order: messages.Message) -> str:
+    """Return what is sent to a host once at a time; each manifest counts on its own."""
+    name = type(order).__name__
+    return f'{name} {order.manifest_digest}' if isinstance(order, messages.FetchOrder) else name
+
+
 def _observed(member: Member) -> ObservedNode:
     beat = member.heartbeat
     return ObservedNode(
