--- a/tests/ledger/test_claims.py
+++ b/tests/ledger/test_claims.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+from dataclasses import replace
 from random import Random
 
 import pytest
@@ -54,12 +55,19 @@
 
 @pytest.fixture
 def machine() -> ClaimMachine:
-    limits = ClaimLimits(batch_size=3, interval_s=0, retry_s=0.1, store_attempts=2)
+    limits = ClaimLimits(
+        batch_size=3,
+        interval_s=0,
+        retry_s=0.1,
+        background_wait_s=0,
+        margin_s=0,
+        store_attempts=2,
+    )
     return ClaimMachine('host', Ledger(INCARNATION), Random(1), limits)
 
 
 def claim(name: str = 'a', request_id: str = '', body: str = BODY) -> Claim:
-    key = row_key('tallowmere', name)
+    key = row_key('tallowmere', 'sequence', name)
     stamp = (INCARNATION, 10, DEADLINE_S, 1000)
     return Claim(request_id or f'claim-{name}', key, 'tallowmere', body, *stamp)
 
@@ -72,7 +80,7 @@
     outcome: Outcome | None = None,
 ) -> Row:
     content = ClaimRow(
-        key=row_key('tallowmere', name),
+        key=row_key('tallowmere', 'sequence', name),
         organisation='tallowmere',
         body_digest=BODY,
         agent=agent,
@@ -118,7 +126,7 @@
         machine.handle(claim(name), 0)
     machine.handle(BatchCommitted(1, (1,)), 0)
     ask, commit = machine.handle(BatchConflicted(2, (row('b'),)), 0)
-    assert ask == AskOwner('claim-b', 'elsewhere', 3, 'theirs', 10)
+    assert ask == AskOwner('claim-b', 'elsewhere', 3, 'theirs', BODY, 10)
     assert isinstance(commit, Commit)
     assert [write.key for write in commit.writes] == [claim('a').key, claim('c').key]
     assert machine.handle(BatchCommitted(3, (2, 3)), 0) == (Run('claim-a'), Run('claim-c'))
@@ -126,7 +134,7 @@
 
 def test_void_while_committing_wins_and_the_row_is_removed(machine: ClaimMachine) -> None:
     machine.handle(claim(), 0)
-    told = machine.handle(Void('claim-a', 10, INCARNATION), 0)
+    told = machine.handle(Void('claim-a', BODY, 10, INCARNATION), 0)
     refusal = Refused('claim-a', Code.request_voided, Ran.no)
     assert told == (refusal, StateReply('claim-a', State.void))
     removal = committed(machine.handle(BatchCommitted(1, (4,)), 0))
@@ -141,10 +149,10 @@
     ('found', 'expected'),
     [
         pytest.param(row('a', 'host', 'claim-a', INCARNATION), Run('claim-a'), id='own'),
-        pytest.param(row(), AskOwner('claim-a', 'elsewhere', 3, 'theirs', 10), id='other'),
+        pytest.param(row(), AskOwner('claim-a', 'elsewhere', 3, 'theirs', BODY, 10), id='other'),
         pytest.param(
             row('a', 'elsewhere', 'claim-a'),
-            AskOwner('claim-a', 'elsewhere', 3, 'claim-a', 10),
+            AskOwner('claim-a', 'elsewhere', 3, 'claim-a', BODY, 10),
             id='same-identifier-elsewhere',
         ),
         pytest.param(
@@ -189,15 +197,27 @@
 
 
 def test_claims_in_a_store_outage_did_not_run(machine: ClaimMachine) -> None:
-    machine.handle(claim(), 0)
+    for name in 'abcd':
+        machine.handle(claim(name), 0)
     machine.handle(BatchFailed(1), 0)
     committed(machine.handle(Tick(), 1))
     told = machine.handle(BatchFailed(2), 1)
-    assert told == (Refused('claim-a', Code.claim_store_down, Ran.no),)
+    refusals = {Refused(f'claim-{name}', Code.claim_store_down, Ran.no) for name in 'abcd'}
+    assert set(told) == refusals
     assert not machine.handle(Start('claim-a'), 1)
     assert not machine.book.by_id
 
 
+def test_outcomes_wait_to_share_the_transaction_of_a_claim(machine: ClaimMachine) -> None:
+    machine.commits.limits = replace(machine.limits, background_wait_s=1)
+    machine.handle(claim('a'), 0)
+    machine.handle(BatchCommitted(1, (1,)), 0)
+    machine.handle(Start('claim-a'), 0)
+    assert len(machine.handle(Finish('claim-a', ANSWER), 0)) == 1
+    assert not machine.handle(Tick(), 0.9)
+    assert len(committed(machine.handle(claim('b'), 0.9)).writes) == 2
+
+
 def test_claim_past_its_deadline_did_not_run(machine: ClaimMachine) -> None:
     machine.handle(claim(), 0)
     told = machine.handle(Tick(), DEADLINE_S)
@@ -213,6 +233,23 @@
     assert machine.handle(BatchCommitted(2, (10,)), 0) == (Run('claim-a'),)
 
 
+@pytest.mark.parametrize(
+    'rows',
+    [
+        pytest.param((), id='left-out'),
+        pytest.param((Row(TABLE, claim().key, b'', ABSENT),), id='absent'),
+    ],
+)
+def test_row_that_vanished_before_the_takeover_is_written_anew(
+    machine: ClaimMachine, rows: tuple[Row, ...]
+) -> None:
+    meet(machine, row())
+    machine.handle(OwnerReplied('claim-a', State.void), 0)
+    assert only(machine.handle(BatchConflicted(2, rows), 0)) == ReadRow('claim-a', claim().key)
+    anew = committed(machine.handle(RowRead('claim-a', None), 0))
+    assert anew.conditions == (Condition(TABLE, claim().key, ABSENT),)
+
+
 @pytest.mark.parametrize(
     ('reply', 'outcome'),
     [
@@ -249,6 +286,15 @@
     machine.handle(claim(body=OTHER_BODY), 0)
     told = machine.handle(BatchConflicted(1, (row(),)), 0)
     assert told == (Refused('claim-a', Code.key_reused, Ran.no),)
+    assert not machine.book.by_id
+
+
+def test_void_of_a_joined_request_leaves_the_claim(machine: ClaimMachine) -> None:
+    machine.handle(claim(), 0)
+    machine.handle(claim(request_id='again'), 0)
+    queued = (StateReply('again', State.queued),)
+    assert machine.handle(Void('again', BODY, 10, INCARNATION), 0) == queued
+    assert machine.handle(BatchCommitted(1, (4,)), 0) == (Run('claim-a'),)
 
 
 def test_retry_at_the_same_agent_joins_the_claim(machine: ClaimMachine) -> None:
@@ -261,7 +307,7 @@
     told = machine.handle(Finish('claim-a', ANSWER), 1)
     assert told[:2] == tuple(Answered('claim-a', name, ANSWER) for name in ('claim-a', 'again'))
     done = (StateReply('again', State.done, ANSWER),)
-    assert machine.handle(Void('again', 10, INCARNATION), 1) == done
+    assert machine.handle(Void('again', BODY, 10, INCARNATION), 1) == done
 
 
 @pytest.mark.parametrize(
