Test rollouts over real sockets under faults

Cause: the wired distribution had no test with real agents that fail. The origin stand-in can corrupt chunks.

--- a/src/cassiahitch/standins/origin.py
+++ b/src/cassiahitch/standins/origin.py
@@ -22,12 +22,16 @@
 
 @dataclass(slots=True)
 class MemoryOrigin:
-    """Published versions and the link that carries them; ``link_bytes_per_s`` is its rate."""
+    """Published versions and the link that carries them; ``link_bytes_per_s`` is its rate.
+
+    The next ``corrupt_chunks`` chunks are sent with a wrong byte.
+    """
 
     link_bytes_per_s: float
     versions: dict[str, PublishedVersion] = field(default_factory=dict)
     sent_bytes: int = 0
     link_free_at: float = 0
+    corrupt_chunks: int = 0
 
     async def send(self, content: bytes) -> bytes:
         """Pass bytes through the link.
@@ -42,6 +46,15 @@
         return content
 
 
+def corrupted(content: bytes) -> bytes:
+    """Change the first byte.
+
+    :param content: any bytes but none.
+    :return: other bytes of the same length.
+    """
+    return bytes([content[0] ^ 1]) + content[1:]
+
+
 class ManifestHandler(StandInHandler):
     """Serves manifests."""
 
@@ -74,7 +87,11 @@
         if version is None or int(index) >= len(version.chunks):
             self.set_status(HTTP_NOT_FOUND)
             return
-        self.write(await self.target.send(version.chunks[int(index)]))
+        content = version.chunks[int(index)]
+        if self.target.corrupt_chunks > 0:
+            self.target.corrupt_chunks -= 1
+            content = corrupted(content)
+        self.write(await self.target.send(content))
 
 
 class PublishedHandler(StandInHandler):
@@ -105,5 +122,6 @@
 __all__ = (
     'MemoryOrigin',
     'PublishedVersion',
+    'corrupted',
     'serve_origin',
 )
--- /dev/null
+++ b/tests/e2e/test_weights.py
@@ -0,0 +1,221 @@
+"""Rollouts over real sockets in which agents, chunks and the origin fail."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from contextlib import AsyncExitStack
+from typing import TYPE_CHECKING, Any
+
+import pytest
+
+from cassiahitch.controllers.rollout import serving_digest
+from cassiahitch.metrics.names import CounterName
+from cassiahitch.platform.caller import HttpCaller
+from cassiahitch.standins.origin import corrupted
+from cassiahitch.standins.scenario import Operator
+from cassiahitch.standins.site import Site, SiteSize
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+
+    from cassiahitch.agent.process import AgentProcess
+    from cassiahitch.weights.manifest import Manifest
+
+HOSTS = 6
+WEIGHT_BYTES = 400_000
+CHUNK_BYTES = 16_384
+#: Slow enough for a fault to strike in the middle of a rollout.
+SLOW_BYTES_PER_S = 800_000
+STUCK_S = 40
+POLL_S = 0.02
+
+
+class Rollouts:
+    """A site with one deployment, whose versions are published and awaited."""
+
+    def __init__(self, site: Site, operator: Operator) -> None:
+        self.site = site
+        self.operator = operator
+        self.rng = random.Random(1)
+        self.revision = 0
+        self.deployment_revision = 0
+
+    def publish(self, origin: str) -> Manifest:
+        return self.site.publish(origin, origin, self.rng.randbytes(WEIGHT_BYTES), CHUNK_BYTES)
+
+    async def declare(self, manifest: Manifest, replicas: int = HOSTS, **fields: Any) -> None:
+        service = {'kind': 'Service', 'name': 'draft', 'type': 'model', 'idempotent': True}
+        await self.operator.create(service)
+        self.revision = await self.operator.create(model_of(manifest))
+        deployment = {'kind': 'Deployment', 'name': 'draft', 'service': 'draft', 'model': 'menus'}
+        declared = {**deployment, 'replicas': replicas, **fields}
+        self.deployment_revision = await self.operator.create(declared)
+
+    async def release(self, manifest: Manifest) -> None:
+        self.revision = await self.operator.replace(model_of(manifest), self.revision)
+
+    async def until(self, condition: Callable[[], bool]) -> None:
+        async with asyncio.timeout(STUCK_S):
+            while not condition():
+                await asyncio.sleep(POLL_S)
+
+    async def served(self, digest: str, hosts: int = HOSTS) -> None:
+        await self.until(lambda: self.serving(digest) == hosts)
+
+    def serving(self, digest: str) -> int:
+        return sum(agent.loader.loaded == digest for agent in self.site.agents.values())
+
+    def chunks(self, manifest: Manifest) -> int:
+        agents = self.site.agents.values()
+        return sum(agent.distribution.chunks_of(manifest.digest) for agent in agents)
+
+    async def adopt(self, adapter: str) -> None:
+        """Let the deployment serve an adapter too."""
+        deployment = {'kind': 'Deployment', 'name': 'draft', 'service': 'draft', 'model': 'menus'}
+        changed = {**deployment, 'replicas': HOSTS, 'adapters': [adapter]}
+        await self.operator.replace(changed, self.deployment_revision)
+
+    def staged(self) -> set[str]:
+        agents = self.site.agents.values()
+        return {digest for agent in agents for digest in agent.staging.sizes}
+
+    def counted(self, name: CounterName) -> float:
+        return sum(counted(agent, name) for agent in self.site.agents.values())
+
+
+def model_of(manifest: Manifest) -> dict[str, Any]:
+    return {
+        'kind': 'Model',
+        'name': 'menus',
+        'version': manifest.version,
+        'origin': manifest.version,
+        'manifest': manifest.digest,
+    }
+
+
+def counted(agent: AgentProcess, name: CounterName) -> float:
+    counters = agent.node.metrics.snapshot().counters
+    return sum(count for series, count in counters.items() if series.name == name)
+
+
+def run(scene: Callable[[Rollouts], Coroutine[None, None, None]]) -> None:
+    """Run a scene on a fresh site."""
+    asyncio.run(on_site(scene))
+
+
+async def on_site(scene: Callable[[Rollouts], Coroutine[None, None, None]]) -> None:
+    async with AsyncExitStack() as stack:
+        site = await stack.enter_async_context(Site(SiteSize(1, HOSTS, 0)))
+        caller = await stack.enter_async_context(HttpCaller())
+        await scene(Rollouts(site, Operator(caller, site.urls[0], site.token)))
+
+
+@pytest.mark.parametrize(
+    ('objective', 'copies'),
+    [
+        pytest.param('origin_bytes', 1.1, id='origin-bytes'),
+        pytest.param('time', 3.5, id='time'),
+    ],
+)
+def test_origin_sends_within_the_bound_of_the_objective(objective: str, copies: float) -> None:
+    async def scene(rollouts: Rollouts) -> None:
+        manifest = rollouts.publish('v1')
+        await rollouts.declare(manifest, objective=objective)
+        await rollouts.served(manifest.digest)
+        assert rollouts.counted(CounterName.origin_bytes) <= copies * WEIGHT_BYTES
+        assert rollouts.counted(CounterName.chunks_refused) == 0
+
+    run(scene)
+
+
+def test_corrupt_chunks_of_origin_and_agent_are_fetched_again() -> None:
+    async def scene(rollouts: Rollouts) -> None:
+        rollouts.site.origin.corrupt_chunks = 3
+        spoil(rollouts.site.agents['model-0'])
+        manifest = rollouts.publish('v1')
+        await rollouts.declare(manifest)
+        await rollouts.served(manifest.digest)
+        assert rollouts.counted(CounterName.chunks_refused) >= 4
+        for engine in rollouts.site.backends.engines.values():
+            assert engine.digest == manifest.digest
+
+    run(scene)
+
+
+def spoil(agent: AgentProcess) -> None:
+    """Make an agent send the first byte of every chunk wrong."""
+    read = agent.staging.read
+
+    async def read_corrupted(manifest: str, index: int) -> bytes:
+        return corrupted(await read(manifest, index))
+
+    agent.staging.read = read_corrupted  # type: ignore[method-assign]
+
+
+def test_origin_that_changes_mid_flight_is_noticed_and_the_new_version_served() -> None:
+    async def scene(rollouts: Rollouts) -> None:
+        rollouts.site.origin.link_bytes_per_s = SLOW_BYTES_PER_S
+        first = rollouts.publish('v1')
+        await rollouts.declare(first)
+        await rollouts.until(lambda: rollouts.chunks(first) > HOSTS)
+        second = rollouts.publish('v1')
+        await rollouts.until(lambda: rollouts.counted(CounterName.chunks_refused) > 0)
+        assert rollouts.serving(first.digest) == 0
+        await rollouts.release(second)
+        await rollouts.served(second.digest)
+        engines = rollouts.site.backends.engines.values()
+        assert {(engine.digest, engine.load_epoch) for engine in engines} == {(second.digest, 1)}
+
+    run(scene)
+
+
+def test_agent_that_dies_mid_rollout_does_not_stop_the_others() -> None:
+    async def scene(rollouts: Rollouts) -> None:
+        rollouts.site.origin.link_bytes_per_s = SLOW_BYTES_PER_S
+        manifest = rollouts.publish('v1')
+        await rollouts.declare(manifest)
+        await rollouts.until(lambda: rollouts.chunks(manifest) > HOSTS)
+        await rollouts.site.agents.pop('model-2').kill()
+        await rollouts.served(manifest.digest, HOSTS - 1)
+
+    run(scene)
+
+
+def test_agent_that_joins_late_is_served_by_its_peers() -> None:
+    async def scene(rollouts: Rollouts) -> None:
+        manifest = rollouts.publish('v1')
+        await rollouts.declare(manifest, HOSTS + 1)
+        await rollouts.served(manifest.digest)
+        joiner = await rollouts.site.start_model_host(HOSTS)
+        await rollouts.served(manifest.digest, HOSTS + 1)
+        assert counted(joiner, CounterName.origin_bytes) == 0
+
+    run(scene)
+
+
+def test_model_and_adapter_load_together() -> None:
+    async def scene(rollouts: Rollouts) -> None:
+        model, adapter = rollouts.publish('v1'), rollouts.publish('a1')
+        resource = {**model_of(adapter), 'kind': 'Adapter', 'name': 'prices', 'model': 'menus'}
+        await rollouts.declare(model)
+        await rollouts.operator.create(resource)
+        await rollouts.adopt('prices')
+        await rollouts.served(serving_digest((model.digest, adapter.digest)))
+
+    run(scene)
+
+
+def test_newer_version_replaces_one_under_way_and_staging_keeps_the_newest() -> None:
+    async def scene(rollouts: Rollouts) -> None:
+        rollouts.site.origin.link_bytes_per_s = SLOW_BYTES_PER_S
+        versions = [rollouts.publish(f'v{number}') for number in range(3)]
+        await rollouts.declare(versions[0])
+        await rollouts.served(versions[0].digest)
+        await rollouts.release(versions[1])
+        await rollouts.until(lambda: rollouts.chunks(versions[1]) > HOSTS)
+        await rollouts.release(versions[2])
+        await rollouts.served(versions[2].digest)
+        await rollouts.until(lambda: rollouts.staged() == {versions[2].digest})
+
+    run(scene)
