Record the end of rollouts and say unknown after a lost commit answer

Cause: the time line of a rollout did not show its end; an operator's error without ran was answered with ran: no even if the commit may have taken effect. Change: the lease holder records rollout_finished once enough replicas serve; store_outcome_unknown, outcome_unknown and internal answer ran: unknown.

Checked: tests/entry/test_progress.py, tests/e2e/test_cli.py. Conclusion: a rollout reads from planned to finished.

--- a/src/cassiahitch/entry/callers.py
+++ b/src/cassiahitch/entry/callers.py
@@ -31,6 +31,8 @@
 MS_PER_S = 1000
 EVENT_STREAM = 'text/event-stream'
 BEARER = 'Bearer '
+#: Errors after which a change may have taken effect all the same.
+UNSETTLED_CODES = frozenset((Code.store_outcome_unknown, Code.outcome_unknown, Code.internal))
 #: Seconds after which a leaving entry's callers may come back, to another entry.
 LEAVING_RETRY_S = 1.0
 
@@ -220,7 +222,7 @@
     :param error: the error.
     :return: code, name, detail and whether the request has run.
     """
-    ran = getattr(error, 'ran', Ran.no)
+    ran = getattr(error, 'ran', Ran.unknown if error.code in UNSETTLED_CODES else Ran.no)
     return {
         'code': error.code.value,
         'name': error.code.name,
--- /dev/null
+++ b/src/cassiahitch/entry/progress.py
@@ -0,0 +1,56 @@
+"""Tells when a deployment serves the weights that it names."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from cassiahitch.controllers.rollout import targets
+from cassiahitch.resources.models import Deployment
+from cassiahitch.timeline.events import EventKind
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from cassiahitch.controllers.assignment import ObservedNode
+    from cassiahitch.resources.models import Resource
+    from cassiahitch.timeline.ring import Timeline
+
+
+class RolloutProgress:
+    """Records the end of each rollout once."""
+
+    def __init__(self, timeline: Timeline) -> None:
+        """Create it before any rollout.
+
+        :param timeline: where the ends are recorded.
+        """
+        self.timeline = timeline
+        self.finished: dict[str, str] = {}
+
+    def observe(self, resources: Mapping[str, Resource], nodes: Iterable[ObservedNode]) -> None:
+        """Record the rollouts that have ended.
+
+        :param resources: what is desired.
+        :param nodes: what the hosts have loaded.
+        """
+        eligible = [node for node in nodes if node.eligible]
+        replicas = {
+            resource.name: min(resource.replicas, len(eligible))
+            for resource in resources.values()
+            if isinstance(resource, Deployment)
+        }
+        for target in targets(resources).values():
+            serving = sum(node.loaded == target.digest for node in eligible)
+            known = self.finished.get(target.deployment) == target.digest
+            if known or not 0 < replicas[target.deployment] <= serving:
+                continue
+            self.finished[target.deployment] = target.digest
+            for manifest in target.manifests:
+                self.timeline.record(
+                    EventKind.rollout_finished,
+                    rollout_id=manifest,
+                    detail=f'{serving} hosts serve {target.deployment}',
+                )
+
+
+__all__ = ('RolloutProgress',)
--- a/src/cassiahitch/entry/rollouts.py
+++ b/src/cassiahitch/entry/rollouts.py
@@ -9,6 +9,7 @@
 from cassiahitch.controllers import rollout
 from cassiahitch.controllers.assignment import ObservedNode
 from cassiahitch.controllers.drain import drain_orders
+from cassiahitch.entry.progress import RolloutProgress
 from cassiahitch.errors import CassiahitchError
 from cassiahitch.members.membership import Health
 from cassiahitch.platform.api import ABSENT, Condition, Conflicted, Write
@@ -58,6 +59,7 @@
         self.plans: dict[str, bytes] = {}
         self.digests: dict[str, str] = {}
         self.loaded_plans = False
+        self.progress = RolloutProgress(node.timeline)
         self.orders: dict[tuple[str, str], asyncio.Task[None]] = {}
 
     def begin_term(self) -> None:
@@ -80,6 +82,7 @@
             await self._load_plans()
         except CassiahitchError:
             return
+        self.progress.observe(self.configuration.resources, self._observed())
         number = leadership.lease.fencing_number
         actions = self.controller.reconcile(
             self.configuration.resources,
--- a/src/cassiahitch/timeline/picture.py
+++ b/src/cassiahitch/timeline/picture.py
@@ -26,8 +26,12 @@
 body { font: 14px sans-serif; margin: 2em; color: #222; background: #fff; }
 table { border-collapse: collapse; margin-top: 2em; }
 td, th { border-bottom: 1px solid #ddd; padding: 2px 8px; text-align: left; }
-.lane { stroke: #ccc; } .path { stroke: #888; fill: none; }
-.ok { fill: #2a6fb0; } .failed { fill: #c0392b; } tr.failed { color: #c0392b; }
+tr.failed { color: #c0392b; }
+"""
+PICTURE_STYLE = """
+text { font: 14px sans-serif; fill: #222; }
+.lane { stroke: #ccc; } .path { stroke: #888; stroke-opacity: 0.4; fill: none; }
+.ok { fill: #2a6fb0; } .failed { fill: #c0392b; }
 """
 COLUMNS = ('', 'time', 'process', 'event', 'request', 'rollout', 'code', 'detail')
 
@@ -66,6 +70,7 @@
                 'role': 'img',
             },
         )
+        ET.SubElement(root, 'style').text = PICTURE_STYLE
         self._add_scale(root)
         for name, lane in self.lanes.items():
             _add_lane(root, name, _lane_px(lane))
--- a/tests/e2e/test_cli.py
+++ b/tests/e2e/test_cli.py
@@ -61,6 +61,13 @@
         assert await self.run(*command, '--output', 'json') == ExitCode.fine
         return json.loads(self.capsys.readouterr().out)
 
+    async def read_until(self, kind: str, *command: str) -> Any:
+        async with asyncio.timeout(TIMEOUT_S):
+            while True:
+                events = await self.read(*command)
+                if any(event['kind'] == kind for event in events):
+                    return events
+
     async def wait_until_loaded(self, digest: str, replicas: int) -> None:
         async with asyncio.timeout(TIMEOUT_S):
             while True:
@@ -90,9 +97,16 @@
         assert watched['resource']['name'] == 'menus'
 
         page = tmp_path / 'rollout.html'
-        events = await operator.read('timeline', '--rollout', manifest.digest, '--html', str(page))
+        command = ('timeline', '--rollout', manifest.digest, '--html', str(page))
+        events = await operator.read_until('rollout_finished', *command)
         kinds = [event['kind'] for event in events]
-        order = ['rollout_planned', 'rollout_joined', 'weights_verified', 'load_finished']
+        order = [
+            'rollout_planned',
+            'rollout_joined',
+            'weights_verified',
+            'load_finished',
+            'rollout_finished',
+        ]
         assert sorted(order, key=kinds.index) == order
         assert {event['process'] for event in events} >= {'model-0', 'model-1', 'model-2'}
         assert 'model-2' in page.read_text()
--- /dev/null
+++ b/tests/entry/test_progress.py
@@ -0,0 +1,30 @@
+"""Tests of the end of rollouts on the time line."""
+
+from __future__ import annotations
+
+from cassiahitch.clock import ManualClock
+from cassiahitch.controllers.assignment import ObservedNode
+from cassiahitch.entry.progress import RolloutProgress
+from cassiahitch.resources.models import Deployment, Model, Resource, Service, ServiceType
+from cassiahitch.timeline.ring import Timeline
+
+OLD, NEW = 'a' * 64, 'b' * 64
+
+
+def node(host: str, loaded: str) -> ObservedNode:
+    return ObservedNode(host, 1, 'region', 'domain', 'draft', loaded)
+
+
+def test_rollout_ends_once_when_all_replicas_serve() -> None:
+    timeline = Timeline('entry-0', ManualClock(), capacity=9)
+    progress = RolloutProgress(timeline)
+    resources: dict[str, Resource] = {
+        'Service/draft': Service(name='draft', type=ServiceType.model, idempotent=True),
+        'Model/menus': Model(name='menus', version='v2', origin='menus/v2', manifest=NEW),
+        'Deployment/draft': Deployment(name='draft', service='draft', model='menus', replicas=2),
+    }
+    progress.observe(resources, (node('a', NEW), node('b', OLD), node('c', OLD)))
+    assert not timeline.events()
+    for _ in range(2):
+        progress.observe(resources, (node('a', NEW), node('b', NEW), node('c', OLD)))
+    assert [event.rollout_id for event in timeline.events()] == [NEW]
