Stop entries and agents without cutting an answer

Cause: an entry closed its connections once requests had ended, before their answers were flushed, and an agent before its replies were sent; a second stop ran beside the first one; an entry whose connection ended stayed in the addresses for 5 s; without a ready entry the address answer was an empty list. Change: a stop waits for the flush, a second stop for the first; an ended connection takes the entry out of the addresses at once; no ready entry gives not_ready. Checked: tests/e2e/test_operations.py over real sockets: racing operators, lost commit answers, a fresh entry in an outage, a killed and a paused lease holder, a drain, a stopped agent and entries restarted one by one under load, with no failed request.

--- a/src/cassiahitch/agent/process.py
+++ b/src/cassiahitch/agent/process.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, ExitStack
 from typing import TYPE_CHECKING
 
 from cassiahitch.agent.assembly import SLOTS, assemble
@@ -32,6 +32,10 @@
     from cassiahitch.wire.connection import Connection
 
 
+#: Seconds between looks at whether every answer is sent.
+ANSWERED_POLL_S = 0.02
+
+
 class AgentProcess:
     """Wires the parts of an agent; owns all of them through one exit stack."""
 
@@ -46,6 +50,8 @@
         self.started_at = self.node.clock.monotonic()
         self.sequence = 0
         self.leaving = False
+        self.answering = 0
+        self.stopping: asyncio.Task[None] | None = None
         self.configuration = Configuration()
         self.guard = FencingGuard(self.node.incarnation)
         self.stack = AsyncExitStack()
@@ -88,15 +94,29 @@
         return {'port': self.node.port}
 
     async def stop(self) -> None:
-        """Refuse new work, finish what runs and close everything."""
-        self.leaving = True
-        self.executor.accepting = False
-        self.node.timeline.record(EventKind.process_leaving)
+        """Refuse new work, finish what runs and close everything.
+
+        A second call waits for the first one and does not cut it short.
+        """
+        if self.stopping is None:
+            self.stopping = asyncio.create_task(self._stop())
+        await asyncio.shield(self.stopping)
+
+    async def _stop(self) -> None:
+        self._leave()
         await self.endpoint.announce()
         await self.executor.finished()
+        while self.answering:
+            await asyncio.sleep(ANSWERED_POLL_S)
         await self.stack.aclose()
         self.node.timeline.record(EventKind.process_stopped)
 
+    def _leave(self) -> None:
+        if not self.leaving:
+            self.node.timeline.record(EventKind.process_leaving)
+        self.leaving = True
+        self.executor.accepting = False
+
     async def kill(self) -> None:
         """Close everything at once, as a crash would."""
         await self.stack.aclose()
@@ -218,8 +238,10 @@
                 raise CassiahitchError(Code.message_unknown, type(message).__name__)
 
     def _drain(self) -> None:
-        self.leaving = True
-        self.executor.accepting = False
+        self._leave()
+        task = asyncio.create_task(self.endpoint.announce())
+        self.node.background.add(task)
+        task.add_done_callback(self.node.background.discard)
 
     async def _configure(
         self, connection: Connection, update: messages.ConfigurationUpdate
@@ -248,8 +270,14 @@
         parts: asyncio.Queue[bytes | None] = asyncio.Queue()
         run = asyncio.create_task(self.executor.run(dispatch, parts.put_nowait))
         run.add_done_callback(lambda _: parts.put_nowait(None))
-        sent = await _forward(dispatch, parts, reply)
-        await reply(_answer(dispatch, run.result(), sent))
+        with ExitStack() as stack:
+            self.answering += 1
+            stack.callback(self._end_answer)
+            sent = await _forward(dispatch, parts, reply)
+            await reply(_answer(dispatch, run.result(), sent))
+
+    def _end_answer(self) -> None:
+        self.answering -= 1
 
 
 async def _forward(
--- a/src/cassiahitch/entry/callers.py
+++ b/src/cassiahitch/entry/callers.py
@@ -5,7 +5,8 @@
 import asyncio
 import json
 import math
-from contextlib import suppress
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager, suppress
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
@@ -33,6 +34,10 @@
 BEARER = 'Bearer '
 #: Seconds after which a leaving entry's callers may come back, to another entry.
 LEAVING_RETRY_S = 1.0
+#: Seconds between looks at whether every request is answered.
+ANSWERED_POLL_S = 0.02
+#: Longest time that a caller may take to read the end of its answer, in seconds.
+FLUSH_TIMEOUT_S = 30.0
 
 
 @dataclass(slots=True)
@@ -47,6 +52,26 @@
     router: Router
     is_leaving: Callable[[], bool]
     running: dict[int, asyncio.Future[Answered]] = field(default_factory=dict)
+    answering: int = 0
+
+    @contextmanager
+    def counted(self) -> Iterator[None]:
+        """Count a request as taken until it is answered.
+
+        :yield: meanwhile.
+        """
+        with ExitStack() as stack:
+            self.answering += 1
+            stack.callback(self._end_answer)
+            yield
+
+    def _end_answer(self) -> None:
+        self.answering -= 1
+
+    async def answered(self) -> None:
+        """Wait until every request that was taken is answered and its answer is flushed."""
+        while self.answering:
+            await asyncio.sleep(ANSWERED_POLL_S)
 
 
 class CallerHandler(RequestHandler):
@@ -59,6 +84,12 @@
         """
         self.service = service
 
+    @property
+    def endings(self) -> list[asyncio.Future[None]]:
+        """What tells when the end of the answer is written."""
+        found: list[asyncio.Future[None]] = self.request.__dict__.setdefault('endings', [])
+        return found
+
     def bearer(self) -> str:
         """Return the secret of the request.
 
@@ -67,6 +98,22 @@
         header = self.request.headers.get('Authorization', '')
         return header.removeprefix(BEARER) if header.startswith(BEARER) else ''
 
+    def finish(self, chunk: Any = None) -> asyncio.Future[None]:
+        """Finish the answer and keep what tells when its last byte is written.
+
+        :param chunk: the end of the answer.
+        :return: done when the answer is written.
+        """
+        written = super().finish(chunk)
+        self.endings.append(written)
+        return written
+
+    async def flushed(self) -> None:
+        """Wait until the answer is written, unless the caller is gone or reads too slowly."""
+        for written in self.endings:
+            with suppress(StreamClosedError, TimeoutError):
+                await asyncio.wait_for(asyncio.shield(written), FLUSH_TIMEOUT_S)
+
     def fail(self, error: CassiahitchError) -> None:
         """Answer with an error.
 
@@ -102,6 +149,10 @@
     def get(self) -> None:
         """Return a few addresses and their lifetime."""
         answer = self.service.addresses.answer(self.service.node.clock.monotonic())
+        if not answer.addresses:
+            detail = 'no entry is ready, as far as this one knows'
+            self.fail(RequestError(Code.not_ready, detail, Ran.no, LEAVING_RETRY_S))
+            return
         addresses = [
             {'address': found.address, 'weight': found.weight} for found in answer.addresses
         ]
@@ -138,6 +189,11 @@
 
         :param service: name of the service.
         """
+        with self.service.counted():
+            await self._answer(service)
+            await self.flushed()
+
+    async def _answer(self, service: str) -> None:
         try:
             request = self._parse(service)
             answer = await self._run(request)
--- a/src/cassiahitch/entry/process.py
+++ b/src/cassiahitch/entry/process.py
@@ -6,6 +6,7 @@
 import random
 import socket
 from contextlib import AsyncExitStack, suppress
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from tornado.httpserver import HTTPServer
@@ -57,6 +58,7 @@
         self.sequence = 0
         self.leaving = False
         self.closing = False
+        self.stopping: asyncio.Task[None] | None = None
         self.http_port = 0
         self.configuration = Configuration()
         self.router = Router(settings.region, settings.failure_domain, self.rng)
@@ -132,7 +134,15 @@
         return {'port': self.node.port, 'http_port': self.http_port}
 
     async def stop(self) -> None:
-        """Leave the addresses, serve for the grace, finish what runs and close everything."""
+        """Leave the addresses, serve for the grace, finish what runs and close everything.
+
+        A second call waits for the first one and does not cut it short.
+        """
+        if self.stopping is None:
+            self.stopping = asyncio.create_task(self._stop())
+        await asyncio.shield(self.stopping)
+
+    async def _stop(self) -> None:
         self.leaving = True
         self.node.timeline.record(EventKind.process_leaving)
         self._note_self()
@@ -140,8 +150,7 @@
         await self.parts.leadership.resign()
         await asyncio.sleep(self.settings.leave_grace_s)
         self.closing = True
-        while self.parts.caller_service.running:
-            await asyncio.wait(self.parts.caller_service.running.values())
+        await self.parts.caller_service.answered()
         await self.stack.aclose()
         self.node.timeline.record(EventKind.process_stopped)
 
@@ -221,6 +230,7 @@
         self.node.connection_ended(connection, reason)
         if self.entries.get(connection.peer.host) is connection:
             self.entries.pop(connection.peer.host)
+            self._drop_address(connection.peer)
         self.directory.ended(connection)
 
     async def handle(
@@ -274,6 +284,13 @@
         )
         self.addresses.update(state, self.node.clock.monotonic())
 
+    def _drop_address(self, peer: messages.Hello) -> None:
+        """Name an entry whose connection ended no longer, until it is heard again."""
+        state = self.addresses.entries.get(f'{peer.host}/{peer.incarnation}')
+        if state is not None:
+            gone = replace(state, ready=False)
+            self.addresses.update(gone, self.node.clock.monotonic())
+
     def _note_self(self) -> None:
         settings = self.settings
         self.directory.heard_entry(self.node.hello(), self.heartbeat())
--- a/src/cassiahitch/standins/site.py
+++ b/src/cassiahitch/standins/site.py
@@ -50,6 +50,7 @@
 KEY_BYTES = 32
 HEARTBEAT_S = 0.2
 SILENT_AFTER_S = 1.5
+LEAVE_GRACE_S = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -168,16 +169,35 @@
         self.hosts.records[host] = HostRecord(host, LOOPBACK, leaving=False)
         return agent
 
+    async def restart_entry(self, number: int) -> EntryProcess:
+        """Start an entry anew, at the ports where it listened before.
+
+        :param number: counts the entries; that one is stopped or killed already.
+        :return: the entry, in a new incarnation.
+        """
+        former = self.entries[number]
+        ports = {'port': former.node.port, 'http_port': former.http_port}
+        self.entries[number] = await self._run_entry(number, ports)
+        return self.entries[number]
+
     async def _start_entry(self, number: int) -> None:
+        self.entries.append(await self._run_entry(number, {}))
+
+    async def _run_entry(self, number: int, ports: dict[str, int]) -> EntryProcess:
         host = f'entry-{number}'
         digest = hashlib.sha256(self.token.encode()).hexdigest()
         settings = EntrySettings.model_validate(
-            {**self._common(host, number), 'operator_token_digests': (digest,)},
+            {
+                **self._common(host, number),
+                **ports,
+                'operator_token_digests': (digest,),
+                'leave_grace_s': LEAVE_GRACE_S,
+            },
         )
         entry = EntryProcess(settings)
         await entry.start()
         self.stack.push_async_callback(entry.kill)
-        self.entries.append(entry)
+        return entry
 
     def _start_platform(self) -> PlatformSettings:
         return PlatformSettings(
@@ -200,7 +220,11 @@
             'failure_domain': f'domain-{domain}',
             'address': LOOPBACK,
             'system_key': SecretBytes(self.system_key),
-            'entries': tuple(Endpoint(LOOPBACK, entry.node.port) for entry in self.entries),
+            'entries': tuple(
+                Endpoint(LOOPBACK, entry.node.port)
+                for entry in self.entries
+                if entry.settings.host != host
+            ),
             'platform': self.platform,
             'timeouts': TimeoutSettings(heartbeat_s=HEARTBEAT_S, silent_after_s=SILENT_AFTER_S),
         }
--- /dev/null
+++ b/tests/e2e/test_operations.py
@@ -0,0 +1,258 @@
+"""Operators, configuration and members over real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from collections.abc import Awaitable, Callable
+from functools import partial
+from typing import Any
+
+import pytest
+
+from cassiahitch.codes import Code
+from cassiahitch.errors import CassiahitchError
+from cassiahitch.platform.caller import CallFailed, HttpCaller
+from cassiahitch.standins.scenario import Operator, Scenario
+from cassiahitch.standins.site import Site, SiteSize
+
+#: Seconds after which a condition that should hold counts as failed.
+LIMIT_S = 20
+SMALL = SiteSize(entries=3, model_hosts=3, plain_hosts=0)
+Body = Callable[[Site, list[Operator]], Awaitable[None]]
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    async with asyncio.timeout(LIMIT_S):
+        while not condition():
+            await asyncio.sleep(0.02)
+
+
+def run(body: Body, size: SiteSize = SMALL) -> None:
+    async def whole() -> None:
+        async with Site(size) as site, HttpCaller() as caller:
+            operators = [Operator(caller, url, site.token) for url in site.urls]
+            await until(lambda: all(entry.configuration.ready for entry in site.entries))
+            await body(site, operators)
+
+    asyncio.run(whole())
+
+
+def service(name: str = 'desk', deadline_s: int = 30) -> dict[str, Any]:
+    return {
+        'kind': 'Service',
+        'name': name,
+        'type': 'plain',
+        'idempotent': False,
+        'deadline_s': deadline_s,
+    }
+
+
+async def code_of(call: Awaitable[object]) -> Code:
+    try:
+        await call
+    except CassiahitchError as error:
+        return error.code
+    return Code.ok
+
+
+def revisions(site: Site) -> list[int]:
+    entries = [entry.configuration.revision for entry in site.entries]
+    return [*entries, *(agent.configuration.revision for agent in site.agents.values())]
+
+
+def test_exactly_one_of_racing_operators_wins() -> None:
+    async def body(site: Site, operators: list[Operator]) -> None:
+        first = await operators[0].create(service())
+        codes = await asyncio.gather(
+            *(
+                code_of(operators[number % 3].replace(service(deadline_s=number + 1), first))
+                for number in range(6)
+            ),
+        )
+        assert sorted(codes) == [Code.ok, *(Code.revision_conflict for _ in range(5))]
+        await until(lambda: set(revisions(site)) == {first + 1})
+
+    run(body)
+
+
+def test_lost_commit_answers_are_settled_before_the_operator_is_told() -> None:
+    async def body(site: Site, operators: list[Operator]) -> None:
+        site.tables.faults.lost_share = 0.5
+        calls = [operators[number % 3].create(service(f's{number}')) for number in range(6)]
+        accepted = await asyncio.gather(*calls)
+        assert sorted(accepted) == list(range(1, 7))
+        assert site.tables.counters.lost > 0
+        site.tables.faults.lost_share = 0
+        await until(lambda: set(revisions(site)) == {6})
+
+    run(body)
+
+
+def test_revision_is_in_force_on_every_node_and_never_lower() -> None:
+    async def body(site: Site, operators: list[Operator]) -> None:
+        seen = revisions(site)
+        for number in range(8):
+            await operators[number % 3].create(service(f's{number}'))
+            now = revisions(site)
+            assert all(after >= before for before, after in zip(seen, now, strict=True))
+            seen = now
+        await until(lambda: set(revisions(site)) == {8})
+        async with asyncio.timeout(LIMIT_S):
+            status = await operators[0].status()
+            while not status['everywhere']:
+                status = await operators[0].status()
+        names = {*site.agents, 'entry-0', 'entry-1', 'entry-2'}
+        assert set(status['in_force']) == names
+
+    run(body)
+
+
+def test_fresh_entry_in_an_outage_takes_the_configuration_of_its_peers() -> None:
+    async def body(site: Site, operators: list[Operator]) -> None:
+        await operators[0].create(service())
+        await until(lambda: set(revisions(site)) == {1})
+        site.tables.faults.down = True
+        await site.entries[2].kill()
+        fresh = await site.restart_entry(2)
+        assert not fresh.configuration.ready
+        await until(lambda: fresh.configuration.ready)
+        assert fresh.configuration.revision == 1
+        refused = await code_of(operators[0].create(service('other')))
+        assert refused is Code.store_unavailable
+        site.tables.faults.down = False
+        assert await operators[2].create(service('other')) == 2
+
+    run(body)
+
+
+def test_entries_without_configuration_do_not_make_each_other_ready() -> None:
+    async def whole() -> None:
+        site = Site(SiteSize(entries=2, model_hosts=0, plain_hosts=0))
+        site.tables.faults.down = True
+        async with site:
+            await until(lambda: all(entry.entries for entry in site.entries))
+            await until(lambda: site.entries[0].parts.synchroniser.starter.bootstrap.round > 1)
+            assert not any(entry.configuration.ready for entry in site.entries)
+            site.tables.faults.down = False
+            await until(lambda: all(entry.configuration.ready for entry in site.entries))
+
+    asyncio.run(whole())
+
+
+def holder(site: Site) -> int:
+    held = [number for number, entry in enumerate(site.entries) if entry.parts.leadership.held]
+    assert len(held) <= 1
+    return held[0] if held else -1
+
+
+def serving(site: Site, digest: str) -> int:
+    return sum(1 for agent in site.agents.values() if agent.loader.loaded == digest)
+
+
+def test_rollout_goes_on_under_another_entry_after_the_holder_was_killed() -> None:
+    async def body(site: Site, operators: list[Operator]) -> None:
+        await until(lambda: holder(site) >= 0)
+        first = holder(site)
+        number = site.entries[first].parts.leadership.term
+        scenario = Scenario(site, lambda progress: None)
+        await scenario._declare(operators[first])
+        await site.entries[first].kill()
+        survivor = operators[(first + 1) % 3]
+        await scenario._wait(survivor, 'v1')
+        assert holder(site) != first
+        assert site.entries[holder(site)].parts.leadership.term > number
+
+    run(body)
+
+
+def test_paused_holder_may_not_act_when_it_resumes() -> None:
+    async def body(site: Site, operators: list[Operator]) -> None:
+        await until(lambda: holder(site) >= 0)
+        paused = site.entries[holder(site)]
+        lease = paused.parts.leadership.lease
+        lease.next_poll = float('inf')
+        assert paused.parts.leadership.held
+        await until(lambda: holder(site) >= 0 and site.entries[holder(site)] is not paused)
+        assert not paused.parts.leadership.held
+
+    run(body)
+
+
+class Callers(Scenario):
+    """Callers that ask another entry for addresses when one does not answer."""
+
+    async def _address(self, caller: HttpCaller) -> str:
+        while True:
+            try:
+                return await super()._address(caller)
+            except (CallFailed, KeyError):
+                await asyncio.sleep(0.01)
+
+
+class Asking:
+    """Callers that ask until they are told to stop."""
+
+    def __init__(self, scenario: Scenario, caller: HttpCaller) -> None:
+        self.scenario = scenario
+        self.tasks = [asyncio.create_task(scenario._call_on(caller)) for _ in range(4)]
+
+    async def stop(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        ended = await asyncio.gather(*self.tasks, return_exceptions=True)
+        assert all(isinstance(one, asyncio.CancelledError) for one in ended), ended
+
+    async def more(self, answers: int) -> None:
+        wanted = self.scenario.tally.correct + answers
+        await until(lambda: self.scenario.tally.correct >= wanted or any(map(ended, self.tasks)))
+
+
+def ended(task: asyncio.Task[None]) -> bool:
+    return task.done()
+
+
+@pytest.mark.parametrize('disturbance', ['drain', 'agent stops', 'entries restart'])
+def test_no_request_fails_when_processes_leave(disturbance: str) -> None:
+    async def body(site: Site, operators: list[Operator]) -> None:
+        scenario = Callers(site, lambda progress: None)
+        await scenario._declare(operators[0])
+        await scenario._wait(operators[0], 'v1')
+        async with HttpCaller() as caller:
+            asking = Asking(scenario, caller)
+            await asking.more(20)
+            await disturb(site, operators, disturbance)
+            await asking.more(20)
+            await asking.stop()
+        assert scenario.tally.correct >= 40
+        assert not scenario.tally.wrong
+        assert not scenario.tally.failures
+        numbers = scenario.tally.numbers
+        assert len(set(numbers)) == len(numbers)
+
+    run(body, SiteSize(entries=3, model_hosts=3, plain_hosts=1))
+
+
+async def disturb(site: Site, operators: list[Operator], disturbance: str) -> None:
+    if disturbance == 'drain':
+        drain = {'kind': 'Drain', 'name': secrets.token_hex(4), 'host': 'model-1'}
+        await operators[1].create(drain)
+        agent = site.agents['model-1']
+        await until(lambda: agent.leaving and not agent.executor.running)
+        await until(lambda: not any(_routes(entry, 'model-1') for entry in site.entries))
+    if disturbance == 'agent stops':
+        agent = site.agents['model-1']
+        await asyncio.gather(agent.stop(), agent.stop())
+    if disturbance == 'entries restart':
+        for number in range(3):
+            await site.entries[number].stop()
+            await site.restart_entry(number)
+            await until(partial(_serves, site.entries[number]))
+
+
+def _routes(entry: Any, host: str) -> bool:
+    return host in entry.router.states
+
+
+def _serves(entry: Any) -> bool:
+    return bool(entry.configuration.ready and len(entry.directory.agents) == 4)
