--- a/src/cassiahitch/agent/process.py
+++ b/src/cassiahitch/agent/process.py
@@ -23,6 +23,7 @@
 from cassiahitch.wire.dialer import Dialer
 from cassiahitch.wire.endpoint import Endpoint
 from cassiahitch.wire.node import MS_PER_S, Node
+from cassiahitch.wire.reports import make_report
 
 if TYPE_CHECKING:
     from cassiahitch.agent.executor import Ended
@@ -211,6 +212,8 @@
     async def _serve(self, message: messages.Message) -> messages.Message:
         if isinstance(message, messages.ChunkRequest):
             return await self.distribution.serve(message)
+        if isinstance(message, messages.ReportPull):
+            return make_report(self.node, message)
         if isinstance(message, messages.Void | messages.Status):
             return ledger_state(self.executor.settle(message), self.node.incarnation)
         self._take_order(message)
--- a/src/cassiahitch/cli/observing.py
+++ b/src/cassiahitch/cli/observing.py
@@ -9,7 +9,6 @@
 from cassiahitch.cli.operators import make_target, run_with_client
 from cassiahitch.cli.rendering import Output, print_line, print_table, write_file
 from cassiahitch.metrics.encoding import encode_snapshot, metrics_table
-from cassiahitch.metrics.snapshots import Snapshot, merge_snapshots
 from cassiahitch.timeline.encoding import encode_events
 from cassiahitch.timeline.events import EventFilter
 from cassiahitch.timeline.merging import merge
@@ -54,14 +53,13 @@
 def metrics(*, entry: list[str], token_file: Path, output: Output = Output.table) -> int:
     """Show the metrics of all processes, summed.
 
-    :param entry: URLs of entries; the metrics of all that answer are merged.
+    :param entry: URLs of entries, asked in this order until one answers.
     :param token_file: file that holds the operator's token.
     :param output: form of the output.
     :return: the exit code.
     """
     target = make_target(entry, token_file)
-    snapshots = run_with_client(target, lambda client: client.metrics())
-    merged = merge_snapshots(_distinct(snapshots))
+    merged = run_with_client(target, lambda client: client.metrics())
     if output is Output.json:
         print_line(encode_snapshot(merged).decode())
     else:
@@ -69,10 +67,6 @@
     return ExitCode.fine
 
 
-def _distinct(snapshots: tuple[Snapshot, ...]) -> list[Snapshot]:
-    return list({snapshot.processes: snapshot for snapshot in snapshots}.values())
-
-
 __all__ = (
     'metrics',
     'timeline',
--- a/src/cassiahitch/entry/process.py
+++ b/src/cassiahitch/entry/process.py
@@ -27,6 +27,7 @@
 from cassiahitch.wire.dialer import Dialer
 from cassiahitch.wire.endpoint import Endpoint
 from cassiahitch.wire.node import MS_PER_S, Node
+from cassiahitch.wire.reports import make_report
 
 if TYPE_CHECKING:
     from cassiahitch.clock import Clock
@@ -116,6 +117,7 @@
             self.parts.synchroniser.work(),
             self.parts.leadership.work(),
             self.parts.rollouts.work(self.parts.leadership),
+            self.parts.retention.work(self.parts.leadership),
             self.dialer.work(self.settings.entries),
             save_snapshots(self.parts.synchroniser, SNAPSHOT_INTERVAL_S),
             compact_changes(self.parts.synchroniser.store, self.parts.leadership, self.rng),
@@ -261,6 +263,8 @@
         match message:
             case messages.ConfigurationPull(after_revision=revision):
                 return self.parts.synchroniser.update_for(revision)
+            case messages.ReportPull():
+                return make_report(self.node, message)
             case messages.Locate(host=host):
                 return self.directory.locate(host)
             case _:
--- a/src/cassiahitch/wire/messages.py
+++ b/src/cassiahitch/wire/messages.py
@@ -109,6 +109,7 @@
     incarnation: int = 0
     not_after_ms: int = 0
     takeover: bool = False
+    body_digest: bytes = b''
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,6 +119,7 @@
     ledger_key: str = ''
     incarnation: int = 0
     not_after_ms: int = 0
+    body_digest: bytes = b''
 
 
 @dataclass(frozen=True, slots=True)
@@ -260,6 +262,22 @@
     host: str = ''
 
 
+@dataclass(frozen=True, slots=True)
+class ReportPull:
+    """Asks a process for its time line or its metrics; an empty identifier selects all."""
+
+    topic: str = ''
+    request_id: str = ''
+    rollout_id: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """Events or metrics of a process, as JSON."""
+
+    document: bytes = b''
+
+
 #: Every message that a frame can carry.
 Message = (
     Challenge
@@ -286,6 +304,8 @@
     | OrderDrain
     | Locate
     | PeerAddress
+    | ReportPull
+    | Report
 )
 
 __all__ = (
@@ -312,6 +332,8 @@
     'OrderReply',
     'PeerAddress',
     'Release',
+    'Report',
+    'ReportPull',
     'Status',
     'Void',
 )
--- a/tests/cli/test_operators.py
+++ b/tests/cli/test_operators.py
@@ -133,7 +133,7 @@
     def get(self, kind: str) -> None:
         after = int(self.get_query_argument('after'))
         for revision in (after + 1, after + 2):
-            self.write('{}\n'.format(json.dumps({'revision': revision, 'kind': kind, 'name': 'a'})))
+            self.write('{}\n'.format(json.dumps({'revision': revision, 'key': f'{kind}/a'})))
 
 
 class ObservingHandler(ApiHandler):
