Let the wave and lease machines find the remaining faults

Cause: two faults were still found by unit tests only. Checked: with until counted from the answer, or ordered loads forgotten, the machines fail; restored, they pass. A missing margin and a new holder that loads at once are found by the unit tests test_first_candidate_gains_and_renews and test_new_holder_waits_for_orders_of_the_former_one_to_show only.

--- a/tests/controllers/test_lease.py
+++ b/tests/controllers/test_lease.py
@@ -199,12 +199,12 @@
         self.poll(index)
         while len(self.requests) > before:
             _, _, request = self.requests.pop()
-            self.now += there
+            if isinstance(request, CommitLease):
+                self.now += there
             event = self.store.answer(request)
-            if other is not None:
+            if other is not None and isinstance(request, CommitLease):
                 self.work(other)
-            self.now += back
-            if other is not None:
+                self.now += back
                 self.work(other)
             self.perform(index, node.lease.handle(event, node.clock(self.now)))
 
--- a/tests/controllers/test_rollout.py
+++ b/tests/controllers/test_rollout.py
@@ -121,6 +121,9 @@
     assert assign((deployment(failure_domains=('w0', 'w1')),), nodes) == {'draft': ()}
 
 
+RARELY = st.sampled_from([False, False, False, True])
+
+
 class WaveMachine(RuleBasedStateMachine):
     """Three serving replicas get a new version while orders and heartbeats take their time."""
 
@@ -158,6 +161,13 @@
             self.real[host] = replace(self.real[host], loading='', loaded=NEW)
             self.seen[host] = self.real[host]
 
+    @rule(host=st.sampled_from([f'h{index}' for index in range(3)]), changes=RARELY)
+    def complete_and_reconcile(self, host: str, changes: bool) -> None:
+        self.complete(host)
+        if changes:
+            self.controller = RolloutController(self.now)
+        self.reconcile()
+
     @rule()
     def reconcile(self) -> None:
         seen = tuple(self.seen.values())
@@ -165,10 +175,6 @@
             if isinstance(order, OrderLoad):
                 self.ordered.setdefault(order.host, self.now)
 
-    @rule()
-    def change_holder(self) -> None:
-        self.controller = RolloutController(self.now)
-
     @invariant()
     def half_serves(self) -> None:
         assert sum(1 for node in self.real.values() if node.loaded) >= 2
