--- a/src/cassiahitch/agent/assembly.py
+++ b/src/cassiahitch/agent/assembly.py
@@ -8,9 +8,13 @@
 
 from cassiahitch.agent.backend import Backend
 from cassiahitch.agent.claims import ClaimStore
-from cassiahitch.agent.distribution import Distribution, Surroundings
+from cassiahitch.agent.distribution import Distribution
 from cassiahitch.agent.executor import Executor
+from cassiahitch.agent.fetching import Surroundings
+from cassiahitch.agent.links import HostLinks
 from cassiahitch.agent.loading import Loader
+from cassiahitch.agent.sampler import StateSampler
+from cassiahitch.agent.serving import ChunkService
 from cassiahitch.engine.http import HttpEngine
 from cassiahitch.ledger.claims import ClaimMachine
 from cassiahitch.ledger.ledger import Ledger
@@ -55,11 +59,15 @@
     :param staging: keeps chunks.
     :return: the parts; nothing runs yet.
     """
-    engine = HttpEngine(caller, settings.engine_url)
-    executor = _executor(node, settings, caller, peers, engine)
-    loader = Loader(node, engine, executor, staging)
+    sampler = StateSampler(HttpEngine(caller, settings.engine_url))
+    executor = _executor(node, settings, caller, peers, sampler)
+    loader = Loader(node, sampler, executor, staging)
     origin = HttpOrigin(caller, settings.platform.origin_url)
-    distribution = Distribution(Surroundings(node, origin, staging, peers), loader.completed)
+    links = HostLinks(settings.link_bytes_per_s, node.clock)
+    service = ChunkService(node, staging, links)
+    around = Surroundings(node, origin, staging, peers, service, links)
+    distribution = Distribution(around, loader.completed)
+    loader.on_loaded = distribution.retain
     return AgentParts(executor, loader, distribution)
 
 
@@ -68,10 +76,10 @@
     settings: AgentSettings,
     caller: HttpCaller,
     peers: PeerPool,
-    engine: HttpEngine,
+    sampler: StateSampler,
 ) -> Executor:
     plain = settings.engine_kind is EngineKind.plain
-    backend = Backend(engine, settings.timeouts.engine_s, MAX_ANSWER_BYTES, plain)
+    backend = Backend(sampler.engine, sampler, settings.timeouts.engine_s, MAX_ANSWER_BYTES, plain)
     rng = random.Random(node.incarnation)
     machine = ClaimMachine(settings.host, Ledger(node.incarnation), rng)
     platform = settings.platform
--- a/src/cassiahitch/agent/process.py
+++ b/src/cassiahitch/agent/process.py
@@ -184,6 +184,8 @@
         :param reason: why it ended.
         """
         self.node.connection_ended(connection, reason)
+        if connection.peer.role == 'agent':
+            self.distribution.lost(connection.peer.host)
 
     async def handle(
         self,
@@ -207,17 +209,20 @@
             case messages.ConfigurationUpdate():
                 await self._configure(connection, message)
             case _:
-                await reply(await self._serve(message))
-
-    async def _serve(self, message: messages.Message) -> messages.Message:
-        if isinstance(message, messages.ChunkRequest):
-            return await self.distribution.serve(message)
-        if isinstance(message, messages.ReportPull):
-            return make_report(self.node, message)
-        if isinstance(message, messages.Void | messages.Status):
-            return ledger_state(self.executor.settle(message), self.node.incarnation)
-        self._take_order(message)
-        return messages.OrderReply(Code.ok)
+                await self._serve(message, reply)
+
+    async def _serve(self, message: messages.Message, reply: Reply) -> None:
+        match message:
+            case messages.ChunkRequest():
+                await self.distribution.serve(message, reply)
+            case messages.ReportPull():
+                await reply(make_report(self.node, message))
+            case messages.Void() | messages.Status():
+                state = self.executor.settle(message)
+                await reply(ledger_state(state, self.node.incarnation))
+            case _:
+                self._take_order(message)
+                await reply(messages.OrderReply(Code.ok))
 
     def _note_heartbeat(self, connection: Connection) -> None:
         self.distribution.heard(connection.peer.host)
@@ -270,6 +275,8 @@
         return any(isinstance(action, AskMore) for action in actions)
 
     async def _dispatch(self, dispatch: messages.Dispatch, reply: Reply) -> None:
+        links = self.distribution.around.links
+        links.live_in(len(dispatch.body))
         parts: asyncio.Queue[bytes | None] = asyncio.Queue()
         run = asyncio.create_task(self.executor.run(dispatch, parts.put_nowait))
         run.add_done_callback(lambda _: parts.put_nowait(None))
@@ -277,7 +284,9 @@
             self.answering += 1
             stack.callback(self._end_answer)
             sent = await _forward(dispatch, parts, reply)
-            await reply(_answer(dispatch, run.result(), sent))
+            answer = _answer(dispatch, run.result(), sent)
+            links.live_out(answer.length)
+            await reply(answer)
 
     def _end_answer(self) -> None:
         self.answering -= 1
