Test spare bits of tickets, takeovers and rows shared by a batch

Three deliberate faults passed the tests: a second spelling of a ticket by its spare base64 bits, ran: no to the requests of a claim that another agent takes over, and a removal and a claim of one row in one transaction. Each has its test now, seen to fail with the fault.

--- a/tests/ledger/test_claims.py
+++ b/tests/ledger/test_claims.py
@@ -146,6 +146,19 @@
     assert not machine.book.by_id
 
 
+def test_removal_and_new_claim_of_a_row_do_not_share_a_transaction(
+    machine: ClaimMachine,
+) -> None:
+    machine.handle(claim(), 0)
+    machine.handle(BatchCommitted(1, (4,)), 0)
+    machine.handle(claim('z'), 0)
+    machine.handle(Void('claim-a', BODY, 10, INCARNATION), 0)
+    machine.handle(claim(request_id='anew'), 0)
+    first = committed(machine.handle(BatchCommitted(2, (5,)), 0))
+    second = committed(machine.handle(BatchConflicted(3, (row('a', 'host', 'claim-a', 7),)), 0))
+    assert [len(commit.writes) for commit in (first, second)] == [1, 1]
+
+
 @pytest.mark.parametrize(
     ('found', 'expected'),
     [
--- a/tests/ledger/test_ledger.py
+++ b/tests/ledger/test_ledger.py
@@ -119,6 +119,13 @@
     assert not ledger.handle(Start('k'), 1)
 
 
+def test_takeover_of_a_queued_key_does_not_say_that_it_never_runs(ledger: Ledger) -> None:
+    ledger.handle(dispatch(), 0)
+    told = ledger.handle(Void('k', 'b', 5, INCARNATION, takeover=True), 1)
+    refusal = Refused('r', Code.claimed_elsewhere, Ran.unknown)
+    assert told == (refusal, StateReply('k', State.void))
+
+
 def test_void_of_running_or_done_key_says_so(ledger: Ledger) -> None:
     ledger.handle(dispatch(), 0)
     ledger.handle(Start('k'), 0)
--- a/tests/ledger/test_tickets.py
+++ b/tests/ledger/test_tickets.py
@@ -52,6 +52,15 @@
             office().verify(changed, WALL)
 
 
+@pytest.mark.parametrize('host', ['a', 'ab', 'abc'])
+def test_spare_bits_and_ignored_characters_make_no_second_key(host: str) -> None:
+    text = office().mint(host, 9, WALL)
+    others = {text[:-1] + last for last in URL_SAFE} | {f'{text}=', f'{text}!', f'!{text}'}
+    for other in others - {text}:
+        with pytest.raises(RequestError, match='ticket_invalid'):
+            office().verify(other, WALL)
+
+
 @given(st.text() | st.text(URL_SAFE, min_size=40, max_size=200))
 def test_text_that_is_no_ticket_gives_only_its_code(text: str) -> None:
     with pytest.raises(RequestError, match='ticket_invalid'):
