--- a/src/cassiahitch/agent/health.py
+++ b/src/cassiahitch/agent/health.py
@@ -6,8 +6,8 @@
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
-from cassiahitch.engine.api import CacheEvent
 from cassiahitch.errors import PlatformError
+from cassiahitch.wire.messages import CachedPrefix
 
 if TYPE_CHECKING:
     from cassiahitch.engine.api import Engine
@@ -32,7 +32,7 @@
         self.crashes = 0
         self.down = False
         self.cache_sequence = 0
-        self.cache_events: tuple[CacheEvent, ...] = ()
+        self.cache_events: tuple[CachedPrefix, ...] = ()
 
     def note_crash(self) -> None:
         """Count a crash, once until the backend server is up again."""
@@ -55,7 +55,10 @@
             await asyncio.sleep(CACHE_POLL_S)
             with suppress(PlatformError):
                 found = await self.engine.cache_events(self.cache_sequence)
-                self.cache_events = found[-CACHE_EVENTS:]
+                self.cache_events = tuple(
+                    CachedPrefix(event.sequence, event.prefix, event.cached)
+                    for event in found[-CACHE_EVENTS:]
+                )
                 self.cache_sequence = max(
                     (event.sequence for event in found), default=self.cache_sequence
                 )
--- a/src/cassiahitch/agent/process.py
+++ b/src/cassiahitch/agent/process.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, ExitStack
 from typing import TYPE_CHECKING
 
 from cassiahitch.agent.assembly import SLOTS, assemble
@@ -36,6 +36,10 @@
     from cassiahitch.wire.connection import Connection
 
 
+#: Seconds between looks at whether every answer is sent.
+ANSWERED_POLL_S = 0.02
+
+
 class AgentProcess:
     """Wires the parts of an agent; owns all of them through one exit stack."""
 
@@ -50,6 +54,8 @@
         self.started_at = self.node.clock.monotonic()
         self.sequence = 0
         self.leaving = False
+        self.answering = 0
+        self.stopping: asyncio.Task[None] | None = None
         self.configuration = Configuration()
         self.guard = FencingGuard(self.node.incarnation)
         self.stack = AsyncExitStack()
@@ -99,15 +105,29 @@
         return {'port': self.node.port}
 
     async def stop(self) -> None:
-        """Refuse new work, finish what runs and close everything."""
-        self.leaving = True
-        self.executor.accepting = False
-        self.node.timeline.record(EventKind.process_leaving)
+        """Refuse new work, finish what runs and close everything.
+
+        A second call waits for the first one and does not cut it short.
+        """
+        if self.stopping is None:
+            self.stopping = asyncio.create_task(self._stop())
+        await asyncio.shield(self.stopping)
+
+    async def _stop(self) -> None:
+        self._leave()
         await self.endpoint.announce()
         await self.executor.finished()
+        while self.answering:
+            await asyncio.sleep(ANSWERED_POLL_S)
         await self.stack.aclose()
         self.node.timeline.record(EventKind.process_stopped)
 
+    def _leave(self) -> None:
+        if not self.leaving:
+            self.node.timeline.record(EventKind.process_leaving)
+        self.leaving = True
+        self.executor.accepting = False
+
     async def kill(self) -> None:
         """Close everything at once, as a crash would."""
         await self.stack.aclose()
@@ -160,10 +180,7 @@
             chunks_complete=self.distribution.chunks_complete,
             backend_crashes=self.health.crashes,
             cache_sequence=self.health.cache_sequence,
-            cache_events=tuple(
-                messages.CachedPrefix(event.sequence, event.prefix, event.cached)
-                for event in self.health.cache_events
-            ),
+            cache_events=self.health.cache_events,
         )
 
     def opened(self, connection: Connection) -> None:
@@ -180,6 +197,8 @@
         :param reason: why it ended.
         """
         self.node.connection_ended(connection, reason)
+        if connection.peer.role == 'agent':
+            self.distribution.lost(connection.peer.host)
 
     async def handle(
         self,
@@ -203,17 +222,20 @@
             case messages.ConfigurationUpdate():
                 await self._configure(connection, message)
             case _:
-                await reply(await self._serve(message))
-
-    async def _serve(self, message: messages.Message) -> messages.Message:
-        if isinstance(message, messages.ChunkRequest):
-            return await self.distribution.serve(message)
-        if isinstance(message, messages.ReportPull):
-            return make_report(self.node, message)
-        if isinstance(message, messages.Void | messages.Status):
-            return ledger_state(self.executor.settle(message), self.node.incarnation)
-        self._take_order(message)
-        return messages.OrderReply(Code.ok)
+                await self._serve(message, reply)
+
+    async def _serve(self, message: messages.Message, reply: Reply) -> None:
+        match message:
+            case messages.ChunkRequest():
+                await self.distribution.serve(message, reply)
+            case messages.ReportPull():
+                await reply(make_report(self.node, message))
+            case messages.Void() | messages.Status():
+                state = self.executor.settle(message)
+                await reply(ledger_state(state, self.node.incarnation))
+            case _:
+                self._take_order(message)
+                await reply(messages.OrderReply(Code.ok))
 
     def _note_heartbeat(self, connection: Connection) -> None:
         self.distribution.heard(connection.peer.host)
@@ -237,8 +259,10 @@
                 raise CassiahitchError(Code.message_unknown, type(message).__name__)
 
     def _drain(self) -> None:
-        self.leaving = True
-        self.executor.accepting = False
+        self._leave()
+        task = asyncio.create_task(self.endpoint.announce())
+        self.node.background.add(task)
+        task.add_done_callback(self.node.background.discard)
 
     async def _configure(
         self, connection: Connection, update: messages.ConfigurationUpdate
@@ -264,11 +288,21 @@
         return any(isinstance(action, AskMore) for action in actions)
 
     async def _dispatch(self, dispatch: messages.Dispatch, reply: Reply) -> None:
+        links = self.distribution.around.links
+        links.live_in(len(dispatch.body))
         parts: asyncio.Queue[bytes | None] = asyncio.Queue()
         run = asyncio.create_task(self.executor.run(dispatch, parts.put_nowait))
         run.add_done_callback(lambda _: parts.put_nowait(None))
-        sent = await _forward(dispatch, parts, reply)
-        await reply(_answer(dispatch, run.result(), sent, self.health.crashes))
+        with ExitStack() as stack:
+            self.answering += 1
+            stack.callback(self._end_answer)
+            sent = await _forward(dispatch, parts, reply)
+            answer = _answer(dispatch, run.result(), sent, self.health.crashes)
+            links.live_out(answer.length)
+            await reply(answer)
+
+    def _end_answer(self) -> None:
+        self.answering -= 1
 
 
 async def _forward(
