--- a/src/cassiahitch/agent/assembly.py
+++ b/src/cassiahitch/agent/assembly.py
@@ -11,6 +11,7 @@
 from cassiahitch.agent.distribution import Distribution
 from cassiahitch.agent.executor import Executor
 from cassiahitch.agent.fetching import Surroundings
+from cassiahitch.agent.health import BackendHealth
 from cassiahitch.agent.links import HostLinks
 from cassiahitch.agent.loading import Loader
 from cassiahitch.agent.sampler import StateSampler
@@ -39,6 +40,7 @@
     """The parts that an agent process drives."""
 
     executor: Executor
+    health: BackendHealth
     loader: Loader
     distribution: Distribution
 
@@ -60,7 +62,8 @@
     :return: the parts; nothing runs yet.
     """
     sampler = StateSampler(HttpEngine(caller, settings.engine_url))
-    executor = _executor(node, settings, caller, peers, sampler)
+    health = BackendHealth(sampler.engine)
+    executor = _executor(node, settings, caller, peers, sampler, health)
     loader = Loader(node, sampler, executor, staging)
     origin = HttpOrigin(caller, settings.platform.origin_url)
     links = HostLinks(settings.link_bytes_per_s, node.clock)
@@ -68,7 +71,7 @@
     around = Surroundings(node, origin, staging, peers, service, links)
     distribution = Distribution(around, loader.completed)
     loader.on_loaded = distribution.retain
-    return AgentParts(executor, loader, distribution)
+    return AgentParts(executor, health, loader, distribution)
 
 
 def _executor(
@@ -77,6 +80,7 @@
     caller: HttpCaller,
     peers: PeerPool,
     sampler: StateSampler,
+    health: BackendHealth,
 ) -> Executor:
     plain = settings.engine_kind is EngineKind.plain
     backend = Backend(sampler.engine, sampler, settings.timeouts.engine_s, MAX_ANSWER_BYTES, plain)
@@ -84,7 +88,7 @@
     machine = ClaimMachine(settings.host, Ledger(node.incarnation), rng)
     platform = settings.platform
     tables = HttpTables(caller, platform.table_service_url, settings.timeouts.platform_s)
-    executor = Executor(node, machine, backend, ClaimStore(node, tables, peers), SLOTS)
+    executor = Executor(node, machine, backend, ClaimStore(node, tables, peers), SLOTS, health)
     if plain:
         executor.admit('')
     return executor
