Fail a key that began without its dispatch

A key whose dispatch is gone would have stayed running for ever; it is failed with ran: no now, since nothing was handed to the backend server. No case is known that leads there.

Checked: tests/e2e/test_claims_and_tickets.py, types and style.

--- a/src/cassiahitch/agent/executor.py
+++ b/src/cassiahitch/agent/executor.py
@@ -248,7 +248,10 @@
             return
         dispatch = self.dispatches.pop(key, None)
         began = any(isinstance(action, Begin) for action in self.handle(Start(key)))
-        if dispatch is None or not began:
+        if not began:
+            return
+        if dispatch is None:
+            self.handle(Fail(key, Code.backend_failed, Ran.no))
             return
         self._count(1)
         started = self.node.clock.monotonic()
