--- a/src/cassiahitch/agent/loading.py
+++ b/src/cassiahitch/agent/loading.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable, Callable, Iterable
 from typing import TYPE_CHECKING
 
 from cassiahitch.codes import Code
@@ -11,28 +12,39 @@
 from cassiahitch.metrics.names import CounterName
 from cassiahitch.timeline.events import EventKind
 from cassiahitch.weights import guard
+from cassiahitch.wire.messages import OrderLoad
 
 if TYPE_CHECKING:
     from cassiahitch.agent.executor import Executor
+    from cassiahitch.agent.sampler import StateSampler
     from cassiahitch.agent.staging import Staging
-    from cassiahitch.engine.api import Engine
-    from cassiahitch.wire.messages import CancelLoad, OrderLoad, Release
+    from cassiahitch.wire.messages import CancelLoad, Release
     from cassiahitch.wire.node import Node
 
 
+#: Discards all manifests but these and those ordered later than a time; returns which.
+Retain = Callable[[Iterable[str], float], Awaitable[tuple[str, ...]]]
+
+
 class Loader:
     """Owns the guard; performs its actions one after another."""
 
-    def __init__(self, node: Node, engine: Engine, executor: Executor, staging: Staging) -> None:
+    def __init__(
+        self,
+        node: Node,
+        sampler: StateSampler,
+        executor: Executor,
+        staging: Staging,
+    ) -> None:
         """Create a loader.
 
         :param node: this process.
-        :param engine: the engine of the host.
+        :param sampler: the engine of the host, and samples of it.
         :param executor: what admits work.
         :param staging: where the chunks are.
         """
         self.node = node
-        self.engine = engine
+        self.sampler = sampler
         self.executor = executor
         self.staging = staging
         self.guard = guard.LoadGuard()
@@ -40,6 +52,9 @@
         self.loading = ''
         self.load_epoch = 0
         self.complete: set[str] = set()
+        self.last_order = OrderLoad()
+        self.ordered_at = float(0)
+        self.on_loaded: Retain = _retain_all
         self.actions: asyncio.Queue[guard.GuardAction] = asyncio.Queue()
 
     @property
@@ -68,6 +83,9 @@
         if refusals:
             raise CassiahitchError(refusals[0].code, f'load of {order.digest}')
         self.deployment = order.deployment
+        if order.digest != self.last_order.digest:
+            self.last_order = order
+            self.ordered_at = self.node.clock.monotonic()
         if self.loaded != order.digest:
             self.loading = order.digest
 
@@ -111,7 +129,7 @@
         if not admitted:
             return
         try:
-            state = await self.engine.state()
+            state = await self.sampler.sample()
         except PlatformError:
             return
         changed = (state.digest, state.load_epoch) != (admitted, self.load_epoch)
@@ -142,9 +160,19 @@
                 await self._read(number)
             case guard.AdmitWork(manifest=manifest):
                 self.executor.admit(manifest)
+                await self._discard_replaced(manifest)
             case guard.ReportLoad():
                 self._report(action)
 
+    async def _discard_replaced(self, digest: str) -> None:
+        """Keep the chunks of what is loaded and of newer versions only."""
+        order = self.last_order
+        if digest != order.digest:
+            return
+        for manifest in await self.on_loaded(order.manifests, self.ordered_at):
+            self.complete.discard(manifest)
+            self._handle(guard.ChunksDropped(manifest))
+
     async def _load(self, action: guard.LoadEngine) -> None:
         manifest = action.manifest
         self.node.timeline.record(EventKind.load_ordered, rollout_id=manifest)
@@ -152,7 +180,7 @@
         order = LoadOrder(manifest, path, action.fencing_number)
         code = Code.ok
         try:
-            await self.engine.load(order)
+            await self.sampler.engine.load(order)
         except PlatformError as error:
             code = error.code
         self._handle(guard.LoadEnded(action.number, code))
@@ -160,7 +188,7 @@
     async def _read(self, number: int) -> None:
         digest = ''
         try:
-            state = await self.engine.state()
+            state = await self.sampler.sample()
         except PlatformError:
             self._handle(guard.LoadedRead(number, digest))
             return
@@ -175,4 +203,8 @@
         self.node.metrics.count(CounterName.loads_failed if failed else CounterName.loads_finished)
 
 
+async def _retain_all(_manifests: Iterable[str], _ordered_at: float) -> tuple[str, ...]:
+    return ()
+
+
 __all__ = ('Loader',)
