Fuzz every parser at a border and mend what it found

Cause: bad input of every border must give a numbered code and change nothing. Found and mended: a lease row with a huge duration raised OverflowError; an answer to a commit that could not be read counted as refused though the commit may have taken effect, and one for other writes as committed; If-Match of 5,000 digits and X-Timeout-Ms of 400 digits answered 6999 internal; If-None-Match on a read answered 304 by an entity tag that is no revision. Checked: tests/fuzz. Conclusion: only numbered errors come out of the parsers.

--- a/src/cassiahitch/controllers/lease.py
+++ b/src/cassiahitch/controllers/lease.py
@@ -26,6 +26,8 @@
 ROUNDS = 4
 #: Share of a round by which polls are jittered.
 JITTER = 0.25
+#: Longest lease that a row may grant, in seconds.
+LONGEST_GRANT_S = 86_400
 
 
 @dataclass(frozen=True, slots=True)
@@ -336,7 +338,9 @@
     except (ValueError, RecursionError):
         return None
     match fields:
-        case [str(holder), int(number), str(grant_id), float() | int() as duration_s]:
+        case [str(holder), int(number), str(grant_id), float() | int() as duration_s] if (
+            0 <= duration_s <= LONGEST_GRANT_S
+        ):
             return Grant(holder, number, grant_id, float(duration_s))
         case _:
             return None
--- a/src/cassiahitch/entry/callers.py
+++ b/src/cassiahitch/entry/callers.py
@@ -64,6 +64,9 @@
         """
         self.service = service
 
+    def compute_etag(self) -> None:
+        """Name no entity tag, since revisions are the only versions that operators match."""
+
     def bearer(self) -> str:
         """Return the secret of the request.
 
@@ -242,7 +245,7 @@
         return None
     try:
         return int(header) / MS_PER_S
-    except ValueError:
+    except (OverflowError, ValueError):
         detail = 'X-Timeout-Ms is not a number'
         raise RequestError(Code.bad_request, detail, Ran.no) from None
 
--- a/src/cassiahitch/entry/operators.py
+++ b/src/cassiahitch/entry/operators.py
@@ -5,6 +5,7 @@
 import asyncio
 import hashlib
 import json
+import re
 import secrets
 from dataclasses import asdict, dataclass
 from typing import TYPE_CHECKING, Any
@@ -29,6 +30,8 @@
 
 NO_CHANGE_ID_BYTES = 16
 WATCH_POLL_S = 0.25
+#: Form of a revision in a header.
+REVISION = re.compile('[0-9]{1,18}')
 _KIND_NAMES = frozenset(kind.__name__ for kind in KINDS)
 
 
@@ -135,7 +138,7 @@
 
     def _if_match(self) -> int:
         header = self.request.headers.get('If-Match', '').strip('"')
-        if not header.isdecimal():
+        if not REVISION.fullmatch(header):
             detail = 'If-Match with a revision, or If-None-Match: *'
             raise ResourceError(Code.precondition_missing, detail)
         return int(header)
--- a/src/cassiahitch/platform/http.py
+++ b/src/cassiahitch/platform/http.py
@@ -89,9 +89,14 @@
         )
         body = transaction.model_dump_json().encode()
         reply = await self._commit(body)
-        outcome = parse_answer(OutcomeModel, reply.body)
+        try:
+            outcome = parse_answer(OutcomeModel, reply.body)
+        except PlatformError as error:
+            raise PlatformError(Code.store_outcome_unknown, error.detail) from error
         if outcome.versions is None:
             return Conflicted(tuple(model.row() for model in outcome.conflicts))
+        if len(outcome.versions) != len(writes):
+            raise PlatformError(Code.store_outcome_unknown, 'an answer for other writes')
         return Committed(outcome.versions)
 
     async def _commit(self, body: bytes) -> Reply:
--- /dev/null
+++ b/tests/fuzz/test_clients.py
@@ -0,0 +1,109 @@
+"""Fuzzing of the answers of the platform and of engines."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import AsyncGenerator, Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any, cast
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cassiahitch.engine.api import GenerateOrder, LoadOrder
+from cassiahitch.engine.http import HttpEngine
+from cassiahitch.errors import CassiahitchError
+from cassiahitch.platform.api import Condition, Write
+from cassiahitch.platform.caller import Call, HttpCaller, Reply
+from cassiahitch.platform.http import HttpHosts, HttpTables
+
+URL = 'http://127.0.0.1:1'
+
+
+@dataclass(frozen=True)
+class FakeCaller:
+    """Gives the same answer to every call."""
+
+    status: int
+    body: bytes
+
+    async def call(self, call: Call) -> Reply:
+        return Reply(self.status, self.body)
+
+    async def stream(self, call: Call) -> AsyncGenerator[bytes, None]:
+        for start in range(0, len(self.body), 7):
+            yield self.body[start : start + 7]
+
+
+def as_caller(fake: FakeCaller) -> HttpCaller:
+    return cast('HttpCaller', fake)
+
+
+async def generate(fake: FakeCaller) -> object:
+    order = GenerateOrder('id', b'body', 0)
+    return [part async for part in HttpEngine(as_caller(fake), URL).generate(order)]
+
+
+def commit(fake: FakeCaller) -> Awaitable[object]:
+    tables = HttpTables(as_caller(fake), URL)
+    return tables.commit((Condition('t', 'k', 0),), (Write('t', 'k', b''),))
+
+
+FakeCall = Callable[[FakeCaller], Awaitable[object]]
+CALLS: dict[str, FakeCall] = {
+    'hosts': lambda fake: HttpHosts(as_caller(fake), URL).hosts(),
+    'read': lambda fake: HttpTables(as_caller(fake), URL).read('t', 'k'),
+    'scan': lambda fake: HttpTables(as_caller(fake), URL).scan('t', '', '', 9),
+    'commit': commit,
+    'state': lambda fake: HttpEngine(as_caller(fake), URL).state(),
+    'load': lambda fake: HttpEngine(as_caller(fake), URL).load(LoadOrder('d', 'p', 1)),
+    'cache-events': lambda fake: HttpEngine(as_caller(fake), URL).cache_events(0),
+    'generate': generate,
+}
+KEYS = st.sampled_from(
+    (
+        *('host', 'address', 'leaving', 'rows', 'table', 'key', 'content', 'version'),
+        *('versions', 'conflicts', 'digest', 'load_epoch', 'running', 'queued'),
+        *('sequence', 'prefix', 'cached', 'text', 'length'),
+    ),
+)
+SCALARS = st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=9)
+VALUES: st.SearchStrategy[Any] = st.recursive(
+    SCALARS,
+    lambda inner: st.lists(inner, max_size=4) | st.dictionaries(KEYS, inner, max_size=6),
+    max_leaves=15,
+)
+BODIES = st.binary(max_size=99) | st.lists(VALUES.map(json.dumps), max_size=3).map(
+    lambda lines: '\n'.join(lines).encode(),
+)
+STATUSES = st.sampled_from((200, 200, 200, 204, 302, 404, 409, 412, 500, 503))
+
+
+@pytest.mark.parametrize('call', CALLS.values(), ids=CALLS)
+@settings(max_examples=50)
+@given(status=STATUSES, body=BODIES)
+def test_any_answer_gives_a_numbered_error(
+    call: FakeCall,
+    status: int,
+    body: bytes,
+) -> None:
+    async def main() -> object:
+        return await call(FakeCaller(status, body))
+
+    try:
+        asyncio.run(main())
+    except CassiahitchError as error:
+        assert error.code
+
+
+@pytest.mark.parametrize('versions', ['[]', '[1, 2]'])
+def test_commit_refuses_an_answer_for_other_writes(versions: str) -> None:
+    fake = FakeCaller(200, f'{{"versions": {versions}}}'.encode())
+
+    async def main() -> object:
+        return await commit(fake)
+
+    with pytest.raises(CassiahitchError, match='store_outcome_unknown'):
+        asyncio.run(main())
