Shorten the filling of the trees

Change: Tier.leaf; hosts with children are served before leaves. Conclusion: the filling of the pipeline, not a link, set the time.

--- a/src/cassiahitch/weights/tree.py
+++ b/src/cassiahitch/weights/tree.py
@@ -29,7 +29,8 @@
     region = 0
     failure_domain = 1
     host = 2
-    stray = 3
+    leaf = 3
+    stray = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,7 +122,9 @@
         """
         heads = _Heads(member, suspects)
         ahead = 0
-        for other in self.order(tree):
+        order = self.order(tree)
+        heads.is_leaf = self.is_leaf(order, member)
+        for other in order:
             if other.host == member.host:
                 break
             if other.host not in gone:
@@ -153,6 +156,17 @@
         rank = len(near) + spread % (len(near) + 1)
         return tuple(Source(near[parent].host, Tier.stray) for parent in _heap_path(rank))
 
+    def is_leaf(self, order: tuple[Participant, ...], member: Participant) -> bool:
+        """Tell whether no host of its failure domain depends on a participant.
+
+        :param order: the order of a tree.
+        :param member: the participant.
+        :return: whether it has no children there.
+        """
+        place = (member.region, member.failure_domain)
+        near = [other.host for other in order if (other.region, other.failure_domain) == place]
+        return 2 * near.index(member.host) + 1 >= len(near)
+
     def in_scope(self, other: Participant, member: Participant) -> bool:
         """Tell whether another host turns to the origin on behalf of this one too.
 
@@ -169,6 +183,7 @@
     def __init__(self, member: Participant, suspects: frozenset[str]) -> None:
         self.member = member
         self.suspects = suspects
+        self.is_leaf = False
         self.near: list[str] = []
         self.domains: dict[str, str] = {}
         self.regions: dict[str, str] = {}
@@ -208,8 +223,9 @@
 
     def candidates(self, copies: int) -> Iterator[Source]:
         """Yield the ancestors tier by tier; the root of two tiers comes twice."""
+        tier = Tier.leaf if self.is_leaf else Tier.host
         for near in self.near_path():
-            yield Source(near, Tier.host)
+            yield Source(near, tier)
         domains = list(self.domains.values())
         for domain in _heap_path(_rank(self.domains, self.member.failure_domain)):
             yield Source(domains[domain], Tier.failure_domain)
