Let a host whose link stalled wait for its sources

Change: a host that heard nothing of any source for the stall limit waits once more for all of them.

--- a/src/cassiahitch/weights/fetcher.py
+++ b/src/cassiahitch/weights/fetcher.py
@@ -46,6 +46,8 @@
 NEVER = float('inf')
 #: Sources that must fall silent at once before this host takes its own link to be silent.
 CUT_OFF_SOURCES = 3
+#: Share of the stall limit for which nothing must have been heard of any source.
+CUT_OFF_SHARE = 0.9
 #: Times in a row that all sources are waited for longer.
 CUT_OFF_LIMIT = 30
 #: Failures that tell of the whole host, not of one chunk.
@@ -121,6 +123,7 @@
         self.origin_ready: list[int] = []
         self.origin_failures = 0
         self.cut_off = 0
+        self.heard_at = float(0)
         self.wake = NEVER
 
     @property
@@ -137,6 +140,7 @@
         """
         match message:
             case ManifestKnown():
+                self.heard_at = now
                 actions = self.start(message)
             case ParticipantGone(host):
                 actions = self.lose(host)
@@ -305,6 +309,7 @@
     def prolong(self, host: str, now: float) -> None:
         """Move the deadlines of a host that gave a sign of life."""
         self.cut_off = 0
+        self.heard_at = now
         for flight in self.flights.values():
             if flight.source.host == host:
                 flight.deadline = self.deadline(flight, now)
@@ -358,9 +363,9 @@
     def expire_flights(self, now: float) -> list[FetchAction]:
         """Replace the sources whose deadlines have passed."""
         late = tuple(index for index, flight in self.flights.items() if flight.deadline <= now)
-        if late and self.is_cut_off(late):
+        if late and self.is_cut_off(now):
             self.cut_off += 1
-            self.extend(late, now)
+            self.extend(now)
             return []
         actions: list[FetchAction] = []
         for index in late:
@@ -369,16 +374,16 @@
                 actions.extend(self.expire_flight(index, flight, now))
         return actions
 
-    def is_cut_off(self, late: tuple[int, ...]) -> bool:
+    def is_cut_off(self, now: float) -> bool:
         """Tell whether all sources fell silent at once, which blames this host's own link."""
-        silent = {self.flights[index].source.host for index in late}
         asked = {flight.source.host for flight in self.flights.values()} - {''}
-        return silent == asked and len(silent) >= CUT_OFF_SOURCES and self.cut_off < CUT_OFF_LIMIT
+        silent = now - self.heard_at >= self.limits.stall_s * CUT_OFF_SHARE
+        return silent and len(asked) >= CUT_OFF_SOURCES and self.cut_off < CUT_OFF_LIMIT
 
-    def extend(self, late: tuple[int, ...], now: float) -> None:
+    def extend(self, now: float) -> None:
         """Wait once more for all sources."""
-        for index in late:
-            self.flights[index].deadline = now + self.limits.stall_s
+        for flight in self.flights.values():
+            flight.deadline = max(flight.deadline, now + self.limits.stall_s)
 
     def expire_flight(self, index: int, flight: Flight, now: float) -> list[FetchAction]:
         """Replace the source of one chunk; one that gave no sign of life is suspected."""
