--- a/src/cassiahitch/entry/process.py
+++ b/src/cassiahitch/entry/process.py
@@ -4,18 +4,16 @@
 
 import asyncio
 import random
-import socket
 from contextlib import AsyncExitStack, suppress
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from tornado.httpserver import HTTPServer
-
 from cassiahitch.codes import Code
 from cassiahitch.controllers.configuration import Configuration
 from cassiahitch.entry import assembly, gossip
 from cassiahitch.entry.compaction import compact_changes
 from cassiahitch.entry.directory import Directory
+from cassiahitch.entry.http import serve_http
 from cassiahitch.entry.synchronisation import save_snapshots
 from cassiahitch.errors import PlatformError, WireError
 from cassiahitch.platform.caller import HttpCaller
@@ -85,7 +83,7 @@
         self.dialer = Dialer(self.endpoint, self.node.incarnation)
         self.parts = assembly.assemble(self._core(), caller)
         self.parts.synchroniser.listeners.append(self._push_configuration)
-        self._serve_http()
+        self.http_port = serve_http(self.parts.application, self.settings, self.stack)
         self._start_tasks()
         self.node.timeline.record(EventKind.process_started)
 
@@ -111,20 +109,6 @@
     def _is_closing(self) -> bool:
         return self.closing
 
-    def _serve_http(self) -> None:
-        sizes = self.settings.sizes
-        own = socket.create_server((self.settings.address, self.settings.http_port), backlog=1024)
-        own.setblocking(False)  # noqa: WPS425 the only argument of the call
-        self.http_port = int(own.getsockname()[1])
-        server = HTTPServer(
-            self.parts.application,
-            max_body_size=sizes.max_body_bytes,
-            max_header_size=sizes.max_header_bytes,
-        )
-        server.add_socket(own)
-        self.stack.push_async_callback(server.close_all_connections)
-        self.stack.callback(server.stop)
-
     def _start_tasks(self) -> None:
         works = (
             self.parts.synchroniser.work(),
--- a/src/cassiahitch/standins/http.py
+++ b/src/cassiahitch/standins/http.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-import socket
 from typing import Any
 
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
+from cassiahitch.util.listening import listen, port_of
+
 #: Largest body that a stand-in accepts, in bytes.
 MAX_BODY_BYTES = 64 * 1024 * 1024
 
@@ -43,9 +44,8 @@
         :param target: the stand-in that the handlers serve.
         """
         rules = [(pattern, handler, {'target': target}) for pattern, handler in routes]
-        own = socket.create_server(('127.0.0.1', 0), backlog=1024)
-        own.setblocking(False)  # noqa: WPS425 the only argument of the call
-        self.port = int(own.getsockname()[1])
+        own = listen('127.0.0.1', 0)
+        self.port = port_of(own)
         self.server = HTTPServer(
             Application(rules, log_function=_log_nothing), max_body_size=MAX_BODY_BYTES
         )
