--- a/src/cassiahitch/bench/control.py
+++ b/src/cassiahitch/bench/control.py
@@ -8,6 +8,7 @@
 from cassiahitch.bench.api import BenchReport, Bound, Figure, Series
 from cassiahitch.bench.heartbeats import HeartbeatCost, measure_heartbeats
 from cassiahitch.bench.propagation import CHANGES_A_DAY, DAY_S, measure_propagation
+from cassiahitch.bench.reconciliation import measure_reconciliation
 from cassiahitch.bench.revisions import RevisionCost, measure_revisions
 from cassiahitch.bench.slopes import Line, fit
 from cassiahitch.members.membership import Role
@@ -62,6 +63,7 @@
     of_entries = _heartbeat_lines(entries)
     held = _revision_lines(organisations)
     change = organisations[max(organisations)]
+    compared = fit([(size, measure_reconciliation(size)) for size in sizes])
     return BenchReport(
         'control',
         seed,
@@ -72,6 +74,7 @@
             *_configuration(held, change),
             *_at_size(of_agents, of_entries, held, change),
             *_in_force(seed, sizes),
+            Figure('comparison of a rollout per replica', compared.slope * MICROSECONDS, 'us'),
         ),
         (
             Series('entry: bytes/s over agents', _points(agents)),
--- a/src/cassiahitch/controllers/assignment.py
+++ b/src/cassiahitch/controllers/assignment.py
@@ -55,20 +55,19 @@
     :param nodes: the hosts.
     :return: the hosts of each deployment by name, fewer than desired if there are too few.
     """
-    eligible = [node for node in nodes if node.eligible]
     ordered = sorted(deployments, key=_name)
-    names = {deployment.name for deployment in ordered}
-    free = [node for node in eligible if node.deployment not in names]
+    by_deployment = _grouped(nodes)
+    free: list[ObservedNode] = []
     chosen: dict[str, tuple[ObservedNode, ...]] = {}
     for kept in ordered:
-        own = [node for node in eligible if node.deployment == kept.name]
+        own = by_deployment.pop(kept.name, [])
         chosen[kept.name] = _spread(kept, own, ())
-        free.extend(node for node in own if node not in chosen[kept.name])
+        free.extend(_others(own, chosen[kept.name]))
+    for unassigned in by_deployment.values():
+        free.extend(unassigned)
     for deployment in ordered:
-        full = _spread(deployment, free, chosen[deployment.name])
-        chosen[deployment.name] = full
-        taken = {node.host for node in full}
-        free = [node for node in free if node.host not in taken]
+        chosen[deployment.name] = _spread(deployment, free, chosen[deployment.name])
+        free = _others(free, chosen[deployment.name])
     return chosen
 
 
@@ -86,6 +85,19 @@
     return deployment.name
 
 
+def _grouped(nodes: Iterable[ObservedNode]) -> dict[str, list[ObservedNode]]:
+    groups: dict[str, list[ObservedNode]] = {}
+    for node in nodes:
+        if node.eligible:
+            groups.setdefault(node.deployment, []).append(node)
+    return groups
+
+
+def _others(nodes: list[ObservedNode], chosen: tuple[ObservedNode, ...]) -> list[ObservedNode]:
+    taken = {node.host for node in chosen}
+    return [node for node in nodes if node.host not in taken]
+
+
 def _node_rank(deployment: str, node: ObservedNode) -> bytes:
     return rank(deployment, node.host)
 
