Count runs when an agent leaves

Cause: with an agent that stops without waiting, the test of leaving processes still passed, since the requests that it cut ran again elsewhere. Change: every run of an engine has to have become an answer. Checked: pytest tests/e2e/test_operations.py -k leave passes.

--- a/tests/e2e/test_operations.py
+++ b/tests/e2e/test_operations.py
@@ -182,6 +182,13 @@
 class Callers(Scenario):
     """Callers that ask another entry for addresses when one does not answer."""
 
+    stopping = False
+
+    def _judge(self, service: str, body: bytes, document: dict[str, Any]) -> None:
+        super()._judge(service, body, document)
+        if self.stopping:
+            raise asyncio.CancelledError
+
     async def _address(self, caller: HttpCaller) -> str:
         while True:
             try:
@@ -193,13 +200,12 @@
 class Asking:
     """Callers that ask until they are told to stop."""
 
-    def __init__(self, scenario: Scenario, caller: HttpCaller) -> None:
+    def __init__(self, scenario: Callers, caller: HttpCaller) -> None:
         self.scenario = scenario
         self.tasks = [asyncio.create_task(scenario._call_on(caller)) for _ in range(4)]
 
     async def stop(self) -> None:
-        for task in self.tasks:
-            task.cancel()
+        self.scenario.stopping = True
         ended = await asyncio.gather(*self.tasks, return_exceptions=True)
         assert all(isinstance(one, asyncio.CancelledError) for one in ended), ended
 
@@ -229,6 +235,8 @@
         assert not scenario.tally.failures
         numbers = scenario.tally.numbers
         assert len(set(numbers)) == len(numbers)
+        runs = sum(engine.runs.total() for engine in site.backends.engines.values())
+        assert runs == scenario.tally.digests.total()
 
     run(body, SiteSize(entries=3, model_hosts=3, plain_hosts=1))
 
