--- a/src/cassiahitch/bench/control.py
+++ b/src/cassiahitch/bench/control.py
@@ -45,6 +45,15 @@
     memory_bytes: Line
 
 
+@dataclass(frozen=True, slots=True)
+class _Cost:
+    """Cost of the heartbeats of one node in a second."""
+
+    cpu_s: float
+    size_bytes: float
+    memory_bytes: float
+
+
 def run(seed: int, sizes: tuple[int, ...]) -> BenchReport:
     """Measure the cost of heartbeats and configuration and fit slopes.
 
@@ -61,6 +70,7 @@
     }
     of_agents = _heartbeat_lines(agents)
     of_entries = _heartbeat_lines(entries)
+    of_agent = _lines_at_agent(seed, sizes)
     held = _revision_lines(organisations)
     change = organisations[max(organisations)]
     compared = fit([(size, measure_reconciliation(size)) for size in sizes])
@@ -71,8 +81,10 @@
         (
             *_slopes('agent', of_agents),
             *_slopes('entry', of_entries),
+            *_slopes('entry, at an agent', of_agent),
             *_configuration(held, change),
-            *_at_size(of_agents, of_entries, held, change),
+            *_entry_at_size(of_agents, of_entries, held, change),
+            *_agent_at_size(of_agent, held, change),
             *_in_force(seed, sizes),
             Figure('comparison of a rollout per replica', compared.slope * MICROSECONDS, 'us'),
         ),
@@ -84,6 +96,14 @@
     )
 
 
+def _lines_at_agent(seed: int, sizes: tuple[int, ...]) -> _Lines:
+    costs = {
+        size: measure_heartbeats(random.Random(seed), size, Role.entry, own=Role.agent)
+        for size in sizes
+    }
+    return _heartbeat_lines(costs)
+
+
 def _points(costs: dict[int, HeartbeatCost]) -> tuple[tuple[float, float], ...]:
     return tuple((size, cost.bytes_in + cost.bytes_out) for size, cost in costs.items())
 
@@ -122,34 +142,42 @@
     )
 
 
-def _at_size(
+def _entry_at_size(
     of_agents: _Lines,
     of_entries: _Lines,
     held: _Lines,
     change: RevisionCost,
 ) -> tuple[Figure, ...]:
-    changes_per_s = CHANGES_A_DAY / DAY_S
-    changes_cpu = changes_per_s * change.cpu_s
-    changes_bytes = changes_per_s * change.change_bytes
-    entry_cpu = of_agents.cpu_s.at(AGENTS) + of_entries.cpu_s.at(ENTRIES) + changes_cpu
-    entry_bytes = of_agents.size_bytes.at(AGENTS) + of_entries.size_bytes.at(ENTRIES)
-    entry_memory = of_agents.memory_bytes.at(AGENTS) + of_entries.memory_bytes.at(ENTRIES)
-    resources = held.memory_bytes.at(ORGANISATIONS)
-    agent_cpu = of_entries.cpu_s.at(ENTRIES) + changes_cpu
-    agent_bytes = of_entries.size_bytes.at(ENTRIES) + changes_bytes
-    agent_memory = of_entries.memory_bytes.at(ENTRIES) + resources
-    return (
-        *_goals('entry', entry_cpu, entry_bytes + changes_bytes, entry_memory + resources),
-        *_goals('agent', agent_cpu, agent_bytes, agent_memory),
+    cpu_s = of_agents.cpu_s.at(AGENTS) + of_entries.cpu_s.at(ENTRIES)
+    sent = of_agents.size_bytes.at(AGENTS) + of_entries.size_bytes.at(ENTRIES)
+    memory = of_agents.memory_bytes.at(AGENTS) + of_entries.memory_bytes.at(ENTRIES)
+    return _goals('entry', _Cost(cpu_s, sent, memory), held, change)
+
+
+def _agent_at_size(of_agent: _Lines, held: _Lines, change: RevisionCost) -> tuple[Figure, ...]:
+    cost = _Cost(
+        of_agent.cpu_s.at(ENTRIES),
+        of_agent.size_bytes.at(ENTRIES),
+        of_agent.memory_bytes.at(ENTRIES),
     )
+    return _goals('agent', cost, held, change)
 
 
-def _goals(role: str, cpu: float, sent: float, memory: float) -> tuple[Figure, ...]:
+def _goals(
+    role: str,
+    cost: _Cost,
+    held: _Lines,
+    change: RevisionCost,
+) -> tuple[Figure, ...]:
+    changes_per_s = CHANGES_A_DAY / DAY_S
+    cpu_s = cost.cpu_s + changes_per_s * change.cpu_s
+    sent = cost.size_bytes + changes_per_s * change.change_bytes
+    memory = cost.memory_bytes + held.memory_bytes.at(ORGANISATIONS)
     size = f'{ENTRIES} entries, {AGENTS} agents, all to all'
     most = Bound.at_most
     share = PER_CENT * CORE_SHARE
     return (
-        Figure(f'{role} at {size}: core', cpu * PER_CENT, '%', most, share),
+        Figure(f'{role} at {size}: core', cpu_s * PER_CENT, '%', most, share),
         Figure(f'{role} at {size}: traffic', sent, 'B/s', most, BYTES_PER_S),
         Figure(f'{role} at {size}: memory', memory, 'B', most, MEMORY_BYTES),
     )
--- a/src/cassiahitch/bench/heartbeats.py
+++ b/src/cassiahitch/bench/heartbeats.py
@@ -40,15 +40,21 @@
     memory_bytes: int
 
 
-def measure_heartbeats(rng: random.Random, peers: int, role: Role) -> HeartbeatCost:
+def measure_heartbeats(
+    rng: random.Random,
+    peers: int,
+    role: Role,
+    own: Role = Role.entry,
+) -> HeartbeatCost:
     """Let one node exchange heartbeats with its peers.
 
     :param rng: draws what the peers report.
     :param peers: how many there are.
     :param role: what the peers do.
+    :param own: what the node does.
     :return: the cost.
     """
-    node = _Node(rng, peers, role)
+    node = _Node(rng, peers, role, own)
     node.exchange(0)
     start = time.process_time()
     for number in range(1, ROUNDS + 1):
@@ -59,17 +65,17 @@
         sum(len(frame) for frame in node.rounds[0]) / HEARTBEAT_S,
         node.sent_bytes / (ROUNDS + 1) / HEARTBEAT_S,
         2 * peers / HEARTBEAT_S,
-        _memory(rng, peers, role),
+        _memory(rng, peers, role, own),
     )
 
 
 class _Node:
     """A node with peers whose heartbeats are encoded beforehand."""
 
-    def __init__(self, rng: random.Random, peers: int, role: Role) -> None:
+    def __init__(self, rng: random.Random, peers: int, role: Role, own: Role) -> None:
         self.membership = Membership()
         self.role = role
-        self.own = messages.Heartbeat(incarnation=rng.getrandbits(62), revision=rng.getrandbits(24))
+        self.own = _beat(rng, own, 0)
         self.hellos = tuple(_hello(peer, role) for peer in range(peers))
         self.rounds = tuple(
             tuple(_frame(random.Random(peer), role, number) for peer in range(peers))
@@ -102,6 +108,11 @@
 
 
 def _frame(rng: random.Random, role: Role, number: int) -> bytes:
+    beat = _beat(rng, role, number)
+    return pack(encode(Envelope(rng.getrandbits(24), 0, rng.getrandbits(50), beat)))
+
+
+def _beat(rng: random.Random, role: Role, number: int) -> messages.Heartbeat:
     beat = messages.Heartbeat(
         incarnation=rng.getrandbits(62),
         sequence=number + 1,
@@ -111,9 +122,7 @@
         ready=True,
         http_port=PORT,
     )
-    if role is Role.agent:
-        beat = _with_weights(rng, beat)
-    return pack(encode(Envelope(rng.getrandbits(24), 0, rng.getrandbits(50), beat)))
+    return _with_weights(rng, beat) if role is Role.agent else beat
 
 
 def _with_weights(rng: random.Random, beat: messages.Heartbeat) -> messages.Heartbeat:
@@ -130,8 +139,8 @@
     )
 
 
-def _memory(rng: random.Random, peers: int, role: Role) -> int:
-    node = _Node(rng, peers, role)
+def _memory(rng: random.Random, peers: int, role: Role, own: Role) -> int:
+    node = _Node(rng, peers, role, own)
     tracemalloc.start()
     before = tracemalloc.get_traced_memory()[0]
     node.exchange(0)
--- a/tests/bench/test_control.py
+++ b/tests/bench/test_control.py
@@ -64,6 +64,6 @@
         for report in (first, second)
     ]
     assert untimed[0] == untimed[1]
-    assert len(untimed[0]) == 7
+    assert len(untimed[0]) == 8
     missed = [figure.name for figure in first.figures if not figure.met]
     assert any('traffic' in name for name in missed)
