Stop the agent in the test while it runs requests

Cause: an agent that closes without waiting still passed the test, as it ran nothing when it was stopped. Checked: with the waiting removed the test fails (38 runs for 36 answers); restored, it passes.

--- a/tests/e2e/test_operations.py
+++ b/tests/e2e/test_operations.py
@@ -250,6 +250,9 @@
         await until(lambda: not any(_routes(entry, 'model-1') for entry in site.entries))
     if disturbance == 'agent stops':
         agent = site.agents['model-1']
+        engine = site.backends.engines['model-1']
+        engine.step_s = 0.2
+        await until(lambda: engine.running > 1)
         await asyncio.gather(agent.stop(), agent.stop())
     if disturbance == 'entries restart':
         for number in range(3):
