--- a/src/cassiahitch/entry/process.py
+++ b/src/cassiahitch/entry/process.py
@@ -4,18 +4,17 @@
 
 import asyncio
 import random
-import socket
 from contextlib import AsyncExitStack, suppress
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from tornado.httpserver import HTTPServer
-
 from cassiahitch.codes import Code
 from cassiahitch.controllers.configuration import Configuration
 from cassiahitch.entry.assembly import EntryCore, assemble
 from cassiahitch.entry.compaction import compact_changes
 from cassiahitch.entry.directory import Directory
+from cassiahitch.entry.gossip import Gossip, make_gossip
+from cassiahitch.entry.http import serve_http
 from cassiahitch.entry.synchronisation import save_snapshots
 from cassiahitch.errors import PlatformError, WireError
 from cassiahitch.platform.caller import HttpCaller
@@ -41,6 +40,8 @@
 #: Seconds between looks at silent members.
 MEMBER_POLL_S = 0.2
 SNAPSHOT_INTERVAL_S = 5.0
+#: An entry tells its load in these parts.
+LOAD_SCALE = 1000
 
 
 class EntryProcess:
@@ -63,7 +64,13 @@
         self.http_port = 0
         self.configuration = Configuration()
         self.router = Router(settings.region, settings.failure_domain, self.rng)
-        self.directory = Directory(self.node, self.configuration, self.router)
+        self.gossip: Gossip = make_gossip(self.node, self._live_entries, self._held_term)
+        self.directory = Directory(
+            self.node,
+            self.configuration,
+            self.router,
+            self.gossip.gate,
+        )
         self.addresses = AddressBook(settings.region, self.rng)
         self.entries: dict[str, Connection] = {}
         self.stack = AsyncExitStack()
@@ -77,7 +84,7 @@
         self.dialer = Dialer(self.endpoint, self.node.incarnation)
         self.parts = assemble(self._core(), caller)
         self.parts.synchroniser.listeners.append(self._push_configuration)
-        self._serve_http()
+        self.http_port = serve_http(self.parts.application, self.settings, self.stack)
         self._start_tasks()
         self.node.timeline.record(EventKind.process_started)
 
@@ -90,28 +97,19 @@
             self,
             self._live_entries,
             self._is_closing,
+            self.gossip,
         )
 
     def _live_entries(self) -> tuple[Connection, ...]:
         return tuple(self.entries.values())
 
+    def _held_term(self) -> int:
+        leadership = self.parts.leadership
+        return leadership.term if leadership.held else 0
+
     def _is_closing(self) -> bool:
         return self.closing
 
-    def _serve_http(self) -> None:
-        sizes = self.settings.sizes
-        own = socket.create_server((self.settings.address, self.settings.http_port), backlog=1024)
-        own.setblocking(False)  # noqa: WPS425 the only argument of the call
-        self.http_port = int(own.getsockname()[1])
-        server = HTTPServer(
-            self.parts.application,
-            max_body_size=sizes.max_body_bytes,
-            max_header_size=sizes.max_header_bytes,
-        )
-        server.add_socket(own)
-        self.stack.push_async_callback(server.close_all_connections)
-        self.stack.callback(server.stop)
-
     def _start_tasks(self) -> None:
         works = (
             self.parts.synchroniser.work(),
@@ -122,6 +120,8 @@
             save_snapshots(self.parts.synchroniser, SNAPSHOT_INTERVAL_S),
             compact_changes(self.parts.synchroniser.store, self.parts.leadership, self.rng),
             self._poll_hosts(),
+            self.gossip.work(),
+            self.parts.queueing.work(),
             self._poll_members(),
         )
         for work in works:
@@ -213,6 +213,8 @@
             leaving=self.leaving,
             ready=self.configuration.ready,
             http_port=self.http_port,
+            running=int(LOAD_SCALE * self.parts.queueing.load),
+            capacity=LOAD_SCALE,
         )
 
     def opened(self, connection: Connection) -> None:
@@ -255,6 +257,8 @@
                 await self._update_agent(connection, message.revision)
             case messages.Heartbeat():
                 self._hear_entry(connection, message)
+            case messages.EntryGossip():
+                self.gossip.heard(connection.peer.host, message)
             case messages.ConfigurationUpdate():
                 self.parts.synchroniser.apply(decode_update(message))
             case _:
@@ -285,7 +289,7 @@
             peer.failure_domain,
             beat.ready,
             beat.leaving,
-            load=0,
+            load=beat.running / max(1, beat.capacity),
         )
         self.addresses.update(state, self.node.clock.monotonic())
 
@@ -306,7 +310,7 @@
             settings.failure_domain,
             self.configuration.ready,
             self.leaving,
-            load=0,
+            load=self.parts.queueing.load,
         )
         self.addresses.update(state, self.node.clock.monotonic())
 
--- a/src/cassiahitch/wire/endpoint.py
+++ b/src/cassiahitch/wire/endpoint.py
@@ -14,6 +14,7 @@
 
 from cassiahitch.codes import Code
 from cassiahitch.errors import WireError
+from cassiahitch.util.listening import listen, port_of
 from cassiahitch.wire.connection import Connection, ConnectionLimits
 from cassiahitch.wire.handshake import accept_handshake, dial_handshake
 
@@ -58,10 +59,9 @@
         :param port: TCP port, 0 for any free one.
         :return: the port.
         """
-        own = socket.create_server((address, port), backlog=1024)
-        own.setblocking(False)  # noqa: WPS425 the only argument of the call
+        own = listen(address, port)
         self.add_socket(own)
-        return int(own.getsockname()[1])
+        return port_of(own)
 
     async def handle_stream(self, stream: IOStream, address: tuple[str, int]) -> None:
         """Accept a connection.
