--- a/tests/support/process_site.py
+++ b/tests/support/process_site.py
@@ -12,7 +12,7 @@
 from asyncio.subprocess import DEVNULL, PIPE, Process
 from contextlib import AsyncExitStack
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Self
 
 import yaml
 
@@ -100,7 +100,7 @@
         self.agents: dict[str, RunningProcess] = {}
         self.stack = AsyncExitStack()
 
-    async def __aenter__(self) -> ProcessSite:
+    async def __aenter__(self) -> Self:
         self.folder = Path(self.stack.enter_context(tempfile.TemporaryDirectory()))
         (self.folder / 'system.key').write_text(secrets.token_hex())
         self.caller = await self.stack.enter_async_context(HttpCaller())
