End a process that has lost a task, and shorten the executor

Change: the tasks of a process are started in one place, which logs a failure and ends the process with exit code 1; the data of dispatches has a module of its own; identifiers of crashes are dropped with their answers; a sample that nobody waits for any more fails quietly. Checked: tests of the wire, commands, agent, local site and separate processes pass. Conclusion: a supervisor outside sees the failure and can start the process again.

--- a/src/cassiahitch/agent/executor.py
+++ b/src/cassiahitch/agent/executor.py
@@ -3,9 +3,17 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from cassiahitch.agent.dispatches import (
+    MS_PER_S,
+    Ended,
+    QueuedRun,
+    Waiter,
+    ended_by,
+    ignore_part,
+    ledger_message,
+)
 from cassiahitch.agent.exclusive import RunGate
 from cassiahitch.codes import Code, Ran
 from cassiahitch.engine.api import GenerateOrder
@@ -13,11 +21,9 @@
     Action,
     Answered,
     Begin,
-    Dispatch,
     Fail,
     Failure,
     Finish,
-    Outcome,
     Refused,
     Run,
     Start,
@@ -26,7 +32,7 @@
     Sweep,
     Void,
 )
-from cassiahitch.ledger.claim_api import AskOwner, Claim, Commit, ReadRow, Tick
+from cassiahitch.ledger.claim_api import AskOwner, Commit, ReadRow, Tick
 from cassiahitch.metrics.names import CounterName, LatencyName
 from cassiahitch.timeline.events import EventKind
 
@@ -44,48 +50,16 @@
 #: Seconds between sweeps of the ledger.
 SWEEP_S = 1.0
 SWEEP_LIMIT = 1000
-#: Seconds for which the outcome of a request without a caller's key is kept.
-REQUEST_KEEP_S = 60
-#: Seconds for which the outcome of a ticket is kept, longer than it holds and may be asked for.
-TICKET_KEEP_S = 1800
 #: Seconds between looks at claims that are due.
 TICK_S = 0.02
 #: Seconds between looks at whether everything has finished.
 FINISHED_POLL_S = 0.02
 #: Longest wait for the outcomes of claims to be recorded before a stop, in seconds.
 RECORD_TIMEOUT_S = 5
-MS_PER_S = 1000
 #: Hexadecimal digits of a request's identifier; those of its attempt's number follow.
 REQUEST_ID_LENGTH = 30
 
 
-@dataclass(slots=True)
-class Waiter:
-    """A request that waits for the outcome of its key."""
-
-    request_id: str
-    on_part: Callable[[bytes], None]
-    ended: asyncio.Future[Answered | Refused]
-
-
-@dataclass(order=True, slots=True)
-class QueuedRun:
-    """A key that waits for a slot of the backend server."""
-
-    priority: int
-    serial: int
-    key: str = field(compare=False)
-
-
-@dataclass(frozen=True, slots=True)
-class Ended:
-    """End of a dispatch; ``crashed`` tells whether the backend server went down meanwhile."""
-
-    outcome: Outcome
-    crashed: bool
-    replayed: bool
-
-
 class Executor:
     """Owns the ledger, the queue before the backend server and the runs on it."""
 
@@ -152,11 +126,13 @@
         self.waiters[request_id] = Waiter(request_id, on_part, ended)
         key = request_id if dispatch.claim_key else dispatch.ledger_key
         self.dispatches.setdefault(key, dispatch)
-        self.handle(_ledger_message(dispatch, self.node.clock.wall()))
+        self.handle(ledger_message(dispatch, self.node.clock.wall()))
         outcome = await asyncio.shield(ended)
         if self.dispatches.get(key) is dispatch:
             self.dispatches.pop(key)
-        return _ended(outcome, crashed=request_id in self.crashed)
+        crashed = request_id in self.crashed
+        self.crashed.discard(request_id)
+        return ended_by(outcome, crashed=crashed)
 
     def settle(self, message: messages.Void | messages.Status) -> StateReply:
         """Void a key, or tell its state.
@@ -276,7 +252,7 @@
             # Any other run goes on to its end, so that a retry under its key gets the answer.
             self.running_ids.add(request_id)
         waiter = self.waiters.get(request_id)
-        on_part = waiter.on_part if waiter else _ignore_part
+        on_part = waiter.on_part if waiter else ignore_part
         run = await self.backend.run(order, self.admitted_digest, on_part)
         self.running_ids.discard(request_id)
         self._note(EventKind.request_finished, CounterName.runs_finished, request_id)
@@ -318,44 +294,4 @@
             self.handle(Tick())
 
 
-def _ignore_part(_part: bytes) -> None:
-    """Drop a part that nobody waits for."""
-
-
-def _ledger_message(dispatch: messages.Dispatch, wall: float) -> Dispatch | Claim:
-    request_id = dispatch.request_id.hex()
-    body_digest = dispatch.body_digest.hex()
-    not_after = dispatch.not_after_ms / MS_PER_S
-    if not dispatch.claim_key:
-        return Dispatch(
-            dispatch.ledger_key,
-            request_id,
-            body_digest,
-            dispatch.incarnation,
-            not_after,
-            REQUEST_KEEP_S if dispatch.ledger_key == request_id else TICKET_KEEP_S,
-        )
-    return Claim(
-        request_id=request_id,
-        key=dispatch.claim_key,
-        organisation=dispatch.organisation,
-        body_digest=body_digest,
-        incarnation=dispatch.incarnation,
-        not_after=not_after,
-        deadline=dispatch.deadline_ms / MS_PER_S,
-        created=wall,
-    )
-
-
-def _ended(end: Answered | Refused, *, crashed: bool) -> Ended:
-    match end:
-        case Refused(code=code, ran=ran):
-            return Ended(Failure(code, ran), crashed, replayed=False)
-        case Answered(outcome=outcome, replayed=replayed):
-            return Ended(outcome, crashed, replayed)
-
-
-__all__ = (
-    'Ended',
-    'Executor',
-)
+__all__ = ('Executor',)
--- a/src/cassiahitch/agent/process.py
+++ b/src/cassiahitch/agent/process.py
@@ -29,7 +29,7 @@
 if TYPE_CHECKING:
     from collections.abc import Coroutine
 
-    from cassiahitch.agent.executor import Ended
+    from cassiahitch.agent.dispatches import Ended
     from cassiahitch.clock import Clock
     from cassiahitch.settings.models import AgentSettings
     from cassiahitch.wire.api import Reply
@@ -88,9 +88,7 @@
             self.loader.work(),
             self.loader.watch(self.settings.timeouts.heartbeat_s),
         )
-        for work in (*works, *self._model_works()):
-            task = asyncio.create_task(work)
-            self.stack.callback(task.cancel)
+        self.node.tasks.start((*works, *self._model_works()), self.stack)
 
     def _model_works(self) -> tuple[Coroutine[None, None, None], ...]:
         if self.settings.engine_kind is EngineKind.plain:
--- a/src/cassiahitch/agent/sampler.py
+++ b/src/cassiahitch/agent/sampler.py
@@ -43,6 +43,7 @@
         """
         if self.queued is None:
             self.queued = asyncio.create_task(self._ask())
+            self.queued.add_done_callback(_retrieve)
         return await asyncio.shield(self.queued)
 
     async def _ask(self) -> EngineState:
@@ -52,4 +53,10 @@
             return self.latest
 
 
+def _retrieve(task: asyncio.Task[EngineState]) -> None:
+    """Take the failure of a question whose callers have all left."""
+    if not task.cancelled():
+        task.exception()
+
+
 __all__ = ('StateSampler',)
--- a/src/cassiahitch/cli/roles.py
+++ b/src/cassiahitch/cli/roles.py
@@ -8,7 +8,7 @@
 import sys
 from contextlib import ExitStack
 from pathlib import Path
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from cassiahitch.agent.process import AgentProcess
 from cassiahitch.cli.exits import ExitCode
@@ -20,12 +20,17 @@
 from cassiahitch.settings.loader import load_settings
 from cassiahitch.settings.models import AgentSettings, EntrySettings, Role
 
+if TYPE_CHECKING:
+    from cassiahitch.wire.node import Node
+
 LOGGER = logging.getLogger('cassiahitch')
 
 
 class RoleProcess(Protocol):
     """A process that starts, runs its tasks and stops gracefully."""
 
+    node: Node
+
     async def start(self) -> None:
         """Open the sockets and start the tasks."""
 
@@ -84,12 +89,21 @@
     except OSError as error:
         raise CassiahitchError(Code.address_in_use, f'cannot listen: {error.strerror}') from None
     LOGGER.info('started', extra={'process_name': name, **process.ports()})
-    await ended.wait()
+    await _until_ended(ended, process.node.tasks.failed)
     LOGGER.info('leaving', extra={'process_name': name})
     await process.stop()
     LOGGER.info('stopped', extra={'process_name': name})
 
 
+async def _until_ended(signalled: asyncio.Event, failed: asyncio.Event) -> None:
+    waits = {asyncio.create_task(event.wait()) for event in (signalled, failed)}
+    _, pending = await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    for wait in pending:
+        wait.cancel()
+    if failed.is_set():
+        raise CassiahitchError(Code.internal, 'a task of the process failed; the log says why')
+
+
 __all__ = (
     'agent',
     'entry',
--- a/src/cassiahitch/entry/process.py
+++ b/src/cassiahitch/entry/process.py
@@ -123,9 +123,7 @@
             self.parts.queueing.work(),
             self._poll_members(),
         )
-        for work in works:
-            task = asyncio.create_task(work)
-            self.stack.callback(task.cancel)
+        self.node.tasks.start(works, self.stack)
 
     def ports(self) -> dict[str, int]:
         """Return the ports that are listened on.
--- a/src/cassiahitch/wire/node.py
+++ b/src/cassiahitch/wire/node.py
@@ -17,6 +17,7 @@
 from cassiahitch.wire.connection import ConnectionLimits
 from cassiahitch.wire.endpoint import EndpointSettings
 from cassiahitch.wire.messages import Hello
+from cassiahitch.wire.tasks import ProcessTasks
 
 if TYPE_CHECKING:
     from cassiahitch.clock import Clock
@@ -38,6 +39,7 @@
     clock: Clock = field(default_factory=SystemClock)
     incarnation: int = field(default_factory=lambda: secrets.randbits(INCARNATION_BITS))
     port: int = 0
+    tasks: ProcessTasks = field(default_factory=ProcessTasks)
     background: set[asyncio.Task[None]] = field(default_factory=set)
     timeline: Timeline = field(init=False)
     metrics: Metrics = field(init=False)
