Hold a suspect back while the backend server is down

Ruled out: the retry budget and the deadline, which had room. Change: a request that is to run alone waits up to 2 s for a backend server that is down; any other is refused unrun and goes elsewhere. Entry and agent share a base class for their life cycle, which stood twice. Conclusion: an innocent request no longer pays for the crash of the suspect before it.

--- a/src/cassiahitch/agent/executor.py
+++ b/src/cassiahitch/agent/executor.py
@@ -52,6 +52,8 @@
 SWEEP_LIMIT = 1000
 #: Seconds between looks at claims that are due.
 TICK_S = 0.02
+#: Longest wait of a suspect for a backend server that is down, in seconds.
+RESTART_WAIT_S = 2
 #: Seconds between looks at whether everything has finished.
 FINISHED_POLL_S = 0.02
 #: Longest wait for the outcomes of claims to be recorded before a stop, in seconds.
@@ -223,11 +225,15 @@
         while True:
             queued = await self.queue.get()
             dispatch = self.dispatches.get(queued.key)
-            async with self.gate.enter(alone=dispatch is not None and dispatch.alone):
+            alone = dispatch is not None and dispatch.alone
+            async with self.gate.enter(alone=alone):
+                if alone:
+                    # The suspect before it may have crashed the backend server just now.
+                    await self.health.wait_until_up(RESTART_WAIT_S)
                 await self._run_key(queued.key)
 
     async def _run_key(self, key: str) -> None:
-        if not self.admitting:
+        if not self.admitting or self.health.down:
             self._refuse(key, Code.not_ready)
             return
         dispatch = self.dispatches.pop(key, None)
--- a/src/cassiahitch/agent/health.py
+++ b/src/cassiahitch/agent/health.py
@@ -30,16 +30,31 @@
         """
         self.engine = engine
         self.crashes = 0
-        self.down = False
+        self.up = asyncio.Event()
+        self.up.set()
         self.cache_sequence = 0
         self.cache_events: tuple[CachedPrefix, ...] = ()
 
+    @property
+    def down(self) -> bool:
+        """Whether the backend server crashed and was not seen up again."""
+        return not self.up.is_set()
+
     def note_crash(self) -> None:
         """Count a crash, once until the backend server is up again."""
         if not self.down:
-            self.down = True
+            self.up.clear()
             self.crashes += 1
 
+    async def wait_until_up(self, limit_s: float) -> None:
+        """Wait for a backend server that crashed.
+
+        :param limit_s: seconds after which the wait ends anyway.
+        """
+        with suppress(TimeoutError):
+            async with asyncio.timeout(limit_s):
+                await self.up.wait()
+
     async def work(self) -> None:
         """Look whether the backend server is up again, until cancelled."""
         while True:
@@ -47,7 +62,7 @@
             if self.down:
                 with suppress(PlatformError):
                     await self.engine.state()
-                    self.down = False
+                    self.up.set()
 
     async def watch_cache(self) -> None:
         """Read the cache events of the engine until cancelled."""
--- a/src/cassiahitch/agent/process.py
+++ b/src/cassiahitch/agent/process.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import AsyncExitStack, ExitStack
+from contextlib import ExitStack
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from cassiahitch.agent.assembly import SLOTS, assemble
@@ -22,8 +23,7 @@
 from cassiahitch.wire.answers import answer_of, ledger_state
 from cassiahitch.wire.configuration import decode_update
 from cassiahitch.wire.dialer import Dialer
-from cassiahitch.wire.endpoint import Endpoint
-from cassiahitch.wire.node import MS_PER_S, Node
+from cassiahitch.wire.process import BaseProcess
 from cassiahitch.wire.reports import make_report
 
 if TYPE_CHECKING:
@@ -40,7 +40,7 @@
 ANSWERED_POLL_S = 0.02
 
 
-class AgentProcess:
+class AgentProcess(BaseProcess):
     """Wires the parts of an agent; owns all of them through one exit stack."""
 
     def __init__(self, settings: AgentSettings, clock: Clock | None = None) -> None:
@@ -49,25 +49,17 @@
         :param settings: its settings.
         :param clock: source of time, that of the host by default.
         """
+        super().__init__(settings, 'agent', clock)
         self.settings = settings
-        self.node = Node(settings, 'agent') if clock is None else Node(settings, 'agent', clock)
-        self.started_at = self.node.clock.monotonic()
-        self.sequence = 0
-        self.leaving = False
         self.answering = 0
-        self.stopping: asyncio.Task[None] | None = None
         self.configuration = Configuration()
         self.guard = FencingGuard(self.node.incarnation)
-        self.stack = AsyncExitStack()
-        self.tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
         """Open the sockets and start the tasks."""
         settings = self.settings
         caller = await self.stack.enter_async_context(HttpCaller())
-        self.endpoint = Endpoint(self.node.endpoint_settings, self, self.node.clock)
-        self.stack.push_async_callback(self.endpoint.close)
-        self.node.port = self.endpoint.bind_port(settings.address, settings.port)
+        self.endpoint = self.open_endpoint()
         self.staging = Staging(settings.staging_path, settings.staging_bytes)
         self.stack.callback(self.staging.close)
         self.dialer = Dialer(self.endpoint, self.node.incarnation)
@@ -102,16 +94,8 @@
         """
         return {'port': self.node.port}
 
-    async def stop(self) -> None:
-        """Refuse new work, finish what runs and close everything.
-
-        A second call waits for the first one and does not cut it short.
-        """
-        if self.stopping is None:
-            self.stopping = asyncio.create_task(self._stop())
-        await asyncio.shield(self.stopping)
-
-    async def _stop(self) -> None:
+    async def leave(self) -> None:
+        """Refuse new work, finish what runs and close everything."""
         self._leave()
         await self.endpoint.announce()
         await self.executor.finished()
@@ -126,45 +110,13 @@
         self.leaving = True
         self.executor.accepting = False
 
-    async def kill(self) -> None:
-        """Close everything at once, as a crash would."""
-        await self.stack.aclose()
-
-    def hello(self) -> messages.Hello:
-        """Return what the process says of itself.
-
-        :return: the message.
-        """
-        return self.node.hello()
-
-    def stamp(self) -> int:
-        """Return the time of the hybrid clock for a message to send.
-
-        :return: the time.
-        """
-        return self.node.stamp()
-
-    def merge(self, stamp: int) -> None:
-        """Take in the time of the hybrid clock of a message that arrived.
-
-        :param stamp: the time.
-        """
-        self.node.merge(stamp)
-
     def heartbeat(self) -> messages.Heartbeat:
         """Return the heartbeat to send now.
 
         :return: the message.
         """
-        self.sequence += 1
-        clock = self.node.clock.monotonic()
-        return messages.Heartbeat(
-            incarnation=self.node.incarnation,
-            sequence=self.sequence,
-            uptime_ms=int((clock - self.started_at) * MS_PER_S),
-            clock_ms=self.node.clock_ms(),
-            revision=self.configuration.revision,
-            leaving=self.leaving,
+        return replace(
+            self.beat(self.configuration.revision),
             ready=self.executor.admitting and not self.leaving and not self.health.down,
             running=self.executor.running,
             queued=self.executor.queue.qsize(),
@@ -181,13 +133,6 @@
             cache_events=self.health.cache_events,
         )
 
-    def opened(self, connection: Connection) -> None:
-        """Take note of a new connection.
-
-        :param connection: the connection.
-        """
-        self.node.connection_opened(connection)
-
     def ended(self, connection: Connection, reason: WireError) -> None:
         """Take note that a connection ended.
 
--- a/src/cassiahitch/entry/process.py
+++ b/src/cassiahitch/entry/process.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from contextlib import AsyncExitStack, suppress
+from contextlib import suppress
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -23,8 +23,7 @@
 from cassiahitch.wire import messages
 from cassiahitch.wire.configuration import decode_update
 from cassiahitch.wire.dialer import Dialer
-from cassiahitch.wire.endpoint import Endpoint
-from cassiahitch.wire.node import MS_PER_S, Node
+from cassiahitch.wire.process import BaseProcess
 from cassiahitch.wire.reports import make_report
 
 if TYPE_CHECKING:
@@ -43,7 +42,7 @@
 LOAD_SCALE = 1000
 
 
-class EntryProcess:
+class EntryProcess(BaseProcess):
     """Wires the parts of an entry; owns all of them through one exit stack."""
 
     def __init__(self, settings: EntrySettings, clock: Clock | None = None) -> None:
@@ -52,14 +51,10 @@
         :param settings: its settings.
         :param clock: source of time, that of the host by default.
         """
+        super().__init__(settings, 'entry', clock)
         self.settings = settings
-        self.node = Node(settings, 'entry') if clock is None else Node(settings, 'entry', clock)
         self.rng = random.Random(self.node.incarnation)
-        self.started_at = self.node.clock.monotonic()
-        self.sequence = 0
-        self.leaving = False
         self.closing = False
-        self.stopping: asyncio.Task[None] | None = None
         self.http_port = 0
         self.configuration = Configuration()
         self.router = Router(settings.region, settings.failure_domain, self.rng)
@@ -72,14 +67,11 @@
         )
         self.addresses = AddressBook(settings.region, self.rng)
         self.entries: dict[str, Connection] = {}
-        self.stack = AsyncExitStack()
 
     async def start(self) -> None:
         """Open the sockets and start the tasks."""
         caller = await self.stack.enter_async_context(HttpCaller())
-        self.endpoint = Endpoint(self.node.endpoint_settings, self, self.node.clock)
-        self.stack.push_async_callback(self.endpoint.close)
-        self.node.port = self.endpoint.bind_port(self.settings.address, self.settings.port)
+        self.endpoint = self.open_endpoint()
         self.dialer = Dialer(self.endpoint, self.node.incarnation)
         self.parts = assembly.assemble(self._core(), caller)
         self.parts.synchroniser.listeners.append(self._push_configuration)
@@ -132,16 +124,8 @@
         """
         return {'port': self.node.port, 'http_port': self.http_port}
 
-    async def stop(self) -> None:
-        """Leave the addresses, serve for the grace, finish what runs and close everything.
-
-        A second call waits for the first one and does not cut it short.
-        """
-        if self.stopping is None:
-            self.stopping = asyncio.create_task(self._stop())
-        await asyncio.shield(self.stopping)
-
-    async def _stop(self) -> None:
+    async def leave(self) -> None:
+        """Leave the addresses, serve for the grace, finish what runs and close everything."""
         self.leaving = True
         self.node.timeline.record(EventKind.process_leaving)
         self._note_self()
@@ -153,10 +137,6 @@
         await self.stack.aclose()
         self.node.timeline.record(EventKind.process_stopped)
 
-    async def kill(self) -> None:
-        """Close everything at once, as a crash would."""
-        await self.stack.aclose()
-
     async def redial(self, host: str, incarnation: int) -> Connection:
         """Open a new connection to an agent, to settle what is unclear.
 
@@ -173,41 +153,13 @@
         connection.lasting = False
         return connection
 
-    def hello(self) -> messages.Hello:
-        """Return what the process says of itself.
-
-        :return: the message.
-        """
-        return self.node.hello()
-
-    def stamp(self) -> int:
-        """Return the time of the hybrid clock for a message to send.
-
-        :return: the time.
-        """
-        return self.node.stamp()
-
-    def merge(self, stamp: int) -> None:
-        """Take in the time of the hybrid clock of a message that arrived.
-
-        :param stamp: the time.
-        """
-        self.node.merge(stamp)
-
     def heartbeat(self) -> messages.Heartbeat:
         """Return the heartbeat to send now.
 
         :return: the message.
         """
-        self.sequence += 1
-        clock = self.node.clock.monotonic()
-        return messages.Heartbeat(
-            incarnation=self.node.incarnation,
-            sequence=self.sequence,
-            uptime_ms=int((clock - self.started_at) * MS_PER_S),
-            clock_ms=self.node.clock_ms(),
-            revision=self.configuration.revision,
-            leaving=self.leaving,
+        return replace(
+            self.beat(self.configuration.revision),
             ready=self.configuration.ready,
             http_port=self.http_port,
             running=int(LOAD_SCALE * self.parts.queueing.load),
@@ -219,7 +171,7 @@
 
         :param connection: the connection.
         """
-        self.node.connection_opened(connection)
+        super().opened(connection)
         if connection.peer.role == 'entry':
             self.entries[connection.peer.host] = connection
 
