Move the clients of the table service to cassiahitch.stores

Cause: cassiahitch.platform is to be the adapter to the users' platform and nothing else. Change: the package is renamed and its importers follow; no behaviour changes. Conclusion: the name is free for the adapter.

--- a/src/cassiahitch/agent/assembly.py
+++ b/src/cassiahitch/agent/assembly.py
@@ -19,14 +19,14 @@
 from cassiahitch.engine.http import HttpEngine
 from cassiahitch.ledger.claims import ClaimMachine
 from cassiahitch.ledger.ledger import Ledger
-from cassiahitch.platform.http import HttpOrigin, HttpTables
 from cassiahitch.settings.models import EngineKind
+from cassiahitch.stores.http import HttpOrigin, HttpTables
 
 if TYPE_CHECKING:
     from cassiahitch.agent.peers import PeerPool
     from cassiahitch.agent.staging import Staging
-    from cassiahitch.platform.caller import HttpCaller
     from cassiahitch.settings.models import AgentSettings
+    from cassiahitch.stores.caller import HttpCaller
     from cassiahitch.wire.node import Node
 
 #: Requests that run at once on a backend server.
--- a/src/cassiahitch/agent/claims.py
+++ b/src/cassiahitch/agent/claims.py
@@ -26,12 +26,12 @@
 )
 from cassiahitch.ledger.rows import TABLE
 from cassiahitch.metrics.names import CounterName
-from cassiahitch.platform.api import Committed
+from cassiahitch.stores.api import Committed
 from cassiahitch.wire.answers import outcome_of
 from cassiahitch.wire.messages import LedgerState, Void
 
 if TYPE_CHECKING:
-    from cassiahitch.platform.api import TableService
+    from cassiahitch.stores.api import TableService
     from cassiahitch.wire.messages import Message
     from cassiahitch.wire.node import Node
 
--- a/src/cassiahitch/agent/fetching.py
+++ b/src/cassiahitch/agent/fetching.py
@@ -25,7 +25,7 @@
     from cassiahitch.agent.peers import PeerPool
     from cassiahitch.agent.serving import ChunkService
     from cassiahitch.agent.staging import Staging
-    from cassiahitch.platform.api import WeightOrigin
+    from cassiahitch.stores.api import WeightOrigin
     from cassiahitch.weights.tree import Source
     from cassiahitch.wire.messages import FetchOrder
     from cassiahitch.wire.node import Node
--- a/src/cassiahitch/agent/process.py
+++ b/src/cassiahitch/agent/process.py
@@ -16,8 +16,8 @@
 from cassiahitch.controllers.lease import CONTROLLERS as LEASE
 from cassiahitch.errors import CassiahitchError, WireError
 from cassiahitch.metrics.names import CounterName
-from cassiahitch.platform.caller import HttpCaller
 from cassiahitch.settings.models import EngineKind
+from cassiahitch.stores.caller import HttpCaller
 from cassiahitch.timeline.events import EventKind
 from cassiahitch.wire import messages
 from cassiahitch.wire.answers import answer_of, ledger_state
--- a/src/cassiahitch/bench/callers.py
+++ b/src/cassiahitch/bench/callers.py
@@ -8,8 +8,8 @@
 from typing import TYPE_CHECKING
 
 from cassiahitch.codes import Code
-from cassiahitch.platform.caller import Call, CallFailed, HttpCaller
 from cassiahitch.standins.scenario import SEQUENCE, SERVICE, Operator, Scenario
+from cassiahitch.stores.caller import Call, CallFailed, HttpCaller
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
--- a/src/cassiahitch/bench/recovery.py
+++ b/src/cassiahitch/bench/recovery.py
@@ -13,9 +13,9 @@
 from cassiahitch.bench.callers import BenchCallers
 from cassiahitch.codes import Code
 from cassiahitch.errors import CassiahitchError
-from cassiahitch.platform.caller import HttpCaller
 from cassiahitch.standins.scenario import Operator
 from cassiahitch.standins.site import FAILURE_DOMAINS, Site, SiteSize
+from cassiahitch.stores.caller import HttpCaller
 
 if TYPE_CHECKING:
     from cassiahitch.entry.process import EntryProcess
--- a/src/cassiahitch/controllers/archive.py
+++ b/src/cassiahitch/controllers/archive.py
@@ -10,7 +10,7 @@
 
 if TYPE_CHECKING:
     from cassiahitch.controllers.changes import Snapshot
-    from cassiahitch.platform.api import ObjectStore
+    from cassiahitch.stores.api import ObjectStore
 
 #: Seconds of wall time for which one pointer names the newest snapshot.
 SLOT_S = 60
--- a/src/cassiahitch/controllers/lease.py
+++ b/src/cassiahitch/controllers/lease.py
@@ -7,12 +7,12 @@
 from typing import TYPE_CHECKING
 
 from cassiahitch.codes import Code
-from cassiahitch.platform.api import ABSENT, Committed, Condition, Conflicted, Write
+from cassiahitch.stores.api import ABSENT, Committed, Condition, Conflicted, Write
 
 if TYPE_CHECKING:
     import random
 
-    from cassiahitch.platform.api import Row
+    from cassiahitch.stores.api import Row
 
 #: Table of the leases, by name.
 TABLE = 'leases'
--- a/src/cassiahitch/controllers/store.py
+++ b/src/cassiahitch/controllers/store.py
@@ -17,14 +17,14 @@
 )
 from cassiahitch.controllers.references import REFERRING_KINDS, references
 from cassiahitch.errors import PlatformError, ResourceError
-from cassiahitch.platform.api import ABSENT, Committed, Condition, Write
 from cassiahitch.resources.parsing import parse_stored, resource_bytes, resource_key
+from cassiahitch.stores.api import ABSENT, Committed, Condition, Write
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from cassiahitch.platform.api import Row, TableService
     from cassiahitch.resources.models import Resource
+    from cassiahitch.stores.api import Row, TableService
 
 #: Table of the rows ``revision`` and ``floor``.
 TABLE = 'configuration'
--- a/src/cassiahitch/engine/http.py
+++ b/src/cassiahitch/engine/http.py
@@ -13,7 +13,7 @@
 from cassiahitch.codes import Code
 from cassiahitch.engine.api import CacheEvent, EngineState, GenerateOrder, LoadOrder
 from cassiahitch.errors import PlatformError
-from cassiahitch.platform.caller import Call, CallFailed, HttpCaller, Reply
+from cassiahitch.stores.caller import Call, CallFailed, HttpCaller, Reply
 
 HTTP_OK = 200
 HTTP_CONFLICT = 409
--- a/src/cassiahitch/entry/assembly.py
+++ b/src/cassiahitch/entry/assembly.py
@@ -15,7 +15,6 @@
 from cassiahitch.entry.synchronisation import Synchroniser
 from cassiahitch.ledger.tickets import TicketOffice
 from cassiahitch.limits.retries import RetryBudget
-from cassiahitch.platform.http import HttpHosts, HttpObjects, HttpTables
 from cassiahitch.requests.chain import build_chain
 from cassiahitch.requests.dispatch import Dispatching
 from cassiahitch.requests.identification import Identification
@@ -23,16 +22,17 @@
 from cassiahitch.requests.queueing import Queueing
 from cassiahitch.requests.recording import Recording
 from cassiahitch.requests.validation import Validation
+from cassiahitch.stores.http import HttpHosts, HttpObjects, HttpTables
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
     from cassiahitch.entry.directory import Directory
     from cassiahitch.entry.gossip import Gossip
-    from cassiahitch.platform.caller import HttpCaller
     from cassiahitch.requests.attempts import Redialler
     from cassiahitch.routing.addresses import AddressBook
     from cassiahitch.settings.models import EntrySettings
+    from cassiahitch.stores.caller import HttpCaller
     from cassiahitch.wire.connection import Connection
     from cassiahitch.wire.node import Node
 
--- a/src/cassiahitch/entry/leadership.py
+++ b/src/cassiahitch/entry/leadership.py
@@ -25,7 +25,7 @@
     from collections.abc import Callable
 
     from cassiahitch.controllers.lease import LeaseAction
-    from cassiahitch.platform.api import TableService
+    from cassiahitch.stores.api import TableService
     from cassiahitch.wire.node import Node
 
 #: Seconds between looks at what is due.
--- a/src/cassiahitch/entry/operators.py
+++ b/src/cassiahitch/entry/operators.py
@@ -25,7 +25,7 @@
     from cassiahitch.entry.directory import Directory
     from cassiahitch.entry.reports import Reports
     from cassiahitch.entry.synchronisation import Synchroniser
-    from cassiahitch.platform.api import TableService
+    from cassiahitch.stores.api import TableService
     from cassiahitch.wire.node import Node
 
 NO_CHANGE_ID_BYTES = 16
--- a/src/cassiahitch/entry/process.py
+++ b/src/cassiahitch/entry/process.py
@@ -16,9 +16,9 @@
 from cassiahitch.entry.http import serve_http
 from cassiahitch.entry.synchronisation import save_snapshots
 from cassiahitch.errors import PlatformError, WireError
-from cassiahitch.platform.caller import HttpCaller
 from cassiahitch.routing.addresses import AddressBook, EntryState
 from cassiahitch.routing.router import Router
+from cassiahitch.stores.caller import HttpCaller
 from cassiahitch.timeline.events import EventKind
 from cassiahitch.wire import messages
 from cassiahitch.wire.configuration import decode_update
--- a/src/cassiahitch/entry/retention.py
+++ b/src/cassiahitch/entry/retention.py
@@ -18,12 +18,12 @@
     SweepTick,
 )
 from cassiahitch.metrics.names import CounterName, GaugeName
-from cassiahitch.platform.api import Committed
+from cassiahitch.stores.api import Committed
 
 if TYPE_CHECKING:
     from cassiahitch.entry.leadership import Leadership
     from cassiahitch.ledger.sweep import SweepAction, SweepMessage
-    from cassiahitch.platform.api import TableService
+    from cassiahitch.stores.api import TableService
     from cassiahitch.wire.node import Node
 
 #: Seconds between looks at whether a page is due.
--- a/src/cassiahitch/entry/rollouts.py
+++ b/src/cassiahitch/entry/rollouts.py
@@ -13,8 +13,8 @@
 from cassiahitch.entry.progress import RolloutProgress
 from cassiahitch.errors import CassiahitchError
 from cassiahitch.members.membership import Health
-from cassiahitch.platform.api import ABSENT, Condition, Conflicted, Write
 from cassiahitch.resources.models import Adapter, Model
+from cassiahitch.stores.api import ABSENT, Condition, Conflicted, Write
 from cassiahitch.timeline.events import EventKind
 from cassiahitch.weights.plan import Participant, build_plan, parse_plan
 from cassiahitch.wire import messages
@@ -24,7 +24,7 @@
     from cassiahitch.entry.directory import Directory
     from cassiahitch.entry.leadership import Leadership
     from cassiahitch.members.membership import Member
-    from cassiahitch.platform.api import TableService
+    from cassiahitch.stores.api import TableService
     from cassiahitch.wire.node import Node
 
 PLANS = 'plans'
--- a/src/cassiahitch/entry/starting.py
+++ b/src/cassiahitch/entry/starting.py
@@ -29,7 +29,7 @@
 
     from cassiahitch.controllers.bootstrap import BootstrapAction, BootstrapEvent
     from cassiahitch.controllers.store import ConfigurationStore
-    from cassiahitch.platform.api import ObjectStore
+    from cassiahitch.stores.api import ObjectStore
     from cassiahitch.wire.connection import Connection
     from cassiahitch.wire.node import Node
 
--- a/src/cassiahitch/entry/synchronisation.py
+++ b/src/cassiahitch/entry/synchronisation.py
@@ -23,7 +23,7 @@
 
     from cassiahitch.controllers.configuration import Configuration, ConfigurationAction
     from cassiahitch.controllers.store import ConfigurationStore
-    from cassiahitch.platform.api import ObjectStore
+    from cassiahitch.stores.api import ObjectStore
     from cassiahitch.wire.connection import Connection
     from cassiahitch.wire.node import Node
 
--- a/src/cassiahitch/ledger/claim_api.py
+++ b/src/cassiahitch/ledger/claim_api.py
@@ -11,7 +11,7 @@
 from cassiahitch.ledger.api import RETENTION_S, Outcome, State
 from cassiahitch.ledger.api import Action as LedgerAction
 from cassiahitch.ledger.api import Message as LedgerMessage
-from cassiahitch.platform.api import Condition, Row, Write
+from cassiahitch.stores.api import Condition, Row, Write
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cassiahitch/ledger/claim_book.py
+++ b/src/cassiahitch/ledger/claim_book.py
@@ -11,7 +11,7 @@
 from cassiahitch.ledger.api import Failure, Run, State
 from cassiahitch.ledger.commits import GroupCommit, Member, Purpose
 from cassiahitch.ledger.rows import ClaimRow, is_inline
-from cassiahitch.platform.api import ABSENT
+from cassiahitch.stores.api import ABSENT
 
 if TYPE_CHECKING:
     from random import Random
--- a/src/cassiahitch/ledger/claim_conflicts.py
+++ b/src/cassiahitch/ledger/claim_conflicts.py
@@ -18,14 +18,14 @@
 )
 from cassiahitch.ledger.claim_book import Stage
 from cassiahitch.ledger.rows import parse_row
-from cassiahitch.platform.api import ABSENT
+from cassiahitch.stores.api import ABSENT
 
 if TYPE_CHECKING:
     from cassiahitch.ledger.api import Outcome
     from cassiahitch.ledger.claim_api import ClaimAction, OwnerReply, ReadReply
     from cassiahitch.ledger.claim_book import ClaimBook, Pending
     from cassiahitch.ledger.rows import ClaimRow
-    from cassiahitch.platform.api import Row
+    from cassiahitch.stores.api import Row
 
 
 class ClaimConflicts:
--- a/src/cassiahitch/ledger/commits.py
+++ b/src/cassiahitch/ledger/commits.py
@@ -8,7 +8,7 @@
 
 from cassiahitch.ledger.claim_api import ClaimLimits, Commit
 from cassiahitch.ledger.rows import TABLE
-from cassiahitch.platform.api import ABSENT, Condition, Row, Write
+from cassiahitch.stores.api import ABSENT, Condition, Row, Write
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/src/cassiahitch/ledger/rows.py
+++ b/src/cassiahitch/ledger/rows.py
@@ -15,7 +15,7 @@
 
 if TYPE_CHECKING:
     from cassiahitch.ledger.api import Outcome
-    from cassiahitch.platform.api import Row
+    from cassiahitch.stores.api import Row
 
 TABLE = 'claims'
 #: Largest answer that is kept on its row; larger ones are fetched from the agent that ran it.
--- a/src/cassiahitch/ledger/sweep.py
+++ b/src/cassiahitch/ledger/sweep.py
@@ -9,7 +9,7 @@
 from cassiahitch.codes import Code, Ran
 from cassiahitch.errors import PlatformError
 from cassiahitch.ledger.rows import TABLE, ClaimRow, RowState, parse_row
-from cassiahitch.platform.api import Condition, Row, Write
+from cassiahitch.stores.api import Condition, Row, Write
 
 if TYPE_CHECKING:
     from random import Random
--- a/src/cassiahitch/members/listing.py
+++ b/src/cassiahitch/members/listing.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from cassiahitch.platform.api import HostRecord
+    from cassiahitch.stores.api import HostRecord
 
 #: Seconds by which the host list lags at most.
 LAG_S = 60.0
--- a/src/cassiahitch/members/membership.py
+++ b/src/cassiahitch/members/membership.py
@@ -10,7 +10,7 @@
 from cassiahitch.members.listing import Listing, Verdict
 
 if TYPE_CHECKING:
-    from cassiahitch.platform.api import HostRecord
+    from cassiahitch.stores.api import HostRecord
 
 #: Seconds between heartbeats.
 HEARTBEAT_S = 1.0
--- a/src/cassiahitch/standins/platform.py
+++ b/src/cassiahitch/standins/platform.py
@@ -7,9 +7,9 @@
 
 from cassiahitch.codes import Code
 from cassiahitch.errors import PlatformError
-from cassiahitch.platform.api import Conflicted, HostRecord, TableService
-from cassiahitch.platform.rows import OutcomeModel, RowModel, RowsModel, TransactionModel
 from cassiahitch.standins.http import StandInHandler, StandInServer
+from cassiahitch.stores.api import Conflicted, HostRecord, TableService
+from cassiahitch.stores.rows import OutcomeModel, RowModel, RowsModel, TransactionModel
 
 HTTP_UNAVAILABLE = 503
 HTTP_NOT_FOUND = 404
--- a/src/cassiahitch/standins/scenario.py
+++ b/src/cassiahitch/standins/scenario.py
@@ -13,8 +13,8 @@
 
 from cassiahitch.codes import Code
 from cassiahitch.errors import CassiahitchError
-from cassiahitch.platform.caller import Call, HttpCaller
 from cassiahitch.standins.engines import draft
+from cassiahitch.stores.caller import Call, HttpCaller
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/cassiahitch/standins/site.py
+++ b/src/cassiahitch/standins/site.py
@@ -14,7 +14,6 @@
 
 from cassiahitch.agent.process import AgentProcess
 from cassiahitch.entry.process import EntryProcess
-from cassiahitch.platform.api import HostRecord
 from cassiahitch.settings.models import (
     AgentSettings,
     EngineKind,
@@ -37,6 +36,7 @@
     serve_tables,
 )
 from cassiahitch.standins.tables import MemoryTables
+from cassiahitch.stores.api import HostRecord
 from cassiahitch.util.endpoints import Endpoint
 from cassiahitch.weights.manifest import Manifest, build_manifest
 
--- a/src/cassiahitch/standins/tables.py
+++ b/src/cassiahitch/standins/tables.py
@@ -11,7 +11,7 @@
 
 from cassiahitch.codes import Code
 from cassiahitch.errors import PlatformError
-from cassiahitch.platform.api import ABSENT, Committed, Condition, Conflicted, Row, Write
+from cassiahitch.stores.api import ABSENT, Committed, Condition, Conflicted, Row, Write
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -58,7 +58,7 @@
 
 
 class MemoryTables:
-    """A :class:`~cassiahitch.platform.api.TableService` that keeps its rows in memory."""
+    """A :class:`~cassiahitch.stores.api.TableService` that keeps its rows in memory."""
 
     def __init__(
         self,
--- a/src/cassiahitch/platform/http.py
+++ b/src/cassiahitch/stores/http.py
@@ -10,7 +10,7 @@
 
 from cassiahitch.codes import Code
 from cassiahitch.errors import PlatformError
-from cassiahitch.platform.api import (
+from cassiahitch.stores.api import (
     Committed,
     Condition,
     Conflicted,
@@ -18,8 +18,8 @@
     Row,
     Write,
 )
-from cassiahitch.platform.caller import Call, CallFailed, HttpCaller, Reply
-from cassiahitch.platform.rows import (
+from cassiahitch.stores.caller import Call, CallFailed, HttpCaller, Reply
+from cassiahitch.stores.rows import (
     ConditionModel,
     OutcomeModel,
     RowsModel,
--- a/src/cassiahitch/platform/rows.py
+++ b/src/cassiahitch/stores/rows.py
@@ -9,7 +9,7 @@
 
 from cassiahitch.codes import Code
 from cassiahitch.errors import PlatformError
-from cassiahitch.platform.api import Condition, Row, Write
+from cassiahitch.stores.api import Condition, Row, Write
 
 ModelT = TypeVar('ModelT', bound=BaseModel)
 
--- a/tests/controllers/test_lease.py
+++ b/tests/controllers/test_lease.py
@@ -19,7 +19,7 @@
     Lost,
     ReadLease,
 )
-from cassiahitch.platform.api import ABSENT, Committed, Conflicted, Row
+from cassiahitch.stores.api import ABSENT, Committed, Conflicted, Row
 
 
 @dataclass
--- a/tests/controllers/test_store.py
+++ b/tests/controllers/test_store.py
@@ -9,9 +9,9 @@
 from cassiahitch.codes import Code
 from cassiahitch.controllers.store import Accepted, ConfigurationStore
 from cassiahitch.errors import CassiahitchError, PlatformError, ResourceError
-from cassiahitch.platform.api import Committed, Condition, Conflicted, Row, Write
 from cassiahitch.resources.models import Deployment, Model, Service, ServiceType
 from cassiahitch.standins.tables import MemoryTables
+from cassiahitch.stores.api import Committed, Condition, Conflicted, Row, Write
 
 MODEL = Model(name='menu', version='v1', origin='menu/v1', manifest='a' * 64)
 SERVICE = Service(name='draft', type=ServiceType.model, idempotent=True)
--- a/tests/e2e/test_claims_and_tickets.py
+++ b/tests/e2e/test_claims_and_tickets.py
@@ -13,10 +13,10 @@
 from cassiahitch.codes import Code
 from cassiahitch.ledger.rows import TABLE, ClaimRow, row_key
 from cassiahitch.ledger.sweep import SweepLimits
-from cassiahitch.platform.api import Write
-from cassiahitch.platform.caller import Call, HttpCaller
 from cassiahitch.standins.scenario import Operator
 from cassiahitch.standins.site import Site, SiteSize
+from cassiahitch.stores.api import Write
+from cassiahitch.stores.caller import Call, HttpCaller
 
 SERVICE = 'invoice-number'
 SECRET = 'secret'
--- a/tests/e2e/test_operations.py
+++ b/tests/e2e/test_operations.py
@@ -12,9 +12,9 @@
 
 from cassiahitch.codes import Code
 from cassiahitch.errors import CassiahitchError
-from cassiahitch.platform.caller import CallFailed, HttpCaller
 from cassiahitch.standins.scenario import Operator, Scenario
 from cassiahitch.standins.site import Site, SiteSize
+from cassiahitch.stores.caller import CallFailed, HttpCaller
 
 #: Seconds after which a condition that should hold counts as failed.
 LIMIT_S = 20
--- a/tests/e2e/test_requests.py
+++ b/tests/e2e/test_requests.py
@@ -8,10 +8,10 @@
 from typing import TYPE_CHECKING, Any
 
 from cassiahitch.limits.fairqueue import QueueLimits
-from cassiahitch.platform.caller import Call, HttpCaller
 from cassiahitch.standins.engines import draft
 from cassiahitch.standins.scenario import Operator
 from cassiahitch.standins.site import Site, SiteSize
+from cassiahitch.stores.caller import Call, HttpCaller
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/tests/e2e/test_streams.py
+++ b/tests/e2e/test_streams.py
@@ -11,8 +11,8 @@
 from process_site import SECRET, ProcessSite, until
 
 from cassiahitch.codes import Code
-from cassiahitch.platform.caller import Call
 from cassiahitch.standins.engines import draft
+from cassiahitch.stores.caller import Call
 
 BODY = 'menu with ünicode and new prices'
 Event = tuple[str, dict[str, Any]]
--- a/tests/e2e/test_weights.py
+++ b/tests/e2e/test_weights.py
@@ -11,10 +11,10 @@
 
 from cassiahitch.controllers.rollout import serving_digest
 from cassiahitch.metrics.names import CounterName
-from cassiahitch.platform.caller import HttpCaller
 from cassiahitch.standins.origin import corrupted
 from cassiahitch.standins.scenario import Operator
 from cassiahitch.standins.site import Site, SiteSize
+from cassiahitch.stores.caller import HttpCaller
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
--- a/tests/fuzz/test_callers.py
+++ b/tests/fuzz/test_callers.py
@@ -8,11 +8,11 @@
 from typing import TYPE_CHECKING
 
 from cassiahitch.codes import Code, Ran
-from cassiahitch.platform.caller import Call, HttpCaller
 from cassiahitch.standins.site import Site, SiteSize
+from cassiahitch.stores.caller import Call, HttpCaller
 
 if TYPE_CHECKING:
-    from cassiahitch.platform.caller import Reply
+    from cassiahitch.stores.caller import Reply
 
 REQUESTS = 3_000
 MAX_HEADER_BYTES = 16_384
--- a/tests/fuzz/test_clients.py
+++ b/tests/fuzz/test_clients.py
@@ -15,9 +15,9 @@
 from cassiahitch.engine.api import GenerateOrder, LoadOrder
 from cassiahitch.engine.http import HttpEngine
 from cassiahitch.errors import CassiahitchError
-from cassiahitch.platform.api import Condition, Write
-from cassiahitch.platform.caller import Call, HttpCaller, Reply
-from cassiahitch.platform.http import HttpHosts, HttpTables
+from cassiahitch.stores.api import Condition, Write
+from cassiahitch.stores.caller import Call, HttpCaller, Reply
+from cassiahitch.stores.http import HttpHosts, HttpTables
 
 URL = 'http://127.0.0.1:1'
 
--- a/tests/fuzz/test_parsers.py
+++ b/tests/fuzz/test_parsers.py
@@ -23,11 +23,11 @@
 from cassiahitch.ledger.rows import parse_row
 from cassiahitch.ledger.tickets import TicketOffice
 from cassiahitch.metrics.encoding import decode_snapshot as decode_metrics
-from cassiahitch.platform import rows
-from cassiahitch.platform.api import Row
 from cassiahitch.resources.parsing import parse_resource, parse_stored
 from cassiahitch.settings.loader import parse_settings
 from cassiahitch.settings.models import Role
+from cassiahitch.stores import rows
+from cassiahitch.stores.api import Row
 from cassiahitch.timeline.encoding import decode_events
 from cassiahitch.util.endpoints import parse_endpoint
 from cassiahitch.weights.manifest import parse_manifest
--- a/tests/ledger/test_at_most_once.py
+++ b/tests/ledger/test_at_most_once.py
@@ -61,7 +61,7 @@
     SweepTick,
 )
 from cassiahitch.ledger.tickets import TicketOffice
-from cassiahitch.platform.api import ABSENT, Condition, Row, Write
+from cassiahitch.stores.api import ABSENT, Condition, Row, Write
 
 AGENTS = 2  # The one that does not hold a claim is the other one.
 YOUNG_KEYS = 3
--- a/tests/ledger/test_claims.py
+++ b/tests/ledger/test_claims.py
@@ -45,7 +45,7 @@
 from cassiahitch.ledger.claims import ClaimMachine
 from cassiahitch.ledger.ledger import Ledger
 from cassiahitch.ledger.rows import TABLE, ClaimRow, parse_row, row_key
-from cassiahitch.platform.api import ABSENT, Condition, Row, Write
+from cassiahitch.stores.api import ABSENT, Condition, Row, Write
 
 INCARNATION = 7
 BODY = hashlib.sha256(b'body').hexdigest()
--- a/tests/ledger/test_sweep.py
+++ b/tests/ledger/test_sweep.py
@@ -17,7 +17,7 @@
     SweepLimits,
     SweepTick,
 )
-from cassiahitch.platform.api import Condition, Row
+from cassiahitch.stores.api import Condition, Row
 
 WALL = 10_000.0
 LIMITS = SweepLimits(retention_s=1000, page_rows=3, interval_s=1, pause_s=60, settle_s=100)
--- a/tests/members/test_membership.py
+++ b/tests/members/test_membership.py
@@ -20,7 +20,7 @@
     Place,
     Role,
 )
-from cassiahitch.platform.api import HostRecord
+from cassiahitch.stores.api import HostRecord
 
 PLACE = Place(Role.agent, '127.0.0.1:9', 'west', 'w1')
 
--- a/tests/standins/test_tables.py
+++ b/tests/standins/test_tables.py
@@ -7,8 +7,8 @@
 
 from cassiahitch.codes import Code
 from cassiahitch.errors import PlatformError
-from cassiahitch.platform.api import ABSENT, Committed, Condition, Conflicted, Row, Write
 from cassiahitch.standins.tables import MemoryTables
+from cassiahitch.stores.api import ABSENT, Committed, Condition, Conflicted, Row, Write
 
 
 def test_commit_applies_all_or_nothing() -> None:
--- a/tests/support/process_site.py
+++ b/tests/support/process_site.py
@@ -16,7 +16,6 @@
 
 import yaml
 
-from cassiahitch.platform.caller import Call, HttpCaller, Reply
 from cassiahitch.standins.engines import (
     SequenceService,
     StandInEngine,
@@ -33,6 +32,7 @@
 )
 from cassiahitch.standins.scenario import Operator
 from cassiahitch.standins.tables import MemoryTables
+from cassiahitch.stores.caller import Call, HttpCaller, Reply
 from cassiahitch.weights.manifest import build_manifest
 
 if TYPE_CHECKING:
