--- a/src/cassiahitch/cli/commands.py
+++ b/src/cassiahitch/cli/commands.py
@@ -5,12 +5,13 @@
 import defopt
 
 from cassiahitch.cli.benches import bench
+from cassiahitch.cli.direct import direct_agent, direct_entry
 from cassiahitch.cli.local import local
 from cassiahitch.cli.observing import metrics, timeline
 from cassiahitch.cli.operators import apply, delete, drain, get, status, watch
 from cassiahitch.cli.roles import agent, entry
 
-ROLES = (entry, agent, local)
+ROLES = (entry, agent, local, direct_entry, direct_agent)
 OPERATORS = (apply, get, delete, watch, status, drain, timeline, metrics)
 
 
@@ -20,7 +21,9 @@
     :param arguments: the command line, that of the process by default.
     :return: the exit code of the process.
     """
-    commands = {command.__name__: command for command in (*ROLES, *OPERATORS, bench)}
+    commands = {
+        command.__name__.replace('_', '-'): command for command in (*ROLES, *OPERATORS, bench)
+    }
     return int(defopt.run(commands, argv=arguments, short={}))
 
 
--- /dev/null
+++ b/src/cassiahitch/cli/direct.py
@@ -0,0 +1,80 @@
+"""Commands that run a role on the users' platform until a signal ends it."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import sys
+from contextlib import ExitStack
+from pathlib import Path
+
+from cassiahitch.cli.exits import ExitCode
+from cassiahitch.cli.rendering import print_line
+from cassiahitch.cli.roles import serve_until_ended
+from cassiahitch.direct.agent import DirectAgent
+from cassiahitch.direct.entry import DirectEntry
+from cassiahitch.metrics.logs import configure_bounded_logs
+from cassiahitch.platform.adapter import Platform
+from cassiahitch.settings.direct import DirectAgentSettings, DirectEntrySettings, DirectSettings
+from cassiahitch.settings.loader import load_as
+from cassiahitch.stores.caller import HttpCaller
+
+
+def direct_entry(settings: Path, *, check: bool = False) -> int:
+    """Serve callers whose requests go to backend servers directly.
+
+    :param settings: settings in YAML.
+    :param check: only validate the settings.
+    :return: the exit code.
+    """
+    loaded = load_as(DirectEntrySettings, settings)
+    if check:
+        return _checked(settings, loaded)
+    with ExitStack() as stack:
+        _configure_logs(loaded, stack)
+        asyncio.run(_serve_entry(loaded))
+    return ExitCode.fine
+
+
+def direct_agent(settings: Path, *, check: bool = False) -> int:
+    """Keep the model engine of a host at the declared weights.
+
+    :param settings: settings in YAML.
+    :param check: only validate the settings.
+    :return: the exit code.
+    """
+    loaded = load_as(DirectAgentSettings, settings)
+    if check:
+        return _checked(settings, loaded)
+    with ExitStack() as stack:
+        _configure_logs(loaded, stack)
+        asyncio.run(_serve_agent(loaded))
+    return ExitCode.fine
+
+
+async def _serve_entry(settings: DirectEntrySettings) -> None:
+    async with HttpCaller() as caller:
+        entry = DirectEntry(settings, Platform(caller, settings.store))
+        await serve_until_ended(entry, settings.name)
+
+
+async def _serve_agent(settings: DirectAgentSettings) -> None:
+    async with HttpCaller() as caller:
+        agent = DirectAgent(settings, Platform(caller, settings.store), caller)
+        await serve_until_ended(agent, settings.name)
+
+
+def _configure_logs(settings: DirectSettings, stack: ExitStack) -> None:
+    handler = configure_bounded_logs(settings.log_level, sys.stdout.fileno())
+    stack.callback(logging.getLogger().removeHandler, handler)
+
+
+def _checked(path: Path, settings: DirectSettings) -> int:
+    print_line(f'{path}: settings of {settings.name} are valid')
+    return ExitCode.fine
+
+
+__all__ = (
+    'direct_agent',
+    'direct_entry',
+)
--- a/src/cassiahitch/cli/roles.py
+++ b/src/cassiahitch/cli/roles.py
@@ -21,7 +21,7 @@
 from cassiahitch.settings.models import AgentSettings, EntrySettings, Role
 
 if TYPE_CHECKING:
-    from cassiahitch.wire.node import Node
+    from cassiahitch.wire.tasks import ProcessTasks
 
 LOGGER = logging.getLogger('cassiahitch')
 
@@ -29,7 +29,7 @@
 class RoleProcess(Protocol):
     """A process that starts, runs its tasks and stops gracefully."""
 
-    node: Node
+    tasks: ProcessTasks
 
     async def start(self) -> None:
         """Open the sockets and start the tasks."""
@@ -74,11 +74,11 @@
     with ExitStack() as stack:
         handler = configure_logs(settings.log_level, (key,), sys.stderr)
         stack.callback(logging.getLogger().removeHandler, handler)
-        asyncio.run(_serve(process, settings.name))
+        asyncio.run(serve_until_ended(process, settings.name))
     return ExitCode.fine
 
 
-async def _serve(process: RoleProcess, name: str) -> None:
+async def serve_until_ended(process: RoleProcess, name: str) -> None:
     # The handlers stay in place while the process stops, so a second signal cuts nothing short.
     ended = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -89,7 +89,7 @@
     except OSError as error:
         raise CassiahitchError(Code.address_in_use, f'cannot listen: {error.strerror}') from None
     LOGGER.info('started', extra={'process_name': name, **process.ports()})
-    await _until_ended(ended, process.node.tasks.failed)
+    await _until_ended(ended, process.tasks.failed)
     LOGGER.info('leaving', extra={'process_name': name})
     await process.stop()
     LOGGER.info('stopped', extra={'process_name': name})
@@ -105,6 +105,8 @@
 
 
 __all__ = (
+    'RoleProcess',
     'agent',
     'entry',
+    'serve_until_ended',
 )
--- a/src/cassiahitch/codes.py
+++ b/src/cassiahitch/codes.py
@@ -41,6 +41,7 @@
     not_found = 1019
     method_not_allowed = 1020
     header_too_large = 1021
+    configuration_stale = 1022
 
     # 1100: at most once
     key_reused = 1100
--- /dev/null
+++ b/src/cassiahitch/direct/agent.py
@@ -0,0 +1,112 @@
+"""The process of an agent whose engine gets its requests from entries directly."""
+
+from __future__ import annotations
+
+import random
+import time
+from contextlib import AsyncExitStack
+from typing import TYPE_CHECKING
+
+from tornado.httpserver import HTTPServer
+
+from cassiahitch.direct.agentbeliefs import AgentBeliefs
+from cassiahitch.direct.chunkservice import chunk_service
+from cassiahitch.direct.feed import TableFeed
+from cassiahitch.direct.following import TableFollower
+from cassiahitch.direct.journal import BeliefLog
+from cassiahitch.direct.library import ChunkLibrary
+from cassiahitch.direct.loading import Loader
+from cassiahitch.direct.peerchunks import PeerChunks
+from cassiahitch.direct.reporting import LoadReporter
+from cassiahitch.direct.versions import VersionPolicy
+from cassiahitch.metrics.exposition import metrics_service
+from cassiahitch.metrics.registry import Metrics
+from cassiahitch.util.listening import listen
+from cassiahitch.weights.plan import Participant
+from cassiahitch.wire.datagrams import DatagramSocket
+from cassiahitch.wire.tasks import ProcessTasks
+
+if TYPE_CHECKING:
+    from tornado.web import Application
+
+    from cassiahitch.direct.surroundings import AgentSurroundings
+    from cassiahitch.settings.direct import DirectAgentSettings
+    from cassiahitch.stores.caller import HttpCaller
+
+#: Longest wait for a change of the declarations, in seconds.
+DECLARATION_WAIT_S = 8.0
+
+
+class DirectAgent:
+    """Owns the sockets and tasks of an agent."""
+
+    def __init__(
+        self,
+        settings: DirectAgentSettings,
+        around: AgentSurroundings,
+        caller: HttpCaller,
+    ) -> None:
+        """Create it; nothing listens yet.
+
+        :param settings: its settings.
+        :param around: the platform.
+        :param caller: makes the calls to other agents.
+        """
+        self.settings = settings
+        self.around = around
+        self.rng = random.Random()
+        self.tasks = ProcessTasks()
+        self.stack = AsyncExitStack()
+        self.metrics = Metrics(settings.name)
+        self.log = BeliefLog()
+        engine = around.engine(settings.engine)
+        peers = PeerChunks(caller, settings.peer_port)
+        self.library = ChunkLibrary(engine, around.origin, peers)
+        versions = VersionPolicy(settings.bounds.weights_s)
+        self.beliefs = AgentBeliefs(settings, around, self.library, self.log, versions, self.rng)
+        member = Participant(settings.address, settings.region, settings.failure_domain)
+        self.loader = Loader(
+            engine, self.library, self.beliefs, self.metrics, self.log, member, self.rng
+        )
+        self.reporter = LoadReporter(
+            engine, self.beliefs, self.loader, self.log, time.time_ns(), self.rng
+        )
+
+    async def start(self) -> None:
+        """Open the sockets and start the tasks."""
+        settings = self.settings
+        self._serve(chunk_service(self.library), settings.peer_port)
+        self._serve(metrics_service(self.metrics), settings.metrics_port)
+        datagrams = DatagramSocket(self.reporter.receive, self.reporter.refused)
+        await datagrams.open(settings.address, settings.peer_port)
+        self.stack.callback(datagrams.close)
+        self.reporter.socket = datagrams
+        declarations = TableFollower(
+            self.around.store,
+            self.around.tables.operator,
+            TableFeed(self.rng),
+            self.beliefs.take_declarations,
+            self.log,
+            DECLARATION_WAIT_S,
+        )
+        works = (declarations.work(), self.reporter.work(), self.loader.work())
+        self.tasks.start(works, self.stack)
+
+    def ports(self) -> dict[str, int]:
+        """Return the ports that are listened on, by the names of their settings.
+
+        :return: ports.
+        """
+        return {'peer_port': self.settings.peer_port}
+
+    async def stop(self) -> None:
+        """Close everything; the engine goes on with what it has loaded."""
+        await self.stack.aclose()
+
+    def _serve(self, application: Application, port: int) -> None:
+        server = HTTPServer(application)
+        server.add_socket(listen(self.settings.address, port))
+        self.stack.callback(server.stop)
+
+
+__all__ = ('DirectAgent',)
--- /dev/null
+++ b/src/cassiahitch/direct/api.py
@@ -0,0 +1,189 @@
+"""What the direct path needs of its surroundings, and the requests that run on it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Protocol
+
+from cassiahitch.codes import Ran
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from cassiahitch.direct.catalogue import Organisation, Route
+    from cassiahitch.direct.feed import Reply
+    from cassiahitch.direct.replicas import Replica
+    from cassiahitch.routing.suspects import Fingerprint
+    from cassiahitch.stores.api import Committed, Condition, Conflicted, Write
+
+Headers = tuple[tuple[str, str], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Generation:
+    """What a request asks of a model engine, in tokens."""
+
+    model: str
+    prompt_tokens: int
+    longest_answer: int
+    expected_answer: int
+
+
+@dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """A whole request as its caller sent it.
+
+    ``patience_s`` is how long the caller waits, ``after_event`` the last event that it has of a
+    stream, ``headers`` those to pass on.
+    """
+
+    method: str
+    target: str
+    host: str
+    headers: Headers
+    body: bytes
+    attempt_id: str
+    key: str = ''
+    patience_s: float | None = None
+    generation: Generation | None = None
+    after_event: str = ''
+
+    @property
+    def path(self) -> str:
+        """The target without its query."""
+        return self.target.partition('?')[0]
+
+
+@dataclass(frozen=True, slots=True)
+class Destination:
+    """Where one send goes; ``version`` is that of the weights, 0 if none is required.
+
+    ``rank`` orders requests in the queue of an engine, 0 first.
+    """
+
+    replica: Replica
+    left_s: float
+    organisation: Organisation | None
+    version: int = 0
+    rank: int | None = None
+    after_event: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """Start of an answer of a backend server.
+
+    ``not_run`` tells that the request was not run and never will be, ``sealed`` that the answer
+    carries the backend server's signature, ``length`` that of the body if it is stated.
+    """
+
+    status: int
+    reason: str
+    headers: Headers
+    attempt_id: str
+    not_run: bool
+    sealed: bool
+    encoded: bool
+    length: int | None = None
+    idle_s: float | None = None
+    closes: bool = False
+
+
+class RequestCodec(Protocol):
+    """Reads requests of callers, writes those to backend servers and reads their answers."""
+
+    def read_request(
+        self, method: str, target: str, headers: Headers, body: bytes
+    ) -> CallerRequest:
+        """Read a request; raises ``bad_request`` if it cannot be used."""
+
+    def write_headers(self, request: CallerRequest, destination: Destination) -> Headers:
+        """Return the headers of a request to a backend server."""
+
+    def read_answer(self, status: int, reason: str, headers: Headers) -> AnswerHead:
+        """Read the start of an answer."""
+
+
+class TableStore(Protocol):
+    """Tables of rows whose changes can be followed."""
+
+    async def read_whole(self, table: str) -> Reply:
+        """Read all rows of a table."""
+
+    async def read_changes(self, table: str, since: int, wait_s: float) -> Reply:
+        """Wait for changes of a table after a version of the store."""
+
+    async def commit(
+        self,
+        conditions: tuple[Condition, ...],
+        writes: tuple[Write, ...],
+    ) -> Committed | Conflicted:
+        """Apply all writes if all conditions hold; raises ``PlatformError`` if it cannot."""
+
+
+@dataclass(slots=True)
+class Call:
+    """A request on its way: what was decided for it, and its times in seconds.
+
+    ``sends`` counts the backend servers that it was handed to, ``may_have_run`` tells that one of
+    them took it and gave no whole answer.
+    """
+
+    request: CallerRequest
+    arrived: float
+    deadline: float = 0
+    route: Route | None = None
+    service: str = ''
+    organisation: Organisation | None = None
+    fingerprint: Fingerprint | None = None
+    sends: int = 0
+    may_have_run: bool = False
+    avoided: set[str] = field(default_factory=set)
+
+    @property
+    def id(self) -> str:
+        """Identifies the attempt of the caller."""
+        return self.request.attempt_id
+
+    @property
+    def ran(self) -> Ran:
+        """Whether it has run, for an answer that is a failure."""
+        return Ran.unknown if self.may_have_run else Ran.no
+
+    def plan(self) -> Route:
+        """Return the route, which the first filter found.
+
+        :return: the route.
+        :raises LookupError: before that.
+        """
+        if self.route is None:
+            raise LookupError('the request has no route yet')
+        return self.route
+
+
+def header(headers: Sequence[tuple[str, str]], name: str, default: str = '') -> str:
+    """Return the first header of a name.
+
+    :param headers: names and values.
+    :param name: the name, in any case.
+    :param default: what is returned without such a header.
+    :return: its value.
+    """
+    wanted = name.lower()
+    for own, value in headers:
+        if own.lower() == wanted:
+            return value
+    return default
+
+
+__all__ = (
+    'AnswerHead',
+    'Call',
+    'CallerRequest',
+    'Destination',
+    'Generation',
+    'Headers',
+    'RequestCodec',
+    'TableStore',
+    'header',
+)
--- /dev/null
+++ b/src/cassiahitch/direct/assembly.py
@@ -0,0 +1,76 @@
+"""Wires the parts of an entry that reaches backend servers directly."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from cassiahitch.direct.attempt import Attempts
+from cassiahitch.direct.beating import EntryBeats
+from cassiahitch.direct.budget import RetryBudget
+from cassiahitch.direct.candidates import Candidates
+from cassiahitch.direct.crashwatch import CrashWatch
+from cassiahitch.direct.filters import RequestFilters
+from cassiahitch.direct.journal import Journal
+from cassiahitch.direct.knowledge import Knowledge, make_knowledge
+from cassiahitch.direct.placement import Placement
+from cassiahitch.direct.pool import ConnectionPool
+from cassiahitch.direct.runner import Runner
+from cassiahitch.metrics.registry import Metrics
+
+if TYPE_CHECKING:
+    from cassiahitch.direct.surroundings import EntrySurroundings
+    from cassiahitch.settings.direct import DirectEntrySettings
+
+
+@dataclass(frozen=True, slots=True)
+class EntryParts:
+    """The parts of an entry."""
+
+    knowledge: Knowledge
+    journal: Journal
+    candidates: Candidates
+    runner: Runner
+    beats: EntryBeats
+
+
+def make_parts(
+    settings: DirectEntrySettings,
+    around: EntrySurroundings,
+    incarnation: int,
+    rng: random.Random,
+) -> EntryParts:
+    """Create the parts of an entry; nothing runs yet.
+
+    :param settings: its settings.
+    :param around: the platform.
+    :param incarnation: number of this start.
+    :param rng: source of random choices.
+    :return: the parts.
+    """
+    knowledge = make_knowledge(settings)
+    journal = Journal(knowledge, Metrics(settings.name))
+    bounds = settings.bounds
+    budget = RetryBudget(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s)
+    candidates = Candidates(knowledge, Placement(rng), rng)
+    filters = RequestFilters(knowledge, budget, rng)
+    runner = Runner(
+        knowledge=knowledge,
+        codec=around.codec,
+        filters=filters,
+        candidates=candidates,
+        attempts=Attempts(ConnectionPool(), around.codec, filters, candidates.placement),
+        budget=budget,
+        watch=CrashWatch(knowledge, journal),
+        journal=journal,
+        rng=rng,
+    )
+    beats = EntryBeats(knowledge, candidates, journal, incarnation, rng)
+    return EntryParts(knowledge, journal, candidates, runner, beats)
+
+
+__all__ = (
+    'EntryParts',
+    'make_parts',
+)
--- /dev/null
+++ b/src/cassiahitch/direct/attempt.py
@@ -0,0 +1,273 @@
+"""One send of a request to a backend server."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import ExitStack, aclosing, contextmanager
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from cassiahitch.direct.api import AnswerHead, Destination
+from cassiahitch.direct.connection import BackendConnection, ConnectFailed
+from cassiahitch.direct.events import EventSplitter
+from cassiahitch.direct.exchange import AnswerLost, Exchange
+from cassiahitch.direct.front import CallerGone
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from cassiahitch.direct.api import Call, RequestCodec
+    from cassiahitch.direct.filters import RequestFilters
+    from cassiahitch.direct.front import CallerExchange
+    from cassiahitch.direct.placement import Placed, Placement
+    from cassiahitch.direct.pool import ConnectionPool
+
+#: Largest answer that is kept until it is whole, in bytes.
+MAX_ANSWER_BYTES = 16_777_216
+SUCCESS = range(200, 300)
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """The backend server gave a whole answer that is not a stream."""
+
+    head: AnswerHead
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Delivered:
+    """The stream reached its proper end at the caller."""
+
+
+@dataclass(frozen=True, slots=True)
+class NotSent:
+    """No byte of the request went out."""
+
+    detail: str
+    refused: bool
+
+
+@dataclass(frozen=True, slots=True)
+class NotRun:
+    """The backend server says that it did not run the request and never will."""
+
+    status: int
+
+
+@dataclass(frozen=True, slots=True)
+class Lost:
+    """The request went out and no whole answer came; ``silent`` if nothing came for long."""
+
+    detail: str
+    silent: bool = False
+
+
+Outcome = Answered | Delivered | NotSent | NotRun | Lost
+
+
+@dataclass(slots=True)
+class StreamState:
+    """What the caller has of a stream, over all backend servers that wrote it."""
+
+    caller: CallerExchange
+    splitter: EventSplitter = field(default_factory=EventSplitter)
+    started: bool = False
+    first_event_at: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Patience:
+    """Seconds without news after which another backend server is tried, if there is any."""
+
+    first_s: float | None = None
+    next_s: float | None = None
+
+
+@dataclass(slots=True)
+class Attempts:
+    """Sends requests; knows the connections and counts what is in flight."""
+
+    pool: ConnectionPool
+    codec: RequestCodec
+    filters: RequestFilters
+    placement: Placement
+
+    async def send(
+        self,
+        call: Call,
+        placed: Placed,
+        stream: StreamState,
+        patience: Patience,
+        limit: int,
+    ) -> Outcome:
+        """Send a request and follow it to its end.
+
+        :param call: the request.
+        :param placed: where it goes.
+        :param stream: what its caller has so far.
+        :param patience: how long to wait for news.
+        :param limit: connections to the backend server that this process may have.
+        :return: how it ended.
+        :raises RequestError: if the key was taken away meanwhile.
+        """
+        replica = placed.candidate.replica
+        once = not (call.plan().repeatable or call.plan().may_resume)
+        try:
+            connection = await self.pool.acquire(replica, limit, once=once)
+        except ConnectFailed as error:
+            return NotSent(str(error), error.refused)
+        exchange = Exchange(connection, self.codec)
+        with ExitStack() as stack:
+            stack.callback(self.release, connection, exchange)
+            self.filters.check_key(call)
+            stack.enter_context(self.counted(call, placed))
+            return await self.follow(call, placed, exchange, stream, patience)
+
+    def release(self, connection: BackendConnection, exchange: Exchange) -> None:
+        """Give the connection of an exchange back, or close it.
+
+        :param connection: the connection.
+        :param exchange: what happened on it.
+        """
+        head = exchange.head
+        unused = connection.requests == 0 and exchange.written is None
+        idle_s = head.idle_s if head else None
+        reusable = unused or (exchange.reusable and head is not None and not head.closes)
+        self.pool.release(connection, reusable=reusable, idle_s=idle_s)
+
+    @contextmanager
+    def counted(self, call: Call, placed: Placed) -> Iterator[None]:
+        """Count a request as in flight.
+
+        :param call: the request.
+        :param placed: where it is.
+        :yield: while it is in flight.
+        """
+        clock = asyncio.get_running_loop().time
+        began = clock()
+        key = placed.candidate.replica.key
+        call.sends += 1
+        if placed.rank is None:
+            plain = self.placement.plain_load(key)
+            plain.in_flight += 1
+            try:
+                yield
+            finally:
+                plain.ended(clock() - began, clock())
+            return
+        load = self.placement.engine_load(key)
+        load.sent(began)
+        try:
+            yield
+        finally:
+            load.ended(clock())
+
+    async def follow(
+        self,
+        call: Call,
+        placed: Placed,
+        exchange: Exchange,
+        stream: StreamState,
+        patience: Patience,
+    ) -> Outcome:
+        """Send on a connection and read the answer.
+
+        :param call: the request.
+        :param placed: where it goes.
+        :param exchange: the exchange on the connection.
+        :param stream: what its caller has so far.
+        :param patience: how long to wait for news.
+        :return: how it ended.
+        """
+        destination = Destination(
+            replica=placed.candidate.replica,
+            left_s=call.deadline - asyncio.get_running_loop().time(),
+            organisation=call.organisation,
+            version=placed.candidate.version,
+            rank=placed.rank,
+            after_event=stream.splitter.last_id,
+        )
+        headers = self.codec.write_headers(call.request, destination)
+        try:
+            async with asyncio.timeout(patience.first_s):
+                head = await exchange.send(call.request, headers)
+            if head.not_run:
+                await exchange.body()
+                return NotRun(head.status)
+            if head.status in SUCCESS and call.plan().repeat == 'stream':
+                return await self.forward(exchange, head, stream, patience)
+            async with asyncio.timeout(patience.first_s):
+                return Answered(head, await exchange.body())
+        except AnswerLost as error:
+            return Lost(str(error))
+        except TimeoutError:
+            return Lost('no news from the backend server', silent=True)
+
+    async def forward(
+        self,
+        exchange: Exchange,
+        head: AnswerHead,
+        stream: StreamState,
+        patience: Patience,
+    ) -> Outcome:
+        """Pass the whole events of a stream on as they come.
+
+        :param exchange: the exchange.
+        :param head: the start of the answer.
+        :param stream: what the caller has so far.
+        :param patience: how long to wait for news.
+        :return: how it ended.
+        :raises AnswerLost: if the stream breaks off.
+        """
+        if not head.sealed or head.encoded:
+            return Lost('an answer without a signature')
+        limit_s = patience.next_s if stream.started else patience.first_s
+        async with aclosing(exchange.parts()) as parts:
+            while True:
+                async with asyncio.timeout(limit_s):
+                    part = await anext(parts, None)
+                if part is None:
+                    break
+                await self.pass_on(head, stream, stream.splitter.feed(part))
+                limit_s = patience.next_s
+        await self.pass_on(head, stream, stream.splitter.rest, last=True)
+        stream.caller.end()
+        return Delivered()
+
+    async def pass_on(
+        self,
+        head: AnswerHead,
+        stream: StreamState,
+        data: bytes,
+        *,
+        last: bool = False,
+    ) -> None:
+        """Write whole events to the caller.
+
+        :param head: the start of the answer, written before the first event.
+        :param stream: what the caller has so far.
+        :param data: the events.
+        :param last: whether the answer ends with them.
+        :raises CallerGone: if nobody reads them.
+        """
+        if not stream.started and (data or last):
+            stream.started = True
+            stream.first_event_at = asyncio.get_running_loop().time()
+            await stream.caller.start(head.status, head.reason, head.headers)
+        if data:
+            await stream.caller.write(data)
+
+
+__all__ = (
+    'Answered',
+    'Attempts',
+    'CallerGone',
+    'Delivered',
+    'Lost',
+    'NotRun',
+    'NotSent',
+    'Outcome',
+    'Patience',
+    'StreamState',
+)
--- /dev/null
+++ b/src/cassiahitch/direct/beliefs.py
@@ -0,0 +1,163 @@
+"""Takes the news of the store's tables in."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from cassiahitch.direct.catalogue import Catalogue
+from cassiahitch.direct.feed import CallFailure, HistoryGone, Reply, TableRow, Whole
+from cassiahitch.direct.freshness import boot_time
+from cassiahitch.direct.versions import DeclaredVersion
+from cassiahitch.errors import PlatformError
+
+if TYPE_CHECKING:
+    from cassiahitch.direct.journal import Journal
+    from cassiahitch.direct.knowledge import Knowledge
+    from cassiahitch.direct.surroundings import EntrySurroundings
+
+#: Seconds for which a fresh process uses an older version that was replaced at an unknown time.
+UNKNOWN_AGE_LEFT_S = 2.5
+
+
+@dataclass(slots=True)
+class Beliefs:
+    """Decodes rows and applies them; a row that cannot be read changes nothing."""
+
+    knowledge: Knowledge
+    around: EntrySurroundings
+    journal: Journal
+    begun: bool = False
+
+    def take_declarations(
+        self,
+        rows: tuple[TableRow, ...],
+        reply: Reply,
+        asked_at: float,
+    ) -> None:
+        """Take news of the operator in.
+
+        :param rows: rows that are news.
+        :param reply: the answer that brought them.
+        :param asked_at: when the store was asked, on the boot clock.
+        """
+        readable = True
+        for row in rows:
+            readable = self.take_declaration(row) and readable
+        if readable and not isinstance(reply, CallFailure | HistoryGone):
+            self.knowledge.freshness.confirm(asked_at)
+            self.begun = True
+
+    def take_declaration(self, row: TableRow) -> bool:
+        """Take one row of the operator in.
+
+        :param row: the row.
+        :return: whether it could be read.
+        """
+        if row.content is None:
+            return True
+        try:
+            declared = self.around.read_declaration(row)
+        except PlatformError as error:
+            self.unreadable(row, error)
+            return False
+        match declared:
+            case Catalogue():
+                self.apply(declared)
+            case DeclaredVersion():
+                self.declare(declared)
+        return True
+
+    def apply(self, catalogue: Catalogue) -> None:
+        """Put a configuration in force.
+
+        :param catalogue: the configuration.
+        """
+        before = self.knowledge.catalogue
+        applied = self.knowledge.apply(catalogue)
+        self.journal.believed(
+            'configuration in force' if applied else 'configuration is older',
+            version=catalogue.version,
+            before=before.version if before else None,
+            routes=len(catalogue.routes),
+            keys=len(catalogue.organisations),
+        )
+
+    def declare(self, declared: DeclaredVersion) -> None:
+        """Take a declared version of weights in.
+
+        :param declared: the version.
+        """
+        versions = self.knowledge.versions
+        now = asyncio.get_running_loop().time()
+        learned = now if self.begun else now - versions.bound_s + UNKNOWN_AGE_LEFT_S
+        if versions.declare(declared, learned):
+            fields = {'model': declared.model, 'weights': declared.version}
+            self.journal.believed('weights declared', **fields)
+
+    def take_replicas(
+        self,
+        rows: tuple[TableRow, ...],
+        reply: Reply,
+        asked_at: float,
+    ) -> None:
+        """Take news of the backend servers in.
+
+        :param rows: rows that are news.
+        :param reply: the answer that brought them.
+        :param asked_at: when the store was asked, on the boot clock.
+        """
+        now = asyncio.get_running_loop().time()
+        if isinstance(reply, CallFailure | HistoryGone):
+            return
+        self.knowledge.replicas.heard(now - (boot_time() - asked_at), now)
+        for row in rows:
+            self.take_replica(row, now)
+        if isinstance(reply, Whole):
+            self.knowledge.replicas_known = True
+
+    def take_replica(self, row: TableRow, now: float) -> None:
+        """Take one row of a backend server in.
+
+        :param row: the row.
+        :param now: seconds.
+        """
+        book = self.knowledge.replicas
+        if row.content is None:
+            book.remove(row.key, now)
+            self.journal.believed('replica gone', replica=row.key, row=row.version)
+            return
+        try:
+            replica = self.around.read_replica(row)
+        except PlatformError as error:
+            # It names no replica to use, so one of that id is not used either.
+            book.remove(row.key, now)
+            self.unreadable(row, error)
+            return
+        before = book.replicas.get(replica.id)
+        book.update(replica)
+        if before != replica:
+            self.journal.believed(
+                'replica listed',
+                replica=replica.id,
+                service=replica.service,
+                address=str(replica.endpoint),
+                draining=replica.draining,
+                weights=dict(replica.weights),
+                born_ms=replica.born_ms,
+                row=row.version,
+            )
+
+    def unreadable(self, row: TableRow, error: PlatformError) -> None:
+        """Log a row that cannot be read.
+
+        :param row: the row.
+        :param error: why.
+        """
+        self.journal.believed(
+            'row unreadable', key=row.key, code=error.code.value, detail=error.detail
+        )
+
+
+__all__ = ('Beliefs',)
--- /dev/null
+++ b/src/cassiahitch/direct/discovery.py
@@ -0,0 +1,70 @@
+"""Entries find each other through rows of a table of their own."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from cassiahitch.direct.feed import Whole
+from cassiahitch.errors import PlatformError
+from cassiahitch.stores.api import Write
+
+if TYPE_CHECKING:
+    from cassiahitch.direct.knowledge import Knowledge
+    from cassiahitch.direct.surroundings import EntrySurroundings
+    from cassiahitch.settings.direct import DirectEntrySettings
+
+#: Seconds between two reads of the table, and between tries while the store is away.
+READ_S = 20.0
+TRY_S = 1.0
+
+
+@dataclass(slots=True)
+class Discovery:
+    """Writes the own row once and reads those of others; heartbeats tell who lives."""
+
+    around: EntrySurroundings
+    knowledge: Knowledge
+    settings: DirectEntrySettings
+    rng: random.Random
+
+    async def work(self) -> None:
+        """Read the table again and again until cancelled."""
+        written = False
+        while True:
+            written = written or await self.write()
+            found = await self.read()
+            pause_s = READ_S if written and found else TRY_S
+            await asyncio.sleep(pause_s * self.rng.uniform(0.8, 1.2))
+
+    async def write(self) -> bool:
+        """Write the own row.
+
+        :return: whether it was written.
+        """
+        content = json.dumps({'address': self.settings.address}).encode()
+        write = Write(self.around.tables.entries, self.settings.address, content)
+        try:
+            await self.around.store.commit((), (write,))
+        except PlatformError:
+            # The heartbeats to the seeds tell others as well; it is tried again.
+            return False
+        return True
+
+    async def read(self) -> bool:
+        """Learn the addresses of other entries.
+
+        :return: whether the store answered.
+        """
+        reply = await self.around.store.read_whole(self.around.tables.entries)
+        if not isinstance(reply, Whole):
+            return False
+        addresses = tuple(row.key for row in reply.rows)
+        self.knowledge.peers.learn(addresses, asyncio.get_running_loop().time())
+        return True
+
+
+__all__ = ('Discovery',)
--- /dev/null
+++ b/src/cassiahitch/direct/entry.py
@@ -0,0 +1,170 @@
+"""The process of an entry that reaches backend servers directly."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from contextlib import AsyncExitStack
+from typing import TYPE_CHECKING
+
+from tornado.httpserver import HTTPServer
+
+from cassiahitch.direct.assembly import EntryParts, make_parts
+from cassiahitch.direct.beliefs import Beliefs
+from cassiahitch.direct.discovery import Discovery
+from cassiahitch.direct.feed import TableFeed
+from cassiahitch.direct.following import TableFollower
+from cassiahitch.direct.freshness import boot_time
+from cassiahitch.direct.front import Front
+from cassiahitch.direct.peers import AddressAnswer, choose_addresses
+from cassiahitch.metrics.exposition import metrics_service
+from cassiahitch.util.listening import listen
+from cassiahitch.wire.datagrams import DatagramSocket
+from cassiahitch.wire.tasks import ProcessTasks
+
+if TYPE_CHECKING:
+    from tornado.web import Application
+
+    from cassiahitch.direct.surroundings import EntrySurroundings
+    from cassiahitch.settings.direct import DirectEntrySettings
+    from cassiahitch.util.endpoints import Endpoint
+
+#: Longest wait for a change of the declarations, in seconds.
+DECLARATION_WAIT_S = 1.9
+#: Longest wait for a change of the replicas, and least time between two reads, in seconds.
+REPLICA_WAIT_S = 0.7
+REPLICA_INTERVAL_S = 0.5
+#: Seconds between the looks at replicas and connections that are gone.
+TIDY_S = 0.25
+#: Seconds for which an address answer holds.
+LIFETIME_S = 2.0
+#: Seconds after the order to stop in which new requests are taken.
+ACCEPT_S = 3.0
+#: Seconds before the end of the grace period at which the process ends.
+END_MARGIN_S = 0.7
+POLL_S = 0.05
+
+
+class DirectEntry:
+    """Owns the sockets and tasks of an entry."""
+
+    def __init__(self, settings: DirectEntrySettings, around: EntrySurroundings) -> None:
+        """Create it; nothing listens yet.
+
+        :param settings: its settings.
+        :param around: the platform.
+        """
+        self.settings = settings
+        self.around = around
+        self.rng = random.Random()
+        self.incarnation = time.time_ns()
+        self.tasks = ProcessTasks()
+        self.stack = AsyncExitStack()
+        self.parts: EntryParts = make_parts(settings, around, self.incarnation, self.rng)
+        self.beliefs = Beliefs(self.parts.knowledge, around, self.parts.journal)
+        self.front = Front(self.parts.runner.serve)
+        self.discovery = Discovery(around, self.parts.knowledge, settings, self.rng)
+
+    async def start(self) -> None:
+        """Open the sockets and start the tasks."""
+        settings = self.settings
+        self.front.server.add_socket(listen(settings.callers.address, settings.callers.port))
+        self._serve(self.around.readiness(self._is_ready), settings.readiness)
+        self._serve(self.around.directory(self._addresses), settings.directory)
+        self._serve_metrics()
+        beats = self.parts.beats
+        datagrams = DatagramSocket(beats.receive, beats.refused)
+        await datagrams.open(settings.address, settings.peer_port)
+        self.stack.callback(datagrams.close)
+        beats.socket = datagrams
+        seeds = tuple(seed.address for seed in settings.seeds)
+        self.parts.knowledge.peers.learn(seeds, asyncio.get_running_loop().time())
+        works = (
+            self._declarations().work(),
+            self._replicas().work(),
+            beats.beat(),
+            beats.ask(),
+            self.discovery.work(),
+            self._tidy(),
+        )
+        self.tasks.start(works, self.stack)
+
+    def ports(self) -> dict[str, int]:
+        """Return the ports that are listened on, by the names of their settings.
+
+        :return: ports.
+        """
+        return {
+            'callers': self.settings.callers.port,
+            'readiness': self.settings.readiness.port,
+            'directory': self.settings.directory.port,
+        }
+
+    async def stop(self) -> None:
+        """Leave: tell it, take requests for a while, finish what runs, close everything."""
+        knowledge = self.parts.knowledge
+        knowledge.leaving = True
+        self.parts.beats.tell()
+        self.front.close_connections_after_answers()
+        until = boot_time() + self.settings.bounds.grace_s - END_MARGIN_S
+        await asyncio.sleep(min(ACCEPT_S, self.settings.bounds.grace_s / 2))
+        self.front.server.stop()
+        while self.front.tasks and boot_time() < until:
+            await asyncio.sleep(POLL_S)
+        await self.front.server.close_all_connections()
+        self.parts.runner.attempts.pool.close()
+        await self.stack.aclose()
+
+    def _serve(self, application: Application, endpoint: Endpoint) -> None:
+        server = HTTPServer(application)
+        server.add_socket(listen(endpoint.address, endpoint.port))
+        self.stack.callback(server.stop)
+
+    def _serve_metrics(self) -> None:
+        server = HTTPServer(metrics_service(self.parts.journal.metrics))
+        server.add_socket(listen(self.settings.address, self.settings.metrics_port))
+        self.stack.callback(server.stop)
+
+    def _declarations(self) -> TableFollower:
+        return TableFollower(
+            self.around.store,
+            self.around.tables.operator,
+            TableFeed(self.rng),
+            self.beliefs.take_declarations,
+            self.parts.journal,
+            DECLARATION_WAIT_S,
+        )
+
+    def _replicas(self) -> TableFollower:
+        return TableFollower(
+            self.around.store,
+            self.around.tables.replicas,
+            TableFeed(self.rng, REPLICA_INTERVAL_S),
+            self.beliefs.take_replicas,
+            self.parts.journal,
+            REPLICA_WAIT_S,
+        )
+
+    def _is_ready(self) -> bool:
+        return self.parts.knowledge.is_ready(boot_time())
+
+    def _addresses(self, region: str) -> AddressAnswer:
+        now = asyncio.get_running_loop().time()
+        states = self.parts.knowledge.peers.usable(self.parts.beats.own(), now)
+        lifetime_s = min(LIFETIME_S, self.settings.bounds.address_lifetime_s)
+        return choose_addresses(states, region, lifetime_s, self.rng)
+
+    async def _tidy(self) -> None:
+        while True:
+            await asyncio.sleep(TIDY_S)
+            now = asyncio.get_running_loop().time()
+            self.parts.knowledge.replicas.expire(now)
+            keys = frozenset(self.parts.knowledge.replicas.by_key())
+            self.parts.runner.attempts.pool.keep_only(keys)
+            self.parts.candidates.keep_only(keys)
+            self.parts.runner.watch.keep_only(keys)
+            self.parts.journal.counted()
+
+
+__all__ = ('DirectEntry',)
--- /dev/null
+++ b/src/cassiahitch/direct/events.py
@@ -0,0 +1,49 @@
+"""Whole events of a stream."""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+
+#: A blank line ends an event, with any of the line ends that the format allows.
+END = re.compile(rb'\r\n\r\n|\n\n|\r\r')
+ID = re.compile(rb'(?:^|[\r\n])id:[ ]?([^\r\n]*)')
+#: Largest event that is waited for, in bytes.
+MAX_EVENT_BYTES = 1_048_576
+
+
+@dataclass(slots=True)
+class EventSplitter:
+    """Cuts bytes at the ends of events and remembers the id of the last whole one."""
+
+    rest: bytes = b''
+    last_id: str = ''
+    events: int = 0
+
+    def feed(self, data: bytes) -> bytes:
+        """Take bytes in.
+
+        :param data: the next bytes of the stream.
+        :return: the whole events that they complete.
+        :raises ValueError: if an event is too large.
+        """
+        self.rest += data
+        end = 0
+        for match in END.finditer(self.rest):
+            end = match.end()
+            self.events += 1
+        whole = self.rest[:end]
+        self.rest = self.rest[end:]
+        if len(self.rest) > MAX_EVENT_BYTES:
+            raise ValueError('an event is too large')
+        ids = ID.findall(whole)
+        if ids:
+            self.last_id = ids[-1].decode('latin1')
+        return whole
+
+    def drop_half(self) -> None:
+        """Forget the start of an event whose end did not come."""
+        self.rest = b''
+
+
+__all__ = ('EventSplitter',)
--- /dev/null
+++ b/src/cassiahitch/direct/exchange.py
@@ -0,0 +1,169 @@
+"""One request and its answer on a connection to a backend server."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import h11
+
+from cassiahitch.direct.connection import BackendConnection, ConnectionBroken
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator
+
+    from cassiahitch.direct.api import AnswerHead, CallerRequest, Headers, RequestCodec
+
+#: Answers of other requests that are passed over while the own one is awaited.
+FOREIGN_ANSWERS = 4
+#: Largest header of an answer, in bytes.
+MAX_HEADER_BYTES = 65_536
+
+
+class AnswerLost(Exception):
+    """Bytes of the request went out and no whole answer came, so it may have run."""
+
+
+class Exchange:
+    """Sends one request and reads the answer that carries its id.
+
+    Whoever makes it releases the connection afterwards; ``reusable`` tells whether the
+    connection may carry another request.
+    """
+
+    def __init__(self, connection: BackendConnection, codec: RequestCodec) -> None:
+        """Create it on an idle connection.
+
+        :param connection: the connection.
+        :param codec: reads the headers of answers.
+        """
+        self.connection = connection
+        self.codec = codec
+        self.machine = _machine()
+        self.written: asyncio.Future[None] | None = None
+        self.complete = False
+        self.reusable = False
+        self.head: AnswerHead | None = None
+
+    async def send(self, request: CallerRequest, headers: Headers) -> AnswerHead:
+        """Send a request and wait for the start of its answer.
+
+        :param request: the request.
+        :param headers: its headers for the backend server.
+        :return: the start of the answer.
+        :raises AnswerLost: if no such answer comes.
+        """
+        self.connection.requests += 1
+        self.written = self.connection.write(_request_bytes(self.machine, request, headers))
+        for _ in range(FOREIGN_ANSWERS):
+            head = await self._head()
+            if head.attempt_id == request.attempt_id or (head.not_run and not head.attempt_id):
+                self.head = head
+                return head
+            await self._pass_over(request, headers)
+        raise AnswerLost('only answers of other requests came')
+
+    async def parts(self) -> AsyncGenerator[bytes, None]:
+        """Yield the parts of the body as they arrive.
+
+        :yield: bytes.
+        :raises AnswerLost: if the answer breaks off.
+        """
+        while not self.complete:
+            event = await self._event()
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                self._finish()
+
+    async def body(self) -> bytes:
+        """Return the whole body.
+
+        :return: bytes.
+        :raises AnswerLost: if the answer breaks off.
+        """
+        return b''.join([part async for part in self.parts()])
+
+    async def _head(self) -> AnswerHead:
+        event = await self._event()
+        while isinstance(event, h11.InformationalResponse):
+            event = await self._event()
+        if not isinstance(event, h11.Response):
+            raise AnswerLost('not an answer')
+        headers = tuple(
+            (name.decode('latin1'), text.decode('latin1'))
+            for name, text in event.headers.raw_items()
+        )
+        return self.codec.read_answer(event.status_code, event.reason.decode('latin1'), headers)
+
+    async def _pass_over(self, request: CallerRequest, headers: Headers) -> None:
+        # A late or doubled answer of an earlier request stands before the own one.
+        await self.body()
+        if not self.reusable and not self.machine.trailing_data[0]:
+            raise AnswerLost('an answer of another request ended the connection')
+        trailing, _ = self.machine.trailing_data
+        self.machine = _machine()
+        _request_bytes(self.machine, request, headers)
+        self.complete = False
+        self.reusable = False
+        if trailing:
+            self.machine.receive_data(trailing)
+
+    async def _event(self) -> h11.Event:
+        try:
+            event = self.machine.next_event()
+            while event is h11.NEED_DATA:
+                self.machine.receive_data(await self.connection.read())
+                event = self.machine.next_event()
+        except (ConnectionBroken, h11.RemoteProtocolError) as error:
+            raise AnswerLost(str(error)) from error
+        if not isinstance(event, h11.Event) or isinstance(event, h11.ConnectionClosed):
+            raise AnswerLost('closed without an answer')
+        return event
+
+    def _finish(self) -> None:
+        self.complete = True
+        kept = self.machine.their_state is h11.DONE and self.machine.our_state is h11.DONE
+        written = self.written is not None and self.written.done()
+        whole = written and not self.machine.trailing_data[0]
+        self.reusable = kept and whole and self.connection.is_quiet()
+
+
+def _machine() -> h11.Connection:
+    return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES)
+
+
+def _request_bytes(machine: h11.Connection, request: CallerRequest, headers: Headers) -> bytes:
+    length = (('Content-Length', str(len(request.body))),)
+    framed = request.body or request.method in {'POST', 'PUT', 'PATCH'}
+    start = h11.Request(
+        method=request.method,
+        target=request.target,
+        headers=[*headers, *(length if framed else ())],
+    )
+    parts = [machine.send(start)]
+    if request.body:
+        parts.append(machine.send(h11.Data(request.body)))
+    parts.append(machine.send(h11.EndOfMessage()))
+    return b''.join(part for part in parts if part)
+
+
+def check_request(request: CallerRequest, headers: Headers) -> bool:
+    """Tell whether a request can be written without changing it.
+
+    :param request: the request.
+    :param headers: its headers.
+    :return: whether it can.
+    """
+    try:
+        _request_bytes(_machine(), request, headers)
+    except h11.LocalProtocolError:
+        return False
+    return True
+
+
+__all__ = (
+    'AnswerLost',
+    'Exchange',
+    'check_request',
+)
--- /dev/null
+++ b/src/cassiahitch/direct/failures.py
@@ -0,0 +1,64 @@
+"""Answers to requests that failed."""
+
+from __future__ import annotations
+
+import json
+from http import HTTPStatus
+from types import MappingProxyType
+from typing import TYPE_CHECKING
+
+from cassiahitch.codes import Code, Ran
+
+if TYPE_CHECKING:
+    from cassiahitch.direct.api import Headers
+    from cassiahitch.errors import RequestError
+
+#: Statuses of requests that are refused for what they are.
+_STATUSES = MappingProxyType(
+    {
+        Code.bad_request: HTTPStatus.BAD_REQUEST,
+        Code.unauthorised: HTTPStatus.UNAUTHORIZED,
+        Code.not_found: HTTPStatus.NOT_FOUND,
+        Code.body_too_large: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+        Code.header_too_large: HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+    }
+)
+
+
+def failure_status(error: RequestError) -> HTTPStatus:
+    """Return the status of a failure.
+
+    Only a request that has not run gets one that says so.
+
+    :param error: the failure.
+    :return: the status.
+    """
+    if error.ran is not Ran.no:
+        timed_out = error.code is Code.deadline_exceeded
+        return HTTPStatus.GATEWAY_TIMEOUT if timed_out else HTTPStatus.BAD_GATEWAY
+    return _STATUSES.get(error.code, HTTPStatus.SERVICE_UNAVAILABLE)
+
+
+def failure_answer(error: RequestError) -> tuple[int, str, Headers, bytes]:
+    """Return the answer to a request that failed.
+
+    :param error: the failure.
+    :return: status, reason, headers and body.
+    """
+    status = failure_status(error)
+    headers: list[tuple[str, str]] = [('Content-Type', 'application/json')]
+    if error.retry_after_s is not None and error.ran is Ran.no:
+        headers.append(('Retry-After', f'{error.retry_after_s:.2f}'))
+    document = {
+        'code': error.code.value,
+        'name': error.code.name,
+        'detail': error.detail,
+        'ran': error.ran.value,
+    }
+    return status.value, status.phrase, tuple(headers), json.dumps(document).encode()
+
+
+__all__ = (
+    'failure_answer',
+    'failure_status',
+)
--- /dev/null
+++ b/src/cassiahitch/direct/feed.py
@@ -0,0 +1,157 @@
+"""Follows a table of rows: a whole read, then its changes; after a gap a whole read again."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+#: First and longest pause after failures in a row, in seconds.
+FIRST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class TableRow:
+    """A row; ``content`` is missing once it was removed."""
+
+    key: str
+    content: bytes | None
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Whole:
+    """All rows of a table as of one version of the store."""
+
+    rows: tuple[TableRow, ...]
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Changed:
+    """Rows that changed since the version that was asked for."""
+
+    rows: tuple[TableRow, ...]
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class HistoryGone:
+    """The changes since the version that was asked for are no longer available."""
+
+
+@dataclass(frozen=True, slots=True)
+class CallFailure:
+    """The store did not answer, or refused."""
+
+    reason: str
+
+
+Reply = Whole | Changed | HistoryGone | CallFailure
+
+
+@dataclass(frozen=True, slots=True)
+class ReadWhole:
+    """Read the table, after a pause in seconds."""
+
+    pause_s: float = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ReadChanges:
+    """Read the changes since a version, after a pause in seconds."""
+
+    since: int
+    pause_s: float = 0
+
+
+@dataclass(slots=True)
+class TableFeed:
+    """Decides how a table is read next, and which rows are news.
+
+    ``versions`` holds the version of each row that is known; older ones are never news again.
+    ``interval_s`` is the least time between two reads of changes.
+    """
+
+    rng: random.Random
+    interval_s: float = 0
+    versions: dict[str, int] = field(default_factory=dict)
+    since: int | None = None
+    failures: int = 0
+
+    def next_read(self) -> ReadWhole | ReadChanges:
+        """Return the call to make next.
+
+        :return: the call, with the pause before it.
+        """
+        pause_s = self.pause_s()
+        if self.since is None:
+            return ReadWhole(pause_s)
+        return ReadChanges(self.since, max(pause_s, self.interval_s))
+
+    def pause_s(self) -> float:
+        """Return the pause before the next call, which grows with failures in a row.
+
+        :return: seconds.
+        """
+        if not self.failures:
+            return 0
+        longest = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2**self.failures)
+        return self.rng.uniform(FIRST_PAUSE_S, longest)
+
+    def handle(self, reply: Reply) -> tuple[TableRow, ...]:
+        """Take an answer of the store in.
+
+        :param reply: the answer.
+        :return: the rows that are news; those without content are removed.
+        """
+        match reply:
+            case Whole(rows=rows, version=version):
+                self.failures = 0
+                self.since = max(version, self.since or 0)
+                return self.vanished(rows, version) + self.news(rows)
+            case Changed(rows=rows, version=version):
+                self.failures = 0
+                self.since = max(version, self.since or 0)
+                return self.news(rows)
+            case HistoryGone():
+                self.since = None
+            case CallFailure():
+                self.failures = min(self.failures + 1, 8)
+        return ()
+
+    def vanished(self, rows: tuple[TableRow, ...], version: int) -> tuple[TableRow, ...]:
+        """Return the known rows that a whole read no longer holds.
+
+        :param rows: all rows.
+        :param version: the version of the store that they are of.
+        :return: rows without content.
+        """
+        gone = self.versions.keys() - {row.key for row in rows}
+        older = sorted(key for key in gone if self.versions[key] <= version)
+        for known in older:
+            self.versions.pop(known)
+        return tuple(TableRow(key, None, version) for key in older)
+
+    def news(self, rows: tuple[TableRow, ...]) -> tuple[TableRow, ...]:
+        """Return the rows that are later than those known.
+
+        :param rows: rows in order.
+        :return: the later ones.
+        """
+        fresh = tuple(row for row in rows if row.version > self.versions.get(row.key, 0))
+        self.versions.update({row.key: row.version for row in fresh})
+        return fresh
+
+
+__all__ = (
+    'CallFailure',
+    'Changed',
+    'HistoryGone',
+    'ReadChanges',
+    'ReadWhole',
+    'Reply',
+    'TableFeed',
+    'TableRow',
+    'Whole',
+)
--- /dev/null
+++ b/src/cassiahitch/direct/filters.py
@@ -0,0 +1,140 @@
+"""Checks of a request before it is placed, in order; each may refuse it."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from cassiahitch.codes import Code, Ran
+from cassiahitch.direct.freshness import boot_time
+from cassiahitch.direct.suspicion import fingerprint_of
+from cassiahitch.errors import RequestError
+
+if TYPE_CHECKING:
+    from cassiahitch.direct.api import Call
+    from cassiahitch.direct.budget import RetryBudget
+    from cassiahitch.direct.catalogue import Catalogue
+    from cassiahitch.direct.knowledge import Knowledge
+
+#: Seconds after which a caller may come back to an entry that does not know enough.
+UNREADY_RETURN_S = 0.5
+#: Seconds after which a refused suspect may come back.
+SUSPECT_RETURN_S = 30.0
+#: Seconds for which a caller waits that does not say it.
+PATIENCE_S = 30.0
+
+
+@dataclass(slots=True)
+class RequestFilters:
+    """Finds the route, the organisation and the service of a request."""
+
+    knowledge: Knowledge
+    budget: RetryBudget
+    rng: random.Random
+
+    def check(self, call: Call) -> None:
+        """Run all checks.
+
+        :param call: the request; its route, organisation and deadline are filled in.
+        :raises RequestError: if it is refused.
+        """
+        catalogue = self.catalogue()
+        self.find_route(call, catalogue)
+        self.find_organisation(call, catalogue)
+        self.choose_service(call)
+        self.check_suspect(call)
+
+    def catalogue(self) -> Catalogue:
+        """Return the configuration in force.
+
+        :return: the configuration.
+        :raises RequestError: ``not_ready`` before there is one.
+        """
+        known = self.knowledge.catalogue
+        if known is None or not self.knowledge.replicas_known:
+            detail = 'this entry has no configuration yet'
+            raise RequestError(Code.not_ready, detail, Ran.no, UNREADY_RETURN_S)
+        return known
+
+    def find_route(self, call: Call, catalogue: Catalogue) -> None:
+        """Find the route and from it the deadline.
+
+        :param call: the request.
+        :param catalogue: the configuration in force.
+        :raises RequestError: ``not_found`` if no route leads there, ``body_too_large``.
+        """
+        request = call.request
+        route = catalogue.route(request.host, request.path)
+        if route is None:
+            self.require_fresh()
+            raise RequestError(Code.not_found, 'no route leads there', Ran.no)
+        if len(request.body) > catalogue.limits.body_bytes:
+            raise RequestError(Code.body_too_large, 'the body is too large', Ran.no)
+        call.route = route
+        patience_s = PATIENCE_S if request.patience_s is None else request.patience_s
+        call.deadline = call.arrived + min(route.timeout_s, patience_s)
+
+    def find_organisation(self, call: Call, catalogue: Catalogue) -> None:
+        """Find the organisation that holds the key of a request.
+
+        :param call: the request.
+        :param catalogue: the configuration in force.
+        :raises RequestError: ``unauthorised`` if no organisation holds it.
+        """
+        if not catalogue.organisations or call.plan().public:
+            return
+        self.require_fresh()
+        call.organisation = catalogue.organisations.get(call.request.key)
+        if call.organisation is None:
+            raise RequestError(Code.unauthorised, 'no organisation holds this key', Ran.no)
+
+    def choose_service(self, call: Call) -> None:
+        """Draw one of the services of the route by their weights.
+
+        :param call: the request.
+        :raises RequestError: ``no_replica`` if the route leads to none.
+        """
+        shares = [share for share in call.plan().shares if share.weight > 0]
+        if not shares:
+            raise RequestError(Code.no_replica, 'the route has no service', Ran.no)
+        weights = [share.weight for share in shares]
+        call.service = self.rng.choices(shares, weights)[0].service
+        self.budget.arrived(call.service, call.arrived)
+
+    def check_suspect(self, call: Call) -> None:
+        """Refuse a request that crashed backend servers.
+
+        :param call: the request.
+        :raises RequestError: ``poison_refused``.
+        """
+        organisation = call.organisation.name if call.organisation else ''
+        call.fingerprint = fingerprint_of(organisation, call.service, call.request)
+        if self.knowledge.crashes.refuses(call.fingerprint, call.arrived):
+            detail = 'this request crashed the backend servers that ran it'
+            raise RequestError(Code.poison_refused, detail, call.ran, SUSPECT_RETURN_S)
+
+    def check_key(self, call: Call) -> None:
+        """Check right before a send that the key is still held.
+
+        :param call: the request.
+        :raises RequestError: ``unauthorised`` or ``configuration_stale``.
+        """
+        if call.organisation is None:
+            return
+        self.require_fresh(call.ran)
+        if call.request.key not in self.catalogue().organisations:
+            raise RequestError(Code.unauthorised, 'the key was taken away', call.ran)
+
+    def require_fresh(self, ran: Ran = Ran.no) -> None:
+        """Require that the configuration was the newest one a short time ago.
+
+        :param ran: whether the request has run.
+        :raises RequestError: ``configuration_stale``.
+        """
+        if not self.knowledge.freshness.is_good(boot_time()):
+            detail = 'this entry has not reached the store for too long'
+            raise RequestError(Code.configuration_stale, detail, ran, UNREADY_RETURN_S)
+
+
+__all__ = ('RequestFilters',)
--- /dev/null
+++ b/src/cassiahitch/direct/journal.py
@@ -0,0 +1,188 @@
+"""Log lines and metrics of the decisions of an entry."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+from cassiahitch.direct.api import Call, CallerRequest
+from cassiahitch.direct.freshness import boot_time
+from cassiahitch.metrics.names import CounterName, GaugeName, LatencyName
+
+if TYPE_CHECKING:
+    from cassiahitch.direct.attempt import Outcome
+    from cassiahitch.direct.knowledge import Knowledge
+    from cassiahitch.direct.placement import Crowded, Placed
+    from cassiahitch.direct.replicas import Replica
+    from cassiahitch.errors import RequestError
+    from cassiahitch.metrics.registry import Metrics
+
+LOGGER = logging.getLogger('cassiahitch.requests')
+BELIEFS = logging.getLogger('cassiahitch.beliefs')
+DIGITS = 4
+
+
+class BeliefLog:
+    """Writes one line for each change of what a process believes."""
+
+    def believed(self, message: str, **fields: Any) -> None:
+        """Record a change of what this process believes.
+
+        :param message: the change.
+        :param fields: its inputs.
+        """
+        BELIEFS.info(message, extra=_rounded(fields))
+
+
+@dataclass(slots=True)
+class Journal(BeliefLog):
+    """Writes one line for each decision, with the inputs that decided and their age."""
+
+    knowledge: Knowledge
+    metrics: Metrics
+
+    def begin(self, request: CallerRequest, arrived: float) -> Call:
+        """Count a request that was read.
+
+        :param request: the request.
+        :param arrived: when it was read, in seconds.
+        :return: the request on its way.
+        """
+        self.metrics.count(CounterName.requests_received)
+        return Call(request, arrived)
+
+    def attempted(
+        self,
+        call: Call,
+        placed: Placed,
+        outcome: Outcome,
+        began: float,
+        first_event_at: float | None,
+    ) -> None:
+        """Record one send.
+
+        :param call: the request.
+        :param placed: where it went.
+        :param outcome: how it ended.
+        :param began: when it was placed, in seconds.
+        :param first_event_at: when its caller got the first event, if it did.
+        """
+        now = asyncio.get_running_loop().time()
+        kind = type(outcome).__name__
+        self.metrics.count(CounterName.requests_dispatched, kind)
+        self.metrics.latency(LatencyName.run, now - began, call.service)
+        fields: dict[str, Any] = {
+            'outcome': kind,
+            'replica': placed.candidate.replica.id,
+            'expected_s': placed.expected_s,
+            'version': placed.candidate.version,
+            'rank': placed.rank,
+            'waited_s': began - call.arrived,
+            'took_s': now - began,
+        }
+        if first_event_at is not None:
+            fields['first_event_s'] = first_event_at - call.arrived
+            self.metrics.latency(LatencyName.first_part, first_event_at - call.arrived)
+        detail = getattr(outcome, 'detail', '')
+        if detail:
+            fields['detail'] = detail
+        head = getattr(outcome, 'head', None)
+        if head is not None:
+            fields['status'] = head.status
+        self.line(logging.INFO, 'request sent', call, fields)
+
+    def crowded(self, call: Call, placed: Crowded) -> None:
+        """Record that no replica could take a request in time.
+
+        :param call: the request.
+        :param placed: what was found.
+        """
+        best = {'best_s': placed.best_s, 'retry_after_s': placed.retry_after_s}
+        self.line(logging.INFO, 'request found no place', call, best)
+
+    def failed(self, call: Call | None, error: RequestError) -> None:
+        """Record the final answer to a request that failed.
+
+        :param call: the request, if it could be read.
+        :param error: why it failed.
+        """
+        self.metrics.count(CounterName.requests_failed, error.code.name)
+        fields: dict[str, Any] = {
+            'code': error.code.value,
+            'name_of_code': error.code.name,
+            'ran': error.ran.value,
+            'detail': error.detail,
+        }
+        self.line(logging.WARNING, 'request failed', call, fields)
+
+    def left(self, call: Call | None) -> None:
+        """Record that a caller left before its answer.
+
+        :param call: the request.
+        """
+        self.metrics.count(CounterName.requests_cancelled)
+        self.line(logging.INFO, 'caller left', call, {})
+
+    def crashed(self, replica: Replica, requests: int) -> None:
+        """Record the crash of a backend server.
+
+        :param replica: the backend server.
+        :param requests: how many requests were in flight here.
+        """
+        self.metrics.count(CounterName.suspects_marked, by=requests)
+        fields = {'replica': replica.id, 'service': replica.service, 'in_flight': requests}
+        self.believed('backend server crashed', **fields)
+
+    def counted(self) -> None:
+        """Set the gauges."""
+        now = asyncio.get_running_loop().time()
+        age_s = self.knowledge.freshness.age_s(boot_time())
+        self.metrics.gauge(GaugeName.configuration_age_s, min(age_s, 1e6))
+        self.metrics.gauge(GaugeName.live_entries, self.knowledge.entries(now))
+        self.metrics.gauge(GaugeName.replicas, len(self.knowledge.replicas.replicas))
+
+    def line(
+        self,
+        level: int,
+        message: str,
+        call: Call | None,
+        fields: dict[str, Any],
+    ) -> None:
+        """Write a line about a request.
+
+        :param level: its level.
+        :param message: the decision.
+        :param call: the request, if it could be read.
+        :param fields: the inputs that decided.
+        """
+        if not LOGGER.isEnabledFor(level):
+            return
+        known = self.knowledge.catalogue
+        base: dict[str, Any] = {
+            'configuration': known.version if known else None,
+            'configuration_age_s': self.knowledge.freshness.age_s(boot_time()),
+        }
+        if call is not None:
+            base |= {
+                'request': call.id,
+                'route': call.route.name if call.route else None,
+                'service': call.service,
+                'sends': call.sends,
+                'age_s': asyncio.get_running_loop().time() - call.arrived,
+            }
+        LOGGER.log(level, message, extra=_rounded(base | fields))
+
+
+def _rounded(fields: dict[str, Any]) -> dict[str, Any]:
+    return {
+        name: round(value, DIGITS) if isinstance(value, float) else value
+        for name, value in fields.items()
+    }
+
+
+__all__ = (
+    'BeliefLog',
+    'Journal',
+)
--- /dev/null
+++ b/src/cassiahitch/direct/knowledge.py
@@ -0,0 +1,87 @@
+"""What one entry believes, joined for the decisions about a request."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from cassiahitch.direct.freshness import Freshness
+from cassiahitch.direct.peers import PeerBook
+from cassiahitch.direct.replicas import ReplicaBook
+from cassiahitch.direct.suspicion import CrashGuard
+from cassiahitch.direct.versions import VersionPolicy
+
+if TYPE_CHECKING:
+    from cassiahitch.direct.catalogue import Catalogue
+    from cassiahitch.settings.direct import DirectEntrySettings
+
+
+@dataclass(slots=True)
+class Knowledge:
+    """Configuration, replicas, versions, other entries and suspects."""
+
+    settings: DirectEntrySettings
+    freshness: Freshness
+    versions: VersionPolicy
+    peers: PeerBook
+    replicas: ReplicaBook = field(default_factory=ReplicaBook)
+    crashes: CrashGuard = field(default_factory=CrashGuard)
+    catalogue: Catalogue | None = None
+    replicas_known: bool = False
+    leaving: bool = False
+
+    def apply(self, catalogue: Catalogue) -> bool:
+        """Put a configuration in force unless it is older than the one in force.
+
+        :param catalogue: the configuration.
+        :return: whether it is in force now.
+        """
+        if self.catalogue is not None and catalogue.version <= self.catalogue.version:
+            return False
+        self.catalogue = catalogue
+        return True
+
+    def is_ready(self, boot_now: float) -> bool:
+        """Tell whether requests can be served.
+
+        :param boot_now: seconds of the boot clock.
+        :return: whether callers may be sent here.
+        """
+        known = self.catalogue is not None and self.replicas_known
+        return known and not self.leaving and self.freshness.is_good(boot_now)
+
+    def is_near(self, failure_domain: str) -> bool:
+        """Tell whether a failure domain is in the own region.
+
+        :param failure_domain: the failure domain.
+        :return: whether it is.
+        """
+        return self.settings.regions.get(failure_domain) == self.settings.region
+
+    def entries(self, now: float) -> int:
+        """Return how many entries are live.
+
+        :param now: seconds.
+        :return: their number, with the own one.
+        """
+        return 1 + len(self.peers.live(now))
+
+
+def make_knowledge(settings: DirectEntrySettings) -> Knowledge:
+    """Create what an entry believes at its start.
+
+    :param settings: its settings.
+    :return: nothing but bounds.
+    """
+    return Knowledge(
+        settings,
+        Freshness(settings.bounds.revoked_key_s),
+        VersionPolicy(settings.bounds.weights_s),
+        PeerBook(settings.name),
+    )
+
+
+__all__ = (
+    'Knowledge',
+    'make_knowledge',
+)
--- /dev/null
+++ b/src/cassiahitch/direct/library.py
@@ -0,0 +1,96 @@
+"""All chunks of a host: those in memory, and those that its engine still has staged."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from cassiahitch.codes import Code
+from cassiahitch.direct.chunks import ChunkShelf, Held, WeightsName, make_manifest
+from cassiahitch.errors import PlatformError
+
+if TYPE_CHECKING:
+    from cassiahitch.direct.enginestate import StagedEngine
+    from cassiahitch.direct.peerchunks import PeerChunks
+    from cassiahitch.direct.surroundings import Origin
+
+
+@dataclass(slots=True)
+class ChunkLibrary:
+    """Finds manifests and chunks; ``staged`` is the version that the engine has staged."""
+
+    engine: StagedEngine
+    origin: Origin
+    peers: PeerChunks
+    shelf: ChunkShelf = field(default_factory=ChunkShelf)
+    staged: WeightsName | None = None
+    newest: int = 0
+    origin_url: str = ''
+    chunk_bytes: int = 0
+
+    def may_come(self, name: WeightsName) -> bool:
+        """Tell whether a version is here, or will be.
+
+        :param name: the version.
+        :return: whether to wait for it.
+        """
+        return name in self.shelf.held or name == self.staged or name.version > self.newest
+
+    async def open(self, name: WeightsName) -> Held:
+        """Learn the manifest of a version and make room for its chunks.
+
+        :param name: the version.
+        :return: where its chunks go.
+        :raises PlatformError: if neither the origin nor another agent answers.
+        """
+        held = self.shelf.held.get(name)
+        if held is not None:
+            return held
+        digests = await self.digests(name)
+        sizes = (self.chunk_bytes,) * len(digests)
+        return self.shelf.begin(name, make_manifest(name, digests, sizes))
+
+    async def digests(self, name: WeightsName) -> tuple[str, ...]:
+        """Ask the origin, or else other agents, for the digests of a version.
+
+        :param name: the version.
+        :return: SHA-256 digests of the chunks.
+        :raises PlatformError: if none answers with that version.
+        """
+        try:
+            version, digests = await self.origin.manifest(self.origin_url, name.model, name.version)
+        except PlatformError:
+            return await self.peers.digests(name)
+        if version != name.version:
+            raise PlatformError(Code.manifest_changed, f'found version {version}')
+        return digests
+
+    async def chunk(self, name: WeightsName, index: int, wait_s: float) -> bytes | None:
+        """Return a chunk from memory or from the engine.
+
+        :param name: its version.
+        :param index: its position.
+        :param wait_s: how long to wait for it.
+        :return: its bytes, or nothing.
+        """
+        if name == self.staged and name not in self.shelf.held:
+            await self.take_staged(name, index)
+        return await self.shelf.wait(name, index, wait_s)
+
+    async def take_staged(self, name: WeightsName, index: int) -> bool:
+        """Take a chunk that the engine has staged into memory, if it is right.
+
+        :param name: its version.
+        :param index: its position.
+        :return: whether it was right.
+        """
+        try:
+            await self.open(name)
+            content = await self.engine.staged(name.model, index)
+        except PlatformError:
+            # The engine or the origin is away; the chunk comes from another source.
+            return False
+        return content is not None and self.shelf.add(name, index, content)
+
+
+__all__ = ('ChunkLibrary',)
--- /dev/null
+++ b/src/cassiahitch/direct/load.py
@@ -0,0 +1,168 @@
+"""How busy a model engine is, and when it would start to answer one more request.
+
+Load pattern: many entries send to the same engines, each of which reads prompts between the
+token steps of all that it writes; a place that looks free may be taken within milliseconds.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from cassiahitch.direct.catalogue import Engine
+
+#: Seconds after which a report no longer tells the load.
+REPORT_LIMIT_S = 0.7
+#: Seconds between the sampling of a report and its arrival.
+REPORT_DELAY_S = 0.004
+#: Part of the time of an engine that reading prompts takes at most in estimates.
+MOST_READING = 0.7
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """What the agent of an engine says of it; ``incarnation`` is that of the agent."""
+
+    running: int
+    waiting: int
+    pace: float = 1
+    loading: bool = False
+    model: str = ''
+    version: int = 0
+    incarnation: int = 0
+
+
+@dataclass(slots=True)
+class EngineLoad:
+    """What one entry knows of the load of one engine."""
+
+    report: LoadReport | None = None
+    heard_at: float = float('-inf')
+    in_flight: int = 0
+    changes: deque[tuple[float, int]] = field(default_factory=deque)
+
+    def heard(self, report: LoadReport, now: float) -> None:
+        """Take a report in.
+
+        :param report: the report.
+        :param now: seconds.
+        """
+        self.report = report
+        self.heard_at = now
+        while self.changes and self.changes[0][0] < now - REPORT_DELAY_S:
+            self.changes.popleft()
+
+    def sent(self, now: float) -> None:
+        """Count a request that was sent.
+
+        :param now: seconds.
+        """
+        self.in_flight += 1
+        self.changes.append((now, 1))
+
+    def ended(self, now: float) -> None:
+        """Count a request that ended.
+
+        :param now: seconds.
+        """
+        self.in_flight -= 1
+        self.changes.append((now, -1))
+
+    def is_reported(self, now: float) -> bool:
+        """Tell whether the last report still tells the load.
+
+        :param now: seconds.
+        :return: whether it does.
+        """
+        return self.report is not None and now - self.heard_at < REPORT_LIMIT_S
+
+    def requests(self, entries: int, now: float) -> int:
+        """Return how many requests the engine has, running and waiting.
+
+        :param entries: entries that send to it, as far as it does not report.
+        :param now: seconds.
+        :return: requests.
+        """
+        if self.report is None or not self.is_reported(now):
+            return self.in_flight * entries
+        reported = self.report.running + self.report.waiting
+        return max(self.in_flight, reported + sum(change for _, change in self.changes), 0)
+
+    def pace(self, now: float) -> float:
+        """Return how much slower than configured the engine is.
+
+        :param now: seconds.
+        :return: a factor, at least 1.
+        """
+        if self.report is None or not self.is_reported(now):
+            return 1
+        return max(1, self.report.pace)
+
+
+def pass_s(engine: Engine, running: int, pace: float) -> float:
+    """Return the time of one pass with a number of requests that write, without reading.
+
+    :param engine: the engine.
+    :param running: requests that write.
+    :param pace: how much slower it is.
+    :return: seconds.
+    """
+    context = engine.usual_prompt + engine.usual_answer / 2
+    step_s = engine.step_s + running * (engine.sequence_s + engine.context_s * context)
+    return engine.pass_steps * step_s * pace
+
+
+def read_s(engine: Engine, tokens: float, pace: float) -> float:
+    """Return the time of reading a prompt.
+
+    :param engine: the engine.
+    :param tokens: its length.
+    :param pace: how much slower the engine is.
+    :return: seconds.
+    """
+    pairs = tokens * tokens / 2
+    return (tokens / engine.read_tokens_per_s + pairs * engine.pair_s) * pace
+
+
+def service_s(engine: Engine, pace: float) -> float:
+    """Return the mean time that a request holds its place while all places are taken.
+
+    :param engine: the engine.
+    :param pace: how much slower it is.
+    :return: seconds.
+    """
+    passes = max(1, engine.usual_answer / engine.pass_steps)
+    writing_s = passes * pass_s(engine, engine.slots, pace)
+    reading_s = engine.slots * read_s(engine, engine.usual_prompt, pace)
+    # Every place is refilled once in the time of a request, and each refill reads one prompt.
+    return min(writing_s + reading_s, writing_s / (1 - MOST_READING))
+
+
+def first_event_s(engine: Engine, requests: int, prompt_tokens: int, pace: float) -> float:
+    """Predict the time until the first event of one more request.
+
+    :param engine: the engine.
+    :param requests: requests that it has, running and waiting.
+    :param prompt_tokens: length of the prompt.
+    :param pace: how much slower the engine is.
+    :return: seconds.
+    """
+    own_pass_s = pass_s(engine, min(requests + 1, engine.slots), pace)
+    start_s = 1.5 * own_pass_s if requests else own_pass_s
+    reading_s = read_s(engine, prompt_tokens, pace)
+    ahead = requests + 1 - engine.slots
+    if ahead <= 0:
+        return start_s + reading_s
+    return start_s + reading_s + ahead * service_s(engine, pace) / engine.slots
+
+
+__all__ = (
+    'EngineLoad',
+    'LoadReport',
+    'first_event_s',
+    'pass_s',
+    'read_s',
+    'service_s',
+)
--- /dev/null
+++ b/src/cassiahitch/direct/placement.py
@@ -0,0 +1,209 @@
+"""Chooses the replica for a request, or refuses the request.
+
+Load pattern: more requests arrive than the engines can begin within the objective. Requests that
+can still meet it go first, a request whose time has passed only takes a place that is free, and
+one that has no chance is refused at once with a time at which to come back.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from cassiahitch.direct.load import EngineLoad, first_event_s
+
+if TYPE_CHECKING:
+    from cassiahitch.direct.catalogue import Engine, Route
+    from cassiahitch.direct.replicas import Replica
+
+#: Part of the objective within which the first event is to be expected.
+EXPECTED_PART = 0.95
+#: Seconds by which a replica of another region must be better than one of the own.
+CROSSING_S = 0.02
+#: Seconds by which choices are spread, so that entries with the same reports differ.
+SPREAD_S = 0.02
+#: Shortest and longest time after which a refused caller may come back, in seconds.
+RETURN_S = (0.4, 1.4)
+#: Weight of the newest time in the mean time of a plain replica.
+NEWEST_WEIGHT = 0.3
+#: Seconds after which the mean time of an idle plain replica counts half.
+FADE_S = 4.0
+#: Time that a plain replica is taken to need before it is known, in seconds.
+FIRST_MEAN_S = 0.02
+#: Rank in the queue of an engine of requests whose objective has passed.
+LATE_RANK = 8
+HIGHEST_RANK = 7
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """A replica that may get the request."""
+
+    replica: Replica
+    near: bool
+    version: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """What is to be placed; ``spent_s`` is the time since the caller first asked."""
+
+    route: Route
+    spent_s: float
+    prompt_tokens: int = 0
+    priority: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Placed:
+    """The request goes to a replica; ``expected_s`` is the time to its first byte."""
+
+    candidate: Candidate
+    expected_s: float
+    rank: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Crowded:
+    """No replica can serve the request in time; ``free`` tells whether any place is free."""
+
+    retry_after_s: float
+    best_s: float
+
+
+@dataclass(slots=True)
+class PlainLoad:
+    """Requests at a plain replica and its mean time."""
+
+    in_flight: int = 0
+    mean_s: float = FIRST_MEAN_S
+    updated: float = 0
+
+    def ended(self, seconds: float, now: float) -> None:
+        """Count the end of a request.
+
+        :param seconds: how long it took.
+        :param now: seconds.
+        """
+        self.in_flight -= 1
+        self.mean_s += NEWEST_WEIGHT * (seconds - self.mean_s)
+        self.updated = now
+
+    def expected_s(self, slots: int, now: float) -> float:
+        """Return the time that one more request would take.
+
+        :param slots: requests that the replica runs at once.
+        :param now: seconds.
+        :return: seconds.
+        """
+        faded = math.exp2((self.updated - now) / FADE_S)
+        mean_s = FIRST_MEAN_S + (self.mean_s - FIRST_MEAN_S) * faded
+        return mean_s * (1 + self.in_flight / slots)
+
+
+@dataclass(slots=True)
+class Placement:
+    """Chooses among replicas by what this entry knows of their load."""
+
+    rng: random.Random
+    engines: dict[str, EngineLoad] = field(default_factory=dict)
+    plain: dict[str, PlainLoad] = field(default_factory=dict)
+
+    def engine_load(self, key: str) -> EngineLoad:
+        """Return what is known of the load of an engine.
+
+        :param key: the incarnation of the replica.
+        :return: the load.
+        """
+        return self.engines.setdefault(key, EngineLoad())
+
+    def plain_load(self, key: str) -> PlainLoad:
+        """Return what is known of the load of a plain replica.
+
+        :param key: the incarnation of the replica.
+        :return: the load.
+        """
+        return self.plain.setdefault(key, PlainLoad())
+
+    def keep_only(self, keys: frozenset[str]) -> None:
+        """Forget replicas that are gone.
+
+        :param keys: names of the incarnations that are known.
+        """
+        self.engines = {key: load for key, load in self.engines.items() if key in keys}
+        self.plain = {key: load for key, load in self.plain.items() if key in keys}
+
+    def place_plain(self, candidates: tuple[Candidate, ...], now: float) -> Placed:
+        """Choose a replica of a plain service.
+
+        :param candidates: at least one.
+        :param now: seconds.
+        :return: the choice.
+        """
+        times = {
+            candidate: self.plain_load(candidate.replica.key).expected_s(
+                candidate.replica.slots, now
+            )
+            for candidate in candidates
+        }
+        chosen = min(candidates, key=lambda one: times[one] * self.rng.uniform(1, 1.2))
+        return Placed(chosen, times[chosen])
+
+    def place_engine(
+        self,
+        engine: Engine,
+        demand: Demand,
+        candidates: tuple[Candidate, ...],
+        entries: int,
+        now: float,
+    ) -> Placed | Crowded:
+        """Choose a model engine, or refuse.
+
+        :param engine: speed of the engines.
+        :param demand: the request.
+        :param candidates: at least one.
+        :param entries: entries that send to them.
+        :param now: seconds.
+        :return: the choice.
+        """
+        requests = {
+            one: self.engine_load(one.replica.key).requests(entries, now) for one in candidates
+        }
+        times = {
+            one: first_event_s(
+                engine,
+                requests[one],
+                demand.prompt_tokens,
+                self.engine_load(one.replica.key).pace(now),
+            )
+            for one in candidates
+        }
+        chosen = min(candidates, key=lambda one: self.cost_s(one, times[one]))
+        expected_s = times[chosen]
+        in_time = demand.spent_s + expected_s <= demand.route.objective_s * EXPECTED_PART
+        if in_time or requests[chosen] < engine.slots:
+            rank = min(HIGHEST_RANK, max(0, demand.priority)) if in_time else LATE_RANK
+            return Placed(chosen, expected_s, rank)
+        return Crowded(self.rng.uniform(*RETURN_S), expected_s)
+
+    def cost_s(self, candidate: Candidate, expected_s: float) -> float:
+        """Return what a choice costs, in seconds, with a random part.
+
+        :param candidate: the replica.
+        :param expected_s: time to its first event.
+        :return: seconds.
+        """
+        crossing_s = 0 if candidate.near else CROSSING_S
+        return expected_s + crossing_s + self.rng.uniform(0, SPREAD_S)
+
+
+__all__ = (
+    'Candidate',
+    'Crowded',
+    'Demand',
+    'Placed',
+    'Placement',
+    'PlainLoad',
+)
--- /dev/null
+++ b/src/cassiahitch/direct/runner.py
@@ -0,0 +1,345 @@
+"""Runs requests: checks, placement, sends, and the final answer."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+from cassiahitch.codes import Code, Ran
+from cassiahitch.direct.attempt import (
+    Answered,
+    Attempts,
+    CallerGone,
+    Delivered,
+    Lost,
+    NotRun,
+    NotSent,
+    Outcome,
+    Patience,
+    StreamState,
+)
+from cassiahitch.direct.candidates import Candidates
+from cassiahitch.direct.failures import failure_answer
+from cassiahitch.direct.placement import Crowded, Demand, Placed
+from cassiahitch.errors import RequestError
+from cassiahitch.routing.api import Outcome as HealthOutcome
+
+if TYPE_CHECKING:
+    from cassiahitch.direct.api import AnswerHead, Call, RequestCodec
+    from cassiahitch.direct.budget import RetryBudget
+    from cassiahitch.direct.crashwatch import CrashWatch
+    from cassiahitch.direct.filters import RequestFilters
+    from cassiahitch.direct.front import CallerExchange
+    from cassiahitch.direct.journal import Journal
+    from cassiahitch.direct.knowledge import Knowledge
+
+#: Part of the objective for which a request that finds no place waits for one.
+HELD_PART = 0.12
+#: Seconds between two looks for a place.
+LOOK_S = 0.01
+#: Seconds after which a caller may come back when no backend server could answer.
+RETURN_S = 0.6
+#: Times that a request is placed at most, with those at which nothing was sent.
+PLACEMENTS = 4
+#: Seconds of silence after which an idempotent request or a stream goes elsewhere.
+SILENT_ANSWER_S = 0.4
+SILENT_START_S = 1.3
+SILENT_PAUSE_S = 1.1
+#: Statuses that promise that a request has not run.
+PROMISES = frozenset(
+    (
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    )
+)
+
+
+@dataclass(slots=True)
+class Runner:
+    """Runs the requests of one entry."""
+
+    knowledge: Knowledge
+    codec: RequestCodec
+    filters: RequestFilters
+    candidates: Candidates
+    attempts: Attempts
+    budget: RetryBudget
+    watch: CrashWatch
+    journal: Journal
+    rng: random.Random
+    patience_s: dict[str, float] = field(default_factory=dict)
+
+    async def serve(self, caller: CallerExchange) -> None:
+        """Answer one request.
+
+        :param caller: the request and where its answer goes.
+        """
+        arrived = asyncio.get_running_loop().time()
+        incoming = caller.incoming
+        call: Call | None = None
+        try:
+            call = self.journal.begin(
+                self.codec.read_request(
+                    incoming.method, incoming.target, incoming.headers, incoming.body
+                ),
+                arrived,
+            )
+            await self.run(call, caller)
+        except RequestError as error:
+            await self.refuse(call, caller, error)
+        except (CallerGone, asyncio.CancelledError):
+            self.journal.left(call)
+            raise
+
+    async def refuse(
+        self,
+        call: Call | None,
+        caller: CallerExchange,
+        error: RequestError,
+    ) -> None:
+        """Give the final answer to a request that failed.
+
+        :param call: the request, if it could be read.
+        :param caller: where its answer goes.
+        :param error: why it failed.
+        """
+        self.journal.failed(call, error)
+        if caller.started:
+            caller.abort()
+            return
+        status, reason, headers, body = failure_answer(error)
+        await caller.answer(status, reason, headers, body)
+
+    async def run(self, call: Call, caller: CallerExchange) -> None:
+        """Check, place and send a request until it has its answer.
+
+        :param call: the request.
+        :param caller: where its answer goes.
+        :raises RequestError: if it fails.
+        """
+        self.filters.check(call)
+        self.note_patience(call)
+        stream = StreamState(caller)
+        try:
+            async with asyncio.timeout_at(call.deadline):
+                await self.send_until_answered(call, caller, stream)
+        except TimeoutError:
+            detail = 'no answer within the time of the route or the caller'
+            ran = Ran.unknown if call.sends else Ran.no
+            raise RequestError(Code.deadline_exceeded, detail, ran) from None
+
+    async def send_until_answered(
+        self,
+        call: Call,
+        caller: CallerExchange,
+        stream: StreamState,
+    ) -> None:
+        """Send a request, again if that is allowed, until it has an answer.
+
+        :param call: the request.
+        :param caller: where its answer goes.
+        :param stream: what the caller has of a stream.
+        :raises RequestError: if it may not be sent again.
+        """
+        for _ in range(PLACEMENTS):
+            placed = await self.place(call)
+            caller.keeps_running = not (call.plan().repeatable or call.plan().may_resume)
+            began = asyncio.get_running_loop().time()
+            limit = self.candidates.connection_limit(call)
+            patience = self.patience(call)
+            with self.watch.running(call, placed.candidate.replica):
+                outcome = await self.attempts.send(call, placed, stream, patience, limit)
+            self.journal.attempted(call, placed, outcome, began, stream.first_event_at)
+            self.learn(call, placed, outcome)
+            if await self.is_done(call, caller, outcome):
+                return
+            self.allow_again(call, placed, outcome, stream)
+        raise RequestError(
+            Code.no_replica, 'no backend server could be reached', call.ran, RETURN_S
+        )
+
+    async def place(self, call: Call) -> Placed:
+        """Choose where a request goes; waits a moment for a place.
+
+        :param call: the request.
+        :return: the place.
+        :raises RequestError: ``no_replica`` or ``overloaded``.
+        """
+        clock = asyncio.get_running_loop().time
+        until = call.arrived + call.plan().objective_s * HELD_PART
+        while True:
+            placed = self.candidates.place(call, self.demand(call), clock())
+            if isinstance(placed, Placed):
+                return placed
+            if clock() >= until:
+                raise self.crowded(call, placed)
+            await asyncio.sleep(LOOK_S)
+
+    def crowded(self, call: Call, placed: Crowded) -> RequestError:
+        """Return the refusal of a request for which there is no place.
+
+        :param call: the request.
+        :param placed: what was found.
+        :return: the error.
+        """
+        self.journal.crowded(call, placed)
+        detail = 'no backend server can begin it in time'
+        return RequestError(Code.overloaded, detail, call.ran, placed.retry_after_s)
+
+    def note_patience(self, call: Call) -> None:
+        """Remember the longest time that callers of a route wait.
+
+        :param call: a request.
+        """
+        patience_s = call.request.patience_s or 0
+        name = call.plan().name
+        self.patience_s[name] = max(patience_s, self.patience_s.get(name, 0))
+
+    def demand(self, call: Call) -> Demand:
+        """Return what is to be placed.
+
+        A caller that comes back has less time left than callers of its route have at first.
+
+        :param call: the request.
+        :return: the demand.
+        """
+        route = call.plan()
+        before_s = self.patience_s.get(route.name, 0) - (call.request.patience_s or 0)
+        spent_s = asyncio.get_running_loop().time() - call.arrived + max(0, before_s)
+        generation = call.request.generation
+        priority = route.priority
+        if call.organisation is not None and call.organisation.priority is not None:
+            priority = call.organisation.priority
+        return Demand(route, spent_s, generation.prompt_tokens if generation else 0, priority)
+
+    def patience(self, call: Call) -> Patience:
+        """Return how long silence is borne before the request goes elsewhere.
+
+        :param call: the request.
+        :return: seconds; none where it cannot go elsewhere.
+        """
+        route = call.plan()
+        if call.sends + 1 >= route.max_attempts or self.candidates.count(call) < 2:
+            return Patience()
+        if route.may_resume:
+            return Patience(SILENT_START_S, SILENT_PAUSE_S)
+        if route.repeatable:
+            return Patience(max(SILENT_ANSWER_S, route.objective_s), None)
+        return Patience()
+
+    def learn(self, call: Call, placed: Placed, outcome: Outcome) -> None:
+        """Take the end of a send in as evidence about the replica.
+
+        :param call: the request.
+        :param placed: where it was.
+        :param outcome: how it ended.
+        """
+        replica = placed.candidate.replica
+        now = asyncio.get_running_loop().time()
+        health = self.candidates.health(replica)
+        match outcome:
+            case NotSent(refused=refused):
+                seen = HealthOutcome.crashed if refused else HealthOutcome.timed_out
+            case Lost(silent=silent):
+                seen = HealthOutcome.timed_out if silent else HealthOutcome.failed
+                self.watch.check(replica)
+            case Answered(head=head) if head.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+                seen = HealthOutcome.failed
+            case NotRun():
+                seen = HealthOutcome.refused
+            case _:
+                seen = HealthOutcome.success
+                if call.fingerprint is not None:
+                    self.knowledge.crashes.completed(call.fingerprint, now)
+        health.finished(replica.key, seen, now)
+
+    async def is_done(self, call: Call, caller: CallerExchange, outcome: Outcome) -> bool:
+        """Give the caller the answer, if there is one that is not better tried again.
+
+        :param call: the request.
+        :param caller: where the answer goes.
+        :param outcome: how the send ended.
+        :return: whether the caller has its answer.
+        """
+        match outcome:
+            case Delivered():
+                return True
+            case Answered(head=head) if self.is_worth_repeating(call, head):
+                return False
+            case Answered(head=head, body=body) if _is_true(call, head):
+                await caller.answer(head.status, head.reason, head.headers, body)
+                return True
+        return False
+
+    def is_worth_repeating(self, call: Call, head: AnswerHead) -> bool:
+        """Tell whether another backend server may do better than a failure that was received.
+
+        :param call: the request.
+        :param head: the start of the answer.
+        :return: whether to send the request again.
+        """
+        route = call.plan()
+        failed = head.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+        again = route.repeatable and call.sends < route.max_attempts
+        left_s = call.deadline - asyncio.get_running_loop().time()
+        return failed and again and left_s > SILENT_ANSWER_S and self.budget_left(call) >= 1
+
+    def budget_left(self, call: Call) -> float:
+        """Return how often requests to the service may be sent again now.
+
+        :param call: a request.
+        :return: sends.
+        """
+        now = asyncio.get_running_loop().time()
+        return self.budget.left(call.service, self.knowledge.entries(now), now)
+
+    def allow_again(
+        self,
+        call: Call,
+        placed: Placed,
+        outcome: Outcome,
+        stream: StreamState,
+    ) -> None:
+        """Prepare the next send of a request.
+
+        :param call: the request.
+        :param placed: where it was.
+        :param outcome: how the send ended.
+        :param stream: what the caller has of a stream.
+        :raises RequestError: if it may not be sent again.
+        """
+        stream.splitter.drop_half()
+        call.avoided.add(placed.candidate.replica.key)
+        if isinstance(outcome, NotSent):
+            return
+        route = call.plan()
+        if not isinstance(outcome, NotRun):
+            call.may_have_run = True
+            if not (route.repeatable or route.may_resume) or call.sends >= route.max_attempts:
+                raise _lost(outcome, call.ran)
+        now = asyncio.get_running_loop().time()
+        if not self.budget.take(call.service, self.knowledge.entries(now), now):
+            detail = 'the service gets too many repeated requests'
+            raise RequestError(Code.retry_budget_spent, detail, call.ran, RETURN_S)
+
+
+def _is_true(call: Call, head: AnswerHead) -> bool:
+    # A status that promises that nothing ran must not be passed on for a request that ran.
+    broken_promise = head.status in PROMISES and not head.not_run
+    whole = head.sealed or head.status >= HTTPStatus.MULTIPLE_CHOICES
+    return whole and not head.encoded and not broken_promise
+
+
+def _lost(outcome: Outcome, ran: Ran) -> RequestError:
+    detail = 'the backend server gave no whole answer'
+    if isinstance(outcome, Lost):
+        detail = f'{detail}: {outcome.detail}'
+    return RequestError(Code.outcome_unknown, detail, ran)
+
+
+__all__ = ('Runner',)
--- /dev/null
+++ b/src/cassiahitch/direct/suspicion.py
@@ -0,0 +1,113 @@
+"""Refuses requests that were in flight at the crashes of several backend servers.
+
+Load pattern: one request crashes every backend server that runs it, and its callers send it
+again through any entry.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from cassiahitch.routing.suspects import Crash, Fingerprint, Suspect, Suspects
+from cassiahitch.wire.beats import CrashRecord, SuspectRecord
+
+if TYPE_CHECKING:
+    from cassiahitch.direct.api import CallerRequest
+
+#: Crashes after which a request is refused.
+CRASHES = 2
+#: Most suspects that one heartbeat tells.
+TOLD = 12
+
+
+@dataclass(slots=True)
+class CrashGuard:
+    """Crashes of backend servers and the requests that were in flight there."""
+
+    suspects: Suspects = field(default_factory=Suspects)
+
+    def refuses(self, fingerprint: Fingerprint, now: float) -> bool:
+        """Tell whether a request is refused.
+
+        :param fingerprint: that of the request.
+        :param now: seconds.
+        :return: whether it crashed too many backend servers.
+        """
+        if not self.suspects.is_suspect(fingerprint, now):
+            return False
+        return len(self.suspects.records[fingerprint].crashes) >= CRASHES
+
+    def crashed(
+        self,
+        replica_id: str,
+        born_ms: int,
+        requests: tuple[Fingerprint, ...],
+        now: float,
+    ) -> None:
+        """Accuse the requests that were in flight at a crash.
+
+        :param replica_id: the backend server.
+        :param born_ms: when it had started.
+        :param requests: fingerprints of the requests.
+        :param now: seconds.
+        """
+        for fingerprint in requests:
+            self.suspects.accuse(fingerprint, Crash(replica_id, born_ms, alone=False), now)
+
+    def completed(self, fingerprint: Fingerprint, now: float) -> None:
+        """Clear a request that has completed.
+
+        :param fingerprint: that of the request.
+        :param now: seconds.
+        """
+        if fingerprint in self.suspects.records:
+            self.suspects.clear(fingerprint, now)
+
+    def told(self) -> tuple[SuspectRecord, ...]:
+        """Return the suspects that other entries should know, the latest ones.
+
+        :return: records for a heartbeat.
+        """
+        latest = list(self.suspects.records.values())[-TOLD:]
+        return tuple(_record(suspect) for suspect in latest)
+
+    def heard(self, records: tuple[SuspectRecord, ...], now: float) -> None:
+        """Take in the suspects of another entry.
+
+        :param records: records of a heartbeat.
+        :param now: seconds.
+        """
+        for record in records:
+            self.suspects.merge(_suspect(record), now)
+
+
+def fingerprint_of(organisation: str, service: str, request: CallerRequest) -> Fingerprint:
+    """Return what identifies a request that comes again.
+
+    :param organisation: the caller's organisation.
+    :param service: where it goes.
+    :param request: the request.
+    :return: the fingerprint.
+    """
+    digest = hashlib.sha256(f'{request.method} {request.target}\n'.encode() + request.body)
+    return Fingerprint(organisation, service, digest.hexdigest()[:32])
+
+
+def _record(suspect: Suspect) -> SuspectRecord:
+    crashes = tuple(CrashRecord(one.host, one.incarnation) for one in suspect.crashes)
+    mark = suspect.fingerprint
+    return SuspectRecord(mark.organisation, mark.service, mark.body_digest, suspect.epoch, crashes)
+
+
+def _suspect(record: SuspectRecord) -> Suspect:
+    mark = Fingerprint(record.organisation, record.service_name, record.body_digest)
+    crashes = frozenset(Crash(one.host, one.incarnation, alone=False) for one in record.crashes)
+    return Suspect(mark, record.epoch, crashes)
+
+
+__all__ = (
+    'CrashGuard',
+    'fingerprint_of',
+)
--- a/src/cassiahitch/metrics/logs.py
+++ b/src/cassiahitch/metrics/logs.py
@@ -4,6 +4,8 @@
 
 import json
 import logging
+import os
+import time
 from types import MappingProxyType
 from typing import TYPE_CHECKING, Any, TextIO
 
@@ -15,6 +17,8 @@
     from cassiahitch.settings.models import LogLevel
 
 HIDDEN = '**********'
+#: Lines of each kind that a bounded log takes in a second.
+LINES_PER_S = 150
 #: Names of extra fields whose content is never written.
 SECRET_FIELDS = frozenset(
     (
@@ -67,6 +71,74 @@
         return line
 
 
+class BoundedHandler(logging.Handler):
+    """Writes lines to a descriptor without ever waiting for its reader.
+
+    Of more than ``lines_per_s`` lines, and of lines that the descriptor does not take, only the
+    number is told, in the first line that gets through again. Warnings have a budget of their own.
+    """
+
+    def __init__(self, descriptor: int, lines_per_s: int) -> None:
+        """Create the handler; the descriptor no longer blocks afterwards.
+
+        :param descriptor: where lines go.
+        :param lines_per_s: lines of each kind that are written in a second.
+        """
+        super().__init__()
+        os.set_blocking(descriptor, False)
+        self.descriptor = descriptor
+        self.lines_per_s = lines_per_s
+        self.second = 0
+        self.written = [0, 0]
+        self.omitted = 0
+        self.rest = b''
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a line if the budget allows it.
+
+        :param record: what to write.
+        """
+        kind = int(record.levelno >= logging.WARNING)
+        second = int(time.monotonic())
+        if second != self.second:
+            self.second = second
+            self.written = [0, 0]
+        if self.written[kind] >= self.lines_per_s or not self._drained():
+            self.omitted += 1
+            return
+        self.written[kind] += 1
+        if self.omitted:
+            record.omitted_lines = self.omitted
+            self.omitted = 0
+        try:
+            self.rest = f'{self.format(record)}\n'.encode()
+        except (TypeError, ValueError):
+            self.handleError(record)
+            return
+        self._drained()
+
+    def _drained(self) -> bool:
+        try:
+            while self.rest:
+                self.rest = self.rest[os.write(self.descriptor, self.rest) :]
+        except BlockingIOError:
+            return False
+        except OSError:
+            # Nobody reads the lines any more.
+            self.rest = b''
+        return True
+
+
+def configure_bounded_logs(level: LogLevel, descriptor: int) -> logging.Handler:
+    """Write the log lines of all loggers as JSON, bounded and without waiting.
+
+    :param level: the lowest level that is written.
+    :param descriptor: where lines go.
+    :return: the handler, to be removed from the root logger at the end.
+    """
+    return _install(BoundedHandler(descriptor, LINES_PER_S), level, ())
+
+
 def configure_logs(level: LogLevel, secrets: Iterable[str], stream: TextIO) -> logging.Handler:
     """Write the log lines of all loggers as JSON.
 
@@ -75,7 +147,10 @@
     :param stream: where lines go.
     :return: the handler, to be removed from the root logger at the end.
     """
-    handler = logging.StreamHandler(stream)
+    return _install(logging.StreamHandler(stream), level, secrets)
+
+
+def _install(handler: logging.Handler, level: LogLevel, secrets: Iterable[str]) -> logging.Handler:
     handler.setFormatter(SecretFormatter(secrets))
     root = logging.getLogger()
     root.addHandler(handler)
@@ -84,6 +159,8 @@
 
 
 __all__ = (
+    'BoundedHandler',
     'SecretFormatter',
+    'configure_bounded_logs',
     'configure_logs',
 )
--- a/src/cassiahitch/metrics/names.py
+++ b/src/cassiahitch/metrics/names.py
@@ -60,6 +60,8 @@
     live_entries = 'live_entries'
     live_agents = 'live_agents'
     leases_held = 'leases_held'
+    replicas = 'replicas'
+    configuration_age_s = 'configuration_age_s'
 
 
 class LatencyName(StrEnum):
--- /dev/null
+++ b/src/cassiahitch/platform/documents.py
@@ -0,0 +1,314 @@
+"""Rows and answers of the platform, decoded into the product's types."""
+
+from __future__ import annotations
+
+from typing import Annotated, Literal, TypeVar
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, alias_generators
+
+from cassiahitch.codes import Code
+from cassiahitch.direct import catalogue
+from cassiahitch.direct.enginestate import EngineReport
+from cassiahitch.direct.replicas import Replica
+from cassiahitch.direct.versions import DeclaredVersion
+from cassiahitch.errors import PlatformError
+from cassiahitch.platform.names import REPEATS
+from cassiahitch.util.endpoints import parse_endpoint
+
+MS_PER_S = 1000
+TOKENS_PER_K = 1000
+PAIRS_PER_M = 1_000_000
+
+ModelT = TypeVar('ModelT', bound=BaseModel)
+_Whole = Annotated[int, Field(ge=0)]
+_Positive = Annotated[float, Field(gt=0)]
+
+
+class CamelModel(BaseModel):
+    """Base of documents whose fields are spelled in camel case; unknown ones are ignored."""
+
+    model_config = ConfigDict(
+        alias_generator=alias_generators.to_camel,
+        populate_by_name=True,
+        frozen=True,
+        hide_input_in_errors=True,
+    )
+
+
+class _ShareModel(CamelModel):
+    service: str
+    weight: Annotated[float, Field(ge=0)]
+
+
+class _RouteModel(CamelModel):
+    name: str
+    host: str
+    prefix: str
+    kind: Literal['idempotent', 'non_idempotent', 'streaming']
+    timeout_ms: _Positive
+    target_latency_ms: _Positive = 1000
+    priority: int = 0
+    service: str = ''
+    traffic_split: tuple[_ShareModel, ...] = ()
+    max_attempts: Annotated[int, Field(ge=1)] = 1
+    public: bool = False
+    stream_resume: bool = False
+    gap_aim_ms: float = 0
+
+    def decoded(self) -> catalogue.Route:
+        """Return the route."""
+        split = self.traffic_split or (_ShareModel(service=self.service, weight=1),)
+        return catalogue.Route(
+            name=self.name,
+            host=self.host.lower(),
+            prefix=self.prefix,
+            repeat=catalogue.Repeat(REPEATS[self.kind]),
+            timeout_s=self.timeout_ms / MS_PER_S,
+            objective_s=self.target_latency_ms / MS_PER_S,
+            priority=self.priority,
+            shares=tuple(catalogue.ServiceShare(part.service, part.weight) for part in split),
+            max_attempts=self.max_attempts,
+            public=self.public,
+            resumable=self.stream_resume,
+            pause_s=self.gap_aim_ms / MS_PER_S,
+        )
+
+
+class _UsualModel(CamelModel):
+    prompt: float = 1000
+    answer: float = 100
+
+
+class _LoadedModelModel(CamelModel):
+    name: str
+
+
+class _EngineModel(BaseModel):
+    """Speed of an engine; some of its fields are spelled in snake case."""
+
+    model_config = ConfigDict(frozen=True, populate_by_name=True)
+
+    models: tuple[_LoadedModelModel, ...] = Field(min_length=1)
+    slots: int = Field(ge=1)
+    pass_steps: int = Field(default=1, ge=1, alias='passSteps')
+    step_ms: float = 0
+    per_seq_ms: float = 0
+    context_per_k: float = 0
+    read_per_s: _Positive = 1000
+    pairs_per_m: float = 0
+    usual: _UsualModel = _UsualModel()
+    chunk_bytes: int = Field(default=0, ge=0, alias='chunkBytes')
+
+    def decoded(self) -> catalogue.Engine:
+        """Return the engine."""
+        return catalogue.Engine(
+            model=self.models[0].name,
+            slots=self.slots,
+            pass_steps=self.pass_steps,
+            step_s=self.step_ms / MS_PER_S,
+            sequence_s=self.per_seq_ms / MS_PER_S,
+            context_s=self.context_per_k / MS_PER_S / TOKENS_PER_K,
+            read_tokens_per_s=self.read_per_s,
+            pair_s=self.pairs_per_m / MS_PER_S / PAIRS_PER_M,
+            usual_prompt=self.usual.prompt,
+            usual_answer=self.usual.answer,
+            chunk_bytes=self.chunk_bytes,
+        )
+
+
+class _ServiceModel(CamelModel):
+    name: str
+    max_connections: Annotated[int, Field(ge=1)] = 64
+    engine: _EngineModel | None = None
+    origin: str = ''
+
+    def decoded(self) -> catalogue.Service:
+        """Return the service."""
+        engine = self.engine.decoded() if self.engine else None
+        return catalogue.Service(self.name, self.max_connections, engine, self.origin)
+
+
+class _OrganisationModel(CamelModel):
+    name: str
+    api_keys: tuple[str, ...] = ()
+    priority: int | None = None
+
+
+class _LimitsModel(CamelModel):
+    max_header_bytes: _Whole = 65_536
+    max_body_bytes: _Whole = 16_777_216
+    idle_timeout_ms: _Positive = 60_000
+
+
+class _ConfigurationModel(CamelModel):
+    version: int
+    routes: tuple[_RouteModel, ...]
+    services: tuple[_ServiceModel, ...]
+    tenants: tuple[_OrganisationModel, ...] = ()
+    limits: _LimitsModel = _LimitsModel()
+
+
+class _LayersModel(BaseModel):
+    """Range of the layers that are loaded; ``to`` is not part of it."""
+
+    first: int = Field(alias='from')
+    end: int = Field(alias='to')
+    version: int
+
+
+class _ModelVersionModel(CamelModel):
+    name: str
+    version: int = 0
+
+
+class _ReplicaModel(CamelModel):
+    service: str
+    address: str
+    zone: str
+    state: Literal['ready', 'draining']
+    slots: int = 1
+    born: _Whole = 0
+    models: tuple[_ModelVersionModel, ...] = ()
+    layers: _LayersModel | tuple[_LayersModel, ...] | None = None
+
+
+class _VersionModel(CamelModel):
+    model: str
+    version: int
+
+
+class _ReportModel(CamelModel):
+    models: tuple[_ModelVersionModel, ...] = ()
+    layers: _LayersModel | tuple[_LayersModel, ...] | None = None
+    busy: bool = False
+    seq: int = 0
+    waiting: int = 0
+    running: int = 0
+    pace: float = 1
+    born: int = 0
+
+
+class _ManifestModel(CamelModel):
+    model: str
+    version: int
+    chunk_digests: tuple[str, ...]
+
+
+def _validated(model: type[ModelT], content: bytes, code: Code) -> ModelT:
+    try:
+        return model.model_validate_json(content)
+    except ValidationError as error:
+        first = error.errors(include_url=False, include_input=False)[0]
+        path = '.'.join(str(part) for part in first['loc'])
+        raise PlatformError(code, f'{path}: {first["msg"]}') from error
+
+
+def _weights(
+    models: tuple[_ModelVersionModel, ...],
+    layers: _LayersModel | tuple[_LayersModel, ...] | None,
+) -> tuple[tuple[str, int], ...]:
+    ranges = (layers,) if isinstance(layers, _LayersModel) else layers
+    if ranges is not None and not any(part.end > part.first for part in ranges):
+        return ()
+    return tuple((model.name, model.version) for model in models if model.version)
+
+
+def decode_catalogue(content: bytes) -> catalogue.Catalogue:
+    """Decode the operator's configuration.
+
+    :param content: the row's content.
+    :return: the configuration.
+    :raises PlatformError: ``configuration_row_corrupt``.
+    """
+    model = _validated(_ConfigurationModel, content, Code.configuration_row_corrupt)
+    organisations = {
+        key: catalogue.Organisation(tenant.name, tenant.priority)
+        for tenant in model.tenants
+        for key in tenant.api_keys
+    }
+    return catalogue.Catalogue(
+        version=model.version,
+        routes=tuple(route.decoded() for route in model.routes),
+        services={service.name: service.decoded() for service in model.services},
+        organisations=organisations,
+        limits=catalogue.CallerLimits(
+            model.limits.max_header_bytes,
+            model.limits.max_body_bytes,
+            model.limits.idle_timeout_ms / MS_PER_S,
+        ),
+    )
+
+
+def decode_replica(replica_id: str, content: bytes) -> Replica:
+    """Decode the row of a backend server.
+
+    :param replica_id: the key of the row.
+    :param content: the row's content.
+    :return: the replica.
+    :raises PlatformError: ``store_row_corrupt``; such a row names no replica to use.
+    """
+    model = _validated(_ReplicaModel, content, Code.store_row_corrupt)
+    try:
+        endpoint = parse_endpoint(model.address)
+    except ValueError as error:
+        raise PlatformError(Code.store_row_corrupt, f'address: {error}') from error
+    return Replica(
+        id=replica_id,
+        service=model.service,
+        endpoint=endpoint,
+        failure_domain=model.zone,
+        slots=max(model.slots, 1),
+        draining=model.state == 'draining',
+        born_ms=model.born,
+        weights=_weights(model.models, model.layers),
+    )
+
+
+def decode_version(content: bytes) -> DeclaredVersion:
+    """Decode a declared version of weights.
+
+    :param content: the row's content.
+    :return: the version.
+    :raises PlatformError: ``store_row_corrupt``.
+    """
+    model = _validated(_VersionModel, content, Code.store_row_corrupt)
+    return DeclaredVersion(model.model, model.version)
+
+
+def decode_report(content: bytes) -> EngineReport:
+    """Decode what an engine says of itself.
+
+    :param content: the body of the answer.
+    :return: the report.
+    :raises PlatformError: ``engine_answer_corrupt``.
+    """
+    model = _validated(_ReportModel, content, Code.engine_answer_corrupt)
+    return EngineReport(
+        weights=_weights(model.models, model.layers),
+        loading=model.busy,
+        orders=model.seq,
+        waiting=model.waiting,
+        running=model.running,
+        pace=model.pace,
+        born_ms=model.born,
+    )
+
+
+def decode_manifest(content: bytes) -> tuple[int, tuple[str, ...]]:
+    """Decode the manifest of a version.
+
+    :param content: the body of the answer.
+    :return: the version and the SHA-256 digests of its chunks.
+    :raises PlatformError: ``manifest_corrupt``.
+    """
+    model = _validated(_ManifestModel, content, Code.manifest_corrupt)
+    return model.version, model.chunk_digests
+
+
+__all__ = (
+    'decode_catalogue',
+    'decode_manifest',
+    'decode_replica',
+    'decode_report',
+    'decode_version',
+)
--- /dev/null
+++ b/src/cassiahitch/settings/direct.py
@@ -0,0 +1,70 @@
+"""Settings of the roles that reach backend servers directly."""
+
+from __future__ import annotations
+
+from typing import Literal
+
+from pydantic import Field
+
+from cassiahitch.resources.models import Name
+from cassiahitch.settings.fields import Address, EndpointText, Port
+from cassiahitch.settings.models import LogLevel, Role, SettingsModel
+
+
+class BoundSettings(SettingsModel):
+    """What the deployment promises and requires, in seconds unless the name says otherwise."""
+
+    drain_s: float = Field(gt=0, description='A draining replica gets no request after this.')
+    configuration_s: float = Field(gt=0, description='A configuration is in force after this.')
+    revoked_key_s: float = Field(gt=0, description='A key that was taken away is refused after.')
+    weights_s: float = Field(gt=0, description='New weights replace older ones after this.')
+    grace_s: float = Field(gt=0, description='A process that is told to stop is killed after this.')
+    address_lifetime_s: float = Field(gt=0, description='Longest lifetime of an address answer.')
+    retry_ratio: float = Field(ge=0, description='Retries of a service for each of its requests.')
+    retry_slack: float = Field(ge=0, description='Retries of a service beside those.')
+    retry_window_s: float = Field(gt=0, description='Window in which retries are counted.')
+
+
+class DirectSettings(SettingsModel):
+    """Settings that both roles have."""
+
+    name: Name = Field(description='Name of the process, unique among all.')
+    address: Address = Field(description='IP number that other processes connect to.')
+    region: Name = Field(description='Region of the host.')
+    failure_domain: Name = Field(description='Failure domain of the host.')
+    regions: dict[str, str] = Field(description='Region of each failure domain.')
+    peer_port: Port = Field(description='Port for own processes, the same on all hosts.')
+    store: EndpointText = Field(description='Store of the platform.')
+    bounds: BoundSettings = Field(description='Bounds of the deployment.')
+    metrics_port: Port = Field(default=0, description='Port for metrics; 0 takes any.')
+    log_level: LogLevel = Field(default=LogLevel.info, description='Lowest level of log lines.')
+
+
+class DirectEntrySettings(DirectSettings):
+    """Settings of an entry that reaches backend servers directly."""
+
+    role: Literal[Role.entry] = Field(default=Role.entry, description='May be left out.')
+    callers: EndpointText = Field(description='Address for requests of callers.')
+    readiness: EndpointText = Field(description='Address for checks whether it is ready.')
+    directory: EndpointText = Field(description='Address for callers that ask for entries.')
+    seeds: tuple[EndpointText, ...] = Field(
+        default=(),
+        max_length=64,
+        description='Entries to greet at first; they may be gone.',
+    )
+
+
+class DirectAgentSettings(DirectSettings):
+    """Settings of an agent whose engine is reached directly."""
+
+    role: Literal[Role.agent] = Field(default=Role.agent, description='May be left out.')
+    engine: EndpointText = Field(description='Model engine of this host.')
+    service: str = Field(description='Service that the engine answers.')
+
+
+__all__ = (
+    'BoundSettings',
+    'DirectAgentSettings',
+    'DirectEntrySettings',
+    'DirectSettings',
+)
--- a/src/cassiahitch/settings/loader.py
+++ b/src/cassiahitch/settings/loader.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from pathlib import Path
-from typing import Literal, overload
+from typing import Literal, TypeVar, overload
 
-from pydantic import ValidationError
+from pydantic import BaseModel, ValidationError
 
 from cassiahitch.codes import Code
 from cassiahitch.errors import SettingsError
@@ -15,10 +15,29 @@
 
 MAX_SETTINGS_BYTES = 256 * 1024
 
+ModelT = TypeVar('ModelT', bound=BaseModel)
+
 #: Pydantic's name of an error for a key that is absent.
 MISSING = 'missing'
 
 
+def parse_as(model: type[ModelT], document: bytes, folder: Path) -> ModelT:
+    """Validate the text of a settings file by a model.
+
+    :param document: YAML in UTF-8.
+    :param model: the model of the settings.
+    :param folder: where the paths in it start.
+    :return: the settings.
+    :raises SettingsError: ``settings_missing`` if a key is absent, else ``settings_invalid``;
+        its detail names the path of the faulty key.
+    """
+    tree = _parse_yaml(document)
+    try:
+        return model.model_validate(tree, context={'folder': folder})
+    except ValidationError as error:
+        raise _settings_error(error) from None
+
+
 def parse_settings(
     document: bytes,
     role: Role,
@@ -33,12 +52,9 @@
     :raises SettingsError: ``settings_missing`` if a key is absent, else ``settings_invalid``;
         its detail names the path of the faulty key.
     """
-    tree = _parse_yaml(document)
-    model = EntrySettings if role is Role.entry else AgentSettings
-    try:
-        return model.model_validate(tree, context={'folder': folder})
-    except ValidationError as error:
-        raise _settings_error(error) from None
+    if role is Role.entry:
+        return parse_as(EntrySettings, document, folder)
+    return parse_as(AgentSettings, document, folder)
 
 
 @overload
@@ -59,13 +75,34 @@
         ``settings_invalid``; its detail names the path of the faulty key.
     """
     file = Path(path)
+    return parse_settings(read_settings(file), role, file.parent)
+
+
+def load_as(model: type[ModelT], path: Path) -> ModelT:
+    """Read a settings file and validate it by a model.
+
+    :param model: the model of the settings.
+    :param path: the file.
+    :return: the settings.
+    :raises SettingsError: ``settings_missing`` if the file or a key is absent, else
+        ``settings_invalid``; its detail names the path of the faulty key.
+    """
+    return parse_as(model, read_settings(path), path.parent)
+
+
+def read_settings(file: Path) -> bytes:
+    """Read the text of a settings file.
+
+    :param file: the file.
+    :return: its content.
+    :raises SettingsError: ``settings_missing`` or ``settings_invalid``.
+    """
     if not file.is_file():
         raise SettingsError(Code.settings_missing, f'there is no file {file}')
     try:
-        document = read_bounded(file, MAX_SETTINGS_BYTES)
+        return read_bounded(file, MAX_SETTINGS_BYTES)
     except ValueError as error:
         raise SettingsError(Code.settings_invalid, str(error)) from None
-    return parse_settings(document, role, file.parent)
 
 
 def _parse_yaml(document: bytes) -> object:
@@ -86,6 +123,8 @@
 
 
 __all__ = (
+    'load_as',
     'load_settings',
+    'parse_as',
     'parse_settings',
 )
--- /dev/null
+++ b/src/cassiahitch/wire/beats.py
@@ -0,0 +1,86 @@
+"""Messages that are sent as datagrams; times are milliseconds."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class CrashRecord:
+    """A crash of a backend server."""
+
+    host: str = ''
+    incarnation: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class SuspectRecord:
+    """A fingerprint that was in flight at crashes."""
+
+    organisation: str = ''
+    service_name: str = ''
+    body_digest: str = ''
+    epoch: int = 0
+    crashes: tuple[CrashRecord, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class VersionRecord:
+    """A declared version of weights and how long ago the sender learned of it."""
+
+    model: str = ''
+    version: int = 0
+    age_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class EntryBeat:
+    """State of an entry; ``known`` holds the addresses of all entries that it knows."""
+
+    name: str = ''
+    incarnation: int = 0
+    sequence: int = 0
+    address: str = ''
+    http_port: int = 0
+    ready: bool = False
+    leaving: bool = False
+    region: str = ''
+    failure_domain: str = ''
+    known: tuple[str, ...] = ()
+    suspects: tuple[SuspectRecord, ...] = ()
+    versions: tuple[VersionRecord, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class LoadQuery:
+    """An entry asks an agent for reports for some seconds."""
+
+    entry: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class EngineLoad:
+    """Load of the engine beside an agent."""
+
+    incarnation: int = 0
+    sequence: int = 0
+    born_ms: int = 0
+    running: int = 0
+    waiting: int = 0
+    pace_percent: int = 100
+    loading: bool = False
+    model: str = ''
+    version: int = 0
+
+
+Beat = EntryBeat | LoadQuery | EngineLoad
+
+__all__ = (
+    'Beat',
+    'CrashRecord',
+    'EngineLoad',
+    'EntryBeat',
+    'LoadQuery',
+    'SuspectRecord',
+    'VersionRecord',
+)
--- /dev/null
+++ b/src/cassiahitch/wire/datagrams.py
@@ -0,0 +1,75 @@
+"""Datagrams between processes; each tells a whole state, so any may be lost."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from cassiahitch.errors import WireError
+from cassiahitch.util.endpoints import Endpoint
+from cassiahitch.wire import beats
+from cassiahitch.wire.gen.datagrams import ttypes
+from cassiahitch.wire.structs import StructCodec
+
+_CODEC = StructCodec(ttypes, beats, ttypes.Datagram)
+
+Receiver = Callable[[beats.Beat, Endpoint], None]
+Refused = Callable[[WireError, Endpoint], None]
+
+
+@dataclass(slots=True)
+class DatagramSocket(asyncio.DatagramProtocol):
+    """Owns the socket; messages that cannot be read are reported and dropped."""
+
+    receive: Receiver
+    refused: Refused
+    transport: asyncio.DatagramTransport | None = None
+
+    async def open(self, address: str, port: int) -> int:
+        """Bind the socket.
+
+        :param address: IP number.
+        :param port: UDP port, 0 for any.
+        :return: the port.
+        """
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(
+            lambda: self,
+            local_addr=(address, port),
+            family=socket.AF_INET,
+        )
+        self.transport = transport
+        return int(transport.get_extra_info('sockname')[1])
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Take a datagram in.
+
+        :param data: its content.
+        :param addr: its sender.
+        """
+        sender = Endpoint(*addr[:2])
+        try:
+            _, message = _CODEC.decode(data)
+        except WireError as error:
+            self.refused(error, sender)
+            return
+        self.receive(message, sender)
+
+    def send(self, message: beats.Beat, receiver: Endpoint) -> None:
+        """Send a message; it may be lost.
+
+        :param message: the message.
+        :param receiver: where it goes.
+        """
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.sendto(_CODEC.encode(message), (receiver.address, receiver.port))
+
+    def close(self) -> None:
+        """Close the socket."""
+        if self.transport is not None:
+            self.transport.close()
+
+
+__all__ = ('DatagramSocket',)
--- /dev/null
+++ b/src/cassiahitch/wire/datagrams.thrift
@@ -0,0 +1,59 @@
+// Datagrams between the processes of the direct path; regenerate with
+//   thrift --gen py:slots -out gen datagrams.thrift
+namespace py datagrams
+
+struct CrashRecord {
+  1: string host
+  2: i64 incarnation
+}
+
+struct SuspectRecord {
+  1: string organisation
+  2: string service_name
+  3: string body_digest
+  4: i32 epoch
+  5: list<CrashRecord> crashes
+}
+
+struct VersionRecord {
+  1: string model
+  2: i32 version
+  3: i64 age_ms
+}
+
+struct EntryBeat {
+  1: string name
+  2: i64 incarnation
+  3: i64 sequence
+  4: string address
+  5: i32 http_port
+  6: bool ready
+  7: bool leaving
+  8: string region
+  9: string failure_domain
+  10: list<string> known
+  11: list<SuspectRecord> suspects
+  12: list<VersionRecord> versions
+}
+
+struct LoadQuery {
+  1: string entry
+}
+
+struct EngineLoad {
+  1: i64 incarnation
+  2: i64 sequence
+  3: i64 born_ms
+  4: i32 running
+  5: i32 waiting
+  6: i32 pace_percent
+  7: bool loading
+  8: string model
+  9: i32 version
+}
+
+struct Datagram {
+  1: EntryBeat beat
+  2: LoadQuery query
+  3: EngineLoad load
+}
--- /dev/null
+++ b/src/cassiahitch/wire/gen/datagrams/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- a/src/cassiahitch/wire/process.py
+++ b/src/cassiahitch/wire/process.py
@@ -32,6 +32,7 @@
         :param clock: source of time, that of the host by default.
         """
         self.node = Node(settings, role, clock or SystemClock())
+        self.tasks = self.node.tasks
         self.started_at = self.node.clock.monotonic()
         self.sequence = 0
         self.leaving = False
