--- a/src/cassiahitch/direct/agent.py
+++ b/src/cassiahitch/direct/agent.py
@@ -18,6 +18,7 @@
 from cassiahitch.direct.loading import Loader
 from cassiahitch.direct.peerchunks import PeerChunks
 from cassiahitch.direct.reporting import LoadReporter
+from cassiahitch.direct.uploads import LinkRates, Uploads
 from cassiahitch.direct.versions import VersionPolicy
 from cassiahitch.metrics.exposition import metrics_service
 from cassiahitch.metrics.registry import Metrics
@@ -60,10 +61,13 @@
         self.metrics = Metrics(settings.name)
         self.log = BeliefLog()
         engine = around.engine(settings.engine)
-        peers = PeerChunks(caller, settings.peer_port)
+        peers = PeerChunks(caller, settings.peer_port, settings.region)
         self.library = ChunkLibrary(engine, around.origin, peers)
         versions = VersionPolicy(settings.bounds.weights_s)
-        self.beliefs = AgentBeliefs(settings, around, self.library, self.log, versions, self.rng)
+        self.uploads = Uploads(LinkRates(settings.link_mbit_s, settings.region_link_mbit_s))
+        self.beliefs = AgentBeliefs(
+            settings, around, self.library, self.uploads, self.log, versions, self.rng
+        )
         member = Participant(settings.address, settings.region, settings.failure_domain)
         self.loader = Loader(
             engine, self.library, self.beliefs, self.metrics, self.log, member, self.rng
@@ -75,7 +79,8 @@
     async def start(self) -> None:
         """Open the sockets and start the tasks."""
         settings = self.settings
-        self._serve(chunk_service(self.library), settings.peer_port)
+        chunks = chunk_service(self.library, self.uploads, settings.region)
+        self._serve(chunks, settings.peer_port)
         self._serve(metrics_service(self.metrics), settings.metrics_port)
         datagrams = DatagramSocket(self.reporter.receive, self.reporter.refused)
         await datagrams.open(settings.address, settings.peer_port)
--- a/src/cassiahitch/direct/agentbeliefs.py
+++ b/src/cassiahitch/direct/agentbeliefs.py
@@ -18,6 +18,7 @@
     from cassiahitch.direct.journal import BeliefLog
     from cassiahitch.direct.library import ChunkLibrary
     from cassiahitch.direct.surroundings import AgentSurroundings
+    from cassiahitch.direct.uploads import Uploads
     from cassiahitch.settings.direct import DirectAgentSettings
 
 #: Version that is wanted before any is declared.
@@ -31,6 +32,7 @@
     settings: DirectAgentSettings
     around: AgentSurroundings
     library: ChunkLibrary
+    uploads: Uploads
     log: BeliefLog
     versions: VersionPolicy
     rng: random.Random
@@ -106,6 +108,7 @@
         for service in catalogue.services.values():
             if service.origin:
                 self.library.origin_url = f'http://{service.origin}'
+                self.library.origin_region = self.settings.regions.get(service.failure_domain, '')
             if service.name == self.settings.service and service.engine is not None:
                 self.library.chunk_bytes = service.engine.chunk_bytes
 
@@ -136,6 +139,8 @@
         if isinstance(reply, Whole):
             found = {self.participant(row) for row in reply.rows} - {None}
             self.participants = tuple(sorted(one for one in found if one is not None))
+            near = [one for one in self.participants if one.region == self.settings.region]
+            self.uploads.share_region_link(len(near))
         addresses = [one.host for one in self.participants if one.host != self.settings.address]
         self.rng.shuffle(addresses)
         self.library.peers.addresses = tuple(addresses)
--- a/src/cassiahitch/direct/catalogue.py
+++ b/src/cassiahitch/direct/catalogue.py
@@ -4,7 +4,6 @@
 
 from dataclasses import dataclass, field
 from enum import StrEnum
-from types import MappingProxyType
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -84,12 +83,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Service:
-    """A service; ``max_connections`` bounds those of one replica from all its callers."""
+    """A service; ``max_connections`` bounds those of one replica from all its callers.
+
+    ``origin`` is the address of the origin of weights, in ``failure_domain``, if it is that.
+    """
 
     name: str
     max_connections: int
     engine: Engine | None = None
     origin: str = ''
+    failure_domain: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,9 +112,6 @@
     idle_s: float = 60
 
 
-NO_ORGANISATIONS: Mapping[str, Organisation] = MappingProxyType({})
-
-
 @dataclass(frozen=True)
 class Catalogue:
     """One version of the configuration; ``organisations`` are found by their keys."""
@@ -119,7 +119,7 @@
     version: int
     routes: tuple[Route, ...]
     services: Mapping[str, Service]
-    organisations: Mapping[str, Organisation] = NO_ORGANISATIONS
+    organisations: Mapping[str, Organisation] = field(default_factory=dict)
     limits: CallerLimits = CallerLimits()
     by_host: dict[str, dict[str, Route]] = field(init=False, default_factory=dict)
 
--- a/src/cassiahitch/direct/chunkservice.py
+++ b/src/cassiahitch/direct/chunkservice.py
@@ -2,16 +2,21 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
+from contextlib import ExitStack, aclosing, suppress
 from http import HTTPStatus
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
+from tornado.iostream import StreamClosedError
 from tornado.web import Application, RequestHandler
 
 from cassiahitch.direct.chunks import WeightsName
+from cassiahitch.weights.tree import Tier
 
 if TYPE_CHECKING:
     from cassiahitch.direct.library import ChunkLibrary
+    from cassiahitch.direct.uploads import Uploads
 
 #: Longest time for which a request waits for a chunk, in seconds.
 WAIT_S = 0.6
@@ -22,12 +27,16 @@
 class ChunkHandler(RequestHandler):
     """Serves one chunk; 503 means that it is not here yet, 404 that it will not be."""
 
-    def initialize(self, library: ChunkLibrary) -> None:
+    def initialize(self, library: ChunkLibrary, uploads: Uploads, region: str) -> None:
         """Take what it serves.
 
         :param library: the chunks of this host.
+        :param uploads: the links that they leave by.
+        :param region: the region of this host.
         """
         self.library = library
+        self.uploads = uploads
+        self.region = region
 
     async def get(self, model: str, version: str, index: str) -> None:
         """Answer with a chunk.
@@ -40,12 +49,35 @@
         if not self.library.may_come(name):
             self.set_status(HTTPStatus.NOT_FOUND)
             return
-        content = await self.library.chunk(name, int(index), WAIT_S)
+        tier = Tier(int(self.get_query_argument('tier', str(Tier.stray.value))))
+        try:
+            async with asyncio.timeout(WAIT_S):
+                content = await self.library.chunk(name, int(index), WAIT_S)
+                await self.uploads.places.acquire(tier)
+        except TimeoutError:
+            self.set_status(HTTPStatus.SERVICE_UNAVAILABLE)
+            return
+        with ExitStack() as stack:
+            stack.callback(self.uploads.places.release)
+            stack.enter_context(suppress(StreamClosedError))
+            await self.send(content, tier)
+
+    async def send(self, content: bytes | None, tier: Tier) -> None:
+        """Send a chunk at the pace of the links.
+
+        :param content: the chunk, or nothing if it is not here yet.
+        :param tier: what depends on it.
+        """
         if content is None:
             self.set_status(HTTPStatus.SERVICE_UNAVAILABLE)
             return
+        crosses = self.get_query_argument('region', '') != self.region
         self.set_header('Content-Type', 'application/octet-stream')
-        await self.finish(content)
+        self.set_header('Content-Length', len(content))
+        async with aclosing(self.uploads.paced(content, tier, crosses=crosses)) as parts:
+            async for part in parts:
+                self.write(part)
+                await self.flush()
 
 
 class ManifestHandler(RequestHandler):
@@ -71,15 +103,17 @@
         await self.finish(json.dumps({'chunks': held.manifest.chunks}))
 
 
-def chunk_service(library: ChunkLibrary) -> Application:
+def chunk_service(library: ChunkLibrary, uploads: Uploads, region: str) -> Application:
     """Return the service of chunks.
 
     :param library: the chunks of this host.
+    :param uploads: the links that they leave by.
+    :param region: the region of this host.
     :return: the service.
     """
-    arguments = {'library': library}
-    routes = [
-        (CHUNK_ROUTE, ChunkHandler, arguments),
+    arguments: dict[str, Any] = {'library': library}
+    routes: list[Any] = [
+        (CHUNK_ROUTE, ChunkHandler, {**arguments, 'uploads': uploads, 'region': region}),
         (MANIFEST_ROUTE, ManifestHandler, arguments),
     ]
     return Application(routes, log_function=_quiet)
--- a/src/cassiahitch/direct/fetching.py
+++ b/src/cassiahitch/direct/fetching.py
@@ -24,9 +24,9 @@
     from cassiahitch.weights.plan import Participant, RolloutPlan
 
 LIMITS = FetchLimits(
-    in_flight=6,
+    in_flight=8,
     origin_in_flight=3,
-    stall_s=1.2,
+    stall_s=1.5,
     wait_s=5,
     origin_wait_s=4,
     retry_s=0.2,
@@ -57,9 +57,8 @@
         :raises PlatformError: if the manifest cannot be had, or the fetch failed.
         """
         held = await self.library.open(self.name)
-        for index, _ in enumerate(held.manifest.chunks):
-            if index not in held.contents:
-                await self.library.take_staged(self.name, index)
+        if self.library.staged in {None, self.name}:
+            await self._take_staged(held)
         if held.complete:
             return
         with ExitStack() as stack:
@@ -68,6 +67,12 @@
         if self.code is not Code.ok:
             raise PlatformError(self.code or Code.internal, 'the chunks could not be fetched')
 
+    async def _take_staged(self, held: Held) -> None:
+        # After a restart of this process, the engine may still have all chunks.
+        for index, _ in enumerate(held.manifest.chunks):
+            if index not in held.contents:
+                await self.library.take_staged(self.name, index)
+
     def update(self, participants: tuple[Participant, ...]) -> None:
         """Take in who fetches the same version now.
 
@@ -85,6 +90,7 @@
             held.manifest.digest,
             Objective.origin_bytes,
             tuple(own.values()),
+            self.library.origin_region,
         )
 
     async def _drive(self, held: Held, plan: RolloutPlan) -> None:
@@ -150,7 +156,7 @@
                 library.origin_url, self.name.model, self.name.version, order.index
             )
         while True:
-            content = await library.peers.chunk(order.source.host, self.name, order.index)
+            content = await library.peers.chunk(order.source, self.name, order.index)
             if content is not None:
                 return content
             self.inbox.put_nowait(api.SourceAlive(order.source.host))
--- a/src/cassiahitch/direct/library.py
+++ b/src/cassiahitch/direct/library.py
@@ -26,6 +26,7 @@
     staged: WeightsName | None = None
     newest: int = 0
     origin_url: str = ''
+    origin_region: str = ''
     chunk_bytes: int = 0
 
     def may_come(self, name: WeightsName) -> bool:
@@ -34,7 +35,7 @@
         :param name: the version.
         :return: whether to wait for it.
         """
-        return name in self.shelf.held or name == self.staged or name.version > self.newest
+        return name in self.shelf.held or name == self.staged or name.version >= self.newest
 
     async def open(self, name: WeightsName) -> Held:
         """Learn the manifest of a version and make room for its chunks.
@@ -73,7 +74,8 @@
         :param wait_s: how long to wait for it.
         :return: its bytes, or nothing.
         """
-        if name == self.staged and name not in self.shelf.held:
+        held = self.shelf.held.get(name)
+        if name == self.staged and (held is None or index not in held.contents):
             await self.take_staged(name, index)
         return await self.shelf.wait(name, index, wait_s)
 
--- a/src/cassiahitch/direct/loading.py
+++ b/src/cassiahitch/direct/loading.py
@@ -5,7 +5,7 @@
 import asyncio
 import random
 from contextlib import ExitStack
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from cassiahitch.direct.chunks import WeightsName
@@ -32,6 +32,8 @@
 SPREAD_S = 1.0
 #: Seconds before the end of the bound by which every load has been ordered.
 LAST_ORDER_S = 3.2
+#: Part of a version's chunks from which on it is finished even if a newer one is declared.
+GO_ON_PART = 0.5
 #: Seconds between reads of who takes part.
 PARTICIPANTS_S = 1.5
 
@@ -63,13 +65,13 @@
     log: BeliefLog
     member: Participant
     rng: random.Random
-    report: EngineReport = field(default_factory=EngineReport)
+    report: EngineReport | None = None
 
     async def work(self) -> None:
         """Keep the engine at the newest version until cancelled."""
         while True:
             wanted = self.beliefs.wanted()
-            if wanted is None or self.has(wanted):
+            if wanted is None or self.report is None or self.has(wanted):
                 await asyncio.sleep(LOOK_S)
                 continue
             try:
@@ -84,7 +86,7 @@
         :param wanted: the version.
         :return: whether it does, by its last report.
         """
-        if self.report.version(wanted.model) != wanted.version:
+        if self.report is None or self.report.version(wanted.model) != wanted.version:
             return False
         self.library.staged = wanted
         return True
@@ -97,15 +99,13 @@
         """
         began = asyncio.get_running_loop().time()
         held = await self.fetch(wanted)
-        if held is None or self.beliefs.wanted() != wanted:
+        if held is None:
             return
         fetched = asyncio.get_running_loop().time()
         hosts = tuple(one.host for one in self.beliefs.participants)
         left_s = self.beliefs.left_s(wanted, fetched)
         await self.stage(wanted, held)
         await asyncio.sleep(turn_s(self.member.host, hosts, wanted.version, left_s))
-        if self.beliefs.wanted() != wanted:
-            return
         await self.stage(wanted, held)
         outcome = await self.order(wanted)
         self.log.believed(
@@ -129,7 +129,7 @@
         task = asyncio.create_task(fetch.run(participants))
         with ExitStack() as stack:
             stack.callback(task.cancel)
-            while not task.done() and self.beliefs.wanted() == wanted:
+            while not task.done() and self.is_worth_fetching(wanted):
                 await asyncio.wait((task,), timeout=LOOK_S)
                 if self.beliefs.is_stale(PARTICIPANTS_S):
                     fetch.update(await self.beliefs.read_participants())
@@ -138,6 +138,22 @@
         task.result()
         return self.library.shelf.held.get(wanted)
 
+    def is_worth_fetching(self, wanted: WeightsName) -> bool:
+        """Tell whether to go on with a version although a newer one may be declared.
+
+        Load pattern: versions follow each other so fast that an engine that skipped each one
+        would be left with a version that may no longer be used.
+
+        :param wanted: the version that is being fetched.
+        :return: whether it is the newest, or mostly here.
+        """
+        if self.beliefs.wanted() == wanted:
+            return True
+        held = self.library.shelf.held.get(wanted)
+        if held is None:
+            return False
+        return len(held.contents) > len(held.manifest.chunks) * GO_ON_PART
+
     async def stage(self, wanted: WeightsName, held: Held) -> None:
         """Store all chunks at the engine that are not there as they should be.
 
@@ -158,10 +174,11 @@
         :return: what became of the order.
         :raises PlatformError: ``engine_unavailable``.
         """
-        self.report = await self.engine.report()
-        if self.report.loading or self.has(wanted):
+        report = await self.engine.report()
+        self.report = report
+        if report.loading or self.has(wanted):
             return OrderOutcome.in_effect
-        outcome = await self.engine.load(wanted.model, wanted.version, self.report.orders)
+        outcome = await self.engine.load(wanted.model, wanted.version, report.orders)
         await self.settle(wanted)
         return outcome
 
@@ -173,9 +190,9 @@
         """
         while True:
             await asyncio.sleep(LOOK_S)
-            self.report = await self.engine.report()
-            newer = self.beliefs.wanted() != wanted
-            if self.has(wanted) or newer or not self.report.loading:
+            report = await self.engine.report()
+            self.report = report
+            if self.has(wanted) or not report.loading:
                 return
 
 
--- a/src/cassiahitch/direct/peerchunks.py
+++ b/src/cassiahitch/direct/peerchunks.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import TYPE_CHECKING
+from urllib.parse import urlencode
 
 from pydantic import BaseModel, ValidationError
 
@@ -15,6 +16,7 @@
 
 if TYPE_CHECKING:
     from cassiahitch.direct.chunks import WeightsName
+    from cassiahitch.weights.tree import Source
 
 #: Seconds until a transfer fails.
 TRANSFER_TIMEOUT_S = 3.0
@@ -32,18 +34,21 @@
 
     caller: HttpCaller
     port: int
+    region: str
     addresses: tuple[str, ...] = field(default=())
 
-    async def chunk(self, address: str, name: WeightsName, index: int) -> bytes | None:
+    async def chunk(self, source: Source, name: WeightsName, index: int) -> bytes | None:
         """Return a chunk of another agent.
 
-        :param address: the agent.
+        :param source: the agent, and what depends on the chunk.
         :param name: the version.
         :param index: the position of the chunk.
         :return: its bytes, unverified, or nothing if it is not there yet.
         :raises PlatformError: ``chunk_missing`` or ``chunk_stalled``.
         """
-        reply = await self._get(address, f'chunks/{name.model}/{name.version}/{index}')
+        query = urlencode({'tier': source.tier.value, 'region': self.region})
+        path = f'chunks/{name.model}/{name.version}/{index}?{query}'
+        reply = await self._get(source.host, path)
         match reply.status:
             case HTTPStatus.OK:
                 return reply.body
--- a/src/cassiahitch/platform/documents.py
+++ b/src/cassiahitch/platform/documents.py
@@ -121,11 +121,12 @@
     max_connections: Annotated[int, Field(ge=1)] = 64
     engine: _EngineModel | None = None
     origin: str = ''
+    zone: str = ''
 
     def decoded(self) -> catalogue.Service:
         """Return the service."""
         engine = self.engine.decoded() if self.engine else None
-        return catalogue.Service(self.name, self.max_connections, engine, self.origin)
+        return catalogue.Service(self.name, self.max_connections, engine, self.origin, self.zone)
 
 
 class _OrganisationModel(CamelModel):
--- a/src/cassiahitch/settings/direct.py
+++ b/src/cassiahitch/settings/direct.py
@@ -60,6 +60,11 @@
     role: Literal[Role.agent] = Field(default=Role.agent, description='May be left out.')
     engine: EndpointText = Field(description='Model engine of this host.')
     service: str = Field(description='Service that the engine answers.')
+    region_link_mbit_s: float = Field(
+        gt=0,
+        description='Rate of the link between two regions, in megabits a second.',
+    )
+    link_mbit_s: float = Field(gt=0, description="Rate of the host's link, in megabits a second.")
 
 
 __all__ = (
--- a/src/cassiahitch/weights/plan.py
+++ b/src/cassiahitch/weights/plan.py
@@ -46,16 +46,21 @@
     manifest: Digest
     objective: Objective
     participants: list[_ParticipantModel] = Field(min_length=1, max_length=MAX_PARTICIPANTS)
+    first_region: str = Field(default='', max_length=MAX_NAME_LENGTH)
 
 
 @dataclass(frozen=True)
 class RolloutPlan:
-    """The participants of a rollout, sorted, and the objective that shapes its trees."""
+    """The participants of a rollout, sorted, and the objective that shapes its trees.
+
+    Hosts of ``first_region``, that of the origin, are the roots of all trees.
+    """
 
     rollout: str
     manifest: str
     objective: Objective
     participants: tuple[Participant, ...]
+    first_region: str = ''
 
     @cached_property
     def digest(self) -> str:
@@ -67,7 +72,9 @@
 
         :return: UTF-8 JSON with sorted keys and no spaces.
         """
+        optional = {'first_region': self.first_region} if self.first_region else {}
         fields = {
+            **optional,
             'rollout': self.rollout,
             'manifest': self.manifest,
             'objective': self.objective.value,
@@ -88,6 +95,7 @@
     manifest: str,
     objective: Objective,
     participants: tuple[Participant, ...],
+    first_region: str = '',
 ) -> RolloutPlan:
     """Build a plan.
 
@@ -95,10 +103,11 @@
     :param manifest: the digest of the manifest.
     :param objective: what the rollout spends least of.
     :param participants: the hosts, in any order.
+    :param first_region: the region of the origin, if it is known.
     :return: the plan, with its participants sorted.
     :raises CassiahitchError: ``plan_corrupt`` if a host is named twice or in no valid way.
     """
-    plan = RolloutPlan(rollout, manifest, objective, tuple(sorted(participants)))
+    plan = RolloutPlan(rollout, manifest, objective, tuple(sorted(participants)), first_region)
     return parse_plan(plan.to_json())
 
 
@@ -124,7 +133,9 @@
     )
     if len({member.host for member in participants}) != len(participants):
         raise CassiahitchError(Code.plan_corrupt, 'a host is named twice')
-    return RolloutPlan(model.rollout, model.manifest, model.objective, participants)
+    return RolloutPlan(
+        model.rollout, model.manifest, model.objective, participants, model.first_region
+    )
 
 
 __all__ = (
--- a/src/cassiahitch/weights/tree.py
+++ b/src/cassiahitch/weights/tree.py
@@ -82,6 +82,8 @@
                 key=lambda member: rendezvous_hash(pair, member.host),
                 reverse=bool(odd),
             )
+            # A stable sort keeps the order among the hosts of the origin's region.
+            members.sort(key=lambda member: member.region != self.plan.first_region)
             self.orders[tree] = tuple(members)
         return self.orders[tree]
 
@@ -120,7 +122,7 @@
         :param suspects: hosts that are left out but may still turn to the origin.
         :return: the sources, the best first.
         """
-        heads = _Heads(member, suspects)
+        heads = _Heads(member, suspects, chained=bool(self.plan.first_region))
         ahead = 0
         order = self.order(tree)
         heads.is_leaf = self.is_leaf(order, member)
@@ -180,8 +182,9 @@
 class _Heads:
     """The hosts before one host in the order of a tree, as far as they matter to it."""
 
-    def __init__(self, member: Participant, suspects: frozenset[str]) -> None:
+    def __init__(self, member: Participant, suspects: frozenset[str], *, chained: bool) -> None:
         self.member = member
+        self.chained = chained
         self.suspects = suspects
         self.is_leaf = False
         self.near: list[str] = []
@@ -201,8 +204,17 @@
 
     def region_rank(self, copies: int) -> int | None:
         """Return the rank of the parent among the regions, or nothing for the origin."""
-        rank = _rank(self.regions, self.member.region)
-        return None if rank < copies else (rank - copies) // 2
+        return self.region_parent(_rank(self.regions, self.member.region), copies)
+
+    def region_parent(self, rank: int, copies: int) -> int | None:
+        """Return the rank of the region before another one, or nothing for the origin.
+
+        Where the region of the origin is known, regions form a chain, so that the hosts of
+        no region send more than one copy to others.
+        """
+        if rank < copies:
+            return None
+        return rank - 1 if self.chained else (rank - copies) // 2
 
     def sources(self, copies: int) -> Iterator[Source]:
         """Yield the hosts to fetch from, the nearest first."""
@@ -233,7 +245,7 @@
         region = self.region_rank(copies)
         while region is not None:
             yield Source(regions[region], Tier.region)
-            region = None if region < copies else (region - copies) // 2
+            region = self.region_parent(region, copies)
 
 
 def _rank(heads: dict[str, str], name: str) -> int:
