--- a/src/cassiahitch/direct/attempt.py
+++ b/src/cassiahitch/direct/attempt.py
@@ -14,7 +14,7 @@
 from cassiahitch.direct.front import CallerGone
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
     from cassiahitch.direct.api import Call, RequestCodec
     from cassiahitch.direct.filters import RequestFilters
@@ -74,6 +74,7 @@
     splitter: EventSplitter = field(default_factory=EventSplitter)
     started: bool = False
     first_event_at: float | None = None
+    on_first: Callable[[float], None] | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -254,6 +255,8 @@
         if not stream.started and (data or last):
             stream.started = True
             stream.first_event_at = asyncio.get_running_loop().time()
+            if stream.on_first is not None:
+                stream.on_first(stream.first_event_at)
             await stream.caller.start(head.status, head.reason, head.headers)
         if data:
             await stream.caller.write(data)
--- a/src/cassiahitch/direct/candidates.py
+++ b/src/cassiahitch/direct/candidates.py
@@ -50,7 +50,7 @@
         service = self.service(call)
         if service is None:
             return 1
-        now = self.knowledge.replicas.heard_at
+        now = call.arrived
         return max(2, service.max_connections // (self.knowledge.entries(now) + SPARE_ENTRIES))
 
     def health(self, replica: Replica) -> OutlierEjection:
--- a/src/cassiahitch/direct/chunkservice.py
+++ b/src/cassiahitch/direct/chunkservice.py
@@ -25,7 +25,10 @@
 
 
 class ChunkHandler(RequestHandler):
-    """Serves one chunk; 503 means that it is not here yet, 404 that it will not be."""
+    """Serves one chunk; 503 means that it is not here yet, 404 that it will not be.
+
+    With ``look`` in the query it only says whether the chunk is here, after a while.
+    """
 
     def initialize(self, library: ChunkLibrary, uploads: Uploads, region: str) -> None:
         """Take what it serves.
@@ -49,6 +52,11 @@
         if not self.library.may_come(name):
             self.set_status(HTTPStatus.NOT_FOUND)
             return
+        if self.get_query_argument('look', ''):
+            found = await self.library.chunk(name, int(index), WAIT_S)
+            here = found is not None
+            self.set_status(HTTPStatus.NO_CONTENT if here else HTTPStatus.SERVICE_UNAVAILABLE)
+            return
         tier = Tier(int(self.get_query_argument('tier', str(Tier.stray.value))))
         try:
             async with asyncio.timeout(WAIT_S):
--- a/src/cassiahitch/direct/entry.py
+++ b/src/cassiahitch/direct/entry.py
@@ -30,8 +30,8 @@
     from cassiahitch.settings.direct import DirectEntrySettings
     from cassiahitch.util.endpoints import Endpoint
 
-#: Longest wait for a change of the declarations, in seconds.
-DECLARATION_WAIT_S = 1.9
+#: Longest wait for a change of the declarations, as a part of the bound on revoked keys.
+DECLARATION_WAIT_PART = 0.38
 #: Longest wait for a change of the replicas, and least time between two reads, in seconds.
 REPLICA_WAIT_S = 0.7
 REPLICA_INTERVAL_S = 0.5
@@ -133,7 +133,7 @@
             TableFeed(self.rng),
             self.beliefs.take_declarations,
             self.parts.journal,
-            DECLARATION_WAIT_S,
+            self.settings.bounds.revoked_key_s * DECLARATION_WAIT_PART,
         )
 
     def _replicas(self) -> TableFollower:
--- a/src/cassiahitch/direct/fetching.py
+++ b/src/cassiahitch/direct/fetching.py
@@ -11,7 +11,6 @@
 from cassiahitch.codes import Code
 from cassiahitch.errors import CassiahitchError, PlatformError
 from cassiahitch.metrics.names import CounterName
-from cassiahitch.resources.models import Objective
 from cassiahitch.weights import api
 from cassiahitch.weights.fetcher import Fetcher, FetchLimits
 from cassiahitch.weights.plan import build_plan
@@ -21,11 +20,12 @@
     from cassiahitch.direct.chunks import Held, WeightsName
     from cassiahitch.direct.library import ChunkLibrary
     from cassiahitch.metrics.registry import Metrics
+    from cassiahitch.resources.models import Objective
     from cassiahitch.weights.plan import Participant, RolloutPlan
 
 LIMITS = FetchLimits(
     in_flight=8,
-    origin_in_flight=3,
+    origin_in_flight=1,
     stall_s=1.5,
     wait_s=5,
     origin_wait_s=4,
@@ -44,6 +44,7 @@
     metrics: Metrics
     name: WeightsName
     member: Participant
+    objective: Objective
     rng: random.Random
     inbox: asyncio.Queue[api.FetchMessage] = field(default_factory=asyncio.Queue)
     fetches: dict[int, asyncio.Task[None]] = field(default_factory=dict)
@@ -88,7 +89,7 @@
         return build_plan(
             held.manifest.version,
             held.manifest.digest,
-            Objective.origin_bytes,
+            self.objective,
             tuple(own.values()),
             self.library.origin_region,
         )
--- a/src/cassiahitch/direct/load.py
+++ b/src/cassiahitch/direct/load.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -17,6 +18,10 @@
 REPORT_LIMIT_S = 0.7
 #: Seconds between the sampling of a report and its arrival.
 REPORT_DELAY_S = 0.004
+#: Weight of the newest lateness in the mean.
+NEWEST_WEIGHT = 0.3
+#: Seconds after which a lateness that is not confirmed counts half.
+LATE_FADE_S = 1.5
 #: Part of the time of an engine that reading prompts takes at most in estimates.
 MOST_READING = 0.7
 
@@ -42,6 +47,30 @@
     heard_at: float = float('-inf')
     in_flight: int = 0
     changes: deque[tuple[float, int]] = field(default_factory=deque)
+    late_s: float = 0
+    late_at: float = 0
+
+    def began(self, expected_s: float, took_s: float, now: float) -> None:
+        """Learn how much later than expected a first event came.
+
+        Load pattern: a link or a host that has turned slow, which its engine does not see.
+
+        :param expected_s: the prediction.
+        :param took_s: the time that it took.
+        :param now: seconds.
+        """
+        excess_s = max(0, took_s - expected_s)
+        self.late_s = self.lateness_s(now)
+        self.late_s += NEWEST_WEIGHT * (excess_s - self.late_s)
+        self.late_at = now
+
+    def lateness_s(self, now: float) -> float:
+        """Return how much later than predicted first events come; it fades with time.
+
+        :param now: seconds.
+        :return: seconds.
+        """
+        return self.late_s * math.exp2((self.late_at - now) / LATE_FADE_S)
 
     def heard(self, report: LoadReport, now: float) -> None:
         """Take a report in.
--- a/src/cassiahitch/direct/loading.py
+++ b/src/cassiahitch/direct/loading.py
@@ -11,6 +11,7 @@
 from cassiahitch.direct.chunks import WeightsName
 from cassiahitch.direct.enginestate import EngineReport, OrderOutcome
 from cassiahitch.direct.fetching import VersionFetch
+from cassiahitch.direct.versions import MARGIN_S
 from cassiahitch.errors import PlatformError
 from cassiahitch.weights.manifest import verify_chunk
 from cassiahitch.weights.tree import rendezvous_hash
@@ -28,10 +29,8 @@
 LOOK_S = 0.1
 #: Seconds after a failure until the next try.
 RETRY_S = 0.3
-#: Seconds over which the loads of all engines are spread.
-SPREAD_S = 1.0
-#: Seconds before the end of the bound by which every load has been ordered.
-LAST_ORDER_S = 3.2
+#: Longest time over which the loads of all engines are spread, in seconds.
+SPREAD_S = 2.5
 #: Part of a version's chunks from which on it is finished even if a newer one is declared.
 GO_ON_PART = 0.5
 #: Seconds between reads of who takes part.
@@ -50,7 +49,7 @@
     :return: seconds.
     """
     order = sorted({member, *hosts}, key=lambda host: rendezvous_hash(version, host))
-    spread_s = min(SPREAD_S, max(0, left_s - LAST_ORDER_S))
+    spread_s = min(SPREAD_S, max(0, left_s - MARGIN_S))
     return spread_s * order.index(member) / len(order)
 
 
@@ -105,8 +104,9 @@
         hosts = tuple(one.host for one in self.beliefs.participants)
         left_s = self.beliefs.left_s(wanted, fetched)
         await self.stage(wanted, held)
-        await asyncio.sleep(turn_s(self.member.host, hosts, wanted.version, left_s))
-        await self.stage(wanted, held)
+        if self.report is not None and self.report.version(wanted.model):
+            await asyncio.sleep(turn_s(self.member.host, hosts, wanted.version, left_s))
+            await self.stage(wanted, held)
         outcome = await self.order(wanted)
         self.log.believed(
             'load ordered',
@@ -125,7 +125,8 @@
         :raises PlatformError: if it failed.
         """
         participants = await self.beliefs.read_participants()
-        fetch = VersionFetch(self.library, self.metrics, wanted, self.member, self.rng)
+        objective = self.beliefs.settings.objective
+        fetch = VersionFetch(self.library, self.metrics, wanted, self.member, objective, self.rng)
         task = asyncio.create_task(fetch.run(participants))
         with ExitStack() as stack:
             stack.callback(task.cancel)
--- a/src/cassiahitch/direct/peerchunks.py
+++ b/src/cassiahitch/direct/peerchunks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from contextlib import suppress
 from dataclasses import dataclass, field
 from http import HTTPStatus
@@ -20,6 +21,8 @@
 
 #: Seconds until a transfer fails.
 TRANSFER_TIMEOUT_S = 3.0
+#: Chunks that are received at once; more would queue on the host's link before requests.
+DOWNLOADS = 2
 #: Other agents that are asked for a manifest.
 ASKED = 3
 
@@ -35,7 +38,8 @@
     caller: HttpCaller
     port: int
     region: str
-    addresses: tuple[str, ...] = field(default=())
+    addresses: tuple[str, ...] = ()
+    downloads: asyncio.Semaphore = field(default_factory=lambda: asyncio.Semaphore(DOWNLOADS))
 
     async def chunk(self, source: Source, name: WeightsName, index: int) -> bytes | None:
         """Return a chunk of another agent.
@@ -46,16 +50,13 @@
         :return: its bytes, unverified, or nothing if it is not there yet.
         :raises PlatformError: ``chunk_missing`` or ``chunk_stalled``.
         """
+        path = f'chunks/{name.model}/{name.version}/{index}'
+        look = await self._get(source.host, f'{path}?look=1')
+        if look.status != HTTPStatus.NO_CONTENT:
+            return _content(look)
         query = urlencode({'tier': source.tier.value, 'region': self.region})
-        path = f'chunks/{name.model}/{name.version}/{index}?{query}'
-        reply = await self._get(source.host, path)
-        match reply.status:
-            case HTTPStatus.OK:
-                return reply.body
-            case HTTPStatus.SERVICE_UNAVAILABLE:
-                return None
-            case status:
-                raise PlatformError(Code.chunk_missing, f'status {status}')
+        async with self.downloads:
+            return _content(await self._get(source.host, f'{path}?{query}'))
 
     async def digests(self, name: WeightsName) -> tuple[str, ...]:
         """Ask other agents for the digests of a version.
@@ -78,4 +79,14 @@
             raise PlatformError(Code.chunk_stalled, str(error)) from error
 
 
+def _content(reply: Reply) -> bytes | None:
+    match reply.status:
+        case HTTPStatus.OK:
+            return reply.body
+        case HTTPStatus.SERVICE_UNAVAILABLE:
+            return None
+        case status:
+            raise PlatformError(Code.chunk_missing, f'status {status}')
+
+
 __all__ = ('PeerChunks',)
--- a/src/cassiahitch/direct/placement.py
+++ b/src/cassiahitch/direct/placement.py
@@ -19,7 +19,7 @@
     from cassiahitch.direct.replicas import Replica
 
 #: Part of the objective within which the first event is to be expected.
-EXPECTED_PART = 0.95
+EXPECTED_PART = 0.6
 #: Seconds by which a replica of another region must be better than one of the own.
 CROSSING_S = 0.02
 #: Seconds by which choices are spread, so that entries with the same reports differ.
@@ -172,7 +172,8 @@
             one: self.engine_load(one.replica.key).requests(entries, now) for one in candidates
         }
         times = {
-            one: first_event_s(
+            one: self.engine_load(one.replica.key).lateness_s(now)
+            + first_event_s(
                 engine,
                 requests[one],
                 demand.prompt_tokens,
--- a/src/cassiahitch/direct/replicas.py
+++ b/src/cassiahitch/direct/replicas.py
@@ -57,7 +57,7 @@
 
     replicas: dict[str, Replica] = field(default_factory=dict)
     lapsed: dict[str, float] = field(default_factory=dict)
-    heard_at: float = 0
+    heard_at: float | None = None
     back_at: float = -REGISTRATION_S
 
     def heard(self, asked_at: float, now: float) -> None:
@@ -66,7 +66,7 @@
         :param asked_at: when it was asked, in seconds.
         :param now: seconds.
         """
-        if asked_at - self.heard_at > AWAY_AFTER_S:
+        if self.heard_at is not None and asked_at - self.heard_at > AWAY_AFTER_S:
             self.back_at = now
         self.heard_at = now
 
--- a/src/cassiahitch/direct/runner.py
+++ b/src/cassiahitch/direct/runner.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 from dataclasses import dataclass, field
+from functools import partial
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
@@ -152,9 +153,12 @@
             began = asyncio.get_running_loop().time()
             limit = self.candidates.connection_limit(call)
             patience = self.patience(call)
+            stream.on_first = partial(self.note_lateness, placed, began)
             with self.watch.running(call, placed.candidate.replica):
                 outcome = await self.attempts.send(call, placed, stream, patience, limit)
             self.journal.attempted(call, placed, outcome, began, stream.first_event_at)
+            if isinstance(outcome, Lost) and outcome.silent:
+                self.note_lateness(placed, began, asyncio.get_running_loop().time())
             self.learn(call, placed, outcome)
             if await self.is_done(call, caller, outcome):
                 return
@@ -258,6 +262,17 @@
                     self.knowledge.crashes.completed(call.fingerprint, now)
         health.finished(replica.key, seen, now)
 
+    def note_lateness(self, placed: Placed, began: float, now: float) -> None:
+        """Learn from the time of the first event of a stream, or from its absence.
+
+        :param placed: where the request was.
+        :param began: when it was sent, in seconds.
+        :param now: when the first event came, or the request was given up there.
+        """
+        if placed.rank is not None:
+            load = self.candidates.placement.engine_load(placed.candidate.replica.key)
+            load.began(placed.expected_s, now - began, now)
+
     async def is_done(self, call: Call, caller: CallerExchange, outcome: Outcome) -> bool:
         """Give the caller the answer, if there is one that is not better tried again.
 
--- a/src/cassiahitch/direct/versions.py
+++ b/src/cassiahitch/direct/versions.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 #: Seconds before the end of the bound from which no request begins on an older version.
-MARGIN_S = 1.2
+MARGIN_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,6 +60,7 @@
 
 
 __all__ = (
+    'MARGIN_S',
     'DeclaredVersion',
     'VersionPolicy',
 )
--- a/src/cassiahitch/limits/fairqueue.py
+++ b/src/cassiahitch/limits/fairqueue.py
@@ -39,7 +39,7 @@
 
 
 @dataclass(slots=True)
-class Tenant:
+class OrganisationQueue:
     """Queue state of one organisation; ``virtual_time`` is what it has used per weight."""
 
     weight: float = 1
@@ -72,7 +72,7 @@
         :param limits: bounds on its length.
         """
         self.limits = limits
-        self.tenants: dict[str, Tenant] = {}
+        self.by_organisation: dict[str, OrganisationQueue] = {}
         self.heaps: dict[Priority, Heap] = {priority: [] for priority in Priority}
         self.length = 0
         self.virtual_time: float = 0
@@ -86,7 +86,7 @@
         :param organisation: its name.
         :param weight: its weight, above 0.
         """
-        self.tenants.setdefault(organisation, Tenant()).weight = weight
+        self.by_organisation.setdefault(organisation, OrganisationQueue()).weight = weight
 
     def push(self, request: Waiting, now: float) -> tuple[Verdict, ...]:
         """Let a request wait, or shed it or a request of the organisation that waits most.
@@ -95,19 +95,19 @@
         :param now: seconds.
         :return: what was shed.
         """
-        tenant = self.tenants.setdefault(request.organisation, Tenant())
-        if tenant.length >= self.limits.per_organisation:
+        own = self.by_organisation.setdefault(request.organisation, OrganisationQueue())
+        if own.length >= self.limits.per_organisation:
             return (self.shed(request, now),)
-        wait_s = self.expected_wait_s(tenant, request.priority, now)
+        wait_s = self.expected_wait_s(own, request.priority, now)
         if wait_s > WAIT_PART * self.spare_s(request, now):
             return (self.shed(request, now),)
         shed: tuple[Verdict, ...] = ()
         if self.length >= self.limits.total:
-            evicted = self.evict(tenant)
+            evicted = self.evict(own)
             if evicted is None:
                 return (self.shed(request, now),)
             shed = (self.shed(evicted, now),)
-        self.append(tenant, request, now)
+        self.append(own, request, now)
         return shed
 
     def pop(self, now: float) -> tuple[Verdict, ...]:
@@ -133,14 +133,14 @@
         :param request: the request.
         :return: whether it waited.
         """
-        tenant = self.tenants.get(request.organisation, Tenant())
-        line = tenant.lines[request.priority]
+        own = self.by_organisation.get(request.organisation, OrganisationQueue())
+        line = own.lines[request.priority]
         if request not in line.requests:
             return False
         index = line.requests.index(request)
         del line.requests[index]
         del line.arrived_at[index]
-        self.shrink(tenant)
+        self.shrink(own)
         return True
 
     def answered(self, seconds: float) -> None:
@@ -166,28 +166,28 @@
         :return: what was shed.
         """
         late: list[Waiting] = []
-        for tenant in self.tenants.values():
-            if tenant.length:
-                late += tenant.late(now + self.run_time.likely_s)
+        for own in self.by_organisation.values():
+            if own.length:
+                late += own.late(now + self.run_time.likely_s)
         return tuple(self.shed(request, now) for request in late if self.remove(request))
 
-    def append(self, tenant: Tenant, request: Waiting, now: float) -> None:
+    def append(self, own: OrganisationQueue, request: Waiting, now: float) -> None:
         """Append a request to its line.
 
-        :param tenant: its organisation.
+        :param own: its organisation.
         :param request: the request.
         :param now: seconds.
         """
-        if not tenant.length:
-            tenant.virtual_time = max(tenant.virtual_time, self.virtual_time)
-        line = tenant.lines[request.priority]
+        if not own.length:
+            own.virtual_time = max(own.virtual_time, self.virtual_time)
+        line = own.lines[request.priority]
         if not line.listed:
             line.listed = True
-            place = (tenant.virtual_time, request.organisation)
+            place = (own.virtual_time, request.organisation)
             heapq.heappush(self.heaps[request.priority], place)
         line.requests.append(request)
         line.arrived_at.append(now)
-        tenant.length += 1
+        own.length += 1
         self.length += 1
 
     def take(self, now: float) -> Waiting:
@@ -202,11 +202,11 @@
         if self.pops % RESERVED_EVERY == 0:
             chosen = min(waiting[1:] or waiting, key=self.first_arrival)
         organisation = self.head(chosen)
-        tenant = self.tenants[organisation or '']
-        line = tenant.lines[chosen]
+        own = self.by_organisation[organisation or '']
+        line = own.lines[chosen]
         line.arrived_at.popleft()
         request = line.requests.popleft()
-        self.shrink(tenant)
+        self.shrink(own)
         return request
 
     def charge(self, request: Waiting) -> None:
@@ -214,9 +214,9 @@
 
         :param request: the request.
         """
-        tenant = self.tenants[request.organisation]
-        self.virtual_time = max(self.virtual_time, tenant.virtual_time)
-        tenant.virtual_time += 1 / tenant.weight
+        own = self.by_organisation[request.organisation]
+        self.virtual_time = max(self.virtual_time, own.virtual_time)
+        own.virtual_time += 1 / own.weight
 
     def head(self, priority: Priority) -> str | None:
         """Return the organisation whose turn it is, and bring the heap up to date.
@@ -227,13 +227,13 @@
         heap = self.heaps[priority]
         while heap:
             virtual_time, organisation = heap[0]
-            tenant = self.tenants[organisation]
-            if virtual_time >= tenant.virtual_time and tenant.lines[priority].requests:
+            own = self.by_organisation[organisation]
+            if virtual_time >= own.virtual_time and own.lines[priority].requests:
                 return organisation
             heapq.heappop(heap)
-            tenant.lines[priority].listed = bool(tenant.lines[priority].requests)
-            if tenant.lines[priority].listed:
-                heapq.heappush(heap, (tenant.virtual_time, organisation))
+            own.lines[priority].listed = bool(own.lines[priority].requests)
+            if own.lines[priority].listed:
+                heapq.heappush(heap, (own.virtual_time, organisation))
         return None
 
     def first_arrival(self, priority: Priority) -> float:
@@ -242,16 +242,16 @@
         :param priority: a priority of which requests wait.
         :return: seconds.
         """
-        tenant = self.tenants[self.head(priority) or '']
-        return tenant.lines[priority].arrived_at[0]
+        own = self.by_organisation[self.head(priority) or '']
+        return own.lines[priority].arrived_at[0]
 
-    def evict(self, newcomer: Tenant) -> Waiting | None:
+    def evict(self, newcomer: OrganisationQueue) -> Waiting | None:
         """Take the last request of the organisation that waits most per weight out.
 
         :param newcomer: the organisation that needs the place.
         :return: the request; nothing if the newcomer itself waits most.
         """
-        longest = max(self.tenants.values(), key=lambda tenant: tenant.length / tenant.weight)
+        longest = max(self.by_organisation.values(), key=lambda own: own.length / own.weight)
         if longest.length / longest.weight <= (newcomer.length + 1) / newcomer.weight:
             return None
         lines = [longest.lines[priority] for priority in reversed(Priority)]
@@ -261,18 +261,18 @@
         self.shrink(longest)
         return request
 
-    def shrink(self, tenant: Tenant) -> None:
+    def shrink(self, own: OrganisationQueue) -> None:
         """Count a request that left the queue.
 
-        :param tenant: its organisation.
+        :param own: its organisation.
         """
-        tenant.length -= 1
+        own.length -= 1
         self.length -= 1
 
-    def expected_wait_s(self, tenant: Tenant, priority: Priority, now: float) -> float:
+    def expected_wait_s(self, own: OrganisationQueue, priority: Priority, now: float) -> float:
         """Return how long a new request of an organisation would wait.
 
-        :param tenant: the organisation.
+        :param own: the organisation.
         :param priority: the priority of the request.
         :param now: seconds.
         :return: seconds; 0 while the rate is not known.
@@ -280,10 +280,10 @@
         rate = self.rate.per_s(now)
         if not rate:
             return 0
-        weights = sum(other.weight for other in self.tenants.values() if other.length)
-        weights += 0 if tenant.length else tenant.weight
-        ahead = sum(len(tenant.lines[level].requests) for level in levels_up_to(priority))
-        return min(self.length, ahead * weights / tenant.weight) / rate
+        weights = sum(other.weight for other in self.by_organisation.values() if other.length)
+        weights += 0 if own.length else own.weight
+        ahead = sum(len(own.lines[level].requests) for level in levels_up_to(priority))
+        return min(self.length, ahead * weights / own.weight) / rate
 
     def shed(self, request: Waiting, now: float) -> Shed:
         """Return the refusal of a request.
@@ -292,8 +292,8 @@
         :param now: seconds.
         :return: the refusal, with the time until its organisation's queue has drained.
         """
-        tenant = self.tenants.setdefault(request.organisation, Tenant())
-        wait_s = self.expected_wait_s(tenant, Priority.draft, now)
+        own = self.by_organisation.setdefault(request.organisation, OrganisationQueue())
+        wait_s = self.expected_wait_s(own, Priority.draft, now)
         return Shed(request, min(LONGEST_RETRY_S, max(SHORTEST_RETRY_S, wait_s)))
 
 
--- /dev/null
+++ b/src/cassiahitch/standins/backends.py
@@ -0,0 +1,492 @@
+"""Stand-ins of the platform's backend servers, plain ones and model engines, with their faults."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import json
+import socket
+import struct
+from collections import Counter
+from contextlib import contextmanager, suppress
+from dataclasses import dataclass, field
+from enum import StrEnum
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any
+from urllib.parse import parse_qs, urlsplit
+
+import h11
+
+from cassiahitch.direct.api import header
+from cassiahitch.platform import names
+from cassiahitch.util.listening import listen, port_of
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+READ_BYTES = 65_536
+MS_PER_S = 1000
+#: Largest number of requests that wait for a place.
+QUEUE = 32
+
+Answer = tuple[int, dict[str, str], bytes]
+
+
+class Fault(StrEnum):
+    """What a stand-in does wrong with a request."""
+
+    none = 'none'
+    refuse = 'refuse'
+    lose = 'lose'
+    cut = 'cut'
+    extra = 'extra'
+    foreign = 'foreign'
+    unframed = 'unframed'
+    unsealed = 'unsealed'
+    fail = 'fail'
+    hang = 'hang'
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """A request that began to run."""
+
+    attempt_id: str
+    target: str
+    organisation: str
+    version: int
+    after_event: int
+
+
+@dataclass(slots=True)
+class EngineStandin:
+    """Weights of a model stand-in: what is staged and what is loaded."""
+
+    model: str = ''
+    version: int = 0
+    orders: int = 0
+    loading: bool = False
+    load_s: float = 0
+    staged: dict[int, bytes] = field(default_factory=dict)
+    loaded_digest: str = ''
+
+    def layers(self) -> list[dict[str, int]]:
+        """Return the layers that are loaded, as reports name them.
+
+        :return: JSON values.
+        """
+        return [{'from': 0, 'to': 16, 'version': self.version}] if self.version else []
+
+    def models(self) -> list[dict[str, Any]]:
+        """Return the models that are loaded, as reports name them.
+
+        :return: JSON values.
+        """
+        return [{'name': self.model, 'version': self.version}] if self.version else []
+
+
+@dataclass(slots=True)
+class BackendStandin:
+    """One replica; ``faults`` are used up one by one, and then ``fault`` holds."""
+
+    id: str
+    service: str
+    failure_domain: str
+    slots: int = 4
+    events: int = 5
+    pause_s: float = 0
+    fault: Fault = Fault.none
+    faults: list[Fault] = field(default_factory=list)
+    engine: EngineStandin | None = None
+    runs: list[Run] = field(default_factory=list)
+    refused: Counter[str] = field(default_factory=Counter)
+    running: int = 0
+    address: str = ''
+    port: int = 0
+    server: asyncio.Server | None = None
+    connections: set[asyncio.StreamWriter] = field(default_factory=set)
+
+    def row(self, state: str = 'ready') -> dict[str, Any]:
+        """Return the row by which it registers itself.
+
+        :param state: its state.
+        :return: JSON values.
+        """
+        engine = self.engine or EngineStandin()
+        return {
+            'service': self.service,
+            'address': f'{self.address}:{self.port}',
+            'zone': self.failure_domain,
+            'version': 'v1',
+            'slots': self.slots,
+            'state': state,
+            'coldMs': 0,
+            'models': engine.models(),
+            'layers': engine.layers(),
+            'seq': engine.orders,
+            'born': 1,
+        }
+
+    async def start(self, address: str, port: int = 0) -> None:
+        """Listen.
+
+        :param address: IP number.
+        :param port: TCP port, 0 for any.
+        """
+        own = listen(address, port)
+        self.address = address
+        self.port = port_of(own)
+        self.server = await asyncio.start_server(self.accept, sock=own)
+
+    async def stop(self) -> None:
+        """Stop to listen and reset all connections, as a crash does."""
+        if self.server is not None:
+            self.server.close()
+        for writer in tuple(self.connections):
+            reset(writer)
+
+    async def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve a connection.
+
+        :param reader: its bytes.
+        :param writer: takes answers.
+        """
+        self.connections.add(writer)
+        with suppress(ConnectionError, h11.RemoteProtocolError, asyncio.CancelledError):
+            await self.converse(reader, writer)
+        self.connections.discard(writer)
+        writer.close()
+
+    async def converse(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Answer request after request of one connection.
+
+        :param reader: its bytes.
+        :param writer: takes answers.
+        """
+        machine = h11.Connection(h11.SERVER)
+        while True:
+            request, body = await _request(machine, reader)
+            if request is None:
+                return
+            wire = _Wire(machine, writer)
+            headers = tuple((name.decode(), text.decode()) for name, text in request.headers)
+            target = request.target.decode()
+            if not await self.answer(wire, request.method.decode(), target, headers, body):
+                return
+            if machine.our_state is not h11.DONE:
+                return
+            machine.start_next_cycle()
+
+    async def answer(
+        self,
+        wire: _Wire,
+        method: str,
+        target: str,
+        headers: tuple[tuple[str, str], ...],
+        body: bytes,
+    ) -> bool:
+        """Answer one request.
+
+        :param wire: takes the answer.
+        :param method: the method.
+        :param target: path and query.
+        :param headers: the headers.
+        :param body: the body.
+        :return: whether the connection goes on.
+        """
+        if self.engine is not None:
+            managed = await self.manage(self.engine, method, target, body)
+            if managed is not None:
+                await wire.whole(*managed)
+                return True
+        refusal = self.refusal(headers)
+        fault = self.faults.pop(0) if self.faults else self.fault
+        if refusal is None and fault is Fault.refuse:
+            refusal = HTTPStatus.SERVICE_UNAVAILABLE.value
+        attempt = header(headers, names.ATTEMPT_ID)
+        if refusal is not None:
+            self.refused[attempt] += 1
+            await wire.whole(refusal, {names.ATTEMPT_ID: attempt, names.NOT_EXECUTED: '1'}, b'')
+            return True
+        return await self.run(wire, target, headers, fault)
+
+    def refusal(self, headers: tuple[tuple[str, str], ...]) -> int | None:
+        """Return the status with which a request is refused.
+
+        :param headers: its headers.
+        :return: the status, nothing if it may run.
+        """
+        if header(headers, names.EXPECTED_REPLICA, self.id) != self.id:
+            return HTTPStatus.MISDIRECTED_REQUEST.value
+        version = header(headers, names.EXPECTED_VERSION)
+        if self.engine is not None and version not in {'', str(self.engine.version)}:
+            return HTTPStatus.MISDIRECTED_REQUEST.value
+        loading = self.engine is not None and self.engine.loading
+        if loading or self.running >= self.slots + QUEUE:
+            return HTTPStatus.SERVICE_UNAVAILABLE.value
+        return None
+
+    async def run(
+        self,
+        wire: _Wire,
+        target: str,
+        headers: tuple[tuple[str, str], ...],
+        fault: Fault,
+    ) -> bool:
+        """Run a request.
+
+        :param wire: takes the answer.
+        :param target: path and query.
+        :param headers: the headers.
+        :param fault: what goes wrong.
+        :return: whether the connection goes on.
+        """
+        attempt = header(headers, names.ATTEMPT_ID)
+        after = int(header(headers, names.LAST_EVENT, '0'))
+        version = self.engine.version if self.engine else 0
+        organisation = header(headers, names.ORGANISATION)
+        self.runs.append(Run(attempt, target, organisation, version, after))
+        with self.counted():
+            if self.engine is None:
+                return await self.plain(wire, attempt, fault)
+            return await self.stream(wire, attempt, after, fault)
+
+    @contextmanager
+    def counted(self) -> Iterator[None]:
+        """Count a request as running.
+
+        :yield: while it runs.
+        """
+        self.running += 1
+        try:
+            yield
+        finally:
+            self.running -= 1
+
+    async def plain(self, wire: _Wire, attempt: str, fault: Fault) -> bool:
+        """Answer with one body.
+
+        :param wire: takes the answer.
+        :param attempt: id of the request.
+        :param fault: what goes wrong.
+        :return: whether the connection goes on.
+        """
+        await asyncio.sleep(self.pause_s)
+        head = {names.ATTEMPT_ID: attempt, names.SEAL: f'seal-{self.id}'}
+        body = f'{self.id} {attempt}'.encode()
+        match fault:
+            case Fault.hang:
+                await asyncio.sleep(60)
+            case Fault.lose:
+                wire.reset()
+                return False
+            case Fault.cut:
+                wire.raw(_head(HTTPStatus.OK, {**head, 'Content-Length': '999'}), body)
+                wire.reset()
+                return False
+            case Fault.unframed:
+                wire.raw(_head(HTTPStatus.OK, {**head, 'Connection': 'close'}), body)
+                return False
+            case Fault.foreign:
+                other = {names.ATTEMPT_ID: 'stranger', names.SEAL: 'x', 'Content-Length': '2'}
+                wire.raw(_head(HTTPStatus.OK, other), b'no')
+            case Fault.unsealed:
+                head.pop(names.SEAL)
+            case Fault.fail:
+                await wire.whole(HTTPStatus.INTERNAL_SERVER_ERROR, head, b'failed')
+                return True
+            case _:
+                pass
+        await wire.whole(HTTPStatus.OK, head, body)
+        if fault is Fault.extra:
+            wire.raw(_head(HTTPStatus.OK, {**head, 'Content-Length': '5'}), b'again')
+        return True
+
+    async def stream(self, wire: _Wire, attempt: str, after: int, fault: Fault) -> bool:
+        """Answer with events.
+
+        :param wire: takes the answer.
+        :param attempt: id of the request.
+        :param after: the last event that the caller has.
+        :param fault: what goes wrong.
+        :return: whether the connection goes on.
+        """
+        head = {
+            names.ATTEMPT_ID: attempt,
+            names.SEAL: f'seal-{self.id}',
+            'Content-Type': 'text/event-stream',
+        }
+        if fault is Fault.lose:
+            wire.reset()
+            return False
+        wire.start(HTTPStatus.OK, head)
+        for number in range(after + 1, self.events + 1):
+            await asyncio.sleep(self.pause_s)
+            event = f'id: {number}\ndata: {attempt} {number}\n\n'.encode()
+            if fault is Fault.cut and number == after + 3:
+                wire.part(event[: len(event) // 2])
+                await wire.drain()
+                wire.reset()
+                return False
+            wire.part(event)
+            await wire.drain()
+        wire.end()
+        return True
+
+    async def manage(
+        self, engine: EngineStandin, method: str, target: str, body: bytes
+    ) -> Answer | None:
+        """Answer a call of an agent.
+
+        :param engine: the weights.
+        :param method: the method.
+        :param target: path and query.
+        :param body: the body.
+        :return: status, headers and body, or nothing if it is a request to run.
+        """
+        parts = urlsplit(target)
+        index = int(parse_qs(parts.query).get('sampleCount', ['-1'])[0])
+        if parts.path == names.REPORT_PATH:
+            return HTTPStatus.OK, {}, json.dumps(self.report(engine)).encode()
+        if parts.path.startswith(names.STORE_CHUNK_PATH):
+            engine.staged[index] = body
+            return HTTPStatus.OK, {}, b''
+        if parts.path.startswith(names.READ_CHUNK_PATH):
+            found = engine.staged.get(index)
+            return (HTTPStatus.NOT_FOUND if found is None else HTTPStatus.OK), {}, found or b''
+        if parts.path == names.ORDER_PATH and method == 'POST':
+            return self.order(engine, json.loads(body)), {}, b''
+        return None
+
+    def report(self, engine: EngineStandin) -> dict[str, Any]:
+        """Return what the engine says of itself.
+
+        :param engine: the weights.
+        :return: JSON values.
+        """
+        return {
+            'models': engine.models(),
+            'layers': engine.layers(),
+            'busy': engine.loading,
+            'seq': engine.orders,
+            'waiting': max(0, self.running - self.slots),
+            'running': min(self.running, self.slots),
+            'pace': 1.0,
+            'born': 1,
+        }
+
+    def order(self, engine: EngineStandin, order: dict[str, Any]) -> int:
+        """Begin to load what is staged.
+
+        :param engine: the weights.
+        :param order: the order.
+        :return: the status of the answer.
+        """
+        if engine.loading or order.get('precondition', engine.orders) != engine.orders:
+            return HTTPStatus.CONFLICT
+        engine.orders += 1
+        engine.loading = True
+        task = asyncio.create_task(self.load(engine, order['version']))
+        task.add_done_callback(lambda _: None)
+        return HTTPStatus.ACCEPTED
+
+    async def load(self, engine: EngineStandin, version: int) -> None:
+        """Load after what is running.
+
+        :param engine: the weights.
+        :param version: the version.
+        """
+        while self.running:
+            await asyncio.sleep(0.005)
+        await asyncio.sleep(engine.load_s)
+        content = b''.join(content for _, content in sorted(engine.staged.items()))
+        engine.loaded_digest = hashlib.sha256(content).hexdigest()
+        engine.version = version
+        engine.loading = False
+
+
+@dataclass(slots=True)
+class _Wire:
+    """Writes answers to one connection."""
+
+    machine: h11.Connection
+    writer: asyncio.StreamWriter
+
+    async def whole(self, status: int, headers: dict[str, str], body: bytes) -> None:
+        """Write a whole answer."""
+        self.start(status, {**headers, 'Content-Length': str(len(body))})
+        if body:
+            self.part(body)
+        self.end()
+        await self.drain()
+
+    def start(self, status: int, headers: dict[str, str]) -> None:
+        """Write the start of an answer."""
+        head = h11.Response(status_code=int(status), headers=list(headers.items()))
+        self.writer.write(self.machine.send(head))
+
+    def part(self, data: bytes) -> None:
+        """Write a part of the body."""
+        self.writer.write(self.machine.send(h11.Data(data)))
+
+    def end(self) -> None:
+        """End the answer."""
+        self.writer.write(self.machine.send(h11.EndOfMessage()))
+
+    def raw(self, *parts: bytes) -> None:
+        """Write bytes as they are."""
+        self.writer.write(b''.join(parts))
+
+    def reset(self) -> None:
+        """Reset the connection."""
+        reset(self.writer)
+
+    async def drain(self) -> None:
+        """Wait until the bytes are taken."""
+        await self.writer.drain()
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection; what the peer has not read yet is lost.
+
+    :param writer: the connection.
+    """
+    own = writer.get_extra_info('socket')
+    if own is not None:
+        own.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
+    writer.transport.abort()
+
+
+async def _request(
+    machine: h11.Connection, reader: asyncio.StreamReader
+) -> tuple[h11.Request | None, bytes]:
+    request: h11.Request | None = None
+    parts: list[bytes] = []
+    while True:
+        event = machine.next_event()
+        match event:
+            case h11.NEED_DATA:
+                machine.receive_data(await reader.read(READ_BYTES))
+            case h11.Request():
+                request = event
+            case h11.Data(data=data):
+                parts.append(bytes(data))
+            case h11.EndOfMessage():
+                return request, b''.join(parts)
+            case _:
+                return None, b''
+
+
+def _head(status: HTTPStatus, headers: dict[str, str]) -> bytes:
+    lines: Iterable[str] = (f'{name}: {text}' for name, text in headers.items())
+    start = f'HTTP/1.1 {status.value} {status.phrase}'
+    return '\r\n'.join((start, *lines, '', '')).encode()
+
+
+__all__ = (
+    'BackendStandin',
+    'EngineStandin',
+    'Fault',
+    'Run',
+    'reset',
+)
--- /dev/null
+++ b/src/cassiahitch/standins/directsite.py
@@ -0,0 +1,329 @@
+"""The direct path in one process: entries, agents and stand-ins of the platform on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any, Self
+
+from cassiahitch.direct.agent import DirectAgent
+from cassiahitch.direct.entry import DirectEntry
+from cassiahitch.platform import names
+from cassiahitch.platform.adapter import Platform
+from cassiahitch.settings.direct import BoundSettings, DirectAgentSettings, DirectEntrySettings
+from cassiahitch.standins.backends import BackendStandin, EngineStandin
+from cassiahitch.standins.rowstore import RowStore, serve_store
+from cassiahitch.standins.weightservice import WeightService, serve_weights
+from cassiahitch.stores.caller import HttpCaller
+from cassiahitch.util.endpoints import Endpoint
+from cassiahitch.util.listening import listen, port_of
+
+if TYPE_CHECKING:
+    from types import TracebackType
+
+#: Loopback network of this process, so that sites of several processes do not meet.
+NETWORK = f'127.{20 + os.getpid() % 200}'
+STORE_ADDRESS = f'{NETWORK}.0.1'
+MODEL = 'm1'
+CHUNKS = 12
+CHUNK_BYTES = 4096
+DRAFTS = 'drafts'
+DESK = 'desk'
+ORIGIN = 'origin'
+DOMAINS = ('north-1', 'south-1')
+KEY = 'key-of-caterers'
+POLL_S = 0.02
+
+
+@dataclass(frozen=True, slots=True)
+class DirectSize:
+    """How many processes and replicas a site has."""
+
+    entries: int = 2
+    models: int = 3
+    plain: int = 2
+
+
+@dataclass(slots=True)
+class DirectSite:
+    """Starts everything and stops it again."""
+
+    size: DirectSize = field(default_factory=DirectSize)
+    bounds: dict[str, float] = field(default_factory=dict)
+    store: RowStore = field(default_factory=RowStore)
+    weights: WeightService = field(default_factory=lambda: WeightService(MODEL, CHUNK_BYTES))
+    stack: AsyncExitStack = field(default_factory=AsyncExitStack)
+    entries: list[DirectEntry] = field(default_factory=list)
+    agents: list[DirectAgent] = field(default_factory=list)
+    models: list[BackendStandin] = field(default_factory=list)
+    plain: list[BackendStandin] = field(default_factory=list)
+    store_port: int = 0
+    peer_port: int = 0
+    configuration: dict[str, Any] = field(default_factory=dict)
+
+    async def __aenter__(self) -> Self:
+        """Start the stand-ins, the entries and the agents.
+
+        :return: the site.
+        """
+        server, port = serve_store(self.store, STORE_ADDRESS)
+        self.store_port = port
+        self.stack.callback(server.stop)
+        self.peer_port = _free_port()
+        self.weights.publish(1, CHUNKS)
+        origin, origin_port = serve_weights(self.weights, STORE_ADDRESS)
+        self.stack.callback(origin.stop)
+        self.configure(first_configuration(f'{STORE_ADDRESS}:{origin_port}'))
+        for number in range(self.size.plain):
+            await self.add_plain(number)
+        for number in range(self.size.models):
+            await self.add_model(number, loaded=True)
+        for number in range(self.size.entries):
+            await self.add_entry(number)
+        return self
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Stop everything."""
+        stacks = [process.stack for process in self.entries]
+        for stack in (*stacks, *(process.stack for process in self.agents)):
+            await stack.aclose()
+        for backend in (*self.models, *self.plain):
+            await backend.stop()
+        await self.stack.aclose()
+
+    def configure(self, configuration: dict[str, Any]) -> None:
+        """Write a configuration as the operator does.
+
+        :param configuration: JSON values.
+        """
+        self.configuration = configuration
+        self.store.put(names.OPERATOR_TABLE, names.CONFIGURATION_KEY, configuration)
+
+    def change(self, **fields: Any) -> None:
+        """Write the configuration with other fields and the next version.
+
+        :param fields: what changes.
+        """
+        version = self.configuration['version'] + 2
+        self.configure({**self.configuration, **fields, 'version': version})
+
+    def declare(self, version: int) -> None:
+        """Publish and declare new weights.
+
+        :param version: the version.
+        """
+        self.weights.publish(version, CHUNKS)
+        document = {'model': MODEL, 'version': version}
+        self.store.put(names.OPERATOR_TABLE, f'{names.VERSION_PREFIX}{MODEL}', document)
+
+    def register(self, backend: BackendStandin, state: str = 'ready') -> None:
+        """Write the row of a backend server.
+
+        :param backend: the backend server.
+        :param state: its state.
+        """
+        self.store.put(names.REPLICA_TABLE, backend.id, backend.row(state))
+
+    def deregister(self, backend: BackendStandin) -> None:
+        """Remove the row of a backend server.
+
+        :param backend: the backend server.
+        """
+        self.store.drop(names.REPLICA_TABLE, backend.id)
+
+    async def add_plain(self, number: int) -> BackendStandin:
+        """Start a plain replica.
+
+        :param number: its number.
+        :return: the replica.
+        """
+        backend = BackendStandin(f'p-{number}', DESK, DOMAINS[number % 2])
+        await backend.start(f'{NETWORK}.1.{number + 1}')
+        self.plain.append(backend)
+        self.register(backend)
+        return backend
+
+    async def add_model(self, number: int, *, loaded: bool) -> BackendStandin:
+        """Start a model engine and its agent.
+
+        :param number: its number.
+        :param loaded: whether version 1 is staged and loaded.
+        :return: the engine.
+        """
+        engine = EngineStandin(MODEL)
+        if loaded:
+            engine.version = 1
+            engine.staged = dict(enumerate(self.weights.chunks[1]))
+        domain = DOMAINS[number % 2]
+        backend = BackendStandin(f'm-{number}', DRAFTS, domain, engine=engine)
+        await backend.start(f'{NETWORK}.2.{number + 1}')
+        self.models.append(backend)
+        self.register(backend)
+        settings = DirectAgentSettings(
+            **self.shared_settings(f'agent-{number}', backend.address, domain),
+            engine=Endpoint(backend.address, backend.port),
+            service=DRAFTS,
+            region_link_mbit_s=1000,
+            link_mbit_s=1000,
+        )
+        caller = await self.stack.enter_async_context(HttpCaller())
+        agent = DirectAgent(settings, self.platform(caller), caller)
+        await agent.start()
+        self.agents.append(agent)
+        return backend
+
+    async def add_entry(self, number: int) -> DirectEntry:
+        """Start an entry.
+
+        :param number: its number.
+        :return: the entry.
+        """
+        address = f'{NETWORK}.3.{number + 1}'
+        domain = DOMAINS[number % 2]
+        settings = DirectEntrySettings(
+            **self.shared_settings(f'entry-{number}', address, domain),
+            callers=Endpoint(address, _free_port()),
+            readiness=Endpoint(address, _free_port()),
+            directory=Endpoint(address, _free_port()),
+            seeds=tuple(Endpoint(one.settings.address, 1) for one in self.entries[:1]),
+        )
+        caller = await self.stack.enter_async_context(HttpCaller())
+        entry = DirectEntry(settings, self.platform(caller))
+        await entry.start()
+        self.entries.append(entry)
+        return entry
+
+    def shared_settings(self, name: str, address: str, domain: str) -> dict[str, Any]:
+        """Return the settings that entries and agents share.
+
+        :param name: name of the process.
+        :param address: its IP number.
+        :param domain: its failure domain.
+        :return: settings.
+        """
+        return {
+            'name': name,
+            'address': address,
+            'region': domain.partition('-')[0],
+            'failure_domain': domain,
+            'regions': {one: one.partition('-')[0] for one in DOMAINS},
+            'peer_port': self.peer_port,
+            'store': Endpoint(STORE_ADDRESS, self.store_port),
+            'bounds': make_bounds(**self.bounds),
+        }
+
+    def platform(self, caller: HttpCaller) -> Platform:
+        """Return the adapter for a process.
+
+        :param caller: makes the calls.
+        :return: the adapter.
+        """
+        return Platform(caller, Endpoint(STORE_ADDRESS, self.store_port))
+
+    async def ready(self) -> None:
+        """Wait until all entries know everything they need."""
+        while not all(self._knows_all(entry) for entry in self.entries):
+            await asyncio.sleep(POLL_S)
+
+    def _knows_all(self, entry: DirectEntry) -> bool:
+        knowledge = entry.parts.knowledge
+        now = asyncio.get_running_loop().time()
+        listed = len(knowledge.replicas.replicas) == len(self.models) + len(self.plain)
+        return knowledge.replicas_known and listed and knowledge.entries(now) == len(self.entries)
+
+
+def make_bounds(**changed: float) -> BoundSettings:
+    """Return bounds that suit tests.
+
+    :param changed: those that differ.
+    :return: the bounds.
+    """
+    bounds = {
+        'drain_s': 2,
+        'configuration_s': 2,
+        'revoked_key_s': 5,
+        'weights_s': 8,
+        'grace_s': 3,
+        'address_lifetime_s': 5,
+        'retry_ratio': 0.2,
+        'retry_slack': 100,
+        'retry_window_s': 10,
+        **changed,
+    }
+    return BoundSettings(**bounds)
+
+
+def first_configuration(origin: str) -> dict[str, Any]:
+    """Return a configuration with a stream, an idempotent route and one that is not.
+
+    :param origin: address of the origin of weights.
+    :return: JSON values.
+    """
+    engine = {
+        'slots': 4,
+        'passSteps': 6,
+        'models': [{'name': MODEL}],
+        'step_ms': 1.0,
+        'read_per_s': 30_000.0,
+        'usual': {'prompt': 100, 'answer': 30},
+        'chunkBytes': CHUNK_BYTES,
+    }
+    shared = {'host': 'menus.example', 'timeoutMs': 4000, 'targetLatencyMs': 400, 'priority': 1}
+    return {
+        'version': 1,
+        'routes': [
+            {
+                **shared,
+                'name': 'draft',
+                'prefix': '/draft/',
+                'kind': 'streaming',
+                'service': DRAFTS,
+                'maxAttempts': 2,
+                'streamResume': True,
+                'gapAimMs': 300,
+            },
+            {
+                **shared,
+                'name': 'lookup',
+                'prefix': '/lookup/',
+                'kind': 'idempotent',
+                'service': DESK,
+                'maxAttempts': 2,
+            },
+            {
+                **shared,
+                'name': 'order',
+                'prefix': '/order/',
+                'kind': 'non_idempotent',
+                'service': DESK,
+                'maxAttempts': 1,
+            },
+        ],
+        'services': [
+            {'name': DRAFTS, 'maxConnections': 100, 'engine': engine},
+            {'name': DESK, 'maxConnections': 100},
+            {'name': ORIGIN, 'origin': origin, 'zone': DOMAINS[0], 'maxConnections': 20},
+        ],
+        'limits': {'maxHeaderBytes': 16_384, 'maxBodyBytes': 100_000, 'idleTimeoutMs': 15_000},
+        'tenants': [{'name': 'caterers', 'apiKeys': [KEY], 'priority': 1}],
+    }
+
+
+def _free_port() -> int:
+    own = listen(STORE_ADDRESS, 0)
+    port = port_of(own)
+    own.close()
+    return port
+
+
+__all__ = (
+    'DirectSite',
+    'DirectSize',
+)
--- /dev/null
+++ b/src/cassiahitch/standins/rowstore.py
@@ -0,0 +1,267 @@
+"""A stand-in of the platform's store of rows, with its faults."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any
+
+from tornado.httpserver import HTTPServer
+from tornado.web import Application, RequestHandler
+
+from cassiahitch.platform import names
+from cassiahitch.stores.api import ABSENT
+from cassiahitch.util.listening import listen, port_of
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+MS_PER_S = 1000
+PAGE_ROWS = 500
+
+
+@dataclass(frozen=True, slots=True)
+class StoredRow:
+    """A row; ``content`` is missing once it was removed."""
+
+    table: str
+    key: str
+    content: bytes | None
+    version: int
+
+    def document(self) -> dict[str, Any]:
+        """Return the form in which the store answers.
+
+        :return: JSON values.
+        """
+        shared = {'table': self.table, 'part': '', 'key': self.key, 'rowVersion': self.version}
+        if self.content is None:
+            return {**shared, 'removed': True}
+        return {**shared, 'value': base64.b64encode(self.content).decode('ascii')}
+
+
+@dataclass(slots=True)
+class StoreFaults:
+    """What goes wrong; ``lost`` writes take effect and are not answered."""
+
+    down: bool = False
+    lost: bool = False
+
+
+@dataclass(slots=True)
+class RowStore:
+    """Tables of rows with one counter of versions."""
+
+    rows: dict[tuple[str, str], StoredRow] = field(default_factory=dict)
+    changes: list[StoredRow] = field(default_factory=list)
+    version: int = 0
+    forgotten: int = 0
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+    faults: StoreFaults = field(default_factory=StoreFaults)
+
+    def put(self, table: str, key: str, document: object) -> int:
+        """Write a row of JSON.
+
+        :param table: its table.
+        :param key: its key.
+        :param document: JSON values.
+        :return: its version.
+        """
+        return self.write([(table, key, json.dumps(document).encode())])
+
+    def drop(self, table: str, key: str) -> int:
+        """Remove a row.
+
+        :param table: its table.
+        :param key: its key.
+        :return: the version of the removal.
+        """
+        return self.write([(table, key, None)])
+
+    def write(self, writes: Iterable[tuple[str, str, bytes | None]]) -> int:
+        """Apply writes in one transaction.
+
+        :param writes: table, key and content of each row.
+        :return: the version of the transaction.
+        """
+        self.version += 1
+        for table, key, content in writes:
+            row = StoredRow(table, key, content, self.version)
+            self.changes.append(row)
+            if content is None:
+                self.rows.pop((table, key), None)
+            else:
+                self.rows[table, key] = row
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return self.version
+
+    def forget_history(self) -> None:
+        """Forget all changes, so that followers have to read anew."""
+        self.changes.clear()
+        self.forgotten = self.version
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def table(self, name: str) -> list[StoredRow]:
+        """Return the rows of a table in the order of their keys.
+
+        :param name: the table.
+        :return: rows.
+        """
+        return sorted(
+            (row for row in self.rows.values() if row.table == name),
+            key=lambda row: row.key,
+        )
+
+    def since(self, table: str, version: int) -> list[StoredRow]:
+        """Return the last change of each row of a table after a version.
+
+        :param table: the table.
+        :param version: the version.
+        :return: rows, those without content are removed.
+        """
+        latest = {
+            row.key: row for row in self.changes if row.table == table and row.version > version
+        }
+        return sorted(latest.values(), key=lambda row: row.version)
+
+
+class _StoreHandler(RequestHandler):
+    """Shares the store and refuses while it is down."""
+
+    def initialize(self, store: RowStore) -> None:
+        """Take the store.
+
+        :param store: the rows.
+        """
+        self.store = store
+
+    def prepare(self) -> None:
+        """Refuse while the store is down."""
+        if self.store.faults.down:
+            self.set_status(HTTPStatus.SERVICE_UNAVAILABLE)
+            self.finish()
+
+    def reply(self, rows: list[StoredRow], *, more: bool = False) -> None:
+        """Answer with rows.
+
+        :param rows: the rows.
+        :param more: whether there are more.
+        """
+        self.finish(
+            {
+                'rows': [row.document() for row in rows],
+                'hasMore': more,
+                'rowVersion': self.store.version,
+                'serverTimeMs': int(asyncio.get_running_loop().time() * MS_PER_S),
+            }
+        )
+
+
+class ReadHandler(_StoreHandler):
+    """Reads a range of a table."""
+
+    def get(self) -> None:
+        """Answer with rows."""
+        start = self.get_query_argument('from', '')
+        limit = int(self.get_query_argument('maxItems', str(PAGE_ROWS)))
+        rows = [
+            row for row in self.store.table(self.get_query_argument('table')) if row.key >= start
+        ]
+        self.reply(rows[:limit], more=len(rows) > limit)
+
+
+class FeedHandler(_StoreHandler):
+    """Waits for changes of a table."""
+
+    async def get(self) -> None:
+        """Answer with the changes, as soon as there is one."""
+        table = self.get_query_argument('table')
+        since = int(self.get_query_argument('sinceRev'))
+        wait_s = int(self.get_query_argument('waitTimeoutMs')) / MS_PER_S
+        rows = self.store.since(table, since)
+        loop = asyncio.get_running_loop()
+        until = loop.time() + wait_s
+        while not rows and loop.time() < until and since >= self.store.forgotten:
+            await _set_before(self.store.changed, until)
+            rows = self.store.since(table, since)
+        if self.store.faults.down:
+            self.set_status(HTTPStatus.SERVICE_UNAVAILABLE)
+        elif since < self.store.forgotten:
+            self.set_status(HTTPStatus.GONE)
+        else:
+            self.reply(rows)
+
+
+class CommitHandler(_StoreHandler):
+    """Applies transactions."""
+
+    async def post(self) -> None:
+        """Apply all writes if all conditions hold."""
+        order = json.loads(self.request.body)
+        held = {(one['table'], one['key']): one['rowVersion'] for one in order['precondition']}
+        rows = self.store.rows
+        if any(_version(rows.get(name)) != version for name, version in held.items()):
+            self.set_status(HTTPStatus.PRECONDITION_FAILED)
+            self.reply([rows[name] for name in held if name in rows])
+            return
+        removed = [(one['table'], one['key'], None) for one in order['remove']]
+        self.store.write(
+            [
+                *(
+                    (one['table'], one['key'], base64.b64decode(one['value']))
+                    for one in order['setKeys']
+                ),
+                *removed,
+            ]
+        )
+        if self.store.faults.lost:
+            self.request.connection.stream.close()  # type: ignore[union-attr]
+            return
+        self.reply([])
+
+
+def serve_store(store: RowStore, address: str) -> tuple[HTTPServer, int]:
+    """Serve a store over HTTP.
+
+    :param store: the rows.
+    :param address: IP number to listen on.
+    :return: the server, to be stopped, and its port.
+    """
+    arguments = {'store': store}
+    routes: list[Any] = [
+        (names.READ_ROWS_PATH, ReadHandler, arguments),
+        (names.READ_CHANGES_PATH, FeedHandler, arguments),
+        (names.COMMIT_PATH, CommitHandler, arguments),
+    ]
+    server = HTTPServer(Application(routes, log_function=_quiet))
+    own = listen(address, 0)
+    server.add_socket(own)
+    return server, port_of(own)
+
+
+def _quiet(handler: RequestHandler) -> None:
+    """Leave calls out of the log."""
+
+
+def _version(row: StoredRow | None) -> int:
+    return row.version if row else ABSENT
+
+
+async def _set_before(event: asyncio.Event, until: float) -> None:
+    try:
+        async with asyncio.timeout_at(until):
+            await event.wait()
+    except TimeoutError:
+        return
+
+
+__all__ = (
+    'RowStore',
+    'StoredRow',
+    'serve_store',
+)
--- /dev/null
+++ b/tests/direct/test_beliefs_of_replicas.py
@@ -0,0 +1,99 @@
+"""Tests of the replicas, the versions of weights and the freshness of the configuration."""
+
+from __future__ import annotations
+
+import pytest
+
+from cassiahitch.direct.freshness import USED_PART, Freshness
+from cassiahitch.direct.replicas import AWAY_AFTER_S, REGISTRATION_S, Replica, ReplicaBook
+from cassiahitch.direct.versions import MARGIN_S, DeclaredVersion, VersionPolicy
+from cassiahitch.util.endpoints import Endpoint
+
+
+def replica(name: str, *, draining: bool = False) -> Replica:
+    return Replica(name, 'desk', Endpoint('10.0.0.1', 80), 'north-1', 4, draining, 7)
+
+
+def book() -> ReplicaBook:
+    known = ReplicaBook()
+    known.heard(10, 10)
+    known.update(replica('a'))
+    known.update(replica('b'))
+    return known
+
+
+def names(known: ReplicaBook) -> set[str]:
+    return {one.id for one in known.usable('desk')}
+
+
+def test_draining_replica_gets_no_requests() -> None:
+    known = book()
+    known.update(replica('a', draining=True))
+    assert names(known) == {'b'}
+
+
+def test_removed_replica_is_gone_at_once_while_the_list_answers() -> None:
+    known = book()
+    known.heard(10.5, 10.6)
+    known.remove('a', 10.6)
+    assert names(known) == {'b'}
+
+
+def test_replica_that_lapsed_while_the_list_was_away_stays_until_it_had_time_to_register() -> None:
+    known = book()
+    back = 10 + AWAY_AFTER_S + 3
+    known.heard(back - 0.1, back)
+    known.remove('a', back)
+    assert names(known) == {'a', 'b'}
+    known.expire(back + REGISTRATION_S - 0.1)
+    assert names(known) == {'a', 'b'}
+    known.expire(back + REGISTRATION_S)
+    assert names(known) == {'b'}
+
+
+def test_replica_that_registers_again_stays() -> None:
+    known = book()
+    back = 10 + AWAY_AFTER_S + 3
+    known.heard(back - 0.1, back)
+    known.remove('a', back)
+    known.update(replica('a'))
+    known.expire(back + REGISTRATION_S + 1)
+    assert names(known) == {'a', 'b'}
+
+
+def test_older_version_is_allowed_until_its_bound() -> None:
+    policy = VersionPolicy(8)
+    policy.declare(DeclaredVersion('m', 2), 100)
+    assert policy.oldest_allowed('m', 100 + 8 - MARGIN_S - 0.01) == 0
+    assert policy.oldest_allowed('m', 100 + 8 - MARGIN_S) == 2
+
+
+def test_each_version_has_its_own_bound() -> None:
+    policy = VersionPolicy(8)
+    policy.declare(DeclaredVersion('m', 2), 100)
+    policy.declare(DeclaredVersion('m', 3), 104)
+    assert policy.oldest_allowed('m', 108) == 2
+    assert policy.oldest_allowed('m', 112) == 3
+    assert policy.newest('m') == 3
+
+
+def test_older_declaration_changes_nothing() -> None:
+    policy = VersionPolicy(8)
+    policy.declare(DeclaredVersion('m', 3), 100)
+    assert not policy.declare(DeclaredVersion('m', 2), 50)
+    assert policy.oldest_allowed('m', 101) == 0
+
+
+@pytest.mark.parametrize(('age_s', 'good'), [(0, True), (5 * USED_PART, False), (60, False)])
+def test_keys_need_a_fresh_configuration(age_s: float, *, good: bool) -> None:
+    freshness = Freshness(5)
+    assert not freshness.is_good(0)
+    freshness.confirm(1000)
+    assert freshness.is_good(1000 + age_s) is good
+
+
+def test_confirmation_counts_from_when_the_store_was_asked() -> None:
+    freshness = Freshness(5)
+    freshness.confirm(1000)
+    freshness.confirm(990)
+    assert freshness.age_s(1001) == 1
--- /dev/null
+++ b/tests/direct/test_feed.py
@@ -0,0 +1,118 @@
+"""Tests of following a table."""
+
+from __future__ import annotations
+
+import random
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from cassiahitch.direct.feed import (
+    CallFailure,
+    Changed,
+    HistoryGone,
+    ReadChanges,
+    ReadWhole,
+    TableFeed,
+    TableRow,
+    Whole,
+)
+
+KEYS = st.sampled_from(('a', 'b', 'c'))
+
+
+def feed() -> TableFeed:
+    return TableFeed(random.Random(1))
+
+
+def test_table_is_read_whole_and_then_followed() -> None:
+    followed = feed()
+    assert followed.next_read() == ReadWhole()
+    followed.handle(Whole((TableRow('a', b'1', 3),), 5))
+    assert followed.next_read() == ReadChanges(5)
+
+
+def test_gap_in_the_history_leads_to_a_whole_read() -> None:
+    followed = feed()
+    followed.handle(Whole((), 5))
+    followed.handle(HistoryGone())
+    assert followed.next_read() == ReadWhole()
+
+
+def test_whole_read_after_a_gap_tells_which_rows_vanished() -> None:
+    followed = feed()
+    followed.handle(Whole((TableRow('a', b'1', 3), TableRow('b', b'1', 4)), 5))
+    followed.handle(HistoryGone())
+    news = followed.handle(Whole((TableRow('b', b'1', 4),), 9))
+    assert news == (TableRow('a', None, 9),)
+
+
+def test_older_row_is_no_news() -> None:
+    followed = feed()
+    followed.handle(Whole((TableRow('a', b'2', 7),), 7))
+    assert followed.handle(Changed((TableRow('a', b'1', 6),), 8)) == ()
+
+
+def test_pauses_grow_with_failures_and_end_with_an_answer() -> None:
+    followed = feed()
+    pauses = []
+    for _ in range(12):
+        followed.handle(CallFailure('away'))
+        pauses.append(followed.next_read().pause_s)
+    assert 0 < max(pauses) <= 1
+    followed.handle(Whole((), 1))
+    assert followed.next_read().pause_s == 0
+
+
+class FollowMachine(RuleBasedStateMachine):
+    """A table changes while answers are lost and history is forgotten."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.feed = feed()
+        self.version = 0
+        self.table: dict[str, TableRow] = {}
+        self.changes: list[TableRow] = []
+        self.seen: dict[str, bytes] = {}
+
+    @rule(key=KEYS, remove=st.booleans())
+    def write(self, key: str, *, remove: bool) -> None:
+        self.version += 1
+        row = TableRow(key, None if remove else str(self.version).encode(), self.version)
+        self.changes.append(row)
+        self.table.pop(key, None)
+        if not remove:
+            self.table[key] = row
+
+    @rule()
+    def forget(self) -> None:
+        self.changes.clear()
+        self.take(self.feed.handle(HistoryGone()))
+
+    @rule()
+    def lose(self) -> None:
+        self.take(self.feed.handle(CallFailure('lost')))
+
+    @rule()
+    def read(self) -> None:
+        match self.feed.next_read():
+            case ReadWhole():
+                reply: Whole | Changed = Whole(tuple(self.table.values()), self.version)
+            case ReadChanges(since=since):
+                rows = tuple(row for row in self.changes if row.version > since)
+                reply = Changed(rows, self.version)
+        self.take(self.feed.handle(reply))
+        assert self.seen == {key: row.content for key, row in self.table.items()}
+
+    def take(self, news: tuple[TableRow, ...]) -> None:
+        for row in news:
+            self.seen.pop(row.key, None)
+            if row.content is not None:
+                self.seen[row.key] = row.content
+
+    @invariant()
+    def versions_do_not_pass_the_store(self) -> None:
+        assert (self.feed.since or 0) <= self.version
+
+
+TestFollowMachine = FollowMachine.TestCase
--- /dev/null
+++ b/tests/direct/test_path.py
@@ -0,0 +1,480 @@
+"""The direct path over sockets: entries and agents against stand-ins of the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from itertools import count
+
+import h11
+import pytest
+
+from cassiahitch.direct.entry import DirectEntry
+from cassiahitch.standins.backends import BackendStandin, Fault
+from cassiahitch.standins.directsite import DESK, KEY, DirectSite, DirectSize
+
+Body = Callable[[DirectSite], Awaitable[None]]
+SMALL = DirectSize(entries=1, models=2, plain=2)
+LIMIT_S = 20
+IDS = count()
+
+
+@dataclass
+class Got:
+    """What a caller got; ``whole`` tells that the answer reached its proper end."""
+
+    status: int = 0
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b''
+    whole: bool = False
+
+    @property
+    def code(self) -> int:
+        return int(json.loads(self.body)['code'])
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    async with asyncio.timeout(LIMIT_S):
+        while not condition():
+            await asyncio.sleep(0.02)
+
+
+def run(body: Body, size: DirectSize = SMALL, **bounds: float) -> None:
+    async def whole() -> None:
+        async with DirectSite(size, bounds) as site, asyncio.timeout(60):
+            await site.ready()
+            await body(site)
+
+    asyncio.run(whole())
+
+
+async def ask(
+    entry: DirectEntry,
+    path: str,
+    *,
+    key: str = KEY,
+    deadline_ms: int = 3000,
+    leave_after_s: float | None = None,
+) -> Got:
+    method = 'GET' if path.startswith('/lookup') else 'POST'
+    headers = [
+        ('Host', 'menus.example'),
+        ('X-Cassiahitch-Attempt-Id', f'a{next(IDS)}'),
+        ('X-Cassiahitch-Deadline-Ms', str(deadline_ms)),
+        ('X-Cassiahitch-Key', key),
+    ]
+    if path.startswith('/draft'):
+        headers += [
+            ('X-Cassiahitch-Model', 'm1'),
+            ('X-Cassiahitch-Token-Count', '100,30'),
+        ]
+    body = b'' if method == 'GET' else b'{}'
+    machine = h11.Connection(h11.CLIENT)
+    if body:
+        headers.append(('Content-Length', str(len(body))))
+    data = machine.send(h11.Request(method=method, target=path, headers=headers)) or b''
+    if body:
+        data += machine.send(h11.Data(body)) or b''
+    data += machine.send(h11.EndOfMessage()) or b''
+    callers = entry.settings.callers
+    reader, writer = await asyncio.open_connection(callers.address, callers.port)
+    writer.write(data)
+    got = Got()
+    try:
+        async with asyncio.timeout(leave_after_s):
+            await read(machine, reader, got)
+    except TimeoutError:
+        pass
+    writer.close()
+    return got
+
+
+async def read(machine: h11.Connection, reader: asyncio.StreamReader, got: Got) -> None:
+    while True:
+        event = machine.next_event()
+        match event:
+            case h11.NEED_DATA:
+                data = await reader.read(65536)
+                if not data and got.status and not got.whole:
+                    return
+                machine.receive_data(data)
+            case h11.Response():
+                got.status = event.status_code
+                got.headers = {name.decode(): text.decode() for name, text in event.headers}
+            case h11.Data(data=data):
+                got.body += bytes(data)
+            case h11.EndOfMessage():
+                got.whole = True
+                return
+            case _:
+                return
+
+
+def runs(backends: list[BackendStandin], attempt: str = '') -> int:
+    return sum(
+        len([one for one in backend.runs if attempt in one.attempt_id]) for backend in backends
+    )
+
+
+def events(site: DirectSite, attempt: str) -> bytes:
+    return b''.join(
+        f'id: {number}\ndata: {attempt} {number}\n\n'.encode()
+        for number in range(1, site.models[0].events + 1)
+    )
+
+
+def test_answer_and_signature_of_the_backend_server_come_unchanged() -> None:
+    async def body(site: DirectSite) -> None:
+        got = await ask(site.entries[0], '/lookup/7?x=1')
+        backend = next(one for one in site.plain if one.runs)
+        assert (got.status, got.whole) == (200, True)
+        assert got.headers['x-cassiahitch-response-seal'] == f'seal-{backend.id}'
+        assert got.body.startswith(backend.id.encode())
+        assert backend.runs[0].target == '/lookup/7?x=1'
+        assert backend.runs[0].organisation == 'caterers'
+
+    run(body)
+
+
+def test_stream_comes_whole_and_in_order() -> None:
+    async def body(site: DirectSite) -> None:
+        got = await ask(site.entries[0], '/draft/1')
+        attempt = got.headers['x-cassiahitch-attempt-id']
+        assert (got.status, got.whole, got.body) == (200, True, events(site, attempt))
+
+    run(body)
+
+
+def test_stream_that_breaks_off_goes_on_at_another_replica() -> None:
+    async def body(site: DirectSite) -> None:
+        site.models[0].faults.append(Fault.cut)
+        got = await ask(site.entries[0], '/draft/1')
+        attempt = got.headers['x-cassiahitch-attempt-id']
+        assert (got.whole, got.body) == (True, events(site, attempt))
+        assert [one.after_event for one in site.models[1].runs] == [2]
+
+    run(body)
+
+
+def test_stream_that_cannot_go_on_does_not_look_whole() -> None:
+    async def body(site: DirectSite) -> None:
+        for model in site.models:
+            model.fault = Fault.cut
+        got = await ask(site.entries[0], '/draft/1')
+        assert got.status == 200
+        assert not got.whole
+
+    run(body)
+
+
+def test_request_that_must_run_once_is_not_sent_again_when_its_answer_is_lost() -> None:
+    async def body(site: DirectSite) -> None:
+        for plain in site.plain:
+            plain.fault = Fault.lose
+        got = await ask(site.entries[0], '/order/1')
+        assert (got.status, runs(site.plain)) == (502, 1)
+        assert 'retry-after' not in got.headers
+        assert json.loads(got.body)['ran'] == 'unknown'
+
+    run(body)
+
+
+def test_idempotent_request_is_sent_again_when_its_answer_is_lost() -> None:
+    async def body(site: DirectSite) -> None:
+        for plain in site.plain:
+            plain.faults = [Fault.lose]
+            plain.fault = Fault.none
+        site.plain[1].faults = []
+        answers = [await ask(site.entries[0], '/lookup/1') for _ in range(4)]
+        assert {got.status for got in answers} == {200}
+
+    run(body)
+
+
+@pytest.mark.parametrize('path', ['/order/1', '/lookup/1', '/draft/1'])
+def test_refused_request_goes_elsewhere_and_else_is_told_that_it_did_not_run(path: str) -> None:
+    async def body(site: DirectSite) -> None:
+        backends = site.models if path.startswith('/draft') else site.plain
+        for backend in backends:
+            backend.fault = Fault.refuse
+        got = await ask(site.entries[0], path)
+        assert (got.status, runs(backends)) == (503, 0)
+        assert float(got.headers['retry-after']) > 0
+        assert json.loads(got.body)['ran'] == 'no'
+        backends[0].fault = Fault.none
+        assert (await ask(site.entries[0], path)).status == 200
+
+    run(body)
+
+
+@pytest.mark.parametrize('fault', [Fault.foreign, Fault.extra, Fault.unframed])
+def test_odd_bytes_around_an_answer_reach_no_caller(fault: Fault) -> None:
+    async def body(site: DirectSite) -> None:
+        for plain in site.plain:
+            plain.fault = fault
+        for _ in range(8):
+            got = await ask(site.entries[0], '/order/1')
+            attempt = got.headers.get('x-cassiahitch-attempt-id', '')
+            assert (got.status, got.whole) == (200, True)
+            assert got.body.decode().endswith(attempt)
+
+    run(body)
+
+
+@pytest.mark.parametrize('fault', [Fault.cut, Fault.unsealed])
+def test_answer_that_is_not_whole_or_not_signed_is_no_success(fault: Fault) -> None:
+    async def body(site: DirectSite) -> None:
+        for plain in site.plain:
+            plain.fault = fault
+        got = await ask(site.entries[0], '/order/1')
+        assert (got.status, runs(site.plain)) == (502, 1)
+
+    run(body)
+
+
+def test_failure_of_a_backend_server_comes_with_its_status_and_signature() -> None:
+    async def body(site: DirectSite) -> None:
+        for plain in site.plain:
+            plain.fault = Fault.fail
+        got = await ask(site.entries[0], '/order/1')
+        assert (got.status, got.body) == (500, b'failed')
+        assert 'x-cassiahitch-response-seal' in got.headers
+
+    run(body)
+
+
+def test_unknown_route_and_unknown_key_are_refused_as_such() -> None:
+    async def body(site: DirectSite) -> None:
+        entry = site.entries[0]
+        missing = await ask(entry, '/other/1')
+        stranger = await ask(entry, '/order/1', key='stolen')
+        assert [missing.status, stranger.status] == [404, 401]
+        assert runs(site.plain) == 0
+
+    run(body)
+
+
+def test_key_that_is_taken_away_no_longer_runs_requests() -> None:
+    async def body(site: DirectSite) -> None:
+        entry = site.entries[0]
+        site.change(tenants=[{'name': 'caterers', 'apiKeys': ['new'], 'priority': 1}])
+        known = entry.parts.knowledge
+        await until(lambda: bool(known.catalogue and known.catalogue.version == 3))
+        assert (await ask(entry, '/order/1')).status == 401
+        assert (await ask(entry, '/order/1', key='new')).status == 200
+
+    run(body)
+
+
+def test_entry_that_does_not_reach_the_store_stops_to_honour_keys_and_names_itself_to_nobody() -> (
+    None
+):
+    async def body(site: DirectSite) -> None:
+        entry = site.entries[0]
+        assert (await ask(entry, '/order/1')).status == 200
+        site.store.faults.down = True
+        await until(lambda: not entry._is_ready())
+        refused = await ask(entry, '/order/1')
+        assert (refused.status, refused.code) == (503, 1022)
+        assert not entry._addresses('north').endpoints
+        site.store.faults.down = False
+        await until(entry._is_ready)
+        assert (await ask(entry, '/order/1')).status == 200
+
+    run(body, revoked_key_s=1)
+
+
+def test_older_configuration_never_comes_back() -> None:
+    async def body(site: DirectSite) -> None:
+        entry = site.entries[0]
+        site.change(tenants=[])
+        known = entry.parts.knowledge
+        await until(lambda: bool(known.catalogue and known.catalogue.version == 3))
+        site.configure({**site.configuration, 'version': 2})
+        site.store.forget_history()
+        site.register(site.plain[0], 'draining')
+        await until(lambda: len(known.replicas.usable(DESK)) == 1)
+        assert known.catalogue is not None
+        assert known.catalogue.version == 3
+
+    run(body)
+
+
+def test_draining_replica_gets_no_request() -> None:
+    async def body(site: DirectSite) -> None:
+        entry = site.entries[0]
+        site.register(site.plain[0], 'draining')
+        await until(lambda: len(entry.parts.knowledge.replicas.usable(DESK)) == 1)
+        for _ in range(5):
+            assert (await ask(entry, '/order/1')).status == 200
+        assert not site.plain[0].runs
+
+    run(body)
+
+
+def test_row_that_cannot_be_read_names_no_replica_and_stops_nothing() -> None:
+    async def body(site: DirectSite) -> None:
+        entry = site.entries[0]
+        site.store.put('servers', site.plain[0].id, {'service': DESK, 'state': 'odd'})
+        site.store.write([('servers', 'junk', b'\xff{'), ('op', 'version/odd', b'[]')])
+        await until(lambda: len(entry.parts.knowledge.replicas.usable(DESK)) == 1)
+        assert (await ask(entry, '/order/1')).status == 200
+        assert not site.plain[0].runs
+
+    run(body)
+
+
+def test_address_that_another_replica_has_now_runs_nothing() -> None:
+    async def body(site: DirectSite) -> None:
+        for plain in site.plain:
+            plain.id = f'{plain.id}-new'
+        got = await ask(site.entries[0], '/order/1')
+        assert (got.status, runs(site.plain)) == (503, 0)
+
+    run(body)
+
+
+def test_caller_that_leaves_ends_the_work_for_its_stream() -> None:
+    async def body(site: DirectSite) -> None:
+        for model in site.models:
+            model.pause_s = 0.2
+            model.events = 100
+        await ask(site.entries[0], '/draft/1', leave_after_s=0.5)
+        await until(lambda: not any(model.running for model in site.models))
+
+    run(body)
+
+
+def test_answer_comes_when_the_time_of_the_caller_ends() -> None:
+    async def body(site: DirectSite) -> None:
+        for plain in site.plain:
+            plain.fault = Fault.hang
+        got = await ask(site.entries[0], '/order/1', deadline_ms=300)
+        assert (got.status, got.code) == (504, 1005)
+
+    run(body)
+
+
+def test_request_that_crashes_replicas_is_refused_after_the_second_crash() -> None:
+    async def body(site: DirectSite) -> None:
+        entry = site.entries[0]
+        statuses = []
+        for plain in site.plain:
+            plain.fault = Fault.hang
+        for number in range(2):
+            statuses.append(await crash_with(site, '/order/bad', number))
+        refused = await ask(entry, '/order/bad')
+        assert statuses == [502, 502]
+        assert (refused.status, refused.code) == (503, 1009)
+
+    run(body, SMALL)
+
+
+async def crash_with(site: DirectSite, path: str, number: int) -> int:
+    """Crash the replica that runs a request, replace it, and return the caller's status."""
+    entry = site.entries[0]
+    known = entry.parts.knowledge
+    asked = asyncio.create_task(ask(entry, path))
+    await until(lambda: any(one.running for one in site.plain))
+    victim = next(one for one in site.plain if one.running)
+    await victim.stop()
+    status = (await asked).status
+    await until(lambda: len(known.crashes.told()) == 1)
+    site.deregister(victim)
+    site.plain.remove(victim)
+    fresh = await site.add_plain(5 + number)
+    fresh.fault = Fault.hang
+    await until(lambda: fresh.id in known.replicas.replicas)
+    return status
+
+
+def test_entries_find_each_other_and_a_leaving_one_is_named_no_more() -> None:
+    async def body(site: DirectSite) -> None:
+        first, second = site.entries
+        await until(lambda: len(first._addresses('north').endpoints) == 2)
+        leaving = asyncio.create_task(second.stop())
+        await until(lambda: len(first._addresses('north').endpoints) == 1)
+        await leaving
+
+    run(body, DirectSize(entries=2, models=1, plain=1), grace_s=1)
+
+
+def test_stopping_entry_finishes_what_it_has_read() -> None:
+    async def body(site: DirectSite) -> None:
+        for model in site.models:
+            model.pause_s = 0.1
+            model.events = 10
+        asked = asyncio.create_task(ask(site.entries[0], '/draft/1'))
+        await until(lambda: any(model.running for model in site.models))
+        await site.entries[0].stop()
+        got = await asked
+        assert (got.status, got.whole) == (200, True)
+
+    run(body)
+
+
+def test_new_weights_reach_all_engines_whole_and_few_chunks_come_from_the_origin() -> None:
+    async def body(site: DirectSite) -> None:
+        site.weights.corrupt = 2
+        site.declare(2)
+        engines = [model.engine for model in site.models]
+        await until(lambda: all(one and one.version == 2 for one in engines))
+        digest = site.weights.whole_digest(2)
+        assert {one.loaded_digest for one in engines if one} == {digest}
+        regions = 2
+        assert site.weights.sent[2] <= regions * len(site.weights.chunks[2]) + 2
+
+    run(body, DirectSize(entries=1, models=4, plain=0))
+
+
+def test_chunk_that_rots_at_the_engine_is_mended_before_the_load() -> None:
+    async def body(site: DirectSite) -> None:
+        engine = site.models[0].engine
+        assert engine is not None
+        rotten: set[int] = set()
+
+        def rot() -> bool:
+            index = len(rotten)
+            expected = site.weights.chunks[2]
+            if index < 3 and engine.staged.get(index) == expected[index]:
+                engine.staged[index] = b'rotten'
+                rotten.add(index)
+            return engine.version == 2
+
+        site.declare(2)
+        await until(rot)
+        assert rotten
+        assert engine.loaded_digest == site.weights.whole_digest(2)
+
+    run(body, DirectSize(entries=1, models=2, plain=0))
+
+
+def test_engine_that_starts_empty_is_brought_to_the_version_in_force() -> None:
+    async def body(site: DirectSite) -> None:
+        fresh = await site.add_model(5, loaded=False)
+        assert fresh.engine is not None
+        await until(lambda: bool(fresh.engine and fresh.engine.version == 1))
+        assert fresh.engine.loaded_digest == site.weights.whole_digest(1)
+        assert site.weights.sent[1] <= len(site.weights.chunks[1])
+
+    run(body)
+
+
+def test_no_request_begins_on_weights_that_are_replaced() -> None:
+    async def body(site: DirectSite) -> None:
+        for agent in site.agents:
+            agent.tasks.failed.clear()
+            await agent.stack.aclose()
+        site.declare(2)
+        known = site.entries[0].parts.knowledge
+        await until(lambda: known.versions.oldest_allowed('m1', _now()) == 2)
+        got = await ask(site.entries[0], '/draft/1')
+        assert (got.status, runs(site.models)) == (503, 0)
+
+    run(body, DirectSize(entries=1, models=1, plain=0), weights_s=1.5)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/tests/direct/test_placement.py
@@ -0,0 +1,194 @@
+"""Tests of placing requests; each replays the load that a decision answers."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from dataclasses import dataclass, field
+
+import pytest
+
+from cassiahitch.direct.catalogue import Engine, Repeat, Route, ServiceShare
+from cassiahitch.direct.load import EngineLoad, LoadReport, first_event_s, pass_s, service_s
+from cassiahitch.direct.placement import (
+    LATE_RANK,
+    RETURN_S,
+    Candidate,
+    Crowded,
+    Demand,
+    Placed,
+    Placement,
+)
+from cassiahitch.direct.replicas import Replica
+from cassiahitch.util.endpoints import Endpoint
+
+ENGINE = Engine('m', 16, 6, 0.00673, 2.19e-5, 6.8e-9, 30_600, 6.47e-10, 964, 119)
+SHARES = (ServiceShare('drafts', 1),)
+ROUTE = Route('draft', 'h', '/', Repeat.stream, 6, 0.405, 1, SHARES, 2, resumable=True)
+ENTRIES = 3
+
+
+def candidates(count: int) -> tuple[Candidate, ...]:
+    return tuple(
+        Candidate(Replica(f'm-{number}', 'drafts', Endpoint('10.0.0.1', 1), 'north', 16), near=True)
+        for number in range(count)
+    )
+
+
+def report(placement: Placement, candidate: Candidate, running: int, waiting: int = 0) -> None:
+    placement.engine_load(candidate.replica.key).heard(LoadReport(running, waiting), 0)
+
+
+def place(placement: Placement, demand: Demand, count: int = 2) -> Placed | Crowded:
+    return placement.place_engine(ENGINE, demand, candidates(count), ENTRIES, 0.01)
+
+
+def test_request_goes_where_the_first_event_comes_soonest() -> None:
+    placement = Placement(random.Random(1))
+    busy, idle = candidates(2)
+    report(placement, busy, 16, 3)
+    report(placement, idle, 5)
+    placed = place(placement, Demand(ROUTE, 0, 1000))
+    assert isinstance(placed, Placed)
+    assert placed.candidate == idle
+
+
+def test_request_that_no_engine_can_begin_in_time_is_refused_with_a_time_to_return() -> None:
+    placement = Placement(random.Random(1))
+    for candidate in candidates(2):
+        report(placement, candidate, 16, 12)
+    refused = place(placement, Demand(ROUTE, 0, 1000))
+    assert isinstance(refused, Crowded)
+    assert RETURN_S[0] <= refused.retry_after_s <= RETURN_S[1]
+
+
+def test_request_whose_objective_has_passed_only_takes_a_free_place() -> None:
+    placement = Placement(random.Random(1))
+    for candidate in candidates(2):
+        report(placement, candidate, 16)
+    late = Demand(ROUTE, 2, 1000)
+    assert isinstance(place(placement, late), Crowded)
+    assert isinstance(place(placement, Demand(ROUTE, 0, 1000)), Placed)
+    report(placement, candidates(2)[0], 15)
+    placed = place(placement, late)
+    assert isinstance(placed, Placed)
+    assert placed.rank == LATE_RANK
+
+
+def test_slow_engine_is_avoided() -> None:
+    placement = Placement(random.Random(1))
+    slow, sound = candidates(2)
+    placement.engine_load(slow.replica.key).heard(LoadReport(2, 0, pace=5), 0)
+    report(placement, sound, 9)
+    placed = place(placement, Demand(ROUTE, 0, 1000))
+    assert isinstance(placed, Placed)
+    assert placed.candidate == sound
+
+
+def test_own_sends_since_a_report_count() -> None:
+    load = EngineLoad()
+    load.heard(LoadReport(4, 1), 10)
+    for _ in range(3):
+        load.sent(10.01)
+    load.ended(10.02)
+    assert load.requests(ENTRIES, 10.03) == 7
+    load.heard(LoadReport(6, 0), 10.06)
+    assert load.requests(ENTRIES, 10.07) == 6
+
+
+def test_without_reports_other_entries_are_taken_to_send_as_much() -> None:
+    load = EngineLoad()
+    load.sent(1)
+    load.sent(1)
+    assert load.requests(ENTRIES, 1) == 2 * ENTRIES
+
+
+def test_old_report_no_longer_tells_the_load() -> None:
+    load = EngineLoad()
+    load.heard(LoadReport(16, 9), 0)
+    assert load.requests(ENTRIES, 5) == 0
+
+
+@pytest.mark.parametrize('requests', [0, 8, 15, 16, 20])
+def test_prediction_grows_with_the_load(requests: int) -> None:
+    now = first_event_s(ENGINE, requests, 1000, 1)
+    assert now < first_event_s(ENGINE, requests + 1, 1000, 1)
+    assert now < first_event_s(ENGINE, requests, 3000, 1)
+    assert now < first_event_s(ENGINE, requests, 1000, 2)
+
+
+@dataclass
+class EngineModel:
+    """An engine as the platform's sheet describes it: passes that read prompts and write."""
+
+    running: list[int] = field(default_factory=list)
+    waiting: list[tuple[float, int, int]] = field(default_factory=list)
+    free_at: float = 0
+
+    def step(self, now: float, started: list[float]) -> None:
+        read = 0
+        while self.waiting and len(self.running) < ENGINE.slots:
+            arrived, prompt, answer = self.waiting.pop(0)
+            read += prompt
+            self.running.append(answer)
+            started.append(now + read / ENGINE.read_tokens_per_s + pass_s(ENGINE, 1, 1) - arrived)
+        took = pass_s(ENGINE, len(self.running), 1) + read / ENGINE.read_tokens_per_s
+        self.free_at = now + max(took, 0.005)
+        self.running = [left - 6 for left in self.running if left > 6]
+
+
+def replay(rate_per_s: float, seconds: float, choose: str) -> tuple[int, int, int]:
+    """Replay a load on six engines; return how many began in time, late, and not at all."""
+    rng = random.Random(7)
+    engines = [EngineModel() for _ in range(6)]
+    placement = Placement(rng)
+    options = candidates(6)
+    started: list[float] = []
+    refused = 0
+    events: list[tuple[float, int]] = [(0, number) for number in range(6)]
+    arrivals: float = 0
+    while arrivals < seconds:
+        arrivals += rng.expovariate(rate_per_s)
+        heapq.heappush(events, (arrivals, -1))
+    while events:
+        now, number = heapq.heappop(events)
+        if number >= 0:
+            engines[number].step(now, started)
+            if now < seconds + 5:
+                heapq.heappush(events, (engines[number].free_at, number))
+            continue
+        for engine, option in zip(engines, options, strict=True):
+            seen = LoadReport(len(engine.running), len(engine.waiting))
+            placement.engine_load(option.replica.key).heard(seen, now)
+        demand = Demand(ROUTE, 0, max(50, int(rng.expovariate(1 / 964))))
+        placed = placement.place_engine(ENGINE, demand, options, ENTRIES, now)
+        if choose == 'random':
+            target = rng.randrange(6)
+        elif isinstance(placed, Placed):
+            target = options.index(placed.candidate)
+        else:
+            refused += 1
+            continue
+        answer = max(6, int(rng.expovariate(1 / 119)))
+        engines[target].waiting.append((now, demand.prompt_tokens, answer))
+    in_time = sum(one <= ROUTE.objective_s for one in started)
+    return in_time, len(started) - in_time, refused
+
+
+def test_overload_ends_in_refusals_and_not_in_late_answers() -> None:
+    in_time, late, refused = replay(110, 20, 'placed')
+    by_chance, _, _ = replay(110, 20, 'random')
+    assert refused > 0
+    assert late <= 0.1 * in_time
+    assert in_time >= 2 * by_chance
+
+
+def test_below_capacity_nothing_is_refused() -> None:
+    in_time, late, refused = replay(45, 20, 'placed')
+    assert refused == 0
+    assert late <= 0.02 * in_time
+
+
+def test_service_time_follows_the_engine() -> None:
+    assert service_s(ENGINE, 1) == pytest.approx(1.4, rel=0.3)
+    assert service_s(ENGINE, 2) == pytest.approx(2 * service_s(ENGINE, 1))
--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,151 @@
+"""Tests of reading the platform's rows and answers."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cassiahitch.codes import Code
+from cassiahitch.direct.catalogue import Repeat
+from cassiahitch.errors import PlatformError, RequestError
+from cassiahitch.platform.documents import (
+    decode_catalogue,
+    decode_manifest,
+    decode_replica,
+    decode_report,
+    decode_version,
+)
+from cassiahitch.platform.requests import PlatformRequests
+from cassiahitch.standins.directsite import first_configuration
+
+REPLICA: dict[str, Any] = {
+    'service': 'huvo',
+    'address': '10.128.0.9:8080',
+    'zone': 'lagos-ikeja',
+    'version': 'v1',
+    'slots': 16,
+    'state': 'ready',
+    'coldMs': 0,
+    'models': [{'name': 'daka', 'version': 3, 'adapters': []}],
+    'layers': [{'from': 0, 'to': 16, 'version': 3}],
+    'seq': 4,
+    'born': 17,
+}
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=5),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=5), inner),
+    max_leaves=5,
+)
+
+
+def encoded(document: object) -> bytes:
+    return json.dumps(document).encode()
+
+
+def test_configuration_is_read_into_the_products_types() -> None:
+    catalogue = decode_catalogue(encoded(first_configuration('10.0.0.1:8006')))
+    kinds = {route.name: route.repeat for route in catalogue.routes}
+    assert kinds == {
+        'draft': Repeat.stream,
+        'lookup': Repeat.idempotent,
+        'order': Repeat.once,
+    }
+    assert catalogue.routes[0].timeout_s == 4
+    assert catalogue.services['origin'].origin == '10.0.0.1:8006'
+    assert catalogue.limits.body_bytes == 100_000
+    assert [one.name for one in catalogue.organisations.values()] == ['caterers']
+
+
+def test_replica_is_read_with_its_weights_and_start() -> None:
+    replica = decode_replica('i-1', encoded(REPLICA))
+    assert (replica.key, replica.version('daka'), replica.draining) == ('i-1@17', 3, False)
+    assert str(replica.endpoint) == '10.128.0.9:8080'
+
+
+def test_replica_without_layers_has_no_weights() -> None:
+    replica = decode_replica('i-1', encoded({**REPLICA, 'layers': []}))
+    assert replica.version('daka') == 0
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'state': 'sleepy'},
+        {'address': 'nowhere'},
+        {'service': None},
+        {'slots': 'many'},
+        {'models': 3},
+    ],
+)
+def test_row_of_the_wrong_shape_names_no_replica(change: dict[str, Any]) -> None:
+    with pytest.raises(PlatformError) as caught:
+        decode_replica('i-1', encoded({**REPLICA, **change}))
+    assert caught.value.code is Code.store_row_corrupt
+
+
+@given(st.binary(max_size=60) | JSON.map(encoded))
+def test_any_content_is_read_or_refused_with_a_code(content: bytes) -> None:
+    for decode in (decode_catalogue, decode_version, decode_report, decode_manifest):
+        try:
+            decode(content)
+        except PlatformError as error:
+            assert error.code in {
+                Code.configuration_row_corrupt,
+                Code.store_row_corrupt,
+                Code.engine_answer_corrupt,
+                Code.manifest_corrupt,
+            }
+
+
+@given(st.fixed_dictionaries({name: JSON | st.just(REPLICA[name]) for name in REPLICA}))
+def test_any_row_of_a_replica_is_read_or_refused_with_a_code(row: dict[str, Any]) -> None:
+    try:
+        decode_replica('i-1', encoded(row))
+    except PlatformError as error:
+        assert error.code is Code.store_row_corrupt
+
+
+def read(*headers: tuple[str, str]) -> Any:
+    return PlatformRequests().read_request('POST', '/a/b?c', headers, b'x')
+
+
+def test_key_and_connection_headers_are_not_passed_on() -> None:
+    request = read(
+        ('Host', 'h'),
+        ('X-Cassiahitch-Attempt-Id', 'a1'),
+        ('X-Cassiahitch-Key', 'secret'),
+        ('X-Cassiahitch-Tenant', 'forged'),
+        ('X-Cassiahitch-Expect-Instance', 'forged'),
+        ('Connection', 'X-Odd, X-Cassiahitch-Attempt-Id'),
+        ('X-Odd', '1'),
+        ('Transfer-Encoding', 'chunked'),
+        ('X-Other', '2'),
+    )
+    assert (request.key, request.attempt_id) == ('secret', 'a1')
+    assert [name for name, _ in request.headers] == [
+        'Host',
+        'X-Cassiahitch-Attempt-Id',
+        'X-Other',
+    ]
+
+
+@pytest.mark.parametrize(
+    'headers',
+    [
+        (),
+        (('X-Cassiahitch-Attempt-Id', 'a'), ('X-Cassiahitch-Deadline-Ms', 'soon')),
+        (
+            ('X-Cassiahitch-Attempt-Id', 'a'),
+            ('X-Cassiahitch-Model', 'm'),
+            ('X-Cassiahitch-Token-Count', 'x,y'),
+        ),
+    ],
+)
+def test_request_that_cannot_be_read_is_refused(headers: tuple[tuple[str, str], ...]) -> None:
+    with pytest.raises(RequestError) as caught:
+        read(*headers)
+    assert caught.value.code is Code.bad_request
--- /dev/null
+++ b/tests/platform/test_names.py
@@ -0,0 +1,67 @@
+"""The platform's names stand in its adapter only."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+from cassiahitch.platform import names
+
+SOURCES = Path(__file__).parents[2] / 'src' / 'cassiahitch'
+ADAPTER = SOURCES / 'platform'
+#: Names of fields, calls and words that only the platform uses.
+FIELDS = (
+    'rowVersion',
+    'sinceRev',
+    'waitTimeoutMs',
+    'setKeys',
+    'maxItems',
+    'hasMore',
+    'sampleCount',
+    'chunkDigests',
+    'loadMode',
+    'trafficSplit',
+    'targetLatencyMs',
+    'gapAimMs',
+    'streamResume',
+    'maxAttempts',
+    'apiKeys',
+    'healthPath',
+    'kvUsedTokens',
+    'non_idempotent',
+    'tenants',
+)
+#: Stand-ins of the platform speak its way, as the adapter does, but take names from it.
+STANDINS = frozenset(('rowstore.py', 'backends.py', 'weightservice.py', 'directsite.py'))
+
+
+def other_sources() -> list[Path]:
+    return [
+        path
+        for path in SOURCES.rglob('*.py')
+        if ADAPTER not in path.parents and path.name not in STANDINS
+    ]
+
+
+def found(words: tuple[str, ...], paths: list[Path]) -> list[str]:
+    pattern = re.compile('|'.join(re.escape(word) for word in words))
+    return [
+        f'{path.name}: {match.group()}'
+        for path in paths
+        for match in pattern.finditer(path.read_text(encoding='utf-8'))
+    ]
+
+
+def test_headers_and_calls_of_the_platform_stand_only_in_its_adapter() -> None:
+    standins = list((SOURCES / 'standins').glob('*.py'))
+    own = ('X-Cassiahitch-', '/v1/rows-', '/v1/stage-', '/v1/piece', '/v1/lookup')
+    assert found(own, other_sources() + standins) == []
+
+
+def test_fields_of_the_platform_stand_only_in_its_adapter() -> None:
+    assert found(FIELDS, other_sources()) == []
+
+
+def test_adapter_is_where_the_names_are() -> None:
+    assert names.ATTEMPT_ID.startswith('X-Cassiahitch-')
+    assert found(FIELDS, list(ADAPTER.glob('*.py')))
