--- a/src/cassiahitch/direct/loading.py
+++ b/src/cassiahitch/direct/loading.py
@@ -32,7 +32,7 @@
 #: Longest time over which the loads of all engines are spread, in seconds.
 SPREAD_S = 2.5
 #: Part of a version's chunks from which on it is finished even if a newer one is declared.
-GO_ON_PART = 0.5
+GO_ON_PART = 0.85
 #: Seconds between reads of who takes part.
 PARTICIPANTS_S = 1.5
 
