Share placements among entries, predict reading, and leave silent hosts out

The prediction left out the prompts that wait to be read, and nine entries chose the same engine within the 60 ms between two reports. Change: entries announce each placement to each other, unread prompts count, three candidates are drawn before all are compared; an engine whose agent is silent is used only when no other is heard (test_replica_whose_agent_is_silent...).

--- a/src/cassiahitch/direct/assembly.py
+++ b/src/cassiahitch/direct/assembly.py
@@ -54,19 +54,21 @@
     bounds = settings.bounds
     budget = RetryBudget(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s)
     candidates = Candidates(knowledge, Placement(rng), rng)
+    beats = EntryBeats(knowledge, candidates, journal, incarnation, rng)
     filters = RequestFilters(knowledge, budget, rng)
     runner = Runner(
         knowledge=knowledge,
         codec=around.codec,
         filters=filters,
         candidates=candidates,
-        attempts=Attempts(ConnectionPool(), around.codec, filters, candidates.placement),
+        attempts=Attempts(
+            ConnectionPool(), around.codec, filters, candidates.placement, beats.announce
+        ),
         budget=budget,
         watch=CrashWatch(knowledge, journal),
         journal=journal,
         rng=rng,
     )
-    beats = EntryBeats(knowledge, candidates, journal, incarnation, rng)
     return EntryParts(knowledge, journal, candidates, runner, beats)
 
 
--- a/src/cassiahitch/direct/attempt.py
+++ b/src/cassiahitch/direct/attempt.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from contextlib import ExitStack, aclosing, contextmanager
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -12,9 +13,10 @@
 from cassiahitch.direct.events import EventSplitter
 from cassiahitch.direct.exchange import AnswerLost, Exchange
 from cassiahitch.direct.front import CallerGone
+from cassiahitch.wire.beats import PlacementNotice
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator
+    from collections.abc import Iterator
 
     from cassiahitch.direct.api import Call, RequestCodec
     from cassiahitch.direct.filters import RequestFilters
@@ -93,6 +95,7 @@
     codec: RequestCodec
     filters: RequestFilters
     placement: Placement
+    announce: Callable[[PlacementNotice], None]
 
     async def send(
         self,
@@ -158,7 +161,10 @@
                 plain.ended(clock() - began, clock())
             return
         load = self.placement.engine_load(key)
-        load.sent(began)
+        generation = call.request.generation
+        prompt_tokens = generation.prompt_tokens if generation else 0
+        load.sent(prompt_tokens, began)
+        self.announce(PlacementNotice(key, prompt_tokens))
         try:
             yield
         finally:
--- a/src/cassiahitch/direct/beating.py
+++ b/src/cassiahitch/direct/beating.py
@@ -11,7 +11,13 @@
 from cassiahitch.direct.load import LoadReport
 from cassiahitch.direct.versions import DeclaredVersion
 from cassiahitch.util.endpoints import Endpoint
-from cassiahitch.wire.beats import EngineLoad, EntryBeat, LoadQuery, VersionRecord
+from cassiahitch.wire.beats import (
+    EngineLoad,
+    EntryBeat,
+    LoadQuery,
+    PlacementNotice,
+    VersionRecord,
+)
 
 if TYPE_CHECKING:
     from cassiahitch.direct.candidates import Candidates
@@ -100,6 +106,21 @@
                 receiver = Endpoint(replica.endpoint.address, settings.peer_port)
                 self.socket.send(LoadQuery(settings.name), receiver)
 
+    def announce(self, notice: PlacementNotice) -> None:
+        """Tell the other entries at once where a request goes.
+
+        Load pattern: entries that see the same reports would all choose the engine that looks
+        idle.
+
+        :param notice: the replica and the length of the prompt.
+        """
+        if self.socket is None:
+            return
+        now = asyncio.get_running_loop().time()
+        for peer in self.knowledge.peers.live(now):
+            receiver = Endpoint(peer.beat.address, self.knowledge.settings.peer_port)
+            self.socket.send(notice, receiver)
+
     async def beat(self) -> None:
         """Send heartbeats until cancelled."""
         while True:
@@ -124,6 +145,9 @@
                 self.heard_entry(message, now)
             case EngineLoad():
                 self.heard_engine(message, sender, now)
+            case PlacementNotice(replica=key, prompt_tokens=tokens):
+                if key in self.candidates.placement.engines:
+                    self.candidates.placement.engine_load(key).told(tokens, now)
             case _:
                 return
 
--- a/src/cassiahitch/direct/candidates.py
+++ b/src/cassiahitch/direct/candidates.py
@@ -118,8 +118,9 @@
         ]
         fit = [self.candidate(replica, engine, now) for replica in usable]
         found = tuple(candidate for candidate in fit if candidate is not None)
-        sound = tuple(one for one in found if self.is_sound(one.replica, now))
-        return sound or found
+        heard = tuple(one for one in found if self.is_heard(one.replica, engine, now)) or found
+        sound = tuple(one for one in heard if self.is_sound(one.replica, now))
+        return sound or heard
 
     def candidate(self, replica: Replica, engine: Engine | None, now: float) -> Candidate | None:
         """Return a replica as a candidate if its weights may be used.
@@ -142,6 +143,19 @@
             return None
         return Candidate(replica, near, version)
 
+    def is_heard(self, replica: Replica, engine: Engine | None, now: float) -> bool:
+        """Tell whether the agent beside a model engine is heard.
+
+        Load pattern: a host that freezes or is cut off looks idle, and takes requests that
+        nobody runs.
+
+        :param replica: the replica.
+        :param engine: its engine, if it has one.
+        :param now: seconds.
+        :return: whether it is; plain replicas have no agent.
+        """
+        return engine is None or self.placement.engine_load(replica.key).is_reported(now)
+
     def is_sound(self, replica: Replica, now: float) -> bool:
         """Tell whether a replica is not ejected for its failures.
 
--- a/src/cassiahitch/direct/load.py
+++ b/src/cassiahitch/direct/load.py
@@ -39,6 +39,23 @@
     incarnation: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class Change:
+    """A request that was sent or ended after the last report was sampled."""
+
+    at: float
+    requests: int
+    prompt_tokens: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Queue:
+    """Requests of an engine, running and waiting, and the tokens that it has not read yet."""
+
+    requests: int
+    unread: float
+
+
 @dataclass(slots=True)
 class EngineLoad:
     """What one entry knows of the load of one engine."""
@@ -46,7 +63,7 @@
     report: LoadReport | None = None
     heard_at: float = float('-inf')
     in_flight: int = 0
-    changes: deque[tuple[float, int]] = field(default_factory=deque)
+    changes: deque[Change] = field(default_factory=deque)
     late_s: float = 0
     late_at: float = 0
 
@@ -80,16 +97,26 @@
         """
         self.report = report
         self.heard_at = now
-        while self.changes and self.changes[0][0] < now - REPORT_DELAY_S:
+        while self.changes and self.changes[0].at < now - REPORT_DELAY_S:
             self.changes.popleft()
 
-    def sent(self, now: float) -> None:
+    def sent(self, prompt_tokens: int, now: float) -> None:
         """Count a request that was sent.
 
+        :param prompt_tokens: length of its prompt.
         :param now: seconds.
         """
         self.in_flight += 1
-        self.changes.append((now, 1))
+        self.changes.append(Change(now, 1, prompt_tokens))
+
+    def told(self, prompt_tokens: int, now: float) -> None:
+        """Count a request that another entry says it sends.
+
+        :param prompt_tokens: length of its prompt.
+        :param now: seconds.
+        """
+        if self.report is not None:
+            self.changes.append(Change(now, 1, prompt_tokens))
 
     def ended(self, now: float) -> None:
         """Count a request that ended.
@@ -97,7 +124,7 @@
         :param now: seconds.
         """
         self.in_flight -= 1
-        self.changes.append((now, -1))
+        self.changes.append(Change(now, -1))
 
     def is_reported(self, now: float) -> bool:
         """Tell whether the last report still tells the load.
@@ -107,17 +134,21 @@
         """
         return self.report is not None and now - self.heard_at < REPORT_LIMIT_S
 
-    def requests(self, entries: int, now: float) -> int:
-        """Return how many requests the engine has, running and waiting.
+    def queue(self, engine: Engine, entries: int, now: float) -> Queue:
+        """Return what the engine has to do before it begins one more request.
 
+        :param engine: the engine.
         :param entries: entries that send to it, as far as it does not report.
         :param now: seconds.
-        :return: requests.
+        :return: its requests and the tokens that it has to read.
         """
         if self.report is None or not self.is_reported(now):
-            return self.in_flight * entries
-        reported = self.report.running + self.report.waiting
-        return max(self.in_flight, reported + sum(change for _, change in self.changes), 0)
+            return Queue(self.in_flight * entries, 0)
+        requests = self.report.running + self.report.waiting
+        requests += sum(change.requests for change in self.changes)
+        unread = self.report.waiting * engine.usual_prompt
+        unread += sum(change.prompt_tokens for change in self.changes)
+        return Queue(max(self.in_flight, requests, 0), unread)
 
     def pace(self, now: float) -> float:
         """Return how much slower than configured the engine is.
@@ -169,27 +200,31 @@
     return min(writing_s + reading_s, writing_s / (1 - MOST_READING))
 
 
-def first_event_s(engine: Engine, requests: int, prompt_tokens: int, pace: float) -> float:
+def first_event_s(engine: Engine, queue: Queue, prompt_tokens: int, pace: float) -> float:
     """Predict the time until the first event of one more request.
 
+    The engine ends its pass, reads what waits and the prompt itself, and writes a first pass; if
+    all places are taken, one has to become free before.
+
     :param engine: the engine.
-    :param requests: requests that it has, running and waiting.
+    :param queue: what it has to do.
     :param prompt_tokens: length of the prompt.
-    :param pace: how much slower the engine is.
+    :param pace: how much slower than configured it is.
     :return: seconds.
     """
-    own_pass_s = pass_s(engine, min(requests + 1, engine.slots), pace)
-    start_s = 1.5 * own_pass_s if requests else own_pass_s
-    reading_s = read_s(engine, prompt_tokens, pace)
-    ahead = requests + 1 - engine.slots
-    if ahead <= 0:
-        return start_s + reading_s
-    return start_s + reading_s + ahead * service_s(engine, pace) / engine.slots
+    own_pass_s = pass_s(engine, min(queue.requests + 1, engine.slots), pace)
+    ending_s = own_pass_s / 2 if queue.requests else 0
+    reading_s = read_s(engine, prompt_tokens, pace) + queue.unread / engine.read_tokens_per_s * pace
+    ahead = max(0, queue.requests + 1 - engine.slots)
+    place_s = ahead * service_s(engine, pace) / engine.slots
+    return ending_s + reading_s + own_pass_s + place_s
 
 
 __all__ = (
+    'Change',
     'EngineLoad',
     'LoadReport',
+    'Queue',
     'first_event_s',
     'pass_s',
     'read_s',
--- a/src/cassiahitch/direct/placement.py
+++ b/src/cassiahitch/direct/placement.py
@@ -19,11 +19,13 @@
     from cassiahitch.direct.replicas import Replica
 
 #: Part of the objective within which the first event is to be expected.
-EXPECTED_PART = 0.6
+EXPECTED_PART = 0.8
 #: Seconds by which a replica of another region must be better than one of the own.
 CROSSING_S = 0.02
 #: Seconds by which choices are spread, so that entries with the same reports differ.
 SPREAD_S = 0.02
+#: Candidates that are compared at first.
+SAMPLE = 3
 #: Shortest and longest time after which a refused caller may come back, in seconds.
 RETURN_S = (0.4, 1.4)
 #: Weight of the newest time in the mean time of a plain replica.
@@ -73,6 +75,14 @@
     best_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class Prospect:
+    """Requests of an engine, and the time that one more would wait for its first event."""
+
+    requests: int
+    expected_s: float
+
+
 @dataclass(slots=True)
 class PlainLoad:
     """Requests at a plain replica and its mean time."""
@@ -168,36 +178,62 @@
         :param now: seconds.
         :return: the choice.
         """
-        requests = {
-            one: self.engine_load(one.replica.key).requests(entries, now) for one in candidates
-        }
-        times = {
-            one: self.engine_load(one.replica.key).lateness_s(now)
-            + first_event_s(
-                engine,
-                requests[one],
-                demand.prompt_tokens,
-                self.engine_load(one.replica.key).pace(now),
-            )
-            for one in candidates
-        }
-        chosen = min(candidates, key=lambda one: self.cost_s(one, times[one]))
-        expected_s = times[chosen]
-        in_time = demand.spent_s + expected_s <= demand.route.objective_s * EXPECTED_PART
-        if in_time or requests[chosen] < engine.slots:
+        prospects = {one: self.prospect(engine, demand, one, entries, now) for one in candidates}
+        chosen = min(self.sample(candidates), key=lambda one: self.cost_s(one, prospects[one]))
+        if not _is_in_time(demand, prospects[chosen]):
+            chosen = min(candidates, key=lambda one: self.cost_s(one, prospects[one]))
+        prospect = prospects[chosen]
+        in_time = _is_in_time(demand, prospect)
+        if in_time or prospect.requests <= engine.slots:
             rank = min(HIGHEST_RANK, max(0, demand.priority)) if in_time else LATE_RANK
-            return Placed(chosen, expected_s, rank)
-        return Crowded(self.rng.uniform(*RETURN_S), expected_s)
+            return Placed(chosen, prospect.expected_s, rank)
+        return Crowded(self.rng.uniform(*RETURN_S), prospect.expected_s)
+
+    def sample(self, candidates: tuple[Candidate, ...]) -> list[Candidate]:
+        """Draw a few candidates, so that entries that know the same do not choose the same.
+
+        :param candidates: all of them.
+        :return: some of them.
+        """
+        return self.rng.sample(candidates, min(SAMPLE, len(candidates)))
+
+    def prospect(
+        self,
+        engine: Engine,
+        demand: Demand,
+        candidate: Candidate,
+        entries: int,
+        now: float,
+    ) -> Prospect:
+        """Return what a request can expect of an engine.
 
-    def cost_s(self, candidate: Candidate, expected_s: float) -> float:
+        :param engine: speed of the engines.
+        :param demand: the request.
+        :param candidate: the replica.
+        :param entries: entries that send to it.
+        :param now: seconds.
+        :return: the expectation.
+        """
+        load = self.engine_load(candidate.replica.key)
+        queue = load.queue(engine, entries, now)
+        pace = load.pace(now)
+        expected_s = first_event_s(engine, queue, demand.prompt_tokens, pace)
+        return Prospect(queue.requests, expected_s + load.lateness_s(now))
+
+    def cost_s(self, candidate: Candidate, prospect: Prospect) -> float:
         """Return what a choice costs, in seconds, with a random part.
 
         :param candidate: the replica.
-        :param expected_s: time to its first event.
+        :param prospect: what the request can expect there.
         :return: seconds.
         """
         crossing_s = 0 if candidate.near else CROSSING_S
-        return expected_s + crossing_s + self.rng.uniform(0, SPREAD_S)
+        return prospect.expected_s + crossing_s + self.rng.uniform(0, SPREAD_S)
+
+
+def _is_in_time(demand: Demand, prospect: Prospect) -> bool:
+    room_s = demand.route.objective_s * EXPECTED_PART - demand.spent_s
+    return prospect.expected_s <= room_s
 
 
 __all__ = (
@@ -207,4 +243,5 @@
     'Placed',
     'Placement',
     'PlainLoad',
+    'Prospect',
 )
--- a/src/cassiahitch/wire/beats.py
+++ b/src/cassiahitch/wire/beats.py
@@ -73,7 +73,15 @@
     version: int = 0
 
 
-Beat = EntryBeat | LoadQuery | EngineLoad
+@dataclass(frozen=True, slots=True)
+class PlacementNotice:
+    """An entry sends a request to a replica; ``replica`` names the incarnation."""
+
+    replica: str = ''
+    prompt_tokens: int = 0
+
+
+Beat = EntryBeat | LoadQuery | EngineLoad | PlacementNotice
 
 __all__ = (
     'Beat',
@@ -81,6 +89,7 @@
     'EngineLoad',
     'EntryBeat',
     'LoadQuery',
+    'PlacementNotice',
     'SuspectRecord',
     'VersionRecord',
 )
--- a/src/cassiahitch/wire/datagrams.thrift
+++ b/src/cassiahitch/wire/datagrams.thrift
@@ -52,8 +52,14 @@
   9: i32 version
 }
 
+struct PlacementNotice {
+  1: string replica
+  2: i32 prompt_tokens
+}
+
 struct Datagram {
   1: EntryBeat beat
   2: LoadQuery query
   3: EngineLoad load
+  4: PlacementNotice placement
 }
--- a/src/cassiahitch/wire/gen/datagrams/ttypes.py
+++ b/src/cassiahitch/wire/gen/datagrams/ttypes.py
@@ -771,12 +771,93 @@
         return not (self == other)
 
 
+class PlacementNotice(object):
+    """
+    Attributes:
+     - replica
+     - prompt_tokens
+
+    """
+
+    __slots__ = (
+        'replica',
+        'prompt_tokens',
+    )
+
+
+    def __init__(self, replica=None, prompt_tokens=None,):
+        self.replica = replica
+        self.prompt_tokens = prompt_tokens
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.replica = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.prompt_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PlacementNotice')
+        if self.replica is not None:
+            oprot.writeFieldBegin('replica', TType.STRING, 1)
+            oprot.writeString(self.replica.encode('utf-8') if sys.version_info[0] == 2 else self.replica)
+            oprot.writeFieldEnd()
+        if self.prompt_tokens is not None:
+            oprot.writeFieldBegin('prompt_tokens', TType.I32, 2)
+            oprot.writeI32(self.prompt_tokens)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Datagram(object):
     """
     Attributes:
      - beat
      - query
      - load
+     - placement
 
     """
 
@@ -784,13 +865,15 @@
         'beat',
         'query',
         'load',
+        'placement',
     )
 
 
-    def __init__(self, beat=None, query=None, load=None,):
+    def __init__(self, beat=None, query=None, load=None, placement=None,):
         self.beat = beat
         self.query = query
         self.load = load
+        self.placement = placement
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -819,6 +902,12 @@
                     self.load.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRUCT:
+                    self.placement = PlacementNotice()
+                    self.placement.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -841,6 +930,10 @@
             oprot.writeFieldBegin('load', TType.STRUCT, 3)
             self.load.write(oprot)
             oprot.writeFieldEnd()
+        if self.placement is not None:
+            oprot.writeFieldBegin('placement', TType.STRUCT, 4)
+            self.placement.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -920,12 +1013,19 @@
     (8, TType.STRING, 'model', 'UTF8', None, ),  # 8
     (9, TType.I32, 'version', None, None, ),  # 9
 )
+all_structs.append(PlacementNotice)
+PlacementNotice.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'replica', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'prompt_tokens', None, None, ),  # 2
+)
 all_structs.append(Datagram)
 Datagram.thrift_spec = (
     None,  # 0
     (1, TType.STRUCT, 'beat', [EntryBeat, None], None, ),  # 1
     (2, TType.STRUCT, 'query', [LoadQuery, None], None, ),  # 2
     (3, TType.STRUCT, 'load', [EngineLoad, None], None, ),  # 3
+    (4, TType.STRUCT, 'placement', [PlacementNotice, None], None, ),  # 4
 )
 fix_spec(all_structs)
 del all_structs
--- a/tests/direct/test_placement.py
+++ b/tests/direct/test_placement.py
@@ -4,12 +4,22 @@
 
 import heapq
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import pytest
 
+from cassiahitch.direct.api import Call, CallerRequest
+from cassiahitch.direct.candidates import Candidates
 from cassiahitch.direct.catalogue import Engine, Repeat, Route, ServiceShare
-from cassiahitch.direct.load import EngineLoad, LoadReport, first_event_s, pass_s, service_s
+from cassiahitch.direct.knowledge import make_knowledge
+from cassiahitch.direct.load import (
+    EngineLoad,
+    LoadReport,
+    Queue,
+    first_event_s,
+    pass_s,
+    service_s,
+)
 from cassiahitch.direct.placement import (
     LATE_RANK,
     RETURN_S,
@@ -20,6 +30,8 @@
     Placement,
 )
 from cassiahitch.direct.replicas import Replica
+from cassiahitch.settings.direct import DirectEntrySettings
+from cassiahitch.standins.directsite import make_bounds
 from cassiahitch.util.endpoints import Endpoint
 
 ENGINE = Engine('m', 16, 6, 0.00673, 2.19e-5, 6.8e-9, 30_600, 6.47e-10, 964, 119)
@@ -28,6 +40,26 @@
 ENTRIES = 3
 
 
+def caller_request() -> CallerRequest:
+    return CallerRequest('POST', '/draft/1', 'h', (), b'', 'a1')
+
+
+def entry_settings() -> DirectEntrySettings:
+    return DirectEntrySettings(
+        name='entry-1',
+        address='10.0.0.9',
+        region='north',
+        failure_domain='north-1',
+        regions={'north-1': 'north'},
+        peer_port=1,
+        store=Endpoint('10.0.0.8', 1),
+        bounds=make_bounds(),
+        callers=Endpoint('10.0.0.9', 2),
+        readiness=Endpoint('10.0.0.9', 3),
+        directory=Endpoint('10.0.0.9', 4),
+    )
+
+
 def candidates(count: int) -> tuple[Candidate, ...]:
     return tuple(
         Candidate(Replica(f'm-{number}', 'drafts', Endpoint('10.0.0.1', 1), 'north', 16), near=True)
@@ -62,10 +94,10 @@
     assert RETURN_S[0] <= refused.retry_after_s <= RETURN_S[1]
 
 
-def test_request_whose_objective_has_passed_only_takes_a_free_place() -> None:
+def test_request_whose_objective_has_passed_takes_no_place_for_which_others_wait() -> None:
     placement = Placement(random.Random(1))
     for candidate in candidates(2):
-        report(placement, candidate, 16)
+        report(placement, candidate, 16, 1)
     late = Demand(ROUTE, 2, 1000)
     assert isinstance(place(placement, late), Crowded)
     assert isinstance(place(placement, Demand(ROUTE, 0, 1000)), Placed)
@@ -89,32 +121,42 @@
     load = EngineLoad()
     load.heard(LoadReport(4, 1), 10)
     for _ in range(3):
-        load.sent(10.01)
+        load.sent(500, 10.01)
     load.ended(10.02)
-    assert load.requests(ENTRIES, 10.03) == 7
+    assert load.queue(ENGINE, ENTRIES, 10.03) == Queue(7, ENGINE.usual_prompt + 1500)
     load.heard(LoadReport(6, 0), 10.06)
-    assert load.requests(ENTRIES, 10.07) == 6
+    assert load.queue(ENGINE, ENTRIES, 10.07) == Queue(6, 0)
+
+
+def test_requests_that_other_entries_announce_count() -> None:
+    load = EngineLoad()
+    load.told(700, 9.9)
+    load.heard(LoadReport(4, 0), 10)
+    load.told(700, 10.01)
+    assert load.queue(ENGINE, ENTRIES, 10.02) == Queue(5, 700)
 
 
 def test_without_reports_other_entries_are_taken_to_send_as_much() -> None:
     load = EngineLoad()
-    load.sent(1)
-    load.sent(1)
-    assert load.requests(ENTRIES, 1) == 2 * ENTRIES
+    load.sent(100, 1)
+    load.sent(100, 1)
+    assert load.queue(ENGINE, ENTRIES, 1) == Queue(2 * ENTRIES, 0)
 
 
 def test_old_report_no_longer_tells_the_load() -> None:
     load = EngineLoad()
     load.heard(LoadReport(16, 9), 0)
-    assert load.requests(ENTRIES, 5) == 0
+    assert load.queue(ENGINE, ENTRIES, 5) == Queue(0, 0)
 
 
 @pytest.mark.parametrize('requests', [0, 8, 15, 16, 20])
 def test_prediction_grows_with_the_load(requests: int) -> None:
-    now = first_event_s(ENGINE, requests, 1000, 1)
-    assert now < first_event_s(ENGINE, requests + 1, 1000, 1)
-    assert now < first_event_s(ENGINE, requests, 3000, 1)
-    assert now < first_event_s(ENGINE, requests, 1000, 2)
+    queue = Queue(requests, 0)
+    now = first_event_s(ENGINE, queue, 1000, 1)
+    assert now < first_event_s(ENGINE, Queue(requests + 1, 0), 1000, 1)
+    assert now < first_event_s(ENGINE, Queue(requests, 900), 1000, 1)
+    assert now < first_event_s(ENGINE, queue, 3000, 1)
+    assert now < first_event_s(ENGINE, queue, 1000, 2)
 
 
 @dataclass
@@ -192,3 +234,17 @@
 def test_service_time_follows_the_engine() -> None:
     assert service_s(ENGINE, 1) == pytest.approx(1.4, rel=0.3)
     assert service_s(ENGINE, 2) == pytest.approx(2 * service_s(ENGINE, 1))
+
+
+def test_replica_whose_agent_is_silent_is_used_only_when_no_other_is_heard() -> None:
+    knowledge = make_knowledge(entry_settings())
+    placement = Placement(random.Random(1))
+    known = Candidates(knowledge, placement, random.Random(1))
+    frozen, live = (replace(one.replica, weights=(('m', 1),)) for one in candidates(2))
+    knowledge.replicas.replace((frozen, live), 0)
+    call = Call(caller_request(), 0, route=ROUTE, service='drafts')
+    placement.engine_load(frozen.key).heard(LoadReport(0, 0, model='m', version=1), 0)
+    placement.engine_load(live.key).heard(LoadReport(14, 0, model='m', version=1), 5)
+    assert [one.replica for one in known.candidates(call, ENGINE, 5.1)] == [live]
+    found = {one.replica.id for one in known.candidates(call, ENGINE, 9)}
+    assert found == {frozen.id, live.id}
