--- a/src/cassiahitch/direct/fetching.py
+++ b/src/cassiahitch/direct/fetching.py
@@ -25,10 +25,10 @@
     from cassiahitch.weights.plan import Participant, RolloutPlan
 
 LIMITS = FetchLimits(
-    in_flight=8,
-    origin_in_flight=1,
+    in_flight=10,
+    origin_in_flight=2,
     stall_s=1.5,
-    wait_s=5,
+    wait_s=9,
     origin_wait_s=4,
     retry_s=0.2,
     suspect_s=4,
