Count an agent as alive while a chunk waits for its turn here

Cause, from 60 lines 'source abandoned' in one rollout: a chunk that waited for one of two places to be received gave no sign of life for 1.5 s, and its healthy parent was suspected for 4 s. Change: each answer to a look and each turn counts as a sign of life; stall_s is 2.2.

--- a/src/cassiahitch/direct/fetching.py
+++ b/src/cassiahitch/direct/fetching.py
@@ -6,6 +6,7 @@
 import random
 from contextlib import ExitStack, suppress
 from dataclasses import dataclass, field
+from functools import partial
 from typing import TYPE_CHECKING
 
 from cassiahitch.codes import Code
@@ -27,7 +28,7 @@
 LIMITS = FetchLimits(
     in_flight=10,
     origin_in_flight=2,
-    stall_s=1.5,
+    stall_s=2.2,
     wait_s=9,
     origin_wait_s=4,
     retry_s=0.2,
@@ -167,11 +168,11 @@
             return await library.origin.chunk(
                 library.origin_url, self.name.model, self.name.version, order.index
             )
-        while True:
-            content = await library.peers.chunk(order.source, self.name, order.index)
-            if content is not None:
-                return content
-            self.inbox.put_nowait(api.SourceAlive(order.source.host))
+        alive = partial(self.inbox.put_nowait, api.SourceAlive(order.source.host))
+        content: bytes | None = None
+        while content is None:
+            content = await library.peers.chunk(order.source, self.name, order.index, alive)
+        return content
 
     def _cancel_all(self) -> None:
         for task in self.fetches.values():
--- a/src/cassiahitch/direct/peerchunks.py
+++ b/src/cassiahitch/direct/peerchunks.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
 from http import HTTPStatus
@@ -41,21 +42,26 @@
     addresses: tuple[str, ...] = ()
     downloads: asyncio.Semaphore = field(default_factory=lambda: asyncio.Semaphore(DOWNLOADS))
 
-    async def chunk(self, source: Source, name: WeightsName, index: int) -> bytes | None:
+    async def chunk(
+        self, source: Source, name: WeightsName, index: int, alive: Callable[[], None]
+    ) -> bytes | None:
         """Return a chunk of another agent.
 
         :param source: the agent, and what depends on the chunk.
         :param name: the version.
         :param index: the position of the chunk.
+        :param alive: called at each sign of life of the agent.
         :return: its bytes, unverified, or nothing if it is not there yet.
         :raises PlatformError: ``chunk_missing`` or ``chunk_stalled``.
         """
         path = f'chunks/{name.model}/{name.version}/{index}'
         look = await self._get(source.host, f'{path}?look=1')
+        alive()
         if look.status != HTTPStatus.NO_CONTENT:
             return _content(look)
         query = urlencode({'tier': source.tier.value, 'region': self.region})
         async with self.downloads:
+            alive()
             return _content(await self._get(source.host, f'{path}?{query}'))
 
     async def digests(self, name: WeightsName) -> tuple[str, ...]:
