Tell an agent that does not reach the store of new weights by what its peers ask

Change: a request for a newer version tells of it. Also: the sites of tests have fixed ports on addresses of their own; two free ports drawn one after the other had met once.

--- a/src/cassiahitch/direct/agent.py
+++ b/src/cassiahitch/direct/agent.py
@@ -68,10 +68,19 @@
         self.beliefs = AgentBeliefs(
             settings, around, self.library, self.uploads, self.log, versions, self.rng
         )
+        self.library.on_newer = self.beliefs.hear
         member = Participant(settings.address, settings.region, settings.failure_domain)
         self.loader = Loader(
             engine, self.library, self.beliefs, self.metrics, self.log, member, self.rng
         )
+        self.declarations = TableFollower(
+            around.store,
+            around.tables.operator,
+            TableFeed(self.rng),
+            self.beliefs.take_declarations,
+            self.log,
+            DECLARATION_WAIT_S,
+        )
         self.reporter = LoadReporter(
             engine, self.beliefs, self.loader, self.log, time.time_ns(), self.rng
         )
@@ -86,15 +95,7 @@
         await datagrams.open(settings.address, settings.peer_port)
         self.stack.callback(datagrams.close)
         self.reporter.socket = datagrams
-        declarations = TableFollower(
-            self.around.store,
-            self.around.tables.operator,
-            TableFeed(self.rng),
-            self.beliefs.take_declarations,
-            self.log,
-            DECLARATION_WAIT_S,
-        )
-        works = (declarations.work(), self.reporter.work(), self.loader.work())
+        works = (self.declarations.work(), self.reporter.work(), self.loader.work())
         self.tasks.start(works, self.stack)
 
     def ports(self) -> dict[str, int]:
--- a/src/cassiahitch/direct/agentbeliefs.py
+++ b/src/cassiahitch/direct/agentbeliefs.py
@@ -121,6 +121,13 @@
             self.library.newest = max(self.library.newest, declared.version)
             self.log.believed('weights declared', model=declared.model, weights=declared.version)
 
+    def hear(self, name: WeightsName) -> None:
+        """Learn of a declared version from another agent that asks for it.
+
+        :param name: the version.
+        """
+        self.declare(DeclaredVersion(name.model, name.version))
+
     def is_stale(self, age_s: float) -> bool:
         """Tell whether the list of other agents is older than an age.
 
--- a/src/cassiahitch/direct/library.py
+++ b/src/cassiahitch/direct/library.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -25,6 +26,7 @@
     shelf: ChunkShelf = field(default_factory=ChunkShelf)
     staged: WeightsName | None = None
     newest: int = 0
+    on_newer: Callable[[WeightsName], None] | None = None
     origin_url: str = ''
     origin_region: str = ''
     chunk_bytes: int = 0
@@ -32,9 +34,14 @@
     def may_come(self, name: WeightsName) -> bool:
         """Tell whether a version is here, or will be.
 
-        :param name: the version.
+        Load pattern: an agent that does not reach the store learns of a new version from those
+        that wait for its chunks.
+
+        :param name: the version that another agent asks for.
         :return: whether to wait for it.
         """
+        if name.version > self.newest and self.on_newer is not None:
+            self.on_newer(name)
         return name in self.shelf.held or name == self.staged or name.version >= self.newest
 
     async def open(self, name: WeightsName) -> Held:
--- a/src/cassiahitch/standins/directsite.py
+++ b/src/cassiahitch/standins/directsite.py
@@ -18,14 +18,18 @@
 from cassiahitch.standins.weightservice import WeightService, serve_weights
 from cassiahitch.stores.caller import HttpCaller
 from cassiahitch.util.endpoints import Endpoint
-from cassiahitch.util.listening import listen, port_of
 
 if TYPE_CHECKING:
     from types import TracebackType
 
-#: Loopback network of this process, so that sites of several processes do not meet.
-NETWORK = f'127.{20 + os.getpid() % 200}'
-STORE_ADDRESS = f'{NETWORK}.0.1'
+STORE_HOST = 0
+PLAIN_HOSTS = 1
+MODEL_HOSTS = 2
+ENTRY_HOSTS = 3
+CALLERS_PORT = 8005
+READINESS_PORT = 8002
+DIRECTORY_PORT = 8009
+PEER_PORT = 7700
 MODEL = 'm1'
 CHUNKS = 12
 CHUNK_BYTES = 4096
@@ -35,6 +39,8 @@
 DOMAINS = ('north-1', 'south-1')
 KEY = 'key-of-caterers'
 POLL_S = 0.02
+#: Processes whose sites have networks of their own in the second byte of addresses.
+PROCESSES = 200
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,6 +50,7 @@
     entries: int = 2
     models: int = 3
     plain: int = 2
+    link_mbit_s: float = 1000
 
 
 @dataclass(slots=True)
@@ -60,7 +67,6 @@
     models: list[BackendStandin] = field(default_factory=list)
     plain: list[BackendStandin] = field(default_factory=list)
     store_port: int = 0
-    peer_port: int = 0
     configuration: dict[str, Any] = field(default_factory=dict)
 
     async def __aenter__(self) -> Self:
@@ -68,14 +74,13 @@
 
         :return: the site.
         """
-        server, port = serve_store(self.store, STORE_ADDRESS)
+        server, port = serve_store(self.store, _address(STORE_HOST, 0))
         self.store_port = port
         self.stack.callback(server.stop)
-        self.peer_port = _free_port()
         self.weights.publish(1, CHUNKS)
-        origin, origin_port = serve_weights(self.weights, STORE_ADDRESS)
+        origin, origin_port = serve_weights(self.weights, _address(STORE_HOST, 0))
         self.stack.callback(origin.stop)
-        self.configure(first_configuration(f'{STORE_ADDRESS}:{origin_port}'))
+        self.configure(first_configuration(f'{_address(STORE_HOST, 0)}:{origin_port}'))
         for number in range(self.size.plain):
             await self.add_plain(number)
         for number in range(self.size.models):
@@ -145,7 +150,7 @@
         :return: the replica.
         """
         backend = BackendStandin(f'p-{number}', DESK, DOMAINS[number % 2])
-        await backend.start(f'{NETWORK}.1.{number + 1}')
+        await backend.start(_address(PLAIN_HOSTS, number))
         self.plain.append(backend)
         self.register(backend)
         return backend
@@ -163,15 +168,15 @@
             engine.staged = dict(enumerate(self.weights.chunks[1]))
         domain = DOMAINS[number % 2]
         backend = BackendStandin(f'm-{number}', DRAFTS, domain, engine=engine)
-        await backend.start(f'{NETWORK}.2.{number + 1}')
+        await backend.start(_address(MODEL_HOSTS, number))
         self.models.append(backend)
         self.register(backend)
         settings = DirectAgentSettings(
             **self.shared_settings(f'agent-{number}', backend.address, domain),
             engine=Endpoint(backend.address, backend.port),
             service=DRAFTS,
-            region_link_mbit_s=1000,
-            link_mbit_s=1000,
+            region_link_mbit_s=self.size.link_mbit_s,
+            link_mbit_s=self.size.link_mbit_s,
         )
         caller = await self.stack.enter_async_context(HttpCaller())
         agent = DirectAgent(settings, self.platform(caller), caller)
@@ -185,13 +190,13 @@
         :param number: its number.
         :return: the entry.
         """
-        address = f'{NETWORK}.3.{number + 1}'
+        address = _address(ENTRY_HOSTS, number)
         domain = DOMAINS[number % 2]
         settings = DirectEntrySettings(
             **self.shared_settings(f'entry-{number}', address, domain),
-            callers=Endpoint(address, _free_port()),
-            readiness=Endpoint(address, _free_port()),
-            directory=Endpoint(address, _free_port()),
+            callers=Endpoint(address, CALLERS_PORT),
+            readiness=Endpoint(address, READINESS_PORT),
+            directory=Endpoint(address, DIRECTORY_PORT),
             seeds=tuple(Endpoint(one.settings.address, 1) for one in self.entries[:1]),
         )
         caller = await self.stack.enter_async_context(HttpCaller())
@@ -214,8 +219,8 @@
             'region': domain.partition('-')[0],
             'failure_domain': domain,
             'regions': {one: one.partition('-')[0] for one in DOMAINS},
-            'peer_port': self.peer_port,
-            'store': Endpoint(STORE_ADDRESS, self.store_port),
+            'peer_port': PEER_PORT,
+            'store': Endpoint(_address(STORE_HOST, 0), self.store_port),
             'bounds': make_bounds(**self.bounds),
         }
 
@@ -225,7 +230,7 @@
         :param caller: makes the calls.
         :return: the adapter.
         """
-        return Platform(caller, Endpoint(STORE_ADDRESS, self.store_port))
+        return Platform(caller, Endpoint(_address(STORE_HOST, 0), self.store_port))
 
     async def ready(self) -> None:
         """Wait until all entries know everything they need."""
@@ -316,11 +321,10 @@
     }
 
 
-def _free_port() -> int:
-    own = listen(STORE_ADDRESS, 0)
-    port = port_of(own)
-    own.close()
-    return port
+def _address(kind: int, number: int) -> str:
+    """Return a loopback address that no other process uses for its site."""
+    high, low = divmod(os.getpid(), PROCESSES)
+    return f'127.{20 + low}.{4 * (high % 60) + kind}.{number + 1}'
 
 
 __all__ = (
--- a/tests/direct/test_path.py
+++ b/tests/direct/test_path.py
@@ -11,9 +11,13 @@
 import h11
 import pytest
 
+from cassiahitch.codes import Code
 from cassiahitch.direct.entry import DirectEntry
+from cassiahitch.direct.feed import CallFailure, Reply
+from cassiahitch.errors import PlatformError
 from cassiahitch.standins.backends import BackendStandin, Fault
 from cassiahitch.standins.directsite import DESK, KEY, DirectSite, DirectSize
+from cassiahitch.stores.api import Committed, Condition, Conflicted, Write
 
 Body = Callable[[DirectSite], Awaitable[None]]
 SMALL = DirectSize(entries=1, models=2, plain=2)
@@ -462,6 +466,38 @@
     run(body)
 
 
+def test_agent_that_does_not_reach_the_store_gets_new_weights_with_the_others() -> None:
+    async def body(site: DirectSite) -> None:
+        cut = site.agents[0].around.store
+        await until(lambda: all(agent.loader.report for agent in site.agents))
+        site.agents[0].around.store = Unreachable()
+        follower = site.agents[0].declarations
+        follower.store = site.agents[0].around.store
+        await until(lambda: not follower.reached)
+        site.declare(2)
+        await until(lambda: all(one.engine and one.engine.version == 2 for one in site.models))
+        assert cut is not follower.store
+
+    run(body, DirectSize(entries=1, models=3, plain=0))
+
+
+class Unreachable:
+    """A store that never answers."""
+
+    async def read_whole(self, table: str) -> Reply:
+        await asyncio.sleep(0.05)
+        return CallFailure('cut off')
+
+    async def read_changes(self, table: str, since: int, wait_s: float) -> Reply:
+        await asyncio.sleep(0.05)
+        return CallFailure('cut off')
+
+    async def commit(
+        self, conditions: tuple[Condition, ...], writes: tuple[Write, ...]
+    ) -> Committed | Conflicted:
+        raise PlatformError(Code.store_unavailable, 'cut off')
+
+
 def test_no_request_begins_on_weights_that_are_replaced() -> None:
     async def body(site: DirectSite) -> None:
         for agent in site.agents:
