Fetch the newest version while the one before is loaded, and never stay with an older fetch

An agent that loaded version 2 (up to 4 s) did not fetch version 3 either. Change: fetching and loading are two loops; a fetch ends as soon as a newer version is declared; a complete older version is still loaded. Test test_versions_that_follow_each_other_leave_no_agent_behind fails before and passes after.

--- a/src/cassiahitch/direct/loading.py
+++ b/src/cassiahitch/direct/loading.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections.abc import Awaitable, Callable
 from contextlib import ExitStack
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -31,8 +32,6 @@
 RETRY_S = 0.3
 #: Longest time over which the loads of all engines are spread, in seconds.
 SPREAD_S = 2.5
-#: Part of a version's chunks from which on it is finished even if a newer one is declared.
-GO_ON_PART = 0.85
 #: Seconds between reads of who takes part.
 PARTICIPANTS_S = 1.5
 
@@ -67,17 +66,57 @@
     report: EngineReport | None = None
 
     async def work(self) -> None:
-        """Keep the engine at the newest version until cancelled."""
+        """Keep the engine at the newest version until cancelled.
+
+        Load pattern: versions follow each other faster than one is fetched and loaded, and other
+        agents wait for the chunks of the newest one while this host loads the one before.
+        """
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.keep(self.fetch_newest))
+            group.create_task(self.keep(self.load_newest))
+
+    async def keep(self, step: Callable[[], Awaitable[None]]) -> None:
+        """Repeat a step until cancelled.
+
+        :param step: what to do, again after a failure.
+        """
         while True:
-            wanted = self.beliefs.wanted()
-            if wanted is None or self.report is None or self.has(wanted):
-                await asyncio.sleep(LOOK_S)
-                continue
             try:
-                await self.bring(wanted)
+                await step()
             except PlatformError as error:
                 self.log.believed('weights not loaded', code=error.code.value, detail=error.detail)
                 await asyncio.sleep(RETRY_S)
+            await asyncio.sleep(LOOK_S)
+
+    async def fetch_newest(self) -> None:
+        """Fetch the newest version if the engine does not have it.
+
+        :raises PlatformError: if it failed.
+        """
+        wanted = self.beliefs.wanted()
+        if wanted is None or self.report is None or self.has(wanted):
+            return
+        held = self.library.shelf.held.get(wanted)
+        if held is None or not held.complete:
+            await self.fetch(wanted)
+
+    async def load_newest(self) -> None:
+        """Load the newest version that is here if it is newer than the engine's.
+
+        :raises PlatformError: if it failed.
+        """
+        wanted = self.beliefs.wanted()
+        if wanted is None or self.report is None or self.has(wanted):
+            return
+        loaded = self.report.version(wanted.model)
+        complete = [
+            name
+            for name, held in self.library.shelf.held.items()
+            if held.complete and loaded < name.version <= wanted.version
+        ]
+        if complete:
+            newest = max(complete)
+            await self.bring(newest, self.library.shelf.held[newest])
 
     def has(self, wanted: WeightsName) -> bool:
         """Tell whether the engine serves a version.
@@ -90,19 +129,16 @@
         self.library.staged = wanted
         return True
 
-    async def bring(self, wanted: WeightsName) -> None:
-        """Bring the engine to a version, unless a newer one is declared meanwhile.
+    async def bring(self, wanted: WeightsName, held: Held) -> None:
+        """Bring the engine to a version whose chunks are here.
 
         :param wanted: the version.
+        :param held: its chunks.
         :raises PlatformError: if a step failed.
         """
         began = asyncio.get_running_loop().time()
-        held = await self.fetch(wanted)
-        if held is None:
-            return
-        fetched = asyncio.get_running_loop().time()
         hosts = tuple(one.host for one in self.beliefs.participants)
-        left_s = self.beliefs.left_s(wanted, fetched)
+        left_s = self.beliefs.left_s(wanted, began)
         await self.stage(wanted, held)
         if self.report is not None and self.report.version(wanted.model):
             await asyncio.sleep(turn_s(self.member.host, hosts, wanted.version, left_s))
@@ -113,15 +149,14 @@
             model=wanted.model,
             weights=wanted.version,
             outcome=outcome.value,
-            fetched_s=round(fetched - began, 3),
-            waited_s=round(asyncio.get_running_loop().time() - fetched, 3),
+            left_s=round(left_s, 3),
+            took_s=round(asyncio.get_running_loop().time() - began, 3),
         )
 
-    async def fetch(self, wanted: WeightsName) -> Held | None:
+    async def fetch(self, wanted: WeightsName) -> None:
         """Fetch all chunks of a version, until a newer one is declared.
 
         :param wanted: the version.
-        :return: the chunks, or nothing if a newer version is declared.
         :raises PlatformError: if it failed.
         """
         participants = await self.beliefs.read_participants()
@@ -132,30 +167,12 @@
         task = asyncio.create_task(fetch.run(participants))
         with ExitStack() as stack:
             stack.callback(task.cancel)
-            while not task.done() and self.is_worth_fetching(wanted):
+            while not task.done() and self.beliefs.wanted() == wanted:
                 await asyncio.wait((task,), timeout=LOOK_S)
                 if self.beliefs.is_stale(PARTICIPANTS_S):
                     fetch.update(await self.beliefs.read_participants())
-        if not task.done() or task.cancelled():
-            return None
-        task.result()
-        return self.library.shelf.held.get(wanted)
-
-    def is_worth_fetching(self, wanted: WeightsName) -> bool:
-        """Tell whether to go on with a version although a newer one may be declared.
-
-        Load pattern: versions follow each other so fast that an engine that skipped each one
-        would be left with a version that may no longer be used.
-
-        :param wanted: the version that is being fetched.
-        :return: whether it is the newest, or mostly here.
-        """
-        if self.beliefs.wanted() == wanted:
-            return True
-        held = self.library.shelf.held.get(wanted)
-        if held is None:
-            return False
-        return len(held.contents) > len(held.manifest.chunks) * GO_ON_PART
+        if task.done() and not task.cancelled():
+            task.result()
 
     async def stage(self, wanted: WeightsName, held: Held) -> None:
         """Store all chunks at the engine that are not there as they should be.
--- a/tests/direct/test_path.py
+++ b/tests/direct/test_path.py
@@ -12,6 +12,8 @@
 import pytest
 
 from cassiahitch.codes import Code
+from cassiahitch.direct.agent import DirectAgent
+from cassiahitch.direct.chunks import WeightsName
 from cassiahitch.direct.entry import DirectEntry
 from cassiahitch.direct.feed import CallFailure, Reply
 from cassiahitch.errors import PlatformError
@@ -514,3 +516,23 @@
 
 def _now() -> float:
     return asyncio.get_running_loop().time()
+
+
+def test_versions_that_follow_each_other_leave_no_agent_behind() -> None:
+    async def body(site: DirectSite) -> None:
+        await until(lambda: all(agent.loader.report for agent in site.agents))
+        site.declare(2)
+        mostly = len(site.weights.chunks[2]) * 0.85
+        name = WeightsName(2, 'm1')
+
+        def held(agent: DirectAgent) -> int:
+            found = agent.library.shelf.held.get(name)
+            return len(found.contents) if found else 0
+
+        await until(lambda: any(held(agent) > mostly for agent in site.agents))
+        first = max(site.agents, key=held)
+        site.declare(3)
+        await until(lambda: all(one.engine and one.engine.version == 3 for one in site.models))
+        assert held(first) < len(site.weights.chunks[2])
+
+    run(body, DirectSize(entries=1, models=3, plain=0, link_mbit_s=0.15))
