Read settings again on SIGHUP and when their file changes

Cause: SIGHUP ended a process, since nothing handled it, and the platform may change the settings file without a signal. Change: SettingsWatch reads the file again; bounds are put in force, keys that need a restart are named in the line, settings that are not valid change nothing.

--- a/src/cassiahitch/cli/direct.py
+++ b/src/cassiahitch/cli/direct.py
@@ -32,7 +32,7 @@
         return _checked(settings, loaded)
     with ExitStack() as stack:
         _configure_logs(loaded, stack)
-        asyncio.run(_serve_entry(loaded))
+        asyncio.run(_serve_entry(loaded, settings))
     return ExitCode.fine
 
 
@@ -48,19 +48,19 @@
         return _checked(settings, loaded)
     with ExitStack() as stack:
         _configure_logs(loaded, stack)
-        asyncio.run(_serve_agent(loaded))
+        asyncio.run(_serve_agent(loaded, settings))
     return ExitCode.fine
 
 
-async def _serve_entry(settings: DirectEntrySettings) -> None:
+async def _serve_entry(settings: DirectEntrySettings, path: Path) -> None:
     async with HttpCaller() as caller:
-        entry = DirectEntry(settings, Platform(caller, settings.store))
+        entry = DirectEntry(settings, Platform(caller, settings.store), path)
         await serve_until_ended(entry, settings.name)
 
 
-async def _serve_agent(settings: DirectAgentSettings) -> None:
+async def _serve_agent(settings: DirectAgentSettings, path: Path) -> None:
     async with HttpCaller() as caller:
-        agent = DirectAgent(settings, Platform(caller, settings.store), caller)
+        agent = DirectAgent(settings, Platform(caller, settings.store), caller, path)
         await serve_until_ended(agent, settings.name)
 
 
--- a/src/cassiahitch/cli/roles.py
+++ b/src/cassiahitch/cli/roles.py
@@ -40,6 +40,9 @@
     async def stop(self) -> None:
         """Finish what runs and close everything."""
 
+    def reload(self) -> None:
+        """Take in that the settings may have changed."""
+
 
 def entry(settings: Path, *, check: bool = False) -> int:
     """Serve callers and operators.
@@ -84,6 +87,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, ended.set)
+    loop.add_signal_handler(signal.SIGHUP, process.reload)
     try:
         await process.start()
     except OSError as error:
--- a/src/cassiahitch/direct/agent.py
+++ b/src/cassiahitch/direct/agent.py
@@ -5,6 +5,7 @@
 import random
 import time
 from contextlib import AsyncExitStack
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 from tornado.httpserver import HTTPServer
@@ -17,6 +18,7 @@
 from cassiahitch.direct.library import ChunkLibrary
 from cassiahitch.direct.loading import Loader
 from cassiahitch.direct.peerchunks import PeerChunks
+from cassiahitch.direct.reloading import SettingsWatch
 from cassiahitch.direct.reporting import LoadReporter
 from cassiahitch.direct.uploads import LinkRates, Uploads
 from cassiahitch.direct.versions import VersionPolicy
@@ -31,7 +33,7 @@
     from tornado.web import Application
 
     from cassiahitch.direct.surroundings import AgentSurroundings
-    from cassiahitch.settings.direct import DirectAgentSettings
+    from cassiahitch.settings.direct import BoundSettings, DirectAgentSettings
     from cassiahitch.stores.caller import HttpCaller
 
 #: Longest wait for a change of the declarations, in seconds.
@@ -46,12 +48,14 @@
         settings: DirectAgentSettings,
         around: AgentSurroundings,
         caller: HttpCaller,
+        path: Path | None = None,
     ) -> None:
         """Create it; nothing listens yet.
 
         :param settings: its settings.
         :param around: the platform.
         :param caller: makes the calls to other agents.
+        :param path: file of the settings, if they are to be read again.
         """
         self.settings = settings
         self.around = around
@@ -73,6 +77,7 @@
         self.loader = Loader(
             engine, self.library, self.beliefs, self.metrics, self.log, member, self.rng
         )
+        self.watch = SettingsWatch(path or Path(), settings, self.log, self._apply_bounds)
         self.declarations = TableFollower(
             around.store,
             around.tables.operator,
@@ -95,7 +100,12 @@
         await datagrams.open(settings.address, settings.peer_port)
         self.stack.callback(datagrams.close)
         self.reporter.socket = datagrams
-        works = (self.declarations.work(), self.reporter.work(), self.loader.work())
+        works = (
+            self.declarations.work(),
+            self.reporter.work(),
+            self.loader.work(),
+            *((self.watch.work(),) if self.watch.path.is_file() else ()),
+        )
         self.tasks.start(works, self.stack)
 
     def ports(self) -> dict[str, int]:
@@ -105,10 +115,17 @@
         """
         return {'peer_port': self.settings.peer_port}
 
+    def reload(self) -> None:
+        """Read the settings again."""
+        self.watch.reload()
+
     async def stop(self) -> None:
         """Close everything; the engine goes on with what it has loaded."""
         await self.stack.aclose()
 
+    def _apply_bounds(self, bounds: BoundSettings) -> None:
+        self.beliefs.versions.bound_s = bounds.weights_s
+
     def _serve(self, application: Application, port: int) -> None:
         server = HTTPServer(application)
         server.add_socket(listen(self.settings.address, port))
--- a/src/cassiahitch/direct/entry.py
+++ b/src/cassiahitch/direct/entry.py
@@ -6,6 +6,7 @@
 import random
 import time
 from contextlib import AsyncExitStack
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 from tornado.httpserver import HTTPServer
@@ -18,6 +19,7 @@
 from cassiahitch.direct.freshness import boot_time
 from cassiahitch.direct.front import Front
 from cassiahitch.direct.peers import AddressAnswer, choose_addresses
+from cassiahitch.direct.reloading import SettingsWatch
 from cassiahitch.metrics.exposition import metrics_service
 from cassiahitch.util.listening import listen
 from cassiahitch.wire.datagrams import DatagramSocket
@@ -27,7 +29,7 @@
     from tornado.web import Application
 
     from cassiahitch.direct.surroundings import EntrySurroundings
-    from cassiahitch.settings.direct import DirectEntrySettings
+    from cassiahitch.settings.direct import BoundSettings, DirectEntrySettings
     from cassiahitch.util.endpoints import Endpoint
 
 #: Longest wait for a change of the declarations, as a part of the bound on revoked keys.
@@ -51,11 +53,17 @@
 class DirectEntry:
     """Owns the sockets and tasks of an entry."""
 
-    def __init__(self, settings: DirectEntrySettings, around: EntrySurroundings) -> None:
+    def __init__(
+        self,
+        settings: DirectEntrySettings,
+        around: EntrySurroundings,
+        path: Path | None = None,
+    ) -> None:
         """Create it; nothing listens yet.
 
         :param settings: its settings.
         :param around: the platform.
+        :param path: file of the settings, if they are to be read again.
         """
         self.settings = settings
         self.around = around
@@ -66,6 +74,7 @@
         self.parts: EntryParts = make_parts(settings, around, self.incarnation, self.rng)
         self.beliefs = Beliefs(self.parts.knowledge, around, self.parts.journal)
         self.front = Front(self.parts.runner.serve)
+        self.watch = SettingsWatch(path or Path(), settings, self.parts.journal, self._apply_bounds)
         self.discovery = Discovery(around, self.parts.knowledge, settings, self.rng)
 
     async def start(self) -> None:
@@ -89,6 +98,7 @@
             beats.ask(),
             self.discovery.work(),
             self._tidy(),
+            *((self.watch.work(),) if self.watch.path.is_file() else ()),
         )
         self.tasks.start(works, self.stack)
 
@@ -103,6 +113,10 @@
             'directory': self.settings.directory.port,
         }
 
+    def reload(self) -> None:
+        """Read the settings again."""
+        self.watch.reload()
+
     async def stop(self) -> None:
         """Leave: tell it, take requests for a while, finish what runs, close everything."""
         knowledge = self.parts.knowledge
@@ -154,6 +168,15 @@
             REPLICA_WAIT_S,
         )
 
+    def _apply_bounds(self, bounds: BoundSettings) -> None:
+        knowledge = self.parts.knowledge
+        knowledge.freshness.bound_s = bounds.revoked_key_s
+        knowledge.versions.bound_s = bounds.weights_s
+        budget = self.parts.runner.budget
+        budget.ratio = bounds.retry_ratio
+        budget.slack = bounds.retry_slack
+        self.settings = self.settings.model_copy(update={'bounds': bounds})
+
     def _is_ready(self) -> bool:
         return self.parts.knowledge.is_ready(boot_time())
 
--- a/src/cassiahitch/wire/process.py
+++ b/src/cassiahitch/wire/process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from abc import ABC, abstractmethod
 from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING
@@ -21,6 +22,9 @@
     from cassiahitch.wire.messages import Hello, Message
 
 
+LOGGER = logging.getLogger('cassiahitch')
+
+
 class BaseProcess(ABC):
     """A process of the system; owns its parts through one exit stack."""
 
@@ -39,6 +43,10 @@
         self.stopping: asyncio.Task[None] | None = None
         self.stack = AsyncExitStack()
 
+    def reload(self) -> None:
+        """Log that settings are read at the start only."""
+        LOGGER.info('settings are read at the start only')
+
     @abstractmethod
     async def leave(self) -> None:
         """Announce that the process leaves, finish what runs and close everything."""
--- /dev/null
+++ b/tests/direct/test_reloading.py
@@ -0,0 +1,87 @@
+"""Tests of settings that are read again."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+from pathlib import Path
+
+import pytest
+
+from cassiahitch.direct.journal import BeliefLog
+from cassiahitch.direct.reloading import SettingsWatch
+from cassiahitch.settings.direct import BoundSettings, DirectAgentSettings
+from cassiahitch.settings.loader import load_as
+
+TEXT = """
+name: agent-1
+address: 127.0.0.1
+region: north
+failure_domain: north-1
+regions: {north-1: north}
+peer_port: 7700
+store: 127.0.0.1:8007
+engine: 127.0.0.1:8001
+service: drafts
+link_mbit_s: 4.7
+region_link_mbit_s: 13
+bounds: {drain_s: 2000e-3, configuration_s: 2, revoked_key_s: 5, weights_s: 8, grace_s: 8,
+  address_lifetime_s: 5, retry_ratio: 0.2, retry_slack: 100, retry_window_s: 10}
+"""
+
+
+def watch(path: Path, applied: list[BoundSettings]) -> SettingsWatch[DirectAgentSettings]:
+    path.write_text(TEXT, encoding='utf-8')
+    settings = load_as(DirectAgentSettings, path)
+    return SettingsWatch(path, settings, BeliefLog(), applied.append)
+
+
+def test_changed_bounds_are_put_in_force(tmp_path: Path) -> None:
+    applied: list[BoundSettings] = []
+    watched = watch(tmp_path / 'agent.yaml', applied)
+    watched.reload()
+    assert not applied
+    watched.path.write_text(TEXT.replace('weights_s: 8', 'weights_s: 6'), encoding='utf-8')
+    watched.reload()
+    assert [bounds.weights_s for bounds in applied] == [6]
+    watched.reload()
+    assert len(applied) == 1
+
+
+@pytest.mark.parametrize('text', ['', 'name: [', TEXT.replace('weights_s: 8', 'weights_s: x')])
+def test_settings_that_are_not_valid_change_nothing(tmp_path: Path, text: str) -> None:
+    applied: list[BoundSettings] = []
+    watched = watch(tmp_path / 'agent.yaml', applied)
+    watched.path.write_text(text, encoding='utf-8')
+    watched.reload()
+    watched.path.unlink()
+    watched.reload()
+    assert not applied
+    assert watched.settings.bounds.weights_s == 8
+
+
+def test_hangup_signal_does_not_end_a_process(tmp_path: Path) -> None:
+    async def whole() -> int | None:
+        path = tmp_path / 'agent.yaml'
+        path.write_text(TEXT, encoding='utf-8')
+        program = ('-m', 'cassiahitch', 'direct-agent', str(path))
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, *program, stdout=asyncio.subprocess.PIPE
+        )
+        assert process.stdout is not None
+        lines = process.stdout
+        await read_until(lines, b'"started"')
+        process.send_signal(signal.SIGHUP)
+        await read_until(lines, b'settings reloaded')
+        process.terminate()
+        return await process.wait()
+
+    assert asyncio.run(whole()) == 0
+
+
+async def read_until(lines: asyncio.StreamReader, text: bytes) -> None:
+    async with asyncio.timeout(20):
+        line = await lines.readline()
+        while text not in line:
+            line = await lines.readline()
