Try: keep three places of an engine for requests that can still be in time

The late ones had come back after a refusal, took places that became free, and the next fresh ones were refused for it.

--- a/src/cassiahitch/direct/candidates.py
+++ b/src/cassiahitch/direct/candidates.py
@@ -18,7 +18,7 @@
     from cassiahitch.direct.replicas import Replica
 
 #: Shortest and longest time after which a caller may come back when no replica lives, in seconds.
-RETURN_S = (0.5, 1.5)
+RETURN_S = (1.0, 2.0)
 #: Entries beside the known ones that may have connections to a replica.
 SPARE_ENTRIES = 2
 
--- a/src/cassiahitch/direct/placement.py
+++ b/src/cassiahitch/direct/placement.py
@@ -1,8 +1,8 @@
 """Chooses the replica for a request, or refuses the request.
 
 Load pattern: more requests arrive than the engines can begin within the objective. Requests that
-can still meet it go first, a request whose time has passed only takes a place that is free, and
-one that has no chance is refused at once with a time at which to come back.
+can still meet it go first, a request whose time has passed only takes a place of an engine that has
+some to spare, and one that has no chance is refused at once with a time at which to come back.
 """
 
 from __future__ import annotations
@@ -27,13 +27,15 @@
 #: Candidates that are compared at first.
 SAMPLE = 3
 #: Shortest and longest time after which a refused caller may come back, in seconds.
-RETURN_S = (0.4, 1.4)
+RETURN_S = (0.7, 1.9)
 #: Weight of the newest time in the mean time of a plain replica.
 NEWEST_WEIGHT = 0.3
 #: Seconds after which the mean time of an idle plain replica counts half.
 FADE_S = 4.0
 #: Time that a plain replica is taken to need before it is known, in seconds.
 FIRST_MEAN_S = 0.02
+#: Places of an engine that are kept for requests which can still be in time.
+KEPT_PLACES = 3
 #: Rank in the queue of an engine of requests whose objective has passed.
 LATE_RANK = 8
 HIGHEST_RANK = 7
@@ -184,7 +186,7 @@
             chosen = min(candidates, key=lambda one: self.cost_s(one, prospects[one]))
         prospect = prospects[chosen]
         in_time = _is_in_time(demand, prospect)
-        if in_time or prospect.requests <= engine.slots:
+        if in_time or prospect.requests <= engine.slots - KEPT_PLACES:
             rank = min(HIGHEST_RANK, max(0, demand.priority)) if in_time else LATE_RANK
             return Placed(chosen, prospect.expected_s, rank)
         return Crowded(self.rng.uniform(*RETURN_S), prospect.expected_s)
