--- a/src/cassiahitch/direct/placement.py
+++ b/src/cassiahitch/direct/placement.py
@@ -19,7 +19,7 @@
     from cassiahitch.direct.replicas import Replica
 
 #: Part of the objective within which the first event is to be expected.
-EXPECTED_PART = 0.8
+EXPECTED_PART = 1.1
 #: Seconds by which a replica of another region must be better than one of the own.
 CROSSING_S = 0.02
 #: Seconds by which choices are spread, so that entries with the same reports differ.
@@ -35,7 +35,7 @@
 #: Time that a plain replica is taken to need before it is known, in seconds.
 FIRST_MEAN_S = 0.02
 #: Places of an engine that are kept for requests which can still be in time.
-KEPT_PLACES = 3
+KEPT_PLACES = 1
 #: Rank in the queue of an engine of requests whose objective has passed.
 LATE_RANK = 8
 HIGHEST_RANK = 7
