--- a/src/cassiahitch/direct/load.py
+++ b/src/cassiahitch/direct/load.py
@@ -214,10 +214,12 @@
     """
     own_pass_s = pass_s(engine, min(queue.requests + 1, engine.slots), pace)
     ending_s = own_pass_s / 2 if queue.requests else 0
-    reading_s = read_s(engine, prompt_tokens, pace) + queue.unread / engine.read_tokens_per_s * pace
-    ahead = max(0, queue.requests + 1 - engine.slots)
-    place_s = ahead * service_s(engine, pace) / engine.slots
-    return ending_s + reading_s + own_pass_s + place_s
+    start_s = ending_s + read_s(engine, prompt_tokens, pace) + own_pass_s
+    ahead = queue.requests + 1 - engine.slots
+    if ahead > 0:
+        # The time for which places are held includes the reading of those that wait for them.
+        return start_s + ahead * service_s(engine, pace) / engine.slots
+    return start_s + queue.unread / engine.read_tokens_per_s * pace
 
 
 __all__ = (
