--- a/src/cassiahitch/direct/load.py
+++ b/src/cassiahitch/direct/load.py
@@ -22,8 +22,6 @@
 NEWEST_WEIGHT = 0.3
 #: Seconds after which a lateness that is not confirmed counts half.
 LATE_FADE_S = 1.5
-#: Part of the time of an engine that reading prompts takes at most in estimates.
-MOST_READING = 0.7
 
 
 @dataclass(frozen=True, slots=True)
@@ -195,9 +193,9 @@
     """
     passes = max(1, engine.usual_answer / engine.pass_steps)
     writing_s = passes * pass_s(engine, engine.slots, pace)
+    # Prompts are read between the steps of those that write, so only the longer one counts.
     reading_s = engine.slots * read_s(engine, engine.usual_prompt, pace)
-    # Every place is refilled once in the time of a request, and each refill reads one prompt.
-    return min(writing_s + reading_s, writing_s / (1 - MOST_READING))
+    return max(writing_s, reading_s) + read_s(engine, engine.usual_prompt, pace)
 
 
 def first_event_s(engine: Engine, queue: Queue, prompt_tokens: int, pace: float) -> float:
--- a/src/cassiahitch/direct/placement.py
+++ b/src/cassiahitch/direct/placement.py
@@ -19,7 +19,7 @@
     from cassiahitch.direct.replicas import Replica
 
 #: Part of the objective within which the first event is to be expected.
-EXPECTED_PART = 1.2
+EXPECTED_PART = 0.7
 #: Seconds by which a replica of another region must be better than one of the own.
 CROSSING_S = 0.02
 #: Seconds by which choices are spread, so that entries with the same reports differ.
