--- a/src/cassiahitch/direct/placement.py
+++ b/src/cassiahitch/direct/placement.py
@@ -18,8 +18,8 @@
     from cassiahitch.direct.catalogue import Engine, Route
     from cassiahitch.direct.replicas import Replica
 
-#: Part of the objective within which the first event is to be expected.
-EXPECTED_PART = 0.7
+#: Part of the objective up to which the first event may be expected.
+EXPECTED_PART = 1.0
 #: Seconds by which a replica of another region must be better than one of the own.
 CROSSING_S = 0.02
 #: Seconds by which choices are spread, so that entries with the same reports differ.
