--- /dev/null
+++ b/tests/direct/test_operations_lines.py
@@ -0,0 +1,72 @@
+"""The three failures of docs/OPERATIONS.md leave the lines that the page explains."""
+
+from __future__ import annotations
+
+import json
+import re
+from pathlib import Path
+
+import pytest
+from direct_callers import Got, ask, run, until
+
+from cassiahitch.standins.backends import Fault
+from cassiahitch.standins.directsite import DirectSite, DirectSize
+
+PAGE = Path(__file__).parents[2] / 'docs' / 'OPERATIONS.md'
+ONE = DirectSize(entries=1, models=1, plain=1)
+
+
+def lines_of(caplog: pytest.LogCaptureFixture, got: Got) -> list[str]:
+    attempt = got.attempt
+    return [one.getMessage() for one in caplog.records if getattr(one, 'request', '') == attempt]
+
+
+def test_refused_under_load(caplog: pytest.LogCaptureFixture) -> None:
+    async def body(site: DirectSite) -> None:
+        model = site.models[0]
+        model.running = 400
+        load = site.entries[0].parts.candidates.placement.engine_load(f'{model.id}@1')
+        await until(lambda: bool(load.report and load.report.waiting > 300))
+        got = await ask(site.entries[0], '/draft/1')
+        assert (got.status, got.code) == (503, 1006)
+        assert lines_of(caplog, got) == ['request found no place', 'request failed']
+
+    caplog.set_level('INFO')
+    run(body, ONE)
+
+
+def test_cut_while_a_backend_server_crashed(caplog: pytest.LogCaptureFixture) -> None:
+    async def body(site: DirectSite) -> None:
+        site.plain[0].fault = Fault.lose
+        got = await ask(site.entries[0], '/order/1')
+        assert (got.status, got.code) == (502, 1011)
+        assert lines_of(caplog, got) == ['request sent', 'request failed']
+
+    caplog.set_level('INFO')
+    run(body, ONE)
+
+
+def test_refused_around_new_weights(caplog: pytest.LogCaptureFixture) -> None:
+    async def body(site: DirectSite) -> None:
+        await site.agents[0].stack.aclose()
+        site.declare(2)
+        known = site.entries[0].parts.knowledge.versions
+        await until(lambda: known.newest('m1') == 2)
+        known.learned['m1'][2] = 0
+        got = await ask(site.entries[0], '/draft/1')
+        assert (got.status, got.code) == (503, 1008)
+        assert lines_of(caplog, got) == ['request failed']
+        assert 'weights declared' in caplog.text
+
+    caplog.set_level('INFO')
+    run(body, ONE)
+
+
+def test_lines_of_the_page_are_written_by_the_code() -> None:
+    text = PAGE.read_text(encoding='utf-8')
+    quoted = {json.loads(line)['message'] for line in re.findall(r'^\{.*\}$', text, re.MULTILINE)}
+    sources = Path(__file__).parents[2] / 'src' / 'cassiahitch'
+    code = ''.join(path.read_text(encoding='utf-8') for path in sources.rglob('*.py'))
+    assert quoted
+    missing = [message for message in quoted if f"'{message}'" not in code]
+    assert not missing
--- /dev/null
+++ b/tests/support/direct_callers.py
@@ -0,0 +1,112 @@
+"""Callers of the direct path, and sites for them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from itertools import count
+
+import h11
+
+from cassiahitch.direct.entry import DirectEntry
+from cassiahitch.standins.directsite import KEY, DirectSite, DirectSize
+
+Body = Callable[[DirectSite], Awaitable[None]]
+SMALL = DirectSize(entries=1, models=2, plain=2)
+LIMIT_S = 20
+IDS = count()
+
+
+@dataclass
+class Got:
+    """What a caller got; ``whole`` tells that the answer reached its proper end."""
+
+    attempt: str = ''
+    status: int = 0
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b''
+    whole: bool = False
+
+    @property
+    def code(self) -> int:
+        return int(json.loads(self.body)['code'])
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    async with asyncio.timeout(LIMIT_S):
+        while not condition():
+            await asyncio.sleep(0.02)
+
+
+def run(body: Body, size: DirectSize = SMALL, **bounds: float) -> None:
+    async def whole() -> None:
+        async with DirectSite(size, bounds) as site, asyncio.timeout(60):
+            await site.ready()
+            await body(site)
+
+    asyncio.run(whole())
+
+
+async def ask(
+    entry: DirectEntry,
+    path: str,
+    *,
+    key: str = KEY,
+    deadline_ms: int = 3000,
+    leave_after_s: float | None = None,
+) -> Got:
+    method = 'GET' if path.startswith('/lookup') else 'POST'
+    attempt = f'a{next(IDS)}'
+    headers = [
+        ('Host', 'menus.example'),
+        ('X-Cassiahitch-Attempt-Id', attempt),
+        ('X-Cassiahitch-Deadline-Ms', str(deadline_ms)),
+        ('X-Cassiahitch-Key', key),
+    ]
+    if path.startswith('/draft'):
+        headers += [
+            ('X-Cassiahitch-Model', 'm1'),
+            ('X-Cassiahitch-Token-Count', '100,30'),
+        ]
+    body = b'' if method == 'GET' else b'{}'
+    machine = h11.Connection(h11.CLIENT)
+    if body:
+        headers.append(('Content-Length', str(len(body))))
+    data = machine.send(h11.Request(method=method, target=path, headers=headers)) or b''
+    if body:
+        data += machine.send(h11.Data(body)) or b''
+    data += machine.send(h11.EndOfMessage()) or b''
+    callers = entry.settings.callers
+    reader, writer = await asyncio.open_connection(callers.address, callers.port)
+    writer.write(data)
+    got = Got(attempt)
+    try:
+        async with asyncio.timeout(leave_after_s):
+            await read(machine, reader, got)
+    except TimeoutError:
+        pass
+    writer.close()
+    return got
+
+
+async def read(machine: h11.Connection, reader: asyncio.StreamReader, got: Got) -> None:
+    while True:
+        event = machine.next_event()
+        match event:
+            case h11.NEED_DATA:
+                data = await reader.read(65536)
+                if not data and got.status and not got.whole:
+                    return
+                machine.receive_data(data)
+            case h11.Response():
+                got.status = event.status_code
+                got.headers = {name.decode(): text.decode() for name, text in event.headers}
+            case h11.Data(data=data):
+                got.body += bytes(data)
+            case h11.EndOfMessage():
+                got.whole = True
+                return
+            case _:
+                return
