--- /dev/null
+++ b/tests/metrics/test_bounded_logs.py
@@ -0,0 +1,57 @@
+"""Tests of log lines that never hold a process back."""
+
+from __future__ import annotations
+
+import json
+import logging
+import os
+from typing import Any
+
+from cassiahitch.metrics.logs import BoundedHandler, SecretFormatter
+
+
+def handler(descriptor: int, lines_per_s: int) -> BoundedHandler:
+    made = BoundedHandler(descriptor, lines_per_s)
+    made.setFormatter(SecretFormatter(()))
+    return made
+
+
+def record(message: str, level: int = logging.INFO) -> logging.LogRecord:
+    return logging.LogRecord('cassiahitch', level, '', 0, message, None, None)
+
+
+def read_lines(descriptor: int) -> list[dict[str, Any]]:
+    return [json.loads(line) for line in os.read(descriptor, 1_000_000).splitlines()]
+
+
+def test_lines_beyond_the_budget_are_counted_and_warnings_have_their_own() -> None:
+    reader, writer = os.pipe()
+    logs = handler(writer, 2)
+    for number in range(5):
+        logs.emit(record(f'line {number}'))
+    logs.emit(record('failed', logging.WARNING))
+    written = read_lines(reader)
+    assert [line['message'] for line in written] == ['line 0', 'line 1', 'failed']
+    assert written[-1]['omitted_lines'] == 3
+
+
+def test_reader_that_does_not_keep_up_blocks_nothing() -> None:
+    reader, writer = os.pipe()
+    logs = handler(writer, 10**9)
+    for number in range(3000):
+        logs.emit(record(f'line {number} {"x" * 100}'))
+    assert logs.omitted > 0
+    os.set_blocking(reader, False)
+    while logs.omitted:
+        os.read(reader, 1_000_000)
+        logs.emit(record('later'))
+    text = os.read(reader, 1_000_000)
+    assert b'omitted_lines' in text
+
+
+def test_reader_that_is_gone_ends_nothing() -> None:
+    reader, writer = os.pipe()
+    logs = handler(writer, 10)
+    os.close(reader)
+    logs.emit(record('nobody reads this'))
+    assert not logs.rest
