Hold the clock of the test of the bounded log still

Cause: a second that ends between two lines would give a new budget. Change: the test gives the handler a clock of its own. Conclusion: one verdict every run.

--- a/tests/metrics/test_bounded_logs.py
+++ b/tests/metrics/test_bounded_logs.py
@@ -5,8 +5,12 @@
 import json
 import logging
 import os
+from types import SimpleNamespace
 from typing import Any
 
+import pytest
+
+from cassiahitch.metrics import logs as logs_module
 from cassiahitch.metrics.logs import BoundedHandler, SecretFormatter
 
 
@@ -24,7 +28,10 @@
     return [json.loads(line) for line in os.read(descriptor, 1_000_000).splitlines()]
 
 
-def test_lines_beyond_the_budget_are_counted_and_warnings_have_their_own() -> None:
+def test_lines_beyond_the_budget_are_counted_and_warnings_have_their_own(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(logs_module, 'time', SimpleNamespace(monotonic=lambda: 5))
     reader, writer = os.pipe()
     logs = handler(writer, 2)
     for number in range(5):
