Drive the direct path by the load tool

Cause: the load and experiment tool did not know the stand-ins of the platform. Change: cassiahitch bench direct puts callers on a site of the direct path, quiet and under three disturbances, and checks what they got. No process of the played roles imports it.

--- a/src/cassiahitch/bench/runner.py
+++ b/src/cassiahitch/bench/runner.py
@@ -18,6 +18,7 @@
 BENCHES = MappingProxyType(
     {
         'control': 'cassiahitch.bench.control',
+        'direct': 'cassiahitch.bench.direct',
         'ledger': 'cassiahitch.bench.ledger',
         'recovery': 'cassiahitch.bench.recovery',
         'rollout': 'cassiahitch.bench.rollout',
--- /dev/null
+++ b/tests/bench/test_bench_direct.py
@@ -0,0 +1,12 @@
+"""Tests of the load on the direct path."""
+
+from __future__ import annotations
+
+from cassiahitch.bench import direct
+
+
+def test_load_finds_no_wrong_and_no_doubled_answer() -> None:
+    report = direct.run(1, (2,))
+    figures = {figure.name: figure for figure in report.figures}
+    assert [name for name, figure in figures.items() if not figure.met] == []
+    assert all(figure.value > 0 for name, figure in figures.items() if 'right' in name)
