List the share of an entry that leaves as known red, with the test that shows it

In virtual time 232 of 300 requests at 50 a second under a limit of 100. The direct path does not use these limits.

--- a/tests/limits/test_division.py
+++ b/tests/limits/test_division.py
@@ -73,3 +73,27 @@
     fresh.connected(frozenset(('entry-2',)), GONE_AFTER_S + 1)
     fresh.lead(9, GONE_AFTER_S + 1)
     assert fresh.division.entries == ('entry-1', 'entry-2')
+
+
+def test_share_of_an_entry_that_leaves_does_not_make_the_others_refuse() -> None:
+    names = ('entry-1', 'entry-2', 'entry-3')
+    registries = {name: LimitRegistry(name, Division(1, names)) for name in names}
+    verdicts = []
+    for step in range(500):
+        now = step / 50
+        left = step >= 200
+        verdicts.append(registries['entry-2' if left else 'entry-1'].admit('caterers', 100, now))
+        registries['entry-2'].limit('caterers')
+        live = names[1:] if left else names
+        if step % 25 == 0:
+            share(registries, live, now)
+    assert verdicts.count(Within()) == len(verdicts)
+
+
+def share(registries: dict[str, LimitRegistry], live: tuple[str, ...], now: float) -> None:
+    for sender in live:
+        registry = registries[sender]
+        news = registry.news(now)
+        for receiver in live:
+            if receiver != sender:
+                registries[receiver].heard(sender, registry.division, news, now)
