Say once what was said twice in the direct path, and drop what nothing used

Whether a request must run once was worked out in three places, five services each had a log function that does nothing, an entry had two ways to serve an application, the front copied headers in two loops, and the name of a chunk's position stood in two stand-ins. Change: Route.runs_once, util/access.py, one way to serve, one copy of headers, names.CHUNK_INDEX (the test of names now looks for it in stand-ins too); check_request, MAX_ANSWER_BYTES, ConnectionPool.opened and Runner.rng had no users and are gone. Conclusion: no behaviour is meant to change.

--- a/src/cassiahitch/direct/assembly.py
+++ b/src/cassiahitch/direct/assembly.py
@@ -67,7 +67,6 @@
         budget=budget,
         watch=CrashWatch(knowledge, journal),
         journal=journal,
-        rng=rng,
     )
     return EntryParts(knowledge, journal, candidates, runner, beats)
 
--- a/src/cassiahitch/direct/attempt.py
+++ b/src/cassiahitch/direct/attempt.py
@@ -24,8 +24,6 @@
     from cassiahitch.direct.placement import Placed, Placement
     from cassiahitch.direct.pool import ConnectionPool
 
-#: Largest answer that is kept until it is whole, in bytes.
-MAX_ANSWER_BYTES = 16_777_216
 SUCCESS = range(200, 300)
 
 
@@ -108,9 +106,8 @@
         :raises RequestError: if the key was taken away meanwhile.
         """
         replica = placed.candidate.replica
-        once = not (call.plan().repeatable or call.plan().may_resume)
         try:
-            connection = await self.pool.acquire(replica, limit, once=once)
+            connection = await self.pool.acquire(replica, limit, once=call.plan().runs_once)
         except ConnectFailed as error:
             return NotSent(str(error), error.refused)
         exchange = Exchange(connection, self.codec)
--- a/src/cassiahitch/direct/catalogue.py
+++ b/src/cassiahitch/direct/catalogue.py
@@ -57,6 +57,11 @@
         """Whether a stream may go on at another replica."""
         return self.repeat is Repeat.stream and self.resumable
 
+    @property
+    def runs_once(self) -> bool:
+        """Whether a request must not be sent again once it may have run."""
+        return not (self.repeatable or self.may_resume)
+
 
 @dataclass(frozen=True, slots=True)
 class Engine:
--- a/src/cassiahitch/direct/chunks.py
+++ b/src/cassiahitch/direct/chunks.py
@@ -7,6 +7,9 @@
 
 from cassiahitch.weights.manifest import Manifest, verify_chunk
 
+#: Seconds between looks for a version that is not known yet.
+POLL_S = 0.05
+
 
 @dataclass(frozen=True, slots=True, order=True)
 class WeightsName:
@@ -106,9 +109,6 @@
         return
 
 
-#: Seconds between looks for a version that is not known yet.
-POLL_S = 0.05
-
 __all__ = (
     'ChunkShelf',
     'Held',
--- a/src/cassiahitch/direct/chunkservice.py
+++ b/src/cassiahitch/direct/chunkservice.py
@@ -12,6 +12,7 @@
 from tornado.web import Application, RequestHandler
 
 from cassiahitch.direct.chunks import WeightsName
+from cassiahitch.util.access import no_access_log
 from cassiahitch.weights.tree import Tier
 
 if TYPE_CHECKING:
@@ -124,11 +125,7 @@
         (CHUNK_ROUTE, ChunkHandler, {**arguments, 'uploads': uploads, 'region': region}),
         (MANIFEST_ROUTE, ManifestHandler, arguments),
     ]
-    return Application(routes, log_function=_quiet)
-
-
-def _quiet(handler: RequestHandler) -> None:
-    """Leave transfers out of the log."""
+    return Application(routes, log_function=no_access_log)
 
 
 __all__ = ('chunk_service',)
--- a/src/cassiahitch/direct/entry.py
+++ b/src/cassiahitch/direct/entry.py
@@ -21,6 +21,7 @@
 from cassiahitch.direct.peers import AddressAnswer, choose_addresses
 from cassiahitch.direct.reloading import SettingsWatch
 from cassiahitch.metrics.exposition import metrics_service
+from cassiahitch.util.endpoints import Endpoint
 from cassiahitch.util.listening import listen
 from cassiahitch.wire.datagrams import DatagramSocket
 from cassiahitch.wire.tasks import ProcessTasks
@@ -30,7 +31,6 @@
 
     from cassiahitch.direct.surroundings import EntrySurroundings
     from cassiahitch.settings.direct import BoundSettings, DirectEntrySettings
-    from cassiahitch.util.endpoints import Endpoint
 
 #: Longest wait for a change of the declarations, as a part of the bound on revoked keys.
 DECLARATION_WAIT_PART = 0.38
@@ -83,7 +83,8 @@
         self.front.server.add_socket(listen(settings.callers.address, settings.callers.port))
         self._serve(self.around.readiness(self._is_ready), settings.readiness)
         self._serve(self.around.directory(self._addresses), settings.directory)
-        self._serve_metrics()
+        metrics = metrics_service(self.parts.journal.metrics)
+        self._serve(metrics, Endpoint(settings.address, settings.metrics_port))
         beats = self.parts.beats
         datagrams = DatagramSocket(beats.receive, beats.refused)
         await datagrams.open(settings.address, settings.peer_port)
@@ -143,11 +144,6 @@
         server.add_socket(listen(endpoint.address, endpoint.port))
         self.stack.callback(server.stop)
 
-    def _serve_metrics(self) -> None:
-        server = HTTPServer(metrics_service(self.parts.journal.metrics))
-        server.add_socket(listen(self.settings.address, self.settings.metrics_port))
-        self.stack.callback(server.stop)
-
     def _declarations(self) -> TableFollower:
         return TableFollower(
             self.around.store,
--- a/src/cassiahitch/direct/exchange.py
+++ b/src/cassiahitch/direct/exchange.py
@@ -148,22 +148,7 @@
     return b''.join(part for part in parts if part)
 
 
-def check_request(request: CallerRequest, headers: Headers) -> bool:
-    """Tell whether a request can be written without changing it.
-
-    :param request: the request.
-    :param headers: its headers.
-    :return: whether it can.
-    """
-    try:
-        _request_bytes(_machine(), request, headers)
-    except h11.LocalProtocolError:
-        return False
-    return True
-
-
 __all__ = (
     'AnswerLost',
     'Exchange',
-    'check_request',
 )
--- a/src/cassiahitch/direct/front.py
+++ b/src/cassiahitch/direct/front.py
@@ -124,9 +124,7 @@
         :param headers: its headers, without those of the connection.
         :param body: its body.
         """
-        lines = HTTPHeaders()
-        for name, text in headers:
-            lines.add(name, text)
+        lines = _header_lines(headers)
         if status not in {HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED}:
             lines['Content-Length'] = str(len(body))
         self.started = True
@@ -140,11 +138,8 @@
         :param headers: its headers, without those of the connection.
         :raises CallerGone: if nobody reads it.
         """
-        lines = HTTPHeaders()
-        for name, text in headers:
-            lines.add(name, text)
         self.started = True
-        await _written(self._write_start(status, reason, lines, None))
+        await _written(self._write_start(status, reason, _header_lines(headers), None))
 
     async def write(self, data: bytes) -> None:
         """Write a part of the body.
@@ -227,6 +222,13 @@
         self.server.conn_params.no_keep_alive = True
 
 
+def _header_lines(headers: Headers) -> HTTPHeaders:
+    lines = HTTPHeaders()
+    for name, text in headers:
+        lines.add(name, text)
+    return lines
+
+
 async def _written(written: Awaitable[None]) -> None:
     try:
         await written
--- a/src/cassiahitch/direct/pool.py
+++ b/src/cassiahitch/direct/pool.py
@@ -28,7 +28,6 @@
         """Create it without connections."""
         self.idle: dict[str, list[BackendConnection]] = {}
         self.open: Counter[str] = Counter()
-        self.opened = 0
 
     async def acquire(self, replica: Replica, limit: int, *, once: bool) -> BackendConnection:
         """Return a connection for one request.
@@ -46,12 +45,10 @@
             raise ConnectFailed('all connections are in use', refused=False)
         self.open[replica.key] += 1
         try:
-            connection = await connect(replica, CONNECT_TIMEOUT_S)
+            return await connect(replica, CONNECT_TIMEOUT_S)
         except BaseException:
             self._forget(replica)
             raise
-        self.opened += 1
-        return connection
 
     def release(
         self, connection: BackendConnection, *, reusable: bool, idle_s: float | None
--- a/src/cassiahitch/direct/runner.py
+++ b/src/cassiahitch/direct/runner.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 from dataclasses import dataclass, field
 from functools import partial
 from http import HTTPStatus
@@ -72,7 +71,6 @@
     budget: RetryBudget
     watch: CrashWatch
     journal: Journal
-    rng: random.Random
     patience_s: dict[str, float] = field(default_factory=dict)
 
     async def serve(self, caller: CallerExchange) -> None:
@@ -155,7 +153,7 @@
         """
         for _ in range(PLACEMENTS):
             placed = await self.place(call)
-            caller.keeps_running = not (call.plan().repeatable or call.plan().may_resume)
+            caller.keeps_running = call.plan().runs_once
             began = asyncio.get_running_loop().time()
             limit = self.candidates.connection_limit(call)
             patience = self.patience(call)
@@ -343,7 +341,7 @@
         route = call.plan()
         if not isinstance(outcome, NotRun):
             call.may_have_run = True
-            if not (route.repeatable or route.may_resume) or call.sends >= route.max_attempts:
+            if route.runs_once or call.sends >= route.max_attempts:
                 raise _lost(outcome, call.ran)
         now = asyncio.get_running_loop().time()
         if not self.budget.take(call.service, self.knowledge.entries(now), now):
--- a/src/cassiahitch/metrics/exposition.py
+++ b/src/cassiahitch/metrics/exposition.py
@@ -14,6 +14,8 @@
 )
 from tornado.web import Application, RequestHandler
 
+from cassiahitch.util.access import no_access_log
+
 if TYPE_CHECKING:
     from cassiahitch.metrics.registry import Metrics
     from cassiahitch.metrics.snapshots import Snapshot
@@ -72,14 +74,10 @@
     registry.register(MetricsCollector(metrics))
     return Application(
         [(METRICS_PATH, MetricsHandler, {'registry': registry})],
-        log_function=_quiet,
+        log_function=no_access_log,
     )
 
 
-def _quiet(handler: RequestHandler) -> None:
-    """Leave reads of the metrics out of the log."""
-
-
 def _counters(snapshot: Snapshot) -> Iterator[Metric]:
     families: dict[str, CounterMetricFamily] = {}
     for series, count in snapshot.counters.items():
--- a/src/cassiahitch/platform/engine.py
+++ b/src/cassiahitch/platform/engine.py
@@ -129,7 +129,7 @@
         :return: its bytes.
         :raises PlatformError: ``origin_unavailable`` or ``object_missing``.
         """
-        query = urlencode({'sampleCount': index, 'version': version})
+        query = urlencode({names.CHUNK_INDEX: index, 'version': version})
         return (await self._get(f'{url}{names.ORIGIN_CHUNK_PATH}/{quote(model)}?{query}')).body
 
     async def _get(self, url: str) -> Reply:
@@ -142,8 +142,7 @@
 
 
 def _chunk_path(path: str, model: str, index: int) -> str:
-    # The platform numbers chunks in a field whose name speaks of a count.
-    return f'{path}/{quote(model)}?{urlencode({"sampleCount": index})}'
+    return f'{path}/{quote(model)}?{urlencode({names.CHUNK_INDEX: index})}'
 
 
 async def _call(caller: HttpCaller, call: Call, code: Code) -> Reply:
--- a/src/cassiahitch/platform/names.py
+++ b/src/cassiahitch/platform/names.py
@@ -31,6 +31,9 @@
 #: Number of the last event that the caller has.
 LAST_EVENT = 'Last-Event-Id'
 
+#: Position of a chunk in a query; the platform's name speaks of a count.
+CHUNK_INDEX = 'sampleCount'
+
 READY_PATH = '/v1/ready'
 ADDRESSES_PATH = '/v1/lookup'
 READ_ROWS_PATH = '/v1/rows-get'
@@ -60,6 +63,7 @@
     'ADDRESSES_PATH',
     'API_KEY',
     'ATTEMPT_ID',
+    'CHUNK_INDEX',
     'COMMIT_PATH',
     'CONFIGURATION_KEY',
     'DEADLINE_MS',
--- a/src/cassiahitch/platform/services.py
+++ b/src/cassiahitch/platform/services.py
@@ -8,6 +8,7 @@
 from tornado.web import Application, RequestHandler
 
 from cassiahitch.platform import names
+from cassiahitch.util.access import no_access_log
 
 if TYPE_CHECKING:
     from cassiahitch.direct.surroundings import FindAddresses, IsReady
@@ -56,7 +57,7 @@
     :return: the service.
     """
     return Application(
-        [(names.READY_PATH, ReadinessHandler, {'is_ready': is_ready})], log_function=_quiet
+        [(names.READY_PATH, ReadinessHandler, {'is_ready': is_ready})], log_function=no_access_log
     )
 
 
@@ -67,14 +68,10 @@
     :return: the service.
     """
     return Application(
-        [(names.ADDRESSES_PATH, AddressHandler, {'find': find})], log_function=_quiet
+        [(names.ADDRESSES_PATH, AddressHandler, {'find': find})], log_function=no_access_log
     )
 
 
-def _quiet(handler: RequestHandler) -> None:
-    """Leave checks and look-ups out of the log."""
-
-
 __all__ = (
     'address_service',
     'readiness_service',
--- a/src/cassiahitch/standins/backends.py
+++ b/src/cassiahitch/standins/backends.py
@@ -345,7 +345,7 @@
         :return: status, headers and body, or nothing if it is a request to run.
         """
         parts = urlsplit(target)
-        index = int(parse_qs(parts.query).get('sampleCount', ['-1'])[0])
+        index = int(parse_qs(parts.query).get(names.CHUNK_INDEX, ['-1'])[0])
         if parts.path == names.REPORT_PATH:
             return HTTPStatus.OK, {}, json.dumps(self.report(engine)).encode()
         if parts.path.startswith(names.STORE_CHUNK_PATH):
--- a/src/cassiahitch/standins/rowstore.py
+++ b/src/cassiahitch/standins/rowstore.py
@@ -14,6 +14,7 @@
 
 from cassiahitch.platform import names
 from cassiahitch.stores.api import ABSENT
+from cassiahitch.util.access import no_access_log
 from cassiahitch.util.listening import listen, port_of
 
 if TYPE_CHECKING:
@@ -238,16 +239,12 @@
         (names.READ_CHANGES_PATH, FeedHandler, arguments),
         (names.COMMIT_PATH, CommitHandler, arguments),
     ]
-    server = HTTPServer(Application(routes, log_function=_quiet))
+    server = HTTPServer(Application(routes, log_function=no_access_log))
     own = listen(address, 0)
     server.add_socket(own)
     return server, port_of(own)
 
 
-def _quiet(handler: RequestHandler) -> None:
-    """Leave calls out of the log."""
-
-
 def _version(row: StoredRow | None) -> int:
     return row.version if row else ABSENT
 
--- a/src/cassiahitch/standins/weightservice.py
+++ b/src/cassiahitch/standins/weightservice.py
@@ -12,6 +12,7 @@
 from tornado.web import Application, RequestHandler
 
 from cassiahitch.platform import names
+from cassiahitch.util.access import no_access_log
 from cassiahitch.util.listening import listen, port_of
 
 
@@ -114,7 +115,7 @@
         :param model: the model.
         """
         version = self.version()
-        index = int(self.get_query_argument('sampleCount'))
+        index = int(self.get_query_argument(names.CHUNK_INDEX))
         content = self.weights.chunks[version][index]
         self.weights.sent[version] += 1
         if self.weights.corrupt > 0:
@@ -135,16 +136,12 @@
         (f'{names.MANIFEST_PATH}/([^/]+)', ManifestHandler, arguments),
         (f'{names.ORIGIN_CHUNK_PATH}/([^/]+)', ChunkHandler, arguments),
     ]
-    server = HTTPServer(Application(routes, log_function=_quiet))
+    server = HTTPServer(Application(routes, log_function=no_access_log))
     own = listen(address, 0)
     server.add_socket(own)
     return server, port_of(own)
 
 
-def _quiet(handler: RequestHandler) -> None:
-    """Leave transfers out of the log."""
-
-
 __all__ = (
     'WeightService',
     'serve_weights',
--- a/tests/platform/test_names.py
+++ b/tests/platform/test_names.py
@@ -53,7 +53,7 @@
 
 def test_headers_and_calls_of_the_platform_stand_only_in_its_adapter() -> None:
     standins = list((SOURCES / 'standins').glob('*.py'))
-    own = ('X-Cassiahitch-', '/v1/rows-', '/v1/stage-', '/v1/piece', '/v1/lookup')
+    own = ('X-Cassiahitch-', '/v1/rows-', '/v1/stage-', '/v1/piece', '/v1/lookup', 'sampleCount')
     assert found(own, other_sources() + standins) == []
 
 
