Let the test of the hangup signal fail instead of hanging

Cause: with the handler taken out, the test read the end of the output for ever, without giving its time limit a turn. Change: it asserts that the process has not ended.

--- a/tests/direct/test_reloading.py
+++ b/tests/direct/test_reloading.py
@@ -84,4 +84,5 @@
     async with asyncio.timeout(20):
         line = await lines.readline()
         while text not in line:
+            assert line, 'the process has ended'
             line = await lines.readline()
