Hand over an entry's shares of limits when it leaves

Cause: an entry that left kept its part of each organisation's limit until it had been silent for 10 s (0.85 of the limit in the test), so the others refused what was within the limit. Change: a leaving entry gives all its shares away at once and says so, and gets none in the next division; entries own shares under host and incarnation; a joining one admits an equal part for 2 s; the overlap ends when all have told news of the new division.

--- a/src/cassiahitch/entry/gossip.py
+++ b/src/cassiahitch/entry/gossip.py
@@ -60,14 +60,21 @@
         while True:
             await asyncio.sleep(GOSSIP_S)
             now = self.node.clock.monotonic()
-            peers = frozenset(one.peer.host for one in self.connections())
-            self.guard.update_peers(peers)
-            self.registry.connected(peers, now)
+            peers = tuple(one.peer for one in self.connections())
+            self.guard.update_peers(frozenset(peer.host for peer in peers))
+            owners = frozenset(owner_name(peer.host, peer.incarnation) for peer in peers)
+            self.registry.connected(owners, now)
             fencing_number = self.leads()
             if fencing_number:
                 self.registry.lead(fencing_number, now)
             self._send(Bulletin(self.registry.division, self.registry.news(now)))
 
+    async def leave(self) -> None:
+        """Give the shares of this entry to the others, without waiting for slow ones."""
+        shares = self.registry.leave(self.node.clock.monotonic())
+        self._send(Bulletin(self.registry.division, shares))
+        await asyncio.sleep(0)
+
     def share(self, news: tuple[News, ...]) -> None:
         """Send news of suspects to all entries at once.
 
@@ -94,7 +101,8 @@
         except ValidationError as error:
             raise WireError(Code.frame_corrupt, f'{error.error_count()} faults') from error
         now = self.node.clock.monotonic()
-        self.registry.heard(entry, bulletin.division, bulletin.shares, now)
+        owner = owner_name(entry, message.incarnation)
+        self.registry.heard(owner, bulletin.division, bulletin.shares, now)
         received: tuple[News, ...] = (
             *bulletin.crashes,
             *bulletin.clearings,
@@ -125,7 +133,18 @@
     :return: the exchange; nothing runs yet.
     """
     host = node.settings.host
-    return Gossip(node, connections, LimitRegistry(host), leads, PoisonGuard(host))
+    registry = LimitRegistry(owner_name(host, node.incarnation))
+    return Gossip(node, connections, registry, leads, PoisonGuard(host))
+
+
+def owner_name(host: str, incarnation: int) -> str:
+    """Return the name under which an entry owns shares of limits.
+
+    :param host: its host.
+    :param incarnation: its incarnation.
+    :return: the name.
+    """
+    return f'{host}/{incarnation}'
 
 
 async def _deliver(connection: Connection, message: messages.EntryGossip) -> None:
@@ -140,4 +159,5 @@
     'Bulletin',
     'Gossip',
     'make_gossip',
+    'owner_name',
 )
--- a/src/cassiahitch/entry/process.py
+++ b/src/cassiahitch/entry/process.py
@@ -126,17 +126,22 @@
 
     async def leave(self) -> None:
         """Leave the addresses, serve for the grace, finish what runs and close everything."""
-        self.leaving = True
-        self.node.timeline.record(EventKind.process_leaving)
-        self._note_self()
-        await self.endpoint.announce()
-        await self.parts.leadership.resign()
+        await self._announce_leaving()
         await asyncio.sleep(self.settings.leave_grace_s)
         self.closing = True
         await self.parts.caller_service.answered()
+        await self.gossip.leave()
         await self.stack.aclose()
         self.node.timeline.record(EventKind.process_stopped)
 
+    async def _announce_leaving(self) -> None:
+        self.leaving = True
+        self.node.timeline.record(EventKind.process_leaving)
+        self._note_self()
+        await self.endpoint.announce()
+        await self.gossip.leave()
+        await self.parts.leadership.resign()
+
     async def redial(self, host: str, incarnation: int) -> Connection:
         """Open a new connection to an agent, to settle what is unclear.
 
--- a/src/cassiahitch/limits/division.py
+++ b/src/cassiahitch/limits/division.py
@@ -14,6 +14,8 @@
 GONE_AFTER_S = 10.0
 #: Seconds after the start before a first division is made, so that all entries are in it.
 SETTLE_S = 1.0
+#: Seconds after joining for which an entry admits an equal part, until shares have come to it.
+JOIN_S = 2.0
 #: Divisions that one holder of the controllers' lease can make.
 DIVISIONS_PER_TERM = 1_048_576
 
@@ -30,6 +32,9 @@
 class LimitRegistry:
     """The limits of all organisations that sent requests to an entry or its peers.
 
+    Entries are named with their incarnation: one that starts again is another owner of shares,
+    as it does not know any more what it gave away before.
+
     Before any division is known, an entry takes an equal part among those that it hears.
     """
 
@@ -38,6 +43,8 @@
     limits: dict[str, OrganisationLimit] = field(default_factory=dict)
     heard_at: dict[str, float] = field(default_factory=dict)
     settles_at: float | None = None
+    joined_at: float | None = None
+    left: set[str] = field(default_factory=set)
 
     def admit(self, organisation: str, limit_per_s: float, now: float) -> Within | OverLimit:
         """Decide whether a request is within the limit of its organisation.
@@ -62,6 +69,8 @@
             entries = self.division.entries or tuple(sorted({self.entry, *self.heard_at}))
             epoch = self.division.epoch
             known = OrganisationLimit(self.entry, organisation, 0, entries, epoch)
+            if self.entry not in entries and self.joined_at is not None:
+                known.joining_until = self.joined_at + JOIN_S
             self.limits[organisation] = known
         return known
 
@@ -73,6 +82,14 @@
         """
         return tuple(limit.update(now) for limit in self.limits.values())
 
+    def leave(self, now: float) -> tuple[ShareNews, ...]:
+        """Give all shares to the other entries, because this one leaves.
+
+        :param now: seconds.
+        :return: the messages to send.
+        """
+        return tuple(limit.leave(now) for limit in self.limits.values())
+
     def heard(
         self, entry: str, division: Division, news: tuple[ShareNews, ...], now: float
     ) -> None:
@@ -89,6 +106,8 @@
             self.heard_at = dict.fromkeys(division.entries, now) | self.heard_at
         self.divide(division, now)
         for share in news:
+            if share.leaving:
+                self.left.add(entry)
             self.limit(share.organisation).heard(share, now)
 
     def divide(self, division: Division, now: float) -> None:
@@ -100,6 +119,8 @@
         if division.epoch <= self.division.epoch:
             return
         self.division = division
+        if self.joined_at is None:
+            self.joined_at = now
         for limit in self.limits.values():
             limit.divide(division.entries, division.epoch, now)
 
@@ -110,6 +131,12 @@
         :param now: seconds.
         """
         self.heard_at.update(dict.fromkeys(entries, now))
+        self.heard_at = {
+            entry: heard_at
+            for entry, heard_at in self.heard_at.items()
+            if now - heard_at <= GONE_AFTER_S
+        }
+        self.left &= self.heard_at.keys()
         if self.settles_at is None:
             self.settles_at = now + SETTLE_S
 
@@ -119,10 +146,11 @@
         :param fencing_number: that of the lease that this entry holds.
         :param now: seconds.
         """
-        live = {
+        heard = {
             entry for entry, heard_at in self.heard_at.items() if now - heard_at <= GONE_AFTER_S
-        } | {self.entry}
-        if self.division.epoch and live == set(self.division.entries):
+        }
+        live = heard - self.left | {self.entry}
+        if self.division.epoch and live == set(self.division.entries) - self.left:
             return
         if self.settles_at is None or now < self.settles_at:
             return
--- a/src/cassiahitch/limits/organisations.py
+++ b/src/cassiahitch/limits/organisations.py
@@ -7,13 +7,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 #: Shares are whole numbers of these parts of a limit, so that no rounding adds to their sum.
 WHOLE = 1_000_000_000
 #: Demand is told in thousandths of a request per second.
 MILLI = 1_000
-#: Seconds after a new division in which an entry uses the smaller of both shares.
+#: Seconds after a new division in which an entry uses the smaller of both shares, unless it
+#: hears before that all others have adopted the division.
 OVERLAP_S = 2.0
 #: Seconds of an unused share that can be spent at once.
 BURST_S = 1.0
@@ -37,6 +38,7 @@
     given: tuple[tuple[str, int], ...]
     share: int
     demand: int
+    leaving: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,6 +60,7 @@
     share: int
     demand: int
     heard_at: float
+    leaving: bool = False
 
 
 @dataclass(slots=True)
@@ -66,6 +69,7 @@
 
     tokens: float = 0
     filled_at: float | None = None
+    least_depth: float = 1
 
     def fill(self, rate: float, now: float) -> None:
         """Add the tokens of the time since the last call; the first call fills the bucket.
@@ -73,7 +77,7 @@
         :param rate: tokens per second.
         :param now: seconds.
         """
-        depth = max(1, rate * BURST_S)
+        depth = max(self.least_depth, rate * BURST_S)
         added = depth if self.filled_at is None else rate * (now - self.filled_at)
         self.tokens = min(depth, self.tokens + added)
         self.filled_at = now
@@ -116,10 +120,12 @@
     epoch: int = 0
     former_share: int = WHOLE
     former_until: float = 0
+    joining_until: float = 0
     given: dict[str, dict[str, int]] = field(default_factory=dict)
     peers: dict[str, Peer] = field(default_factory=dict)
     bucket: Bucket = field(default_factory=Bucket)
     demand: Demand = field(default_factory=Demand)
+    leaving: bool = False
 
     @property
     def share(self) -> int:
@@ -143,9 +149,17 @@
         :param now: seconds.
         :return: requests per second.
         """
-        share = min(self.share, self.former_share) if now < self.former_until else self.share
+        share = self.share
+        if now < self.former_until and not self.everyone_divided():
+            share = min(share, self.former_share)
+        if now < self.joining_until:
+            share = max(share, WHOLE // (len(self.entries) + 1))
         return self.limit_per_s * share / WHOLE
 
+    def everyone_divided(self) -> bool:
+        """Return whether all owners of shares have told news of the division in force."""
+        return all(entry in self.peers for entry in self.entries if entry != self.entry)
+
     def fill(self, now: float) -> None:
         """Fill the bucket up to now; it starts full once the limit is known.
 
@@ -170,6 +184,7 @@
         self.entries = entries
         self.epoch = epoch
         self.given.clear()
+        self.peers.clear()
 
     def row(self) -> dict[str, int]:
         """Return what this entry has given to others.
@@ -204,7 +219,25 @@
         self.give(now)
         row = tuple(sorted(self.row().items()))
         demand = int(self.demand.per_s * MILLI)
-        return ShareNews(self.entry, self.organisation, self.epoch, row, self.share, demand)
+        news = ShareNews(self.entry, self.organisation, self.epoch, row, self.share, demand)
+        return replace(news, leaving=self.leaving)
+
+    def leave(self, now: float) -> ShareNews:
+        """Give the whole share to the peers, because their callers are about to come to them.
+
+        The tokens saved so far serve the requests that still arrive here. Demand is counted
+        anew, so that a share comes back only for requests that go on arriving.
+
+        :param now: seconds.
+        :return: the message to send.
+        """
+        self.fill(now)
+        self.leaving = True
+        self.bucket.least_depth = max(1, self.bucket.tokens)
+        heard = self.heard_peers(now)
+        self.hand(self.share, share_targets(heard), heard)
+        self.demand = Demand(since=now)
+        return self.update(now)
 
     def heard(self, news: ShareNews, now: float) -> None:
         """Take the news of another entry in; in any order, any number of times.
@@ -218,44 +251,63 @@
         row = self.given.setdefault(news.entry, {})
         for receiver, amount in news.given:
             row[receiver] = max(amount, row.get(receiver, 0))
-        self.peers[news.entry] = Peer(news.share, news.demand, now)
+        self.peers[news.entry] = Peer(news.share, news.demand, now, news.leaving)
+
+    def heard_peers(self, now: float) -> dict[str, Peer]:
+        """Return the peers that told their news lately.
+
+        :param now: seconds.
+        :return: the peers by name.
+        """
+        return {entry: peer for entry, peer in self.peers.items() if now - peer.heard_at <= HEARD_S}
 
     def give(self, now: float) -> None:
         """Give a part of what is above the own target to peers below theirs.
 
         :param now: seconds.
         """
-        heard = {
-            entry: peer for entry, peer in self.peers.items() if now - peer.heard_at <= HEARD_S
-        }
-        own = Peer(self.share, int(self.demand.per_s * MILLI), now)
+        heard = self.heard_peers(now)
+        own = Peer(self.share, int(self.demand.per_s * MILLI), now, self.leaving)
         targets = share_targets({self.entry: own, **heard})
         surplus = int(GIVEN_PART * (own.share - targets[self.entry]))
         missing = {
             entry: max(0, targets[entry] - peer.share) for entry, peer in sorted(heard.items())
         }
-        total = sum(missing.values())
-        if surplus <= 0 or not total:
+        self.hand(min(surplus, sum(missing.values())), missing, heard)
+
+    def hand(self, amount: int, parts: dict[str, int], heard: dict[str, Peer]) -> None:
+        """Record that a part of the own share goes to peers.
+
+        :param amount: parts of the limit.
+        :param parts: what each peer gets, in proportion.
+        :param heard: the peers.
+        """
+        total = sum(parts.values())
+        if amount <= 0 or not total:
             return
         row = self.row()
-        for entry, amount in missing.items():
-            row[entry] = row.get(entry, 0) + min(surplus, total) * amount // total
-            heard[entry].share += min(surplus, total) * amount // total
+        for entry, part in parts.items():
+            row[entry] = row.get(entry, 0) + amount * part // total
+            heard[entry].share += amount * part // total
 
 
 def share_targets(peers: dict[str, Peer]) -> dict[str, int]:
     """Return the shares that entries should have: a part equally, the rest by demand.
 
+    An entry that leaves has no part in what is divided equally.
+
     :param peers: the entries.
     :return: parts of the limit by entry; their sum is that of the shares.
     """
     whole = sum(peer.share for peer in peers.values())
     demand = sum(peer.demand for peer in peers.values())
-    kept = whole * KEPT_SHARE / len(peers)
-    if not demand:
-        return {entry: whole // len(peers) for entry in peers}
-    by_demand = whole * (1 - KEPT_SHARE) / demand
-    return {entry: int(kept + by_demand * peer.demand) for entry, peer in peers.items()}
+    staying = max(1, sum(not peer.leaving for peer in peers.values()))
+    equal = whole * KEPT_SHARE if demand else whole
+    by_demand = (whole - equal) / max(1, demand)
+    return {
+        entry: int(by_demand * peer.demand + equal / staying * (not peer.leaving))
+        for entry, peer in peers.items()
+    }
 
 
 __all__ = (
--- a/tests/limits/test_division.py
+++ b/tests/limits/test_division.py
@@ -5,7 +5,7 @@
 import pytest
 
 from cassiahitch.limits.division import GONE_AFTER_S, SETTLE_S, Division, LimitRegistry
-from cassiahitch.limits.organisations import Within
+from cassiahitch.limits.organisations import WHOLE, Within
 
 
 def make_leader() -> LimitRegistry:
@@ -82,6 +82,8 @@
     for step in range(500):
         now = step / 50
         left = step >= 200
+        if step == 200:
+            hand_over(registries, 'entry-1', names[1:], now)
         verdicts.append(registries['entry-2' if left else 'entry-1'].admit('caterers', 100, now))
         registries['entry-2'].limit('caterers')
         live = names[1:] if left else names
@@ -90,6 +92,51 @@
     assert verdicts.count(Within()) == len(verdicts)
 
 
+def test_restarted_entry_owns_no_more_than_its_peers_give_it() -> None:
+    names = ('entry-1/1', 'entry-2/1', 'entry-3/1')
+    registries = {name: LimitRegistry(name, Division(1, names)) for name in names}
+    for registry in registries.values():
+        registry.admit('caterers', 100, 0)
+    share(registries, names, 0)
+    hand_over(registries, 'entry-1/1', names[1:], 1)
+    registries['entry-1/2'] = LimitRegistry('entry-1/2')
+    for step in range(4):
+        share(registries, (*names[1:], 'entry-1/2'), 2 + step / 2)
+    shares = [registry.limit('caterers').share for registry in registries.values()]
+    assert sum(shares) <= WHOLE
+    assert registries['entry-1/2'].limit('caterers').share > 0
+
+
+def test_joining_entry_admits_an_equal_part_until_shares_have_come() -> None:
+    joining = LimitRegistry('entry-3')
+    joining.heard('entry-1', Division(1, ('entry-1', 'entry-2')), (), 0)
+    admitted = [joining.admit('caterers', 90, step / 30) for step in range(30 * 4)]
+    assert admitted[: 30 * 2].count(Within()) == 30 * 2
+    assert admitted[30 * 3 :].count(Within()) == 0
+
+
+def test_entry_that_said_that_it_leaves_gets_no_part_of_the_next_division() -> None:
+    names = ('entry-1', 'entry-2', 'entry-3')
+    registries = {name: LimitRegistry(name, Division(1, names)) for name in names}
+    registries['entry-3'].admit('caterers', 100, 0)
+    registries['entry-1'].connected(frozenset(names[1:]), 0)
+    hand_over(registries, 'entry-3', names[:2], 1)
+    registries['entry-1'].lead(1, 2)
+    assert registries['entry-1'].division.epoch == 1
+    registries['entry-1'].connected(frozenset(('entry-2', 'entry-4')), 3)
+    registries['entry-1'].lead(1, 3)
+    assert registries['entry-1'].division.entries == ('entry-1', 'entry-2', 'entry-4')
+
+
+def hand_over(
+    registries: dict[str, LimitRegistry], leaver: str, others: tuple[str, ...], now: float
+) -> None:
+    registry = registries[leaver]
+    news = registry.leave(now)
+    for receiver in others:
+        registries[receiver].heard(leaver, registry.division, news, now)
+
+
 def share(registries: dict[str, LimitRegistry], live: tuple[str, ...], now: float) -> None:
     for sender in live:
         registry = registries[sender]
--- a/tests/limits/test_organisations.py
+++ b/tests/limits/test_organisations.py
@@ -133,6 +133,16 @@
         assert limit.rate(13) == pytest.approx(LIMIT_PER_S / 2)
 
 
+def test_new_division_holds_at_once_when_all_its_entries_have_told_that_they_adopted_it() -> None:
+    limits = make_limits()[:2]
+    for limit in limits:
+        limit.epoch = 1
+        limit.divide(NAMES[:2], 2, 10)
+    limits[0].heard(limits[1].update(10.1), 10.1)
+    assert limits[0].rate(10.2) == pytest.approx(LIMIT_PER_S / 2)
+    assert limits[1].rate(10.2) == pytest.approx(LIMIT_PER_S / 3)
+
+
 def test_refusal_says_when_to_come_back() -> None:
     limit = make_limits()[0]
     verdicts = [limit.admit(0) for _ in range(100)]
