Let agents fetch chunks from any holder of their region

A line for each chunk showed three reasons: the origin was asked for all chunks at once, so that none was there before the time of all; one host of a fixed tree sent 60 chunks while others sent 33; and a version that was more than half here was dropped for the newer one. Ruled out: four receptions at once instead of two alone (30.25 s to 29.92 s). Change: one agent draws each chunk from the origin in turn at its rate, one in each further region takes it over the link between regions, and within a region agents tell each other what they hold and fetch from the least busy holder; busy ones refuse. A version that is half here is finished. The objective of the settings of an agent goes, as nothing uses it any more.

--- a/src/cassiahitch/direct/agent.py
+++ b/src/cassiahitch/direct/agent.py
@@ -8,24 +8,16 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-from tornado.httpserver import HTTPServer
-
-from cassiahitch.direct.agentbeliefs import AgentBeliefs
+from cassiahitch.direct.agentparts import make_agent_parts
 from cassiahitch.direct.chunkservice import chunk_service
 from cassiahitch.direct.feed import TableFeed
 from cassiahitch.direct.following import TableFollower
-from cassiahitch.direct.journal import BeliefLog
-from cassiahitch.direct.library import ChunkLibrary
-from cassiahitch.direct.loading import Loader
-from cassiahitch.direct.peerchunks import PeerChunks
 from cassiahitch.direct.reloading import SettingsWatch
 from cassiahitch.direct.reporting import LoadReporter
-from cassiahitch.direct.uploads import LinkRates, Uploads
-from cassiahitch.direct.versions import VersionPolicy
+from cassiahitch.direct.serving import serve
 from cassiahitch.metrics.exposition import metrics_service
-from cassiahitch.metrics.registry import Metrics
-from cassiahitch.util.listening import listen
-from cassiahitch.weights.plan import Participant
+from cassiahitch.util.endpoints import Endpoint
+from cassiahitch.wire.beats import ChunkMap
 from cassiahitch.wire.datagrams import DatagramSocket
 from cassiahitch.wire.tasks import ProcessTasks
 
@@ -35,6 +27,7 @@
     from cassiahitch.direct.surroundings import AgentSurroundings
     from cassiahitch.settings.direct import BoundSettings, DirectAgentSettings
     from cassiahitch.stores.caller import HttpCaller
+    from cassiahitch.wire.beats import Beat
 
 #: Longest wait for a change of the declarations, in seconds.
 DECLARATION_WAIT_S = 8.0
@@ -62,48 +55,40 @@
         self.rng = random.Random()
         self.tasks = ProcessTasks()
         self.stack = AsyncExitStack()
-        self.metrics = Metrics(settings.name)
-        self.log = BeliefLog()
-        engine = around.engine(settings.engine)
-        peers = PeerChunks(caller, settings.peer_port, settings.region)
-        self.library = ChunkLibrary(engine, around.origin, peers)
-        versions = VersionPolicy(settings.bounds.weights_s)
-        self.uploads = Uploads(LinkRates(settings.link_mbit_s, settings.region_link_mbit_s))
-        self.beliefs = AgentBeliefs(
-            settings, around, self.library, self.uploads, self.log, versions, self.rng
-        )
-        self.library.on_newer = self.beliefs.hear
-        member = Participant(settings.address, settings.region, settings.failure_domain)
-        self.loader = Loader(
-            engine, self.library, self.beliefs, self.metrics, self.log, member, self.rng
-        )
-        self.watch = SettingsWatch(path or Path(), settings, self.log, self._apply_bounds)
+        self.parts = make_agent_parts(settings, around, caller, self.rng)
+        self.watch = SettingsWatch(path or Path(), settings, self.parts.log, self._apply_bounds)
         self.declarations = TableFollower(
             around.store,
             around.tables.operator,
             TableFeed(self.rng),
-            self.beliefs.take_declarations,
-            self.log,
+            self.parts.beliefs.take_declarations,
+            self.parts.log,
             DECLARATION_WAIT_S,
         )
         self.reporter = LoadReporter(
-            engine, self.beliefs, self.loader, self.log, time.time_ns(), self.rng
+            self.parts.engine,
+            self.parts.beliefs,
+            self.parts.loader,
+            self.parts.log,
+            time.time_ns(),
+            self.rng,
         )
 
     async def start(self) -> None:
         """Open the sockets and start the tasks."""
         settings = self.settings
-        chunks = chunk_service(self.library, self.uploads, settings.region)
+        chunks = chunk_service(self.parts.library, self.parts.uploads, settings.region)
         self._serve(chunks, settings.peer_port)
-        self._serve(metrics_service(self.metrics), settings.metrics_port)
-        datagrams = DatagramSocket(self.reporter.receive, self.reporter.refused)
+        self._serve(metrics_service(self.parts.loader.metrics), settings.metrics_port)
+        datagrams = DatagramSocket(self._receive, self.reporter.refused)
         await datagrams.open(settings.address, settings.peer_port)
         self.stack.callback(datagrams.close)
         self.reporter.socket = datagrams
+        self.parts.maps.socket = datagrams
         works = (
             self.declarations.work(),
             self.reporter.work(),
-            self.loader.work(),
+            self.parts.loader.work(),
             *((self.watch.work(),) if self.watch.path.is_file() else ()),
         )
         self.tasks.start(works, self.stack)
@@ -123,13 +108,18 @@
         """Close everything; the engine goes on with what it has loaded."""
         await self.stack.aclose()
 
+    def _receive(self, message: Beat, sender: Endpoint) -> None:
+        match message:
+            case ChunkMap():
+                self.parts.maps.receive(message, sender)
+            case _:
+                self.reporter.receive(message, sender)
+
     def _apply_bounds(self, bounds: BoundSettings) -> None:
-        self.beliefs.versions.bound_s = bounds.weights_s
+        self.parts.beliefs.versions.bound_s = bounds.weights_s
 
     def _serve(self, application: Application, port: int) -> None:
-        server = HTTPServer(application)
-        server.add_socket(listen(self.settings.address, port))
-        self.stack.callback(server.stop)
+        serve(application, Endpoint(self.settings.address, port), self.stack)
 
 
 __all__ = ('DirectAgent',)
--- a/src/cassiahitch/direct/agentbeliefs.py
+++ b/src/cassiahitch/direct/agentbeliefs.py
@@ -108,6 +108,7 @@
         for service in catalogue.services.values():
             if service.origin:
                 self.library.origin_url = f'http://{service.origin}'
+                self.library.origin_mbit_s = service.link_mbit_s
                 self.library.origin_region = self.settings.regions.get(service.failure_domain, '')
             if service.name == self.settings.service and service.engine is not None:
                 self.library.chunk_bytes = service.engine.chunk_bytes
--- /dev/null
+++ b/src/cassiahitch/direct/agentparts.py
@@ -0,0 +1,71 @@
+"""Builds the parts of an agent that bring weights to its engine."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from cassiahitch.direct.agentbeliefs import AgentBeliefs
+from cassiahitch.direct.chunkmaps import ChunkMaps
+from cassiahitch.direct.journal import BeliefLog
+from cassiahitch.direct.library import ChunkLibrary
+from cassiahitch.direct.loading import Loader
+from cassiahitch.direct.peerchunks import PeerChunks
+from cassiahitch.direct.uploads import LinkRates, Uploads
+from cassiahitch.direct.versions import VersionPolicy
+from cassiahitch.metrics.registry import Metrics
+from cassiahitch.weights.plan import Participant
+
+if TYPE_CHECKING:
+    from cassiahitch.direct.enginestate import StagedEngine
+    from cassiahitch.direct.surroundings import AgentSurroundings
+    from cassiahitch.settings.direct import DirectAgentSettings
+    from cassiahitch.stores.caller import HttpCaller
+
+
+@dataclass(frozen=True, slots=True)
+class AgentParts:
+    """The parts of an agent; nothing runs yet."""
+
+    engine: StagedEngine
+    log: BeliefLog
+    library: ChunkLibrary
+    uploads: Uploads
+    beliefs: AgentBeliefs
+    maps: ChunkMaps
+    loader: Loader
+
+
+def make_agent_parts(
+    settings: DirectAgentSettings,
+    around: AgentSurroundings,
+    caller: HttpCaller,
+    rng: random.Random,
+) -> AgentParts:
+    """Build the parts of an agent.
+
+    :param settings: its settings.
+    :param around: the platform.
+    :param caller: makes the calls to other agents.
+    :param rng: spreads what agents would do at the same moment.
+    :return: the parts.
+    """
+    log = BeliefLog()
+    engine = around.engine(settings.engine)
+    peers = PeerChunks(caller, settings.peer_port, settings.region)
+    library = ChunkLibrary(engine, around.origin, peers)
+    uploads = Uploads(LinkRates(settings.link_mbit_s, settings.region_link_mbit_s))
+    versions = VersionPolicy(settings.bounds.weights_s)
+    beliefs = AgentBeliefs(settings, around, library, uploads, log, versions, rng)
+    library.on_newer = beliefs.hear
+    maps = ChunkMaps(library, uploads, settings.peer_port)
+    member = Participant(settings.address, settings.region, settings.failure_domain)
+    loader = Loader(engine, library, beliefs, Metrics(settings.name), log, member, rng, maps)
+    return AgentParts(engine, log, library, uploads, beliefs, maps, loader)
+
+
+__all__ = (
+    'AgentParts',
+    'make_agent_parts',
+)
--- a/src/cassiahitch/direct/catalogue.py
+++ b/src/cassiahitch/direct/catalogue.py
@@ -90,7 +90,8 @@
 class Service:
     """A service; ``max_connections`` bounds those of one replica from all its callers.
 
-    ``origin`` is the address of the origin of weights, in ``failure_domain``, if it is that.
+    ``origin`` is the address of the origin of weights, if it is that; it stands in
+    ``failure_domain`` and sends ``link_mbit_s`` megabits a second, 0 if that is not known.
     """
 
     name: str
@@ -98,6 +99,7 @@
     engine: Engine | None = None
     origin: str = ''
     failure_domain: str = ''
+    link_mbit_s: float = 0
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/cassiahitch/direct/chunkmaps.py
@@ -0,0 +1,94 @@
+"""Agents of a region tell each other which chunks they hold."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from cassiahitch.direct.chunks import WeightsName
+from cassiahitch.util.endpoints import Endpoint
+from cassiahitch.wire.beats import ChunkMap
+
+if TYPE_CHECKING:
+    from cassiahitch.direct.fetching import VersionFetch
+    from cassiahitch.direct.library import ChunkLibrary
+    from cassiahitch.direct.uploads import Uploads
+    from cassiahitch.wire.datagrams import DatagramSocket
+
+#: Least time between two answers to the same agent, in seconds.
+ANSWER_S = 0.25
+HEXADECIMAL = 16
+
+
+@dataclass(slots=True)
+class ChunkMaps:
+    """Sends what is held here, and takes in what others hold.
+
+    An agent that holds all chunks only answers those that lack some.
+    """
+
+    library: ChunkLibrary
+    uploads: Uploads
+    port: int
+    socket: DatagramSocket | None = None
+    fetches: dict[WeightsName, VersionFetch] = field(default_factory=dict)
+    answered: dict[Endpoint, float] = field(default_factory=dict)
+
+    def tell(self, name: WeightsName, hosts: tuple[str, ...]) -> None:
+        """Tell other agents what is held here.
+
+        :param name: the version.
+        :param hosts: their addresses.
+        """
+        if self.socket is None:
+            return
+        held = format(self.library.bits(name), 'x')
+        message = ChunkMap(name.model, name.version, held, self.uploads.load)
+        for host in hosts:
+            self.socket.send(message, Endpoint(host, self.port))
+
+    def receive(self, message: ChunkMap, sender: Endpoint) -> None:
+        """Take in what another agent holds.
+
+        :param message: the message; one that cannot be read holds nothing.
+        :param sender: the agent.
+        """
+        name = WeightsName(message.version, message.model)
+        held = _bits(message.held)
+        if not self.library.may_come(name):
+            return
+        fetch = self.fetches.get(name)
+        if fetch is not None:
+            fetch.heard(sender.address, held, message.uploads)
+        elif self.library.bits(name) & ~held:
+            self.answer(name, sender)
+
+    def answer(self, name: WeightsName, sender: Endpoint) -> None:
+        """Tell an agent that lacks chunks what is held here, now and then.
+
+        :param name: the version.
+        :param sender: the agent.
+        """
+        now = asyncio.get_running_loop().time()
+        if now - self.answered.get(sender, float('-inf')) >= ANSWER_S:
+            self.answered[sender] = now
+            self.tell(name, (sender.address,))
+
+    def end(self, fetch: VersionFetch) -> None:
+        """Forget a fetch that has ended.
+
+        :param fetch: the fetch.
+        """
+        self.fetches.pop(fetch.name, None)
+
+
+def _bits(text: str) -> int:
+    try:
+        return int(text, HEXADECIMAL)
+    except ValueError:
+        # A map that cannot be read names no chunk to fetch.
+        return 0
+
+
+__all__ = ('ChunkMaps',)
--- a/src/cassiahitch/direct/chunkservice.py
+++ b/src/cassiahitch/direct/chunkservice.py
@@ -59,6 +59,9 @@
             self.set_status(HTTPStatus.NO_CONTENT if here else HTTPStatus.SERVICE_UNAVAILABLE)
             return
         tier = Tier(int(self.get_query_argument('tier', str(Tier.stray.value))))
+        if self.uploads.refuses(tier):
+            self.set_status(HTTPStatus.SERVICE_UNAVAILABLE)
+            return
         try:
             async with asyncio.timeout(WAIT_S):
                 content = await self.library.chunk(name, int(index), WAIT_S)
--- a/src/cassiahitch/direct/fetching.py
+++ b/src/cassiahitch/direct/fetching.py
@@ -1,4 +1,4 @@
-"""Fetches the chunks of one version over the distribution trees."""
+"""Fetches the chunks of one version, each from the source that the swarm names."""
 
 from __future__ import annotations
 
@@ -6,70 +6,104 @@
 import random
 from contextlib import ExitStack, suppress
 from dataclasses import dataclass, field
-from functools import partial
 from typing import TYPE_CHECKING
 
-from cassiahitch.codes import Code
-from cassiahitch.errors import CassiahitchError, PlatformError
+from cassiahitch.direct.swarm import Fleet, FromOrigin, FromPeer, FromRegion, Swarm
+from cassiahitch.errors import CassiahitchError
 from cassiahitch.metrics.names import CounterName
-from cassiahitch.weights import api
-from cassiahitch.weights.fetcher import Fetcher, FetchLimits
-from cassiahitch.weights.plan import build_plan
-from cassiahitch.weights.tree import Source, Tier
+from cassiahitch.weights.tree import Tier
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from cassiahitch.direct.chunks import Held, WeightsName
     from cassiahitch.direct.journal import BeliefLog
     from cassiahitch.direct.library import ChunkLibrary
+    from cassiahitch.direct.swarm import FetchOrder
     from cassiahitch.metrics.registry import Metrics
-    from cassiahitch.resources.models import Objective
-    from cassiahitch.weights.plan import Participant, RolloutPlan
-
-LIMITS = FetchLimits(
-    in_flight=10,
-    origin_in_flight=2,
-    stall_s=2.2,
-    wait_s=9,
-    origin_wait_s=4,
-    retry_s=0.06,
-    suspect_s=4,
-    stagger_s=0.4,
-)
-NEVER = float('inf')
+    from cassiahitch.weights.plan import Participant
+
+#: Part of the time of a chunk after which the next one is asked of the origin.
+ORIGIN_PACE = 0.9
+#: Longest time between two decisions, and least time between two tellings, in seconds.
+LOOK_S = 0.05
+TELL_S = 0.08
+#: Longest time between two tellings, in seconds.
+REPEAT_S = 0.4
+BITS_PER_BYTE = 8
+MEGA = 1_000_000
 
 
 @dataclass(slots=True)
 class VersionFetch:
-    """Drives the fetcher of one version and owns its requests."""
+    """Carries out the orders of a swarm and owns its requests."""
 
     library: ChunkLibrary
     metrics: Metrics
     log: BeliefLog
     name: WeightsName
     member: Participant
-    objective: Objective
     rng: random.Random
-    inbox: asyncio.Queue[api.FetchMessage] = field(default_factory=asyncio.Queue)
-    fetches: dict[int, asyncio.Task[None]] = field(default_factory=dict)
-    wake: float = NEVER
-    code: Code | None = None
+    tell: Callable[[WeightsName, tuple[str, ...]], None]
+    swarm: Swarm | None = None
+    tasks: dict[int, asyncio.Task[None]] = field(default_factory=dict)
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+    told_at: float = float('-inf')
+    told: int = -1
+
+    @property
+    def part(self) -> float:
+        """Part of the chunks that is here."""
+        return self.swarm.have.bit_count() / self.swarm.count if self.swarm else 0
 
     async def run(self, participants: tuple[Participant, ...]) -> None:
         """Fetch until all chunks are there.
 
         :param participants: agents that fetch the same version.
-        :raises PlatformError: if the manifest cannot be had, or the fetch failed.
+        :raises PlatformError: if the manifest cannot be had.
         """
         held = await self.library.open(self.name)
         if self.library.staged in {None, self.name}:
             await self._take_staged(held)
         if held.complete:
             return
+        self.swarm = self._swarm(held, participants)
         with ExitStack() as stack:
             stack.callback(self._cancel_all)
-            await self._drive(held, self._plan(held, participants))
-        if self.code is not Code.ok:
-            raise PlatformError(self.code or Code.internal, 'the chunks could not be fetched')
+            while not self.swarm.complete:
+                self.changed.clear()
+                self._step(held, self.swarm)
+                with suppress(TimeoutError):
+                    await asyncio.wait_for(self.changed.wait(), LOOK_S)
+        self._tell_peers(self.swarm)
+
+    def update(self, participants: tuple[Participant, ...]) -> None:
+        """Take in who fetches the same version now.
+
+        :param participants: agents.
+        """
+        if self.swarm is not None:
+            self.swarm.fleet = self._fleet(participants)
+
+    def heard(self, host: str, held: int, uploads: int) -> None:
+        """Take in what another agent holds.
+
+        :param host: the agent.
+        :param held: bits of its chunks.
+        :param uploads: chunks that it has to send.
+        """
+        if self.swarm is not None:
+            self.swarm.told(host, held, uploads, self._now())
+            self.changed.set()
+
+    def _swarm(self, held: Held, participants: tuple[Participant, ...]) -> Swarm:
+        count = len(held.manifest.chunks)
+        pace_s = origin_chunk_s(self.library)
+        have = sum(1 << index for index in held.contents)
+        return Swarm(self._fleet(participants), count, self.rng, pace_s, self._now(), have)
+
+    def _fleet(self, participants: tuple[Participant, ...]) -> Fleet:
+        return Fleet(self.member, participants, self.library.origin_region)
 
     async def _take_staged(self, held: Held) -> None:
         # After a restart of this process, the engine may still have all chunks.
@@ -77,70 +111,24 @@
             if index not in held.contents:
                 await self.library.take_staged(self.name, index)
 
-    def update(self, participants: tuple[Participant, ...]) -> None:
-        """Take in who fetches the same version now.
-
-        :param participants: agents.
-        """
-        held = self.library.shelf.held.get(self.name)
-        if held is not None and self.code is None:
-            plan = self._plan(held, participants)
-            self.inbox.put_nowait(api.ManifestKnown(plan, held.manifest))
-
-    def _plan(self, held: Held, participants: tuple[Participant, ...]) -> RolloutPlan:
-        own = {one.host: one for one in participants} | {self.member.host: self.member}
-        return build_plan(
-            held.manifest.version,
-            held.manifest.digest,
-            self.objective,
-            tuple(own.values()),
-            self.library.origin_region,
-        )
-
-    async def _drive(self, held: Held, plan: RolloutPlan) -> None:
-        fetcher = Fetcher(self.member, self.rng, LIMITS)
-        self.inbox.put_nowait(api.ManifestKnown(plan, held.manifest))
+    def _step(self, held: Held, swarm: Swarm) -> None:
+        now = self._now()
         for index in held.contents:
-            source = local_source(self.member.host)
-            self.inbox.put_nowait(api.ChunkArrived(held.manifest.digest, index, source, True))
-        while self.code is None:
-            message = await self._next()
-            for action in fetcher.handle(message, self._now()):
-                self._perform(action, held)
-
-    async def _next(self) -> api.FetchMessage:
-        left_s = self.wake - self._now()
-        if left_s > 0:
-            with suppress(TimeoutError):
-                async with asyncio.timeout(min(left_s, LIMITS.stall_s)):
-                    return await self.inbox.get()
-        self.wake = NEVER
-        return api.Tick()
-
-    def _perform(self, action: api.FetchAction, held: Held) -> None:
-        digest = held.manifest.digest
-        match action:
-            case api.FetchChunk(index=index):
-                self.fetches[index] = asyncio.create_task(self._fetch(action))
-            case api.AbandonFetch(index=index, source=source):
-                self.log.believed('source abandoned', index=index, source=source.host)
-                task = self.fetches.pop(index, None)
-                if task is not None:
-                    task.cancel()
-            case api.StoreChunk(index=index):
-                self.inbox.put_nowait(api.ChunkStored(digest, index))
-            case api.CheckOrigin():
-                self.inbox.put_nowait(api.OriginChecked(digest, digest))
-            case api.WakeAt(time=time):
-                self.wake = time
-            case api.ChunksComplete():
-                self.code = Code.ok
-            case api.Failed(code=code):
-                self.code = code
-            case _:
-                return
-
-    async def _fetch(self, order: api.FetchChunk) -> None:
+            if not swarm.have >> index & 1:
+                swarm.arrived(index, now)
+        for order in swarm.orders(now):
+            self.tasks[order.index] = asyncio.create_task(self._fetch(order, swarm))
+        due_s = REPEAT_S if self.told == swarm.have else TELL_S
+        if now - self.told_at >= due_s:
+            self._tell_peers(swarm)
+
+    def _tell_peers(self, swarm: Swarm) -> None:
+        self.told_at = self._now()
+        self.told = swarm.have
+        near = tuple(host for host in swarm.fleet.near if host != self.member.host)
+        self.tell(self.name, near)
+
+    async def _fetch(self, order: FetchOrder, swarm: Swarm) -> None:
         try:
             content = await self._content(order)
         except CassiahitchError as error:
@@ -148,47 +136,72 @@
                 'chunk not fetched',
                 weights=self.name.version,
                 index=order.index,
-                source=order.source.host,
+                source=source_name(order),
                 code=error.code.value,
                 detail=error.detail,
             )
-            failure = api.SourceFailed(order.manifest, order.index, order.source, error.code)
-            self.inbox.put_nowait(failure)
+            swarm.failed(order, self._now())
+        else:
+            self._take(order, content, swarm)
+        self.changed.set()
+
+    def _take(self, order: FetchOrder, content: bytes | None, swarm: Swarm) -> None:
+        if content is None:
+            swarm.refused(order, self._now())
             return
         verified = self.library.shelf.add(self.name, order.index, content)
         counter = CounterName.chunk_bytes_received if verified else CounterName.chunks_refused
-        label = 'origin' if order.source.is_origin else 'agent'
+        label = 'origin' if isinstance(order, FromOrigin) else 'agent'
         self.metrics.count(counter, label, len(content))
-        arrived = api.ChunkArrived(order.manifest, order.index, order.source, verified)
-        self.inbox.put_nowait(arrived)
+        if verified:
+            swarm.arrived(order.index, self._now())
+            return
+        swarm.failed(order, self._now())
+        self.log.believed('chunk refused', index=order.index, source=source_name(order))
 
-    async def _content(self, order: api.FetchChunk) -> bytes:
+    async def _content(self, order: FetchOrder) -> bytes | None:
         library = self.library
-        if order.source.is_origin:
-            return await library.origin.chunk(
-                library.origin_url, self.name.model, self.name.version, order.index
-            )
-        alive = partial(self.inbox.put_nowait, api.SourceAlive(order.source.host))
-        content: bytes | None = None
-        while content is None:
-            content = await library.peers.chunk(order.source, self.name, order.index, alive)
-        return content
+        match order:
+            case FromOrigin(index=index):
+                return await library.origin.chunk(
+                    library.origin_url, self.name.model, self.name.version, index
+                )
+            case FromRegion(index=index, host=host):
+                return await library.peers.awaited_chunk(host, self.name, index, Tier.region)
+            case FromPeer(index=index, host=host):
+                return await library.peers.chunk(host, self.name, index, Tier.host)
 
     def _cancel_all(self) -> None:
-        for task in self.fetches.values():
+        for task in self.tasks.values():
             task.cancel()
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
 
 
-def local_source(host: str) -> Source:
-    """Return the source of chunks that are on this host already.
+def origin_chunk_s(library: ChunkLibrary) -> float:
+    """Return the time between two chunks that are asked of the origin.
+
+    :param library: knows the rate of the origin and the size of chunks.
+    :return: seconds, 0 if the rate is not known.
+    """
+    if not library.origin_mbit_s:
+        return 0
+    bits = library.chunk_bytes * BITS_PER_BYTE
+    return ORIGIN_PACE * bits / (library.origin_mbit_s * MEGA)
+
+
+def source_name(order: FetchOrder) -> str:
+    """Return the name of a source for log lines.
 
-    :param host: this host.
-    :return: the source.
+    :param order: what was ordered.
+    :return: the host, or that it is the origin.
     """
-    return Source(host, Tier.leaf)
+    match order:
+        case FromOrigin():
+            return 'origin'
+        case FromRegion(host=host) | FromPeer(host=host):
+            return host
 
 
 __all__ = ('VersionFetch',)
--- a/src/cassiahitch/direct/library.py
+++ b/src/cassiahitch/direct/library.py
@@ -29,6 +29,7 @@
     on_newer: Callable[[WeightsName], None] | None = None
     origin_url: str = ''
     origin_region: str = ''
+    origin_mbit_s: float = 0
     chunk_bytes: int = 0
 
     def may_come(self, name: WeightsName) -> bool:
@@ -73,6 +74,15 @@
             raise PlatformError(Code.manifest_changed, f'found version {version}')
         return digests
 
+    def bits(self, name: WeightsName) -> int:
+        """Return which chunks of a version can be had here.
+
+        :param name: the version.
+        :return: a bit for each.
+        """
+        held = self.shelf.held.get(name)
+        return sum(1 << index for index in held.contents) if held else 0
+
     async def chunk(self, name: WeightsName, index: int, wait_s: float) -> bytes | None:
         """Return a chunk from memory or from the engine.
 
--- a/src/cassiahitch/direct/loading.py
+++ b/src/cassiahitch/direct/loading.py
@@ -19,6 +19,7 @@
 
 if TYPE_CHECKING:
     from cassiahitch.direct.agentbeliefs import AgentBeliefs
+    from cassiahitch.direct.chunkmaps import ChunkMaps
     from cassiahitch.direct.chunks import Held
     from cassiahitch.direct.enginestate import StagedEngine
     from cassiahitch.direct.journal import BeliefLog
@@ -33,7 +34,10 @@
 #: Longest time over which the loads of all engines are spread, in seconds.
 SPREAD_S = 2.5
 #: Seconds between reads of who takes part.
-PARTICIPANTS_S = 1.5
+PARTICIPANTS_S = 3.0
+#: Part of a version from which on it is fetched to its end, and for how many seconds at most.
+NEARLY_DONE = 0.5
+FINISH_S = 2.5
 
 
 def turn_s(member: str, hosts: tuple[str, ...], version: int, left_s: float) -> float:
@@ -63,6 +67,7 @@
     log: BeliefLog
     member: Participant
     rng: random.Random
+    maps: ChunkMaps
     report: EngineReport | None = None
 
     async def work(self) -> None:
@@ -160,20 +165,37 @@
         :raises PlatformError: if it failed.
         """
         participants = await self.beliefs.read_participants()
-        objective = self.beliefs.settings.objective
         fetch = VersionFetch(
-            self.library, self.metrics, self.log, wanted, self.member, objective, self.rng
+            self.library, self.metrics, self.log, wanted, self.member, self.rng, self.maps.tell
         )
         task = asyncio.create_task(fetch.run(participants))
         with ExitStack() as stack:
             stack.callback(task.cancel)
-            while not task.done() and self.beliefs.wanted() == wanted:
+            stack.callback(self.maps.end, fetch)
+            self.maps.fetches[wanted] = fetch
+            while not task.done() and self.goes_on(fetch):
                 await asyncio.wait((task,), timeout=LOOK_S)
                 if self.beliefs.is_stale(PARTICIPANTS_S):
                     fetch.update(await self.beliefs.read_participants())
         if task.done() and not task.cancelled():
             task.result()
 
+    def goes_on(self, fetch: VersionFetch) -> bool:
+        """Tell whether a version is still worth fetching.
+
+        Load pattern: a newer version is declared when this one is nearly here. It bridges the
+        time in which the newer one is fetched and the one before may no longer be used.
+
+        :param fetch: the fetch of the version.
+        :return: whether it is the newest one, or nearly complete.
+        """
+        wanted = self.beliefs.wanted()
+        if wanted is None or wanted == fetch.name:
+            return True
+        now = asyncio.get_running_loop().time()
+        learned = self.beliefs.versions.learned.get(wanted.model, {}).get(wanted.version, now)
+        return now - learned < FINISH_S and fetch.part >= NEARLY_DONE
+
     def is_serving(self, model: str) -> bool:
         """Tell whether requests may begin on what the engine has loaded.
 
--- a/src/cassiahitch/direct/peerchunks.py
+++ b/src/cassiahitch/direct/peerchunks.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
 from http import HTTPStatus
@@ -18,11 +17,11 @@
 
 if TYPE_CHECKING:
     from cassiahitch.direct.chunks import WeightsName
-    from cassiahitch.weights.tree import Source
+    from cassiahitch.weights.tree import Tier
 
 #: Seconds until a transfer fails.
 TRANSFER_TIMEOUT_S = 3.0
-#: Chunks that are received at once; more would queue on the host's link before requests.
+#: Chunks that are received at once from other regions; more would queue before requests.
 DOWNLOADS = 2
 #: Other agents that are asked for a manifest.
 ASKED = 3
@@ -42,27 +41,36 @@
     addresses: tuple[str, ...] = ()
     downloads: asyncio.Semaphore = field(default_factory=lambda: asyncio.Semaphore(DOWNLOADS))
 
-    async def chunk(
-        self, source: Source, name: WeightsName, index: int, alive: Callable[[], None]
-    ) -> bytes | None:
+    async def chunk(self, host: str, name: WeightsName, index: int, tier: Tier) -> bytes | None:
         """Return a chunk of another agent.
 
-        :param source: the agent, and what depends on the chunk.
+        :param host: the agent.
         :param name: the version.
         :param index: the position of the chunk.
-        :param alive: called at each sign of life of the agent.
+        :param tier: what depends on the chunk.
         :return: its bytes, unverified, or nothing if it is not there yet.
         :raises PlatformError: ``chunk_missing`` or ``chunk_stalled``.
         """
-        path = f'chunks/{name.model}/{name.version}/{index}'
-        look = await self._get(source.host, f'{path}?look=1')
-        alive()
+        query = urlencode({'tier': tier.value, 'region': self.region})
+        return _content(await self._get(host, f'{_path(name, index)}?{query}'))
+
+    async def awaited_chunk(
+        self, host: str, name: WeightsName, index: int, tier: Tier
+    ) -> bytes | None:
+        """Return a chunk of another agent, which may have it only after a while.
+
+        :param host: the agent.
+        :param name: the version.
+        :param index: the position of the chunk.
+        :param tier: what depends on the chunk.
+        :return: its bytes, unverified, or nothing if it is not there yet.
+        :raises PlatformError: ``chunk_missing`` or ``chunk_stalled``.
+        """
+        look = await self._get(host, f'{_path(name, index)}?look=1')
         if look.status != HTTPStatus.NO_CONTENT:
             return _content(look)
-        query = urlencode({'tier': source.tier.value, 'region': self.region})
         async with self.downloads:
-            alive()
-            return _content(await self._get(source.host, f'{path}?{query}'))
+            return await self.chunk(host, name, index, tier)
 
     async def digests(self, name: WeightsName) -> tuple[str, ...]:
         """Ask other agents for the digests of a version.
@@ -85,6 +93,10 @@
             raise PlatformError(Code.chunk_stalled, str(error)) from error
 
 
+def _path(name: WeightsName, index: int) -> str:
+    return f'chunks/{name.model}/{name.version}/{index}'
+
+
 def _content(reply: Reply) -> bytes | None:
     match reply.status:
         case HTTPStatus.OK:
--- a/src/cassiahitch/direct/uploads.py
+++ b/src/cassiahitch/direct/uploads.py
@@ -26,7 +26,9 @@
 #: Bytes that are sent at once.
 SLICE_BYTES = 8192
 #: Chunks that are sent at the same time.
-AT_ONCE = 6
+AT_ONCE = 4
+#: Chunks to send from which on further ones are refused, but for those of another region.
+MOST_UPLOADS = 4
 BITS_PER_BYTE = 8
 MEGA = 1_000_000
 
@@ -95,6 +97,22 @@
         self.region = _bucket(rates.region_mbit_s, REGION_UTILISATION)
         self.places = PriorityPlaces(AT_ONCE)
 
+    def refuses(self, tier: Tier) -> bool:
+        """Tell whether others should be asked for a chunk.
+
+        Load pattern: many agents ask the few that have a new chunk, and would wait for each other
+        while those that have got it meanwhile send nothing.
+
+        :param tier: what depends on the chunk.
+        :return: whether too many wait, and the chunk goes to the own region.
+        """
+        return tier > 0 and self.load >= MOST_UPLOADS
+
+    @property
+    def load(self) -> int:
+        """Chunks that are sent or wait to be sent."""
+        return AT_ONCE - self.places.free + len(self.places.waiting)
+
     def share_region_link(self, agents: int) -> None:
         """Divide the link between regions among the agents of a region.
 
--- a/src/cassiahitch/platform/documents.py
+++ b/src/cassiahitch/platform/documents.py
@@ -122,11 +122,19 @@
     engine: _EngineModel | None = None
     origin: str = ''
     zone: str = ''
+    link_mbps: Annotated[float, Field(ge=0)] = 0
 
     def decoded(self) -> catalogue.Service:
         """Return the service."""
         engine = self.engine.decoded() if self.engine else None
-        return catalogue.Service(self.name, self.max_connections, engine, self.origin, self.zone)
+        return catalogue.Service(
+            self.name,
+            self.max_connections,
+            engine,
+            self.origin,
+            self.zone,
+            self.link_mbps,
+        )
 
 
 class _OrganisationModel(CamelModel):
--- a/src/cassiahitch/settings/direct.py
+++ b/src/cassiahitch/settings/direct.py
@@ -6,7 +6,7 @@
 
 from pydantic import Field
 
-from cassiahitch.resources.models import Name, Objective
+from cassiahitch.resources.models import Name
 from cassiahitch.settings.fields import Address, EndpointText, Port
 from cassiahitch.settings.models import LogLevel, Role, SettingsModel
 
@@ -64,10 +64,6 @@
         gt=0,
         description='Rate of the link between two regions, in megabits a second.',
     )
-    objective: Objective = Field(
-        default=Objective.time,
-        description='What the distribution of weights spends least of.',
-    )
     link_mbit_s: float = Field(gt=0, description="Rate of the host's link, in megabits a second.")
 
 
--- a/src/cassiahitch/wire/beats.py
+++ b/src/cassiahitch/wire/beats.py
@@ -56,6 +56,7 @@
     """An entry asks an agent for reports for some seconds."""
 
     entry: str = ''
+    region: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,15 +82,56 @@
     prompt_tokens: int = 0
 
 
-Beat = EntryBeat | LoadQuery | EngineLoad | PlacementNotice
+@dataclass(frozen=True, slots=True)
+class ChunkMap:
+    """Chunks that an agent holds of a version, as bits in hexadecimal digits.
+
+    ``uploads`` counts the chunks that it sends or that wait for it to send them.
+    """
+
+    model: str = ''
+    version: int = 0
+    held: str = '0'
+    uploads: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class TableQuery:
+    """An entry asks another one whether a table of the store has changed."""
+
+    table: str = ''
+    number: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class TableState:
+    """Answers a query, or tells of a change if it is ``unasked``.
+
+    The sender has seen all changes up to version ``since`` of the store, the last of them at
+    version ``changed``; ``age_ms`` ago it knew that there were no others.
+    """
+
+    table: str = ''
+    number: int = 0
+    unasked: bool = False
+    known: bool = False
+    since: int = 0
+    changed: int = 0
+    age_ms: int = 0
+
+
+Beat = EntryBeat | LoadQuery | EngineLoad | PlacementNotice | ChunkMap | TableQuery | TableState
 
 __all__ = (
     'Beat',
+    'ChunkMap',
     'CrashRecord',
     'EngineLoad',
     'EntryBeat',
     'LoadQuery',
     'PlacementNotice',
     'SuspectRecord',
+    'TableQuery',
+    'TableState',
     'VersionRecord',
 )
--- a/src/cassiahitch/wire/datagrams.thrift
+++ b/src/cassiahitch/wire/datagrams.thrift
@@ -38,6 +38,7 @@
 
 struct LoadQuery {
   1: string entry
+  2: string region
 }
 
 struct EngineLoad {
@@ -57,9 +58,34 @@
   2: i32 prompt_tokens
 }
 
+struct ChunkMap {
+  1: string model
+  2: i32 version
+  3: string held
+  4: i32 uploads
+}
+
+struct TableQuery {
+  1: string table
+  2: i64 number
+}
+
+struct TableState {
+  1: string table
+  2: i64 number
+  3: bool unasked
+  4: bool known
+  5: i64 since
+  6: i64 changed
+  7: i64 age_ms
+}
+
 struct Datagram {
   1: EntryBeat beat
   2: LoadQuery query
   3: EngineLoad load
   4: PlacementNotice placement
+  5: ChunkMap chunks
+  6: TableQuery table_query
+  7: TableState table_state
 }
--- a/src/cassiahitch/wire/gen/datagrams/ttypes.py
+++ b/src/cassiahitch/wire/gen/datagrams/ttypes.py
@@ -543,16 +543,19 @@
     """
     Attributes:
      - entry
+     - region
 
     """
 
     __slots__ = (
         'entry',
+        'region',
     )
 
 
-    def __init__(self, entry=None,):
+    def __init__(self, entry=None, region=None,):
         self.entry = entry
+        self.region = region
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -568,6 +571,11 @@
                     self.entry = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.region = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -582,6 +590,10 @@
             oprot.writeFieldBegin('entry', TType.STRING, 1)
             oprot.writeString(self.entry.encode('utf-8') if sys.version_info[0] == 2 else self.entry)
             oprot.writeFieldEnd()
+        if self.region is not None:
+            oprot.writeFieldBegin('region', TType.STRING, 2)
+            oprot.writeString(self.region.encode('utf-8') if sys.version_info[0] == 2 else self.region)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -851,6 +863,330 @@
         return not (self == other)
 
 
+class ChunkMap(object):
+    """
+    Attributes:
+     - model
+     - version
+     - held
+     - uploads
+
+    """
+
+    __slots__ = (
+        'model',
+        'version',
+        'held',
+        'uploads',
+    )
+
+
+    def __init__(self, model=None, version=None, held=None, uploads=None,):
+        self.model = model
+        self.version = version
+        self.held = held
+        self.uploads = uploads
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.model = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.version = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.held = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.uploads = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ChunkMap')
+        if self.model is not None:
+            oprot.writeFieldBegin('model', TType.STRING, 1)
+            oprot.writeString(self.model.encode('utf-8') if sys.version_info[0] == 2 else self.model)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I32, 2)
+            oprot.writeI32(self.version)
+            oprot.writeFieldEnd()
+        if self.held is not None:
+            oprot.writeFieldBegin('held', TType.STRING, 3)
+            oprot.writeString(self.held.encode('utf-8') if sys.version_info[0] == 2 else self.held)
+            oprot.writeFieldEnd()
+        if self.uploads is not None:
+            oprot.writeFieldBegin('uploads', TType.I32, 4)
+            oprot.writeI32(self.uploads)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TableQuery(object):
+    """
+    Attributes:
+     - table
+     - number
+
+    """
+
+    __slots__ = (
+        'table',
+        'number',
+    )
+
+
+    def __init__(self, table=None, number=None,):
+        self.table = table
+        self.number = number
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.table = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TableQuery')
+        if self.table is not None:
+            oprot.writeFieldBegin('table', TType.STRING, 1)
+            oprot.writeString(self.table.encode('utf-8') if sys.version_info[0] == 2 else self.table)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 2)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TableState(object):
+    """
+    Attributes:
+     - table
+     - number
+     - unasked
+     - known
+     - since
+     - changed
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'table',
+        'number',
+        'unasked',
+        'known',
+        'since',
+        'changed',
+        'age_ms',
+    )
+
+
+    def __init__(self, table=None, number=None, unasked=None, known=None, since=None, changed=None, age_ms=None,):
+        self.table = table
+        self.number = number
+        self.unasked = unasked
+        self.known = known
+        self.since = since
+        self.changed = changed
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.table = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.unasked = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.known = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.since = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.changed = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TableState')
+        if self.table is not None:
+            oprot.writeFieldBegin('table', TType.STRING, 1)
+            oprot.writeString(self.table.encode('utf-8') if sys.version_info[0] == 2 else self.table)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 2)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.unasked is not None:
+            oprot.writeFieldBegin('unasked', TType.BOOL, 3)
+            oprot.writeBool(self.unasked)
+            oprot.writeFieldEnd()
+        if self.known is not None:
+            oprot.writeFieldBegin('known', TType.BOOL, 4)
+            oprot.writeBool(self.known)
+            oprot.writeFieldEnd()
+        if self.since is not None:
+            oprot.writeFieldBegin('since', TType.I64, 5)
+            oprot.writeI64(self.since)
+            oprot.writeFieldEnd()
+        if self.changed is not None:
+            oprot.writeFieldBegin('changed', TType.I64, 6)
+            oprot.writeI64(self.changed)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 7)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Datagram(object):
     """
     Attributes:
@@ -858,6 +1194,9 @@
      - query
      - load
      - placement
+     - chunks
+     - table_query
+     - table_state
 
     """
 
@@ -866,14 +1205,20 @@
         'query',
         'load',
         'placement',
+        'chunks',
+        'table_query',
+        'table_state',
     )
 
 
-    def __init__(self, beat=None, query=None, load=None, placement=None,):
+    def __init__(self, beat=None, query=None, load=None, placement=None, chunks=None, table_query=None, table_state=None,):
         self.beat = beat
         self.query = query
         self.load = load
         self.placement = placement
+        self.chunks = chunks
+        self.table_query = table_query
+        self.table_state = table_state
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -908,6 +1253,24 @@
                     self.placement.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRUCT:
+                    self.chunks = ChunkMap()
+                    self.chunks.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRUCT:
+                    self.table_query = TableQuery()
+                    self.table_query.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRUCT:
+                    self.table_state = TableState()
+                    self.table_state.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -934,6 +1297,18 @@
             oprot.writeFieldBegin('placement', TType.STRUCT, 4)
             self.placement.write(oprot)
             oprot.writeFieldEnd()
+        if self.chunks is not None:
+            oprot.writeFieldBegin('chunks', TType.STRUCT, 5)
+            self.chunks.write(oprot)
+            oprot.writeFieldEnd()
+        if self.table_query is not None:
+            oprot.writeFieldBegin('table_query', TType.STRUCT, 6)
+            self.table_query.write(oprot)
+            oprot.writeFieldEnd()
+        if self.table_state is not None:
+            oprot.writeFieldBegin('table_state', TType.STRUCT, 7)
+            self.table_state.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -999,6 +1374,7 @@
 LoadQuery.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'entry', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'region', 'UTF8', None, ),  # 2
 )
 all_structs.append(EngineLoad)
 EngineLoad.thrift_spec = (
@@ -1019,6 +1395,31 @@
     (1, TType.STRING, 'replica', 'UTF8', None, ),  # 1
     (2, TType.I32, 'prompt_tokens', None, None, ),  # 2
 )
+all_structs.append(ChunkMap)
+ChunkMap.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'model', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'version', None, None, ),  # 2
+    (3, TType.STRING, 'held', 'UTF8', None, ),  # 3
+    (4, TType.I32, 'uploads', None, None, ),  # 4
+)
+all_structs.append(TableQuery)
+TableQuery.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'table', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'number', None, None, ),  # 2
+)
+all_structs.append(TableState)
+TableState.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'table', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'number', None, None, ),  # 2
+    (3, TType.BOOL, 'unasked', None, None, ),  # 3
+    (4, TType.BOOL, 'known', None, None, ),  # 4
+    (5, TType.I64, 'since', None, None, ),  # 5
+    (6, TType.I64, 'changed', None, None, ),  # 6
+    (7, TType.I64, 'age_ms', None, None, ),  # 7
+)
 all_structs.append(Datagram)
 Datagram.thrift_spec = (
     None,  # 0
@@ -1026,6 +1427,9 @@
     (2, TType.STRUCT, 'query', [LoadQuery, None], None, ),  # 2
     (3, TType.STRUCT, 'load', [EngineLoad, None], None, ),  # 3
     (4, TType.STRUCT, 'placement', [PlacementNotice, None], None, ),  # 4
+    (5, TType.STRUCT, 'chunks', [ChunkMap, None], None, ),  # 5
+    (6, TType.STRUCT, 'table_query', [TableQuery, None], None, ),  # 6
+    (7, TType.STRUCT, 'table_state', [TableState, None], None, ),  # 7
 )
 fix_spec(all_structs)
 del all_structs
--- a/tests/direct/test_path.py
+++ b/tests/direct/test_path.py
@@ -391,7 +391,7 @@
 def test_agent_that_does_not_reach_the_store_gets_new_weights_with_the_others() -> None:
     async def body(site: DirectSite) -> None:
         cut = site.agents[0].around.store
-        await until(lambda: all(agent.loader.report for agent in site.agents))
+        await until(lambda: all(agent.parts.loader.report for agent in site.agents))
         site.agents[0].around.store = Unreachable()
         follower = site.agents[0].declarations
         follower.store = site.agents[0].around.store
@@ -441,16 +441,16 @@
 def test_agent_that_has_most_of_a_version_turns_to_a_newer_one() -> None:
     async def body(site: DirectSite) -> None:
         agent = site.agents[0]
-        await until(lambda: all(one.loader.report is not None for one in site.agents))
+        await until(lambda: all(one.parts.loader.report is not None for one in site.agents))
         for other in site.agents[1:]:
             await other.stack.aclose()
         name = WeightsName(2, 'm1')
         site.weights.publish(2, len(site.weights.chunks[1]))
-        held = await agent.library.open(name)
+        held = await agent.parts.library.open(name)
         for index, chunk in enumerate(site.weights.chunks[2][:-1]):
-            agent.library.shelf.add(name, index, chunk)
+            agent.parts.library.shelf.add(name, index, chunk)
         site.weights.chunks.pop(2)
-        agent.beliefs.hear(name)
+        agent.parts.beliefs.hear(name)
         await until(lambda: site.weights.missed[2] > 0)
         site.declare(3)
         await until(lambda: bool(site.models[0].engine and site.models[0].engine.version == 3))
