Let one entry of a region read the store's tables for the others

Change: one entry of a region, chosen by hash among the live ones, follows the tables; the others ask it for what it has seen, and call the store only after a change or without a fresh answer. Freshness counts from before the question, less the age that the reader tells. An entry that is cut off from the store stays fresh through its reader.

--- a/src/cassiahitch/direct/beating.py
+++ b/src/cassiahitch/direct/beating.py
@@ -16,6 +16,8 @@
     EntryBeat,
     LoadQuery,
     PlacementNotice,
+    TableQuery,
+    TableState,
     VersionRecord,
 )
 
@@ -23,6 +25,7 @@
     from cassiahitch.direct.candidates import Candidates
     from cassiahitch.direct.journal import Journal
     from cassiahitch.direct.knowledge import Knowledge
+    from cassiahitch.direct.relaying import TableRelay
     from cassiahitch.errors import WireError
     from cassiahitch.wire.beats import Beat
     from cassiahitch.wire.datagrams import DatagramSocket
@@ -48,6 +51,7 @@
     rng: random.Random
     sequence: int = 0
     socket: DatagramSocket | None = None
+    relay: TableRelay | None = None
 
     def own(self) -> EntryBeat:
         """Return the own state.
@@ -104,7 +108,7 @@
         for service in self.knowledge.catalogue.models().values():
             for replica in self.knowledge.replicas.usable(service.name):
                 receiver = Endpoint(replica.endpoint.address, settings.peer_port)
-                self.socket.send(LoadQuery(settings.name), receiver)
+                self.socket.send(LoadQuery(settings.name, settings.region), receiver)
 
     def announce(self, notice: PlacementNotice) -> None:
         """Tell the other entries at once where a request goes.
@@ -148,6 +152,10 @@
             case PlacementNotice(replica=key, prompt_tokens=tokens):
                 if key in self.candidates.placement.engines:
                     self.candidates.placement.engine_load(key).told(tokens, now)
+            case TableQuery() if self.relay is not None:
+                self.relay.answer(message, sender)
+            case TableState() if self.relay is not None:
+                self.relay.heard(message)
             case _:
                 return
 
--- a/src/cassiahitch/direct/entry.py
+++ b/src/cassiahitch/direct/entry.py
@@ -9,8 +9,6 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-from tornado.httpserver import HTTPServer
-
 from cassiahitch.direct.assembly import EntryParts, make_parts
 from cassiahitch.direct.beliefs import Beliefs
 from cassiahitch.direct.discovery import Discovery
@@ -19,7 +17,9 @@
 from cassiahitch.direct.freshness import boot_time
 from cassiahitch.direct.front import Front
 from cassiahitch.direct.peers import AddressAnswer, choose_addresses
+from cassiahitch.direct.relaying import TableRelay
 from cassiahitch.direct.reloading import SettingsWatch
+from cassiahitch.direct.serving import serve
 from cassiahitch.metrics.exposition import metrics_service
 from cassiahitch.util.endpoints import Endpoint
 from cassiahitch.util.listening import listen
@@ -27,8 +27,6 @@
 from cassiahitch.wire.tasks import ProcessTasks
 
 if TYPE_CHECKING:
-    from tornado.web import Application
-
     from cassiahitch.direct.surroundings import EntrySurroundings
     from cassiahitch.settings.direct import BoundSettings, DirectEntrySettings
 
@@ -37,6 +35,10 @@
 #: Longest wait for a change of the replicas, and least time between two reads, in seconds.
 REPLICA_WAIT_S = 0.7
 REPLICA_INTERVAL_S = 0.5
+#: Oldest knowledge of other entries that is taken: of declarations, as a part of the bound on
+#: revoked keys, and of replicas, in seconds.
+RELAYED_PART = 0.6
+RELAYED_REPLICAS_S = 2.0
 #: Seconds between the looks at replicas and connections that are gone.
 TIDY_S = 0.25
 #: Seconds for which an address answer holds.
@@ -81,10 +83,10 @@
         """Open the sockets and start the tasks."""
         settings = self.settings
         self.front.server.add_socket(listen(settings.callers.address, settings.callers.port))
-        self._serve(self.around.readiness(self._is_ready), settings.readiness)
-        self._serve(self.around.directory(self._addresses), settings.directory)
+        serve(self.around.readiness(self._is_ready), settings.readiness, self.stack)
+        serve(self.around.directory(self._addresses), settings.directory, self.stack)
         metrics = metrics_service(self.parts.journal.metrics)
-        self._serve(metrics, Endpoint(settings.address, settings.metrics_port))
+        serve(metrics, Endpoint(settings.address, settings.metrics_port), self.stack)
         beats = self.parts.beats
         datagrams = DatagramSocket(beats.receive, beats.refused)
         await datagrams.open(settings.address, settings.peer_port)
@@ -92,9 +94,14 @@
         beats.socket = datagrams
         seeds = tuple(seed.address for seed in settings.seeds)
         self.parts.knowledge.peers.learn(seeds, asyncio.get_running_loop().time())
+        relay = TableRelay(self.parts.knowledge, datagrams)
+        beats.relay = relay
+        declarations = self._declarations(relay)
+        replicas = self._replicas(relay)
+        relay.followers = {one.table: one for one in (declarations, replicas)}
         works = (
-            self._declarations().work(),
-            self._replicas().work(),
+            declarations.work(),
+            replicas.work(),
             beats.beat(),
             beats.ask(),
             self.discovery.work(),
@@ -139,12 +146,7 @@
         while self.front.tasks and boot_time() < until:
             await asyncio.sleep(POLL_S)
 
-    def _serve(self, application: Application, endpoint: Endpoint) -> None:
-        server = HTTPServer(application)
-        server.add_socket(listen(endpoint.address, endpoint.port))
-        self.stack.callback(server.stop)
-
-    def _declarations(self) -> TableFollower:
+    def _declarations(self, relay: TableRelay) -> TableFollower:
         return TableFollower(
             self.around.store,
             self.around.tables.operator,
@@ -152,9 +154,11 @@
             self.beliefs.take_declarations,
             self.parts.journal,
             self.settings.bounds.revoked_key_s * DECLARATION_WAIT_PART,
+            relay,
+            self.settings.bounds.revoked_key_s * RELAYED_PART,
         )
 
-    def _replicas(self) -> TableFollower:
+    def _replicas(self, relay: TableRelay) -> TableFollower:
         return TableFollower(
             self.around.store,
             self.around.tables.replicas,
@@ -162,6 +166,8 @@
             self.beliefs.take_replicas,
             self.parts.journal,
             REPLICA_WAIT_S,
+            relay,
+            RELAYED_REPLICAS_S,
         )
 
     def _apply_bounds(self, bounds: BoundSettings) -> None:
--- a/src/cassiahitch/direct/feed.py
+++ b/src/cassiahitch/direct/feed.py
@@ -70,13 +70,15 @@
     """Decides how a table is read next, and which rows are news.
 
     ``versions`` holds the version of each row that is known; older ones are never news again.
-    ``interval_s`` is the least time between two reads of changes.
+    ``changed`` is the version of the store at which the table changed last, as far as it is
+    known, and ``interval_s`` is the least time between two reads of changes.
     """
 
     rng: random.Random
     interval_s: float = 0
     versions: dict[str, int] = field(default_factory=dict)
     since: int | None = None
+    changed: int = 0
     failures: int = 0
 
     def next_read(self) -> ReadWhole | ReadChanges:
@@ -109,10 +111,14 @@
             case Whole(rows=rows, version=version):
                 self.failures = 0
                 self.since = max(version, self.since or 0)
-                return self.vanished(rows, version) + self.news(rows)
+                self.note_changes(rows)
+                vanished = self.vanished(rows, version)
+                self.note_changes(vanished)
+                return vanished + self.news(rows)
             case Changed(rows=rows, version=version):
                 self.failures = 0
                 self.since = max(version, self.since or 0)
+                self.note_changes(rows)
                 return self.news(rows)
             case HistoryGone():
                 self.since = None
@@ -120,6 +126,22 @@
                 self.failures = min(self.failures + 1, 8)
         return ()
 
+    def note_changes(self, rows: tuple[TableRow, ...]) -> None:
+        """Note the versions at which the table changed."""
+        self.changed = max((self.changed, *(row.version for row in rows)))
+
+    def relayed(self, since: int, changed: int) -> bool:
+        """Take in what another entry knows of the table.
+
+        :param since: version of the store up to which it has seen all changes.
+        :param changed: version at which the table changed last, as far as it knows.
+        :return: whether there is nothing that is not known here.
+        """
+        if self.since is None or changed > self.since:
+            return False
+        self.since = max(self.since, since)
+        return True
+
     def vanished(self, rows: tuple[TableRow, ...], version: int) -> tuple[TableRow, ...]:
         """Return the known rows that a whole read no longer holds.
 
--- a/src/cassiahitch/direct/following.py
+++ b/src/cassiahitch/direct/following.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
-from dataclasses import dataclass
+from contextlib import suppress
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from cassiahitch.direct.feed import (
     CallFailure,
+    Changed,
     HistoryGone,
     ReadChanges,
     ReadWhole,
@@ -18,18 +21,27 @@
     Whole,
 )
 from cassiahitch.direct.freshness import boot_time
+from cassiahitch.wire.beats import TableState
 
 if TYPE_CHECKING:
     from cassiahitch.direct.api import TableStore
     from cassiahitch.direct.journal import BeliefLog
+    from cassiahitch.direct.relaying import TableRelay
 
+#: Seconds between two questions to another entry.
+RELAY_S = 0.5
+MS_PER_S = 1000
 #: Takes the news of a table; ``asked_at`` is when it was asked, on the boot clock.
 TakeNews = Callable[[tuple[TableRow, ...], Reply, float], None]
 
 
 @dataclass(slots=True)
 class TableFollower:
-    """Reads a table again and again; owns its feed."""
+    """Reads a table again and again; owns its feed.
+
+    With a ``relay``, it asks other entries first, whose knowledge may be up to ``relayed_age_s``
+    seconds old. ``confirmed_at`` is when nothing newer existed, on the boot clock.
+    """
 
     store: TableStore
     table: str
@@ -37,27 +49,105 @@
     take: TakeNews
     journal: BeliefLog
     wait_s: float
+    relay: TableRelay | None = None
+    relayed_age_s: float = 0
     reached: bool = True
+    confirmed_at: float = float('-inf')
+    news: asyncio.Event = field(default_factory=asyncio.Event)
 
     async def work(self) -> None:
         """Follow the table until cancelled."""
         while True:
             step = self.feed.next_read()
             await asyncio.sleep(step.pause_s)
-            asked_at = boot_time()
-            reply = await self.read(step)
-            self.note(reply)
-            self.take(self.feed.handle(reply), reply, asked_at)
+            relayed = isinstance(step, ReadChanges) and self.is_relayed()
+            if not relayed:
+                await self.read_once(step, self.wait_s)
+            elif not await self.ask(step.pause_s):
+                await self.read_once(step, 0)
+
+    def is_relayed(self) -> bool:
+        """Tell whether other entries read the table for this one."""
+        return self.relay is not None and bool(self.relay.readers())
+
+    async def ask(self, paused_s: float) -> bool:
+        """Ask another entry, after a pause that ends with the first sign of news.
+
+        :param paused_s: seconds since the last read.
+        :return: whether there is nothing new, as was known not long ago.
+        """
+        with suppress(TimeoutError):
+            await asyncio.wait_for(self.news.wait(), max(0, RELAY_S - paused_s))
+        hinted = self.news.is_set()
+        self.news.clear()
+        if hinted or self.relay is None:
+            return False
+        state = await self.relay.ask(self.table)
+        if state is None or boot_time() - state.confirmed_at > self.relayed_age_s:
+            return False
+        if not self.feed.relayed(state.since, state.changed):
+            return False
+        self.confirm((), Changed((), state.since), state.confirmed_at)
+        return True
+
+    async def read_once(self, step: ReadWhole | ReadChanges, wait_s: float) -> None:
+        """Call the store and take its answer in.
+
+        :param step: what to read.
+        :param wait_s: how long to wait for a change.
+        """
+        asked_at = boot_time()
+        reply = await self.read(step, wait_s)
+        self.note(reply)
+        rows = self.feed.handle(reply)
+        self.confirm(rows, reply, asked_at)
+        if rows and self.relay is not None:
+            self.relay.announce(self.table)
+
+    def confirm(self, rows: tuple[TableRow, ...], reply: Reply, asked_at: float) -> None:
+        """Pass on what was learned."""
+        if not isinstance(reply, CallFailure | HistoryGone):
+            self.confirmed_at = max(self.confirmed_at, asked_at)
+        self.take(rows, reply, asked_at)
+
+    def state(self, number: int, now: float, *, unasked: bool = False) -> TableState:
+        """Return what is known of the table, for another entry.
+
+        :param number: number of its question.
+        :param now: seconds of the boot clock.
+        :param unasked: whether it did not ask.
+        :return: the message.
+        """
+        if self.feed.since is None:
+            return TableState(self.table, number, unasked=unasked)
+        return TableState(
+            self.table,
+            number,
+            unasked=unasked,
+            known=True,
+            since=self.feed.since,
+            changed=self.feed.changed,
+            age_ms=math.ceil((now - self.confirmed_at) * MS_PER_S),
+        )
+
+    def hint(self, changed: int) -> None:
+        """Note that another entry has seen a change.
+
+        :param changed: version of the store at which the table changed.
+        """
+        if self.feed.since is not None and changed > self.feed.since:
+            self.news.set()
 
-    async def read(self, step: ReadWhole | ReadChanges) -> Reply:
+    async def read(self, step: ReadWhole | ReadChanges, wait_s: float) -> Reply:
         """Make one call.
 
         :param step: what to read.
+        :param wait_s: how long to wait for a change.
         :return: the answer.
         """
         match step:
             case ReadChanges(since=since):
-                return await self.store.read_changes(self.table, since, self.wait_s)
+                return await self.store.read_changes(self.table, since, wait_s)
             case _:
                 return await self.store.read_whole(self.table)
 
