Send engine reports to other regions less often

Change: an agent reports to entries of other regions every 0.2 s, and at once when its engine begins or ends a load.

--- a/src/cassiahitch/direct/reporting.py
+++ b/src/cassiahitch/direct/reporting.py
@@ -24,11 +24,30 @@
 READ_S = 0.06
 #: Longest time without a report to entries, in seconds.
 QUIET_S = 0.25
+#: Least time between two reports to entries of other regions, in seconds.
+FAR_S = 0.2
 #: Seconds for which an entry gets reports after its last query.
 ASKED_S = 3.2
 PERCENT = 100
 
 
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """What the last report to other regions told of the engine's weights."""
+
+    loading: bool
+    version: int
+    at: float
+
+    def is_like(self, other: Sent) -> bool:
+        """Tell whether the weights are in the same state.
+
+        :param other: another report.
+        :return: whether they are.
+        """
+        return (self.loading, self.version) == (other.loading, other.version)
+
+
 @dataclass(slots=True)
 class LoadReporter:
     """Owns the list of entries that want reports."""
@@ -39,10 +58,12 @@
     log: BeliefLog
     incarnation: int
     rng: random.Random
-    asked: dict[Endpoint, float] = field(default_factory=dict)
+    near: dict[Endpoint, float] = field(default_factory=dict)
+    far: dict[Endpoint, float] = field(default_factory=dict)
     sequence: int = 0
     last: EngineReport | None = None
     sent_at: float = float('-inf')
+    sent_far: Sent | None = None
     socket: DatagramSocket | None = None
     reached: bool = True
 
@@ -92,10 +113,28 @@
             model=wanted.model,
             version=report.version(wanted.model),
         )
-        self.asked = {entry: until for entry, until in self.asked.items() if now < until}
-        for entry in self.asked:
+        self.near = {entry: until for entry, until in self.near.items() if now < until}
+        self.far = {entry: until for entry, until in self.far.items() if now < until}
+        for entry in (*self.near, *self.far_receivers(load, now)):
             self.socket.send(load, entry)
 
+    def far_receivers(self, load: EngineLoad, now: float) -> tuple[Endpoint, ...]:
+        """Return the entries of other regions that get a report.
+
+        Load pattern: reports to all entries fill the links between regions; there, only what
+        changes the choice of a replica at once is sent without delay.
+
+        :param load: the report.
+        :param now: seconds.
+        :return: all of them, or none.
+        """
+        sent = Sent(load.loading, load.version, now)
+        before = self.sent_far
+        if before is not None and sent.is_like(before) and now - before.at < FAR_S:
+            return ()
+        self.sent_far = sent
+        return tuple(self.far)
+
     def receive(self, message: Beat, sender: Endpoint) -> None:
         """Take a datagram in.
 
@@ -103,7 +142,9 @@
         :param sender: where it came from.
         """
         if isinstance(message, LoadQuery):
-            self.asked[sender] = asyncio.get_running_loop().time() + ASKED_S
+            until = asyncio.get_running_loop().time() + ASKED_S
+            own = message.region == self.beliefs.settings.region
+            (self.near if own else self.far)[sender] = until
 
     def refused(self, error: WireError, sender: Endpoint) -> None:
         """Note a datagram that cannot be read.
