Ask replicas of the own region first, finish a version on all agents or on none

Changes: a version goes on if the newer one was declared after 0.6 of the usual fetch time; four agents of a region share the link at a time; candidates are drawn from the own region while the first event is expected within half of the objective, and only then left out of notices; a reader's word holds for 0.45 of the bound, and it asks the store three times within it. Fewer chunks are received at once while they are late (squeezed links).

--- a/src/cassiahitch/direct/agentbeliefs.py
+++ b/src/cassiahitch/direct/agentbeliefs.py
@@ -112,6 +112,7 @@
                 self.library.origin_region = self.settings.regions.get(service.failure_domain, '')
             if service.name == self.settings.service and service.engine is not None:
                 self.library.chunk_bytes = service.engine.chunk_bytes
+                self.library.chunk_count = service.engine.chunk_count
 
     def declare(self, declared: DeclaredVersion) -> None:
         """Take a declared version of weights in.
--- a/src/cassiahitch/direct/attempt.py
+++ b/src/cassiahitch/direct/attempt.py
@@ -85,7 +85,7 @@
     codec: RequestCodec
     filters: RequestFilters
     placement: Placement
-    announce: Callable[[PlacementNotice], None]
+    announce: Callable[[PlacementNotice, Placed], None]
 
     async def send(
         self,
@@ -153,7 +153,7 @@
         generation = call.request.generation
         prompt_tokens = generation.prompt_tokens if generation else 0
         load.sent(prompt_tokens, began)
-        self.announce(PlacementNotice(key, prompt_tokens))
+        self.announce(PlacementNotice(key, prompt_tokens), placed)
         try:
             yield
         finally:
--- a/src/cassiahitch/direct/beating.py
+++ b/src/cassiahitch/direct/beating.py
@@ -25,6 +25,7 @@
     from cassiahitch.direct.candidates import Candidates
     from cassiahitch.direct.journal import Journal
     from cassiahitch.direct.knowledge import Knowledge
+    from cassiahitch.direct.placement import Placed
     from cassiahitch.direct.relaying import TableRelay
     from cassiahitch.errors import WireError
     from cassiahitch.wire.beats import Beat
@@ -110,20 +111,23 @@
                 receiver = Endpoint(replica.endpoint.address, settings.peer_port)
                 self.socket.send(LoadQuery(settings.name, settings.region), receiver)
 
-    def announce(self, notice: PlacementNotice) -> None:
+    def announce(self, notice: PlacementNotice, placed: Placed) -> None:
         """Tell the other entries at once where a request goes.
 
         Load pattern: entries that see the same reports would all choose the engine that looks
-        idle.
+        idle. Those of other regions leave it to its own callers while it is not crowded.
 
         :param notice: the replica and the length of the prompt.
+        :param placed: the choice.
         """
         if self.socket is None:
             return
         now = asyncio.get_running_loop().time()
+        settings = self.knowledge.settings
+        stays_near = placed.candidate.near and not placed.crowded
         for peer in self.knowledge.peers.live(now):
-            receiver = Endpoint(peer.beat.address, self.knowledge.settings.peer_port)
-            self.socket.send(notice, receiver)
+            if peer.beat.region == settings.region or not stays_near:
+                self.socket.send(notice, Endpoint(peer.beat.address, settings.peer_port))
 
     async def beat(self) -> None:
         """Send heartbeats until cancelled."""
--- a/src/cassiahitch/direct/catalogue.py
+++ b/src/cassiahitch/direct/catalogue.py
@@ -84,6 +84,7 @@
     usual_prompt: float
     usual_answer: float
     chunk_bytes: int = 0
+    chunk_count: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cassiahitch/direct/entry.py
+++ b/src/cassiahitch/direct/entry.py
@@ -35,10 +35,11 @@
 #: Longest wait for a change of the replicas, and least time between two reads, in seconds.
 REPLICA_WAIT_S = 0.7
 REPLICA_INTERVAL_S = 0.5
-#: Oldest knowledge of other entries that is taken: of declarations, as a part of the bound on
-#: revoked keys, and of replicas, in seconds.
-RELAYED_PART = 0.6
-RELAYED_REPLICAS_S = 2.0
+#: The same, as a part of the bound on configurations: others rely on what this entry has seen.
+CONFIGURATION_WAIT_PART = 0.33
+#: Oldest knowledge of another entry that is taken, as a part of the bound on configurations, or
+#: on draining replicas.
+RELAYED_PART = 0.45
 #: Seconds between the looks at replicas and connections that are gone.
 TIDY_S = 0.25
 #: Seconds for which an address answer holds.
@@ -153,9 +154,12 @@
             TableFeed(self.rng),
             self.beliefs.take_declarations,
             self.parts.journal,
-            self.settings.bounds.revoked_key_s * DECLARATION_WAIT_PART,
+            min(
+                self.settings.bounds.revoked_key_s * DECLARATION_WAIT_PART,
+                self.settings.bounds.configuration_s * CONFIGURATION_WAIT_PART,
+            ),
             relay,
-            self.settings.bounds.revoked_key_s * RELAYED_PART,
+            self.settings.bounds.configuration_s * RELAYED_PART,
         )
 
     def _replicas(self, relay: TableRelay) -> TableFollower:
@@ -167,7 +171,7 @@
             self.parts.journal,
             REPLICA_WAIT_S,
             relay,
-            RELAYED_REPLICAS_S,
+            self.settings.bounds.drain_s * RELAYED_PART,
         )
 
     def _apply_bounds(self, bounds: BoundSettings) -> None:
--- a/src/cassiahitch/direct/library.py
+++ b/src/cassiahitch/direct/library.py
@@ -15,6 +15,8 @@
     from cassiahitch.direct.peerchunks import PeerChunks
     from cassiahitch.direct.surroundings import Origin
 
+BITS_PER_BYTE = 8
+
 
 @dataclass(slots=True)
 class ChunkLibrary:
@@ -31,6 +33,12 @@
     origin_region: str = ''
     origin_mbit_s: float = 0
     chunk_bytes: int = 0
+    chunk_count: int = 0
+
+    @property
+    def version_bits(self) -> int:
+        """Size of one version in bits."""
+        return self.chunk_count * self.chunk_bytes * BITS_PER_BYTE
 
     def may_come(self, name: WeightsName) -> bool:
         """Tell whether a version is here, or will be.
--- a/src/cassiahitch/direct/loading.py
+++ b/src/cassiahitch/direct/loading.py
@@ -12,6 +12,7 @@
 from cassiahitch.direct.chunks import WeightsName
 from cassiahitch.direct.enginestate import EngineReport, OrderOutcome
 from cassiahitch.direct.fetching import VersionFetch
+from cassiahitch.direct.uploads import HOST_UTILISATION
 from cassiahitch.direct.versions import MARGIN_S
 from cassiahitch.errors import PlatformError
 from cassiahitch.weights.manifest import verify_chunk
@@ -35,9 +36,13 @@
 SPREAD_S = 2.5
 #: Seconds between reads of who takes part.
 PARTICIPANTS_S = 3.0
-#: Part of a version from which on it is fetched to its end, and for how many seconds at most.
-NEARLY_DONE = 0.5
-FINISH_S = 2.5
+#: Seconds until the first chunks have spread to all agents.
+SPREADING_S = 1.0
+#: Part of the usual time of a fetch after which it goes on in spite of a newer version, and the
+#: time after which it ends all the same, in usual times.
+NEARLY_DONE = 0.6
+LONGEST_FETCH = 1.6
+MEGA = 1_000_000
 
 
 def turn_s(member: str, hosts: tuple[str, ...], version: int, left_s: float) -> float:
@@ -56,6 +61,21 @@
     return spread_s * order.index(member) / len(order)
 
 
+def is_worth_finishing(newer_s: float, age_s: float, usual_s: float) -> bool:
+    """Tell whether a version is fetched to its end although a newer one was declared.
+
+    Load pattern: a newer version is declared when the one before is nearly here. It bridges the
+    time in which the newer one is fetched and the one before it may no longer be used. All agents
+    decide alike, as they learn of versions at the same time.
+
+    :param newer_s: seconds between both declarations.
+    :param age_s: seconds since the first one.
+    :param usual_s: seconds in which all agents together fetch a version.
+    :return: whether the fetch goes on.
+    """
+    return newer_s >= NEARLY_DONE * usual_s and age_s < LONGEST_FETCH * usual_s
+
+
 @dataclass(slots=True)
 class Loader:
     """Fetches, stages, verifies, orders and reads back."""
@@ -183,18 +203,27 @@
     def goes_on(self, fetch: VersionFetch) -> bool:
         """Tell whether a version is still worth fetching.
 
-        Load pattern: a newer version is declared when this one is nearly here. It bridges the
-        time in which the newer one is fetched and the one before may no longer be used.
-
         :param fetch: the fetch of the version.
         :return: whether it is the newest one, or nearly complete.
         """
         wanted = self.beliefs.wanted()
         if wanted is None or wanted == fetch.name:
             return True
+        learned = self.beliefs.versions.learned.get(wanted.model, {})
+        began = learned.get(fetch.name.version)
+        if began is None:
+            return False
         now = asyncio.get_running_loop().time()
-        learned = self.beliefs.versions.learned.get(wanted.model, {}).get(wanted.version, now)
-        return now - learned < FINISH_S and fetch.part >= NEARLY_DONE
+        newer_s = learned[wanted.version] - began
+        return is_worth_finishing(newer_s, now - began, self.usual_fetch_s())
+
+    def usual_fetch_s(self) -> float:
+        """Return the time in which all agents together fetch a version.
+
+        :return: seconds.
+        """
+        link_s = self.library.version_bits / (self.beliefs.settings.link_mbit_s * MEGA)
+        return link_s / HOST_UTILISATION + SPREADING_S
 
     def is_serving(self, model: str) -> bool:
         """Tell whether requests may begin on what the engine has loaded.
--- a/src/cassiahitch/direct/placement.py
+++ b/src/cassiahitch/direct/placement.py
@@ -20,6 +20,8 @@
 
 #: Part of the objective up to which the first event may be expected.
 EXPECTED_PART = 1.0
+#: Part of the objective up to which replicas of other regions are left to their own callers.
+NEAR_PART = 0.5
 #: Seconds by which a replica of another region must be better than one of the own.
 CROSSING_S = 0.02
 #: Seconds by which choices are spread, so that entries with the same reports differ.
@@ -62,11 +64,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Placed:
-    """The request goes to a replica; ``expected_s`` is the time to its first byte."""
+    """The request goes to a replica; ``expected_s`` is the time to its first byte.
+
+    ``crowded`` tells that callers of other regions may use the replica as well.
+    """
 
     candidate: Candidate
     expected_s: float
     rank: int | None = None
+    crowded: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -181,23 +187,34 @@
         :return: the choice.
         """
         prospects = {one: self.prospect(engine, demand, one, entries, now) for one in candidates}
-        chosen = min(self.sample(candidates), key=lambda one: self.cost_s(one, prospects[one]))
+        near = tuple(one for one in candidates if one.near)
+        is_near_enough = len(near) >= SAMPLE
+        chosen = self.best_of_few(near if is_near_enough else candidates, prospects)
+        if is_near_enough and not _is_in_time(demand, prospects[chosen], NEAR_PART):
+            chosen = self.best_of_few(candidates, prospects)
         if not _is_in_time(demand, prospects[chosen]):
             chosen = min(candidates, key=lambda one: self.cost_s(one, prospects[one]))
         prospect = prospects[chosen]
         in_time = _is_in_time(demand, prospect)
         if in_time or prospect.requests <= engine.slots - KEPT_PLACES:
             rank = min(HIGHEST_RANK, max(0, demand.priority)) if in_time else LATE_RANK
-            return Placed(chosen, prospect.expected_s, rank)
+            crowded = not _is_in_time(demand, prospect, NEAR_PART)
+            return Placed(chosen, prospect.expected_s, rank, crowded)
         return Crowded(self.rng.uniform(*RETURN_S), prospect.expected_s)
 
-    def sample(self, candidates: tuple[Candidate, ...]) -> list[Candidate]:
-        """Draw a few candidates, so that entries that know the same do not choose the same.
+    def best_of_few(
+        self, candidates: tuple[Candidate, ...], prospects: dict[Candidate, Prospect]
+    ) -> Candidate:
+        """Choose among a few candidates that are drawn.
+
+        Load pattern: entries that know the same would all choose the same.
 
-        :param candidates: all of them.
-        :return: some of them.
+        :param candidates: at least one.
+        :param prospects: what the request can expect of each.
+        :return: the best of those that were drawn.
         """
-        return self.rng.sample(candidates, min(SAMPLE, len(candidates)))
+        few = self.rng.sample(candidates, min(SAMPLE, len(candidates)))
+        return min(few, key=lambda one: self.cost_s(one, prospects[one]))
 
     def prospect(
         self,
@@ -233,8 +250,8 @@
         return prospect.expected_s + crossing_s + self.rng.uniform(0, SPREAD_S)
 
 
-def _is_in_time(demand: Demand, prospect: Prospect) -> bool:
-    room_s = demand.route.objective_s * EXPECTED_PART - demand.spent_s
+def _is_in_time(demand: Demand, prospect: Prospect, part: float = EXPECTED_PART) -> bool:
+    room_s = demand.route.objective_s * part - demand.spent_s
     return prospect.expected_s <= room_s
 
 
--- a/src/cassiahitch/direct/swarm.py
+++ b/src/cassiahitch/direct/swarm.py
@@ -11,8 +11,7 @@
 from dataclasses import dataclass, field
 from functools import cached_property, partial
 from operator import itemgetter
-from types import MappingProxyType
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING
 
 from cassiahitch.weights.tree import rendezvous_hash
 
@@ -22,8 +21,10 @@
 
     from cassiahitch.weights.plan import Participant
 
-#: Chunks that are received at once from agents of the own region.
+#: Most chunks that are received at once from agents of the own region.
 PEER_FLIGHTS = 4
+#: Seconds after which a chunk is late: the own link carries less than usual.
+LATE_S = 1.0
 #: Chunks that are asked of agents of another region at once; most of them wait there.
 REGION_FLIGHTS = 6
 #: Chunks that are asked of the origin at once.
@@ -73,11 +74,6 @@
 FetchOrder = FromOrigin | FromRegion | FromPeer
 
 
-MOST_FLIGHTS: Final = MappingProxyType(
-    {FromOrigin: ORIGIN_FLIGHTS, FromRegion: REGION_FLIGHTS, FromPeer: PEER_FLIGHTS}
-)
-
-
 @dataclass(slots=True)
 class Holder:
     """What an agent of the own region told: the chunks that it holds, as bits, and its uploads."""
@@ -148,6 +144,8 @@
     flights: dict[int, FetchOrder] = field(default_factory=dict)
     tries: dict[int, int] = field(default_factory=dict)
     empty_answers: dict[int, int] = field(default_factory=dict)
+    asked_at: dict[int, float] = field(default_factory=dict)
+    peer_flights: int = PEER_FLIGHTS
     origin_failures: int = 0
     origin_at: float = float('-inf')
     progress_at: float = field(init=False)
@@ -187,8 +185,24 @@
         order = self.flights.pop(index, None)
         self.have |= 1 << index
         self.progress_at = now
-        if isinstance(order, FromOrigin):
-            self.origin_failures = 0
+        match order:
+            case FromOrigin():
+                self.origin_failures = 0
+            case FromPeer():
+                self.adapt(now - self.asked_at.get(index, now))
+
+    def adapt(self, took_s: float) -> None:
+        """Receive fewer chunks at once while they are late.
+
+        Load pattern: the link of a host carries a fraction of its rate, and the chunks that were
+        asked for are on it before the requests for the engine.
+
+        :param took_s: seconds that a chunk took.
+        """
+        if took_s > LATE_S:
+            self.peer_flights = 1
+        else:
+            self.peer_flights = min(PEER_FLIGHTS, self.peer_flights + 1)
 
     def failed(self, order: FetchOrder, now: float) -> None:
         """Note that a source failed.
@@ -203,6 +217,7 @@
                 holder = self.holders.setdefault(host, Holder())
                 holder.held &= ~(1 << index)
                 holder.penalty_until = now + PENALTY_S
+                self.adapt(now - self.asked_at.get(index, now))
             case FromRegion():
                 self.tries[index] = self.tries.get(index, 0) + 1
             case FromOrigin():
@@ -271,6 +286,7 @@
             if not self.has_room(order):
                 return
             self.flights[order.index] = order
+            self.asked_at[order.index] = now
             yield order
 
     def scored(self, host: str, now: float) -> tuple[float, float, str]:
@@ -321,7 +337,13 @@
     def has_room(self, order: FetchOrder) -> bool:
         """Tell whether one more of a kind may be under way."""
         same = sum(isinstance(flight, type(order)) for flight in self.flights.values())
-        return same < MOST_FLIGHTS[type(order)]
+        match order:
+            case FromOrigin():
+                return same < ORIGIN_FLIGHTS
+            case FromRegion():
+                return same < REGION_FLIGHTS
+            case FromPeer():
+                return same < self.peer_flights
 
 
 def ranked(index: int, hosts: tuple[str, ...]) -> list[str]:
--- a/src/cassiahitch/direct/uploads.py
+++ b/src/cassiahitch/direct/uploads.py
@@ -23,6 +23,8 @@
 HOST_UTILISATION = 0.92
 #: Part of the link between two regions that chunks use.
 REGION_UTILISATION = 0.65
+#: Agents of a region that send to another one at the same time; each brings other chunks there.
+CROSSING_AT_ONCE = 4
 #: Bytes that are sent at once.
 SLICE_BYTES = 8192
 #: Chunks that are sent at the same time.
@@ -118,7 +120,7 @@
 
         :param agents: how many send over it.
         """
-        rate = self.rates.region_mbit_s / max(1, agents)
+        rate = self.rates.region_mbit_s / min(max(1, agents), CROSSING_AT_ONCE)
         self.region.limits = LinkLimits(rate * MEGA / BITS_PER_BYTE, REGION_UTILISATION)
 
     async def paced(
--- a/src/cassiahitch/platform/documents.py
+++ b/src/cassiahitch/platform/documents.py
@@ -98,6 +98,7 @@
     pairs_per_m: float = 0
     usual: _UsualModel = _UsualModel()
     chunk_bytes: int = Field(default=0, ge=0, alias='chunkBytes')
+    chunk_count: int = Field(default=0, ge=0, alias='chunkCount')
 
     def decoded(self) -> catalogue.Engine:
         """Return the engine."""
@@ -113,6 +114,7 @@
             usual_prompt=self.usual.prompt,
             usual_answer=self.usual.answer,
             chunk_bytes=self.chunk_bytes,
+            chunk_count=self.chunk_count,
         )
 
 
--- a/tests/direct/test_placement.py
+++ b/tests/direct/test_placement.py
@@ -284,3 +284,29 @@
     assert [one.replica for one in known.candidates(call, ENGINE, 5.1)] == [live]
     found = {one.replica.id for one in known.candidates(call, ENGINE, 9)}
     assert found == {frozen.id, live.id}
+
+
+def regions(near: int, far: int) -> tuple[Candidate, ...]:
+    found = candidates(near + far)
+    return tuple(replace(one, near=index < near) for index, one in enumerate(found))
+
+
+def test_replicas_of_other_regions_are_left_to_their_own_callers_while_near_ones_are_free() -> None:
+    placement = Placement(random.Random(1))
+    both = regions(4, 4)
+    for one in both:
+        report(placement, one, running=4 if one.near else 0)
+    demand = Demand(ROUTE, 0, 964)
+    placed = [placement.place_engine(ENGINE, demand, both, ENTRIES, 0) for _ in range(50)]
+    assert all(isinstance(one, Placed) and one.candidate.near for one in placed)
+    assert not any(isinstance(one, Placed) and one.crowded for one in placed)
+
+
+def test_replicas_of_other_regions_are_used_once_near_ones_are_crowded() -> None:
+    placement = Placement(random.Random(1))
+    both = regions(4, 4)
+    for one in both:
+        report(placement, one, running=16 if one.near else 0, waiting=6 if one.near else 0)
+    demand = Demand(ROUTE, 0, 964)
+    placed = [placement.place_engine(ENGINE, demand, both, ENTRIES, 0) for _ in range(50)]
+    assert not any(isinstance(one, Placed) and one.candidate.near for one in placed)
--- a/tests/direct/test_relaying.py
+++ b/tests/direct/test_relaying.py
@@ -9,12 +9,20 @@
 from dataclasses import dataclass, field
 
 import pytest
+from direct_callers import run as run_site
 
 from cassiahitch.direct.feed import CallFailure, Changed, Reply, TableFeed, TableRow, Whole
-from cassiahitch.direct.following import TableFollower
+from cassiahitch.direct.following import RELAY_S, TableFollower
 from cassiahitch.direct.freshness import boot_time
 from cassiahitch.direct.journal import BeliefLog
-from cassiahitch.direct.relaying import READERS, RelayedState, choose_readers
+from cassiahitch.direct.relaying import (
+    ANSWER_S,
+    READERS,
+    RelayedState,
+    TableRelay,
+    choose_readers,
+)
+from cassiahitch.standins.directsite import DirectSite, DirectSize
 
 TABLE = 'declarations'
 
@@ -177,3 +185,18 @@
     assert len(chosen) == READERS
     for name in set(names) - set(chosen):
         assert choose_readers(tuple(one for one in names if one != name)) == chosen
+
+
+def test_knowledge_of_a_silent_reader_is_dropped_before_the_bounds_end() -> None:
+    async def body(site: DirectSite) -> None:
+        entry = site.entries[0]
+        bounds = entry.settings.bounds
+        relay = TableRelay(entry.parts.knowledge)
+        question_s = RELAY_S + READERS * ANSWER_S
+        declarations = entry._declarations(relay)
+        replicas = entry._replicas(relay)
+        assert declarations.relayed_age_s + question_s < bounds.configuration_s * 0.75
+        assert declarations.wait_s < declarations.relayed_age_s
+        assert replicas.relayed_age_s + question_s < bounds.drain_s * 0.75
+
+    run_site(body, DirectSize(entries=1, models=1, plain=0), configuration_s=3, drain_s=3)
--- a/tests/direct/test_swarm.py
+++ b/tests/direct/test_swarm.py
@@ -229,3 +229,14 @@
     for other in participants[1:]:
         swarm.told(other.host, whole, 0, 0)
     assert all(isinstance(order, FromPeer) for order in swarm.orders(0))
+
+
+def test_fewer_chunks_are_received_at_once_over_a_link_that_is_slow() -> None:
+    participants = make_fleet(1, 2)
+    swarm = make_swarm(participants)
+    swarm.told(participants[1].host, (1 << CHUNKS) - 1, 0, 0)
+    first = swarm.orders(0)
+    for order in first:
+        swarm.arrived(order.index, 2)
+    swarm.told(participants[1].host, (1 << CHUNKS) - 1, 0, 2)
+    assert len(swarm.orders(2)) == 1
