--- a/src/cassiahitch/cli/commands.py
+++ b/src/cassiahitch/cli/commands.py
@@ -6,13 +6,14 @@
 
 from cassiahitch.cli.benches import bench
 from cassiahitch.cli.direct import direct_agent, direct_entry
+from cassiahitch.cli.explaining import explain
 from cassiahitch.cli.local import local
 from cassiahitch.cli.observing import metrics, timeline
 from cassiahitch.cli.operators import apply, delete, drain, get, status, watch
 from cassiahitch.cli.roles import agent, entry
 
 ROLES = (entry, agent, local, direct_entry, direct_agent)
-OPERATORS = (apply, get, delete, watch, status, drain, timeline, metrics)
+OPERATORS = (apply, get, delete, watch, status, drain, timeline, metrics, explain)
 
 
 def main(arguments: list[str] | None = None) -> int:
--- a/src/cassiahitch/cli/rendering.py
+++ b/src/cassiahitch/cli/rendering.py
@@ -9,16 +9,17 @@
 import pydantic_core
 from rich.console import Console
 from rich.table import Table
-from rich.text import Text
 
 from cassiahitch.codes import Code
 from cassiahitch.errors import CassiahitchError
+from cassiahitch.timeline.text import plain
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
     from pathlib import Path
 
     from rich.console import RenderableType
+    from rich.text import Text
 
     from cassiahitch.cli.answers import ConditionAnswer, ResourceAnswer
 
@@ -73,15 +74,6 @@
         raise CassiahitchError(Code.usage_invalid, detail) from None
 
 
-def plain(text: str) -> Text:
-    """Return text without terminal escape sequences.
-
-    :param text: text from the system.
-    :return: text that changes nothing but what it prints.
-    """
-    return Text(Text.from_ansi(text).plain)
-
-
 def resources_table(answers: Iterable[ResourceAnswer]) -> Table:
     """Lay out resources as a table.
 
--- a/src/cassiahitch/direct/fetching.py
+++ b/src/cassiahitch/direct/fetching.py
@@ -51,11 +51,6 @@
     told_at: float = float('-inf')
     told: int = -1
 
-    @property
-    def part(self) -> float:
-        """Part of the chunks that is here."""
-        return self.swarm.have.bit_count() / self.swarm.count if self.swarm else 0
-
     async def run(self, participants: tuple[Participant, ...]) -> None:
         """Fetch until all chunks are there.
 
@@ -99,7 +94,7 @@
     def _swarm(self, held: Held, participants: tuple[Participant, ...]) -> Swarm:
         count = len(held.manifest.chunks)
         pace_s = origin_chunk_s(self.library)
-        have = sum(1 << index for index in held.contents)
+        have = self.library.bits(self.name)
         return Swarm(self._fleet(participants), count, self.rng, pace_s, self._now(), have)
 
     def _fleet(self, participants: tuple[Participant, ...]) -> Fleet:
--- a/src/cassiahitch/timeline/text.py
+++ b/src/cassiahitch/timeline/text.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from datetime import UTC, datetime
 from typing import TYPE_CHECKING
 
@@ -53,29 +54,64 @@
     return Text(Text.from_ansi(text).plain)
 
 
+@dataclass(frozen=True, slots=True)
+class Row:
+    """One line of a time line; absent texts are empty."""
+
+    time: str
+    process: str
+    event: str
+    request: str = ''
+    rollout: str = ''
+    code: str = ''
+    detail: str = ''
+
+
+def rows_table(rows: Iterable[Row]) -> Table:
+    """Lay out a time line as a table.
+
+    :param rows: its lines, in order.
+    :return: the table.
+    """
+    table = Table('time', 'process', 'event', 'request', 'rollout', 'code', 'detail')
+    for row in rows:
+        table.add_row(
+            row.time,
+            plain(row.process),
+            plain(row.event),
+            plain(row.request[:ID_LENGTH]),
+            plain(row.rollout[:ID_LENGTH]),
+            plain(row.code),
+            plain(row.detail),
+        )
+    return table
+
+
 def events_table(events: Iterable[Event]) -> Table:
     """Lay out events as a table, one on each line.
 
     :param events: the events, in order.
     :return: the table.
     """
-    table = Table('time', 'process', 'event', 'request', 'rollout', 'code', 'detail')
-    for event in events:
-        table.add_row(
+    return rows_table(
+        Row(
             format_time(event.clock),
-            plain(event.process),
+            event.process,
             event.kind,
-            plain(event.request_id[:ID_LENGTH]),
-            plain(event.rollout_id[:ID_LENGTH]),
+            event.request_id,
+            event.rollout_id,
             format_code(event.code),
-            plain(event.detail),
+            event.detail,
         )
-    return table
+        for event in events
+    )
 
 
 __all__ = (
+    'Row',
     'events_table',
     'format_code',
     'format_time',
     'plain',
+    'rows_table',
 )
