--- a/src/cassiahitch/direct/agent.py
+++ b/src/cassiahitch/direct/agent.py
@@ -31,6 +31,8 @@
 
 #: Longest wait for a change of the declarations, in seconds.
 DECLARATION_WAIT_S = 8.0
+#: Least time between two reads of declarations while they change, in seconds.
+DECLARATION_INTERVAL_S = 1.0
 
 
 class DirectAgent:
@@ -60,7 +62,7 @@
         self.declarations = TableFollower(
             around.store,
             around.tables.operator,
-            TableFeed(self.rng),
+            TableFeed(self.rng, news_interval_s=DECLARATION_INTERVAL_S),
             self.parts.beliefs.take_declarations,
             self.parts.log,
             DECLARATION_WAIT_S,
--- a/src/cassiahitch/direct/feed.py
+++ b/src/cassiahitch/direct/feed.py
@@ -71,11 +71,17 @@
 
     ``versions`` holds the version of each row that is known; older ones are never news again.
     ``changed`` is the version of the store at which the table changed last, as far as it is
-    known, and ``interval_s`` is the least time between two reads of changes.
+    known. ``interval_s`` is the least time between two reads of changes, ``news_interval_s``
+    that after a read which brought some.
+
+    Load pattern: the operator changes a large row many times a second. Were every process to read
+    every state of it, the links to the store would carry nothing else.
     """
 
     rng: random.Random
     interval_s: float = 0
+    news_interval_s: float = 0
+    had_news: bool = False
     versions: dict[str, int] = field(default_factory=dict)
     since: int | None = None
     changed: int = 0
@@ -89,7 +95,8 @@
         pause_s = self.pause_s()
         if self.since is None:
             return ReadWhole(pause_s)
-        return ReadChanges(self.since, max(pause_s, self.interval_s))
+        after_news_s = self.news_interval_s if self.had_news else 0
+        return ReadChanges(self.since, max(pause_s, self.interval_s, after_news_s))
 
     def pause_s(self) -> float:
         """Return the pause before the next call, which grows with failures in a row.
@@ -119,6 +126,7 @@
                 self.failures = 0
                 self.since = max(version, self.since or 0)
                 self.note_changes(rows)
+                self.had_news = bool(rows)
                 return self.news(rows)
             case HistoryGone():
                 self.since = None
@@ -140,6 +148,7 @@
         if self.since is None or changed > self.since:
             return False
         self.since = max(self.since, since)
+        self.had_news = False
         return True
 
     def vanished(self, rows: tuple[TableRow, ...], version: int) -> tuple[TableRow, ...]:
--- a/tests/direct/test_feed.py
+++ b/tests/direct/test_feed.py
@@ -53,6 +53,16 @@
     assert followed.handle(Changed((TableRow('a', b'1', 6),), 8)) == ()
 
 
+def test_row_that_changes_all_the_time_is_read_now_and_then() -> None:
+    followed = TableFeed(random.Random(1), news_interval_s=0.4)
+    followed.handle(Whole((TableRow('a', b'1', 5),), 5))
+    assert followed.next_read() == ReadChanges(5)
+    followed.handle(Changed((TableRow('a', b'2', 6),), 6))
+    assert followed.next_read() == ReadChanges(6, 0.4)
+    followed.handle(Changed((), 6))
+    assert followed.next_read() == ReadChanges(6)
+
+
 def test_pauses_grow_with_failures_and_end_with_an_answer() -> None:
     followed = feed()
     pauses = []
