Let a whole read of a table count as a change up to its version

A replica that leaves without saying so is a removed row. An entry that had just started read the table whole, became the reader of its region and told that the last change was that of the rows it saw; an entry that had not heard of the removal took that for no news and never asked the store. Change: after a whole read, the table may have changed up to the version of the read. The test fails without it.

--- a/src/cassiahitch/direct/feed.py
+++ b/src/cassiahitch/direct/feed.py
@@ -118,10 +118,9 @@
             case Whole(rows=rows, version=version):
                 self.failures = 0
                 self.since = max(version, self.since or 0)
-                self.note_changes(rows)
-                vanished = self.vanished(rows, version)
-                self.note_changes(vanished)
-                return vanished + self.news(rows)
+                # Rows that were removed before are not among them.
+                self.changed = max(self.changed, version)
+                return self.vanished(rows, version) + self.news(rows)
             case Changed(rows=rows, version=version):
                 self.failures = 0
                 self.since = max(version, self.since or 0)
--- a/tests/direct/test_feed.py
+++ b/tests/direct/test_feed.py
@@ -47,6 +47,16 @@
     assert news == (TableRow('a', None, 9),)
 
 
+def test_whole_read_hides_removals_so_that_the_table_may_have_changed_up_to_its_version() -> None:
+    reader = feed()
+    reader.handle(Whole((TableRow('a', b'1', 3),), 9))
+    other = feed()
+    other.handle(Whole((TableRow('a', b'1', 3), TableRow('b', b'1', 4)), 5))
+    assert reader.since is not None
+    assert not other.relayed(reader.since, reader.changed)
+    assert other.since == 5
+
+
 def test_older_row_is_no_news() -> None:
     followed = feed()
     followed.handle(Whole((TableRow('a', b'2', 7),), 7))
