--- a/tests/direct/test_feed.py
+++ b/tests/direct/test_feed.py
@@ -136,3 +136,39 @@
 
 
 TestFollowMachine = FollowMachine.TestCase
+
+
+#: A link between regions in bytes a second, and the processes that read the store over it.
+LINK_BYTES_S = 15_500_000 / 8
+READING = 29
+#: Size of the operator's row, seconds of a storm and between its changes, seconds until a change
+#: is to be in force everywhere.
+ROW_BYTES = 70_000
+STORM_S = 2.0
+CHANGE_S = 0.08
+IN_FORCE_S = 3.0
+
+
+def bytes_read_in_a_storm(followed: TableFeed) -> int:
+    """Return the bytes that one process reads of a row that changes all the time."""
+    now = float(0)
+    known = 0
+    read = 0
+    while now < STORM_S:
+        step = followed.next_read()
+        now += max(step.pause_s, CHANGE_S)
+        newest = int(now / CHANGE_S)
+        rows = tuple(TableRow('config', b'', version) for version in range(known + 1, newest + 1))
+        known = newest
+        if isinstance(step, ReadWhole):
+            read += ROW_BYTES
+            followed.handle(Whole(rows[-1:], newest))
+        else:
+            read += ROW_BYTES * len(rows)
+            followed.handle(Changed(rows, newest))
+    return read
+
+
+def test_large_row_that_changes_all_the_time_does_not_fill_the_link_between_regions() -> None:
+    read = bytes_read_in_a_storm(TableFeed(random.Random(1), news_interval_s=0.4))
+    assert read * READING <= LINK_BYTES_S * (STORM_S + IN_FORCE_S)
