Say once what was said twice, and rank agents once for each chunk

Cause, from reading the whole change: four copies of bits in a byte and of a million, three of ordering names by rendezvous hash, two of the number of uploads from which an agent is busy, five of the name of one start of a process, two of a server on a port, of a command of the direct path and of a family of metrics; and the swarm hashed all agents of its region for each missing chunk, and looked its holders up twice, at every decision. No behaviour is meant to change.

--- a/src/cassiahitch/cli/direct.py
+++ b/src/cassiahitch/cli/direct.py
@@ -5,8 +5,10 @@
 import asyncio
 import logging
 import sys
+from collections.abc import Callable, Coroutine
 from contextlib import ExitStack
 from pathlib import Path
+from typing import TypeVar
 
 from cassiahitch.cli.exits import ExitCode
 from cassiahitch.cli.rendering import print_line
@@ -19,6 +21,8 @@
 from cassiahitch.settings.loader import load_as
 from cassiahitch.stores.caller import HttpCaller
 
+_Settings = TypeVar('_Settings', bound=DirectSettings)
+
 
 def direct_entry(settings: Path, *, check: bool = False) -> int:
     """Serve callers whose requests go to backend servers directly.
@@ -27,13 +31,7 @@
     :param check: only validate the settings.
     :return: the exit code.
     """
-    loaded = load_as(DirectEntrySettings, settings)
-    if check:
-        return _checked(settings, loaded)
-    with ExitStack() as stack:
-        _configure_logs(loaded, stack)
-        asyncio.run(_serve_entry(loaded, settings))
-    return ExitCode.fine
+    return _run(DirectEntrySettings, settings, _serve_entry, check=check)
 
 
 def direct_agent(settings: Path, *, check: bool = False) -> int:
@@ -43,13 +41,7 @@
     :param check: only validate the settings.
     :return: the exit code.
     """
-    loaded = load_as(DirectAgentSettings, settings)
-    if check:
-        return _checked(settings, loaded)
-    with ExitStack() as stack:
-        _configure_logs(loaded, stack)
-        asyncio.run(_serve_agent(loaded, settings))
-    return ExitCode.fine
+    return _run(DirectAgentSettings, settings, _serve_agent, check=check)
 
 
 async def _serve_entry(settings: DirectEntrySettings, path: Path) -> None:
@@ -64,13 +56,21 @@
         await serve_until_ended(agent, settings.name)
 
 
-def _configure_logs(settings: DirectSettings, stack: ExitStack) -> None:
-    handler = configure_bounded_logs(settings.log_level, sys.stdout.fileno())
-    stack.callback(logging.getLogger().removeHandler, handler)
-
-
-def _checked(path: Path, settings: DirectSettings) -> int:
-    print_line(f'{path}: settings of {settings.name} are valid')
+def _run(
+    model: type[_Settings],
+    path: Path,
+    serve: Callable[[_Settings, Path], Coroutine[None, None, None]],
+    *,
+    check: bool,
+) -> int:
+    settings = load_as(model, path)
+    if check:
+        print_line(f'{path}: settings of {settings.name} are valid')
+        return ExitCode.fine
+    with ExitStack() as stack:
+        handler = configure_bounded_logs(settings.log_level, sys.stdout.fileno())
+        stack.callback(logging.getLogger().removeHandler, handler)
+        asyncio.run(serve(settings, path))
     return ExitCode.fine
 
 
--- a/src/cassiahitch/direct/fetching.py
+++ b/src/cassiahitch/direct/fetching.py
@@ -11,6 +11,7 @@
 from cassiahitch.direct.swarm import Fleet, FromOrigin, FromPeer, FromRegion, Swarm
 from cassiahitch.errors import CassiahitchError
 from cassiahitch.metrics.names import CounterName
+from cassiahitch.util.rates import bytes_per_s
 from cassiahitch.weights.tree import Tier
 
 if TYPE_CHECKING:
@@ -30,8 +31,6 @@
 TELL_S = 0.08
 #: Longest time between two tellings, in seconds.
 REPEAT_S = 0.4
-BITS_PER_BYTE = 8
-MEGA = 1_000_000
 
 
 @dataclass(slots=True)
@@ -182,8 +181,7 @@
     """
     if not library.origin_mbit_s:
         return 0
-    bits = library.chunk_bytes * BITS_PER_BYTE
-    return ORIGIN_PACE * bits / (library.origin_mbit_s * MEGA)
+    return ORIGIN_PACE * library.chunk_bytes / bytes_per_s(library.origin_mbit_s)
 
 
 def source_name(order: FetchOrder) -> str:
--- a/src/cassiahitch/direct/library.py
+++ b/src/cassiahitch/direct/library.py
@@ -15,8 +15,6 @@
     from cassiahitch.direct.peerchunks import PeerChunks
     from cassiahitch.direct.surroundings import Origin
 
-BITS_PER_BYTE = 8
-
 
 @dataclass(slots=True)
 class ChunkLibrary:
@@ -36,9 +34,9 @@
     chunk_count: int = 0
 
     @property
-    def version_bits(self) -> int:
-        """Size of one version in bits."""
-        return self.chunk_count * self.chunk_bytes * BITS_PER_BYTE
+    def version_bytes(self) -> int:
+        """Size of one version."""
+        return self.chunk_count * self.chunk_bytes
 
     def may_come(self, name: WeightsName) -> bool:
         """Tell whether a version is here, or will be.
--- a/src/cassiahitch/direct/loading.py
+++ b/src/cassiahitch/direct/loading.py
@@ -15,8 +15,9 @@
 from cassiahitch.direct.uploads import HOST_UTILISATION
 from cassiahitch.direct.versions import MARGIN_S
 from cassiahitch.errors import PlatformError
+from cassiahitch.util.rates import bytes_per_s
 from cassiahitch.weights.manifest import verify_chunk
-from cassiahitch.weights.tree import rendezvous_hash
+from cassiahitch.weights.tree import ranked
 
 if TYPE_CHECKING:
     from cassiahitch.direct.agentbeliefs import AgentBeliefs
@@ -42,7 +43,6 @@
 #: time after which it ends all the same, in usual times.
 NEARLY_DONE = 0.6
 LONGEST_FETCH = 1.6
-MEGA = 1_000_000
 
 
 def turn_s(member: str, hosts: tuple[str, ...], version: int, left_s: float) -> float:
@@ -56,7 +56,7 @@
     :param left_s: seconds until the older version may no longer be used.
     :return: seconds.
     """
-    order = sorted({member, *hosts}, key=lambda host: rendezvous_hash(version, host))
+    order = ranked(version, {member, *hosts})
     spread_s = min(SPREAD_S, max(0, left_s - MARGIN_S))
     return spread_s * order.index(member) / len(order)
 
@@ -222,7 +222,7 @@
 
         :return: seconds.
         """
-        link_s = self.library.version_bits / (self.beliefs.settings.link_mbit_s * MEGA)
+        link_s = self.library.version_bytes / bytes_per_s(self.beliefs.settings.link_mbit_s)
         return link_s / HOST_UTILISATION + SPREADING_S
 
     def is_serving(self, model: str) -> bool:
@@ -279,5 +279,6 @@
 
 __all__ = (
     'Loader',
+    'is_worth_finishing',
     'turn_s',
 )
--- a/src/cassiahitch/direct/relaying.py
+++ b/src/cassiahitch/direct/relaying.py
@@ -14,7 +14,7 @@
 
 from cassiahitch.direct.freshness import boot_time
 from cassiahitch.util.endpoints import Endpoint
-from cassiahitch.weights.tree import rendezvous_hash
+from cassiahitch.weights.tree import ranked
 from cassiahitch.wire.beats import TableQuery, TableState
 
 if TYPE_CHECKING:
@@ -49,7 +49,7 @@
     :param names: the entries of a region that are live.
     :return: the same few for all that know the same entries.
     """
-    return tuple(sorted(names, key=lambda name: rendezvous_hash(0, name))[:READERS])
+    return ranked(0, names)[:READERS]
 
 
 @dataclass(slots=True)
--- a/src/cassiahitch/direct/serving.py
+++ b/src/cassiahitch/direct/serving.py
@@ -7,7 +7,7 @@
 
 from tornado.httpserver import HTTPServer
 
-from cassiahitch.util.listening import listen
+from cassiahitch.util.listening import listen, port_of
 
 if TYPE_CHECKING:
     from tornado.web import Application
@@ -15,6 +15,19 @@
     from cassiahitch.util.endpoints import Endpoint
 
 
+def start_server(application: Application, endpoint: Endpoint) -> tuple[HTTPServer, int]:
+    """Serve an application.
+
+    :param application: the application.
+    :param endpoint: where it listens; port 0 for any.
+    :return: the server, to be stopped, and its port.
+    """
+    server = HTTPServer(application)
+    own = listen(endpoint.address, endpoint.port)
+    server.add_socket(own)
+    return server, port_of(own)
+
+
 def serve(application: Application, endpoint: Endpoint, stack: AsyncExitStack) -> None:
     """Serve an application until a stack is closed.
 
@@ -22,9 +35,11 @@
     :param endpoint: where it listens.
     :param stack: closes the service.
     """
-    server = HTTPServer(application)
-    server.add_socket(listen(endpoint.address, endpoint.port))
+    server, _ = start_server(application, endpoint)
     stack.callback(server.stop)
 
 
-__all__ = ('serve',)
+__all__ = (
+    'serve',
+    'start_server',
+)
--- a/src/cassiahitch/direct/swarm.py
+++ b/src/cassiahitch/direct/swarm.py
@@ -9,11 +9,12 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from functools import cached_property, partial
+from functools import cached_property
 from operator import itemgetter
 from typing import TYPE_CHECKING
 
-from cassiahitch.weights.tree import rendezvous_hash
+from cassiahitch.direct.uploads import MOST_UPLOADS
+from cassiahitch.weights.tree import ranked, rendezvous_hash
 
 if TYPE_CHECKING:
     import random
@@ -29,8 +30,6 @@
 REGION_FLIGHTS = 6
 #: Chunks that are asked of the origin at once.
 ORIGIN_FLIGHTS = 2
-#: Chunks to send from which on an agent refuses further ones of its region.
-BUSY_UPLOADS = 4
 #: Seconds without news after which another agent is not counted on.
 SILENT_S = 1.2
 #: Seconds without a new chunk in the region after which the next agent takes a duty over.
@@ -91,6 +90,7 @@
     member: Participant
     participants: tuple[Participant, ...]
     first_region: str = ''
+    known_ahead: dict[int, tuple[str, ...]] = field(default_factory=dict, init=False, compare=False)
 
     @cached_property
     def near(self) -> tuple[str, ...]:
@@ -112,6 +112,17 @@
         named = {one.host for one in self.participants if one.region == region}
         return tuple(sorted(named | own))
 
+    def ahead(self, index: int) -> tuple[str, ...]:
+        """Return the hosts of the region that have the duty for a chunk before this one.
+
+        :param index: the position of the chunk.
+        :return: their names; it is asked for all the time and worked out once.
+        """
+        if index not in self.known_ahead:
+            order = ranked(index, self.near)
+            self.known_ahead[index] = order[: order.index(self.member.host)]
+        return self.known_ahead[index]
+
     def chain(self, index: int) -> tuple[str, ...]:
         """Return the regions in the order in which a chunk comes to them.
 
@@ -236,7 +247,7 @@
         match order:
             case FromPeer(host=host):
                 holder = self.holders.setdefault(host, Holder())
-                holder.uploads = max(holder.uploads, BUSY_UPLOADS)
+                holder.uploads = max(holder.uploads, MOST_UPLOADS)
             case _:
                 answers = self.empty_answers.get(order.index, 0) + 1
                 self.empty_answers[order.index] = answers % EMPTY_ANSWERS
@@ -250,7 +261,9 @@
         :return: orders.
         """
         found: list[FetchOrder] = []
-        missing = [index for index in range(self.count) if self.is_open(index)]
+        missing = {
+            index: self.holders_of(index, now) for index in range(self.count) if self.is_open(index)
+        }
         found.extend(self.duties(missing, now))
         found.extend(self.pieces(missing, now))
         return tuple(found)
@@ -259,10 +272,10 @@
         """Tell whether a chunk is neither here nor under way."""
         return not self.have >> index & 1 and index not in self.flights
 
-    def duties(self, missing: list[int], now: float) -> Iterator[FetchOrder]:
+    def duties(self, missing: dict[int, list[str]], now: float) -> Iterator[FetchOrder]:
         """Yield the chunks that this host brings into its region."""
-        for index in missing:
-            if self.holders_of(index, now) or self.duty_at(index, now) > now:
+        for index, holders in missing.items():
+            if holders or self.duty_at(index, now) > now:
                 continue
             order = self.upstream(index)
             waits = isinstance(order, FromOrigin) and now < self.origin_at
@@ -270,15 +283,14 @@
                 self.flights[index] = order
                 yield order
 
-    def pieces(self, missing: list[int], now: float) -> Iterator[FetchOrder]:
+    def pieces(self, missing: dict[int, list[str]], now: float) -> Iterator[FetchOrder]:
         """Yield the chunks that others in the region hold, from the least busy ones first.
 
         Were the rarest chunk the first, all would ask the only one that holds it.
         """
         found: list[tuple[int, int, float, FromPeer]] = []
-        for index in missing:
-            holders = self.holders_of(index, now)
-            if holders and index not in self.flights:
+        for index, holders in missing.items():
+            if holders:
                 load, _, host = min(self.scored(host, now) for host in holders)
                 turn = self.rng.random()
                 found.append((int(load), len(holders), turn, FromPeer(index, host)))
@@ -310,16 +322,16 @@
 
     def duty_at(self, index: int, now: float) -> float:
         """Return when this host is to bring a chunk into its region."""
-        order = ranked(index, tuple(host for host in self.fleet.near if self.counts(host, now)))
-        rank = min(order.index(self.fleet.member.host), TAKEOVER_RANKS)
+        ahead = sum(self.counts(host, now) for host in self.fleet.ahead(index))
+        rank = min(ahead, TAKEOVER_RANKS)
         due = self.started_at + index * self.pace_s
         if rank:
             return max(due, self.progress_at) + rank * TAKEOVER_S
         return due
 
     def counts(self, host: str, now: float) -> bool:
-        """Tell whether a host of the region may be relied upon."""
-        if host == self.fleet.member.host or now - self.started_at < SILENT_S:
+        """Tell whether another host of the region may be relied upon."""
+        if now - self.started_at < SILENT_S:
             return True
         holder = self.holders.get(host)
         return holder is not None and now - holder.heard_at < SILENT_S
@@ -346,16 +358,6 @@
                 return same < self.peer_flights
 
 
-def ranked(index: int, hosts: tuple[str, ...]) -> list[str]:
-    """Return hosts in the order in which they have the duty for a chunk.
-
-    :param index: the position of the chunk.
-    :param hosts: the hosts.
-    :return: the same hosts; those that are left out do not change the order of the others.
-    """
-    return sorted(hosts, key=partial(rendezvous_hash, index))
-
-
 __all__ = (
     'FetchOrder',
     'Fleet',
--- a/src/cassiahitch/direct/uploads.py
+++ b/src/cassiahitch/direct/uploads.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from cassiahitch.util.rates import bytes_per_s
 from cassiahitch.weights.bucket import LinkBucket, LinkLimits
 
 if TYPE_CHECKING:
@@ -31,8 +32,6 @@
 AT_ONCE = 4
 #: Chunks to send from which on further ones are refused, but for those of another region.
 MOST_UPLOADS = 4
-BITS_PER_BYTE = 8
-MEGA = 1_000_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,7 +120,7 @@
         :param agents: how many send over it.
         """
         rate = self.rates.region_mbit_s / min(max(1, agents), CROSSING_AT_ONCE)
-        self.region.limits = LinkLimits(rate * MEGA / BITS_PER_BYTE, REGION_UTILISATION)
+        self.region.limits = LinkLimits(bytes_per_s(rate), REGION_UTILISATION)
 
     async def paced(
         self, content: bytes, tier: Tier, *, crosses: bool
@@ -144,7 +143,7 @@
 
 
 def _bucket(mbit_s: float, utilisation: float) -> LinkBucket:
-    return LinkBucket(LinkLimits(mbit_s * MEGA / BITS_PER_BYTE, utilisation))
+    return LinkBucket(LinkLimits(bytes_per_s(mbit_s), utilisation))
 
 
 __all__ = (
--- a/src/cassiahitch/entry/gossip.py
+++ b/src/cassiahitch/entry/gossip.py
@@ -16,6 +16,7 @@
 from cassiahitch.requests.poison import PoisonGate
 from cassiahitch.routing.poison import ClearNews, CrashNews, PoisonGuard, ReserveNews
 from cassiahitch.wire import messages
+from cassiahitch.wire.node import incarnation_name
 
 if TYPE_CHECKING:
     from cassiahitch.routing.poison import News
@@ -62,7 +63,7 @@
             now = self.node.clock.monotonic()
             peers = tuple(one.peer for one in self.connections())
             self.guard.update_peers(frozenset(peer.host for peer in peers))
-            owners = frozenset(owner_name(peer.host, peer.incarnation) for peer in peers)
+            owners = frozenset(incarnation_name(peer.host, peer.incarnation) for peer in peers)
             self.registry.connected(owners, now)
             fencing_number = self.leads()
             if fencing_number:
@@ -101,7 +102,7 @@
         except ValidationError as error:
             raise WireError(Code.frame_corrupt, f'{error.error_count()} faults') from error
         now = self.node.clock.monotonic()
-        owner = owner_name(entry, message.incarnation)
+        owner = incarnation_name(entry, message.incarnation)
         self.registry.heard(owner, bulletin.division, bulletin.shares, now)
         received: tuple[News, ...] = (
             *bulletin.crashes,
@@ -133,20 +134,10 @@
     :return: the exchange; nothing runs yet.
     """
     host = node.settings.host
-    registry = LimitRegistry(owner_name(host, node.incarnation))
+    registry = LimitRegistry(incarnation_name(host, node.incarnation))
     return Gossip(node, connections, registry, leads, PoisonGuard(host))
 
 
-def owner_name(host: str, incarnation: int) -> str:
-    """Return the name under which an entry owns shares of limits.
-
-    :param host: its host.
-    :param incarnation: its incarnation.
-    :return: the name.
-    """
-    return f'{host}/{incarnation}'
-
-
 async def _deliver(connection: Connection, message: messages.EntryGossip) -> None:
     try:
         await connection.send(message)
@@ -159,5 +150,4 @@
     'Bulletin',
     'Gossip',
     'make_gossip',
-    'owner_name',
 )
--- a/src/cassiahitch/entry/leadership.py
+++ b/src/cassiahitch/entry/leadership.py
@@ -20,6 +20,7 @@
 from cassiahitch.errors import PlatformError
 from cassiahitch.metrics.names import CounterName, GaugeName
 from cassiahitch.timeline.events import EventKind
+from cassiahitch.wire.node import incarnation_name
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -46,7 +47,7 @@
         self.tables = tables
         self.on_gained = on_gained
         self.term = 0
-        holder = f'{node.settings.name}/{node.incarnation}'
+        holder = incarnation_name(node.settings.name, node.incarnation)
         self.lease = Lease(CONTROLLERS, holder, random.Random(node.incarnation))
 
     @property
--- a/src/cassiahitch/entry/process.py
+++ b/src/cassiahitch/entry/process.py
@@ -23,6 +23,7 @@
 from cassiahitch.wire import messages
 from cassiahitch.wire.configuration import decode_update
 from cassiahitch.wire.dialer import Dialer
+from cassiahitch.wire.node import incarnation_name
 from cassiahitch.wire.process import BaseProcess
 from cassiahitch.wire.reports import make_report
 
@@ -237,7 +238,7 @@
         peer = connection.peer
         self.directory.heard_entry(peer, beat)
         state = EntryState(
-            f'{peer.host}/{peer.incarnation}',
+            incarnation_name(peer.host, peer.incarnation),
             f'{peer.address}:{beat.http_port}',
             peer.region,
             peer.failure_domain,
@@ -249,7 +250,7 @@
 
     def _drop_address(self, peer: messages.Hello) -> None:
         """Name an entry whose connection ended no longer, until it is heard again."""
-        state = self.addresses.entries.get(f'{peer.host}/{peer.incarnation}')
+        state = self.addresses.entries.get(incarnation_name(peer.host, peer.incarnation))
         if state is not None:
             gone = replace(state, ready=False)
             self.addresses.update(gone, self.node.clock.monotonic())
@@ -258,7 +259,7 @@
         settings = self.settings
         self.directory.heard_entry(self.node.hello(), self.heartbeat())
         state = EntryState(
-            f'{settings.host}/{self.node.incarnation}',
+            incarnation_name(settings.host, self.node.incarnation),
             f'{settings.address}:{self.http_port}',
             settings.region,
             settings.failure_domain,
--- a/src/cassiahitch/metrics/exposition.py
+++ b/src/cassiahitch/metrics/exposition.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 from prometheus_client import CollectorRegistry, generate_latest
 from prometheus_client.core import (
@@ -17,8 +17,12 @@
 from cassiahitch.util.access import no_access_log
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from cassiahitch.metrics.registry import Metrics
-    from cassiahitch.metrics.snapshots import Snapshot
+    from cassiahitch.metrics.snapshots import Series, Snapshot
+
+_Plain = TypeVar('_Plain', CounterMetricFamily, GaugeMetricFamily)
 
 METRICS_PATH = '/metrics'
 PREFIX = 'cassiahitch'
@@ -43,8 +47,8 @@
         :yield: metrics.
         """
         snapshot = self.metrics.snapshot()
-        yield from _counters(snapshot)
-        yield from _gauges(snapshot)
+        yield from _plain(snapshot.counters, CounterMetricFamily)
+        yield from _plain(snapshot.gauges, GaugeMetricFamily)
         yield from _latencies(snapshot)
 
 
@@ -78,20 +82,11 @@
     )
 
 
-def _counters(snapshot: Snapshot) -> Iterator[Metric]:
-    families: dict[str, CounterMetricFamily] = {}
-    for series, count in snapshot.counters.items():
-        name = f'{PREFIX}_{series.name}'
-        family = families.setdefault(name, CounterMetricFamily(name, name, labels=LABELS))
-        family.add_metric((series.label,), count)
-    yield from families.values()
-
-
-def _gauges(snapshot: Snapshot) -> Iterator[Metric]:
-    families: dict[str, GaugeMetricFamily] = {}
-    for series, measured in snapshot.gauges.items():
+def _plain(series_values: Mapping[Series, float], kind: type[_Plain]) -> Iterator[Metric]:
+    families: dict[str, _Plain] = {}
+    for series, measured in series_values.items():
         name = f'{PREFIX}_{series.name}'
-        family = families.setdefault(name, GaugeMetricFamily(name, name, labels=LABELS))
+        family = families.setdefault(name, kind(name, name, labels=LABELS))
         family.add_metric((series.label,), measured)
     yield from families.values()
 
--- a/src/cassiahitch/standins/rowstore.py
+++ b/src/cassiahitch/standins/rowstore.py
@@ -12,10 +12,11 @@
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
+from cassiahitch.direct.serving import start_server
 from cassiahitch.platform import names
 from cassiahitch.stores.api import ABSENT
 from cassiahitch.util.access import no_access_log
-from cassiahitch.util.listening import listen, port_of
+from cassiahitch.util.endpoints import Endpoint
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -239,10 +240,7 @@
         (names.READ_CHANGES_PATH, FeedHandler, arguments),
         (names.COMMIT_PATH, CommitHandler, arguments),
     ]
-    server = HTTPServer(Application(routes, log_function=no_access_log))
-    own = listen(address, 0)
-    server.add_socket(own)
-    return server, port_of(own)
+    return start_server(Application(routes, log_function=no_access_log), Endpoint(address, 0))
 
 
 def _version(row: StoredRow | None) -> int:
--- a/src/cassiahitch/standins/weightservice.py
+++ b/src/cassiahitch/standins/weightservice.py
@@ -11,9 +11,10 @@
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
+from cassiahitch.direct.serving import start_server
 from cassiahitch.platform import names
 from cassiahitch.util.access import no_access_log
-from cassiahitch.util.listening import listen, port_of
+from cassiahitch.util.endpoints import Endpoint
 
 
 @dataclass(slots=True)
@@ -136,10 +137,7 @@
         (f'{names.MANIFEST_PATH}/([^/]+)', ManifestHandler, arguments),
         (f'{names.ORIGIN_CHUNK_PATH}/([^/]+)', ChunkHandler, arguments),
     ]
-    server = HTTPServer(Application(routes, log_function=no_access_log))
-    own = listen(address, 0)
-    server.add_socket(own)
-    return server, port_of(own)
+    return start_server(Application(routes, log_function=no_access_log), Endpoint(address, 0))
 
 
 __all__ = (
--- a/src/cassiahitch/weights/tree.py
+++ b/src/cassiahitch/weights/tree.py
@@ -5,13 +5,14 @@
 import hashlib
 from dataclasses import dataclass
 from enum import IntEnum
+from functools import partial
 from types import MappingProxyType
 from typing import TYPE_CHECKING, Final
 
 from cassiahitch.resources.models import Objective
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterable, Iterator
 
     from cassiahitch.weights.plan import Participant, RolloutPlan
 
@@ -269,6 +270,16 @@
     return hashlib.blake2b(host.encode(), digest_size=HASH_BYTES, salt=salt).digest()
 
 
+def ranked(number: int, names: Iterable[str]) -> tuple[str, ...]:
+    """Return names in an order that those who know the same names agree on.
+
+    :param number: turns the order.
+    :param names: the names.
+    :return: the same names; one that is left out does not change the order of the others.
+    """
+    return tuple(sorted(names, key=partial(rendezvous_hash, number)))
+
+
 def ancestors(plan: RolloutPlan, index: int, member: Participant) -> tuple[Source, ...]:
     """Return the sources of a host for a chunk; keep a :class:`Trees` for many look-ups.
 
@@ -286,5 +297,6 @@
     'Tier',
     'Trees',
     'ancestors',
+    'ranked',
     'rendezvous_hash',
 )
--- a/src/cassiahitch/wire/node.py
+++ b/src/cassiahitch/wire/node.py
@@ -123,7 +123,18 @@
         self.timeline.record(kind, code=reason.code, detail=connection.peer.host)
 
 
+def incarnation_name(host: str, incarnation: int) -> str:
+    """Return the name of one start of a process; the next one has another.
+
+    :param host: its host.
+    :param incarnation: its incarnation.
+    :return: the name.
+    """
+    return f'{host}/{incarnation}'
+
+
 __all__ = (
     'MS_PER_S',
     'Node',
+    'incarnation_name',
 )
