Tell what the end of an entry does to each request that it had read

An exchange is now known from its header until its last byte has left the process; the entry writes what is open at the signal, when it takes no new requests, and when it closes its connections, and one warning for each request that it cuts. The bounded log gives its reader 0.2 s for the last lines at exit; it dropped them before, if the pipe was full. No decision changes.

--- a/src/cassiahitch/cli/direct.py
+++ b/src/cassiahitch/cli/direct.py
@@ -69,6 +69,7 @@
         return ExitCode.fine
     with ExitStack() as stack:
         handler = configure_bounded_logs(settings.log_level, sys.stdout.fileno())
+        stack.callback(handler.close)
         stack.callback(logging.getLogger().removeHandler, handler)
         asyncio.run(serve(settings, path))
     return ExitCode.fine
--- a/src/cassiahitch/direct/entry.py
+++ b/src/cassiahitch/direct/entry.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import time
+from collections.abc import Callable, Iterable
 from contextlib import AsyncExitStack
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -20,6 +21,7 @@
 from cassiahitch.direct.relaying import TableRelay
 from cassiahitch.direct.reloading import SettingsWatch
 from cassiahitch.direct.serving import serve
+from cassiahitch.direct.stoplog import StopLog
 from cassiahitch.metrics.exposition import metrics_service
 from cassiahitch.util.endpoints import Endpoint
 from cassiahitch.util.listening import listen
@@ -27,6 +29,7 @@
 from cassiahitch.wire.tasks import ProcessTasks
 
 if TYPE_CHECKING:
+    from cassiahitch.direct.front import CallerExchange
     from cassiahitch.direct.surroundings import EntrySurroundings
     from cassiahitch.settings.direct import BoundSettings, DirectEntrySettings
 
@@ -79,6 +82,7 @@
         self.parts: EntryParts = make_parts(settings, around, self.incarnation, self.rng)
         self.beliefs = Beliefs(self.parts.knowledge, around, self.parts.journal)
         self.front = Front(self.parts.runner.serve)
+        self.stop_log = StopLog(self.parts.journal.metrics, around.codec)
         self.watch = SettingsWatch(path or Path(), settings, self.parts.journal, self._apply_bounds)
         self.discovery = Discovery(around, self.parts.knowledge, settings, self.rng)
 
@@ -132,18 +136,25 @@
         """Leave: tell it, take requests for a while, finish what runs, close everything."""
         knowledge = self.parts.knowledge
         knowledge.leaving = True
+        self._log_stop(self.stop_log.leaving)
         self.parts.beats.tell()
         self.front.close_connections_after_answers()
         until = boot_time() + self.settings.bounds.grace_s - END_MARGIN_S
         await asyncio.sleep(min(ACCEPT_S, self.settings.bounds.grace_s * ACCEPT_PART))
         self.front.server.stop()
+        self._log_stop(self.stop_log.taken)
         await self._finish(until)
         self.front.closing = True
         await self._finish(until)
+        self._log_stop(self.stop_log.ended)
         await self.front.server.close_all_connections()
         self.parts.runner.attempts.pool.close()
         await self.stack.aclose()
 
+    def _log_stop(self, write: Callable[[float, int, Iterable[CallerExchange]], None]) -> None:
+        front = self.front
+        write(asyncio.get_running_loop().time(), len(front.connections), front.open)
+
     async def _finish(self, until: float) -> None:
         await asyncio.sleep(POLL_S)
         while self.front.tasks and boot_time() < until:
--- a/src/cassiahitch/direct/front.py
+++ b/src/cassiahitch/direct/front.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable
 from contextlib import ExitStack
 from dataclasses import dataclass
+from functools import partial
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
@@ -22,6 +23,7 @@
 from tornado.iostream import StreamClosedError
 
 from cassiahitch.codes import Code, Ran
+from cassiahitch.direct.progress import Phase, Progress
 from cassiahitch.errors import RequestError
 
 if TYPE_CHECKING:
@@ -35,6 +37,8 @@
 RETURN_S = 0.05
 #: Seconds for which a connection without a request is kept.
 IDLE_S = 60.0
+#: Bytes of a whole answer after each of which it is known whether they have left.
+PIECE_BYTES = 65_536
 
 Serve = Callable[['CallerExchange'], Awaitable[None]]
 
@@ -71,6 +75,7 @@
         self.ended = False
         self.task: asyncio.Task[None] | None = None
         self.keeps_running = False
+        self.progress = Progress()
 
     def headers_received(
         self,
@@ -86,17 +91,22 @@
         self.incoming.method = str(method)
         self.incoming.target = str(target)
         self.incoming.headers = tuple(headers.get_all())
+        self.progress.opened_at = asyncio.get_running_loop().time()
+        self.front.open.add(self)
 
     def data_received(self, chunk: bytes) -> None:
         """Take a part of the body in.
 
         :param chunk: the part.
         """
+        self.progress.phase = Phase.body
         self.parts.append(chunk)
 
     def finish(self) -> None:
         """Serve the whole request."""
         self.incoming.body = b''.join(self.parts)
+        self.progress.read_at = asyncio.get_running_loop().time()
+        self.progress.phase = Phase.place
         self.connection.set_close_callback(self.on_connection_close)
         self.task = asyncio.create_task(self._run())
         self.front.tasks.add(self.task)
@@ -105,6 +115,7 @@
     def on_connection_close(self) -> None:
         """Cancel what runs for a caller that has left."""
         self.gone = True
+        self.settle()
         if self.task is not None and not self.keeps_running:
             self.task.cancel()
 
@@ -128,7 +139,14 @@
         if status not in {HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED}:
             lines['Content-Length'] = str(len(body))
         self.started = True
-        self._end_after(self._write_start(status, reason, lines, body))
+        self.progress.phase = Phase.writing
+        self._write_start(status, reason, lines, body[:PIECE_BYTES])
+        self._mark(len(body[:PIECE_BYTES]))
+        for start in range(PIECE_BYTES, len(body), PIECE_BYTES):
+            piece = body[start : start + PIECE_BYTES]
+            self._hand_over(self.connection.write(piece))
+            self._mark(len(piece))
+        self.end()
 
     async def start(self, status: int, reason: str, headers: Headers) -> None:
         """Write the start of an answer whose body follows in parts.
@@ -149,31 +167,57 @@
         """
         if self.gone:
             raise CallerGone
+        self.progress.handed += len(data)
         await _written(self.connection.write(data))
+        self.progress.left += len(data)
 
     def end(self) -> None:
-        """End the answer as whole."""
-        if not self.ended and not self.gone:
-            self.ended = True
-            self.connection.finish()
+        """End the answer as whole; the exchange is open until its last byte has left."""
+        if self.ended or self.gone:
+            return
+        self.ended = True
+        self.progress.phase = Phase.writing
+        self.connection.finish()
+        if self.connection.stream.closed() or not self.connection.stream.writing():
+            self.settle()
+            return
+        self._after_written(lambda _: self.settle())
+
+    def settle(self) -> None:
+        """Take in that nothing more can be done for the caller."""
+        self.front.open.discard(self)
 
     def abort(self) -> None:
         """Close the connection, so that the answer does not look whole."""
         self.ended = True
+        self.settle()
         if self.connection.stream is not None:
             self.connection.stream.close()
 
     def _write_start(
         self, status: int, reason: str, lines: HTTPHeaders, body: bytes | None
-    ) -> Awaitable[None]:
+    ) -> asyncio.Future[None]:
         line = ResponseStartLine('HTTP/1.1', status, reason)
-        return self.connection.write_headers(line, lines, body)
+        return self._hand_over(self.connection.write_headers(line, lines, body))
 
-    def _end_after(self, written: Awaitable[None]) -> None:
-        # The caller's connection takes the bytes by itself; nothing waits for them here.
+    def _hand_over(self, written: Awaitable[None]) -> asyncio.Future[None]:
+        # The caller's connection takes the bytes by itself; not everybody waits for them.
         future = asyncio.ensure_future(written)
         future.add_done_callback(_retrieve)
-        self.end()
+        return future
+
+    def _mark(self, size: int) -> None:
+        self.progress.handed += size
+        if not self.connection.stream.closed():
+            self._after_written(partial(self._note_left, size))
+
+    def _note_left(self, size: int, future: asyncio.Future[None]) -> None:
+        if not future.cancelled() and future.exception() is None:
+            self.progress.left += size
+
+    def _after_written(self, then: Callable[[asyncio.Future[None]], None]) -> None:
+        # Nothing is written; the mark is reached when all bytes before it have left.
+        self._hand_over(self.connection.stream.write(b'')).add_done_callback(then)
 
     async def _run(self) -> None:
         with ExitStack() as stack:
@@ -195,8 +239,10 @@
         """
         self.serve = serve
         self.tasks: set[asyncio.Task[None]] = set()
+        self.open: set[CallerExchange] = set()
+        self.connections: set[object] = set()
         self.closing = False
-        self.server = HTTPServer(
+        self.server = CallerServer(
             self,
             max_header_size=MAX_HEADER_BYTES,
             max_body_size=MAX_BODY_BYTES,
@@ -215,13 +261,34 @@
         """
         if not isinstance(request_conn, HTTP1Connection):
             raise TypeError('not an HTTP/1 connection')
+        self.connections.add(server_conn)
         return CallerExchange(request_conn, self)
 
+    def on_close(self, server_conn: object) -> None:
+        """Forget a connection.
+
+        :param server_conn: the connection.
+        """
+        self.connections.discard(server_conn)
+
     def close_connections_after_answers(self) -> None:
         """End each connection after the answer to its next request."""
         self.server.conn_params.no_keep_alive = True
 
 
+class CallerServer(HTTPServer):
+    """Tells its delegate also when a connection ends."""
+
+    def on_close(self, server_conn: object) -> None:
+        """Forget a connection.
+
+        :param server_conn: the connection.
+        """
+        super().on_close(server_conn)
+        if isinstance(self.request_callback, Front):
+            self.request_callback.on_close(server_conn)
+
+
 def _header_lines(headers: Headers) -> HTTPHeaders:
     lines = HTTPHeaders()
     for name, text in headers:
@@ -244,6 +311,7 @@
 __all__ = (
     'CallerExchange',
     'CallerGone',
+    'CallerServer',
     'Front',
     'Incoming',
 )
--- /dev/null
+++ b/src/cassiahitch/direct/progress.py
@@ -0,0 +1,44 @@
+"""How far an exchange with a caller has come."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class Phase(StrEnum):
+    """Where an exchange is."""
+
+    header = 'header read'
+    body = 'body being read'
+    place = 'waiting for a place'
+    replica = 'at a replica'
+    writing = 'being written'
+
+
+@dataclass(slots=True)
+class Progress:
+    """Times in seconds of the loop's clock, and bytes of the answer.
+
+    ``handed`` counts the bytes that were given to the connection, ``left`` those known to have
+    left the process. ``cut`` tells that this process ended the exchange, not its caller.
+    """
+
+    opened_at: float = 0
+    read_at: float | None = None
+    phase: Phase = Phase.header
+    id: str = ''
+    handed: int = 0
+    left: int = 0
+    cut: bool = False
+
+    @property
+    def unsent(self) -> int:
+        """Bytes of the answer that are not known to have left the process."""
+        return self.handed - self.left
+
+
+__all__ = (
+    'Phase',
+    'Progress',
+)
--- a/src/cassiahitch/direct/runner.py
+++ b/src/cassiahitch/direct/runner.py
@@ -24,6 +24,7 @@
 from cassiahitch.direct.candidates import Candidates
 from cassiahitch.direct.failures import failure_answer
 from cassiahitch.direct.placement import Crowded, Demand, Placed
+from cassiahitch.direct.progress import Phase
 from cassiahitch.errors import RequestError
 from cassiahitch.routing.api import Outcome as HealthOutcome
 
@@ -88,12 +89,14 @@
                 ),
                 arrived,
             )
+            caller.progress.id = call.id
             caller.check_open()
             await self.run(call, caller)
         except RequestError as error:
             await self.refuse(call, caller, error)
         except (CallerGone, asyncio.CancelledError):
-            self.journal.left(call)
+            if not caller.progress.cut:
+                self.journal.left(call)
             raise
 
     async def refuse(
@@ -152,7 +155,9 @@
         :raises RequestError: if it may not be sent again.
         """
         for _ in range(PLACEMENTS):
+            caller.progress.phase = Phase.place
             placed = await self.place(call)
+            caller.progress.phase = Phase.replica
             caller.keeps_running = call.plan().runs_once
             began = asyncio.get_running_loop().time()
             limit = self.candidates.connection_limit(call)
--- a/src/cassiahitch/metrics/logs.py
+++ b/src/cassiahitch/metrics/logs.py
@@ -17,6 +17,9 @@
     from cassiahitch.settings.models import LogLevel
 
 HIDDEN = '**********'
+#: Seconds that the reader of a bounded log gets for the last lines, and looks in them.
+LAST_LINES_S = 0.2
+LAST_LOOKS = 20
 #: Lines of each kind that a bounded log takes in a second.
 LINES_PER_S = 150
 #: Names of extra fields whose content is never written.
@@ -117,6 +120,13 @@
             return
         self._drained()
 
+    def close(self) -> None:
+        """Write what the descriptor has not taken yet, for which it gets a moment."""
+        until = time.monotonic() + LAST_LINES_S
+        while not self._drained() and time.monotonic() < until:
+            time.sleep(LAST_LINES_S / LAST_LOOKS)
+        super().close()
+
     def _drained(self) -> bool:
         try:
             while self.rest:
--- a/src/cassiahitch/metrics/names.py
+++ b/src/cassiahitch/metrics/names.py
@@ -14,6 +14,7 @@
     requests_dispatched = 'requests_dispatched'
     requests_retried = 'requests_retried'
     requests_cancelled = 'requests_cancelled'
+    requests_cut = 'requests_cut'
     requests_voided = 'requests_voided'
     runs_started = 'runs_started'
     runs_finished = 'runs_finished'
--- /dev/null
+++ b/tests/direct/test_stop_lines.py
@@ -0,0 +1,107 @@
+"""The end of an entry tells what it did to each request that it had read."""
+
+from __future__ import annotations
+
+import asyncio
+from itertools import repeat
+
+import pytest
+from direct_callers import SMALL, ask, run, until
+from slow_callers import connect
+
+from cassiahitch.direct.progress import Phase
+from cassiahitch.direct.stoplog import CUT_LINES, StopLog
+from cassiahitch.metrics.names import CounterName
+from cassiahitch.metrics.registry import Metrics
+from cassiahitch.metrics.snapshots import Series
+from cassiahitch.platform.requests import PlatformRequests
+from cassiahitch.standins.directsite import DirectSite
+
+CUT = 'request cut by the end of the entry'
+CLOSES = 'entry closes its connections'
+BODY = b'x' * 1000
+
+
+def lines(caplog: pytest.LogCaptureFixture, message: str) -> list[dict[str, object]]:
+    return [vars(one) for one in caplog.records if one.getMessage() == message]
+
+
+def only(found: list[dict[str, object]]) -> dict[str, object]:
+    assert len(found) == 1
+    return found[0]
+
+
+def test_request_cut_at_a_replica_leaves_a_warning(caplog: pytest.LogCaptureFixture) -> None:
+    async def body(site: DirectSite) -> None:
+        for model in site.models:
+            model.pause_s = 0.3
+            model.events = 100
+        asked = asyncio.create_task(ask(site.entries[0], '/draft/1'))
+        await until(lambda: any(model.running for model in site.models))
+        await site.entries[0].stop()
+        got = await asked
+        assert not got.whole
+        line = only(lines(caplog, CUT))
+        assert (line['request'], line['phase']) == (got.attempt, Phase.replica.value)
+        assert line['levelname'] == 'WARNING'
+        assert line['answer_started']
+        counted = site.entries[0].parts.journal.metrics.snapshot().counters
+        assert counted[Series(CounterName.requests_cut, 'replica')] == 1
+        assert 'caller left' not in caplog.text
+
+    caplog.set_level('INFO')
+    run(body, SMALL, grace_s=1)
+
+
+def test_request_whose_body_never_came_is_named_with_its_phase(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    async def body(site: DirectSite) -> None:
+        entry = site.entries[0]
+        caller = await connect(entry)
+        await caller.send('/order/1', body=BODY)
+        await until(lambda: len(entry.front.open) == 1)
+        await entry.stop()
+        line = only(lines(caplog, CUT))
+        assert (line['request'], line['phase']) == (caller.got.attempt, Phase.body.value)
+        caller.writer.close()
+
+    caplog.set_level('INFO')
+    run(body, SMALL, grace_s=1)
+
+
+def test_end_without_a_cut_request_is_told_with_what_there_was_at_the_signal(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    async def body(site: DirectSite) -> None:
+        entry = site.entries[0]
+        idle = await connect(entry)
+        await until(lambda: len(entry.front.connections) == 1)
+        await entry.stop()
+        line = only(lines(caplog, CLOSES))
+        assert (line['cut'], line['connections_at_signal']) == (0, 1)
+        assert not lines(caplog, CUT)
+        idle.writer.close()
+
+    caplog.set_level('INFO')
+    run(body, SMALL, grace_s=1)
+
+
+def test_many_cut_requests_are_counted_and_only_some_are_named(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    async def body(site: DirectSite) -> None:
+        entry = site.entries[0]
+        caller = await connect(entry)
+        await caller.send('/order/1', body=BODY)
+        await until(lambda: len(entry.front.open) == 1)
+        log = StopLog(Metrics('entry-0'), PlatformRequests())
+        log.leaving(0, 1, ())
+        log.ended(5, 1, repeat(next(iter(entry.front.open)), CUT_LINES + 20))
+        line = only(lines(caplog, CLOSES))
+        assert (line['cut'], line['after_signal_s']) == (CUT_LINES + 20, 5)
+        assert len(lines(caplog, CUT)) == CUT_LINES
+        caller.writer.close()
+
+    caplog.set_level('INFO')
+    run(body, SMALL, grace_s=1)
--- a/tests/metrics/test_bounded_logs.py
+++ b/tests/metrics/test_bounded_logs.py
@@ -5,6 +5,7 @@
 import json
 import logging
 import os
+import threading
 from types import SimpleNamespace
 from typing import Any
 
@@ -62,3 +63,25 @@
     os.close(reader)
     logs.emit(record('nobody reads this'))
     assert not logs.rest
+
+
+def test_last_lines_come_out_when_their_reader_was_late() -> None:
+    reader, writer = os.pipe()
+    logs = handler(writer, 10**9)
+    while not logs.rest:
+        logs.emit(record('x' * 1000))
+    logs.rest = b'%blast\n' % logs.rest
+    late = threading.Timer(logs_module.LAST_LINES_S / 4, os.read, (reader, 1_000_000))
+    late.start()
+    logs.close()
+    late.join()
+    assert os.read(reader, 1_000_000).endswith(b'last\n')
+
+
+def test_reader_that_never_reads_does_not_hold_the_end_back() -> None:
+    _, writer = os.pipe()
+    logs = handler(writer, 10**9)
+    while not logs.rest:
+        logs.emit(record('x' * 1000))
+    logs.close()
+    assert logs.rest
--- /dev/null
+++ b/tests/support/slow_callers.py
@@ -0,0 +1,76 @@
+"""Callers that send and read piece by piece."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from dataclasses import dataclass, field
+from itertools import count
+
+import direct_callers
+import h11
+
+from cassiahitch.direct.entry import DirectEntry
+from cassiahitch.standins.directsite import KEY
+
+#: Receive buffer of a caller that reads slowly, in bytes.
+BUFFER_BYTES = 65_536
+IDS = count()
+
+
+@dataclass
+class SlowCaller:
+    """One connection to an entry."""
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    machine: h11.Connection = field(default_factory=lambda: h11.Connection(h11.CLIENT))
+    got: direct_callers.Got = field(default_factory=direct_callers.Got)
+
+    async def send(self, path: str, *, body: bytes = b'', deadline_ms: int = 3000) -> None:
+        """Send the start of a request, with half of its body."""
+        self.got = direct_callers.Got(f's{next(IDS)}')
+        headers = [
+            ('Host', 'menus.example'),
+            ('X-Cassiahitch-Attempt-Id', self.got.attempt),
+            ('X-Cassiahitch-Deadline-Ms', str(deadline_ms)),
+            ('X-Cassiahitch-Key', KEY),
+        ]
+        if path.startswith('/draft'):
+            headers += [('X-Cassiahitch-Model', 'm1'), ('X-Cassiahitch-Token-Count', '100,30')]
+        if body:
+            headers.append(('Content-Length', str(len(body))))
+        method = 'POST' if body else 'GET'
+        request = h11.Request(method=method, target=path, headers=headers)
+        self.write(self.machine.send(request))
+        self.write(self.machine.send(h11.Data(body[: len(body) // 2])))
+        if not body:
+            self.write(self.machine.send(h11.EndOfMessage()))
+
+    def send_rest(self, body: bytes) -> None:
+        """Send the second half of the body."""
+        self.write(self.machine.send(h11.Data(body[len(body) // 2 :])))
+        self.write(self.machine.send(h11.EndOfMessage()))
+
+    def write(self, data: bytes | None) -> None:
+        self.writer.write(data or b'')
+
+    async def answer(self) -> direct_callers.Got:
+        """Read to the end of the answer, or of the connection."""
+        try:
+            async with asyncio.timeout(10):
+                await direct_callers.read(self.machine, self.reader, self.got)
+        except (ConnectionError, h11.RemoteProtocolError):
+            self.got.whole = False
+        self.writer.close()
+        return self.got
+
+
+async def connect(entry: DirectEntry) -> SlowCaller:
+    own = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    own.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
+    own.setblocking(False)
+    callers = entry.settings.callers
+    await asyncio.get_running_loop().sock_connect(own, (callers.address, callers.port))
+    reader, writer = await asyncio.open_connection(sock=own, limit=BUFFER_BYTES)
+    return SlowCaller(reader, writer)
