--- a/src/cassiahitch/standins/backends.py
+++ b/src/cassiahitch/standins/backends.py
@@ -95,6 +95,7 @@
     slots: int = 4
     events: int = 5
     pause_s: float = 0
+    padding: int = 0
     fault: Fault = Fault.none
     faults: list[Fault] = field(default_factory=list)
     engine: EngineStandin | None = None
@@ -273,7 +274,7 @@
         """
         await asyncio.sleep(self.pause_s)
         head = {names.ATTEMPT_ID: attempt, names.SEAL: f'seal-{self.id}'}
-        body = f'{self.id} {attempt}'.encode()
+        body = f'{self.id} {attempt}'.encode() + b'-' * self.padding
         match fault:
             case Fault.hang:
                 await asyncio.sleep(60)
