Wait for answers that have not left and for bodies that are being read when an entry stops

What callers saw: around a SIGTERM a caller that read slowly lost the end of its answer, and one that still sent its body got its connection closed without an answer, both seconds before the grace period ended. Cause: the stop waited for tasks, and a task ends when its answer was handed to the connection, and begins when the body is whole. Now an exchange is open from its header until its last byte has left the process, and the stop waits for open exchanges.

--- a/src/cassiahitch/direct/entry.py
+++ b/src/cassiahitch/direct/entry.py
@@ -157,7 +157,7 @@
 
     async def _finish(self, until: float) -> None:
         await asyncio.sleep(POLL_S)
-        while self.front.tasks and boot_time() < until:
+        while self.front.is_busy() and boot_time() < until:
             await asyncio.sleep(POLL_S)
 
     def _declarations(self, relay: TableRelay) -> TableFollower:
--- a/src/cassiahitch/direct/front.py
+++ b/src/cassiahitch/direct/front.py
@@ -271,6 +271,13 @@
         """
         self.connections.discard(server_conn)
 
+    def is_busy(self) -> bool:
+        """Tell whether anything is under way for a caller.
+
+        :return: whether an answer has not left as a whole, or a request still runs.
+        """
+        return bool(self.open or self.tasks)
+
     def close_connections_after_answers(self) -> None:
         """End each connection after the answer to its next request."""
         self.server.conn_params.no_keep_alive = True
