Take only what can be finished after the signal, and use the whole grace period

What callers saw: of 8 s, new requests were taken for 4.8 s and everything was cut at 7.3 s, so a stream that began late was cut after 2.5 s; the listener was closed at 4.8 s, while callers may hold the address for 6 s; a connection whose header was read before the signal was closed without a word. Cause: two timers that know nothing of the requests that they end. The listener stays until callers no longer hold the address and nothing is open.

--- a/src/cassiahitch/direct/entry.py
+++ b/src/cassiahitch/direct/entry.py
@@ -17,6 +17,7 @@
 from cassiahitch.direct.following import TableFollower
 from cassiahitch.direct.freshness import boot_time
 from cassiahitch.direct.front import Front
+from cassiahitch.direct.leaving import GracePlan
 from cassiahitch.direct.peers import AddressAnswer, choose_addresses
 from cassiahitch.direct.relaying import TableRelay
 from cassiahitch.direct.reloading import SettingsWatch
@@ -49,12 +50,8 @@
 TIDY_S = 0.25
 #: Seconds for which an address answer holds.
 LIFETIME_S = 2.0
-#: Seconds after the order to stop in which new requests are taken.
-ACCEPT_S = 4.8
-#: Longest part of the grace period for which new requests are taken.
-ACCEPT_PART = 0.6
-#: Seconds before the end of the grace period at which the process ends.
-END_MARGIN_S = 0.7
+#: Lifetimes for which some callers keep an address.
+HELD_LIFETIMES = 3
 POLL_S = 0.05
 
 
@@ -133,19 +130,20 @@
         self.watch.reload()
 
     async def stop(self) -> None:
-        """Leave: tell it, take requests for a while, finish what runs, close everything."""
-        knowledge = self.parts.knowledge
-        knowledge.leaving = True
+        """Leave: tell it, take what can be finished, finish it, close everything."""
+        clock = asyncio.get_running_loop().time
+        bounds = self.settings.bounds
+        plan = GracePlan(clock(), bounds.grace_s, HELD_LIFETIMES * self._lifetime_s())
+        self.parts.knowledge.leaving = True
+        self.front.leave(plan)
         self._log_stop(self.stop_log.leaving)
         self.parts.beats.tell()
-        self.front.close_connections_after_answers()
-        until = boot_time() + self.settings.bounds.grace_s - END_MARGIN_S
-        await asyncio.sleep(min(ACCEPT_S, self.settings.bounds.grace_s * ACCEPT_PART))
+        await asyncio.sleep(plan.held_until - clock())
+        await self._finish(plan.ends_at)
         self.front.server.stop()
-        self._log_stop(self.stop_log.taken)
-        await self._finish(until)
         self.front.closing = True
-        await self._finish(until)
+        self._log_stop(self.stop_log.taken)
+        await self._finish(plan.ends_at)
         self._log_stop(self.stop_log.ended)
         await self.front.server.close_all_connections()
         self.parts.runner.attempts.pool.close()
@@ -156,8 +154,9 @@
         write(asyncio.get_running_loop().time(), len(front.connections), front.open)
 
     async def _finish(self, until: float) -> None:
+        # A connection that was just accepted gets one look for its request.
         await asyncio.sleep(POLL_S)
-        while self.front.is_busy() and boot_time() < until:
+        while self.front.is_busy() and asyncio.get_running_loop().time() < until:
             await asyncio.sleep(POLL_S)
 
     def _declarations(self, relay: TableRelay) -> TableFollower:
@@ -202,8 +201,10 @@
     def _addresses(self, region: str) -> AddressAnswer:
         now = asyncio.get_running_loop().time()
         states = self.parts.knowledge.peers.usable(self.parts.beats.own(), now)
-        lifetime_s = min(LIFETIME_S, self.settings.bounds.address_lifetime_s)
-        return choose_addresses(states, region, lifetime_s, self.rng)
+        return choose_addresses(states, region, self._lifetime_s(), self.rng)
+
+    def _lifetime_s(self) -> float:
+        return min(LIFETIME_S, self.settings.bounds.address_lifetime_s)
 
     async def _tidy(self) -> None:
         while True:
--- a/src/cassiahitch/direct/front.py
+++ b/src/cassiahitch/direct/front.py
@@ -23,6 +23,7 @@
 from tornado.iostream import StreamClosedError
 
 from cassiahitch.codes import Code, Ran
+from cassiahitch.direct.leaving import GracePlan
 from cassiahitch.direct.progress import Phase, Progress
 from cassiahitch.errors import RequestError
 
@@ -75,6 +76,7 @@
         self.ended = False
         self.task: asyncio.Task[None] | None = None
         self.keeps_running = False
+        self.closes = False
         self.progress = Progress()
 
     def headers_received(
@@ -119,12 +121,13 @@
         if self.task is not None and not self.keeps_running:
             self.task.cancel()
 
-    def check_open(self) -> None:
-        """Refuse a request that was read while connections are being closed.
+    def check_open(self, deadline: float) -> None:
+        """Refuse a request that cannot be finished before this process ends.
 
+        :param deadline: when the caller is told at the latest that there is no answer, in seconds.
         :raises RequestError: ``leaving``.
         """
-        if self.front.closing:
+        if self.front.refuses(self.progress.read_at or 0, deadline):
             raise RequestError(Code.leaving, 'this entry is about to end', Ran.no, RETURN_S)
 
     async def answer(self, status: int, reason: str, headers: Headers, body: bytes) -> None:
@@ -135,7 +138,7 @@
         :param headers: its headers, without those of the connection.
         :param body: its body.
         """
-        lines = _header_lines(headers)
+        lines = self._header_lines(headers)
         if status not in {HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED}:
             lines['Content-Length'] = str(len(body))
         self.started = True
@@ -157,7 +160,7 @@
         :raises CallerGone: if nobody reads it.
         """
         self.started = True
-        await _written(self._write_start(status, reason, _header_lines(headers), None))
+        await _written(self._write_start(status, reason, self._header_lines(headers), None))
 
     async def write(self, data: bytes) -> None:
         """Write a part of the body.
@@ -179,9 +182,9 @@
         self.progress.phase = Phase.writing
         self.connection.finish()
         if self.connection.stream.closed() or not self.connection.stream.writing():
-            self.settle()
+            self._close_after()
             return
-        self._after_written(lambda _: self.settle())
+        self._after_written(lambda _: self._close_after())
 
     def settle(self) -> None:
         """Take in that nothing more can be done for the caller."""
@@ -194,6 +197,18 @@
         if self.connection.stream is not None:
             self.connection.stream.close()
 
+    def _header_lines(self, headers: Headers) -> HTTPHeaders:
+        lines = _header_lines(headers)
+        self.closes = self.front.plan is not None
+        if self.closes:
+            lines['Connection'] = 'close'
+        return lines
+
+    def _close_after(self) -> None:
+        self.settle()
+        if self.closes:
+            self.connection.close()
+
     def _write_start(
         self, status: int, reason: str, lines: HTTPHeaders, body: bytes | None
     ) -> asyncio.Future[None]:
@@ -242,6 +257,7 @@
         self.open: set[CallerExchange] = set()
         self.connections: set[object] = set()
         self.closing = False
+        self.plan: GracePlan | None = None
         self.server = CallerServer(
             self,
             max_header_size=MAX_HEADER_BYTES,
@@ -278,10 +294,25 @@
         """
         return bool(self.open or self.tasks)
 
-    def close_connections_after_answers(self) -> None:
-        """End each connection after the answer to its next request."""
+    def leave(self, plan: GracePlan) -> None:
+        """End each connection after its next answer, and take only what can be finished.
+
+        :param plan: the grace period.
+        """
+        self.plan = plan
         self.server.conn_params.no_keep_alive = True
 
+    def refuses(self, read_at: float, deadline: float) -> bool:
+        """Tell whether a request comes too late.
+
+        :param read_at: when it was read, in seconds.
+        :param deadline: when it ends at the latest, in seconds.
+        :return: whether it is refused.
+        """
+        if self.closing:
+            return True
+        return self.plan is not None and not self.plan.takes(read_at, deadline)
+
 
 class CallerServer(HTTPServer):
     """Tells its delegate also when a connection ends."""
--- a/src/cassiahitch/direct/runner.py
+++ b/src/cassiahitch/direct/runner.py
@@ -90,7 +90,6 @@
                 arrived,
             )
             caller.progress.id = call.id
-            caller.check_open()
             await self.run(call, caller)
         except RequestError as error:
             await self.refuse(call, caller, error)
@@ -131,6 +130,7 @@
         :raises RequestError: if it fails.
         """
         self.filters.check(call)
+        caller.check_open(call.deadline)
         self.note_patience(call)
         stream = StreamState(caller)
         try:
