Leave a silent replica only when another place and a retry are to be had

What callers saw: a stream that had started was closed without its end, and other requests got 502, after 0.4 s to 1.3 s of silence of their replica, although it answered before the deadline. Cause: the replica was given up and its connection closed first, and then the placement or the retry budget refused. Evidence: test_leaving.py: (200, False), (502, True), (502, True) before. A line and a counter tell it. Silence no longer counts while the caller is the one who is slow.

--- a/src/cassiahitch/direct/attempt.py
+++ b/src/cassiahitch/direct/attempt.py
@@ -13,6 +13,7 @@
 from cassiahitch.direct.events import EventSplitter
 from cassiahitch.direct.exchange import AnswerLost, Exchange
 from cassiahitch.direct.front import CallerGone
+from cassiahitch.direct.silence import Silence, watched
 from cassiahitch.wire.beats import PlacementNotice
 
 if TYPE_CHECKING:
@@ -60,13 +61,26 @@
 
 @dataclass(slots=True)
 class StreamState:
-    """What the caller has of a stream, over all backend servers that wrote it."""
+    """What the caller has of a stream, over all backend servers that wrote it.
+
+    ``reserved`` is where the request goes on after the present backend server, with a retry that
+    is taken already.
+    """
 
     caller: CallerExchange
     splitter: EventSplitter = field(default_factory=EventSplitter)
     started: bool = False
     first_event_at: float | None = None
     on_first: Callable[[float], None] | None = None
+    leave: Callable[[], bool] | None = None
+    reserved: Placed | None = None
+
+    def leaves_silent(self) -> bool:
+        """Reserve another place for a request whose backend server is silent.
+
+        :return: whether there is one.
+        """
+        return self.leave is not None and self.leave()
 
 
 @dataclass(frozen=True, slots=True)
@@ -186,14 +200,15 @@
         )
         headers = self.codec.write_headers(call.request, destination)
         try:
-            async with asyncio.timeout(patience.first_s):
+            async with watched(stream.leaves_silent) as silence:
+                silence.expect(patience.first_s)
                 head = await exchange.send(call.request, headers)
-            if head.not_run:
-                await exchange.body()
-                return NotRun(head.status)
-            if head.status in SUCCESS and call.plan().repeat == 'stream':
-                return await self.forward(exchange, head, stream, patience)
-            async with asyncio.timeout(patience.first_s):
+                if head.not_run:
+                    await exchange.body()
+                    return NotRun(head.status)
+                if head.status in SUCCESS and call.plan().repeat == 'stream':
+                    return await self.forward(exchange, head, stream, patience, silence)
+                silence.expect(patience.first_s)
                 return Answered(head, await exchange.body())
         except AnswerLost as error:
             return Lost(str(error))
@@ -206,6 +221,7 @@
         head: AnswerHead,
         stream: StreamState,
         patience: Patience,
+        silence: Silence,
     ) -> Outcome:
         """Pass the whole events of a stream on as they come.
 
@@ -213,20 +229,20 @@
         :param head: the start of the answer.
         :param stream: what the caller has so far.
         :param patience: how long to wait for news.
+        :param silence: watches over the wait.
         :return: how it ended.
         :raises AnswerLost: if the stream breaks off.
         """
         if not head.sealed or head.encoded:
             return Lost('an answer without a signature')
-        limit_s = patience.next_s if stream.started else patience.first_s
+        silence.expect(patience.next_s if stream.started else patience.first_s)
         async with aclosing(exchange.parts()) as parts:
-            while True:
-                async with asyncio.timeout(limit_s):
-                    part = await anext(parts, None)
-                if part is None:
-                    break
+            async for part in parts:
+                # The caller's own slowness is no silence of the backend server.
+                silence.expect(None)
                 await self.pass_on(head, stream, stream.splitter.feed(part))
-                limit_s = patience.next_s
+                silence.expect(patience.next_s)
+        silence.expect(None)
         await self.pass_on(head, stream, stream.splitter.rest, last=True)
         stream.caller.end()
         return Delivered()
--- /dev/null
+++ b/src/cassiahitch/direct/elsewhere.py
@@ -0,0 +1,89 @@
+"""Whether a request may go on at another backend server."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from cassiahitch.codes import Code
+from cassiahitch.direct.placement import Crowded, Demand, Placed
+from cassiahitch.errors import RequestError
+
+if TYPE_CHECKING:
+    from cassiahitch.direct.api import Call
+    from cassiahitch.direct.attempt import StreamState
+    from cassiahitch.direct.budget import RetryBudget
+    from cassiahitch.direct.candidates import Candidates
+    from cassiahitch.direct.crashwatch import CrashWatch
+    from cassiahitch.direct.filters import RequestFilters
+    from cassiahitch.direct.journal import Journal
+    from cassiahitch.direct.knowledge import Knowledge
+
+#: Seconds after which a caller may come back when there is no retry.
+RETURN_S = 0.6
+
+
+@dataclass(frozen=True, slots=True)
+class Elsewhere:
+    """Finds other places and spends retries."""
+
+    knowledge: Knowledge
+    filters: RequestFilters
+    candidates: Candidates
+    budget: RetryBudget
+    watch: CrashWatch
+    journal: Journal
+
+    def leave_silent(self, call: Call, placed: Placed, stream: StreamState, demand: Demand) -> bool:
+        """Reserve another place and a retry for a request whose backend server is silent.
+
+        :param call: the request.
+        :param placed: where it is.
+        :param stream: keeps the place.
+        :param demand: what is to be placed.
+        :return: whether both are to be had; the request stays where it is otherwise.
+        """
+        key = placed.candidate.replica.key
+        before = call.avoided.copy()
+        call.avoided.add(key)
+        try:
+            self.filters.check_key(call)
+            stream.reserved = self.other_place(call, key, demand)
+        except RequestError as error:
+            call.avoided = before
+            self.watch.check(placed.candidate.replica)
+            self.journal.kept(call, placed, error)
+            return False
+        return True
+
+    def other_place(self, call: Call, key: str, demand: Demand) -> Placed:
+        """Return a place at another backend server, with a retry that is spent on it.
+
+        :param call: the request.
+        :param key: where it is now.
+        :param demand: what is to be placed.
+        :return: the place.
+        :raises RequestError: if there is no place or no retry.
+        """
+        found = self.candidates.place(call, demand, asyncio.get_running_loop().time())
+        if isinstance(found, Crowded):
+            raise RequestError(Code.overloaded, 'no other place in time', call.ran)
+        if found.candidate.replica.key == key:
+            raise RequestError(Code.no_replica, 'no other backend server', call.ran)
+        self.take_retry(call)
+        return found
+
+    def take_retry(self, call: Call) -> None:
+        """Spend a retry.
+
+        :param call: the request that is sent again.
+        :raises RequestError: if there is none.
+        """
+        now = asyncio.get_running_loop().time()
+        if not self.budget.take(call.service, self.knowledge.entries(now), now):
+            detail = 'the service gets too many repeated requests'
+            raise RequestError(Code.retry_budget_spent, detail, call.ran, RETURN_S)
+
+
+__all__ = ('Elsewhere',)
--- a/src/cassiahitch/direct/journal.py
+++ b/src/cassiahitch/direct/journal.py
@@ -102,6 +102,18 @@
         best = {'best_s': placed.best_s, 'retry_after_s': placed.retry_after_s}
         self.line(logging.INFO, 'request found no place', call, best)
 
+    def kept(self, call: Call, placed: Placed, error: RequestError) -> None:
+        """Record that a request stays at a silent backend server.
+
+        :param call: the request.
+        :param placed: where it is.
+        :param error: why it can go nowhere else.
+        """
+        self.metrics.count(CounterName.requests_kept, error.code.name)
+        replica = placed.candidate.replica.id
+        fields = {'replica': replica, 'name_of_code': error.code.name}
+        self.line(logging.INFO, 'request kept at a silent replica', call, fields)
+
     def failed(self, call: Call | None, error: RequestError) -> None:
         """Record the final answer to a request that failed.
 
--- a/src/cassiahitch/direct/runner.py
+++ b/src/cassiahitch/direct/runner.py
@@ -22,6 +22,7 @@
     StreamState,
 )
 from cassiahitch.direct.candidates import Candidates
+from cassiahitch.direct.elsewhere import Elsewhere
 from cassiahitch.direct.failures import failure_answer
 from cassiahitch.direct.placement import Crowded, Demand, Placed
 from cassiahitch.direct.progress import Phase
@@ -73,6 +74,18 @@
     watch: CrashWatch
     journal: Journal
     patience_s: dict[str, float] = field(default_factory=dict)
+    elsewhere: Elsewhere = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Create what is made of the other parts."""
+        self.elsewhere = Elsewhere(
+            knowledge=self.knowledge,
+            filters=self.filters,
+            candidates=self.candidates,
+            budget=self.budget,
+            watch=self.watch,
+            journal=self.journal,
+        )
 
     async def serve(self, caller: CallerExchange) -> None:
         """Answer one request.
@@ -156,13 +169,15 @@
         """
         for _ in range(PLACEMENTS):
             caller.progress.phase = Phase.place
-            placed = await self.place(call)
+            placed = stream.reserved or await self.place(call)
+            stream.reserved = None
             caller.progress.phase = Phase.replica
             caller.keeps_running = call.plan().runs_once
             began = asyncio.get_running_loop().time()
             limit = self.candidates.connection_limit(call)
             patience = self.patience(call)
             stream.on_first = partial(self.note_lateness, placed, began)
+            stream.leave = partial(self.leave_silent, call, placed, stream)
             with self.watch.running(call, placed.candidate.replica):
                 outcome = await self.attempts.send(call, placed, stream, patience, limit)
             self.journal.attempted(call, placed, outcome, began, stream.first_event_at)
@@ -193,6 +208,16 @@
                 raise self.crowded(call, placed)
             await asyncio.sleep(LOOK_S)
 
+    def leave_silent(self, call: Call, placed: Placed, stream: StreamState) -> bool:
+        """Prepare to leave a silent backend server.
+
+        :param call: the request.
+        :param placed: where it is.
+        :param stream: keeps the next place.
+        :return: whether the request can go elsewhere.
+        """
+        return self.elsewhere.leave_silent(call, placed, stream, self.demand(call))
+
     def crowded(self, call: Call, placed: Crowded) -> RequestError:
         """Return the refusal of a request for which there is no place.
 
@@ -348,10 +373,8 @@
             call.may_have_run = True
             if route.runs_once or call.sends >= route.max_attempts:
                 raise _lost(outcome, call.ran)
-        now = asyncio.get_running_loop().time()
-        if not self.budget.take(call.service, self.knowledge.entries(now), now):
-            detail = 'the service gets too many repeated requests'
-            raise RequestError(Code.retry_budget_spent, detail, call.ran, RETURN_S)
+        if stream.reserved is None:
+            self.elsewhere.take_retry(call)
 
 
 def _is_true(call: Call, head: AnswerHead) -> bool:
--- a/src/cassiahitch/metrics/names.py
+++ b/src/cassiahitch/metrics/names.py
@@ -15,6 +15,7 @@
     requests_retried = 'requests_retried'
     requests_cancelled = 'requests_cancelled'
     requests_cut = 'requests_cut'
+    requests_kept = 'requests_kept'
     requests_voided = 'requests_voided'
     runs_started = 'runs_started'
     runs_finished = 'runs_finished'
--- a/tests/direct/test_leaving.py
+++ b/tests/direct/test_leaving.py
@@ -123,6 +123,8 @@
     for other in site.models:
         if other is not silent:
             other.running = 400
+    await asyncio.sleep(0.5)
+    silent.pause_s = 0.05
     return await asked
 
 
