--- a/src/cassiahitch/direct/front.py
+++ b/src/cassiahitch/direct/front.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable
 from contextlib import ExitStack
 from dataclasses import dataclass
+from functools import partial
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
@@ -22,6 +23,8 @@
 from tornado.iostream import StreamClosedError
 
 from cassiahitch.codes import Code, Ran
+from cassiahitch.direct.leaving import GracePlan
+from cassiahitch.direct.progress import Phase, Progress
 from cassiahitch.errors import RequestError
 
 if TYPE_CHECKING:
@@ -35,6 +38,8 @@
 RETURN_S = 0.05
 #: Seconds for which a connection without a request is kept.
 IDLE_S = 60.0
+#: Bytes of a whole answer after each of which it is known whether they have left.
+PIECE_BYTES = 65_536
 
 Serve = Callable[['CallerExchange'], Awaitable[None]]
 
@@ -71,6 +76,8 @@
         self.ended = False
         self.task: asyncio.Task[None] | None = None
         self.keeps_running = False
+        self.closes = False
+        self.progress = Progress()
 
     def headers_received(
         self,
@@ -86,17 +93,22 @@
         self.incoming.method = str(method)
         self.incoming.target = str(target)
         self.incoming.headers = tuple(headers.get_all())
+        self.progress.opened_at = asyncio.get_running_loop().time()
+        self.front.open.add(self)
 
     def data_received(self, chunk: bytes) -> None:
         """Take a part of the body in.
 
         :param chunk: the part.
         """
+        self.progress.phase = Phase.body
         self.parts.append(chunk)
 
     def finish(self) -> None:
         """Serve the whole request."""
         self.incoming.body = b''.join(self.parts)
+        self.progress.read_at = asyncio.get_running_loop().time()
+        self.progress.phase = Phase.place
         self.connection.set_close_callback(self.on_connection_close)
         self.task = asyncio.create_task(self._run())
         self.front.tasks.add(self.task)
@@ -105,15 +117,17 @@
     def on_connection_close(self) -> None:
         """Cancel what runs for a caller that has left."""
         self.gone = True
+        self.settle()
         if self.task is not None and not self.keeps_running:
             self.task.cancel()
 
-    def check_open(self) -> None:
-        """Refuse a request that was read while connections are being closed.
+    def check_open(self, deadline: float) -> None:
+        """Refuse a request that cannot be finished before this process ends.
 
+        :param deadline: when the caller is told at the latest that there is no answer, in seconds.
         :raises RequestError: ``leaving``.
         """
-        if self.front.closing:
+        if self.front.refuses(self.progress.read_at or 0, deadline):
             raise RequestError(Code.leaving, 'this entry is about to end', Ran.no, RETURN_S)
 
     async def answer(self, status: int, reason: str, headers: Headers, body: bytes) -> None:
@@ -124,11 +138,18 @@
         :param headers: its headers, without those of the connection.
         :param body: its body.
         """
-        lines = _header_lines(headers)
+        lines = self._header_lines(headers)
         if status not in {HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED}:
             lines['Content-Length'] = str(len(body))
         self.started = True
-        self._end_after(self._write_start(status, reason, lines, body))
+        self.progress.phase = Phase.writing
+        self._write_start(status, reason, lines, body[:PIECE_BYTES])
+        self._mark(len(body[:PIECE_BYTES]))
+        for start in range(PIECE_BYTES, len(body), PIECE_BYTES):
+            piece = body[start : start + PIECE_BYTES]
+            self._hand_over(self.connection.write(piece))
+            self._mark(len(piece))
+        self.end()
 
     async def start(self, status: int, reason: str, headers: Headers) -> None:
         """Write the start of an answer whose body follows in parts.
@@ -139,7 +160,7 @@
         :raises CallerGone: if nobody reads it.
         """
         self.started = True
-        await _written(self._write_start(status, reason, _header_lines(headers), None))
+        await _written(self._write_start(status, reason, self._header_lines(headers), None))
 
     async def write(self, data: bytes) -> None:
         """Write a part of the body.
@@ -149,31 +170,69 @@
         """
         if self.gone:
             raise CallerGone
+        self.progress.handed += len(data)
         await _written(self.connection.write(data))
+        self.progress.left += len(data)
 
     def end(self) -> None:
-        """End the answer as whole."""
-        if not self.ended and not self.gone:
-            self.ended = True
-            self.connection.finish()
+        """End the answer as whole; the exchange is open until its last byte has left."""
+        if self.ended or self.gone:
+            return
+        self.ended = True
+        self.progress.phase = Phase.writing
+        self.connection.finish()
+        if self.connection.stream.closed() or not self.connection.stream.writing():
+            self._close_after()
+            return
+        self._after_written(lambda _: self._close_after())
+
+    def settle(self) -> None:
+        """Take in that nothing more can be done for the caller."""
+        self.front.open.discard(self)
 
     def abort(self) -> None:
         """Close the connection, so that the answer does not look whole."""
         self.ended = True
+        self.settle()
         if self.connection.stream is not None:
             self.connection.stream.close()
 
+    def _header_lines(self, headers: Headers) -> HTTPHeaders:
+        lines = _header_lines(headers)
+        self.closes = self.front.plan is not None
+        if self.closes:
+            lines['Connection'] = 'close'
+        return lines
+
+    def _close_after(self) -> None:
+        self.settle()
+        if self.closes:
+            self.connection.close()
+
     def _write_start(
         self, status: int, reason: str, lines: HTTPHeaders, body: bytes | None
-    ) -> Awaitable[None]:
+    ) -> asyncio.Future[None]:
         line = ResponseStartLine('HTTP/1.1', status, reason)
-        return self.connection.write_headers(line, lines, body)
+        return self._hand_over(self.connection.write_headers(line, lines, body))
 
-    def _end_after(self, written: Awaitable[None]) -> None:
-        # The caller's connection takes the bytes by itself; nothing waits for them here.
+    def _hand_over(self, written: Awaitable[None]) -> asyncio.Future[None]:
+        # The caller's connection takes the bytes by itself; not everybody waits for them.
         future = asyncio.ensure_future(written)
         future.add_done_callback(_retrieve)
-        self.end()
+        return future
+
+    def _mark(self, size: int) -> None:
+        self.progress.handed += size
+        if not self.connection.stream.closed():
+            self._after_written(partial(self._note_left, size))
+
+    def _note_left(self, size: int, future: asyncio.Future[None]) -> None:
+        if not future.cancelled() and future.exception() is None:
+            self.progress.left += size
+
+    def _after_written(self, then: Callable[[asyncio.Future[None]], None]) -> None:
+        # Nothing is written; the mark is reached when all bytes before it have left.
+        self._hand_over(self.connection.stream.write(b'')).add_done_callback(then)
 
     async def _run(self) -> None:
         with ExitStack() as stack:
@@ -195,8 +254,11 @@
         """
         self.serve = serve
         self.tasks: set[asyncio.Task[None]] = set()
+        self.open: set[CallerExchange] = set()
+        self.connections: set[object] = set()
         self.closing = False
-        self.server = HTTPServer(
+        self.plan: GracePlan | None = None
+        self.server = CallerServer(
             self,
             max_header_size=MAX_HEADER_BYTES,
             max_body_size=MAX_BODY_BYTES,
@@ -215,12 +277,55 @@
         """
         if not isinstance(request_conn, HTTP1Connection):
             raise TypeError('not an HTTP/1 connection')
+        self.connections.add(server_conn)
         return CallerExchange(request_conn, self)
 
-    def close_connections_after_answers(self) -> None:
-        """End each connection after the answer to its next request."""
+    def on_close(self, server_conn: object) -> None:
+        """Forget a connection.
+
+        :param server_conn: the connection.
+        """
+        self.connections.discard(server_conn)
+
+    def is_busy(self) -> bool:
+        """Tell whether anything is under way for a caller.
+
+        :return: whether an answer has not left as a whole, or a request still runs.
+        """
+        return bool(self.open or self.tasks)
+
+    def leave(self, plan: GracePlan) -> None:
+        """End each connection after its next answer, and take only what can be finished.
+
+        :param plan: the grace period.
+        """
+        self.plan = plan
         self.server.conn_params.no_keep_alive = True
 
+    def refuses(self, read_at: float, deadline: float) -> bool:
+        """Tell whether a request comes too late.
+
+        :param read_at: when it was read, in seconds.
+        :param deadline: when it ends at the latest, in seconds.
+        :return: whether it is refused.
+        """
+        if self.closing:
+            return True
+        return self.plan is not None and not self.plan.takes(read_at, deadline)
+
+
+class CallerServer(HTTPServer):
+    """Tells its delegate also when a connection ends."""
+
+    def on_close(self, server_conn: object) -> None:
+        """Forget a connection.
+
+        :param server_conn: the connection.
+        """
+        super().on_close(server_conn)
+        if isinstance(self.request_callback, Front):
+            self.request_callback.on_close(server_conn)
+
 
 def _header_lines(headers: Headers) -> HTTPHeaders:
     lines = HTTPHeaders()
@@ -244,6 +349,7 @@
 __all__ = (
     'CallerExchange',
     'CallerGone',
+    'CallerServer',
     'Front',
     'Incoming',
 )
