Count a declared version from when it may have been declared, not from when a fresh entry reads it

Cause: an entry that starts cannot know since when the version in its first answer is declared and allowed older ones for 1.5 s more; ages told by other entries were ignored once the row was read, and versions older than the newest one were not noted. Change: a version counts from the last answer after which nothing newer existed, plus 1 s at most. Without one, older versions are not allowed until another entry tells an age; ages are only told if they were learned live, and at once to an entry that starts.

--- a/src/cassiahitch/direct/beating.py
+++ b/src/cassiahitch/direct/beating.py
@@ -54,14 +54,15 @@
     socket: DatagramSocket | None = None
     relay: TableRelay | None = None
 
-    def own(self) -> EntryBeat:
+    def own(self, *, whole: bool = False) -> EntryBeat:
         """Return the own state.
 
+        :param whole: whether to tell what only one of several heartbeats tells otherwise.
         :return: a heartbeat.
         """
         settings = self.knowledge.settings
         now = asyncio.get_running_loop().time()
-        whole = self.sequence % LONG_BEATS == 0
+        whole = whole or self.sequence % LONG_BEATS == 0
         return EntryBeat(
             name=settings.name,
             incarnation=self.incarnation,
@@ -78,23 +79,25 @@
         )
 
     def version_records(self, now: float) -> tuple[VersionRecord, ...]:
-        """Return the declared versions and how long ago they were learned.
+        """Return the declared versions and how long ago they were declared.
 
         :param now: seconds.
         :return: records for a heartbeat.
         """
         return tuple(
-            VersionRecord(model, version, int((now - at) * MS_PER_S))
-            for model, learned in self.knowledge.versions.learned.items()
-            for version, at in learned.items()
+            VersionRecord(declared.model, declared.version, int((now - at) * MS_PER_S))
+            for declared, at in self.knowledge.versions.told()
         )
 
-    def tell(self) -> None:
-        """Send the own state to all entries."""
+    def tell(self, *, whole: bool = False) -> None:
+        """Send the own state to all entries.
+
+        :param whole: whether to tell what only one of several heartbeats tells otherwise.
+        """
         if self.socket is None:
             return
         self.sequence += 1
-        beat = self.own()
+        beat = self.own(whole=whole)
         settings = self.knowledge.settings
         now = asyncio.get_running_loop().time()
         for address in self.knowledge.peers.addresses(now):
@@ -171,7 +174,8 @@
         """
         if self.knowledge.peers.heard(beat, now):
             self.journal.believed('entry heard', entry=beat.name, incarnation=beat.incarnation)
-            self.tell()
+            # An entry that has just started knows no ages of versions.
+            self.tell(whole=True)
         self.knowledge.crashes.heard(beat.suspects, now)
         for record in beat.versions:
             declared = DeclaredVersion(record.model, record.version)
--- a/src/cassiahitch/direct/beliefs.py
+++ b/src/cassiahitch/direct/beliefs.py
@@ -17,9 +17,6 @@
     from cassiahitch.direct.knowledge import Knowledge
     from cassiahitch.direct.surroundings import EntrySurroundings
 
-#: Seconds for which a fresh process uses an older version that was replaced at an unknown time.
-UNKNOWN_AGE_LEFT_S = 2.5
-
 
 @dataclass(slots=True)
 class Beliefs:
@@ -28,7 +25,6 @@
     knowledge: Knowledge
     around: EntrySurroundings
     journal: Journal
-    begun: bool = False
 
     def take_declarations(
         self,
@@ -47,7 +43,6 @@
             readable = self.take_declaration(row) and readable
         if readable and not isinstance(reply, CallFailure | HistoryGone):
             self.knowledge.freshness.confirm(asked_at)
-            self.begun = True
 
     def take_declaration(self, row: TableRow) -> bool:
         """Take one row of the operator in.
@@ -91,8 +86,8 @@
         """
         versions = self.knowledge.versions
         now = asyncio.get_running_loop().time()
-        learned = now if self.begun else now - versions.bound_s + UNKNOWN_AGE_LEFT_S
-        if versions.declare(declared, learned):
+        confirmed_at = now - self.knowledge.freshness.age_s(boot_time())
+        if versions.read(declared, confirmed_at, now):
             fields = {'model': declared.model, 'weights': declared.version}
             self.journal.believed('weights declared', **fields)
 
--- a/src/cassiahitch/direct/versions.py
+++ b/src/cassiahitch/direct/versions.py
@@ -6,6 +6,9 @@
 
 #: Seconds before the end of the bound from which no request begins on an older version.
 MARGIN_S = 1.0
+#: Longest time without an answer of the store after which a version that it brings counts as
+#: declared just now, in seconds.
+USUAL_GAP_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,24 +23,62 @@
 class VersionPolicy:
     """Declared versions and when this process learned of them.
 
-    A version is replaced for good ``bound_s`` after a newer one was declared.
+    A version is replaced for good ``bound_s`` after a newer one was declared. ``learned`` holds
+    when a version was declared, or the earliest such time if it is also in ``guesses``: this
+    process began, or heard nothing, for a while before it learned of it. A guess gives way to
+    what another process tells, and is not told to others.
     """
 
     bound_s: float
     learned: dict[str, dict[int, float]] = field(default_factory=dict)
+    guesses: set[DeclaredVersion] = field(default_factory=set)
 
-    def declare(self, declared: DeclaredVersion, now: float) -> bool:
-        """Take a declared version in.
+    def declare(self, declared: DeclaredVersion, at: float) -> bool:
+        """Take in that a version was declared, as the process knows that learned of it at once.
 
         :param declared: the version.
+        :param at: when, in seconds; the earliest time that was told counts.
+        :return: whether it is newer than all known ones.
+        """
+        known = self.learned.setdefault(declared.model, {})
+        is_newer = declared.version > max(known, default=0)
+        if declared in self.guesses:
+            self.guesses.remove(declared)
+            known[declared.version] = at
+        else:
+            known[declared.version] = min(at, known.get(declared.version, at))
+        return is_newer
+
+    def read(self, declared: DeclaredVersion, confirmed_at: float, now: float) -> bool:
+        """Take in that a version stands in the store.
+
+        :param declared: the version.
+        :param confirmed_at: when this process last knew that nothing newer existed, in seconds;
+            minus infinity if it never did.
         :param now: seconds.
         :return: whether it is newer than all known ones.
         """
+        earliest = confirmed_at + USUAL_GAP_S
+        if earliest >= now:
+            return self.declare(declared, now)
         known = self.learned.setdefault(declared.model, {})
-        if declared.version <= max(known, default=0):
-            return False
-        known[declared.version] = now
-        return True
+        is_newer = declared.version > max(known, default=0)
+        if declared.version not in known:
+            known[declared.version] = earliest
+            self.guesses.add(declared)
+        return is_newer
+
+    def told(self) -> tuple[tuple[DeclaredVersion, float], ...]:
+        """Return what other processes may rely on.
+
+        :return: versions and when they were declared, in seconds.
+        """
+        versions = (
+            (DeclaredVersion(model, version), at)
+            for model, known in self.learned.items()
+            for version, at in known.items()
+        )
+        return tuple(one for one in versions if one[0] not in self.guesses)
 
     def newest(self, model: str) -> int:
         """Return the newest declared version.
@@ -61,6 +102,7 @@
 
 __all__ = (
     'MARGIN_S',
+    'USUAL_GAP_S',
     'DeclaredVersion',
     'VersionPolicy',
 )
--- a/tests/direct/test_beliefs_of_replicas.py
+++ b/tests/direct/test_beliefs_of_replicas.py
@@ -6,7 +6,7 @@
 
 from cassiahitch.direct.freshness import USED_PART, Freshness
 from cassiahitch.direct.replicas import AWAY_AFTER_S, REGISTRATION_S, Replica, ReplicaBook
-from cassiahitch.direct.versions import MARGIN_S, DeclaredVersion, VersionPolicy
+from cassiahitch.direct.versions import MARGIN_S, USUAL_GAP_S, DeclaredVersion, VersionPolicy
 from cassiahitch.util.endpoints import Endpoint
 
 
@@ -77,11 +77,66 @@
     assert policy.newest('m') == 3
 
 
-def test_older_declaration_changes_nothing() -> None:
+def test_older_declaration_is_no_news_and_has_its_own_bound() -> None:
     policy = VersionPolicy(8)
     policy.declare(DeclaredVersion('m', 3), 100)
     assert not policy.declare(DeclaredVersion('m', 2), 50)
-    assert policy.oldest_allowed('m', 101) == 0
+    assert policy.newest('m') == 3
+    assert policy.oldest_allowed('m', 101) == 2
+    assert policy.oldest_allowed('m', 108) == 3
+
+
+V2 = DeclaredVersion('m', 2)
+NEVER = float('-inf')
+
+
+def test_process_that_starts_allows_no_older_version_until_an_age_is_told() -> None:
+    policy = VersionPolicy(8)
+    assert policy.read(V2, NEVER, 100)
+    assert policy.oldest_allowed('m', 100) == 2
+    policy.declare(V2, 98)
+    assert policy.oldest_allowed('m', 100) == 0
+    assert policy.oldest_allowed('m', 98 + 8 - MARGIN_S) == 2
+
+
+def test_process_that_starts_tells_no_age_that_it_does_not_know() -> None:
+    policy = VersionPolicy(8)
+    policy.read(V2, NEVER, 100)
+    assert policy.told() == ()
+    policy.declare(V2, 98)
+    assert policy.told() == ((V2, 98),)
+
+
+def test_age_that_was_told_before_the_store_answered_holds() -> None:
+    policy = VersionPolicy(8)
+    policy.declare(V2, 98)
+    assert not policy.read(V2, NEVER, 100)
+    assert policy.oldest_allowed('m', 100) == 0
+    assert policy.oldest_allowed('m', 98 + 8 - MARGIN_S) == 2
+
+
+def test_greatest_age_that_is_told_counts() -> None:
+    policy = VersionPolicy(8)
+    policy.declare(V2, 100)
+    policy.declare(V2, 95)
+    policy.declare(V2, 99)
+    assert policy.oldest_allowed('m', 95 + 8 - MARGIN_S) == 2
+
+
+def test_version_counts_from_the_last_answer_if_the_process_heard_nothing_for_long() -> None:
+    policy = VersionPolicy(8)
+    frozen_s = 5
+    policy.read(V2, 100 - frozen_s, 100)
+    assert policy.oldest_allowed('m', 100) == 0
+    assert policy.oldest_allowed('m', 100 - frozen_s + 8) == 2
+    assert policy.told() == ()
+
+
+def test_version_that_is_read_in_time_counts_from_now() -> None:
+    policy = VersionPolicy(8)
+    policy.read(V2, 100 - USUAL_GAP_S, 100)
+    assert policy.oldest_allowed('m', 100 + 8 - MARGIN_S - 0.01) == 0
+    assert policy.told() == ((V2, 100),)
 
 
 @pytest.mark.parametrize(('age_s', 'good'), [(0, True), (5 * USED_PART, False), (60, False)])
