Give up an answer of the store for lack of progress, not because it is long

Cause: the time-out of a call counted for its whole answer. Change: an answer has to begin within 1.2 s (after the wait for changes), has to bring something every 0.6 s from then on, and may take 5 s more. Tests that failed before: tests/stores/test_caller.py (Call takes no longer_s; with the time-out for the whole answer, 8 parts at 0.15 s do not arrive within 0.5 s).

--- a/src/cassiahitch/platform/rows.py
+++ b/src/cassiahitch/platform/rows.py
@@ -22,6 +22,8 @@
 
 #: Seconds until a call that does not wait for changes fails.
 CALL_TIMEOUT_S = 1.2
+#: Seconds for which an answer that has begun by then may go on.
+ANSWER_S = 5.0
 MS_PER_S = 1000
 #: Rows of one answer.
 PAGE_ROWS = 500
@@ -158,7 +160,8 @@
     ) -> _PageModel | HistoryGone | CallFailure:
         url = f'{self.url}{path}?{urlencode(query)}'
         try:
-            answer = await self.caller.call(Call('GET', url, None, wait_s + CALL_TIMEOUT_S))
+            call = Call('GET', url, None, wait_s + CALL_TIMEOUT_S, longer_s=ANSWER_S)
+            answer = await self.caller.call(call)
         except CallFailed as error:
             return CallFailure(str(error))
         if answer.status == HTTPStatus.GONE:
--- a/src/cassiahitch/stores/caller.py
+++ b/src/cassiahitch/stores/caller.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import json
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Callable
+from contextlib import ExitStack
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
@@ -23,13 +24,19 @@
 MAX_CLIENTS = 256
 #: Largest answer to a call, in bytes.
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
+#: Longest time in which nothing of an answer that has begun arrives, in seconds.
+PROGRESS_S = 0.6
 
 _NOT_SENT = frozenset((pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST))
 
 
 @dataclass(frozen=True, slots=True)
 class Call:
-    """An HTTP call; one that is not ``repeatable`` uses a fresh connection."""
+    """An HTTP call; one that is not ``repeatable`` uses a fresh connection.
+
+    It fails unless its answer is whole after ``timeout_s``, or has begun by then, makes progress
+    and is whole within ``longer_s`` more.
+    """
 
     method: str
     url: str
@@ -37,6 +44,7 @@
     timeout_s: float = 5
     repeatable: bool = True
     headers: tuple[tuple[str, str], ...] = ()
+    longer_s: float = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,11 +97,57 @@
 class _CurlClient(CurlAsyncHTTPClient):
     """Ignores the timer that libcurl may have set before the client was closed."""
 
+    def carries(self, curl: Any, request: HTTPRequest) -> bool:
+        """Tell whether a handle still carries a call."""
+        under_way = self._multi is not None and curl.info is not None
+        # The client wraps the request.
+        return under_way and curl.info['request'].request is request
+
+    def received(self, curl: Any) -> int:
+        """Return the bytes of the answer that have arrived."""
+        return int(curl.info['buffer'].tell())
+
+    def end(self, curl: Any) -> None:
+        """End a call that is under way."""
+        self._finish(curl, pycurl.E_OPERATION_TIMEDOUT, 'the answer makes no progress')
+        self._process_queue()
+
     def _handle_timeout(self) -> None:
         if self._multi is not None:
             super()._handle_timeout()
 
 
+@dataclass(slots=True)
+class _Watch:
+    """Ends a call whose answer has not begun in time, or makes no progress.
+
+    Load pattern: a link that many answers share carries each of them slowly. A call that is given
+    up and made again then sends the same bytes over it twice.
+    """
+
+    client: _CurlClient
+    request: HTTPRequest
+    prepare: Callable[[Any], None]
+    curl: Any = None
+    seen: int = 0
+
+    def begin(self, curl: Any) -> None:
+        """Note the handle that carries the call."""
+        self.curl = curl
+        self.prepare(curl)
+
+    def look(self) -> None:
+        """End the call if nothing has arrived since the last look."""
+        if self.curl is None or not self.client.carries(self.curl, self.request):
+            return
+        received = self.client.received(self.curl)
+        if received == self.seen:
+            self.client.end(self.curl)
+            return
+        self.seen = received
+        asyncio.get_running_loop().call_later(PROGRESS_S, self.look)
+
+
 class HttpCaller:
     """Owns a curl client; an asynchronous context manager."""
 
@@ -126,8 +180,7 @@
         if self.closed:
             raise CallFailed('the client is closed', sent=False)
         try:
-            answer = await self.client.fetch(self._request(call), raise_error=False)
-            return _reply(answer)
+            return _reply(await self._fetch(call))
         except (HTTPClientError, OSError) as error:
             raise CallFailed(str(error), sent=_was_sent(error)) from error
 
@@ -153,6 +206,18 @@
         except CurlError as error:
             raise CallFailed(str(error), sent=_was_sent(error)) from error
 
+    async def _fetch(self, call: Call) -> HTTPResponse:
+        request = self._request(call)
+        if not call.longer_s:
+            return await self.client.fetch(request, raise_error=False)
+        assert request.prepare_curl_callback is not None
+        watch = _Watch(self.client, request, request.prepare_curl_callback)
+        request.prepare_curl_callback = watch.begin
+        look = asyncio.get_running_loop().call_later(call.timeout_s, watch.look)
+        with ExitStack() as stack:
+            stack.callback(look.cancel)
+            return await self.client.fetch(request, raise_error=False)
+
     def _request(self, call: Call) -> HTTPRequest:
         return HTTPRequest(
             call.url,
@@ -162,7 +227,7 @@
             allow_nonstandard_methods=True,
             follow_redirects=False,
             connect_timeout=min(call.timeout_s, 2),
-            request_timeout=call.timeout_s,
+            request_timeout=call.timeout_s + call.longer_s,
             prepare_curl_callback=_reuse_connection if call.repeatable else _fresh_connection,
         )
 
--- /dev/null
+++ b/tests/stores/test_caller.py
@@ -0,0 +1,72 @@
+"""Tests of HTTP calls whose answers are slow."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from cassiahitch.stores.caller import PROGRESS_S, Call, CallFailed, HttpCaller, Reply
+
+#: Seconds until an answer must have begun.
+BEGUN_S = 0.5
+PARTS = 8
+PART = b'x' * 1000
+HEAD = f'HTTP/1.1 200 OK\r\nContent-Length: {PARTS * len(PART)}\r\n\r\n'.encode()
+
+
+async def answer_slowly(parts: int, pause_s: float, longer_s: float) -> tuple[Reply | None, int]:
+    """Make one call to a server that sends some parts of its answer, with a pause between them.
+
+    :return: the answer, if it came, and how often the server was called.
+    """
+    calls = 0
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        nonlocal calls
+        calls += 1
+        await reader.readuntil(b'\r\n\r\n')
+        for index in range(parts):
+            head = b'' if index else HEAD
+            writer.write(head + PART)
+            await writer.drain()
+            await asyncio.sleep(pause_s)
+        await reader.read()
+        writer.close()
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    call = Call('GET', f'http://127.0.0.1:{port}/', None, BEGUN_S, longer_s=longer_s)
+    try:
+        async with HttpCaller() as caller, asyncio.timeout(20):
+            return await caller.call(call), calls
+    except CallFailed as error:
+        assert error.sent
+        return None, calls
+    finally:
+        server.close()
+
+
+def test_answer_that_makes_progress_is_not_asked_for_again() -> None:
+    reply, calls = asyncio.run(answer_slowly(PARTS, 0.15, 15))
+    assert reply is not None
+    assert len(reply.body) == PARTS * len(PART)
+    assert calls == 1
+
+
+@pytest.mark.parametrize('parts', [0, 3], ids=['has not begun', 'stops midway'])
+def test_call_fails_long_before_its_end_if_the_answer(parts: int) -> None:
+    async def body() -> None:
+        began = asyncio.get_running_loop().time()
+        reply, calls = await answer_slowly(parts, 0.01, 15)
+        took_s = asyncio.get_running_loop().time() - began
+        assert reply is None
+        assert BEGUN_S <= took_s < BEGUN_S + 2 * PROGRESS_S + 5
+        assert calls == 1
+
+    asyncio.run(body())
+
+
+def test_answer_that_goes_on_for_too_long_fails() -> None:
+    reply, _ = asyncio.run(answer_slowly(PARTS, 0.4, 1))
+    assert reply is None
