Store chunks at the engine as they arrive

An agent stored chunks at its engine only when it had all of them.

Now each chunk is stored as it comes, under a lock that a load holds from before the verification until its order is accepted, so that no load finds chunks of two versions.

Tests that failed before: an agent that starts again fetches only what it had not yet (TimeoutError), and without the lock, chunks of a newer version came among those that are loaded.

--- a/src/cassiahitch/direct/loading.py
+++ b/src/cassiahitch/direct/loading.py
@@ -6,17 +6,17 @@
 import random
 from collections.abc import Awaitable, Callable
 from contextlib import ExitStack
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from cassiahitch.direct.chunks import WeightsName
 from cassiahitch.direct.enginestate import EngineReport, OrderOutcome
 from cassiahitch.direct.fetching import VersionFetch
+from cassiahitch.direct.staging import Stager
 from cassiahitch.direct.uploads import HOST_UTILISATION
 from cassiahitch.direct.versions import MARGIN_S
 from cassiahitch.errors import PlatformError
 from cassiahitch.util.rates import bytes_per_s
-from cassiahitch.weights.manifest import verify_chunk
 from cassiahitch.weights.tree import ranked
 
 if TYPE_CHECKING:
@@ -89,6 +89,11 @@
     rng: random.Random
     maps: ChunkMaps
     report: EngineReport | None = None
+    stager: Stager = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Own what the engine has staged."""
+        self.stager = Stager(self.engine, self.library)
 
     async def work(self) -> None:
         """Keep the engine at the newest version until cancelled.
@@ -99,6 +104,7 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self.keep(self.fetch_newest))
             group.create_task(self.keep(self.load_newest))
+            group.create_task(self.keep(self.stage_arrived))
 
     async def keep(self, step: Callable[[], Awaitable[None]]) -> None:
         """Repeat a step until cancelled.
@@ -125,6 +131,19 @@
         if held is None or not held.complete:
             await self.fetch(wanted)
 
+    async def stage_arrived(self) -> None:
+        """Store what has arrived of the version that is being fetched.
+
+        It is a loop of its own that nothing cancels: a call that is left alone may still store its
+        chunk, after those of another version were verified.
+
+        :raises PlatformError: ``engine_unavailable``.
+        """
+        for name in tuple(self.maps.fetches):
+            held = self.library.shelf.held.get(name)
+            if held is not None:
+                await self.stager.store_arrived(name, held)
+
     async def load_newest(self) -> None:
         """Load the newest version that is here if it is newer than the engine's.
 
@@ -162,13 +181,13 @@
         :raises PlatformError: if a step failed.
         """
         began = asyncio.get_running_loop().time()
-        hosts = tuple(one.host for one in self.beliefs.participants)
         left_s = self.beliefs.left_s(wanted, began)
-        await self.stage(wanted, held)
-        if self.is_serving(wanted.model):
-            await asyncio.sleep(turn_s(self.member.host, hosts, wanted.version, left_s))
-            await self.stage(wanted, held)
-        outcome = await self.order(wanted)
+        async with self.stager.lock:
+            await self.stager.store_whole(wanted, held)
+            if self.is_serving(wanted.model):
+                await self.wait_turn(wanted, left_s)
+                await self.stager.store_whole(wanted, held)
+            outcome = await self.order(wanted)
         self.log.believed(
             'load ordered',
             model=wanted.model,
@@ -178,6 +197,15 @@
             took_s=round(asyncio.get_running_loop().time() - began, 3),
         )
 
+    async def wait_turn(self, wanted: WeightsName, left_s: float) -> None:
+        """Wait until it is this host's turn to load.
+
+        :param wanted: the version.
+        :param left_s: seconds until the older version may no longer be used.
+        """
+        hosts = tuple(one.host for one in self.beliefs.participants)
+        await asyncio.sleep(turn_s(self.member.host, hosts, wanted.version, left_s))
+
     async def fetch(self, wanted: WeightsName) -> None:
         """Fetch all chunks of a version, until a newer one is declared.
 
@@ -235,19 +263,6 @@
         loaded = self.report.version(model) if self.report else 0
         return loaded > 0 and loaded >= self.beliefs.versions.oldest_allowed(model, now)
 
-    async def stage(self, wanted: WeightsName, held: Held) -> None:
-        """Store all chunks at the engine that are not there as they should be.
-
-        :param wanted: the version.
-        :param held: its chunks.
-        :raises PlatformError: ``engine_unavailable``.
-        """
-        for index, content in sorted(held.contents.items()):
-            found = await self.engine.staged(wanted.model, index)
-            if found is None or not verify_chunk(held.manifest, index, found):
-                await self.engine.stage(wanted.model, index, content)
-        self.library.staged = wanted
-
     async def order(self, wanted: WeightsName) -> OrderOutcome:
         """Order the load, if nobody else ordered anything meanwhile.
 
--- /dev/null
+++ b/src/cassiahitch/direct/staging.py
@@ -0,0 +1,76 @@
+"""Stores chunks at the engine of a host, which keeps them while its agent restarts."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from cassiahitch.weights.manifest import verify_chunk
+
+if TYPE_CHECKING:
+    from cassiahitch.direct.chunks import Held, WeightsName
+    from cassiahitch.direct.enginestate import StagedEngine
+    from cassiahitch.direct.library import ChunkLibrary
+
+
+@dataclass(slots=True)
+class Stager:
+    """Owns what the engine has staged, which is one version or a part of it.
+
+    Whoever orders a load holds ``lock`` from before the chunks are verified until the order is
+    accepted, so that chunks of a newer version do not come among them.
+    """
+
+    engine: StagedEngine
+    library: ChunkLibrary
+    lock: asyncio.Lock = field(default_factory=asyncio.Lock)
+    name: WeightsName | None = None
+    stored: set[int] = field(default_factory=set)
+
+    async def store_arrived(self, name: WeightsName, held: Held) -> None:
+        """Store the chunks that have arrived since the last time.
+
+        Load pattern: power fails while a version is fetched. What is staged then need not be
+        fetched again, and the version is whole again once the rest is here.
+
+        :param name: the version that is fetched.
+        :param held: its chunks.
+        :raises PlatformError: ``engine_unavailable``.
+        """
+        if name == self.name and self.stored.issuperset(held.contents):
+            return
+        async with self.lock:
+            self.begin(name)
+            for index in sorted(held.contents.keys() - self.stored):
+                await self.engine.stage(name.model, index, held.contents[index])
+                self.stored.add(index)
+
+    async def store_whole(self, name: WeightsName, held: Held) -> None:
+        """Store all chunks that are not there as they should be; the caller holds the lock.
+
+        :param name: the version.
+        :param held: its chunks.
+        :raises PlatformError: ``engine_unavailable``.
+        """
+        self.begin(name)
+        for index, content in sorted(held.contents.items()):
+            found = await self.engine.staged(name.model, index)
+            if found is None or not verify_chunk(held.manifest, index, found):
+                await self.engine.stage(name.model, index, content)
+            self.stored.add(index)
+        self.library.staged = name
+
+    def begin(self, name: WeightsName) -> None:
+        """Count nothing as stored if another version was staged.
+
+        :param name: the version that is staged from here on.
+        """
+        if name != self.name:
+            self.name = name
+            self.stored.clear()
+            if self.library.staged != name:
+                self.library.staged = None
+
+
+__all__ = ('Stager',)
--- a/src/cassiahitch/standins/directsite.py
+++ b/src/cassiahitch/standins/directsite.py
@@ -182,11 +182,32 @@
             region_link_mbit_s=self.size.link_mbit_s,
             link_mbit_s=self.size.link_mbit_s,
         )
+        self.agents.append(await self.start_agent(settings))
+        return backend
+
+    async def start_agent(self, settings: DirectAgentSettings) -> DirectAgent:
+        """Start an agent.
+
+        :param settings: its settings.
+        :return: the agent.
+        """
         caller = await self.stack.enter_async_context(HttpCaller())
         agent = DirectAgent(settings, self.platform(caller), caller)
         await agent.start()
-        self.agents.append(agent)
-        return backend
+        return agent
+
+    async def restart_agent(self, position: int) -> DirectAgent:
+        """Stop an agent and start it again; it remembers nothing.
+
+        :param position: which of the agents.
+        :return: the new agent.
+        """
+        await self.agents[position].stop()
+        # Its sockets are closed in the next turn of the loop.
+        await asyncio.sleep(POLL_S)
+        agent = await self.start_agent(self.agents[position].settings)
+        self.agents[position] = agent
+        return agent
 
     async def add_entry(self, number: int) -> DirectEntry:
         """Start an entry.
--- /dev/null
+++ b/tests/direct/test_staging.py
@@ -0,0 +1,127 @@
+"""Tests of what lies staged at an engine while versions arrive and power fails."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+from direct_callers import run, until
+
+from cassiahitch.direct.chunks import Held, WeightsName, make_manifest
+from cassiahitch.direct.enginestate import EngineReport, OrderOutcome
+from cassiahitch.direct.library import ChunkLibrary
+from cassiahitch.direct.peerchunks import PeerChunks
+from cassiahitch.direct.staging import Stager
+from cassiahitch.standins.directsite import DirectSite, DirectSize
+from cassiahitch.standins.weightservice import WeightService
+from cassiahitch.stores.caller import HttpCaller
+
+CHUNKS = 8
+
+
+@dataclass
+class SlowEngine:
+    """Stores chunks, each after others had a turn."""
+
+    chunks: dict[int, bytes] = field(default_factory=dict)
+
+    async def report(self) -> EngineReport:
+        return EngineReport()
+
+    async def stage(self, model: str, index: int, content: bytes) -> None:
+        await asyncio.sleep(0)
+        self.chunks[index] = content
+
+    async def staged(self, model: str, index: int) -> bytes | None:
+        await asyncio.sleep(0)
+        return self.chunks.get(index)
+
+    async def load(self, model: str, version: int, orders: int) -> OrderOutcome:
+        return OrderOutcome.begun
+
+
+class NoOrigin:
+    async def manifest(self, url: str, model: str, version: int) -> tuple[int, tuple[str, ...]]:
+        raise AssertionError
+
+    async def chunk(self, url: str, model: str, version: int, index: int) -> bytes:
+        raise AssertionError
+
+
+def make_held(version: int) -> tuple[WeightsName, Held]:
+    weights = WeightService('m', 64)
+    weights.publish(version, CHUNKS)
+    name = WeightsName(version, 'm')
+    digests = tuple(weights.digests(version))
+    manifest = make_manifest(name, digests, (64,) * CHUNKS)
+    return name, Held(manifest, dict(enumerate(weights.chunks[version])))
+
+
+def make_stager(engine: SlowEngine, caller: HttpCaller) -> Stager:
+    return Stager(engine, ChunkLibrary(engine, NoOrigin(), PeerChunks(caller, 1, 'r')))
+
+
+def test_chunks_of_a_newer_version_do_not_come_among_those_that_are_loaded() -> None:
+    async def body() -> None:
+        async with HttpCaller() as caller:
+            engine = SlowEngine()
+            stager = make_stager(engine, caller)
+            old, old_held = make_held(2)
+            new, new_held = make_held(3)
+            await stager.store_arrived(new, new_held)
+            async with stager.lock:
+                arriving = asyncio.create_task(stager.store_arrived(new, new_held))
+                await stager.store_whole(old, old_held)
+                await asyncio.sleep(0)
+                assert engine.chunks == old_held.contents
+            await arriving
+            assert engine.chunks == new_held.contents
+
+    asyncio.run(body())
+
+
+def test_chunks_are_stored_once_and_again_after_another_version() -> None:
+    async def body() -> None:
+        async with HttpCaller() as caller:
+            engine = SlowEngine()
+            stager = make_stager(engine, caller)
+            new, new_held = make_held(3)
+            await stager.store_arrived(new, new_held)
+            engine.chunks.clear()
+            await stager.store_arrived(new, new_held)
+            assert not engine.chunks
+            await stager.store_whole(new, new_held)
+            assert engine.chunks == new_held.contents
+            async with stager.lock:
+                await stager.store_whole(*make_held(2))
+            await stager.store_arrived(new, new_held)
+            assert engine.chunks == new_held.contents
+
+    asyncio.run(body())
+
+
+def test_agent_that_starts_again_fetches_only_what_it_had_not_yet() -> None:
+    async def body(site: DirectSite) -> None:
+        agent = site.agents[0]
+        engine = site.models[0].engine
+        assert engine is not None
+        await until(lambda: agent.parts.loader.report is not None)
+        site.weights.publish(2, len(site.weights.chunks[1]))
+        chunks = site.weights.chunks[2]
+        name = WeightsName(2, 'm1')
+        await agent.parts.library.open(name)
+        for index, chunk in enumerate(chunks[:-1]):
+            agent.parts.library.shelf.add(name, index, chunk)
+        site.weights.down = True
+        agent.parts.beliefs.hear(name)
+        await until(lambda: all(engine.staged.get(at) == chunks[at] for at in range(3)))
+        await until(lambda: engine.staged.get(len(chunks) - 2) == chunks[-2])
+        fresh = await site.restart_agent(0)
+        site.weights.down = False
+        site.declare(2)
+        await until(lambda: engine.version == 2)
+        assert engine.loaded_digest == site.weights.whole_digest(2)
+        assert site.weights.sent[2] == 1
+        assert fresh.parts.library.bits(name).bit_count() == len(chunks)
+
+    run(body, DirectSize(entries=1, models=1, plain=0))
