Answer a fault inside an entry with 500 and name it in a line

What callers saw: an exception that is no RequestError, for example an event above 1 MiB, ended the connection without an answer and without a line of the request; a failure of a HEAD request did too, because its body was written. Cause: the task of a request ended, and nothing took its exception. Now the request gets 500 with code 6999 (or a closed connection if its answer had begun), and an ERROR line with the type and the innermost places; a HEAD request gets its headers.

--- a/src/cassiahitch/direct/failures.py
+++ b/src/cassiahitch/direct/failures.py
@@ -8,10 +8,11 @@
 from typing import TYPE_CHECKING
 
 from cassiahitch.codes import Code, Ran
+from cassiahitch.errors import RequestError
 
 if TYPE_CHECKING:
-    from cassiahitch.direct.api import Headers
-    from cassiahitch.errors import RequestError
+    from cassiahitch.direct.api import Headers, RequestCodec
+    from cassiahitch.direct.front import Incoming
 
 #: Statuses of requests that are refused for what they are.
 _STATUSES = MappingProxyType(
@@ -25,6 +26,20 @@
 )
 
 
+def id_of(codec: RequestCodec, incoming: Incoming) -> str:
+    """Return the id of a request that is not on its way.
+
+    :param codec: reads it.
+    :param incoming: what was read of it.
+    :return: its id, nothing if its header does not tell it.
+    """
+    try:
+        read = codec.read_request(incoming.method, incoming.target, incoming.headers, incoming.body)
+    except RequestError:
+        return ''
+    return read.attempt_id
+
+
 def failure_status(error: RequestError) -> HTTPStatus:
     """Return the status of a failure.
 
@@ -33,6 +48,8 @@
     :param error: the failure.
     :return: the status.
     """
+    if error.code is Code.internal:
+        return HTTPStatus.INTERNAL_SERVER_ERROR
     if error.ran is not Ran.no:
         timed_out = error.code is Code.deadline_exceeded
         return HTTPStatus.GATEWAY_TIMEOUT if timed_out else HTTPStatus.BAD_GATEWAY
@@ -61,4 +78,5 @@
 __all__ = (
     'failure_answer',
     'failure_status',
+    'id_of',
 )
--- a/src/cassiahitch/direct/front.py
+++ b/src/cassiahitch/direct/front.py
@@ -42,6 +42,7 @@
 PIECE_BYTES = 65_536
 
 Serve = Callable[['CallerExchange'], Awaitable[None]]
+Fail = Callable[['CallerExchange', Exception], Awaitable[None]]
 
 
 class CallerGone(Exception):
@@ -139,6 +140,8 @@
         :param body: its body.
         """
         lines = self._header_lines(headers)
+        if self.incoming.method == 'HEAD':
+            body = b''
         if status not in {HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED}:
             lines['Content-Length'] = str(len(body))
         self.started = True
@@ -237,7 +240,12 @@
     async def _run(self) -> None:
         with ExitStack() as stack:
             stack.callback(self._abort_unless_ended)
-            await self.front.serve(self)
+            try:
+                await self.front.serve(self)
+            except CallerGone:
+                return
+            except Exception as error:  # noqa: BLE001 (any fault inside gets its answer)
+                await self.front.fail(self, error)
 
     def _abort_unless_ended(self) -> None:
         if not self.ended:
@@ -247,12 +255,14 @@
 class Front(HTTPServerConnectionDelegate):
     """Accepts connections of callers and serves their requests."""
 
-    def __init__(self, serve: Serve) -> None:
+    def __init__(self, serve: Serve, fail: Fail) -> None:
         """Create it; nothing listens yet.
 
         :param serve: answers one request.
+        :param fail: ends one whose service failed with a fault inside.
         """
         self.serve = serve
+        self.fail = fail
         self.tasks: set[asyncio.Task[None]] = set()
         self.open: set[CallerExchange] = set()
         self.connections: set[object] = set()
--- a/src/cassiahitch/direct/journal.py
+++ b/src/cassiahitch/direct/journal.py
@@ -4,9 +4,12 @@
 
 import asyncio
 import logging
+import traceback
 from dataclasses import dataclass
+from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
+from cassiahitch.codes import Code
 from cassiahitch.direct.api import Call, CallerRequest
 from cassiahitch.direct.freshness import boot_time
 from cassiahitch.metrics.names import CounterName, GaugeName, LatencyName
@@ -22,6 +25,8 @@
 LOGGER = logging.getLogger('cassiahitch.requests')
 BELIEFS = logging.getLogger('cassiahitch.beliefs')
 DIGITS = 4
+#: Innermost places of a fault that its line names.
+FRAMES = 4
 
 
 class BeliefLog:
@@ -129,6 +134,22 @@
         }
         self.line(logging.WARNING, 'request failed', call, fields)
 
+    def fault(self, request: str, fault: Exception) -> None:
+        """Record a fault inside this process that ended a request.
+
+        :param request: id of the request, if it is known.
+        :param fault: what was raised.
+        """
+        self.metrics.count(CounterName.requests_failed, Code.internal.name)
+        frames = traceback.extract_tb(fault.__traceback__)
+        extra = {
+            'request': request,
+            'code': Code.internal.value,
+            'error': type(fault).__name__,
+            'at': [f'{Path(frame.filename).name}:{frame.lineno}' for frame in frames[-FRAMES:]],
+        }
+        LOGGER.error('request failed inside', extra=extra)
+
     def left(self, call: Call | None) -> None:
         """Record that a caller left before its answer.
 
--- a/src/cassiahitch/direct/runner.py
+++ b/src/cassiahitch/direct/runner.py
@@ -23,7 +23,7 @@
 )
 from cassiahitch.direct.candidates import Candidates
 from cassiahitch.direct.elsewhere import Elsewhere
-from cassiahitch.direct.failures import failure_answer
+from cassiahitch.direct.failures import failure_answer, id_of
 from cassiahitch.direct.placement import Crowded, Demand, Placed
 from cassiahitch.direct.progress import Phase
 from cassiahitch.errors import RequestError
@@ -111,6 +111,19 @@
                 self.journal.left(call)
             raise
 
+    async def fail(self, caller: CallerExchange, fault: Exception) -> None:
+        """End a request whose service failed with a fault inside.
+
+        :param caller: the request and where its answer goes.
+        :param fault: what was raised.
+        """
+        self.journal.fault(caller.progress.id or id_of(self.codec, caller.incoming), fault)
+        if caller.started:
+            caller.abort()
+            return
+        error = RequestError(Code.internal, 'a fault inside this entry', Ran.unknown)
+        await caller.answer(*failure_answer(error))
+
     async def refuse(
         self,
         call: Call | None,
--- a/src/cassiahitch/direct/stoplog.py
+++ b/src/cassiahitch/direct/stoplog.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
-from cassiahitch.errors import RequestError
+from cassiahitch.direct.failures import id_of
 from cassiahitch.metrics.names import CounterName
 
 if TYPE_CHECKING:
@@ -89,7 +89,7 @@
         progress = exchange.progress
         read_at = progress.opened_at if progress.read_at is None else progress.read_at
         extra = {
-            'request': progress.id or self.identify(exchange),
+            'request': progress.id or id_of(self.codec, exchange.incoming),
             'phase': progress.phase.value,
             'since_read_s': round(now - read_at, DIGITS),
             'after_signal_s': round(now - self.told_at, DIGITS),
@@ -100,21 +100,6 @@
         }
         LOGGER.warning('request cut by the end of the entry', extra=extra)
 
-    def identify(self, exchange: CallerExchange) -> str:
-        """Return the id of a request that is not read as a whole yet.
-
-        :param exchange: the request.
-        :return: its id, nothing if its header does not tell it.
-        """
-        incoming = exchange.incoming
-        try:
-            read = self.codec.read_request(
-                incoming.method, incoming.target, incoming.headers, incoming.body
-            )
-        except RequestError:
-            return ''
-        return read.attempt_id
-
 
 def count_phases(exchanges: Iterable[CallerExchange]) -> dict[str, int]:
     """Count exchanges by where they are.
--- a/tests/support/slow_callers.py
+++ b/tests/support/slow_callers.py
@@ -27,7 +27,14 @@
     machine: h11.Connection = field(default_factory=lambda: h11.Connection(h11.CLIENT))
     got: direct_callers.Got = field(default_factory=direct_callers.Got)
 
-    async def send(self, path: str, *, body: bytes = b'', deadline_ms: int = 3000) -> None:
+    async def send(
+        self,
+        path: str,
+        *,
+        body: bytes = b'',
+        deadline_ms: int = 3000,
+        method: str = '',
+    ) -> None:
         """Send the start of a request, with half of its body."""
         self.got = direct_callers.Got(f's{next(IDS)}')
         headers = [
@@ -40,7 +47,8 @@
             headers += [('X-Cassiahitch-Model', 'm1'), ('X-Cassiahitch-Token-Count', '100,30')]
         if body:
             headers.append(('Content-Length', str(len(body))))
-        method = 'POST' if body else 'GET'
+        if not method:
+            method = 'POST' if body else 'GET'
         request = h11.Request(method=method, target=path, headers=headers)
         self.write(self.machine.send(request))
         self.write(self.machine.send(h11.Data(body[: len(body) // 2])))
