Answer a header or body over the bound, and bytes that are no request, with a numbered code

What callers saw: a header above 128 KiB got a reset; a body above 64 MiB, a wrong length or chunk, and bytes that are no request got a bare 400 without a body, and a caller that waited for 100 Continue got that first. No line told it. Cause: tornado's reader refuses before our delegate sees the request. Now the header is read up to 1 MiB and checked where it is received, a body is counted as it comes; 431 and 413 are written at once, and the rest of the body is read and dropped for up to 2 s, so that a reset does not destroy the answer. The bare 400 of the reader is replaced on the stream. A header above 1 MiB still ends the connection without an answer.

--- /dev/null
+++ b/src/cassiahitch/direct/bounds.py
@@ -0,0 +1,59 @@
+"""How much of a request is read."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from cassiahitch.codes import Code, Ran
+from cassiahitch.errors import RequestError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+#: Largest header that is served, in bytes; the configuration sets a lower bound.
+MAX_HEADER_BYTES = 131_072
+#: Largest header that is read; what is above it ends the connection without an answer.
+READ_HEADER_BYTES = 1_048_576
+#: Bytes that the end of a line and the colon take.
+LINE_BYTES = 4
+
+
+def header_refusal(
+    target: str, headers: Iterable[tuple[str, str]], body_bytes: int
+) -> RequestError | None:
+    """Return why a request is refused by its header alone.
+
+    :param target: its target.
+    :param headers: its headers.
+    :param body_bytes: the largest body that is read.
+    :return: the refusal, nothing if it is read on.
+    """
+    size = len(target)
+    length = 0
+    for name, text in headers:
+        size += len(name) + len(text) + LINE_BYTES
+        if name.lower() == 'content-length' and text.isascii() and text.isdigit():
+            length = max(length, int(text))
+    if size > MAX_HEADER_BYTES:
+        return RequestError(Code.header_too_large, 'the header is too large', Ran.no)
+    return body_refusal(length, body_bytes)
+
+
+def body_refusal(length: int, body_bytes: int) -> RequestError | None:
+    """Return why a request is refused by the length of its body.
+
+    :param length: bytes of the body, as stated or as read so far.
+    :param body_bytes: the largest body that is read.
+    :return: the refusal, nothing if it is read on.
+    """
+    if length > body_bytes:
+        return RequestError(Code.body_too_large, 'the body is too large', Ran.no)
+    return None
+
+
+__all__ = (
+    'MAX_HEADER_BYTES',
+    'READ_HEADER_BYTES',
+    'body_refusal',
+    'header_refusal',
+)
--- a/src/cassiahitch/direct/entry.py
+++ b/src/cassiahitch/direct/entry.py
@@ -78,7 +78,8 @@
         self.stack = AsyncExitStack()
         self.parts: EntryParts = make_parts(settings, around, self.incarnation, self.rng)
         self.beliefs = Beliefs(self.parts.knowledge, around, self.parts.journal)
-        self.front = Front(self.parts.runner.serve, self.parts.runner.fail)
+        runner = self.parts.runner
+        self.front = Front(runner.serve, runner.fail, runner.malformed)
         self.stop_log = StopLog(self.parts.journal.metrics, around.codec)
         self.watch = SettingsWatch(path or Path(), settings, self.parts.journal, self._apply_bounds)
         self.discovery = Discovery(around, self.parts.knowledge, settings, self.rng)
--- a/src/cassiahitch/direct/failures.py
+++ b/src/cassiahitch/direct/failures.py
@@ -75,8 +75,25 @@
     return status.value, status.phrase, tuple(headers), json.dumps(document).encode()
 
 
+def raw_answer(error: RequestError) -> bytes:
+    """Return the bytes of an answer after which the connection is closed.
+
+    :param error: the failure.
+    :return: the whole answer.
+    """
+    status, reason, headers, body = failure_answer(error)
+    closing = (('Content-Length', str(len(body))), ('Connection', 'close'))
+    lines = (
+        f'HTTP/1.1 {status} {reason}',
+        *(f'{name}: {text}' for name, text in (*headers, *closing)),
+    )
+    head = ''.join(f'{line}\r\n' for line in lines)
+    return f'{head}\r\n'.encode('latin1') + body
+
+
 __all__ = (
     'failure_answer',
     'failure_status',
     'id_of',
+    'raw_answer',
 )
--- a/src/cassiahitch/direct/front.py
+++ b/src/cassiahitch/direct/front.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import sys
 from collections.abc import Awaitable, Callable
 from contextlib import ExitStack
 from dataclasses import dataclass
@@ -11,7 +12,6 @@
 from typing import TYPE_CHECKING
 
 from tornado.http1connection import HTTP1Connection
-from tornado.httpserver import HTTPServer
 from tornado.httputil import (
     HTTPConnection,
     HTTPHeaders,
@@ -23,6 +23,8 @@
 from tornado.iostream import StreamClosedError
 
 from cassiahitch.codes import Code, Ran
+from cassiahitch.direct.bounds import READ_HEADER_BYTES, body_refusal, header_refusal
+from cassiahitch.direct.callerserver import CallerServer
 from cassiahitch.direct.leaving import GracePlan
 from cassiahitch.direct.progress import Phase, Progress
 from cassiahitch.errors import RequestError
@@ -30,8 +32,6 @@
 if TYPE_CHECKING:
     from cassiahitch.direct.api import Headers
 
-#: Largest header that is read at all, in bytes; the configuration sets a lower bound.
-MAX_HEADER_BYTES = 131_072
 #: Largest body that is read at all, in bytes; the configuration sets a lower bound.
 MAX_BODY_BYTES = 67_108_864
 #: Seconds after which a caller may come back, to another entry.
@@ -40,9 +40,13 @@
 IDLE_S = 60.0
 #: Bytes of a whole answer after each of which it is known whether they have left.
 PIECE_BYTES = 65_536
+#: Seconds for which the rest of a refused body is read and dropped, so that its caller can read
+#: the answer before the connection closes.
+LINGER_S = 2.0
 
 Serve = Callable[['CallerExchange'], Awaitable[None]]
 Fail = Callable[['CallerExchange', Exception], Awaitable[None]]
+Malformed = Callable[[], bytes]
 
 
 class CallerGone(Exception):
@@ -72,6 +76,8 @@
         self.front = front
         self.incoming = Incoming()
         self.parts: list[bytes] = []
+        self.body_bytes = 0
+        self.refusal: RequestError | None = None
         self.gone = False
         self.started = False
         self.ended = False
@@ -84,11 +90,12 @@
         self,
         start_line: RequestStartLine | ResponseStartLine,
         headers: HTTPHeaders,
-    ) -> None:
+    ) -> Awaitable[None] | None:
         """Take the header in.
 
         :param start_line: method and target.
         :param headers: the headers.
+        :return: done when the reader may go on.
         """
         method, target = start_line[:2]
         self.incoming.method = str(method)
@@ -96,24 +103,42 @@
         self.incoming.headers = tuple(headers.get_all())
         self.progress.opened_at = asyncio.get_running_loop().time()
         self.front.open.add(self)
+        # The bounds are checked here, where a refusal gets its answer.
+        self.connection.set_max_body_size(sys.maxsize)
+        refusal = header_refusal(
+            self.incoming.target, self.incoming.headers, self.front.max_body_bytes
+        )
+        if refusal is None:
+            return None
+        self._refuse(refusal)
+        # A caller that waits to be told to send its body must not be told so.
+        return self.task if 'Expect' in headers else None
 
     def data_received(self, chunk: bytes) -> None:
         """Take a part of the body in.
 
         :param chunk: the part.
         """
+        if self.refusal is not None:
+            return
         self.progress.phase = Phase.body
         self.parts.append(chunk)
+        self.body_bytes += len(chunk)
+        refusal = body_refusal(self.body_bytes, self.front.max_body_bytes)
+        if refusal is not None:
+            self._refuse(refusal)
 
     def finish(self) -> None:
         """Serve the whole request."""
-        self.incoming.body = b''.join(self.parts)
         self.progress.read_at = asyncio.get_running_loop().time()
-        self.progress.phase = Phase.place
         self.connection.set_close_callback(self.on_connection_close)
-        self.task = asyncio.create_task(self._run())
-        self.front.tasks.add(self.task)
-        self.task.add_done_callback(self.front.tasks.discard)
+        if self.refusal is not None:
+            if self.ended:
+                self._finish()
+            return
+        self.incoming.body = b''.join(self.parts)
+        self.progress.phase = Phase.place
+        self._serve()
 
     def on_connection_close(self) -> None:
         """Cancel what runs for a caller that has left."""
@@ -183,15 +208,36 @@
             return
         self.ended = True
         self.progress.phase = Phase.writing
+        if self.refusal is None or self.progress.read_at is not None or self._is_awaited():
+            self._finish()
+            return
+        asyncio.get_running_loop().call_later(LINGER_S, self._finish)
+
+    def settle(self) -> None:
+        """Take in that nothing more can be done for the caller."""
+        self.front.open.discard(self)
+
+    def _finish(self) -> None:
+        if self not in self.front.open:
+            return
         self.connection.finish()
         if self.connection.stream.closed() or not self.connection.stream.writing():
             self._close_after()
             return
         self._after_written(lambda _: self._close_after())
 
-    def settle(self) -> None:
-        """Take in that nothing more can be done for the caller."""
-        self.front.open.discard(self)
+    def _is_awaited(self) -> bool:
+        return any(name.lower() == 'expect' for name, _ in self.incoming.headers)
+
+    def _refuse(self, refusal: RequestError) -> None:
+        self.refusal = refusal
+        self.parts.clear()
+        self._serve()
+
+    def _serve(self) -> None:
+        self.task = asyncio.create_task(self._run())
+        self.front.tasks.add(self.task)
+        self.task.add_done_callback(self.front.tasks.discard)
 
     def abort(self) -> None:
         """Close the connection, so that the answer does not look whole."""
@@ -202,7 +248,7 @@
 
     def _header_lines(self, headers: Headers) -> HTTPHeaders:
         lines = _header_lines(headers)
-        self.closes = self.front.plan is not None
+        self.closes = self.front.plan is not None or self.refusal is not None
         if self.closes:
             lines['Connection'] = 'close'
         return lines
@@ -255,11 +301,12 @@
 class Front(HTTPServerConnectionDelegate):
     """Accepts connections of callers and serves their requests."""
 
-    def __init__(self, serve: Serve, fail: Fail) -> None:
+    def __init__(self, serve: Serve, fail: Fail, malformed: Malformed) -> None:
         """Create it; nothing listens yet.
 
         :param serve: answers one request.
         :param fail: ends one whose service failed with a fault inside.
+        :param malformed: returns the answer to bytes that are no request.
         """
         self.serve = serve
         self.fail = fail
@@ -267,11 +314,12 @@
         self.open: set[CallerExchange] = set()
         self.connections: set[object] = set()
         self.closing = False
+        self.max_body_bytes = MAX_BODY_BYTES
         self.plan: GracePlan | None = None
         self.server = CallerServer(
             self,
-            max_header_size=MAX_HEADER_BYTES,
-            max_body_size=MAX_BODY_BYTES,
+            malformed,
+            max_header_size=READ_HEADER_BYTES,
             idle_connection_timeout=IDLE_S,
         )
 
@@ -324,19 +372,6 @@
         return self.plan is not None and not self.plan.takes(read_at, deadline)
 
 
-class CallerServer(HTTPServer):
-    """Tells its delegate also when a connection ends."""
-
-    def on_close(self, server_conn: object) -> None:
-        """Forget a connection.
-
-        :param server_conn: the connection.
-        """
-        super().on_close(server_conn)
-        if isinstance(self.request_callback, Front):
-            self.request_callback.on_close(server_conn)
-
-
 def _header_lines(headers: Headers) -> HTTPHeaders:
     lines = HTTPHeaders()
     for name, text in headers:
@@ -359,7 +394,6 @@
 __all__ = (
     'CallerExchange',
     'CallerGone',
-    'CallerServer',
     'Front',
     'Incoming',
 )
--- a/src/cassiahitch/direct/runner.py
+++ b/src/cassiahitch/direct/runner.py
@@ -23,7 +23,7 @@
 )
 from cassiahitch.direct.candidates import Candidates
 from cassiahitch.direct.elsewhere import Elsewhere
-from cassiahitch.direct.failures import failure_answer, id_of
+from cassiahitch.direct.failures import failure_answer, id_of, raw_answer
 from cassiahitch.direct.placement import Crowded, Demand, Placed
 from cassiahitch.direct.progress import Phase
 from cassiahitch.errors import RequestError
@@ -103,6 +103,8 @@
                 arrived,
             )
             caller.progress.id = call.id
+            if caller.refusal is not None:
+                raise caller.refusal
             await self.run(call, caller)
         except RequestError as error:
             await self.refuse(call, caller, error)
@@ -124,6 +126,15 @@
         error = RequestError(Code.internal, 'a fault inside this entry', Ran.unknown)
         await caller.answer(*failure_answer(error))
 
+    def malformed(self) -> bytes:
+        """Refuse bytes that are no request.
+
+        :return: the answer.
+        """
+        error = RequestError(Code.bad_request, 'not a request in HTTP/1.1', Ran.no)
+        self.journal.failed(None, error)
+        return raw_answer(error)
+
     async def refuse(
         self,
         call: Call | None,
--- a/tests/support/slow_callers.py
+++ b/tests/support/slow_callers.py
@@ -34,6 +34,7 @@
         body: bytes = b'',
         deadline_ms: int = 3000,
         method: str = '',
+        chunked: bool = False,
     ) -> None:
         """Send the start of a request, with half of its body."""
         self.got = direct_callers.Got(f's{next(IDS)}')
@@ -46,7 +47,8 @@
         if path.startswith('/draft'):
             headers += [('X-Cassiahitch-Model', 'm1'), ('X-Cassiahitch-Token-Count', '100,30')]
         if body:
-            headers.append(('Content-Length', str(len(body))))
+            length = ('Transfer-Encoding', 'chunked')
+            headers.append(length if chunked else ('Content-Length', str(len(body))))
         if not method:
             method = 'POST' if body else 'GET'
         request = h11.Request(method=method, target=path, headers=headers)
