Keep the lines about the process itself under load

Found by the first run of a real process in test_stop_direct.py: the line that says that nothing was cut was dropped, because the lines of requests had used up the budget of information of that second. Lines of the loggers cassiahitch and cassiahitch.stop now count among the warnings. test_end_of_a_process_is_told_beside_many_lines fails without it.

--- a/src/cassiahitch/metrics/logs.py
+++ b/src/cassiahitch/metrics/logs.py
@@ -22,6 +22,8 @@
 LAST_LOOKS = 20
 #: Lines of each kind that a bounded log takes in a second.
 LINES_PER_S = 150
+#: Loggers of the few lines about the process itself, which count among the warnings.
+PROCESS_LOGGERS = frozenset(('cassiahitch', 'cassiahitch.stop'))
 #: Names of extra fields whose content is never written.
 SECRET_FIELDS = frozenset(
     (
@@ -78,7 +80,8 @@
     """Writes lines to a descriptor without ever waiting for its reader.
 
     Of more than ``lines_per_s`` lines, and of lines that the descriptor does not take, only the
-    number is told, in the first line that gets through again. Warnings have a budget of their own.
+    number is told, in the first line that gets through again. Warnings have a budget of their own,
+    with the lines about the process itself.
     """
 
     def __init__(self, descriptor: int, lines_per_s: int) -> None:
@@ -101,7 +104,7 @@
 
         :param record: what to write.
         """
-        kind = int(record.levelno >= logging.WARNING)
+        kind = int(record.levelno >= logging.WARNING or record.name in PROCESS_LOGGERS)
         second = int(time.monotonic())
         if second != self.second:
             self.second = second
--- a/tests/metrics/test_bounded_logs.py
+++ b/tests/metrics/test_bounded_logs.py
@@ -43,6 +43,16 @@
     assert written[-1]['omitted_lines'] == 3
 
 
+def test_end_of_a_process_is_told_beside_many_lines(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(logs_module, 'time', SimpleNamespace(monotonic=lambda: 5))
+    reader, writer = os.pipe()
+    logs = handler(writer, 1)
+    names = ('cassiahitch.requests', 'cassiahitch.requests', 'cassiahitch.stop')
+    for name, message in zip(names, ('sent', 'sent', 'stopped'), strict=True):
+        logs.emit(logging.LogRecord(name, logging.INFO, '', 0, message, None, None))
+    assert [line['message'] for line in read_lines(reader)] == ['sent', 'stopped']
+
+
 def test_reader_that_does_not_keep_up_blocks_nothing() -> None:
     reader, writer = os.pipe()
     logs = handler(writer, 10**9)
