Answer requests that have no answer yet before an entry closes their connections

What callers saw: a request that was at a replica, waited for a place or was still being read when the grace period ended got a closed connection, which promises nothing and tells nothing. Cause: only the time ended it. Now, 0.1 s before connections are closed, it is answered: 1010 with ran unknown (502) at a replica, and ran no (503) otherwise. A stream that has begun goes on until the connections are closed. test_stop_lines.py names the phase of an unread body from the lines themselves, because such a request is no longer cut.

--- a/src/cassiahitch/direct/entry.py
+++ b/src/cassiahitch/direct/entry.py
@@ -140,10 +140,11 @@
         self._log_stop(self.stop_log.leaving)
         self.parts.beats.tell()
         await asyncio.sleep(plan.held_until - clock())
-        await self._finish(plan.ends_at)
+        await self._finish(plan.answered_by)
         self.front.server.stop()
         self.front.closing = True
         self._log_stop(self.stop_log.taken)
+        self.front.give_up()
         await self._finish(plan.ends_at)
         self._log_stop(self.stop_log.ended)
         await self.front.server.close_all_connections()
--- a/src/cassiahitch/direct/front.py
+++ b/src/cassiahitch/direct/front.py
@@ -84,6 +84,8 @@
         self.task: asyncio.Task[None] | None = None
         self.keeps_running = False
         self.closes = False
+        self.given_up = False
+        self.finished = False
         self.progress = Progress()
 
     def headers_received(
@@ -143,6 +145,7 @@
     def on_connection_close(self) -> None:
         """Cancel what runs for a caller that has left."""
         self.gone = True
+        self.front.lingering.discard(self)
         self.settle()
         if self.task is not None and not self.keeps_running:
             self.task.cancel()
@@ -156,6 +159,16 @@
         if self.front.refuses(self.progress.read_at or 0, deadline):
             raise RequestError(Code.leaving, 'this entry is about to end', Ran.no, RETURN_S)
 
+    def give_up(self) -> None:
+        """End a request whose answer has not begun with one that says that there is none."""
+        if self.started or self.refusal is not None:
+            return
+        if self.task is None:
+            self._refuse(RequestError(Code.leaving, 'this entry ends', Ran.no, RETURN_S))
+            return
+        self.given_up = True
+        self.task.cancel()
+
     async def answer(self, status: int, reason: str, headers: Headers, body: bytes) -> None:
         """Write a whole answer.
 
@@ -211,6 +224,8 @@
         if self.refusal is None or self.progress.read_at is not None or self._is_awaited():
             self._finish()
             return
+        self.front.lingering.add(self)
+        self.settle()
         asyncio.get_running_loop().call_later(LINGER_S, self._finish)
 
     def settle(self) -> None:
@@ -218,8 +233,10 @@
         self.front.open.discard(self)
 
     def _finish(self) -> None:
-        if self not in self.front.open:
+        self.front.lingering.discard(self)
+        if self.gone or self.finished:
             return
+        self.finished = True
         self.connection.finish()
         if self.connection.stream.closed() or not self.connection.stream.writing():
             self._close_after()
@@ -312,6 +329,7 @@
         self.fail = fail
         self.tasks: set[asyncio.Task[None]] = set()
         self.open: set[CallerExchange] = set()
+        self.lingering: set[CallerExchange] = set()
         self.connections: set[object] = set()
         self.closing = False
         self.max_body_bytes = MAX_BODY_BYTES
@@ -350,7 +368,7 @@
 
         :return: whether an answer has not left as a whole, or a request still runs.
         """
-        return bool(self.open or self.tasks)
+        return bool(self.open or self.tasks or self.lingering)
 
     def leave(self, plan: GracePlan) -> None:
         """End each connection after its next answer, and take only what can be finished.
@@ -360,6 +378,11 @@
         self.plan = plan
         self.server.conn_params.no_keep_alive = True
 
+    def give_up(self) -> None:
+        """Tell all callers whose answer has not begun that there is none."""
+        for exchange in tuple(self.open):
+            exchange.give_up()
+
     def refuses(self, read_at: float, deadline: float) -> bool:
         """Tell whether a request comes too late.
 
--- a/src/cassiahitch/direct/leaving.py
+++ b/src/cassiahitch/direct/leaving.py
@@ -12,7 +12,9 @@
 END_MARGIN_S = 0.5
 END_MARGIN_PART = 1 / 8
 #: Seconds between the last answer that is due and the closing of connections.
-ANSWER_S = 0.1
+ANSWER_S = 0.2
+#: Seconds before the closing of connections at which requests without an answer get a last one.
+LAST_ANSWER_S = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,10 +34,15 @@
         margin_s = min(END_MARGIN_S, self.grace_s * END_MARGIN_PART)
         return self.told_at + self.grace_s - margin_s
 
+    @property
+    def answered_by(self) -> float:
+        """When requests whose answer has not begun are told that there is none."""
+        return self.ends_at - min(LAST_ANSWER_S, self.grace_s * END_MARGIN_PART)
+
     @property
     def held_until(self) -> float:
         """Until when new connections are accepted though nothing runs any more."""
-        return min(self.told_at + self.held_s, self.ends_at)
+        return min(self.told_at + self.held_s, self.answered_by)
 
     def takes(self, read_at: float, deadline: float) -> bool:
         """Decide whether a request is taken; what is not taken is refused at once.
--- a/src/cassiahitch/direct/runner.py
+++ b/src/cassiahitch/direct/runner.py
@@ -24,6 +24,7 @@
 from cassiahitch.direct.candidates import Candidates
 from cassiahitch.direct.elsewhere import Elsewhere
 from cassiahitch.direct.failures import failure_answer, id_of, raw_answer
+from cassiahitch.direct.front import RETURN_S as FRONT_RETURN_S
 from cassiahitch.direct.placement import Crowded, Demand, Placed
 from cassiahitch.direct.progress import Phase
 from cassiahitch.errors import RequestError
@@ -109,9 +110,22 @@
         except RequestError as error:
             await self.refuse(call, caller, error)
         except (CallerGone, asyncio.CancelledError):
-            if not caller.progress.cut:
-                self.journal.left(call)
-            raise
+            if not await self.answers_last(call, caller):
+                raise
+
+    async def answers_last(self, call: Call | None, caller: CallerExchange) -> bool:
+        """Answer a request that ends before its answer began, if its caller is there.
+
+        :param call: the request, if it could be read.
+        :param caller: where its answer goes.
+        :return: whether it is answered.
+        """
+        if caller.given_up and not caller.gone:
+            await self.refuse(call, caller, _given_up(call, caller.progress.phase))
+            return True
+        if not caller.progress.cut:
+            self.journal.left(call)
+        return False
 
     async def fail(self, caller: CallerExchange, fault: Exception) -> None:
         """End a request whose service failed with a fault inside.
@@ -408,6 +422,13 @@
     return whole and not head.encoded and not broken_promise
 
 
+def _given_up(call: Call | None, phase: Phase) -> RequestError:
+    ran = Ran.no if call is None else call.ran
+    if phase is Phase.replica:
+        ran = Ran.unknown
+    return RequestError(Code.leaving, 'this entry ends', ran, FRONT_RETURN_S)
+
+
 def _lost(outcome: Outcome, ran: Ran) -> RequestError:
     detail = 'the backend server gave no whole answer'
     if isinstance(outcome, Lost):
--- a/tests/direct/test_stop_lines.py
+++ b/tests/direct/test_stop_lines.py
@@ -61,9 +61,10 @@
         caller = await connect(entry)
         await caller.send('/order/1', body=BODY)
         await until(lambda: len(entry.front.open) == 1)
-        await entry.stop()
+        entry.stop_log.ended(1, 1, entry.front.open)
         line = only(lines(caplog, CUT))
         assert (line['request'], line['phase']) == (caller.got.attempt, Phase.body.value)
+        await entry.stop()
         caller.writer.close()
 
     caplog.set_level('INFO')
