--- /dev/null
+++ b/tests/e2e/test_stop_direct.py
@@ -0,0 +1,147 @@
+"""A real process of the direct path ends under load and cuts no answer."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import sys
+from asyncio.subprocess import DEVNULL, PIPE, Process
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any
+
+import h11
+import yaml
+from direct_callers import Got, ask, run
+from slow_callers import SlowCaller, connect
+
+from cassiahitch.settings.direct import DirectEntrySettings
+from cassiahitch.standins.directsite import (
+    CALLERS_PORT,
+    DIRECTORY_PORT,
+    READINESS_PORT,
+    DirectSite,
+    DirectSize,
+)
+from cassiahitch.util.endpoints import Endpoint
+
+GRACE_S = 5.0
+STREAMS = 16
+SLOW = 3
+LARGE_BYTES = 10_000_000
+BODY = b'{"guests": 40}'
+NO_ENTRIES = DirectSize(entries=0, models=3, plain=2)
+
+
+@dataclass
+class Outcomes:
+    """What callers saw."""
+
+    got: list[Got] = field(default_factory=list)
+    ended: bool = False
+
+    def add(self, got: Got) -> None:
+        self.got.append(got)
+
+
+def settings_of(site: DirectSite) -> DirectEntrySettings:
+    address = site.models[0].address.rpartition('.')[0] + '.99'
+    return DirectEntrySettings(
+        **site.shared_settings('entry-9', address, 'north-1'),
+        callers=Endpoint(address, CALLERS_PORT),
+        readiness=Endpoint(address, READINESS_PORT),
+        directory=Endpoint(address, DIRECTORY_PORT),
+    )
+
+
+async def start(path: Path, settings: DirectEntrySettings) -> Process:
+    path.write_text(yaml.safe_dump(settings.model_dump(mode='json')))
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, '-m', 'cassiahitch', 'direct-entry', str(path), stdout=PIPE, stderr=DEVNULL
+    )
+    entry: Any = SimpleNamespace(settings=settings)
+    async with asyncio.timeout(20):
+        while True:
+            try:
+                if (await ask(entry, '/draft/1')).status == 200:
+                    return process
+            except ConnectionError:
+                pass
+            await asyncio.sleep(0.05)
+
+
+async def keep_asking(entry: Any, outcomes: Outcomes) -> None:
+    """Ask for stream after stream, on one connection for as long as it is kept."""
+    caller: SlowCaller | None = None
+    while not outcomes.ended:
+        try:
+            caller = caller or await connect(entry)
+        except ConnectionError:
+            return
+        await caller.send('/draft/1', body=BODY)
+        caller.send_rest(BODY)
+        got = await caller.answer(close=False)
+        outcomes.add(got)
+        closes = caller.machine.their_state is not h11.DONE or got.status != 200
+        if closes or got.headers.get('connection') == 'close':
+            caller.writer.close()
+            caller = None
+            await asyncio.sleep(0.02)
+        else:
+            caller.machine.start_next_cycle()
+
+
+async def read_late(entry: Any, outcomes: Outcomes, after_s: float) -> None:
+    caller = await connect(entry)
+    await caller.send('/lookup/1')
+    await asyncio.sleep(after_s)
+    outcomes.add(await caller.answer())
+
+
+def test_process_that_ends_under_load_cuts_no_answer(tmp_path: Path) -> None:
+    async def body(site: DirectSite) -> None:
+        for model in site.models:
+            model.slots, model.pause_s, model.events = 40, 0.05, 20
+        for plain in site.plain:
+            plain.padding = LARGE_BYTES
+        settings = settings_of(site)
+        process = await start(tmp_path / 'entry.yaml', settings)
+        entry = SimpleNamespace(settings=settings)
+        outcomes = Outcomes()
+        asking = [asyncio.create_task(keep_asking(entry, outcomes)) for _ in range(STREAMS)]
+        await asyncio.sleep(0.5)
+        asking += [asyncio.create_task(read_late(entry, outcomes, 2.5)) for _ in range(SLOW)]
+        await asyncio.sleep(0.5)
+        before = len(outcomes.got)
+        process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(GRACE_S):
+            lines, _ = await process.communicate()
+        outcomes.ended = True
+        await asyncio.gather(*asking)
+        check(site, outcomes, before)
+        assert process.returncode == 0
+        check_lines(lines.splitlines())
+
+    run(body, NO_ENTRIES, grace_s=GRACE_S)
+
+
+def check(site: DirectSite, outcomes: Outcomes, before: int) -> None:
+    passed_on = {one.attempt_id for backend in (*site.models, *site.plain) for one in backend.runs}
+    cut = [
+        got for got in outcomes.got if not got.whole and (got.status or got.attempt in passed_on)
+    ]
+    assert not cut
+    assert Counter(got.status for got in outcomes.got[before:])[200] > STREAMS
+    large = [got for got in outcomes.got if len(got.body) > LARGE_BYTES]
+    assert len(large) == SLOW
+
+
+def check_lines(lines: list[bytes]) -> None:
+    documents = [json.loads(line) for line in lines]
+    closes = [one for one in documents if one['message'] == 'entry closes its connections']
+    assert [one['cut'] for one in closes] == [0]
+    assert closes[0]['open_at_signal']
+    assert documents[-1]['message'] == 'stopped'
--- a/tests/support/slow_callers.py
+++ b/tests/support/slow_callers.py
@@ -65,14 +65,15 @@
     def write(self, data: bytes | None) -> None:
         self.writer.write(data or b'')
 
-    async def answer(self) -> direct_callers.Got:
+    async def answer(self, *, close: bool = True) -> direct_callers.Got:
         """Read to the end of the answer, or of the connection."""
         try:
             async with asyncio.timeout(10):
                 await direct_callers.read(self.machine, self.reader, self.got)
         except (ConnectionError, h11.RemoteProtocolError):
             self.got.whole = False
-        self.writer.close()
+        if close:
+            self.writer.close()
         return self.got
 
 
