--- a/src/cassiahitch/direct/entry.py
+++ b/src/cassiahitch/direct/entry.py
@@ -78,7 +78,8 @@
         self.stack = AsyncExitStack()
         self.parts: EntryParts = make_parts(settings, around, self.incarnation, self.rng)
         self.beliefs = Beliefs(self.parts.knowledge, around, self.parts.journal)
-        self.front = Front(self.parts.runner.serve)
+        runner = self.parts.runner
+        self.front = Front(runner.serve, runner.fail, runner.malformed)
         self.stop_log = StopLog(self.parts.journal.metrics, around.codec)
         self.watch = SettingsWatch(path or Path(), settings, self.parts.journal, self._apply_bounds)
         self.discovery = Discovery(around, self.parts.knowledge, settings, self.rng)
@@ -139,10 +140,11 @@
         self._log_stop(self.stop_log.leaving)
         self.parts.beats.tell()
         await asyncio.sleep(plan.held_until - clock())
-        await self._finish(plan.ends_at)
+        await self._finish(plan.answered_by)
         self.front.server.stop()
         self.front.closing = True
         self._log_stop(self.stop_log.taken)
+        self.front.give_up()
         await self._finish(plan.ends_at)
         self._log_stop(self.stop_log.ended)
         await self.front.server.close_all_connections()
--- a/src/cassiahitch/direct/runner.py
+++ b/src/cassiahitch/direct/runner.py
@@ -23,7 +23,8 @@
 )
 from cassiahitch.direct.candidates import Candidates
 from cassiahitch.direct.elsewhere import Elsewhere
-from cassiahitch.direct.failures import failure_answer
+from cassiahitch.direct.failures import failure_answer, id_of, raw_answer
+from cassiahitch.direct.front import RETURN_S as FRONT_RETURN_S
 from cassiahitch.direct.placement import Crowded, Demand, Placed
 from cassiahitch.direct.progress import Phase
 from cassiahitch.errors import RequestError
@@ -103,13 +104,50 @@
                 arrived,
             )
             caller.progress.id = call.id
+            if caller.refusal is not None:
+                raise caller.refusal
             await self.run(call, caller)
         except RequestError as error:
             await self.refuse(call, caller, error)
         except (CallerGone, asyncio.CancelledError):
-            if not caller.progress.cut:
-                self.journal.left(call)
-            raise
+            if not await self.answers_last(call, caller):
+                raise
+
+    async def answers_last(self, call: Call | None, caller: CallerExchange) -> bool:
+        """Answer a request that ends before its answer began, if its caller is there.
+
+        :param call: the request, if it could be read.
+        :param caller: where its answer goes.
+        :return: whether it is answered.
+        """
+        if caller.given_up and not caller.gone:
+            await self.refuse(call, caller, _given_up(call, caller.progress.phase))
+            return True
+        if not caller.progress.cut:
+            self.journal.left(call)
+        return False
+
+    async def fail(self, caller: CallerExchange, fault: Exception) -> None:
+        """End a request whose service failed with a fault inside.
+
+        :param caller: the request and where its answer goes.
+        :param fault: what was raised.
+        """
+        self.journal.fault(caller.progress.id or id_of(self.codec, caller.incoming), fault)
+        if caller.started:
+            caller.abort()
+            return
+        error = RequestError(Code.internal, 'a fault inside this entry', Ran.unknown)
+        await caller.answer(*failure_answer(error))
+
+    def malformed(self) -> bytes:
+        """Refuse bytes that are no request.
+
+        :return: the answer.
+        """
+        error = RequestError(Code.bad_request, 'not a request in HTTP/1.1', Ran.no)
+        self.journal.failed(None, error)
+        return raw_answer(error)
 
     async def refuse(
         self,
@@ -384,6 +422,13 @@
     return whole and not head.encoded and not broken_promise
 
 
+def _given_up(call: Call | None, phase: Phase) -> RequestError:
+    ran = Ran.no if call is None else call.ran
+    if phase is Phase.replica:
+        ran = Ran.unknown
+    return RequestError(Code.leaving, 'this entry ends', ran, FRONT_RETURN_S)
+
+
 def _lost(outcome: Outcome, ran: Ran) -> RequestError:
     detail = 'the backend server gave no whole answer'
     if isinstance(outcome, Lost):
--- a/src/cassiahitch/direct/stoplog.py
+++ b/src/cassiahitch/direct/stoplog.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
-from cassiahitch.errors import RequestError
+from cassiahitch.direct.failures import id_of
 from cassiahitch.metrics.names import CounterName
 
 if TYPE_CHECKING:
@@ -17,6 +17,7 @@
     from cassiahitch.metrics.registry import Metrics
 
 LOGGER = logging.getLogger('cassiahitch.requests')
+PROCESS = logging.getLogger('cassiahitch.stop')
 #: Most lines of cut requests of one end; the last line counts all of them.
 CUT_LINES = 100
 DIGITS = 4
@@ -40,7 +41,7 @@
         """
         self.told_at = now
         self.first = {'connections': connections, 'open_by_phase': count_phases(exchanges)}
-        LOGGER.info('entry leaves', extra=self.first)
+        PROCESS.info('entry leaves', extra=self.first)
 
     def taken(self, now: float, connections: int, exchanges: Iterable[CallerExchange]) -> None:
         """Record what there is when no new request is taken any more.
@@ -54,7 +55,7 @@
             'connections': connections,
             'open_by_phase': count_phases(exchanges),
         }
-        LOGGER.info('entry takes no new requests', extra=extra)
+        PROCESS.info('entry takes no new requests', extra=extra)
 
     def ended(self, now: float, connections: int, exchanges: Iterable[CallerExchange]) -> None:
         """Record what is cut, right before the connections are closed.
@@ -73,7 +74,7 @@
             'connections_at_signal': self.first.get('connections'),
             'open_at_signal': self.first.get('open_by_phase'),
         }
-        LOGGER.log(level, 'entry closes its connections', extra=extra)
+        PROCESS.log(level, 'entry closes its connections', extra=extra)
         for number, exchange in enumerate(cut):
             exchange.progress.cut = True
             self.metrics.count(CounterName.requests_cut, exchange.progress.phase.name)
@@ -89,7 +90,7 @@
         progress = exchange.progress
         read_at = progress.opened_at if progress.read_at is None else progress.read_at
         extra = {
-            'request': progress.id or self.identify(exchange),
+            'request': progress.id or id_of(self.codec, exchange.incoming),
             'phase': progress.phase.value,
             'since_read_s': round(now - read_at, DIGITS),
             'after_signal_s': round(now - self.told_at, DIGITS),
@@ -100,21 +101,6 @@
         }
         LOGGER.warning('request cut by the end of the entry', extra=extra)
 
-    def identify(self, exchange: CallerExchange) -> str:
-        """Return the id of a request that is not read as a whole yet.
-
-        :param exchange: the request.
-        :return: its id, nothing if its header does not tell it.
-        """
-        incoming = exchange.incoming
-        try:
-            read = self.codec.read_request(
-                incoming.method, incoming.target, incoming.headers, incoming.body
-            )
-        except RequestError:
-            return ''
-        return read.attempt_id
-
 
 def count_phases(exchanges: Iterable[CallerExchange]) -> dict[str, int]:
     """Count exchanges by where they are.
--- a/tests/support/slow_callers.py
+++ b/tests/support/slow_callers.py
@@ -27,7 +27,15 @@
     machine: h11.Connection = field(default_factory=lambda: h11.Connection(h11.CLIENT))
     got: direct_callers.Got = field(default_factory=direct_callers.Got)
 
-    async def send(self, path: str, *, body: bytes = b'', deadline_ms: int = 3000) -> None:
+    async def send(
+        self,
+        path: str,
+        *,
+        body: bytes = b'',
+        deadline_ms: int = 3000,
+        method: str = '',
+        chunked: bool = False,
+    ) -> None:
         """Send the start of a request, with half of its body."""
         self.got = direct_callers.Got(f's{next(IDS)}')
         headers = [
@@ -39,8 +47,10 @@
         if path.startswith('/draft'):
             headers += [('X-Cassiahitch-Model', 'm1'), ('X-Cassiahitch-Token-Count', '100,30')]
         if body:
-            headers.append(('Content-Length', str(len(body))))
-        method = 'POST' if body else 'GET'
+            length = ('Transfer-Encoding', 'chunked')
+            headers.append(length if chunked else ('Content-Length', str(len(body))))
+        if not method:
+            method = 'POST' if body else 'GET'
         request = h11.Request(method=method, target=path, headers=headers)
         self.write(self.machine.send(request))
         self.write(self.machine.send(h11.Data(body[: len(body) // 2])))
@@ -55,14 +65,15 @@
     def write(self, data: bytes | None) -> None:
         self.writer.write(data or b'')
 
-    async def answer(self) -> direct_callers.Got:
+    async def answer(self, *, close: bool = True) -> direct_callers.Got:
         """Read to the end of the answer, or of the connection."""
         try:
             async with asyncio.timeout(10):
                 await direct_callers.read(self.machine, self.reader, self.got)
         except (ConnectionError, h11.RemoteProtocolError):
             self.got.whole = False
-        self.writer.close()
+        if close:
+            self.writer.close()
         return self.got
 
 
