--- a/src/cassiahitch/direct/api.py
+++ b/src/cassiahitch/direct/api.py
@@ -13,6 +13,7 @@
     from cassiahitch.direct.catalogue import Organisation, Route
     from cassiahitch.direct.feed import Reply
     from cassiahitch.direct.replicas import Replica
+    from cassiahitch.direct.sizes import SizeRank
     from cassiahitch.routing.suspects import Fingerprint
     from cassiahitch.stores.api import Committed, Condition, Conflicted, Write
 
@@ -136,6 +137,7 @@
     ``sends`` counts the backend servers that it was handed to, ``may_have_run`` tells that one of
     them took it and gave no whole answer. ``failure`` is a failed answer that is not passed on
     yet, and ``may_return`` tells that the backend server that gave it may be asked again.
+    ``size`` tells how large it is among those of its route.
     """
 
     request: CallerRequest
@@ -150,6 +152,7 @@
     may_return: bool = False
     failure: Answered | None = None
     avoided: set[str] = field(default_factory=set)
+    size: SizeRank | None = None
 
     @property
     def id(self) -> str:
--- a/src/cassiahitch/direct/journal.py
+++ b/src/cassiahitch/direct/journal.py
@@ -4,11 +4,14 @@
 
 import asyncio
 import logging
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
 from cassiahitch.direct.api import Call, CallerRequest
+from cassiahitch.direct.attempt import Answered, Delivered
 from cassiahitch.direct.freshness import boot_time
+from cassiahitch.direct.sizes import SizeBook
 from cassiahitch.metrics.names import CounterName, GaugeName, LatencyName
 
 if TYPE_CHECKING:
@@ -42,6 +45,7 @@
 
     knowledge: Knowledge
     metrics: Metrics
+    sizes: SizeBook = field(default_factory=SizeBook)
 
     def begin(self, request: CallerRequest, arrived: float) -> Call:
         """Count a request that was read.
@@ -53,6 +57,16 @@
         self.metrics.count(CounterName.requests_received)
         return Call(request, arrived)
 
+    def offered(self, call: Call) -> None:
+        """Count a request that is to be placed, by its size.
+
+        :param call: the request.
+        """
+        generation = call.request.generation
+        size = generation.prompt_tokens if generation else len(call.request.body)
+        call.size = self.sizes.rank(call.plan().name, size)
+        self.metrics.count(CounterName.offered_by_size, call.size.label)
+
     def attempted(
         self,
         call: Call,
@@ -91,7 +105,9 @@
         head = getattr(outcome, 'head', None)
         if head is not None:
             fields['status'] = head.status
-        self.line(logging.INFO, 'request sent', call, fields)
+        if call.size is not None and _is_success(outcome):
+            self.metrics.count(CounterName.served_by_size, call.size.label)
+        self.line(logging.INFO, 'request sent', call, fields | _size_fields(call))
 
     def crowded(self, call: Call, placed: Crowded) -> None:
         """Record that no replica could take a request in time.
@@ -99,8 +115,10 @@
         :param call: the request.
         :param placed: what was found.
         """
+        if call.size is not None:
+            self.metrics.count(CounterName.refused_by_size, call.size.label)
         best = {'best_s': placed.best_s, 'retry_after_s': placed.retry_after_s}
-        self.line(logging.INFO, 'request found no place', call, best)
+        self.line(logging.INFO, 'request found no place', call, best | _size_fields(call))
 
     def failed(self, call: Call | None, error: RequestError) -> None:
         """Record the final answer to a request that failed.
@@ -175,6 +193,21 @@
         LOGGER.log(level, message, extra=_rounded(base | fields))
 
 
+def _is_success(outcome: Outcome) -> bool:
+    match outcome:
+        case Delivered():
+            return True
+        case Answered(head=head):
+            return head.status < HTTPStatus.BAD_REQUEST
+    return False
+
+
+def _size_fields(call: Call) -> dict[str, Any]:
+    if call.size is None:
+        return {}
+    return {'size': call.size.size, 'smaller': call.size.smaller, 'tenth': call.size.tenth}
+
+
 def _rounded(fields: dict[str, Any]) -> dict[str, Any]:
     return {
         name: round(value, DIGITS) if isinstance(value, float) else value
--- a/src/cassiahitch/direct/runner.py
+++ b/src/cassiahitch/direct/runner.py
@@ -128,6 +128,7 @@
         :raises RequestError: if it fails.
         """
         self.filters.check(call)
+        self.journal.offered(call)
         self.note_patience(call)
         stream = StreamState(caller)
         try:
