Place requests of all lengths alike under overload

What callers saw: under overload, requests with long prompts were left unserved while short ones were served. Cause: admission compared the time to the first event, the reading of the request's own prompt included, with one objective for all; queues settled where only short prompts fit. Class: a decision on each request alone, by its own cost against a common bound, starves whatever costs more. Change: one more request is taken by what one with a usual prompt would see, against 0.7 of the objective; long prompts go to the front of the engine's queue within their priority; the choice among replicas goes by the own length as before.

--- a/src/cassiahitch/direct/load.py
+++ b/src/cassiahitch/direct/load.py
@@ -198,21 +198,32 @@
     return max(writing_s, reading_s) + read_s(engine, engine.usual_prompt, pace)
 
 
-def first_event_s(engine: Engine, queue: Queue, prompt_tokens: int, pace: float) -> float:
+def first_event_s(engine: Engine, queue: Queue, prompt_tokens: float, pace: float) -> float:
     """Predict the time until the first event of one more request.
 
+    :param engine: the engine.
+    :param queue: what it has to do.
+    :param prompt_tokens: length of the prompt.
+    :param pace: how much slower than configured it is.
+    :return: seconds.
+    """
+    return waiting_s(engine, queue, pace) + read_s(engine, prompt_tokens, pace)
+
+
+def waiting_s(engine: Engine, queue: Queue, pace: float) -> float:
+    """Predict the time until the first event of one more request, without reading its prompt.
+
     The engine ends its pass, reads what waits and the prompt itself, and writes a first pass; if
     all places are taken, one has to become free before.
 
     :param engine: the engine.
     :param queue: what it has to do.
-    :param prompt_tokens: length of the prompt.
     :param pace: how much slower than configured it is.
     :return: seconds.
     """
     own_pass_s = pass_s(engine, min(queue.requests + 1, engine.slots), pace)
     ending_s = own_pass_s / 2 if queue.requests else 0
-    start_s = ending_s + read_s(engine, prompt_tokens, pace) + own_pass_s
+    start_s = ending_s + own_pass_s
     ahead = queue.requests + 1 - engine.slots
     if ahead > 0:
         # The time for which places are held includes the reading of those that wait for them.
@@ -229,4 +240,5 @@
     'pass_s',
     'read_s',
     'service_s',
+    'waiting_s',
 )
--- a/src/cassiahitch/direct/placement.py
+++ b/src/cassiahitch/direct/placement.py
@@ -3,6 +3,10 @@
 Load pattern: more requests arrive than the engines can begin within the objective. Requests that
 can still meet it go first, a request whose time has passed only takes a place of an engine that has
 some to spare, and one that has no chance is refused at once with a time at which to come back.
+
+Whether an engine takes one more request does not depend on the length of its prompt: if each were
+judged by its own, engines would fill up to where only the shortest still fit. Long prompts go to
+the front of the engine's queue instead, as their reading leaves them less time to wait.
 """
 
 from __future__ import annotations
@@ -12,14 +16,15 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from cassiahitch.direct.load import EngineLoad, first_event_s
+from cassiahitch.direct.load import EngineLoad, read_s, waiting_s
 
 if TYPE_CHECKING:
     from cassiahitch.direct.catalogue import Engine, Route
     from cassiahitch.direct.replicas import Replica
 
-#: Part of the objective up to which the first event may be expected.
-EXPECTED_PART = 1.0
+#: Part of the objective up to which the first event of a usual prompt may be expected. The rest is
+#: for the reading of longer prompts and for what predictions miss.
+EXPECTED_PART = 0.7
 #: Part of the objective up to which replicas of other regions are left to their own callers.
 NEAR_PART = 0.5
 #: Seconds by which a replica of another region must be better than one of the own.
@@ -41,6 +46,8 @@
 #: Rank in the queue of an engine of requests whose objective has passed.
 LATE_RANK = 8
 HIGHEST_RANK = 7
+#: Ranks of each priority: prompts that are longer than usual, and all others.
+RANKS_OF_PRIORITY = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,10 +92,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Prospect:
-    """Requests of an engine, and the time that one more would wait for its first event."""
+    """Requests of an engine, and the time until the first event of one more.
+
+    ``expected_s`` is that of the request itself, ``usual_s`` that of one with a usual prompt.
+    """
 
     requests: int
     expected_s: float
+    usual_s: float
 
 
 @dataclass(slots=True)
@@ -197,7 +208,7 @@
         prospect = prospects[chosen]
         in_time = _is_in_time(demand, prospect)
         if in_time or prospect.requests <= engine.slots - KEPT_PLACES:
-            rank = min(HIGHEST_RANK, max(0, demand.priority)) if in_time else LATE_RANK
+            rank = _rank(engine, demand) if in_time else LATE_RANK
             crowded = not _is_in_time(demand, prospect, NEAR_PART)
             return Placed(chosen, prospect.expected_s, rank, crowded)
         return Crowded(self.rng.uniform(*RETURN_S), prospect.expected_s)
@@ -236,8 +247,12 @@
         load = self.engine_load(candidate.replica.key)
         queue = load.queue(engine, entries, now)
         pace = load.pace(now)
-        expected_s = first_event_s(engine, queue, demand.prompt_tokens, pace)
-        return Prospect(queue.requests, expected_s + load.lateness_s(now))
+        begin_s = waiting_s(engine, queue, pace) + load.lateness_s(now)
+        return Prospect(
+            queue.requests,
+            expected_s=begin_s + read_s(engine, demand.prompt_tokens, pace),
+            usual_s=begin_s + read_s(engine, engine.usual_prompt, pace),
+        )
 
     def cost_s(self, candidate: Candidate, prospect: Prospect) -> float:
         """Return what a choice costs, in seconds, with a random part.
@@ -252,7 +267,14 @@
 
 def _is_in_time(demand: Demand, prospect: Prospect, part: float = EXPECTED_PART) -> bool:
     room_s = demand.route.objective_s * part - demand.spent_s
-    return prospect.expected_s <= room_s
+    return prospect.usual_s <= room_s
+
+
+def _rank(engine: Engine, demand: Demand) -> int:
+    rank = RANKS_OF_PRIORITY * max(0, demand.priority)
+    if demand.prompt_tokens <= engine.usual_prompt:
+        rank += 1
+    return min(HIGHEST_RANK, rank)
 
 
 __all__ = (
