Place requests of all routes of a service alike under overload

What callers saw (in virtual time only; not seen on processes): under overload a route with a shorter objective is refused while others of the same service are served, even if it is the more urgent one. Cause: admission compared the time of an engine with the objective of the request's own route, so queues settled where only the longest objective still fits. Change: engines are full by the mean objective of the routes of their service, and a request that can wait less than a usual one (longer prompt or shorter objective) goes to the front of its priority's ranks. Through Candidates, without the mean the short route is Crowded beside one that is Placed.

--- a/src/cassiahitch/direct/candidates.py
+++ b/src/cassiahitch/direct/candidates.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 from cassiahitch.codes import Code
@@ -101,7 +101,17 @@
         if engine is None:
             return self.placement.place_plain(candidates, now)
         entries = self.knowledge.entries(now)
-        return self.placement.place_engine(engine, demand, candidates, entries, now)
+        usual = replace(demand, usual_objective_s=self.usual_objective_s(call))
+        return self.placement.place_engine(engine, usual, candidates, entries, now)
+
+    def usual_objective_s(self, call: Call) -> float:
+        """Return the mean objective of the routes of a service.
+
+        :param call: a request for the service.
+        :return: seconds, 0 if the configuration does not have it.
+        """
+        catalogue = self.knowledge.catalogue
+        return catalogue.objectives_s.get(call.service, 0) if catalogue else 0
 
     def candidates(self, call: Call, engine: Engine | None, now: float) -> tuple[Candidate, ...]:
         """Return the replicas that may take a request.
--- a/src/cassiahitch/direct/catalogue.py
+++ b/src/cassiahitch/direct/catalogue.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 from enum import StrEnum
+from statistics import fmean
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -122,7 +123,10 @@
 
 @dataclass(frozen=True)
 class Catalogue:
-    """One version of the configuration; ``organisations`` are found by their keys."""
+    """One version of the configuration; ``organisations`` are found by their keys.
+
+    ``objectives_s`` has the mean objective of the routes of each service.
+    """
 
     version: int
     routes: tuple[Route, ...]
@@ -130,11 +134,17 @@
     organisations: Mapping[str, Organisation] = field(default_factory=dict)
     limits: CallerLimits = CallerLimits()
     by_host: dict[str, dict[str, Route]] = field(init=False, default_factory=dict)
+    objectives_s: dict[str, float] = field(init=False, default_factory=dict)
 
     def __post_init__(self) -> None:
-        """Index the routes by host and prefix."""
+        """Index the routes by host and prefix, and take the mean objective of each service."""
+        objectives: dict[str, list[float]] = {}
         for route in self.routes:
             self.by_host.setdefault(route.host, {})[route.prefix] = route
+            for share in route.shares:
+                objectives.setdefault(share.service, []).append(route.objective_s)
+        for service, found in objectives.items():
+            self.objectives_s[service] = fmean(found)
 
     def route(self, host: str, path: str) -> Route | None:
         """Find the route of a request: the one with the longest prefix of its path.
--- a/src/cassiahitch/direct/placement.py
+++ b/src/cassiahitch/direct/placement.py
@@ -4,9 +4,10 @@
 can still meet it go first, a request whose time has passed only takes a place of an engine that has
 some to spare, and one that has no chance is refused at once with a time at which to come back.
 
-Whether an engine takes one more request does not depend on the length of its prompt: if each were
-judged by its own, engines would fill up to where only the shortest still fit. Long prompts go to
-the front of the engine's queue instead, as their reading leaves them less time to wait.
+Whether an engine takes one more request depends neither on the length of its prompt nor on the
+objective of its route: if each were judged by its own, engines would fill up to where only the
+shortest prompts and the longest objectives still fit. Requests that can wait less than usual go to
+the front of the engine's queue instead.
 """
 
 from __future__ import annotations
@@ -46,7 +47,7 @@
 #: Rank in the queue of an engine of requests whose objective has passed.
 LATE_RANK = 8
 HIGHEST_RANK = 7
-#: Ranks of each priority: prompts that are longer than usual, and all others.
+#: Ranks of each priority: requests that can wait less than usual, and all others.
 RANKS_OF_PRIORITY = 2
 
 
@@ -61,12 +62,31 @@
 
 @dataclass(frozen=True, slots=True)
 class Demand:
-    """What is to be placed; ``spent_s`` is the time since the caller first asked."""
+    """What is to be placed; ``spent_s`` is the time since the caller first asked.
+
+    ``usual_objective_s`` is the mean objective of the routes of the service, if it is known.
+    """
 
     route: Route
     spent_s: float
     prompt_tokens: int = 0
     priority: int = 0
+    usual_objective_s: float = 0
+
+    @property
+    def bound_s(self) -> float:
+        """The objective by which engines are full, the same for all routes of a service."""
+        return self.usual_objective_s or self.route.objective_s
+
+    def is_short_of_time(self, engine: Engine) -> bool:
+        """Tell whether it can wait less than a usual request of the service.
+
+        :param engine: speed of the engines.
+        :return: whether its prompt is longer, or its objective shorter, than usual.
+        """
+        spared_s = self.route.objective_s - self.bound_s
+        longer_s = read_s(engine, self.prompt_tokens, 1) - read_s(engine, engine.usual_prompt, 1)
+        return longer_s > spared_s
 
 
 @dataclass(frozen=True, slots=True)
@@ -266,13 +286,13 @@
 
 
 def _is_in_time(demand: Demand, prospect: Prospect, part: float = EXPECTED_PART) -> bool:
-    room_s = demand.route.objective_s * part - demand.spent_s
+    room_s = demand.bound_s * part - demand.spent_s
     return prospect.usual_s <= room_s
 
 
 def _rank(engine: Engine, demand: Demand) -> int:
     rank = RANKS_OF_PRIORITY * max(0, demand.priority)
-    if demand.prompt_tokens <= engine.usual_prompt:
+    if not demand.is_short_of_time(engine):
         rank += 1
     return min(HIGHEST_RANK, rank)
 
--- a/tests/direct/test_direct_catalogue.py
+++ b/tests/direct/test_direct_catalogue.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -48,3 +51,9 @@
     fitting = [prefix for prefix in PREFIXES if path.startswith(prefix)]
     found = catalogue(*PREFIXES).route('menus.example', path)
     assert (found and found.prefix) == max(fitting, key=len, default=None)
+
+
+def test_usual_objective_of_a_service_is_the_mean_of_its_routes() -> None:
+    routes = (route('/a/'), replace(route('/b/'), objective_s=0.4))
+    known = Catalogue(1, routes, {})
+    assert known.objectives_s == {'desk': pytest.approx(0.3)}
--- a/tests/direct/test_placement.py
+++ b/tests/direct/test_placement.py
@@ -10,7 +10,7 @@
 
 from cassiahitch.direct.api import Call, CallerRequest
 from cassiahitch.direct.candidates import Candidates
-from cassiahitch.direct.catalogue import Engine, Repeat, Route, ServiceShare
+from cassiahitch.direct.catalogue import Catalogue, Engine, Repeat, Route, Service, ServiceShare
 from cassiahitch.direct.knowledge import make_knowledge
 from cassiahitch.direct.load import (
     EngineLoad,
@@ -310,3 +310,24 @@
     demand = Demand(ROUTE, 0, 964)
     placed = [placement.place_engine(ENGINE, demand, both, ENTRIES, 0) for _ in range(50)]
     assert not any(isinstance(one, Placed) and one.candidate.near for one in placed)
+
+
+def test_entry_places_by_the_usual_objective_of_the_service() -> None:
+    knowledge = make_knowledge(entry_settings())
+    placement = Placement(random.Random(1))
+    known = Candidates(knowledge, placement, random.Random(1))
+    quick = replace(ROUTE, name='quick', prefix='/quick/', objective_s=0.2)
+    services = {'drafts': Service('drafts', 100, ENGINE)}
+    knowledge.apply(Catalogue(1, (ROUTE, quick), services))
+    place = Endpoint('10.0.0.1', 1)
+    replica = Replica('m-1', 'drafts', place, 'north', ENGINE.slots, weights=(('m', 1),))
+    knowledge.replicas.replace((replica,), 0)
+    load = placement.engine_load(replica.key)
+    load.heard(LoadReport(15, 1, model='m', version=1), 5)
+    placed = {
+        route.name: known.place(
+            Call(caller_request(), 0, route=route, service='drafts'), Demand(route, 0, 600), 5
+        )
+        for route in (ROUTE, quick)
+    }
+    assert {name: type(one) for name, one in placed.items()} == {'draft': Placed, 'quick': Placed}
--- a/tests/support/modelled_engine.py
+++ b/tests/support/modelled_engine.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 from functools import cache
 
-from cassiahitch.direct.catalogue import Engine
+from cassiahitch.direct.catalogue import Engine, Repeat, Route, ServiceShare
 from cassiahitch.direct.load import LoadReport, pass_s
 
 #: Mean before the cut, spread of the logarithm and longest prompt, in tokens.
@@ -19,6 +19,8 @@
 #: The same of answers.
 ANSWER = (119, 0.9, 300)
 ENGINE = Engine('m', 16, 6, 0.00673, 2.19e-5, 6.8e-9, 30_600, 6.47e-10, 1100, 110)
+SHARES = (ServiceShare('drafts', 1),)
+ROUTE = Route('draft', 'h', '/', Repeat.stream, 6, 0.405, 1, SHARES, 2, resumable=True)
 #: Tokens that an engine reads at most in one step.
 CHUNK = 2048
 #: Shortest step in seconds, when nobody writes and nothing is to be read.
@@ -37,6 +39,7 @@
 class Asked:
     """One request of a caller, over all its tries; times in seconds."""
 
+    route: Route
     first: float
     prompt: int
     answer: int
@@ -51,6 +54,16 @@
     left: bool = False
     news: Callable[[], None] | None = None
 
+    @property
+    def served(self) -> bool:
+        """Whether it began to be answered."""
+        return self.began_at is not None
+
+    @property
+    def in_time(self) -> bool:
+        """Whether it began to be answered within its objective."""
+        return self.began_at is not None and self.began_at - self.first <= self.route.objective_s
+
     @property
     def size(self) -> int:
         """The size by which requests are paid."""
@@ -132,7 +145,8 @@
     while now < LONG_S:
         while len(model.waiting) < ENGINE.slots:
             prompt = draw_length(rng, *PROMPT)
-            model.waiting.append(Asked(now, prompt, draw_length(rng, *ANSWER), 0, unread=prompt))
+            answer = draw_length(rng, *ANSWER)
+            model.waiting.append(Asked(ROUTE, now, prompt, answer, 0, unread=prompt))
             begun += 1
         now += model.step()
         model.stepped(now)
@@ -145,6 +159,7 @@
     'ENGINE',
     'ModelledEngine',
     'PROMPT',
+    'ROUTE',
     'USUAL_RANK',
     'WAY_S',
     'begun_per_s',
--- a/tests/support/overload_model.py
+++ b/tests/support/overload_model.py
@@ -13,11 +13,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
+from statistics import fmean
 
 from modelled_engine import (
     ANSWER,
     ENGINE,
     PROMPT,
+    ROUTE,
     USUAL_RANK,
     WAY_S,
     Asked,
@@ -26,7 +28,7 @@
     draw_length,
 )
 
-from cassiahitch.direct.catalogue import Repeat, Route, ServiceShare
+from cassiahitch.direct.catalogue import Route
 from cassiahitch.direct.load import REPORT_DELAY_S, LoadReport
 from cassiahitch.direct.placement import Candidate, Crowded, Demand, Placed, Placement
 from cassiahitch.direct.replicas import Replica
@@ -34,8 +36,6 @@
 from cassiahitch.direct.runner import HELD_PART, LOOK_S
 from cassiahitch.util.endpoints import Endpoint
 
-SHARES = (ServiceShare('drafts', 1),)
-ROUTE = Route('draft', 'h', '/', Repeat.stream, 6, 0.405, 1, SHARES, 2, resumable=True)
 #: Seconds that callers have in all, and without an event after which they leave.
 DEADLINE_S = 6.0
 GAP_S = 2.0
@@ -62,6 +62,10 @@
         count = len(self.asked)
         return Result(self.asked[int(count * first) : int(count * last)])
 
+    def of(self, route: Route) -> Result:
+        """Return the requests of a route."""
+        return Result(tuple(one for one in self.asked if one.route is route))
+
     def by(self, key: Callable[[Asked], int]) -> Result:
         """Return the requests in the order of another size."""
         return Result(tuple(sorted(self.asked, key=key)))
@@ -69,18 +73,18 @@
     @property
     def served(self) -> float:
         """The share that was served."""
-        return sum(one.began_at is not None for one in self.asked) / len(self.asked)
+        return sum(one.served for one in self.asked) / len(self.asked)
 
     @property
     def in_time(self) -> float:
         """The share that was served within the objective."""
-        return sum(_is_in_time(one) for one in self.asked) / len(self.asked)
+        return sum(one.in_time for one in self.asked) / len(self.asked)
 
     @property
     def returned(self) -> float:
         """The share that was served after a refusal."""
         back = [one for one in self.asked if one.tries > 1]
-        return sum(one.began_at is not None for one in back) / max(1, len(back))
+        return sum(one.served for one in back) / max(1, len(back))
 
     @property
     def worth(self) -> float:
@@ -91,8 +95,8 @@
         for one in self.asked:
             worth = FIXED_WORTH + (1 - FIXED_WORTH) * one.size / mean
             owed += worth
-            if one.began_at is not None:
-                got += worth if _is_in_time(one) else worth * LATE_WORTH
+            if one.served:
+                got += worth if one.in_time else worth * LATE_WORTH
             elif one.tries > 1 and not one.left:
                 got -= worth * REFUSED_AGAIN
         return got / owed
@@ -110,6 +114,7 @@
     seed: int = 1
     make: Callable[[random.Random], Placement] = Placement
     surge: Callable[[float], float] = lambda _: 1
+    routes: tuple[Route, ...] = (ROUTE,)
     rng: random.Random = field(init=False)
     events: list[Event] = field(default_factory=list)
     now: float = 0
@@ -149,7 +154,7 @@
     def arrive(self) -> None:
         """Let a newcomer ask, and the next one come later."""
         prompt, answer = draw_length(self.rng, *PROMPT), draw_length(self.rng, *ANSWER)
-        asked = Asked(self.now, prompt, answer, self.returns)
+        asked = Asked(self.rng.choice(self.routes), self.now, prompt, answer, self.returns)
         self.asked.append(asked)
         self.ask(asked)
         rate = self.engines * begun_per_s() * self.load * self.surge(self.now)
@@ -160,12 +165,15 @@
     def ask(self, asked: Asked) -> None:
         """Let a caller ask any entry."""
         asked.tries += 1
-        asked.looks_until = self.now + ROUTE.objective_s * HELD_PART
+        asked.looks_until = self.now + asked.route.objective_s * HELD_PART
         self.look(asked, self.rng.randrange(self.entries))
 
     def look(self, asked: Asked, entry: int) -> None:
         """Place a request, wait for a place, or refuse it."""
-        demand = Demand(ROUTE, self.now - asked.first, asked.prompt, ROUTE.priority)
+        spent_s = self.now - asked.first
+        usual_s = fmean(route.objective_s for route in self.routes)
+        priority = asked.route.priority
+        demand = Demand(asked.route, spent_s, asked.prompt, priority, usual_s)
         placement = self.placements[entry]
         match placement.place_engine(ENGINE, demand, self.candidates, self.entries, self.now):
             case Placed() as placed:
@@ -248,8 +256,4 @@
             placement.engine_load(self.candidates[number].replica.key).heard(report, self.now)
 
 
-def _is_in_time(asked: Asked) -> bool:
-    return asked.began_at is not None and asked.began_at - asked.first <= ROUTE.objective_s
-
-
 __all__ = ('Overload', 'Result')
