--- a/src/cassiahitch/direct/placement.py
+++ b/src/cassiahitch/direct/placement.py
@@ -3,6 +3,11 @@
 Load pattern: more requests arrive than the engines can begin within the objective. Requests that
 can still meet it go first, a request whose time has passed only takes a place of an engine that has
 some to spare, and one that has no chance is refused at once with a time at which to come back.
+
+Whether an engine takes one more request depends neither on the length of its prompt nor on the
+objective of its route: if each were judged by its own, engines would fill up to where only the
+shortest prompts and the longest objectives still fit. Requests that can wait less than usual go to
+the front of the engine's queue instead.
 """
 
 from __future__ import annotations
@@ -12,14 +17,15 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from cassiahitch.direct.load import EngineLoad, first_event_s
+from cassiahitch.direct.load import EngineLoad, read_s, waiting_s
 
 if TYPE_CHECKING:
     from cassiahitch.direct.catalogue import Engine, Route
     from cassiahitch.direct.replicas import Replica
 
-#: Part of the objective up to which the first event may be expected.
-EXPECTED_PART = 1.0
+#: Part of the objective up to which the first event of a usual prompt may be expected. The rest is
+#: for the reading of longer prompts and for what predictions miss.
+EXPECTED_PART = 0.7
 #: Part of the objective up to which replicas of other regions are left to their own callers.
 NEAR_PART = 0.5
 #: Seconds by which a replica of another region must be better than one of the own.
@@ -41,6 +47,8 @@
 #: Rank in the queue of an engine of requests whose objective has passed.
 LATE_RANK = 8
 HIGHEST_RANK = 7
+#: Ranks of each priority: requests that can wait less than usual, and all others.
+RANKS_OF_PRIORITY = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,12 +62,31 @@
 
 @dataclass(frozen=True, slots=True)
 class Demand:
-    """What is to be placed; ``spent_s`` is the time since the caller first asked."""
+    """What is to be placed; ``spent_s`` is the time since the caller first asked.
+
+    ``usual_objective_s`` is the mean objective of the routes of the service, if it is known.
+    """
 
     route: Route
     spent_s: float
     prompt_tokens: int = 0
     priority: int = 0
+    usual_objective_s: float = 0
+
+    @property
+    def bound_s(self) -> float:
+        """The objective by which engines are full, the same for all routes of a service."""
+        return self.usual_objective_s or self.route.objective_s
+
+    def is_short_of_time(self, engine: Engine) -> bool:
+        """Tell whether it can wait less than a usual request of the service.
+
+        :param engine: speed of the engines.
+        :return: whether its prompt is longer, or its objective shorter, than usual.
+        """
+        spared_s = self.route.objective_s - self.bound_s
+        longer_s = read_s(engine, self.prompt_tokens, 1) - read_s(engine, engine.usual_prompt, 1)
+        return longer_s > spared_s
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,10 +112,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Prospect:
-    """Requests of an engine, and the time that one more would wait for its first event."""
+    """Requests of an engine, and the time until the first event of one more.
+
+    ``expected_s`` is that of the request itself, ``usual_s`` that of one with a usual prompt.
+    """
 
     requests: int
     expected_s: float
+    usual_s: float
 
 
 @dataclass(slots=True)
@@ -197,7 +228,7 @@
         prospect = prospects[chosen]
         in_time = _is_in_time(demand, prospect)
         if in_time or prospect.requests <= engine.slots - KEPT_PLACES:
-            rank = min(HIGHEST_RANK, max(0, demand.priority)) if in_time else LATE_RANK
+            rank = _rank(engine, demand) if in_time else LATE_RANK
             crowded = not _is_in_time(demand, prospect, NEAR_PART)
             return Placed(chosen, prospect.expected_s, rank, crowded)
         return Crowded(self.rng.uniform(*RETURN_S), prospect.expected_s)
@@ -236,8 +267,12 @@
         load = self.engine_load(candidate.replica.key)
         queue = load.queue(engine, entries, now)
         pace = load.pace(now)
-        expected_s = first_event_s(engine, queue, demand.prompt_tokens, pace)
-        return Prospect(queue.requests, expected_s + load.lateness_s(now))
+        begin_s = waiting_s(engine, queue, pace) + load.lateness_s(now)
+        return Prospect(
+            queue.requests,
+            expected_s=begin_s + read_s(engine, demand.prompt_tokens, pace),
+            usual_s=begin_s + read_s(engine, engine.usual_prompt, pace),
+        )
 
     def cost_s(self, candidate: Candidate, prospect: Prospect) -> float:
         """Return what a choice costs, in seconds, with a random part.
@@ -251,8 +286,15 @@
 
 
 def _is_in_time(demand: Demand, prospect: Prospect, part: float = EXPECTED_PART) -> bool:
-    room_s = demand.route.objective_s * part - demand.spent_s
-    return prospect.expected_s <= room_s
+    room_s = demand.bound_s * part - demand.spent_s
+    return prospect.usual_s <= room_s
+
+
+def _rank(engine: Engine, demand: Demand) -> int:
+    rank = RANKS_OF_PRIORITY * max(0, demand.priority)
+    if not demand.is_short_of_time(engine):
+        rank += 1
+    return min(HIGHEST_RANK, rank)
 
 
 __all__ = (
--- a/src/cassiahitch/direct/runner.py
+++ b/src/cassiahitch/direct/runner.py
@@ -182,6 +182,7 @@
         """
         self.filters.check(call)
         caller.check_open(call.deadline)
+        self.journal.offered(call)
         self.note_patience(call)
         stream = StreamState(caller)
         try:
