Soak the real programs under seeded faults: SIGTERM part and all checks

Each check has a test that feeds it a record that breaks its promise.

The stand-ins' reset no longer fails on a connection that is closed already.

--- a/src/cassiahitch/cli/commands.py
+++ b/src/cassiahitch/cli/commands.py
@@ -11,6 +11,7 @@
 from cassiahitch.cli.observing import metrics, timeline
 from cassiahitch.cli.operators import apply, delete, drain, get, status, watch
 from cassiahitch.cli.roles import agent, entry
+from cassiahitch.cli.soaking import soak
 
 ROLES = (entry, agent, local, direct_entry, direct_agent)
 OPERATORS = (apply, get, delete, watch, status, drain, timeline, metrics, explain)
@@ -23,7 +24,7 @@
     :return: the exit code of the process.
     """
     commands = {
-        command.__name__.replace('_', '-'): command for command in (*ROLES, *OPERATORS, bench)
+        command.__name__.replace('_', '-'): command for command in (*ROLES, *OPERATORS, bench, soak)
     }
     return int(defopt.run(commands, argv=arguments, short={}))
 
--- a/src/cassiahitch/cli/exits.py
+++ b/src/cassiahitch/cli/exits.py
@@ -16,6 +16,7 @@
     usage = 2
     unreachable = 3
     conflict = 4
+    broken = 5
 
 
 class UnreachableError(CassiahitchError):
--- /dev/null
+++ b/src/cassiahitch/cli/soaking.py
@@ -0,0 +1,93 @@
+"""Command that runs the soak."""
+
+from __future__ import annotations
+
+import asyncio
+import shutil
+import signal
+import tempfile
+from contextlib import ExitStack
+from pathlib import Path
+
+from cassiahitch.cli.exits import ExitCode
+from cassiahitch.cli.rendering import print_line, write_file
+from cassiahitch.codes import Code
+from cassiahitch.errors import CassiahitchError
+from cassiahitch.soak.plan import Area, Size
+from cassiahitch.soak.report import SoakReport
+from cassiahitch.soak.run import Soak
+
+#: Longest load, in seconds, and most processes of a run.
+MAX_SECONDS = 600.0
+MAX_PROCESSES = 60
+DEFAULT = Size()
+
+
+def soak(
+    *,
+    seed: int,
+    seconds: float = DEFAULT.seconds,
+    entries: int = DEFAULT.entries,
+    agents: int = DEFAULT.agents,
+    areas: tuple[str, ...] = (),
+    json: Path | None = None,
+) -> int:
+    """Run the real programs on loopback under seeded faults and check the promises.
+
+    :param seed: the seed of the faults and of the callers.
+    :param seconds: time of the load.
+    :param entries: number of entries.
+    :param agents: number of agents, each with a model engine.
+    :param areas: areas of faults: stops, signals, links, backends, store, changes, overload; all
+        if left out.
+    :param json: file to write the report to; standard output if left out.
+    :return: the exit code; 5 if a promise was broken.
+    """
+    size = _size(seconds, entries, agents, areas)
+    with ExitStack() as stack:
+        folder = Path(tempfile.mkdtemp(prefix=f'cassiahitch-soak-{seed}-'))
+        stack.callback(shutil.rmtree, folder, ignore_errors=True)
+        report = asyncio.run(_run_until_ended(seed, size, folder))
+        if report.violations:
+            stack.pop_all()
+    if json is None:
+        print_line(report.encode().decode())
+    else:
+        write_file(json, report.encode())
+    return ExitCode.broken if report.violations else ExitCode.fine
+
+
+async def _run_until_ended(seed: int, size: Size, folder: Path) -> SoakReport:
+    # An order to end cancels the run, so that the processes that it started end as well.
+    run = asyncio.create_task(_run(seed, size, folder))
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, run.cancel)
+    try:
+        return await run
+    except asyncio.CancelledError:
+        raise CassiahitchError(Code.soak_ended, 'the soak was told to end') from None
+
+
+async def _run(seed: int, size: Size, folder: Path) -> SoakReport:
+    run = Soak(seed, size, folder)
+    violations = await run.run()
+    logs = str(folder) if violations else ''
+    return SoakReport(seed, size, run.plan, run.record, tuple(violations), logs)
+
+
+def _size(seconds: float, entries: int, agents: int, areas: tuple[str, ...]) -> Size:
+    unknown = set(areas) - set(Area)
+    if unknown:
+        raise _invalid(f'there is no area of faults {sorted(unknown)[0]!r}')
+    if not 1 <= seconds <= MAX_SECONDS:
+        raise _invalid(f'seconds must be between 1 and {MAX_SECONDS:.0f}')
+    if entries < 1 or agents < 1 or entries + agents > MAX_PROCESSES:
+        raise _invalid(f'at least one entry and one agent, at most {MAX_PROCESSES} processes')
+    chosen = tuple(area for area in Area if not areas or area in areas)
+    return Size(seconds, entries, agents, areas=chosen)
+
+
+def _invalid(detail: str) -> CassiahitchError:
+    return CassiahitchError(Code.usage_invalid, detail)
+
+
+__all__ = ('soak',)
--- a/src/cassiahitch/codes.py
+++ b/src/cassiahitch/codes.py
@@ -120,6 +120,8 @@
     address_in_use = 6003
     bench_unknown = 6004
     bench_failed = 6005
+    soak_ended = 6006
+    soak_not_ready = 6007
     internal = 6999
 
 
--- /dev/null
+++ b/src/cassiahitch/soak/backend.py
@@ -0,0 +1,151 @@
+"""Backend servers of the soak: slots, a queue, and a record of all that reaches them."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import ExitStack
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+from cassiahitch.direct.api import header
+from cassiahitch.platform import names
+from cassiahitch.soak.answers import Work, digest, event, plain_body, seal
+from cassiahitch.soak.records import Execution
+from cassiahitch.standins.backends import BackendStandin, Fault, Wire
+
+if TYPE_CHECKING:
+    from cassiahitch.direct.api import Headers
+
+#: Tokens that an engine reads in a second.
+READ_TOKENS_PER_S = 8000
+
+
+@dataclass
+class SoakBackend(BackendStandin):
+    """Runs ``slots`` requests at a time; ``slowness`` stretches each pause."""
+
+    executions: list[Execution] = field(default_factory=list)
+    slowness: float = 1
+    places: asyncio.Semaphore = field(default_factory=lambda: asyncio.Semaphore(1))
+    reading: asyncio.Lock = field(default_factory=asyncio.Lock)
+
+    def __post_init__(self) -> None:
+        """Make the places."""
+        self.places = asyncio.Semaphore(self.slots)
+
+    async def answer(
+        self, wire: Wire, method: str, target: str, headers: Headers, body: bytes
+    ) -> bool:
+        """Note a request of a caller and answer it.
+
+        :param wire: takes the answer.
+        :param method: the method.
+        :param target: path and query.
+        :param headers: the headers.
+        :param body: the body.
+        :return: whether the connection goes on.
+        """
+        attempt = header(headers, names.ATTEMPT_ID)
+        if not attempt:
+            return await super().answer(wire, method, target, headers, body)
+        execution = Execution(
+            attempt,
+            self.id,
+            target,
+            digest(body),
+            header(headers, names.ORGANISATION),
+            asyncio.get_running_loop().time(),
+            key_passed=bool(header(headers, names.API_KEY)),
+        )
+        self.executions.append(execution)
+        fault = self.faults.pop(0) if self.faults else self.fault
+        refusal = self.refusal(headers)
+        if refusal is not None or fault is Fault.refuse:
+            execution.refused = True
+            status = refusal or HTTPStatus.SERVICE_UNAVAILABLE.value
+            await wire.whole(status, {names.ATTEMPT_ID: attempt, names.NOT_EXECUTED: '1'}, b'')
+            return True
+        return await self.execute(wire, execution, headers, fault)
+
+    async def execute(
+        self, wire: Wire, execution: Execution, headers: Headers, fault: Fault
+    ) -> bool:
+        """Run a request once there is a place for it.
+
+        :param wire: takes the answer.
+        :param execution: what is known of it.
+        :param headers: the headers.
+        :param fault: what goes wrong.
+        :return: whether the connection goes on.
+        """
+        with self.counted():
+            async with self.places:
+                if wire.writer.is_closing():
+                    return False
+                with ExitStack() as stack:
+                    stack.callback(_end, execution)
+                    return await self.begin(wire, execution, headers, fault)
+
+    async def begin(self, wire: Wire, execution: Execution, headers: Headers, fault: Fault) -> bool:
+        """Read the prompt and answer.
+
+        :param wire: takes the answer.
+        :param execution: what is known of it.
+        :param headers: the headers.
+        :param fault: what goes wrong.
+        :return: whether the connection goes on.
+        """
+        if self.engine is not None:
+            tokens = int(header(headers, names.TOKEN_COUNTS, '0').partition(',')[0])
+            async with self.reading:
+                await asyncio.sleep(self.slowness * tokens / READ_TOKENS_PER_S)
+            execution.version = self.engine.version
+        execution.began = asyncio.get_running_loop().time()
+        if fault is Fault.lose:
+            execution.broke_off = True
+            wire.reset()
+            return False
+        head = {names.ATTEMPT_ID: execution.id, names.SEAL: seal(self.id, execution.id)}
+        work = Work.read(execution.target)
+        if self.engine is not None:
+            after = int(header(headers, names.LAST_EVENT, '0'))
+            return await self.send_events(wire, execution, head, after, fault)
+        await asyncio.sleep(self.slowness * work.pause_s)
+        await wire.whole(HTTPStatus.OK, head, plain_body(execution.id, execution.digest, work))
+        return True
+
+    async def send_events(
+        self, wire: Wire, execution: Execution, head: dict[str, str], after: int, fault: Fault
+    ) -> bool:
+        """Send the events of a stream.
+
+        :param wire: takes the answer.
+        :param execution: what is known of the request.
+        :param head: headers of the answer.
+        :param after: the last event that the caller has.
+        :param fault: what goes wrong.
+        :return: whether the connection goes on.
+        """
+        work = Work.read(execution.target)
+        wire.start(HTTPStatus.OK, {**head, 'Content-Type': 'text/event-stream'})
+        for number in range(after + 1, work.parts + 1):
+            await asyncio.sleep(self.slowness * work.pause_s)
+            content = event(execution.id, number, work)
+            if fault is Fault.cut and number == after + 3:
+                execution.broke_off = True
+                wire.part(content[: len(content) // 2])
+                await wire.drain()
+                wire.reset()
+                return False
+            wire.part(content)
+            await wire.drain()
+        wire.end()
+        return True
+
+
+def _end(execution: Execution) -> None:
+    execution.ended = asyncio.get_running_loop().time()
+
+
+__all__ = ('SoakBackend',)
--- /dev/null
+++ b/src/cassiahitch/soak/lost.py
@@ -0,0 +1,123 @@
+"""Orders to end: processes end in time, and nothing that they have read is lost."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from cassiahitch.soak.records import (
+    SOAK,
+    Attempt,
+    Execution,
+    ProcessEnd,
+    Promise,
+    Record,
+    Violation,
+)
+
+#: Seconds after the order to end; one sent until then may be cut late in the grace period.
+EARLY_S = 3
+#: Part of the grace period after which that holds.
+LATE_PART = 5 / 6
+#: Seconds after the grace period in which a cut is still one of the stop.
+AFTER_S = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Stop:
+    """A stop of a process, and what ran of each attempt."""
+
+    record: Record
+    end: ProcessEnd
+    asked: float
+    runs: dict[str, list[Execution]]
+
+    def lost(self) -> list[Attempt]:
+        """Return the attempts that the process lost.
+
+        :return: attempts.
+        """
+        own = (one for one in self.record.attempts.values() if one.entry == self.end.process)
+        return [one for one in own if self.was_cut(one) and not self.may_be_cut(one)]
+
+    def was_cut(self, attempt: Attempt) -> bool:
+        """Tell whether a request that was read ended without a whole answer.
+
+        :param attempt: an attempt at this process.
+        :return: whether it did, around the stop.
+        """
+        ended, sent = attempt.ended, attempt.sent
+        if ended is None or sent is None or attempt.whole or attempt.left:
+            return False
+        around = self.asked <= ended <= self.asked + self.record.bounds.grace_s + AFTER_S
+        slack_over = ended > sent + self.record.bounds.loss_slack_s
+        return around and ended < attempt.deadline and (slack_over or attempt.id in self.runs)
+
+    def may_be_cut(self, attempt: Attempt) -> bool:
+        """Tell whether the promise allows that an attempt was cut.
+
+        :param attempt: the attempt.
+        :return: whether its replica broke off, the process was disturbed, or it ran too long.
+        """
+        until = attempt.ended or self.end.ended
+        runs = self.runs.get(attempt.id, [])
+        late = self.asked + self.record.bounds.grace_s * LATE_PART
+        return (
+            any(one.broke_off for one in runs)
+            or not self.record.calm((attempt.entry,), attempt.began, until)
+            or any(self.record.disturbed(one.backend, one.arrived, until) for one in runs)
+            or (
+                attempt.began <= self.asked + EARLY_S
+                and any(one.ended is None or one.ended >= late for one in runs)
+            )
+        )
+
+
+def check_stops(record: Record) -> Iterator[Violation]:
+    """Processes end by themselves in time, with status 0, and lose no request.
+
+    :param record: what was seen.
+    :yield: violations.
+    """
+    runs = record.runs()
+    for end in record.ends:
+        yield from _check_end(record, end)
+        if end.asked is not None:
+            for attempt in Stop(record, end, end.asked, runs).lost():
+                yield _lost(attempt, end.asked, runs.get(attempt.id, []))
+
+
+def _check_end(record: Record, end: ProcessEnd) -> Iterator[Violation]:
+    asked = end.asked
+    detail = ''
+    if asked is None:
+        detail = f'ended by itself with status {end.status}'
+    elif end.ended > asked + record.bounds.grace_s:
+        # One that was paused or got no processor cannot end in time.
+        slowed = any(record.disturbed(one, asked, end.ended) for one in (end.process, SOAK))
+        detail = '' if slowed else f'ended {end.ended - asked:.2f} s after it was asked to'
+    elif end.status:
+        detail = f'ended with status {end.status}'
+    if detail:
+        yield Violation(Promise.graceful_end, end.ended, end.process, detail)
+
+
+def _lost(attempt: Attempt, asked: float, runs: list[Execution]) -> Violation:
+    ended = attempt.ended or 0
+    at_replica = 'it reached no backend server'
+    if runs:
+        last = runs[-1]
+        over = 'not ended' if last.ended is None else f'ended {last.ended - asked:+.2f} s'
+        at_replica = f'at {last.backend} since {last.arrived - asked:+.2f} s, {over}'
+    detail = (
+        f'{attempt.kind} at {attempt.entry}: began {attempt.began - asked:+.2f} s from the order '
+        f'to end, sent {(attempt.sent or 0) - asked:+.2f} s, closed {ended - asked:+.2f} s after '
+        f'{attempt.received} bytes with status {attempt.status}; {at_replica}'
+    )
+    return Violation(Promise.whole_at_stop, ended, attempt.id, detail)
+
+
+__all__ = (
+    'Stop',
+    'check_stops',
+)
--- /dev/null
+++ b/src/cassiahitch/soak/run.py
@@ -0,0 +1,157 @@
+"""A run of the soak: site, load, faults and checks."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from cassiahitch.soak.callers import Caller, Load
+from cassiahitch.soak.checks import check_all
+from cassiahitch.soak.exchange import Manner
+from cassiahitch.soak.faults import Faults
+from cassiahitch.soak.plan import Event, Size, make_plan
+from cassiahitch.soak.records import Disturbance, Kind, Record, Violation
+from cassiahitch.soak.site import SoakSite
+from cassiahitch.soak.starvation import Starvation
+
+#: Callers of each manner, and the kinds of request that they make.
+MANNERS = (
+    (12, Manner(), tuple(Kind)),
+    (8, Manner(keeps=False, holds_addresses=3), (Kind.draft,)),
+    (4, Manner(keeps=False), tuple(Kind)),
+    (6, Manner(reads_slowly=True, holds_addresses=3), (Kind.lookup, Kind.draft)),
+    (3, Manner(body_s=2.0, holds_addresses=3), (Kind.order,)),
+)
+REGIONS = ('north', 'south')
+#: Callers of an overload, beside the others, and seconds between their requests.
+BURST_CALLERS = 150
+BURST_PAUSE_S = 0.02
+#: Seconds in which the last requests end after the load.
+LAST_S = 1.0
+#: Seconds between two looks whether the soak itself is late.
+WATCH_S = 0.05
+
+
+@dataclass
+class Soak:
+    """One run."""
+
+    seed: int
+    size: Size
+    folder: Path
+    record: Record = field(default_factory=Record)
+
+    @property
+    def plan(self) -> tuple[Event, ...]:
+        """The faults of the run."""
+        return make_plan(self.seed, self.size)
+
+    async def run(self) -> list[Violation]:
+        """Run it.
+
+        :return: what was broken.
+        """
+        async with SoakSite(self.size, self.folder, self.record) as site:
+            self.record.organisations = {
+                tenant['apiKeys'][0]: tenant['name'] for tenant in site.configuration['tenants']
+            }
+            load = Load(
+                record=self.record,
+                directories=site.directories(),
+                http=site.http,
+                keys=list(self.record.organisations),
+                entries={
+                    process.settings['address']: name for name, process in site.processes.items()
+                },
+            )
+            await self.soak(site, load)
+        return check_all(self.record)
+
+    async def soak(self, site: SoakSite, load: Load) -> None:
+        """Put the site under load and faults.
+
+        :param site: the site.
+        :param load: what the callers share.
+        """
+        clock = asyncio.get_running_loop().time
+        self.record.began = clock()
+        until = self.record.began + self.size.seconds
+        tasks = [asyncio.create_task(caller.work()) for caller in self.callers(load)]
+        tasks.append(asyncio.create_task(self.watch()))
+        tasks.append(asyncio.create_task(Starvation(self.record, site.pids).work()))
+        await Faults(site, Burst(load, self.seed, self.record).run).run(
+            self.plan, self.record.began
+        )
+        self.record.faults_ended = clock()
+        await asyncio.sleep(max(0, until - clock()))
+        load.asking = False
+        await asyncio.wait(tasks, timeout=LAST_S)
+        self.record.ended = clock()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def watch(self) -> None:
+        """Note how late the soak itself is."""
+        clock = asyncio.get_running_loop().time
+        while True:
+            due = clock() + WATCH_S
+            await asyncio.sleep(WATCH_S)
+            self.record.longest_lag_s = max(self.record.longest_lag_s, clock() - due)
+
+    def callers(self, load: Load) -> list[Caller]:
+        """Return the callers of the whole run.
+
+        :param load: what they share.
+        :return: callers.
+        """
+        manners = [(manner, kinds) for count, manner, kinds in MANNERS for _ in range(count)]
+        return [
+            Caller(
+                load,
+                random.Random(f'caller {self.seed} {number}'),
+                manner,
+                kinds,
+                REGIONS[number % 2],
+            )
+            for number, (manner, kinds) in enumerate(manners)
+        ]
+
+
+@dataclass
+class Burst:
+    """Callers of an overload."""
+
+    load: Load
+    seed: int
+    record: Record
+
+    async def run(self, seconds: float) -> None:
+        """Let many callers ask for some seconds.
+
+        :param seconds: how long.
+        """
+        clock = asyncio.get_running_loop().time
+        since = clock()
+        callers = (self.caller(number) for number in range(BURST_CALLERS))
+        tasks = [asyncio.create_task(caller.work()) for caller in callers]
+        await asyncio.sleep(seconds)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self.record.overload = Disturbance('overload', since, clock())
+
+    def caller(self, number: int) -> Caller:
+        """Return a caller.
+
+        :param number: its number.
+        :return: the caller.
+        """
+        rng = random.Random(f'burst {self.seed} {number}')
+        kinds = (Kind.draft, Kind.draft, Kind.order)
+        return Caller(self.load, rng, Manner(), kinds, REGIONS[number % 2], BURST_PAUSE_S)
+
+
+__all__ = ('Soak',)
--- /dev/null
+++ b/src/cassiahitch/soak/site.py
@@ -0,0 +1,306 @@
+"""The site of a soak: stand-ins in this process, entries and agents beside it."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import AsyncExitStack
+from dataclasses import asdict, dataclass, field
+from http import HTTPStatus
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, Self
+
+from cassiahitch.codes import Code
+from cassiahitch.errors import CassiahitchError
+from cassiahitch.platform import names
+from cassiahitch.soak.backend import SoakBackend
+from cassiahitch.soak.exchange import MODEL
+from cassiahitch.soak.plan import Size
+from cassiahitch.soak.processes import RunningProcess
+from cassiahitch.soak.proxy import FaultyProxy
+from cassiahitch.soak.records import Record
+from cassiahitch.standins.backends import EngineStandin
+from cassiahitch.standins.directsite import (
+    CALLERS_PORT,
+    CHUNK_BYTES,
+    CHUNKS,
+    DESK,
+    DIRECTORY_PORT,
+    DOMAINS,
+    DRAFTS,
+    ENTRY_HOSTS,
+    MODEL_HOSTS,
+    PEER_PORT,
+    PLAIN_HOSTS,
+    READINESS_PORT,
+    STORE_HOST,
+    first_configuration,
+    loopback_address,
+)
+from cassiahitch.standins.rowstore import RowStore, serve_store
+from cassiahitch.standins.weightservice import WeightService, serve_weights
+from cassiahitch.stores.caller import Call, CallFailed, HttpCaller
+from cassiahitch.util.endpoints import Endpoint
+
+if TYPE_CHECKING:
+    from types import TracebackType
+
+POLL_S = 0.1
+#: Seconds in which the processes must become ready.
+READY_S = 30
+#: Organisations and their keys; the keys after the first may be revoked.
+ORGANISATIONS = 6
+#: Objective and longest time of a request, in milliseconds.
+OBJECTIVE_MS = 1000
+TIMEOUT_MS = 12_000
+#: Largest body of a request, in bytes.
+MAX_BODY_BYTES = 1_000_000
+#: Rate of all links, in megabits a second.
+LINK_MBIT_S = 1000
+
+
+@dataclass
+class SoakSite:
+    """Starts and stops everything, and holds what the faults act on."""
+
+    size: Size
+    folder: Path
+    record: Record
+    store: RowStore = field(default_factory=RowStore)
+    weights: WeightService = field(default_factory=lambda: WeightService(MODEL, CHUNK_BYTES))
+    configuration: dict[str, Any] = field(default_factory=dict)
+    backends: dict[str, SoakBackend] = field(default_factory=dict)
+    processes: dict[str, RunningProcess] = field(default_factory=dict)
+    links: dict[str, FaultyProxy] = field(default_factory=dict)
+    stack: AsyncExitStack = field(default_factory=AsyncExitStack)
+
+    async def __aenter__(self) -> Self:
+        """Start the stand-ins and the processes, and wait until the entries are ready.
+
+        :return: the site.
+        """
+        async with AsyncExitStack() as stack:
+            await stack.enter_async_context(self.stack)
+            self.http = await stack.enter_async_context(HttpCaller())
+            store, port = serve_store(self.store, loopback_address(STORE_HOST, 0))
+            stack.callback(store.stop)
+            self.store_port = port
+            self.weights.publish(1, CHUNKS)
+            origin, port = serve_weights(self.weights, loopback_address(STORE_HOST, 0))
+            stack.callback(origin.stop)
+            self.configure(make_configuration(f'{loopback_address(STORE_HOST, 0)}:{port}'))
+            self.stack = stack
+            await self.start_all()
+            self.stack = stack.pop_all()
+        return self
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """End everything."""
+        await self.stack.aclose()
+
+    async def start_all(self) -> None:
+        """Start backend servers, agents and entries."""
+        for number in range(self.size.plain):
+            await self.add_backend(f'p-{number}', DESK, loopback_address(PLAIN_HOSTS, number))
+        for number in range(self.size.agents):
+            address = loopback_address(MODEL_HOSTS, number)
+            await self.add_backend(f'm-{number}', DRAFTS, address)
+            await self.add_process('direct-agent', f'agent-{number}', address, number)
+        for number in range(self.size.entries):
+            address = loopback_address(ENTRY_HOSTS, number)
+            await self.add_process('direct-entry', f'entry-{number}', address, number)
+        try:
+            async with asyncio.timeout(READY_S):
+                for number in range(self.size.entries):
+                    await self.until_ready(number)
+        except TimeoutError:
+            raise CassiahitchError(Code.soak_not_ready, 'an entry is not ready') from None
+
+    async def add_backend(self, name: str, service: str, address: str) -> None:
+        """Start a backend server behind its link, and register it.
+
+        :param name: its id.
+        :param service: its service.
+        :param address: its IP number.
+        """
+        engine = None
+        if service == DRAFTS:
+            engine = EngineStandin(MODEL, version=1, load_s=0.3)
+            engine.staged = dict(enumerate(self.weights.chunks[1]))
+        domain = DOMAINS[len(self.backends) % 2]
+        backend = SoakBackend(name, service, domain, slots=16, engine=engine)
+        backend.executions = self.record.executions
+        await backend.start(address)
+        self.stack.push_async_callback(backend.stop)
+        self.backends[name] = backend
+        await self.add_link(name, Endpoint(address, backend.port), address)
+        self.register(name)
+
+    async def add_link(self, name: str, target: Endpoint, address: str) -> FaultyProxy:
+        """Start a proxy.
+
+        :param name: name of the link.
+        :param target: where it leads.
+        :param address: IP number that it listens on.
+        :return: the proxy.
+        """
+        proxy = FaultyProxy(target)
+        await proxy.start(address)
+        self.stack.push_async_callback(proxy.stop)
+        self.links[name] = proxy
+        return proxy
+
+    def register(self, name: str, state: str = 'ready') -> None:
+        """Write the row of a backend server, which is reached through its link.
+
+        :param name: its id.
+        :param state: its state.
+        """
+        backend = self.backends[name]
+        row = {**backend.row(state), 'address': f'{backend.address}:{self.links[name].port}'}
+        self.store.put(names.REPLICA_TABLE, backend.id, row)
+
+    def configure(self, configuration: dict[str, Any]) -> None:
+        """Write a configuration as the operator does.
+
+        :param configuration: JSON values.
+        """
+        self.configuration = configuration
+        self.store.put(names.OPERATOR_TABLE, names.CONFIGURATION_KEY, configuration)
+
+    async def add_process(self, role: str, name: str, address: str, number: int) -> None:
+        """Start an entry or an agent with a link of its own to the store.
+
+        :param role: sub-command of the program.
+        :param name: name of the process.
+        :param address: its IP number.
+        :param number: its number among those of its role.
+        """
+        store = Endpoint(loopback_address(STORE_HOST, 0), self.store_port)
+        link = await self.add_link(name, store, loopback_address(STORE_HOST, 0))
+        domain = DOMAINS[number % 2]
+        settings = {
+            'name': name,
+            'address': address,
+            'region': domain.partition('-')[0],
+            'failure_domain': domain,
+            'regions': {one: one.partition('-')[0] for one in DOMAINS},
+            'peer_port': PEER_PORT,
+            'store': f'{loopback_address(STORE_HOST, 0)}:{link.port}',
+            'bounds': make_bounds(self.record),
+            **(self.entry(address) if role == 'direct-entry' else self.agent(number, address)),
+        }
+        process = RunningProcess(name, role, self.folder, settings, self.record)
+        self.processes[name] = process
+        self.stack.push_async_callback(process.kill)
+        await process.start()
+
+    def entry(self, address: str) -> dict[str, Any]:
+        """Return the settings that only entries have.
+
+        :param address: its IP number.
+        :return: settings.
+        """
+        return {
+            'callers': f'{address}:{CALLERS_PORT}',
+            'readiness': f'{address}:{READINESS_PORT}',
+            'directory': f'{address}:{DIRECTORY_PORT}',
+            'seeds': [f'{loopback_address(ENTRY_HOSTS, 0)}:{PEER_PORT}'],
+        }
+
+    def agent(self, number: int, address: str) -> dict[str, Any]:
+        """Return the settings that only agents have.
+
+        :param number: its number.
+        :param address: its IP number.
+        :return: settings.
+        """
+        return {
+            'engine': f'{address}:{self.links[f"m-{number}"].port}',
+            'service': DRAFTS,
+            'region_link_mbit_s': LINK_MBIT_S,
+            'link_mbit_s': LINK_MBIT_S,
+        }
+
+    async def until_ready(self, number: int) -> None:
+        """Wait until an entry is ready.
+
+        :param number: its number.
+        """
+        address = loopback_address(ENTRY_HOSTS, number)
+        url = f'http://{address}:{READINESS_PORT}{names.READY_PATH}'
+        while not await self.is_ready(url):
+            await asyncio.sleep(POLL_S)
+
+    async def is_ready(self, url: str) -> bool:
+        """Ask once whether an entry is ready.
+
+        :param url: where it says so.
+        :return: whether it is.
+        """
+        try:
+            reply = await self.http.call(Call('GET', url, None, 1, False, ()))
+        except CallFailed:
+            return False
+        return reply.status == HTTPStatus.OK
+
+    def pids(self) -> dict[str, int]:
+        """Return the ids of the processes that run.
+
+        :return: ids by name.
+        """
+        running = {name: one.process for name, one in self.processes.items()}
+        return {name: one.pid for name, one in running.items() if one and one.returncode is None}
+
+    def directories(self) -> tuple[Endpoint, ...]:
+        """Return where callers ask for entries.
+
+        :return: addresses.
+        """
+        return tuple(
+            Endpoint(loopback_address(ENTRY_HOSTS, number), DIRECTORY_PORT)
+            for number in range(self.size.entries)
+        )
+
+
+def make_bounds(record: Record) -> dict[str, float]:
+    """Return the bounds of a deployment for its settings.
+
+    :param record: holds those of the run.
+    :return: settings.
+    """
+    bounds = asdict(record.bounds)
+    own = ('drain_s', 'configuration_s', 'revoked_key_s', 'weights_s', 'grace_s')
+    return {
+        **{name: bounds[name] for name in own},
+        'address_lifetime_s': 5,
+        'retry_ratio': 0.2,
+        'retry_slack': 106,
+        'retry_window_s': 10,
+    }
+
+
+def make_configuration(origin: str) -> dict[str, Any]:
+    """Return the first configuration.
+
+    :param origin: address of the origin of weights.
+    :return: JSON values.
+    """
+    first = first_configuration(origin)
+    times = {'timeoutMs': TIMEOUT_MS, 'targetLatencyMs': OBJECTIVE_MS}
+    return {
+        **first,
+        'routes': [{**route, **times} for route in first['routes']],
+        'limits': {**first['limits'], 'maxBodyBytes': MAX_BODY_BYTES},
+        'tenants': [
+            {'name': f'organisation-{number}', 'apiKeys': [f'key-{number}'], 'priority': 1}
+            for number in range(ORGANISATIONS)
+        ],
+    }
+
+
+__all__ = ('SoakSite',)
--- a/src/cassiahitch/standins/backends.py
+++ b/src/cassiahitch/standins/backends.py
@@ -168,7 +168,7 @@
             request, body = await _request(machine, reader)
             if request is None:
                 return
-            wire = _Wire(machine, writer)
+            wire = Wire(machine, writer)
             headers = tuple((name.decode(), text.decode()) for name, text in request.headers)
             target = request.target.decode()
             if not await self.answer(wire, request.method.decode(), target, headers, body):
@@ -179,7 +179,7 @@
 
     async def answer(
         self,
-        wire: _Wire,
+        wire: Wire,
         method: str,
         target: str,
         headers: tuple[tuple[str, str], ...],
@@ -228,7 +228,7 @@
 
     async def run(
         self,
-        wire: _Wire,
+        wire: Wire,
         target: str,
         headers: tuple[tuple[str, str], ...],
         fault: Fault,
@@ -263,7 +263,7 @@
         finally:
             self.running -= 1
 
-    async def plain(self, wire: _Wire, attempt: str, fault: Fault) -> bool:
+    async def plain(self, wire: Wire, attempt: str, fault: Fault) -> bool:
         """Answer with one body.
 
         :param wire: takes the answer.
@@ -302,7 +302,7 @@
             wire.raw(_head(HTTPStatus.OK, {**head, 'Content-Length': '5'}), b'again')
         return True
 
-    async def stream(self, wire: _Wire, attempt: str, after: int, fault: Fault) -> bool:
+    async def stream(self, wire: Wire, attempt: str, after: int, fault: Fault) -> bool:
         """Answer with events.
 
         :param wire: takes the answer.
@@ -406,7 +406,7 @@
 
 
 @dataclass(slots=True)
-class _Wire:
+class Wire:
     """Writes answers to one connection."""
 
     machine: h11.Connection
@@ -452,7 +452,7 @@
     :param writer: the connection.
     """
     own = writer.get_extra_info('socket')
-    if own is not None:
+    if own is not None and own.fileno() >= 0:
         own.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
     writer.transport.abort()
 
@@ -488,5 +488,6 @@
     'EngineStandin',
     'Fault',
     'Run',
+    'Wire',
     'reset',
 )
--- a/src/cassiahitch/standins/directsite.py
+++ b/src/cassiahitch/standins/directsite.py
@@ -74,13 +74,13 @@
 
         :return: the site.
         """
-        server, port = serve_store(self.store, _address(STORE_HOST, 0))
+        server, port = serve_store(self.store, loopback_address(STORE_HOST, 0))
         self.store_port = port
         self.stack.callback(server.stop)
         self.weights.publish(1, CHUNKS)
-        origin, origin_port = serve_weights(self.weights, _address(STORE_HOST, 0))
+        origin, origin_port = serve_weights(self.weights, loopback_address(STORE_HOST, 0))
         self.stack.callback(origin.stop)
-        self.configure(first_configuration(f'{_address(STORE_HOST, 0)}:{origin_port}'))
+        self.configure(first_configuration(f'{loopback_address(STORE_HOST, 0)}:{origin_port}'))
         for number in range(self.size.plain):
             await self.add_plain(number)
         for number in range(self.size.models):
@@ -154,7 +154,7 @@
         :return: the replica.
         """
         backend = BackendStandin(f'p-{number}', DESK, DOMAINS[number % 2])
-        await backend.start(_address(PLAIN_HOSTS, number))
+        await backend.start(loopback_address(PLAIN_HOSTS, number))
         self.plain.append(backend)
         self.register(backend)
         return backend
@@ -172,7 +172,7 @@
             engine.staged = dict(enumerate(self.weights.chunks[1]))
         domain = DOMAINS[number % 2]
         backend = BackendStandin(f'm-{number}', DRAFTS, domain, engine=engine)
-        await backend.start(_address(MODEL_HOSTS, number))
+        await backend.start(loopback_address(MODEL_HOSTS, number))
         self.models.append(backend)
         self.register(backend)
         settings = DirectAgentSettings(
@@ -194,7 +194,7 @@
         :param number: its number.
         :return: the entry.
         """
-        address = _address(ENTRY_HOSTS, number)
+        address = loopback_address(ENTRY_HOSTS, number)
         domain = DOMAINS[number % 2]
         settings = DirectEntrySettings(
             **self.shared_settings(f'entry-{number}', address, domain),
@@ -224,7 +224,7 @@
             'failure_domain': domain,
             'regions': {one: one.partition('-')[0] for one in DOMAINS},
             'peer_port': PEER_PORT,
-            'store': Endpoint(_address(STORE_HOST, 0), self.store_port),
+            'store': Endpoint(loopback_address(STORE_HOST, 0), self.store_port),
             'bounds': make_bounds(**self.bounds),
         }
 
@@ -234,7 +234,7 @@
         :param caller: makes the calls.
         :return: the adapter.
         """
-        return Platform(caller, Endpoint(_address(STORE_HOST, 0), self.store_port))
+        return Platform(caller, Endpoint(loopback_address(STORE_HOST, 0), self.store_port))
 
     async def ready(self) -> None:
         """Wait until all entries know everything they need."""
@@ -325,7 +325,7 @@
     }
 
 
-def _address(kind: int, number: int) -> str:
+def loopback_address(kind: int, number: int) -> str:
     """Return a loopback address that no other process uses for its site."""
     high, low = divmod(os.getpid(), PROCESSES)
     return f'127.{20 + low}.{4 * (high % 60) + kind}.{number + 1}'
@@ -334,4 +334,5 @@
 __all__ = (
     'DirectSite',
     'DirectSize',
+    'loopback_address',
 )
--- a/src/cassiahitch/standins/rowstore.py
+++ b/src/cassiahitch/standins/rowstore.py
@@ -257,6 +257,7 @@
 
 __all__ = (
     'RowStore',
+    'StoreFaults',
     'StoredRow',
     'serve_store',
 )
--- /dev/null
+++ b/tests/soak/test_soak_lost.py
@@ -0,0 +1,61 @@
+"""Requests that a stop loses are seen, and no others."""
+
+from __future__ import annotations
+
+import pytest
+from soak_records import ASKED, cut_attempt, late_run, lost
+
+from cassiahitch.soak.records import Disturbance
+
+
+def test_cut_of_a_request_that_was_passed_on_is_lost() -> None:
+    assert lost(cut_attempt(), late_run())
+
+
+@pytest.mark.parametrize('after_s', [-2.0, 3.1, 4.5])
+def test_cut_is_lost_whenever_the_request_was_sent(after_s: float) -> None:
+    assert lost(cut_attempt(began=ASKED + after_s), late_run(ended=ASKED + 5))
+
+
+def test_whole_answer_is_not_lost() -> None:
+    assert not lost(cut_attempt(whole=True), late_run())
+
+
+def test_caller_that_left_or_did_not_send_all_loses_nothing() -> None:
+    assert not lost(cut_attempt(left=True), late_run())
+    assert not lost(cut_attempt(sent=None), late_run())
+
+
+def test_close_that_crosses_a_request_is_not_lost_unless_it_ran() -> None:
+    crossing = cut_attempt(sent=ASKED + 7.2, ended=ASKED + 7.3)
+    assert not lost(crossing)
+    assert lost(crossing, late_run())
+    assert lost(cut_attempt(sent=ASKED + 7.0, ended=ASKED + 7.3))
+
+
+def test_replica_that_broke_off_excuses_the_cut() -> None:
+    assert not lost(cut_attempt(), late_run(broke_off=True))
+
+
+def test_early_request_may_be_cut_in_the_last_sixth_of_the_grace_period() -> None:
+    assert not lost(cut_attempt(began=ASKED + 2.9), late_run(ended=ASKED + 6.7))
+    assert not lost(cut_attempt(began=ASKED + 2.9), late_run(ended=None))
+    assert lost(cut_attempt(began=ASKED + 2.9), late_run(ended=ASKED + 6.6))
+    assert lost(cut_attempt(began=ASKED + 3.1), late_run(ended=ASKED + 6.7))
+
+
+def test_disturbed_process_or_replica_excuses_the_cut() -> None:
+    began = ASKED + 3.5
+    for target, ended in (('entry-0', began - 2.9), ('m-0', ASKED + 5)):
+        assert not lost(
+            cut_attempt(began=began),
+            late_run(),
+            disturbance=Disturbance(target, began - 5, ended),
+        )
+    before = Disturbance('entry-0', began - 5, began - 3.1)
+    assert lost(cut_attempt(began=began), late_run(), disturbance=before)
+
+
+def test_cut_long_after_the_stop_is_not_counted_to_it() -> None:
+    assert not lost(cut_attempt(ended=ASKED + 9.1), late_run())
+    assert not lost(cut_attempt(deadline=ASKED + 7), late_run())
--- /dev/null
+++ b/tests/soak/test_soak_plan.py
@@ -0,0 +1,41 @@
+"""Tests of the plans of soaks."""
+
+from __future__ import annotations
+
+import pytest
+
+from cassiahitch.soak.plan import Area, Overload, Size, Terminate, make_plan
+
+
+def test_same_seed_and_size_draw_the_same_plan() -> None:
+    size = Size(seconds=40)
+    assert make_plan(7, size) == make_plan(7, size)
+
+
+def test_another_seed_draws_another_plan() -> None:
+    assert make_plan(7, Size()) != make_plan(8, Size())
+
+
+def test_seed_that_once_failed_goes_on_to_draw_the_same_faults() -> None:
+    plan = make_plan(4, Size(seconds=14, areas=(Area.stops,)))
+    assert plan == (
+        Terminate(1.04, 'entry-0'),
+        Terminate(2.433, 'entry-2'),
+        Terminate(4.552, 'agent-0'),
+        Terminate(5.19, 'entry-2'),
+        Terminate(6.042, 'agent-1'),
+        Terminate(7.284, 'agent-0'),
+    )
+
+
+@pytest.mark.parametrize('seed', range(20))
+def test_faults_begin_within_the_first_half_and_in_order(seed: int) -> None:
+    times = [event.at for event in make_plan(seed, Size(seconds=20))]
+    assert times == sorted(times)
+    assert times[0] >= 1
+    assert times[-1] <= 11
+
+
+def test_only_chosen_areas_are_drawn() -> None:
+    plans = [make_plan(seed, Size(areas=(Area.stops, Area.overload))) for seed in range(20)]
+    assert {type(event) for plan in plans for event in plan} == {Terminate, Overload}
