--- a/src/cassiahitch/soak/backend.py
+++ b/src/cassiahitch/soak/backend.py
@@ -18,15 +18,19 @@
     from cassiahitch.direct.api import Headers
 
 #: Tokens that an engine reads in a second.
-READ_TOKENS_PER_S = 8000
+READ_TOKENS_PER_S = 8000.0
 
 
 @dataclass
 class SoakBackend(BackendStandin):
-    """Runs ``slots`` requests at a time; ``slowness`` stretches each pause."""
+    """Runs ``slots`` requests at a time; ``slowness`` stretches each pause.
+
+    ``host`` stays the same when it comes back with another id.
+    """
 
     executions: list[Execution] = field(default_factory=list)
     slowness: float = 1
+    host: str = ''
     places: asyncio.Semaphore = field(default_factory=lambda: asyncio.Semaphore(1))
     reading: asyncio.Lock = field(default_factory=asyncio.Lock)
 
@@ -52,6 +56,7 @@
         execution = Execution(
             attempt,
             self.id,
+            self.host,
             target,
             digest(body),
             header(headers, names.ORGANISATION),
@@ -112,7 +117,15 @@
             after = int(header(headers, names.LAST_EVENT, '0'))
             return await self.send_events(wire, execution, head, after, fault)
         await asyncio.sleep(self.slowness * work.pause_s)
-        await wire.whole(HTTPStatus.OK, head, plain_body(execution.id, execution.digest, work))
+        body = plain_body(execution.id, execution.digest, work)
+        if fault is Fault.cut:
+            execution.broke_off = True
+            wire.start(HTTPStatus.OK, {**head, 'Content-Length': str(len(body))})
+            wire.part(body[: len(body) // 2])
+            await wire.drain()
+            wire.reset()
+            return False
+        await wire.whole(HTTPStatus.OK, head, body)
         return True
 
     async def send_events(
@@ -148,4 +161,7 @@
     execution.ended = asyncio.get_running_loop().time()
 
 
-__all__ = ('SoakBackend',)
+__all__ = (
+    'READ_TOKENS_PER_S',
+    'SoakBackend',
+)
--- a/src/cassiahitch/soak/faults.py
+++ b/src/cassiahitch/soak/faults.py
@@ -48,8 +48,6 @@
 SLOWNESS = 5.0
 #: Seconds for which a draining replica still serves, beyond the bound.
 DRAIN_SLACK_S = 1.0
-#: Change of a bound by which a reload is seen.
-CHANGED_SLACK = 105
 FAULTS = MappingProxyType(
     {
         BackendFailure.refuse: Fault.refuse,
@@ -127,7 +125,7 @@
         """
         process = self.site.processes[event.process]
         if isinstance(event, Reload):
-            process.settings['bounds']['retry_slack'] = CHANGED_SLACK
+            process.settings['bounds']['retry_slack'] += 1
             process.write_settings()
             process.send(signal.SIGHUP)
             return ()
--- a/src/cassiahitch/soak/lost.py
+++ b/src/cassiahitch/soak/lost.py
@@ -65,7 +65,7 @@
         return (
             any(one.broke_off for one in runs)
             or not self.record.calm((attempt.entry,), attempt.began, until)
-            or any(self.record.disturbed(one.backend, one.arrived, until) for one in runs)
+            or any(self.record.disturbed(one.host, one.arrived, until) for one in runs)
             or (
                 attempt.began <= self.asked + EARLY_S
                 and any(one.ended is None or one.ended >= late for one in runs)
--- a/src/cassiahitch/soak/plan.py
+++ b/src/cassiahitch/soak/plan.py
@@ -166,8 +166,8 @@
 #: Shortest and longest time that a fault lasts, in seconds.
 SHORTEST_S = 0.5
 LONGEST_S = 3.0
-#: Length of an overload as a multiple of that of other faults.
-OVERLOAD_PART = 2
+#: Part of the load that an overload lasts, for each second that another fault would last.
+OVERLOAD_PART = 0.13
 #: Harms of links that are drawn.
 HARMS = tuple(harm for harm in Harm if harm is not Harm.none)
 
@@ -203,7 +203,7 @@
         Area.backends: tuple(FailBackend(at, backend, one, seconds) for one in BackendFailure),
         Area.store: tuple(FailStore(at, one, seconds) for one in StoreFailure),
         Area.changes: (declaration,),
-        Area.overload: (Overload(at, OVERLOAD_PART * seconds),),
+        Area.overload: (Overload(at, round(size.seconds * OVERLOAD_PART * seconds, 3)),),
     }
     return rng.choice(choices[rng.choice(size.areas)])
 
--- a/src/cassiahitch/soak/processes.py
+++ b/src/cassiahitch/soak/processes.py
@@ -96,7 +96,7 @@
 
     async def terminate(self) -> None:
         """Tell it to end, and kill it after the grace period."""
-        if self.process is None:
+        if self.process is None or self.process.returncode is not None:
             return
         self.asked = asyncio.get_running_loop().time()
         self.send(signal.SIGTERM)
--- a/src/cassiahitch/soak/records.py
+++ b/src/cassiahitch/soak/records.py
@@ -103,6 +103,7 @@
 
     id: str
     backend: str
+    host: str
     target: str
     digest: str
     organisation: str
--- a/src/cassiahitch/soak/run.py
+++ b/src/cassiahitch/soak/run.py
@@ -92,6 +92,7 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.gather(*(process.terminate() for process in site.processes.values()))
 
     async def watch(self) -> None:
         """Note how late the soak itself is."""
@@ -127,9 +128,20 @@
     load: Load
     seed: int
     record: Record
+    busy: asyncio.Lock = field(default_factory=asyncio.Lock)
 
     async def run(self, seconds: float) -> None:
-        """Let many callers ask for some seconds.
+        """Let many callers ask for some seconds, unless they do already.
+
+        :param seconds: how long.
+        """
+        if self.busy.locked():
+            return
+        async with self.busy:
+            await self.ask(seconds)
+
+    async def ask(self, seconds: float) -> None:
+        """Let the callers ask, and note the overload if it is the longest.
 
         :param seconds: how long.
         """
@@ -141,7 +153,9 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        self.record.overload = Disturbance('overload', since, clock())
+        last = self.record.overload
+        if last is None or last.ended - last.began < seconds:
+            self.record.overload = Disturbance('overload', since, clock())
 
     def caller(self, number: int) -> Caller:
         """Return a caller.
--- a/src/cassiahitch/soak/site.py
+++ b/src/cassiahitch/soak/site.py
@@ -7,12 +7,13 @@
 from dataclasses import asdict, dataclass, field
 from http import HTTPStatus
 from pathlib import Path
+from types import MappingProxyType
 from typing import TYPE_CHECKING, Any, Self
 
 from cassiahitch.codes import Code
 from cassiahitch.errors import CassiahitchError
 from cassiahitch.platform import names
-from cassiahitch.soak.backend import SoakBackend
+from cassiahitch.soak.backend import READ_TOKENS_PER_S, SoakBackend
 from cassiahitch.soak.exchange import MODEL
 from cassiahitch.soak.plan import Size
 from cassiahitch.soak.processes import RunningProcess
@@ -46,7 +47,7 @@
 
 POLL_S = 0.1
 #: Seconds in which the processes must become ready.
-READY_S = 30
+READY_S = 90
 #: Organisations and their keys; the keys after the first may be revoked.
 ORGANISATIONS = 6
 #: Objective and longest time of a request, in milliseconds.
@@ -56,6 +57,18 @@
 MAX_BODY_BYTES = 1_000_000
 #: Rate of all links, in megabits a second.
 LINK_MBIT_S = 1000
+#: Requests that a backend server runs at a time.
+SLOTS = 16
+#: What the configuration says of the model engines.
+ENGINE = MappingProxyType(
+    {
+        'slots': SLOTS,
+        'passSteps': 1,
+        'step_ms': 50.0,
+        'read_per_s': READ_TOKENS_PER_S,
+        'usual': {'prompt': 495, 'answer': 30},
+    }
+)
 
 
 @dataclass
@@ -132,7 +145,8 @@
             engine = EngineStandin(MODEL, version=1, load_s=0.3)
             engine.staged = dict(enumerate(self.weights.chunks[1]))
         domain = DOMAINS[len(self.backends) % 2]
-        backend = SoakBackend(name, service, domain, slots=16, engine=engine)
+        backend = SoakBackend(name, service, domain, slots=SLOTS, engine=engine)
+        backend.host = name
         backend.executions = self.record.executions
         await backend.start(address)
         self.stack.push_async_callback(backend.stop)
@@ -295,6 +309,7 @@
     return {
         **first,
         'routes': [{**route, **times} for route in first['routes']],
+        'services': [_with_engine(service) for service in first['services']],
         'limits': {**first['limits'], 'maxBodyBytes': MAX_BODY_BYTES},
         'tenants': [
             {'name': f'organisation-{number}', 'apiKeys': [f'key-{number}'], 'priority': 1}
@@ -303,4 +318,10 @@
     }
 
 
+def _with_engine(service: dict[str, Any]) -> dict[str, Any]:
+    if 'engine' not in service:
+        return service
+    return {**service, 'engine': {**service['engine'], **ENGINE}}
+
+
 __all__ = ('SoakSite',)
--- a/tests/soak/test_soak_checks.py
+++ b/tests/soak/test_soak_checks.py
@@ -48,6 +48,7 @@
     execution = Execution(
         id=f's{number}',
         backend='m-0',
+        host='m-0',
         target='/order/s1',
         digest='d',
         organisation='caterers',
--- a/tests/support/soak_records.py
+++ b/tests/support/soak_records.py
@@ -44,6 +44,7 @@
     execution = Execution(
         id='s1',
         backend='m-0',
+        host='m-0',
         target='/draft/s1',
         digest='d',
         organisation='caterers',
