--- a/src/cassiahitch/standins/backends.py
+++ b/src/cassiahitch/standins/backends.py
@@ -169,7 +169,7 @@
             request, body = await _request(machine, reader)
             if request is None:
                 return
-            wire = _Wire(machine, writer)
+            wire = Wire(machine, writer)
             headers = tuple((name.decode(), text.decode()) for name, text in request.headers)
             target = request.target.decode()
             if not await self.answer(wire, request.method.decode(), target, headers, body):
@@ -180,7 +180,7 @@
 
     async def answer(
         self,
-        wire: _Wire,
+        wire: Wire,
         method: str,
         target: str,
         headers: tuple[tuple[str, str], ...],
@@ -229,7 +229,7 @@
 
     async def run(
         self,
-        wire: _Wire,
+        wire: Wire,
         target: str,
         headers: tuple[tuple[str, str], ...],
         fault: Fault,
@@ -264,7 +264,7 @@
         finally:
             self.running -= 1
 
-    async def plain(self, wire: _Wire, attempt: str, fault: Fault) -> bool:
+    async def plain(self, wire: Wire, attempt: str, fault: Fault) -> bool:
         """Answer with one body.
 
         :param wire: takes the answer.
@@ -303,7 +303,7 @@
             wire.raw(_head(HTTPStatus.OK, {**head, 'Content-Length': '5'}), b'again')
         return True
 
-    async def stream(self, wire: _Wire, attempt: str, after: int, fault: Fault) -> bool:
+    async def stream(self, wire: Wire, attempt: str, after: int, fault: Fault) -> bool:
         """Answer with events.
 
         :param wire: takes the answer.
@@ -407,7 +407,7 @@
 
 
 @dataclass(slots=True)
-class _Wire:
+class Wire:
     """Writes answers to one connection."""
 
     machine: h11.Connection
@@ -453,7 +453,7 @@
     :param writer: the connection.
     """
     own = writer.get_extra_info('socket')
-    if own is not None:
+    if own is not None and own.fileno() >= 0:
         own.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
     writer.transport.abort()
 
@@ -489,5 +489,6 @@
     'EngineStandin',
     'Fault',
     'Run',
+    'Wire',
     'reset',
 )
