Let a stream that broke off wait for a place and a retry

Cause: the wait for a place is a part of the objective after the request came, which is long over then, and the budget was asked once. Now it looks every 0.05 s for 1.5 s, within the gap that callers bear at least; the last refusal names the cause, as before.

--- a/src/cassiahitch/direct/elsewhere.py
+++ b/src/cassiahitch/direct/elsewhere.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -22,6 +24,9 @@
 
 #: Seconds after which a caller may come back when there is no retry.
 RETURN_S = 0.6
+#: Seconds for which a stream that broke off waits for a place and a retry, and between two looks.
+RESUME_S = 1.5
+RESUME_LOOK_S = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,29 +54,66 @@
         call.avoided.add(key)
         try:
             self.filters.check_key(call)
-            stream.reserved = self.other_place(call, key, demand)
+            found = self.next_place(call, key, demand, sent=True)
         except RequestError as error:
             call.avoided = before
             self.watch.check(placed.candidate.replica)
             self.journal.kept(call, placed, error)
             return False
+        stream.reserved = found
         return True
 
     def other_place(self, call: Call, key: str, demand: Demand) -> Placed:
-        """Return a place at another backend server, with a retry that is spent on it.
+        """Return a place at another backend server.
 
         :param call: the request.
         :param key: where it is now.
         :param demand: what is to be placed.
         :return: the place.
-        :raises RequestError: if there is no place or no retry.
+        :raises RequestError: if there is none.
         """
         found = self.candidates.place(call, demand, asyncio.get_running_loop().time())
         if isinstance(found, Crowded):
             raise RequestError(Code.overloaded, 'no other place in time', call.ran)
         if found.candidate.replica.key == key:
             raise RequestError(Code.no_replica, 'no other backend server', call.ran)
-        self.take_retry(call)
+        return found
+
+    async def resume(
+        self, call: Call, key: str, demand: Callable[[], Demand], *, sent: bool
+    ) -> Placed:
+        """Wait for another place for a stream that has begun and broke off.
+
+        Its caller waits for the next event anyway, and has nothing from a stream without its end.
+
+        :param call: the request.
+        :param key: where it was.
+        :param demand: returns what is to be placed.
+        :param sent: whether it was sent there, so that a retry is spent.
+        :return: the place.
+        :raises RequestError: if there was none for too long.
+        """
+        clock = asyncio.get_running_loop().time
+        until = clock() + RESUME_S
+        while clock() < until:
+            with suppress(RequestError):
+                return self.next_place(call, key, demand(), sent=sent)
+            await asyncio.sleep(RESUME_LOOK_S)
+        return self.next_place(call, key, demand(), sent=sent)
+
+    def next_place(self, call: Call, key: str, demand: Demand, *, sent: bool) -> Placed:
+        """Return a place at another backend server, with a retry that is spent on it.
+
+        :param call: the request.
+        :param key: where it was.
+        :param demand: what is to be placed.
+        :param sent: whether it was sent there, so that a retry is spent.
+        :return: the place.
+        :raises RequestError: if there is no place or no retry.
+        """
+        found = self.other_place(call, key, demand)
+        if sent:
+            self.take_retry(call)
         return found
 
     def take_retry(self, call: Call) -> None:
--- a/src/cassiahitch/direct/runner.py
+++ b/src/cassiahitch/direct/runner.py
@@ -225,6 +225,7 @@
             if await self.is_done(call, caller, outcome):
                 return
             self.allow_again(call, placed, outcome, stream)
+            await self.prepare_again(call, placed, outcome, stream)
         raise RequestError(
             Code.no_replica, 'no backend server could be reached', call.ran, RETURN_S
         )
@@ -411,7 +412,27 @@
             call.may_have_run = True
             if route.runs_once or call.sends >= route.max_attempts:
                 raise _lost(outcome, call.ran)
-        if stream.reserved is None:
+
+    async def prepare_again(
+        self, call: Call, placed: Placed, outcome: Outcome, stream: StreamState
+    ) -> None:
+        """Spend a retry; a stream that has begun waits for it, and for a place.
+
+        :param call: the request.
+        :param placed: where it was.
+        :param outcome: how the send ended.
+        :param stream: what the caller has of a stream.
+        :raises RequestError: if there is none.
+        """
+        if stream.reserved is not None:
+            return
+        sent = not isinstance(outcome, NotSent)
+        if stream.started:
+            stream.caller.progress.phase = Phase.place
+            key = placed.candidate.replica.key
+            demand = partial(self.demand, call)
+            stream.reserved = await self.elsewhere.resume(call, key, demand, sent=sent)
+        elif sent:
             self.elsewhere.take_retry(call)
 
 
--- a/tests/e2e/test_stop_direct.py
+++ b/tests/e2e/test_stop_direct.py
@@ -48,7 +48,8 @@
 
 
 def settings_of(site: DirectSite) -> DirectEntrySettings:
-    address = site.models[0].address.rpartition('.')[0] + '.99'
+    network = site.models[0].address.rpartition('.')[0]
+    address = f'{network}.99'
     return DirectEntrySettings(
         **site.shared_settings('entry-9', address, 'north-1'),
         callers=Endpoint(address, CALLERS_PORT),
@@ -104,7 +105,9 @@
 def test_process_that_ends_under_load_cuts_no_answer(tmp_path: Path) -> None:
     async def body(site: DirectSite) -> None:
         for model in site.models:
-            model.slots, model.pause_s, model.events = 40, 0.05, 20
+            model.slots = 40
+            model.pause_s = 0.05
+            model.events = 20
         for plain in site.plain:
             plain.padding = LARGE_BYTES
         settings = settings_of(site)
