Finish what was taken when a task of the process failed

Evidence: test_roles.py, stop never called. Now it stops as on SIGTERM, for up to 10 s, and ends with the same code and message.

--- a/src/cassiahitch/cli/roles.py
+++ b/src/cassiahitch/cli/roles.py
@@ -24,6 +24,8 @@
     from cassiahitch.wire.tasks import ProcessTasks
 
 LOGGER = logging.getLogger('cassiahitch')
+#: Longest stop of a process that has lost one of its tasks, in seconds.
+FAILED_STOP_S = 10.0
 
 
 class RoleProcess(Protocol):
@@ -95,8 +97,20 @@
     LOGGER.info('started', extra={'process_name': name, **process.ports()})
     await _until_ended(ended, process.tasks.failed)
     LOGGER.info('leaving', extra={'process_name': name})
-    await process.stop()
+    failed = process.tasks.failed.is_set()
+    await _stop(process, FAILED_STOP_S if failed else None)
     LOGGER.info('stopped', extra={'process_name': name})
+    if failed:
+        raise CassiahitchError(Code.internal, 'a task of the process failed; the log says why')
+
+
+async def _stop(process: RoleProcess, bound_s: float | None) -> None:
+    # What was taken is finished also by a process that has lost a task, as far as it can be.
+    try:
+        async with asyncio.timeout(bound_s):
+            await process.stop()
+    except TimeoutError:
+        LOGGER.warning('stop given up', extra={'bound_s': bound_s})
 
 
 async def _until_ended(signalled: asyncio.Event, failed: asyncio.Event) -> None:
@@ -104,8 +118,6 @@
     _, pending = await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
     for wait in pending:
         wait.cancel()
-    if failed.is_set():
-        raise CassiahitchError(Code.internal, 'a task of the process failed; the log says why')
 
 
 __all__ = (
