Draw a copy from the origin for each region while engines may serve nothing

Now an agent whose engine serves nothing, or would before the rest is loaded, draws its region's chunks from the origin, as far as the origin can feed as many regions at the rate of a host's link, also those that only one crowded host of the region holds; calm rollouts still take one copy. A chunk that another region owes for 1.5 s is asked of the origin as well. Each fetch logs what it began with and where its chunks came from.

--- a/src/cassiahitch/direct/fetching.py
+++ b/src/cassiahitch/direct/fetching.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import random
+from collections import Counter
 from contextlib import ExitStack, suppress
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from cassiahitch.direct.swarm import Fleet, FromOrigin, FromPeer, FromRegion, Swarm
+from cassiahitch.direct.fleet import Fleet, FromOrigin, FromPeer, FromRegion
+from cassiahitch.direct.swarm import Swarm
 from cassiahitch.errors import CassiahitchError
 from cassiahitch.metrics.names import CounterName
 from cassiahitch.util.rates import bytes_per_s
@@ -18,9 +20,9 @@
     from collections.abc import Callable
 
     from cassiahitch.direct.chunks import Held, WeightsName
+    from cassiahitch.direct.fleet import FetchOrder
     from cassiahitch.direct.journal import BeliefLog
     from cassiahitch.direct.library import ChunkLibrary
-    from cassiahitch.direct.swarm import FetchOrder
     from cassiahitch.metrics.registry import Metrics
     from cassiahitch.weights.plan import Participant
 
@@ -44,11 +46,14 @@
     member: Participant
     rng: random.Random
     tell: Callable[[WeightsName, tuple[str, ...]], None]
+    is_urgent: Callable[[WeightsName, float], bool]
+    fed: int = 1
     swarm: Swarm | None = None
     tasks: dict[int, asyncio.Task[None]] = field(default_factory=dict)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
     told_at: float = float('-inf')
     told: int = -1
+    received: Counter[str] = field(default_factory=Counter)
 
     async def run(self, participants: tuple[Participant, ...]) -> None:
         """Fetch until all chunks are there.
@@ -62,6 +67,7 @@
         if held.complete:
             return
         self.swarm = self._swarm(held, participants)
+        self.log.believed('fetch begun', weights=self.name.version, held=len(held.contents))
         with ExitStack() as stack:
             stack.callback(self._cancel_all)
             while not self.swarm.complete:
@@ -70,6 +76,7 @@
                 with suppress(TimeoutError):
                     await asyncio.wait_for(self.changed.wait(), LOOK_S)
         self._tell_peers(self.swarm)
+        self.log.believed('fetch complete', weights=self.name.version, **self.received)
 
     def update(self, participants: tuple[Participant, ...]) -> None:
         """Take in who fetches the same version now.
@@ -94,7 +101,8 @@
         count = len(held.manifest.chunks)
         pace_s = origin_chunk_s(self.library)
         have = self.library.bits(self.name)
-        return Swarm(self._fleet(participants), count, self.rng, pace_s, self._now(), have)
+        fleet = self._fleet(participants)
+        return Swarm(fleet, count, self.rng, pace_s, self._now(), have, fed=self.fed)
 
     def _fleet(self, participants: tuple[Participant, ...]) -> Fleet:
         return Fleet(self.member, participants, self.library.origin_region)
@@ -110,6 +118,8 @@
         for index in held.contents:
             if not swarm.have >> index & 1:
                 swarm.arrived(index, now)
+        missing = 1 - len(held.contents) / swarm.count
+        swarm.is_urgent = self.is_urgent(self.name, missing)
         for order in swarm.orders(now):
             self.tasks[order.index] = asyncio.create_task(self._fetch(order, swarm))
         due_s = REPEAT_S if self.told == swarm.have else TELL_S
@@ -148,6 +158,7 @@
         label = 'origin' if isinstance(order, FromOrigin) else 'agent'
         self.metrics.count(counter, label, len(content))
         if verified:
+            self.received[type(order).__name__] += 1
             swarm.arrived(order.index, self._now())
             return
         swarm.failed(order, self._now())
--- a/src/cassiahitch/direct/loading.py
+++ b/src/cassiahitch/direct/loading.py
@@ -12,6 +12,7 @@
 from cassiahitch.direct.chunks import WeightsName
 from cassiahitch.direct.enginestate import EngineReport, OrderOutcome
 from cassiahitch.direct.fetching import VersionFetch
+from cassiahitch.direct.need import Need, regions_fed
 from cassiahitch.direct.staging import Stager
 from cassiahitch.direct.uploads import HOST_UTILISATION
 from cassiahitch.direct.versions import MARGIN_S
@@ -214,7 +215,15 @@
         """
         participants = await self.beliefs.read_participants()
         fetch = VersionFetch(
-            self.library, self.metrics, self.log, wanted, self.member, self.rng, self.maps.tell
+            self.library,
+            self.metrics,
+            self.log,
+            wanted,
+            self.member,
+            self.rng,
+            self.maps.tell,
+            self.is_urgent,
+            regions_fed(self.library.origin_mbit_s, self.beliefs.settings.link_mbit_s),
         )
         task = asyncio.create_task(fetch.run(participants))
         with ExitStack() as stack:
@@ -253,6 +262,17 @@
         link_s = self.library.version_bytes / bytes_per_s(self.beliefs.settings.link_mbit_s)
         return link_s / HOST_UTILISATION + SPREADING_S
 
+    def is_urgent(self, wanted: WeightsName, missing: float) -> bool:
+        """Tell whether the engine serves nothing until a version is here.
+
+        :param wanted: the version.
+        :param missing: the part of its chunks that is not here yet.
+        :return: whether it is to come as soon as possible.
+        """
+        left_s = self.beliefs.left_s(wanted, asyncio.get_running_loop().time()) - MARGIN_S
+        rest_s = SPREADING_S + missing * (self.usual_fetch_s() - SPREADING_S)
+        return Need(self.is_serving(wanted.model), left_s, rest_s).is_urgent
+
     def is_serving(self, model: str) -> bool:
         """Tell whether requests may begin on what the engine has loaded.
 
--- a/src/cassiahitch/direct/swarm.py
+++ b/src/cassiahitch/direct/swarm.py
@@ -3,25 +3,25 @@
 Load pattern: all agents need all chunks at once over links of about the same rate, so a version
 is everywhere soonest if every link sends all the time. One agent draws a chunk from the origin
 and one in each further region takes it over the link between regions; within a region, agents
-tell each other what they hold and fetch from the least busy holder, rare chunks first.
+tell each other what they hold and fetch from the least busy holder, rare chunks first. While an
+engine may serve nothing, each region that the origin can feed draws its own copy.
 """
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass, field
-from functools import cached_property
 from operator import itemgetter
 from typing import TYPE_CHECKING
 
+from cassiahitch.direct.fleet import FetchOrder, Fleet, FromOrigin, FromPeer, FromRegion
 from cassiahitch.direct.uploads import MOST_UPLOADS
-from cassiahitch.weights.tree import ranked, rendezvous_hash
+from cassiahitch.weights.tree import ranked
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Iterator
 
-    from cassiahitch.weights.plan import Participant
-
 #: Most chunks that are received at once from agents of the own region.
 PEER_FLIGHTS = 4
 #: Seconds after which a chunk is late: the own link carries less than usual.
@@ -40,6 +40,12 @@
 PENALTY_S = 3.0
 #: Failures upstream after which a chunk is drawn from the origin.
 UPSTREAM_TRIES = 6
+#: Seconds after which a chunk that another region does not send is asked of the origin as well.
+REGION_LATE_S = 1.5
+#: Chunks that only one host of the region holds, from which on its link is too slow for all.
+CROWDED_CHUNKS = 8
+#: Failures of the origin in a row after which a region turns to the one before it in the chain.
+ORIGIN_TRIES = 3
 #: Times that an agent does not have a chunk yet until it counts as a failure.
 EMPTY_ANSWERS = 3
 #: First pause after a failure of the origin, in seconds, and the doublings of it.
@@ -47,32 +53,6 @@
 MOST_DOUBLINGS = 4
 
 
-@dataclass(frozen=True, slots=True)
-class FromOrigin:
-    """Fetch a chunk from the origin."""
-
-    index: int
-
-
-@dataclass(frozen=True, slots=True)
-class FromRegion:
-    """Fetch a chunk from an agent of another region, which may not have it yet."""
-
-    index: int
-    host: str
-
-
-@dataclass(frozen=True, slots=True)
-class FromPeer:
-    """Fetch a chunk from an agent of the own region that holds it."""
-
-    index: int
-    host: str
-
-
-FetchOrder = FromOrigin | FromRegion | FromPeer
-
-
 @dataclass(slots=True)
 class Holder:
     """What an agent of the own region told: the chunks that it holds, as bits, and its uploads."""
@@ -83,66 +63,14 @@
     penalty_until: float = float('-inf')
 
 
-@dataclass(frozen=True)
-class Fleet:
-    """The agents that fetch the same version."""
-
-    member: Participant
-    participants: tuple[Participant, ...]
-    first_region: str = ''
-    known_ahead: dict[int, tuple[str, ...]] = field(default_factory=dict, init=False, compare=False)
-
-    @cached_property
-    def near(self) -> tuple[str, ...]:
-        """Hosts of the own region, this one among them."""
-        return self.hosts(self.member.region)
-
-    @cached_property
-    def regions(self) -> tuple[str, ...]:
-        """All regions."""
-        return tuple(sorted({one.region for one in self.participants} | {self.member.region}))
-
-    def hosts(self, region: str) -> tuple[str, ...]:
-        """Return the hosts of a region.
-
-        :param region: the region.
-        :return: their names.
-        """
-        own = {self.member.host} if region == self.member.region else set()
-        named = {one.host for one in self.participants if one.region == region}
-        return tuple(sorted(named | own))
-
-    def ahead(self, index: int) -> tuple[str, ...]:
-        """Return the hosts of the region that have the duty for a chunk before this one.
-
-        :param index: the position of the chunk.
-        :return: their names; it is asked for all the time and worked out once.
-        """
-        if index not in self.known_ahead:
-            order = ranked(index, self.near)
-            self.known_ahead[index] = order[: order.index(self.member.host)]
-        return self.known_ahead[index]
-
-    def chain(self, index: int) -> tuple[str, ...]:
-        """Return the regions in the order in which a chunk comes to them.
-
-        :param index: the position of the chunk.
-        :return: regions, that of the origin first if it is known.
-        """
-        return tuple(
-            sorted(
-                self.regions,
-                key=lambda region: (region != self.first_region, rendezvous_hash(index, region)),
-            )
-        )
-
-
 @dataclass(slots=True)
 class Swarm:
     """Fetches ``count`` chunks; ``have`` holds the bits of those that are here.
 
     ``pace_s`` is the time in which the origin sends one chunk; they are asked of it in turn at
     that pace, as none would be there to be passed on before the time of all otherwise.
+    ``is_urgent`` tells that the engine may serve nothing until the chunks are here, and ``fed``
+    how many regions then draw a copy of their own.
     """
 
     fleet: Fleet
@@ -156,6 +84,8 @@
     tries: dict[int, int] = field(default_factory=dict)
     empty_answers: dict[int, int] = field(default_factory=dict)
     asked_at: dict[int, float] = field(default_factory=dict)
+    is_urgent: bool = False
+    fed: int = 1
     peer_flights: int = PEER_FLIGHTS
     origin_failures: int = 0
     origin_at: float = float('-inf')
@@ -222,7 +152,7 @@
         :param now: seconds.
         """
         index = order.index
-        self.flights.pop(index, None)
+        self.drop(order)
         match order:
             case FromPeer(host=host):
                 holder = self.holders.setdefault(host, Holder())
@@ -237,13 +167,18 @@
                 pause_s = ORIGIN_PAUSE_S * (1 << steps) * self.rng.uniform(1, 2)
                 self.origin_at = now + pause_s
 
+    def drop(self, order: FetchOrder) -> None:
+        """Count an order no longer as under way, unless another one has replaced it."""
+        if self.flights.get(order.index) == order:
+            self.flights.pop(order.index)
+
     def refused(self, order: FetchOrder, now: float) -> None:
         """Note that an agent is busy, or does not have a chunk yet.
 
         :param order: what was ordered.
         :param now: seconds.
         """
-        self.flights.pop(order.index, None)
+        self.drop(order)
         match order:
             case FromPeer(host=host):
                 holder = self.holders.setdefault(host, Holder())
@@ -261,8 +196,11 @@
         :return: orders.
         """
         found: list[FetchOrder] = []
+        heard = self.heard(now)
         missing = {
-            index: self.holders_of(index, now) for index in range(self.count) if self.is_open(index)
+            index: [host for host, held in heard if held >> index & 1]
+            for index in range(self.count)
+            if self.is_open(index)
         }
         found.extend(self.duties(missing, now))
         found.extend(self.pieces(missing, now))
@@ -274,15 +212,54 @@
 
     def duties(self, missing: dict[int, list[str]], now: float) -> Iterator[FetchOrder]:
         """Yield the chunks that this host brings into its region."""
+        for index in self.late(now):
+            if self.may_begin(FromOrigin(index), now):
+                self.tries[index] = UPSTREAM_TRIES
+                self.flights[index] = FromOrigin(index)
+                yield self.flights[index]
+        crowded = self.crowded(missing)
         for index, holders in missing.items():
-            if holders or self.duty_at(index, now) > now:
+            can_send = bool(holders) and not crowded.issuperset(holders)
+            if can_send or self.duty_at(index, now) > now:
                 continue
             order = self.upstream(index)
-            waits = isinstance(order, FromOrigin) and now < self.origin_at
-            if self.has_room(order) and not waits:
+            if self.may_begin(order, now):
                 self.flights[index] = order
+                self.asked_at[index] = now
                 yield order
 
+    def may_begin(self, order: FetchOrder, now: float) -> bool:
+        """Tell whether an order may begin now."""
+        waits = isinstance(order, FromOrigin) and now < self.origin_at
+        return self.has_room(order) and not waits
+
+    def late(self, now: float) -> tuple[int, ...]:
+        """Return the chunks that another region was asked for long ago.
+
+        Load pattern: the host that was asked stands still, and all hosts of the region wait for
+        one chunk until the call times out.
+        """
+        return tuple(
+            index
+            for index, order in self.flights.items()
+            if isinstance(order, FromRegion) and now - self.asked_at[index] > REGION_LATE_S
+        )
+
+    def crowded(self, missing: dict[int, list[str]]) -> set[str]:
+        """Return the hosts that alone hold so much that their link keeps the region waiting.
+
+        Load pattern: one host of a region has a whole version after a loss of power, all others
+        ask it, and the origin sends nothing.
+        """
+        if not self.is_urgent:
+            return set()
+        alone = Counter(holders[0] for holders in missing.values() if len(holders) == 1)
+        return {host for host, chunks in alone.items() if chunks >= CROWDED_CHUNKS}
+
+    def asked_of(self, host: str) -> int:
+        """Return how many chunks this host has asked another one for."""
+        return sum(isinstance(one, FromPeer) and one.host == host for one in self.flights.values())
+
     def pieces(self, missing: dict[int, list[str]], now: float) -> Iterator[FetchOrder]:
         """Yield the chunks that others in the region hold, from the least busy ones first.
 
@@ -305,30 +282,42 @@
         """Return how busy a holder is, blurred so that not all hosts choose the same one."""
         return self.load(host, now) + self.rng.random(), self.rng.random(), host
 
-    def holders_of(self, index: int, now: float) -> list[str]:
-        """Return who holds a chunk in the region, of those that were heard lately."""
-        return [
-            host
+    def heard(self, now: float) -> tuple[tuple[str, int], ...]:
+        """Return the holders of the region that were heard lately, with what they hold."""
+        return tuple(
+            (host, holder.held)
             for host, holder in self.holders.items()
-            if holder.held >> index & 1 and now - holder.heard_at < SILENT_S
-        ]
+            if now - holder.heard_at < SILENT_S
+        )
 
     def load(self, host: str, now: float) -> float:
         """Return how busy a holder is; one that failed lately comes last."""
         holder = self.holders[host]
-        own = sum(isinstance(one, FromPeer) and one.host == host for one in self.flights.values())
         penalty = self.count if now < holder.penalty_until else 0
-        return holder.uploads + own + penalty
+        return holder.uploads + self.asked_of(host) + penalty
 
     def duty_at(self, index: int, now: float) -> float:
         """Return when this host is to bring a chunk into its region."""
-        ahead = sum(self.counts(host, now) for host in self.fleet.ahead(index))
+        ahead = sum(self.lacks(host, index, now) for host in self.fleet.ahead(index))
         rank = min(ahead, TAKEOVER_RANKS)
-        due = self.started_at + index * self.pace_s
+        due = self.started_at + index * self.pace_s * self.drawing
         if rank:
             return max(due, self.progress_at) + rank * TAKEOVER_S
         return due
 
+    def lacks(self, host: str, index: int, now: float) -> bool:
+        """Tell whether another host of the region may be relied upon to fetch a chunk."""
+        holder = self.holders.get(host)
+        has_it = holder is not None and holder.held >> index & 1
+        return not has_it and self.counts(host, now)
+
+    @property
+    def drawing(self) -> int:
+        """How many regions draw a copy from the origin at the same time."""
+        if self.is_urgent and self.origin_failures < ORIGIN_TRIES:
+            return min(self.fed, len(self.fleet.regions))
+        return 1
+
     def counts(self, host: str, now: float) -> bool:
         """Tell whether another host of the region may be relied upon."""
         if now - self.started_at < SILENT_S:
@@ -341,7 +330,7 @@
         chain = self.fleet.chain(index)
         position = chain.index(self.fleet.member.region)
         tries = self.tries.get(index, 0)
-        if not position or tries >= UPSTREAM_TRIES:
+        if position < self.drawing or tries >= UPSTREAM_TRIES:
             return FromOrigin(index)
         hosts = ranked(index, self.fleet.hosts(chain[position - 1]))
         return FromRegion(index, hosts[tries % len(hosts)])
@@ -358,11 +347,4 @@
                 return same < self.peer_flights
 
 
-__all__ = (
-    'FetchOrder',
-    'Fleet',
-    'FromOrigin',
-    'FromPeer',
-    'FromRegion',
-    'Swarm',
-)
+__all__ = ('Swarm',)
--- /dev/null
+++ b/tests/support/swarm_play.py
@@ -0,0 +1,207 @@
+"""Plays the choice of chunks and sources in virtual time over modelled links."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import Enum, auto
+from typing import TYPE_CHECKING
+
+from cassiahitch.direct.fleet import Fleet, FromOrigin, FromPeer, FromRegion
+from cassiahitch.direct.need import regions_fed
+from cassiahitch.direct.swarm import Swarm
+from cassiahitch.direct.uploads import MOST_UPLOADS
+from cassiahitch.weights.plan import Participant
+
+if TYPE_CHECKING:
+    from cassiahitch.direct.fleet import FetchOrder
+
+CHUNKS = 48
+#: Seconds in which a link carries a chunk, and in which the origin sends one.
+LINK_S = 0.09
+ORIGIN_S = 0.044
+STEP_S = 0.02
+#: Seconds between two tellings of an agent.
+TELL_S = 0.08
+
+
+@dataclass(frozen=True)
+class Rates:
+    """Seconds in which the links of a host, of a region and of the origin carry a chunk.
+
+    ``crossing_s`` is the time that a host takes to send one to another region. With 0, the links
+    between regions carry any number at once. ``pace`` is the part of the time of a chunk after
+    which the next one is asked of the origin.
+    """
+
+    link_s: float = LINK_S
+    origin_s: float = ORIGIN_S
+    region_s: float = 0
+    crossing_s: float = 0
+    step_s: float = STEP_S
+    first_region: str = ''
+    pace: float = 1
+
+
+RATES = Rates()
+EVERYONE: frozenset[str] = frozenset()
+
+
+def make_fleet(regions: int, hosts: int) -> tuple[Participant, ...]:
+    return tuple(
+        Participant(f'10.{region}.0.{host}', f'region-{region}', f'domain-{region}')
+        for region in range(regions)
+        for host in range(hosts)
+    )
+
+
+def make_swarm(
+    participants: tuple[Participant, ...], member: int = 0, rates: Rates = RATES
+) -> Swarm:
+    fleet = Fleet(participants[member], participants, rates.first_region)
+    fed = regions_fed(rates.link_s, rates.origin_s)
+    return Swarm(fleet, CHUNKS, random.Random(member), rates.pace * rates.origin_s, 0, fed=fed)
+
+
+class Outcome(Enum):
+    chunk = auto()
+    refused = auto()
+    silence = auto()
+
+
+@dataclass
+class Link:
+    """Carries chunks one after the other."""
+
+    chunk_s: float
+    free_at: float = 0
+
+    def waiting(self, now: float) -> int:
+        return int(max(0, self.free_at - now) / self.chunk_s)
+
+    def send(self, now: float) -> float:
+        self.free_at = max(now, self.free_at) + self.chunk_s
+        return self.free_at
+
+
+@dataclass
+class Play:
+    """Plays the fetch of a version by all agents; those in ``dead`` never run.
+
+    ``held`` are the chunks that agents have at the start, and ``urgent`` those whose engines may
+    serve nothing.
+    """
+
+    participants: tuple[Participant, ...]
+    dead: frozenset[str] = frozenset()
+    rates: Rates = RATES
+    held: Mapping[str, int] = field(default_factory=dict)
+    urgent: frozenset[str] = frozenset()
+    from_origin: int = 0
+    crossings: int = 0
+    events: list[tuple[float, int, str, FetchOrder, Outcome]] = field(default_factory=list)
+    done_at: dict[str, float] = field(default_factory=dict)
+    numbers: itertools.count[int] = field(default_factory=itertools.count)
+
+    def __post_init__(self) -> None:
+        self.swarms = {
+            one.host: make_swarm(self.participants, number, self.rates)
+            for number, one in enumerate(self.participants)
+            if one.host not in self.dead
+        }
+        for host, swarm in self.swarms.items():
+            swarm.have = self.held.get(host, 0)
+            swarm.is_urgent = host in self.urgent
+        self.uplinks = {host: Link(self.rates.link_s) for host in self.swarms}
+        self.downlinks = {host: Link(self.rates.link_s) for host in self.swarms}
+        self.crossing = {host: Link(self.rates.crossing_s) for host in self.swarms}
+        self.origin = Link(self.rates.origin_s)
+        regions = {one.region for one in self.participants}
+        self.region_uplinks = {region: Link(self.rates.region_s) for region in regions}
+        self.region_downlinks = {region: Link(self.rates.region_s) for region in regions}
+
+    def run(self, seconds: float) -> float:
+        """Return when the last agent has all chunks."""
+        for step in range(int(seconds / self.rates.step_s)):
+            now = step * self.rates.step_s
+            self.deliver(now)
+            if not int(now / TELL_S) == int((now - self.rates.step_s) / TELL_S):
+                self.tell(now)
+            for host, swarm in self.swarms.items():
+                for order in swarm.orders(now):
+                    self.order(host, order, now)
+                if swarm.complete:
+                    self.done_at.setdefault(host, now)
+            if len(self.done_at) == len(self.swarms):
+                return now
+        return float('inf')
+
+    def half_at(self, hosts: frozenset[str] = EVERYONE) -> float:
+        """Return when half of some agents, else of all, had all chunks."""
+        times = sorted(self.done_at.get(host, float('inf')) for host in hosts or self.swarms)
+        return times[(len(times) - 1) // 2]
+
+    def tell(self, now: float) -> None:
+        for host, swarm in self.swarms.items():
+            waiting = self.uplinks[host].waiting(now)
+            for other in swarm.fleet.near:
+                if other != host and other in self.swarms:
+                    self.swarms[other].told(host, swarm.have, waiting, now)
+
+    def order(self, host: str, order: FetchOrder, now: float) -> None:
+        match order:
+            case FromOrigin():
+                self.from_origin += 1
+                sent = self.cross(self.rates.first_region, host, self.origin.send(now))
+                arrives = max(sent, self.downlinks[host].send(now))
+                self.expect(arrives, host, order, Outcome.chunk)
+            case FromRegion(host=source) | FromPeer(host=source):
+                sender = self.swarms.get(source)
+                if sender is None:
+                    self.expect(now + 1, host, order, Outcome.silence)
+                else:
+                    self.ask(host, order, sender, now)
+
+    def ask(self, host: str, order: FetchOrder, sender: Swarm, now: float) -> None:
+        uplink = self.uplinks[sender.fleet.member.host]
+        busy = isinstance(order, FromPeer) and uplink.waiting(now) >= MOST_UPLOADS
+        if busy or not sender.have >> order.index & 1:
+            self.expect(now + self.rates.step_s, host, order, Outcome.refused)
+            return
+        sent = uplink.send(now)
+        if isinstance(order, FromRegion):
+            self.crossings += 1
+            sent = max(sent, self.crossing[sender.fleet.member.host].send(now))
+        sent = self.cross(sender.fleet.member.region, host, sent)
+        arrives = max(sent, self.downlinks[host].send(now))
+        self.expect(arrives, host, order, Outcome.chunk)
+
+    def cross(self, region: str, host: str, sent: float) -> float:
+        """Return when a chunk has come over the links between regions."""
+        target = self.swarms[host].fleet.member.region
+        if not self.rates.region_s or region == target:
+            return sent
+        return max(self.region_uplinks[region].send(sent), self.region_downlinks[target].send(sent))
+
+    def expect(self, at: float, host: str, order: FetchOrder, outcome: Outcome) -> None:
+        heapq.heappush(self.events, (at, next(self.numbers), host, order, outcome))
+
+    def deliver(self, now: float) -> None:
+        while self.events and self.events[0][0] <= now:
+            _, _, host, order, outcome = heapq.heappop(self.events)
+            swarm = self.swarms[host]
+            match outcome:
+                case Outcome.chunk:
+                    swarm.arrived(order.index, now)
+                case Outcome.refused:
+                    self.refuse(swarm, order, now)
+                case Outcome.silence:
+                    swarm.failed(order, now)
+
+    def refuse(self, swarm: Swarm, order: FetchOrder, now: float) -> None:
+        swarm.refused(order, now)
+        # An agent of another region waits for the chunk before it says that it has none.
+        swarm.empty_answers.pop(order.index, None)
