--- a/tests/support/direct_callers.py
+++ b/tests/support/direct_callers.py
@@ -42,7 +42,8 @@
 
 def run(body: Body, size: DirectSize = SMALL, **bounds: float) -> None:
     async def whole() -> None:
-        async with DirectSite(size, bounds) as site, asyncio.timeout(60):
+        # The outer bound ends a start or a stop that waits for ever.
+        async with asyncio.timeout(90), DirectSite(size, bounds) as site, asyncio.timeout(60):
             await site.ready()
             await body(site)
 
