Let no call of the operators' tests end because the process stood still

Seen once, beside eleven busy processes: exit code 3 for 1, "Connection timeout after 3049 ms" on loopback. Cause, as far as known: the client gives up a connect after 3 s of wall clock. Change: the tests of this file use 300 s for both time-outs. None of them checks a time-out; dead entries refuse at once, and each test keeps its expected exit codes.

--- a/tests/cli/test_operators.py
+++ b/tests/cli/test_operators.py
@@ -29,6 +29,8 @@
 
     from syrupy.assertion import SnapshotAssertion
 
+#: Entries on loopback answer or refuse at once, however late this process sees it.
+PATIENCE_S = 300
 TOKEN = 'operator-token-of-the-test'
 MODEL = f"""
 kind: Model
@@ -193,6 +195,13 @@
         return url
 
 
+@pytest.fixture(autouse=True)
+def _patience(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let no call end because this process stood still for some seconds."""
+    monkeypatch.setattr('cassiahitch.cli.client.CONNECT_TIMEOUT_S', PATIENCE_S)
+    monkeypatch.setattr('cassiahitch.cli.client.REQUEST_TIMEOUT_S', PATIENCE_S)
+
+
 @pytest.fixture
 def manifest(tmp_path: Path) -> Path:
     path = tmp_path / 'model.yaml'
