Decide on a silent replica where bytes are awaited, so that no event is lost as it is left

What callers could see: a stream without its first event that looked whole. The same timer took a stall of the entry for the silence of all its replicas, and a large answer that arrives steadily for silence, since one limit held for a whole body. Change: the silence is judged in the wait for the next bytes, nothing is cancelled, and bytes that came while the process stood still are looked for once more before the replica is left. The line about a request that stays is written once for each replica.

--- a/src/cassiahitch/direct/attempt.py
+++ b/src/cassiahitch/direct/attempt.py
@@ -13,7 +13,7 @@
 from cassiahitch.direct.events import EventSplitter
 from cassiahitch.direct.exchange import AnswerLost, Exchange
 from cassiahitch.direct.front import CallerGone
-from cassiahitch.direct.silence import Silence, watched
+from cassiahitch.direct.silence import ReplicaSilent, Silence
 from cassiahitch.wire.beats import PlacementNotice
 
 if TYPE_CHECKING:
@@ -64,7 +64,7 @@
     """What the caller has of a stream, over all backend servers that wrote it.
 
     ``reserved`` is where the request goes on after the present backend server, with a retry that
-    is taken already.
+    is taken already; ``kept_at`` the silent backend server at which it stayed for want of these.
     """
 
     caller: CallerExchange
@@ -74,6 +74,7 @@
     on_first: Callable[[float], None] | None = None
     leave: Callable[[], bool] | None = None
     reserved: Placed | None = None
+    kept_at: str = ''
 
     def leaves_silent(self) -> bool:
         """Reserve another place for a request whose backend server is silent.
@@ -124,7 +125,8 @@
             connection = await self.pool.acquire(replica, limit, once=call.plan().runs_once)
         except ConnectFailed as error:
             return NotSent(str(error), error.refused)
-        exchange = Exchange(connection, self.codec)
+        silence = Silence(stream.leaves_silent)
+        exchange = Exchange(connection, self.codec, silence)
         with ExitStack() as stack:
             stack.callback(self.release, connection, exchange)
             self.filters.check_key(call)
@@ -199,20 +201,18 @@
             after_event=stream.splitter.last_id,
         )
         headers = self.codec.write_headers(call.request, destination)
+        exchange.silence.limit_s = patience.first_s
         try:
-            async with watched(stream.leaves_silent) as silence:
-                silence.expect(patience.first_s)
-                head = await exchange.send(call.request, headers)
-                if head.not_run:
-                    await exchange.body()
-                    return NotRun(head.status)
-                if head.status in SUCCESS and call.plan().repeat == 'stream':
-                    return await self.forward(exchange, head, stream, patience, silence)
-                silence.expect(patience.first_s)
-                return Answered(head, await exchange.body())
+            head = await exchange.send(call.request, headers)
+            if head.not_run:
+                await exchange.body()
+                return NotRun(head.status)
+            if head.status in SUCCESS and call.plan().repeat == 'stream':
+                return await self.forward(exchange, head, stream, patience)
+            return Answered(head, await exchange.body())
         except AnswerLost as error:
             return Lost(str(error))
-        except TimeoutError:
+        except ReplicaSilent:
             return Lost('no news from the backend server', silent=True)
 
     async def forward(
@@ -221,7 +221,6 @@
         head: AnswerHead,
         stream: StreamState,
         patience: Patience,
-        silence: Silence,
     ) -> Outcome:
         """Pass the whole events of a stream on as they come.
 
@@ -229,20 +228,17 @@
         :param head: the start of the answer.
         :param stream: what the caller has so far.
         :param patience: how long to wait for news.
-        :param silence: watches over the wait.
         :return: how it ended.
         :raises AnswerLost: if the stream breaks off.
         """
         if not head.sealed or head.encoded:
             return Lost('an answer without a signature')
-        silence.expect(patience.next_s if stream.started else patience.first_s)
+        if stream.started:
+            exchange.silence.limit_s = patience.next_s
         async with aclosing(exchange.parts()) as parts:
             async for part in parts:
-                # The caller's own slowness is no silence of the backend server.
-                silence.expect(None)
                 await self.pass_on(head, stream, stream.splitter.feed(part))
-                silence.expect(patience.next_s)
-        silence.expect(None)
+                exchange.silence.limit_s = patience.next_s
         await self.pass_on(head, stream, stream.splitter.rest, last=True)
         stream.caller.end()
         return Delivered()
--- a/src/cassiahitch/direct/connection.py
+++ b/src/cassiahitch/direct/connection.py
@@ -69,11 +69,15 @@
         """
         return not self.closed and (self.pending is None or not self.pending.done())
 
-    def watch(self) -> None:
-        """Start to read, so that an end or stray bytes are noticed while it is idle."""
+    def watch(self) -> asyncio.Future[bytes]:
+        """Start to read, so that an end or stray bytes are noticed while it is idle.
+
+        :return: done when something came.
+        """
         if self.pending is None:
             self.pending = asyncio.ensure_future(_read(self.stream))
             self.pending.add_done_callback(_retrieve)
+        return self.pending
 
     def write(self, data: bytes) -> asyncio.Future[None]:
         """Hand bytes to the socket; from now on they count as sent.
@@ -91,11 +95,7 @@
         :return: at least one byte, or none at a proper end.
         :raises ConnectionBroken: if it was reset or timed out.
         """
-        self.watch()
-        pending = self.pending
-        if pending is None:
-            raise ConnectionBroken('no read is under way')
-        data = await asyncio.shield(pending)
+        data = await asyncio.shield(self.watch())
         self.pending = None
         return data
 
--- a/src/cassiahitch/direct/elsewhere.py
+++ b/src/cassiahitch/direct/elsewhere.py
@@ -58,7 +58,9 @@
         except RequestError as error:
             call.avoided = before
             self.watch.check(placed.candidate.replica)
-            self.journal.kept(call, placed, error)
+            if stream.kept_at != key:
+                stream.kept_at = key
+                self.journal.kept(call, placed, error)
             return False
         stream.reserved = found
         return True
--- a/src/cassiahitch/direct/exchange.py
+++ b/src/cassiahitch/direct/exchange.py
@@ -13,6 +13,7 @@
     from collections.abc import AsyncGenerator
 
     from cassiahitch.direct.api import AnswerHead, CallerRequest, Headers, RequestCodec
+    from cassiahitch.direct.silence import Silence
 
 #: Answers of other requests that are passed over while the own one is awaited.
 FOREIGN_ANSWERS = 4
@@ -31,14 +32,18 @@
     connection may carry another request.
     """
 
-    def __init__(self, connection: BackendConnection, codec: RequestCodec) -> None:
+    def __init__(
+        self, connection: BackendConnection, codec: RequestCodec, silence: Silence
+    ) -> None:
         """Create it on an idle connection.
 
         :param connection: the connection.
         :param codec: reads the headers of answers.
+        :param silence: watches over each wait for bytes.
         """
         self.connection = connection
         self.codec = codec
+        self.silence = silence
         self.machine = _machine()
         self.written: asyncio.Future[None] | None = None
         self.complete = False
@@ -113,6 +118,7 @@
         try:
             event = self.machine.next_event()
             while event is h11.NEED_DATA:
+                await self.silence.wait(self.connection.watch())
                 self.machine.receive_data(await self.connection.read())
                 event = self.machine.next_event()
         except (ConnectionBroken, h11.RemoteProtocolError) as error:
--- a/src/cassiahitch/direct/silence.py
+++ b/src/cassiahitch/direct/silence.py
@@ -3,82 +3,51 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
 
 #: Seconds between two looks whether a silent backend server can be left.
 LOOK_AGAIN_S = 0.2
+#: Seconds for bytes that came while this process stood still, before they count as missing.
+SETTLE_S = 0.02
 
 
+class ReplicaSilent(Exception):
+    """The backend server was silent for too long, and what is needed elsewhere is reserved."""
+
+
+@dataclass(slots=True)
 class Silence:
-    """Ends a wait once the silence has lasted and there is somewhere else to go.
+    """Ends a wait for bytes once it has lasted and there is somewhere else to go.
 
-    While there is nowhere to go, the wait goes on: a late answer is better than none.
+    While there is nowhere to go, the wait goes on: a late answer is better than none. ``limit_s``
+    are the seconds of silence that are borne, none if it does not matter. ``leave`` reserves what
+    is needed to go elsewhere, and tells whether it could.
     """
 
-    def __init__(self, timer: asyncio.Timeout, leave: Callable[[], bool]) -> None:
-        """Create it; nothing is expected yet.
+    leave: Callable[[], bool]
+    limit_s: float | None = None
 
-        :param timer: ends the wait.
-        :param leave: reserves what is needed to go elsewhere, and tells whether it could.
-        """
-        self.timer = timer
-        self.leave = leave
-        self.clock = asyncio.get_running_loop().time
-        self.limit_s: float | None = None
-        self.since: float = 0
-        self.handle: asyncio.TimerHandle | None = None
+    async def wait(self, news: asyncio.Future[Any]) -> None:
+        """Wait for the next bytes; nothing is lost if the wait ends without them.
 
-    def expect(self, limit_s: float | None) -> None:
-        """Begin to wait for news from the backend server.
-
-        :param limit_s: seconds of silence that are borne; none if it does not matter.
+        :param news: done when there are some.
+        :raises ReplicaSilent: if the backend server is left.
         """
-        self.limit_s = limit_s
-        self.since = self.clock()
-        if limit_s is not None and self.handle is None:
-            self._look_at(self.since + limit_s)
-
-    def stop(self) -> None:
-        """Expect nothing any more."""
-        if self.handle is not None:
-            self.handle.cancel()
+        pause_s = self.limit_s
+        while not await _comes(news, pause_s):
+            if not await _comes(news, SETTLE_S) and self.leave():
+                raise ReplicaSilent
+            pause_s = LOOK_AGAIN_S
 
-    def look(self) -> None:
-        """Leave the backend server if it has been silent for too long and that is possible."""
-        self.handle = None
-        if self.limit_s is None:
-            return
-        now = self.clock()
-        due = self.since + self.limit_s
-        if now < due:
-            self._look_at(due)
-        elif self.leave():
-            self.timer.reschedule(now)
-        else:
-            self._look_at(now + LOOK_AGAIN_S)
 
-    def _look_at(self, when: float) -> None:
-        self.handle = asyncio.get_running_loop().call_at(when, self.look)
-
-
-@asynccontextmanager
-async def watched(leave: Callable[[], bool]) -> AsyncIterator[Silence]:
-    """Watch over the silence of a backend server.
-
-    :param leave: reserves what is needed to go elsewhere, and tells whether it could.
-    :yield: the watch.
-    :raises TimeoutError: if it is left for its silence.
-    """
-    async with asyncio.timeout(None) as timer:
-        silence = Silence(timer, leave)
-        try:
-            yield silence
-        finally:
-            silence.stop()
+async def _comes(news: asyncio.Future[Any], within_s: float | None) -> bool:
+    done, _ = await asyncio.wait((news,), timeout=within_s)
+    return bool(done)
 
 
 __all__ = (
+    'ReplicaSilent',
     'Silence',
-    'watched',
 )
--- a/tests/direct/test_exchange.py
+++ b/tests/direct/test_exchange.py
@@ -12,6 +12,7 @@
 from cassiahitch.direct.exchange import AnswerLost, Exchange
 from cassiahitch.direct.pool import ConnectionPool
 from cassiahitch.direct.replicas import Replica
+from cassiahitch.direct.silence import Silence
 from cassiahitch.platform.requests import PlatformRequests
 from cassiahitch.standins.backends import reset
 from cassiahitch.util.endpoints import Endpoint
@@ -60,7 +61,7 @@
 
 
 async def exchange(connection: BackendConnection) -> tuple[AnswerHead, bytes, Exchange]:
-    one = Exchange(connection, CODEC)
+    one = Exchange(connection, CODEC, Silence(lambda: False))
     head = await one.send(request(), request().headers)
     return head, await one.body(), one
 
