--- a/tests/direct/test_exchange.py
+++ b/tests/direct/test_exchange.py
@@ -61,7 +61,7 @@
 
 
 async def exchange(connection: BackendConnection) -> tuple[AnswerHead, bytes, Exchange]:
-    one = Exchange(connection, CODEC, Silence(lambda: False))
+    one = Exchange(connection, CODEC, Silence(bool))
     head = await one.send(request(), request().headers)
     return head, await one.body(), one
 
--- a/tests/direct/test_silent_replica.py
+++ b/tests/direct/test_silent_replica.py
@@ -46,9 +46,9 @@
         ours, theirs = socket.socketpair()
         self.theirs = theirs
         self.connection = BackendConnection(IOStream(ours), None)  # type: ignore[arg-type]
-        self.caller: Any = Caller()
+        self.caller = Caller()
         self.asked = 0
-        self.stream = StreamState(self.caller, leave=self.leave)
+        self.stream = StreamState(self.caller, leave=self.leave)  # type: ignore[arg-type]
         codec: Any = SimpleNamespace(
             write_headers=lambda *_: (('Host', 'x'),), read_answer=lambda *_: HEAD
         )
