End a stream at its engine when its caller has left, also where it may not be resumed

What users could see: engines work on for callers that are gone, in streams that may not be resumed (GONE), until the next event comes. Test that failed before: test_stream_ends_at_its_engine_when_its_caller_has_left[False] (its task still runs).

--- a/src/cassiahitch/direct/catalogue.py
+++ b/src/cassiahitch/direct/catalogue.py
@@ -63,6 +63,11 @@
         """Whether a request must not be sent again once it may have run."""
         return not (self.repeatable or self.may_resume)
 
+    @property
+    def outlives_caller(self) -> bool:
+        """Whether a request goes on after its caller has left; a stream is of no use then."""
+        return self.runs_once and self.repeat is not Repeat.stream
+
 
 @dataclass(frozen=True, slots=True)
 class Engine:
--- a/src/cassiahitch/direct/runner.py
+++ b/src/cassiahitch/direct/runner.py
@@ -211,7 +211,7 @@
             placed = stream.reserved or await self.place(call)
             stream.reserved = None
             caller.progress.phase = Phase.replica
-            caller.keeps_running = call.plan().runs_once
+            caller.keeps_running = call.plan().outlives_caller
             began = asyncio.get_running_loop().time()
             limit = self.candidates.connection_limit(call)
             patience = self.patience(call)
