Count a version from the last answer of the store unless the store had waited for it

What users could see: a request that begins on replaced weights after the bound (VERSION). Cause, found by the review: a version that was read within 1 s of the last answer counted as declared at the reading, and the same second is the margin for waiting at an engine, so in a storm of changes (whole reads 1 s apart) nothing was left for the wait. Change: only an answer that the store had held back tells the time; else the version counts from the last answer, until another entry tells the time. test_version_that_is_read_in_time_counts_from_now wanted the reading to count for any answer; it is replaced by one for answers that were held back and one, which fails on the code before, for those that were not.

--- a/src/cassiahitch/direct/beliefs.py
+++ b/src/cassiahitch/direct/beliefs.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from cassiahitch.direct.catalogue import Catalogue
-from cassiahitch.direct.feed import CallFailure, HistoryGone, Reply, TableRow, Whole
+from cassiahitch.direct.feed import CallFailure, Changed, HistoryGone, Reply, TableRow, Whole
 from cassiahitch.direct.freshness import boot_time
 from cassiahitch.direct.versions import DeclaredVersion
 from cassiahitch.errors import PlatformError
@@ -17,6 +17,9 @@
     from cassiahitch.direct.knowledge import Knowledge
     from cassiahitch.direct.surroundings import EntrySurroundings
 
+#: Seconds that an answer takes at least if the store held it back until there was news.
+HELD_BACK_S = 0.1
+
 
 @dataclass(slots=True)
 class Beliefs:
@@ -39,15 +42,17 @@
         :param asked_at: when the store was asked, on the boot clock.
         """
         readable = True
+        waited = isinstance(reply, Changed) and boot_time() - asked_at >= HELD_BACK_S
         for row in rows:
-            readable = self.take_declaration(row) and readable
+            readable = self.take_declaration(row, waited=waited) and readable
         if readable and not isinstance(reply, CallFailure | HistoryGone):
             self.knowledge.freshness.confirm(asked_at)
 
-    def take_declaration(self, row: TableRow) -> bool:
+    def take_declaration(self, row: TableRow, *, waited: bool) -> bool:
         """Take one row of the operator in.
 
         :param row: the row.
+        :param waited: whether the store held its answer back until there was news.
         :return: whether it could be read.
         """
         if row.content is None:
@@ -61,7 +66,7 @@
             case Catalogue():
                 self.apply(declared)
             case DeclaredVersion():
-                self.declare(declared)
+                self.declare(declared, waited=waited)
         return True
 
     def apply(self, catalogue: Catalogue) -> None:
@@ -79,15 +84,16 @@
             keys=len(catalogue.organisations),
         )
 
-    def declare(self, declared: DeclaredVersion) -> None:
+    def declare(self, declared: DeclaredVersion, *, waited: bool) -> None:
         """Take a declared version of weights in.
 
         :param declared: the version.
+        :param waited: whether the store held its answer back until there was news.
         """
         versions = self.knowledge.versions
         now = asyncio.get_running_loop().time()
         confirmed_at = now - self.knowledge.freshness.age_s(boot_time())
-        if versions.read(declared, confirmed_at, now):
+        if versions.read(declared, confirmed_at, now, waited=waited):
             fields = {'model': declared.model, 'weights': declared.version}
             self.journal.believed('weights declared', **fields)
 
--- a/src/cassiahitch/direct/versions.py
+++ b/src/cassiahitch/direct/versions.py
@@ -6,7 +6,7 @@
 
 #: Seconds before the end of the bound from which no request begins on an older version.
 MARGIN_S = 1.0
-#: Longest time without an answer of the store after which a version that it brings counts as
+#: Longest time without an answer of the store after which a version that comes as news counts as
 #: declared just now, in seconds.
 USUAL_GAP_S = 1.0
 
@@ -49,22 +49,24 @@
             known[declared.version] = min(at, known.get(declared.version, at))
         return is_newer
 
-    def read(self, declared: DeclaredVersion, confirmed_at: float, now: float) -> bool:
+    def read(
+        self, declared: DeclaredVersion, confirmed_at: float, now: float, *, waited: bool
+    ) -> bool:
         """Take in that a version stands in the store.
 
         :param declared: the version.
         :param confirmed_at: when this process last knew that nothing newer existed, in seconds;
             minus infinity if it never did.
         :param now: seconds.
+        :param waited: whether the store held its answer back until there was news.
         :return: whether it is newer than all known ones.
         """
-        earliest = confirmed_at + USUAL_GAP_S
-        if earliest >= now:
+        if waited and confirmed_at + USUAL_GAP_S >= now:
             return self.declare(declared, now)
         known = self.learned.setdefault(declared.model, {})
         is_newer = declared.version > max(known, default=0)
         if declared.version not in known:
-            known[declared.version] = earliest
+            known[declared.version] = confirmed_at
             self.guesses.add(declared)
         return is_newer
 
--- a/tests/direct/test_beliefs_of_replicas.py
+++ b/tests/direct/test_beliefs_of_replicas.py
@@ -92,7 +92,7 @@
 
 def test_process_that_starts_allows_no_older_version_until_an_age_is_told() -> None:
     policy = VersionPolicy(8)
-    assert policy.read(V2, NEVER, 100)
+    assert policy.read(V2, NEVER, 100, waited=False)
     assert policy.oldest_allowed('m', 100) == 2
     policy.declare(V2, 98)
     assert policy.oldest_allowed('m', 100) == 0
@@ -101,7 +101,7 @@
 
 def test_process_that_starts_tells_no_age_that_it_does_not_know() -> None:
     policy = VersionPolicy(8)
-    policy.read(V2, NEVER, 100)
+    policy.read(V2, NEVER, 100, waited=False)
     assert policy.told() == ()
     policy.declare(V2, 98)
     assert policy.told() == ((V2, 98),)
@@ -110,7 +110,7 @@
 def test_age_that_was_told_before_the_store_answered_holds() -> None:
     policy = VersionPolicy(8)
     policy.declare(V2, 98)
-    assert not policy.read(V2, NEVER, 100)
+    assert not policy.read(V2, NEVER, 100, waited=False)
     assert policy.oldest_allowed('m', 100) == 0
     assert policy.oldest_allowed('m', 98 + 8 - MARGIN_S) == 2
 
@@ -126,19 +126,28 @@
 def test_version_counts_from_the_last_answer_if_the_process_heard_nothing_for_long() -> None:
     policy = VersionPolicy(8)
     frozen_s = 5
-    policy.read(V2, 100 - frozen_s, 100)
+    policy.read(V2, 100 - frozen_s, 100, waited=True)
     assert policy.oldest_allowed('m', 100) == 0
     assert policy.oldest_allowed('m', 100 - frozen_s + 8) == 2
     assert policy.told() == ()
 
 
-def test_version_that_is_read_in_time_counts_from_now() -> None:
+def test_version_that_the_store_held_its_answer_back_for_counts_from_now() -> None:
     policy = VersionPolicy(8)
-    policy.read(V2, 100 - USUAL_GAP_S, 100)
+    policy.read(V2, 100 - USUAL_GAP_S, 100, waited=True)
     assert policy.oldest_allowed('m', 100 + 8 - MARGIN_S - 0.01) == 0
     assert policy.told() == ((V2, 100),)
 
 
+def test_version_that_may_have_waited_to_be_read_counts_from_the_last_answer_and_is_not_told() -> (
+    None
+):
+    policy = VersionPolicy(8)
+    policy.read(V2, 100 - USUAL_GAP_S, 100, waited=False)
+    assert policy.oldest_allowed('m', 100 - USUAL_GAP_S + 8 - MARGIN_S) == 2
+    assert policy.told() == ()
+
+
 @pytest.mark.parametrize(('age_s', 'good'), [(0, True), (5 * USED_PART, False), (60, False)])
 def test_keys_need_a_fresh_configuration(age_s: float, *, good: bool) -> None:
     freshness = Freshness(5)
