Give the lines about the process and its end a budget of their own

Found by test_stop_direct.py: refusals of a leaving entry are warnings, 700 a second used up the budget that the lines of the end shared with them, and the process ended without its last lines. They are a third kind now. The records of test_bounded_logs.py come from the logger of requests, as the lines that they stand for do; what they check is unchanged.

--- a/src/cassiahitch/direct/stoplog.py
+++ b/src/cassiahitch/direct/stoplog.py
@@ -16,8 +16,7 @@
     from cassiahitch.direct.front import CallerExchange
     from cassiahitch.metrics.registry import Metrics
 
-LOGGER = logging.getLogger('cassiahitch.requests')
-PROCESS = logging.getLogger('cassiahitch.stop')
+LOGGER = logging.getLogger('cassiahitch.stop')
 #: Most lines of cut requests of one end; the last line counts all of them.
 CUT_LINES = 100
 DIGITS = 4
@@ -41,7 +40,7 @@
         """
         self.told_at = now
         self.first = {'connections': connections, 'open_by_phase': count_phases(exchanges)}
-        PROCESS.info('entry leaves', extra=self.first)
+        LOGGER.info('entry leaves', extra=self.first)
 
     def taken(self, now: float, connections: int, exchanges: Iterable[CallerExchange]) -> None:
         """Record what there is when no new request is taken any more.
@@ -55,7 +54,7 @@
             'connections': connections,
             'open_by_phase': count_phases(exchanges),
         }
-        PROCESS.info('entry takes no new requests', extra=extra)
+        LOGGER.info('entry takes no new requests', extra=extra)
 
     def ended(self, now: float, connections: int, exchanges: Iterable[CallerExchange]) -> None:
         """Record what is cut, right before the connections are closed.
@@ -74,7 +73,7 @@
             'connections_at_signal': self.first.get('connections'),
             'open_at_signal': self.first.get('open_by_phase'),
         }
-        PROCESS.log(level, 'entry closes its connections', extra=extra)
+        LOGGER.log(level, 'entry closes its connections', extra=extra)
         for number, exchange in enumerate(cut):
             exchange.progress.cut = True
             self.metrics.count(CounterName.requests_cut, exchange.progress.phase.name)
--- a/src/cassiahitch/metrics/logs.py
+++ b/src/cassiahitch/metrics/logs.py
@@ -6,6 +6,7 @@
 import logging
 import os
 import time
+from collections import Counter
 from types import MappingProxyType
 from typing import TYPE_CHECKING, Any, TextIO
 
@@ -22,8 +23,10 @@
 LAST_LOOKS = 20
 #: Lines of each kind that a bounded log takes in a second.
 LINES_PER_S = 150
-#: Loggers of the few lines about the process itself, which count among the warnings.
+#: Loggers of the few lines about the process itself and its end, which are a kind of their own.
 PROCESS_LOGGERS = frozenset(('cassiahitch', 'cassiahitch.stop'))
+#: Kind of their lines; 0 is information, 1 warnings.
+PROCESS_KIND = 2
 #: Names of extra fields whose content is never written.
 SECRET_FIELDS = frozenset(
     (
@@ -81,7 +84,7 @@
 
     Of more than ``lines_per_s`` lines, and of lines that the descriptor does not take, only the
     number is told, in the first line that gets through again. Warnings have a budget of their own,
-    with the lines about the process itself.
+    and so have the lines about the process itself and its end.
     """
 
     def __init__(self, descriptor: int, lines_per_s: int) -> None:
@@ -95,7 +98,7 @@
         self.descriptor = descriptor
         self.lines_per_s = lines_per_s
         self.second = 0
-        self.written = [0, 0]
+        self.written: Counter[int] = Counter()
         self.omitted = 0
         self.rest = b''
 
@@ -104,11 +107,11 @@
 
         :param record: what to write.
         """
-        kind = int(record.levelno >= logging.WARNING or record.name in PROCESS_LOGGERS)
+        kind = _kind(record)
         second = int(time.monotonic())
         if second != self.second:
             self.second = second
-            self.written = [0, 0]
+            self.written.clear()
         if self.written[kind] >= self.lines_per_s or not self._drained():
             self.omitted += 1
             return
@@ -142,6 +145,12 @@
         return True
 
 
+def _kind(record: logging.LogRecord) -> int:
+    if record.name in PROCESS_LOGGERS:
+        return PROCESS_KIND
+    return int(record.levelno >= logging.WARNING)
+
+
 def configure_bounded_logs(level: LogLevel, descriptor: int) -> logging.Handler:
     """Write the log lines of all loggers as JSON, bounded and without waiting.
 
--- a/tests/metrics/test_bounded_logs.py
+++ b/tests/metrics/test_bounded_logs.py
@@ -22,7 +22,7 @@
 
 
 def record(message: str, level: int = logging.INFO) -> logging.LogRecord:
-    return logging.LogRecord('cassiahitch', level, '', 0, message, None, None)
+    return logging.LogRecord('cassiahitch.requests', level, '', 0, message, None, None)
 
 
 def read_lines(descriptor: int) -> list[dict[str, Any]]:
@@ -47,10 +47,11 @@
     monkeypatch.setattr(logs_module, 'time', SimpleNamespace(monotonic=lambda: 5))
     reader, writer = os.pipe()
     logs = handler(writer, 1)
-    names = ('cassiahitch.requests', 'cassiahitch.requests', 'cassiahitch.stop')
-    for name, message in zip(names, ('sent', 'sent', 'stopped'), strict=True):
-        logs.emit(logging.LogRecord(name, logging.INFO, '', 0, message, None, None))
-    assert [line['message'] for line in read_lines(reader)] == ['sent', 'stopped']
+    for level in (logging.INFO, logging.WARNING):
+        for _ in range(2):
+            logs.emit(logging.LogRecord('cassiahitch.requests', level, '', 0, 'a', None, None))
+    logs.emit(logging.LogRecord('cassiahitch.stop', logging.INFO, '', 0, 'stopped', None, None))
+    assert [line['message'] for line in read_lines(reader)] == ['a', 'a', 'stopped']
 
 
 def test_reader_that_does_not_keep_up_blocks_nothing() -> None:
