--- a/src/cassiahitch/direct/entry.py
+++ b/src/cassiahitch/direct/entry.py
@@ -139,13 +139,7 @@
         self.front.leave(plan)
         self._log_stop(self.stop_log.leaving)
         self.parts.beats.tell()
-        await asyncio.sleep(plan.held_until - clock())
-        await self._finish(plan.answered_by)
-        self.front.server.stop()
-        self.front.closing = True
-        self._log_stop(self.stop_log.taken)
-        self.front.give_up()
-        await self._finish(plan.ends_at)
+        await self._drain(plan)
         self._log_stop(self.stop_log.ended)
         await self.front.server.close_all_connections()
         self.parts.runner.attempts.pool.close()
@@ -155,11 +149,24 @@
         front = self.front
         write(asyncio.get_running_loop().time(), len(front.connections), front.open)
 
-    async def _finish(self, until: float) -> None:
-        # A connection that was just accepted gets one look for its request.
-        await asyncio.sleep(POLL_S)
-        while self.front.is_busy() and asyncio.get_running_loop().time() < until:
-            await asyncio.sleep(POLL_S)
+    async def _drain(self, plan: GracePlan) -> None:
+        await asyncio.sleep(plan.held_until - plan.told_at)
+        # Callers who come again and again to be refused do not keep the process.
+        await self._finish(plan.answered_by, POLL_S)
+        self.front.server.stop()
+        self.front.closing = True
+        self._log_stop(self.stop_log.taken)
+        await self._finish(plan.answered_by)
+        self.front.give_up()
+        await self._finish(plan.ends_at)
+
+    async def _finish(self, until: float, age_s: float = 0) -> None:
+        clock = asyncio.get_running_loop().time
+        while True:
+            # Also a process that is late, or has just accepted a connection, gives requests a look.
+            await asyncio.sleep(min(POLL_S, max(0, until - clock())))
+            if clock() >= until or not self.front.is_busy(clock() - age_s):
+                return
 
     def _declarations(self, relay: TableRelay) -> TableFollower:
         return TableFollower(
--- a/src/cassiahitch/direct/front.py
+++ b/src/cassiahitch/direct/front.py
@@ -85,6 +85,7 @@
         self.keeps_running = False
         self.closes = False
         self.given_up = False
+        self.serving = False
         self.finished = False
         self.progress = Progress()
 
@@ -163,11 +164,13 @@
         """End a request whose answer has not begun with one that says that there is none."""
         if self.started or self.refusal is not None:
             return
+        # One that was read and not looked at yet is refused when it is: the entry is closing.
         if self.task is None:
             self._refuse(RequestError(Code.leaving, 'this entry ends', Ran.no, RETURN_S))
             return
-        self.given_up = True
-        self.task.cancel()
+        if self.serving:
+            self.given_up = True
+            self.task.cancel()
 
     async def answer(self, status: int, reason: str, headers: Headers, body: bytes) -> None:
         """Write a whole answer.
@@ -253,8 +256,8 @@
 
     def _serve(self) -> None:
         self.task = asyncio.create_task(self._run())
-        self.front.tasks.add(self.task)
-        self.task.add_done_callback(self.front.tasks.discard)
+        self.front.running.add(self)
+        self.task.add_done_callback(lambda _: self.front.running.discard(self))
 
     def abort(self) -> None:
         """Close the connection, so that the answer does not look whole."""
@@ -301,6 +304,7 @@
         self._hand_over(self.connection.stream.write(b'')).add_done_callback(then)
 
     async def _run(self) -> None:
+        self.serving = True
         with ExitStack() as stack:
             stack.callback(self._abort_unless_ended)
             try:
@@ -327,7 +331,7 @@
         """
         self.serve = serve
         self.fail = fail
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.running: set[CallerExchange] = set()
         self.open: set[CallerExchange] = set()
         self.lingering: set[CallerExchange] = set()
         self.connections: set[object] = set()
@@ -363,12 +367,14 @@
         """
         self.connections.discard(server_conn)
 
-    def is_busy(self) -> bool:
+    def is_busy(self, before: float) -> bool:
         """Tell whether anything is under way for a caller.
 
+        :param before: requests that came later do not count, in seconds.
         :return: whether an answer has not left as a whole, or a request still runs.
         """
-        return bool(self.open or self.tasks or self.lingering)
+        busy = (*self.open, *self.running, *self.lingering)
+        return any(exchange.progress.opened_at <= before for exchange in busy)
 
     def leave(self, plan: GracePlan) -> None:
         """End each connection after its next answer, and take only what can be finished.
--- a/src/cassiahitch/direct/leaving.py
+++ b/src/cassiahitch/direct/leaving.py
@@ -9,7 +9,7 @@
 EARLY_PART = 1 / 3
 #: Seconds before the end of the grace period at which connections are closed, and the largest part
 #: of it that they may be.
-END_MARGIN_S = 0.5
+END_MARGIN_S = 0.7
 END_MARGIN_PART = 1 / 8
 #: Seconds between the last answer that is due and the closing of connections.
 ANSWER_S = 0.2
