Read a large table whole after any large news, however slow the link makes them

Cause: a storm was told by the time between news, which the filled link itself stretches: the first read of 70 KB takes 1.06 s for 29 processes, so that no second news came within 0.4 s, and the second read held 5 to 13 versions. The time between news no longer counts.

--- a/src/cassiahitch/direct/agent.py
+++ b/src/cassiahitch/direct/agent.py
@@ -31,8 +31,8 @@
 
 #: Longest wait for a change of the declarations, in seconds.
 DECLARATION_WAIT_S = 8.0
-#: Least time between two reads of declarations while they change, in seconds.
-DECLARATION_INTERVAL_S = 1.0
+#: Pause after declarations that brought a large change, in seconds.
+DECLARATION_INTERVAL_S = 2.0
 
 
 class DirectAgent:
--- a/src/cassiahitch/direct/entry.py
+++ b/src/cassiahitch/direct/entry.py
@@ -37,8 +37,8 @@
 REPLICA_INTERVAL_S = 0.5
 #: The same, as a part of the bound on configurations: others rely on what this entry has seen.
 CONFIGURATION_WAIT_PART = 0.2
-#: Least time between two reads of declarations while they change, in seconds.
-DECLARATION_INTERVAL_S = 0.4
+#: Pause after declarations that brought a large change, in seconds.
+DECLARATION_INTERVAL_S = 0.95
 #: Oldest knowledge of another entry that is taken, as a part of the bound on configurations, or
 #: on draining replicas.
 RELAYED_PART = 0.5
--- a/src/cassiahitch/direct/feed.py
+++ b/src/cassiahitch/direct/feed.py
@@ -8,8 +8,8 @@
 #: First and longest pause after failures in a row, in seconds.
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 1.0
-#: Pause between whole reads while a table changes all the time, in ``news_interval_s``.
-STORM_INTERVALS = 2.5
+#: Bytes of news from which on they are large.
+LARGE_BYTES = 4096
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,19 +73,19 @@
 
     ``versions`` holds the version of each row that is known; older ones are never news again.
     ``changed`` is the version of the store at which the table changed last, as far as it is
-    known. ``interval_s`` is the least time between two reads of changes. News that come less than
-    ``news_interval_s`` after others are a storm.
+    known. ``interval_s`` is the least time between two reads of changes, ``news_interval_s``
+    the pause after large news.
 
     Load pattern: the operator changes a large row many times a second, and the changes of a table
-    hold every state of it. Were every process to read them all, the links to the store would carry
-    nothing else. In a storm, the table is read whole now and then, until that brings no news.
+    hold every state of it. Were all processes to read them, the links to the store would carry
+    nothing else, and the slower they get, the more changes come meanwhile. After large news, the
+    table is read whole until that brings none.
     """
 
     rng: random.Random
     interval_s: float = 0
     news_interval_s: float = 0
-    had_news: bool = False
-    storm: bool = False
+    unsettled: bool = False
     versions: dict[str, int] = field(default_factory=dict)
     since: int | None = None
     changed: int = 0
@@ -99,8 +99,8 @@
         pause_s = self.pause_s()
         if self.since is None:
             return ReadWhole(pause_s)
-        if self.storm:
-            return ReadWhole(max(pause_s, self.news_interval_s * STORM_INTERVALS))
+        if self.unsettled:
+            return ReadWhole(max(pause_s, self.news_interval_s))
         return ReadChanges(self.since, max(pause_s, self.interval_s))
 
     def pause_s(self) -> float:
@@ -113,11 +113,10 @@
         longest = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2**self.failures)
         return self.rng.uniform(FIRST_PAUSE_S, longest)
 
-    def handle(self, reply: Reply, after_s: float = 0) -> tuple[TableRow, ...]:
+    def handle(self, reply: Reply) -> tuple[TableRow, ...]:
         """Take an answer of the store in.
 
         :param reply: the answer.
-        :param after_s: seconds since the last news.
         :return: the rows that are news; those without content are removed.
         """
         match reply:
@@ -126,23 +125,32 @@
                 self.since = max(version, self.since or 0)
                 # Rows that were removed before are not among them.
                 self.changed = max(self.changed, version)
-                news = self.vanished(rows, version) + self.news(rows)
-                self.had_news = bool(news)
-                self.storm = self.storm and self.had_news
-                return news
+                vanished = self.vanished(rows, version)
+                is_first = not self.versions
+                news = self.news(rows)
+                self.unsettled = self.is_unsettling(news) and not is_first
+                return vanished + news
             case Changed(rows=rows, version=version):
                 self.failures = 0
                 self.since = max(version, self.since or 0)
                 self.note_changes(rows)
-                self.storm = bool(rows) and self.had_news and after_s < self.news_interval_s
-                self.had_news = bool(rows)
-                return self.news(rows)
+                news = self.news(rows)
+                self.unsettled = self.is_unsettling(news)
+                return news
             case HistoryGone():
                 self.since = None
             case CallFailure():
                 self.failures = min(self.failures + 1, 8)
         return ()
 
+    def is_unsettling(self, news: tuple[TableRow, ...]) -> bool:
+        """Tell whether to read news of the same rows again would load the links.
+
+        :param news: the rows.
+        :return: whether it would.
+        """
+        return self.news_interval_s > 0 and size_of(news) >= LARGE_BYTES
+
     def note_changes(self, rows: tuple[TableRow, ...]) -> None:
         """Note the versions at which the table changed."""
         self.changed = max((self.changed, *(row.version for row in rows)))
@@ -157,8 +165,7 @@
         if self.since is None or changed > self.since:
             return False
         self.since = max(self.since, since)
-        self.had_news = False
-        self.storm = False
+        self.unsettled = False
         return True
 
     def vanished(self, rows: tuple[TableRow, ...], version: int) -> tuple[TableRow, ...]:
@@ -185,6 +192,15 @@
         return fresh
 
 
+def size_of(rows: tuple[TableRow, ...]) -> int:
+    """Return the bytes that rows hold.
+
+    :param rows: the rows.
+    :return: bytes.
+    """
+    return sum(len(row.content or b'') for row in rows)
+
+
 __all__ = (
     'CallFailure',
     'Changed',
--- a/src/cassiahitch/direct/following.py
+++ b/src/cassiahitch/direct/following.py
@@ -53,7 +53,6 @@
     relayed_age_s: float = 0
     reached: bool = True
     confirmed_at: float = float('-inf')
-    changed_at: float = float('-inf')
     news: asyncio.Event = field(default_factory=asyncio.Event)
 
     async def work(self) -> None:
@@ -100,9 +99,7 @@
         asked_at = boot_time()
         reply = await self.read(step, wait_s)
         self.note(reply)
-        now = boot_time()
-        rows = self.feed.handle(reply, now - self.changed_at)
-        self.changed_at = now if rows else self.changed_at
+        rows = self.feed.handle(reply)
         self.confirm(rows, reply, asked_at)
         if rows and self.relay is not None:
             self.relay.announce(self.table)
