Give callers that come back a place of engines that begin them soon

What callers saw: one that was refused and came back was refused again almost always under overload. Cause: its objective has passed by then, so the time it had spent counted against it for good and it only got a place that nobody else wanted. Change: a request whose objective has passed gets behind all others into an engine that would begin a usual one within half of the objective.

--- a/src/cassiahitch/direct/placement.py
+++ b/src/cassiahitch/direct/placement.py
@@ -1,8 +1,8 @@
 """Chooses the replica for a request, or refuses the request.
 
 Load pattern: more requests arrive than the engines can begin within the objective. Requests that
-can still meet it go first, a request whose time has passed only takes a place of an engine that has
-some to spare, and one that has no chance is refused at once with a time at which to come back.
+can still meet it go first, a request whose time has passed gets behind them into engines that would
+begin it soon, and one that has no chance is refused at once with a time at which to come back.
 
 Whether an engine takes one more request depends neither on the length of its prompt nor on the
 objective of its route: if each were judged by its own, engines would fill up to where only the
@@ -28,6 +28,8 @@
 EXPECTED_PART = 0.7
 #: Part of the objective up to which replicas of other regions are left to their own callers.
 NEAR_PART = 0.5
+#: Part of the objective within which an engine has to begin a request whose time has passed.
+RETURNED_PART = 0.5
 #: Seconds by which a replica of another region must be better than one of the own.
 CROSSING_S = 0.02
 #: Seconds by which choices are spread, so that entries with the same reports differ.
@@ -78,6 +80,11 @@
         """The objective by which engines are full, the same for all routes of a service."""
         return self.usual_objective_s or self.route.objective_s
 
+    @property
+    def is_late(self) -> bool:
+        """Whether its objective has passed, as it has for callers that come back."""
+        return self.spent_s >= self.bound_s
+
     def is_short_of_time(self, engine: Engine) -> bool:
         """Tell whether it can wait less than a usual request of the service.
 
@@ -228,7 +235,7 @@
         prospect = prospects[chosen]
         in_time = _is_in_time(demand, prospect)
         if in_time or prospect.requests <= engine.slots - KEPT_PLACES:
-            rank = _rank(engine, demand) if in_time else LATE_RANK
+            rank = _rank(engine, demand) if in_time and not demand.is_late else LATE_RANK
             crowded = not _is_in_time(demand, prospect, NEAR_PART)
             return Placed(chosen, prospect.expected_s, rank, crowded)
         return Crowded(self.rng.uniform(*RETURN_S), prospect.expected_s)
@@ -287,6 +294,8 @@
 
 def _is_in_time(demand: Demand, prospect: Prospect, part: float = EXPECTED_PART) -> bool:
     room_s = demand.bound_s * part - demand.spent_s
+    if demand.is_late:
+        room_s = demand.bound_s * min(part, RETURNED_PART)
     return prospect.usual_s <= room_s
 
 
--- a/tests/direct/test_placement.py
+++ b/tests/direct/test_placement.py
@@ -109,6 +109,15 @@
     assert placed.rank == LATE_RANK
 
 
+def test_request_whose_objective_has_passed_gets_behind_others_where_it_begins_soon() -> None:
+    placement = Placement(random.Random(1))
+    for candidate in candidates(2):
+        report(placement, candidate, 16)
+    placed = place(placement, Demand(ROUTE, 2, 1000))
+    assert isinstance(placed, Placed)
+    assert placed.rank == LATE_RANK
+
+
 def test_slow_engine_is_avoided() -> None:
     placement = Placement(random.Random(1))
     slow, sound = candidates(2)
