Tell refused callers to come back within the time that they heed, later and spread

What callers saw: 0.7 to 1.9 s whatever time they had left. Callers heed at most a third of it, so those with 3 s left all came back at 1 s at once, and one that comes back early meets the overload that refused it. Change: 1.2 to 2.0 s, and in proportion for callers of which a third of the time left is less than that. Test: test_refused_callers_with_little_time_left_do_not_come_back_all_at_once (before: 44 different times of 200).

--- a/src/cassiahitch/direct/placement.py
+++ b/src/cassiahitch/direct/placement.py
@@ -37,7 +37,9 @@
 #: Candidates that are compared at first.
 SAMPLE = 3
 #: Shortest and longest time after which a refused caller may come back, in seconds.
-RETURN_S = (0.7, 1.9)
+RETURN_S = (1.2, 2.0)
+#: Part of the time that a caller has left up to which it waits as told.
+HEEDED_PART = 1 / 3
 #: Weight of the newest time in the mean time of a plain replica.
 NEWEST_WEIGHT = 0.3
 #: Seconds after which the mean time of an idle plain replica counts half.
@@ -66,13 +68,15 @@
 class Demand:
     """What is to be placed; ``spent_s`` is the time since the caller first asked.
 
-    ``usual_objective_s`` is the mean objective of the routes of the service, if it is known.
+    ``left_s`` is the time until nobody waits for it any more. ``usual_objective_s`` is the mean
+    objective of the routes of the service, if it is known.
     """
 
     route: Route
     spent_s: float
     prompt_tokens: int = 0
     priority: int = 0
+    left_s: float = math.inf
     usual_objective_s: float = 0
 
     @property
@@ -238,7 +242,20 @@
             rank = _rank(engine, demand) if in_time and not demand.is_late else LATE_RANK
             crowded = not _is_in_time(demand, prospect, NEAR_PART)
             return Placed(chosen, prospect.expected_s, rank, crowded)
-        return Crowded(self.rng.uniform(*RETURN_S), prospect.expected_s)
+        return Crowded(self.return_s(demand), prospect.expected_s)
+
+    def return_s(self, demand: Demand) -> float:
+        """Return after which time a refused caller may come back.
+
+        Load pattern: callers that have less time left than they are told to wait come back all at
+        once, at the end of what they heed.
+
+        :param demand: the request.
+        :return: seconds, spread over callers.
+        """
+        shortest_s, longest_s = RETURN_S
+        heeded = min(1, HEEDED_PART * max(0, demand.left_s) / longest_s)
+        return self.rng.uniform(shortest_s, longest_s) * heeded
 
     def best_of_few(
         self, candidates: tuple[Candidate, ...], prospects: dict[Candidate, Prospect]
--- a/src/cassiahitch/direct/runner.py
+++ b/src/cassiahitch/direct/runner.py
@@ -219,12 +219,14 @@
         """
         route = call.plan()
         before_s = self.patience_s.get(route.name, 0) - (call.request.patience_s or 0)
-        spent_s = asyncio.get_running_loop().time() - call.arrived + max(0, before_s)
+        now = asyncio.get_running_loop().time()
+        spent_s = now - call.arrived + max(0, before_s)
         generation = call.request.generation
         priority = route.priority
         if call.organisation is not None and call.organisation.priority is not None:
             priority = call.organisation.priority
-        return Demand(route, spent_s, generation.prompt_tokens if generation else 0, priority)
+        prompt_tokens = generation.prompt_tokens if generation else 0
+        return Demand(route, spent_s, prompt_tokens, priority, left_s=call.deadline - now)
 
     def patience(self, call: Call) -> Patience:
         """Return how long silence is borne before the request goes elsewhere.
--- a/tests/direct/test_placement.py
+++ b/tests/direct/test_placement.py
@@ -21,6 +21,7 @@
     service_s,
 )
 from cassiahitch.direct.placement import (
+    HEEDED_PART,
     LATE_RANK,
     RETURN_S,
     Candidate,
@@ -96,6 +97,19 @@
     assert RETURN_S[0] <= refused.retry_after_s <= RETURN_S[1]
 
 
+def test_refused_callers_with_little_time_left_do_not_come_back_all_at_once() -> None:
+    placement = Placement(random.Random(1))
+    for candidate in candidates(2):
+        report(placement, candidate, 16, 12)
+    heeded_s = 3 * HEEDED_PART
+    times: set[float] = set()
+    for _ in range(200):
+        refused = place(placement, Demand(ROUTE, 0, 1000, left_s=3))
+        assert isinstance(refused, Crowded)
+        times.add(min(heeded_s, refused.retry_after_s))
+    assert len(times) == 200
+
+
 def test_request_whose_objective_has_passed_takes_no_place_that_others_can_use_in_time() -> None:
     placement = Placement(random.Random(1))
     for candidate in candidates(2):
--- a/tests/support/overload_model.py
+++ b/tests/support/overload_model.py
@@ -173,7 +173,8 @@
         spent_s = self.now - asked.first
         usual_s = fmean(route.objective_s for route in self.routes)
         priority = asked.route.priority
-        demand = Demand(asked.route, spent_s, asked.prompt, priority, usual_s)
+        left_s = DEADLINE_S - spent_s
+        demand = Demand(asked.route, spent_s, asked.prompt, priority, left_s, usual_s)
         placement = self.placements[entry]
         match placement.place_engine(ENGINE, demand, self.candidates, self.entries, self.now):
             case Placed() as placed:
