Judge who comes back by the usual patience, and refuse what cannot begin before its deadline

(1) The longest patience ever seen on a route made every caller with less a late one, for the life of the process: after one request with 60 s, five with 3 s got 503. The usual patience is now that of nine in ten of the latest callers. (2) The mean objective of a service counted routes that lead nowhere, and a request was placed where it could not begin before its own deadline.

--- a/src/cassiahitch/direct/catalogue.py
+++ b/src/cassiahitch/direct/catalogue.py
@@ -147,7 +147,8 @@
         for route in self.routes:
             self.by_host.setdefault(route.host, {})[route.prefix] = route
             for share in route.shares:
-                objectives.setdefault(share.service, []).append(route.objective_s)
+                if share.weight > 0:
+                    objectives.setdefault(share.service, []).append(route.objective_s)
         for service, found in objectives.items():
             self.objectives_s[service] = fmean(found)
 
--- a/src/cassiahitch/direct/placement.py
+++ b/src/cassiahitch/direct/placement.py
@@ -238,8 +238,9 @@
             chosen = min(candidates, key=lambda one: self.cost_s(one, prospects[one]))
         prospect = prospects[chosen]
         in_time = _is_in_time(demand, prospect)
-        if in_time or prospect.requests <= engine.slots - KEPT_PLACES:
-            rank = _rank(engine, demand) if in_time and not demand.is_late else LATE_RANK
+        begins = prospect.expected_s <= demand.left_s
+        if begins and (in_time or prospect.requests <= engine.slots - KEPT_PLACES):
+            rank = _rank(engine, demand) if _can_be_in_time(demand, prospect) else LATE_RANK
             crowded = not _is_in_time(demand, prospect, NEAR_PART)
             return Placed(chosen, prospect.expected_s, rank, crowded)
         return Crowded(self.return_s(demand), prospect.expected_s)
@@ -316,6 +317,10 @@
     return prospect.usual_s <= room_s
 
 
+def _can_be_in_time(demand: Demand, prospect: Prospect) -> bool:
+    return not demand.is_late and _is_in_time(demand, prospect, 1)
+
+
 def _rank(engine: Engine, demand: Demand) -> int:
     rank = RANKS_OF_PRIORITY * max(0, demand.priority)
     if not demand.is_short_of_time(engine):
--- a/src/cassiahitch/direct/runner.py
+++ b/src/cassiahitch/direct/runner.py
@@ -25,6 +25,7 @@
 from cassiahitch.direct.elsewhere import Elsewhere
 from cassiahitch.direct.failures import failure_answer, id_of, raw_answer
 from cassiahitch.direct.front import RETURN_S as FRONT_RETURN_S
+from cassiahitch.direct.patience import PatienceBook
 from cassiahitch.direct.placement import Crowded, Demand, Placed
 from cassiahitch.direct.progress import Phase
 from cassiahitch.errors import RequestError
@@ -74,7 +75,7 @@
     budget: RetryBudget
     watch: CrashWatch
     journal: Journal
-    patience_s: dict[str, float] = field(default_factory=dict)
+    patience_book: PatienceBook = field(default_factory=PatienceBook)
     elsewhere: Elsewhere = field(init=False)
 
     def __post_init__(self) -> None:
@@ -183,7 +184,8 @@
         self.filters.check(call)
         caller.check_open(call.deadline)
         self.journal.offered(call)
-        self.note_patience(call)
+        if call.request.patience_s is not None:
+            self.patience_book.note(call.plan().name, call.request.patience_s)
         stream = StreamState(caller)
         try:
             async with asyncio.timeout_at(call.deadline):
@@ -269,15 +271,6 @@
         detail = 'no backend server can begin it in time'
         return RequestError(Code.overloaded, detail, call.ran, placed.retry_after_s)
 
-    def note_patience(self, call: Call) -> None:
-        """Remember the longest time that callers of a route wait.
-
-        :param call: a request.
-        """
-        patience_s = call.request.patience_s or 0
-        name = call.plan().name
-        self.patience_s[name] = max(patience_s, self.patience_s.get(name, 0))
-
     def demand(self, call: Call) -> Demand:
         """Return what is to be placed.
 
@@ -287,9 +280,10 @@
         :return: the demand.
         """
         route = call.plan()
-        before_s = self.patience_s.get(route.name, 0) - (call.request.patience_s or 0)
+        usual_s = self.patience_book.usual_s(route.name)
+        patience_s = usual_s if call.request.patience_s is None else call.request.patience_s
         now = asyncio.get_running_loop().time()
-        spent_s = now - call.arrived + max(0, before_s)
+        spent_s = now - call.arrived + max(0, usual_s - patience_s)
         generation = call.request.generation
         priority = route.priority
         if call.organisation is not None and call.organisation.priority is not None:
--- a/tests/direct/test_direct_catalogue.py
+++ b/tests/direct/test_direct_catalogue.py
@@ -57,3 +57,8 @@
     routes = (route('/a/'), replace(route('/b/'), objective_s=0.4))
     known = Catalogue(1, routes, {})
     assert known.objectives_s == {'desk': pytest.approx(0.3)}
+
+
+def test_route_that_leads_nowhere_does_not_change_the_usual_objective() -> None:
+    unused = replace(route('/b/'), objective_s=20, shares=(ServiceShare('desk', 0),))
+    assert Catalogue(1, (route('/a/'), unused), {}).objectives_s == {'desk': pytest.approx(0.2)}
--- /dev/null
+++ b/tests/direct/test_patience.py
@@ -0,0 +1,36 @@
+"""Tests of telling callers that come back from those that ask for the first time."""
+
+from __future__ import annotations
+
+import asyncio
+
+from direct_callers import SMALL, ask, run
+
+from cassiahitch.direct.patience import KEPT, PatienceBook
+from cassiahitch.standins.directsite import DirectSite
+
+
+def test_callers_that_come_back_do_not_change_what_is_usual() -> None:
+    book = PatienceBook()
+    for number in range(KEPT):
+        book.note('draft', 6 if number % 4 == 0 else 4.5)
+    assert book.usual_s('draft') == 6
+
+
+def test_nothing_is_usual_before_the_first_caller() -> None:
+    assert PatienceBook().usual_s('draft') == 0
+
+
+def test_one_patient_caller_does_not_make_all_others_late() -> None:
+    async def body(site: DirectSite) -> None:
+        entry = site.entries[0]
+        for number in range(10):
+            assert (await ask(entry, f'/draft/{number}', deadline_ms=3000)).status == 200
+        assert (await ask(entry, '/draft/p', deadline_ms=60_000)).status == 200
+        for model in site.models:
+            model.running += 4
+        await asyncio.sleep(1.5)
+        for number in range(5):
+            assert (await ask(entry, f'/draft/r{number}', deadline_ms=3000)).status == 200
+
+    run(body, SMALL)
--- a/tests/direct/test_placement.py
+++ b/tests/direct/test_placement.py
@@ -132,6 +132,27 @@
     assert placed.rank == LATE_RANK
 
 
+def test_request_that_no_engine_begins_before_its_deadline_is_refused_at_once() -> None:
+    placement = Placement(random.Random(1))
+    for candidate in candidates(2):
+        report(placement, candidate, 16, 6)
+    slow = replace(ROUTE, objective_s=4)
+    assert isinstance(place(placement, Demand(slow, 0, 1000, left_s=1)), Placed)
+    assert isinstance(place(placement, Demand(slow, 0, 1000, left_s=0.1)), Crowded)
+
+
+def test_request_that_can_still_be_in_time_is_not_put_behind_late_ones() -> None:
+    placement = Placement(random.Random(1))
+    for candidate in candidates(2):
+        report(placement, candidate, 15)
+        for _ in range(20):
+            placement.engine_load(candidate.replica.key).began(0, 0.2, 0)
+    placed = place(placement, Demand(ROUTE, 0.05, 1000))
+    assert isinstance(placed, Placed)
+    assert 0.7 * ROUTE.objective_s < placed.expected_s + 0.05 < ROUTE.objective_s
+    assert placed.rank != LATE_RANK
+
+
 def test_slow_engine_is_avoided() -> None:
     placement = Placement(random.Random(1))
     slow, sound = candidates(2)
