Let the tests of the stop fail if it waits for tasks only

Since the entry stays while callers hold its address, two tests passed also without their fix (found by taking it out).

--- a/tests/direct/test_leaving.py
+++ b/tests/direct/test_leaving.py
@@ -18,6 +18,10 @@
 LARGE_BYTES = 8_000_000
 #: Grace period in which a caller has time to read that beside other work on the machine.
 SLOW_GRACE_S = 6.0
+#: Lifetime of addresses after which an entry ends early if nothing is open, and a pause of a
+#: caller that is longer than callers hold the address.
+SHORT_S = 0.2
+PAUSE_S = 1.5
 BODY = b'x' * 1000
 LEAVING = (503, 1010)
 
@@ -31,13 +35,13 @@
         await caller.send('/lookup/1')
         await until(lambda: any(plain.runs for plain in site.plain) and not entry.front.running)
         stopped = asyncio.create_task(entry.stop())
-        await asyncio.sleep(SLOW_GRACE_S * 0.65)
+        await asyncio.sleep(PAUSE_S)
         got = await caller.answer()
         await stopped
         assert (got.status, got.whole) == (200, True)
         assert len(got.body) > LARGE_BYTES
 
-    run(body, SMALL, grace_s=SLOW_GRACE_S)
+    run(body, SMALL, grace_s=SLOW_GRACE_S, address_lifetime_s=SHORT_S)
 
 
 def test_request_whose_body_is_still_being_read_is_answered() -> None:
@@ -46,13 +50,13 @@
         caller = await connect(entry)
         await caller.send('/order/1', body=BODY, deadline_ms=300)
         stopped = asyncio.create_task(entry.stop())
-        await asyncio.sleep(GRACE_S * 0.68)
+        await asyncio.sleep(PAUSE_S)
         caller.send_rest(BODY)
         got = await caller.answer()
         await stopped
         assert (got.status, got.whole) == (200, True)
 
-    run(body, SMALL, grace_s=GRACE_S)
+    run(body, SMALL, grace_s=GRACE_S, address_lifetime_s=SHORT_S)
 
 
 def test_stream_that_is_read_late_after_the_signal_is_finished_or_refused_at_once() -> None:
