--- a/src/cassiahitch/direct/bounds.py
+++ b/src/cassiahitch/direct/bounds.py
@@ -14,6 +14,8 @@
 MAX_HEADER_BYTES = 131_072
 #: Largest header that is read; what is above it ends the connection without an answer.
 READ_HEADER_BYTES = 1_048_576
+#: Largest body that is read at all, in bytes; the configuration sets a lower bound.
+MAX_BODY_BYTES = 67_108_864
 #: Bytes that the end of a line and the colon take.
 LINE_BYTES = 4
 
@@ -52,6 +54,7 @@
 
 
 __all__ = (
+    'MAX_BODY_BYTES',
     'MAX_HEADER_BYTES',
     'READ_HEADER_BYTES',
     'body_refusal',
--- a/src/cassiahitch/direct/entry.py
+++ b/src/cassiahitch/direct/entry.py
@@ -10,13 +10,13 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
+from cassiahitch.direct.accepting import Front
 from cassiahitch.direct.assembly import EntryParts, make_parts
 from cassiahitch.direct.beliefs import Beliefs
 from cassiahitch.direct.discovery import Discovery
 from cassiahitch.direct.feed import TableFeed
 from cassiahitch.direct.following import TableFollower
 from cassiahitch.direct.freshness import boot_time
-from cassiahitch.direct.front import Front
 from cassiahitch.direct.leaving import GracePlan
 from cassiahitch.direct.peers import AddressAnswer, choose_addresses
 from cassiahitch.direct.relaying import TableRelay
@@ -79,7 +79,7 @@
         self.parts: EntryParts = make_parts(settings, around, self.incarnation, self.rng)
         self.beliefs = Beliefs(self.parts.knowledge, around, self.parts.journal)
         runner = self.parts.runner
-        self.front = Front(runner.serve, runner.fail, runner.malformed)
+        self.front = Front(runner.serve, runner.finals.fail, runner.finals.malformed)
         self.stop_log = StopLog(self.parts.journal.metrics, around.codec)
         self.watch = SettingsWatch(path or Path(), settings, self.parts.journal, self._apply_bounds)
         self.discovery = Discovery(around, self.parts.knowledge, settings, self.rng)
--- a/src/cassiahitch/direct/front.py
+++ b/src/cassiahitch/direct/front.py
@@ -13,41 +13,30 @@
 
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import (
-    HTTPConnection,
     HTTPHeaders,
     HTTPMessageDelegate,
-    HTTPServerConnectionDelegate,
     RequestStartLine,
     ResponseStartLine,
 )
 from tornado.iostream import StreamClosedError
 
 from cassiahitch.codes import Code, Ran
-from cassiahitch.direct.bounds import READ_HEADER_BYTES, body_refusal, header_refusal
-from cassiahitch.direct.callerserver import CallerServer
-from cassiahitch.direct.leaving import GracePlan
+from cassiahitch.direct.bounds import body_refusal, header_refusal
 from cassiahitch.direct.progress import Phase, Progress
 from cassiahitch.errors import RequestError
 
 if TYPE_CHECKING:
+    from cassiahitch.direct.accepting import Front
     from cassiahitch.direct.api import Headers
 
-#: Largest body that is read at all, in bytes; the configuration sets a lower bound.
-MAX_BODY_BYTES = 67_108_864
 #: Seconds after which a caller may come back, to another entry.
 RETURN_S = 0.05
-#: Seconds for which a connection without a request is kept.
-IDLE_S = 60.0
 #: Bytes of a whole answer after each of which it is known whether they have left.
 PIECE_BYTES = 65_536
 #: Seconds for which the rest of a refused body is read and dropped, so that its caller can read
 #: the answer before the connection closes.
 LINGER_S = 2.0
 
-Serve = Callable[['CallerExchange'], Awaitable[None]]
-Fail = Callable[['CallerExchange', Exception], Awaitable[None]]
-Malformed = Callable[[], bytes]
-
 
 class CallerGone(Exception):
     """The caller has closed its connection."""
@@ -319,88 +308,6 @@
             self.abort()
 
 
-class Front(HTTPServerConnectionDelegate):
-    """Accepts connections of callers and serves their requests."""
-
-    def __init__(self, serve: Serve, fail: Fail, malformed: Malformed) -> None:
-        """Create it; nothing listens yet.
-
-        :param serve: answers one request.
-        :param fail: ends one whose service failed with a fault inside.
-        :param malformed: returns the answer to bytes that are no request.
-        """
-        self.serve = serve
-        self.fail = fail
-        self.running: set[CallerExchange] = set()
-        self.open: set[CallerExchange] = set()
-        self.lingering: set[CallerExchange] = set()
-        self.connections: set[object] = set()
-        self.closing = False
-        self.max_body_bytes = MAX_BODY_BYTES
-        self.plan: GracePlan | None = None
-        self.server = CallerServer(
-            self,
-            malformed,
-            max_header_size=READ_HEADER_BYTES,
-            idle_connection_timeout=IDLE_S,
-        )
-
-    def start_request(
-        self, server_conn: object, request_conn: HTTPConnection
-    ) -> HTTPMessageDelegate:
-        """Begin to read a request.
-
-        :param server_conn: the connection.
-        :param request_conn: the connection, for this request.
-        :return: what reads it.
-        :raises TypeError: if the server speaks another protocol.
-        """
-        if not isinstance(request_conn, HTTP1Connection):
-            raise TypeError('not an HTTP/1 connection')
-        self.connections.add(server_conn)
-        return CallerExchange(request_conn, self)
-
-    def on_close(self, server_conn: object) -> None:
-        """Forget a connection.
-
-        :param server_conn: the connection.
-        """
-        self.connections.discard(server_conn)
-
-    def is_busy(self, before: float) -> bool:
-        """Tell whether anything is under way for a caller.
-
-        :param before: requests that came later do not count, in seconds.
-        :return: whether an answer has not left as a whole, or a request still runs.
-        """
-        busy = (*self.open, *self.running, *self.lingering)
-        return any(exchange.progress.opened_at <= before for exchange in busy)
-
-    def leave(self, plan: GracePlan) -> None:
-        """End each connection after its next answer, and take only what can be finished.
-
-        :param plan: the grace period.
-        """
-        self.plan = plan
-        self.server.conn_params.no_keep_alive = True
-
-    def give_up(self) -> None:
-        """Tell all callers whose answer has not begun that there is none."""
-        for exchange in tuple(self.open):
-            exchange.give_up()
-
-    def refuses(self, read_at: float, deadline: float) -> bool:
-        """Tell whether a request comes too late.
-
-        :param read_at: when it was read, in seconds.
-        :param deadline: when it ends at the latest, in seconds.
-        :return: whether it is refused.
-        """
-        if self.closing:
-            return True
-        return self.plan is not None and not self.plan.takes(read_at, deadline)
-
-
 def _header_lines(headers: Headers) -> HTTPHeaders:
     lines = HTTPHeaders()
     for name, text in headers:
@@ -423,6 +330,5 @@
 __all__ = (
     'CallerExchange',
     'CallerGone',
-    'Front',
     'Incoming',
 )
--- a/src/cassiahitch/direct/runner.py
+++ b/src/cassiahitch/direct/runner.py
@@ -23,8 +23,7 @@
 )
 from cassiahitch.direct.candidates import Candidates
 from cassiahitch.direct.elsewhere import Elsewhere
-from cassiahitch.direct.failures import failure_answer, id_of, raw_answer
-from cassiahitch.direct.front import RETURN_S as FRONT_RETURN_S
+from cassiahitch.direct.finals import FinalAnswers
 from cassiahitch.direct.placement import Crowded, Demand, Placed
 from cassiahitch.direct.progress import Phase
 from cassiahitch.errors import RequestError
@@ -76,9 +75,11 @@
     journal: Journal
     patience_s: dict[str, float] = field(default_factory=dict)
     elsewhere: Elsewhere = field(init=False)
+    finals: FinalAnswers = field(init=False)
 
     def __post_init__(self) -> None:
         """Create what is made of the other parts."""
+        self.finals = FinalAnswers(self.codec, self.journal)
         self.elsewhere = Elsewhere(
             knowledge=self.knowledge,
             filters=self.filters,
@@ -108,71 +109,11 @@
                 raise caller.refusal
             await self.run(call, caller)
         except RequestError as error:
-            await self.refuse(call, caller, error)
+            await self.finals.refuse(call, caller, error)
         except (CallerGone, asyncio.CancelledError):
-            if not await self.answers_last(call, caller):
+            if not await self.finals.answers_last(call, caller):
                 raise
 
-    async def answers_last(self, call: Call | None, caller: CallerExchange) -> bool:
-        """Answer a request that ends before its answer began, if its caller is there.
-
-        :param call: the request, if it could be read.
-        :param caller: where its answer goes.
-        :return: whether it is answered.
-        """
-        if caller.given_up and not caller.gone:
-            await self.refuse(call, caller, _given_up(call, caller.progress.phase))
-            return True
-        if not caller.progress.cut:
-            self.journal.left(call)
-        return False
-
-    async def fail(self, caller: CallerExchange, fault: Exception) -> None:
-        """End a request whose service failed with a fault inside.
-
-        :param caller: the request and where its answer goes.
-        :param fault: what was raised.
-        """
-        self.journal.fault(caller.progress.id or id_of(self.codec, caller.incoming), fault)
-        if caller.started:
-            caller.abort()
-            return
-        error = RequestError(Code.internal, 'a fault inside this entry', Ran.unknown)
-        await caller.answer(*failure_answer(error))
-
-    def malformed(self) -> bytes:
-        """Refuse bytes that are no request.
-
-        :return: the answer.
-        """
-        error = RequestError(Code.bad_request, 'not a request in HTTP/1.1', Ran.no)
-        self.journal.failed(None, error)
-        return raw_answer(error)
-
-    async def refuse(
-        self,
-        call: Call | None,
-        caller: CallerExchange,
-        error: RequestError,
-    ) -> None:
-        """Give the final answer to a request that failed.
-
-        :param call: the request, if it could be read.
-        :param caller: where its answer goes.
-        :param error: why it failed.
-        """
-        self.journal.failed(call, error)
-        if caller.started:
-            caller.abort()
-            return
-        if call is not None and call.failure is not None:
-            # What a backend server said is worth more than that no other one could be asked.
-            head = call.failure.head
-            await caller.answer(head.status, head.reason, head.headers, call.failure.body)
-            return
-        status, reason, headers, body = failure_answer(error)
-        await caller.answer(status, reason, headers, body)
-
     async def run(self, call: Call, caller: CallerExchange) -> None:
         """Check, place and send a request until it has its answer.
 
@@ -443,13 +384,6 @@
     return whole and not head.encoded and not broken_promise
 
 
-def _given_up(call: Call | None, phase: Phase) -> RequestError:
-    ran = Ran.no if call is None else call.ran
-    if phase is Phase.replica:
-        ran = Ran.unknown
-    return RequestError(Code.leaving, 'this entry ends', ran, FRONT_RETURN_S)
-
-
 def _lost(outcome: Outcome, ran: Ran) -> RequestError:
     detail = 'the backend server gave no whole answer'
     if isinstance(outcome, Lost):
