Offer what an engine has staged to the agents of added engines

Cause: agents told only of chunks in memory, and version 1 is nowhere in memory, so an added engine, which serves nothing and is therefore urgent, drew all from the origin although two engines of its region had all of them staged.

Now an agent also offers what its engine has staged and serves, without chunks that were found wrong, and nothing while the engine or its manifest cannot be had. The stand-in names the number of chunks as the platform does.

--- a/src/cassiahitch/direct/chunkmaps.py
+++ b/src/cassiahitch/direct/chunkmaps.py
@@ -43,7 +43,7 @@
         """
         if self.socket is None:
             return
-        held = format(self.library.bits(name), 'x')
+        held = format(self.library.offered(name), 'x')
         message = ChunkMap(name.model, name.version, held, self.uploads.load)
         for host in hosts:
             self.socket.send(message, Endpoint(host, self.port))
@@ -61,7 +61,7 @@
         fetch = self.fetches.get(name)
         if fetch is not None:
             fetch.heard(sender.address, held, message.uploads)
-        elif self.library.bits(name) & ~held:
+        elif self.library.offered(name) & ~held:
             self.answer(name, sender)
 
     def answer(self, name: WeightsName, sender: Endpoint) -> None:
--- a/src/cassiahitch/direct/library.py
+++ b/src/cassiahitch/direct/library.py
@@ -32,6 +32,7 @@
     origin_mbit_s: float = 0
     chunk_bytes: int = 0
     chunk_count: int = 0
+    spoilt: set[tuple[WeightsName, int]] = field(default_factory=set)
 
     @property
     def version_bytes(self) -> int:
@@ -81,7 +82,7 @@
         return digests
 
     def bits(self, name: WeightsName) -> int:
-        """Return which chunks of a version can be had here.
+        """Return which chunks of a version are in memory here.
 
         :param name: the version.
         :return: a bit for each.
@@ -89,6 +90,20 @@
         held = self.shelf.held.get(name)
         return sum(1 << index for index in held.contents) if held else 0
 
+    def offered(self, name: WeightsName) -> int:
+        """Return which chunks of a version others can have from here.
+
+        Load pattern: engines are added whose version all others have had from the start, and
+        which no agent has in memory.
+
+        :param name: the version.
+        :return: a bit for each that is in memory or staged, but for those that were found wrong.
+        """
+        if name != self.staged:
+            return self.bits(name)
+        wrong = sum(1 << index for found, index in self.spoilt if found == name)
+        return self.bits(name) | ((1 << self.chunk_count) - 1) & ~wrong
+
     async def chunk(self, name: WeightsName, index: int, wait_s: float) -> bytes | None:
         """Return a chunk from memory or from the engine.
 
@@ -113,9 +128,14 @@
             await self.open(name)
             content = await self.engine.staged(name.model, index)
         except PlatformError:
-            # The engine or the origin is away; the chunk comes from another source.
+            # The engine or the origin is away; the chunk comes from another source, and nothing
+            # is offered until the engine has told again that it serves the version.
+            self.staged = None
             return False
-        return content is not None and self.shelf.add(name, index, content)
+        if content is not None and self.shelf.add(name, index, content):
+            return True
+        self.spoilt.add((name, index))
+        return False
 
 
 __all__ = ('ChunkLibrary',)
--- a/src/cassiahitch/direct/staging.py
+++ b/src/cassiahitch/direct/staging.py
@@ -60,6 +60,7 @@
                 await self.engine.stage(name.model, index, content)
             self.stored.add(index)
         self.library.staged = name
+        self.library.spoilt.clear()
 
     def begin(self, name: WeightsName) -> None:
         """Count nothing as stored if another version was staged.
--- a/src/cassiahitch/standins/directsite.py
+++ b/src/cassiahitch/standins/directsite.py
@@ -304,6 +304,7 @@
         'read_per_s': 30_000.0,
         'usual': {'prompt': 100, 'answer': 30},
         'chunkBytes': CHUNK_BYTES,
+        'chunkCount': CHUNKS,
     }
     shared = {'host': 'menus.example', 'timeoutMs': 4000, 'targetLatencyMs': 400, 'priority': 1}
     return {
--- a/tests/direct/test_staging.py
+++ b/tests/direct/test_staging.py
@@ -17,6 +17,8 @@
 from cassiahitch.stores.caller import HttpCaller
 
 CHUNKS = 8
+#: Chunks that are asked of the origin before an agent has heard what others hold.
+AT_THE_START = 2
 
 
 @dataclass
@@ -125,3 +127,41 @@
         assert fresh.parts.library.bits(name).bit_count() == len(chunks)
 
     run(body, DirectSize(entries=1, models=1, plain=0))
+
+
+def slow_down_origin(site: DirectSite) -> None:
+    services = [dict(one) for one in site.configuration['services']]
+    for one in services:
+        one['linkMbps'] = 1.0
+    site.change(services=services)
+
+
+def test_added_engine_gets_what_the_engines_beside_it_have_staged() -> None:
+    async def body(site: DirectSite) -> None:
+        await until(lambda: all(one.parts.library.staged is not None for one in site.agents))
+        slow_down_origin(site)
+        fresh = await site.add_model(2, loaded=False)
+        engine = fresh.engine
+        assert engine is not None
+        await until(lambda: engine.version == 1)
+        assert engine.loaded_digest == site.weights.whole_digest(1)
+        assert site.weights.sent[1] <= AT_THE_START
+
+    run(body, DirectSize(entries=1, models=2, plain=0))
+
+
+def test_staged_chunk_that_is_spoilt_is_not_offered_and_comes_from_elsewhere() -> None:
+    async def body(site: DirectSite) -> None:
+        await until(lambda: all(one.parts.library.staged is not None for one in site.agents))
+        beside = site.models[0].engine
+        assert beside is not None
+        beside.staged[2] = b'rotten'
+        slow_down_origin(site)
+        fresh = await site.add_model(2, loaded=False)
+        engine = fresh.engine
+        assert engine is not None
+        await until(lambda: engine.version == 1)
+        assert engine.loaded_digest == site.weights.whole_digest(1)
+        assert not site.agents[0].parts.library.offered(WeightsName(1, 'm1')) >> 2 & 1
+
+    run(body, DirectSize(entries=1, models=2, plain=0))
