Keep the staged version while an order without an answer may still be carried out

Now nothing of another version is staged for 10 s after such an order. Test that failed before: an order that got no answer finds its own version.

--- a/src/cassiahitch/direct/loading.py
+++ b/src/cassiahitch/direct/loading.py
@@ -295,6 +295,8 @@
         if report.loading or self.has(wanted):
             return OrderOutcome.in_effect
         outcome = await self.engine.load(wanted.model, wanted.version, report.orders)
+        if outcome is OrderOutcome.unknown:
+            self.stager.keep_version()
         await self.settle(wanted)
         return outcome
 
--- a/src/cassiahitch/direct/staging.py
+++ b/src/cassiahitch/direct/staging.py
@@ -13,6 +13,9 @@
     from cassiahitch.direct.enginestate import StagedEngine
     from cassiahitch.direct.library import ChunkLibrary
 
+#: Seconds after an order without an answer in which an engine may still carry it out.
+UNSURE_S = 10.0
+
 
 @dataclass(slots=True)
 class Stager:
@@ -27,6 +30,7 @@
     lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     name: WeightsName | None = None
     stored: set[int] = field(default_factory=set)
+    unsure_until: float = float('-inf')
 
     async def store_arrived(self, name: WeightsName, held: Held) -> None:
         """Store the chunks that have arrived since the last time.
@@ -41,6 +45,8 @@
         if name == self.name and self.stored.issuperset(held.contents):
             return
         async with self.lock:
+            if name != self.name and asyncio.get_running_loop().time() < self.unsure_until:
+                return
             self.begin(name)
             for index in sorted(held.contents.keys() - self.stored):
                 await self.engine.stage(name.model, index, held.contents[index])
@@ -62,6 +68,14 @@
         self.library.staged = name
         self.library.spoilt.clear()
 
+    def keep_version(self) -> None:
+        """Keep the version that is staged for a while.
+
+        Load pattern: an order to load gets no answer, and an engine that stood still carries it
+        out seconds later, when chunks of a newer version would lie there.
+        """
+        self.unsure_until = asyncio.get_running_loop().time() + UNSURE_S
+
     def begin(self, name: WeightsName) -> None:
         """Count nothing as stored if another version was staged.
 
--- a/tests/direct/test_staging.py
+++ b/tests/direct/test_staging.py
@@ -102,6 +102,25 @@
     asyncio.run(body())
 
 
+def test_order_that_got_no_answer_finds_its_own_version_when_it_is_carried_out_later() -> None:
+    async def body() -> None:
+        async with HttpCaller() as caller:
+            engine = SlowEngine()
+            stager = make_stager(engine, caller)
+            old, old_held = make_held(2)
+            async with stager.lock:
+                await stager.store_whole(old, old_held)
+                stager.keep_version()
+            await stager.store_arrived(*make_held(3))
+            assert engine.chunks == old_held.contents
+            stager.unsure_until = asyncio.get_running_loop().time()
+            new, new_held = make_held(3)
+            await stager.store_arrived(new, new_held)
+            assert engine.chunks == new_held.contents
+
+    asyncio.run(body())
+
+
 def test_agent_that_starts_again_fetches_only_what_it_had_not_yet() -> None:
     async def body(site: DirectSite) -> None:
         agent = site.agents[0]
