--- a/tests/direct/test_staging.py
+++ b/tests/direct/test_staging.py
@@ -17,6 +17,8 @@
 from cassiahitch.stores.caller import HttpCaller
 
 CHUNKS = 8
+#: Chunks that are asked of the origin before an agent has heard what others hold.
+AT_THE_START = 2
 
 
 @dataclass
@@ -100,6 +102,25 @@
     asyncio.run(body())
 
 
+def test_order_that_got_no_answer_finds_its_own_version_when_it_is_carried_out_later() -> None:
+    async def body() -> None:
+        async with HttpCaller() as caller:
+            engine = SlowEngine()
+            stager = make_stager(engine, caller)
+            old, old_held = make_held(2)
+            async with stager.lock:
+                await stager.store_whole(old, old_held)
+                stager.keep_version()
+            await stager.store_arrived(*make_held(3))
+            assert engine.chunks == old_held.contents
+            stager.unsure_until = asyncio.get_running_loop().time()
+            new, new_held = make_held(3)
+            await stager.store_arrived(new, new_held)
+            assert engine.chunks == new_held.contents
+
+    asyncio.run(body())
+
+
 def test_agent_that_starts_again_fetches_only_what_it_had_not_yet() -> None:
     async def body(site: DirectSite) -> None:
         agent = site.agents[0]
@@ -125,3 +146,41 @@
         assert fresh.parts.library.bits(name).bit_count() == len(chunks)
 
     run(body, DirectSize(entries=1, models=1, plain=0))
+
+
+def slow_down_origin(site: DirectSite) -> None:
+    services = [dict(one) for one in site.configuration['services']]
+    for one in services:
+        one['linkMbps'] = 1.0
+    site.change(services=services)
+
+
+def test_added_engine_gets_what_the_engines_beside_it_have_staged() -> None:
+    async def body(site: DirectSite) -> None:
+        await until(lambda: all(one.parts.library.staged is not None for one in site.agents))
+        slow_down_origin(site)
+        fresh = await site.add_model(2, loaded=False)
+        engine = fresh.engine
+        assert engine is not None
+        await until(lambda: engine.version == 1)
+        assert engine.loaded_digest == site.weights.whole_digest(1)
+        assert site.weights.sent[1] <= AT_THE_START
+
+    run(body, DirectSize(entries=1, models=2, plain=0))
+
+
+def test_staged_chunk_that_is_spoilt_is_not_offered_and_comes_from_elsewhere() -> None:
+    async def body(site: DirectSite) -> None:
+        await until(lambda: all(one.parts.library.staged is not None for one in site.agents))
+        beside = site.models[0].engine
+        assert beside is not None
+        beside.staged[2] = b'rotten'
+        slow_down_origin(site)
+        fresh = await site.add_model(2, loaded=False)
+        engine = fresh.engine
+        assert engine is not None
+        await until(lambda: engine.version == 1)
+        assert engine.loaded_digest == site.weights.whole_digest(1)
+        assert not site.agents[0].parts.library.offered(WeightsName(1, 'm1')) >> 2 & 1
+
+    run(body, DirectSize(entries=1, models=2, plain=0))
