--- a/src/cassiahitch/soak/callers.py
+++ b/src/cassiahitch/soak/callers.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import random
+from contextlib import ExitStack
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from itertools import count
@@ -177,12 +178,13 @@
         )
         self.load.record.attempts[number] = attempt
         exchange = CallerExchange(connection, attempt, self.manner)
-        await exchange.run(body)
-        closes = exchange.headers.get('connection', '').lower() == 'close'
-        if self.manner.keeps and exchange.reusable and not closes:
-            self.kept = connection
-        else:
-            connection.close()
+        with ExitStack() as stack:
+            stack.callback(connection.close)
+            await exchange.run(body)
+            closes = exchange.headers.get('connection', '').lower() == 'close'
+            if self.manner.keeps and exchange.reusable and not closes:
+                self.kept = connection
+                stack.pop_all()
         if not attempt.whole and not attempt.left:
             self.failed.add(connection.endpoint)
         return attempt, float(exchange.headers.get('retry-after', 0))
--- a/src/cassiahitch/soak/run.py
+++ b/src/cassiahitch/soak/run.py
@@ -30,8 +30,6 @@
 BURST_PAUSE_S = 0.02
 #: Seconds in which the last requests end after the load.
 LAST_S = 1.0
-#: Seconds between two looks whether the soak itself is late.
-WATCH_S = 0.05
 
 
 @dataclass
@@ -75,32 +73,28 @@
         :param site: the site.
         :param load: what the callers share.
         """
-        clock = asyncio.get_running_loop().time
-        self.record.began = clock()
-        until = self.record.began + self.size.seconds
+        watching = [asyncio.create_task(Starvation(self.record, site.pids).work())]
         tasks = [asyncio.create_task(caller.work()) for caller in self.callers(load)]
-        tasks.append(asyncio.create_task(self.watch()))
-        tasks.append(asyncio.create_task(Starvation(self.record, site.pids).work()))
-        await Faults(site, Burst(load, self.seed, self.record).run).run(
-            self.plan, self.record.began
-        )
-        self.record.faults_ended = clock()
-        await asyncio.sleep(max(0, until - clock()))
+        await self.disturb(site, load)
         load.asking = False
         await asyncio.wait(tasks, timeout=LAST_S)
-        self.record.ended = clock()
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        self.record.ended = asyncio.get_running_loop().time()
+        await cancel(tasks)
         await asyncio.gather(*(process.terminate() for process in site.processes.values()))
+        await cancel(watching)
 
-    async def watch(self) -> None:
-        """Note how late the soak itself is."""
+    async def disturb(self, site: SoakSite, load: Load) -> None:
+        """Carry out the plan and wait until the time of the load is over.
+
+        :param site: the site.
+        :param load: what the callers share.
+        """
         clock = asyncio.get_running_loop().time
-        while True:
-            due = clock() + WATCH_S
-            await asyncio.sleep(WATCH_S)
-            self.record.longest_lag_s = max(self.record.longest_lag_s, clock() - due)
+        self.record.began = clock()
+        faults = Faults(site, Burst(load, self.seed, self.record).run)
+        await faults.run(self.plan, self.record.began)
+        self.record.faults_ended = clock()
+        await asyncio.sleep(max(0, self.record.began + self.size.seconds - clock()))
 
     def callers(self, load: Load) -> list[Caller]:
         """Return the callers of the whole run.
@@ -150,9 +144,7 @@
         callers = (self.caller(number) for number in range(BURST_CALLERS))
         tasks = [asyncio.create_task(caller.work()) for caller in callers]
         await asyncio.sleep(seconds)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await cancel(tasks)
         last = self.record.overload
         if last is None or last.ended - last.began < seconds:
             self.record.overload = Disturbance('overload', since, clock())
@@ -168,4 +160,14 @@
         return Caller(self.load, rng, Manner(), kinds, REGIONS[number % 2], BURST_PAUSE_S)
 
 
+async def cancel(tasks: list[asyncio.Task[None]]) -> None:
+    """Cancel tasks and wait for their end.
+
+    :param tasks: the tasks.
+    """
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
 __all__ = ('Soak',)
--- a/src/cassiahitch/soak/starvation.py
+++ b/src/cassiahitch/soak/starvation.py
@@ -29,9 +29,12 @@
 
     async def work(self) -> None:
         """Look until cancelled."""
+        clock = asyncio.get_running_loop().time
         while True:
             self.look()
+            due = clock() + LOOK_S
             await asyncio.sleep(LOOK_S)
+            self.record.longest_lag_s = max(self.record.longest_lag_s, clock() - due)
 
     def look(self) -> None:
         """Compare what each process has waited with the last look."""
--- /dev/null
+++ b/tests/soak/test_soak_seeds.py
@@ -0,0 +1,19 @@
+"""Seeds that failed once can be run again."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from cassiahitch.soak.plan import Area, Size, make_plan
+
+LINES = (Path(__file__).parent / 'seeds.txt').read_text(encoding='utf-8').splitlines()
+
+
+@pytest.mark.parametrize('line', [line for line in LINES if not line.startswith('#')])
+def test_seed_that_failed_once_has_its_plan_and_its_cause(line: str) -> None:
+    seed, seconds, areas, cause = line.split(maxsplit=3)
+    chosen = tuple(Area) if areas == 'all' else tuple(Area(one) for one in areas.split(','))
+    assert make_plan(int(seed), Size(float(seconds), areas=chosen))
+    assert cause
