--- a/src/cassiahitch/soak/checks.py
+++ b/src/cassiahitch/soak/checks.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable, Iterator
 
-from cassiahitch.soak.lost import check_stops
+from cassiahitch.soak.lost import check_closed, check_stops
 from cassiahitch.soak.records import (
     SOAK,
     STORE,
@@ -144,6 +144,7 @@
     check_unchanged,
     check_once,
     check_not_run,
+    check_closed,
     check_stops,
     check_keys,
     check_drained,
--- a/src/cassiahitch/soak/lost.py
+++ b/src/cassiahitch/soak/lost.py
@@ -13,6 +13,7 @@
     Promise,
     Record,
     Violation,
+    stop_of,
 )
 
 #: Seconds after the order to end; one sent until then may be cut late in the grace period.
@@ -21,6 +22,8 @@
 LATE_PART = 5 / 6
 #: Seconds after the grace period in which a cut is still one of the stop.
 AFTER_S = 1
+#: Requests in a run that may be closed without an answer.
+FEW_CLOSED = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,8 +40,16 @@
 
         :return: attempts.
         """
-        own = (one for one in self.record.attempts.values() if one.entry == self.end.process)
-        return [one for one in own if self.was_cut(one) and not self.may_be_cut(one)]
+        cut = (one for one in self.record.attempts.values() if self.is_own_cut(one))
+        return [one for one in cut if not self.may_be_cut(one)]
+
+    def is_own_cut(self, attempt: Attempt) -> bool:
+        """Tell whether this process cut a request around the stop.
+
+        :param attempt: an attempt.
+        :return: whether it did.
+        """
+        return attempt.entry == self.end.process and self.was_cut(attempt)
 
     def was_cut(self, attempt: Attempt) -> bool:
         """Tell whether a request that was read ended without a whole answer.
@@ -87,6 +98,42 @@
                 yield _lost(attempt, end.asked, runs.get(attempt.id, []))
 
 
+def check_closed(record: Record) -> Iterator[Violation]:
+    """Hosts in touch do not close connections whose request a sound replica runs.
+
+    :param record: what was seen.
+    :yield: violations, if there are more than a few.
+    """
+    found: list[Violation] = []
+    for number, runs in record.runs().items():
+        attempt = record.attempts[number]
+        ended = attempt.ended
+        if ended is None or attempt.status or attempt.left or ended >= attempt.deadline:
+            continue
+        targets = (SOAK, attempt.entry, stop_of(attempt.entry), *(one.host for one in runs))
+        if record.calm(targets, attempt.began, ended) and not any(one.broke_off for one in runs):
+            found.append(Violation(Promise.answered, ended, number, 'closed without an answer'))
+    if len(found) > FEW_CLOSED:
+        yield from found
+
+
+def count_cuts(record: Record) -> dict[str, int]:
+    """Count the cuts around stops.
+
+    :param record: what was seen.
+    :return: how many are lost, and how many the promise allows.
+    """
+    counts = {'lost': 0, 'allowed': 0}
+    runs = record.runs()
+    for end in record.ends:
+        if end.asked is not None:
+            stop = Stop(record, end, end.asked, runs)
+            cut = [one for one in record.attempts.values() if stop.is_own_cut(one)]
+            counts['lost'] += len(stop.lost())
+            counts['allowed'] += len(cut) - len(stop.lost())
+    return counts
+
+
 def _check_end(record: Record, end: ProcessEnd) -> Iterator[Violation]:
     asked = end.asked
     detail = ''
@@ -119,5 +166,7 @@
 
 __all__ = (
     'Stop',
+    'check_closed',
     'check_stops',
+    'count_cuts',
 )
--- a/src/cassiahitch/soak/records.py
+++ b/src/cassiahitch/soak/records.py
@@ -39,6 +39,7 @@
     unchanged = 'unchanged'
     once = 'once'
     not_run = 'not_run'
+    answered = 'answered'
     whole_at_stop = 'whole_at_stop'
     graceful_end = 'graceful_end'
     revoked_key = 'revoked_key'
--- a/src/cassiahitch/soak/report.py
+++ b/src/cassiahitch/soak/report.py
@@ -7,6 +7,8 @@
 from dataclasses import asdict, dataclass
 from typing import TYPE_CHECKING, Any
 
+from cassiahitch.soak.lost import count_cuts
+
 if TYPE_CHECKING:
     from cassiahitch.soak.plan import Event, Size
     from cassiahitch.soak.records import Attempt, Record, Violation
@@ -73,6 +75,7 @@
         'stops_s': [
             round(end.ended - end.asked, DECIMALS) for end in record.ends if end.asked is not None
         ],
+        'cuts_at_stops': count_cuts(record),
         'changes': [type(change).__name__ for change in record.changes],
         'longest_lag_s': round(record.longest_lag_s, DECIMALS),
         'slow_downs': dict(Counter(one.target for one in record.slow_downs)),
--- a/tests/soak/test_soak_lost.py
+++ b/tests/soak/test_soak_lost.py
@@ -5,7 +5,8 @@
 import pytest
 from soak_records import ASKED, cut_attempt, late_run, lost
 
-from cassiahitch.soak.records import Disturbance
+from cassiahitch.soak.lost import check_closed, count_cuts
+from cassiahitch.soak.records import Disturbance, ProcessEnd, Promise, Record
 
 
 def test_cut_of_a_request_that_was_passed_on_is_lost() -> None:
@@ -59,3 +60,36 @@
 def test_cut_long_after_the_stop_is_not_counted_to_it() -> None:
     assert not lost(cut_attempt(ended=ASKED + 9.1), late_run())
     assert not lost(cut_attempt(deadline=ASKED + 7), late_run())
+
+
+def closed_record(closed: int) -> Record:
+    record = Record(ended=ASKED + 60)
+    for number in range(closed):
+        record.attempts[f's{number}'] = cut_attempt(id=f's{number}', status=0)
+        record.executions.append(late_run(id=f's{number}'))
+    return record
+
+
+def test_more_than_a_few_connections_closed_without_an_answer_are_seen() -> None:
+    assert not list(check_closed(closed_record(3)))
+    assert [one.promise for one in check_closed(closed_record(4))] == [
+        Promise.answered,
+        Promise.answered,
+        Promise.answered,
+        Promise.answered,
+    ]
+
+
+def test_close_of_a_disturbed_host_is_excused() -> None:
+    record = closed_record(4)
+    record.disturbances.append(Disturbance('stop of entry-0', ASKED, ASKED + 5))
+    assert not list(check_closed(record))
+
+
+def test_cuts_are_counted_as_lost_or_allowed() -> None:
+    record = Record(ended=ASKED + 60)
+    record.ends.append(ProcessEnd('entry-0', ASKED, ASKED + 7.5, 0))
+    record.attempts['s1'] = cut_attempt()
+    record.attempts['s2'] = cut_attempt(id='s2')
+    record.executions.extend((late_run(), late_run(id='s2', broke_off=True)))
+    assert count_cuts(record) == {'lost': 1, 'allowed': 1}
