--- a/src/cassiahitch/soak/site.py
+++ b/src/cassiahitch/soak/site.py
@@ -126,6 +126,14 @@
         for number in range(self.size.entries):
             address = loopback_address(ENTRY_HOSTS, number)
             await self.add_process('direct-entry', f'entry-{number}', address, number)
+        await self.until_all_ready()
+
+    async def until_all_ready(self) -> None:
+        """Start the processes and wait until all entries are ready.
+
+        :raises CassiahitchError: ``soak_not_ready`` if they are not in time.
+        """
+        await asyncio.gather(*(process.start() for process in self.processes.values()))
         try:
             async with asyncio.timeout(READY_S):
                 for number in range(self.size.entries):
@@ -187,7 +195,7 @@
         self.store.put(names.OPERATOR_TABLE, names.CONFIGURATION_KEY, configuration)
 
     async def add_process(self, role: str, name: str, address: str, number: int) -> None:
-        """Start an entry or an agent with a link of its own to the store.
+        """Prepare an entry or an agent with a link of its own to the store.
 
         :param role: sub-command of the program.
         :param name: name of the process.
@@ -211,7 +219,6 @@
         process = RunningProcess(name, role, self.folder, settings, self.record)
         self.processes[name] = process
         self.stack.push_async_callback(process.kill)
-        await process.start()
 
     def entry(self, address: str) -> dict[str, Any]:
         """Return the settings that only entries have.
