--- a/src/cassiahitch/direct/placement.py
+++ b/src/cassiahitch/direct/placement.py
@@ -37,7 +37,7 @@
 #: Candidates that are compared at first.
 SAMPLE = 3
 #: Shortest and longest time after which a refused caller may come back, in seconds.
-RETURN_S = (1.2, 2.0)
+RETURN_S = (0.7, 1.9)
 #: Part of the time that a caller has left up to which it waits as told.
 HEEDED_PART = 1 / 3
 #: Weight of the newest time in the mean time of a plain replica.
