--- a/src/cassiahitch/bench/direct.py
+++ b/src/cassiahitch/bench/direct.py
@@ -14,7 +14,8 @@
 from cassiahitch.metrics.histograms import Histogram
 from cassiahitch.platform import names
 from cassiahitch.standins.backends import Fault
-from cassiahitch.standins.directsite import KEY, MODEL, DirectSite, DirectSize
+from cassiahitch.standins.configurations import KEY, MODEL
+from cassiahitch.standins.directsite import DirectSite, DirectSize
 from cassiahitch.stores.caller import Call, CallFailed, HttpCaller, Reply
 
 #: Numbers of model engines.
--- a/src/cassiahitch/soak/faults.py
+++ b/src/cassiahitch/soak/faults.py
@@ -36,7 +36,7 @@
     stop_of,
 )
 from cassiahitch.standins.backends import Fault
-from cassiahitch.standins.directsite import CHUNKS
+from cassiahitch.standins.configurations import CHUNKS, organisations_of, with_organisations
 from cassiahitch.standins.rowstore import StoreFaults
 
 if TYPE_CHECKING:
@@ -228,10 +228,10 @@
 
     def revoke(self) -> None:
         """Take the key of the last organisation that has one away."""
-        tenants = list(self.site.configuration['tenants'])
-        if len(tenants) > 1:
-            key = tenants.pop()['apiKeys'][0]
-            self.configure(tenants=tenants)
+        organisations = organisations_of(self.site.configuration)
+        if len(organisations) > 1:
+            key, _ = organisations.popitem()
+            self.configure(**with_organisations({}, organisations))
             self.site.record.changes.append(KeyRevoked(self.now(), key))
 
     def configure(self, **fields: object) -> None:
--- a/src/cassiahitch/soak/run.py
+++ b/src/cassiahitch/soak/run.py
@@ -15,6 +15,7 @@
 from cassiahitch.soak.records import Disturbance, Kind, Record, Violation
 from cassiahitch.soak.site import SoakSite
 from cassiahitch.soak.starvation import Starvation
+from cassiahitch.standins.configurations import organisations_of
 
 #: Callers of each manner, and the kinds of request that they make.
 MANNERS = (
@@ -52,9 +53,7 @@
         :return: what was broken.
         """
         async with SoakSite(self.size, self.folder, self.record) as site:
-            self.record.organisations = {
-                tenant['apiKeys'][0]: tenant['name'] for tenant in site.configuration['tenants']
-            }
+            self.record.organisations = organisations_of(site.configuration)
             load = Load(
                 record=self.record,
                 directories=site.directories(),
--- a/src/cassiahitch/soak/site.py
+++ b/src/cassiahitch/soak/site.py
@@ -20,21 +20,26 @@
 from cassiahitch.soak.proxy import FaultyProxy
 from cassiahitch.soak.records import Record
 from cassiahitch.standins.backends import EngineStandin
-from cassiahitch.standins.directsite import (
-    CALLERS_PORT,
+from cassiahitch.standins.configurations import (
     CHUNK_BYTES,
     CHUNKS,
     DESK,
-    DIRECTORY_PORT,
     DOMAINS,
     DRAFTS,
+    CallerBounds,
+    first_configuration,
+    with_bounds,
+    with_organisations,
+)
+from cassiahitch.standins.directsite import (
+    CALLERS_PORT,
+    DIRECTORY_PORT,
     ENTRY_HOSTS,
     MODEL_HOSTS,
     PEER_PORT,
     PLAIN_HOSTS,
     READINESS_PORT,
     STORE_HOST,
-    first_configuration,
     loopback_address,
 )
 from cassiahitch.standins.rowstore import RowStore, serve_store
@@ -50,11 +55,8 @@
 READY_S = 90
 #: Organisations and their keys; the keys after the first may be revoked.
 ORGANISATIONS = 6
-#: Objective and longest time of a request, in milliseconds.
-OBJECTIVE_MS = 1000
-TIMEOUT_MS = 12_000
-#: Largest body of a request, in bytes.
-MAX_BODY_BYTES = 1_000_000
+#: Longest time and objective of a request, in milliseconds, and its largest body, in bytes.
+BOUNDS = CallerBounds(timeout_ms=12_000, objective_ms=1000, body_bytes=1_000_000)
 #: Rate of all links, in megabits a second.
 LINK_MBIT_S = 1000
 #: Requests that a backend server runs at a time.
@@ -311,17 +313,11 @@
     :param origin: address of the origin of weights.
     :return: JSON values.
     """
-    first = first_configuration(origin)
-    times = {'timeoutMs': TIMEOUT_MS, 'targetLatencyMs': OBJECTIVE_MS}
+    first = with_bounds(first_configuration(origin), BOUNDS)
+    names_by_key = {f'key-{number}': f'organisation-{number}' for number in range(ORGANISATIONS)}
     return {
-        **first,
-        'routes': [{**route, **times} for route in first['routes']],
+        **with_organisations(first, names_by_key),
         'services': [_with_engine(service) for service in first['services']],
-        'limits': {**first['limits'], 'maxBodyBytes': MAX_BODY_BYTES},
-        'tenants': [
-            {'name': f'organisation-{number}', 'apiKeys': [f'key-{number}'], 'priority': 1}
-            for number in range(ORGANISATIONS)
-        ],
     }
 
 
--- a/src/cassiahitch/standins/directsite.py
+++ b/src/cassiahitch/standins/directsite.py
@@ -15,6 +15,16 @@
 from cassiahitch.platform.adapter import Platform
 from cassiahitch.settings.direct import BoundSettings, DirectAgentSettings, DirectEntrySettings
 from cassiahitch.standins.backends import BackendStandin, EngineStandin
+from cassiahitch.standins.configurations import (
+    CHUNK_BYTES,
+    CHUNKS,
+    DESK,
+    DOMAINS,
+    DRAFTS,
+    KEY,
+    MODEL,
+    first_configuration,
+)
 from cassiahitch.standins.rowstore import RowStore, serve_store
 from cassiahitch.standins.weightservice import WeightService, serve_weights
 from cassiahitch.stores.caller import HttpCaller
@@ -31,14 +41,6 @@
 READINESS_PORT = 8002
 DIRECTORY_PORT = 8009
 PEER_PORT = 7700
-MODEL = 'm1'
-CHUNKS = 12
-CHUNK_BYTES = 4096
-DRAFTS = 'drafts'
-DESK = 'desk'
-ORIGIN = 'origin'
-DOMAINS = ('north-1', 'south-1')
-KEY = 'key-of-caterers'
 POLL_S = 0.02
 #: Processes whose sites have networks of their own in the second byte of addresses.
 PROCESSES = 200
@@ -292,63 +294,6 @@
     return BoundSettings(**bounds)
 
 
-def first_configuration(origin: str) -> dict[str, Any]:
-    """Return a configuration with a stream, an idempotent route and one that is not.
-
-    :param origin: address of the origin of weights.
-    :return: JSON values.
-    """
-    engine = {
-        'slots': 4,
-        'passSteps': 6,
-        'models': [{'name': MODEL}],
-        'step_ms': 1.0,
-        'read_per_s': 30_000.0,
-        'usual': {'prompt': 100, 'answer': 30},
-        'chunkBytes': CHUNK_BYTES,
-        'chunkCount': CHUNKS,
-    }
-    shared = {'host': 'menus.example', 'timeoutMs': 4000, 'targetLatencyMs': 400, 'priority': 1}
-    return {
-        'version': 1,
-        'routes': [
-            {
-                **shared,
-                'name': 'draft',
-                'prefix': '/draft/',
-                'kind': 'streaming',
-                'service': DRAFTS,
-                'maxAttempts': 2,
-                'streamResume': True,
-                'gapAimMs': 300,
-            },
-            {
-                **shared,
-                'name': 'lookup',
-                'prefix': '/lookup/',
-                'kind': 'idempotent',
-                'service': DESK,
-                'maxAttempts': 2,
-            },
-            {
-                **shared,
-                'name': 'order',
-                'prefix': '/order/',
-                'kind': 'non_idempotent',
-                'service': DESK,
-                'maxAttempts': 1,
-            },
-        ],
-        'services': [
-            {'name': DRAFTS, 'maxConnections': 100, 'engine': engine},
-            {'name': DESK, 'maxConnections': 100},
-            {'name': ORIGIN, 'origin': origin, 'zone': DOMAINS[0], 'maxConnections': 20},
-        ],
-        'limits': {'maxHeaderBytes': 16_384, 'maxBodyBytes': 100_000, 'idleTimeoutMs': 15_000},
-        'tenants': [{'name': 'caterers', 'apiKeys': [KEY], 'priority': 1}],
-    }
-
-
 def loopback_address(kind: int, number: int) -> str:
     """Return a loopback address that no other process uses for its site."""
     high, low = divmod(os.getpid(), PROCESSES)
--- a/tests/direct/test_path.py
+++ b/tests/direct/test_path.py
@@ -13,7 +13,8 @@
 from cassiahitch.direct.feed import CallFailure, Reply
 from cassiahitch.errors import PlatformError
 from cassiahitch.standins.backends import BackendStandin, Fault
-from cassiahitch.standins.directsite import DESK, DirectSite, DirectSize
+from cassiahitch.standins.configurations import DESK
+from cassiahitch.standins.directsite import DirectSite, DirectSize
 from cassiahitch.stores.api import Committed, Condition, Conflicted, Write
 
 
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -20,7 +20,7 @@
     decode_version,
 )
 from cassiahitch.platform.requests import PlatformRequests
-from cassiahitch.standins.directsite import first_configuration
+from cassiahitch.standins.configurations import first_configuration
 
 REPLICA: dict[str, Any] = {
     'service': 'huvo',
--- a/tests/platform/test_names.py
+++ b/tests/platform/test_names.py
@@ -31,7 +31,7 @@
     'tenants',
 )
 #: Stand-ins of the platform speak its way, as the adapter does, but take names from it.
-STANDINS = frozenset(('rowstore.py', 'backends.py', 'weightservice.py', 'directsite.py'))
+STANDINS = frozenset(('rowstore.py', 'backends.py', 'weightservice.py', 'configurations.py'))
 
 
 def other_sources() -> list[Path]:
--- a/tests/support/direct_callers.py
+++ b/tests/support/direct_callers.py
@@ -11,7 +11,8 @@
 import h11
 
 from cassiahitch.direct.entry import DirectEntry
-from cassiahitch.standins.directsite import KEY, DirectSite, DirectSize
+from cassiahitch.standins.configurations import KEY
+from cassiahitch.standins.directsite import DirectSite, DirectSize
 
 Body = Callable[[DirectSite], Awaitable[None]]
 SMALL = DirectSize(entries=1, models=2, plain=2)
--- a/tests/support/slow_callers.py
+++ b/tests/support/slow_callers.py
@@ -11,7 +11,7 @@
 import h11
 
 from cassiahitch.direct.entry import DirectEntry
-from cassiahitch.standins.directsite import KEY
+from cassiahitch.standins.configurations import KEY
 
 #: Receive buffer of a caller that reads slowly, in bytes.
 BUFFER_BYTES = 65_536
