--- a/src/cassiahitch/standins/directsite.py
+++ b/src/cassiahitch/standins/directsite.py
@@ -21,7 +21,6 @@
     DESK,
     DOMAINS,
     DRAFTS,
-    KEY,
     MODEL,
     first_configuration,
 )
