--- a/tests/direct/test_staging.py
+++ b/tests/direct/test_staging.py
@@ -151,7 +151,7 @@
 def slow_down_origin(site: DirectSite) -> None:
     services = [dict(one) for one in site.configuration['services']]
     for one in services:
-        one['linkMbps'] = 1.0
+        one['linkMbps'] = 0.02
     site.change(services=services)
 
 
