--- a/src/cassiahitch/soak/site.py
+++ b/src/cassiahitch/soak/site.py
@@ -40,8 +40,8 @@
     PLAIN_HOSTS,
     READINESS_PORT,
     STORE_HOST,
-    loopback_address,
 )
+from cassiahitch.standins.networks import loopback_address
 from cassiahitch.standins.rowstore import RowStore, serve_store
 from cassiahitch.standins.weightservice import WeightService, serve_weights
 from cassiahitch.stores.caller import Call, CallFailed, HttpCaller
