Tell where the request of a caller that left was, and how long chunks took

Now it names both and the time since the request was placed, requests_cancelled counts by phase, chunk_fetch is recorded by kind of source, and 'fetch complete' and 'chunk not fetched' say how long chunks took. No decision changes.

--- a/src/cassiahitch/direct/callers/finals.py
+++ b/src/cassiahitch/direct/callers/finals.py
@@ -35,7 +35,7 @@
             await self.refuse(call, caller, _given_up(call, caller.progress.phase))
             return True
         if not caller.progress.cut:
-            self.journal.left(call)
+            self.journal.left(call, caller.progress)
         return False
 
     async def fail(self, caller: CallerExchange, fault: Exception) -> None:
--- a/src/cassiahitch/direct/callers/progress.py
+++ b/src/cassiahitch/direct/callers/progress.py
@@ -22,16 +22,29 @@
 
     ``handed`` counts the bytes that were given to the connection, ``left`` those known to have
     left the process. ``cut`` tells that this process ended the exchange, not its caller.
+    ``replica`` is where the request was last, since ``placed_at``.
     """
 
     opened_at: float = 0
     read_at: float | None = None
     phase: Phase = Phase.header
+    replica: str = ''
+    placed_at: float = 0
     id: str = ''
     handed: int = 0
     left: int = 0
     cut: bool = False
 
+    def placed(self, replica: str, now: float) -> None:
+        """Note that the request goes to a replica.
+
+        :param replica: its name.
+        :param now: seconds.
+        """
+        self.phase = Phase.replica
+        self.replica = replica
+        self.placed_at = now
+
     @property
     def unsent(self) -> int:
         """Bytes of the answer that are not known to have left the process."""
--- a/src/cassiahitch/direct/journal.py
+++ b/src/cassiahitch/direct/journal.py
@@ -21,6 +21,7 @@
     from cassiahitch.direct.backends.attempt import Outcome
     from cassiahitch.direct.beliefs.knowledge import Knowledge
     from cassiahitch.direct.beliefs.replicas import Replica
+    from cassiahitch.direct.callers.progress import Progress
     from cassiahitch.direct.placement.placement import Crowded, Placed
     from cassiahitch.errors import RequestError
     from cassiahitch.metrics.registry import Metrics
@@ -168,13 +169,18 @@
         }
         LOGGER.error('request failed inside', extra=extra)
 
-    def left(self, call: Call | None) -> None:
+    def left(self, call: Call | None, progress: Progress) -> None:
         """Record that a caller left before its answer.
 
         :param call: the request.
+        :param progress: how far it had come.
         """
-        self.metrics.count(CounterName.requests_cancelled)
-        self.line(logging.INFO, 'caller left', call, {})
+        self.metrics.count(CounterName.requests_cancelled, progress.phase.name)
+        fields: dict[str, Any] = {'phase': progress.phase.value}
+        if progress.replica:
+            now = asyncio.get_running_loop().time()
+            fields |= {'replica': progress.replica, 'placed_s': now - progress.placed_at}
+        self.line(logging.INFO, 'caller left', call, fields)
 
     def crashed(self, replica: Replica, requests: int) -> None:
         """Record the crash of a backend server.
--- a/src/cassiahitch/direct/requests/runner.py
+++ b/src/cassiahitch/direct/requests/runner.py
@@ -155,9 +155,9 @@
             caller.progress.phase = Phase.place
             placed = stream.reserved or await self.place(call)
             stream.reserved = None
-            caller.progress.phase = Phase.replica
-            caller.keeps_running = call.plan().outlives_caller
             began = asyncio.get_running_loop().time()
+            caller.progress.placed(placed.candidate.replica.id, began)
+            caller.keeps_running = call.plan().outlives_caller
             limit = self.candidates.connection_limit(call)
             patience = self.patience(call)
             stream.on_first = partial(self.note_lateness, placed, began)
--- a/src/cassiahitch/direct/staging/fetching.py
+++ b/src/cassiahitch/direct/staging/fetching.py
@@ -12,7 +12,7 @@
 from cassiahitch.direct.staging.fleet import Fleet, FromOrigin, FromPeer, FromRegion
 from cassiahitch.direct.staging.swarm import Swarm
 from cassiahitch.errors import CassiahitchError
-from cassiahitch.metrics.names import CounterName
+from cassiahitch.metrics.names import CounterName, LatencyName
 from cassiahitch.util.rates import bytes_per_s
 from cassiahitch.weights.tree import Tier
 
@@ -54,6 +54,7 @@
     told_at: float = float('-inf')
     told: int = -1
     received: Counter[str] = field(default_factory=Counter)
+    slowest_s: float = 0
 
     async def run(self, participants: tuple[Participant, ...]) -> None:
         """Fetch until all chunks are there.
@@ -76,7 +77,13 @@
                 with suppress(TimeoutError):
                     await asyncio.wait_for(self.changed.wait(), LOOK_S)
         self._tell_peers(self.swarm)
-        self.log.believed('fetch complete', weights=self.name.version, **self.received)
+        self.log.believed(
+            'fetch complete',
+            weights=self.name.version,
+            took_s=self._now() - self.swarm.started_at,
+            slowest_chunk_s=self.slowest_s,
+            **self.received,
+        )
 
     def update(self, participants: tuple[Participant, ...]) -> None:
         """Take in who fetches the same version now.
@@ -133,6 +140,7 @@
         self.tell(self.name, near)
 
     async def _fetch(self, order: FetchOrder, swarm: Swarm) -> None:
+        began = self._now()
         try:
             content = await self._content(order)
         except CassiahitchError as error:
@@ -141,14 +149,20 @@
                 weights=self.name.version,
                 index=order.index,
                 source=source_name(order),
+                took_s=self._now() - began,
                 code=error.code.value,
                 detail=error.detail,
             )
             swarm.failed(order, self._now())
         else:
+            self._note_time(order, self._now() - began)
             self._take(order, content, swarm)
         self.changed.set()
 
+    def _note_time(self, order: FetchOrder, took_s: float) -> None:
+        self.slowest_s = max(self.slowest_s, took_s)
+        self.metrics.latency(LatencyName.chunk_fetch, took_s, type(order).__name__)
+
     def _take(self, order: FetchOrder, content: bytes | None, swarm: Swarm) -> None:
         if content is None:
             swarm.refused(order, self._now())
