--- a/src/cassiahitch/standins/backends.py
+++ b/src/cassiahitch/standins/backends.py
@@ -37,6 +37,7 @@
 
     none = 'none'
     refuse = 'refuse'
+    refuse_late = 'refuse_late'
     lose = 'lose'
     cut = 'cut'
     extra = 'extra'
@@ -202,7 +203,8 @@
                 return True
         refusal = self.refusal(headers)
         fault = self.faults.pop(0) if self.faults else self.fault
-        if refusal is None and fault is Fault.refuse:
+        if refusal is None and fault in {Fault.refuse, Fault.refuse_late}:
+            await asyncio.sleep(self.pause_s if fault is Fault.refuse_late else 0)
             refusal = HTTPStatus.SERVICE_UNAVAILABLE.value
         attempt = header(headers, names.ATTEMPT_ID)
         if refusal is not None:
--- /dev/null
+++ b/tests/direct/staging/test_slow_link.py
@@ -0,0 +1,45 @@
+"""Requests to a host do not wait behind the chunks that it fetches over a slow link."""
+
+from __future__ import annotations
+
+import pytest
+from slow_link import CHUNK_BYTES, CHUNKS, SlowHost
+from virtual_loop import virtual_time
+
+#: Seconds after which a request that reaches a replica came too late for a caller that left.
+BOUND_S = 0.5
+EVERY_OTHER = sum(1 << index for index in range(0, CHUNKS, 2))
+ALL = (1 << CHUNKS) - 1
+
+
+def play(host: SlowHost, slow_mbit_s: float, after_s: float, for_s: float = 120) -> None:
+    with virtual_time(settle_s=0) as runner:
+        runner.run(host.fetch(slow_mbit_s=slow_mbit_s, after_s=after_s, for_s=for_s))
+
+
+@pytest.mark.parametrize('held', [ALL, EVERY_OTHER], ids=['held near', 'half held near'])
+@pytest.mark.parametrize('after_s', [0, 0.4, 1.5])
+def test_requests_do_not_wait_behind_chunks_on_a_link_that_gets_slow(
+    held: int, after_s: float
+) -> None:
+    host = SlowHost(held)
+    play(host, slow_mbit_s=1.2, after_s=after_s)
+    assert host.longest_wait_s < BOUND_S
+
+
+def test_chunks_are_not_sent_twice_over_a_slow_link() -> None:
+    host = SlowHost(EVERY_OTHER)
+    play(host, slow_mbit_s=0.6, after_s=0.4)
+    assert host.chunk_bytes < 1.1 * CHUNKS * CHUNK_BYTES
+
+
+def test_version_comes_at_the_rate_of_a_sound_link() -> None:
+    host = SlowHost()
+    play(host, slow_mbit_s=4.7, after_s=0)
+    assert host.took_s < 5
+
+
+def test_fetch_is_fast_again_when_the_link_is() -> None:
+    host = SlowHost()
+    play(host, slow_mbit_s=1.2, after_s=0, for_s=4)
+    assert host.took_s < 4 + 5
