Ask for no more bytes of chunks at once than the link of a host carries

What callers saw: requests were sent on after they had left (GONE), and began on old weights (VERSION). Cause: an agent asked for up to eight chunks of 49 KB at once, whatever its link carried; at 1.2 Mbit/s they lay before the link for 1.2 to 2.4 s, and requests and the ends of connections that cancel them waited behind. Class: bulk transfers whose volume in flight is bounded by a count and a configured rate, not by what the link is seen to carry.

Now a chunk comes in parts of 16 KB, and a window in bytes bounds all that is on its way, from other agents and from the origin: 0.12 s of the usual rate, halved when parts are late, raised again when they are in time. A chunk of another region that waits for the own link is not late, so that it is not drawn from the origin as well.

--- a/src/cassiahitch/direct/staging/agentparts.py
+++ b/src/cassiahitch/direct/staging/agentparts.py
@@ -13,6 +13,7 @@
 from cassiahitch.direct.staging.library import ChunkLibrary
 from cassiahitch.direct.staging.loading import Loader
 from cassiahitch.direct.staging.peerchunks import PeerChunks
+from cassiahitch.direct.staging.receiving import ReceiveWindow
 from cassiahitch.direct.staging.uploads import LinkRates, Uploads
 from cassiahitch.metrics.registry import Metrics
 from cassiahitch.weights.plan import Participant
@@ -53,7 +54,12 @@
     """
     log = BeliefLog()
     engine = around.engine(settings.engine)
-    peers = PeerChunks(caller, settings.peer_port, settings.region)
+    peers = PeerChunks(
+        caller,
+        settings.peer_port,
+        settings.region,
+        ReceiveWindow.of_link(settings.link_mbit_s),
+    )
     library = ChunkLibrary(engine, around.origin, peers)
     uploads = Uploads(LinkRates(settings.link_mbit_s, settings.region_link_mbit_s))
     versions = VersionPolicy(settings.bounds.weights_s)
--- a/src/cassiahitch/direct/staging/chunkservice.py
+++ b/src/cassiahitch/direct/staging/chunkservice.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import re
 from contextlib import ExitStack, aclosing, suppress
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
@@ -21,6 +22,8 @@
 
 #: Longest time for which a request waits for a chunk, in seconds.
 WAIT_S = 0.6
+RANGE = re.compile('bytes=([0-9]{1,9})-([0-9]{1,9})')
+WHOLE = slice(0, None)
 CHUNK_ROUTE = r'/chunks/([^/]+)/([0-9]+)/([0-9]+)'
 MANIFEST_ROUTE = r'/manifests/([^/]+)/([0-9]+)'
 
@@ -59,7 +62,9 @@
             self.set_status(HTTPStatus.NO_CONTENT if here else HTTPStatus.SERVICE_UNAVAILABLE)
             return
         tier = Tier(int(self.get_query_argument('tier', str(Tier.stray.value))))
-        if self.uploads.refuses(tier):
+        span = parse_span(self.request.headers.get('Range', ''))
+        # Who has got the first part of a chunk gets the rest.
+        if not span.start and self.uploads.refuses(tier):
             self.set_status(HTTPStatus.SERVICE_UNAVAILABLE)
             return
         try:
@@ -72,17 +77,21 @@
         with ExitStack() as stack:
             stack.callback(self.uploads.places.release)
             stack.enter_context(suppress(StreamClosedError))
-            await self.send(content, tier)
+            await self.send(content, span, tier)
 
-    async def send(self, content: bytes | None, tier: Tier) -> None:
-        """Send a chunk at the pace of the links.
+    async def send(self, content: bytes | None, span: slice, tier: Tier) -> None:
+        """Send a part of a chunk at the pace of the links.
 
         :param content: the chunk, or nothing if it is not here yet.
+        :param span: the part.
         :param tier: what depends on it.
         """
         if content is None:
             self.set_status(HTTPStatus.SERVICE_UNAVAILABLE)
             return
+        if span != WHOLE:
+            self.set_status(HTTPStatus.PARTIAL_CONTENT)
+            content = content[span]
         crosses = self.get_query_argument('region', '') != self.region
         self.set_header('Content-Type', 'application/octet-stream')
         self.set_header('Content-Length', len(content))
@@ -92,6 +101,19 @@
                 await self.flush()
 
 
+def parse_span(header: str) -> slice:
+    """Read which part of a chunk is asked for.
+
+    :param header: the header ``Range``, of which only one closed range is known.
+    :return: the part, the whole chunk for any other header.
+    """
+    found = RANGE.fullmatch(header)
+    if found is None:
+        return WHOLE
+    first, last = (int(text) for text in found.groups())
+    return slice(first, last + 1)
+
+
 class ManifestHandler(RequestHandler):
     """Serves the digests of a version that this host knows."""
 
--- a/src/cassiahitch/direct/staging/fetching.py
+++ b/src/cassiahitch/direct/staging/fetching.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections import Counter
 from contextlib import ExitStack, suppress
 from dataclasses import dataclass, field
+from functools import partial
 from typing import TYPE_CHECKING
 
 from cassiahitch.direct.staging.fleet import Fleet, FromOrigin, FromPeer, FromRegion
+from cassiahitch.direct.staging.peerchunks import Transfer, Wanted
 from cassiahitch.direct.staging.swarm import Swarm
 from cassiahitch.errors import CassiahitchError
 from cassiahitch.metrics.names import CounterName, LatencyName
@@ -180,15 +183,23 @@
 
     async def _content(self, order: FetchOrder) -> bytes | None:
         library = self.library
+        peers = library.peers
+        wanted = Wanted(self.name, order.index, library.chunk_bytes, partial(self._follow, order))
         match order:
             case FromOrigin(index=index):
-                return await library.origin.chunk(
-                    library.origin_url, self.name.model, self.name.version, index
-                )
-            case FromRegion(index=index, host=host):
-                return await library.peers.awaited_chunk(host, self.name, index, Tier.region)
-            case FromPeer(index=index, host=host):
-                return await library.peers.chunk(host, self.name, index, Tier.host)
+                async with peers.window.receive(wanted.size, Tier.region):
+                    return await library.origin.chunk(
+                        library.origin_url, self.name.model, self.name.version, index
+                    )
+            case FromRegion(host=host):
+                return await peers.awaited_chunk(host, wanted, Tier.region)
+            case FromPeer(host=host):
+                return await peers.chunk(host, wanted, Tier.host)
+
+    def _follow(self, order: FetchOrder, transfer: Transfer) -> None:
+        if self.swarm is not None and isinstance(order, FromRegion):
+            waits = transfer is Transfer.waits_here
+            self.swarm.moved(order.index, math.inf if waits else self._now())
 
     def _cancel_all(self) -> None:
         for task in self.tasks.values():
--- a/src/cassiahitch/direct/staging/swarm.py
+++ b/src/cassiahitch/direct/staging/swarm.py
@@ -132,6 +132,14 @@
             case FromPeer():
                 self.adapt(now - self.asked_at.get(index, now))
 
+    def moved(self, index: int, now: float) -> None:
+        """Note that a chunk of another region makes progress, or waits for the own link.
+
+        :param index: its position.
+        :param now: seconds; infinite while it waits, as its source is not late then.
+        """
+        self.asked_at[index] = now
+
     def adapt(self, took_s: float) -> None:
         """Receive fewer chunks at once while they are late.
 
--- /dev/null
+++ b/tests/direct/staging/test_chunkservice.py
@@ -0,0 +1,70 @@
+"""Chunks pass between agents in parts."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+from tornado.httpserver import HTTPServer
+
+from cassiahitch.direct.staging.chunks import WeightsName, make_manifest
+from cassiahitch.direct.staging.chunkservice import WHOLE, chunk_service, parse_span
+from cassiahitch.direct.staging.library import ChunkLibrary
+from cassiahitch.direct.staging.peerchunks import PeerChunks, Transfer, Wanted
+from cassiahitch.direct.staging.receiving import PART_BYTES, ReceiveWindow
+from cassiahitch.direct.staging.uploads import LinkRates, Uploads
+from cassiahitch.standins.networks import loopback_address
+from cassiahitch.standins.weightservice import WeightService
+from cassiahitch.stores.caller import HttpCaller
+from cassiahitch.util.listening import listen, port_of
+from cassiahitch.weights.tree import Tier
+
+CHUNK_BYTES = 2 * PART_BYTES + 999
+NAME = WeightsName(1, 'm1')
+REGION = 'west'
+
+
+def test_chunk_that_comes_in_parts_is_whole() -> None:
+    async def body() -> None:
+        weights = WeightService('m1', CHUNK_BYTES)
+        weights.publish(1, 2)
+        nothing: Any = None
+        async with HttpCaller() as caller:
+            window = ReceiveWindow.of_link(100)
+            address = loopback_address(0, 0)
+            own = listen(address, 0)
+            peers = PeerChunks(caller, port_of(own), REGION, window)
+            library = ChunkLibrary(nothing, nothing, peers)
+            manifest = make_manifest(NAME, tuple(weights.digests(1)), (CHUNK_BYTES,) * 2)
+            library.shelf.begin(NAME, manifest).contents = dict(enumerate(weights.chunks[1]))
+            uploads = Uploads(LinkRates(100, 100))
+            server = HTTPServer(chunk_service(library, uploads, REGION))
+            server.add_sockets([own])
+            told: list[Transfer] = []
+            wanted = Wanted(NAME, 1, CHUNK_BYTES, told.append)
+            assert await peers.chunk(address, wanted, Tier.host) == weights.chunks[1][1]
+            assert told.count(Transfer.moves) == 3
+            assert await peers.awaited_chunk(address, wanted, Tier.region) == weights.chunks[1][1]
+            assert (window.under_way, uploads.load) == (0, 0)
+            server.stop()
+            await server.close_all_connections()
+
+    asyncio.run(body())
+
+
+@pytest.mark.parametrize(
+    ('header', 'span'),
+    [
+        ('bytes=0-0', slice(0, 1)),
+        ('bytes=16384-32767', slice(16384, 32768)),
+        ('', WHOLE),
+        ('bytes=5-', WHOLE),
+        ('bytes=-5', WHOLE),
+        ('bytes=0-1,4-5', WHOLE),
+        ('bytes=a-b', WHOLE),
+        ('bytes=99999999999999999999-1', WHOLE),
+    ],
+)
+def test_only_one_closed_range_is_read(header: str, span: slice) -> None:
+    assert parse_span(header) == span
--- a/tests/direct/staging/test_staging.py
+++ b/tests/direct/staging/test_staging.py
@@ -11,6 +11,7 @@
 from cassiahitch.direct.staging.enginestate import EngineReport, OrderOutcome
 from cassiahitch.direct.staging.library import ChunkLibrary
 from cassiahitch.direct.staging.peerchunks import PeerChunks
+from cassiahitch.direct.staging.receiving import ReceiveWindow
 from cassiahitch.direct.staging.staging import Stager
 from cassiahitch.standins.directsite import DirectSite, DirectSize
 from cassiahitch.standins.weightservice import WeightService
@@ -60,7 +61,8 @@
 
 
 def make_stager(engine: SlowEngine, caller: HttpCaller) -> Stager:
-    return Stager(engine, ChunkLibrary(engine, NoOrigin(), PeerChunks(caller, 1, 'r')))
+    peers = PeerChunks(caller, 1, 'r', ReceiveWindow.of_link(1))
+    return Stager(engine, ChunkLibrary(engine, NoOrigin(), peers))
 
 
 def test_chunks_of_a_newer_version_do_not_come_among_those_that_are_loaded() -> None:
--- a/tests/support/slow_link.py
+++ b/tests/support/slow_link.py
@@ -16,6 +16,7 @@
 from cassiahitch.direct.staging.fetching import VersionFetch
 from cassiahitch.direct.staging.library import ChunkLibrary
 from cassiahitch.direct.staging.peerchunks import PeerChunks
+from cassiahitch.direct.staging.receiving import ReceiveWindow
 from cassiahitch.metrics.registry import Metrics
 from cassiahitch.standins.weightservice import WeightService
 from cassiahitch.stores.caller import Call, CallFailed, Reply
@@ -51,18 +52,36 @@
 
     mbit_s: float
     free_at: float = 0
+    pushed: int = 0
 
     def wait_s(self) -> float:
         """Return how long a packet waits that is handed over now."""
         return max(0, self.free_at - now())
 
-    def push(self, size: int) -> float:
-        """Return the time until bytes that are handed over now have passed."""
+    def push(self, size: int) -> None:
+        """Hand bytes over."""
         self.free_at = now() + self.wait_s() + size / bytes_per_s(self.mbit_s)
-        return self.wait_s()
+        self.pushed += size
+
+    def change(self, mbit_s: float) -> None:
+        """Carry another rate from now on."""
+        waiting_s = self.wait_s() * self.mbit_s / mbit_s
+        self.mbit_s = mbit_s
+        self.free_at = now() + waiting_s
+
+    async def passed(self) -> None:
+        """Wait until all bytes have passed that were handed over so far."""
+        target = self.pushed
+        while True:
+            waiting = self.wait_s() * bytes_per_s(self.mbit_s)
+            ahead = waiting - (self.pushed - target)
+            if ahead < 1:
+                return
+            await asyncio.sleep(ahead / bytes_per_s(self.mbit_s))
 
     async def carry(self, size: int) -> None:
-        await asyncio.sleep(self.push(size))
+        self.push(size)
+        await self.passed()
 
 
 @dataclass
@@ -115,8 +134,8 @@
         for start in range(0, size, SLICE_BYTES):
             part = min(SLICE_BYTES, size - start)
             await uplink.carry(part)
-            arrives_s = self.link.push(part)
-        await asyncio.sleep(arrives_s)
+            self.link.push(part)
+        await self.link.passed()
         self.chunk_bytes += size
         return size
 
@@ -164,7 +183,8 @@
 
     def make(self, senders: Any) -> VersionFetch:
         engine: Any = None
-        peers = PeerChunks(senders, 7700, MEMBER.region)
+        window = ReceiveWindow.of_link(HOST_MBIT_S)
+        peers = PeerChunks(senders, 7700, MEMBER.region, window)
         library = ChunkLibrary(engine, senders, peers, chunk_bytes=CHUNK_BYTES, chunk_count=CHUNKS)
         library.origin_mbit_s = ORIGIN_MBIT_S
         library.staged = WeightsName(WEIGHTS.version - 1, WEIGHTS.model)
@@ -193,6 +213,4 @@
 
     async def change(self, mbit_s: float, after_s: float) -> None:
         await asyncio.sleep(after_s)
-        waiting = self.link.wait_s() * bytes_per_s(self.link.mbit_s)
-        self.link.mbit_s = mbit_s
-        self.link.free_at = now() + waiting / bytes_per_s(mbit_s)
+        self.link.change(mbit_s)
