Send nothing more of a request that runs once after its caller has left

What callers saw: a request that runs once reached the second replica 0.6 s after its caller had left, as often as it found a replica that refused late or did not connect (up to four times). Cause: the mark that lets it go on without its caller was set before a connection was there and never taken back, so also the search for the next replica outlived the caller. Class: a decision that was taken once and holds for what comes after it. Now the mark holds from the first byte to the outcome of one send, and whether the caller is there is checked before each placement and right before each send.

test_request_is_not_sent_again_after_its_caller_has_left and test_request_is_not_sent_once_connected_if_its_caller_has_left failed before (2 sends for 1) and pass.

--- a/src/cassiahitch/direct/backends/attempt.py
+++ b/src/cassiahitch/direct/backends/attempt.py
@@ -117,6 +117,7 @@
         :param limit: connections to the backend server that this process may have.
         :return: how it ended.
         :raises RequestError: if the key was taken away meanwhile.
+        :raises CallerGone: if its caller has left and nothing was sent.
         """
         replica = placed.candidate.replica
         try:
@@ -128,6 +129,8 @@
         with ExitStack() as stack:
             stack.callback(self.release, connection, exchange)
             self.filters.check_key(call)
+            stream.caller.check_there()
+            stack.enter_context(stream.caller.outlived(outlives=call.plan().outlives_caller))
             stack.enter_context(self.counted(call, placed))
             return await self.follow(call, placed, exchange, stream, patience)
 
--- a/src/cassiahitch/direct/callers/front.py
+++ b/src/cassiahitch/direct/callers/front.py
@@ -4,8 +4,8 @@
 
 import asyncio
 import sys
-from collections.abc import Awaitable, Callable
-from contextlib import ExitStack
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass
 from functools import partial
 from http import HTTPStatus
@@ -140,6 +140,27 @@
         if self.task is not None and not self.keeps_running:
             self.task.cancel()
 
+    def check_there(self) -> None:
+        """Stop what is done for a caller that has left.
+
+        :raises CallerGone: if the caller has closed its connection.
+        """
+        if self.gone:
+            raise CallerGone
+
+    @contextmanager
+    def outlived(self, *, outlives: bool) -> Iterator[None]:
+        """Let what is at a replica go on without its caller, but nothing after it.
+
+        :param outlives: whether it may.
+        :yield: while it is at the replica.
+        """
+        self.keeps_running = outlives
+        try:
+            yield
+        finally:
+            self.keeps_running = False
+
     def check_open(self, deadline: float) -> None:
         """Refuse a request that cannot be finished before this process ends.
 
--- a/src/cassiahitch/direct/requests/runner.py
+++ b/src/cassiahitch/direct/requests/runner.py
@@ -152,12 +152,12 @@
         :raises RequestError: if it may not be sent again.
         """
         for _ in range(PLACEMENTS):
+            caller.check_there()
             caller.progress.phase = Phase.place
             placed = stream.reserved or await self.place(call)
             stream.reserved = None
             began = asyncio.get_running_loop().time()
             caller.progress.placed(placed.candidate.replica.id, began)
-            caller.keeps_running = call.plan().outlives_caller
             limit = self.candidates.connection_limit(call)
             patience = self.patience(call)
             stream.on_first = partial(self.note_lateness, placed, began)
