Give back the places of a search whose caller has left

What was seen: a search that is cancelled gave no place back that agents held for it, and the numbers of its open questions stayed in PlaceAsker.rounds for good; in overload with impatient callers that is work counted for callers that have left, and memory that grows. Cause: places were given back at the end of a search only.

--- a/src/cassiahitch/direct/placement/asking.py
+++ b/src/cassiahitch/direct/placement/asking.py
@@ -34,10 +34,15 @@
 class Round:
     """Questions that were asked together; ``open`` holds the replicas without an answer."""
 
-    open: dict[int, Replica]
+    asked: dict[int, Replica]
+    open: dict[int, Replica] = field(init=False)
     answered: dict[str, int] = field(default_factory=dict)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
+    def __post_init__(self) -> None:
+        """Begin without an answer."""
+        self.open = self.asked.copy()
+
 
 @dataclass(slots=True)
 class PlaceAsker:
@@ -62,13 +67,26 @@
         for number, replica in asked.open.items():
             self.rounds[number] = asked
             self.socket.send(PlaceQuery(number, prompt_tokens), self.agent(replica))
-        await self.wait(asked)
+        try:
+            await self.wait(asked)
+        except asyncio.CancelledError:
+            self.abandon(asked)
+            raise
         now = asyncio.get_running_loop().time()
         for number, replica in asked.open.items():
             self.rounds.pop(number)
             self.placement.engine_load(replica.key).unanswered(now)
         return asked.answered
 
+    def abandon(self, asked: Round) -> None:
+        """Ask no more; agents whose answers are on their way hold a place as well.
+
+        :param asked: the questions.
+        """
+        for number, replica in asked.asked.items():
+            self.rounds.pop(number, None)
+            self.give_back(replica, number)
+
     async def wait(self, asked: Round) -> None:
         """Wait for answers, not much longer than for the first one.
 
--- a/src/cassiahitch/direct/placement/places.py
+++ b/src/cassiahitch/direct/placement/places.py
@@ -117,7 +117,20 @@
         return RequestError(Code.no_replica, detail, call.ran, self.rng.uniform(*RETURN_S))
 
     async def search(self, search: Search) -> None:
-        """Look for the place of a request at engines.
+        """Look for the place of a request at engines, and keep no other one.
+
+        :param search: what is looked for; gets what is found.
+        """
+        try:
+            await self.look(search)
+        except asyncio.CancelledError:
+            search.found = None
+            raise
+        finally:
+            self.give_back(search)
+
+    async def look(self, search: Search) -> None:
+        """Ask engines until one can begin the request soon.
 
         :param search: what is looked for; gets what is found.
         """
@@ -132,7 +145,6 @@
             self.decide(search, tuple(options.full))
         if search.found is None and options.silent:
             self.decide(search, tuple(options.silent))
-        self.give_back(search)
 
     async def ask(self, search: Search, few: list[Candidate]) -> None:
         """Ask some engines, and decide among all that have answered.
