Reset the connection of a request that nobody waits for

What was seen: a request of 1 MB whose sender was cancelled 0.2 s after it began still reached its backend server whole, after the close, once that server read on. Cause: the kernel goes on to send what a closed connection was given. Class: an end that takes place behind what it is to end. Now such a connection is reset, which drops what has not left. test_rest_of_a_request_is_not_sent_once_nobody_waits_for_it failed before (1,000,102 bytes of 1,000,102) and passes.

--- a/src/cassiahitch/direct/backends/attempt.py
+++ b/src/cassiahitch/direct/backends/attempt.py
@@ -140,6 +140,8 @@
         :param connection: the connection.
         :param exchange: what happened on it.
         """
+        if exchange.is_open:
+            connection.abort()
         head = exchange.head
         unused = connection.requests == 0 and exchange.written is None
         idle_s = head.idle_s if head else None
--- a/src/cassiahitch/direct/backends/connection.py
+++ b/src/cassiahitch/direct/backends/connection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import struct
 from contextlib import ExitStack
 from typing import TYPE_CHECKING, Any
 
@@ -19,6 +20,8 @@
 #: Seconds after which a connection without traffic is probed, and between probes.
 KEEPALIVE_S = 1
 KEEPALIVE_PROBES = 2
+#: Option of a socket that drops unsent bytes when it is closed: switched on, for 0 seconds.
+NO_LINGER = struct.pack('ii', 1, 0)
 
 
 class ConnectFailed(Exception):
@@ -105,6 +108,12 @@
         if self.pending is not None:
             self.pending.cancel()
 
+    def abort(self) -> None:
+        """Reset the connection, so that what its server has not got yet of a request is dropped."""
+        if not self.closed:
+            self.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+        self.close()
+
 
 async def _read(stream: IOStream) -> bytes:
     try:
--- a/src/cassiahitch/direct/backends/exchange.py
+++ b/src/cassiahitch/direct/backends/exchange.py
@@ -50,6 +50,11 @@
         self.reusable = False
         self.head: AnswerHead | None = None
 
+    @property
+    def is_open(self) -> bool:
+        """Whether its server may still be at work on the request."""
+        return self.written is not None and not self.complete
+
     async def send(self, request: CallerRequest, headers: Headers) -> AnswerHead:
         """Send a request and wait for the start of its answer.
 
--- /dev/null
+++ b/tests/direct/backends/test_abort.py
@@ -0,0 +1,75 @@
+"""What is left of a request that nobody waits for does not reach its backend server."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import Any
+
+from cassiahitch.direct.api import CallerRequest, Headers
+from cassiahitch.direct.backends.attempt import Attempts
+from cassiahitch.direct.backends.exchange import Exchange
+from cassiahitch.direct.backends.pool import ConnectionPool
+from cassiahitch.direct.backends.silence import Silence
+from cassiahitch.direct.beliefs.replicas import Replica
+from cassiahitch.platform.requests import PlatformRequests
+from cassiahitch.util.endpoints import Endpoint
+
+#: More than the buffers of the backend server hold, and less than those of both ends do.
+BODY_BYTES = 1_000_000
+BUFFER_BYTES = 8192
+ADDRESS = '127.0.0.1'
+HEADERS: Headers = (('Host', 'menus.example'), ('X-Cassiahitch-Attempt-Id', 'a1'))
+REQUEST = CallerRequest('POST', '/order/1', 'menus.example', HEADERS, b'x' * BODY_BYTES, 'a1')
+
+
+def late_server() -> socket.socket:
+    """Return a server that reads nothing until it is asked to."""
+    own = socket.socket()
+    own.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
+    own.bind((ADDRESS, 0))
+    own.listen()
+    own.setblocking(False)
+    return own
+
+
+async def read_all(connection: socket.socket) -> int:
+    """Return how many bytes come until the end or a reset."""
+    loop = asyncio.get_running_loop()
+    size = 0
+    while True:
+        try:
+            data = await loop.sock_recv(connection, 65_536)
+        except ConnectionResetError:
+            return size
+        if not data:
+            return size
+        size += len(data)
+
+
+async def stay() -> bool:
+    return False
+
+
+def test_rest_of_a_request_is_not_sent_once_nobody_waits_for_it() -> None:
+    async def body() -> int:
+        nothing: Any = None
+        pool = ConnectionPool()
+        attempts = Attempts(pool, PlatformRequests(), nothing, nothing)
+        with late_server() as own:
+            endpoint = Endpoint(ADDRESS, own.getsockname()[1])
+            replica = Replica('r1', 'desk', endpoint, 'north-1', 4)
+            connection = await pool.acquire(replica, 9, once=False)
+            accepted, _ = await asyncio.get_running_loop().sock_accept(own)
+            exchange = Exchange(connection, attempts.codec, Silence(stay))
+            sending = asyncio.create_task(exchange.send(REQUEST, REQUEST.headers))
+            await asyncio.sleep(0.2)
+            assert exchange.written is not None
+            assert exchange.written.done()
+            sending.cancel()
+            attempts.release(connection, exchange)
+            await asyncio.sleep(0.1)
+            with accepted:
+                return await read_all(accepted)
+
+    assert asyncio.run(body()) < BODY_BYTES / 2
