--- a/src/cassiahitch/soak/checks.py
+++ b/src/cassiahitch/soak/checks.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable, Iterator
 
+from cassiahitch.soak.gone import check_gone
 from cassiahitch.soak.lost import check_closed, check_stops
 from cassiahitch.soak.records import (
     SOAK,
@@ -151,6 +152,7 @@
     check_weights,
     check_recovery,
     check_sizes,
+    check_gone,
 )
 
 
--- a/src/cassiahitch/soak/exchange.py
+++ b/src/cassiahitch/soak/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import socket
 from contextlib import ExitStack
 from dataclasses import dataclass, field
@@ -40,13 +41,15 @@
     """How a caller behaves; ``body_s`` is the time in which it sends a body.
 
     ``keeps`` says that it keeps connections open, ``reads_slowly`` that it takes answers slowly,
-    ``holds_addresses`` for how many lifetimes it keeps addresses.
+    ``holds_addresses`` for how many lifetimes it keeps addresses. ``leaves_s`` is the longest time
+    after which it leaves, 0 if it waits to its deadline.
     """
 
     keeps: bool = True
     reads_slowly: bool = False
     body_s: float = 0
     holds_addresses: int = 1
+    leaves_s: float = 0
 
 
 @dataclass(slots=True)
@@ -107,7 +110,7 @@
         clock = asyncio.get_running_loop().time
         attempt = self.attempt
         try:
-            async with asyncio.timeout_at(attempt.deadline):
+            async with asyncio.timeout_at(self.leaves_at()):
                 await self.converse(body)
         except TimeoutError:
             attempt.left = True
@@ -120,6 +123,17 @@
         if HTTPStatus.OK <= attempt.status < HTTPStatus.MULTIPLE_CHOICES and not attempt.wrong:
             self.judge()
 
+    def leaves_at(self) -> float:
+        """Return when the caller leaves, as its request draws it.
+
+        :return: seconds, its deadline if it waits.
+        """
+        attempt = self.attempt
+        if not self.manner.leaves_s:
+            return attempt.deadline
+        patience_s = random.Random(attempt.id).uniform(0, self.manner.leaves_s)
+        return min(attempt.deadline, attempt.began + patience_s)
+
     async def converse(self, body: bytes) -> None:
         """Send the request and read the answer.
 
--- /dev/null
+++ b/src/cassiahitch/soak/gone.py
@@ -0,0 +1,72 @@
+"""Nothing is done for callers that have left."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from cassiahitch.soak.records import (
+    SOAK,
+    Attempt,
+    Execution,
+    Kind,
+    Promise,
+    Record,
+    Violation,
+    stop_of,
+)
+
+#: Seconds after the close of a caller in which it may not be known everywhere.
+NOTICE_S = 0.5
+#: Requests in a run that may arrive later.
+FEW_LATE = 3
+#: Largest part of the runs that may be at work later.
+AT_WORK_PART = 0.25
+
+
+def check_gone(record: Record) -> Iterator[Violation]:
+    """Requests of callers that have left are sent no more, and those that may end do.
+
+    :param record: what was seen.
+    :yield: violations, if there are more than a few.
+    """
+    left = tuple(_of_callers_that_left(record))
+    late = [
+        _violation(attempt, one.arrived - closed, f'reached {one.backend}')
+        for attempt, one, closed in left
+        if one.arrived > closed + NOTICE_S
+    ]
+    if len(late) > FEW_LATE:
+        yield from late
+    may_end = [one for one in left if _is_at_work(*one)]
+    at_work = [
+        _violation(attempt, (one.ended or record.ended) - closed, f'was at work at {one.backend}')
+        for attempt, one, closed in may_end
+        if (one.ended or record.ended) > closed + NOTICE_S
+    ]
+    if len(at_work) > max(FEW_LATE, AT_WORK_PART * len(may_end)):
+        yield from at_work
+
+
+def _of_callers_that_left(record: Record) -> Iterator[tuple[Attempt, Execution, float]]:
+    for one in record.executions:
+        attempt = record.attempts.get(one.id)
+        if attempt is None or not attempt.left or attempt.ended is None:
+            continue
+        targets = (SOAK, attempt.entry, stop_of(attempt.entry), one.host)
+        until = max(one.arrived, attempt.ended + NOTICE_S)
+        if record.calm(targets, attempt.began, until):
+            yield attempt, one, attempt.ended
+
+
+def _is_at_work(attempt: Attempt, one: Execution, closed: float) -> bool:
+    if attempt.kind is Kind.order or one.refused:
+        return False
+    return one.arrived <= closed and (one.ended is None or one.ended > closed)
+
+
+def _violation(attempt: Attempt, after_s: float, what: str) -> Violation:
+    detail = f'{attempt.kind} {what} {after_s:.2f} s after its caller had left'
+    return Violation(Promise.gone, (attempt.ended or 0) + after_s, attempt.id, detail)
+
+
+__all__ = ('check_gone',)
--- a/src/cassiahitch/soak/records.py
+++ b/src/cassiahitch/soak/records.py
@@ -47,6 +47,7 @@
     new_weights = 'new_weights'
     recovered = 'recovered'
     sizes = 'sizes'
+    gone = 'gone'
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cassiahitch/soak/run.py
+++ b/src/cassiahitch/soak/run.py
@@ -23,6 +23,7 @@
     (8, Manner(keeps=False, holds_addresses=3), (Kind.draft,)),
     (4, Manner(keeps=False), tuple(Kind)),
     (6, Manner(reads_slowly=True, holds_addresses=3), (Kind.lookup, Kind.draft)),
+    (6, Manner(keeps=False, leaves_s=1.0), tuple(Kind)),
     (3, Manner(body_s=2.0, holds_addresses=3), (Kind.order,)),
 )
 REGIONS = ('north', 'south')
