Heed what backend servers say of themselves: that they leave, and for how long they want nothing

Before: neither header was read, a refusal was tried elsewhere and the replica asked again. The adapter turns both into fields of the head of an answer; HoldOff decides by incarnation whether a request may be sent, and one place asks it on all ways: the choice of replicas, each first send, repeat and resumption, and again once a connection is there. An agent tells entries that ask, and orders no load, when its engine says that it leaves; the word of a plain replica is not told to other entries, as each hears it with its first answer. After a pause requests come back within a second; if all pause, callers are refused at once with the time at which the first is free.

Two ways were weighed for the note to the other entries of a region: gossip as for suspects (some 40 bytes a replica and message, known at once by all) and none (an entry sends what one answer takes until it knows). The second, as the promise counts from the answer that the own entry has passed on; engines are told of by their agents, which are asked anyway.

Tests: words of replicas at a site in virtual time, hypothesis over header values and over random words, starts and lists; the soak has both faults and checks. EngineLoad grew by a byte for it, so it now says by how many percent an engine is slower, which is 0 and a byte shorter in the usual case: the bound on bytes between regions (test_search_adds_little_to_the_links_between_regions) holds unchanged.

--- a/src/cassiahitch/direct/api.py
+++ b/src/cassiahitch/direct/api.py
@@ -76,6 +76,8 @@
 
     ``not_run`` tells that the request was not run and never will be, ``sealed`` that the answer
     carries the backend server's signature, ``length`` that of the body if it is stated.
+    ``leaves`` tells that the backend server is about to end, ``pause_s`` for how many seconds it
+    wants nothing, ``unreadable`` names headers that could not be read.
     """
 
     status: int
@@ -88,6 +90,9 @@
     length: int | None = None
     idle_s: float | None = None
     closes: bool = False
+    leaves: bool = False
+    pause_s: float | None = None
+    unreadable: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cassiahitch/direct/assembly.py
+++ b/src/cassiahitch/direct/assembly.py
@@ -4,9 +4,11 @@
 
 import random
 from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING
 
 from cassiahitch.direct.backends.attempt import Attempts
+from cassiahitch.direct.backends.hearing import Hearing
 from cassiahitch.direct.backends.pool import ConnectionPool
 from cassiahitch.direct.beliefs.knowledge import Knowledge, make_knowledge
 from cassiahitch.direct.journal import Journal
@@ -14,6 +16,7 @@
 from cassiahitch.direct.placement.asking import PlaceAsker
 from cassiahitch.direct.placement.candidates import Candidates
 from cassiahitch.direct.placement.crashwatch import CrashWatch
+from cassiahitch.direct.placement.holdoff import HoldOff
 from cassiahitch.direct.placement.placement import Placement
 from cassiahitch.direct.placement.places import Places
 from cassiahitch.direct.requests.budget import RetryBudget
@@ -53,28 +56,46 @@
     """
     knowledge = make_knowledge(settings, incarnation, rng)
     journal = Journal(knowledge, Metrics(settings.name))
-    bounds = settings.bounds
-    budget = RetryBudget(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s)
-    placement = Placement(rng)
-    candidates = Candidates(knowledge, placement)
-    asker = PlaceAsker(placement, settings.peer_port)
+    hearing = Hearing(HoldOff(rng), ConnectionPool(), journal, settings.longest_pause_s)
+    candidates = Candidates(knowledge, Placement(rng), hearing.holdoff)
+    asker = PlaceAsker(candidates.placement, settings.peer_port)
+    asker.leaves = partial(hearing.leaves, source='agent')
+    runner = make_runner(around, candidates, hearing, asker)
     beats = EntryBeats(knowledge, asker, journal, rng)
-    filters = RequestFilters(knowledge, budget, rng)
-    runner = Runner(
+    return EntryParts(knowledge, journal, candidates, runner, beats)
+
+
+def make_runner(
+    around: EntrySurroundings, candidates: Candidates, hearing: Hearing, asker: PlaceAsker
+) -> Runner:
+    """Create what runs requests.
+
+    :param around: the platform.
+    :param candidates: the replicas to choose from.
+    :param hearing: what replicas say of themselves.
+    :param asker: asks agents for places.
+    :return: the runner.
+    """
+    knowledge = candidates.knowledge
+    placement = candidates.placement
+    bounds = knowledge.settings.bounds
+    budget = RetryBudget(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s)
+    filters = RequestFilters(knowledge, budget, placement.rng)
+    return Runner(
         knowledge=knowledge,
         codec=around.codec,
         filters=filters,
         candidates=candidates,
-        places=Places(candidates, placement, asker, rng),
-        attempts=Attempts(ConnectionPool(), around.codec, filters, placement),
+        places=Places(candidates, placement, asker, placement.rng),
+        attempts=Attempts(hearing.pool, around.codec, filters, placement, hearing),
         budget=budget,
-        watch=CrashWatch(knowledge, journal),
-        journal=journal,
+        watch=CrashWatch(knowledge, hearing.journal),
+        journal=hearing.journal,
     )
-    return EntryParts(knowledge, journal, candidates, runner, beats)
 
 
 __all__ = (
     'EntryParts',
     'make_parts',
+    'make_runner',
 )
--- a/src/cassiahitch/direct/backends/attempt.py
+++ b/src/cassiahitch/direct/backends/attempt.py
@@ -19,6 +19,7 @@
     from collections.abc import Iterator
 
     from cassiahitch.direct.api import Call, RequestCodec
+    from cassiahitch.direct.backends.hearing import Hearing
     from cassiahitch.direct.backends.pool import ConnectionPool
     from cassiahitch.direct.callers.front import CallerExchange
     from cassiahitch.direct.placement.placement import Placed, Placement
@@ -40,6 +41,11 @@
     refused: bool
 
 
+@dataclass(frozen=True, slots=True)
+class Withheld:
+    """No byte of the request went out, as the backend server wants none now."""
+
+
 @dataclass(frozen=True, slots=True)
 class NotRun:
     """The backend server says that it did not run the request and never will."""
@@ -55,7 +61,7 @@
     silent: bool = False
 
 
-Outcome = Answered | Delivered | NotSent | NotRun | Lost
+Outcome = Answered | Delivered | NotSent | Withheld | NotRun | Lost
 
 
 @dataclass(slots=True)
@@ -99,6 +105,7 @@
     codec: RequestCodec
     filters: RequestFilters
     placement: Placement
+    hearing: Hearing
 
     async def send(
         self,
@@ -120,14 +127,18 @@
         :raises CallerGone: if its caller has left and nothing was sent.
         """
         replica = placed.candidate.replica
+        if not self.hearing.may_send(replica):
+            return Withheld()
         try:
             connection = await self.pool.acquire(replica, limit, once=call.plan().runs_once)
         except ConnectFailed as error:
             return NotSent(str(error), error.refused)
         silence = Silence(stream.leaves_silent)
-        exchange = Exchange(connection, self.codec, silence)
+        exchange = Exchange(connection, self.codec, silence, self.hearing.heard)
         with ExitStack() as stack:
             stack.callback(self.release, connection, exchange)
+            if not self.hearing.may_send(replica):
+                return Withheld()
             self.filters.check_key(call)
             stream.caller.check_there()
             stack.enter_context(stream.caller.outlived(outlives=call.plan().outlives_caller))
@@ -145,7 +156,9 @@
         head = exchange.head
         unused = connection.requests == 0 and exchange.written is None
         idle_s = head.idle_s if head else None
-        reusable = unused or (exchange.reusable and head is not None and not head.closes)
+        kept = exchange.reusable and head is not None and not head.closes
+        leaves = self.hearing.holdoff.is_leaving(connection.replica.key)
+        reusable = (unused or kept) and not leaves
         self.pool.release(connection, reusable=reusable, idle_s=idle_s)
 
     @contextmanager
@@ -282,4 +295,5 @@
     'Outcome',
     'Patience',
     'StreamState',
+    'Withheld',
 )
--- a/src/cassiahitch/direct/backends/exchange.py
+++ b/src/cassiahitch/direct/backends/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import h11
@@ -14,6 +15,7 @@
 
     from cassiahitch.direct.api import AnswerHead, CallerRequest, Headers, RequestCodec
     from cassiahitch.direct.backends.silence import Silence
+    from cassiahitch.direct.beliefs.replicas import Replica
 
 #: Answers of other requests that are passed over while the own one is awaited.
 FOREIGN_ANSWERS = 4
@@ -21,6 +23,13 @@
 MAX_HEADER_BYTES = 65_536
 
 
+Heard = Callable[['Replica', 'AnswerHead'], None]
+
+
+def _take_nothing_in(_: Replica, _head: AnswerHead) -> None:
+    """Take the start of an answer in where nobody listens."""
+
+
 class AnswerLost(Exception):
     """Bytes of the request went out and no whole answer came, so it may have run."""
 
@@ -33,17 +42,23 @@
     """
 
     def __init__(
-        self, connection: BackendConnection, codec: RequestCodec, silence: Silence
+        self,
+        connection: BackendConnection,
+        codec: RequestCodec,
+        silence: Silence,
+        heard: Heard = _take_nothing_in,
     ) -> None:
         """Create it on an idle connection.
 
         :param connection: the connection.
         :param codec: reads the headers of answers.
         :param silence: watches over each wait for bytes.
+        :param heard: takes in the start of each answer, also of other requests.
         """
         self.connection = connection
         self.codec = codec
         self.silence = silence
+        self.heard = heard
         self.machine = _machine()
         self.written: asyncio.Future[None] | None = None
         self.complete = False
@@ -104,7 +119,9 @@
             (name.decode('latin1'), text.decode('latin1'))
             for name, text in event.headers.raw_items()
         )
-        return self.codec.read_answer(event.status_code, event.reason.decode('latin1'), headers)
+        head = self.codec.read_answer(event.status_code, event.reason.decode('latin1'), headers)
+        self.heard(self.connection.replica, head)
+        return head
 
     async def _pass_over(self, request: CallerRequest, headers: Headers) -> None:
         # A late or doubled answer of an earlier request stands before the own one.
--- /dev/null
+++ b/src/cassiahitch/direct/backends/hearing.py
@@ -0,0 +1,75 @@
+"""What replicas say of themselves in their answers."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from cassiahitch.direct.api import AnswerHead
+    from cassiahitch.direct.backends.pool import ConnectionPool
+    from cassiahitch.direct.beliefs.replicas import Replica
+    from cassiahitch.direct.journal import Journal
+    from cassiahitch.direct.placement.holdoff import HoldOff
+
+
+@dataclass(frozen=True, slots=True)
+class Hearing:
+    """Takes it in, and tells whether a request may be sent."""
+
+    holdoff: HoldOff
+    pool: ConnectionPool
+    journal: Journal
+    longest_pause_s: float
+
+    def heard(self, replica: Replica, head: AnswerHead) -> None:
+        """Take the start of an answer in, whatever request it belongs to.
+
+        :param replica: the replica at the other end of the connection.
+        :param head: the start of the answer.
+        """
+        for name in head.unreadable:
+            self.journal.unreadable(replica, name)
+        if head.leaves:
+            self.leaves(replica, 'answer')
+        if head.pause_s is not None:
+            self.pauses(replica, min(head.pause_s, self.longest_pause_s))
+
+    def leaves(self, replica: Replica, source: str) -> None:
+        """Take in that a replica leaves.
+
+        :param replica: the replica.
+        :param source: where that is known from.
+        """
+        if self.holdoff.leaves(replica.key, asyncio.get_running_loop().time()):
+            self.journal.replica_leaves(replica, source)
+        self.pool.close_idle(replica.key)
+
+    def pauses(self, replica: Replica, seconds: float) -> None:
+        """Take in that a replica wants nothing for a time.
+
+        :param replica: the replica.
+        :param seconds: how long.
+        """
+        if self.holdoff.pauses(replica.key, seconds, asyncio.get_running_loop().time()):
+            self.journal.replica_pauses(replica, seconds)
+
+    def may_send(self, replica: Replica) -> bool:
+        """Tell whether a request may be sent to a replica now.
+
+        :param replica: the replica.
+        :return: whether it may.
+        """
+        return self.holdoff.may_send(replica.key, asyncio.get_running_loop().time())
+
+    def tidy(self, listed: frozenset[str]) -> None:
+        """Forget what no longer matters.
+
+        :param listed: the incarnations that are listed.
+        """
+        for ended in self.holdoff.tidy(listed, asyncio.get_running_loop().time()):
+            self.journal.holdoff_ended(ended)
+
+
+__all__ = ('Hearing',)
--- a/src/cassiahitch/direct/backends/pool.py
+++ b/src/cassiahitch/direct/backends/pool.py
@@ -91,6 +91,14 @@
             if not kept:
                 self.idle.pop(key)
 
+    def close_idle(self, key: str) -> None:
+        """Close the idle connections to one replica.
+
+        :param key: its incarnation.
+        """
+        for connection in self.idle.pop(key, []):
+            self.discard(connection)
+
     def close(self) -> None:
         """Close all idle connections."""
         self.keep_only(frozenset())
--- a/src/cassiahitch/direct/entry.py
+++ b/src/cassiahitch/direct/entry.py
@@ -196,6 +196,7 @@
             self.parts.knowledge.replicas.expire(now)
             keys = frozenset(self.parts.knowledge.replicas.by_key())
             self.parts.runner.attempts.pool.keep_only(keys)
+            self.parts.runner.attempts.hearing.tidy(keys)
             self.parts.candidates.keep_only(keys)
             self.parts.runner.watch.keep_only(keys)
             self.parts.journal.counted()
--- a/src/cassiahitch/direct/journal.py
+++ b/src/cassiahitch/direct/journal.py
@@ -22,6 +22,7 @@
     from cassiahitch.direct.beliefs.knowledge import Knowledge
     from cassiahitch.direct.beliefs.replicas import Replica
     from cassiahitch.direct.callers.progress import Progress
+    from cassiahitch.direct.placement.holdoff import Ended
     from cassiahitch.direct.placement.placement import Crowded, Placed
     from cassiahitch.errors import RequestError
     from cassiahitch.metrics.registry import Metrics
@@ -182,6 +183,43 @@
             fields |= {'replica': progress.replica, 'placed_s': now - progress.placed_at}
         self.line(logging.INFO, 'caller left', call, fields)
 
+    def replica_leaves(self, replica: Replica, source: str) -> None:
+        """Record that a backend server says that it leaves.
+
+        :param replica: the backend server.
+        :param source: where that is known from.
+        """
+        self.metrics.count(CounterName.replicas_leaving, replica.service)
+        fields = {'replica': replica.id, 'born_ms': replica.born_ms, 'source': source}
+        self.believed('replica says that it leaves', service=replica.service, **fields)
+
+    def replica_pauses(self, replica: Replica, seconds: float) -> None:
+        """Record that a backend server wants no requests for a time.
+
+        :param replica: the backend server.
+        :param seconds: how long.
+        """
+        self.metrics.count(CounterName.replica_pauses, replica.service)
+        fields = {'replica': replica.id, 'born_ms': replica.born_ms, 'pause_s': seconds}
+        self.believed('replica asks for a pause', service=replica.service, **fields)
+
+    def holdoff_ended(self, ended: Ended) -> None:
+        """Record that what a backend server said of itself holds no longer.
+
+        :param ended: what has ended.
+        """
+        message = 'replica that leaves is forgotten' if ended.left else 'pause of a replica is over'
+        self.believed(message, replica=ended.key, after_s=ended.after_s)
+
+    def unreadable(self, replica: Replica, name: str) -> None:
+        """Record that a header of a backend server could not be read and is ignored.
+
+        :param replica: the backend server.
+        :param name: name of the header.
+        """
+        self.metrics.count(CounterName.headers_unreadable, name)
+        self.believed('header ignored', replica=replica.id, header=name)
+
     def crashed(self, replica: Replica, requests: int) -> None:
         """Record the crash of a backend server.
 
--- a/src/cassiahitch/direct/placement/asking.py
+++ b/src/cassiahitch/direct/placement/asking.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import itertools
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -44,15 +44,23 @@
         self.open = self.asked.copy()
 
 
+def _tell_nobody(_: Replica) -> None:
+    """Take in that an engine leaves where nobody asks."""
+
+
 @dataclass(slots=True)
 class PlaceAsker:
-    """Sends questions to agents and takes their answers in."""
+    """Sends questions to agents and takes their answers in.
+
+    ``leaves`` is told of engines that leave.
+    """
 
     placement: Placement
     peer_port: int
     socket: DatagramSocket | None = None
     rounds: dict[int, Round] = field(default_factory=dict)
     numbers: itertools.count[int] = field(default_factory=lambda: itertools.count(1))
+    leaves: Callable[[Replica], None] = _tell_nobody
 
     async def ask(self, replicas: Iterable[Replica], prompt_tokens: int) -> dict[str, int]:
         """Ask the agents of some engines, each of which holds a place for a moment.
@@ -140,10 +148,12 @@
         same_start = replica.born_ms == load.born_ms or not load.born_ms
         if replica.endpoint.address != sender.address or not same_start:
             return False
+        if load.leaving:
+            self.leaves(replica)
         report = LoadReport(
             running=load.running,
             waiting=load.waiting,
-            pace=load.pace_percent / PERCENT,
+            pace=1 + load.slowness_percent / PERCENT,
             loading=load.loading,
             model=load.model,
             version=load.version,
--- a/src/cassiahitch/direct/placement/candidates.py
+++ b/src/cassiahitch/direct/placement/candidates.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -12,6 +13,7 @@
     from cassiahitch.direct.beliefs.catalogue import Service
     from cassiahitch.direct.beliefs.knowledge import Knowledge
     from cassiahitch.direct.beliefs.replicas import Replica
+    from cassiahitch.direct.placement.holdoff import HoldOff
     from cassiahitch.direct.placement.placement import Placement
 
 #: Entries beside the known ones that may have connections to a replica.
@@ -24,6 +26,7 @@
 
     knowledge: Knowledge
     placement: Placement
+    holdoff: HoldOff
     outliers: dict[str, OutlierEjection] = field(default_factory=dict)
 
     def service(self, call: Call) -> Service | None:
@@ -74,7 +77,9 @@
         :param call: the request.
         :return: replicas that may get requests.
         """
-        return len(self.knowledge.replicas.usable(call.service))
+        now = asyncio.get_running_loop().time()
+        known = self.knowledge.replicas.usable(call.service)
+        return sum(self.holdoff.may_send(replica.key, now) for replica in known)
 
     def usual_objective_s(self, call: Call) -> float:
         """Return the mean objective of the routes of a service.
@@ -92,12 +97,27 @@
         :param now: seconds.
         :return: replicas; ejected ones only if there is no other.
         """
-        known = self.knowledge.replicas.usable(call.service)
+        known = [
+            replica
+            for replica in self.knowledge.replicas.usable(call.service)
+            if self.holdoff.may_send(replica.key, now)
+        ]
         usable = [replica for replica in known if replica.key not in call.avoided]
         if not usable and call.may_return:
-            usable = list(known)
+            usable = known
         sound = tuple(replica for replica in usable if self.is_sound(replica, now))
-        return sound or tuple(usable)
+        invited = tuple(replica for replica in sound if self.holdoff.is_invited(replica.key, now))
+        return invited or sound or tuple(usable)
+
+    def free_in_s(self, call: Call, now: float) -> float | None:
+        """Return after which time the first replica that pauses takes requests again.
+
+        :param call: a request for the service.
+        :param now: seconds.
+        :return: seconds, nothing if none pauses or one does not.
+        """
+        known = self.knowledge.replicas.usable(call.service)
+        return self.holdoff.free_in_s((replica.key for replica in known), now) or None
 
     def is_near(self, replica: Replica) -> bool:
         """Tell whether a replica is in the own region.
--- a/src/cassiahitch/direct/placement/places.py
+++ b/src/cassiahitch/direct/placement/places.py
@@ -25,6 +25,8 @@
 UNCERTAIN = 3
 #: Shortest and longest time after which a caller may come back when no replica lives, in seconds.
 RETURN_S = (1.0, 2.0)
+#: Longest time by which callers come back later than the first replica that pauses, in seconds.
+PAUSE_SPREAD_S = 1.0
 
 
 @dataclass(slots=True)
@@ -113,6 +115,11 @@
         :param call: the request.
         :return: the error.
         """
+        free_in_s = self.candidates.free_in_s(call, asyncio.get_running_loop().time())
+        if free_in_s is not None:
+            detail = f'all replicas of {call.service} have asked for a pause'
+            return_s = free_in_s + self.rng.uniform(0, PAUSE_SPREAD_S)
+            return RequestError(Code.overloaded, detail, call.ran, return_s)
         detail = f'no replica of {call.service} can take the request'
         return RequestError(Code.no_replica, detail, call.ran, self.rng.uniform(*RETURN_S))
 
@@ -245,6 +252,8 @@
         :param now: seconds.
         :return: the candidate.
         """
+        if not self.candidates.holdoff.may_send(replica.key, now):
+            return None
         load = self.placement.engine_load(replica.key)
         version = replica.version(engine.model)
         if load.is_reported(now) and load.report is not None:
--- a/src/cassiahitch/direct/requests/runner.py
+++ b/src/cassiahitch/direct/requests/runner.py
@@ -20,6 +20,7 @@
     Outcome,
     Patience,
     StreamState,
+    Withheld,
 )
 from cassiahitch.direct.callers.finals import FinalAnswers
 from cassiahitch.direct.callers.progress import Phase
@@ -267,7 +268,7 @@
                 self.watch.check(replica)
             case Answered(head=head) if head.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
                 seen = HealthOutcome.failed
-            case NotRun():
+            case NotRun() | Withheld():
                 seen = HealthOutcome.refused
             case _:
                 seen = HealthOutcome.success
@@ -344,7 +345,7 @@
         """
         stream.splitter.drop_half()
         call.avoided.add(placed.candidate.replica.key)
-        if isinstance(outcome, NotSent):
+        if isinstance(outcome, NotSent | Withheld):
             return
         call.may_return = isinstance(outcome, Answered)
         route = call.plan()
@@ -366,7 +367,7 @@
         """
         if stream.reserved is not None:
             return
-        sent = not isinstance(outcome, NotSent)
+        sent = not isinstance(outcome, NotSent | Withheld)
         if stream.started:
             stream.caller.progress.phase = Phase.place
             key = placed.candidate.replica.key
--- a/src/cassiahitch/direct/staging/enginestate.py
+++ b/src/cassiahitch/direct/staging/enginestate.py
@@ -12,7 +12,8 @@
     """State of an engine; ``pace`` above 1 means that it is slower than its configuration says.
 
     ``orders`` counts the orders that it began, ``loading`` tells that one is in progress, and
-    ``weights`` holds the models that are whole, with their versions.
+    ``weights`` holds the models that are whole, with their versions. ``leaving`` tells that it is
+    about to end.
     """
 
     weights: tuple[tuple[str, int], ...] = ()
@@ -22,6 +23,7 @@
     running: int = 0
     pace: float = 1
     born_ms: int = 0
+    leaving: bool = False
 
     def version(self, model: str) -> int:
         """Return the version of a model that is loaded.
--- a/src/cassiahitch/direct/staging/loading.py
+++ b/src/cassiahitch/direct/staging/loading.py
@@ -148,10 +148,12 @@
     async def load_newest(self) -> None:
         """Load the newest version that is here if it is newer than the engine's.
 
+        Chunks are fetched for the engines of other hosts also while the own one leaves.
+
         :raises PlatformError: if it failed.
         """
         wanted = self.beliefs.wanted()
-        if wanted is None or self.report is None or self.has(wanted):
+        if wanted is None or self.report is None or self.report.leaving or self.has(wanted):
             return
         loaded = self.report.version(wanted.model)
         complete = [
@@ -294,6 +296,8 @@
         self.report = report
         if report.loading or self.has(wanted):
             return OrderOutcome.in_effect
+        if report.leaving:
+            return OrderOutcome.refused
         outcome = await self.engine.load(wanted.model, wanted.version, report.orders)
         if outcome is OrderOutcome.unknown:
             self.stager.keep_version()
--- a/src/cassiahitch/direct/staging/reporting.py
+++ b/src/cassiahitch/direct/staging/reporting.py
@@ -89,7 +89,7 @@
     on_way: OnWay = field(default_factory=OnWay)
     entries: dict[Endpoint, float] = field(default_factory=dict)
     last: EngineReport | None = None
-    told: tuple[bool, int] = (False, 0)
+    told: tuple[bool, int, bool] = (False, 0, False)
     socket: DatagramSocket | None = None
     reached: bool = True
     asked: asyncio.Event = field(default_factory=asyncio.Event)
@@ -136,9 +136,9 @@
         """
         self.last = report
         load = self.load(0, 0)
-        if load is None or (load.loading, load.version) == self.told:
+        if load is None or (load.loading, load.version, load.leaving) == self.told:
             return
-        self.told = (load.loading, load.version)
+        self.told = (load.loading, load.version, load.leaving)
         self.entries = {entry: until for entry, until in self.entries.items() if now < until}
         for entry in self.entries:
             self.send(load, entry)
@@ -160,10 +160,11 @@
             born_ms=report.born_ms,
             running=report.running,
             waiting=report.waiting + on_way,
-            pace_percent=int(report.pace * PERCENT),
+            slowness_percent=int(report.pace * PERCENT) - PERCENT,
             loading=report.loading,
             model=wanted.model,
             version=report.version(wanted.model),
+            leaving=report.leaving,
         )
 
     def receive(self, message: Beat, sender: Endpoint) -> None:
--- a/src/cassiahitch/platform/engine.py
+++ b/src/cassiahitch/platform/engine.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from http import HTTPStatus
 from typing import Any
 from urllib.parse import quote, urlencode
@@ -13,6 +13,7 @@
 from cassiahitch.errors import PlatformError
 from cassiahitch.platform import names
 from cassiahitch.platform.documents import decode_manifest, decode_report
+from cassiahitch.platform.requests import read_leaving
 from cassiahitch.stores.caller import Call, CallFailed, HttpCaller, Reply
 
 #: Seconds until a call to the engine of the own host fails.
@@ -36,7 +37,8 @@
         """
         reply = await self._call('GET', names.REPORT_PATH)
         _require(reply, Code.engine_unavailable)
-        return decode_report(reply.body)
+        leaving = bool(read_leaving(reply.headers))
+        return replace(decode_report(reply.body), leaving=leaving)
 
     async def stage(self, model: str, index: int, content: bytes) -> None:
         """Store a chunk at the engine.
--- a/src/cassiahitch/platform/names.py
+++ b/src/cassiahitch/platform/names.py
@@ -16,6 +16,8 @@
 SEAL = 'X-Cassiahitch-Response-Seal'
 #: The backend server did not run the request.
 NOT_EXECUTED = 'X-Cassiahitch-Not-Executed'
+#: Holds 1 in all answers of a backend server that leaves.
+LEAVING = 'Server-Leaving'
 #: Any other backend server refuses the request.
 EXPECTED_REPLICA = 'X-Cassiahitch-Expect-Instance'
 #: Any other version of the weights refuses the request.
@@ -71,6 +73,7 @@
     'EXPECTED_TOKENS',
     'EXPECTED_VERSION',
     'LAST_EVENT',
+    'LEAVING',
     'MANIFEST_PATH',
     'MODEL',
     'NOT_EXECUTED',
--- a/src/cassiahitch/platform/requests.py
+++ b/src/cassiahitch/platform/requests.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import re
+from http import HTTPStatus
+from types import MappingProxyType
+
 from cassiahitch.codes import Code, Ran
 from cassiahitch.direct.api import (
     AnswerHead,
@@ -17,6 +21,11 @@
 MS_PER_S = 1000
 #: Status of a backend server at whose address the request is not meant to be.
 MISDIRECTED = 421
+RETRY_AFTER = 'Retry-After'
+#: What the header of a backend server that leaves may hold.
+LEAVING_VALUES = MappingProxyType({'': False, '0': False, '1': True})
+#: Seconds that a backend server may ask for, with a fraction; dates are not among them.
+SECONDS = re.compile(r'[0-9]{1,9}(\.[0-9]{1,9})?')
 #: Headers that concern only one connection, in lower case.
 CONNECTION_HEADERS = frozenset(
     (
@@ -123,6 +132,9 @@
         :return: what they say.
         """
         length = header(headers, 'Content-Length')
+        leaves = read_leaving(headers)
+        pause_s = _pause_s(headers) if status == HTTPStatus.SERVICE_UNAVAILABLE else 0
+        unreadable = ((names.LEAVING, leaves is None), (RETRY_AFTER, pause_s is None))
         return AnswerHead(
             status=status,
             reason=reason,
@@ -134,9 +146,32 @@
             length=int(length) if length.isdigit() else None,
             idle_s=_idle_s(header(headers, 'Keep-Alive')),
             closes='close' in header(headers, 'Connection').lower(),
+            leaves=bool(leaves),
+            pause_s=pause_s or None,
+            unreadable=tuple(name for name, is_bad in unreadable if is_bad),
         )
 
 
+def read_leaving(headers: Headers) -> bool | None:
+    """Tell whether a backend server says that it leaves.
+
+    :param headers: headers of any answer of it.
+    :return: whether it does; nothing if what it says cannot be read.
+    """
+    return LEAVING_VALUES.get(','.join(_values(headers, names.LEAVING)))
+
+
+def _pause_s(headers: Headers) -> float | None:
+    values = _values(headers, RETRY_AFTER)
+    if not values:
+        return 0
+    return float(values[0]) if len(values) == 1 and SECONDS.fullmatch(values[0]) else None
+
+
+def _values(headers: Headers, name: str) -> list[str]:
+    return [value.strip() for own, value in headers if own.lower() == name.lower()]
+
+
 def _passed_on(headers: Headers) -> Headers:
     named = {name.strip().lower() for name in header(headers, 'Connection').split(',')}
     dropped = CONNECTION_HEADERS | OWN_HEADERS | (named - KEPT_HEADERS)
@@ -172,4 +207,7 @@
     return None
 
 
-__all__ = ('PlatformRequests',)
+__all__ = (
+    'PlatformRequests',
+    'read_leaving',
+)
--- a/src/cassiahitch/settings/direct.py
+++ b/src/cassiahitch/settings/direct.py
@@ -53,6 +53,13 @@
     processor_share: float = Field(
         default=1, gt=0, le=1, description='Part of the processors that the process may use.'
     )
+    longest_pause_s: float = Field(
+        default=30,
+        gt=0,
+        le=3600,
+        description='Longest time for which a backend server that asks for it gets nothing; '
+        'a wrong answer would shut it out for ever otherwise.',
+    )
     seeds: tuple[EndpointText, ...] = Field(
         default=(),
         max_length=64,
--- a/src/cassiahitch/soak/backend.py
+++ b/src/cassiahitch/soak/backend.py
@@ -12,13 +12,15 @@
 from cassiahitch.platform import names
 from cassiahitch.soak.answers import Work, digest, event, plain_body, seal
 from cassiahitch.soak.records import Execution
-from cassiahitch.standins.backends import BackendStandin, Fault, Wire
+from cassiahitch.standins.backends import REFUSALS, BackendStandin, Fault, Wire
 
 if TYPE_CHECKING:
     from cassiahitch.direct.api import Headers
 
 #: Tokens that an engine reads in a second.
 READ_TOKENS_PER_S = 8000.0
+#: Seconds for which a backend server wants nothing when it asks for a pause.
+PAUSE_S = 1.5
 
 
 @dataclass
@@ -62,14 +64,19 @@
             header(headers, names.ORGANISATION),
             asyncio.get_running_loop().time(),
             key_passed=bool(header(headers, names.API_KEY)),
+            said_leaving=self.leaving,
         )
         self.executions.append(execution)
         fault = self.faults.pop(0) if self.faults else self.fault
         refusal = self.refusal(headers)
-        if refusal is not None or fault is Fault.refuse:
+        if refusal is not None or fault in REFUSALS:
             execution.refused = True
             status = refusal or HTTPStatus.SERVICE_UNAVAILABLE.value
-            await wire.whole(status, {names.ATTEMPT_ID: attempt, names.NOT_EXECUTED: '1'}, b'')
+            head = {names.ATTEMPT_ID: attempt, names.NOT_EXECUTED: '1'}
+            if fault is Fault.ask_pause:
+                head['Retry-After'] = str(PAUSE_S)
+                execution.paused_until = execution.arrived + PAUSE_S
+            await wire.whole(status, head, b'')
             return True
         return await self.execute(wire, execution, headers, fault)
 
--- a/src/cassiahitch/soak/checks.py
+++ b/src/cassiahitch/soak/checks.py
@@ -20,6 +20,7 @@
     stop_of,
 )
 from cassiahitch.soak.served import check_recovery, check_sizes
+from cassiahitch.soak.words import check_leaving, check_paused
 
 #: Statuses that promise that a request has not run and never will.
 PROMISES = frozenset((408, 421, 429, 503))
@@ -153,6 +154,8 @@
     check_recovery,
     check_sizes,
     check_gone,
+    check_leaving,
+    check_paused,
 )
 
 
--- a/src/cassiahitch/soak/faults.py
+++ b/src/cassiahitch/soak/faults.py
@@ -48,11 +48,14 @@
 SLOWNESS = 5.0
 #: Seconds for which a draining replica still serves, beyond the bound.
 DRAIN_SLACK_S = 1.0
+#: Seconds between what a replica says of its leaving and what the list says.
+SAID_BEFORE_S = 3.0
 FAULTS = MappingProxyType(
     {
         BackendFailure.refuse: Fault.refuse,
         BackendFailure.lose: Fault.lose,
         BackendFailure.cut: Fault.cut,
+        BackendFailure.pause: Fault.ask_pause,
     }
 )
 
@@ -258,6 +261,9 @@
         """
         backend = self.site.backends[name]
         own = backend.id
+        # It says so itself before the list does.
+        backend.leaving = True
+        await asyncio.sleep(SAID_BEFORE_S)
         self.site.register(name, 'draining')
         self.site.record.changes.append(ReplicaLeft(self.now(), own))
         await asyncio.sleep(self.site.record.bounds.drain_s + DRAIN_SLACK_S)
@@ -265,6 +271,8 @@
             await asyncio.sleep(DRAIN_SLACK_S / 10)
         self.site.store.drop(names.REPLICA_TABLE, own)
         backend.id = f'{own}x'
+        backend.born_ms += 1
+        backend.leaving = False
         self.site.register(name)
         return ()
 
--- a/src/cassiahitch/soak/plan.py
+++ b/src/cassiahitch/soak/plan.py
@@ -29,6 +29,7 @@
     refuse = 'refuse'
     lose = 'lose'
     cut = 'cut'
+    pause = 'pause'
 
 
 class StoreFailure(StrEnum):
--- a/src/cassiahitch/soak/records.py
+++ b/src/cassiahitch/soak/records.py
@@ -48,6 +48,8 @@
     recovered = 'recovered'
     sizes = 'sizes'
     gone = 'gone'
+    leaving = 'leaving'
+    paused = 'paused'
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,7 +102,9 @@
 class Execution:
     """An attempt at a backend server; ``refused`` says that it was not run there.
 
-    ``broke_off`` says that the backend server ended the answer itself before its end.
+    ``broke_off`` says that the backend server ended the answer itself before its end,
+    ``said_leaving`` that the answer said that it leaves, ``paused_until`` until when it wanted
+    nothing.
     """
 
     id: str
@@ -113,6 +117,8 @@
     key_passed: bool = False
     refused: bool = False
     broke_off: bool = False
+    said_leaving: bool = False
+    paused_until: float | None = None
     version: int = 0
     began: float | None = None
     ended: float | None = None
--- a/src/cassiahitch/standins/backends.py
+++ b/src/cassiahitch/standins/backends.py
@@ -38,6 +38,7 @@
     none = 'none'
     refuse = 'refuse'
     refuse_late = 'refuse_late'
+    ask_pause = 'ask_pause'
     lose = 'lose'
     cut = 'cut'
     extra = 'extra'
@@ -48,6 +49,10 @@
     hang = 'hang'
 
 
+#: Faults with which a request is refused that could run.
+REFUSALS = frozenset((Fault.refuse, Fault.refuse_late, Fault.ask_pause))
+
+
 @dataclass(frozen=True, slots=True)
 class Run:
     """A request that began to run."""
@@ -88,7 +93,10 @@
 
 @dataclass(slots=True)
 class BackendStandin:
-    """One replica; ``faults`` are used up one by one, and then ``fault`` holds."""
+    """One replica; ``faults`` are used up one by one, and then ``fault`` holds.
+
+    While ``leaving``, all its answers say so; all of them have ``odd_headers``.
+    """
 
     id: str
     service: str
@@ -97,6 +105,10 @@
     events: int = 5
     pause_s: float = 0
     padding: int = 0
+    born_ms: int = 1
+    leaving: bool = False
+    odd_headers: dict[str, str] = field(default_factory=dict)
+    asked_pause_s: float = 1
     fault: Fault = Fault.none
     faults: list[Fault] = field(default_factory=list)
     engine: EngineStandin | None = None
@@ -126,7 +138,7 @@
             'models': engine.models(),
             'layers': engine.layers(),
             'seq': engine.orders,
-            'born': 1,
+            'born': self.born_ms,
         }
 
     async def start(self, address: str, port: int = 0) -> None:
@@ -170,7 +182,8 @@
             request, body = await _request(machine, reader)
             if request is None:
                 return
-            wire = Wire(machine, writer)
+            leaving = {names.LEAVING: '1'} if self.leaving else {}
+            wire = Wire(machine, writer, {**leaving, **self.odd_headers})
             headers = tuple((name.decode(), text.decode()) for name, text in request.headers)
             target = request.target.decode()
             if not await self.answer(wire, request.method.decode(), target, headers, body):
@@ -203,13 +216,16 @@
                 return True
         refusal = self.refusal(headers)
         fault = self.faults.pop(0) if self.faults else self.fault
-        if refusal is None and fault in {Fault.refuse, Fault.refuse_late}:
+        if refusal is None and fault in REFUSALS:
             await asyncio.sleep(self.pause_s if fault is Fault.refuse_late else 0)
             refusal = HTTPStatus.SERVICE_UNAVAILABLE.value
         attempt = header(headers, names.ATTEMPT_ID)
         if refusal is not None:
             self.refused[attempt] += 1
-            await wire.whole(refusal, {names.ATTEMPT_ID: attempt, names.NOT_EXECUTED: '1'}, b'')
+            head = {names.ATTEMPT_ID: attempt, names.NOT_EXECUTED: '1'}
+            if fault is Fault.ask_pause:
+                head['Retry-After'] = str(self.asked_pause_s)
+            await wire.whole(refusal, head, b'')
             return True
         return await self.run(wire, target, headers, fault)
 
@@ -375,7 +391,7 @@
             'waiting': max(0, self.running - self.slots),
             'running': min(self.running, self.slots),
             'pace': 1.0,
-            'born': 1,
+            'born': self.born_ms,
         }
 
     def order(self, engine: EngineStandin, order: dict[str, Any]) -> int:
@@ -410,10 +426,11 @@
 
 @dataclass(slots=True)
 class Wire:
-    """Writes answers to one connection."""
+    """Writes answers to one connection; ``always`` are headers of all of them."""
 
     machine: h11.Connection
     writer: asyncio.StreamWriter
+    always: dict[str, str] = field(default_factory=dict)
 
     async def whole(self, status: int, headers: dict[str, str], body: bytes) -> None:
         """Write a whole answer."""
@@ -425,7 +442,8 @@
 
     def start(self, status: int, headers: dict[str, str]) -> None:
         """Write the start of an answer."""
-        head = h11.Response(status_code=int(status), headers=list(headers.items()))
+        lines = [*headers.items(), *self.always.items()]
+        head = h11.Response(status_code=int(status), headers=lines)
         self.writer.write(self.machine.send(head))
 
     def part(self, data: bytes) -> None:
--- a/src/cassiahitch/stores/caller.py
+++ b/src/cassiahitch/stores/caller.py
@@ -53,10 +53,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Reply:
-    """Status and body of an answer."""
+    """Status, body and headers of an answer."""
 
     status: int
     body: bytes
+    headers: tuple[tuple[str, str], ...] = ()
 
     def json(self) -> Any:
         """Return the decoded body.
@@ -278,7 +279,7 @@
         raise answer.error
     if len(answer.body) > MAX_ANSWER_BYTES:
         raise CallFailed('the answer is too large', sent=True)
-    return Reply(answer.code, answer.body)
+    return Reply(answer.code, answer.body, tuple(answer.headers.get_all()))
 
 
 def _check_stream(answer: HTTPResponse) -> None:
--- a/src/cassiahitch/wire/beats.py
+++ b/src/cassiahitch/wire/beats.py
@@ -106,7 +106,8 @@
 class EngineLoad:
     """Load of the engine beside an agent, as the answer to a query or unasked under number 0.
 
-    ``waiting`` counts the requests that are on their way as well.
+    ``waiting`` counts the requests that are on their way as well. ``leaving`` tells that the
+    engine says that it is about to end.
     """
 
     number: int = 0
@@ -114,10 +115,11 @@
     born_ms: int = 0
     running: int = 0
     waiting: int = 0
-    pace_percent: int = 100
+    slowness_percent: int = 0
     loading: bool = False
     model: str = ''
     version: int = 0
+    leaving: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cassiahitch/wire/datagrams.thrift
+++ b/src/cassiahitch/wire/datagrams.thrift
@@ -66,10 +66,11 @@
   3: i64 born_ms
   4: i32 running
   5: i32 waiting
-  6: i32 pace_percent
+  6: i32 slowness_percent
   7: bool loading
   8: string model
   9: i32 version
+  10: bool leaving
 }
 
 struct ChunkMap {
--- a/src/cassiahitch/wire/gen/datagrams/ttypes.py
+++ b/src/cassiahitch/wire/gen/datagrams/ttypes.py
@@ -933,10 +933,11 @@
      - born_ms
      - running
      - waiting
-     - pace_percent
+     - slowness_percent
      - loading
      - model
      - version
+     - leaving
 
     """
 
@@ -946,23 +947,25 @@
         'born_ms',
         'running',
         'waiting',
-        'pace_percent',
+        'slowness_percent',
         'loading',
         'model',
         'version',
+        'leaving',
     )
 
 
-    def __init__(self, number=None, incarnation=None, born_ms=None, running=None, waiting=None, pace_percent=None, loading=None, model=None, version=None,):
+    def __init__(self, number=None, incarnation=None, born_ms=None, running=None, waiting=None, slowness_percent=None, loading=None, model=None, version=None, leaving=None,):
         self.number = number
         self.incarnation = incarnation
         self.born_ms = born_ms
         self.running = running
         self.waiting = waiting
-        self.pace_percent = pace_percent
+        self.slowness_percent = slowness_percent
         self.loading = loading
         self.model = model
         self.version = version
+        self.leaving = leaving
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1000,7 +1003,7 @@
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.I32:
-                    self.pace_percent = iprot.readI32()
+                    self.slowness_percent = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
@@ -1018,6 +1021,11 @@
                     self.version = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1048,9 +1056,9 @@
             oprot.writeFieldBegin('waiting', TType.I32, 5)
             oprot.writeI32(self.waiting)
             oprot.writeFieldEnd()
-        if self.pace_percent is not None:
-            oprot.writeFieldBegin('pace_percent', TType.I32, 6)
-            oprot.writeI32(self.pace_percent)
+        if self.slowness_percent is not None:
+            oprot.writeFieldBegin('slowness_percent', TType.I32, 6)
+            oprot.writeI32(self.slowness_percent)
             oprot.writeFieldEnd()
         if self.loading is not None:
             oprot.writeFieldBegin('loading', TType.BOOL, 7)
@@ -1064,6 +1072,10 @@
             oprot.writeFieldBegin('version', TType.I32, 9)
             oprot.writeI32(self.version)
             oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 10)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1898,10 +1910,11 @@
     (3, TType.I64, 'born_ms', None, None, ),  # 3
     (4, TType.I32, 'running', None, None, ),  # 4
     (5, TType.I32, 'waiting', None, None, ),  # 5
-    (6, TType.I32, 'pace_percent', None, None, ),  # 6
+    (6, TType.I32, 'slowness_percent', None, None, ),  # 6
     (7, TType.BOOL, 'loading', None, None, ),  # 7
     (8, TType.STRING, 'model', 'UTF8', None, ),  # 8
     (9, TType.I32, 'version', None, None, ),  # 9
+    (10, TType.BOOL, 'leaving', None, None, ),  # 10
 )
 all_structs.append(ChunkMap)
 ChunkMap.thrift_spec = (
--- a/tests/direct/backends/test_abort.py
+++ b/tests/direct/backends/test_abort.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import socket
 from typing import Any
 
 from cassiahitch.direct.api import CallerRequest, Headers
 from cassiahitch.direct.backends.attempt import Attempts
 from cassiahitch.direct.backends.exchange import Exchange
+from cassiahitch.direct.backends.hearing import Hearing
 from cassiahitch.direct.backends.pool import ConnectionPool
 from cassiahitch.direct.backends.silence import Silence
 from cassiahitch.direct.beliefs.replicas import Replica
+from cassiahitch.direct.placement.holdoff import HoldOff
 from cassiahitch.platform.requests import PlatformRequests
 from cassiahitch.util.endpoints import Endpoint
 
@@ -55,7 +58,8 @@
     async def body() -> int:
         nothing: Any = None
         pool = ConnectionPool()
-        attempts = Attempts(pool, PlatformRequests(), nothing, nothing)
+        hearing = Hearing(HoldOff(random.Random(1)), pool, nothing, 1)
+        attempts = Attempts(pool, PlatformRequests(), nothing, nothing, hearing)
         with late_server() as own:
             endpoint = Endpoint(ADDRESS, own.getsockname()[1])
             replica = Replica('r1', 'desk', endpoint, 'north-1', 4)
--- a/tests/direct/placement/test_places.py
+++ b/tests/direct/placement/test_places.py
@@ -27,6 +27,7 @@
 from cassiahitch.direct.beliefs.versions import DeclaredVersion
 from cassiahitch.direct.placement.asking import ANSWER_S, PlaceAsker
 from cassiahitch.direct.placement.candidates import Candidates
+from cassiahitch.direct.placement.holdoff import HoldOff
 from cassiahitch.direct.placement.load import UNANSWERED_S
 from cassiahitch.direct.placement.placement import Crowded, Demand, Placed, Placement
 from cassiahitch.direct.placement.places import UNCERTAIN, Places
@@ -78,11 +79,15 @@
         rng = random.Random(1)
         self.knowledge = make_knowledge(settings(), 1, rng)
         self.placement = Placement(rng)
+        self.holdoff = HoldOff(rng)
         self.asker = PlaceAsker(self.placement, 7700)
         socket: Any = self
         self.asker.socket = socket
         self.places = Places(
-            Candidates(self.knowledge, self.placement), self.placement, self.asker, rng
+            Candidates(self.knowledge, self.placement, self.holdoff),
+            self.placement,
+            self.asker,
+            rng,
         )
         services = {'drafts': Service('drafts', 100, ENGINE)}
         self.knowledge.apply(Catalogue(1, (ROUTE, QUICK), services))
--- a/tests/direct/requests/test_silent_replica.py
+++ b/tests/direct/requests/test_silent_replica.py
@@ -60,7 +60,7 @@
             write_headers=lambda *_: (('Host', 'x'),), read_answer=lambda *_: HEAD
         )
         nothing: Any = None
-        self.attempts = Attempts(nothing, codec, nothing, nothing)
+        self.attempts = Attempts(nothing, codec, nothing, nothing, nothing)
         request = SimpleNamespace(method='GET', target='/', body=b'', attempt_id='a')
         self.call: Any = SimpleNamespace(
             request=request,
--- /dev/null
+++ b/tests/platform/test_leaving_and_pauses.py
@@ -0,0 +1,66 @@
+"""What backend servers say of themselves in headers, well or badly."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cassiahitch.direct.api import AnswerHead, Headers
+from cassiahitch.platform.requests import PlatformRequests
+
+
+def read(status: int, *headers: tuple[str, str]) -> AnswerHead:
+    own: Headers = (('X-Cassiahitch-Attempt-Id', 'a1'), *headers)
+    return PlatformRequests().read_answer(status, '', own)
+
+
+@pytest.mark.parametrize('status', [200, 421, 500, 503])
+def test_leaving_is_read_in_all_answers(status: int) -> None:
+    assert read(status, ('server-leaving', ' 1 ')).leaves
+    assert not read(status, ('Server-Leaving', '0')).leaves
+    assert not read(status).leaves
+
+
+@pytest.mark.parametrize('value', ['yes', '2', 'true', '-1', '1, 1', '1 1', '1.0'])
+def test_leaving_that_cannot_be_read_is_ignored(value: str) -> None:
+    head = read(200, ('Server-Leaving', value))
+    assert (head.leaves, head.unreadable) == (False, ('Server-Leaving',))
+
+
+def test_two_headers_of_a_name_are_ignored() -> None:
+    head = read(503, ('Server-Leaving', '1'), ('Server-Leaving', '1'))
+    assert (head.leaves, head.unreadable) == (False, ('Server-Leaving',))
+    head = read(503, ('Retry-After', '1'), ('retry-after', '1'))
+    assert (head.pause_s, head.unreadable) == (None, ('Retry-After',))
+
+
+@pytest.mark.parametrize(
+    ('value', 'seconds'), [('2', 2), ('0.25', 0.25), ('999999999', 999_999_999), ('0', None)]
+)
+def test_pause_is_read_in_refusals_only(value: str, seconds: float | None) -> None:
+    assert read(503, ('Retry-After', value)).pause_s == seconds
+    assert read(200, ('Retry-After', value)).pause_s is None
+    assert read(429, ('Retry-After', value)).pause_s is None
+
+
+@pytest.mark.parametrize(
+    'value',
+    ['', '-1', 'nan', 'inf', '1e3', '1,5', 'soon', 'Fri, 04 Dec 2026 12:00:00 GMT', '1' * 400, '٣'],
+)
+def test_pause_that_cannot_be_read_is_ignored(value: str) -> None:
+    head = read(503, ('Retry-After', value))
+    assert (head.pause_s, head.unreadable) == (None, ('Retry-After',))
+
+
+@given(st.integers(200, 599), st.text(), st.text())
+def test_no_value_ends_an_exchange(status: int, leaving: str, pause: str) -> None:
+    head = read(status, ('Server-Leaving', leaving), ('Retry-After', pause))
+    assert head.pause_s is None or round(head.pause_s) in range(10**9 + 1)
+    assert head.leaves is (leaving.strip() == '1')
+
+
+@given(st.floats(0.001, 1e6))
+def test_each_number_of_seconds_is_read(seconds: float) -> None:
+    text = f'{seconds:.4f}'
+    assert read(503, ('Retry-After', text)).pause_s == float(text)
--- a/tests/support/overload_model.py
+++ b/tests/support/overload_model.py
@@ -33,6 +33,7 @@
 from cassiahitch.direct.beliefs.catalogue import Engine, Route
 from cassiahitch.direct.beliefs.replicas import Replica
 from cassiahitch.direct.placement.asking import PlaceAsker
+from cassiahitch.direct.placement.holdoff import HoldOff
 from cassiahitch.direct.placement.load import LoadReport
 from cassiahitch.direct.placement.placement import Crowded, Demand, Placed, Placement
 from cassiahitch.direct.placement.places import Places, Search
@@ -154,6 +155,7 @@
         candidates: Any = SimpleNamespace(
             is_near=lambda replica: replica.failure_domain == f'd-{self.region}',
             knowledge=SimpleNamespace(members=members, versions=versions),
+            holdoff=HoldOff(self.placement.rng),
         )
         self.places = Places(candidates, self.placement, asker, self.placement.rng)
 
