Reset the connection of an HTTP/1.0 caller whose stream breaks off

Now such a connection is reset. test_stream_that_cannot_go_on_does_not_look_whole_without_framing failed before (no reset) and passes. The option that resets a connection stands once, in util/sockets.py.

--- a/src/cassiahitch/direct/backends/connection.py
+++ b/src/cassiahitch/direct/backends/connection.py
@@ -4,12 +4,13 @@
 
 import asyncio
 import socket
-import struct
 from contextlib import ExitStack
 from typing import TYPE_CHECKING, Any
 
 from tornado.iostream import IOStream, StreamClosedError
 
+from cassiahitch.util.sockets import NO_LINGER
+
 if TYPE_CHECKING:
     from cassiahitch.direct.beliefs.replicas import Replica
 
@@ -20,8 +21,6 @@
 #: Seconds after which a connection without traffic is probed, and between probes.
 KEEPALIVE_S = 1
 KEEPALIVE_PROBES = 2
-#: Option of a socket that drops unsent bytes when it is closed: switched on, for 0 seconds.
-NO_LINGER = struct.pack('ii', 1, 0)
 
 
 class ConnectFailed(Exception):
--- a/src/cassiahitch/direct/callers/front.py
+++ b/src/cassiahitch/direct/callers/front.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import sys
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import ExitStack, contextmanager
@@ -25,6 +26,7 @@
 from cassiahitch.direct.callers.hangups import find_closed
 from cassiahitch.direct.callers.progress import Phase, Progress
 from cassiahitch.errors import RequestError
+from cassiahitch.util.sockets import NO_LINGER
 
 if TYPE_CHECKING:
     from cassiahitch.direct.api import Headers
@@ -37,6 +39,8 @@
 #: Seconds for which the rest of a refused body is read and dropped, so that its caller can read
 #: the answer before the connection closes.
 LINGER_S = 2.0
+#: Version of the protocol in which an answer without a length is not framed.
+UNFRAMED_VERSION = 'HTTP/1.0'
 
 
 class CallerGone(Exception):
@@ -49,6 +53,7 @@
 
     method: str = ''
     target: str = ''
+    version: str = ''
     headers: Headers = ()
     body: bytes = b''
 
@@ -73,6 +78,7 @@
         self.ended = False
         self.task: asyncio.Task[None] | None = None
         self.keeps_running = False
+        self.timer: asyncio.Timeout | None = None
         self.closes = False
         self.given_up = False
         self.serving = False
@@ -90,7 +96,8 @@
         :param headers: the headers.
         :return: done when the reader may go on.
         """
-        method, target = start_line[:2]
+        method, target, version = start_line
+        self.incoming.version = str(version)
         self.incoming.method = str(method)
         self.incoming.target = str(target)
         self.incoming.headers = tuple(headers.get_all())
@@ -167,6 +174,15 @@
         finally:
             self.keeps_running = False
 
+    def extend(self, seconds: float) -> None:
+        """Let an answer that makes progress go on beyond the time of its request.
+
+        :param seconds: from now on, at least.
+        """
+        if self.timer is not None:
+            until = asyncio.get_running_loop().time() + seconds
+            self.timer.reschedule(max(until, self.timer.when() or until))
+
     def check_open(self, deadline: float) -> None:
         """Refuse a request that cannot be finished before this process ends.
 
@@ -283,8 +299,12 @@
         """Close the connection, so that the answer does not look whole."""
         self.ended = True
         self.settle()
-        if self.connection.stream is not None:
-            self.connection.stream.close()
+        if self.connection.stream is None:
+            return
+        if self.incoming.version == UNFRAMED_VERSION and not self.stream.closed():
+            # Its answers end with the connection, so that a proper end would look whole.
+            self.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+        self.connection.stream.close()
 
     def _header_lines(self, headers: Headers) -> HTTPHeaders:
         lines = _header_lines(headers)
--- a/tests/direct/test_path.py
+++ b/tests/direct/test_path.py
@@ -13,7 +13,7 @@
 from cassiahitch.direct.staging.chunks import WeightsName
 from cassiahitch.errors import PlatformError
 from cassiahitch.standins.backends import BackendStandin, Fault
-from cassiahitch.standins.configurations import DESK
+from cassiahitch.standins.configurations import DESK, KEY
 from cassiahitch.standins.directsite import DirectSite, DirectSize
 from cassiahitch.stores.api import Committed, Condition, Conflicted, Write
 
@@ -75,6 +75,27 @@
     run(body)
 
 
+def test_stream_that_cannot_go_on_does_not_look_whole_without_framing() -> None:
+    async def body(site: DirectSite) -> None:
+        for model in site.models:
+            model.fault = Fault.cut
+        entry = site.entries[0]
+        reader, writer = await asyncio.open_connection(
+            entry.settings.callers.address, entry.settings.callers.port
+        )
+        writer.write(
+            b'POST /draft/1 HTTP/1.0\r\nHost: menus.example\r\nX-Cassiahitch-Attempt-Id: a\r\n'
+            b'X-Cassiahitch-Deadline-Ms: 3000\r\nX-Cassiahitch-Model: m1\r\n'
+            b'X-Cassiahitch-Token-Count: 100,30\r\nX-Cassiahitch-Key: %b\r\n\r\n' % KEY.encode()
+        )
+        with pytest.raises(ConnectionResetError):
+            while await reader.read(100):
+                await asyncio.sleep(0)
+        writer.close()
+
+    run(body)
+
+
 def test_request_that_must_run_once_is_not_sent_again_when_its_answer_is_lost() -> None:
     async def body(site: DirectSite) -> None:
         for plain in site.plain:
