Hold a bounded part of answers, and give up those without end

Calls of the store, the origin and agents held up to 100 MiB of an answer.

Now 256 KiB are held of an answer, 32 MiB of all (settings); a larger one that may be passed on passes piece by piece as its caller reads, up to 64 MiB, any other is given up (502 outcome_unknown). It cannot be tried again then, and a break closes the caller's connection before the stated length. One that states its length may take longer than its request has, while 256 KiB pass in 10 s; one that does not ends at the deadline. Answers of other requests and refusals are read for 0.5 s and 1 MiB at most, 8 interim heads, 256 KiB of an event; 16 MiB of a call. test_caller_that_reads_slowly... waited until the task of its request had ended, which is not so any more for an answer of 8 MB: it plays both ways now, with the old condition where the answer is held whole.

Not covered: bodies of callers are bounded one by one (by the configuration), not together.

--- a/src/cassiahitch/direct/assembly.py
+++ b/src/cassiahitch/direct/assembly.py
@@ -9,6 +9,8 @@
 
 from cassiahitch.direct.backends.attempt import Attempts
 from cassiahitch.direct.backends.hearing import Hearing
+from cassiahitch.direct.backends.holding import Holding
+from cassiahitch.direct.backends.passing import Passing
 from cassiahitch.direct.backends.pool import ConnectionPool
 from cassiahitch.direct.beliefs.knowledge import Knowledge, make_knowledge
 from cassiahitch.direct.journal import Journal
@@ -81,13 +83,14 @@
     bounds = knowledge.settings.bounds
     budget = RetryBudget(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s)
     filters = RequestFilters(knowledge, budget, placement.rng)
+    passing = Passing(Holding(knowledge.settings.answer_bounds))
     return Runner(
         knowledge=knowledge,
         codec=around.codec,
         filters=filters,
         candidates=candidates,
         places=Places(candidates, placement, asker, placement.rng),
-        attempts=Attempts(hearing.pool, around.codec, filters, placement, hearing),
+        attempts=Attempts(hearing.pool, around.codec, filters, placement, hearing, passing),
         budget=budget,
         watch=CrashWatch(knowledge, hearing.journal),
         journal=hearing.journal,
--- a/src/cassiahitch/direct/backends/attempt.py
+++ b/src/cassiahitch/direct/backends/attempt.py
@@ -4,13 +4,13 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from contextlib import ExitStack, aclosing, contextmanager
+from contextlib import ExitStack, aclosing, contextmanager, suppress
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from cassiahitch.direct.api import Answered, AnswerHead, Destination
 from cassiahitch.direct.backends.connection import BackendConnection, ConnectFailed
-from cassiahitch.direct.backends.events import EventSplitter
+from cassiahitch.direct.backends.events import EventSplitter, EventTooLarge
 from cassiahitch.direct.backends.exchange import AnswerLost, Exchange
 from cassiahitch.direct.backends.silence import ReplicaSilent, Silence
 from cassiahitch.direct.callers.front import CallerGone
@@ -20,6 +20,7 @@
 
     from cassiahitch.direct.api import Call, RequestCodec
     from cassiahitch.direct.backends.hearing import Hearing
+    from cassiahitch.direct.backends.passing import Passing
     from cassiahitch.direct.backends.pool import ConnectionPool
     from cassiahitch.direct.callers.front import CallerExchange
     from cassiahitch.direct.placement.placement import Placed, Placement
@@ -30,7 +31,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Delivered:
-    """The stream reached its proper end at the caller."""
+    """The answer has reached its proper end at the caller, piece by piece."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,6 +107,7 @@
     filters: RequestFilters
     placement: Placement
     hearing: Hearing
+    passing: Passing
 
     async def send(
         self,
@@ -219,17 +221,39 @@
         exchange.silence.limit_s = patience.first_s
         try:
             head = await exchange.send(call.request, headers)
-            if head.not_run:
-                await exchange.body()
-                return NotRun(head.status)
-            if head.status in SUCCESS and call.plan().repeat == 'stream':
-                return await self.forward(exchange, head, stream, patience)
-            return Answered(head, await exchange.body())
+            return await self.take(call, exchange, head, stream, patience)
         except AnswerLost as error:
             return Lost(str(error))
         except ReplicaSilent:
             return Lost('no news from the backend server', silent=True)
 
+    async def take(
+        self,
+        call: Call,
+        exchange: Exchange,
+        head: AnswerHead,
+        stream: StreamState,
+        patience: Patience,
+    ) -> Outcome:
+        """Read an answer to its end.
+
+        :param call: the request.
+        :param exchange: the exchange.
+        :param head: the start of the answer.
+        :param stream: what the caller has so far.
+        :param patience: how long to wait for news.
+        :return: how it ended.
+        :raises AnswerLost: if it breaks off.
+        """
+        if head.not_run:
+            with suppress(AnswerLost):
+                await exchange.drop_body()
+            return NotRun(head.status)
+        if head.status in SUCCESS and call.plan().repeat == 'stream':
+            return await self.forward(exchange, head, stream, patience)
+        body = await self.passing.relay(exchange, head, stream.caller)
+        return Delivered() if body is None else Answered(head, body)
+
     async def forward(
         self,
         exchange: Exchange,
@@ -252,7 +276,7 @@
             exchange.silence.limit_s = patience.next_s
         async with aclosing(exchange.parts()) as parts:
             async for part in parts:
-                await self.pass_on(head, stream, stream.splitter.feed(part))
+                await self.pass_on(head, stream, _whole_events(stream, part))
                 exchange.silence.limit_s = patience.next_s
         await self.pass_on(head, stream, stream.splitter.rest, last=True)
         stream.caller.end()
@@ -284,6 +308,13 @@
             await stream.caller.write(data)
 
 
+def _whole_events(stream: StreamState, part: bytes) -> bytes:
+    try:
+        return stream.splitter.feed(part)
+    except EventTooLarge as error:
+        raise AnswerLost(str(error)) from error
+
+
 __all__ = (
     'Answered',
     'Attempts',
--- a/src/cassiahitch/direct/backends/events.py
+++ b/src/cassiahitch/direct/backends/events.py
@@ -9,7 +9,11 @@
 END = re.compile(rb'\r\n\r\n|\n\n|\r\r')
 ID = re.compile(rb'(?:^|[\r\n])id:[ ]?([^\r\n]*)')
 #: Largest event that is waited for, in bytes.
-MAX_EVENT_BYTES = 1_048_576
+MAX_EVENT_BYTES = 262_144
+
+
+class EventTooLarge(Exception):
+    """An event has more bytes than are held of it."""
 
 
 @dataclass(slots=True)
@@ -25,7 +29,7 @@
 
         :param data: the next bytes of the stream.
         :return: the whole events that they complete.
-        :raises ValueError: if an event is too large.
+        :raises EventTooLarge: if the end of an event does not come.
         """
         self.rest += data
         end = 0
@@ -35,7 +39,7 @@
         whole = self.rest[:end]
         self.rest = self.rest[end:]
         if len(self.rest) > MAX_EVENT_BYTES:
-            raise ValueError('an event is too large')
+            raise EventTooLarge('an event is too large')
         ids = ID.findall(whole)
         if ids:
             self.last_id = ids[-1].decode('latin1')
@@ -46,4 +50,7 @@
         self.rest = b''
 
 
-__all__ = ('EventSplitter',)
+__all__ = (
+    'EventSplitter',
+    'EventTooLarge',
+)
--- a/src/cassiahitch/direct/backends/exchange.py
+++ b/src/cassiahitch/direct/backends/exchange.py
@@ -4,11 +4,13 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import aclosing
 from typing import TYPE_CHECKING
 
 import h11
 
 from cassiahitch.direct.backends.connection import BackendConnection, ConnectionBroken
+from cassiahitch.direct.backends.holding import DROPPED_BYTES
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator
@@ -19,6 +21,10 @@
 
 #: Answers of other requests that are passed over while the own one is awaited.
 FOREIGN_ANSWERS = 4
+#: Interim heads before an answer, after which its connection is given up.
+INTERIM_HEADS = 8
+#: Seconds for which bytes are read that nobody gets, so that the connection can be used again.
+DROP_S = 0.5
 #: Largest header of an answer, in bytes.
 MAX_HEADER_BYTES = 65_536
 
@@ -109,9 +115,22 @@
         """
         return b''.join([part async for part in self.parts()])
 
+    async def drop_body(self) -> None:
+        """Read the rest of an answer that nobody gets, and hold nothing of it.
+
+        :raises AnswerLost: if it breaks off, or does not end soon.
+        """
+        try:
+            async with asyncio.timeout(DROP_S), aclosing(self.parts()) as parts:
+                await _drop(parts)
+        except TimeoutError:
+            raise AnswerLost('an answer without end') from None
+
     async def _head(self) -> AnswerHead:
         event = await self._event()
-        while isinstance(event, h11.InformationalResponse):
+        for _ in range(INTERIM_HEADS):
+            if not isinstance(event, h11.InformationalResponse):
+                break
             event = await self._event()
         if not isinstance(event, h11.Response):
             raise AnswerLost('not an answer')
@@ -125,7 +144,7 @@
 
     async def _pass_over(self, request: CallerRequest, headers: Headers) -> None:
         # A late or doubled answer of an earlier request stands before the own one.
-        await self.body()
+        await self.drop_body()
         if not self.reusable and not self.machine.trailing_data[0]:
             raise AnswerLost('an answer of another request ended the connection')
         trailing, _ = self.machine.trailing_data
@@ -157,6 +176,14 @@
         self.reusable = kept and whole and self.connection.is_quiet()
 
 
+async def _drop(parts: AsyncGenerator[bytes, None]) -> None:
+    size = 0
+    async for part in parts:
+        size += len(part)
+        if size > DROPPED_BYTES:
+            raise AnswerLost('bytes without end')
+
+
 def _machine() -> h11.Connection:
     return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES)
 
--- a/src/cassiahitch/direct/requests/runner.py
+++ b/src/cassiahitch/direct/requests/runner.py
@@ -22,6 +22,7 @@
     StreamState,
     Withheld,
 )
+from cassiahitch.direct.backends.passing import is_true
 from cassiahitch.direct.callers.finals import FinalAnswers
 from cassiahitch.direct.callers.progress import Phase
 from cassiahitch.direct.placement.candidates import Candidates
@@ -53,15 +54,6 @@
 SILENT_ANSWER_S = 0.4
 SILENT_START_S = 1.3
 SILENT_PAUSE_S = 1.1
-#: Statuses that promise that a request has not run.
-PROMISES = frozenset(
-    (
-        HTTPStatus.REQUEST_TIMEOUT,
-        HTTPStatus.MISDIRECTED_REQUEST,
-        HTTPStatus.TOO_MANY_REQUESTS,
-        HTTPStatus.SERVICE_UNAVAILABLE,
-    )
-)
 
 
 @dataclass(slots=True)
@@ -132,7 +124,8 @@
             self.patience_book.note(call.plan().name, call.request.patience_s)
         stream = StreamState(caller)
         try:
-            async with asyncio.timeout_at(call.deadline):
+            async with asyncio.timeout_at(call.deadline) as timer:
+                caller.timer = timer
                 await self.send_until_answered(call, caller, stream)
         except TimeoutError:
             detail = 'no answer within the time of the route or the caller'
@@ -301,7 +294,7 @@
             case Answered(head=head) if self.is_worth_repeating(call, head):
                 call.failure = outcome
                 return False
-            case Answered(head=head, body=body) if _is_true(call, head):
+            case Answered(head=head, body=body) if is_true(head):
                 await caller.answer(head.status, head.reason, head.headers, body)
                 return True
         return False
@@ -377,13 +370,6 @@
             self.elsewhere.take_retry(call)
 
 
-def _is_true(call: Call, head: AnswerHead) -> bool:
-    # A status that promises that nothing ran must not be passed on for a request that ran.
-    broken_promise = head.status in PROMISES and not head.not_run
-    whole = head.sealed or head.status >= HTTPStatus.MULTIPLE_CHOICES
-    return whole and not head.encoded and not broken_promise
-
-
 def _lost(outcome: Outcome, ran: Ran) -> RequestError:
     detail = 'the backend server gave no whole answer'
     if isinstance(outcome, Lost):
--- a/src/cassiahitch/settings/direct.py
+++ b/src/cassiahitch/settings/direct.py
@@ -6,6 +6,7 @@
 
 from pydantic import Field
 
+from cassiahitch.direct.backends.holding import KIB, MIB, AnswerBounds
 from cassiahitch.resources.models import Name
 from cassiahitch.settings.fields import Address, EndpointText, Port
 from cassiahitch.settings.models import LogLevel, Role, SettingsModel
@@ -53,6 +54,24 @@
     processor_share: float = Field(
         default=1, gt=0, le=1, description='Part of the processors that the process may use.'
     )
+    held_answer_kib: int = Field(
+        default=256,
+        gt=0,
+        le=65_536,
+        description='What is held of one answer, in KiB, before it is passed on piece by piece.',
+    )
+    held_answers_mib: int = Field(
+        default=32,
+        gt=0,
+        le=65_536,
+        description='What is held of all answers at a time, in MiB; a fraction of the memory.',
+    )
+    largest_answer_mib: int = Field(
+        default=64,
+        gt=0,
+        le=1_048_576,
+        description='Largest answer, in MiB; one without end is cut here.',
+    )
     longest_pause_s: float = Field(
         default=30,
         gt=0,
@@ -66,6 +85,15 @@
         description='Entries to greet at first; they may be gone.',
     )
 
+    @property
+    def answer_bounds(self) -> AnswerBounds:
+        """How much of answers is held, in bytes."""
+        return AnswerBounds(
+            held=self.held_answer_kib * KIB,
+            held_by_all=self.held_answers_mib * MIB,
+            largest=self.largest_answer_mib * MIB,
+        )
+
 
 class DirectAgentSettings(DirectSettings):
     """Settings of an agent whose engine is reached directly."""
--- a/src/cassiahitch/standins/backends.py
+++ b/src/cassiahitch/standins/backends.py
@@ -6,7 +6,6 @@
 import hashlib
 import json
 import socket
-import struct
 from collections import Counter
 from contextlib import contextmanager, suppress
 from dataclasses import dataclass, field
@@ -20,6 +19,7 @@
 from cassiahitch.direct.api import header
 from cassiahitch.platform import names
 from cassiahitch.util.listening import listen, port_of
+from cassiahitch.util.sockets import NO_LINGER
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
@@ -474,7 +474,7 @@
     """
     own = writer.get_extra_info('socket')
     if own is not None and own.fileno() >= 0:
-        own.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
+        own.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
     writer.transport.abort()
 
 
--- a/src/cassiahitch/stores/caller.py
+++ b/src/cassiahitch/stores/caller.py
@@ -23,7 +23,7 @@
 #: Calls under way at once; further ones wait in the client.
 MAX_CLIENTS = 256
 #: Largest answer to a call, in bytes.
-MAX_ANSWER_BYTES = 64 * 1024 * 1024
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
 #: Longest time in which nothing of an answer that has begun arrives, in seconds.
 PROGRESS_S = 0.6
 #: Seconds between two looks at a call that waits behind others.
@@ -195,7 +195,9 @@
 
     def __init__(self) -> None:
         """Create the caller within a running event loop."""
-        self.client = _CurlClient(force_instance=True, max_clients=MAX_CLIENTS)
+        self.client = _CurlClient(
+            force_instance=True, max_clients=MAX_CLIENTS, max_body_size=MAX_ANSWER_BYTES
+        )
         self.closed = False
 
     async def __aenter__(self) -> HttpCaller:
@@ -277,8 +279,6 @@
 def _reply(answer: HTTPResponse) -> Reply:
     if isinstance(answer.error, CurlError):
         raise answer.error
-    if len(answer.body) > MAX_ANSWER_BYTES:
-        raise CallFailed('the answer is too large', sent=True)
     return Reply(answer.code, answer.body, tuple(answer.headers.get_all()))
 
 
--- a/tests/direct/backends/test_abort.py
+++ b/tests/direct/backends/test_abort.py
@@ -59,7 +59,7 @@
         nothing: Any = None
         pool = ConnectionPool()
         hearing = Hearing(HoldOff(random.Random(1)), pool, nothing, 1)
-        attempts = Attempts(pool, PlatformRequests(), nothing, nothing, hearing)
+        attempts = Attempts(pool, PlatformRequests(), nothing, nothing, hearing, nothing)
         with late_server() as own:
             endpoint = Endpoint(ADDRESS, own.getsockname()[1])
             replica = Replica('r1', 'desk', endpoint, 'north-1', 4)
--- a/tests/direct/callers/test_leaving.py
+++ b/tests/direct/callers/test_leaving.py
@@ -9,6 +9,7 @@
 from direct_callers import SMALL, Got, ask, run, until
 from slow_callers import connect
 
+from cassiahitch.direct.backends.holding import AnswerBounds
 from cassiahitch.direct.callers.front import RETURN_S
 from cassiahitch.direct.entry import HELD_LIFETIMES, LIFETIME_S
 from cassiahitch.standins.directsite import DirectSite
@@ -26,14 +27,22 @@
 LEAVING = (503, 1010)
 
 
-def test_caller_that_reads_slowly_gets_its_whole_answer() -> None:
+@pytest.mark.parametrize('held', [True, False], ids=['held whole', 'passed on in pieces'])
+def test_caller_that_reads_slowly_gets_its_whole_answer(*, held: bool) -> None:
     async def body(site: DirectSite) -> None:
         entry = site.entries[0]
         for plain in site.plain:
             plain.padding = LARGE_BYTES
+        if held:
+            whole = 2 * LARGE_BYTES
+            bounds = AnswerBounds(held=whole, held_by_all=whole, largest=whole)
+            entry.parts.runner.attempts.passing.holding.bounds = bounds
         caller = await connect(entry)
         await caller.send('/lookup/1')
-        await until(lambda: any(plain.runs for plain in site.plain) and not entry.front.running)
+        await until(lambda: any(plain.runs for plain in site.plain))
+        await until(lambda: any(one.started for one in entry.front.open))
+        if held:
+            await until(lambda: not entry.front.running)
         stopped = asyncio.create_task(entry.stop())
         await asyncio.sleep(PAUSE_S)
         got = await caller.answer()
--- a/tests/direct/requests/test_silent_replica.py
+++ b/tests/direct/requests/test_silent_replica.py
@@ -23,6 +23,8 @@
 )
 from cassiahitch.direct.backends.connection import BackendConnection
 from cassiahitch.direct.backends.exchange import Exchange
+from cassiahitch.direct.backends.holding import AnswerBounds, Holding
+from cassiahitch.direct.backends.passing import Passing
 from cassiahitch.direct.backends.silence import Silence
 
 HEAD = AnswerHead(200, 'OK', (), 'a', not_run=False, sealed=True, encoded=False)
@@ -60,7 +62,8 @@
             write_headers=lambda *_: (('Host', 'x'),), read_answer=lambda *_: HEAD
         )
         nothing: Any = None
-        self.attempts = Attempts(nothing, codec, nothing, nothing, nothing)
+        passing = Passing(Holding(AnswerBounds(100_000, 100_000, 100_000)))
+        self.attempts = Attempts(nothing, codec, nothing, nothing, nothing, passing)
         request = SimpleNamespace(method='GET', target='/', body=b'', attempt_id='a')
         self.call: Any = SimpleNamespace(
             request=request,
