Move the writing of answers out of the exchange with a caller

front.py had grown to 385 lines and held both the state of an exchange and the way in which bytes are handed to its connection. AnswerWriter now has the latter; no logic changes, the tests are untouched.

--- a/src/cassiahitch/direct/backends/attempt.py
+++ b/src/cassiahitch/direct/backends/attempt.py
@@ -13,7 +13,7 @@
 from cassiahitch.direct.backends.events import EventSplitter, EventTooLarge
 from cassiahitch.direct.backends.exchange import AnswerLost, Exchange
 from cassiahitch.direct.backends.silence import ReplicaSilent, Silence
-from cassiahitch.direct.callers.front import CallerGone
+from cassiahitch.direct.callers.writing import CallerGone
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/src/cassiahitch/direct/callers/front.py
+++ b/src/cassiahitch/direct/callers/front.py
@@ -5,10 +5,9 @@
 import asyncio
 import socket
 import sys
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Iterator
 from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass
-from functools import partial
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
@@ -19,12 +18,13 @@
     RequestStartLine,
     ResponseStartLine,
 )
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import IOStream
 
 from cassiahitch.codes import Code, Ran
 from cassiahitch.direct.callers.bounds import body_refusal, header_refusal
 from cassiahitch.direct.callers.hangups import find_closed
 from cassiahitch.direct.callers.progress import Phase, Progress
+from cassiahitch.direct.callers.writing import AnswerWriter, CallerGone, make_lines
 from cassiahitch.errors import RequestError
 from cassiahitch.util.sockets import NO_LINGER
 
@@ -34,8 +34,6 @@
 
 #: Seconds after which a caller may come back, to another entry.
 RETURN_S = 0.05
-#: Bytes of a whole answer after each of which it is known whether they have left.
-PIECE_BYTES = 65_536
 #: Seconds for which the rest of a refused body is read and dropped, so that its caller can read
 #: the answer before the connection closes.
 LINGER_S = 2.0
@@ -43,10 +41,6 @@
 UNFRAMED_VERSION = 'HTTP/1.0'
 
 
-class CallerGone(Exception):
-    """The caller has closed its connection."""
-
-
 @dataclass(slots=True)
 class Incoming:
     """A request as it was read."""
@@ -84,6 +78,7 @@
         self.serving = False
         self.finished = False
         self.progress = Progress()
+        self.writer = AnswerWriter(connection, self.progress)
 
     def headers_received(
         self,
@@ -219,12 +214,7 @@
             lines['Content-Length'] = str(len(body))
         self.started = True
         self.progress.phase = Phase.writing
-        self._write_start(status, reason, lines, body[:PIECE_BYTES])
-        self._mark(len(body[:PIECE_BYTES]))
-        for start in range(PIECE_BYTES, len(body), PIECE_BYTES):
-            piece = body[start : start + PIECE_BYTES]
-            self._hand_over(self.connection.write(piece))
-            self._mark(len(piece))
+        self.writer.write_whole(ResponseStartLine('HTTP/1.1', status, reason), lines, body)
         self.end()
 
     async def start(self, status: int, reason: str, headers: Headers) -> None:
@@ -236,7 +226,8 @@
         :raises CallerGone: if nobody reads it.
         """
         self.started = True
-        await _written(self._write_start(status, reason, self._header_lines(headers), None))
+        line = ResponseStartLine('HTTP/1.1', status, reason)
+        await self.writer.start(line, self._header_lines(headers))
 
     async def write(self, data: bytes) -> None:
         """Write a part of the body.
@@ -246,9 +237,7 @@
         """
         if self.gone:
             raise CallerGone
-        self.progress.handed += len(data)
-        await _written(self.connection.write(data))
-        self.progress.left += len(data)
+        await self.writer.write(data)
 
     def end(self) -> None:
         """End the answer as whole; the exchange is open until its last byte has left."""
@@ -276,7 +265,7 @@
         if self.connection.stream.closed() or not self.connection.stream.writing():
             self._close_after()
             return
-        self._after_written(lambda _: self._close_after())
+        self.writer.after_written(lambda _: self._close_after())
 
     def _is_awaited(self) -> bool:
         return any(name.lower() == 'expect' for name, _ in self.incoming.headers)
@@ -307,7 +296,7 @@
         self.connection.stream.close()
 
     def _header_lines(self, headers: Headers) -> HTTPHeaders:
-        lines = _header_lines(headers)
+        lines = make_lines(headers)
         self.closes = self.front.plan is not None or self.refusal is not None
         if self.closes:
             lines['Connection'] = 'close'
@@ -318,31 +307,6 @@
         if self.closes:
             self.connection.close()
 
-    def _write_start(
-        self, status: int, reason: str, lines: HTTPHeaders, body: bytes | None
-    ) -> asyncio.Future[None]:
-        line = ResponseStartLine('HTTP/1.1', status, reason)
-        return self._hand_over(self.connection.write_headers(line, lines, body))
-
-    def _hand_over(self, written: Awaitable[None]) -> asyncio.Future[None]:
-        # The caller's connection takes the bytes by itself; not everybody waits for them.
-        future = asyncio.ensure_future(written)
-        future.add_done_callback(_retrieve)
-        return future
-
-    def _mark(self, size: int) -> None:
-        self.progress.handed += size
-        if not self.connection.stream.closed():
-            self._after_written(partial(self._note_left, size))
-
-    def _note_left(self, size: int, future: asyncio.Future[None]) -> None:
-        if not future.cancelled() and future.exception() is None:
-            self.progress.left += size
-
-    def _after_written(self, then: Callable[[asyncio.Future[None]], None]) -> None:
-        # Nothing is written; the mark is reached when all bytes before it have left.
-        self._hand_over(self.connection.stream.write(b'')).add_done_callback(then)
-
     async def _run(self) -> None:
         self.serving = True
         with ExitStack() as stack:
@@ -359,27 +323,7 @@
             self.abort()
 
 
-def _header_lines(headers: Headers) -> HTTPHeaders:
-    lines = HTTPHeaders()
-    for name, text in headers:
-        lines.add(name, text)
-    return lines
-
-
-async def _written(written: Awaitable[None]) -> None:
-    try:
-        await written
-    except StreamClosedError as error:
-        raise CallerGone from error
-
-
-def _retrieve(future: asyncio.Future[None]) -> None:
-    if not future.cancelled():
-        future.exception()
-
-
 __all__ = (
     'CallerExchange',
-    'CallerGone',
     'Incoming',
 )
