Let an entry that is asked before it hears a division join like any other

Cause: a joining entry owns no share, and admits an equal part for 2 s until shares have come. That time was set only where the limit of an organisation was made after the division was heard. An entry that got a request first had made the limit already, adopted the division without itself in it, and admitted nothing.

Fix: the time of joining is given wherever a limit meets a division without this entry.

--- a/src/cassiahitch/limits/division.py
+++ b/src/cassiahitch/limits/division.py
@@ -69,8 +69,7 @@
             entries = self.division.entries or tuple(sorted({self.entry, *self.heard_at}))
             epoch = self.division.epoch
             known = OrganisationLimit(self.entry, organisation, 0, entries, epoch)
-            if self.entry not in entries and self.joined_at is not None:
-                known.joining_until = self.joined_at + JOIN_S
+            self._let_join(known)
             self.limits[organisation] = known
         return known
 
@@ -123,6 +122,7 @@
             self.joined_at = now
         for limit in self.limits.values():
             limit.divide(division.entries, division.epoch, now)
+            self._let_join(limit)
 
     def connected(self, entries: frozenset[str], now: float) -> None:
         """Take in which other entries are connected.
@@ -157,6 +157,10 @@
         epoch = max(fencing_number * DIVISIONS_PER_TERM, self.division.epoch) + 1
         self.divide(Division(epoch, tuple(sorted(live))), now)
 
+    def _let_join(self, limit: OrganisationLimit) -> None:
+        if self.entry not in limit.entries and self.joined_at is not None:
+            limit.joining_until = self.joined_at + JOIN_S
+
 
 __all__ = (
     'Division',
--- a/tests/limits/test_division.py
+++ b/tests/limits/test_division.py
@@ -115,6 +115,18 @@
     assert admitted[30 * 3 :].count(Within()) == 0
 
 
+def test_entry_asked_before_it_hears_a_division_admits_as_a_joining_one() -> None:
+    # Refused requests with organisation_limit after a restart (tests/e2e/test_operations.py).
+    heard_s = 0.5
+    joining = LimitRegistry('entry-3')
+    joining.admit('caterers', 90, 0)
+    joining.heard('entry-1', Division(1, ('entry-1', 'entry-2')), (), heard_s)
+    steps = range(30 * 4)
+    admitted = [joining.admit('caterers', 90, heard_s + step / 30) for step in steps]
+    assert admitted[: 30 * 2].count(Within()) == 30 * 2
+    assert admitted[30 * 3 :].count(Within()) == 0
+
+
 def test_entry_that_said_that_it_leaves_gets_no_part_of_the_next_division() -> None:
     names = ('entry-1', 'entry-2', 'entry-3')
     registries = {name: LimitRegistry(name, Division(1, names)) for name in names}
