Judge silence by progress, not by bytes

Cause: each wait for bytes had the whole bound of silence again, whatever came meanwhile. Twelve of the new tests failed before: half events, comments, bytes behind an event, bytes of a head, interim heads and bodies, in pieces each 5 ms and 100 ms, were followed for as long as they came.

Now the bound runs from the last progress: the own head, an event with data that its caller has got, or 1 KiB of something unfinished. A process that stood still still looks once at what came meanwhile. As before a replica is left only when a place and a retry elsewhere are reserved, and time that a slow caller takes is not counted.

--- a/src/cassiahitch/direct/backends/attempt.py
+++ b/src/cassiahitch/direct/backends/attempt.py
@@ -218,9 +218,10 @@
             after_event=stream.splitter.last_id,
         )
         headers = self.codec.write_headers(call.request, destination)
-        exchange.silence.limit_s = patience.first_s
+        exchange.silence.expect(patience.first_s)
         try:
             head = await exchange.send(call.request, headers)
+            exchange.silence.expect(patience.first_s)
             return await self.take(call, exchange, head, stream, patience)
         except AnswerLost as error:
             return Lost(str(error))
@@ -273,11 +274,15 @@
         if not head.sealed or head.encoded:
             return Lost('an answer without a signature')
         if stream.started:
-            exchange.silence.limit_s = patience.next_s
+            exchange.silence.expect(patience.next_s)
         async with aclosing(exchange.parts()) as parts:
             async for part in parts:
+                events = stream.splitter.events
                 await self.pass_on(head, stream, _whole_events(stream, part))
-                exchange.silence.limit_s = patience.next_s
+                if stream.splitter.events > events:
+                    exchange.silence.expect(patience.next_s)
+                    continue
+                exchange.silence.took(min(len(part), len(stream.splitter.rest)))
         await self.pass_on(head, stream, stream.splitter.rest, last=True)
         stream.caller.end()
         return Delivered()
--- a/src/cassiahitch/direct/backends/events.py
+++ b/src/cassiahitch/direct/backends/events.py
@@ -7,6 +7,8 @@
 
 #: A blank line ends an event, with any of the line ends that the format allows.
 END = re.compile(rb'\r\n\r\n|\n\n|\r\r')
+#: An event without such a line is none to its reader, as with comments.
+DATA = re.compile(rb'(?<![^\r\n])data(?=[:\r\n])')
 ID = re.compile(rb'(?:^|[\r\n])id:[ ]?([^\r\n]*)')
 #: Largest event that is waited for, in bytes.
 MAX_EVENT_BYTES = 262_144
@@ -18,7 +20,10 @@
 
 @dataclass(slots=True)
 class EventSplitter:
-    """Cuts bytes at the ends of events and remembers the id of the last whole one."""
+    """Cuts bytes at the ends of events and remembers the id of the last whole one.
+
+    ``events`` counts those that have data.
+    """
 
     rest: bytes = b''
     last_id: str = ''
@@ -34,8 +39,8 @@
         self.rest += data
         end = 0
         for match in END.finditer(self.rest):
+            self.events += bool(DATA.search(self.rest, end, match.end()))
             end = match.end()
-            self.events += 1
         whole = self.rest[:end]
         self.rest = self.rest[end:]
         if len(self.rest) > MAX_EVENT_BYTES:
--- a/src/cassiahitch/direct/backends/passing.py
+++ b/src/cassiahitch/direct/backends/passing.py
@@ -16,6 +16,7 @@
     from cassiahitch.direct.api import AnswerHead
     from cassiahitch.direct.backends.exchange import Exchange
     from cassiahitch.direct.backends.holding import AnswerBounds, Held, Holding
+    from cassiahitch.direct.backends.silence import Silence
     from cassiahitch.direct.callers.front import CallerExchange
 
 #: Statuses that promise that a request has not run.
@@ -80,12 +81,12 @@
         """
         with self.holding.hold() as held:
             async with aclosing(exchange.parts()) as parts:
-                if await _is_held(parts, held):
+                if await _is_held(parts, held, exchange.silence):
                     return b''.join(held.parts)
                 if not self.may_pass(head):
                     raise AnswerLost('the answer is too large')
                 # Nobody else can go on with an answer that its caller has in part.
-                exchange.silence.limit_s = None
+                exchange.silence.expect(None)
                 await self.pass_large(head, caller, held, parts)
         return None
 
@@ -138,8 +139,9 @@
     return whole and not head.encoded and not broken_promise
 
 
-async def _is_held(parts: AsyncGenerator[bytes, None], held: Held) -> bool:
+async def _is_held(parts: AsyncGenerator[bytes, None], held: Held, silence: Silence) -> bool:
     async for part in parts:
+        silence.took(len(part))
         if not held.add(part):
             return False
     return True
--- /dev/null
+++ b/tests/direct/requests/test_trickling_replica.py
@@ -0,0 +1,197 @@
+"""Bytes without progress are no news: stalled answers end, slow but sound ones don't."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterator
+from contextlib import contextmanager, suppress
+
+import pytest
+from sent_requests import EVENT, LIMIT_S, Sent, played
+
+from cassiahitch.direct.api import Answered
+from cassiahitch.direct.backends.attempt import Delivered, Lost, Outcome
+
+STREAM = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+BODY = b'HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n'
+INTERIM = b'HTTP/1.1 102 Processing\r\n\r\n'
+#: Bytes that come now and then from a backend server that is stuck.
+COMMENT = b': still here\n\n'
+#: Seconds between the pieces of a trickle, and after which a stalled answer is left at the latest.
+EVERY_S = (LIMIT_S / 40, LIMIT_S / 2)
+LEFT_S = 4 * LIMIT_S
+
+
+def chunk(data: bytes) -> bytes:
+    return b'%x\r\n%b\r\n' % (len(data), data)
+
+
+async def trickle(sent: Sent, start: bytes, piece: bytes, every_s: float) -> None:
+    sent.theirs.send(start)
+    with suppress(OSError):
+        while True:
+            await asyncio.sleep(every_s)
+            sent.theirs.send(piece)
+
+
+@contextmanager
+def trickling(sent: Sent, start: bytes, piece: bytes, every_s: float) -> Iterator[None]:
+    task = asyncio.create_task(trickle(sent, start, piece, every_s))
+    try:
+        yield
+    finally:
+        task.cancel()
+
+
+async def stalled(sent: Sent, start: bytes, piece: bytes, every_s: float) -> Outcome:
+    with trickling(sent, start, piece, every_s):
+        async with asyncio.timeout(LEFT_S):
+            return await sent.follow()
+
+
+@pytest.mark.parametrize('every_s', EVERY_S)
+@pytest.mark.parametrize(
+    ('start', 'piece'),
+    [
+        (STREAM, chunk(b'x')),
+        (STREAM, chunk(COMMENT)),
+        (b''.join((STREAM, chunk(EVENT), chunk(b'data: '))), chunk(b'x')),
+        (b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Odd: ', b'x'),
+    ],
+    ids=['half event', 'comments', 'after an event', 'head'],
+)
+def test_stream_that_trickles_without_an_event_is_left(
+    start: bytes, piece: bytes, every_s: float
+) -> None:
+    async def body() -> None:
+        outcome = await stalled(Sent('stream'), start, piece, every_s)
+        assert isinstance(outcome, Lost)
+        assert outcome.silent
+
+    played(body)
+
+
+@pytest.mark.parametrize('every_s', EVERY_S)
+def test_whole_answer_that_trickles_is_left(every_s: float) -> None:
+    async def body() -> None:
+        outcome = await stalled(Sent(), BODY, b'x', every_s)
+        assert isinstance(outcome, Lost)
+        assert outcome.silent
+
+    played(body)
+
+
+def test_interim_heads_are_no_progress() -> None:
+    async def body() -> None:
+        outcome = await stalled(Sent(), INTERIM, INTERIM, LIMIT_S / 2)
+        assert isinstance(outcome, Lost)
+        assert outcome.silent
+
+    played(body)
+
+
+def test_trickling_backend_server_is_kept_while_there_is_nowhere_else() -> None:
+    async def body() -> None:
+        sent = Sent('stream')
+        asked = []
+
+        async def leave() -> bool:
+            asked.append(asyncio.get_running_loop().time())
+            return False
+
+        sent.stream.leave = leave
+        with trickling(sent, STREAM, chunk(COMMENT), LIMIT_S / 10):
+            with pytest.raises(TimeoutError):
+                async with asyncio.timeout(10 * LIMIT_S):
+                    await sent.follow()
+        # Looked for again and again, though not with each byte.
+        assert 2 <= len(asked) <= 12
+
+    played(body)
+
+
+def test_slow_but_sound_stream_is_followed_to_its_end() -> None:
+    async def body() -> None:
+        sent = Sent('stream')
+
+        async def answer() -> None:
+            sent.theirs.send(STREAM)
+            for _ in range(8):
+                await asyncio.sleep(LIMIT_S / 2)
+                sent.theirs.send(chunk(EVENT))
+            sent.theirs.send(b'0\r\n\r\n')
+
+        answering = asyncio.create_task(answer())
+        outcome = await sent.follow()
+        await answering
+        assert isinstance(outcome, Delivered)
+        assert (sent.caller.got, sent.asked) == (8 * EVENT, 0)
+
+    played(body)
+
+
+def test_large_event_that_comes_steadily_is_progress() -> None:
+    async def body() -> None:
+        sent = Sent('stream')
+        large = b'data: %b\n\n' % (b'x' * 20_000)
+
+        async def answer() -> None:
+            sent.theirs.send(STREAM)
+            for start in range(0, len(large), 1_000):
+                await asyncio.sleep(LIMIT_S / 10)
+                sent.theirs.send(chunk(large[start : start + 1_000]))
+            sent.theirs.send(b'0\r\n\r\n')
+
+        answering = asyncio.create_task(answer())
+        outcome = await sent.follow()
+        await answering
+        assert isinstance(outcome, Delivered)
+        assert (sent.caller.got, sent.asked) == (large, 0)
+
+    played(body)
+
+
+def test_caller_that_reads_slowly_is_no_silence_of_the_backend_server() -> None:
+    async def body() -> None:
+        sent = Sent('stream')
+        write = sent.caller.write
+
+        async def slowly(data: bytes) -> None:
+            await asyncio.sleep(2 * LIMIT_S)
+            await write(data)
+
+        sent.caller.write = slowly  # type: ignore[method-assign]
+
+        async def answer() -> None:
+            sent.theirs.send(STREAM + chunk(EVENT))
+            for _ in range(3):
+                await asyncio.sleep(2 * LIMIT_S + LIMIT_S / 4)
+                sent.theirs.send(chunk(EVENT))
+            sent.theirs.send(b'0\r\n\r\n')
+
+        answering = asyncio.create_task(answer())
+        outcome = await sent.follow()
+        await answering
+        assert isinstance(outcome, Delivered)
+        assert (sent.caller.got, sent.asked) == (4 * EVENT, 0)
+
+    played(body)
+
+
+def test_short_answer_in_pieces_within_the_bound_is_sound() -> None:
+    async def body() -> None:
+        sent = Sent()
+
+        async def answer() -> None:
+            sent.theirs.send(b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n')
+            for _ in range(4):
+                await asyncio.sleep(LIMIT_S / 8)
+                sent.theirs.send(b'x')
+
+        answering = asyncio.create_task(answer())
+        outcome = await sent.follow()
+        await answering
+        assert isinstance(outcome, Answered)
+        assert (outcome.body, sent.asked) == (b'xxxx', 0)
+
+    played(body)
--- /dev/null
+++ b/tests/support/sent_requests.py
@@ -0,0 +1,83 @@
+"""A request at a backend server that a test plays byte by byte."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Awaitable, Callable
+from types import SimpleNamespace
+from typing import Any
+
+from tornado.iostream import IOStream
+
+from cassiahitch.direct.api import AnswerHead
+from cassiahitch.direct.backends.attempt import Attempts, Outcome, Patience, StreamState
+from cassiahitch.direct.backends.connection import BackendConnection
+from cassiahitch.direct.backends.exchange import Exchange
+from cassiahitch.direct.backends.holding import AnswerBounds, Holding
+from cassiahitch.direct.backends.passing import Passing
+from cassiahitch.direct.backends.silence import Silence
+
+HEAD = AnswerHead(200, 'OK', (), 'a', not_run=False, sealed=True, encoded=False)
+EVENT = b'id: 1\ndata: x\n\n'
+#: Seconds of silence that are borne.
+LIMIT_S = 0.2
+
+
+class Caller:
+    def __init__(self) -> None:
+        self.got = b''
+
+    async def start(self, *_: object) -> None:
+        await asyncio.sleep(0)
+
+    async def write(self, data: bytes) -> None:
+        self.got += data
+        await asyncio.sleep(0)
+
+    def end(self) -> None:
+        """Take in that the answer is whole."""
+
+
+class Sent:
+    """A request at a backend server that the test plays."""
+
+    def __init__(self, repeat: str = 'idempotent') -> None:
+        ours, theirs = socket.socketpair()
+        self.theirs = theirs
+        self.connection = BackendConnection(IOStream(ours), None)  # type: ignore[arg-type]
+        self.caller = Caller()
+        self.asked = 0
+        self.stream = StreamState(self.caller, leave=self.leave)  # type: ignore[arg-type]
+        codec: Any = SimpleNamespace(
+            write_headers=lambda *_: (('Host', 'x'),), read_answer=lambda *_: HEAD
+        )
+        nothing: Any = None
+        passing = Passing(Holding(AnswerBounds(100_000, 100_000, 100_000)))
+        self.attempts = Attempts(nothing, codec, nothing, nothing, nothing, passing)
+        request = SimpleNamespace(method='GET', target='/', body=b'', attempt_id='a')
+        self.call: Any = SimpleNamespace(
+            request=request,
+            deadline=10,
+            organisation=None,
+            plan=lambda: SimpleNamespace(repeat=repeat),
+        )
+        self.exchange = Exchange(self.connection, codec, Silence(self.stream.leaves_silent))
+
+    async def leave(self) -> bool:
+        self.asked += 1
+        return True
+
+    async def follow(self) -> Outcome:
+        replica: Any = SimpleNamespace(replica=None, version=0)
+        placed: Any = SimpleNamespace(candidate=replica, rank=None)
+        patience = Patience(LIMIT_S, LIMIT_S)
+        return await self.attempts.follow(self.call, placed, self.exchange, self.stream, patience)
+
+
+def played(body: Callable[[], Awaitable[None]]) -> None:
+    async def bounded() -> None:
+        async with asyncio.timeout(20):
+            await body()
+
+    asyncio.run(bounded())
