--- a/src/cassiahitch/soak/backend.py
+++ b/src/cassiahitch/soak/backend.py
@@ -11,6 +11,7 @@
 from cassiahitch.direct.api import header
 from cassiahitch.platform import names
 from cassiahitch.soak.answers import Work, digest, event, plain_body, seal
+from cassiahitch.soak.endings import is_in_head, trickle, write_again, write_endless
 from cassiahitch.soak.records import Execution
 from cassiahitch.standins.backends import REFUSALS, BackendStandin, Fault, Wire
 
@@ -119,10 +120,26 @@
             wire.reset()
             return False
         head = {names.ATTEMPT_ID: execution.id, names.SEAL: seal(self.id, execution.id)}
-        work = Work.read(execution.target)
+        if fault is Fault.endless:
+            execution.broke_off = True
+            return await write_endless(wire, head, in_head=is_in_head(head))
         if self.engine is not None:
             after = int(header(headers, names.LAST_EVENT, '0'))
             return await self.send_events(wire, execution, head, after, fault)
+        return await self.send_body(wire, execution, head, fault)
+
+    async def send_body(
+        self, wire: Wire, execution: Execution, head: dict[str, str], fault: Fault
+    ) -> bool:
+        """Send an answer that is no stream.
+
+        :param wire: takes the answer.
+        :param execution: what is known of the request.
+        :param head: headers of the answer.
+        :param fault: what goes wrong.
+        :return: whether the connection goes on.
+        """
+        work = Work.read(execution.target)
         await asyncio.sleep(self.slowness * work.pause_s)
         body = plain_body(execution.id, execution.digest, work)
         if fault is Fault.cut:
@@ -132,8 +149,12 @@
             await wire.drain()
             wire.reset()
             return False
+        if fault is Fault.trickle:
+            execution.broke_off = True
+            wire.start(HTTPStatus.OK, {**head, 'Content-Length': str(len(body))})
+            return await trickle(wire, body)
         await wire.whole(HTTPStatus.OK, head, body)
-        return True
+        return fault is not Fault.double or await write_again(wire, head, body)
 
     async def send_events(
         self, wire: Wire, execution: Execution, head: dict[str, str], after: int, fault: Fault
@@ -149,6 +170,7 @@
         """
         work = Work.read(execution.target)
         wire.start(HTTPStatus.OK, {**head, 'Content-Type': 'text/event-stream'})
+        content = b''
         for number in range(after + 1, work.parts + 1):
             await asyncio.sleep(self.slowness * work.pause_s)
             content = event(execution.id, number, work)
@@ -158,10 +180,13 @@
                 await wire.drain()
                 wire.reset()
                 return False
+            if fault is Fault.trickle:
+                execution.broke_off = True
+                return await trickle(wire, content)
             wire.part(content)
             await wire.drain()
         wire.end()
-        return True
+        return fault is not Fault.double or await write_again(wire, head, content)
 
 
 def _end(execution: Execution) -> None:
--- /dev/null
+++ b/src/cassiahitch/soak/endings.py
@@ -0,0 +1,94 @@
+"""Answers of the soak's backend servers that do not end as they should."""
+
+from __future__ import annotations
+
+import asyncio
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+from cassiahitch.platform import names
+
+if TYPE_CHECKING:
+    from cassiahitch.standins.backends import Wire
+
+#: Bytes that are written at once without end, and seconds between two such writes.
+ENDLESS_BYTES = 16_384
+ENDLESS_PAUSE_S = 0.002
+#: Seconds between two bytes of an answer that is stuck.
+TRICKLE_PAUSE_S = 0.3
+#: Seconds after which a second copy of an answer comes.
+COPY_DELAY_S = 0.03
+#: Start of a head whose end never comes.
+HEAD_WITHOUT_END = b'HTTP/1.1 200 OK\r\nX-Odd: '
+
+
+async def write_endless(wire: Wire, head: dict[str, str], *, in_head: bool) -> bool:
+    """Write bytes until the peer closes.
+
+    :param wire: takes them.
+    :param head: headers of the answer.
+    :param in_head: whether the head has no end, instead of the body.
+    :return: that the connection does not go on.
+    """
+    piece = b'x' * ENDLESS_BYTES
+    if in_head:
+        wire.raw(HEAD_WITHOUT_END)
+    else:
+        wire.start(HTTPStatus.OK, head)
+    write = wire.raw if in_head else wire.part
+    while not wire.writer.is_closing():
+        write(piece)
+        await wire.drain()
+        await asyncio.sleep(ENDLESS_PAUSE_S)
+    return False
+
+
+async def trickle(wire: Wire, content: bytes) -> bool:
+    """Write a third of an answer, and then bytes of the rest now and then.
+
+    :param wire: takes them, with the head of the answer written.
+    :param content: the content, without its end.
+    :return: that the connection does not go on.
+    """
+    begun = len(content) // 3
+    wire.part(content[:begun])
+    for number in range(begun, len(content) - 1):
+        if wire.writer.is_closing():
+            break
+        await wire.drain()
+        await asyncio.sleep(TRICKLE_PAUSE_S)
+        wire.part(content[number : number + 1])
+    return False
+
+
+async def write_again(wire: Wire, head: dict[str, str], body: bytes) -> bool:
+    """Write a second copy of an answer, when its connection may be in use again.
+
+    :param wire: takes it.
+    :param head: headers of the answer.
+    :param body: its body.
+    :return: that the connection goes on.
+    """
+    await asyncio.sleep(COPY_DELAY_S)
+    lines = {**head, 'Content-Length': str(len(body))}
+    start = ''.join(f'{name}: {text}\r\n' for name, text in lines.items())
+    wire.raw(b'HTTP/1.1 200 OK\r\n', start.encode(), b'\r\n', body)
+    await wire.drain()
+    return True
+
+
+def is_in_head(head: dict[str, str]) -> bool:
+    """Tell whether bytes without end stand in the head, for about half of all answers.
+
+    :param head: headers of an answer.
+    :return: whether they do.
+    """
+    return bool(head[names.ATTEMPT_ID].encode()[-1] % 2)
+
+
+__all__ = (
+    'is_in_head',
+    'trickle',
+    'write_again',
+    'write_endless',
+)
--- a/src/cassiahitch/soak/faults.py
+++ b/src/cassiahitch/soak/faults.py
@@ -56,6 +56,9 @@
         BackendFailure.lose: Fault.lose,
         BackendFailure.cut: Fault.cut,
         BackendFailure.pause: Fault.ask_pause,
+        BackendFailure.endless: Fault.endless,
+        BackendFailure.trickle: Fault.trickle,
+        BackendFailure.double: Fault.double,
     }
 )
 
--- a/src/cassiahitch/soak/plan.py
+++ b/src/cassiahitch/soak/plan.py
@@ -30,6 +30,9 @@
     lose = 'lose'
     cut = 'cut'
     pause = 'pause'
+    endless = 'endless'
+    trickle = 'trickle'
+    double = 'double'
 
 
 class StoreFailure(StrEnum):
--- a/src/cassiahitch/standins/backends.py
+++ b/src/cassiahitch/standins/backends.py
@@ -47,6 +47,9 @@
     unsealed = 'unsealed'
     fail = 'fail'
     hang = 'hang'
+    endless = 'endless'
+    trickle = 'trickle'
+    double = 'double'
 
 
 #: Faults with which a request is refused that could run.
