--- a/src/cassiahitch/direct/members/discovery.py
+++ b/src/cassiahitch/direct/members/discovery.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import random
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from pydantic import BaseModel, ValidationError
+
 from cassiahitch.direct.beliefs.feed import Whole
 from cassiahitch.errors import PlatformError
 from cassiahitch.stores.api import Write
@@ -20,8 +21,12 @@
 #: Seconds between two reads of the table, and between tries while the store is away.
 READ_S = 20.0
 TRY_S = 1.0
-#: Field of a row.
-REGION = 'region'
+
+
+class EntryRow(BaseModel):
+    """What an entry writes of itself."""
+
+    region: str
 
 
 @dataclass(slots=True)
@@ -47,7 +52,7 @@
 
         :return: whether it was written.
         """
-        content = json.dumps({REGION: self.settings.region}).encode()
+        content = EntryRow(region=self.settings.region).model_dump_json().encode()
         write = Write(self.around.tables.entries, self.settings.address, content)
         try:
             await self.around.store.commit((), (write,))
@@ -71,11 +76,10 @@
 
 def _region(content: bytes | None) -> str:
     try:
-        found = json.loads(content or b'')[REGION]
-    except (ValueError, LookupError, TypeError):
+        return EntryRow.model_validate_json(content or b'').region
+    except ValidationError:
         # An entry whose row does not name its region is asked for it.
         return ''
-    return str(found)
 
 
 __all__ = ('Discovery',)
