Bound the numbers of the platform's documents

Cause: NaN and infinity passed as numbers. A pace of NaN in an engine's report ended the task of its agent (int of NaN), and with it the agent. test_odd_reports_of_an_engine_end_nothing[1] failed with it. Numbers that messages between processes could not carry were taken in as well. A document with such a number is now refused as a corrupt one, and the last good one holds.

--- a/src/cassiahitch/platform/documents.py
+++ b/src/cassiahitch/platform/documents.py
@@ -20,8 +20,17 @@
 PAIRS_PER_M = 1_000_000
 
 ModelT = TypeVar('ModelT', bound=BaseModel)
-_Whole = Annotated[int, Field(ge=0)]
-_Positive = Annotated[float, Field(gt=0)]
+#: Largest numbers that messages between processes carry.
+MAX_INT32 = 2**31 - 1
+MAX_INT64 = 2**63 - 1
+#: Largest time that is taken for one, in milliseconds, and slowest pace of an engine.
+MAX_TIME_MS = 1e12
+MAX_PACE = 1e6
+
+_Whole = Annotated[int, Field(ge=0, le=MAX_INT64)]
+_Count = Annotated[int, Field(ge=0, le=MAX_INT32)]
+_Positive = Annotated[float, Field(gt=0, le=MAX_TIME_MS)]
+_Priority = Annotated[int, Field(ge=-MAX_INT32, le=MAX_INT32)]
 
 
 class CamelModel(BaseModel):
@@ -32,6 +41,7 @@
         populate_by_name=True,
         frozen=True,
         hide_input_in_errors=True,
+        allow_inf_nan=False,
     )
 
 
@@ -47,10 +57,10 @@
     kind: Literal['idempotent', 'non_idempotent', 'streaming']
     timeout_ms: _Positive
     target_latency_ms: _Positive = 1000
-    priority: int = 0
+    priority: _Priority = 0
     service: str = ''
     traffic_split: tuple[_ShareModel, ...] = ()
-    max_attempts: Annotated[int, Field(ge=1)] = 1
+    max_attempts: Annotated[int, Field(ge=1, le=MAX_INT32)] = 1
     public: bool = False
     stream_resume: bool = False
     gap_aim_ms: float = 0
@@ -86,19 +96,19 @@
 class _EngineModel(BaseModel):
     """Speed of an engine; some of its fields are spelled in snake case."""
 
-    model_config = ConfigDict(frozen=True, populate_by_name=True)
+    model_config = ConfigDict(frozen=True, populate_by_name=True, allow_inf_nan=False)
 
     models: tuple[_LoadedModelModel, ...] = Field(min_length=1)
-    slots: int = Field(ge=1)
-    pass_steps: int = Field(default=1, ge=1, alias='passSteps')
+    slots: int = Field(ge=1, le=MAX_INT32)
+    pass_steps: int = Field(default=1, ge=1, le=MAX_INT32, alias='passSteps')
     step_ms: float = 0
     per_seq_ms: float = 0
     context_per_k: float = 0
     read_per_s: _Positive = 1000
     pairs_per_m: float = 0
     usual: _UsualModel = _UsualModel()
-    chunk_bytes: int = Field(default=0, ge=0, alias='chunkBytes')
-    chunk_count: int = Field(default=0, ge=0, alias='chunkCount')
+    chunk_bytes: int = Field(default=0, ge=0, le=MAX_INT32, alias='chunkBytes')
+    chunk_count: int = Field(default=0, ge=0, le=MAX_INT32, alias='chunkCount')
 
     def decoded(self) -> catalogue.Engine:
         """Return the engine."""
@@ -120,7 +130,7 @@
 
 class _ServiceModel(CamelModel):
     name: str
-    max_connections: Annotated[int, Field(ge=1)] = 64
+    max_connections: Annotated[int, Field(ge=1, le=MAX_INT32)] = 64
     engine: _EngineModel | None = None
     origin: str = ''
     zone: str = ''
@@ -142,7 +152,7 @@
 class _OrganisationModel(CamelModel):
     name: str
     api_keys: tuple[str, ...] = ()
-    priority: int | None = None
+    priority: _Priority | None = None
 
 
 class _LimitsModel(CamelModel):
@@ -152,7 +162,7 @@
 
 
 class _ConfigurationModel(CamelModel):
-    version: int
+    version: _Whole
     routes: tuple[_RouteModel, ...]
     services: tuple[_ServiceModel, ...]
     tenants: tuple[_OrganisationModel, ...] = ()
@@ -162,14 +172,14 @@
 class _LayersModel(BaseModel):
     """Range of the layers that are loaded; ``to`` is not part of it."""
 
-    first: int = Field(alias='from')
-    end: int = Field(alias='to')
-    version: int
+    first: int = Field(alias='from', ge=0, le=MAX_INT32)
+    end: int = Field(alias='to', ge=0, le=MAX_INT32)
+    version: _Count
 
 
 class _ModelVersionModel(CamelModel):
     name: str
-    version: int = 0
+    version: _Count = 0
 
 
 class _ReplicaModel(CamelModel):
@@ -177,7 +187,7 @@
     address: str
     zone: str
     state: Literal['ready', 'draining']
-    slots: int = 1
+    slots: Annotated[int, Field(le=MAX_INT32)] = 1
     born: _Whole = 0
     models: tuple[_ModelVersionModel, ...] = ()
     layers: _LayersModel | tuple[_LayersModel, ...] | None = None
@@ -185,23 +195,23 @@
 
 class _VersionModel(CamelModel):
     model: str
-    version: int
+    version: _Count
 
 
 class _ReportModel(CamelModel):
     models: tuple[_ModelVersionModel, ...] = ()
     layers: _LayersModel | tuple[_LayersModel, ...] | None = None
     busy: bool = False
-    seq: int = 0
-    waiting: int = 0
-    running: int = 0
-    pace: float = 1
-    born: int = 0
+    seq: _Whole = 0
+    waiting: _Count = 0
+    running: _Count = 0
+    pace: Annotated[float, Field(ge=0, le=MAX_PACE)] = 1
+    born: _Whole = 0
 
 
 class _ManifestModel(CamelModel):
     model: str
-    version: int
+    version: _Count
     chunk_digests: tuple[str, ...]
 
 
