Keep the datagram socket open whatever receiver a message names

Cause: an address of another entry that is no IP number, from a datagram or a row of the entries' table, was learned and sent to. asyncio ends the transport with such a receiver ('Fatal write error on datagram transport', encoding of hostname failed), so one message cut a process off from all gossip, places and relayed rows until its restart; a name would have been looked up while the process stood still. test_odd_datagrams_end_nothing[0] failed with it.

Addresses that are no numbers aren't learned any more, ports that are none neither, and a message that can't be sent is dropped with a log line.

--- a/src/cassiahitch/direct/members/book.py
+++ b/src/cassiahitch/direct/members/book.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
+from cassiahitch.util.endpoints import MAX_PORT, is_number
+
 if TYPE_CHECKING:
     from cassiahitch.wire.beats import MemberState
 
@@ -53,7 +55,7 @@
         """
         if state.name == self.own.name:
             return self.refute(state)
-        if state.region != self.own.region:
+        if state.region != self.own.region or not _is_reachable(state):
             return False
         known = self.others.get(state.name)
         if known is not None and _order(state) <= _order(known):
@@ -96,7 +98,8 @@
         :param now: seconds.
         """
         for address, region in addresses.items():
-            self.known[address] = KnownAddress(region, now)
+            if is_number(address):
+                self.known[address] = KnownAddress(region, now)
 
     def live(self) -> tuple[MemberState, ...]:
         """Return the other entries of the region that are not silent.
@@ -147,6 +150,10 @@
                 self.known.pop(address)
 
 
+def _is_reachable(state: MemberState) -> bool:
+    return is_number(state.address) and 0 < state.http_port <= MAX_PORT
+
+
 def _order(state: MemberState) -> tuple[int, int, bool]:
     # Who lives says so under a higher number than those who called it silent.
     return (state.incarnation, state.sequence, state.silent)
--- a/src/cassiahitch/util/endpoints.py
+++ b/src/cassiahitch/util/endpoints.py
@@ -25,6 +25,19 @@
         return f'{self.address}:{self.port}'
 
 
+def is_number(address: str) -> bool:
+    """Tell whether an address is an IP number; a name would have to be looked up.
+
+    :param address: any text.
+    :return: whether it is.
+    """
+    try:
+        ip_address(address)
+    except ValueError:
+        return False
+    return True
+
+
 def parse_endpoint(text: str) -> Endpoint:
     """Read an endpoint from its text form.
 
@@ -46,5 +59,6 @@
 
 __all__ = (
     'Endpoint',
+    'is_number',
     'parse_endpoint',
 )
--- a/src/cassiahitch/wire/datagrams.py
+++ b/src/cassiahitch/wire/datagrams.py
@@ -7,8 +7,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from cassiahitch.codes import Code
 from cassiahitch.errors import WireError
-from cassiahitch.util.endpoints import Endpoint
+from cassiahitch.util.endpoints import Endpoint, is_number
 from cassiahitch.wire import beats
 from cassiahitch.wire.gen.datagrams import ttypes
 from cassiahitch.wire.structs import StructCodec
@@ -78,13 +79,23 @@
         self.receive(message, sender)
 
     def send(self, message: beats.Beat, receiver: Endpoint) -> None:
-        """Send a message; it may be lost.
+        """Send a message; it may be lost, and is dropped if it cannot be sent.
 
         :param message: the message.
         :param receiver: where it goes.
         """
-        if self.transport is not None and not self.transport.is_closing():
-            self.transport.sendto(encode_datagram(message), (receiver.address, receiver.port))
+        if self.transport is None or self.transport.is_closing():
+            return
+        try:
+            content = encode_datagram(message)
+        except (OverflowError, ValueError) as error:
+            self.refused(WireError(Code.message_unknown, f'cannot be sent: {error}'), receiver)
+            return
+        # The transport ends with an address that is none, and would wait for a name.
+        if is_number(receiver.address):
+            self.transport.sendto(content, (receiver.address, receiver.port))
+            return
+        self.refused(WireError(Code.message_unknown, 'its receiver has no number'), receiver)
 
     def close(self) -> None:
         """Close the socket."""
