Refuse numbers of callers that are none, and ignore those of answers

Causes: an expected length of inf, -inf or 1e999 raised OverflowError, for which nobody looked, and the connection closed without an answer; a kept time of the letter ² in an answer failed the request with 500 and 'ran unknown'. The deadline took NaN and infinity. Counts are now 0 to 2^31-1, the deadline is finite, anything else is 400 with code 1000. Tests: test_odd_numbers_of_callers_are_refused_or_bounded and test_odd_headers_of_backend_servers_fail_no_request failed.

--- a/src/cassiahitch/platform/requests.py
+++ b/src/cassiahitch/platform/requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 from http import HTTPStatus
 from types import MappingProxyType
@@ -19,6 +20,8 @@
 from cassiahitch.platform import names
 
 MS_PER_S = 1000
+#: Most tokens that a request can ask for.
+MAX_TOKENS = 2**31 - 1
 #: Status of a backend server at whose address the request is not meant to be.
 MISDIRECTED = 421
 RETRY_AFTER = 'Retry-After'
@@ -182,11 +185,25 @@
     if not text:
         return None
     try:
-        return max(0, float(text) / MS_PER_S)
+        return max(0, _finite(text) / MS_PER_S)
     except ValueError:
         raise RequestError(Code.bad_request, 'the deadline is not a number', Ran.no) from None
 
 
+def _finite(text: str) -> float:
+    number = float(text)
+    if not math.isfinite(number):
+        raise ValueError(text)
+    return number
+
+
+def _count(text: str) -> int:
+    number = int(_finite(text))
+    if not 0 <= number <= MAX_TOKENS:
+        raise ValueError(text)
+    return number
+
+
 def _generation(headers: Headers) -> Generation | None:
     model = header(headers, names.MODEL)
     if not model:
@@ -194,15 +211,15 @@
     prompt, _, longest = header(headers, names.TOKEN_COUNTS, '0,0').partition(',')
     expected = header(headers, names.EXPECTED_TOKENS, longest or '0')
     try:
-        return Generation(model, int(prompt), int(longest or 0), int(float(expected)))
+        return Generation(model, _count(prompt), _count(longest or '0'), _count(expected))
     except ValueError:
-        raise RequestError(Code.bad_request, 'a token count is not a number', Ran.no) from None
+        raise RequestError(Code.bad_request, 'a token count is not a count', Ran.no) from None
 
 
 def _idle_s(keep_alive: str) -> float | None:
     for part in keep_alive.split(','):
         name, _, seconds = part.strip().partition('=')
-        if name.lower() == 'timeout' and seconds.isdigit():
+        if name.lower() == 'timeout' and SECONDS.fullmatch(seconds):
             return float(seconds)
     return None
 
