Pass headers with letters beyond ASCII on

What callers saw: a request with such a letter in any header that is passed on got 500, code 6999, ran unknown; nothing had been sent. Cause: headers are read as Latin-1 and were given as text to h11, which takes ASCII only. They are passed on as the bytes they came as. A target that can't be written is refused with 400 and 'ran no' before anything is sent, and the connection stays usable.

--- a/src/cassiahitch/direct/backends/exchange.py
+++ b/src/cassiahitch/direct/backends/exchange.py
@@ -9,8 +9,10 @@
 
 import h11
 
+from cassiahitch.codes import Code, Ran
 from cassiahitch.direct.backends.connection import BackendConnection, ConnectionBroken
 from cassiahitch.direct.backends.holding import DROPPED_BYTES
+from cassiahitch.errors import RequestError
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator
@@ -83,9 +85,11 @@
         :param headers: its headers for the backend server.
         :return: the start of the answer.
         :raises AnswerLost: if no such answer comes.
+        :raises RequestError: ``bad_request`` if it cannot be written; nothing is sent then.
         """
+        content = _request_bytes(self.machine, request, headers)
         self.connection.requests += 1
-        self.written = self.connection.write(_request_bytes(self.machine, request, headers))
+        self.written = self.connection.write(content)
         for _ in range(FOREIGN_ANSWERS):
             head = await self._head()
             if head.attempt_id == request.attempt_id or (head.not_run and not head.attempt_id):
@@ -191,11 +195,15 @@
 def _request_bytes(machine: h11.Connection, request: CallerRequest, headers: Headers) -> bytes:
     length = (('Content-Length', str(len(request.body))),)
     framed = request.body or request.method in {'POST', 'PUT', 'PATCH'}
-    start = h11.Request(
-        method=request.method,
-        target=request.target,
-        headers=[*headers, *(length if framed else ())],
-    )
+    lines = (*headers, *(length if framed else ()))
+    try:
+        start = h11.Request(
+            method=request.method,
+            target=_encoded(request.target),
+            headers=[(name, _encoded(text)) for name, text in lines],
+        )
+    except h11.LocalProtocolError as error:
+        raise RequestError(Code.bad_request, str(error), Ran.no) from error
     parts = [machine.send(start)]
     if request.body:
         parts.append(machine.send(h11.Data(request.body)))
@@ -203,6 +211,14 @@
     return b''.join(part for part in parts if part)
 
 
+def _encoded(text: str) -> bytes:
+    # Bytes of callers were read as Latin-1; names of the configuration may have other letters.
+    try:
+        return text.encode('latin1')
+    except UnicodeEncodeError:
+        return text.encode(errors='replace')
+
+
 __all__ = (
     'AnswerLost',
     'Exchange',
--- a/src/cassiahitch/standins/backends.py
+++ b/src/cassiahitch/standins/backends.py
@@ -187,8 +187,10 @@
                 return
             leaving = {names.LEAVING: '1'} if self.leaving else {}
             wire = Wire(machine, writer, {**leaving, **self.odd_headers})
-            headers = tuple((name.decode(), text.decode()) for name, text in request.headers)
-            target = request.target.decode()
+            headers = tuple(
+                (name.decode(), text.decode('latin1')) for name, text in request.headers
+            )
+            target = request.target.decode('latin1')
             if not await self.answer(wire, request.method.decode(), target, headers, body):
                 return
             if machine.our_state is not h11.DONE:
@@ -446,7 +448,8 @@
     def start(self, status: int, headers: dict[str, str]) -> None:
         """Write the start of an answer."""
         lines = [*headers.items(), *self.always.items()]
-        head = h11.Response(status_code=int(status), headers=lines)
+        encoded = [(name.encode(), text.encode('latin1', 'replace')) for name, text in lines]
+        head = h11.Response(status_code=int(status), headers=encoded)
         self.writer.write(self.machine.send(head))
 
     def part(self, data: bytes) -> None:
--- a/tests/support/direct_callers.py
+++ b/tests/support/direct_callers.py
@@ -73,6 +73,7 @@
     key: str = KEY,
     deadline_ms: int = 3000,
     leave_after_s: float | None = None,
+    odd: dict[str, bytes] | None = None,
 ) -> Got:
     method = 'GET' if path.startswith('/lookup') else 'POST'
     attempt = f'a{next(IDS)}'
@@ -91,7 +92,9 @@
     machine = h11.Connection(h11.CLIENT)
     if body:
         headers.append(('Content-Length', str(len(body))))
-    data = machine.send(h11.Request(method=method, target=path, headers=headers)) or b''
+    named = {name: text.encode() for name, text in headers} | (odd or {})
+    lines = [(name.encode(), text) for name, text in named.items()]
+    data = machine.send(h11.Request(method=method, target=path, headers=lines)) or b''
     if body:
         data += machine.send(h11.Data(body)) or b''
     data += machine.send(h11.EndOfMessage()) or b''
@@ -119,7 +122,7 @@
                 machine.receive_data(data)
             case h11.Response():
                 got.status = event.status_code
-                got.headers = {name.decode(): text.decode() for name, text in event.headers}
+                got.headers = {name.decode(): text.decode('latin1') for name, text in event.headers}
             case h11.Data(data=data):
                 got.body += bytes(data)
             case h11.EndOfMessage():
