--- a/src/cassiahitch/direct/assembly.py
+++ b/src/cassiahitch/direct/assembly.py
@@ -12,8 +12,8 @@
 from cassiahitch.direct.backends.holding import Holding
 from cassiahitch.direct.backends.passing import Passing
 from cassiahitch.direct.backends.pool import ConnectionPool
-from cassiahitch.direct.beliefs.knowledge import Knowledge, make_knowledge
 from cassiahitch.direct.journal import Journal
+from cassiahitch.direct.knowledge import Knowledge, make_knowledge
 from cassiahitch.direct.members.beating import EntryBeats
 from cassiahitch.direct.placement.asking import PlaceAsker
 from cassiahitch.direct.placement.candidates import Candidates
--- a/src/cassiahitch/direct/backends/holding.py
+++ b/src/cassiahitch/direct/backends/holding.py
@@ -9,26 +9,15 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from cassiahitch.settings.bounds import AnswerBounds
 
-KIB = 1024
-MIB = 1_048_576
 #: Bytes of an answer that nobody gets, after which its connection is given up.
 DROPPED_BYTES = 1_048_576
 
 
-@dataclass(frozen=True, slots=True)
-class AnswerBounds:
-    """Bounds in bytes.
-
-    ``held`` is what is held of one answer before it passes on piece by piece, ``held_by_all`` that
-    of all answers at a time, ``largest`` the largest answer that is passed on.
-    """
-
-    held: int
-    held_by_all: int
-    largest: int
-
-
 @dataclass(slots=True)
 class Holding:
     """Counts the bytes of answers that are held."""
@@ -83,9 +72,6 @@
 
 __all__ = (
     'DROPPED_BYTES',
-    'KIB',
-    'MIB',
-    'AnswerBounds',
     'Held',
     'Holding',
 )
--- a/src/cassiahitch/direct/backends/passing.py
+++ b/src/cassiahitch/direct/backends/passing.py
@@ -15,9 +15,10 @@
 if TYPE_CHECKING:
     from cassiahitch.direct.api import AnswerHead
     from cassiahitch.direct.backends.exchange import Exchange
-    from cassiahitch.direct.backends.holding import AnswerBounds, Held, Holding
+    from cassiahitch.direct.backends.holding import Held, Holding
     from cassiahitch.direct.backends.silence import Silence
     from cassiahitch.direct.callers.front import CallerExchange
+    from cassiahitch.settings.bounds import AnswerBounds
 
 #: Statuses that promise that a request has not run.
 PROMISES = frozenset(
--- a/src/cassiahitch/direct/beliefs/beliefs.py
+++ b/src/cassiahitch/direct/beliefs/beliefs.py
@@ -19,8 +19,8 @@
 from cassiahitch.errors import PlatformError
 
 if TYPE_CHECKING:
-    from cassiahitch.direct.beliefs.knowledge import Knowledge
     from cassiahitch.direct.journal import Journal
+    from cassiahitch.direct.knowledge import Knowledge
     from cassiahitch.direct.surroundings import EntrySurroundings
 
 #: Seconds that an answer takes at least if the store held it back until there was news.
--- a/src/cassiahitch/direct/journal.py
+++ b/src/cassiahitch/direct/journal.py
@@ -19,9 +19,9 @@
 
 if TYPE_CHECKING:
     from cassiahitch.direct.backends.attempt import Outcome
-    from cassiahitch.direct.beliefs.knowledge import Knowledge
     from cassiahitch.direct.beliefs.replicas import Replica
     from cassiahitch.direct.callers.progress import Progress
+    from cassiahitch.direct.knowledge import Knowledge
     from cassiahitch.direct.placement.holdoff import Ended
     from cassiahitch.direct.placement.placement import Crowded, Placed
     from cassiahitch.errors import RequestError
--- a/src/cassiahitch/direct/members/beating.py
+++ b/src/cassiahitch/direct/members/beating.py
@@ -13,8 +13,8 @@
 from cassiahitch.wire.beats import EngineLoad, MemberNews, MemberState
 
 if TYPE_CHECKING:
-    from cassiahitch.direct.beliefs.knowledge import Knowledge
     from cassiahitch.direct.journal import Journal
+    from cassiahitch.direct.knowledge import Knowledge
     from cassiahitch.direct.members.relaying import TableRelay
     from cassiahitch.direct.placement.asking import PlaceAsker
     from cassiahitch.errors import WireError
--- a/src/cassiahitch/direct/members/discovery.py
+++ b/src/cassiahitch/direct/members/discovery.py
@@ -14,7 +14,7 @@
 from cassiahitch.stores.api import Write
 
 if TYPE_CHECKING:
-    from cassiahitch.direct.beliefs.knowledge import Knowledge
+    from cassiahitch.direct.knowledge import Knowledge
     from cassiahitch.direct.surroundings import EntrySurroundings
     from cassiahitch.settings.direct import DirectEntrySettings
 
--- a/src/cassiahitch/direct/placement/candidates.py
+++ b/src/cassiahitch/direct/placement/candidates.py
@@ -11,8 +11,8 @@
 if TYPE_CHECKING:
     from cassiahitch.direct.api import Call
     from cassiahitch.direct.beliefs.catalogue import Service
-    from cassiahitch.direct.beliefs.knowledge import Knowledge
     from cassiahitch.direct.beliefs.replicas import Replica
+    from cassiahitch.direct.knowledge import Knowledge
     from cassiahitch.direct.placement.holdoff import HoldOff
     from cassiahitch.direct.placement.placement import Placement
 
--- a/src/cassiahitch/direct/requests/elsewhere.py
+++ b/src/cassiahitch/direct/requests/elsewhere.py
@@ -15,8 +15,8 @@
 if TYPE_CHECKING:
     from cassiahitch.direct.api import Call
     from cassiahitch.direct.backends.attempt import StreamState
-    from cassiahitch.direct.beliefs.knowledge import Knowledge
     from cassiahitch.direct.journal import Journal
+    from cassiahitch.direct.knowledge import Knowledge
     from cassiahitch.direct.placement.crashwatch import CrashWatch
     from cassiahitch.direct.placement.places import Places
     from cassiahitch.direct.requests.budget import RetryBudget
--- a/src/cassiahitch/direct/requests/filters.py
+++ b/src/cassiahitch/direct/requests/filters.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from cassiahitch.direct.api import Call
     from cassiahitch.direct.beliefs.catalogue import Catalogue
-    from cassiahitch.direct.beliefs.knowledge import Knowledge
+    from cassiahitch.direct.knowledge import Knowledge
     from cassiahitch.direct.requests.budget import RetryBudget
 
 #: Seconds after which a caller may come back to an entry that does not know enough.
--- a/src/cassiahitch/direct/requests/runner.py
+++ b/src/cassiahitch/direct/requests/runner.py
@@ -35,9 +35,9 @@
 
 if TYPE_CHECKING:
     from cassiahitch.direct.api import AnswerHead, Call, RequestCodec
-    from cassiahitch.direct.beliefs.knowledge import Knowledge
     from cassiahitch.direct.callers.front import CallerExchange
     from cassiahitch.direct.journal import Journal
+    from cassiahitch.direct.knowledge import Knowledge
     from cassiahitch.direct.placement.crashwatch import CrashWatch
     from cassiahitch.direct.requests.budget import RetryBudget
     from cassiahitch.direct.requests.filters import RequestFilters
--- a/src/cassiahitch/settings/direct.py
+++ b/src/cassiahitch/settings/direct.py
@@ -6,8 +6,8 @@
 
 from pydantic import Field
 
-from cassiahitch.direct.backends.holding import KIB, MIB, AnswerBounds
 from cassiahitch.resources.models import Name
+from cassiahitch.settings.bounds import KIB, MIB, AnswerBounds
 from cassiahitch.settings.fields import Address, EndpointText, Port
 from cassiahitch.settings.models import LogLevel, Role, SettingsModel
 
--- a/tests/direct/members/test_relaying.py
+++ b/tests/direct/members/test_relaying.py
@@ -25,8 +25,8 @@
 )
 from cassiahitch.direct.beliefs.following import RELAY_S, TableFollower
 from cassiahitch.direct.beliefs.freshness import boot_time
-from cassiahitch.direct.beliefs.knowledge import Knowledge
 from cassiahitch.direct.journal import BeliefLog
+from cassiahitch.direct.knowledge import Knowledge
 from cassiahitch.direct.members.relaying import (
     ANSWER_S,
     READERS,
--- a/tests/direct/placement/test_places.py
+++ b/tests/direct/placement/test_places.py
@@ -22,9 +22,9 @@
     Service,
     ServiceShare,
 )
-from cassiahitch.direct.beliefs.knowledge import make_knowledge
 from cassiahitch.direct.beliefs.replicas import Replica
 from cassiahitch.direct.beliefs.versions import DeclaredVersion
+from cassiahitch.direct.knowledge import make_knowledge
 from cassiahitch.direct.placement.asking import ANSWER_S, PlaceAsker
 from cassiahitch.direct.placement.candidates import Candidates
 from cassiahitch.direct.placement.holdoff import HoldOff
--- a/tests/support/sent_requests.py
+++ b/tests/support/sent_requests.py
@@ -14,9 +14,10 @@
 from cassiahitch.direct.backends.attempt import Attempts, Outcome, Patience, StreamState
 from cassiahitch.direct.backends.connection import BackendConnection
 from cassiahitch.direct.backends.exchange import Exchange
-from cassiahitch.direct.backends.holding import AnswerBounds, Holding
+from cassiahitch.direct.backends.holding import Holding
 from cassiahitch.direct.backends.passing import Passing
 from cassiahitch.direct.backends.silence import Silence
+from cassiahitch.settings.bounds import AnswerBounds
 
 HEAD = AnswerHead(200, 'OK', (), 'a', not_run=False, sealed=True, encoded=False)
 EVENT = b'id: 1\ndata: x\n\n'
