--- a/tests/direct/requests/test_streams_that_break.py
+++ b/tests/direct/requests/test_streams_that_break.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from direct_callers import SMALL, Got, ask, run, until, waiting_at
+from direct_callers import SMALL, Got, ask, run_virtually, until, waiting_at
 
 from cassiahitch.direct.requests.elsewhere import RESUME_S
 from cassiahitch.standins.backends import BackendStandin
@@ -36,7 +36,7 @@
         assert (got.status, got.whole) == (200, True)
         assert [one.attempt_id for one in other.runs] == [got.attempt]
 
-    run(body)
+    run_virtually(body)
 
 
 def test_stream_waits_for_a_retry_when_its_replica_crashed() -> None:
@@ -48,7 +48,7 @@
         got = await asked
         assert (got.status, got.whole) == (200, True)
 
-    run(body, SMALL, retry_ratio=0, retry_slack=0)
+    run_virtually(body, SMALL, retry_ratio=0, retry_slack=0)
 
 
 def test_stream_that_finds_no_place_for_long_is_given_up() -> None:
@@ -62,4 +62,4 @@
         assert (got.status, got.whole) == (200, False)
         assert asyncio.get_running_loop().time() - began < 2 * RESUME_S
 
-    run(body)
+    run_virtually(body)
--- a/tests/direct/requests/test_trickling_replica.py
+++ b/tests/direct/requests/test_trickling_replica.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterator
+from collections.abc import Callable, Coroutine, Iterator
 from contextlib import contextmanager, suppress
+from typing import Any
 
 import pytest
-from sent_requests import EVENT, LIMIT_S, Sent, played
+from sent_requests import EVENT, LIMIT_S, Sent
+from virtual_loop import virtual_time
 
 from cassiahitch.direct.api import Answered
 from cassiahitch.direct.backends.attempt import Delivered, Lost, Outcome
@@ -22,6 +24,11 @@
 LEFT_S = 4 * LIMIT_S
 
 
+def played(body: Callable[[], Coroutine[Any, Any, None]]) -> None:
+    with virtual_time() as runner:
+        runner.run(body())
+
+
 def chunk(data: bytes) -> bytes:
     return b'%x\r\n%b\r\n' % (len(data), data)
 
