Take any answer of the store as a numbered failure, and end pages that repeat

Causes, each shown by tests/fuzz/test_clients.py before: a row whose value has a letter beyond ASCII raised ValueError where only binascii.Error was looked for, which ended the task that follows a table, and with it the process; a page that says that there is more after the same row was read again and again, with its rows kept; the outcome of a commit that could not be read raised errors without a code, which Discovery does not expect.

--- a/src/cassiahitch/platform/rows.py
+++ b/src/cassiahitch/platform/rows.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import base64
-import binascii
 import json
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Annotated, Any
 from urllib.parse import urlencode
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import BaseModel, ConfigDict, Field
 
 from cassiahitch.codes import Code
 from cassiahitch.direct.beliefs.feed import (
@@ -64,6 +63,12 @@
         return tuple(TableRow(row.key, row.decoded(), row.version) for row in self.rows)
 
 
+class _CommittedModel(BaseModel):
+    model_config = ConfigDict(frozen=True)
+
+    version: Annotated[int, Field(ge=0)] = Field(default=ABSENT, alias='rowVersion')
+
+
 @dataclass(frozen=True, slots=True)
 class PlatformRows:
     """Reads and writes rows, and follows the changes of tables."""
@@ -87,8 +92,11 @@
                 return page
             rows.extend(page.table_rows())
             versions.append(page.version)
-            after = f'{page.rows[-1].key}{NEXT_KEY}' if page.rows else ''
             more = page.more and bool(page.rows)
+            following = f'{page.rows[-1].key}{NEXT_KEY}' if page.rows else ''
+            if more and following == after:
+                return CallFailure('pages that do not go on')
+            after = following
         return Whole(tuple(rows), min(versions))
 
     async def read_changes(self, table: str, since: int, wait_s: float) -> Reply:
@@ -178,7 +186,7 @@
         try:
             page = _PageModel.model_validate_json(answer.body)
             page.table_rows()
-        except (ValidationError, binascii.Error) as error:
+        except ValueError as error:
             return CallFailure(f'an answer that cannot be read: {type(error).__name__}')
         return page
 
@@ -214,9 +222,17 @@
 
 
 def _outcome(answer: Answer, writes: int) -> Committed | Conflicted:
+    try:
+        return _known_outcome(answer, writes)
+    except ValueError as error:
+        detail = f'an answer that cannot be read: {type(error).__name__}'
+        raise PlatformError(Code.store_outcome_unknown, detail) from error
+
+
+def _known_outcome(answer: Answer, writes: int) -> Committed | Conflicted:
     match answer.status:
         case HTTPStatus.OK:
-            version = int(answer.json().get('rowVersion', ABSENT))
+            version = _CommittedModel.model_validate_json(answer.body).version
             return Committed((version,) * writes)
         case HTTPStatus.PRECONDITION_FAILED:
             page = _PageModel.model_validate_json(answer.body)
--- a/src/cassiahitch/stores/caller.py
+++ b/src/cassiahitch/stores/caller.py
@@ -67,7 +67,7 @@
         """
         try:
             return json.loads(self.body)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise PlatformError(Code.store_row_corrupt, 'the answer is not JSON') from error
 
 
--- a/tests/fuzz/test_clients.py
+++ b/tests/fuzz/test_clients.py
@@ -15,6 +15,8 @@
 from cassiahitch.engine.api import GenerateOrder, LoadOrder
 from cassiahitch.engine.http import HttpEngine
 from cassiahitch.errors import CassiahitchError
+from cassiahitch.platform.engine import PlatformEngine, PlatformOrigin
+from cassiahitch.platform.rows import PlatformRows
 from cassiahitch.stores.api import Condition, Write
 from cassiahitch.stores.caller import Call, HttpCaller, Reply
 from cassiahitch.stores.http import HttpHosts, HttpTables
@@ -51,6 +53,14 @@
     return tables.commit((Condition('t', 'k', 0),), (Write('t', 'k', b''),))
 
 
+def commit_rows(fake: FakeCaller) -> Awaitable[object]:
+    return rows_of(fake).commit((Condition('t', 'k', 0),), (Write('t', 'k', b''),))
+
+
+def rows_of(fake: FakeCaller) -> PlatformRows:
+    return PlatformRows(as_caller(fake), URL)
+
+
 FakeCall = Callable[[FakeCaller], Awaitable[object]]
 CALLS: dict[str, FakeCall] = {
     'hosts': lambda fake: HttpHosts(as_caller(fake), URL).hosts(),
@@ -61,12 +71,23 @@
     'load': lambda fake: HttpEngine(as_caller(fake), URL).load(LoadOrder('d', 'p', 1)),
     'cache-events': lambda fake: HttpEngine(as_caller(fake), URL).cache_events(0),
     'generate': generate,
+    'whole-table': lambda fake: rows_of(fake).read_whole('t'),
+    'changes': lambda fake: rows_of(fake).read_changes('t', 1, 0),
+    'read-row': lambda fake: rows_of(fake).read('t', 'k'),
+    'scan-rows': lambda fake: rows_of(fake).scan('t', '', '', 9),
+    'commit-rows': commit_rows,
+    'report': lambda fake: PlatformEngine(as_caller(fake), URL).report(),
+    'staged': lambda fake: PlatformEngine(as_caller(fake), URL).staged('m', 0),
+    'order': lambda fake: PlatformEngine(as_caller(fake), URL).load('m', 1, 0),
+    'manifest': lambda fake: PlatformOrigin(as_caller(fake)).manifest(URL, 'm', 1),
+    'chunk': lambda fake: PlatformOrigin(as_caller(fake)).chunk(URL, 'm', 1, 0),
 }
 KEYS = st.sampled_from(
     (
         *('host', 'address', 'leaving', 'rows', 'table', 'key', 'content', 'version'),
         *('versions', 'conflicts', 'digest', 'load_epoch', 'running', 'queued'),
         *('sequence', 'prefix', 'cached', 'text', 'length'),
+        *('rowVersion', 'value', 'hasMore', 'removed', 'models', 'layers', 'pace', 'chunkDigests'),
     ),
 )
 SCALARS = st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=9)
@@ -105,3 +126,44 @@
 
     with pytest.raises(CassiahitchError, match='store_outcome_unknown'):
         asyncio.run(main())
+
+
+ROW = {'key': 'k', 'value': '', 'rowVersion': 1}
+ODD_PAGES = (
+    {'rows': [{**ROW, 'value': 'ü'}], 'rowVersion': 1},
+    {'rows': [{**ROW, 'value': '=='}], 'rowVersion': 1},
+    {'rows': [ROW], 'rowVersion': 1, 'hasMore': True},
+    {'rows': [], 'rowVersion': 10**30, 'hasMore': True},
+    [1],
+    {'rowVersion': None},
+    {'rowVersion': [1]},
+)
+ODD_BODIES = (
+    b'[' * 100_000,
+    b'1' * 5_000,
+    b'\xff',
+    *(json.dumps(one).encode() for one in ODD_PAGES),
+)
+
+
+@pytest.mark.parametrize('body', ODD_BODIES)
+@pytest.mark.parametrize('status', [200, 412])
+@pytest.mark.parametrize('call', CALLS.values(), ids=CALLS)
+def test_odd_page_gives_a_numbered_error_and_ends(call: FakeCall, status: int, body: bytes) -> None:
+    async def main() -> object:
+        # A store that names the same row as the next one for ever keeps nobody.
+        async with asyncio.timeout(5):
+            return await call(EagerCaller(status, body))
+
+    try:
+        asyncio.run(main())
+    except CassiahitchError as error:
+        assert error.code
+
+
+class EagerCaller(FakeCaller):
+    """Lets others run between two calls."""
+
+    async def call(self, call: Call) -> Reply:
+        await asyncio.sleep(0)
+        return await super().call(call)
