Bound the bodies of all requests that an entry holds at a time

Now all bodies together have a bound, held_bodies_mib, 32 by default. Beyond it a body over 64 KiB is refused with 503, code 1006 and ran: no, while it is sent; smaller ones and one that is alone are always read. Room comes back when the answer has left or the caller is gone.

--- a/src/cassiahitch/direct/callers/accepting.py
+++ b/src/cassiahitch/direct/callers/accepting.py
@@ -27,12 +27,19 @@
 class Front(HTTPServerConnectionDelegate):
     """Accepts connections of callers and serves their requests."""
 
-    def __init__(self, serve: Serve, fail: Fail, malformed: Malformed) -> None:
+    def __init__(
+        self,
+        serve: Serve,
+        fail: Fail,
+        malformed: Malformed,
+        held_body_bytes: int,
+    ) -> None:
         """Create it; nothing listens yet.
 
         :param serve: answers one request.
         :param fail: ends one whose service failed with a fault inside.
         :param malformed: returns the answer to bytes that are no request.
+        :param held_body_bytes: what is held of all bodies at a time.
         """
         self.serve = serve
         self.fail = fail
@@ -42,6 +49,8 @@
         self.connections: set[object] = set()
         self.closing = False
         self.max_body_bytes = MAX_BODY_BYTES
+        self.held_body_bytes = held_body_bytes
+        self.body_bytes = 0
         self.plan: GracePlan | None = None
         self.server = CallerServer(
             self,
--- a/src/cassiahitch/direct/callers/bounds.py
+++ b/src/cassiahitch/direct/callers/bounds.py
@@ -16,6 +16,10 @@
 READ_HEADER_BYTES = 1_048_576
 #: Largest body that is read at all, in bytes; the configuration sets a lower bound.
 MAX_BODY_BYTES = 67_108_864
+#: Largest body that is read whatever is held of others, in bytes.
+SMALL_BODY_BYTES = 65_536
+#: Seconds after which a caller may come back, to another entry.
+RETURN_S = 0.05
 #: Bytes that the end of a line and the colon take.
 LINE_BYTES = 4
 
@@ -53,10 +57,29 @@
     return None
 
 
+def crowd_refusal(length: int, held: int, most: int) -> RequestError | None:
+    """Return why the body of a request is not held beside those of others.
+
+    Load pattern: many callers send large bodies at once, each within its bound, and together
+    more than the host has memory for.
+
+    :param length: bytes of the body so far.
+    :param held: bytes of all bodies, this one among them.
+    :param most: bytes that are held of all.
+    :return: the refusal, nothing if it is read on; one that is alone always is.
+    """
+    if length <= SMALL_BODY_BYTES or held <= max(length, most):
+        return None
+    return RequestError(Code.overloaded, 'too much is held of other bodies', Ran.no, RETURN_S)
+
+
 __all__ = (
     'MAX_BODY_BYTES',
     'MAX_HEADER_BYTES',
     'READ_HEADER_BYTES',
+    'RETURN_S',
+    'SMALL_BODY_BYTES',
     'body_refusal',
+    'crowd_refusal',
     'header_refusal',
 )
--- a/src/cassiahitch/direct/callers/finals.py
+++ b/src/cassiahitch/direct/callers/finals.py
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING
 
 from cassiahitch.codes import Code, Ran
+from cassiahitch.direct.callers.bounds import RETURN_S
 from cassiahitch.direct.callers.failures import failure_answer, id_of, raw_answer
-from cassiahitch.direct.callers.front import RETURN_S
 from cassiahitch.direct.callers.progress import Phase
 from cassiahitch.errors import RequestError
 
--- a/src/cassiahitch/direct/callers/front.py
+++ b/src/cassiahitch/direct/callers/front.py
@@ -21,7 +21,12 @@
 from tornado.iostream import IOStream
 
 from cassiahitch.codes import Code, Ran
-from cassiahitch.direct.callers.bounds import body_refusal, header_refusal
+from cassiahitch.direct.callers.bounds import (
+    RETURN_S,
+    body_refusal,
+    crowd_refusal,
+    header_refusal,
+)
 from cassiahitch.direct.callers.hangups import find_closed
 from cassiahitch.direct.callers.progress import Phase, Progress
 from cassiahitch.direct.callers.writing import AnswerWriter, CallerGone, make_lines
@@ -32,8 +37,6 @@
     from cassiahitch.direct.api import Headers
     from cassiahitch.direct.callers.accepting import Front
 
-#: Seconds after which a caller may come back, to another entry.
-RETURN_S = 0.05
 #: Seconds for which the rest of a refused body is read and dropped, so that its caller can read
 #: the answer before the connection closes.
 LINGER_S = 2.0
@@ -119,7 +122,10 @@
         self.progress.phase = Phase.body
         self.parts.append(chunk)
         self.body_bytes += len(chunk)
-        refusal = body_refusal(self.body_bytes, self.front.max_body_bytes)
+        self.front.body_bytes += len(chunk)
+        refusal = body_refusal(self.body_bytes, self.front.max_body_bytes) or crowd_refusal(
+            self.body_bytes, self.front.body_bytes, self.front.held_body_bytes
+        )
         if refusal is not None:
             self._refuse(refusal)
 
@@ -255,6 +261,12 @@
     def settle(self) -> None:
         """Take in that nothing more can be done for the caller."""
         self.front.open.discard(self)
+        self._drop_body()
+
+    def _drop_body(self) -> None:
+        self.front.body_bytes -= self.body_bytes
+        self.body_bytes = 0
+        self.parts.clear()
 
     def _finish(self) -> None:
         self.front.lingering.discard(self)
@@ -272,7 +284,7 @@
 
     def _refuse(self, refusal: RequestError) -> None:
         self.refusal = refusal
-        self.parts.clear()
+        self._drop_body()
         self._serve()
 
     def _serve(self) -> None:
--- a/src/cassiahitch/direct/entry.py
+++ b/src/cassiahitch/direct/entry.py
@@ -72,7 +72,12 @@
         beliefs = Beliefs(self.parts.knowledge, around, self.parts.journal)
         self.tables = EntryTables(settings, around, self.parts, beliefs, self.rng)
         runner = self.parts.runner
-        self.front = Front(runner.serve, runner.finals.fail, runner.finals.malformed)
+        self.front = Front(
+            runner.serve,
+            runner.finals.fail,
+            runner.finals.malformed,
+            settings.held_body_bytes,
+        )
         self.stop_log = StopLog(self.parts.journal.metrics, around.codec)
         self.watch = SettingsWatch(path or Path(), settings, self.parts.journal, self._apply_bounds)
         self.discovery = Discovery(around, self.parts.knowledge, settings, self.rng)
--- a/src/cassiahitch/settings/direct.py
+++ b/src/cassiahitch/settings/direct.py
@@ -72,6 +72,13 @@
         le=1_048_576,
         description='Largest answer, in MiB; one without end is cut here.',
     )
+    held_bodies_mib: int = Field(
+        default=32,
+        gt=0,
+        le=65_536,
+        description='What is held of all bodies of requests at a time, in MiB; one alone, and '
+        'those up to 64 KiB, are always read.',
+    )
     longest_pause_s: float = Field(
         default=30,
         gt=0,
@@ -85,6 +92,11 @@
         description='Entries to greet at first; they may be gone.',
     )
 
+    @property
+    def held_body_bytes(self) -> int:
+        """What is held of all bodies of requests."""
+        return self.held_bodies_mib * MIB
+
     @property
     def answer_bounds(self) -> AnswerBounds:
         """How much of answers is held, in bytes."""
--- a/tests/direct/callers/test_leaving.py
+++ b/tests/direct/callers/test_leaving.py
@@ -9,7 +9,7 @@
 from direct_callers import SMALL, Got, ask, run, until
 from slow_callers import connect
 
-from cassiahitch.direct.callers.front import RETURN_S
+from cassiahitch.direct.callers.bounds import RETURN_S
 from cassiahitch.direct.entry import HELD_LIFETIMES, LIFETIME_S
 from cassiahitch.settings.bounds import AnswerBounds
 from cassiahitch.standins.directsite import DirectSite
--- a/tests/direct/callers/test_own_answers.py
+++ b/tests/direct/callers/test_own_answers.py
@@ -6,7 +6,7 @@
 import json
 
 import pytest
-from direct_callers import ask, run
+from direct_callers import ask, run, until
 from slow_callers import SlowCaller, connect
 
 from cassiahitch.codes import Code
@@ -117,6 +117,32 @@
     run(body, ONE)
 
 
+def test_bodies_beyond_what_is_held_of_all_are_refused_and_room_comes_back() -> None:
+    # Bodies were bounded one by one only, and a host of entries may have 200 MB.
+    async def body(site: DirectSite) -> None:
+        front = site.entries[0].front
+        front.held_body_bytes = 60_000
+        slow = await connect(site.entries[0])
+        await slow.send('/order/1', body=bytes(100_000))
+        await until(lambda: front.body_bytes == 50_000)
+        caller = await send_whole(site, bytes(90_000))
+        await refused(site, caller, status=503, code=Code.overloaded)
+        assert (await (await send_whole(site, bytes(30_000))).answer()).status == 200
+        slow.writer.close()
+        await until(lambda: not front.body_bytes)
+        assert (await (await send_whole(site, bytes(90_000))).answer()).status == 200
+        assert not front.body_bytes
+
+    run(body, ONE)
+
+
+async def send_whole(site: DirectSite, content: bytes) -> SlowCaller:
+    caller = await connect(site.entries[0])
+    await caller.send('/order/1', body=content)
+    caller.send_rest(content)
+    return caller
+
+
 def test_caller_that_waits_to_be_told_to_send_its_body_is_only_refused() -> None:
     async def body(site: DirectSite) -> None:
         callers = site.entries[0].settings.callers
