Soak: judge whether a replica was told that a caller left by when its connection closed

The stand-in now notes when a connection closed and ends what it drops; work behind a closed connection was told, a close that comes late still counts (tests).

--- a/src/cassiahitch/soak/backend.py
+++ b/src/cassiahitch/soak/backend.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import ExitStack
+from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import TYPE_CHECKING
@@ -16,10 +16,14 @@
 from cassiahitch.standins.backends import REFUSALS, BackendStandin, Fault, Wire
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from cassiahitch.direct.api import Headers
 
 #: Tokens that an engine reads in a second.
 READ_TOKENS_PER_S = 8000.0
+#: Seconds between two looks whether a connection has closed.
+LOOK_S = 0.02
 #: Seconds for which a backend server wants nothing when it asks for a pause.
 PAUSE_S = 1.5
 
@@ -92,13 +96,14 @@
         :param fault: what goes wrong.
         :return: whether the connection goes on.
         """
-        with self.counted():
+        with ExitStack() as stack:
+            stack.enter_context(self.counted())
+            stack.callback(_end, execution)
+            stack.enter_context(_watched(wire, execution))
             async with self.places:
                 if wire.writer.is_closing():
                     return False
-                with ExitStack() as stack:
-                    stack.callback(_end, execution)
-                    return await self.begin(wire, execution, headers, fault)
+                return await self.begin(wire, execution, headers, fault)
 
     async def begin(self, wire: Wire, execution: Execution, headers: Headers, fault: Fault) -> bool:
         """Read the prompt and answer.
@@ -190,6 +195,21 @@
         return fault is not Fault.double or await write_again(wire, head, content)
 
 
+@contextmanager
+def _watched(wire: Wire, execution: Execution) -> Iterator[None]:
+    watch = asyncio.create_task(_note_close(wire, execution))
+    try:
+        yield
+    finally:
+        watch.cancel()
+
+
+async def _note_close(wire: Wire, execution: Execution) -> None:
+    while not wire.writer.is_closing():
+        await asyncio.sleep(LOOK_S)
+    execution.dropped = asyncio.get_running_loop().time()
+
+
 def _end(execution: Execution) -> None:
     execution.ended = asyncio.get_running_loop().time()
 
--- a/src/cassiahitch/soak/gone.py
+++ b/src/cassiahitch/soak/gone.py
@@ -39,9 +39,9 @@
         yield from late
     may_end = [one for one in left if _is_at_work(*one)]
     at_work = [
-        _violation(attempt, (one.ended or record.ended) - closed, f'was at work at {one.backend}')
+        _violation(attempt, _until(one, record) - closed, f'was at work at {one.backend}')
         for attempt, one, closed in may_end
-        if (one.ended or record.ended) > closed + NOTICE_S
+        if _until(one, record) > closed + NOTICE_S
     ]
     if len(at_work) > max(FEW_LATE, AT_WORK_PART * len(may_end)):
         yield from at_work
@@ -64,6 +64,12 @@
     return one.arrived <= closed and (one.ended is None or one.ended > closed)
 
 
+def _until(one: Execution, record: Record) -> float:
+    # A backend server that goes on behind a closed connection has been told.
+    known = (one.dropped, one.ended, record.ended)
+    return min(at for at in known if at is not None)
+
+
 def _violation(attempt: Attempt, after_s: float, what: str) -> Violation:
     detail = f'{attempt.kind} {what} {after_s:.2f} s after its caller had left'
     return Violation(Promise.gone, (attempt.ended or 0) + after_s, attempt.id, detail)
--- a/src/cassiahitch/soak/records.py
+++ b/src/cassiahitch/soak/records.py
@@ -103,7 +103,8 @@
     """An attempt at a backend server; ``refused`` says that it was not run there.
 
     ``broke_off`` says that the backend server ended the answer itself before its end, ``endless``
-    that it sent bytes that are no answer and have no end,
+    that it sent bytes that are no answer and have no end, ``dropped`` when its connection closed
+    before its end,
     ``said_leaving`` that the answer said that it leaves, ``paused_until`` until when it wanted
     nothing.
     """
@@ -124,6 +125,7 @@
     version: int = 0
     began: float | None = None
     ended: float | None = None
+    dropped: float | None = None
 
 
 @dataclass(slots=True)
--- a/tests/soak/test_soak_gone.py
+++ b/tests/soak/test_soak_gone.py
@@ -55,6 +55,12 @@
     assert promises(make_record(9, Kind.lookup, ended=11.4)) == set()
 
 
+def test_backend_server_that_goes_on_behind_a_closed_connection_was_told() -> None:
+    # Seed 994, 12 s, backends and changes: prompts waited and were read behind closed connections.
+    assert promises(make_record(9, dropped=11.1, ended=None)) == set()
+    assert promises(make_record(9, dropped=11.6, ended=None)) == {Promise.gone}
+
+
 def test_few_runs_among_many_may_go_on() -> None:
     record = make_record(40, ended=11.1)
     for one in record.executions[:10]:
