Let one piece of code serve what the change wrote twice

Found by reading the whole change once more; behaviour stays as it is.

- The reset of a socket at its close stood in three places: util/sockets.reset_on_close.
- The soak wrote the head of a second copy and of a refusal by hand, as the stand-in does: head_bytes and refusal_head of standins/backends.
- Bounds of whole numbers stood in platform/documents and, as the most tokens, in platform/requests: they are what a message carries, and stand in wire/structs; fields that share a bound share its type.
- Gossip parsed the address of each state of each message, most of which are no news: the check stands after the cheaper one on their order.
- Four tests of slow but sound answers wrote the same server: followed().
Their assertions are the same.

--- a/src/cassiahitch/direct/backends/connection.py
+++ b/src/cassiahitch/direct/backends/connection.py
@@ -9,7 +9,7 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
-from cassiahitch.util.sockets import NO_LINGER
+from cassiahitch.util.sockets import reset_on_close
 
 if TYPE_CHECKING:
     from cassiahitch.direct.beliefs.replicas import Replica
@@ -110,7 +110,7 @@
     def abort(self) -> None:
         """Reset the connection, so that what its server has not got yet of a request is dropped."""
         if not self.closed:
-            self.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+            reset_on_close(self.stream.socket)
         self.close()
 
 
--- a/src/cassiahitch/direct/callers/front.py
+++ b/src/cassiahitch/direct/callers/front.py
@@ -31,7 +31,7 @@
 from cassiahitch.direct.callers.progress import Phase, Progress
 from cassiahitch.direct.callers.writing import AnswerWriter, CallerGone, make_lines
 from cassiahitch.errors import RequestError
-from cassiahitch.util.sockets import NO_LINGER
+from cassiahitch.util.sockets import reset_on_close
 
 if TYPE_CHECKING:
     from cassiahitch.direct.api import Headers
@@ -304,7 +304,7 @@
             return
         if self.incoming.version == UNFRAMED_VERSION and not self.stream.closed():
             # Its answers end with the connection, so that a proper end would look whole.
-            self.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+            reset_on_close(self.stream.socket)
         self.connection.stream.close()
 
     def _header_lines(self, headers: Headers) -> HTTPHeaders:
--- a/src/cassiahitch/direct/members/book.py
+++ b/src/cassiahitch/direct/members/book.py
@@ -55,11 +55,13 @@
         """
         if state.name == self.own.name:
             return self.refute(state)
-        if state.region != self.own.region or not _is_reachable(state):
+        if state.region != self.own.region:
             return False
         known = self.others.get(state.name)
         if known is not None and _order(state) <= _order(known):
             return False
+        if not _is_reachable(state):
+            return False
         self.others[state.name] = state
         self.changed_at[state.name] = now
         return True
--- a/src/cassiahitch/platform/documents.py
+++ b/src/cassiahitch/platform/documents.py
@@ -14,15 +14,13 @@
 from cassiahitch.errors import PlatformError
 from cassiahitch.platform.names import REPEATS
 from cassiahitch.util.endpoints import parse_endpoint
+from cassiahitch.wire.structs import MAX_INT32, MAX_INT64
 
 MS_PER_S = 1000
 TOKENS_PER_K = 1000
 PAIRS_PER_M = 1_000_000
 
 ModelT = TypeVar('ModelT', bound=BaseModel)
-#: Largest numbers that messages between processes carry.
-MAX_INT32 = 2**31 - 1
-MAX_INT64 = 2**63 - 1
 #: Largest time that is taken for one, in milliseconds, and slowest pace of an engine.
 MAX_TIME_MS = 1e12
 MAX_PACE = 1e6
@@ -30,6 +28,7 @@
 _Whole = Annotated[int, Field(ge=0, le=MAX_INT64)]
 _Count = Annotated[int, Field(ge=0, le=MAX_INT32)]
 _Positive = Annotated[float, Field(gt=0, le=MAX_TIME_MS)]
+_AtLeastOne = Annotated[int, Field(ge=1, le=MAX_INT32)]
 _Priority = Annotated[int, Field(ge=-MAX_INT32, le=MAX_INT32)]
 
 
@@ -60,7 +59,7 @@
     priority: _Priority = 0
     service: str = ''
     traffic_split: tuple[_ShareModel, ...] = ()
-    max_attempts: Annotated[int, Field(ge=1, le=MAX_INT32)] = 1
+    max_attempts: _AtLeastOne = 1
     public: bool = False
     stream_resume: bool = False
     gap_aim_ms: float = 0
@@ -99,16 +98,16 @@
     model_config = ConfigDict(frozen=True, populate_by_name=True, allow_inf_nan=False)
 
     models: tuple[_LoadedModelModel, ...] = Field(min_length=1)
-    slots: int = Field(ge=1, le=MAX_INT32)
-    pass_steps: int = Field(default=1, ge=1, le=MAX_INT32, alias='passSteps')
+    slots: _AtLeastOne
+    pass_steps: _AtLeastOne = Field(default=1, alias='passSteps')
     step_ms: float = 0
     per_seq_ms: float = 0
     context_per_k: float = 0
     read_per_s: _Positive = 1000
     pairs_per_m: float = 0
     usual: _UsualModel = _UsualModel()
-    chunk_bytes: int = Field(default=0, ge=0, le=MAX_INT32, alias='chunkBytes')
-    chunk_count: int = Field(default=0, ge=0, le=MAX_INT32, alias='chunkCount')
+    chunk_bytes: _Count = Field(default=0, alias='chunkBytes')
+    chunk_count: _Count = Field(default=0, alias='chunkCount')
 
     def decoded(self) -> catalogue.Engine:
         """Return the engine."""
@@ -130,7 +129,7 @@
 
 class _ServiceModel(CamelModel):
     name: str
-    max_connections: Annotated[int, Field(ge=1, le=MAX_INT32)] = 64
+    max_connections: _AtLeastOne = 64
     engine: _EngineModel | None = None
     origin: str = ''
     zone: str = ''
@@ -172,8 +171,8 @@
 class _LayersModel(BaseModel):
     """Range of the layers that are loaded; ``to`` is not part of it."""
 
-    first: int = Field(alias='from', ge=0, le=MAX_INT32)
-    end: int = Field(alias='to', ge=0, le=MAX_INT32)
+    first: _Count = Field(alias='from')
+    end: _Count = Field(alias='to')
     version: _Count
 
 
--- a/src/cassiahitch/platform/requests.py
+++ b/src/cassiahitch/platform/requests.py
@@ -18,10 +18,9 @@
 )
 from cassiahitch.errors import RequestError
 from cassiahitch.platform import names
+from cassiahitch.wire.structs import MAX_INT32
 
 MS_PER_S = 1000
-#: Most tokens that a request can ask for.
-MAX_TOKENS = 2**31 - 1
 #: Status of a backend server at whose address the request is not meant to be.
 MISDIRECTED = 421
 RETRY_AFTER = 'Retry-After'
@@ -199,7 +198,7 @@
 
 def _count(text: str) -> int:
     number = int(_finite(text))
-    if not 0 <= number <= MAX_TOKENS:
+    if not 0 <= number <= MAX_INT32:
         raise ValueError(text)
     return number
 
--- a/src/cassiahitch/soak/backend.py
+++ b/src/cassiahitch/soak/backend.py
@@ -13,7 +13,7 @@
 from cassiahitch.soak.answers import Work, digest, event, plain_body, seal
 from cassiahitch.soak.endings import is_in_head, trickle, write_again, write_endless
 from cassiahitch.soak.records import Execution
-from cassiahitch.standins.backends import REFUSALS, BackendStandin, Fault, Wire
+from cassiahitch.standins.backends import REFUSALS, BackendStandin, Fault, Wire, refusal_head
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -77,11 +77,10 @@
         if refusal is not None or fault in REFUSALS:
             execution.refused = True
             status = refusal or HTTPStatus.SERVICE_UNAVAILABLE.value
-            head = {names.ATTEMPT_ID: attempt, names.NOT_EXECUTED: '1'}
-            if fault is Fault.ask_pause:
-                head['Retry-After'] = str(PAUSE_S)
-                execution.paused_until = execution.arrived + PAUSE_S
-            await wire.whole(status, head, b'')
+            pause_s = PAUSE_S if fault is Fault.ask_pause else None
+            if pause_s is not None:
+                execution.paused_until = execution.arrived + pause_s
+            await wire.whole(status, refusal_head(attempt, pause_s), b'')
             return True
         return await self.execute(wire, execution, headers, fault)
 
--- a/src/cassiahitch/soak/endings.py
+++ b/src/cassiahitch/soak/endings.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from cassiahitch.platform import names
+from cassiahitch.standins.backends import head_bytes
 
 if TYPE_CHECKING:
     from cassiahitch.standins.backends import Wire
@@ -70,9 +71,7 @@
     :return: that the connection goes on.
     """
     await asyncio.sleep(COPY_DELAY_S)
-    lines = {**head, 'Content-Length': str(len(body))}
-    start = ''.join(f'{name}: {text}\r\n' for name, text in lines.items())
-    wire.raw(b'HTTP/1.1 200 OK\r\n', start.encode(), b'\r\n', body)
+    wire.raw(head_bytes(HTTPStatus.OK, {**head, 'Content-Length': str(len(body))}), body)
     await wire.drain()
     return True
 
--- a/src/cassiahitch/standins/backends.py
+++ b/src/cassiahitch/standins/backends.py
@@ -19,7 +19,7 @@
 from cassiahitch.direct.api import header
 from cassiahitch.platform import names
 from cassiahitch.util.listening import listen, port_of
-from cassiahitch.util.sockets import NO_LINGER
+from cassiahitch.util.sockets import reset_on_close
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
@@ -227,10 +227,8 @@
         attempt = header(headers, names.ATTEMPT_ID)
         if refusal is not None:
             self.refused[attempt] += 1
-            head = {names.ATTEMPT_ID: attempt, names.NOT_EXECUTED: '1'}
-            if fault is Fault.ask_pause:
-                head['Retry-After'] = str(self.asked_pause_s)
-            await wire.whole(refusal, head, b'')
+            pause_s = self.asked_pause_s if fault is Fault.ask_pause else None
+            await wire.whole(refusal, refusal_head(attempt, pause_s), b'')
             return True
         return await self.run(wire, target, headers, fault)
 
@@ -305,15 +303,15 @@
                 wire.reset()
                 return False
             case Fault.cut:
-                wire.raw(_head(HTTPStatus.OK, {**head, 'Content-Length': '999'}), body)
+                wire.raw(head_bytes(HTTPStatus.OK, {**head, 'Content-Length': '999'}), body)
                 wire.reset()
                 return False
             case Fault.unframed:
-                wire.raw(_head(HTTPStatus.OK, {**head, 'Connection': 'close'}), body)
+                wire.raw(head_bytes(HTTPStatus.OK, {**head, 'Connection': 'close'}), body)
                 return False
             case Fault.foreign:
                 other = {names.ATTEMPT_ID: 'stranger', names.SEAL: 'x', 'Content-Length': '2'}
-                wire.raw(_head(HTTPStatus.OK, other), b'no')
+                wire.raw(head_bytes(HTTPStatus.OK, other), b'no')
             case Fault.unsealed:
                 head.pop(names.SEAL)
             case Fault.fail:
@@ -323,7 +321,7 @@
                 pass
         await wire.whole(HTTPStatus.OK, head, body)
         if fault is Fault.extra:
-            wire.raw(_head(HTTPStatus.OK, {**head, 'Content-Length': '5'}), b'again')
+            wire.raw(head_bytes(HTTPStatus.OK, {**head, 'Content-Length': '5'}), b'again')
         return True
 
     async def stream(self, wire: Wire, attempt: str, after: int, fault: Fault) -> bool:
@@ -480,7 +478,7 @@
     """
     own = writer.get_extra_info('socket')
     if own is not None and own.fileno() >= 0:
-        own.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+        reset_on_close(own)
     writer.transport.abort()
 
 
@@ -504,7 +502,24 @@
                 return None, b''
 
 
-def _head(status: HTTPStatus, headers: dict[str, str]) -> bytes:
+def refusal_head(attempt: str, pause_s: float | None = None) -> dict[str, str]:
+    """Return the headers of an answer that says that a request was not run.
+
+    :param attempt: id of the request.
+    :param pause_s: seconds for which nothing is wanted, if that is said.
+    :return: headers.
+    """
+    pause = {} if pause_s is None else {'Retry-After': str(pause_s)}
+    return {names.ATTEMPT_ID: attempt, names.NOT_EXECUTED: '1', **pause}
+
+
+def head_bytes(status: HTTPStatus, headers: dict[str, str]) -> bytes:
+    """Return the head of an answer as it is, whatever has been sent before.
+
+    :param status: its status.
+    :param headers: its headers.
+    :return: bytes.
+    """
     lines: Iterable[str] = (f'{name}: {text}' for name, text in headers.items())
     start = f'HTTP/1.1 {status.value} {status.phrase}'
     return '\r\n'.join((start, *lines, '', '')).encode()
@@ -516,5 +531,7 @@
     'Fault',
     'Run',
     'Wire',
+    'head_bytes',
+    'refusal_head',
     'reset',
 )
--- a/src/cassiahitch/wire/structs.py
+++ b/src/cassiahitch/wire/structs.py
@@ -18,6 +18,9 @@
 
 #: Largest string or binary field of a frame, in bytes.
 MAX_FIELD_BYTES = 16 * 1024 * 1024
+#: Largest whole numbers of the two sizes that a message can carry.
+MAX_INT32 = 2**31 - 1
+MAX_INT64 = 2**63 - 1
 #: Largest number of elements of a list in a frame.
 MAX_ELEMENTS = 65_536
 #: Position of the struct in the generated description of a field that holds one.
@@ -161,5 +164,7 @@
 __all__ = (
     'MAX_ELEMENTS',
     'MAX_FIELD_BYTES',
+    'MAX_INT32',
+    'MAX_INT64',
     'StructCodec',
 )
--- a/tests/direct/requests/test_trickling_replica.py
+++ b/tests/direct/requests/test_trickling_replica.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Coroutine, Iterator
+from collections.abc import Callable, Coroutine, Iterable, Iterator
 from contextlib import contextmanager, suppress
 from typing import Any
 
@@ -15,6 +15,7 @@
 from cassiahitch.direct.backends.attempt import Delivered, Lost, Outcome
 
 STREAM = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+END = b'0\r\n\r\n'
 BODY = b'HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n'
 INTERIM = b'HTTP/1.1 102 Processing\r\n\r\n'
 #: Bytes that come now and then from a backend server that is stuck.
@@ -117,20 +118,29 @@
     played(body)
 
 
+async def followed(
+    sent: Sent, start: bytes, pieces: Iterable[bytes], every_s: float, end: bytes = END
+) -> Outcome:
+    """Follow an answer that comes piece by piece to its end."""
+
+    async def answer() -> None:
+        sent.theirs.send(start)
+        for piece in pieces:
+            await asyncio.sleep(every_s)
+            sent.theirs.send(piece)
+        sent.theirs.send(end)
+
+    answering = asyncio.create_task(answer())
+    outcome = await sent.follow()
+    await answering
+    return outcome
+
+
 def test_slow_but_sound_stream_is_followed_to_its_end() -> None:
     async def body() -> None:
         sent = Sent('stream')
 
-        async def answer() -> None:
-            sent.theirs.send(STREAM)
-            for _ in range(8):
-                await asyncio.sleep(LIMIT_S / 2)
-                sent.theirs.send(chunk(EVENT))
-            sent.theirs.send(b'0\r\n\r\n')
-
-        answering = asyncio.create_task(answer())
-        outcome = await sent.follow()
-        await answering
+        outcome = await followed(sent, STREAM, [chunk(EVENT)] * 8, LIMIT_S / 2)
         assert isinstance(outcome, Delivered)
         assert (sent.caller.got, sent.asked) == (8 * EVENT, 0)
 
@@ -141,17 +151,8 @@
     async def body() -> None:
         sent = Sent('stream')
         large = b'data: %b\n\n' % (b'x' * 20_000)
-
-        async def answer() -> None:
-            sent.theirs.send(STREAM)
-            for start in range(0, len(large), 1_000):
-                await asyncio.sleep(LIMIT_S / 10)
-                sent.theirs.send(chunk(large[start : start + 1_000]))
-            sent.theirs.send(b'0\r\n\r\n')
-
-        answering = asyncio.create_task(answer())
-        outcome = await sent.follow()
-        await answering
+        pieces = [chunk(large[start : start + 1_000]) for start in range(0, len(large), 1_000)]
+        outcome = await followed(sent, STREAM, pieces, LIMIT_S / 10)
         assert isinstance(outcome, Delivered)
         assert (sent.caller.got, sent.asked) == (large, 0)
 
@@ -168,17 +169,8 @@
             await write(data)
 
         sent.caller.write = slowly  # type: ignore[method-assign]
-
-        async def answer() -> None:
-            sent.theirs.send(STREAM + chunk(EVENT))
-            for _ in range(3):
-                await asyncio.sleep(2 * LIMIT_S + LIMIT_S / 4)
-                sent.theirs.send(chunk(EVENT))
-            sent.theirs.send(b'0\r\n\r\n')
-
-        answering = asyncio.create_task(answer())
-        outcome = await sent.follow()
-        await answering
+        every_s = 2 * LIMIT_S + LIMIT_S / 4
+        outcome = await followed(sent, STREAM + chunk(EVENT), [chunk(EVENT)] * 3, every_s)
         assert isinstance(outcome, Delivered)
         assert (sent.caller.got, sent.asked) == (4 * EVENT, 0)
 
@@ -188,16 +180,8 @@
 def test_short_answer_in_pieces_within_the_bound_is_sound() -> None:
     async def body() -> None:
         sent = Sent()
-
-        async def answer() -> None:
-            sent.theirs.send(b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n')
-            for _ in range(4):
-                await asyncio.sleep(LIMIT_S / 8)
-                sent.theirs.send(b'x')
-
-        answering = asyncio.create_task(answer())
-        outcome = await sent.follow()
-        await answering
+        start = b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n'
+        outcome = await followed(sent, start, [b'x'] * 4, LIMIT_S / 8, end=b'')
         assert isinstance(outcome, Answered)
         assert (outcome.body, sent.asked) == (b'xxxx', 0)
 
