--- a/src/cassiahitch/direct/callers/front.py
+++ b/src/cassiahitch/direct/callers/front.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 import sys
 from collections.abc import Awaitable, Iterator
 from contextlib import ExitStack, contextmanager
--- a/src/cassiahitch/standins/backends.py
+++ b/src/cassiahitch/standins/backends.py
@@ -5,7 +5,6 @@
 import asyncio
 import hashlib
 import json
-import socket
 from collections import Counter
 from contextlib import contextmanager, suppress
 from dataclasses import dataclass, field
--- a/tests/direct/requests/test_trickling_replica.py
+++ b/tests/direct/requests/test_trickling_replica.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable, Coroutine, Iterable, Iterator
 from contextlib import contextmanager, suppress
+from itertools import repeat
 from typing import Any
 
 import pytest
@@ -140,7 +141,7 @@
     async def body() -> None:
         sent = Sent('stream')
 
-        outcome = await followed(sent, STREAM, [chunk(EVENT)] * 8, LIMIT_S / 2)
+        outcome = await followed(sent, STREAM, repeat(chunk(EVENT), 8), LIMIT_S / 2)
         assert isinstance(outcome, Delivered)
         assert (sent.caller.got, sent.asked) == (8 * EVENT, 0)
 
@@ -170,7 +171,7 @@
 
         sent.caller.write = slowly  # type: ignore[method-assign]
         every_s = 2 * LIMIT_S + LIMIT_S / 4
-        outcome = await followed(sent, STREAM + chunk(EVENT), [chunk(EVENT)] * 3, every_s)
+        outcome = await followed(sent, STREAM + chunk(EVENT), repeat(chunk(EVENT), 3), every_s)
         assert isinstance(outcome, Delivered)
         assert (sent.caller.got, sent.asked) == (4 * EVENT, 0)
 
@@ -181,7 +182,7 @@
     async def body() -> None:
         sent = Sent()
         start = b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n'
-        outcome = await followed(sent, start, [b'x'] * 4, LIMIT_S / 8, end=b'')
+        outcome = await followed(sent, start, repeat(b'x', 4), LIMIT_S / 8, end=b'')
         assert isinstance(outcome, Answered)
         assert (outcome.body, sent.asked) == (b'xxxx', 0)
 
