Let chunks of the test rot when they are stored, not after they were verified

No agent can notice a chunk that rots between its verification and the order, and the test does not mean that.

--- a/tests/direct/test_path.py
+++ b/tests/direct/test_path.py
@@ -377,23 +377,28 @@
     run(body, DirectSize(entries=1, models=4, plain=0))
 
 
+class Rotting(dict[int, bytes]):
+    """Staged chunks, of which some rot as soon as they are stored for the first time."""
+
+    def __init__(self, staged: dict[int, bytes], indices: set[int]) -> None:
+        super().__init__(staged)
+        self.left = indices
+
+    def __setitem__(self, index: int, content: bytes) -> None:
+        rots = index in self.left
+        self.left.discard(index)
+        super().__setitem__(index, b'rotten' if rots else content)
+
+
 def test_chunk_that_rots_at_the_engine_is_mended_before_the_load() -> None:
     async def body(site: DirectSite) -> None:
         engine = site.models[0].engine
         assert engine is not None
-        rotten: set[int] = set()
-
-        def rot() -> bool:
-            index = len(rotten)
-            expected = site.weights.chunks[2]
-            if index < 3 and engine.staged.get(index) == expected[index]:
-                engine.staged[index] = b'rotten'
-                rotten.add(index)
-            return engine.version == 2
-
+        staged = Rotting(engine.staged, {0, 1, 2})
+        engine.staged = staged
         site.declare(2)
-        await until(rot)
-        assert rotten
+        await until(lambda: engine.version == 2)
+        assert not staged.left
         assert engine.loaded_digest == site.weights.whole_digest(2)
 
     run(body, DirectSize(entries=1, models=2, plain=0))
