Record the rate limit that a replica names, without heeding it yet

Entries and agents now log it, and the line of each send carries the limit and whether the slot was reserved. No decision changes.

--- a/src/cassiahitch/direct/api.py
+++ b/src/cassiahitch/direct/api.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Protocol
 
@@ -83,8 +84,9 @@
     ``length`` is the stated length of the body in bytes. ``idle_timeout_s`` is how long the
     backend server keeps an idle connection, and ``closes_connection`` is set if it closes it after
     this response. ``stopping`` is set if the backend server announces its shutdown. ``pause_s`` is
-    the time for which it asks for no new requests. ``invalid_headers`` names headers that could
-    not be parsed.
+    the time for which it asks for no new requests. ``limit_per_s`` is the rate of requests that it
+    accepts from all entries together, infinity if it names no limit and None if that is unknown.
+    ``invalid_headers`` names headers that could not be parsed.
     """
 
     status: int
@@ -99,6 +101,7 @@
     closes_connection: bool = False
     stopping: bool = False
     pause_s: float | None = None
+    limit_per_s: float | None = math.inf
     invalid_headers: tuple[str, ...] = ()
 
 
--- a/src/cassiahitch/direct/assembly.py
+++ b/src/cassiahitch/direct/assembly.py
@@ -59,7 +59,11 @@
     entry_state = make_entry_state(settings, incarnation, rng)
     telemetry = Telemetry(entry_state, Metrics(settings.name))
     signals = ReplicaSignals(
-        ReplicaAvailability(rng), ConnectionPool(), telemetry, settings.longest_pause_s
+        ReplicaAvailability(rng),
+        ConnectionPool(),
+        telemetry,
+        settings.longest_pause_s,
+        entry_state.rate_limits,
     )
     candidates = CandidateFilter(entry_state, Placement(rng), signals.availability)
     reservations = ReservationClient(candidates.placement, settings.peer_port)
--- a/src/cassiahitch/direct/backends/exchange.py
+++ b/src/cassiahitch/direct/backends/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 from contextlib import aclosing
 from typing import TYPE_CHECKING
@@ -31,10 +32,12 @@
 MAX_HEADER_BYTES = 65_536
 
 
-OnHead = Callable[['Replica', 'ResponseHead'], None]
+#: Handles the head of a response of a replica. The third argument is when its request was sent, in
+#: seconds of the event loop's clock; minus infinity if the response belongs to another request.
+OnHead = Callable[['Replica', 'ResponseHead', float], None]
 
 
-def _ignore_head(_: Replica, _head: ResponseHead) -> None:
+def _ignore_head(_: Replica, _head: ResponseHead, _sent_at: float) -> None:
     """Ignore the head of a response; the default without a listener."""
 
 
@@ -72,6 +75,7 @@
         self.complete = False
         self.reusable = False
         self.head: ResponseHead | None = None
+        self.sent_at = -math.inf
 
     @property
     def is_open(self) -> bool:
@@ -89,12 +93,15 @@
         """
         content = _request_bytes(self.machine, request, headers)
         self.connection.requests += 1
+        self.sent_at = asyncio.get_running_loop().time()
         self.written = self.connection.write(content)
         for _ in range(MAX_FOREIGN_RESPONSES):
             head = await self._read_head()
             if head.attempt_id == request.attempt_id or (head.not_run and not head.attempt_id):
+                self.on_head(self.connection.replica, head, self.sent_at)
                 self.head = head
                 return head
+            self.on_head(self.connection.replica, head, -math.inf)
             await self._skip_response(request, headers)
         raise ResponseLost('received only responses to other requests')
 
@@ -142,9 +149,7 @@
             (name.decode('latin1'), text.decode('latin1'))
             for name, text in event.headers.raw_items()
         )
-        head = self.codec.read_response(event.status_code, event.reason.decode('latin1'), headers)
-        self.on_head(self.connection.replica, head)
-        return head
+        return self.codec.read_response(event.status_code, event.reason.decode('latin1'), headers)
 
     async def _skip_response(self, request: CallerRequest, headers: Headers) -> None:
         # A late or duplicate response to an earlier request precedes the one to this request.
--- a/src/cassiahitch/direct/backends/replicasignals.py
+++ b/src/cassiahitch/direct/backends/replicasignals.py
@@ -1,4 +1,4 @@
-"""Signals that replicas send about themselves: that they are stopping, or ask for a pause."""
+"""Signals of replicas about themselves: that they stop, ask for a pause, or limit their rate."""
 
 from __future__ import annotations
 
@@ -6,9 +6,12 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from cassiahitch.direct.backends.ratelimits import LimitObservation
+
 if TYPE_CHECKING:
     from cassiahitch.direct.api import ResponseHead
     from cassiahitch.direct.backends.pool import ConnectionPool
+    from cassiahitch.direct.backends.ratelimits import RateLimitRegistry
     from cassiahitch.direct.placement.availability import ReplicaAvailability
     from cassiahitch.direct.state.replicas import Replica
     from cassiahitch.direct.telemetry import Telemetry
@@ -22,12 +25,15 @@
     pool: ConnectionPool
     telemetry: Telemetry
     longest_pause_s: float
+    rate_limits: RateLimitRegistry
 
-    def receive_head(self, replica: Replica, head: ResponseHead) -> None:
+    def receive_head(self, replica: Replica, head: ResponseHead, sent_at: float) -> None:
         """Apply the signals in the head of a response, whichever request it belongs to.
 
         :param replica: the replica that sent it.
         :param head: the head of the response.
+        :param sent_at: when its request was sent, in seconds of the event loop's clock; minus
+            infinity if that is unknown.
         """
         for name in head.invalid_headers:
             self.telemetry.header_ignored(replica, name)
@@ -35,6 +41,20 @@
             self.mark_stopping(replica, 'answer')
         if head.pause_s is not None:
             self.mark_paused(replica, min(head.pause_s, self.longest_pause_s))
+        if head.limit_per_s is not None:
+            now = asyncio.get_running_loop().time()
+            self.observe_limit(replica, LimitObservation(head.limit_per_s, sent_at, now), 'answer')
+
+    def observe_limit(self, replica: Replica, observation: LimitObservation, source: str) -> None:
+        """Apply an observation of the rate limit of a replica.
+
+        :param replica: the replica.
+        :param observation: the observation.
+        :param source: where it came from, for the log.
+        """
+        before = self.rate_limits.limit(replica.key)
+        if self.rate_limits.observe(replica.key, observation):
+            self.telemetry.rate_limit_changed(replica, before, observation, source)
 
     def mark_stopping(self, replica: Replica, source: str) -> None:
         """Record that a replica is stopping, and close the idle connections to it.
@@ -70,6 +90,7 @@
         """
         for ended in self.availability.expire(listed, asyncio.get_running_loop().time()):
             self.telemetry.announcement_expired(ended)
+        self.rate_limits.keep_only(listed)
 
 
 __all__ = ('ReplicaSignals',)
--- a/src/cassiahitch/direct/entrystate.py
+++ b/src/cassiahitch/direct/entrystate.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from cassiahitch.direct.backends.ratelimits import RateLimitRegistry
 from cassiahitch.direct.members.gossip import Gossip, Piggyback
 from cassiahitch.direct.members.memberregistry import MemberRegistry
 from cassiahitch.direct.members.regions import RegionRegistry
@@ -27,9 +28,10 @@
 class EntryState:
     """The state of one entry.
 
-    ``catalogue`` is the configuration in force, None before the first one, and ``crashes`` keeps
-    the requests that crashed backend servers. ``replicas_loaded`` is set once the list of replicas
-    was read, ``stopping`` once the shutdown of this entry has begun.
+    ``catalogue`` is the configuration in force, None before the first one. ``crashes`` keeps the
+    requests that crashed backend servers, and ``rate_limits`` the limits that replicas named.
+    ``replicas_loaded`` is set once the list of replicas was read, ``stopping`` once the shutdown of
+    this entry has begun.
     """
 
     settings: DirectEntrySettings
@@ -38,6 +40,7 @@
     members: Gossip
     replicas: ReplicaRegistry = field(default_factory=ReplicaRegistry)
     crashes: CrashGuard = field(default_factory=CrashGuard)
+    rate_limits: RateLimitRegistry = field(default_factory=RateLimitRegistry)
     catalogue: Catalogue | None = None
     replicas_loaded: bool = False
     stopping: bool = False
--- a/src/cassiahitch/direct/placement/placement.py
+++ b/src/cassiahitch/direct/placement/placement.py
@@ -113,12 +113,15 @@
 
     ``expected_s`` is the predicted time to its first byte, and ``rank`` its rank in the queue of
     the engine. ``near_capacity`` is set if another replica may start it considerably earlier.
+    ``reservation`` is the number of the query with which a slot was reserved at the agent, None if
+    its agent did not reply or there is none.
     """
 
     candidate: Candidate
     expected_s: float
     rank: int | None = None
     near_capacity: bool = True
+    reservation: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cassiahitch/direct/placement/search.py
+++ b/src/cassiahitch/direct/placement/search.py
@@ -85,6 +85,14 @@
     reservations: list[tuple[Replica, int]] = field(default_factory=list)
     result: Assignment | NoCapacity | None = None
 
+    def reservation_at(self, key: str) -> int | None:
+        """Return the number of the query that reserved a slot at a replica.
+
+        :param key: key of the replica.
+        :return: the number, or None if no slot is reserved there.
+        """
+        return next((number for other, number in self.reservations if other.key == key), None)
+
     @property
     def is_complete(self) -> bool:
         """Whether a replica was found that can start the request soon."""
@@ -160,6 +168,9 @@
             raise
         finally:
             self.release_unused(search)
+        if isinstance(search.result, Assignment):
+            key = search.result.candidate.replica.key
+            search.result = replace(search.result, reservation=search.reservation_at(key))
 
     async def query_rounds(self, search: SearchState) -> None:
         """Query engines in rounds until one can start the request soon.
--- a/src/cassiahitch/direct/staging/enginestate.py
+++ b/src/cassiahitch/direct/staging/enginestate.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import Protocol
@@ -15,7 +16,9 @@
     whether a load is in progress, and ``load_orders`` counts the loads that the engine has begun.
     ``running`` and ``waiting`` count requests. A ``pace`` above 1 means that the engine is slower
     than its configuration says. ``born_ms`` is the time at which the engine's process started,
-    and ``stopping`` says whether it is shutting down.
+    and ``stopping`` says whether it is shutting down. ``limit_per_s`` is the rate of requests that
+    it accepts from all entries together, infinity if the report names no limit and None if that is
+    unknown.
     """
 
     weights: tuple[tuple[str, int], ...] = ()
@@ -26,6 +29,7 @@
     pace: float = 1
     born_ms: int = 0
     stopping: bool = False
+    limit_per_s: float | None = math.inf
 
     def loaded_version(self, model: str) -> int:
         """Return the version of a model that is loaded.
--- a/src/cassiahitch/direct/staging/reporting.py
+++ b/src/cassiahitch/direct/staging/reporting.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from contextlib import suppress
 from dataclasses import dataclass, field
@@ -131,9 +132,24 @@
         if not self.is_engine_reachable:
             self.log.state_changed('engine reached', born_ms=report.born_ms)
         self.is_engine_reachable = True
+        self.log_limit(report)
         self.loader.report = report
         self.apply_report(report, asyncio.get_running_loop().time())
 
+    def log_limit(self, report: EngineReport) -> None:
+        """Log a change of the rate limit that the engine names in its reports.
+
+        :param report: the newest report.
+        """
+        before = self.last_report.limit_per_s if self.last_report else math.inf
+        if report.limit_per_s != before:
+            self.log.state_changed(
+                'engine reports a rate limit',
+                per_s=report.limit_per_s,
+                before_per_s=before,
+                born_ms=report.born_ms,
+            )
+
     def apply_report(self, report: EngineReport, now: float) -> None:
         """Store a report, and send it to entries if the usable weights have changed.
 
--- a/src/cassiahitch/direct/telemetry.py
+++ b/src/cassiahitch/direct/telemetry.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import traceback
 from dataclasses import dataclass, field
 from http import HTTPStatus
@@ -19,6 +20,7 @@
 
 if TYPE_CHECKING:
     from cassiahitch.direct.backends.attempt import Outcome
+    from cassiahitch.direct.backends.ratelimits import LimitObservation
     from cassiahitch.direct.callers.progress import Progress
     from cassiahitch.direct.entrystate import EntryState
     from cassiahitch.direct.placement.availability import ExpiredAnnouncement
@@ -42,7 +44,7 @@
         """Log a change of the state that this process has cached.
 
         :param message: the kind of change.
-        :param fields: extra fields of the log line; floats are rounded.
+        :param fields: extra fields of the log line; floats are rounded, infinite ones become null.
         """
         STATE_LOGGER.info(message, extra=_rounded(fields))
 
@@ -101,9 +103,11 @@
             'expected_s': assignment.expected_s,
             'version': assignment.candidate.version,
             'rank': assignment.rank,
+            'reserved': assignment.reservation is not None,
             'waited_s': started_at - call.arrived_at,
             'took_s': now - started_at,
         }
+        fields |= self.limit_fields(assignment.candidate.replica)
         if first_event_at is not None:
             fields['first_event_s'] = first_event_at - call.arrived_at
             self.metrics.latency(LatencyName.first_part, first_event_at - call.arrived_at)
@@ -117,6 +121,18 @@
             self.metrics.count(CounterName.served_by_size, call.size_rank.label)
         self.log_request(logging.INFO, 'request sent', call, fields | _size_fields(call))
 
+    def limit_fields(self, replica: Replica) -> dict[str, Any]:
+        """Return the fields of a log line that tell the rate limit of a replica.
+
+        :param replica: the replica.
+        :return: the limit and how long ago it was last named; empty if it names none.
+        """
+        limit = self.entry_state.rate_limits.limit(replica.key)
+        if limit.per_s == math.inf:
+            return {}
+        now = asyncio.get_running_loop().time()
+        return {'limit_per_s': limit.per_s, 'limit_named_s_ago': now - limit.received_at}
+
     def no_capacity(self, call: Call, no_capacity: NoCapacity) -> None:
         """Record that no replica has capacity to start a request in time.
 
@@ -216,6 +232,30 @@
         )
         self.state_changed(message, replica=expired.key, after_s=expired.after_s)
 
+    def rate_limit_changed(
+        self, replica: Replica, before: LimitObservation, observed: LimitObservation, source: str
+    ) -> None:
+        """Record that a backend server has named a rate limit, or names none any more.
+
+        :param replica: the backend server.
+        :param before: the limit that applied before.
+        :param observed: the limit that applies now.
+        :param source: where it was observed, such as in a response or by the agent.
+        """
+        fields: dict[str, Any] = {
+            'replica': replica.id,
+            'born_ms': replica.born_ms,
+            'service': replica.service,
+            'before_per_s': before.per_s,
+            'source': source,
+        }
+        if observed.per_s == math.inf:
+            fields['named_s_ago'] = asyncio.get_running_loop().time() - before.received_at
+            self.state_changed('rate limit of a replica is over', **fields)
+            return
+        self.metrics.count(CounterName.rate_limits_named, replica.service)
+        self.state_changed('replica names a rate limit', per_s=observed.per_s, **fields)
+
     def header_ignored(self, replica: Replica, name: str) -> None:
         """Record that an invalid header of a response was ignored.
 
@@ -296,11 +336,16 @@
 
 def _rounded(fields: dict[str, Any]) -> dict[str, Any]:
     return {
-        name: round(value, LOGGED_DIGITS) if isinstance(value, float) else value
+        name: _rounded_number(value) if isinstance(value, float) else value
         for name, value in fields.items()
     }
 
 
+def _rounded_number(value: float) -> float | None:
+    # JSON has no infinity.
+    return round(value, LOGGED_DIGITS) if math.isfinite(value) else None
+
+
 __all__ = (
     'StateLog',
     'Telemetry',
--- a/src/cassiahitch/metrics/names.py
+++ b/src/cassiahitch/metrics/names.py
@@ -31,6 +31,7 @@
     replicas_ejected = 'replicas_ejected'
     replicas_leaving = 'replicas_leaving'
     replica_pauses = 'replica_pauses'
+    rate_limits_named = 'rate_limits_named'
     headers_unreadable = 'headers_unreadable'
     cache_hits = 'cache_hits'
     origin_bytes = 'origin_bytes'
--- a/src/cassiahitch/platform/engine.py
+++ b/src/cassiahitch/platform/engine.py
@@ -13,7 +13,7 @@
 from cassiahitch.errors import PlatformError
 from cassiahitch.platform import names
 from cassiahitch.platform.documents import decode_manifest, decode_report
-from cassiahitch.platform.requests import read_server_leaving
+from cassiahitch.platform.requests import read_server_leaving, read_server_limit
 from cassiahitch.stores.http_client import HttpCall, HttpCallError, HttpClient, HttpResponse
 
 #: Timeout of a call to the engine on this host, in seconds.
@@ -38,7 +38,8 @@
         response = await self._call('GET', names.REPORT_PATH)
         _require_ok(response, Code.engine_unavailable)
         stopping = bool(read_server_leaving(response.headers))
-        return replace(decode_report(response.body), stopping=stopping)
+        limit_per_s = read_server_limit(response.headers)
+        return replace(decode_report(response.body), stopping=stopping, limit_per_s=limit_per_s)
 
     async def stage(self, model: str, index: int, content: bytes) -> None:
         """Upload a chunk of weights to the engine.
--- a/src/cassiahitch/platform/names.py
+++ b/src/cassiahitch/platform/names.py
@@ -18,6 +18,9 @@
 NOT_EXECUTED = 'X-Cassiahitch-Not-Executed'
 #: Is ``1`` in all responses of a backend server that is stopping.
 SERVER_LEAVING = 'Server-Leaving'
+#: Requests per second that a backend server accepts from all hosts together; it is in all responses
+#: of the backend server while the limit applies.
+SERVER_LIMIT = 'Server-Limit'
 #: Identifier of the replica that the request is for; any other one refuses the request.
 EXPECTED_REPLICA = 'X-Cassiahitch-Expect-Instance'
 #: Required version of the weights; a replica with another one refuses the request.
@@ -74,6 +77,7 @@
     'EXPECTED_VERSION',
     'LAST_EVENT',
     'SERVER_LEAVING',
+    'SERVER_LIMIT',
     'MANIFEST_PATH',
     'MODEL',
     'NOT_EXECUTED',
--- a/src/cassiahitch/platform/requests.py
+++ b/src/cassiahitch/platform/requests.py
@@ -26,8 +26,8 @@
 RETRY_AFTER = 'Retry-After'
 #: Valid values of the ``Server-Leaving`` header; it is empty if the header is absent.
 SERVER_LEAVING_VALUES = MappingProxyType({'': False, '0': False, '1': True})
-#: Accepted numbers of seconds in a header, fractions included; HTTP dates are not accepted.
-SECONDS_PATTERN = re.compile(r'[0-9]{1,9}(\.[0-9]{1,9})?')
+#: Accepted decimal numbers in a header; signs, exponents and HTTP dates are not accepted.
+DECIMAL_PATTERN = re.compile(r'[0-9]{1,9}(\.[0-9]{1,9})?')
 #: Hop-by-hop headers, which are not forwarded, in lower case.
 HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -136,8 +136,17 @@
         """
         length = header(headers, 'Content-Length')
         stopping = read_server_leaving(headers)
-        pause_s = _parse_retry_after_s(headers) if status == HTTPStatus.SERVICE_UNAVAILABLE else 0
-        invalid_headers = ((names.SERVER_LEAVING, stopping is None), (RETRY_AFTER, pause_s is None))
+        pause_s = (
+            _parse_decimal(headers, RETRY_AFTER, 0)
+            if status == HTTPStatus.SERVICE_UNAVAILABLE
+            else 0
+        )
+        limit_per_s = read_server_limit(headers)
+        invalid_headers = (
+            (names.SERVER_LEAVING, stopping is None),
+            (RETRY_AFTER, pause_s is None),
+            (names.SERVER_LIMIT, limit_per_s is None),
+        )
         return ResponseHead(
             status=status,
             reason=reason,
@@ -151,6 +160,7 @@
             closes_connection='close' in header(headers, 'Connection').lower(),
             stopping=bool(stopping),
             pause_s=pause_s or None,
+            limit_per_s=limit_per_s,
             invalid_headers=tuple(name for name, is_invalid in invalid_headers if is_invalid),
         )
 
@@ -164,11 +174,21 @@
     return SERVER_LEAVING_VALUES.get(','.join(_values(headers, names.SERVER_LEAVING)))
 
 
-def _parse_retry_after_s(headers: Headers) -> float | None:
-    values = _values(headers, RETRY_AFTER)
+def read_server_limit(headers: Headers) -> float | None:
+    """Return the rate limit that a backend server names.
+
+    :param headers: headers of any response of the backend server.
+    :return: requests per second over all hosts, infinity if it names no limit, ``None`` if the
+        value of the header is invalid.
+    """
+    return _parse_decimal(headers, names.SERVER_LIMIT, math.inf)
+
+
+def _parse_decimal(headers: Headers, name: str, default: float) -> float | None:
+    values = _values(headers, name)
     if not values:
-        return 0
-    return float(values[0]) if len(values) == 1 and SECONDS_PATTERN.fullmatch(values[0]) else None
+        return default
+    return float(values[0]) if len(values) == 1 and DECIMAL_PATTERN.fullmatch(values[0]) else None
 
 
 def _values(headers: Headers, name: str) -> list[str]:
@@ -225,7 +245,7 @@
 def _parse_idle_timeout_s(keep_alive: str) -> float | None:
     for part in keep_alive.split(','):
         name, _, seconds = part.strip().partition('=')
-        if name.lower() == 'timeout' and SECONDS_PATTERN.fullmatch(seconds):
+        if name.lower() == 'timeout' and DECIMAL_PATTERN.fullmatch(seconds):
             return float(seconds)
     return None
 
@@ -233,4 +253,5 @@
 __all__ = (
     'PlatformRequests',
     'read_server_leaving',
+    'read_server_limit',
 )
--- a/tests/direct/backends/test_abort.py
+++ b/tests/direct/backends/test_abort.py
@@ -11,6 +11,7 @@
 from cassiahitch.direct.backends.attempt import AttemptSender
 from cassiahitch.direct.backends.exchange import Exchange
 from cassiahitch.direct.backends.pool import ConnectionPool
+from cassiahitch.direct.backends.ratelimits import RateLimitRegistry
 from cassiahitch.direct.backends.replicasignals import ReplicaSignals
 from cassiahitch.direct.backends.stalls import StallDetector
 from cassiahitch.direct.placement.availability import ReplicaAvailability
@@ -58,7 +59,9 @@
     async def body() -> int:
         nothing: Any = None
         pool = ConnectionPool()
-        signals = ReplicaSignals(ReplicaAvailability(random.Random(1)), pool, nothing, 1)
+        signals = ReplicaSignals(
+            ReplicaAvailability(random.Random(1)), pool, nothing, 1, RateLimitRegistry()
+        )
         attempts = AttemptSender(pool, PlatformRequests(), nothing, nothing, signals, nothing)
         with make_unread_server() as server:
             endpoint = Endpoint(ADDRESS, server.getsockname()[1])
--- a/tests/direct/requests/test_replica_signals.py
+++ b/tests/direct/requests/test_replica_signals.py
@@ -225,13 +225,38 @@
     async def body(site: DirectSite) -> None:
         entry = site.entries[0]
         for standin in site.plain:
-            standin.extra_headers = {'Server-Leaving': 'maybe', 'Retry-After': 'soon'}
+            standin.extra_headers = {
+                'Server-Leaving': 'maybe',
+                'Retry-After': 'soon',
+                'Server-Limit': 'few',
+            }
         assert {got.status for got in await send_concurrently(entry)} == {200}
-        assert (
-            counter_value(entry, CounterName.headers_unreadable, 'Server-Leaving')
-            == CONCURRENT_REQUESTS
-        )
+        for name in ('Server-Leaving', 'Server-Limit'):
+            ignored = counter_value(entry, CounterName.headers_unreadable, name)
+            assert ignored == CONCURRENT_REQUESTS
+
+    run_site_in_virtual_time(body)
+
 
+def test_rate_limit_is_recorded_until_a_later_response_names_none(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    async def body(site: DirectSite) -> None:
+        entry = site.entries[0]
+        site.plain[0].extra_headers = {'Server-Limit': '20'}
+        await request_until(entry, '/lookup/1', lambda: request_count(site.plain[0]) > 0)
+        service = site.plain[0].service
+        assert counter_value(entry, CounterName.rate_limits_named, service) == 1
+        key = f'{site.plain[0].id}@{site.plain[0].started_at_ms}'
+        rate_limits = entry.parts.entry_state.rate_limits
+        assert rate_limits.limit(key).per_s == 20
+        site.plain[0].extra_headers = {}
+        await request_until(entry, '/lookup/1', lambda: not rate_limits.is_limited(key))
+        messages = [record.message for record in caplog.records]
+        assert messages.count('replica names a rate limit') == 1
+        assert messages.count('rate limit of a replica is over') == 1
+
+    caplog.set_level('INFO')
     run_site_in_virtual_time(body)
 
 
--- a/tests/platform/test_leaving_and_pauses.py
+++ b/tests/platform/test_leaving_and_pauses.py
@@ -1,7 +1,9 @@
-"""Tests of the headers in which backend servers report a shutdown or ask for a pause."""
+"""Tests of the headers by which backend servers report a shutdown, a pause or a rate limit."""
 
 from __future__ import annotations
 
+import math
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -64,3 +66,23 @@
 def test_each_number_of_seconds_is_read(seconds: float) -> None:
     text = f'{seconds:.4f}'
     assert read_head(503, ('Retry-After', text)).pause_s == float(text)
+
+
+@pytest.mark.parametrize('status', [200, 421, 500, 503])
+@pytest.mark.parametrize(('value', 'per_s'), [('2.1', 2.1), (' 2 ', 2), ('0', 0), ('0.001', 0.001)])
+def test_rate_limit_is_read_in_all_answers(status: int, value: str, per_s: float) -> None:
+    assert read_head(status, ('server-limit', value)).limit_per_s == per_s
+    assert read_head(status).limit_per_s == math.inf
+
+
+@pytest.mark.parametrize(
+    'value', ['', '-1', '+1', 'nan', 'inf', '1e9', '2,1', '2, 1', '1/s', '.', '1' * 10, '٣']
+)
+def test_rate_limit_that_cannot_be_read_is_unknown(value: str) -> None:
+    head = read_head(200, ('Server-Limit', value))
+    assert (head.limit_per_s, head.invalid_headers) == (None, ('Server-Limit',))
+
+
+def test_two_rate_limits_are_unknown() -> None:
+    head = read_head(200, ('Server-Limit', '2'), ('server-limit', '2'))
+    assert (head.limit_per_s, head.invalid_headers) == (None, ('Server-Limit',))
