--- a/src/cassiahitch/standins/backends.py
+++ b/src/cassiahitch/standins/backends.py
@@ -107,7 +107,9 @@
 class BackendStandin:
     """One replica; each request takes the next of ``faults``, or ``fault`` if there is none left.
 
-    While ``stopping`` is set, every response announces it; every response has ``extra_headers``.
+    While ``stopping`` is set, every response announces it, and while ``limit_per_s`` is set, every
+    response names it as the rate limit; every response has ``extra_headers``. ``arrivals`` holds
+    the times of all requests except the calls of the agent, in seconds of the event loop's clock.
     ``pause_s`` delays each body and each event, ``events`` is the number of events of a stream, and
     ``padding`` the number of bytes added to each plain body.
     """
@@ -121,6 +123,7 @@
     padding: int = 0
     started_at_ms: int = 1
     stopping: bool = False
+    limit_per_s: float | None = None
     extra_headers: dict[str, str] = field(default_factory=dict)
     refusal_retry_after_s: float = 1
     fault: Fault = Fault.none
@@ -128,6 +131,7 @@
     engine: EngineWeights | None = None
     runs: list[ExecutedRequest] = field(default_factory=list)
     refused: Counter[str] = field(default_factory=Counter)
+    arrivals: list[float] = field(default_factory=list)
     running: int = 0
     address: str = ''
     port: int = 0
@@ -198,8 +202,7 @@
             request, body = await _request(machine, reader)
             if request is None:
                 return
-            stopping_header = {names.SERVER_LEAVING: '1'} if self.stopping else {}
-            response = ResponseWriter(machine, writer, {**stopping_header, **self.extra_headers})
+            response = ResponseWriter(machine, writer, self.signal_headers() | self.extra_headers)
             headers = tuple(
                 (name.decode(), text.decode('latin1')) for name, text in request.headers
             )
@@ -210,6 +213,16 @@
                 return
             machine.start_next_cycle()
 
+    def signal_headers(self) -> dict[str, str]:
+        """Return the headers in which the replica reports its state.
+
+        :return: headers.
+        """
+        headers = {names.SERVER_LEAVING: '1'} if self.stopping else {}
+        if self.limit_per_s is not None:
+            headers[names.SERVER_LIMIT] = str(self.limit_per_s)
+        return headers
+
     async def answer(
         self,
         response: ResponseWriter,
@@ -232,6 +245,7 @@
             if management_response is not None:
                 await response.send_response(*management_response)
                 return True
+        self.arrivals.append(asyncio.get_running_loop().time())
         refusal_status = self.refusal_status(headers)
         fault = self.faults.pop(0) if self.faults else self.fault
         if refusal_status is None and fault in REFUSALS:
--- /dev/null
+++ b/tests/direct/requests/test_limited_replicas.py
@@ -0,0 +1,62 @@
+"""Replicas that name a rate limit get no more than that from all entries together."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from direct_callers import run_site_in_virtual_time
+from limited_replicas import STABLE_S, Load, allowed_in_window, most_in_window
+
+from cassiahitch.standins.backends import BackendStandin
+from cassiahitch.standins.directsite import DirectSite, DirectSiteSize
+
+NINE_ENTRIES = DirectSiteSize(entries=9, models=3, plain=3)
+LIMIT_PER_S = 2.0
+#: Requests per second of all callers, several times the limit of all replicas.
+LOAD_PER_S = 30.0
+LOAD_S = 12.0
+#: Fraction of the limit that has to be used while more requests arrive.
+USED_FRACTION = 0.75
+PATHS = ('/draft/1', '/lookup/1', '/order/1')
+
+
+def backends_of(site: DirectSite, path: str) -> list[BackendStandin]:
+    return site.models if path.startswith('/draft') else site.plain
+
+
+@pytest.mark.parametrize('path', PATHS)
+def test_limited_replica_gets_no_more_than_its_limit_from_all_entries_together(path: str) -> None:
+    async def body(site: DirectSite) -> None:
+        named_at = asyncio.get_running_loop().time()
+        backend, *others = backends_of(site, path)
+        backend.limit_per_s = LIMIT_PER_S
+        for other in others:
+            # The limited replica responds faster, as its queue is short.
+            other.pause_s = 0.02
+        load = Load(site, path, LOAD_PER_S)
+        await load.run(LOAD_S)
+        most = most_in_window(backend.arrivals, named_at + STABLE_S)
+        assert most <= allowed_in_window(LIMIT_PER_S)
+        assert {got.status for got in load.responses} == {200}
+
+    run_site_in_virtual_time(body, NINE_ENTRIES)
+
+
+@pytest.mark.parametrize('path', PATHS)
+def test_limits_of_all_replicas_are_kept_and_used(path: str) -> None:
+    async def body(site: DirectSite) -> None:
+        named_at = asyncio.get_running_loop().time()
+        backends = backends_of(site, path)
+        for backend in backends:
+            backend.limit_per_s = LIMIT_PER_S
+        load = Load(site, path, LOAD_PER_S)
+        await load.run(LOAD_S)
+        for backend in backends:
+            most = most_in_window(backend.arrivals, named_at + STABLE_S)
+            assert most <= allowed_in_window(LIMIT_PER_S)
+            used = sum(at >= named_at + STABLE_S for at in backend.arrivals)
+            assert used >= USED_FRACTION * LIMIT_PER_S * (LOAD_S - STABLE_S)
+        assert {got.status for got in load.responses} == {200, 503}
+
+    run_site_in_virtual_time(body, NINE_ENTRIES)
