--- /dev/null
+++ b/src/cassiahitch/direct/placement/enginegroups.py
@@ -0,0 +1,135 @@
+"""Groups the engines of a service by their last reports, before their agents are queried."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from cassiahitch.direct.placement.placement import Candidate, Placement, PlacementRequest
+
+if TYPE_CHECKING:
+    from cassiahitch.direct.placement.candidates import CandidateFilter
+    from cassiahitch.direct.state.catalogue import Engine
+    from cassiahitch.direct.state.replicas import Replica
+
+
+@dataclass(slots=True)
+class EngineGroups:
+    """Engines grouped by their last reports.
+
+    Engines of ``available`` may have a free slot, those of ``full`` have none. The agents of
+    ``unresponsive`` recently did not reply. The cached versions of ``version_unknown`` are not
+    allowed, but the engines may have loaded newer weights since.
+    """
+
+    available: list[Candidate] = field(default_factory=list)
+    full: list[Candidate] = field(default_factory=list)
+    unresponsive: list[Candidate] = field(default_factory=list)
+    version_unknown: list[Candidate] = field(default_factory=list)
+
+    def draw(self, local: int, remote: int, rng: random.Random) -> list[Candidate]:
+        """Remove and return randomly drawn available engines.
+
+        :param local: number of engines of the own region.
+        :param remote: number of engines of other regions; they also replace missing ones of the
+            own region.
+        :param rng: random number generator.
+        :return: the engines.
+        """
+        own = [engine for engine in self.available if engine.in_own_region]
+        others = [engine for engine in self.available if not engine.in_own_region]
+        chosen = rng.sample(own, min(local, len(own)))
+        remote += local - len(chosen)
+        chosen += rng.sample(others, min(remote, len(others)))
+        self.available = [engine for engine in self.available if engine not in chosen]
+        return chosen
+
+
+@dataclass(slots=True)
+class EngineGrouping:
+    """Groups engines by the tracked load and the weights that are allowed."""
+
+    candidates: CandidateFilter
+    placement: Placement
+    rng: random.Random
+
+    def group(
+        self, replicas: tuple[Replica, ...], engine: Engine, request: PlacementRequest, now: float
+    ) -> EngineGroups:
+        """Group engines by their last reports.
+
+        :param replicas: the replicas of the service.
+        :param engine: speed of the engines.
+        :param request: the request.
+        :param now: current time in seconds.
+        :return: the groups, without engines that are loading or reported weights that are not
+            allowed any more.
+        """
+        groups = EngineGroups()
+        for replica in replicas:
+            candidate = self.usable(replica, engine, now)
+            if candidate is not None:
+                self.add(candidate, groups, engine, request)
+            elif self.may_have_newer_weights(replica, now):
+                groups.version_unknown.append(
+                    Candidate(replica, self.candidates.is_in_own_region(replica))
+                )
+        self.rng.shuffle(groups.version_unknown)
+        return groups
+
+    def add(
+        self, candidate: Candidate, groups: EngineGroups, engine: Engine, request: PlacementRequest
+    ) -> None:
+        """Add an engine whose weights are allowed to its group.
+
+        :param candidate: the engine.
+        :param groups: the groups.
+        :param engine: its speed.
+        :param request: the request.
+        """
+        now = asyncio.get_running_loop().time()
+        if self.placement.engine_load(candidate.replica.key).is_unresponsive(now):
+            groups.unresponsive.append(candidate)
+        elif self.placement.is_full(engine, request, candidate, now):
+            groups.full.append(candidate)
+        else:
+            groups.available.append(candidate)
+
+    def may_have_newer_weights(self, replica: Replica, now: float) -> bool:
+        """Return whether an engine may have loaded newer weights than the list contains.
+
+        :param replica: the replica of the engine.
+        :param now: current time in seconds.
+        :return: whether there is no current report, and its agent may be queried.
+        """
+        load = self.placement.engine_load(replica.key)
+        return not load.has_current_report(now) and not load.is_unresponsive(now)
+
+    def usable(self, replica: Replica, engine: Engine, now: float) -> Candidate | None:
+        """Return an engine as a candidate if it accepts requests and its weights are allowed.
+
+        :param replica: the replica of the engine.
+        :param engine: speed of the engine.
+        :param now: current time in seconds.
+        :return: the candidate with its loaded version, or None.
+        """
+        if not self.candidates.availability.may_send(replica.key, now):
+            return None
+        load = self.placement.engine_load(replica.key)
+        version = replica.version(engine.model)
+        if load.has_current_report(now) and load.report is not None:
+            version = load.report.version
+            if load.report.loading:
+                return None
+        oldest = self.candidates.entry_state.versions.oldest_allowed(engine.model, now)
+        if not version or version < oldest:
+            return None
+        return Candidate(replica, self.candidates.is_in_own_region(replica), version)
+
+
+__all__ = (
+    'EngineGrouping',
+    'EngineGroups',
+)
--- a/src/cassiahitch/direct/placement/search.py
+++ b/src/cassiahitch/direct/placement/search.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from cassiahitch.codes import Code
+from cassiahitch.direct.placement.enginegroups import EngineGrouping, EngineGroups
 from cassiahitch.direct.placement.placement import (
     Assignment,
     Candidate,
@@ -38,38 +39,6 @@
 PAUSE_SPREAD_S = 1.0
 
 
-@dataclass(slots=True)
-class EngineGroups:
-    """Engines grouped by their last reports.
-
-    Engines of ``available`` may have a free slot, those of ``full`` have none. The agents of
-    ``unresponsive`` recently did not reply. The cached versions of ``version_unknown`` are not
-    allowed, but the engines may have loaded newer weights since.
-    """
-
-    available: list[Candidate] = field(default_factory=list)
-    full: list[Candidate] = field(default_factory=list)
-    unresponsive: list[Candidate] = field(default_factory=list)
-    version_unknown: list[Candidate] = field(default_factory=list)
-
-    def draw(self, local: int, remote: int, rng: random.Random) -> list[Candidate]:
-        """Remove and return randomly drawn available engines.
-
-        :param local: number of engines of the own region.
-        :param remote: number of engines of other regions; they also replace missing ones of the
-            own region.
-        :param rng: random number generator.
-        :return: the engines.
-        """
-        own = [engine for engine in self.available if engine.in_own_region]
-        others = [engine for engine in self.available if not engine.in_own_region]
-        chosen = rng.sample(own, min(local, len(own)))
-        remote += local - len(chosen)
-        chosen += rng.sample(others, min(remote, len(others)))
-        self.available = [engine for engine in self.available if engine not in chosen]
-        return chosen
-
-
 @dataclass(slots=True)
 class SearchState:
     """State of the search for one request.
@@ -110,6 +79,11 @@
     placement: Placement
     reservations: ReservationClient
     rng: random.Random
+    grouping: EngineGrouping = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Create the grouping of engines."""
+        self.grouping = EngineGrouping(self.candidates, self.placement, self.rng)
 
     async def find(self, call: Call, request: PlacementRequest) -> Assignment | NoCapacity:
         """Assign a request to a replica.
@@ -133,7 +107,7 @@
         mean_objective_s = self.candidates.mean_objective_s(call)
         adjusted = replace(request, mean_objective_s=mean_objective_s)
         search = SearchState(
-            service.engine, adjusted, self.engine_groups(replicas, service.engine, adjusted, now)
+            service.engine, adjusted, self.grouping.group(replicas, service.engine, adjusted, now)
         )
         await self.search(search)
         if search.result is None:
@@ -209,7 +183,7 @@
         ]
         now = asyncio.get_running_loop().time()
         for candidate in queried:
-            usable = self.usable(candidate.replica, search.engine, now)
+            usable = self.grouping.usable(candidate.replica, search.engine, now)
             if usable is not None:
                 has_replied = candidate.replica.key in numbers
                 (search.replied if has_replied else search.groups.unresponsive).append(usable)
@@ -240,82 +214,8 @@
             if replica.key != assigned_key:
                 self.reservations.release(replica, number)
 
-    def engine_groups(
-        self, replicas: tuple[Replica, ...], engine: Engine, request: PlacementRequest, now: float
-    ) -> EngineGroups:
-        """Group engines by their last reports.
-
-        :param replicas: the replicas of the service.
-        :param engine: speed of the engines.
-        :param request: the request.
-        :param now: current time in seconds.
-        :return: the groups, without engines that are loading or reported weights that are not
-            allowed any more.
-        """
-        groups = EngineGroups()
-        for replica in replicas:
-            candidate = self.usable(replica, engine, now)
-            if candidate is not None:
-                self.add_to_group(candidate, groups, engine, request)
-            elif self.may_have_newer_weights(replica, now):
-                groups.version_unknown.append(
-                    Candidate(replica, self.candidates.is_in_own_region(replica))
-                )
-        self.rng.shuffle(groups.version_unknown)
-        return groups
-
-    def add_to_group(
-        self, candidate: Candidate, groups: EngineGroups, engine: Engine, request: PlacementRequest
-    ) -> None:
-        """Add an engine whose weights are allowed to its group.
-
-        :param candidate: the engine.
-        :param groups: the groups.
-        :param engine: its speed.
-        :param request: the request.
-        """
-        now = asyncio.get_running_loop().time()
-        if self.placement.engine_load(candidate.replica.key).is_unresponsive(now):
-            groups.unresponsive.append(candidate)
-        elif self.placement.is_full(engine, request, candidate, now):
-            groups.full.append(candidate)
-        else:
-            groups.available.append(candidate)
-
-    def may_have_newer_weights(self, replica: Replica, now: float) -> bool:
-        """Return whether an engine may have loaded newer weights than the list contains.
-
-        :param replica: the replica of the engine.
-        :param now: current time in seconds.
-        :return: whether there is no current report, and its agent may be queried.
-        """
-        load = self.placement.engine_load(replica.key)
-        return not load.has_current_report(now) and not load.is_unresponsive(now)
-
-    def usable(self, replica: Replica, engine: Engine, now: float) -> Candidate | None:
-        """Return an engine as a candidate if it accepts requests and its weights are allowed.
-
-        :param replica: the replica of the engine.
-        :param engine: speed of the engine.
-        :param now: current time in seconds.
-        :return: the candidate with its loaded version, or None.
-        """
-        if not self.candidates.availability.may_send(replica.key, now):
-            return None
-        load = self.placement.engine_load(replica.key)
-        version = replica.version(engine.model)
-        if load.has_current_report(now) and load.report is not None:
-            version = load.report.version
-            if load.report.loading:
-                return None
-        oldest = self.candidates.entry_state.versions.oldest_allowed(engine.model, now)
-        if not version or version < oldest:
-            return None
-        return Candidate(replica, self.candidates.is_in_own_region(replica), version)
-
 
 __all__ = (
-    'EngineGroups',
     'PlacementSearch',
     'SearchState',
 )
--- a/tests/support/overload_model.py
+++ b/tests/support/overload_model.py
@@ -195,7 +195,7 @@
         """Search for an engine once."""
         replicas = self.simulation.replicas
         engine = self.simulation.engine
-        engine_groups = self.placement_search.engine_groups(
+        engine_groups = self.placement_search.grouping.group(
             replicas, engine, demand, self.simulation.now
         )
         search = SearchState(engine, demand, engine_groups)
