--- a/src/cassiahitch/direct/backends/replicasignals.py
+++ b/src/cassiahitch/direct/backends/replicasignals.py
@@ -6,13 +6,13 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from cassiahitch.direct.backends.ratelimits import LimitObservation
+from cassiahitch.direct.state.ratelimits import LimitObservation
 
 if TYPE_CHECKING:
     from cassiahitch.direct.api import ResponseHead
     from cassiahitch.direct.backends.pool import ConnectionPool
-    from cassiahitch.direct.backends.ratelimits import RateLimitRegistry
     from cassiahitch.direct.placement.availability import ReplicaAvailability
+    from cassiahitch.direct.state.ratelimits import RateLimitRegistry
     from cassiahitch.direct.state.replicas import Replica
     from cassiahitch.direct.telemetry import Telemetry
 
--- a/src/cassiahitch/direct/entrystate.py
+++ b/src/cassiahitch/direct/entrystate.py
@@ -6,12 +6,12 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from cassiahitch.direct.backends.ratelimits import RateLimitRegistry
 from cassiahitch.direct.members.gossip import Gossip, Piggyback
 from cassiahitch.direct.members.memberregistry import MemberRegistry
 from cassiahitch.direct.members.regions import RegionRegistry
 from cassiahitch.direct.placement.crashguard import CrashGuard
 from cassiahitch.direct.state.freshness import Freshness
+from cassiahitch.direct.state.ratelimits import RateLimitRegistry
 from cassiahitch.direct.state.replicas import ReplicaRegistry
 from cassiahitch.direct.state.versions import VersionPolicy
 from cassiahitch.wire.datagrammessages import MemberState
--- a/src/cassiahitch/direct/telemetry.py
+++ b/src/cassiahitch/direct/telemetry.py
@@ -20,11 +20,11 @@
 
 if TYPE_CHECKING:
     from cassiahitch.direct.backends.attempt import Outcome
-    from cassiahitch.direct.backends.ratelimits import LimitObservation
     from cassiahitch.direct.callers.progress import Progress
     from cassiahitch.direct.entrystate import EntryState
     from cassiahitch.direct.placement.availability import ExpiredAnnouncement
     from cassiahitch.direct.placement.placement import Assignment, NoCapacity
+    from cassiahitch.direct.state.ratelimits import LimitObservation
     from cassiahitch.direct.state.replicas import Replica
     from cassiahitch.errors import RequestError
     from cassiahitch.metrics.registry import Metrics
--- a/tests/direct/backends/test_abort.py
+++ b/tests/direct/backends/test_abort.py
@@ -11,10 +11,10 @@
 from cassiahitch.direct.backends.attempt import AttemptSender
 from cassiahitch.direct.backends.exchange import Exchange
 from cassiahitch.direct.backends.pool import ConnectionPool
-from cassiahitch.direct.backends.ratelimits import RateLimitRegistry
 from cassiahitch.direct.backends.replicasignals import ReplicaSignals
 from cassiahitch.direct.backends.stalls import StallDetector
 from cassiahitch.direct.placement.availability import ReplicaAvailability
+from cassiahitch.direct.state.ratelimits import RateLimitRegistry
 from cassiahitch.direct.state.replicas import Replica
 from cassiahitch.platform.requests import PlatformRequests
 from cassiahitch.util.endpoints import Endpoint
--- a/tests/direct/backends/test_ratelimits.py
+++ b/tests/direct/state/test_ratelimits.py
@@ -9,7 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cassiahitch.direct.backends.ratelimits import (
+from cassiahitch.direct.state.ratelimits import (
     LimitObservation,
     RateLimitRegistry,
     RateLimitTracker,
