Leave empty lists out of messages

A field that is a list took two bytes in each message even if it was empty. Receivers read a missing list as an empty one already, so earlier versions understand it.

--- a/src/cassiahitch/wire/structs.py
+++ b/src/cassiahitch/wire/structs.py
@@ -127,6 +127,9 @@
                 content = [self.to_thrift(element) for element in content]
             elif schema.repeated:
                 content = list(content)
+            if schema.repeated and not content:
+                # An empty list is left out, which the receiver reads as one.
+                continue
             setattr(struct, schema.name, content)
         return struct
 
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -7,11 +7,16 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
+from thrift.TSerialization import serialize
 
 from cassiahitch.codes import Code
 from cassiahitch.errors import WireError
 from cassiahitch.wire import messages
 from cassiahitch.wire.codec import Envelope, decode, encode
+from cassiahitch.wire.datagrammessages import PlaceQuery
+from cassiahitch.wire.datagrams import decode_datagram, encode_datagram
+from cassiahitch.wire.gen.datagrams import ttypes
 
 INT32 = st.integers(min_value=-(2**31), max_value=2**31 - 1)
 st.register_type_strategy(int, INT32)
@@ -52,3 +57,10 @@
         decode(bytes(body))
     except WireError as error:
         assert error.code in {Code.frame_corrupt, Code.message_unknown}
+
+
+def test_message_with_empty_lists_is_that_of_an_earlier_version_without_them() -> None:
+    earlier = ttypes.Datagram(place_query=ttypes.PlaceQuery(number=1, prompt_tokens=2))
+    content = serialize(earlier, TCompactProtocolAcceleratedFactory())
+    assert encode_datagram(PlaceQuery(1, 2)) == content
+    assert decode_datagram(content) == PlaceQuery(1, 2)
