--- a/src/cassiahitch/direct/agent.py
+++ b/src/cassiahitch/direct/agent.py
@@ -14,6 +14,7 @@
 from cassiahitch.direct.serving import serve
 from cassiahitch.direct.staging.agentparts import make_agent_parts
 from cassiahitch.direct.staging.chunkservice import make_chunk_service
+from cassiahitch.direct.staging.permits import PermitService
 from cassiahitch.direct.staging.reporting import SUBSCRIPTION_S, LoadReporter
 from cassiahitch.direct.state.feed import TableFeed
 from cassiahitch.direct.state.follower import TableFollower
@@ -21,6 +22,8 @@
 from cassiahitch.util.endpoints import Endpoint
 from cassiahitch.wire.datagrammessages import (
     ChunkMap,
+    LimitNotice,
+    PermitQuery,
     PlaceQuery,
     PlaceReturn,
     TableRows,
@@ -92,6 +95,7 @@
             time.time_ns(),
             self.rng,
         )
+        self.permits = PermitService(self.parts.log)
 
     async def start(self) -> None:
         """Open the sockets and start the background tasks."""
@@ -105,6 +109,7 @@
         await datagrams.open(settings.address, settings.peer_port)
         self.stack.callback(datagrams.close)
         self.reporter.socket = datagrams
+        self.permits.socket = datagrams
         self.relay.socket = datagrams
         self.parts.map_exchange.socket = datagrams
         tasks = (
@@ -134,8 +139,13 @@
         match message:
             case ChunkMap():
                 self.parts.map_exchange.receive(message, sender)
-            case PlaceQuery() | PlaceReturn():
+            case PlaceQuery():
                 self.reporter.receive(message, sender)
+            case PermitQuery():
+                self.permits.receive(message, sender)
+            case PlaceReturn() | LimitNotice():
+                self.reporter.receive(message, sender)
+                self.permits.receive(message, sender)
             case TableState() | TableRows():
                 self.relay.receive(message, sender)
 
--- a/src/cassiahitch/direct/assembly.py
+++ b/src/cassiahitch/direct/assembly.py
@@ -17,7 +17,9 @@
 from cassiahitch.direct.placement.availability import ReplicaAvailability
 from cassiahitch.direct.placement.candidates import CandidateFilter
 from cassiahitch.direct.placement.crashdetector import CrashDetector
+from cassiahitch.direct.placement.permits import PermitClient
 from cassiahitch.direct.placement.placement import Placement
+from cassiahitch.direct.placement.plainsearch import PlainSearch
 from cassiahitch.direct.placement.reservation import ReservationClient
 from cassiahitch.direct.placement.search import PlacementSearch
 from cassiahitch.direct.requests.budget import RetryBudget
@@ -28,6 +30,8 @@
 
 if TYPE_CHECKING:
     from cassiahitch.direct.platformapi import EntryPlatform
+    from cassiahitch.direct.state.ratelimits import LimitObservation
+    from cassiahitch.direct.state.replicas import Replica
     from cassiahitch.settings.direct import DirectEntrySettings
 
 
@@ -66,18 +70,43 @@
         entry_state.rate_limits,
     )
     candidates = CandidateFilter(entry_state, Placement(rng), signals.availability)
-    reservations = ReservationClient(candidates.placement, settings.peer_port)
+    reservations = ReservationClient(
+        candidates.placement, settings.peer_port, rate_limits=entry_state.rate_limits
+    )
     reservations.on_stopping = partial(signals.mark_stopping, source='agent')
-    runner = make_runner(platform, candidates, signals, reservations)
-    messenger = EntryMessenger(entry_state, reservations, telemetry, rng)
+    permits = PermitClient(entry_state, reservations.query_numbers)
+    entry_state.rate_limits.on_change = partial(publish_limit, telemetry, permits)
+    runner = make_runner(platform, candidates, signals, reservations, permits)
+    messenger = EntryMessenger(entry_state, reservations, permits, telemetry, rng)
     return EntryParts(entry_state, telemetry, candidates, runner, messenger)
 
 
+def publish_limit(
+    telemetry: Telemetry,
+    permits: PermitClient,
+    replica: Replica,
+    before: LimitObservation,
+    source: str,
+) -> None:
+    """Log a change of the rate limit of a replica, and send it to the agent that limits its rate.
+
+    :param telemetry: writes the log line.
+    :param permits: sends the notice.
+    :param replica: the replica.
+    :param before: the limit that applied before.
+    :param source: where the change was observed; agents know those that they have sent.
+    """
+    telemetry.rate_limit_changed(replica, before, source)
+    if source == 'answer':
+        permits.send_notice(replica)
+
+
 def make_runner(
     platform: EntryPlatform,
     candidates: CandidateFilter,
     signals: ReplicaSignals,
     reservations: ReservationClient,
+    permits: PermitClient,
 ) -> RequestRunner:
     """Create the runner of requests.
 
@@ -85,6 +114,7 @@
     :param candidates: selects the replicas that a request may be sent to.
     :param signals: keeps the shutdown and pause announcements of replicas.
     :param reservations: reserves slots at agents.
+    :param permits: requests permits for limited plain replicas.
     :return: the runner.
     """
     entry_state = candidates.entry_state
@@ -92,15 +122,24 @@
     bounds = entry_state.settings.bounds
     budget = RetryBudget(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s)
     filters = RequestFilters(entry_state, budget, placement.rng)
+    plain_search = PlainSearch(placement, entry_state.rate_limits, permits, placement.rng)
     response_relay = ResponseRelay(BufferBudget(entry_state.settings.response_limits))
     return RequestRunner(
         entry_state=entry_state,
         codec=platform.codec,
         filters=filters,
         candidates=candidates,
-        placement_search=PlacementSearch(candidates, placement, reservations, placement.rng),
+        placement_search=PlacementSearch(
+            candidates, placement, reservations, plain_search, placement.rng
+        ),
         attempts=AttemptSender(
-            signals.pool, platform.codec, filters, placement, signals, response_relay
+            signals.pool,
+            platform.codec,
+            filters,
+            placement,
+            signals,
+            response_relay,
+            reservations,
         ),
         budget=budget,
         crash_detector=CrashDetector(entry_state, signals.telemetry),
--- a/src/cassiahitch/direct/backends/attempt.py
+++ b/src/cassiahitch/direct/backends/attempt.py
@@ -24,6 +24,7 @@
     from cassiahitch.direct.backends.responserelay import ResponseRelay
     from cassiahitch.direct.callers.exchange import CallerExchange
     from cassiahitch.direct.placement.placement import Assignment, Placement
+    from cassiahitch.direct.placement.reservation import ReservationClient
     from cassiahitch.direct.requests.filters import RequestFilters
 
 SUCCESS_STATUSES = range(200, 300)
@@ -44,7 +45,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Withheld:
-    """No byte of the request was sent, since the backend server is stopping or paused."""
+    """No byte of the request was sent.
+
+    The backend server is stopping or paused, or it names a rate limit and no permit is valid.
+    """
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,6 +121,7 @@
     placement: Placement
     signals: ReplicaSignals
     response_relay: ResponseRelay
+    reservations: ReservationClient
 
     async def send(
         self,
@@ -138,19 +143,21 @@
         :raises CallerDisconnected: if the caller disconnected before the request was sent.
         """
         replica = assignment.candidate.replica
-        if not self.signals.may_send(replica):
-            return Withheld()
-        try:
-            connection = await self.pool.acquire(
-                replica, limit, at_most_once=call.require_route().runs_once
-            )
-        except ConnectFailed as error:
-            return NotSent(str(error), error.refused)
-        stall_detector = StallDetector(stream.reserve_alternative)
-        exchange = Exchange(connection, self.codec, stall_detector, self.signals.receive_head)
         with ExitStack() as stack:
+            unsent = stack.enter_context(ExitStack())
+            unsent.callback(self.release_reservation, assignment)
+            if not self.signals.may_send(assignment):
+                return Withheld()
+            try:
+                connection = await self.pool.acquire(
+                    replica, limit, at_most_once=call.require_route().runs_once
+                )
+            except ConnectFailed as error:
+                return NotSent(str(error), error.refused)
+            stall_detector = StallDetector(stream.reserve_alternative)
+            exchange = Exchange(connection, self.codec, stall_detector, self.signals.receive_head)
             stack.callback(self.release, connection, exchange)
-            if not self.signals.may_send(replica):
+            if not self.signals.may_send(assignment):
                 return Withheld()
             self.filters.require_valid_key(call)
             stream.caller.require_connected()
@@ -158,8 +165,17 @@
                 stream.caller.allow_outliving(outlives=call.require_route().runs_without_caller)
             )
             stack.enter_context(self.count_in_flight(call, assignment))
+            unsent.pop_all()
             return await self.run_exchange(call, assignment, exchange, stream, timeouts)
 
+    def release_reservation(self, assignment: Assignment) -> None:
+        """Release the reservation of a request that is not sent.
+
+        :param assignment: the assignment of the request.
+        """
+        if assignment.reservation is not None:
+            self.reservations.release(assignment.reservation)
+
     def release(self, connection: BackendConnection, exchange: Exchange) -> None:
         """Return the connection of an exchange to the pool, or close it.
 
--- a/src/cassiahitch/direct/backends/replicasignals.py
+++ b/src/cassiahitch/direct/backends/replicasignals.py
@@ -6,12 +6,14 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from cassiahitch.direct.state.freshness import boot_time
 from cassiahitch.direct.state.ratelimits import LimitObservation
 
 if TYPE_CHECKING:
     from cassiahitch.direct.api import ResponseHead
     from cassiahitch.direct.backends.pool import ConnectionPool
     from cassiahitch.direct.placement.availability import ReplicaAvailability
+    from cassiahitch.direct.placement.placement import Assignment
     from cassiahitch.direct.state.ratelimits import RateLimitRegistry
     from cassiahitch.direct.state.replicas import Replica
     from cassiahitch.direct.telemetry import Telemetry
@@ -43,18 +45,8 @@
             self.mark_paused(replica, min(head.pause_s, self.longest_pause_s))
         if head.limit_per_s is not None:
             now = asyncio.get_running_loop().time()
-            self.observe_limit(replica, LimitObservation(head.limit_per_s, sent_at, now), 'answer')
-
-    def observe_limit(self, replica: Replica, observation: LimitObservation, source: str) -> None:
-        """Apply an observation of the rate limit of a replica.
-
-        :param replica: the replica.
-        :param observation: the observation.
-        :param source: where it came from, for the log.
-        """
-        before = self.rate_limits.limit(replica.key)
-        if self.rate_limits.observe(replica.key, observation):
-            self.telemetry.rate_limit_changed(replica, before, observation, source)
+            observation = LimitObservation.named(head.limit_per_s, sent_at, now)
+            self.rate_limits.observe(replica, observation, 'answer')
 
     def mark_stopping(self, replica: Replica, source: str) -> None:
         """Record that a replica is stopping, and close the idle connections to it.
@@ -75,13 +67,20 @@
         if self.availability.record_pause(replica.key, seconds, asyncio.get_running_loop().time()):
             self.telemetry.replica_paused(replica, seconds)
 
-    def may_send(self, replica: Replica) -> bool:
-        """Return whether a request may be sent to a replica now.
+    def may_send(self, assignment: Assignment) -> bool:
+        """Return whether a request may be sent to its assigned replica now.
 
-        :param replica: the replica.
-        :return: false while it is stopping or paused.
+        :param assignment: the assignment.
+        :return: false while the replica is stopping or paused, and without a valid permit while it
+            names a rate limit.
         """
-        return self.availability.may_send(replica.key, asyncio.get_running_loop().time())
+        key = assignment.candidate.replica.key
+        if not self.availability.may_send(key, asyncio.get_running_loop().time()):
+            return False
+        reservation = assignment.reservation
+        return not self.rate_limits.is_limited(key) or (
+            reservation is not None and boot_time() < reservation.permit_until
+        )
 
     def prune(self, listed: frozenset[str]) -> None:
         """Remove signals that have expired or whose replica is no longer listed.
--- a/src/cassiahitch/direct/entry.py
+++ b/src/cassiahitch/direct/entry.py
@@ -105,6 +105,7 @@
         self.stack.callback(datagrams.close)
         messenger.socket = datagrams
         messenger.reservations.socket = datagrams
+        messenger.permits.socket = datagrams
         seeds = dict.fromkeys((seed.address for seed in settings.seeds), '')
         self.parts.entry_state.members.registry.add_addresses(
             seeds, asyncio.get_running_loop().time()
@@ -216,6 +217,7 @@
             await asyncio.sleep(CLEANUP_INTERVAL_S)
             now = asyncio.get_running_loop().time()
             self.parts.entry_state.replicas.expire(now)
+            self.parts.entry_state.choose_limiters(boot_time())
             keys = frozenset(self.parts.entry_state.replicas.by_key())
             self.parts.runner.attempts.pool.keep_only(keys)
             self.parts.runner.attempts.signals.prune(keys)
--- a/src/cassiahitch/direct/entrystate.py
+++ b/src/cassiahitch/direct/entrystate.py
@@ -10,6 +10,7 @@
 from cassiahitch.direct.members.memberregistry import MemberRegistry
 from cassiahitch.direct.members.regions import RegionRegistry
 from cassiahitch.direct.placement.crashguard import CrashGuard
+from cassiahitch.direct.placement.limiterchoice import LimiterDirectory
 from cassiahitch.direct.state.freshness import Freshness
 from cassiahitch.direct.state.ratelimits import RateLimitRegistry
 from cassiahitch.direct.state.replicas import ReplicaRegistry
@@ -18,6 +19,7 @@
 
 if TYPE_CHECKING:
     from cassiahitch.direct.state.catalogue import Catalogue
+    from cassiahitch.direct.state.replicas import Replica
     from cassiahitch.settings.direct import DirectEntrySettings
 
 #: Capacity is announced in hundredths of a core.
@@ -29,7 +31,8 @@
     """The state of one entry.
 
     ``catalogue`` is the configuration in force, None before the first one. ``crashes`` keeps the
-    requests that crashed backend servers, and ``rate_limits`` the limits that replicas named.
+    requests that crashed backend servers, ``rate_limits`` the limits that replicas named, and
+    ``limiters`` the agents that grant permits for limited plain replicas.
     ``replicas_loaded`` is set once the list of replicas was read, ``stopping`` once the shutdown of
     this entry has begun.
     """
@@ -38,6 +41,7 @@
     freshness: Freshness
     versions: VersionPolicy
     members: Gossip
+    limiters: LimiterDirectory
     replicas: ReplicaRegistry = field(default_factory=ReplicaRegistry)
     crashes: CrashGuard = field(default_factory=CrashGuard)
     rate_limits: RateLimitRegistry = field(default_factory=RateLimitRegistry)
@@ -73,6 +77,24 @@
         """
         return self.settings.regions.get(failure_domain) == self.settings.region
 
+    def is_engine(self, replica: Replica) -> bool:
+        """Return whether a replica is a model engine, so that an agent runs on its host.
+
+        :param replica: the replica.
+        :return: whether the configuration names an engine for its service.
+        """
+        service = self.catalogue.services.get(replica.service) if self.catalogue else None
+        return service is not None and service.engine is not None
+
+    def choose_limiters(self, boot_now: float) -> None:
+        """Choose the agents that limit plain replicas, after a change of the replicas.
+
+        :param boot_now: current time of the boot clock, in seconds.
+        """
+        services = self.catalogue.services_by_model().values() if self.catalogue else ()
+        names = [service.name for service in services]
+        self.limiters.update(self.replicas.replicas.values(), names, boot_now)
+
     def live_entries(self, now: float) -> int:
         """Return the number of live entries in all regions.
 
@@ -102,13 +124,18 @@
     )
     versions = VersionPolicy(settings.bounds.weights_s)
     crashes = CrashGuard()
-    records_to_send = Piggyback(crashes.records_to_send, versions.records)
+    rate_limits = RateLimitRegistry(rng)
+    records_to_send = Piggyback(
+        crashes.records_to_send, versions.records, rate_limits.records_to_send
+    )
     return EntryState(
         settings,
         Freshness(settings.bounds.revoked_key_s),
         versions,
         Gossip(MemberRegistry(own_state), RegionRegistry(settings.region), records_to_send, rng),
+        LimiterDirectory(lambda domain: settings.regions.get(domain, '')),
         crashes=crashes,
+        rate_limits=rate_limits,
     )
 
 
--- a/src/cassiahitch/direct/members/gossip.py
+++ b/src/cassiahitch/direct/members/gossip.py
@@ -19,7 +19,13 @@
 from cassiahitch.direct.members.regions import RegionRegistry, parse_endpoints, summarize_region
 from cassiahitch.util.endpoints import Endpoint
 from cassiahitch.weights.tree import rendezvous_order
-from cassiahitch.wire.datagrammessages import MemberNews, RegionState, SuspectRecord, VersionRecord
+from cassiahitch.wire.datagrammessages import (
+    LimitRecord,
+    MemberNews,
+    RegionState,
+    SuspectRecord,
+    VersionRecord,
+)
 
 if TYPE_CHECKING:
     from cassiahitch.direct.members.memberregistry import MemberRegistry
@@ -89,6 +95,7 @@
 
     suspects: Callable[[float], tuple[SuspectRecord, ...]] = lambda _: ()
     versions: Callable[[float], tuple[VersionRecord, ...]] = lambda _: ()
+    limits: Callable[[float], tuple[LimitRecord, ...]] = lambda _: ()
 
 
 @dataclass(slots=True)
@@ -453,6 +460,7 @@
             regions=self.region_states(now, remote=remote),
             suspects=self.piggyback.suspects(now),
             versions=self.piggyback.versions(now),
+            limits=self.piggyback.limits(now),
         )
 
     def peer_states(self, names: Iterable[str]) -> tuple[MemberState, ...]:
--- a/src/cassiahitch/direct/members/messaging.py
+++ b/src/cassiahitch/direct/members/messaging.py
@@ -9,16 +9,18 @@
 
 from cassiahitch.direct.members.gossip import PROBE_PERIOD_S, OutgoingMessage
 from cassiahitch.direct.state.freshness import boot_time
+from cassiahitch.direct.state.ratelimits import observation_of
 from cassiahitch.util.endpoints import Endpoint
-from cassiahitch.wire.datagrammessages import EngineLoad, MemberNews, MemberState
+from cassiahitch.wire.datagrammessages import EngineLoad, MemberNews, MemberState, PermitReply
 
 if TYPE_CHECKING:
     from cassiahitch.direct.entrystate import EntryState
     from cassiahitch.direct.members.tablerelay import TableRelay
+    from cassiahitch.direct.placement.permits import PermitClient
     from cassiahitch.direct.placement.reservation import ReservationClient
     from cassiahitch.direct.telemetry import Telemetry
     from cassiahitch.errors import WireError
-    from cassiahitch.wire.datagrammessages import DatagramMessage
+    from cassiahitch.wire.datagrammessages import DatagramMessage, LimitRecord
     from cassiahitch.wire.datagrams import DatagramSocket
 
 
@@ -31,6 +33,7 @@
 
     entry_state: EntryState
     reservations: ReservationClient
+    permits: PermitClient
     telemetry: Telemetry
     rng: random.Random
     socket: DatagramSocket | None = None
@@ -96,6 +99,8 @@
         match message:
             case MemberNews():
                 self.receive_gossip(message, sender, now)
+            case PermitReply():
+                self.permits.handle_reply(message)
             case EngineLoad():
                 self.reservations.handle_load(
                     message, self.entry_state.replicas.replicas.values(), sender
@@ -114,6 +119,19 @@
         self.push_soon()
         self.entry_state.crashes.merge_records(message.suspects, now)
         self.entry_state.versions.merge_records(message.versions, now)
+        self.receive_limits(message.limits, now)
+
+    def receive_limits(self, records: tuple[LimitRecord, ...], now: float) -> None:
+        """Apply rate limits of replicas that another entry has observed.
+
+        :param records: the limits; those of replicas that are not registered are ignored.
+        :param now: current time in seconds.
+        """
+        for record in records:
+            replica = self.entry_state.replicas.replicas.get(record.replica)
+            if replica is not None and replica.born_ms == record.born_ms:
+                observation = observation_of(record, now)
+                self.entry_state.rate_limits.observe(replica, observation, 'entry')
 
     def log_change(self, what: str, state: MemberState) -> None:
         """Log a change in the state of an entry.
--- a/src/cassiahitch/direct/placement/enginegroups.py
+++ b/src/cassiahitch/direct/placement/enginegroups.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from cassiahitch.direct.placement.candidates import CandidateFilter
     from cassiahitch.direct.state.catalogue import Engine
+    from cassiahitch.direct.state.ratelimits import RateLimitRegistry
     from cassiahitch.direct.state.replicas import Replica
 
 
@@ -20,13 +21,15 @@
     """Engines grouped by their last reports.
 
     Engines of ``available`` may have a free slot, those of ``full`` have none. The agents of
-    ``unresponsive`` recently did not reply. The cached versions of ``version_unknown`` are not
+    ``unresponsive`` recently did not reply. Engines of ``limited`` name a rate limit, and their
+    agents may have a permit left. The cached versions of ``version_unknown`` are not
     allowed, but the engines may have loaded newer weights since.
     """
 
     available: list[Candidate] = field(default_factory=list)
     full: list[Candidate] = field(default_factory=list)
     unresponsive: list[Candidate] = field(default_factory=list)
+    limited: list[Candidate] = field(default_factory=list)
     version_unknown: list[Candidate] = field(default_factory=list)
 
     def draw(self, local: int, remote: int, rng: random.Random) -> list[Candidate]:
@@ -53,6 +56,7 @@
 
     candidates: CandidateFilter
     placement: Placement
+    rate_limits: RateLimitRegistry
     rng: random.Random
 
     def group(
@@ -77,6 +81,8 @@
                     Candidate(replica, self.candidates.is_in_own_region(replica))
                 )
         self.rng.shuffle(groups.version_unknown)
+        self.rng.shuffle(groups.limited)
+        groups.limited.sort(key=lambda candidate: not candidate.in_own_region)
         return groups
 
     def add(
@@ -90,7 +96,13 @@
         :param request: the request.
         """
         now = asyncio.get_running_loop().time()
-        if self.placement.engine_load(candidate.replica.key).is_unresponsive(now):
+        key = candidate.replica.key
+        is_unresponsive = self.placement.engine_load(key).is_unresponsive(now)
+        if self.rate_limits.is_limited(key):
+            # Without a permit of its agent, no request may be sent.
+            if not is_unresponsive and not self.rate_limits.permit_wait_s(key, now):
+                groups.limited.append(candidate)
+        elif is_unresponsive:
             groups.unresponsive.append(candidate)
         elif self.placement.is_full(engine, request, candidate, now):
             groups.full.append(candidate)
--- a/src/cassiahitch/direct/placement/placement.py
+++ b/src/cassiahitch/direct/placement/placement.py
@@ -21,6 +21,7 @@
 if TYPE_CHECKING:
     from cassiahitch.direct.state.catalogue import Engine, Route
     from cassiahitch.direct.state.replicas import Replica
+    from cassiahitch.util.endpoints import Endpoint
 
 #: Fraction of the objective within which the first event of a mean prompt has to be expected. The
 #: rest is a reserve for the prefill of longer prompts and for prediction errors.
@@ -39,6 +40,8 @@
 SAMPLE_SIZE = 3
 #: Shortest and longest retry time of a refused caller, in seconds.
 RETRY_AFTER_RANGE_S = (0.7, 1.9)
+#: Maximum delay of the retry time after the next permit of a limited replica, in seconds.
+PERMIT_SPREAD_S = 1.0
 #: Fraction of its remaining time up to which a caller honours the retry time.
 HONOURED_FRACTION = 1 / 3
 #: Weight of the newest response time in the moving average of a plain replica.
@@ -107,21 +110,33 @@
         return additional_prefill_s > additional_objective_s
 
 
+@dataclass(frozen=True, slots=True)
+class Reservation:
+    """A slot of an engine, or a permit for a limited replica, that an agent reserved.
+
+    ``number`` is that of the query to ``agent``. ``permit_until`` is when the permit ends, in
+    seconds of the boot clock; minus infinity if the replica names no rate limit.
+    """
+
+    number: int
+    agent: Endpoint
+    permit_until: float = -math.inf
+
+
 @dataclass(frozen=True, slots=True)
 class Assignment:
     """The assignment of a request to a replica.
 
     ``expected_s`` is the predicted time to its first byte, and ``rank`` its rank in the queue of
     the engine. ``near_capacity`` is set if another replica may start it considerably earlier.
-    ``reservation`` is the number of the query with which a slot was reserved at the agent, None if
-    its agent did not reply or there is none.
+    ``reservation`` is None if no agent was queried or none replied.
     """
 
     candidate: Candidate
     expected_s: float
     rank: int | None = None
     near_capacity: bool = True
-    reservation: int | None = None
+    reservation: Reservation | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,11 +145,13 @@
 
     ``best_expected_s`` is the predicted time to the first event at the best replica, and
     ``available_in_s`` the time after which that replica may be able to admit the request.
+    ``limited`` is the number of replicas that name a rate limit and have no permit left.
     """
 
     retry_after_s: float
     best_expected_s: float
     available_in_s: float
+    limited: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -312,6 +329,22 @@
         scale = min(1, HONOURED_FRACTION * max(0, request.remaining_s) / longest_s)
         return self.rng.uniform(shortest_s, longest_s) * scale
 
+    def no_permit(self, request: PlacementRequest, wait_s: float, limited: int) -> NoCapacity:
+        """Refuse a request since all replicas are limited and have no permit left.
+
+        Load pattern: many more callers are refused than the limits allow. They return after the
+        next permit is available, spread over the time that they honour.
+
+        :param request: the request.
+        :param wait_s: seconds until the next permit is available.
+        :param limited: number of the limited replicas.
+        :return: the refusal.
+        """
+        honoured_s = HONOURED_FRACTION * max(0, request.remaining_s)
+        spread_s = max(0, min(PERMIT_SPREAD_S, honoured_s - wait_s))
+        retry_after_s = wait_s + self.rng.uniform(0, spread_s)
+        return NoCapacity(retry_after_s, math.inf, wait_s, limited)
+
     def best_of_sample(
         self, candidates: tuple[Candidate, ...], estimates: dict[Candidate, FirstEventEstimate]
     ) -> Candidate:
@@ -397,6 +430,7 @@
     'PlacementRequest',
     'Assignment',
     'Placement',
+    'Reservation',
     'PlainLoadTracker',
     'FirstEventEstimate',
 )
--- a/src/cassiahitch/direct/placement/reservation.py
+++ b/src/cassiahitch/direct/placement/reservation.py
@@ -13,14 +13,18 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from cassiahitch.direct.placement.limiterchoice import PERMIT_LIFETIME_S
 from cassiahitch.direct.placement.load import LoadReport
+from cassiahitch.direct.placement.placement import Reservation
+from cassiahitch.direct.state.freshness import boot_time
+from cassiahitch.direct.state.ratelimits import RateLimitRegistry, observation_of
 from cassiahitch.util.endpoints import Endpoint
 from cassiahitch.wire.datagrammessages import PlaceQuery, PlaceReturn
 
 if TYPE_CHECKING:
     from cassiahitch.direct.placement.placement import Placement
     from cassiahitch.direct.state.replicas import Replica
-    from cassiahitch.wire.datagrammessages import EngineLoad
+    from cassiahitch.wire.datagrammessages import EngineLoad, LimitRecord
     from cassiahitch.wire.datagrams import DatagramSocket
 
 #: Seconds for which the first reply is awaited.
@@ -28,6 +32,9 @@
 #: Seconds for which further replies are awaited after the first one.
 FURTHER_REPLIES_WAIT_S = 0.01
 PERCENT = 100
+MS_PER_S = 1000
+#: Seconds for which an agent that grants no permits is not queried for a limited engine again.
+NO_PERMITS_BACKOFF_S = 1.0
 
 
 @dataclass(slots=True)
@@ -35,12 +42,15 @@
     """Queries that were sent together for one request, by query number.
 
     ``unanswered`` holds the replicas whose agents have not replied yet. ``reservations`` holds the
-    query numbers of the reserved slots by replica key. ``reply_received`` is set on each reply.
+    reserved slots by replica key, and ``refused`` the keys of the replicas without a permit.
+    ``reply_received`` is set on each reply, ``sent_at`` is in seconds of the boot clock.
     """
 
     replicas: dict[int, Replica]
+    sent_at: float
     unanswered: dict[int, Replica] = field(init=False)
-    reservations: dict[str, int] = field(default_factory=dict)
+    reservations: dict[str, Reservation] = field(default_factory=dict)
+    refused: set[str] = field(default_factory=set)
     reply_received: asyncio.Event = field(default_factory=asyncio.Event)
 
     def __post_init__(self) -> None:
@@ -65,22 +75,24 @@
     socket: DatagramSocket | None = None
     pending: dict[int, QueryRound] = field(default_factory=dict)
     query_numbers: itertools.count[int] = field(default_factory=lambda: itertools.count(1))
+    rate_limits: RateLimitRegistry = field(default_factory=RateLimitRegistry)
     on_stopping: Callable[[Replica], None] = _ignore_stopping
 
-    async def reserve(self, replicas: Iterable[Replica], prompt_tokens: int) -> dict[str, int]:
+    async def reserve(self, replicas: Iterable[Replica], prompt_tokens: int) -> QueryRound:
         """Query the agents of some engines, each of which reserves a slot for a short time.
 
         :param replicas: the replicas to query.
         :param prompt_tokens: length of the prompt of the request.
-        :return: the numbers of the queries that reserved a slot, by the keys of the replicas whose
-            agents replied in time.
+        :return: the queries, with the reservations of the agents that replied in time.
         """
+        queried = {next(self.query_numbers): replica for replica in replicas}
+        query_round = QueryRound(queried, boot_time())
         if self.socket is None:
-            return {}
-        query_round = QueryRound({next(self.query_numbers): replica for replica in replicas})
+            return query_round
         for number, replica in query_round.unanswered.items():
             self.pending[number] = query_round
-            self.socket.send(PlaceQuery(number, prompt_tokens), self.agent_endpoint(replica))
+            query = PlaceQuery(number, prompt_tokens, self.limit_records(replica))
+            self.socket.send(query, self.agent_endpoint(replica))
         try:
             await self.wait(query_round)
         except asyncio.CancelledError:
@@ -90,7 +102,17 @@
         for number, replica in query_round.unanswered.items():
             self.pending.pop(number)
             self.placement.engine_load(replica.key).record_no_reply(now)
-        return query_round.reservations
+            self.release(Reservation(number, self.agent_endpoint(replica)))
+        return query_round
+
+    def limit_records(self, replica: Replica) -> tuple[LimitRecord, ...]:
+        """Return the observed rate limit of an engine for a message to its agent.
+
+        :param replica: the replica of the engine.
+        :return: one record, or none if the engine has never named a limit.
+        """
+        now = asyncio.get_running_loop().time()
+        return self.rate_limits.tracker(replica.key).records(now, born_ms=replica.born_ms)
 
     def cancel(self, query_round: QueryRound) -> None:
         """Cancel a round and release the slots at all its agents.
@@ -101,7 +123,7 @@
         """
         for number, replica in query_round.replicas.items():
             self.pending.pop(number, None)
-            self.release(replica, number)
+            self.release(Reservation(number, self.agent_endpoint(replica)))
 
     async def wait(self, query_round: QueryRound) -> None:
         """Wait for the replies, but only briefly for further ones after the first.
@@ -119,14 +141,13 @@
             query_round.reply_received.clear()
             deadline = min(deadline, clock() + FURTHER_REPLIES_WAIT_S)
 
-    def release(self, replica: Replica, number: int) -> None:
-        """Release a reserved slot, since the request is placed elsewhere.
+    def release(self, reservation: Reservation) -> None:
+        """Release a reserved slot or a permit, since the request is not sent with it.
 
-        :param replica: replica at whose agent the slot is reserved.
-        :param number: number of the query that reserved it.
+        :param reservation: the reservation.
         """
         if self.socket is not None:
-            self.socket.send(PlaceReturn(number), self.agent_endpoint(replica))
+            self.socket.send(PlaceReturn(reservation.number), reservation.agent)
 
     def handle_load(self, load: EngineLoad, replicas: Iterable[Replica], sender: Endpoint) -> None:
         """Handle a load report, either the reply to a query or an unsolicited one.
@@ -139,12 +160,36 @@
         if query_round is not None:
             replica = query_round.unanswered.pop(load.number)
             if self.apply_load(load, replica, sender):
-                query_round.reservations[replica.key] = load.number
+                self.record_reply(load, replica, query_round)
             query_round.reply_received.set()
         elif not load.number:
             for replica in replicas:
                 self.apply_load(load, replica, sender)
 
+    def record_reply(self, load: EngineLoad, replica: Replica, query_round: QueryRound) -> None:
+        """Record the reservation or the refusal in a reply.
+
+        :param load: the reply of an agent.
+        :param replica: the replica.
+        :param query_round: the queries to which it belongs.
+        """
+        now = asyncio.get_running_loop().time()
+        agent = self.agent_endpoint(replica)
+        key = replica.key
+        if load.refusals:
+            query_round.refused.add(key)
+            self.rate_limits.record_refusal(key, now + load.refusals[0].available_ms / MS_PER_S)
+        elif load.limits:
+            permit_until = query_round.sent_at + PERMIT_LIFETIME_S
+            query_round.reservations[key] = Reservation(load.number, agent, permit_until)
+        elif self.rate_limits.is_limited(key):
+            # The agent runs a version that grants no permits.
+            query_round.refused.add(key)
+            self.rate_limits.record_refusal(key, now + NO_PERMITS_BACKOFF_S)
+            self.release(Reservation(load.number, agent))
+        else:
+            query_round.reservations[key] = Reservation(load.number, agent)
+
     def apply_load(self, load: EngineLoad, replica: Replica, sender: Endpoint) -> bool:
         """Record a reported load for a replica if the report is about that incarnation.
 
@@ -156,8 +201,14 @@
         is_same_incarnation = replica.born_ms == load.born_ms or not load.born_ms
         if replica.endpoint.address != sender.address or not is_same_incarnation:
             return False
+        now = asyncio.get_running_loop().time()
+        for record in load.limits:
+            self.rate_limits.observe(replica, observation_of(record, now), 'agent')
         if load.leaving:
             self.on_stopping(replica)
+        if load.refusals:
+            # The load in a refusal is not the load of the engine.
+            return True
         report = LoadReport(
             running=load.running,
             waiting=load.waiting,
@@ -167,9 +218,7 @@
             version=load.version,
             incarnation=load.incarnation,
         )
-        self.placement.engine_load(replica.key).apply_report(
-            report, asyncio.get_running_loop().time()
-        )
+        self.placement.engine_load(replica.key).apply_report(report, now)
         return True
 
     def agent_endpoint(self, replica: Replica) -> Endpoint:
--- a/src/cassiahitch/direct/placement/search.py
+++ b/src/cassiahitch/direct/placement/search.py
@@ -19,18 +19,24 @@
     NoCapacity,
     Placement,
     PlacementRequest,
+    Reservation,
 )
 from cassiahitch.errors import RequestError
 
 if TYPE_CHECKING:
     from cassiahitch.direct.api import Call
     from cassiahitch.direct.placement.candidates import CandidateFilter
+    from cassiahitch.direct.placement.plainsearch import PlainSearch
     from cassiahitch.direct.placement.reservation import ReservationClient
     from cassiahitch.direct.state.catalogue import Engine
+    from cassiahitch.direct.state.ratelimits import RateLimitRegistry
     from cassiahitch.direct.state.replicas import Replica
 
 #: Numbers of engines of the own region and of other regions that are queried in each round.
 ROUNDS = ((2, 0), (3, 2))
+#: Number of rounds in which limited engines are queried, and of queries in each of them.
+LIMITED_ROUNDS = 3
+LIMITED_QUERIES = 2
 #: Engines whose loaded version is queried if no engine is known to have allowed weights.
 MAX_VERSION_QUERIES = 3
 #: Shortest and longest retry time in seconds if no replica is available.
@@ -44,24 +50,16 @@
     """State of the search for one request.
 
     ``replied`` holds the usable engines whose agents replied, and ``reservations`` the reserved
-    slots as replicas and query numbers. ``result`` is the best decision so far.
+    slots by replica key. ``result`` is the best decision so far.
     """
 
     engine: Engine
     request: PlacementRequest
     groups: EngineGroups
     replied: list[Candidate] = field(default_factory=list)
-    reservations: list[tuple[Replica, int]] = field(default_factory=list)
+    reservations: dict[str, Reservation] = field(default_factory=dict)
     result: Assignment | NoCapacity | None = None
 
-    def reservation_at(self, key: str) -> int | None:
-        """Return the number of the query that reserved a slot at a replica.
-
-        :param key: key of the replica.
-        :return: the number, or None if no slot is reserved there.
-        """
-        return next((number for other, number in self.reservations if other.key == key), None)
-
     @property
     def is_complete(self) -> bool:
         """Whether a replica was found that can start the request soon."""
@@ -78,12 +76,18 @@
     candidates: CandidateFilter
     placement: Placement
     reservations: ReservationClient
+    plain: PlainSearch
     rng: random.Random
     grouping: EngineGrouping = field(init=False)
 
     def __post_init__(self) -> None:
         """Create the grouping of engines."""
-        self.grouping = EngineGrouping(self.candidates, self.placement, self.rng)
+        self.grouping = EngineGrouping(self.candidates, self.placement, self.rate_limits, self.rng)
+
+    @property
+    def rate_limits(self) -> RateLimitRegistry:
+        """The rate limits that replicas named."""
+        return self.reservations.rate_limits
 
     async def find(self, call: Call, request: PlacementRequest) -> Assignment | NoCapacity:
         """Assign a request to a replica.
@@ -103,16 +107,36 @@
                 Candidate(replica, self.candidates.is_in_own_region(replica))
                 for replica in replicas
             )
-            return self.placement.place_plain(plain, now)
+            return await self.plain.find(request, plain)
         mean_objective_s = self.candidates.mean_objective_s(call)
         adjusted = replace(request, mean_objective_s=mean_objective_s)
         search = SearchState(
             service.engine, adjusted, self.grouping.group(replicas, service.engine, adjusted, now)
         )
         await self.search(search)
-        if search.result is None:
+        result = self.with_permit_wait(search, replicas)
+        if result is None:
             raise self.no_replica_error(call)
-        return search.result
+        return result
+
+    def with_permit_wait(
+        self, search: SearchState, replicas: tuple[Replica, ...]
+    ) -> Assignment | NoCapacity | None:
+        """Return the result of a search, with the time of the next permit in a refusal.
+
+        :param search: state of the completed search.
+        :param replicas: the replicas of the service.
+        :return: the result; a refusal if there is none and some replicas are limited.
+        """
+        limited = [replica.key for replica in replicas if self.rate_limits.is_limited(replica.key)]
+        if not limited or isinstance(search.result, Assignment):
+            return search.result
+        now = asyncio.get_running_loop().time()
+        wait_s = min(self.rate_limits.permit_wait_s(key, now) for key in limited)
+        if search.result is None:
+            return self.placement.no_permit(search.request, wait_s, len(limited))
+        available_in_s = min(wait_s, search.result.available_in_s)
+        return replace(search.result, available_in_s=available_in_s, limited=len(limited))
 
     def no_replica_error(self, call: Call) -> RequestError:
         """Return the error for a request that no replica accepts.
@@ -144,7 +168,7 @@
             self.release_unused(search)
         if isinstance(search.result, Assignment):
             key = search.result.candidate.replica.key
-            search.result = replace(search.result, reservation=search.reservation_at(key))
+            search.result = replace(search.result, reservation=search.reservations.get(key))
 
     async def query_rounds(self, search: SearchState) -> None:
         """Query engines in rounds until one can start the request soon.
@@ -159,6 +183,7 @@
             await self.query(search, groups.draw(local, remote, self.rng))
             if search.is_complete:
                 break
+        await self.query_limited(search)
         if not search.replied and not groups.full:
             await self.query(search, groups.version_unknown[:MAX_VERSION_QUERIES])
         if search.result is None and groups.full:
@@ -166,6 +191,17 @@
         if search.result is None and groups.unresponsive:
             self.decide(search, tuple(groups.unresponsive))
 
+    async def query_limited(self, search: SearchState) -> None:
+        """Query limited engines if no other engine can start the request soon.
+
+        :param search: state of the search, whose result is set.
+        """
+        limited = search.groups.limited
+        for first in range(0, LIMITED_ROUNDS * LIMITED_QUERIES, LIMITED_QUERIES):
+            if search.is_complete:
+                return
+            await self.query(search, limited[first : first + LIMITED_QUERIES])
+
     async def query(self, search: SearchState, queried: list[Candidate]) -> None:
         """Query some engines, and choose among all engines that have replied so far.
 
@@ -175,18 +211,18 @@
         if not queried:
             return
         tokens = search.request.prompt_tokens
-        numbers = await self.reservations.reserve((engine.replica for engine in queried), tokens)
-        search.reservations += [
-            (engine.replica, numbers[engine.replica.key])
-            for engine in queried
-            if engine.replica.key in numbers
-        ]
+        queries = await self.reservations.reserve((engine.replica for engine in queried), tokens)
+        search.reservations |= queries.reservations
         now = asyncio.get_running_loop().time()
         for candidate in queried:
+            key = candidate.replica.key
             usable = self.grouping.usable(candidate.replica, search.engine, now)
-            if usable is not None:
-                has_replied = candidate.replica.key in numbers
-                (search.replied if has_replied else search.groups.unresponsive).append(usable)
+            if usable is None or key in queries.refused:
+                continue
+            if key in queries.reservations:
+                search.replied.append(usable)
+            elif not self.rate_limits.is_limited(key):
+                search.groups.unresponsive.append(usable)
         if search.replied:
             self.decide(search, tuple(search.replied))
 
@@ -210,9 +246,9 @@
         assigned_key = (
             search.result.candidate.replica.key if isinstance(search.result, Assignment) else ''
         )
-        for replica, number in search.reservations:
-            if replica.key != assigned_key:
-                self.reservations.release(replica, number)
+        for key, reservation in search.reservations.items():
+            if key != assigned_key:
+                self.reservations.release(reservation)
 
 
 __all__ = (
--- a/src/cassiahitch/direct/staging/reporting.py
+++ b/src/cassiahitch/direct/staging/reporting.py
@@ -2,7 +2,8 @@
 
 Load pattern: many entries send requests to the same engine, and each would use a slot that is
 reported as free. Only the agent sees the queries of all entries: it counts the request of each
-query as pending until the engine's own report includes it.
+query as pending until the engine's own report includes it. If the engine names a rate limit, the
+agent grants permits for that rate, so that the limit holds over all entries.
 """
 
 from __future__ import annotations
@@ -11,16 +12,19 @@
 import math
 import random
 from contextlib import suppress
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
+from cassiahitch.direct.staging.enginelimit import EngineRateLimit
+from cassiahitch.direct.staging.permits import refusal_records
 from cassiahitch.errors import PlatformError
-from cassiahitch.wire.datagrammessages import EngineLoad, PlaceQuery, PlaceReturn
+from cassiahitch.wire.datagrammessages import EngineLoad, LimitNotice, PlaceQuery, PlaceReturn
 
 if TYPE_CHECKING:
     from cassiahitch.direct.staging.agentupdater import AgentStateUpdater
     from cassiahitch.direct.staging.enginestate import EngineReport, StagingEngine
     from cassiahitch.direct.staging.loading import Loader
+    from cassiahitch.direct.staging.ratelimiter import Refusal
     from cassiahitch.direct.telemetry import StateLog
     from cassiahitch.errors import WireError
     from cassiahitch.util.endpoints import Endpoint
@@ -35,6 +39,9 @@
 #: Seconds after its last query for which an entry is sent changes of the engine's state.
 SUBSCRIPTION_S = 10.0
 PERCENT = 100
+#: Waiting requests in the reply to a query without a permit, by which entries of versions without
+#: permits consider the engine full.
+REFUSED_WAITING = 1000
 
 
 @dataclass(slots=True)
@@ -81,8 +88,8 @@
     """Polls the engine and sends its load to entries.
 
     ``entries`` holds until when each entry that sent a query is sent changes. ``sent_state`` is
-    the state that was sent last: whether the engine is loading, its version, and whether it is
-    stopping.
+    the state that was sent last: whether the engine is loading, its version, whether it is
+    stopping, and its rate limit.
     """
 
     engine: StagingEngine
@@ -94,11 +101,16 @@
     pending: PendingRequests = field(default_factory=PendingRequests)
     entries: dict[Endpoint, float] = field(default_factory=dict)
     last_report: EngineReport | None = None
-    sent_state: tuple[bool, int, bool] = (False, 0, False)
+    rate_limit: EngineRateLimit = field(init=False)
+    sent_state: tuple[bool, int, bool, float] = (False, 0, False, math.inf)
     socket: DatagramSocket | None = None
     is_engine_reachable: bool = True
     query_received: asyncio.Event = field(default_factory=asyncio.Event)
 
+    def __post_init__(self) -> None:
+        """Create the rate limit, which is unknown until the first report."""
+        self.rate_limit = EngineRateLimit(self.log)
+
     async def work(self) -> None:
         """Poll the engine until cancelled, less often while it is idle."""
         while True:
@@ -121,6 +133,7 @@
 
     async def poll(self) -> None:
         """Read the engine's report once, and apply it."""
+        sent_at = asyncio.get_running_loop().time()
         try:
             report = await self.engine.report()
         except PlatformError as error:
@@ -132,44 +145,40 @@
         if not self.is_engine_reachable:
             self.log.state_changed('engine reached', born_ms=report.born_ms)
         self.is_engine_reachable = True
-        self.log_limit(report)
         self.loader.report = report
-        self.apply_report(report, asyncio.get_running_loop().time())
-
-    def log_limit(self, report: EngineReport) -> None:
-        """Log a change of the rate limit that the engine names in its reports.
-
-        :param report: the newest report.
-        """
-        before = self.last_report.limit_per_s if self.last_report else math.inf
-        if report.limit_per_s != before:
-            self.log.state_changed(
-                'engine reports a rate limit',
-                per_s=report.limit_per_s,
-                before_per_s=before,
-                born_ms=report.born_ms,
-            )
+        now = asyncio.get_running_loop().time()
+        self.rate_limit.apply_report(report, sent_at, now)
+        self.apply_report(report, now)
 
     def apply_report(self, report: EngineReport, now: float) -> None:
-        """Store a report, and send it to entries if the usable weights have changed.
+        """Store a report, and send it to entries if the state of the engine has changed.
 
         :param report: the report.
         :param now: current time in seconds.
         """
         self.last_report = report
-        load = self.engine_load(0, 0)
-        if load is None or (load.loading, load.version, load.leaving) == self.sent_state:
+        self.send_changes(now)
+
+    def send_changes(self, now: float) -> None:
+        """Send the state of the engine to entries if it has changed.
+
+        :param now: current time in seconds.
+        """
+        load = self.engine_load(0)
+        if load is None:
             return
-        self.sent_state = (load.loading, load.version, load.leaving)
+        state = (load.loading, load.version, load.leaving, self.rate_limit.per_s)
+        if state == self.sent_state:
+            return
+        self.sent_state = state
         self.entries = {entry: until for entry, until in self.entries.items() if now < until}
         for entry in self.entries:
             self.send(load, entry)
 
-    def engine_load(self, number: int, pending: int) -> EngineLoad | None:
+    def engine_load(self, number: int) -> EngineLoad | None:
         """Return the load of the engine as it is sent to entries.
 
         :param number: number of the query, 0 for a message that is no reply.
-        :param pending: pending requests of other queries.
         :return: the load, or None if the engine is unreachable or its target version unknown.
         """
         target = self.updater.target_weights()
@@ -181,12 +190,13 @@
             incarnation=self.incarnation,
             born_ms=report.born_ms,
             running=report.running,
-            waiting=report.waiting + pending,
+            waiting=report.waiting,
             slowness_percent=int(report.pace * PERCENT) - PERCENT,
             loading=report.loading,
             model=target.model,
             version=report.loaded_version(target.model),
             leaving=report.stopping,
+            limits=self.rate_limit.records(asyncio.get_running_loop().time()),
         )
 
     def receive(self, message: DatagramMessage, sender: Endpoint) -> None:
@@ -197,12 +207,18 @@
         """
         now = asyncio.get_running_loop().time()
         match message:
-            case PlaceQuery(number=number):
+            case PlaceQuery(number=number, limits=limits):
                 self.entries[sender] = now + SUBSCRIPTION_S
                 self.query_received.set()
+                self.rate_limit.apply_records(limits, sender, now)
                 self.reply(number, sender, now)
+                self.send_changes(now)
             case PlaceReturn(number=number):
                 self.pending.release(sender, number)
+                self.rate_limit.limiter.release(sender, number)
+            case LimitNotice(limits=limits):
+                self.rate_limit.apply_records(limits, sender, now)
+                self.send_changes(now)
 
     def reply(self, number: int, entry: Endpoint, now: float) -> None:
         """Reply to a query of an entry.
@@ -214,9 +230,27 @@
         :param entry: the entry.
         :param now: current time in seconds.
         """
-        load = self.engine_load(number, self.pending.add(entry, number, now))
-        if load is not None:
-            self.send(load, entry)
+        load = self.engine_load(number)
+        if load is None:
+            return
+        refusal = self.rate_limit.limiter.request(entry, number, now)
+        self.send(self.answer(load, refusal, entry, now), entry)
+
+    def answer(
+        self, load: EngineLoad, refusal: Refusal | None, entry: Endpoint, now: float
+    ) -> EngineLoad:
+        """Return the reply to a query, which reserves a slot unless no permit is granted.
+
+        :param load: the load of the engine without pending requests.
+        :param refusal: set if no permit is granted.
+        :param entry: the entry that sent the query.
+        :param now: current time in seconds.
+        :return: the reply.
+        """
+        if refusal is not None:
+            return replace(load, waiting=REFUSED_WAITING, refusals=refusal_records(refusal))
+        pending = self.pending.add(entry, load.number, now)
+        return replace(load, waiting=load.waiting + pending)
 
     def send(self, load: EngineLoad, entry: Endpoint) -> None:
         """Send the load to an entry.
--- a/src/cassiahitch/direct/state/ratelimits.py
+++ b/src/cassiahitch/direct/state/ratelimits.py
@@ -2,14 +2,31 @@
 
 Load pattern: an overloaded replica names the rate of requests that it accepts from all entries
 together. Responses overtake each other, and processes exchange what they have observed. A response
-to a request that was sent before the limit was raised must not raise a limit that was lowered
-meanwhile.
+to a request that was sent before the limit was lowered must not raise it again.
 """
 
 from __future__ import annotations
 
 import math
+import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Self
+
+from cassiahitch.wire.datagrammessages import LimitRecord
+
+if TYPE_CHECKING:
+    from cassiahitch.direct.state.replicas import Replica
+
+MS_PER_S = 1000
+#: Requests per second are sent in thousandths.
+MILLI = 1000
+#: Value of a record of a response that named no limit.
+NO_LIMIT_MILLI = -1
+#: Maximum number of limits in a message to another entry.
+MAX_SENT_LIMITS = 4
+#: Maximum age of a record; observations of unknown age are sent with it.
+MAX_AGE_S = 1e6
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,12 +41,63 @@
     sent_at: float = -math.inf
     received_at: float = -math.inf
 
+    @classmethod
+    def named(cls, per_s: float, sent_at: float, received_at: float) -> Self:
+        """Return the observation of a limit, rounded down as it is sent to other processes.
+
+        :param per_s: the limit that a response named, infinity if none.
+        :param sent_at: when the request was sent, minus infinity if that is unknown.
+        :param received_at: when the response was received.
+        :return: the observation.
+        """
+        rounded = per_s if per_s == math.inf else int(per_s * MILLI) / MILLI
+        return cls(rounded, sent_at, received_at)
+
+    def record(self, now: float, replica: str = '', born_ms: int = 0) -> LimitRecord:
+        """Return the observation as it is sent to other processes.
+
+        :param now: current time in seconds.
+        :param replica: id of the replica, empty for the engine of an agent.
+        :param born_ms: Unix time at which the replica started.
+        :return: the record.
+        """
+        return LimitRecord(
+            replica,
+            born_ms,
+            NO_LIMIT_MILLI if self.per_s == math.inf else int(self.per_s * MILLI),
+            math.ceil(min(MAX_AGE_S, now - self.sent_at) * MS_PER_S),
+            int(min(MAX_AGE_S, now - self.received_at) * MS_PER_S),
+        )
+
+
+def observation_of(record: LimitRecord, now: float) -> LimitObservation:
+    """Return the observation of a record that was received.
+
+    :param record: the record.
+    :param now: current time in seconds.
+    :return: the observation, with times of this host.
+    """
+    return LimitObservation(
+        record.milli_per_s / MILLI if record.milli_per_s >= 0 else math.inf,
+        now - max(0, record.sent_age_ms) / MS_PER_S,
+        now - max(0, record.received_age_ms) / MS_PER_S,
+    )
+
 
 @dataclass(slots=True)
 class RateLimitTracker:
-    """The rate limit that applies to one replica, and the observation that it is based on."""
+    """The rate limit that applies to one replica, and the observation that it is based on.
+
+    ``was_limited`` is set once the replica has named a limit.
+    """
 
     current: LimitObservation = LimitObservation()
+    was_limited: bool = False
+
+    @property
+    def is_limited(self) -> bool:
+        """Whether a limit applies."""
+        return self.current.per_s < math.inf
 
     def observe(self, observation: LimitObservation) -> bool:
         """Apply an observation unless it may be older than the current limit.
@@ -54,40 +122,103 @@
                 max(current.received_at, observation.received_at),
             )
         self.current = observation
+        self.was_limited = self.was_limited or self.is_limited
         return observation.per_s != current.per_s
 
+    def records(self, now: float, replica: str = '', born_ms: int = 0) -> tuple[LimitRecord, ...]:
+        """Return the current limit as it is sent to other processes.
+
+        :param now: current time in seconds.
+        :param replica: id of the replica, empty for the engine of an agent.
+        :param born_ms: Unix time at which the replica started.
+        :return: one record, or none if the replica has never named a limit.
+        """
+        return (self.current.record(now, replica, born_ms),) if self.was_limited else ()
+
+
+def _ignore_change(_: Replica, _before: LimitObservation, _source: str) -> None:
+    """Ignore a change of a limit; the default without a listener."""
+
 
 @dataclass(slots=True)
 class RateLimitRegistry:
-    """Rate limits of replicas by key, so that none applies to another incarnation."""
+    """Rate limits of replicas by key, so that none applies to another incarnation.
 
+    ``named`` holds the replicas that have named a limit, ``permits_at`` the times in seconds at
+    which their next permits are available, by the last refusals. ``on_change`` is called with the
+    replica, its limit before, and the source of the observation.
+    """
+
+    rng: random.Random = field(default_factory=random.Random)
     trackers: dict[str, RateLimitTracker] = field(default_factory=dict)
+    named: dict[str, Replica] = field(default_factory=dict)
+    permits_at: dict[str, float] = field(default_factory=dict)
+    on_change: Callable[[Replica, LimitObservation, str], None] = _ignore_change
 
-    def limit(self, key: str) -> LimitObservation:
-        """Return the current limit of a replica.
+    def tracker(self, key: str) -> RateLimitTracker:
+        """Return the tracker of a replica, which is created if needed.
 
         :param key: key of the replica.
-        :return: the observation that the limit is based on.
+        :return: the tracker.
         """
-        tracker = self.trackers.get(key)
-        return LimitObservation() if tracker is None else tracker.current
+        return self.trackers.setdefault(key, RateLimitTracker())
 
     def is_limited(self, key: str) -> bool:
         """Return whether a replica names a rate limit.
 
         :param key: key of the replica.
-        :return: whether it does, as far as this process has observed.
+        :return: whether it does, as far as this process knows.
         """
-        return self.limit(key).per_s < math.inf
+        return self.tracker(key).is_limited
 
-    def observe(self, key: str, observation: LimitObservation) -> bool:
+    def observe(self, replica: Replica, observation: LimitObservation, source: str) -> None:
         """Apply an observation of the limit of a replica.
 
-        :param key: key of the replica.
+        :param replica: the replica.
         :param observation: the observation.
-        :return: whether its limit changed.
+        :param source: where it came from.
+        """
+        tracker = self.tracker(replica.key)
+        before = tracker.current
+        if tracker.observe(observation):
+            self.named[replica.key] = replica
+            self.on_change(replica, before, source)
+
+    def record_refusal(self, key: str, available_at: float) -> None:
+        """Record that no permit is available for a replica.
+
+        :param key: key of the replica.
+        :param available_at: when one becomes available, in seconds.
+        """
+        self.permits_at[key] = available_at
+
+    def permit_wait_s(self, key: str, now: float) -> float:
+        """Return how long no permit is available for a replica, as far as this process knows.
+
+        :param key: key of the replica.
+        :param now: current time in seconds.
+        :return: seconds, 0 if one may be available.
+        """
+        return max(0, self.permits_at.get(key, now) - now)
+
+    def records(self, replica: Replica, now: float) -> tuple[LimitRecord, ...]:
+        """Return the limit of a replica as it is sent to other processes.
+
+        :param replica: the replica.
+        :param now: current time in seconds.
+        :return: one record, or none if the replica has never named a limit.
+        """
+        return self.tracker(replica.key).records(now, replica.id, replica.born_ms)
+
+    def records_to_send(self, now: float) -> tuple[LimitRecord, ...]:
+        """Return limits in force for a message to another entry.
+
+        :param now: current time in seconds.
+        :return: records of random replicas among those that are limited.
         """
-        return self.trackers.setdefault(key, RateLimitTracker()).observe(observation)
+        limited = [replica for key, replica in self.named.items() if self.is_limited(key)]
+        chosen = self.rng.sample(limited, min(MAX_SENT_LIMITS, len(limited)))
+        return tuple(record for replica in chosen for record in self.records(replica, now))
 
     def keep_only(self, keys: frozenset[str]) -> None:
         """Drop the limits of replicas that are no longer registered.
@@ -95,10 +226,13 @@
         :param keys: keys of the registered replicas.
         """
         self.trackers = {key: tracker for key, tracker in self.trackers.items() if key in keys}
+        self.named = {key: replica for key, replica in self.named.items() if key in keys}
+        self.permits_at = {key: at for key, at in self.permits_at.items() if key in keys}
 
 
 __all__ = (
     'LimitObservation',
     'RateLimitRegistry',
     'RateLimitTracker',
+    'observation_of',
 )
--- a/src/cassiahitch/direct/state/updater.py
+++ b/src/cassiahitch/direct/state/updater.py
@@ -85,6 +85,7 @@
         """
         before = self.entry_state.catalogue
         applied = self.entry_state.apply_configuration(catalogue)
+        self.entry_state.choose_limiters(boot_time())
         self.telemetry.state_changed(
             'configuration in force' if applied else 'configuration is older',
             version=catalogue.version,
@@ -121,8 +122,11 @@
         now = asyncio.get_running_loop().time()
         if not isinstance(reply, UNCONFIRMED_REPLIES):
             self.entry_state.replicas.record_reply(now - (boot_time() - sent_at), now)
+            self.entry_state.limiters.confirm(sent_at, boot_time())
         for row in rows:
             self.apply_replica(row, now)
+        if rows:
+            self.entry_state.choose_limiters(boot_time())
         if isinstance(reply, TableSnapshot):
             self.entry_state.replicas_loaded = True
 
--- a/src/cassiahitch/direct/telemetry.py
+++ b/src/cassiahitch/direct/telemetry.py
@@ -127,7 +127,7 @@
         :param replica: the replica.
         :return: the limit and how long ago it was last named; empty if it names none.
         """
-        limit = self.entry_state.rate_limits.limit(replica.key)
+        limit = self.entry_state.rate_limits.tracker(replica.key).current
         if limit.per_s == math.inf:
             return {}
         now = asyncio.get_running_loop().time()
@@ -141,7 +141,12 @@
         """
         if call.size_rank is not None:
             self.metrics.count(CounterName.refused_by_size, call.size_rank.label)
-        fields = {'best_s': no_capacity.best_expected_s, 'retry_after_s': no_capacity.retry_after_s}
+        fields = {
+            'best_s': no_capacity.best_expected_s,
+            'available_s': no_capacity.available_in_s,
+            'limited': no_capacity.limited,
+            'retry_after_s': no_capacity.retry_after_s,
+        }
         self.log_request(logging.INFO, 'request found no place', call, fields | _size_fields(call))
 
     def failover_refused(self, call: Call, assignment: Assignment, error: RequestError) -> None:
@@ -232,14 +237,11 @@
         )
         self.state_changed(message, replica=expired.key, after_s=expired.after_s)
 
-    def rate_limit_changed(
-        self, replica: Replica, before: LimitObservation, observed: LimitObservation, source: str
-    ) -> None:
+    def rate_limit_changed(self, replica: Replica, before: LimitObservation, source: str) -> None:
         """Record that a backend server has named a rate limit, or names none any more.
 
         :param replica: the backend server.
         :param before: the limit that applied before.
-        :param observed: the limit that applies now.
         :param source: where it was observed, such as in a response or by the agent.
         """
         fields: dict[str, Any] = {
@@ -249,12 +251,13 @@
             'before_per_s': before.per_s,
             'source': source,
         }
-        if observed.per_s == math.inf:
+        current = self.entry_state.rate_limits.tracker(replica.key).current
+        if current.per_s == math.inf:
             fields['named_s_ago'] = asyncio.get_running_loop().time() - before.received_at
             self.state_changed('rate limit of a replica is over', **fields)
             return
         self.metrics.count(CounterName.rate_limits_named, replica.service)
-        self.state_changed('replica names a rate limit', per_s=observed.per_s, **fields)
+        self.state_changed('replica names a rate limit', per_s=current.per_s, **fields)
 
     def header_ignored(self, replica: Replica, name: str) -> None:
         """Record that an invalid header of a response was ignored.
--- a/src/cassiahitch/wire/datagrammessages.py
+++ b/src/cassiahitch/wire/datagrammessages.py
@@ -33,6 +33,22 @@
     age_ms: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class LimitRecord:
+    """The rate limit of a replica, as named in a response.
+
+    ``milli_per_s`` is in thousandths of a request per second, -1 if the response named no limit.
+    Its request was sent ``sent_age_ms`` ago, and it was received ``received_age_ms`` ago. An empty
+    ``replica`` stands for the engine of the agent that sends or receives the message.
+    """
+
+    replica: str = ''
+    born_ms: int = 0
+    milli_per_s: int = -1
+    sent_age_ms: int = 0
+    received_age_ms: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class MemberState:
     """State of an entry in the region of the sender.
@@ -82,6 +98,7 @@
     regions: tuple[RegionState, ...] = ()
     suspects: tuple[SuspectRecord, ...] = ()
     versions: tuple[VersionRecord, ...] = ()
+    limits: tuple[LimitRecord, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,26 +106,66 @@
     """Query of an entry to an agent for the load of its engine.
 
     The agent counts the request as waiting for a short time, unless a :class:`PlaceReturn`
-    releases it.
+    releases it. If the engine names a rate limit, the agent grants or refuses a permit as well.
+    ``limits`` holds the limit of the engine if the entry has observed one.
     """
 
     number: int = 0
     prompt_tokens: int = 0
+    limits: tuple[LimitRecord, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
 class PlaceReturn:
-    """Releases the place of a query whose request is sent to another replica."""
+    """Releases the place or the permit of a query whose request is not sent."""
 
     number: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class PermitRefusal:
+    """The rate limit of a replica is used up; a permit is available in ``available_ms``."""
+
+    available_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class PermitQuery:
+    """Query of an entry to an agent for a permit to send a request to a plain replica.
+
+    ``limits`` holds the limit of the replica as the entry has observed it.
+    """
+
+    number: int = 0
+    limits: tuple[LimitRecord, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class PermitReply:
+    """Reply to a permit query; the permit is granted if ``refusals`` is empty.
+
+    ``limits`` holds the current limit of the replica.
+    """
+
+    number: int = 0
+    limits: tuple[LimitRecord, ...] = ()
+    refusals: tuple[PermitRefusal, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class LimitNotice:
+    """Observation of an entry that changes the rate limit of a replica."""
+
+    limits: tuple[LimitRecord, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class EngineLoad:
     """Load of the engine of an agent, sent as a reply to a query or unsolicited as number 0.
 
     ``waiting`` includes the requests of recent queries that have not arrived yet. ``leaving`` is
-    set if the engine reports that it is stopping.
+    set if the engine reports that it is stopping. ``limits`` holds the rate limit of the engine if
+    it has named one, and ``refusals`` is set if no permit is granted for the request of the query.
     """
 
     number: int = 0
@@ -121,6 +178,8 @@
     model: str = ''
     version: int = 0
     leaving: bool = False
+    limits: tuple[LimitRecord, ...] = ()
+    refusals: tuple[PermitRefusal, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -199,6 +258,9 @@
     | TableQuery
     | TableState
     | TableRows
+    | PermitQuery
+    | PermitReply
+    | LimitNotice
 )
 
 __all__ = (
@@ -206,8 +268,13 @@
     'ChunkMap',
     'CrashRecord',
     'EngineLoad',
+    'LimitNotice',
+    'LimitRecord',
     'MemberNews',
     'MemberState',
+    'PermitQuery',
+    'PermitRefusal',
+    'PermitReply',
     'PlaceQuery',
     'PlaceReturn',
     'RegionState',
--- a/src/cassiahitch/wire/datagrams.thrift
+++ b/src/cassiahitch/wire/datagrams.thrift
@@ -41,6 +41,14 @@
   4: list<string> endpoints
 }
 
+struct LimitRecord {
+  1: string replica
+  2: i64 born_ms
+  3: i64 milli_per_s
+  4: i64 sent_age_ms
+  5: i64 received_age_ms
+}
+
 struct MemberNews {
   1: i64 number
   2: bool asks
@@ -49,17 +57,38 @@
   5: list<RegionState> regions
   6: list<SuspectRecord> suspects
   7: list<VersionRecord> versions
+  8: list<LimitRecord> limits
 }
 
 struct PlaceQuery {
   1: i64 number
   2: i32 prompt_tokens
+  3: list<LimitRecord> limits
 }
 
 struct PlaceReturn {
   1: i64 number
 }
 
+struct PermitRefusal {
+  1: i64 available_ms
+}
+
+struct PermitQuery {
+  1: i64 number
+  2: list<LimitRecord> limits
+}
+
+struct PermitReply {
+  1: i64 number
+  2: list<LimitRecord> limits
+  3: list<PermitRefusal> refusals
+}
+
+struct LimitNotice {
+  1: list<LimitRecord> limits
+}
+
 struct EngineLoad {
   1: i64 number
   2: i64 incarnation
@@ -71,6 +100,8 @@
   8: string model
   9: i32 version
   10: bool leaving
+  11: list<LimitRecord> limits
+  12: list<PermitRefusal> refusals
 }
 
 struct ChunkMap {
@@ -121,4 +152,7 @@
   6: TableQuery table_query
   7: TableState table_state
   8: TableRows table_rows
+  9: PermitQuery permit_query
+  10: PermitReply permit_reply
+  11: LimitNotice limit_notice
 }
--- a/src/cassiahitch/wire/gen/datagrams/ttypes.py
+++ b/src/cassiahitch/wire/gen/datagrams/ttypes.py
@@ -601,6 +601,122 @@
         return not (self == other)
 
 
+class LimitRecord(object):
+    """
+    Attributes:
+     - replica
+     - born_ms
+     - milli_per_s
+     - sent_age_ms
+     - received_age_ms
+
+    """
+
+    __slots__ = (
+        'replica',
+        'born_ms',
+        'milli_per_s',
+        'sent_age_ms',
+        'received_age_ms',
+    )
+
+
+    def __init__(self, replica=None, born_ms=None, milli_per_s=None, sent_age_ms=None, received_age_ms=None,):
+        self.replica = replica
+        self.born_ms = born_ms
+        self.milli_per_s = milli_per_s
+        self.sent_age_ms = sent_age_ms
+        self.received_age_ms = received_age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.replica = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.milli_per_s = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.sent_age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.received_age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LimitRecord')
+        if self.replica is not None:
+            oprot.writeFieldBegin('replica', TType.STRING, 1)
+            oprot.writeString(self.replica.encode('utf-8') if sys.version_info[0] == 2 else self.replica)
+            oprot.writeFieldEnd()
+        if self.born_ms is not None:
+            oprot.writeFieldBegin('born_ms', TType.I64, 2)
+            oprot.writeI64(self.born_ms)
+            oprot.writeFieldEnd()
+        if self.milli_per_s is not None:
+            oprot.writeFieldBegin('milli_per_s', TType.I64, 3)
+            oprot.writeI64(self.milli_per_s)
+            oprot.writeFieldEnd()
+        if self.sent_age_ms is not None:
+            oprot.writeFieldBegin('sent_age_ms', TType.I64, 4)
+            oprot.writeI64(self.sent_age_ms)
+            oprot.writeFieldEnd()
+        if self.received_age_ms is not None:
+            oprot.writeFieldBegin('received_age_ms', TType.I64, 5)
+            oprot.writeI64(self.received_age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class MemberNews(object):
     """
     Attributes:
@@ -611,6 +727,7 @@
      - regions
      - suspects
      - versions
+     - limits
 
     """
 
@@ -622,10 +739,11 @@
         'regions',
         'suspects',
         'versions',
+        'limits',
     )
 
 
-    def __init__(self, number=None, asks=None, target=None, members=None, regions=None, suspects=None, versions=None,):
+    def __init__(self, number=None, asks=None, target=None, members=None, regions=None, suspects=None, versions=None, limits=None,):
         self.number = number
         self.asks = asks
         self.target = target
@@ -633,6 +751,7 @@
         self.regions = regions
         self.suspects = suspects
         self.versions = versions
+        self.limits = limits
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -702,6 +821,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.limits = []
+                    (_etype41, _size38) = iprot.readListBegin()
+                    for _i42 in range(_size38):
+                        _elem43 = LimitRecord()
+                        _elem43.read(iprot)
+                        self.limits.append(_elem43)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -727,29 +857,36 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter38 in self.members:
-                iter38.write(oprot)
+            for iter44 in self.members:
+                iter44.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.regions is not None:
             oprot.writeFieldBegin('regions', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.regions))
-            for iter39 in self.regions:
-                iter39.write(oprot)
+            for iter45 in self.regions:
+                iter45.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter40 in self.suspects:
-                iter40.write(oprot)
+            for iter46 in self.suspects:
+                iter46.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.versions is not None:
             oprot.writeFieldBegin('versions', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.versions))
-            for iter41 in self.versions:
-                iter41.write(oprot)
+            for iter47 in self.versions:
+                iter47.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.limits is not None:
+            oprot.writeFieldBegin('limits', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.limits))
+            for iter48 in self.limits:
+                iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -782,18 +919,21 @@
     Attributes:
      - number
      - prompt_tokens
+     - limits
 
     """
 
     __slots__ = (
         'number',
         'prompt_tokens',
+        'limits',
     )
 
 
-    def __init__(self, number=None, prompt_tokens=None,):
+    def __init__(self, number=None, prompt_tokens=None, limits=None,):
         self.number = number
         self.prompt_tokens = prompt_tokens
+        self.limits = limits
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -814,6 +954,17 @@
                     self.prompt_tokens = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.limits = []
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = LimitRecord()
+                        _elem54.read(iprot)
+                        self.limits.append(_elem54)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -832,6 +983,13 @@
             oprot.writeFieldBegin('prompt_tokens', TType.I32, 2)
             oprot.writeI32(self.prompt_tokens)
             oprot.writeFieldEnd()
+        if self.limits is not None:
+            oprot.writeFieldBegin('limits', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.limits))
+            for iter55 in self.limits:
+                iter55.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -925,6 +1083,350 @@
         return not (self == other)
 
 
+class PermitRefusal(object):
+    """
+    Attributes:
+     - available_ms
+
+    """
+
+    __slots__ = (
+        'available_ms',
+    )
+
+
+    def __init__(self, available_ms=None,):
+        self.available_ms = available_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.available_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PermitRefusal')
+        if self.available_ms is not None:
+            oprot.writeFieldBegin('available_ms', TType.I64, 1)
+            oprot.writeI64(self.available_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PermitQuery(object):
+    """
+    Attributes:
+     - number
+     - limits
+
+    """
+
+    __slots__ = (
+        'number',
+        'limits',
+    )
+
+
+    def __init__(self, number=None, limits=None,):
+        self.number = number
+        self.limits = limits
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.limits = []
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = LimitRecord()
+                        _elem61.read(iprot)
+                        self.limits.append(_elem61)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PermitQuery')
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 1)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.limits is not None:
+            oprot.writeFieldBegin('limits', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.limits))
+            for iter62 in self.limits:
+                iter62.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PermitReply(object):
+    """
+    Attributes:
+     - number
+     - limits
+     - refusals
+
+    """
+
+    __slots__ = (
+        'number',
+        'limits',
+        'refusals',
+    )
+
+
+    def __init__(self, number=None, limits=None, refusals=None,):
+        self.number = number
+        self.limits = limits
+        self.refusals = refusals
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.limits = []
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = LimitRecord()
+                        _elem68.read(iprot)
+                        self.limits.append(_elem68)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.refusals = []
+                    (_etype72, _size69) = iprot.readListBegin()
+                    for _i73 in range(_size69):
+                        _elem74 = PermitRefusal()
+                        _elem74.read(iprot)
+                        self.refusals.append(_elem74)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PermitReply')
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 1)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.limits is not None:
+            oprot.writeFieldBegin('limits', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.limits))
+            for iter75 in self.limits:
+                iter75.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.refusals is not None:
+            oprot.writeFieldBegin('refusals', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.refusals))
+            for iter76 in self.refusals:
+                iter76.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class LimitNotice(object):
+    """
+    Attributes:
+     - limits
+
+    """
+
+    __slots__ = (
+        'limits',
+    )
+
+
+    def __init__(self, limits=None,):
+        self.limits = limits
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.limits = []
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = LimitRecord()
+                        _elem82.read(iprot)
+                        self.limits.append(_elem82)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LimitNotice')
+        if self.limits is not None:
+            oprot.writeFieldBegin('limits', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.limits))
+            for iter83 in self.limits:
+                iter83.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class EngineLoad(object):
     """
     Attributes:
@@ -938,6 +1440,8 @@
      - model
      - version
      - leaving
+     - limits
+     - refusals
 
     """
 
@@ -952,10 +1456,12 @@
         'model',
         'version',
         'leaving',
+        'limits',
+        'refusals',
     )
 
 
-    def __init__(self, number=None, incarnation=None, born_ms=None, running=None, waiting=None, slowness_percent=None, loading=None, model=None, version=None, leaving=None,):
+    def __init__(self, number=None, incarnation=None, born_ms=None, running=None, waiting=None, slowness_percent=None, loading=None, model=None, version=None, leaving=None, limits=None, refusals=None,):
         self.number = number
         self.incarnation = incarnation
         self.born_ms = born_ms
@@ -966,6 +1472,8 @@
         self.model = model
         self.version = version
         self.leaving = leaving
+        self.limits = limits
+        self.refusals = refusals
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1026,6 +1534,28 @@
                     self.leaving = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.LIST:
+                    self.limits = []
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = LimitRecord()
+                        _elem89.read(iprot)
+                        self.limits.append(_elem89)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.LIST:
+                    self.refusals = []
+                    (_etype93, _size90) = iprot.readListBegin()
+                    for _i94 in range(_size90):
+                        _elem95 = PermitRefusal()
+                        _elem95.read(iprot)
+                        self.refusals.append(_elem95)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1076,6 +1606,20 @@
             oprot.writeFieldBegin('leaving', TType.BOOL, 10)
             oprot.writeBool(self.leaving)
             oprot.writeFieldEnd()
+        if self.limits is not None:
+            oprot.writeFieldBegin('limits', TType.LIST, 11)
+            oprot.writeListBegin(TType.STRUCT, len(self.limits))
+            for iter96 in self.limits:
+                iter96.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.refusals is not None:
+            oprot.writeFieldBegin('refusals', TType.LIST, 12)
+            oprot.writeListBegin(TType.STRUCT, len(self.refusals))
+            for iter97 in self.refusals:
+                iter97.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1604,11 +2148,11 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = RowRecord()
-                        _elem47.read(iprot)
-                        self.rows.append(_elem47)
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = RowRecord()
+                        _elem103.read(iprot)
+                        self.rows.append(_elem103)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1649,8 +2193,8 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter48 in self.rows:
-                iter48.write(oprot)
+            for iter104 in self.rows:
+                iter104.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1689,6 +2233,9 @@
      - table_query
      - table_state
      - table_rows
+     - permit_query
+     - permit_reply
+     - limit_notice
 
     """
 
@@ -1701,10 +2248,13 @@
         'table_query',
         'table_state',
         'table_rows',
+        'permit_query',
+        'permit_reply',
+        'limit_notice',
     )
 
 
-    def __init__(self, members=None, place_query=None, load=None, place_return=None, chunks=None, table_query=None, table_state=None, table_rows=None,):
+    def __init__(self, members=None, place_query=None, load=None, place_return=None, chunks=None, table_query=None, table_state=None, table_rows=None, permit_query=None, permit_reply=None, limit_notice=None,):
         self.members = members
         self.place_query = place_query
         self.load = load
@@ -1713,6 +2263,9 @@
         self.table_query = table_query
         self.table_state = table_state
         self.table_rows = table_rows
+        self.permit_query = permit_query
+        self.permit_reply = permit_reply
+        self.limit_notice = limit_notice
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1771,6 +2324,24 @@
                     self.table_rows.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRUCT:
+                    self.permit_query = PermitQuery()
+                    self.permit_query.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.STRUCT:
+                    self.permit_reply = PermitReply()
+                    self.permit_reply.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRUCT:
+                    self.limit_notice = LimitNotice()
+                    self.limit_notice.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1813,6 +2384,18 @@
             oprot.writeFieldBegin('table_rows', TType.STRUCT, 8)
             self.table_rows.write(oprot)
             oprot.writeFieldEnd()
+        if self.permit_query is not None:
+            oprot.writeFieldBegin('permit_query', TType.STRUCT, 9)
+            self.permit_query.write(oprot)
+            oprot.writeFieldEnd()
+        if self.permit_reply is not None:
+            oprot.writeFieldBegin('permit_reply', TType.STRUCT, 10)
+            self.permit_reply.write(oprot)
+            oprot.writeFieldEnd()
+        if self.limit_notice is not None:
+            oprot.writeFieldBegin('limit_notice', TType.STRUCT, 11)
+            self.limit_notice.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1880,6 +2463,15 @@
     (3, TType.I32, 'live', None, None, ),  # 3
     (4, TType.LIST, 'endpoints', (TType.STRING, 'UTF8', False), None, ),  # 4
 )
+all_structs.append(LimitRecord)
+LimitRecord.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'replica', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'born_ms', None, None, ),  # 2
+    (3, TType.I64, 'milli_per_s', None, None, ),  # 3
+    (4, TType.I64, 'sent_age_ms', None, None, ),  # 4
+    (5, TType.I64, 'received_age_ms', None, None, ),  # 5
+)
 all_structs.append(MemberNews)
 MemberNews.thrift_spec = (
     None,  # 0
@@ -1890,18 +2482,43 @@
     (5, TType.LIST, 'regions', (TType.STRUCT, [RegionState, None], False), None, ),  # 5
     (6, TType.LIST, 'suspects', (TType.STRUCT, [SuspectRecord, None], False), None, ),  # 6
     (7, TType.LIST, 'versions', (TType.STRUCT, [VersionRecord, None], False), None, ),  # 7
+    (8, TType.LIST, 'limits', (TType.STRUCT, [LimitRecord, None], False), None, ),  # 8
 )
 all_structs.append(PlaceQuery)
 PlaceQuery.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'number', None, None, ),  # 1
     (2, TType.I32, 'prompt_tokens', None, None, ),  # 2
+    (3, TType.LIST, 'limits', (TType.STRUCT, [LimitRecord, None], False), None, ),  # 3
 )
 all_structs.append(PlaceReturn)
 PlaceReturn.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'number', None, None, ),  # 1
 )
+all_structs.append(PermitRefusal)
+PermitRefusal.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'available_ms', None, None, ),  # 1
+)
+all_structs.append(PermitQuery)
+PermitQuery.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'number', None, None, ),  # 1
+    (2, TType.LIST, 'limits', (TType.STRUCT, [LimitRecord, None], False), None, ),  # 2
+)
+all_structs.append(PermitReply)
+PermitReply.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'number', None, None, ),  # 1
+    (2, TType.LIST, 'limits', (TType.STRUCT, [LimitRecord, None], False), None, ),  # 2
+    (3, TType.LIST, 'refusals', (TType.STRUCT, [PermitRefusal, None], False), None, ),  # 3
+)
+all_structs.append(LimitNotice)
+LimitNotice.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'limits', (TType.STRUCT, [LimitRecord, None], False), None, ),  # 1
+)
 all_structs.append(EngineLoad)
 EngineLoad.thrift_spec = (
     None,  # 0
@@ -1915,6 +2532,8 @@
     (8, TType.STRING, 'model', 'UTF8', None, ),  # 8
     (9, TType.I32, 'version', None, None, ),  # 9
     (10, TType.BOOL, 'leaving', None, None, ),  # 10
+    (11, TType.LIST, 'limits', (TType.STRUCT, [LimitRecord, None], False), None, ),  # 11
+    (12, TType.LIST, 'refusals', (TType.STRUCT, [PermitRefusal, None], False), None, ),  # 12
 )
 all_structs.append(ChunkMap)
 ChunkMap.thrift_spec = (
@@ -1971,6 +2590,9 @@
     (6, TType.STRUCT, 'table_query', [TableQuery, None], None, ),  # 6
     (7, TType.STRUCT, 'table_state', [TableState, None], None, ),  # 7
     (8, TType.STRUCT, 'table_rows', [TableRows, None], None, ),  # 8
+    (9, TType.STRUCT, 'permit_query', [PermitQuery, None], None, ),  # 9
+    (10, TType.STRUCT, 'permit_reply', [PermitReply, None], None, ),  # 10
+    (11, TType.STRUCT, 'limit_notice', [LimitNotice, None], None, ),  # 11
 )
 fix_spec(all_structs)
 del all_structs
--- a/tests/direct/placement/test_search.py
+++ b/tests/direct/placement/test_search.py
@@ -96,10 +96,12 @@
         self.reservations = ReservationClient(self.placement, 7700)
         socket: Any = self
         self.reservations.socket = socket
+        no_plain_replicas: Any = None
         self.placement_search = PlacementSearch(
             CandidateFilter(self.entry_state, self.placement, self.availability),
             self.placement,
             self.reservations,
+            no_plain_replicas,
             rng,
         )
         services = {'drafts': Service('drafts', 100, ENGINE)}
--- a/tests/direct/staging/test_reporting.py
+++ b/tests/direct/staging/test_reporting.py
@@ -12,10 +12,22 @@
 
 from cassiahitch.direct.staging.chunks import WeightsId
 from cassiahitch.direct.staging.enginestate import EngineReport
-from cassiahitch.direct.staging.reporting import PENDING_EXPIRY_S, SUBSCRIPTION_S, LoadReporter
+from cassiahitch.direct.staging.reporting import (
+    PENDING_EXPIRY_S,
+    REFUSED_WAITING,
+    SUBSCRIPTION_S,
+    LoadReporter,
+)
+from cassiahitch.direct.state.ratelimits import LimitObservation
 from cassiahitch.direct.telemetry import StateLog
 from cassiahitch.util.endpoints import Endpoint
-from cassiahitch.wire.datagrammessages import EngineLoad, PlaceQuery, PlaceReturn
+from cassiahitch.wire.datagrammessages import (
+    EngineLoad,
+    LimitNotice,
+    LimitRecord,
+    PlaceQuery,
+    PlaceReturn,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -114,3 +126,39 @@
         assert not recorder.sent
 
     run_in_virtual_time(body)
+
+
+def limit_records(per_s: float) -> tuple[LimitRecord, ...]:
+    return (LimitObservation(per_s, now(), now()).record(now(), born_ms=1),)
+
+
+def test_query_with_a_limit_is_refused_without_reserving_a_slot() -> None:
+    async def body(reporter: LoadReporter, recorder: RecordingSocket) -> None:
+        reporter.rate_limit.apply_report(make_report(4), now(), now())
+        reporter.apply_report(make_report(4), now())
+        reporter.receive(PlaceQuery(1, 500, limit_records(2)), FIRST)
+        await asyncio.sleep(0.5)
+        reporter.receive(PlaceQuery(2, 500), FIRST)
+        reporter.receive(PlaceQuery(3, 500), SECOND)
+        replies = [load for _, load in recorder.sent if load.number]
+        assert [bool(load.refusals) for load in replies] == [True, False, True]
+        # Entries of versions without permits consider the engine full.
+        assert [load.waiting for load in replies] == [REFUSED_WAITING, 0, REFUSED_WAITING]
+        assert replies[2].refusals[0].available_ms == 500
+        assert len(reporter.pending.since) == 1
+
+    run_in_virtual_time(body)
+
+
+def test_limit_that_an_entry_observed_is_sent_to_the_other_entries_at_once() -> None:
+    async def body(reporter: LoadReporter, recorder: RecordingSocket) -> None:
+        reporter.rate_limit.apply_report(make_report(4), now(), now())
+        reporter.apply_report(make_report(4), now())
+        reporter.receive(PlaceQuery(1, 500), FIRST)
+        recorder.sent.clear()
+        reporter.receive(LimitNotice(limit_records(2.5)), SECOND)
+        assert [
+            (entry, load.number, load.limits[0].milli_per_s) for entry, load in recorder.sent
+        ] == [(FIRST, 0, 2500)]
+
+    run_in_virtual_time(body)
