--- a/tests/support/limited_replicas.py
+++ b/tests/support/limited_replicas.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from direct_callers import CallerResponse, send_request
@@ -33,21 +32,23 @@
 
 @dataclass
 class Load:
-    """Sends requests at random times to random entries; ``responses`` holds all responses."""
+    """Sends requests at random times to random entries; ``responses`` holds all responses.
+
+    Entries before ``first_entry`` get none.
+    """
 
     site: DirectSite
     path: str
     per_s: float
+    first_entry: int = 0
     rng: random.Random = field(default_factory=lambda: random.Random(1))
     responses: list[CallerResponse] = field(default_factory=list)
     tasks: list[asyncio.Task[None]] = field(default_factory=list)
 
-    async def run(self, seconds: float, at: dict[float, Callable[[], None]] | None = None) -> None:
-        """Send requests for some time, and run actions at times since the start of the load."""
+    async def run(self, seconds: float) -> None:
+        """Send requests for some time, and wait for their responses."""
         clock = asyncio.get_running_loop().time
         began = clock()
-        for after_s, action in (at or {}).items():
-            asyncio.get_running_loop().call_later(after_s, action)
         while clock() < began + seconds:
             self.tasks.append(asyncio.create_task(self.send()))
             await asyncio.sleep(self.rng.expovariate(self.per_s))
@@ -55,7 +56,7 @@
 
     async def send(self) -> None:
         """Send one request to a random entry."""
-        entry = self.rng.choice(self.site.entries)
+        entry = self.rng.choice(self.site.entries[self.first_entry :])
         self.responses.append(await send_request(entry, self.path))
 
 
