--- a/tests/support/modelled_engine.py
+++ b/tests/support/modelled_engine.py
@@ -51,6 +51,7 @@
     retries_left: int
     attempts: int = 0
     search_until: float = 0
+    asked_at: float = 0
     rank: int = DEFAULT_RANK
     unread: int = 0
     written: int = 0
@@ -69,6 +70,11 @@
         """Whether the response began within the latency objective of the route."""
         return self.began_at is not None and self.began_at - self.first <= self.route.objective_s
 
+    @property
+    def attempt_s(self) -> float:
+        """Time from the last attempt of the caller to the begin of the response, in seconds."""
+        return (self.began_at or 0) - self.asked_at
+
     @property
     def size(self) -> int:
         """The cost of the request in prompt tokens."""
--- a/tests/support/overload_model.py
+++ b/tests/support/overload_model.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections import Counter
 from collections.abc import Callable
@@ -17,6 +18,7 @@
 from types import SimpleNamespace
 from typing import Any
 
+from modelled_agent import ModelledAgent
 from modelled_engine import (
     ANSWER,
     DEFAULT_RANK,
@@ -32,7 +34,6 @@
 from virtual_loop import virtual_time
 
 from cassiahitch.direct.placement.availability import ReplicaAvailability
-from cassiahitch.direct.placement.load import LoadReport
 from cassiahitch.direct.placement.placement import (
     Assignment,
     NoCapacity,
@@ -45,11 +46,19 @@
     PLACEMENT_RETRY_INTERVAL_S as CAPACITY_POLL_INTERVAL_S,
 )
 from cassiahitch.direct.requests.runner import QUEUE_WAIT_FRACTION
-from cassiahitch.direct.staging.reporting import REPORT_POLL_INTERVAL_S, PendingRequests
+from cassiahitch.direct.staging.reporting import REPORT_POLL_INTERVAL_S
 from cassiahitch.direct.state.catalogue import Engine, Route
+from cassiahitch.direct.state.freshness import boot_time
+from cassiahitch.direct.state.ratelimits import LimitObservation, RateLimitRegistry
 from cassiahitch.direct.state.replicas import Replica
 from cassiahitch.util.endpoints import Endpoint
-from cassiahitch.wire.datagrammessages import DatagramMessage, EngineLoad, PlaceQuery, PlaceReturn
+from cassiahitch.wire.datagrammessages import (
+    DatagramMessage,
+    LimitNotice,
+    LimitRecord,
+    PlaceQuery,
+    PlaceReturn,
+)
 from cassiahitch.wire.datagrams import encode_datagram
 
 #: Seconds that callers wait for a request in all, and for the first event of an attempt.
@@ -123,28 +132,6 @@
         return earned / total
 
 
-@dataclass(repr=False)
-class Agent:
-    """The agent of an engine, with its last load report and the requests sent to it since."""
-
-    model: ModelledEngine
-    endpoint: Endpoint
-    region: int
-    pending_requests: PendingRequests = field(default_factory=PendingRequests)
-    report: LoadReport = field(default_factory=lambda: LoadReport(0, 0))
-
-    def load_reply(self, query: PlaceQuery, entry: Endpoint, now: float) -> EngineLoad:
-        """Return the reply to a query of an entry."""
-        queued_before = self.pending_requests.add(entry, query.number, now)
-        return EngineLoad(
-            number=query.number,
-            running=self.report.running,
-            waiting=self.report.waiting + queued_before,
-            model='m',
-            version=1,
-        )
-
-
 @dataclass(repr=False)
 class Entry:
     """An entry: the real placement search on a simulated socket."""
@@ -153,11 +140,13 @@
     endpoint: Endpoint
     region: int
     placement: Placement
+    rate_limits: RateLimitRegistry = field(default_factory=RateLimitRegistry)
     placement_search: PlacementSearch = field(init=False)
 
     def __post_init__(self) -> None:
         """Create the placement search."""
-        reservations = ReservationClient(self.placement, PEER_PORT)
+        self.rate_limits.on_change = self.publish_limit
+        reservations = ReservationClient(self.placement, PEER_PORT, rate_limits=self.rate_limits)
         socket: Any = self
         reservations.socket = socket
         members = SimpleNamespace(registry=SimpleNamespace(live_members=tuple))
@@ -180,10 +169,29 @@
             case PlaceQuery():
                 self.simulation.call_later(delay_s, partial(self.deliver_query, agent, message))
             case PlaceReturn(number=number):
-                release = partial(agent.pending_requests.release, self.endpoint, number)
+                release = partial(agent.release, self.endpoint, number)
                 self.simulation.call_later(delay_s, release)
+            case LimitNotice(limits=limits):
+                self.simulation.call_later(delay_s, partial(self.deliver_notice, agent, limits))
+
+    def deliver_notice(self, agent: ModelledAgent, limits: tuple[LimitRecord, ...]) -> None:
+        """Deliver a notice to an agent."""
+        agent.rate_limit.apply_records(limits, self.endpoint, self.simulation.now)
+
+    def publish_limit(self, replica: Replica, _before: LimitObservation, source: str) -> None:
+        """Send an observed rate limit to the agent of the engine."""
+        if source == 'answer':
+            records = self.rate_limits.tracker(replica.key).records(self.simulation.now)
+            self.send(LimitNotice(records), Endpoint(replica.endpoint.address, PEER_PORT))
+
+    def may_send(self, assignment: Assignment) -> bool:
+        """Return whether the engine names no rate limit, or there is a valid permit."""
+        reservation = assignment.reservation
+        return not self.rate_limits.is_limited(assignment.candidate.replica.key) or (
+            reservation is not None and boot_time() < reservation.permit_until
+        )
 
-    def deliver_query(self, agent: Agent, query: PlaceQuery) -> None:
+    def deliver_query(self, agent: ModelledAgent, query: PlaceQuery) -> None:
         """Deliver a query to an agent and send its reply."""
         load = agent.load_reply(query, self.endpoint, self.simulation.now)
         delay_s = self.simulation.datagram_delay_s(load, agent.region, self.region)
@@ -201,8 +209,9 @@
         )
         search = SearchState(engine, demand, engine_groups)
         await self.placement_search.search(search)
-        assert search.result is not None
-        return search.result
+        result = self.placement_search.with_permit_wait(search, replicas)
+        assert result is not None
+        return result
 
 
 @dataclass(repr=False)
@@ -210,6 +219,9 @@
     """One simulation; ``load`` is the rate of new requests relative to the capacity of the engines.
 
     A refused caller retries ``retries`` times at most. ``load_factor`` changes the load over time.
+    ``limits_per_s`` holds the rate limits that engines name, by their numbers, and ``arrivals`` the
+    times of the requests that each of them received. ``refusal_delays_s`` holds how long refused
+    attempts waited for the refusal.
     """
 
     load: float
@@ -223,6 +235,9 @@
     make_placement: Callable[[random.Random], Placement] = Placement
     load_factor: Callable[[float], float] = lambda _: 1
     routes: tuple[Route, ...] = (ROUTE,)
+    limits_per_s: dict[int, float] = field(default_factory=dict)
+    arrivals: dict[int, list[float]] = field(default_factory=dict)
+    refusal_delays_s: list[float] = field(default_factory=list)
     rng: random.Random = field(init=False)
     requests: list[SimulatedRequest] = field(default_factory=list)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
@@ -244,7 +259,7 @@
             for number in range(self.engines)
         )
         self.agents = {
-            Endpoint(replica.endpoint.address, PEER_PORT): Agent(
+            Endpoint(replica.endpoint.address, PEER_PORT): ModelledAgent(
                 model, Endpoint(replica.endpoint.address, PEER_PORT), number % self.regions
             )
             for number, (replica, model) in enumerate(zip(self.replicas, self.models, strict=True))
@@ -311,6 +326,7 @@
     def ask(self, request: SimulatedRequest) -> None:
         """Send an attempt to a random entry."""
         request.attempts += 1
+        request.asked_at = self.now
         request.search_until = self.now + request.route.objective_s * QUEUE_WAIT_FRACTION
         task = asyncio.get_running_loop().create_task(
             self.place(request, self.rng.choice(self.entry_nodes))
@@ -329,6 +345,8 @@
                 request.route, elapsed_s, request.prompt, priority, left_s, mean_objective_s
             )
             result = await entry.search(demand)
+            if isinstance(result, Assignment) and not entry.may_send(result):
+                continue
             if isinstance(result, Assignment):
                 self.send(request, entry, result)
                 return
@@ -339,6 +357,7 @@
 
     def refuse(self, request: SimulatedRequest, retry_after_s: float) -> None:
         """Let a refused caller retry after the Retry-After time."""
+        self.refusal_delays_s.append(self.now - request.asked_at)
         if request.retries_left:
             request.retries_left -= 1
             left_s = request.first + DEADLINE_S - self.now
@@ -370,6 +389,10 @@
         if request.abandoned or request.written >= request.answer:
             load.record_ended(self.now)
         elif request.began_at is not None:
+            replica = assignment.candidate.replica
+            limit_per_s = self.limits_per_s.get(self.replicas.index(replica), math.inf)
+            observation = LimitObservation(limit_per_s, request.sent_at, self.now)
+            entry.rate_limits.observe(replica, observation, 'answer')
             load.record_first_event(
                 assignment.expected_s, request.began_at - request.sent_at, self.now
             )
@@ -382,6 +405,7 @@
 
     def enqueue(self, number: int, request: SimulatedRequest) -> None:
         """Queue a request at an engine."""
+        self.arrivals.setdefault(number, []).append(self.now)
         model = self.models[number]
         model.waiting.append(request)
         if not model.busy:
@@ -401,7 +425,7 @@
         if model.busy:
             self.step(number)
 
-    def report(self, agent: Agent) -> None:
+    def report(self, agent: ModelledAgent) -> None:
         """Let an agent read the report of its engine, and schedule the next read."""
         agent.report = agent.model.report()
         self.call_later(
