--- a/src/cassiahitch/standins/backends.py
+++ b/src/cassiahitch/standins/backends.py
@@ -108,8 +108,9 @@
     """One replica; each request takes the next of ``faults``, or ``fault`` if there is none left.
 
     While ``stopping`` is set, every response announces it, and while ``limit_per_s`` is set, every
-    response names it as the rate limit; every response has ``extra_headers``. ``arrivals`` holds
-    the times of all requests except the calls of the agent, in seconds of the event loop's clock.
+    response names it as the rate limit, those to the agent only with ``reports_limit``. Every
+    response has ``extra_headers``. ``arrivals`` holds the times of all requests except the calls of
+    the agent, in seconds of the event loop's clock.
     ``pause_s`` delays each body and each event, ``events`` is the number of events of a stream, and
     ``padding`` the number of bytes added to each plain body.
     """
@@ -124,6 +125,7 @@
     started_at_ms: int = 1
     stopping: bool = False
     limit_per_s: float | None = None
+    reports_limit: bool = True
     extra_headers: dict[str, str] = field(default_factory=dict)
     refusal_retry_after_s: float = 1
     fault: Fault = Fault.none
@@ -202,24 +204,27 @@
             request, body = await _request(machine, reader)
             if request is None:
                 return
-            response = ResponseWriter(machine, writer, self.signal_headers() | self.extra_headers)
+            target = request.target.decode('latin1')
+            default_headers = self.signal_headers(target) | self.extra_headers
+            response = ResponseWriter(machine, writer, default_headers)
             headers = tuple(
                 (name.decode(), text.decode('latin1')) for name, text in request.headers
             )
-            target = request.target.decode('latin1')
             if not await self.answer(response, request.method.decode(), target, headers, body):
                 return
             if machine.our_state is not h11.DONE:
                 return
             machine.start_next_cycle()
 
-    def signal_headers(self) -> dict[str, str]:
+    def signal_headers(self, target: str) -> dict[str, str]:
         """Return the headers in which the replica reports its state.
 
+        :param target: path and query of the request.
         :return: headers.
         """
         headers = {names.SERVER_LEAVING: '1'} if self.stopping else {}
-        if self.limit_per_s is not None:
+        names_limit = self.reports_limit or not target.startswith(names.REPORT_PATH)
+        if self.limit_per_s is not None and names_limit:
             headers[names.SERVER_LIMIT] = str(self.limit_per_s)
         return headers
 
--- a/tests/direct/requests/test_limited_replicas.py
+++ b/tests/direct/requests/test_limited_replicas.py
@@ -6,9 +6,15 @@
 
 import pytest
 from direct_callers import run_site_in_virtual_time
-from limited_replicas import STABLE_S, Load, allowed_in_window, most_in_window
+from limited_replicas import (
+    STABLE_S,
+    UNREPORTED_PATH,
+    Load,
+    allowed_in_window,
+    backends_of,
+    most_in_window,
+)
 
-from cassiahitch.standins.backends import BackendStandin
 from cassiahitch.standins.directsite import DirectSite, DirectSiteSize
 
 NINE_ENTRIES = DirectSiteSize(entries=9, models=3, plain=3)
@@ -18,11 +24,7 @@
 LOAD_S = 12.0
 #: Fraction of the limit that has to be used while more requests arrive.
 USED_FRACTION = 0.75
-PATHS = ('/draft/1', '/lookup/1', '/order/1')
-
-
-def backends_of(site: DirectSite, path: str) -> list[BackendStandin]:
-    return site.models if path.startswith('/draft') else site.plain
+PATHS = ('/draft/1', UNREPORTED_PATH, '/lookup/1', '/order/1')
 
 
 @pytest.mark.parametrize('path', PATHS)
--- a/tests/direct/requests/test_limited_replicas_under_faults.py
+++ b/tests/direct/requests/test_limited_replicas_under_faults.py
@@ -8,7 +8,14 @@
 
 import pytest
 from direct_callers import run_site_in_virtual_time
-from limited_replicas import STABLE_S, Load, allowed_in_window, most_in_window
+from limited_replicas import (
+    STABLE_S,
+    UNREPORTED_PATH,
+    Load,
+    allowed_in_window,
+    backends_of,
+    most_in_window,
+)
 
 from cassiahitch.standins.backends import BackendStandin, Fault
 from cassiahitch.standins.directsite import DirectSite, DirectSiteSize
@@ -20,11 +27,7 @@
 LIMIT_PER_S = 2.0
 LOAD_PER_S = 30.0
 LOAD_S = 12.0
-PATHS = ('/draft/1', '/lookup/1')
-
-
-def backends_of(site: DirectSite, path: str) -> list[BackendStandin]:
-    return site.models if path.startswith('/draft') else site.plain
+PATHS = ('/draft/1', UNREPORTED_PATH, '/lookup/1')
 
 
 def limit_all(backends: list[BackendStandin], per_s: float | None) -> None:
--- a/tests/support/limited_replicas.py
+++ b/tests/support/limited_replicas.py
@@ -8,8 +8,11 @@
 
 from direct_callers import CallerResponse, send_request
 
+from cassiahitch.standins.backends import BackendStandin
 from cassiahitch.standins.directsite import DirectSite
 
+#: Path of streams of engines that name limits in their responses only, not in reports to agents.
+UNREPORTED_PATH = '/draft/unreported'
 #: Length of the windows in which the requests of a limited replica are counted, in seconds.
 WINDOW_S = 4.0
 #: Seconds after a replica has named a limit from which the windows are counted.
@@ -19,6 +22,15 @@
 EXCESS_REQUESTS = 5
 
 
+def backends_of(site: DirectSite, path: str) -> list[BackendStandin]:
+    """Return the replicas of a path; the engines of one path name no limits in their reports."""
+    if not path.startswith('/draft'):
+        return site.plain
+    for model in site.models:
+        model.reports_limit = path != UNREPORTED_PATH
+    return site.models
+
+
 def most_in_window(arrivals: list[float], since: float) -> int:
     """Return the largest number of requests that arrived within a window that begins later."""
     later = [at for at in arrivals if at >= since]
@@ -63,6 +75,8 @@
 __all__ = (
     'Load',
     'STABLE_S',
+    'UNREPORTED_PATH',
     'allowed_in_window',
+    'backends_of',
     'most_in_window',
 )
