Check by a request whether a limit that nobody has confirmed for 3 s has ended

Cause: limited replicas get requests only if the others cannot start them soon. With little load nobody sent to them, so nobody saw that a limit had ended, and an entry kept it until its load grew. Change: a limit that was not confirmed for 3 s does not set its replica back any more; a permit is still needed.

--- a/src/cassiahitch/direct/placement/enginegroups.py
+++ b/src/cassiahitch/direct/placement/enginegroups.py
@@ -22,8 +22,9 @@
 
     Engines of ``available`` may have a free slot, those of ``full`` have none. The agents of
     ``unresponsive`` recently did not reply. Engines of ``limited`` name a rate limit, and their
-    agents may have a permit left. The cached versions of ``version_unknown`` are not
-    allowed, but the engines may have loaded newer weights since.
+    agents may have a permit left; those whose limit may have ended are in ``available``. The cached
+    versions of ``version_unknown`` are not allowed, but the engines may have loaded newer weights
+    since.
     """
 
     available: list[Candidate] = field(default_factory=list)
@@ -101,7 +102,8 @@
         if self.rate_limits.is_limited(key):
             # Without a permit of its agent, no request may be sent.
             if not is_unresponsive and not self.rate_limits.permit_wait_s(key, now):
-                groups.limited.append(candidate)
+                needs_check = self.rate_limits.needs_check(key, now)
+                (groups.available if needs_check else groups.limited).append(candidate)
         elif is_unresponsive:
             groups.unresponsive.append(candidate)
         elif self.placement.is_full(engine, request, candidate, now):
--- a/src/cassiahitch/direct/placement/plainsearch.py
+++ b/src/cassiahitch/direct/placement/plainsearch.py
@@ -30,7 +30,10 @@
 
 @dataclass(slots=True)
 class PlainSearch:
-    """Assigns requests to plain replicas, to limited ones only if the others are too slow."""
+    """Assigns requests to plain replicas.
+
+    Limited replicas are used if the others are too slow, and to check whether a limit has ended.
+    """
 
     placement: Placement
     rate_limits: RateLimitRegistry
@@ -52,6 +55,14 @@
             for candidate in candidates
             if self.rate_limits.is_limited(candidate.replica.key)
         ]
+        unchecked = [
+            candidate
+            for candidate in limited
+            if self.rate_limits.needs_check(candidate.replica.key, now)
+        ]
+        permitted = await self.find_permit(unchecked)
+        if permitted is not None:
+            return permitted
         others = tuple(candidate for candidate in candidates if candidate not in limited)
         assignment = self.placement.place_plain(others, now) if others else None
         if assignment is not None and (not limited or _is_in_time(request, assignment)):
--- a/src/cassiahitch/direct/state/ratelimits.py
+++ b/src/cassiahitch/direct/state/ratelimits.py
@@ -19,6 +19,8 @@
     from cassiahitch.direct.state.replicas import Replica
 
 MS_PER_S = 1000
+#: Seconds without a confirmation after which a limit is checked by a request, as it may have ended.
+CHECK_AFTER_S = 3.0
 #: Requests per second are sent in thousandths.
 MILLI = 1000
 #: Value of a record of a response that named no limit.
@@ -171,6 +173,16 @@
         """
         return self.tracker(key).is_limited
 
+    def needs_check(self, key: str, now: float) -> bool:
+        """Return whether the limit of a replica was not confirmed for some time.
+
+        :param key: key of the replica.
+        :param now: current time in seconds.
+        :return: whether it is limited, and no process is known to have seen that recently.
+        """
+        tracker = self.tracker(key)
+        return tracker.is_limited and now - tracker.current.received_at >= CHECK_AFTER_S
+
     def observe(self, replica: Replica, observation: LimitObservation, source: str) -> None:
         """Apply an observation of the limit of a replica.
 
--- a/tests/direct/requests/test_limited_replicas.py
+++ b/tests/direct/requests/test_limited_replicas.py
@@ -22,6 +22,8 @@
 #: Requests per second of all callers, several times the limit of all replicas.
 LOAD_PER_S = 30.0
 LOAD_S = 12.0
+#: Requests per second that any two replicas can serve.
+LOW_LOAD_PER_S = 9.0
 #: Fraction of the limit that has to be used while more requests arrive.
 USED_FRACTION = 0.75
 PATHS = ('/draft/1', UNREPORTED_PATH, '/lookup/1', '/order/1')
@@ -62,3 +64,18 @@
         assert {got.status for got in load.responses} == {200, 503}
 
     run_site_in_virtual_time(body, NINE_ENTRIES)
+
+
+@pytest.mark.parametrize('path', ['/draft/1', UNREPORTED_PATH, '/lookup/1'])
+def test_end_of_a_limit_is_noticed_while_other_replicas_serve_all_requests(path: str) -> None:
+    async def body(site: DirectSite) -> None:
+        limited = backends_of(site, path)[0]
+        limited.limit_per_s = LIMIT_PER_S
+        await Load(site, path, LOW_LOAD_PER_S).run(LOAD_S)
+        limited.limit_per_s = None
+        await Load(site, path, LOW_LOAD_PER_S).run(2 * LOAD_S)
+        key = f'{limited.id}@{limited.started_at_ms}'
+        for entry in site.entries:
+            assert not entry.parts.entry_state.rate_limits.is_limited(key)
+
+    run_site_in_virtual_time(body, NINE_ENTRIES)
