--- a/src/cassiahitch/soak/announcements.py
+++ b/src/cassiahitch/soak/announcements.py
@@ -1,4 +1,4 @@
-"""Checks that entries follow what backend servers announce: shutdowns and requested pauses."""
+"""Checks that entries follow what backend servers announce: shutdowns, pauses and rate limits."""
 
 from __future__ import annotations
 
@@ -12,6 +12,12 @@
 #: Requests that may arrive during a pause.
 MAX_REQUESTS_IN_PAUSE = 2
 
+#: Length of the windows in which the requests of a limited replica are counted, in seconds.
+LIMIT_WINDOW_S = 4.0
+#: The excess over a rate limit that is allowed in each window: a factor, and a number of requests.
+LIMIT_EXCESS_FACTOR = 1.5
+LIMIT_EXCESS_REQUESTS = 5
+
 #: Names of an entry and of a backend server.
 _Pair = tuple[str, str]
 
@@ -67,6 +73,42 @@
         yield Violation(Promise.paused, late[-1].arrived, late[-1].id, detail)
 
 
+def check_rate_limits(record: Record) -> Iterator[Violation]:
+    """Check that a replica that names a rate limit gets no more from all entries together.
+
+    Requests count from ``stable_s`` after the limit was first named. Those of entries that were
+    disturbed since then do not count, since they may have forgotten the limit.
+
+    :param record: what was recorded in the run.
+    :yield: violations.
+    """
+    by_limit: defaultdict[tuple[str, float], list[Execution]] = defaultdict(list)
+    for pair, execution in _executions_by_pair(record):
+        since = execution.limited_since
+        counts = execution.arrived >= since + record.bounds.stable_s
+        if execution.limit_per_s is None or not counts:
+            continue
+        if _is_undisturbed(record, pair, since, execution.arrived):
+            by_limit[execution.backend, since].append(execution)
+    for executions in by_limit.values():
+        yield from _check_limit(executions)
+
+
+def _check_limit(executions: list[Execution]) -> Iterator[Violation]:
+    for first in executions:
+        within = [
+            execution
+            for execution in executions
+            if first.arrived <= execution.arrived < first.arrived + LIMIT_WINDOW_S
+        ]
+        allowed = LIMIT_EXCESS_FACTOR * (first.limit_per_s or 0) * LIMIT_WINDOW_S
+        allowed += LIMIT_EXCESS_REQUESTS
+        if len(within) > allowed:
+            detail = f'{len(within)} requests reached {first.backend}, which limits its rate'
+            yield Violation(Promise.limited, first.arrived, first.id, detail)
+            return
+
+
 def _executions_by_pair(record: Record) -> Iterator[tuple[_Pair, Execution]]:
     for execution in record.executions:
         attempt = record.attempts.get(execution.id)
@@ -81,6 +123,7 @@
 
 
 __all__ = (
+    'check_rate_limits',
     'check_requested_pauses',
     'check_stopping_replicas',
 )
--- a/src/cassiahitch/soak/backend.py
+++ b/src/cassiahitch/soak/backend.py
@@ -44,11 +44,13 @@
     """A backend server that runs ``slots`` requests at a time and queues the others.
 
     ``slowness`` multiplies all delays. ``host`` stays the same when the replica restarts under a
-    new id. ``prompt_lock`` lets the engine process one prompt at a time.
+    new id. ``prompt_lock`` lets the engine process one prompt at a time. ``limited_since`` is when
+    the backend server began to name its rate limit.
     """
 
     executions: list[Execution] = field(default_factory=list)
     slowness: float = 1
+    limited_since: float = 0
     host: str = ''
     free_slots: asyncio.Semaphore = field(default_factory=lambda: asyncio.Semaphore(1))
     prompt_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
@@ -82,6 +84,8 @@
             asyncio.get_running_loop().time(),
             key_passed=bool(header(headers, names.API_KEY)),
             said_leaving=self.stopping,
+            limit_per_s=self.limit_per_s,
+            limited_since=self.limited_since,
         )
         self.executions.append(execution)
         fault = self.faults.pop(0) if self.faults else self.fault
--- a/src/cassiahitch/soak/checks.py
+++ b/src/cassiahitch/soak/checks.py
@@ -5,7 +5,11 @@
 from collections.abc import Callable, Iterator
 
 from cassiahitch.soak.abandoned import check_abandoned
-from cassiahitch.soak.announcements import check_requested_pauses, check_stopping_replicas
+from cassiahitch.soak.announcements import (
+    check_rate_limits,
+    check_requested_pauses,
+    check_stopping_replicas,
+)
 from cassiahitch.soak.records import (
     SOAK,
     STORE,
@@ -170,6 +174,7 @@
     check_abandoned,
     check_stopping_replicas,
     check_requested_pauses,
+    check_rate_limits,
 )
 
 
--- a/src/cassiahitch/soak/faults.py
+++ b/src/cassiahitch/soak/faults.py
@@ -50,6 +50,10 @@
 
 #: Factor by which a slow backend server is slower.
 SLOWNESS = 5.0
+#: Rate limit that a backend server names, in requests per second.
+RATE_LIMIT_PER_S = 2.0
+#: Duration of a rate limit, as a multiple of that of other faults.
+LIMIT_DURATION_FACTOR = 4.0
 #: Seconds beyond ``drain_s`` for which a draining replica still serves requests.
 DRAIN_SLACK_S = 1.0
 #: Seconds between a replica's announcement of its shutdown and its mark in the list.
@@ -190,6 +194,8 @@
         """
         if event.failure is BackendFailure.crash:
             await self.crash_backend(backend, event.seconds)
+        elif event.failure is BackendFailure.limit:
+            return await self.limit_backend(backend, event.seconds * LIMIT_DURATION_FACTOR)
         elif event.failure is BackendFailure.slow:
             backend.slowness = SLOWNESS
             await asyncio.sleep(event.seconds)
@@ -200,6 +206,19 @@
             backend.fault = Fault.none
         return (event.backend,)
 
+    async def limit_backend(self, backend: SoakBackend, seconds: float) -> tuple[str, ...]:
+        """Let a backend server name a rate limit.
+
+        :param backend: the backend server.
+        :param seconds: how long it names the limit.
+        :return: no targets, since the backend server works as usual.
+        """
+        backend.limited_since = self.now()
+        backend.limit_per_s = RATE_LIMIT_PER_S
+        await asyncio.sleep(seconds)
+        backend.limit_per_s = None
+        return ()
+
     async def crash_backend(self, backend: SoakBackend, seconds: float) -> None:
         """Stop a backend server abruptly and start it again on the same port.
 
@@ -284,6 +303,7 @@
         backend.id = f'{replica_id}x'
         backend.started_at_ms += 1
         backend.stopping = False
+        backend.limit_per_s = None
         self.site.register(name)
         return ()
 
--- a/src/cassiahitch/soak/plan.py
+++ b/src/cassiahitch/soak/plan.py
@@ -25,9 +25,9 @@
     """Faults of a backend server.
 
     ``refuse`` rejects requests, ``lose`` resets the connection instead of sending a response,
-    ``cut`` resets it in the middle of one, ``pause`` requests a pause, ``endless`` sends endless
-    invalid bytes, ``trickle`` nearly stops in the middle of a response, and ``double`` sends it
-    twice.
+    ``cut`` resets it in the middle of one, ``pause`` requests a pause, ``limit`` names a rate limit
+    for a longer time, ``endless`` sends endless invalid bytes, ``trickle`` nearly stops in the
+    middle of a response, and ``double`` sends it twice.
     """
 
     crash = 'crash'
@@ -36,6 +36,7 @@
     lose = 'lose'
     cut = 'cut'
     pause = 'pause'
+    limit = 'limit'
     endless = 'endless'
     trickle = 'trickle'
     double = 'double'
--- a/src/cassiahitch/soak/records.py
+++ b/src/cassiahitch/soak/records.py
@@ -57,6 +57,7 @@
     - ``gone``: abandoned requests are cancelled
     - ``leaving``: a replica that has announced its shutdown soon receives no requests
     - ``paused``: a replica that has requested a pause receives no requests
+    - ``limited``: a replica that names a rate limit receives no more from all entries together
     """
 
     own_answer = 'own_answer'
@@ -74,6 +75,7 @@
     gone = 'gone'
     leaving = 'leaving'
     paused = 'paused'
+    limited = 'limited'
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,6 +140,7 @@
     the response, and ``endless`` if it sent endless invalid bytes instead. ``dropped`` is when the
     connection closed during the execution. ``said_leaving`` is set if the response announced the
     replica's shutdown, and ``paused_until`` is the end of the pause that it requested.
+    ``limit_per_s`` is the rate limit that the backend server named since ``limited_since``.
     """
 
     id: str
@@ -153,6 +156,8 @@
     endless: bool = False
     said_leaving: bool = False
     paused_until: float | None = None
+    limit_per_s: float | None = None
+    limited_since: float = 0
     version: int = 0
     began: float | None = None
     ended: float | None = None
--- a/src/cassiahitch/soak/site.py
+++ b/src/cassiahitch/soak/site.py
@@ -165,6 +165,8 @@
         domain = FAILURE_DOMAINS[len(self.backends) % 2]
         backend = SoakBackend(name, service, domain, slots=SLOTS, engine=engine)
         backend.host = name
+        # Half of the backend servers name rate limits in responses to callers only.
+        backend.reports_limit = len(self.backends) % 2 == 0
         backend.executions = self.record.executions
         await backend.start(address)
         self.stack.push_async_callback(backend.stop)
--- a/tests/soak/test_soak_announcements.py
+++ b/tests/soak/test_soak_announcements.py
@@ -8,7 +8,9 @@
 from soak_records import cut_attempt, late_execution
 
 from cassiahitch.soak.announcements import (
+    LIMIT_WINDOW_S,
     MAX_REQUESTS_IN_PAUSE,
+    check_rate_limits,
     check_requested_pauses,
     check_stopping_replicas,
 )
@@ -67,3 +69,30 @@
     record.disturbances.append(Disturbance(target, 11, 11.1))
     assert not list(check_stopping_replicas(record))
     assert not list(check_requested_pauses(record))
+
+
+def limited_runs(count: int, since: float) -> list[dict[str, Any]]:
+    """Return executions within one window at a replica that has named a limit of 2 since 10 s."""
+    step_s = LIMIT_WINDOW_S / 20
+    return [
+        {'arrived': since + number * step_s, 'limit_per_s': 2, 'limited_since': 10}
+        for number in range(count)
+    ]
+
+
+@pytest.mark.parametrize('entry', ['entry-0', 'entry-1'])
+def test_requests_above_the_rate_limit_of_a_replica_are_counted_over_all_entries(
+    entry: str,
+) -> None:
+    assert broken_promises(
+        list(check_rate_limits(make_record(*limited_runs(18, 13), entry=entry)))
+    ) == [Promise.limited]
+    assert not list(check_rate_limits(make_record(*limited_runs(17, 13), entry=entry)))
+    # The limit has to be kept only some time after it was named.
+    assert not list(check_rate_limits(make_record(*limited_runs(18, 12.9), entry=entry)))
+
+
+def test_requests_of_an_entry_that_may_have_forgotten_the_limit_do_not_count() -> None:
+    record = make_record(*limited_runs(18, 13), entry='entry-1')
+    record.disturbances.append(Disturbance('entry-1', 11, 11.1))
+    assert not list(check_rate_limits(record))
