--- a/src/cassiahitch/soak/plan.py
+++ b/src/cassiahitch/soak/plan.py
@@ -19,6 +19,7 @@
     store = 'store'
     changes = 'changes'
     overload = 'overload'
+    limits = 'limits'
 
 
 class BackendFailure(StrEnum):
@@ -181,6 +182,8 @@
 #: Shortest and longest duration of a fault, in seconds.
 MIN_FAULT_S = 0.5
 MAX_FAULT_S = 3.0
+#: Mean number of rate limits per second.
+LIMITS_PER_S = 0.1
 #: Duration of an overload, as a fraction of the load for each second of the drawn duration.
 OVERLOAD_FRACTION = 0.13
 #: Faults of links from which a plan is drawn.
@@ -198,10 +201,29 @@
     latest_s = FIRST_FAULT_S + size.seconds * FAULT_FRACTION
     count = max(1, round((latest_s - FIRST_FAULT_S) * FAULTS_PER_S))
     times = sorted(round(rng.uniform(FIRST_FAULT_S, latest_s), 3) for _ in range(count))
-    return tuple(_draw(rng, size, at) for at in times)
-
-
-def _draw(rng: random.Random, size: Size, at: float) -> Event:
+    areas = [area for area in size.areas if area is not Area.limits]
+    faults = [_draw(rng, size, areas, at) for at in times] if areas else []
+    if Area.limits in size.areas:
+        faults += _draw_limits(seed, size)
+    return tuple(sorted(faults, key=lambda fault: fault.at))
+
+
+def _draw_limits(seed: int, size: Size) -> list[Event]:
+    # Drawn on their own, so that the other faults of a seed do not depend on them.
+    rng = random.Random(f'limits {seed}')
+    count = max(1, round(size.seconds * LIMITS_PER_S))
+    return [
+        FailBackend(
+            round(rng.uniform(FIRST_FAULT_S, FIRST_FAULT_S + size.seconds * FAULT_FRACTION), 3),
+            rng.choice(size.backends()),
+            BackendFailure.limit,
+            round(rng.uniform(MIN_FAULT_S, MAX_FAULT_S), 3),
+        )
+        for _ in range(count)
+    ]
+
+
+def _draw(rng: random.Random, size: Size, areas: list[Area], at: float) -> Event:
     seconds = round(rng.uniform(MIN_FAULT_S, MAX_FAULT_S), 3)
     process = rng.choice(size.processes())
     backend = rng.choice(size.backends())
@@ -216,13 +238,15 @@
         ),
         Area.links: tuple(HarmLink(at, link, fault, seconds) for fault in LINK_FAULTS),
         Area.backends: tuple(
-            FailBackend(at, backend, failure, seconds) for failure in BackendFailure
+            FailBackend(at, backend, failure, seconds)
+            for failure in BackendFailure
+            if failure is not BackendFailure.limit
         ),
         Area.store: tuple(FailStore(at, failure, seconds) for failure in StoreFailure),
         Area.changes: (declaration,),
         Area.overload: (Overload(at, round(size.seconds * OVERLOAD_FRACTION * seconds, 3)),),
     }
-    return rng.choice(choices[rng.choice(size.areas)])
+    return rng.choice(choices[rng.choice(areas)])
 
 
 __all__ = (
