--- a/src/cassiahitch/soak/plan.py
+++ b/src/cassiahitch/soak/plan.py
@@ -201,7 +201,7 @@
     latest_s = FIRST_FAULT_S + size.seconds * FAULT_FRACTION
     count = max(1, round((latest_s - FIRST_FAULT_S) * FAULTS_PER_S))
     times = sorted(round(rng.uniform(FIRST_FAULT_S, latest_s), 3) for _ in range(count))
-    areas = [area for area in size.areas if area is not Area.limits]
+    areas = tuple(area for area in size.areas if area is not Area.limits)
     faults = [_draw(rng, size, areas, at) for at in times] if areas else []
     if Area.limits in size.areas:
         faults += _draw_limits(seed, size)
@@ -223,7 +223,7 @@
     ]
 
 
-def _draw(rng: random.Random, size: Size, areas: list[Area], at: float) -> Event:
+def _draw(rng: random.Random, size: Size, areas: tuple[Area, ...], at: float) -> Event:
     seconds = round(rng.uniform(MIN_FAULT_S, MAX_FAULT_S), 3)
     process = rng.choice(size.processes())
     backend = rng.choice(size.backends())
