Return permits of assignments that are not used, and number queries from a random start

A stream that waited for a retry took a permit of a limited replica with each try and never returned it (test_stream_that_waits_for_a_retry_uses_up_no_permits_of_a_limited_replica failed with 0.36 tokens left for 1). The queries of a restarted entry had the numbers of its earlier incarnation, so that it could have returned a permit that had been used. The wait after a refusal is bounded, and a gauge counts the limited replicas.

--- a/src/cassiahitch/direct/assembly.py
+++ b/src/cassiahitch/direct/assembly.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 from dataclasses import dataclass
 from functools import partial
@@ -35,6 +36,10 @@
     from cassiahitch.settings.direct import DirectEntrySettings
 
 
+#: Largest number of the first query of an entry.
+MAX_FIRST_QUERY_NUMBER = 2**24
+
+
 @dataclass(frozen=True, slots=True)
 class EntryParts:
     """The parts of an entry that its process and its tests use."""
@@ -70,8 +75,13 @@
         entry_state.rate_limits,
     )
     candidates = CandidateFilter(entry_state, Placement(rng), signals.availability)
+    # An earlier incarnation used other numbers, so that late replies to it match no query.
+    first_number = rng.randrange(1, MAX_FIRST_QUERY_NUMBER)
     reservations = ReservationClient(
-        candidates.placement, settings.peer_port, rate_limits=entry_state.rate_limits
+        candidates.placement,
+        settings.peer_port,
+        query_numbers=itertools.count(first_number),
+        rate_limits=entry_state.rate_limits,
     )
     reservations.on_stopping = partial(signals.mark_stopping, source='agent')
     permits = PermitClient(entry_state, reservations.query_numbers)
--- a/src/cassiahitch/direct/placement/permits.py
+++ b/src/cassiahitch/direct/placement/permits.py
@@ -51,14 +51,14 @@
         queried_at = boot_time()
         reply = None if agent is None else await self.query(replica, agent)
         if agent is None or reply is None:
-            rate_limits.record_refusal(replica.key, clock() + NO_REPLY_BACKOFF_S)
+            rate_limits.record_refusal(replica.key, NO_REPLY_BACKOFF_S, clock())
             return None
         now = clock()
         for record in reply.limits:
             rate_limits.observe(replica, observation_of(record, now), 'agent')
         if reply.refusals:
             available_s = reply.refusals[0].available_ms / MS_PER_S
-            rate_limits.record_refusal(replica.key, now + available_s)
+            rate_limits.record_refusal(replica.key, available_s, now)
             return None
         return Reservation(reply.number, agent, queried_at + PERMIT_LIFETIME_S)
 
--- a/src/cassiahitch/direct/placement/reservation.py
+++ b/src/cassiahitch/direct/placement/reservation.py
@@ -178,14 +178,15 @@
         key = replica.key
         if load.refusals:
             query_round.refused.add(key)
-            self.rate_limits.record_refusal(key, now + load.refusals[0].available_ms / MS_PER_S)
+            available_s = load.refusals[0].available_ms / MS_PER_S
+            self.rate_limits.record_refusal(key, available_s, now)
         elif load.limits:
             permit_until = query_round.sent_at + PERMIT_LIFETIME_S
             query_round.reservations[key] = Reservation(load.number, agent, permit_until)
         elif self.rate_limits.is_limited(key):
             # The agent runs a version that grants no permits.
             query_round.refused.add(key)
-            self.rate_limits.record_refusal(key, now + NO_PERMITS_BACKOFF_S)
+            self.rate_limits.record_refusal(key, NO_PERMITS_BACKOFF_S, now)
             self.release(Reservation(load.number, agent))
         else:
             query_round.reservations[key] = Reservation(load.number, agent)
--- a/src/cassiahitch/direct/placement/search.py
+++ b/src/cassiahitch/direct/placement/search.py
@@ -238,6 +238,14 @@
             search.engine, search.request, candidates, entries, now
         )
 
+    def release(self, assignment: Assignment) -> None:
+        """Release the reservation of a request that is not sent.
+
+        :param assignment: the assignment of the request.
+        """
+        if assignment.reservation is not None:
+            self.reservations.release(assignment.reservation)
+
     def release_unused(self, search: SearchState) -> None:
         """Release the reservations that the request does not use.
 
--- a/src/cassiahitch/direct/requests/failover.py
+++ b/src/cassiahitch/direct/requests/failover.py
@@ -92,6 +92,7 @@
                 call.ran,
             )
         if result.candidate.replica.key == key:
+            self.placement_search.release(result)
             raise RequestError(
                 Code.no_replica, 'no other backend server of the service is available', call.ran
             )
@@ -132,8 +133,12 @@
         :raises RequestError: if there is no assignment or no retry.
         """
         assignment = await self.find_other_replica(call, key, placement_request)
-        if sent:
-            self.spend_retry(call)
+        try:
+            if sent:
+                self.spend_retry(call)
+        except RequestError:
+            self.placement_search.release(assignment)
+            raise
         return assignment
 
     def spend_retry(self, call: Call) -> None:
--- a/src/cassiahitch/direct/state/ratelimits.py
+++ b/src/cassiahitch/direct/state/ratelimits.py
@@ -25,6 +25,8 @@
 MILLI = 1000
 #: Value of a record of a response that named no limit.
 NO_LIMIT_MILLI = -1
+#: Maximum time without queries for permits after a refusal, in seconds.
+MAX_PERMIT_WAIT_S = 5.0
 #: Maximum number of limits in a message to another entry.
 MAX_SENT_LIMITS = 4
 #: Maximum age of a record; observations of unknown age are sent with it.
@@ -196,13 +198,14 @@
             self.named[replica.key] = replica
             self.on_change(replica, before, source)
 
-    def record_refusal(self, key: str, available_at: float) -> None:
+    def record_refusal(self, key: str, available_s: float, now: float) -> None:
         """Record that no permit is available for a replica.
 
         :param key: key of the replica.
-        :param available_at: when one becomes available, in seconds.
+        :param available_s: seconds until one becomes available.
+        :param now: current time in seconds.
         """
-        self.permits_at[key] = available_at
+        self.permits_at[key] = now + min(MAX_PERMIT_WAIT_S, available_s)
 
     def permit_wait_s(self, key: str, now: float) -> float:
         """Return how long no permit is available for a replica, as far as this process knows.
@@ -222,13 +225,20 @@
         """
         return self.tracker(replica.key).records(now, replica.id, replica.born_ms)
 
+    def limited_replicas(self) -> list[Replica]:
+        """Return the replicas that name a rate limit.
+
+        :return: the replicas.
+        """
+        return [replica for key, replica in self.named.items() if self.is_limited(key)]
+
     def records_to_send(self, now: float) -> tuple[LimitRecord, ...]:
         """Return limits in force for a message to another entry.
 
         :param now: current time in seconds.
         :return: records of random replicas among those that are limited.
         """
-        limited = [replica for key, replica in self.named.items() if self.is_limited(key)]
+        limited = self.limited_replicas()
         chosen = self.rng.sample(limited, min(MAX_SENT_LIMITS, len(limited)))
         return tuple(record for replica in chosen for record in self.records(replica, now))
 
--- a/src/cassiahitch/direct/telemetry.py
+++ b/src/cassiahitch/direct/telemetry.py
@@ -285,6 +285,8 @@
         self.metrics.gauge(GaugeName.configuration_age_s, min(age_s, 1e6))
         self.metrics.gauge(GaugeName.live_entries, self.entry_state.live_entries(now))
         self.metrics.gauge(GaugeName.replicas, len(self.entry_state.replicas.replicas))
+        limited = self.entry_state.rate_limits.limited_replicas()
+        self.metrics.gauge(GaugeName.limited_replicas, len(limited))
 
     def log_request(
         self,
--- a/src/cassiahitch/metrics/names.py
+++ b/src/cassiahitch/metrics/names.py
@@ -70,6 +70,7 @@
     live_agents = 'live_agents'
     leases_held = 'leases_held'
     replicas = 'replicas'
+    limited_replicas = 'limited_replicas'
     configuration_age_s = 'configuration_age_s'
 
 
--- a/tests/direct/placement/test_search.py
+++ b/tests/direct/placement/test_search.py
@@ -21,6 +21,7 @@
 from cassiahitch.direct.entrystate import make_entry_state
 from cassiahitch.direct.placement.availability import ReplicaAvailability
 from cassiahitch.direct.placement.candidates import CandidateFilter
+from cassiahitch.direct.placement.limiterchoice import PERMIT_LIFETIME_S
 from cassiahitch.direct.placement.load import NO_REPLY_BACKOFF_S
 from cassiahitch.direct.placement.placement import (
     Assignment,
@@ -38,13 +39,21 @@
     Service,
     ServiceShare,
 )
+from cassiahitch.direct.state.freshness import boot_time
+from cassiahitch.direct.state.ratelimits import LimitObservation
 from cassiahitch.direct.state.replicas import Replica
 from cassiahitch.direct.state.versions import DeclaredVersion
 from cassiahitch.errors import RequestError
 from cassiahitch.settings.direct import DirectEntrySettings
 from cassiahitch.standins.directsite import make_bounds
 from cassiahitch.util.endpoints import Endpoint
-from cassiahitch.wire.datagrammessages import DatagramMessage, EngineLoad, PlaceQuery, PlaceReturn
+from cassiahitch.wire.datagrammessages import (
+    DatagramMessage,
+    EngineLoad,
+    PermitRefusal,
+    PlaceQuery,
+    PlaceReturn,
+)
 
 ENGINE = Engine('m', 16, 6, 0.00673, 2.19e-5, 6.8e-9, 30_600, 6.47e-10, 964, 119)
 SHARES = (ServiceShare('drafts', 1),)
@@ -298,3 +307,85 @@
             assert await site.find_address() == '10.0.1.1'
 
     run(Site(2), body)
+
+
+def limit(site: Site, number: int) -> None:
+    """Let the entry see that an engine names a rate limit."""
+    now = asyncio.get_running_loop().time()
+    rate_limits = site.reservations.rate_limits
+    rate_limits.observe(site.replicas[number], LimitObservation(2, now, now), 'answer')
+
+
+def limited_load(load: EngineLoad, *refusals: PermitRefusal) -> EngineLoad:
+    """Return the reply of an agent that grants permits, or that refuses one."""
+    now = asyncio.get_running_loop().time()
+    records = (LimitObservation(2, now, now).record(now, born_ms=BORN_MS),)
+    return replace(load, limits=records, refusals=refusals)
+
+
+def test_limited_engine_is_queried_only_if_no_other_can_start_the_request_soon() -> None:
+    async def body(site: Site) -> None:
+        limit(site, 0)
+        site.loads['10.0.1.0'] = limited_load(IDLE_LOAD)
+        for _ in range(10):
+            assert await site.find_address() != '10.0.1.0'
+        assert '10.0.1.0' not in site.queried
+        for number in (1, 2):
+            site.loads[f'10.0.1.{number}'] = FULL_LOAD
+        await asyncio.sleep(1)
+        result = await site.find()
+        assert isinstance(result, Assignment)
+        assert result.candidate.replica.id == 'm-0'
+        assert result.reservation is not None
+        assert boot_time() < result.reservation.permit_until <= boot_time() + PERMIT_LIFETIME_S
+
+    run(Site(3), body)
+
+
+def test_request_without_a_permit_is_refused_with_the_time_of_the_next_one() -> None:
+    async def body(site: Site) -> None:
+        for number in range(3):
+            limit(site, number)
+            refusal = PermitRefusal(400 + 100 * number)
+            site.loads[f'10.0.1.{number}'] = limited_load(FULL_LOAD, refusal)
+        result = await site.find(remaining_s=6)
+        assert isinstance(result, NoCapacity)
+        assert result.limited == 3
+        assert round(10 * result.available_in_s) == 4
+        assert result.available_in_s <= result.retry_after_s <= 2
+        # No agent is queried again before its next permit.
+        queried = len(site.queried)
+        assert isinstance(await site.find(), NoCapacity)
+        assert len(site.queried) == queried
+
+    run(Site(3), body)
+
+
+def test_limited_engine_whose_agent_does_not_reply_is_not_used() -> None:
+    async def body(site: Site) -> None:
+        for number in range(2):
+            limit(site, number)
+        site.set_all_loads(None)
+        assert isinstance(await site.find(), NoCapacity)
+        assert isinstance(await site.find(), NoCapacity)
+
+    run(Site(2), body)
+
+
+def test_limited_engine_whose_agent_grants_no_permits_is_not_used() -> None:
+    async def body(site: Site) -> None:
+        limit(site, 0)
+        assert isinstance(await site.find(), NoCapacity)
+        assert not site.reserved
+
+    run(Site(1), body)
+
+
+def test_limit_in_the_reply_of_an_agent_applies_before_the_first_request() -> None:
+    async def body(site: Site) -> None:
+        site.loads['10.0.1.0'] = limited_load(IDLE_LOAD, PermitRefusal(400))
+        for _ in range(10):
+            assert await site.find_address() == '10.0.1.1'
+        assert site.queried.count('10.0.1.0') == 1
+
+    run(Site(2), body)
--- a/tests/direct/requests/test_interrupted_streams.py
+++ b/tests/direct/requests/test_interrupted_streams.py
@@ -60,6 +60,24 @@
     run_site_in_virtual_time(body, SMALL_SITE, retry_ratio=0, retry_slack=0)
 
 
+def test_stream_that_waits_for_a_retry_uses_up_no_permits_of_a_limited_replica() -> None:
+    async def body(site: DirectSite) -> None:
+        limited = site.models[1]
+        limited.limit_per_s = 1
+        await asyncio.sleep(2)
+        request_task, current, other = await start_stream(site)
+        assert other is limited
+        await current.stop()
+        await asyncio.sleep(0.5)
+        limiter = site.agents[1].reporter.rate_limit.limiter
+        assert round(limiter.tokens) == 1
+        site.entries[0].parts.runner.budget.slack = 100
+        got = await request_task
+        assert (got.status, got.complete) == (200, True)
+
+    run_site_in_virtual_time(body, SMALL_SITE, retry_ratio=0, retry_slack=0)
+
+
 def test_stream_without_capacity_is_given_up_after_the_timeout() -> None:
     async def body(site: DirectSite) -> None:
         request_task, current, other = await start_stream(site)
