Choose the limiters of plain replicas anew only if the hosts of engines changed

Cause: each change of the list of replicas, several a second, ordered all hosts of engines by hash for every plain replica, though the order depends on these hosts only. The directory now keeps the hosts of the last choice and reuses the choices while they are the same.

--- a/src/cassiahitch/direct/placement/limiterchoice.py
+++ b/src/cassiahitch/direct/placement/limiterchoice.py
@@ -27,6 +27,14 @@
 STABLE_S = MAX_LIST_AGE_S + PERMIT_LIFETIME_S
 
 
+@dataclass(frozen=True, slots=True)
+class EngineHost:
+    """The address and the region of a host with an engine, and thus with an agent."""
+
+    address: str
+    region: str
+
+
 @dataclass(frozen=True, slots=True)
 class LimiterChoice:
     """The host whose agent limits the rate of a plain replica, chosen at ``since``, in seconds."""
@@ -39,11 +47,13 @@
 class LimiterDirectory:
     """Choices for all plain replicas by key; times in seconds of the boot clock.
 
-    ``region_of`` returns the region of a failure domain. ``confirmed_at`` is the latest time at
-    which the list of replicas is known to have been current.
+    ``region_of`` returns the region of a failure domain, ``hosts`` are the hosts of the listed
+    engines. ``confirmed_at`` is the latest time at which the list of replicas is known to have been
+    current.
     """
 
     region_of: Callable[[str], str]
+    hosts: frozenset[EngineHost] = frozenset()
     choices: dict[str, LimiterChoice] = field(default_factory=dict)
     confirmed_at: float = float('-inf')
 
@@ -72,31 +82,38 @@
         """
         engine_services = frozenset(engine_services)
         listed = tuple(replicas)
-        engines = [replica for replica in listed if replica.service in engine_services]
-        plain = [replica for replica in listed if replica.service not in engine_services]
-        choices: dict[str, LimiterChoice] = {}
-        for replica in plain:
-            address = self.choose(replica, engines)
-            before = self.choices.get(replica.key)
-            is_same = before is not None and before.address == address
-            choices[replica.key] = before if is_same and before else LimiterChoice(address, now)
-        self.choices = choices
-
-    def choose(self, replica: Replica, engines: list[Replica]) -> str:
+        hosts = frozenset(
+            EngineHost(replica.endpoint.address, self.region_of(replica.failure_domain))
+            for replica in listed
+            if replica.service in engine_services
+        )
+        is_same = hosts == self.hosts
+        self.hosts = hosts
+        self.choices = {
+            replica.key: self.choose(replica, now, is_same=is_same)
+            for replica in listed
+            if replica.service not in engine_services
+        }
+
+    def choose(self, replica: Replica, now: float, *, is_same: bool) -> LimiterChoice:
         """Choose the host of an engine for a replica, preferably in the region of the replica.
 
         :param replica: the plain replica.
-        :param engines: all engines of the list.
-        :return: the address of the host, empty if there is no engine.
+        :param now: current time.
+        :param is_same: whether the hosts of engines are those of the last choice.
+        :return: the choice, which has no address if there is no engine.
         """
+        before = self.choices.get(replica.key)
+        if before is not None and is_same:
+            return before
         region = self.region_of(replica.failure_domain)
-        addresses = {
-            engine.endpoint.address
-            for engine in engines
-            if self.region_of(engine.failure_domain) == region
-        } or {engine.endpoint.address for engine in engines}
+        local = {host.address for host in self.hosts if host.region == region}
+        addresses = local or {host.address for host in self.hosts}
         salt = zlib.crc32(replica.key.encode())
-        return next(iter(rendezvous_order(salt, addresses)), '')
+        address = next(iter(rendezvous_order(salt, addresses)), '')
+        if before is not None and before.address == address:
+            return before
+        return LimiterChoice(address, now)
 
     def address(self, replica: Replica, now: float) -> str:
         """Return the host whose agent grants permits for a plain replica.
