Move the queue of chunks and the requests in progress out of the fetcher

No behaviour changes: tests/weights and tests/agent pass unchanged but for the import of FetchLimits.

--- a/src/cassiahitch/agent/fetching.py
+++ b/src/cassiahitch/agent/fetching.py
@@ -13,7 +13,8 @@
 from cassiahitch.metrics.names import CounterName
 from cassiahitch.timeline.events import EventKind
 from cassiahitch.weights import api
-from cassiahitch.weights.fetcher import Fetcher, FetchLimits
+from cassiahitch.weights.activefetches import FetchLimits
+from cassiahitch.weights.fetcher import Fetcher
 from cassiahitch.weights.manifest import Manifest, parse_manifest, verify_chunk
 from cassiahitch.weights.plan import Participant, parse_plan
 from cassiahitch.wire.messages import AnswerPart, ChunkReply, ChunkRequest
--- a/src/cassiahitch/bench/rollout.py
+++ b/src/cassiahitch/bench/rollout.py
@@ -11,8 +11,8 @@
 from cassiahitch.bench.live_traffic import LINK_BYTES_PER_S, LIVE_LOAD, LiveLink, LiveResult
 from cassiahitch.bench.swarm import Rates, Rollout, Swarm
 from cassiahitch.resources.models import Objective
+from cassiahitch.weights.activefetches import FetchLimits
 from cassiahitch.weights.bucket import MAX_UTILISATION
-from cassiahitch.weights.fetcher import FetchLimits
 from cassiahitch.weights.manifest import Manifest
 from cassiahitch.weights.plan import Participant, build_plan
 from cassiahitch.weights.server import ServeLimits
--- a/src/cassiahitch/bench/swarm.py
+++ b/src/cassiahitch/bench/swarm.py
@@ -8,6 +8,7 @@
 
 from cassiahitch.bench.links import Event, Flow, Link, Network, VirtualTime
 from cassiahitch.codes import Code
+from cassiahitch.weights.activefetches import FetchLimits
 from cassiahitch.weights.api import (
     CancelFetch,
     CheckOrigin,
@@ -39,7 +40,7 @@
     UploadEnded,
     UploadProgressed,
 )
-from cassiahitch.weights.fetcher import Fetcher, FetchLimits, Phase
+from cassiahitch.weights.fetcher import Fetcher, Phase
 from cassiahitch.weights.server import ChunkServer, ServeLimits
 from cassiahitch.weights.tree import Trees
 
--- a/tests/weights/test_fetcher.py
+++ b/tests/weights/test_fetcher.py
@@ -8,6 +8,7 @@
 
 from cassiahitch.codes import Code
 from cassiahitch.resources.models import Objective
+from cassiahitch.weights.activefetches import FetchLimits
 from cassiahitch.weights.api import (
     CheckOrigin,
     ChunkReceived,
@@ -27,7 +28,7 @@
     StagingFull,
     Tick,
 )
-from cassiahitch.weights.fetcher import Fetcher, FetchLimits
+from cassiahitch.weights.fetcher import Fetcher
 from cassiahitch.weights.manifest import Manifest, build_manifest
 from cassiahitch.weights.plan import Participant, RolloutPlan, build_plan
 from cassiahitch.weights.tree import Trees
