Close the connections of test servers before their event loop ends

Cause: servers of earlier tests left connections open. When the garbage collector removed one, StreamWriter.__del__ raised 'Event loop is closed', and pytest formatted that error. In Python 3.11, formatting a traceback parses the source line; if the collector runs while another module is being parsed, as at the first import of a strategy of hypothesis, the inner parse disturbs the depth counter of the outer one.

Change: handlers close their connections when they are cancelled. The proxy of the soak closed none when it stopped, since its cancelled tasks had removed them from the set before; it does now.

--- a/src/cassiahitch/soak/proxy.py
+++ b/src/cassiahitch/soak/proxy.py
@@ -59,10 +59,12 @@
         """Stop listening and abort all connections."""
         if self.server is not None:
             self.server.close()
+        # A cancelled task removes its connection from the open ones.
+        open_writers = tuple(self.writers)
         for task in tuple(self.tasks):
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
-        for writer in tuple(self.writers):
+        for writer in open_writers:
             writer.transport.abort()
 
     def set_fault(self, fault: LinkFault) -> None:
--- a/tests/direct/backends/test_exchange.py
+++ b/tests/direct/backends/test_exchange.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from contextlib import ExitStack
 
 import pytest
 
@@ -38,12 +39,19 @@
 
 
 def serve(peer: Peer, body: Body) -> None:
+    writers = ExitStack()
+
+    async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writers.callback(writer.close)
+        await peer(reader, writer)
+
     async def run_server() -> None:
-        server = await asyncio.start_server(peer, ADDRESS, 0)
+        server = await asyncio.start_server(accept, ADDRESS, 0)
         port = server.sockets[0].getsockname()[1]
-        async with server:
-            replica = Replica('r1', 'desk', Endpoint(ADDRESS, port), 'north-1', 4)
-            await body(replica)
+        with writers:
+            async with server:
+                replica = Replica('r1', 'desk', Endpoint(ADDRESS, port), 'north-1', 4)
+                await body(replica)
 
     asyncio.run(run_server())
 
--- a/tests/soak/test_soak_proxy.py
+++ b/tests/soak/test_soak_proxy.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from contextlib import closing
 
 import pytest
 
@@ -19,9 +20,9 @@
 
 
 async def echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    while chunk := await reader.read(100):
-        writer.write(chunk)
-    writer.close()
+    with closing(writer):
+        while chunk := await reader.read(100):
+            writer.write(chunk)
 
 
 def with_proxy(run_test: ProxyTest) -> None:
@@ -85,8 +86,9 @@
         with pytest.raises(ConnectionError):
             await reader.readexactly(1)
         new_reader, new_writer = await asyncio.open_connection(LOOPBACK, proxy.port)
-        new_writer.write(b'ping')
-        with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
-            await new_reader.readexactly(4)
+        with closing(new_writer):
+            new_writer.write(b'ping')
+            with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+                await new_reader.readexactly(4)
 
     with_proxy(run_test)
--- a/tests/stores/test_http_client.py
+++ b/tests/stores/test_http_client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from contextlib import closing
 
 import pytest
 
@@ -37,14 +38,14 @@
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         nonlocal calls
         calls += 1
-        await reader.readuntil(b'\r\n\r\n')
-        for index in range(parts):
-            head = b'' if index else HEAD
-            writer.write(head + PART)
-            await writer.drain()
-            await asyncio.sleep(pause_s)
-        await reader.read()
-        writer.close()
+        with closing(writer):
+            await reader.readuntil(b'\r\n\r\n')
+            for index in range(parts):
+                head = b'' if index else HEAD
+                writer.write(head + PART)
+                await writer.drain()
+                await asyncio.sleep(pause_s)
+            await reader.read()
 
     server = await asyncio.start_server(serve, '127.0.0.1', 0)
     port = server.sockets[0].getsockname()[1]
@@ -93,12 +94,12 @@
 def test_paused_process_receives_the_response_that_waits_in_its_socket() -> None:
     async def body() -> HttpResponse:
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            await reader.readuntil(b'\r\n\r\n')
-            writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok')
-            await writer.drain()
-            # Blocks the event loop for longer than the timeout of the call.
-            time.sleep(2 * TIMEOUT_S)  # noqa: ASYNC251
-            writer.close()
+            with closing(writer):
+                await reader.readuntil(b'\r\n\r\n')
+                writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok')
+                await writer.drain()
+                # Blocks the event loop for longer than the timeout of the call.
+                time.sleep(2 * TIMEOUT_S)  # noqa: ASYNC251
 
         server = await asyncio.start_server(serve, '127.0.0.1', 0)
         port = server.sockets[0].getsockname()[1]
@@ -113,10 +114,10 @@
         closed = asyncio.Event()
 
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            await reader.readuntil(b'\r\n\r\n')
-            assert not await reader.read()
-            closed.set()
-            writer.close()
+            with closing(writer):
+                await reader.readuntil(b'\r\n\r\n')
+                assert not await reader.read()
+                closed.set()
 
         server = await asyncio.start_server(serve, '127.0.0.1', 0)
         port = server.sockets[0].getsockname()[1]
--- a/tests/support/endless.py
+++ b/tests/support/endless.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager, suppress
+from contextlib import asynccontextmanager, closing, suppress
 from dataclasses import dataclass, field, replace
 from enum import StrEnum
 
@@ -72,7 +72,7 @@
 
     async def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.tasks.add(asyncio.current_task())
-        with suppress(ConnectionError, asyncio.IncompleteReadError):
+        with closing(writer), suppress(ConnectionError, asyncio.IncompleteReadError):
             head = await reader.readuntil(b'\r\n\r\n')
             self.requests += 1
             _, _, rest = head.decode().partition('X-Cassiahitch-Attempt-Id: ')
@@ -83,7 +83,6 @@
                 await writer.drain()
                 self.sent += len(repeated)
                 await asyncio.sleep(0)
-        writer.close()
 
 
 @asynccontextmanager
