Move proposed changes out of the configuration store

What an operator proposes, its digest, its validity and the error of a conflict are a module of their own now; the store keeps the transactions.

--- a/src/cassiahitch/controllers/store.py
+++ b/src/cassiahitch/controllers/store.py
@@ -2,9 +2,6 @@
 
 from __future__ import annotations
 
-import re
-from dataclasses import dataclass
-from hashlib import sha256
 from typing import TYPE_CHECKING
 
 from cassiahitch.codes import Code
@@ -15,9 +12,16 @@
     decode_change,
     encode_change,
 )
+from cassiahitch.controllers.proposals import (
+    AcceptedChange,
+    ProposedChange,
+    StoredResource,
+    check_change_id,
+    conflict_error,
+)
 from cassiahitch.controllers.references import REFERRING_KINDS, references
 from cassiahitch.errors import PlatformError, ResourceError
-from cassiahitch.resources.parsing import parse_stored, resource_bytes, resource_key
+from cassiahitch.resources.parsing import parse_stored, resource_key
 from cassiahitch.stores.api import ABSENT_VERSION, CommitSuccess, Condition, Write
 
 if TYPE_CHECKING:
@@ -36,53 +40,10 @@
 CHANGE_IDS = 'configuration-change-ids'
 #: Attempts to commit a change, each of which may conflict with a change of another operator.
 MAX_COMMIT_ATTEMPTS = 16
-#: Valid change ids.
-CHANGE_ID_PATTERN = re.compile('[A-Za-z0-9._-]{1,64}')
 #: Rows per scan of the table service.
 SCAN_ROWS = 256
 
 
-@dataclass(frozen=True, slots=True)
-class AcceptedChange:
-    """A committed change; ``revision`` is the global revision that it created."""
-
-    revision: int
-    key: str
-
-
-@dataclass(frozen=True, slots=True)
-class StoredResource:
-    """A resource and the revision of the change that last wrote it."""
-
-    revision: int
-    resource: Resource
-
-
-@dataclass(frozen=True, slots=True)
-class ProposedChange:
-    """A change that an operator requests.
-
-    ``if_match`` is the revision that the change replaces, or ``ABSENT_VERSION`` for a new resource.
-    """
-
-    change_id: str
-    key: str
-    resource: Resource | None
-    if_match: int
-
-    @property
-    def document(self) -> bytes | None:
-        """The resource in JSON, or ``None`` for a deletion."""
-        return None if self.resource is None else resource_bytes(self.resource)
-
-    @property
-    def digest(self) -> str:
-        """Digest that detects the reuse of a change id for another change."""
-        digest = sha256(f'{self.key}\n{self.if_match}\n'.encode())
-        digest.update(self.document or b'-')
-        return digest.hexdigest()
-
-
 class ConfigurationStore:
     """Commits changes, each in one transaction that raises the global revision by one.
 
@@ -299,7 +260,7 @@
         row = await self.tables.read(RESOURCES, proposal.key)
         current = ABSENT_VERSION if row is None else decode_change(row.content).revision
         if current != proposal.if_match:
-            raise _conflict(proposal, current)
+            raise conflict_error(proposal, current)
         if proposal.resource is None:
             await self._check_unused(proposal.key)
             return
@@ -336,17 +297,6 @@
         return Snapshot(revision, tuple(resources[key] for key in sorted(resources)))
 
 
-def check_change_id(change_id: str) -> None:
-    """Check that a change id is valid.
-
-    :param change_id: the change id that an operator sent.
-    :raises ResourceError: with ``resource_invalid``.
-    """
-    if not CHANGE_ID_PATTERN.fullmatch(change_id):
-        detail = f'the change id must match {CHANGE_ID_PATTERN.pattern} completely'
-        raise ResourceError(Code.resource_invalid, detail)
-
-
 def change_row_key(revision: int) -> str:
     """Return the key of a change row; the order of keys is that of revisions.
 
@@ -381,15 +331,6 @@
     raise unknown_outcome or error
 
 
-def _conflict(proposal: ProposedChange, current: int) -> ResourceError:
-    if proposal.if_match == ABSENT_VERSION:
-        return ResourceError(Code.resource_exists, f'{proposal.key} has revision {current}')
-    if current == ABSENT_VERSION:
-        return ResourceError(Code.resource_missing, f'{proposal.key} does not exist')
-    detail = f'{proposal.key} has revision {current}, not {proposal.if_match}'
-    return ResourceError(Code.revision_conflict, detail)
-
-
 def _stored(change: Change) -> StoredResource:
     return StoredResource(change.revision, parse_stored(change.document or b''))
 
@@ -407,9 +348,6 @@
 
 
 __all__ = (
-    'AcceptedChange',
     'ConfigurationStore',
-    'StoredResource',
     'change_row_key',
-    'check_change_id',
 )
--- a/src/cassiahitch/entry/operator_handlers.py
+++ b/src/cassiahitch/entry/operator_handlers.py
@@ -11,8 +11,8 @@
 from typing import TYPE_CHECKING, Any
 
 from cassiahitch.codes import Code
+from cassiahitch.controllers.proposals import check_change_id
 from cassiahitch.controllers.status import revision_status
-from cassiahitch.controllers.store import check_change_id
 from cassiahitch.entry.caller_handlers import CallerHandler
 from cassiahitch.errors import CassiahitchError, ResourceError
 from cassiahitch.resources.models import KINDS
@@ -21,7 +21,8 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable
 
-    from cassiahitch.controllers.store import AcceptedChange, ConfigurationStore, StoredResource
+    from cassiahitch.controllers.proposals import AcceptedChange, StoredResource
+    from cassiahitch.controllers.store import ConfigurationStore
     from cassiahitch.entry.agent_registry import AgentRegistry
     from cassiahitch.entry.report_handlers import ReportCollector
     from cassiahitch.entry.synchronisation import Synchroniser
--- a/tests/controllers/test_history.py
+++ b/tests/controllers/test_history.py
@@ -14,12 +14,8 @@
 from cassiahitch.controllers.bootstrap import ApplySnapshot, Bootstrap, PeerReply, StoreReply
 from cassiahitch.controllers.changes import Change, Delta, Snapshot, decode_change
 from cassiahitch.controllers.configuration import Configuration
-from cassiahitch.controllers.store import (
-    CHANGES,
-    AcceptedChange,
-    ConfigurationStore,
-    ProposedChange,
-)
+from cassiahitch.controllers.proposals import AcceptedChange, ProposedChange
+from cassiahitch.controllers.store import CHANGES, ConfigurationStore
 from cassiahitch.errors import CassiahitchError
 from cassiahitch.resources.models import Service, ServiceType
 from cassiahitch.resources.parsing import parse_stored, resource_key
--- a/tests/controllers/test_store.py
+++ b/tests/controllers/test_store.py
@@ -9,7 +9,8 @@
 import pytest
 
 from cassiahitch.codes import Code
-from cassiahitch.controllers.store import AcceptedChange, ConfigurationStore
+from cassiahitch.controllers.proposals import AcceptedChange
+from cassiahitch.controllers.store import ConfigurationStore
 from cassiahitch.errors import CassiahitchError, PlatformError, ResourceError
 from cassiahitch.resources.models import Deployment, Model, Service, ServiceType
 from cassiahitch.standins.tables import MemoryTables
--- a/tests/weights/test_activefetches.py
+++ b/tests/weights/test_activefetches.py
@@ -40,7 +40,7 @@
 
 def test_stall_of_all_sources_extends_the_deadlines_a_limited_number_of_times() -> None:
     fetches = fetches_from(OWN_LINK_STALL_MIN_SOURCES)
-    now = 0.0
+    now = float(0)
     for _ in range(MAX_STALL_EXTENSIONS):
         now += LIMITS.stall_timeout_s
         assert not fetches.expire(now)
