--- a/tests/support/freezing_proxy.py
+++ b/tests/support/freezing_proxy.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import suppress
+from contextlib import ExitStack, closing, suppress
 
 READ_BYTES = 65_536
 LOOPBACK = '127.0.0.1'
@@ -16,7 +16,6 @@
         self.target_port = port
         self.port = 0
         self.generation = 0
-        self.tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> asyncio.Server:
         """Listen on a free port."""
@@ -30,12 +29,15 @@
 
     async def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Forward both directions of a connection."""
-        target_reader, target_writer = await asyncio.open_connection(LOOPBACK, self.target_port)
-        generation = self.generation
-        for source, sink in ((reader, target_writer), (target_reader, writer)):
-            task = asyncio.create_task(self.forward(source, sink, generation))
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
+        with ExitStack() as stack:
+            stack.enter_context(closing(writer))
+            target_reader, target_writer = await asyncio.open_connection(LOOPBACK, self.target_port)
+            stack.enter_context(closing(target_writer))
+            generation = self.generation
+            await asyncio.gather(
+                self.forward(reader, target_writer, generation),
+                self.forward(target_reader, writer, generation),
+            )
 
     async def forward(
         self,
