--- a/tests/stores/test_calls_without_end.py
+++ b/tests/stores/test_calls_without_end.py
@@ -5,7 +5,8 @@
 import asyncio
 
 import pytest
-from endless import ADDRESS, EndlessPart, EndlessServer, resident_bytes
+from endless import EndlessPart, EndlessServer, resident_bytes
+from scripted_replicas import ADDRESS
 
 from cassiahitch.stores.http_client import HttpCall, HttpCallError, HttpClient
 
--- a/tests/support/endless.py
+++ b/tests/support/endless.py
@@ -5,13 +5,13 @@
 import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from enum import StrEnum
 
+from scripted_replicas import ADDRESS, redirect_replicas
+
 from cassiahitch.direct.entry import DirectEntry
-from cassiahitch.util.endpoints import Endpoint
 
-ADDRESS = '127.0.0.1'
 FILLER = b'x' * 65_536
 SEAL_HEADER = 'X-Cassiahitch-Response-Seal: s\r\n'
 
@@ -92,9 +92,7 @@
     endless_server = EndlessServer(kind)
     server = await asyncio.start_server(endless_server.accept, ADDRESS, 0)
     port = server.sockets[0].getsockname()[1]
-    registry = entry.parts.entry_state.replicas
-    for key, replica in tuple(registry.replicas.items()):
-        registry.replicas[key] = replace(replica, endpoint=Endpoint(ADDRESS, port))
+    redirect_replicas(entry, port)
     try:
         yield endless_server
     finally:
