Take no refusal of an earlier request for the response to a later one

Seen: a replica that wrote an earlier refusal once more on a kept connection made an entry report a request as not run, or send it to a second replica, while the first one ran it. Cause: a refusal without an id was taken for the response to whatever request was in flight, and one with an id for that of the same attempt sent again on that connection. A response was attributed by less than what identifies it. Change: a refusal without an id counts only as the first response on a connection that has carried no other request; elsewhere it is skipped, as other foreign responses are. A connection remembers the attempts that were refused on it and does not carry them again; after 64 refusals it is closed. A foreign response that is complete before a long body is written no longer ends the connection. Cost: a replica that refuses without the id on a kept connection and then stays silent is waited for until the progress timeout or the deadline (502 or 504 instead of 503).

--- a/src/cassiahitch/direct/backends/attempt.py
+++ b/src/cassiahitch/direct/backends/attempt.py
@@ -150,7 +150,10 @@
                 return Withheld()
             try:
                 connection = await self.pool.acquire(
-                    replica, limit, at_most_once=call.require_route().runs_once
+                    replica,
+                    limit,
+                    at_most_once=call.require_route().runs_once,
+                    attempt_id=call.request.attempt_id,
                 )
             except ConnectFailed as error:
                 return NotSent(str(error), error.refused)
--- a/src/cassiahitch/direct/backends/connection.py
+++ b/src/cassiahitch/direct/backends/connection.py
@@ -21,6 +21,8 @@
 #: Seconds without traffic before the first TCP keepalive probe, and between probes.
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
+#: Refusals after which a connection is not used again, so that few attempt ids are remembered.
+MAX_REFUSALS = 64
 
 
 class ConnectFailed(Exception):
@@ -47,6 +49,8 @@
     """Owns the socket of a connection.
 
     A connection that receives bytes while no request is in flight is not used again.
+    ``refused_ids`` has the ids of the attempts that were refused on it: such a refusal may arrive
+    once more, and the id could not tell it from the response to the same attempt sent again.
     """
 
     def __init__(self, stream: IOStream, replica: Replica) -> None:
@@ -58,6 +62,7 @@
         self.stream = stream
         self.replica = replica
         self.requests = 0
+        self.refused_ids: set[str] = set()
         self.idle_since: float = 0
         self.idle_limit_s: float = 0
         self.pending_read: asyncio.Future[bytes] | None = None
@@ -72,7 +77,8 @@
 
         :return: whether it may carry another request.
         """
-        return not self.closed and (self.pending_read is None or not self.pending_read.done())
+        is_silent = self.pending_read is None or not self.pending_read.done()
+        return not self.closed and is_silent and len(self.refused_ids) < MAX_REFUSALS
 
     def start_read(self) -> asyncio.Future[bytes]:
         """Start a read, so that a close or unexpected bytes are detected while it is idle.
@@ -179,6 +185,7 @@
 
 
 __all__ = (
+    'MAX_REFUSALS',
     'BackendConnection',
     'ConnectFailed',
     'ConnectionBroken',
--- a/src/cassiahitch/direct/backends/exchange.py
+++ b/src/cassiahitch/direct/backends/exchange.py
@@ -88,18 +88,21 @@
         :param request: the request.
         :param headers: the headers for the backend server.
         :return: the head of the response.
-        :raises ResponseLost: if no response to this request is received.
+        :raises ResponseLost: if no response to this request is received. A refusal that cannot be
+            attributed to it is skipped, since the request may run.
         :raises RequestError: ``bad_request`` if the request is not valid HTTP; nothing was sent.
         """
         content = _request_bytes(self.machine, request, headers)
         self.connection.requests += 1
         self.sent_at = asyncio.get_running_loop().time()
         self.written = self.connection.write(content)
-        for _ in range(MAX_FOREIGN_RESPONSES):
+        for skipped in range(MAX_FOREIGN_RESPONSES):
             head = await self._read_head()
-            if head.attempt_id == request.attempt_id or (head.not_run and not head.attempt_id):
+            if self._is_own(request, head, skipped):
                 self.on_head(self.connection.replica, head, self.sent_at)
                 self.head = head
+                if head.not_run:
+                    self.connection.refused_ids.add(request.attempt_id)
                 return head
             self.on_head(self.connection.replica, head, -math.inf)
             await self._skip_response(request, headers)
@@ -137,6 +140,12 @@
         except TimeoutError:
             raise ResponseLost('a discarded response did not end in time') from None
 
+    def _is_own(self, request: CallerRequest, head: ResponseHead, skipped: int) -> bool:
+        # A refusal without an id may be that of an earlier request, so it counts only as the first
+        # response on a connection that has carried no other request.
+        unambiguous = head.not_run and self.connection.requests == 1 and not skipped
+        return head.attempt_id == request.attempt_id or (not head.attempt_id and unambiguous)
+
     async def _read_head(self) -> ResponseHead:
         event = await self._next_event()
         for _ in range(MAX_INTERIM_RESPONSES):
@@ -154,9 +163,9 @@
     async def _skip_response(self, request: CallerRequest, headers: Headers) -> None:
         # A late or duplicate response to an earlier request precedes the one to this request.
         await self.discard_body()
-        if not self.reusable and not self.machine.trailing_data[0]:
-            raise ResponseLost('the connection ended with a response to another request')
         trailing, _ = self.machine.trailing_data
+        if self.machine.their_state is not h11.DONE and not trailing:
+            raise ResponseLost('the connection ended with a response to another request')
         self.machine = _new_machine()
         _request_bytes(self.machine, request, headers)
         self.complete = False
--- a/src/cassiahitch/direct/backends/pool.py
+++ b/src/cassiahitch/direct/backends/pool.py
@@ -30,17 +30,18 @@
         self.open_counts: Counter[str] = Counter()
 
     async def acquire(
-        self, replica: Replica, limit: int, *, at_most_once: bool
+        self, replica: Replica, limit: int, *, at_most_once: bool, attempt_id: str = ''
     ) -> BackendConnection:
-        """Return a connection for one request.
+        """Return a connection for one request, on which it was not refused before.
 
         :param replica: the backend server.
         :param limit: connections to it that this process may have.
         :param at_most_once: whether the request must not run twice.
+        :param attempt_id: id of the attempt of the caller.
         :return: an idle connection, or a new one.
         :raises ConnectFailed: if none could be opened or the limit is reached; nothing was sent.
         """
-        idle = self._take_idle(replica, at_most_once=at_most_once)
+        idle = self._take_idle(replica, attempt_id, at_most_once=at_most_once)
         if idle is not None:
             return idle
         if self.open_counts[replica.key] >= limit:
@@ -111,13 +112,16 @@
         """Close all idle connections."""
         self.keep_only(frozenset())
 
-    def _take_idle(self, replica: Replica, *, at_most_once: bool) -> BackendConnection | None:
+    def _take_idle(
+        self, replica: Replica, attempt_id: str, *, at_most_once: bool
+    ) -> BackendConnection | None:
         now = time.monotonic()
         connections = self.idle.get(replica.key, [])
         while connections:
             connection = connections.pop()
             too_old = at_most_once and now - connection.idle_since > AT_MOST_ONCE_IDLE_LIMIT_S
-            if _is_usable(connection, now) and not too_old:
+            refused = attempt_id in connection.refused_ids
+            if _is_usable(connection, now) and not too_old and not refused:
                 return connection
             self.discard(connection)
         return None
--- a/tests/direct/backends/test_exchange.py
+++ b/tests/direct/backends/test_exchange.py
@@ -4,11 +4,17 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
 import pytest
 
 from cassiahitch.direct.api import CallerRequest, Headers, ResponseHead
-from cassiahitch.direct.backends.connection import BackendConnection, ConnectFailed, connect
+from cassiahitch.direct.backends.connection import (
+    MAX_REFUSALS,
+    BackendConnection,
+    ConnectFailed,
+    connect,
+)
 from cassiahitch.direct.backends.exchange import Exchange, ResponseLost
 from cassiahitch.direct.backends.pool import ConnectionPool
 from cassiahitch.direct.backends.stalls import StallDetector
@@ -27,6 +33,8 @@
 )
 UNFRAMED = b'HTTP/1.1 200 OK\r\n%b\r\nfine' % SEALED
 REFUSED = b'HTTP/1.1 503 Busy\r\nX-Cassiahitch-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n'
+#: Longer than the buffers between both ends of a connection.
+LONG_BODY_BYTES = 16_000_000
 
 Peer = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 Body = Callable[[Replica], Awaitable[None]]
@@ -161,6 +169,52 @@
     serve(responding_peer(REFUSED), body)
 
 
+@pytest.mark.parametrize('kept', [False, True], ids=['new connection', 'kept connection'])
+def test_refusal_before_a_long_body_is_read_is_taken_only_on_a_new_connection(
+    *, kept: bool
+) -> None:
+    async def peer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if kept:
+            await reader.readuntil(b'body')
+            writer.write(COMPLETE)
+        await reader.readuntil(b'xxxx')
+        writer.write(REFUSED)
+        await asyncio.sleep(0.05)
+        await reader.readexactly(LONG_BODY_BYTES - len(b'xxxx'))
+        writer.write(COMPLETE)
+
+    async def body(replica: Replica) -> None:
+        connection = await connect(replica, 1)
+        if kept:
+            await run_exchange(connection)
+        exchange = Exchange(connection, CODEC, StallDetector(no_alternative))
+        long_request = replace(request(), body=b'x' * LONG_BODY_BYTES)
+        head = await exchange.send(long_request, request().headers)
+        content = await exchange.body()
+        own_content = b'fine' if kept else b''
+        assert (head.not_run, content, exchange.reusable) == (not kept, own_content, kept)
+        connection.close()
+
+    serve(peer, body)
+
+
+def test_connection_after_many_refusals_is_not_used_again() -> None:
+    refusal = REFUSED.replace(b'\r\n', b'\r\n%b' % SEALED, 1)
+
+    async def body(replica: Replica) -> None:
+        connection = await connect(replica, 1)
+        for number in range(MAX_REFUSALS):
+            assert connection.can_reuse()
+            exchange = Exchange(connection, CODEC, StallDetector(no_alternative))
+            await exchange.send(replace(request(), attempt_id=f'a{number}'), request().headers)
+            await exchange.body()
+        assert not connection.can_reuse()
+        connection.close()
+
+    refusals = (refusal.replace(b': a1', b': a%d' % number) for number in range(MAX_REFUSALS))
+    serve(responding_peer(*refusals), body)
+
+
 def test_refused_connection_is_reported_as_refused() -> None:
     async def body(replica: Replica) -> None:
         unreachable = Replica('r2', 'desk', Endpoint(ADDRESS, 1), 'north-1', 4)
