--- a/tests/support/direct_callers.py
+++ b/tests/support/direct_callers.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 from collections.abc import Awaitable, Callable
+from contextlib import closing, suppress
 from dataclasses import dataclass, field
 from itertools import count
 
@@ -104,12 +105,9 @@
     reader, writer = await asyncio.open_connection(callers.address, callers.port)
     writer.write(data)
     response = CallerResponse(attempt)
-    try:
+    with closing(writer), suppress(TimeoutError):
         async with asyncio.timeout(disconnect_after_s):
             await read_response(machine, reader, response)
-    except TimeoutError:
-        pass
-    writer.close()
     return response
 
 
--- a/tests/support/scripted_replicas.py
+++ b/tests/support/scripted_replicas.py
@@ -141,6 +141,13 @@
         request.sent_count = self.sent_counts[request.attempt]
         return request
 
+    async def stop(self) -> None:
+        """End all connections."""
+        tasks = [task for task in self.tasks if task is not None]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
 
 def redirect_replicas(entry: DirectEntry, port: int) -> None:
     """Replace the endpoints of all replicas in the registry of an entry.
@@ -168,9 +175,7 @@
         yield scripted_server
     finally:
         server.close()
-        for task in scripted_server.tasks:
-            if task is not None:
-                task.cancel()
+        await scripted_server.stop()
 
 
 async def add_once_stream_route(site: DirectSite) -> None:
