Write nothing but further events into a stream that has begun

Seen: a stream broke off after it had begun, and the next replica answered with an error: its head and text stood in the caller's chunked body; after 204 or a success of another kind the stream ended as if it were complete. Cause: a response was judged by itself, not by what its caller had already received; each path that responds wrote a head of its own. Change: a response continues a stream if it has the status and media type with which the stream began, is signed and not encoded; any other one counts as a lost attempt, so that the stream goes on elsewhere or is broken off.

--- a/src/cassiahitch/direct/backends/attempt.py
+++ b/src/cassiahitch/direct/backends/attempt.py
@@ -10,6 +10,7 @@
 
 from cassiahitch.direct.api import Answered, Destination, ResponseHead
 from cassiahitch.direct.backends.connection import BackendConnection, ConnectFailed
+from cassiahitch.direct.backends.continuation import continues_stream
 from cassiahitch.direct.backends.events import EventSplitter, EventTooLarge
 from cassiahitch.direct.backends.exchange import Exchange, ResponseLost
 from cassiahitch.direct.backends.stalls import ReplicaStalled, StallDetector
@@ -76,21 +77,35 @@
 class StreamState:
     """What the caller has received of a stream, across all backend servers that sent parts of it.
 
-    ``reserved`` is the assignment at which the request continues after the current backend server;
-    its retry is already spent. ``stalled_key`` is the stalled backend server at which the request
-    stayed because no other one, or no retry, was available. ``reserve`` tries to set ``reserved``
-    and returns whether it could; ``on_first_event`` is called with the time of the first event.
+    ``head`` is the head with which it began, None before its first event. ``reserved`` is the
+    assignment at which the request continues after the current backend server; its retry is already
+    spent. ``stalled_key`` is the stalled backend server at which the request stayed because no
+    other one, or no retry, was available. ``reserve`` tries to set ``reserved`` and returns whether
+    it could; ``on_first_event`` is called with the time of the first event.
     """
 
     caller: CallerExchange
     splitter: EventSplitter = field(default_factory=EventSplitter)
-    started: bool = False
+    head: ResponseHead | None = None
     first_event_at: float | None = None
     on_first_event: Callable[[float], None] | None = None
     reserve: Callable[[], Awaitable[bool]] | None = None
     reserved: Assignment | None = None
     stalled_key: str = ''
 
+    @property
+    def started(self) -> bool:
+        """Whether the caller has received the head of the response."""
+        return self.head is not None
+
+    def is_continued_by(self, head: ResponseHead) -> bool:
+        """Return whether a response can follow what the caller has received.
+
+        :param head: the head of the response.
+        :return: true before the start of the stream.
+        """
+        return self.head is None or continues_stream(self.head, head)
+
     async def reserve_alternative(self) -> bool:
         """Reserve another assignment for a request whose backend server is stalled.
 
@@ -280,10 +295,11 @@
         :return: how the attempt ended.
         :raises ResponseLost: if the response breaks off.
         """
-        if head.not_run:
+        if head.not_run or not stream.is_continued_by(head):
             with suppress(ResponseLost):
                 await exchange.discard_body()
-            return NotRun(head.status)
+            detail = f'a response with status {head.status} does not continue the stream'
+            return NotRun(head.status) if head.not_run else Lost(detail)
         if head.status in SUCCESS_STATUSES and call.require_route().repeat_policy == 'stream':
             return await self.forward_stream(exchange, head, stream, timeouts)
         body = await self.response_relay.relay(exchange, head, stream.caller)
@@ -340,7 +356,7 @@
         :raises CallerDisconnected: if the caller has disconnected.
         """
         if not stream.started and (data or last):
-            stream.started = True
+            stream.head = head
             stream.first_event_at = asyncio.get_running_loop().time()
             if stream.on_first_event is not None:
                 stream.on_first_event(stream.first_event_at)
--- a/src/cassiahitch/direct/callers/exchange.py
+++ b/src/cassiahitch/direct/callers/exchange.py
@@ -47,6 +47,10 @@
 CLOSE_DELIMITED_VERSION = 'HTTP/1.0'
 
 
+class SecondResponse(Exception):
+    """A response was to be written into one that has been started."""
+
+
 @dataclass(slots=True)
 class IncomingRequest:
     """A request as it was received."""
@@ -235,7 +239,9 @@
         :param reason: reason phrase.
         :param headers: headers, without those of the connection.
         :param body: the body.
+        :raises SecondResponse: if a response has been started.
         """
+        self._require_no_response()
         http_headers = self._make_headers(headers)
         if self.incoming.method == 'HEAD':
             body = b''
@@ -255,7 +261,9 @@
         :param reason: reason phrase.
         :param headers: headers, without those of the connection.
         :raises CallerDisconnected: if the connection is closed.
+        :raises SecondResponse: if a response has been started.
         """
+        self._require_no_response()
         self.response_started = True
         start_line = ResponseStartLine('HTTP/1.1', status, reason)
         await self.writer.start(start_line, self._make_headers(headers))
@@ -333,6 +341,10 @@
             reset_on_close(self.stream.socket)
         self.connection.stream.close()
 
+    def _require_no_response(self) -> None:
+        if self.response_started:
+            raise SecondResponse('a response to the request has been started')
+
     def _make_headers(self, headers: Headers) -> HTTPHeaders:
         http_headers = make_http_headers(headers)
         self.closes_connection = (
@@ -366,4 +378,5 @@
 __all__ = (
     'CallerExchange',
     'IncomingRequest',
+    'SecondResponse',
 )
