Log the prompt segments of requests that had not begun when an engine crashed

What callers saw: engines that crash one after the other, and no request refused for it.

Decodes the header that lists the segments of a prompt: the ids of all but the last one, at most 64, invalid entries ignored, the header forwarded as it came. No decision depends on it yet.

--- a/src/cassiahitch/direct/api.py
+++ b/src/cassiahitch/direct/api.py
@@ -23,12 +23,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Generation:
-    """The size of a request to a model engine, in tokens."""
+    """The size of a request to a model engine, in tokens.
+
+    ``shared_segments`` holds the ids of the segments of its prompt that other requests may have as
+    well; the last segment of a prompt is not among them.
+    """
 
     model: str
     prompt_tokens: int
     max_output_tokens: int
     expected_output_tokens: int
+    shared_segments: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -154,6 +159,7 @@
     replicas that it should not be sent to again. ``failed_response`` is an error response that
     was not forwarded because of a retry; ``may_reuse_replica`` is set if the replica that sent it
     may be tried again. ``size_rank`` is its size among the requests of its route.
+    ``has_begun`` is set once a replica has sent the first event or the complete response.
     """
 
     request: CallerRequest
@@ -169,6 +175,7 @@
     failed_response: Answered | None = None
     avoided_replicas: set[str] = field(default_factory=set)
     size_rank: SizeRank | None = None
+    has_begun: bool = False
 
     @property
     def id(self) -> str:
@@ -180,6 +187,12 @@
         """Whether it has run, as an error response states it."""
         return HasRun.unknown if self.may_have_run else HasRun.no
 
+    @property
+    def shared_segments(self) -> tuple[str, ...]:
+        """Ids of the segments of its prompt that other requests may have as well."""
+        generation = self.request.generation
+        return generation.shared_segments if generation else ()
+
     def require_route(self) -> Route:
         """Return the route.
 
--- a/src/cassiahitch/direct/placement/crashdetector.py
+++ b/src/cassiahitch/direct/placement/crashdetector.py
@@ -19,7 +19,6 @@
     from cassiahitch.direct.entrystate import EntryState
     from cassiahitch.direct.state.replicas import Replica
     from cassiahitch.direct.telemetry import Telemetry
-    from cassiahitch.routing.suspects import Fingerprint
 
 #: Connect timeout of the probe of a backend server, in seconds.
 PROBE_TIMEOUT_S = 0.3
@@ -27,17 +26,25 @@
 RECENTLY_ENDED_S = 0.4
 
 
+@dataclass(slots=True)
+class TrackedCall:
+    """A request on a backend server; ``ended_at`` is infinity while it runs, in seconds."""
+
+    call: Call
+    ended_at: float = float('inf')
+
+
 @dataclass(slots=True)
 class CrashDetector:
     """Tracks the requests on each backend server, and probes servers that lost a connection.
 
-    ``in_flight`` maps replica keys to the requests that ran there and the times of their ends,
-    infinity for running ones. ``crashed`` holds the keys of replicas whose crash was recorded.
+    ``in_flight`` maps replica keys to the requests that run there or ended recently. ``crashed``
+    holds the keys of replicas whose crash was recorded.
     """
 
     entry_state: EntryState
     telemetry: Telemetry
-    in_flight: dict[str, dict[Fingerprint, float]] = field(default_factory=dict)
+    in_flight: dict[str, list[TrackedCall]] = field(default_factory=dict)
     probes: dict[str, asyncio.Task[None]] = field(default_factory=dict)
     crashed: set[str] = field(default_factory=set)
 
@@ -49,15 +56,12 @@
         :param replica: replica that runs it.
         :yield: nothing.
         """
-        fingerprint = call.fingerprint
-        requests = self.in_flight.setdefault(replica.key, {})
-        if fingerprint is not None:
-            requests[fingerprint] = float('inf')
+        tracked = TrackedCall(call)
+        self.in_flight.setdefault(replica.key, []).append(tracked)
         try:
             yield
         finally:
-            if fingerprint is not None:
-                requests[fingerprint] = asyncio.get_running_loop().time()
+            tracked.ended_at = asyncio.get_running_loop().time()
 
     def check(self, replica: Replica) -> None:
         """Start a probe of a backend server that closed a connection unexpectedly.
@@ -90,12 +94,10 @@
         """
         now = asyncio.get_running_loop().time()
         self.crashed.add(replica.key)
-        recent = self.in_flight.get(replica.key, {})
-        in_flight = tuple(
-            fingerprint for fingerprint, ended in recent.items() if now - ended < RECENTLY_ENDED_S
-        )
+        calls = [tracked.call for tracked in recent_calls(self.in_flight.get(replica.key, []), now)]
+        in_flight = tuple({call.fingerprint for call in calls if call.fingerprint is not None})
         self.entry_state.crashes.record_crash(replica.id, replica.born_ms, in_flight, now)
-        self.telemetry.replica_crashed(replica, len(in_flight))
+        self.telemetry.replica_crashed(replica, calls)
 
     def keep_only(self, keys: frozenset[str]) -> None:
         """Drop replicas that are no longer registered, and requests that ended long ago.
@@ -105,14 +107,24 @@
         now = asyncio.get_running_loop().time()
         self.crashed &= keys
         self.in_flight = {
-            key: {
-                fingerprint: ended
-                for fingerprint, ended in requests.items()
-                if now - ended < RECENTLY_ENDED_S
-            }
-            for key, requests in self.in_flight.items()
+            key: recent_calls(tracked, now)
+            for key, tracked in self.in_flight.items()
             if key in keys
         }
 
 
-__all__ = ('CrashDetector',)
+def recent_calls(tracked_calls: list[TrackedCall], now: float) -> list[TrackedCall]:
+    """Return the requests that count as in flight.
+
+    :param tracked_calls: requests on one backend server.
+    :param now: current time in seconds.
+    :return: those that run or ended recently.
+    """
+    return [tracked for tracked in tracked_calls if now - tracked.ended_at < RECENTLY_ENDED_S]
+
+
+__all__ = (
+    'CrashDetector',
+    'TrackedCall',
+    'recent_calls',
+)
--- a/src/cassiahitch/direct/requests/runner.py
+++ b/src/cassiahitch/direct/requests/runner.py
@@ -155,7 +155,7 @@
             caller.progress.record_attempt(assignment.candidate.replica.id, started_at)
             limit = self.candidates.connection_limit(call)
             progress_timeouts = self.progress_timeouts(call)
-            stream.on_first_event = partial(self.record_start_delay, assignment, started_at)
+            stream.on_first_event = partial(self.record_begin, call, assignment, started_at)
             stream.reserve = partial(self.reserve_alternative, call, assignment, stream)
             with self.crash_detector.track(call, assignment.candidate.replica):
                 outcome = await self.attempts.send(
@@ -288,6 +288,19 @@
                     self.entry_state.crashes.record_completion(call.fingerprint, now)
         ejection.record_outcome(replica.key, health_outcome, now)
 
+    def record_begin(
+        self, call: Call, assignment: Assignment, started_at: float, now: float
+    ) -> None:
+        """Record the first event of a stream.
+
+        :param call: the request.
+        :param assignment: the assignment of the request.
+        :param started_at: when it was assigned, in seconds of the event loop's clock.
+        :param now: when the first event was received.
+        """
+        call.has_begun = True
+        self.record_start_delay(assignment, started_at, now)
+
     def record_start_delay(self, assignment: Assignment, started_at: float, now: float) -> None:
         """Correct the load estimate of an engine by how late the first event of a stream was.
 
--- a/src/cassiahitch/direct/telemetry.py
+++ b/src/cassiahitch/direct/telemetry.py
@@ -6,6 +6,7 @@
 import logging
 import math
 import traceback
+from collections import Counter
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from pathlib import Path
@@ -33,6 +34,8 @@
 STATE_LOGGER = logging.getLogger('cassiahitch.beliefs')
 #: Decimal places to which floats in log lines are rounded.
 LOGGED_DIGITS = 4
+#: Prompt segments of requests that had not begun at a crash that its log line contains.
+MAX_LOGGED_SEGMENTS = 16
 #: Innermost stack frames of an unexpected exception that its log line contains.
 LOGGED_FRAMES = 4
 
@@ -268,14 +271,22 @@
         self.metrics.count(CounterName.headers_unreadable, name)
         self.state_changed('header ignored', replica=replica.id, header=name)
 
-    def replica_crashed(self, replica: Replica, requests: int) -> None:
+    def replica_crashed(self, replica: Replica, calls: list[Call]) -> None:
         """Record the crash of a backend server.
 
         :param replica: the backend server.
-        :param requests: number of requests that this entry had in flight there.
+        :param calls: requests that this entry had in flight there.
         """
-        self.metrics.count(CounterName.suspects_marked, by=requests)
-        fields = {'replica': replica.id, 'service': replica.service, 'in_flight': requests}
+        self.metrics.count(CounterName.suspects_marked, by=len(calls))
+        waiting = [call for call in calls if not call.has_begun]
+        segments = Counter(segment for call in waiting for segment in call.shared_segments)
+        fields = {
+            'replica': replica.id,
+            'service': replica.service,
+            'in_flight': len(calls),
+            'not_begun': len(waiting),
+            'segments': [segment for segment, _ in segments.most_common(MAX_LOGGED_SEGMENTS)],
+        }
         self.state_changed('backend server crashed', **fields)
 
     def update_gauges(self) -> None:
--- a/src/cassiahitch/platform/names.py
+++ b/src/cassiahitch/platform/names.py
@@ -33,6 +33,9 @@
 TOKEN_COUNTS = 'X-Cassiahitch-Token-Count'
 #: Number of tokens of the response that the caller expects.
 EXPECTED_TOKENS = 'X-Cassiahitch-Length-Hint'
+#: Segments of the prompt in order, as ``ID:TOKENS`` separated by commas; the last one belongs to
+#: the request or its session.
+PROMPT_SEGMENTS = 'X-Cassiahitch-Prompt-Prefix'
 #: Identifier of the last event that the caller has received.
 LAST_EVENT = 'Last-Event-Id'
 
@@ -76,6 +79,7 @@
     'EXPECTED_TOKENS',
     'EXPECTED_VERSION',
     'LAST_EVENT',
+    'PROMPT_SEGMENTS',
     'SERVER_LEAVING',
     'SERVER_LIMIT',
     'MANIFEST_PATH',
--- a/src/cassiahitch/platform/requests.py
+++ b/src/cassiahitch/platform/requests.py
@@ -28,6 +28,10 @@
 SERVER_LEAVING_VALUES = MappingProxyType({'': False, '0': False, '1': True})
 #: Accepted decimal numbers in a header; signs, exponents and HTTP dates are not accepted.
 DECIMAL_PATTERN = re.compile(r'[0-9]{1,9}(\.[0-9]{1,9})?')
+#: Accepted entries of the header that lists the segments of a prompt.
+SEGMENT_PATTERN = re.compile(r'([0-9a-fA-F]{1,64}):[0-9]{1,9}')
+#: Shared segments of a prompt that are kept; further ones are ignored.
+MAX_SHARED_SEGMENTS = 64
 #: Hop-by-hop headers, which are not forwarded, in lower case.
 HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -66,7 +70,7 @@
         names.MODEL,
         names.TOKEN_COUNTS,
         names.EXPECTED_TOKENS,
-        'X-Cassiahitch-Prompt-Prefix',
+        names.PROMPT_SEGMENTS,
     )
 )
 
@@ -234,7 +238,11 @@
     expected = header(headers, names.EXPECTED_TOKENS, max_output or '0')
     try:
         return Generation(
-            model, _parse_count(prompt), _parse_count(max_output or '0'), _parse_count(expected)
+            model,
+            _parse_count(prompt),
+            _parse_count(max_output or '0'),
+            _parse_count(expected),
+            _shared_segments(headers),
         )
     except ValueError:
         raise RequestError(
@@ -242,6 +250,13 @@
         ) from None
 
 
+def _shared_segments(headers: Headers) -> tuple[str, ...]:
+    """Return the ids of all segments but the last one, without repeats and invalid entries."""
+    *shared, _ = header(headers, names.PROMPT_SEGMENTS).split(',')
+    matches = (SEGMENT_PATTERN.fullmatch(entry.strip()) for entry in shared[:MAX_SHARED_SEGMENTS])
+    return tuple(dict.fromkeys(match[1].lower() for match in matches if match))
+
+
 def _parse_idle_timeout_s(keep_alive: str) -> float | None:
     for part in keep_alive.split(','):
         name, _, seconds = part.strip().partition('=')
