--- a/src/cassiahitch/standins/backends.py
+++ b/src/cassiahitch/standins/backends.py
@@ -23,6 +23,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
+    from cassiahitch.standins.segmentcrashes import SegmentCrashes
+
 READ_BYTES = 65_536
 MS_PER_S = 1000
 #: Maximum number of requests that wait for a free slot.
@@ -112,7 +114,8 @@
     response has ``extra_headers``. ``arrivals`` holds the times of all requests except the calls of
     the agent, in seconds of the event loop's clock.
     ``pause_s`` delays each body and each event, ``events`` is the number of events of a stream, and
-    ``padding`` the number of bytes added to each plain body.
+    ``padding`` the number of bytes added to each plain body. Requests with the segment of
+    ``segment_crashes`` in their prompts crash the replica.
     """
 
     id: str
@@ -131,6 +134,7 @@
     fault: Fault = Fault.none
     faults: list[Fault] = field(default_factory=list)
     engine: EngineWeights | None = None
+    segment_crashes: SegmentCrashes | None = None
     runs: list[ExecutedRequest] = field(default_factory=list)
     refused: Counter[str] = field(default_factory=Counter)
     arrivals: list[float] = field(default_factory=list)
@@ -251,6 +255,8 @@
                 await response.send_response(*management_response)
                 return True
         self.arrivals.append(asyncio.get_running_loop().time())
+        if self.segment_crashes is not None:
+            self.segment_crashes.record_arrival(headers)
         refusal_status = self.refusal_status(headers)
         fault = self.faults.pop(0) if self.faults else self.fault
         if refusal_status is None and fault in REFUSALS:
@@ -301,10 +307,28 @@
         organisation = header(headers, names.ORGANISATION)
         self.runs.append(ExecutedRequest(attempt, target, organisation, version, after))
         with self.count_running():
+            if await self.crashes_by(headers, response):
+                return False
             if self.engine is None:
                 return await self.respond_plain(response, attempt, fault)
             return await self.respond_stream(response, attempt, after, fault)
 
+    async def crashes_by(
+        self, headers: tuple[tuple[str, str], ...], response: ResponseWriter
+    ) -> bool:
+        """Crash before the first part of the response to a request that crashes the replica.
+
+        :param headers: headers of the request.
+        :param response: writes the response; a request whose connection was closed is dropped.
+        :return: whether the request crashed the replica or was dropped.
+        """
+        if self.segment_crashes is None or not self.segment_crashes.is_carried(headers):
+            return False
+        await asyncio.sleep(self.pause_s)
+        if not response.writer.transport.is_closing():
+            await self.segment_crashes.crash(self)
+        return True
+
     @contextmanager
     def count_running(self) -> Iterator[None]:
         """Count a request as running within the context.
