Refuse requests by the prompt segment that their crashes have in common

Cause: the identity of the fault was taken from the whole request (method, target and body), and no two of these requests are alike. What they share, one segment of their prompts, was never looked at.

Change: a request that has had its first event clears its segments; what is left of the segments of requests without one at a crash is evidence, which entries unite and push at once, also to the other regions. A segment that explains two crashes better than any other is refused at all entries, and requests in flight with it that have not begun are withdrawn. After one crash, requests with a suspect segment wait up to 0.25 s for what others saw, and all entries send them to the same engine. A refusal ends with the first event of a request with the segment anywhere; else one entry tries one request after 30 s, later after growing times. The last segment of a prompt is never looked at.

--- a/src/cassiahitch/direct/api.py
+++ b/src/cassiahitch/direct/api.py
@@ -160,6 +160,7 @@
     was not forwarded because of a retry; ``may_reuse_replica`` is set if the replica that sent it
     may be tried again. ``size_rank`` is its size among the requests of its route.
     ``has_begun`` is set once a replica has sent the first event or the complete response.
+    ``is_trial`` is set if it tests whether a segment of its prompt still crashes engines.
     """
 
     request: CallerRequest
@@ -176,6 +177,7 @@
     avoided_replicas: set[str] = field(default_factory=set)
     size_rank: SizeRank | None = None
     has_begun: bool = False
+    is_trial: bool = False
 
     @property
     def id(self) -> str:
--- a/src/cassiahitch/direct/backends/attempt.py
+++ b/src/cassiahitch/direct/backends/attempt.py
@@ -363,6 +363,7 @@
     'NotSent',
     'Outcome',
     'ProgressTimeouts',
+    'SUCCESS_STATUSES',
     'StreamState',
     'Withheld',
 )
--- a/src/cassiahitch/direct/entry.py
+++ b/src/cassiahitch/direct/entry.py
@@ -223,6 +223,7 @@
             self.parts.runner.attempts.signals.prune(keys)
             self.parts.candidates.keep_only(keys)
             self.parts.runner.crash_detector.keep_only(keys)
+            self.parts.entry_state.segments.expire(now)
             self.parts.telemetry.update_gauges()
 
 
--- a/src/cassiahitch/direct/entrystate.py
+++ b/src/cassiahitch/direct/entrystate.py
@@ -11,6 +11,8 @@
 from cassiahitch.direct.members.regions import RegionRegistry
 from cassiahitch.direct.placement.crashguard import CrashGuard
 from cassiahitch.direct.placement.limiterchoice import LimiterDirectory
+from cassiahitch.direct.placement.segmentguard import SegmentGuard
+from cassiahitch.direct.placement.segmentsharing import SegmentSharing
 from cassiahitch.direct.state.freshness import Freshness
 from cassiahitch.direct.state.ratelimits import RateLimitRegistry
 from cassiahitch.direct.state.replicas import ReplicaRegistry
@@ -31,8 +33,9 @@
     """The state of one entry.
 
     ``catalogue`` is the configuration in force, None before the first one. ``crashes`` keeps the
-    requests that crashed backend servers, ``rate_limits`` the limits that replicas named, and
-    ``limiters`` the agents that grant permits for limited plain replicas.
+    requests that crashed backend servers, ``segments`` the evidence on prompt segments that crash
+    engines, and ``segment_sharing`` exchanges it. ``rate_limits`` keeps the limits that replicas
+    named, and ``limiters`` the agents that grant permits for limited plain replicas.
     ``replicas_loaded`` is set once the list of replicas was read, ``stopping`` once the shutdown of
     this entry has begun.
     """
@@ -42,6 +45,7 @@
     versions: VersionPolicy
     members: Gossip
     limiters: LimiterDirectory
+    segment_sharing: SegmentSharing
     replicas: ReplicaRegistry = field(default_factory=ReplicaRegistry)
     crashes: CrashGuard = field(default_factory=CrashGuard)
     rate_limits: RateLimitRegistry = field(default_factory=RateLimitRegistry)
@@ -95,6 +99,11 @@
         names = [service.name for service in services]
         self.limiters.update(self.replicas.replicas.values(), names, boot_now)
 
+    @property
+    def segments(self) -> SegmentGuard:
+        """The evidence on prompt segments that crash engines."""
+        return self.segment_sharing.guard
+
     def live_entries(self, now: float) -> int:
         """Return the number of live entries in all regions.
 
@@ -125,8 +134,13 @@
     versions = VersionPolicy(settings.bounds.weights_s)
     crashes = CrashGuard()
     rate_limits = RateLimitRegistry(rng)
+    segment_sharing = SegmentSharing(SegmentGuard())
     records_to_send = Piggyback(
-        crashes.records_to_send, versions.records, rate_limits.records_to_send
+        crashes.records_to_send,
+        versions.records,
+        rate_limits.records_to_send,
+        segment_sharing.crash_records,
+        segment_sharing.sound_records,
     )
     return EntryState(
         settings,
@@ -134,6 +148,7 @@
         versions,
         Gossip(MemberRegistry(own_state), RegionRegistry(settings.region), records_to_send, rng),
         LimiterDirectory(lambda domain: settings.regions.get(domain, '')),
+        segment_sharing,
         crashes=crashes,
         rate_limits=rate_limits,
     )
--- a/src/cassiahitch/direct/members/gossip.py
+++ b/src/cassiahitch/direct/members/gossip.py
@@ -16,6 +16,7 @@
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
+from cassiahitch.direct.members.ownership import is_owner
 from cassiahitch.direct.members.regions import RegionRegistry, parse_endpoints, summarize_region
 from cassiahitch.util.endpoints import Endpoint
 from cassiahitch.weights.tree import rendezvous_order
@@ -23,6 +24,8 @@
     LimitRecord,
     MemberNews,
     RegionState,
+    SegmentCrashRecord,
+    SegmentRecord,
     SuspectRecord,
     VersionRecord,
 )
@@ -96,6 +99,8 @@
     suspects: Callable[[float], tuple[SuspectRecord, ...]] = lambda _: ()
     versions: Callable[[float], tuple[VersionRecord, ...]] = lambda _: ()
     limits: Callable[[float], tuple[LimitRecord, ...]] = lambda _: ()
+    segment_crashes: Callable[[float], tuple[SegmentCrashRecord, ...]] = lambda _: ()
+    sound_segments: Callable[[float], tuple[SegmentRecord, ...]] = lambda _: ()
 
 
 @dataclass(slots=True)
@@ -104,6 +109,7 @@
 
     It does no I/O: its methods return the messages to send, and are given the received ones.
     ``pending_pushes`` holds how often the state of each changed entry is still to be pushed.
+    ``remote_pushes`` is how often records are still to be pushed to the other regions.
     ``on_change`` is called with each change of state and a text for the log.
     """
 
@@ -113,6 +119,7 @@
     rng: random.Random
     on_change: Callable[[str, MemberState], None] = lambda _what, _state: None
     pending_pushes: dict[str, int] = field(default_factory=dict)
+    remote_pushes: int = 0
     probes: dict[int, Probe] = field(default_factory=dict)
     indirect_probes: dict[int, IndirectProbe] = field(default_factory=dict)
     probe_order: list[str] = field(default_factory=list)
@@ -148,6 +155,25 @@
         self.pending_pushes[self.registry.own.name] = PUSHES_PER_CHANGE
         return True
 
+    def request_push(self, *, local: bool) -> None:
+        """Push the records of messages at once, since one has changed.
+
+        :param local: whether this entry made the observation; what it has heard from others is
+            pushed to other regions only if it is a gateway.
+        """
+        self.pending_pushes[self.registry.own.name] = PUSHES_PER_CHANGE
+        if local or self.is_gateway():
+            self.remote_pushes = PUSHES_PER_CHANGE
+
+    def is_owner(self, task: str, now: float) -> bool:
+        """Return whether this entry is the one that all entries choose for a task.
+
+        :param task: name of the task.
+        :param now: current time in seconds.
+        :return: whether it is.
+        """
+        return is_owner(task, self.registry, self.regions, now)
+
     def push_delay_s(self, now: float) -> float | None:
         """Return the time until the next push.
 
@@ -175,7 +201,11 @@
         live = self.registry.live_members()
         receivers = live if len(live) <= 2 * FANOUT else self.rng.sample(live, FANOUT)
         message = self.build_message(now, self.peer_states(names))
-        return [OutgoingMessage(message, state.address) for state in receivers]
+        messages = [OutgoingMessage(message, state.address) for state in receivers]
+        if self.remote_pushes:
+            self.remote_pushes -= 1
+            messages += self.remote_messages(now, asks=False)
+        return messages
 
     def receive(self, received: MemberNews, address: str, now: float) -> list[OutgoingMessage]:
         """Process a received message.
@@ -397,14 +427,29 @@
         :param now: current time in seconds.
         :return: what to send.
         """
+        if not self.is_gateway():
+            return []
+        # Without a live entry in its own region, the gateway requests a reply that names some.
+        return self.remote_messages(now, asks=not self.registry.live_members())
+
+    def is_gateway(self) -> bool:
+        """Return whether this entry reports its region to the other ones.
+
+        :return: whether it is one of the first live entries of its region.
+        """
         own = self.registry.own
         names = rendezvous_order(
             0, tuple(other.name for other in (own, *self.registry.live_members()))
         )
-        if own.name not in names[:GATEWAYS]:
-            return []
-        # Without a live entry in its own region, the gateway requests a reply that names some.
-        asks = not self.registry.live_members()
+        return own.name in names[:GATEWAYS]
+
+    def remote_messages(self, now: float, *, asks: bool) -> list[OutgoingMessage]:
+        """Return a message to an entry of each other region.
+
+        :param now: current time in seconds.
+        :param asks: whether the receivers are to reply.
+        :return: what to send.
+        """
         message = replace(
             self.build_message(now, remote=True), number=next(self.message_numbers), asks=asks
         )
@@ -461,6 +506,8 @@
             suspects=self.piggyback.suspects(now),
             versions=self.piggyback.versions(now),
             limits=self.piggyback.limits(now),
+            segment_crashes=self.piggyback.segment_crashes(now),
+            sound_segments=self.piggyback.sound_segments(now),
         )
 
     def peer_states(self, names: Iterable[str]) -> tuple[MemberState, ...]:
--- a/src/cassiahitch/direct/members/messaging.py
+++ b/src/cassiahitch/direct/members/messaging.py
@@ -41,8 +41,9 @@
     push_timer: asyncio.TimerHandle | None = None
 
     def __post_init__(self) -> None:
-        """Log changes in the states of other entries."""
+        """Log changes in the states of other entries, and push changes of the evidence."""
         self.entry_state.members.on_change = self.log_change
+        self.entry_state.segments.on_change = self.push_evidence
 
     def refresh_own_state(self) -> None:
         """Update whether this entry is ready or stopping, and push a change at once."""
@@ -120,6 +121,7 @@
         self.entry_state.crashes.merge_records(message.suspects, now)
         self.entry_state.versions.merge_records(message.versions, now)
         self.receive_limits(message.limits, now)
+        self.entry_state.segment_sharing.merge(message.segment_crashes, message.sound_segments, now)
 
     def receive_limits(self, records: tuple[LimitRecord, ...], now: float) -> None:
         """Apply rate limits of replicas that another entry has observed.
@@ -133,6 +135,15 @@
                 observation = observation_of(record, now)
                 self.entry_state.rate_limits.observe(replica, observation, 'entry')
 
+    def push_evidence(self, *, local: bool) -> None:
+        """Push a change of the evidence on segments that crash engines, and log it.
+
+        :param local: whether this entry made the observation itself.
+        """
+        self.telemetry.segments_judged(local=local)
+        self.entry_state.members.request_push(local=local)
+        self.push_soon()
+
     def log_change(self, what: str, state: MemberState) -> None:
         """Log a change in the state of an entry.
 
--- a/src/cassiahitch/direct/members/regions.py
+++ b/src/cassiahitch/direct/members/regions.py
@@ -83,6 +83,18 @@
             for endpoint in snapshot.endpoints
         )
 
+    def live_regions(self, now: float) -> tuple[str, ...]:
+        """Return the other regions that may have live entries.
+
+        :param now: current time in seconds.
+        :return: their names.
+        """
+        return tuple(
+            name
+            for name, snapshot in self.snapshots.items()
+            if snapshot.live and now - snapshot.seen_at < LIVE_COUNT_EXPIRY_S
+        )
+
     def live_count(self, now: float) -> int:
         """Return how many entries may be alive in other regions.
 
--- a/src/cassiahitch/direct/placement/crashdetector.py
+++ b/src/cassiahitch/direct/placement/crashdetector.py
@@ -74,6 +74,15 @@
         self.probes[replica.key] = task
         task.add_done_callback(lambda _: self.probes.pop(replica.key, None))
 
+    async def wait_for_probe(self, replica: Replica) -> None:
+        """Wait until the running probe of a backend server has ended.
+
+        :param replica: replica whose connection was closed.
+        """
+        probe = self.probes.get(replica.key)
+        if probe is not None:
+            await asyncio.wait((probe,), timeout=PROBE_TIMEOUT_S)
+
     async def probe(self, replica: Replica) -> None:
         """Record a crash if the backend server refuses a connection.
 
@@ -98,6 +107,7 @@
         in_flight = tuple({call.fingerprint for call in calls if call.fingerprint is not None})
         self.entry_state.crashes.record_crash(replica.id, replica.born_ms, in_flight, now)
         self.telemetry.replica_crashed(replica, calls)
+        self.entry_state.segments.record_crash(replica, calls, now)
 
     def keep_only(self, keys: frozenset[str]) -> None:
         """Drop replicas that are no longer registered, and requests that ended long ago.
--- a/src/cassiahitch/direct/placement/search.py
+++ b/src/cassiahitch/direct/placement/search.py
@@ -13,6 +13,7 @@
 
 from cassiahitch.codes import Code
 from cassiahitch.direct.placement.enginegroups import EngineGrouping, EngineGroups
+from cassiahitch.direct.placement.isolation import isolate
 from cassiahitch.direct.placement.placement import (
     Assignment,
     Candidate,
@@ -108,6 +109,7 @@
                 for replica in replicas
             )
             return await self.plain.find(request, plain)
+        replicas = self.isolate_suspect(call, replicas, service.engine, now)
         mean_objective_s = self.candidates.mean_objective_s(call)
         adjusted = replace(request, mean_objective_s=mean_objective_s)
         search = SearchState(
@@ -119,6 +121,25 @@
             raise self.no_replica_error(call)
         return result
 
+    def isolate_suspect(
+        self, call: Call, replicas: tuple[Replica, ...], engine: Engine, now: float
+    ) -> tuple[Replica, ...]:
+        """Return the engines to which a request may be sent, given the segments of its prompt.
+
+        :param call: the request.
+        :param replicas: the engines that accept requests.
+        :param engine: speed of the engines.
+        :param now: current time in seconds.
+        :return: one engine if a segment is suspect.
+        """
+        guard = self.candidates.entry_state.segments
+        return isolate(
+            guard,
+            guard.verdict(call),
+            replicas,
+            lambda replica: self.grouping.usable(replica, engine, now) is not None,
+        )
+
     def with_permit_wait(
         self, search: SearchState, replicas: tuple[Replica, ...]
     ) -> Assignment | NoCapacity | None:
--- a/src/cassiahitch/direct/requests/runner.py
+++ b/src/cassiahitch/direct/requests/runner.py
@@ -10,6 +10,7 @@
 
 from cassiahitch.codes import Code, HasRun
 from cassiahitch.direct.backends.attempt import (
+    SUCCESS_STATUSES,
     Answered,
     AttemptSender,
     CallerDisconnected,
@@ -30,6 +31,7 @@
 from cassiahitch.direct.placement.search import PlacementSearch
 from cassiahitch.direct.requests.callertimeouts import CallerTimeouts
 from cassiahitch.direct.requests.failover import Failover
+from cassiahitch.direct.requests.segmentcheck import SegmentCheck
 from cassiahitch.errors import RequestError
 from cassiahitch.routing.api import Outcome as HealthOutcome
 
@@ -72,11 +74,13 @@
     telemetry: Telemetry
     caller_timeouts: CallerTimeouts = field(default_factory=CallerTimeouts)
     failover: Failover = field(init=False)
+    segment_check: SegmentCheck = field(init=False)
     error_responder: ErrorResponder = field(init=False)
 
     def __post_init__(self) -> None:
         """Create the parts that depend on the other fields."""
         self.error_responder = ErrorResponder(self.codec, self.telemetry)
+        self.segment_check = SegmentCheck(self.entry_state, self.crash_detector)
         self.failover = Failover(
             entry_state=self.entry_state,
             filters=self.filters,
@@ -119,6 +123,7 @@
         :raises RequestError: if it is refused, fails, or passes its deadline.
         """
         self.filters.check(call)
+        self.segment_check.require_allowed(call)
         caller.require_time_left(call.deadline)
         self.telemetry.record_offered_size(call)
         if call.request.caller_timeout_s is not None:
@@ -157,10 +162,11 @@
             progress_timeouts = self.progress_timeouts(call)
             stream.on_first_event = partial(self.record_begin, call, assignment, started_at)
             stream.reserve = partial(self.reserve_alternative, call, assignment, stream)
-            with self.crash_detector.track(call, assignment.candidate.replica):
-                outcome = await self.attempts.send(
-                    call, assignment, stream, progress_timeouts, limit
-                )
+            async with self.segment_check.withdraw_if_refused(call):
+                with self.crash_detector.track(call, assignment.candidate.replica):
+                    outcome = await self.attempts.send(
+                        call, assignment, stream, progress_timeouts, limit
+                    )
             self.telemetry.attempt_ended(
                 call, assignment, outcome, started_at, stream.first_event_at
             )
@@ -170,6 +176,8 @@
             if await self.deliver(call, caller, outcome):
                 return
             self.require_retry_allowed(call, assignment, outcome, stream)
+            if isinstance(outcome, Lost):
+                await self.segment_check.wait_for_evidence(call, assignment.candidate.replica)
             await self.prepare_retry(call, assignment, outcome, stream)
         raise RequestError(
             Code.no_replica,
@@ -190,11 +198,25 @@
         while True:
             result = await self.placement_search.find(call, self.placement_request(call))
             if isinstance(result, Assignment):
+                self.require_allowed(call, result)
                 return result
             if clock() + result.available_in_s >= wait_until:
                 raise self.no_capacity_error(call, result)
             await asyncio.sleep(max(PLACEMENT_RETRY_INTERVAL_S, result.available_in_s))
 
+    def require_allowed(self, call: Call, assignment: Assignment) -> None:
+        """Check that a request was not refused by its segments while it was assigned.
+
+        :param call: the request.
+        :param assignment: its assignment, which is released if it was.
+        :raises RequestError: ``poison_refused``.
+        """
+        try:
+            self.segment_check.require_allowed(call)
+        except RequestError:
+            self.placement_search.release(assignment)
+            raise
+
     async def reserve_alternative(
         self, call: Call, assignment: Assignment, stream: StreamState
     ) -> bool:
@@ -284,10 +306,22 @@
                 health_outcome = HealthOutcome.refused
             case _:
                 health_outcome = HealthOutcome.success
-                if call.fingerprint is not None:
-                    self.entry_state.crashes.record_completion(call.fingerprint, now)
+                self.record_success(call, outcome, now)
         ejection.record_outcome(replica.key, health_outcome, now)
 
+    def record_success(self, call: Call, outcome: Outcome, now: float) -> None:
+        """Clear a request from suspicion, since a backend server has responded to it.
+
+        :param call: the request.
+        :param outcome: how the attempt ended.
+        :param now: current time in seconds.
+        """
+        if call.fingerprint is not None:
+            self.entry_state.crashes.record_completion(call.fingerprint, now)
+        is_error = isinstance(outcome, Answered) and outcome.head.status not in SUCCESS_STATUSES
+        if not is_error:
+            self.entry_state.segments.record_begin(call, now)
+
     def record_begin(
         self, call: Call, assignment: Assignment, started_at: float, now: float
     ) -> None:
@@ -298,7 +332,7 @@
         :param started_at: when it was assigned, in seconds of the event loop's clock.
         :param now: when the first event was received.
         """
-        call.has_begun = True
+        self.entry_state.segments.record_begin(call, now)
         self.record_start_delay(assignment, started_at, now)
 
     def record_start_delay(self, assignment: Assignment, started_at: float, now: float) -> None:
--- a/src/cassiahitch/direct/telemetry.py
+++ b/src/cassiahitch/direct/telemetry.py
@@ -289,6 +289,23 @@
         }
         self.state_changed('backend server crashed', **fields)
 
+    def segments_judged(self, *, local: bool) -> None:
+        """Record a change of the evidence on prompt segments that crash engines.
+
+        :param local: whether this entry made the observation itself.
+        """
+        evidence = self.entry_state.segments.evidence
+        for service in sorted({crash.service for crash in evidence.crashes.values()}):
+            conclusion = evidence.conclude(service)
+            fields = {
+                'service': service,
+                'local': local,
+                'suspects': len(conclusion.suspects),
+                'refused': [sorted(group.segments) for group in conclusion.groups],
+                'crashes': [group.crashes for group in conclusion.groups],
+            }
+            self.state_changed('prompt segments judged', **fields)
+
     def update_gauges(self) -> None:
         """Set the gauges of the cached state to their current values."""
         now = asyncio.get_running_loop().time()
--- a/src/cassiahitch/wire/datagrammessages.py
+++ b/src/cassiahitch/wire/datagrammessages.py
@@ -49,6 +49,26 @@
     received_age_ms: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class SegmentCrashRecord:
+    """A crash of an engine, and prompt segments of requests that had not begun there."""
+
+    replica: str = ''
+    born_ms: int = 0
+    service_name: str = ''
+    age_ms: int = 0
+    segments: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class SegmentRecord:
+    """A prompt segment with which a request began ``age_ms`` ago."""
+
+    service_name: str = ''
+    segment: str = ''
+    age_ms: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class MemberState:
     """State of an entry in the region of the sender.
@@ -99,6 +119,8 @@
     suspects: tuple[SuspectRecord, ...] = ()
     versions: tuple[VersionRecord, ...] = ()
     limits: tuple[LimitRecord, ...] = ()
+    segment_crashes: tuple[SegmentCrashRecord, ...] = ()
+    sound_segments: tuple[SegmentRecord, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -279,6 +301,8 @@
     'PlaceReturn',
     'RegionState',
     'RowRecord',
+    'SegmentCrashRecord',
+    'SegmentRecord',
     'SuspectRecord',
     'TableQuery',
     'TableRows',
--- a/src/cassiahitch/wire/datagrams.thrift
+++ b/src/cassiahitch/wire/datagrams.thrift
@@ -49,6 +49,20 @@
   5: i64 received_age_ms
 }
 
+struct SegmentCrashRecord {
+  1: string replica
+  2: i64 born_ms
+  3: string service_name
+  4: i64 age_ms
+  5: list<string> segments
+}
+
+struct SegmentRecord {
+  1: string service_name
+  2: string segment
+  3: i64 age_ms
+}
+
 struct MemberNews {
   1: i64 number
   2: bool asks
@@ -58,6 +72,8 @@
   6: list<SuspectRecord> suspects
   7: list<VersionRecord> versions
   8: list<LimitRecord> limits
+  9: list<SegmentCrashRecord> segment_crashes
+  10: list<SegmentRecord> sound_segments
 }
 
 struct PlaceQuery {
--- a/src/cassiahitch/wire/gen/datagrams/ttypes.py
+++ b/src/cassiahitch/wire/gen/datagrams/ttypes.py
@@ -717,6 +717,222 @@
         return not (self == other)
 
 
+class SegmentCrashRecord(object):
+    """
+    Attributes:
+     - replica
+     - born_ms
+     - service_name
+     - age_ms
+     - segments
+
+    """
+
+    __slots__ = (
+        'replica',
+        'born_ms',
+        'service_name',
+        'age_ms',
+        'segments',
+    )
+
+
+    def __init__(self, replica=None, born_ms=None, service_name=None, age_ms=None, segments=None,):
+        self.replica = replica
+        self.born_ms = born_ms
+        self.service_name = service_name
+        self.age_ms = age_ms
+        self.segments = segments
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.replica = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.segments = []
+                    (_etype503, _size500) = iprot.readListBegin()
+                    for _i504 in range(_size500):
+                        _elem505 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.segments.append(_elem505)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SegmentCrashRecord')
+        if self.replica is not None:
+            oprot.writeFieldBegin('replica', TType.STRING, 1)
+            oprot.writeString(self.replica.encode('utf-8') if sys.version_info[0] == 2 else self.replica)
+            oprot.writeFieldEnd()
+        if self.born_ms is not None:
+            oprot.writeFieldBegin('born_ms', TType.I64, 2)
+            oprot.writeI64(self.born_ms)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 3)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 4)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.segments is not None:
+            oprot.writeFieldBegin('segments', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRING, len(self.segments))
+            for iter506 in self.segments:
+                oprot.writeString(iter506.encode('utf-8') if sys.version_info[0] == 2 else iter506)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SegmentRecord(object):
+    """
+    Attributes:
+     - service_name
+     - segment
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'segment',
+        'age_ms',
+    )
+
+
+    def __init__(self, service_name=None, segment=None, age_ms=None,):
+        self.service_name = service_name
+        self.segment = segment
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.segment = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SegmentRecord')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.segment is not None:
+            oprot.writeFieldBegin('segment', TType.STRING, 2)
+            oprot.writeString(self.segment.encode('utf-8') if sys.version_info[0] == 2 else self.segment)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 3)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class MemberNews(object):
     """
     Attributes:
@@ -728,6 +944,8 @@
      - suspects
      - versions
      - limits
+     - segment_crashes
+     - sound_segments
 
     """
 
@@ -740,10 +958,12 @@
         'suspects',
         'versions',
         'limits',
+        'segment_crashes',
+        'sound_segments',
     )
 
 
-    def __init__(self, number=None, asks=None, target=None, members=None, regions=None, suspects=None, versions=None, limits=None,):
+    def __init__(self, number=None, asks=None, target=None, members=None, regions=None, suspects=None, versions=None, limits=None, segment_crashes=None, sound_segments=None,):
         self.number = number
         self.asks = asks
         self.target = target
@@ -752,6 +972,8 @@
         self.suspects = suspects
         self.versions = versions
         self.limits = limits
+        self.segment_crashes = segment_crashes
+        self.sound_segments = sound_segments
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -832,6 +1054,28 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.segment_crashes = []
+                    (_etype513, _size510) = iprot.readListBegin()
+                    for _i514 in range(_size510):
+                        _elem515 = SegmentCrashRecord()
+                        _elem515.read(iprot)
+                        self.segment_crashes.append(_elem515)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.sound_segments = []
+                    (_etype523, _size520) = iprot.readListBegin()
+                    for _i524 in range(_size520):
+                        _elem525 = SegmentRecord()
+                        _elem525.read(iprot)
+                        self.sound_segments.append(_elem525)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -889,6 +1133,20 @@
                 iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.segment_crashes is not None:
+            oprot.writeFieldBegin('segment_crashes', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.segment_crashes))
+            for iter516 in self.segment_crashes:
+                iter516.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.sound_segments is not None:
+            oprot.writeFieldBegin('sound_segments', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRUCT, len(self.sound_segments))
+            for iter526 in self.sound_segments:
+                iter526.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2472,6 +2730,22 @@
     (4, TType.I64, 'sent_age_ms', None, None, ),  # 4
     (5, TType.I64, 'received_age_ms', None, None, ),  # 5
 )
+all_structs.append(SegmentCrashRecord)
+SegmentCrashRecord.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'replica', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'born_ms', None, None, ),  # 2
+    (3, TType.STRING, 'service_name', 'UTF8', None, ),  # 3
+    (4, TType.I64, 'age_ms', None, None, ),  # 4
+    (5, TType.LIST, 'segments', (TType.STRING, 'UTF8', False), None, ),  # 5
+)
+all_structs.append(SegmentRecord)
+SegmentRecord.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'segment', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'age_ms', None, None, ),  # 3
+)
 all_structs.append(MemberNews)
 MemberNews.thrift_spec = (
     None,  # 0
@@ -2483,6 +2757,8 @@
     (6, TType.LIST, 'suspects', (TType.STRUCT, [SuspectRecord, None], False), None, ),  # 6
     (7, TType.LIST, 'versions', (TType.STRUCT, [VersionRecord, None], False), None, ),  # 7
     (8, TType.LIST, 'limits', (TType.STRUCT, [LimitRecord, None], False), None, ),  # 8
+    (9, TType.LIST, 'segment_crashes', (TType.STRUCT, [SegmentCrashRecord, None], False), None, ),  # 9
+    (10, TType.LIST, 'sound_segments', (TType.STRUCT, [SegmentRecord, None], False), None, ),  # 10
 )
 all_structs.append(PlaceQuery)
 PlaceQuery.thrift_spec = (
