--- a/src/cassiahitch/direct/backends/attempt.py
+++ b/src/cassiahitch/direct/backends/attempt.py
@@ -382,6 +382,7 @@
     'NotSent',
     'Outcome',
     'ProgressTimeouts',
+    'SUCCESS_STATUSES',
     'StreamState',
     'Withheld',
 )
