--- /dev/null
+++ b/tests/direct/requests/test_streams_that_end_early.py
@@ -0,0 +1,195 @@
+"""A stream that ends inside an event has been broken off, however its response is framed."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+import pytest
+from direct_callers import CallerResponse, run_site_in_virtual_time, send_request
+from scripted_replicas import (
+    CHUNKED,
+    LAST_CHUNK,
+    ONCE_STREAM_PREFIX,
+    SEAL,
+    Script,
+    ScriptedRequest,
+    add_once_stream_route,
+    chunk,
+    event,
+    head,
+    serve_script,
+)
+
+from cassiahitch.standins.directsite import DirectSite
+
+RESUMABLE_PATH = '/draft/1'
+ONCE_PATH = f'{ONCE_STREAM_PREFIX}1'
+EVENT_TYPE = 'Content-Type: text/event-stream'
+EVENTS = 4
+
+
+class Framing(StrEnum):
+    """How a response shows where it ends."""
+
+    connection = 'connection'
+    chunks = 'chunks'
+    length = 'length'
+
+
+def write_stream(request: ScriptedRequest, body: bytes, framing: Framing) -> None:
+    """Write a whole response; it ends regularly as far as its framing shows."""
+    lines = [request.attempt_line, SEAL, EVENT_TYPE]
+    match framing:
+        case Framing.connection:
+            request.write(head('200 OK', *lines), body)
+            request.close()
+        case Framing.chunks:
+            body_chunk = chunk(body) if body else b''
+            request.write(head('200 OK', *lines, CHUNKED), body_chunk, LAST_CHUNK)
+        case Framing.length:
+            request.write(head('200 OK', *lines, f'Content-Length: {len(body)}'), body)
+
+
+def events_after(request: ScriptedRequest) -> bytes:
+    return b''.join(event(number) for number in range(request.last_event_id + 1, EVENTS + 1))
+
+
+def cut_first_stream(framing: Framing, body: bytes) -> Script:
+    """Return a script: a stream with the given body, and the rest of it when it is sent again."""
+
+    async def script(request: ScriptedRequest) -> None:
+        rest = body if request.sent_count == 1 else events_after(request)
+        write_stream(request, rest, framing)
+
+    return script
+
+
+async def request_stream(site: DirectSite, path: str, script: Script) -> CallerResponse:
+    await add_once_stream_route(site)
+    async with serve_script(site.entries[0], script):
+        return await send_request(site.entries[0], path)
+
+
+@pytest.mark.parametrize('framing', list(Framing))
+@pytest.mark.parametrize('whole_events', [0, 2])
+def test_stream_that_ends_inside_an_event_is_resumed(whole_events: int, framing: Framing) -> None:
+    async def body(site: DirectSite) -> None:
+        cut = whole_bytes(whole_events) + event(whole_events + 1)[:-1]
+        got = await request_stream(site, RESUMABLE_PATH, cut_first_stream(framing, cut))
+        assert (got.status, got.complete) == (200, True)
+        assert got.body == whole_bytes(EVENTS)
+
+    run_site_in_virtual_time(body)
+
+
+@pytest.mark.parametrize('framing', list(Framing))
+@pytest.mark.parametrize('whole_events', [0, 2])
+def test_stream_that_ends_inside_an_event_is_not_completed(
+    whole_events: int, framing: Framing
+) -> None:
+    async def body(site: DirectSite) -> None:
+        cut = whole_bytes(whole_events) + event(whole_events + 1)[:-1]
+        got = await request_stream(site, ONCE_PATH, cut_first_stream(framing, cut))
+        if whole_events:
+            assert (got.status, got.complete) == (200, False)
+            assert got.body == whole_bytes(whole_events)
+        else:
+            assert (got.status, got.complete) == (502, True)
+
+    run_site_in_virtual_time(body)
+
+
+def whole_bytes(count: int) -> bytes:
+    return b''.join(event(number) for number in range(1, count + 1))
+
+
+@pytest.mark.parametrize('framing', list(Framing))
+@pytest.mark.parametrize('line_end', [b'\n', b'\r\n', b'\r'])
+@pytest.mark.parametrize('rest', [b'', b'\n', b'\r\n'], ids=['end', 'LF', 'CRLF'])
+def test_stream_that_ends_after_an_event_is_complete(
+    rest: bytes, line_end: bytes, framing: Framing
+) -> None:
+    async def body(site: DirectSite) -> None:
+        content = whole_bytes(EVENTS).replace(b'\n', line_end) + rest
+        got = await request_stream(site, ONCE_PATH, cut_first_stream(framing, content))
+        assert (got.status, got.complete, got.body) == (200, True, content)
+
+    run_site_in_virtual_time(body)
+
+
+@pytest.mark.parametrize('blank', [b'\n\r\n', b'\r\n\n', b'\r\r\n', b'\n\r'])
+def test_line_ends_of_several_kinds_end_an_event(blank: bytes) -> None:
+    async def body(site: DirectSite) -> None:
+        content = b'id: 1\ndata: x%b' % blank
+        script = cut_first_stream(Framing.chunks, content)
+        got = await request_stream(site, RESUMABLE_PATH, script)
+        assert (got.status, got.complete, got.body) == (200, True, content)
+
+    run_site_in_virtual_time(body)
+
+
+@pytest.mark.parametrize('path', [RESUMABLE_PATH, ONCE_PATH])
+def test_stream_that_ends_with_its_connection_before_any_event_is_no_answer(path: str) -> None:
+    async def body(site: DirectSite) -> None:
+        got = await request_stream(site, path, cut_first_stream(Framing.connection, b''))
+        if path == ONCE_PATH:
+            assert (got.status, got.complete) == (502, True)
+        else:
+            assert (got.status, got.complete, got.body) == (200, True, whole_bytes(EVENTS))
+
+    run_site_in_virtual_time(body)
+
+
+@pytest.mark.parametrize('framing', [Framing.chunks, Framing.length])
+@pytest.mark.parametrize('path', [RESUMABLE_PATH, ONCE_PATH])
+def test_stream_without_events_is_complete_if_its_length_shows_it(
+    path: str, framing: Framing
+) -> None:
+    async def body(site: DirectSite) -> None:
+        got = await request_stream(site, path, cut_first_stream(framing, b''))
+        assert (got.status, got.complete, got.body) == (200, True, b'')
+
+    run_site_in_virtual_time(body)
+
+
+@pytest.mark.parametrize('path', [RESUMABLE_PATH, ONCE_PATH])
+def test_reset_of_the_connection_is_no_end_of_a_stream(path: str) -> None:
+    async def script(request: ScriptedRequest) -> None:
+        lines = (request.attempt_line, SEAL, EVENT_TYPE)
+        if request.sent_count == 1:
+            request.write(head('200 OK', *lines), whole_bytes(2))
+            await request.settle()
+            request.reset()
+        else:
+            write_stream(request, events_after(request), Framing.connection)
+
+    async def body(site: DirectSite) -> None:
+        got = await request_stream(site, path, script)
+        expected_events = 2 if path == ONCE_PATH else EVENTS
+        assert (got.status, got.complete) == (200, path == RESUMABLE_PATH)
+        assert got.body == whole_bytes(expected_events)
+
+    run_site_in_virtual_time(body)
+
+
+@pytest.mark.parametrize('ends_regularly', [True, False])
+@pytest.mark.parametrize('path', ['/lookup/1', '/order/1'])
+def test_body_without_a_length_is_complete_unless_its_connection_is_reset(
+    path: str, *, ends_regularly: bool
+) -> None:
+    async def script(request: ScriptedRequest) -> None:
+        request.write(head('200 OK', request.attempt_line, SEAL), b'whole body')
+        await request.settle()
+        if ends_regularly or request.sent_count > 1:
+            request.close()
+        else:
+            request.reset()
+
+    async def body(site: DirectSite) -> None:
+        got = await request_stream(site, path, script)
+        if ends_regularly or path == '/lookup/1':
+            assert (got.status, got.complete, got.body) == (200, True, b'whole body')
+        else:
+            assert (got.status, got.complete) == (502, True)
+
+    run_site_in_virtual_time(body)
--- a/tests/support/scripted_replicas.py
+++ b/tests/support/scripted_replicas.py
@@ -19,6 +19,8 @@
 SEAL = 'X-Cassiahitch-Response-Seal: seal'
 NOT_RUN = 'X-Cassiahitch-Not-Executed: 1'
 CHUNKED = 'Transfer-Encoding: chunked'
+#: Time until written bytes are received, in seconds.
+SETTLE_S = 0.02
 LAST_CHUNK = b'0\r\n\r\n'
 #: Path prefix of the route whose streams may not be resumed.
 ONCE_STREAM_PREFIX = '/draft/once/'
@@ -96,6 +98,11 @@
         """Write bytes to the connection."""
         self.writer.write(b''.join(parts))
 
+    async def settle(self) -> None:
+        """Wait until the entry has received what was written."""
+        await self.writer.drain()
+        await asyncio.sleep(SETTLE_S)
+
     def close(self) -> None:
         """Close the connection regularly."""
         self.writer.close()
