Treat a stream that ends inside or before an event as broken off

Seen: a stream whose response ended regularly, by its connection, chunks or length, but inside an event was delivered with its half event and completed; one that ended with its connection before any event was completed as an empty one. Cause: the end of the response was taken for the end of the stream. What a stream is made of shows where it may end; its framing shows that only where there is any. Change: what is left at the end may only be blank lines; otherwise, or if nothing but the end of the connection shows that a stream without events is complete, the attempt is lost: the stream is resumed or broken off. Line ends of several kinds end an event, since an event that is not recognised would now be lost.

--- a/src/cassiahitch/direct/backends/attempt.py
+++ b/src/cassiahitch/direct/backends/attempt.py
@@ -325,6 +325,7 @@
             return Lost('the response is not signed, or is encoded')
         if stream.started:
             exchange.stall_detector.restart(timeouts.next_s)
+        count_before = stream.splitter.event_count
         async with aclosing(exchange.parts()) as parts:
             async for part in parts:
                 event_count = stream.splitter.event_count
@@ -335,6 +336,9 @@
                 exchange.stall_detector.add_bytes(
                     min(len(part), len(stream.splitter.partial_event))
                 )
+        has_events = stream.splitter.event_count > count_before
+        if stream.splitter.is_inside_event or (exchange.ended_with_connection and not has_events):
+            return Lost('the stream ended inside an event, or with its connection before any event')
         await self.write_events(head, stream, stream.splitter.partial_event, last=True)
         stream.caller.end_response()
         return Delivered()
--- a/src/cassiahitch/direct/backends/events.py
+++ b/src/cassiahitch/direct/backends/events.py
@@ -5,8 +5,8 @@
 import re
 from dataclasses import dataclass
 
-#: A blank line ends an event; the format allows three kinds of line ends.
-EVENT_END = re.compile(rb'\r\n\r\n|\n\n|\r\r')
+#: A blank line ends an event; the format allows three kinds of line ends, also mixed.
+EVENT_END = re.compile(rb'(?:\r\n|\r(?!\n)|\n){2}')
 #: Readers of a stream ignore an event without a data line, such as a comment.
 DATA_LINE = re.compile(rb'(?<![^\r\n])data(?=[:\r\n])')
 ID_LINE = re.compile(rb'(?:^|[\r\n])id:[ ]?([^\r\n]*)')
@@ -30,6 +30,11 @@
     last_event_id: str = ''
     event_count: int = 0
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether an event has started whose end was not received; blank lines start none."""
+        return bool(self.partial_event.strip(b'\r\n'))
+
     def feed(self, data: bytes) -> bytes:
         """Add bytes of the stream.
 
--- a/src/cassiahitch/direct/backends/exchange.py
+++ b/src/cassiahitch/direct/backends/exchange.py
@@ -49,7 +49,8 @@
     """Sends one request and reads the response that carries its attempt id.
 
     The creator releases the connection afterwards; ``reusable`` is whether the connection may
-    carry another request.
+    carry another request, ``ended_with_connection`` whether only the end of the connection showed
+    that the response was complete.
     """
 
     def __init__(
@@ -74,6 +75,7 @@
         self.written: asyncio.Future[None] | None = None
         self.complete = False
         self.reusable = False
+        self.ended_with_connection = False
         self.head: ResponseHead | None = None
         self.sent_at = -math.inf
 
@@ -188,9 +190,11 @@
 
     def _finish(self) -> None:
         self.complete = True
+        trailing, connection_ended = self.machine.trailing_data
+        self.ended_with_connection = connection_ended
         keep_alive = self.machine.their_state is h11.DONE and self.machine.our_state is h11.DONE
         written = self.written is not None and self.written.done()
-        nothing_left = written and not self.machine.trailing_data[0]
+        nothing_left = written and not trailing
         self.reusable = keep_alive and nothing_left and self.connection.can_reuse()
 
 
