Bound the log lines about rows of other writers

Seen: a replica row with a long service, address or model made each entry log a line as long as the row (60 KB in the test), for each of its changes. Cause: fields of log lines about the cached state were bounded in number, not in length, and other processes choose some of them. Change: a field of such a line has at most 300 characters.

--- a/src/cassiahitch/direct/telemetry.py
+++ b/src/cassiahitch/direct/telemetry.py
@@ -33,6 +33,8 @@
 STATE_LOGGER = logging.getLogger('cassiahitch.beliefs')
 #: Decimal places to which floats in log lines are rounded.
 LOGGED_DIGITS = 4
+#: Maximum characters of a field in a log line about a change of state.
+MAX_LOGGED_CHARS = 300
 #: Innermost stack frames of an unexpected exception that its log line contains.
 LOGGED_FRAMES = 4
 
@@ -44,9 +46,11 @@
         """Log a change of the state that this process has cached.
 
         :param message: the kind of change.
-        :param fields: extra fields of the log line; floats are rounded, infinite ones become null.
+        :param fields: extra fields of the log line; floats are rounded, infinite ones become null,
+            and long values are cut off, since other processes choose their length.
         """
-        STATE_LOGGER.info(message, extra=_rounded(fields))
+        bounded = {name: _bounded(value) for name, value in fields.items()}
+        STATE_LOGGER.info(message, extra=_rounded(bounded))
 
 
 @dataclass(slots=True)
@@ -346,6 +350,13 @@
     }
 
 
+def _bounded(value: Any) -> Any:
+    if isinstance(value, float | int | None):
+        return value
+    text = str(value)
+    return value if len(text) <= MAX_LOGGED_CHARS else f'{text[:MAX_LOGGED_CHARS]}...'
+
+
 def _rounded_number(value: float) -> float | None:
     # JSON has no infinity.
     return round(value, LOGGED_DIGITS) if math.isfinite(value) else None
