Let one invalid row on a page of the store affect no other row

Seen: while a page of the store held a row with an invalid field, the entries and agents followed its table no further: they took each such page for a failed call. Cause: a page was valid only as a whole, so that what another writer put into one row decided over all of them. Change: each row is decoded by itself.

--- a/src/cassiahitch/platform/rows.py
+++ b/src/cassiahitch/platform/rows.py
@@ -32,6 +32,7 @@
 )
 from cassiahitch.stores.http_client import HttpCall, HttpCallError, HttpClient
 from cassiahitch.stores.http_client import HttpResponse as HttpResponse
+from cassiahitch.wire.structs import MAX_INT64
 
 #: Timeout of a call beyond the time for which the store waits for changes, in seconds.
 CALL_TIMEOUT_S = 1.2
@@ -42,6 +43,8 @@
 PAGE_ROWS = 500
 #: Suffix that turns a key into its direct successor in the order of keys.
 SUCCESSOR_SUFFIX = '\x00'
+#: Stands for the content of an invalid row; no decoder of rows accepts it.
+UNREADABLE_CONTENT = b''
 
 
 class _RowModel(BaseModel):
@@ -61,13 +64,19 @@
 class _PageModel(BaseModel):
     model_config = ConfigDict(frozen=True)
 
-    rows: tuple[_RowModel, ...] = ()
+    rows: tuple[Any, ...] = ()
     more: bool = Field(default=False, alias='hasMore')
-    version: Annotated[int, Field(ge=0)] = Field(alias='rowVersion')
+    version: Annotated[int, Field(ge=0, le=MAX_INT64)] = Field(alias='rowVersion')
 
     def table_rows(self) -> tuple[TableRow, ...]:
-        """Convert the rows to those of a table feed."""
-        return tuple(TableRow(row.key, row.decoded(), row.version) for row in self.rows)
+        """Convert the rows to those of a table feed; one that is invalid affects no other row."""
+        return tuple(_table_row(document, self.version) for document in self.rows)
+
+
+class _ConflictModel(BaseModel):
+    model_config = ConfigDict(frozen=True)
+
+    rows: tuple[_RowModel, ...] = ()
 
 
 class _CommittedModel(BaseModel):
@@ -97,10 +106,12 @@
             page = await self._read_page(names.READ_ROWS_PATH, _range_query(table, start))
             if not isinstance(page, _PageModel):
                 return page
-            rows.extend(page.table_rows())
+            page_rows = page.table_rows()
+            rows.extend(page_rows)
             versions.append(page.version)
-            more = page.more and bool(page.rows)
-            next_start = f'{page.rows[-1].key}{SUCCESSOR_SUFFIX}' if page.rows else ''
+            more = page.more and bool(page_rows)
+            last_key = max((row.key for row in page_rows), default='')
+            next_start = f'{last_key}{SUCCESSOR_SUFFIX}'
             if more and next_start == start:
                 return CallFailure('the store returned the same page twice')
             start = next_start
@@ -146,8 +157,8 @@
         if not isinstance(page, _PageModel):
             raise PlatformError(Code.store_unavailable, str(page))
         return tuple(
-            Row(table, row.key, row.decoded() or b'', row.version)
-            for row in page.rows
+            Row(table, row.key, row.content or b'', row.version)
+            for row in page.table_rows()
             if row.key.startswith(prefix)
         )
 
@@ -193,11 +204,19 @@
         if response.status != HTTPStatus.OK:
             return CallFailure(f'the store responded with status {response.status}')
         try:
-            page = _PageModel.model_validate_json(response.body)
-            page.table_rows()
+            return _PageModel.model_validate_json(response.body)
         except ValueError as error:
             return CallFailure(f'the response of the store is invalid: {type(error).__name__}')
-        return page
+
+
+def _table_row(document: Any, page_version: int) -> TableRow:
+    try:
+        row = _RowModel.model_validate(document)
+        # No row is newer than the page; the version of a row decides which of two is current.
+        return TableRow(row.key, row.decoded(), min(row.version, page_version))
+    except ValueError:
+        key = document.get('key') if isinstance(document, dict) else None
+        return TableRow(key if isinstance(key, str) else '', UNREADABLE_CONTENT, page_version)
 
 
 _JSON_HEADERS = (('Content-Type', 'application/json'),)
@@ -246,10 +265,11 @@
             version = _CommittedModel.model_validate_json(response.body).version
             return CommitSuccess((version,) * writes)
         case HTTPStatus.PRECONDITION_FAILED:
-            page = _PageModel.model_validate_json(response.body)
+            conflict = _ConflictModel.model_validate_json(response.body)
             return CommitConflict(
                 tuple(
-                    Row(row.table, row.key, row.decoded() or b'', row.version) for row in page.rows
+                    Row(row.table, row.key, row.decoded() or b'', row.version)
+                    for row in conflict.rows
                 )
             )
         case HTTPStatus.SERVICE_UNAVAILABLE:
