Add a failing test of streams that are resumed after an event without an id

Found while the streams that end early were tested: the next replica cannot know of such an event, and its caller gets it twice.

--- a/tests/direct/requests/test_streams_that_end_early.py
+++ b/tests/direct/requests/test_streams_that_end_early.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from enum import StrEnum
 
 import pytest
@@ -26,6 +27,9 @@
 ONCE_PATH = f'{ONCE_STREAM_PREFIX}1'
 EVENT_TYPE = 'Content-Type: text/event-stream'
 EVENTS = 4
+COMMENT = b': still here\n\n'
+#: Longer than an engine may be silent before the stream is resumed elsewhere, in seconds.
+STALL_S = 10
 
 
 class Framing(StrEnum):
@@ -36,6 +40,13 @@
     length = 'length'
 
 
+class End(StrEnum):
+    """How a stream is interrupted."""
+
+    reset = 'reset'
+    silence = 'silence'
+
+
 def write_stream(request: ScriptedRequest, body: bytes, framing: Framing) -> None:
     """Write a whole response; it ends regularly as far as its framing shows."""
     lines = [request.attempt_line, SEAL, EVENT_TYPE]
@@ -193,3 +204,42 @@
             assert (got.status, got.complete) == (502, True)
 
     run_site_in_virtual_time(body)
+
+
+@pytest.mark.parametrize(
+    'last_event', [b'data: no id\n\n', b'id:\ndata: no id\n\n'], ids=['no id', 'empty id']
+)
+@pytest.mark.parametrize('whole_events', [0, 2])
+@pytest.mark.parametrize('end', list(End))
+def test_stream_is_not_resumed_after_an_event_without_an_id(
+    end: End, whole_events: int, last_event: bytes
+) -> None:
+    content = whole_bytes(whole_events) + last_event
+
+    async def script(request: ScriptedRequest) -> None:
+        if request.sent_count > 1:
+            write_stream(request, events_after(request), Framing.chunks)
+            return
+        request.write(head('200 OK', request.attempt_line, SEAL, EVENT_TYPE), content)
+        await request.settle()
+        if end is End.reset:
+            request.reset()
+        else:
+            await asyncio.sleep(STALL_S)
+
+    async def body(site: DirectSite) -> None:
+        got = await request_stream(site, RESUMABLE_PATH, script)
+        assert (got.status, got.complete, got.body) == (200, False, content)
+
+    run_site_in_virtual_time(body)
+
+
+def test_comment_without_an_id_does_not_prevent_that_a_stream_is_resumed() -> None:
+    async def body(site: DirectSite) -> None:
+        content = whole_bytes(2) + COMMENT
+        script = cut_first_stream(Framing.chunks, content + event(3)[:-1])
+        got = await request_stream(site, RESUMABLE_PATH, script)
+        assert (got.status, got.complete) == (200, True)
+        assert got.body == content + event(3) + event(4)
+
+    run_site_in_virtual_time(body)
