Test refusals because of a segment: what they say, at each entry, beside other crashes, at a late entry

A request that an engine had started is never answered with a status that says it has not run; new ones get 503 with Retry-After at each of nine entries, and none of them reaches an engine; sound requests beside three other crashes are not refused.

--- a/src/cassiahitch/direct/requests/segmentcheck.py
+++ b/src/cassiahitch/direct/requests/segmentcheck.py
@@ -126,6 +126,7 @@
 
 __all__ = (
     'EVIDENCE_WAIT_S',
+    'MIN_RETRY_AFTER_S',
     'SegmentCheck',
     'refusal',
 )
--- a/tests/direct/requests/test_crashing_segments.py
+++ b/tests/direct/requests/test_crashing_segments.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from http import HTTPStatus
 
 import pytest
 from direct_callers import run_site_in_virtual_time
@@ -12,10 +13,13 @@
     ENGINES,
     STABLE_S,
     SegmentLoad,
+    SentRequest,
     late_sends,
     prepare_engines,
 )
 
+from cassiahitch.codes import Code
+from cassiahitch.direct.requests.segmentcheck import MIN_RETRY_AFTER_S
 from cassiahitch.standins.directsite import DirectSite, DirectSiteSize
 
 NINE_ENTRIES = DirectSiteSize(entries=9, models=ENGINES, plain=0)
@@ -23,6 +27,13 @@
 LOAD_S = 14.0
 #: Sends with the segment that are allowed after the time in which all entries learn of it.
 ALLOWED_SENDS = 3
+#: Statuses which say that a request has not run.
+NOT_RUN_STATUSES = {
+    HTTPStatus.REQUEST_TIMEOUT,
+    HTTPStatus.MISDIRECTED_REQUEST,
+    HTTPStatus.TOO_MANY_REQUESTS,
+    HTTPStatus.SERVICE_UNAVAILABLE,
+}
 #: Crashes until all entries refuse the segment: fewer than those from which sends are counted.
 MAX_CRASHES = COUNTED_CRASHES - 1
 
@@ -53,3 +64,78 @@
         assert load.begun_share(began + 2 * STABLE_S) >= 0.5 * quiet
 
     run_site_in_virtual_time(body, NINE_ENTRIES)
+
+
+def statuses_of_run_requests(site: DirectSite, load: SegmentLoad) -> set[int]:
+    """Return the statuses of the requests with the segment that an engine has started to run."""
+    runs = {run.attempt_id for model in site.models for run in model.runs}
+    return {
+        one.response.status for one in load.sent if one.crashing and one.response.attempt in runs
+    }
+
+
+def refused(load: SegmentLoad) -> list[SentRequest]:
+    """Return the requests that were refused because of a segment."""
+    return [
+        one
+        for one in load.sent
+        if one.response.status in NOT_RUN_STATUSES | {HTTPStatus.BAD_GATEWAY}
+        and one.response.code == Code.poison_refused
+    ]
+
+
+def test_refusal_of_a_request_that_an_engine_had_started_does_not_say_that_it_has_not_run() -> None:
+    async def body(site: DirectSite) -> None:
+        prepare_engines(site)
+        load = SegmentLoad(site, crashing_share=0.2)
+        await load.run(LOAD_S / 2)
+        assert statuses_of_run_requests(site, load)
+        assert not statuses_of_run_requests(site, load) & NOT_RUN_STATUSES
+
+    run_site_in_virtual_time(body, NINE_ENTRIES)
+
+
+def test_new_request_with_the_segment_is_refused_at_each_entry_and_told_how_long() -> None:
+    async def body(site: DirectSite) -> None:
+        crashes = prepare_engines(site)
+        load = SegmentLoad(site, crashing_share=0.2)
+        await load.run(LOAD_S / 2)
+        reached = len(crashes.arrivals)
+        for entry in site.entries:
+            response = await load.send(entry, crashing=True)
+            assert response.status == HTTPStatus.SERVICE_UNAVAILABLE
+            assert response.code == Code.poison_refused
+            assert float(response.headers['retry-after']) >= MIN_RETRY_AFTER_S
+        assert len(crashes.arrivals) == reached
+
+    run_site_in_virtual_time(body, NINE_ENTRIES)
+
+
+def test_sound_requests_are_not_refused_because_of_a_segment_beside_other_crashes() -> None:
+    async def body(site: DirectSite) -> None:
+        crashes = prepare_engines(site)
+        load = SegmentLoad(site, crashing_share=0.05)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(load.run(LOAD_S))
+            for model in site.models[:3]:
+                await asyncio.sleep(LOAD_S / 4)
+                await crashes.crash(model)
+        assert refused(load)
+        assert all(one.crashing for one in refused(load))
+
+    run_site_in_virtual_time(body, NINE_ENTRIES)
+
+
+def test_entry_that_starts_late_refuses_the_segment_at_once() -> None:
+    async def body(site: DirectSite) -> None:
+        crashes = prepare_engines(site)
+        load = SegmentLoad(site, crashing_share=0.2)
+        await load.run(LOAD_S / 2)
+        reached = len(crashes.arrivals)
+        late = await site.add_entry(len(site.entries))
+        await site.wait_until_ready()
+        response = await load.send(late, crashing=True)
+        assert response.code == Code.poison_refused
+        assert len(crashes.arrivals) == reached
+
+    run_site_in_virtual_time(body, NINE_ENTRIES)
