Send the trial of a refused segment once

What callers saw: nothing yet; found by the test. The request that tried whether a refused segment still crashes engines was itself repeated at another engine after its crash, since a trial was not checked again: two engines for a trial instead of one.

Cause: the mark of a trial was never taken back. Change: it ends with the first send that is lost. Evidence: test_trial_of_a_refused_segment_is_one_request_of_one_entry fails on the code before (five requests run, four expected) and passes. A test of a segment that is harmless again goes with it.

--- a/src/cassiahitch/direct/requests/segmentcheck.py
+++ b/src/cassiahitch/direct/requests/segmentcheck.py
@@ -92,6 +92,8 @@
         """
         if call.has_begun or not call.shared_segments:
             return
+        # A trial is one send.
+        call.is_trial = False
         await self.crash_detector.wait_for_probe(replica)
         clock = asyncio.get_running_loop().time
         wait_until = clock() + EVIDENCE_WAIT_S
--- a/tests/direct/requests/test_crashing_segments.py
+++ b/tests/direct/requests/test_crashing_segments.py
@@ -11,6 +11,7 @@
 from segment_load import (
     COUNTED_CRASHES,
     ENGINES,
+    FIRST_SEGMENTS,
     STABLE_S,
     SegmentLoad,
     SentRequest,
@@ -19,6 +20,8 @@
 )
 
 from cassiahitch.codes import Code
+from cassiahitch.direct.placement.segmentevidence import CRASHES_TO_REFUSE
+from cassiahitch.direct.placement.segmentguard import FIRST_TRIAL_S
 from cassiahitch.direct.requests.segmentcheck import MIN_RETRY_AFTER_S
 from cassiahitch.standins.directsite import DirectSite, DirectSiteSize
 
@@ -139,3 +142,45 @@
         assert len(crashes.arrivals) == reached
 
     run_site_in_virtual_time(body, NINE_ENTRIES)
+
+
+async def crash_until_refused(site: DirectSite, load: SegmentLoad) -> None:
+    """Send one request with the segment, which crashes an engine and is repeated at another.
+
+    Its other segment is known to be sound.
+    """
+    crashes = prepare_engines(site)
+    load.firsts = FIRST_SEGMENTS[:1]
+    await load.send(site.entries[0], crashing=False)
+    response = await load.send(site.entries[0], crashing=True)
+    assert response.status == HTTPStatus.BAD_GATEWAY
+    assert len(crashes.crashes) == CRASHES_TO_REFUSE
+    await asyncio.sleep(FIRST_TRIAL_S)
+
+
+def test_trial_of_a_refused_segment_is_one_request_of_one_entry() -> None:
+    async def body(site: DirectSite) -> None:
+        load = SegmentLoad(site)
+        await crash_until_refused(site, load)
+        responses = [await load.send(entry, crashing=True) for entry in site.entries]
+        assert len({response.status for response in responses}) == 2
+        assert sum(response.status == HTTPStatus.BAD_GATEWAY for response in responses) == 1
+        runs = [run for model in site.models for run in model.runs]
+        assert len(runs) == 1 + CRASHES_TO_REFUSE + 1
+
+    run_site_in_virtual_time(body, NINE_ENTRIES)
+
+
+def test_segment_that_no_longer_crashes_engines_is_served_by_all_entries_after_a_trial() -> None:
+    async def body(site: DirectSite) -> None:
+        load = SegmentLoad(site)
+        await crash_until_refused(site, load)
+        for model in site.models:
+            model.segment_crashes = None
+        trials = [await load.send(entry, crashing=True) for entry in site.entries]
+        assert any(response.status == HTTPStatus.OK for response in trials)
+        await asyncio.sleep(STABLE_S)
+        responses = [await load.send(entry, crashing=True) for entry in site.entries]
+        assert {response.status for response in responses} == {HTTPStatus.OK}
+
+    run_site_in_virtual_time(body, NINE_ENTRIES)
