Log how much of its bound a request had left at an engine, and how a declaration was dated

The lines could not tell a request that was sent late from one that began late, nor which source had dated a version. 'request sent' has bound_left_s at the assignment and bound_left_first_s at the first event, 'weights declared' its source, the age of the last confirmation and what is left. No decision changes.

--- a/src/cassiahitch/direct/placement/enginegroups.py
+++ b/src/cassiahitch/direct/placement/enginegroups.py
@@ -140,7 +140,8 @@
         oldest = self.candidates.entry_state.versions.oldest_allowed(engine.model, now)
         if not version or version < oldest:
             return None
-        return Candidate(replica, self.candidates.is_in_own_region(replica), version)
+        in_own_region = self.candidates.is_in_own_region(replica)
+        return Candidate(replica, in_own_region, version, engine.model)
 
 
 __all__ = (
--- a/src/cassiahitch/direct/placement/placement.py
+++ b/src/cassiahitch/direct/placement/placement.py
@@ -64,11 +64,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
-    """A replica that may receive the request, and the version of its weights."""
+    """A replica that may receive the request, and its loaded model and the version of that."""
 
     replica: Replica
     in_own_region: bool
     version: int = 0
+    model: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cassiahitch/direct/state/updater.py
+++ b/src/cassiahitch/direct/state/updater.py
@@ -104,8 +104,14 @@
         now = asyncio.get_running_loop().time()
         confirmed_at = now - self.entry_state.freshness.age_s(boot_time())
         if versions.record_stored(declared, confirmed_at, now, long_polled=long_polled):
-            fields = {'model': declared.model, 'weights': declared.version}
-            self.telemetry.state_changed('weights declared', **fields)
+            self.telemetry.state_changed(
+                'weights declared',
+                model=declared.model,
+                weights=declared.version,
+                source='long poll' if long_polled else 'rows',
+                confirmed_s_ago=now - confirmed_at,
+                bound_left_s=versions.left_s(declared.model, declared.version - 1, now),
+            )
 
     def apply_replicas(
         self,
--- a/src/cassiahitch/direct/state/versions.py
+++ b/src/cassiahitch/direct/state/versions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from math import inf
 
 from cassiahitch.wire.datagrammessages import VersionRecord
 
@@ -115,6 +116,18 @@
         """
         return max(self.declared_at.get(model, {}), default=0)
 
+    def left_s(self, model: str, version: int, at: float) -> float:
+        """Return the time that was left until no request might start on a version any more.
+
+        :param model: name of the model.
+        :param version: the version.
+        :param at: the time, in seconds.
+        :return: seconds, infinity if no newer version is declared.
+        """
+        times = self.declared_at.get(model, {})
+        replaced_at = min((time for newer, time in times.items() if newer > version), default=inf)
+        return replaced_at + self.bound_s - at
+
     def oldest_allowed(self, model: str, now: float) -> int:
         """Return the oldest version of a model on which a request may start.
 
--- a/src/cassiahitch/direct/telemetry.py
+++ b/src/cassiahitch/direct/telemetry.py
@@ -108,6 +108,7 @@
             'took_s': now - started_at,
         }
         fields |= self.limit_fields(assignment.candidate.replica)
+        fields |= self.version_fields(assignment, started_at, first_event_at)
         if first_event_at is not None:
             fields['first_event_s'] = first_event_at - call.arrived_at
             self.metrics.latency(LatencyName.first_part, first_event_at - call.arrived_at)
@@ -133,6 +134,26 @@
         now = asyncio.get_running_loop().time()
         return {'limit_per_s': limit.per_s, 'limit_named_s_ago': now - limit.received_at}
 
+    def version_fields(
+        self, assignment: Assignment, started_at: float, first_event_at: float | None
+    ) -> dict[str, Any]:
+        """Return the fields of a log line that tell how long a request might begin on its version.
+
+        :param assignment: the replica that it was assigned to.
+        :param started_at: when it was assigned, in seconds of the event loop's clock.
+        :param first_event_at: when the first event was sent to the caller, None if none was.
+        :return: seconds left at both times; empty if no newer version is declared.
+        """
+        candidate = assignment.candidate
+        now = asyncio.get_running_loop().time()
+        left_s = self.entry_state.versions.left_s(candidate.model, candidate.version, now)
+        if left_s == math.inf:
+            return {}
+        fields = {'bound_left_s': left_s + now - started_at}
+        if first_event_at is not None:
+            fields['bound_left_first_s'] = left_s + now - first_event_at
+        return fields
+
     def no_capacity(self, call: Call, no_capacity: NoCapacity) -> None:
         """Record that no replica has capacity to start a request in time.
 
