--- a/src/cassiahitch/standins/backends.py
+++ b/src/cassiahitch/standins/backends.py
@@ -74,6 +74,15 @@
     last_event_id: int
 
 
+@dataclass(frozen=True, slots=True)
+class BegunRequest:
+    """A request whose first event an engine made, ``at`` in seconds of the event loop's clock."""
+
+    attempt_id: str
+    version: int
+    at: float
+
+
 @dataclass(slots=True)
 class EngineWeights:
     """The weights of a model engine: staged chunks and the loaded version.
@@ -111,6 +120,8 @@
     response names it as the rate limit, those to the agent only with ``reports_limit``. Every
     response has ``extra_headers``. ``arrivals`` holds the times of all requests except the calls of
     the agent, in seconds of the event loop's clock.
+    A stream begins ``queue_s`` after its request. Until ``silent_until``, an engine begins nothing
+    and notices no closed connection. ``begun`` holds the streams that have begun.
     ``pause_s`` delays each body and each event, ``events`` is the number of events of a stream, and
     ``padding`` the number of bytes added to each plain body.
     """
@@ -134,6 +145,9 @@
     runs: list[ExecutedRequest] = field(default_factory=list)
     refused: Counter[str] = field(default_factory=Counter)
     arrivals: list[float] = field(default_factory=list)
+    queue_s: float = 0
+    silent_until: float = 0
+    begun: list[BegunRequest] = field(default_factory=list)
     running: int = 0
     address: str = ''
     port: int = 0
@@ -385,6 +399,10 @@
         if fault is Fault.lose:
             response.reset()
             return False
+        if not await self.wait_in_queue(response):
+            return False
+        version = self.engine.version if self.engine else 0
+        self.begun.append(BegunRequest(attempt, version, asyncio.get_running_loop().time()))
         response.send_head(HTTPStatus.OK, head)
         for number in range(after + 1, self.events + 1):
             await asyncio.sleep(self.pause_s)
@@ -399,6 +417,21 @@
         response.send_end()
         return True
 
+    async def wait_in_queue(self, response: ResponseWriter) -> bool:
+        """Wait until a stream can begin.
+
+        :param response: writes the response.
+        :return: whether it begins; not if the caller has closed the connection in time.
+        """
+        clock = asyncio.get_running_loop().time
+        await asyncio.sleep(self.queue_s)
+        silent_s = self.silent_until - clock()
+        if silent_s <= 0:
+            return not response.writer.is_closing()
+        # The close is read only after the silence, when the waiting requests begin.
+        await asyncio.sleep(silent_s)
+        return True
+
     async def handle_agent_call(
         self, engine: EngineWeights, method: str, target: str, body: bytes
     ) -> ResponseParts | None:
@@ -574,6 +607,7 @@
 
 __all__ = (
     'BackendStandin',
+    'BegunRequest',
     'EngineWeights',
     'Fault',
     'ExecutedRequest',
--- a/tests/support/virtual_loop.py
+++ b/tests/support/virtual_loop.py
@@ -27,6 +27,7 @@
     def __init__(self) -> None:
         """Create a clock at the start time."""
         self.now = START_S
+        self.suspended_s: float = 0
 
     def read(self) -> float:
         """Return the virtual time.
@@ -35,11 +36,14 @@
         """
         return self.now
 
-    def read_kind(self, _kind: int) -> float:
-        """Return the virtual time, whichever system clock is asked for.
+    def read_kind(self, kind: int) -> float:
+        """Return the virtual time of a system clock; only the boot clock counts suspensions.
 
+        :param kind: number of the clock.
         :return: seconds.
         """
+        if kind == time.CLOCK_BOOTTIME:
+            return self.now + self.suspended_s
         return self.now
 
 
