Date declared weights in the clock that goes on while a host is suspended

Cause: the time of each declaration was kept in the clock of the event loop, which stands still in that time. Entries and agents now keep it in the boot clock, as keys and permits are.

--- a/src/cassiahitch/direct/entrystate.py
+++ b/src/cassiahitch/direct/entrystate.py
@@ -11,7 +11,7 @@
 from cassiahitch.direct.members.regions import RegionRegistry
 from cassiahitch.direct.placement.crashguard import CrashGuard
 from cassiahitch.direct.placement.limiterchoice import LimiterDirectory
-from cassiahitch.direct.state.freshness import Freshness
+from cassiahitch.direct.state.freshness import Freshness, boot_time
 from cassiahitch.direct.state.ratelimits import RateLimitRegistry
 from cassiahitch.direct.state.replicas import ReplicaRegistry
 from cassiahitch.direct.state.versions import VersionPolicy
@@ -126,7 +126,9 @@
     crashes = CrashGuard()
     rate_limits = RateLimitRegistry(rng)
     records_to_send = Piggyback(
-        crashes.records_to_send, versions.records, rate_limits.records_to_send
+        crashes.records_to_send,
+        lambda _: versions.records(boot_time()),
+        rate_limits.records_to_send,
     )
     return EntryState(
         settings,
--- a/src/cassiahitch/direct/members/messaging.py
+++ b/src/cassiahitch/direct/members/messaging.py
@@ -118,7 +118,7 @@
         self.send(self.entry_state.members.receive(message, sender.address, now))
         self.push_soon()
         self.entry_state.crashes.merge_records(message.suspects, now)
-        self.entry_state.versions.merge_records(message.versions, now)
+        self.entry_state.versions.merge_records(message.versions, boot_time())
         self.receive_limits(message.limits, now)
 
     def receive_limits(self, records: tuple[LimitRecord, ...], now: float) -> None:
--- a/src/cassiahitch/direct/placement/enginegroups.py
+++ b/src/cassiahitch/direct/placement/enginegroups.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from cassiahitch.direct.placement.placement import Candidate, Placement, PlacementRequest
+from cassiahitch.direct.state.freshness import boot_time
 
 if TYPE_CHECKING:
     from cassiahitch.direct.placement.candidates import CandidateFilter
@@ -137,7 +138,7 @@
             version = load.report.version
             if load.report.loading:
                 return None
-        oldest = self.candidates.entry_state.versions.oldest_allowed(engine.model, now)
+        oldest = self.candidates.entry_state.versions.oldest_allowed(engine.model, boot_time())
         if not version or version < oldest:
             return None
         in_own_region = self.candidates.is_in_own_region(replica)
--- a/src/cassiahitch/direct/staging/agentupdater.py
+++ b/src/cassiahitch/direct/staging/agentupdater.py
@@ -16,6 +16,7 @@
     TableRow,
     TableSnapshot,
 )
+from cassiahitch.direct.state.freshness import boot_time
 from cassiahitch.direct.state.versions import DeclaredVersion, VersionPolicy
 from cassiahitch.errors import PlatformError
 from cassiahitch.weights.plan import Participant
@@ -68,7 +69,7 @@
         """Return the time until versions older than the target may no longer be used.
 
         :param target: the version that replaces them.
-        :param now: current time in seconds.
+        :param now: current time of the boot clock in seconds.
         :return: seconds.
         """
         declared_at = self.versions.declared_at.get(target.model, {}).get(target.version, now)
@@ -131,7 +132,7 @@
 
         :param declared: the version.
         """
-        if self.versions.record_declared(declared, asyncio.get_running_loop().time()):
+        if self.versions.record_declared(declared, boot_time()):
             self.repository.newest_version = max(self.repository.newest_version, declared.version)
             self.log.state_changed(
                 'weights declared', model=declared.model, weights=declared.version
--- a/src/cassiahitch/direct/staging/loading.py
+++ b/src/cassiahitch/direct/staging/loading.py
@@ -15,6 +15,7 @@
 from cassiahitch.direct.staging.staging import Stager
 from cassiahitch.direct.staging.uploads import HOST_UTILISATION
 from cassiahitch.direct.staging.urgency import FetchUrgency, origin_region_capacity
+from cassiahitch.direct.state.freshness import boot_time
 from cassiahitch.direct.state.versions import BOUND_MARGIN_S
 from cassiahitch.errors import PlatformError
 from cassiahitch.util.rates import bytes_per_s
@@ -198,7 +199,7 @@
         :raises PlatformError: if a step failed.
         """
         started_at = asyncio.get_running_loop().time()
-        remaining_s = self.updater.remaining_s(target, started_at)
+        remaining_s = self.updater.remaining_s(target, boot_time())
         async with self.stager.lock:
             await self.stager.stage_all(target, chunks)
             if self.is_serving(target.model):
@@ -268,7 +269,7 @@
         declared_at = declarations.get(fetch.weights.version)
         if declared_at is None:
             return False
-        now = asyncio.get_running_loop().time()
+        now = boot_time()
         newer_after_s = declarations[target.version] - declared_at
         return is_worth_finishing(newer_after_s, now - declared_at, self.expected_fetch_s())
 
@@ -287,9 +288,7 @@
         :param missing_share: the share of its chunks that this host lacks.
         :return: whether it is to be fetched as fast as possible, with more copies from the origin.
         """
-        remaining_s = (
-            self.updater.remaining_s(target, asyncio.get_running_loop().time()) - BOUND_MARGIN_S
-        )
+        remaining_s = self.updater.remaining_s(target, boot_time()) - BOUND_MARGIN_S
         fetch_s = FIRST_CHUNKS_S + missing_share * (self.expected_fetch_s() - FIRST_CHUNKS_S)
         return FetchUrgency(self.is_serving(target.model), remaining_s, fetch_s).is_urgent
 
@@ -299,7 +298,7 @@
         :param model: the model.
         :return: whether a load would interrupt the service.
         """
-        now = asyncio.get_running_loop().time()
+        now = boot_time()
         loaded_version = self.report.loaded_version(model) if self.report else 0
         return loaded_version > 0 and loaded_version >= self.updater.versions.oldest_allowed(
             model, now
--- a/src/cassiahitch/direct/state/updater.py
+++ b/src/cassiahitch/direct/state/updater.py
@@ -101,8 +101,8 @@
         :param long_polled: whether the store held the read open until the row changed.
         """
         versions = self.entry_state.versions
-        now = asyncio.get_running_loop().time()
-        confirmed_at = now - self.entry_state.freshness.age_s(boot_time())
+        now = boot_time()
+        confirmed_at = self.entry_state.freshness.confirmed_at
         if versions.record_stored(declared, confirmed_at, now, long_polled=long_polled):
             self.telemetry.state_changed(
                 'weights declared',
--- a/src/cassiahitch/direct/state/versions.py
+++ b/src/cassiahitch/direct/state/versions.py
@@ -31,7 +31,8 @@
     ``declared_at`` holds the time of each declaration, by model and version. A process that
     had just started, or had no contact with the store, cannot determine that time: it assumes the
     earliest possible one and adds the version to ``estimated``. An estimate is replaced by the time
-    that another process reports, and is not reported to others.
+    that another process reports, and is not reported to others. All times are in seconds of the
+    boot clock, which goes on while the host is suspended.
     """
 
     bound_s: float
--- a/src/cassiahitch/direct/telemetry.py
+++ b/src/cassiahitch/direct/telemetry.py
@@ -146,7 +146,7 @@
         """
         candidate = assignment.candidate
         now = asyncio.get_running_loop().time()
-        left_s = self.entry_state.versions.left_s(candidate.model, candidate.version, now)
+        left_s = self.entry_state.versions.left_s(candidate.model, candidate.version, boot_time())
         if left_s == math.inf:
             return {}
         fields = {'bound_left_s': left_s + now - started_at}
--- a/tests/direct/placement/test_search.py
+++ b/tests/direct/placement/test_search.py
@@ -274,8 +274,7 @@
 
 def test_engines_with_outdated_weights_are_queried_for_newer_ones() -> None:
     async def body(site: Site) -> None:
-        now = asyncio.get_running_loop().time()
-        site.entry_state.versions.record_declared(DeclaredVersion('m', 2), now - 60)
+        site.entry_state.versions.record_declared(DeclaredVersion('m', 2), boot_time() - 60)
         with pytest.raises(RequestError) as error_info:
             await site.find()
         assert error_info.value.code is Code.no_replica
--- a/tests/direct/requests/test_replaced_versions.py
+++ b/tests/direct/requests/test_replaced_versions.py
@@ -22,6 +22,8 @@
 
 TWO_ENTRIES = DirectSiteSize(entries=2, models=3, plain=1)
 BOUND_S = 8.0
+#: Age of the version at which the last request is sent, in seconds.
+LAST_AGE_S = 10.0
 #: Longest silence of a sound engine, in seconds.
 SILENCE_S = 1.5
 #: Seconds between two requests of all callers.
@@ -55,7 +57,7 @@
     async def sleep_until(self, age_s: float) -> None:
         await asyncio.sleep(self.declared_at + age_s - _now())
 
-    async def load(self, first_age_s: float = 3.0, last_age_s: float = BOUND_S + 2) -> None:
+    async def load(self, first_age_s: float = 3.0, last_age_s: float = LAST_AGE_S) -> None:
         """Send requests while the version has a certain age, and wait for their responses."""
         await self.sleep_until(first_age_s)
         async with asyncio.TaskGroup() as tasks:
@@ -179,7 +181,7 @@
     async def body(site: DirectSite) -> None:
         rollout = Rollout(site)
         load_newer_version(site)
-        await rollout.load(BOUND_S, BOUND_S + 2)
+        await rollout.load(BOUND_S)
         assert {got.status for got in rollout.responses} == {HTTPStatus.OK}
         assert not rollout.began_on_older()
 
--- a/tests/direct/state/test_updater.py
+++ b/tests/direct/state/test_updater.py
@@ -67,7 +67,7 @@
             members=Gossip(
                 MemberRegistry(MemberState(name, number, address=settings.address, region='north')),
                 RegionRegistry('north'),
-                Piggyback(versions=self.versions.records),
+                Piggyback(versions=lambda _: self.versions.records(boot_time())),
                 random.Random(1),
             ),
             crashes=CrashGuard(),
@@ -87,7 +87,7 @@
         self.messenger.socket = self.socket  # type: ignore[assignment]
 
     def oldest_allowed(self) -> int:
-        return self.versions.oldest_allowed(MODEL, _now())
+        return self.versions.oldest_allowed(MODEL, boot_time())
 
     def state_query(self) -> MemberNews:
         message: MemberNews = self.members.build_message(_now())
@@ -125,7 +125,7 @@
 def test_started_entry_receives_the_age_of_a_version_with_the_first_reply() -> None:
     async def body() -> None:
         running, started = Entry('entry-1', 1), Entry('entry-2', 2)
-        running.versions.record_declared(DeclaredVersion(MODEL, 2), _now() - 1)
+        running.versions.record_declared(DeclaredVersion(MODEL, 2), boot_time() - 1)
         await _read_from_store(started)
         running.messenger.receive_gossip(started.state_query(), started.address, _now())
         started.messenger.receive_gossip(running.last_reply(), running.address, _now())
--- a/tests/direct/test_direct_path.py
+++ b/tests/direct/test_direct_path.py
@@ -11,6 +11,7 @@
 from cassiahitch.codes import Code
 from cassiahitch.direct.staging.chunks import WeightsId
 from cassiahitch.direct.state.feed import CallFailure, Reply
+from cassiahitch.direct.state.freshness import boot_time
 from cassiahitch.errors import PlatformError
 from cassiahitch.standins.backends import BackendStandin, Fault
 from cassiahitch.standins.configurations import CALLER_API_KEY, PLAIN_SERVICE
@@ -456,7 +457,7 @@
             await agent.stack.aclose()
         site.publish_version(2)
         entry_state = site.entries[0].parts.entry_state
-        await wait_until(lambda: entry_state.versions.oldest_allowed('m1', _now()) == 2)
+        await wait_until(lambda: entry_state.versions.oldest_allowed('m1', boot_time()) == 2)
         got = await send_request(site.entries[0], '/draft/1')
         assert (got.status, run_count(site.models)) == (503, 0)
 
