Withdraw requests that have not begun shortly before the bound on their weights

Callers got answers that had begun on weights replaced longer ago than the bound (8 s): the version was judged when the request was placed, and nothing ended the wait in the queue of the engine, at one that was silent for a moment, or for a slow connection.

Now a request is sent to an engine on an older version only if it is expected to begin there 1.6 s before the bound or earlier, judged at the placement and once more before the bytes go out. An attempt that has not begun by then is ended: its connection is reset, and the request is placed anew; that spends a retry, counts as an attempt, ejects no replica, and a request that may run only once ends as outcome unknown. The margin is what a sound engine may be silent (1.5 s), after which it reads the reset, and a delivery (0.1 s). The margin was 1 s: engines on older weights are out of use 0.6 s earlier.

--- a/src/cassiahitch/direct/assembly.py
+++ b/src/cassiahitch/direct/assembly.py
@@ -150,6 +150,7 @@
             signals,
             response_relay,
             reservations,
+            entry_state.versions,
         ),
         budget=budget,
         crash_detector=CrashDetector(entry_state, signals.telemetry),
--- a/src/cassiahitch/direct/backends/attempt.py
+++ b/src/cassiahitch/direct/backends/attempt.py
@@ -13,6 +13,7 @@
 from cassiahitch.direct.backends.events import EventSplitter, EventTooLarge
 from cassiahitch.direct.backends.exchange import Exchange, ResponseLost
 from cassiahitch.direct.backends.stalls import ReplicaStalled, StallDetector
+from cassiahitch.direct.backends.withdrawal import AttemptWithdrawn, WithdrawalWatch, Withdrawn
 from cassiahitch.direct.callers.responsewriter import CallerDisconnected
 
 if TYPE_CHECKING:
@@ -26,6 +27,7 @@
     from cassiahitch.direct.placement.placement import Assignment, Placement
     from cassiahitch.direct.placement.reservation import ReservationClient
     from cassiahitch.direct.requests.filters import RequestFilters
+    from cassiahitch.direct.state.versions import VersionPolicy
 
 SUCCESS_STATUSES = range(200, 300)
 
@@ -47,7 +49,8 @@
 class Withheld:
     """No byte of the request was sent.
 
-    The backend server is stopping or paused, or it names a rate limit and no permit is valid.
+    The backend server is stopping or paused, it names a rate limit and no permit is valid, or its
+    weights have been replaced in the meantime.
     """
 
 
@@ -69,7 +72,7 @@
     stalled: bool = False
 
 
-Outcome = Answered | Delivered | NotSent | Withheld | NotRun | Lost
+Outcome = Answered | Delivered | NotSent | Withheld | NotRun | Lost | Withdrawn
 
 
 @dataclass(slots=True)
@@ -122,6 +125,12 @@
     signals: ReplicaSignals
     response_relay: ResponseRelay
     reservations: ReservationClient
+    versions: VersionPolicy
+    withdrawals: WithdrawalWatch = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Create the watch of attempts that have not begun."""
+        self.withdrawals = WithdrawalWatch(self.versions)
 
     async def send(
         self,
@@ -157,7 +166,9 @@
             stall_detector = StallDetector(stream.reserve_alternative)
             exchange = Exchange(connection, self.codec, stall_detector, self.signals.receive_head)
             stack.callback(self.release, connection, exchange)
-            if not self.signals.may_send(assignment):
+            if not self.signals.may_send(assignment) or not self.withdrawals.may_begin(
+                assignment.candidate, assignment.expected_s
+            ):
                 return Withheld()
             self.filters.require_valid_key(call)
             stream.caller.require_connected()
@@ -251,9 +262,13 @@
         headers = self.codec.write_headers(call.request, destination)
         exchange.stall_detector.restart(timeouts.first_s)
         try:
-            head = await exchange.send(call.request, headers)
-            exchange.stall_detector.restart(timeouts.first_s)
-            return await self.relay_response(call, exchange, head, stream, timeouts)
+            async with self.withdrawals.watch(assignment) as pending:
+                exchange.on_begin = pending.begin
+                head = await exchange.send(call.request, headers)
+                exchange.stall_detector.restart(timeouts.first_s)
+                return await self.relay_response(call, exchange, head, stream, timeouts)
+        except AttemptWithdrawn:
+            return Withdrawn()
         except ResponseLost as error:
             return Lost(str(error))
         except ReplicaStalled:
--- a/src/cassiahitch/direct/backends/exchange.py
+++ b/src/cassiahitch/direct/backends/exchange.py
@@ -41,6 +41,10 @@
     """Ignore the head of a response; the default without a listener."""
 
 
+def _ignore_begin() -> None:
+    """Ignore the first byte of a body; the default without a listener."""
+
+
 class ResponseLost(Exception):
     """Bytes of the request were sent and no complete response was received; it may have run."""
 
@@ -49,7 +53,7 @@
     """Sends one request and reads the response that carries its attempt id.
 
     The creator releases the connection afterwards; ``reusable`` is whether the connection may
-    carry another request.
+    carry another request. ``on_begin`` is called with each part of the body of the own response.
     """
 
     def __init__(
@@ -70,6 +74,7 @@
         self.codec = codec
         self.stall_detector = stall_detector
         self.on_head = on_head
+        self.on_begin: Callable[[], None] = _ignore_begin
         self.machine = _new_machine()
         self.written: asyncio.Future[None] | None = None
         self.complete = False
@@ -114,6 +119,8 @@
         while not self.complete:
             event = await self._next_event()
             if isinstance(event, h11.Data):
+                if self.head is not None:
+                    self.on_begin()
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 self._finish()
--- a/src/cassiahitch/direct/placement/search.py
+++ b/src/cassiahitch/direct/placement/search.py
@@ -21,6 +21,7 @@
     PlacementRequest,
     Reservation,
 )
+from cassiahitch.direct.state.freshness import boot_time
 from cassiahitch.errors import RequestError
 
 if TYPE_CHECKING:
@@ -227,17 +228,42 @@
             self.decide(search, tuple(search.replied))
 
     def decide(self, search: SearchState, candidates: tuple[Candidate, ...]) -> None:
-        """Assign or refuse the request by the tracked load.
+        """Assign or refuse the request by the tracked load, unless none could begin it in time.
 
         :param search: state of the search, whose result is set.
         :param candidates: engines to choose from, at least one.
         """
         now = asyncio.get_running_loop().time()
         entries = 1 + len(self.candidates.entry_state.members.registry.live_members())
+        candidates = tuple(
+            candidate
+            for candidate in candidates
+            if self.begins_in_time(search, candidate, entries, now)
+        )
+        if not candidates:
+            return
         search.result = self.placement.place_engine(
             search.engine, search.request, candidates, entries, now
         )
 
+    def begins_in_time(
+        self, search: SearchState, candidate: Candidate, entries: int, now: float
+    ) -> bool:
+        """Return whether a request is expected to begin while its version may be used.
+
+        :param search: state of the search.
+        :param candidate: the engine with its loaded version.
+        :param entries: number of entries that send to it.
+        :param now: current time in seconds.
+        :return: whether it need not be withdrawn from there.
+        """
+        versions = self.candidates.entry_state.versions
+        if candidate.version >= versions.newest(candidate.model):
+            return True
+        estimate = self.placement.estimate(search.engine, search.request, candidate, entries, now)
+        begins_at = boot_time() + estimate.expected_s
+        return versions.may_begin(candidate.model, candidate.version, begins_at)
+
     def release(self, assignment: Assignment) -> None:
         """Release the reservation of a request that is not sent.
 
--- a/src/cassiahitch/direct/requests/runner.py
+++ b/src/cassiahitch/direct/requests/runner.py
@@ -23,6 +23,7 @@
     Withheld,
 )
 from cassiahitch.direct.backends.responserelay import is_forwardable
+from cassiahitch.direct.backends.withdrawal import Withdrawn
 from cassiahitch.direct.callers.errorresponder import ErrorResponder
 from cassiahitch.direct.callers.progress import Phase
 from cassiahitch.direct.placement.candidates import CandidateFilter
@@ -282,6 +283,8 @@
                 health_outcome = HealthOutcome.failed
             case NotRun() | Withheld():
                 health_outcome = HealthOutcome.refused
+            case Withdrawn():
+                health_outcome = HealthOutcome.cancelled
             case _:
                 health_outcome = HealthOutcome.success
                 if call.fingerprint is not None:
@@ -361,7 +364,8 @@
         :raises RequestError: ``outcome_unknown`` if it may have run and must not be retried.
         """
         stream.splitter.discard_partial()
-        call.avoided_replicas.add(assignment.candidate.replica.key)
+        if not isinstance(outcome, Withdrawn):
+            call.avoided_replicas.add(assignment.candidate.replica.key)
         if isinstance(outcome, NotSent | Withheld):
             return
         call.may_reuse_replica = isinstance(outcome, Answered)
@@ -398,7 +402,7 @@
 
 def _incomplete_response_error(outcome: Outcome, ran: HasRun) -> RequestError:
     detail = 'the backend server did not send a complete response'
-    if isinstance(outcome, Lost):
+    if isinstance(outcome, Lost | Withdrawn):
         detail = f'{detail}: {outcome.detail}'
     return RequestError(Code.outcome_unknown, detail, ran)
 
--- a/src/cassiahitch/direct/state/versions.py
+++ b/src/cassiahitch/direct/state/versions.py
@@ -7,8 +7,14 @@
 
 from cassiahitch.wire.datagrammessages import VersionRecord
 
-#: Seconds before the end of the bound from which no request starts on an older version.
-BOUND_MARGIN_S = 1.0
+#: Longest time in seconds for which a sound replica may be silent and then go on. It notices only
+#: then that a connection was closed.
+REPLICA_SILENCE_S = 1.5
+#: Seconds until a request, or the close of its connection, has reached a replica.
+DELIVERY_S = 0.1
+#: Seconds before the end of the bound at which requests that have not begun on an older version are
+#: withdrawn, and from which none is sent there.
+BOUND_MARGIN_S = REPLICA_SILENCE_S + DELIVERY_S
 #: Longest time in seconds since the last reply of the store after which a version returned by a
 #: long poll counts as declared just now.
 MAX_REPLY_GAP_S = 1.0
@@ -117,17 +123,35 @@
         """
         return max(self.declared_at.get(model, {}), default=0)
 
+    def replaced_at(self, model: str, version: int) -> float:
+        """Return when a version was replaced by a newer one.
+
+        :param model: name of the model.
+        :param version: the version.
+        :return: seconds, infinity if no newer version is declared.
+        """
+        times = self.declared_at.get(model, {})
+        return min((at for newer, at in times.items() if newer > version), default=inf)
+
     def left_s(self, model: str, version: int, at: float) -> float:
-        """Return the time that was left until no request might start on a version any more.
+        """Return the time that was left until no request might begin on a version any more.
 
         :param model: name of the model.
         :param version: the version.
         :param at: the time, in seconds.
         :return: seconds, infinity if no newer version is declared.
         """
-        times = self.declared_at.get(model, {})
-        replaced_at = min((time for newer, time in times.items() if newer > version), default=inf)
-        return replaced_at + self.bound_s - at
+        return self.replaced_at(model, version) + self.bound_s - at
+
+    def may_begin(self, model: str, version: int, at: float) -> bool:
+        """Return whether a request that is expected to begin at a time may be sent.
+
+        :param model: name of the model.
+        :param version: the version on which it would begin.
+        :param at: the time, in seconds.
+        :return: whether it need not be withdrawn before.
+        """
+        return self.left_s(model, version, at) > BOUND_MARGIN_S
 
     def oldest_allowed(self, model: str, now: float) -> int:
         """Return the oldest version of a model on which a request may start.
--- a/tests/direct/backends/test_abort.py
+++ b/tests/direct/backends/test_abort.py
@@ -63,7 +63,7 @@
             ReplicaAvailability(random.Random(1)), pool, nothing, 1, RateLimitRegistry()
         )
         attempts = AttemptSender(
-            pool, PlatformRequests(), nothing, nothing, signals, nothing, nothing
+            pool, PlatformRequests(), nothing, nothing, signals, nothing, nothing, nothing
         )
         with make_unread_server() as server:
             endpoint = Endpoint(ADDRESS, server.getsockname()[1])
--- a/tests/direct/requests/test_replaced_versions.py
+++ b/tests/direct/requests/test_replaced_versions.py
@@ -177,6 +177,38 @@
     run_site_in_virtual_time(body, TWO_ENTRIES)
 
 
+def test_withdrawn_request_is_served_by_the_newer_version_and_ejects_no_replica() -> None:
+    async def body(site: DirectSite) -> None:
+        rollout = Rollout(site)
+        await rollout.sleep_until(5.6)
+        for engine in site.models:
+            engine.queue_s = 3
+        async with asyncio.TaskGroup() as tasks:
+            for _ in range(4):
+                tasks.create_task(rollout.send())
+            await asyncio.sleep(0.3)
+            site.models[-1].queue_s = 0
+            load_newer_version(site)
+        assert {got.status for got in rollout.responses} == {HTTPStatus.OK}
+        assert not rollout.late()
+        assert withdrawn_count(site) >= 2
+        for entry in site.entries:
+            outliers = entry.parts.candidates.outliers[site.models[0].service]
+            assert not any(health.failures for health in outliers.health.values())
+
+    run_site_in_virtual_time(body, TWO_ENTRIES)
+
+
+def withdrawn_count(site: DirectSite) -> int:
+    """Return how many attempts were withdrawn at all entries."""
+    return sum(
+        count
+        for entry in site.entries
+        for series, count in entry.parts.telemetry.metrics.counters.items()
+        if series.label == 'Withdrawn'
+    )
+
+
 def test_requests_are_served_by_the_newer_version_alone_after_the_bound() -> None:
     async def body(site: DirectSite) -> None:
         rollout = Rollout(site)
--- a/tests/support/overload_model.py
+++ b/tests/support/overload_model.py
@@ -150,7 +150,7 @@
         socket: Any = self
         reservations.socket = socket
         members = SimpleNamespace(registry=SimpleNamespace(live_members=tuple))
-        versions = SimpleNamespace(oldest_allowed=lambda model, now: 1)
+        versions = SimpleNamespace(oldest_allowed=lambda model, now: 1, newest=lambda model: 1)
         candidates: Any = SimpleNamespace(
             is_in_own_region=lambda replica: replica.failure_domain == f'd-{self.region}',
             entry_state=SimpleNamespace(members=members, versions=versions),
--- a/tests/support/sent_requests.py
+++ b/tests/support/sent_requests.py
@@ -22,6 +22,7 @@
 from cassiahitch.direct.backends.exchange import Exchange
 from cassiahitch.direct.backends.responserelay import ResponseRelay
 from cassiahitch.direct.backends.stalls import StallDetector
+from cassiahitch.direct.state.versions import VersionPolicy
 from cassiahitch.settings.limits import ResponseLimits
 
 HEAD = ResponseHead(200, 'OK', (), 'a', not_run=False, sealed=True, content_encoded=False)
@@ -62,7 +63,9 @@
         )
         unused: Any = None
         response_relay = ResponseRelay(BufferBudget(ResponseLimits(100_000, 100_000, 100_000)))
-        self.attempts = AttemptSender(unused, codec, unused, unused, unused, response_relay, unused)
+        self.attempts = AttemptSender(
+            unused, codec, unused, unused, unused, response_relay, unused, VersionPolicy(8)
+        )
         request = SimpleNamespace(method='GET', target='/', body=b'', attempt_id='a')
         self.call: Any = SimpleNamespace(
             request=request,
@@ -79,7 +82,7 @@
         return True
 
     async def run_exchange(self) -> Outcome:
-        replica: Any = SimpleNamespace(replica=None, version=0)
+        replica: Any = SimpleNamespace(replica=None, version=0, model='')
         assignment: Any = SimpleNamespace(candidate=replica, rank=None)
         timeouts = ProgressTimeouts(STALL_TIMEOUT_S, STALL_TIMEOUT_S)
         return await self.attempts.run_exchange(
