--- a/src/cassiahitch/direct/backends/exchange.py
+++ b/src/cassiahitch/direct/backends/exchange.py
@@ -41,6 +41,10 @@
     """Ignore the head of a response; the default without a listener."""
 
 
+def _ignore_begin() -> None:
+    """Ignore the first byte of a body; the default without a listener."""
+
+
 class ResponseLost(Exception):
     """Bytes of the request were sent and no complete response was received; it may have run."""
 
@@ -50,7 +54,8 @@
 
     The creator releases the connection afterwards; ``reusable`` is whether the connection may
     carry another request, ``ended_with_connection`` whether only the end of the connection showed
-    that the response was complete.
+    that the response was complete. ``on_begin`` is called with each part of the body of the own
+    response.
     """
 
     def __init__(
@@ -71,6 +76,7 @@
         self.codec = codec
         self.stall_detector = stall_detector
         self.on_head = on_head
+        self.on_begin: Callable[[], None] = _ignore_begin
         self.machine = _new_machine()
         self.written: asyncio.Future[None] | None = None
         self.complete = False
@@ -119,6 +125,8 @@
         while not self.complete:
             event = await self._next_event()
             if isinstance(event, h11.Data):
+                if self.head is not None:
+                    self.on_begin()
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 self._finish()
--- a/src/cassiahitch/direct/entrystate.py
+++ b/src/cassiahitch/direct/entrystate.py
@@ -13,7 +13,7 @@
 from cassiahitch.direct.placement.limiterchoice import LimiterDirectory
 from cassiahitch.direct.placement.segmentguard import SegmentGuard
 from cassiahitch.direct.placement.segmentsharing import SegmentSharing
-from cassiahitch.direct.state.freshness import Freshness
+from cassiahitch.direct.state.freshness import Freshness, boot_time
 from cassiahitch.direct.state.ratelimits import RateLimitRegistry
 from cassiahitch.direct.state.replicas import ReplicaRegistry
 from cassiahitch.direct.state.versions import VersionPolicy
@@ -137,7 +137,7 @@
     segment_sharing = SegmentSharing(SegmentGuard())
     records_to_send = Piggyback(
         crashes.records_to_send,
-        versions.records,
+        lambda _: versions.records(boot_time()),
         rate_limits.records_to_send,
         segment_sharing.crash_records,
         segment_sharing.sound_records,
