--- a/src/cassiahitch/cli/soaking.py
+++ b/src/cassiahitch/cli/soaking.py
@@ -13,7 +13,8 @@
 from cassiahitch.cli.printing import print_line, write_file
 from cassiahitch.codes import Code
 from cassiahitch.errors import CassiahitchError
-from cassiahitch.soak.plan import Area, Size
+from cassiahitch.soak.events import Area
+from cassiahitch.soak.plan import Size
 from cassiahitch.soak.report import SoakReport
 from cassiahitch.soak.run import SoakRun
 
--- /dev/null
+++ b/src/cassiahitch/soak/events.py
@@ -0,0 +1,165 @@
+"""Events of a plan: the faults that a run injects, and the areas to which they belong."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from cassiahitch.soak.proxy import LinkFault
+
+
+class Area(StrEnum):
+    """Areas of faults to which a run may be restricted."""
+
+    stops = 'stops'
+    signals = 'signals'
+    links = 'links'
+    backends = 'backends'
+    store = 'store'
+    changes = 'changes'
+    overload = 'overload'
+    limits = 'limits'
+
+
+class BackendFailure(StrEnum):
+    """Faults of a backend server.
+
+    ``refuse`` rejects requests, ``lose`` resets the connection instead of sending a response,
+    ``cut`` resets it in the middle of one, ``pause`` requests a pause, ``limit`` names a rate limit
+    for a longer time, ``endless`` sends endless invalid bytes, ``trickle`` nearly stops in the
+    middle of a response, and ``double`` sends it twice.
+    """
+
+    crash = 'crash'
+    slow = 'slow'
+    refuse = 'refuse'
+    lose = 'lose'
+    cut = 'cut'
+    pause = 'pause'
+    limit = 'limit'
+    endless = 'endless'
+    trickle = 'trickle'
+    double = 'double'
+
+
+class StoreFailure(StrEnum):
+    """Faults of the store: ``down`` fails calls, ``lost`` applies writes without responding."""
+
+    down = 'down'
+    lost = 'lost'
+
+
+class Declaration(StrEnum):
+    """Changes by the operator.
+
+    ``key`` revokes a key, ``route`` writes a new version of the configuration, ``weights``
+    publishes new weights, and ``drain`` replaces a replica.
+    """
+
+    key = 'key'
+    route = 'route'
+    weights = 'weights'
+    drain = 'drain'
+
+
+@dataclass(frozen=True, slots=True)
+class Terminate:
+    """Send SIGTERM to a process, and start it again after its end."""
+
+    at: float
+    process: str
+
+
+@dataclass(frozen=True, slots=True)
+class Kill:
+    """Send SIGKILL to a process, and start it again after ``seconds``."""
+
+    at: float
+    process: str
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class Pause:
+    """Send SIGSTOP to a process, and SIGCONT after ``seconds``."""
+
+    at: float
+    process: str
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class Reload:
+    """Change the settings of a process and send it SIGHUP."""
+
+    at: float
+    process: str
+
+
+@dataclass(frozen=True, slots=True)
+class HarmLink:
+    """Apply a fault to the link from a process to the store, or from all entries to a backend."""
+
+    at: float
+    link: str
+    harm: LinkFault
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class FailBackend:
+    """Apply a fault to a backend server."""
+
+    at: float
+    backend: str
+    failure: BackendFailure
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class FailStore:
+    """Apply a fault to the store."""
+
+    at: float
+    failure: StoreFailure
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class Declare:
+    """Make a change as the operator; ``number`` selects the replica to drain."""
+
+    at: float
+    declaration: Declaration
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Overload:
+    """Add many callers for ``seconds``."""
+
+    at: float
+    seconds: float
+
+
+Event = Terminate | Kill | Pause | Reload | HarmLink | FailBackend | FailStore | Declare | Overload
+
+
+__all__ = (
+    'Area',
+    'BackendFailure',
+    'Declaration',
+    'Declare',
+    'Event',
+    'FailBackend',
+    'FailStore',
+    'HarmLink',
+    'Kill',
+    'Overload',
+    'Pause',
+    'Reload',
+    'StoreFailure',
+    'Terminate',
+)
--- a/src/cassiahitch/soak/faults.py
+++ b/src/cassiahitch/soak/faults.py
@@ -10,8 +10,7 @@
 from typing import TYPE_CHECKING
 
 from cassiahitch.platform import names
-from cassiahitch.soak.exchange import MODEL
-from cassiahitch.soak.plan import (
+from cassiahitch.soak.events import (
     BackendFailure,
     Declaration,
     Declare,
@@ -26,6 +25,7 @@
     StoreFailure,
     Terminate,
 )
+from cassiahitch.soak.exchange import MODEL
 from cassiahitch.soak.proxy import LinkFault
 from cassiahitch.soak.records import (
     STORE,
--- a/src/cassiahitch/soak/report.py
+++ b/src/cassiahitch/soak/report.py
@@ -10,7 +10,8 @@
 from cassiahitch.soak.stops import count_cuts
 
 if TYPE_CHECKING:
-    from cassiahitch.soak.plan import Event, Size
+    from cassiahitch.soak.events import Event
+    from cassiahitch.soak.plan import Size
     from cassiahitch.soak.records import Attempt, Record, Violation
 
 #: Decimal places of times in seconds.
--- a/src/cassiahitch/soak/run.py
+++ b/src/cassiahitch/soak/run.py
@@ -9,9 +9,10 @@
 
 from cassiahitch.soak.callers import Caller, LoadContext
 from cassiahitch.soak.checks import check_all
+from cassiahitch.soak.events import Event
 from cassiahitch.soak.exchange import CallerBehaviour
 from cassiahitch.soak.faults import FaultInjector
-from cassiahitch.soak.plan import Event, Size, make_plan
+from cassiahitch.soak.plan import Size, make_plan
 from cassiahitch.soak.records import Disturbance, Record, RequestKind, Violation
 from cassiahitch.soak.site import SoakSite
 from cassiahitch.soak.starvation import StarvationMonitor
--- a/tests/soak/test_soak_plan.py
+++ b/tests/soak/test_soak_plan.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from cassiahitch.soak.plan import Area, Overload, Size, Terminate, make_plan
+from cassiahitch.soak.events import Area, Overload, Terminate
+from cassiahitch.soak.plan import Size, make_plan
 
 
 def test_same_seed_and_size_draw_the_same_plan() -> None:
--- a/tests/soak/test_soak_seeds.py
+++ b/tests/soak/test_soak_seeds.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from cassiahitch.soak.plan import Area, Size, make_plan
+from cassiahitch.soak.events import Area
+from cassiahitch.soak.plan import Size, make_plan
 
 LINES = (Path(__file__).parent / 'seeds.txt').read_text(encoding='utf-8').splitlines()
 
