Let prompts of the soak's callers crash engines, and count what still reaches them

The area `prompts`, drawn apart, adds callers whose prompts have one such segment, never the last, and sound ones that share key, route and first segment. The engine ends its listener and its connections before the first event and returns after 2 s as a new process without loaded weights. `unchanged` covers the header as well. An engine no longer begins a request whose connection has closed meanwhile.

--- a/src/cassiahitch/cli/soaking.py
+++ b/src/cassiahitch/cli/soaking.py
@@ -39,8 +39,8 @@
     :param seconds: duration of the load in seconds.
     :param entries: number of entries.
     :param agents: number of agents, each with a model engine.
-    :param areas: areas of faults: stops, signals, links, backends, store, changes, overload; all
-        if omitted.
+    :param areas: areas of faults: stops, signals, links, backends, store, changes, overload,
+        limits, prompts; all if omitted.
     :param json: file to write the report to; standard output if omitted.
     :return: the exit code; 5 if a guarantee was violated.
     """
--- a/src/cassiahitch/platform/names.py
+++ b/src/cassiahitch/platform/names.py
@@ -31,6 +31,8 @@
 MODEL = 'X-Cassiahitch-Model'
 #: Number of tokens of the prompt and largest number of tokens of the response.
 TOKEN_COUNTS = 'X-Cassiahitch-Token-Count'
+#: Segments of the prompt in their order, as comma-separated ``ID:TOKENS``, the ids in hexadecimal.
+PROMPT_SEGMENTS = 'X-Cassiahitch-Prompt-Prefix'
 #: Number of tokens of the response that the caller expects.
 EXPECTED_TOKENS = 'X-Cassiahitch-Length-Hint'
 #: Identifier of the last event that the caller has received.
@@ -84,6 +86,7 @@
     'OPERATOR_TABLE',
     'ORDER_PATH',
     'ORGANISATION',
+    'PROMPT_SEGMENTS',
     'ORIGIN_CHUNK_PATH',
     'QUEUE_RANK',
     'READY_PATH',
--- a/src/cassiahitch/soak/backend.py
+++ b/src/cassiahitch/soak/backend.py
@@ -16,18 +16,20 @@
     write_endless,
     write_trickle,
 )
-from cassiahitch.soak.records import Execution
+from cassiahitch.soak.prompts import Prompt
+from cassiahitch.soak.records import Disturbance, Execution
 from cassiahitch.soak.responses import WorkSpec, make_seal, plain_body, short_digest, stream_event
 from cassiahitch.standins.backends import (
     REFUSALS,
     BackendStandin,
+    EngineWeights,
     Fault,
     ResponseWriter,
     refusal_headers,
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
     from cassiahitch.direct.api import Headers
 
@@ -35,6 +37,8 @@
 READ_TOKENS_PER_S = 8000.0
 #: Seconds between two checks whether a connection has closed.
 CLOSE_POLL_INTERVAL_S = 0.02
+#: Seconds for which a prompt that crashes an engine puts it out of service.
+CRASH_S = 2.0
 #: Seconds of the pause that a backend server requests.
 REQUESTED_PAUSE_S = 1.5
 
@@ -45,10 +49,16 @@
 
     ``slowness`` multiplies all delays. ``host`` stays the same when the replica restarts under a
     new id. ``prompt_lock`` lets the engine process one prompt at a time. ``limited_since`` is when
-    the backend server began to name its rate limit.
+    the backend server began to name its rate limit. ``crashes`` records when prompts had crashed
+    it, and ``register`` writes its row in the store again. ``restart_lock`` is held while it is
+    down.
     """
 
     executions: list[Execution] = field(default_factory=list)
+    crashes: list[Disturbance] = field(default_factory=list)
+    register: Callable[[], None] | None = None
+    restart_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
+    restart_tasks: set[asyncio.Task[None]] = field(default_factory=set)
     slowness: float = 1
     limited_since: float = 0
     host: str = ''
@@ -83,6 +93,7 @@
             header(headers, names.ORGANISATION),
             asyncio.get_running_loop().time(),
             key_passed=bool(header(headers, names.API_KEY)),
+            prompt=header(headers, names.PROMPT_SEGMENTS),
             said_leaving=self.stopping,
             limit_per_s=self.limit_per_s,
             limited_since=self.limited_since,
@@ -135,6 +146,11 @@
             tokens = int(header(headers, names.TOKEN_COUNTS, '0').partition(',')[0])
             async with self.prompt_lock:
                 await asyncio.sleep(self.slowness * tokens / READ_TOKENS_PER_S)
+            if response.writer.is_closing():
+                return False
+            if Prompt.parse(execution.prompt).crashes:
+                self.crash(execution)
+                return False
             execution.version = self.engine.version
         execution.began = asyncio.get_running_loop().time()
         if fault is Fault.lose:
@@ -154,6 +170,41 @@
             return await self.send_events(response, execution, head, after, fault)
         return await self.send_body(response, execution, head, fault)
 
+    def crash(self, cause: Execution) -> None:
+        """Go down, unless the backend server is down already, and come back as a new process.
+
+        :param cause: the request that crashes the backend server.
+        """
+        cause.broke_off = True
+        if self.restart_lock.locked():
+            return
+        cause.crashed = True
+        now = asyncio.get_running_loop().time()
+        self.crashes.append(Disturbance(self.host, now, now + CRASH_S))
+        task = asyncio.create_task(self.restart(CRASH_S, as_new_process=True))
+        self.restart_tasks.add(task)
+        task.add_done_callback(self.restart_tasks.discard)
+
+    async def restart(self, seconds: float, *, as_new_process: bool = False) -> None:
+        """Stop abruptly and start again on the same port.
+
+        :param seconds: how long the backend server is down.
+        :param as_new_process: whether it registers as a new process that has loaded no weights; the
+            staged ones survive.
+        """
+        async with self.restart_lock:
+            await self.stop()
+            if as_new_process and self.engine is not None:
+                self.started_at_ms += 1
+                engine = self.engine
+                self.engine = EngineWeights(
+                    engine.model, load_s=engine.load_s, staged=engine.staged
+                )
+            await asyncio.sleep(seconds)
+            await self.start(self.address, self.port)
+            if as_new_process and self.register is not None:
+                self.register()
+
     async def send_body(
         self, response: ResponseWriter, execution: Execution, head: dict[str, str], fault: Fault
     ) -> bool:
--- a/src/cassiahitch/soak/callers.py
+++ b/src/cassiahitch/soak/callers.py
@@ -19,6 +19,7 @@
     Connection,
     connect,
 )
+from cassiahitch.soak.prompts import PromptChoice, draw_prompt
 from cassiahitch.soak.records import Attempt, Record, RequestKind
 from cassiahitch.soak.responses import WorkSpec, short_digest
 from cassiahitch.stores.http_client import HttpCall, HttpCallError, HttpClient
@@ -52,7 +53,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestSpec:
-    """A request to send; ``prompt`` is its length in tokens."""
+    """A request to send; ``prompt`` is the length of its prompt in tokens."""
 
     kind: RequestKind
     work: WorkSpec
@@ -110,6 +111,7 @@
     kinds: tuple[RequestKind, ...]
     region: str = 'north'
     pause_s: float = 0.1
+    prompts: PromptChoice = PromptChoice.drawn
     entries: list[Endpoint] = field(default_factory=list)
     failed_entries: set[Endpoint] = field(default_factory=set)
     addresses_expire_at: float = 0
@@ -182,17 +184,19 @@
         """
         attempt_id = f's{next(self.load.ids)}'
         body = self.rng.randbytes(spec.body_bytes)
+        prompt = draw_prompt(attempt_id, self.prompts).encode(spec.prompt)
         attempt = Attempt(
             id=attempt_id,
             request=request,
             kind=spec.kind,
             entry=self.load.entries[connection.endpoint.address],
-            key=self.rng.choice(self.load.keys),
+            key=self.draw_key(),
             target=f'/{spec.kind}/{attempt_id}?{spec.work.query()}',
             digest=short_digest(body),
             size=spec.prompt or spec.body_bytes,
             began=asyncio.get_running_loop().time(),
             deadline=deadline,
+            prompt=prompt if spec.prompt else '',
         )
         self.load.record.attempts[attempt_id] = attempt
         exchange = CallerExchange(connection, attempt, self.behaviour)
@@ -207,6 +211,14 @@
             self.failed_entries.add(connection.endpoint)
         return attempt, float(exchange.headers.get('retry-after', 0))
 
+    def draw_key(self) -> str:
+        """Draw an API key.
+
+        :return: the first key if the prompts of the caller are not drawn, else any one.
+        """
+        is_drawn = self.prompts is PromptChoice.drawn
+        return self.rng.choice(self.load.keys) if is_drawn else self.load.keys[0]
+
     async def get_connection(self, deadline: float) -> Connection | None:
         """Return the connection that was kept, or open a new one.
 
--- a/src/cassiahitch/soak/checks.py
+++ b/src/cassiahitch/soak/checks.py
@@ -10,6 +10,7 @@
     check_requested_pauses,
     check_stopping_replicas,
 )
+from cassiahitch.soak.crashsuspects import check_crash_suspects, check_sound_prompts
 from cassiahitch.soak.records import (
     SOAK,
     STORE,
@@ -67,6 +68,8 @@
         return 'no caller sent this request'
     if (execution.target, execution.digest) != (attempt.target, attempt.digest):
         return 'target or body differs from what the caller sent'
+    if execution.prompt != attempt.prompt:
+        return 'segments of the prompt differ from what the caller sent'
     if execution.key_passed:
         return 'the API key was forwarded'
     if execution.organisation != record.organisations.get(attempt.key):
@@ -175,6 +178,8 @@
     check_stopping_replicas,
     check_requested_pauses,
     check_rate_limits,
+    check_crash_suspects,
+    check_sound_prompts,
 )
 
 
--- a/src/cassiahitch/soak/events.py
+++ b/src/cassiahitch/soak/events.py
@@ -21,6 +21,7 @@
     changes = 'changes'
     overload = 'overload'
     limits = 'limits'
+    prompts = 'prompts'
 
 
 class BackendFailure(StrEnum):
@@ -144,12 +145,32 @@
     seconds: float
 
 
-Event = Terminate | Kill | Pause | Reload | HarmLink | FailBackend | FailStore | Declare | Overload
+@dataclass(frozen=True, slots=True)
+class CrashByPrompts:
+    """Add callers for ``seconds`` whose prompts crash each engine that begins a response."""
+
+    at: float
+    seconds: float
+
+
+Event = (
+    Terminate
+    | Kill
+    | Pause
+    | Reload
+    | HarmLink
+    | FailBackend
+    | FailStore
+    | Declare
+    | Overload
+    | CrashByPrompts
+)
 
 
 __all__ = (
     'Area',
     'BackendFailure',
+    'CrashByPrompts',
     'Declaration',
     'Declare',
     'Event',
--- a/src/cassiahitch/soak/exchange.py
+++ b/src/cassiahitch/soak/exchange.py
@@ -170,6 +170,7 @@
         if attempt.kind is RequestKind.draft:
             headers.append((names.MODEL, MODEL))
             headers.append((names.TOKEN_COUNTS, f'{attempt.size},{MAX_RESPONSE_TOKENS}'))
+            headers.append((names.PROMPT_SEGMENTS, attempt.prompt))
         if attempt.kind is not RequestKind.lookup:
             headers.append(('Content-Length', str(len(body))))
         method = 'GET' if attempt.kind is RequestKind.lookup else 'POST'
--- a/src/cassiahitch/soak/faults.py
+++ b/src/cassiahitch/soak/faults.py
@@ -12,6 +12,7 @@
 from cassiahitch.platform import names
 from cassiahitch.soak.events import (
     BackendFailure,
+    CrashByPrompts,
     Declaration,
     Declare,
     Event,
@@ -73,10 +74,15 @@
 
 @dataclass
 class FaultInjector:
-    """Applies events to a site; ``run_overload`` runs an overload for some seconds."""
+    """Applies events to a site.
+
+    ``run_overload`` runs an overload for some seconds, and ``run_crashing_prompts`` callers whose
+    prompts crash engines.
+    """
 
     site: SoakSite
     run_overload: Callable[[float], Awaitable[None]]
+    run_crashing_prompts: Callable[[float], Awaitable[None]]
 
     async def run(self, plan: tuple[Event, ...], began: float) -> None:
         """Apply the events of a plan and wait until the last one is over.
@@ -100,6 +106,8 @@
         for target in await self.apply(event):
             disturbance = Disturbance(target, since, clock())
             self.site.record.disturbances.append(disturbance)
+        if not isinstance(event, CrashByPrompts):
+            self.site.record.events.append(Disturbance(type(event).__name__, since, clock()))
 
     async def apply(self, event: Event) -> tuple[str, ...]:
         """Apply an event and wait until it is over.
@@ -119,16 +127,21 @@
             case Declare():
                 effect = self.apply_declaration(event)
             case Overload():
-                effect = self.apply_overload(event)
+                effect = self.apply_load(self.run_overload, event.seconds)
+            case CrashByPrompts():
+                effect = self.apply_load(self.run_crashing_prompts, event.seconds)
         return await effect
 
-    async def apply_overload(self, event: Overload) -> tuple[str, ...]:
-        """Run an overload.
+    async def apply_load(
+        self, run_load: Callable[[float], Awaitable[None]], seconds: float
+    ) -> tuple[str, ...]:
+        """Run additional callers.
 
-        :param event: the event.
-        :return: no targets, since an overload disturbs no host.
+        :param run_load: runs the callers for some seconds.
+        :param seconds: how long they run.
+        :return: no targets, since load disturbs no host by itself.
         """
-        await self.run_overload(event.seconds)
+        await run_load(seconds)
         return ()
 
     async def send_signal(self, event: Terminate | Kill | Pause | Reload) -> tuple[str, ...]:
@@ -193,7 +206,7 @@
         :return: targets that it disturbed.
         """
         if event.failure is BackendFailure.crash:
-            await self.crash_backend(backend, event.seconds)
+            await backend.restart(event.seconds)
         elif event.failure is BackendFailure.limit:
             return await self.limit_backend(backend, event.seconds * LIMIT_DURATION_FACTOR)
         elif event.failure is BackendFailure.slow:
@@ -219,16 +232,6 @@
         backend.limit_per_s = None
         return ()
 
-    async def crash_backend(self, backend: SoakBackend, seconds: float) -> None:
-        """Stop a backend server abruptly and start it again on the same port.
-
-        :param backend: the backend server.
-        :param seconds: how long it is down.
-        """
-        await backend.stop()
-        await asyncio.sleep(seconds)
-        await backend.start(backend.address, backend.port)
-
     async def apply_store_failure(self, event: FailStore) -> tuple[str, ...]:
         """Apply a fault to the store for some seconds.
 
--- a/src/cassiahitch/soak/plan.py
+++ b/src/cassiahitch/soak/plan.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from types import MappingProxyType
 
 from cassiahitch.soak.events import (
     Area,
     BackendFailure,
+    CrashByPrompts,
     Declaration,
     Declare,
     Event,
@@ -62,6 +65,10 @@
 MAX_FAULT_S = 3.0
 #: Mean number of rate limits per second.
 LIMITS_PER_S = 0.1
+#: Earliest and latest start of prompts that crash engines, and their longest duration, in seconds.
+MIN_PROMPTS_START_S = 5.0
+MAX_PROMPTS_START_S = 6.0
+MAX_PROMPTS_S = 14.0
 #: Duration of an overload, as a fraction of the load for each second of the drawn duration.
 OVERLOAD_FRACTION = 0.13
 #: Faults of links from which a plan is drawn.
@@ -79,16 +86,15 @@
     latest_s = FIRST_FAULT_S + size.seconds * FAULT_FRACTION
     count = max(1, round((latest_s - FIRST_FAULT_S) * FAULTS_PER_S))
     times = sorted(round(rng.uniform(FIRST_FAULT_S, latest_s), 3) for _ in range(count))
-    areas = tuple(area for area in size.areas if area is not Area.limits)
+    areas = tuple(area for area in size.areas if area not in SEPARATE_AREAS)
     faults = [_draw(rng, size, areas, at) for at in times] if areas else []
-    if Area.limits in size.areas:
-        faults += _draw_limits(seed, size)
+    for area, draw in SEPARATE_AREAS.items():
+        if area in size.areas:
+            faults.extend(draw(random.Random(f'{area} {seed}'), size))
     return tuple(sorted(faults, key=lambda fault: fault.at))
 
 
-def _draw_limits(seed: int, size: Size) -> list[Event]:
-    # Drawn on their own, so that the other faults of a seed do not depend on them.
-    rng = random.Random(f'limits {seed}')
+def _draw_limits(rng: random.Random, size: Size) -> list[Event]:
     count = max(1, round(size.seconds * LIMITS_PER_S))
     return [
         FailBackend(
@@ -101,6 +107,21 @@
     ]
 
 
+def _draw_prompts(rng: random.Random, size: Size) -> list[Event]:
+    at = round(rng.uniform(MIN_PROMPTS_START_S, MAX_PROMPTS_START_S), 3)
+    at = min(at, FIRST_FAULT_S + size.seconds * FAULT_FRACTION)
+    return [CrashByPrompts(at, min(MAX_PROMPTS_S, max(0, size.seconds - at)))]
+
+
+_DrawFaults = Callable[[random.Random, Size], list[Event]]
+
+#: Areas whose faults are drawn on their own, so that the other faults of a seed do not depend on
+#: them.
+SEPARATE_AREAS: Mapping[Area, _DrawFaults] = MappingProxyType(
+    {Area.limits: _draw_limits, Area.prompts: _draw_prompts}
+)
+
+
 def _draw(rng: random.Random, size: Size, areas: tuple[Area, ...], at: float) -> Event:
     seconds = round(rng.uniform(MIN_FAULT_S, MAX_FAULT_S), 3)
     process = rng.choice(size.processes())
@@ -128,6 +149,7 @@
 
 
 __all__ = (
+    'SEPARATE_AREAS',
     'Size',
     'make_plan',
 )
--- a/src/cassiahitch/soak/records.py
+++ b/src/cassiahitch/soak/records.py
@@ -58,6 +58,8 @@
     - ``leaving``: a replica that has announced its shutdown soon receives no requests
     - ``paused``: a replica that has requested a pause receives no requests
     - ``limited``: a replica that names a rate limit receives no more from all entries together
+    - ``crash_suspects``: prompts that crash engines soon reach no engine
+    - ``sound_prompts``: requests beside such prompts begin about as often as before them
     """
 
     own_answer = 'own_answer'
@@ -76,6 +78,8 @@
     leaving = 'leaving'
     paused = 'paused'
     limited = 'limited'
+    crash_suspects = 'crash_suspects'
+    sound_prompts = 'sound_prompts'
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,7 +108,8 @@
     entry's process. ``size`` counts tokens of the prompt or bytes of the body. ``sent`` is when
     the request was sent completely. ``whole`` is set once the response is complete; ``received``
     counts the bytes of its body. ``wrong`` describes the error in the response, if there is one.
-    ``left`` is set if the caller disconnected before the response was complete.
+    ``left`` is set if the caller disconnected before the response was complete. ``prompt`` is the
+    header that names the prompt's segments.
     """
 
     id: str
@@ -124,6 +129,7 @@
     received: int = 0
     wrong: str = ''
     left: bool = False
+    prompt: str = ''
 
     @property
     def served(self) -> bool:
@@ -141,6 +147,8 @@
     connection closed during the execution. ``said_leaving`` is set if the response announced the
     replica's shutdown, and ``paused_until`` is the end of the pause that it requested.
     ``limit_per_s`` is the rate limit that the backend server named since ``limited_since``.
+    ``prompt`` is the header that names the prompt's segments, and ``crashed`` is set if it crashed
+    the backend server.
     """
 
     id: str
@@ -151,6 +159,8 @@
     organisation: str
     arrived: float
     key_passed: bool = False
+    prompt: str = ''
+    crashed: bool = False
     refused: bool = False
     broke_off: bool = False
     endless: bool = False
@@ -224,7 +234,9 @@
 class Record:
     """All observations of a run.
 
-    ``overload`` is its longest overload, if it had one. ``slow_downs`` are intervals in which
+    ``overload`` is its longest overload, and ``crashing`` the interval in which prompts came that
+    crash engines, if it had one; ``crashes`` are the times in which they were down for that, and
+    ``events`` those of all other events of the plan. ``slow_downs`` are intervals in which
     processes waited for a processor, and ``longest_lag_s`` is the largest delay of the soak's own
     event loop. ``organisations`` maps keys to organisations.
     """
@@ -238,9 +250,12 @@
     ends: list[ProcessEnd] = field(default_factory=list)
     disturbances: list[Disturbance] = field(default_factory=list)
     slow_downs: list[Disturbance] = field(default_factory=list)
+    crashes: list[Disturbance] = field(default_factory=list)
+    events: list[Disturbance] = field(default_factory=list)
     changes: list[Change] = field(default_factory=list)
     organisations: dict[str, str] = field(default_factory=dict)
     overload: Disturbance | None = None
+    crashing: Disturbance | None = None
     longest_lag_s: float = 0
 
     def was_disturbed(self, target: str, since: float, until: float) -> bool:
@@ -255,7 +270,7 @@
             disturbance.target == target
             and disturbance.began <= until
             and disturbance.ended >= since
-            for disturbance in (*self.disturbances, *self.slow_downs)
+            for disturbance in (*self.disturbances, *self.slow_downs, *self.crashes)
         )
 
     def runs_by_attempt(self) -> dict[str, list[Execution]]:
--- a/src/cassiahitch/soak/report.py
+++ b/src/cassiahitch/soak/report.py
@@ -7,6 +7,7 @@
 from dataclasses import asdict, dataclass
 from typing import TYPE_CHECKING, Any
 
+from cassiahitch.soak.crashsuspects import count_sound_requests
 from cassiahitch.soak.stops import count_cuts
 
 if TYPE_CHECKING:
@@ -85,6 +86,10 @@
         'changes': [type(change).__name__ for change in record.changes],
         'longest_lag_s': round(record.longest_lag_s, TIME_DECIMALS),
         'slow_downs': dict(Counter(slow_down.target for slow_down in record.slow_downs)),
+        'engine_crashes_s': [
+            round(crash.began - record.began, TIME_DECIMALS) for crash in record.crashes
+        ],
+        'sound_requests': [asdict(sound) for sound in count_sound_requests(record)],
         'disturbances': len(record.disturbances),
         'judged_after_recovery': sum(
             attempt.began > record.faults_ended + record.bounds.recover_s
--- a/src/cassiahitch/soak/run.py
+++ b/src/cassiahitch/soak/run.py
@@ -9,10 +9,11 @@
 
 from cassiahitch.soak.callers import Caller, LoadContext
 from cassiahitch.soak.checks import check_all
-from cassiahitch.soak.events import Event
+from cassiahitch.soak.events import Area, Event
 from cassiahitch.soak.exchange import CallerBehaviour
 from cassiahitch.soak.faults import FaultInjector
 from cassiahitch.soak.plan import Size, make_plan
+from cassiahitch.soak.prompts import PromptChoice
 from cassiahitch.soak.records import Disturbance, Record, RequestKind, Violation
 from cassiahitch.soak.site import SoakSite
 from cassiahitch.soak.starvation import StarvationMonitor
@@ -35,6 +36,11 @@
 #: Additional callers of an overload, and mean seconds between the requests of each.
 BURST_CALLERS = 150
 BURST_PAUSE_S = 0.02
+#: Callers whose prompts crash engines, and those of sound prompts beside them.
+CRASHING_CALLERS = 4
+COMMON_CALLERS = 20
+#: Mean seconds between the requests of each of them.
+PROMPT_CALLER_PAUSE_S = 1.0
 #: Seconds after the load in which the last requests may complete.
 COMPLETION_TIMEOUT_S = 1.0
 
@@ -96,7 +102,11 @@
         """
         clock = asyncio.get_running_loop().time
         self.record.began = clock()
-        injector = FaultInjector(site, Burst(load, self.seed, self.record).run)
+        injector = FaultInjector(
+            site,
+            Burst(load, self.seed, self.record).run,
+            CrashingLoad(load, self.seed, self.record).run,
+        )
         await injector.run(self.plan, self.record.began)
         self.record.faults_ended = clock()
         await asyncio.sleep(max(0, self.record.began + self.size.seconds - clock()))
@@ -110,7 +120,7 @@
         profiles = [
             (behaviour, kinds) for count, behaviour, kinds in CALLER_GROUPS for _ in range(count)
         ]
-        return [
+        callers = [
             Caller(
                 load,
                 random.Random(f'caller {self.seed} {number}'),
@@ -120,6 +130,9 @@
             )
             for number, (behaviour, kinds) in enumerate(profiles)
         ]
+        if Area.prompts in self.size.areas:
+            callers += make_draft_callers(load, self.seed, PromptChoice.common, COMMON_CALLERS)
+        return callers
 
 
 @dataclass
@@ -167,6 +180,53 @@
         return Caller(self.load, rng, CallerBehaviour(), kinds, REGIONS[number % 2], BURST_PAUSE_S)
 
 
+@dataclass
+class CrashingLoad:
+    """Runs the callers whose prompts crash engines."""
+
+    load: LoadContext
+    seed: int
+    record: Record
+
+    async def run(self, seconds: float) -> None:
+        """Run the callers.
+
+        :param seconds: how long they run.
+        """
+        clock = asyncio.get_running_loop().time
+        since = clock()
+        callers = make_draft_callers(self.load, self.seed, PromptChoice.crashing, CRASHING_CALLERS)
+        tasks = [asyncio.create_task(caller.work()) for caller in callers]
+        await asyncio.sleep(seconds)
+        self.record.crashing = Disturbance('crashing prompts', since, clock())
+        await cancel(tasks)
+
+
+def make_draft_callers(
+    load: LoadContext, seed: int, prompts: PromptChoice, count: int
+) -> list[Caller]:
+    """Create callers of streams that use any entry for each request.
+
+    :param load: the state that the callers share.
+    :param seed: seed of the run.
+    :param prompts: the prompts of the callers.
+    :param count: number of callers.
+    :return: callers.
+    """
+    return [
+        Caller(
+            load,
+            random.Random(f'{prompts} {seed} {number}'),
+            CallerBehaviour(keeps_connections=False),
+            (RequestKind.draft,),
+            REGIONS[number % 2],
+            PROMPT_CALLER_PAUSE_S,
+            prompts,
+        )
+        for number in range(count)
+    ]
+
+
 async def cancel(tasks: list[asyncio.Task[None]]) -> None:
     """Cancel tasks and wait until they have ended.
 
--- a/src/cassiahitch/soak/site.py
+++ b/src/cassiahitch/soak/site.py
@@ -5,6 +5,7 @@
 import asyncio
 from contextlib import AsyncExitStack
 from dataclasses import asdict, dataclass, field
+from functools import partial
 from http import HTTPStatus
 from pathlib import Path
 from types import MappingProxyType
@@ -168,6 +169,8 @@
         # Half of the backend servers name rate limits in responses to callers only.
         backend.reports_limit = len(self.backends) % 2 == 0
         backend.executions = self.record.executions
+        backend.crashes = self.record.crashes
+        backend.register = partial(self.register, name)
         await backend.start(address)
         self.stack.push_async_callback(backend.stop)
         self.backends[name] = backend
--- a/tests/soak/test_soak_checks.py
+++ b/tests/soak/test_soak_checks.py
@@ -111,6 +111,7 @@
         pytest.param({'digest': 'other'}, id='body'),
         pytest.param({'organisation': 'others'}, id='organisation'),
         pytest.param({'key_passed': True}, id='key-passed-on'),
+        pytest.param({'prompt': 'f0:10,1:10'}, id='segments-of-the-prompt'),
     ],
 )
 def test_changed_request_at_a_backend_server_is_seen(fields: Any) -> None:
--- a/tests/soak/test_soak_plan.py
+++ b/tests/soak/test_soak_plan.py
@@ -5,7 +5,7 @@
 import pytest
 
 from cassiahitch.soak.events import Area, Overload, Terminate
-from cassiahitch.soak.plan import Size, make_plan
+from cassiahitch.soak.plan import SEPARATE_AREAS, Size, make_plan
 
 
 def test_same_seed_and_size_draw_the_same_plan() -> None:
@@ -13,6 +13,16 @@
     assert make_plan(7, size) == make_plan(7, size)
 
 
+@pytest.mark.parametrize('area', list(SEPARATE_AREAS))
+def test_separate_area_does_not_change_the_other_faults_of_a_seed(area: Area) -> None:
+    others = tuple(one for one in Area if one is not area)
+    for seed in range(20):
+        plan = make_plan(seed, Size())
+        without = make_plan(seed, Size(areas=others))
+        alone = make_plan(seed, Size(areas=(area,)))
+        assert sorted(plan, key=str) == sorted((*without, *alone), key=str)
+
+
 def test_another_seed_draws_another_plan() -> None:
     assert make_plan(7, Size()) != make_plan(8, Size())
 
