Let backend servers of the soak fall silent while the bound on new weights passes

The soak loaded new weights at once and had no server that falls silent and goes on.

The area `silences`, drawn apart, publishes weights that no engine can load until 1.5 s after the bound, and each engine reads and writes nothing for 0.8 to 1.5 s around it. The silence disturbs nothing in the record, so `new_weights` must hold through it. The check is stricter than before: a slow-down of a process that neither sent the request nor holds the store excuses nothing.

--- a/src/cassiahitch/soak/backend.py
+++ b/src/cassiahitch/soak/backend.py
@@ -51,13 +51,15 @@
     new id. ``prompt_lock`` lets the engine process one prompt at a time. ``limited_since`` is when
     the backend server began to name its rate limit. ``crashes`` records when prompts had crashed
     it, and ``register`` writes its row in the store again. ``restart_lock`` is held while it is
-    down.
+    down. ``awake`` is cleared while it is silent.
     """
 
     executions: list[Execution] = field(default_factory=list)
     crashes: list[Disturbance] = field(default_factory=list)
     register: Callable[[], None] | None = None
     restart_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
+    awake: asyncio.Event = field(default_factory=asyncio.Event)
+    silence_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     restart_tasks: set[asyncio.Task[None]] = field(default_factory=set)
     slowness: float = 1
     limited_since: float = 0
@@ -68,6 +70,7 @@
     def __post_init__(self) -> None:
         """Create the semaphore of the slots."""
         self.free_slots = asyncio.Semaphore(self.slots)
+        self.awake.set()
 
     async def answer(
         self, response: ResponseWriter, method: str, target: str, headers: Headers, body: bytes
@@ -83,6 +86,7 @@
         """
         attempt_id = header(headers, names.ATTEMPT_ID)
         if not attempt_id:
+            await self.awake.wait()
             return await super().answer(response, method, target, headers, body)
         execution = Execution(
             attempt_id,
@@ -99,6 +103,7 @@
             limited_since=self.limited_since,
         )
         self.executions.append(execution)
+        await self.awake.wait()
         fault = self.faults.pop(0) if self.faults else self.fault
         refusal_status = self.refusal_status(headers)
         if refusal_status is not None or fault in REFUSALS:
@@ -145,7 +150,7 @@
         if self.engine is not None:
             tokens = int(header(headers, names.TOKEN_COUNTS, '0').partition(',')[0])
             async with self.prompt_lock:
-                await asyncio.sleep(self.slowness * tokens / READ_TOKENS_PER_S)
+                await self.work_for(tokens / READ_TOKENS_PER_S)
             if response.writer.is_closing():
                 return False
             if Prompt.parse(execution.prompt).crashes:
@@ -185,6 +190,24 @@
         self.restart_tasks.add(task)
         task.add_done_callback(self.restart_tasks.discard)
 
+    async def work_for(self, seconds: float) -> None:
+        """Wait as long as some work takes, and until the backend server is not silent.
+
+        :param seconds: duration of the work at the usual speed.
+        """
+        await asyncio.sleep(self.slowness * seconds)
+        await self.awake.wait()
+
+    async def fall_silent(self, seconds: float) -> None:
+        """Read and write nothing for some seconds, and then continue with the queue.
+
+        :param seconds: how long.
+        """
+        async with self.silence_lock:
+            self.awake.clear()
+            await asyncio.sleep(seconds)
+            self.awake.set()
+
     async def restart(self, seconds: float, *, as_new_process: bool = False) -> None:
         """Stop abruptly and start again on the same port.
 
@@ -217,7 +240,7 @@
         :return: whether the connection can be reused.
         """
         work = WorkSpec.parse(execution.target)
-        await asyncio.sleep(self.slowness * work.pause_s)
+        await self.work_for(work.pause_s)
         body = plain_body(execution.id, execution.digest, work)
         if fault is Fault.cut:
             execution.broke_off = True
@@ -254,7 +277,7 @@
         response.send_head(HTTPStatus.OK, {**head, 'Content-Type': 'text/event-stream'})
         content = b''
         for number in range(after + 1, work.parts + 1):
-            await asyncio.sleep(self.slowness * work.pause_s)
+            await self.work_for(work.pause_s)
             content = stream_event(execution.id, number, work)
             if fault is Fault.cut and number == after + 3:
                 execution.broke_off = True
--- a/src/cassiahitch/soak/checks.py
+++ b/src/cassiahitch/soak/checks.py
@@ -143,23 +143,35 @@
 def check_weights(record: Record) -> Iterator[Violation]:
     """Check that no execution begins on old weights later than ``weights_s`` after new ones.
 
-    The time limit holds only if nothing was disturbed in the meantime.
+    The time limit holds only if nothing was disturbed in the meantime. Of the processes that were
+    slowed down, only the soak with its store counts, and the entry that sent the request.
 
     :param record: what was recorded in the run.
     :yield: violations.
     """
     changes = [candidate for candidate in record.changes if isinstance(candidate, WeightsNamed)]
-    targets = {disturbance.target for disturbance in (*record.disturbances, *record.slow_downs)}
     for change in changes:
         for execution in record.executions:
-            after_s = (execution.began or 0) - change.at
-            late = after_s > record.bounds.weights_s and 0 < execution.version < change.version
-            if late and record.was_undisturbed(targets, change.at, change.at + after_s):
+            began = execution.began or 0
+            late = began > change.at + record.bounds.weights_s
+            is_old = 0 < execution.version < change.version
+            if late and is_old and _was_calm_since(record, change.at, execution):
                 detail = (
-                    f'began on version {execution.version} of the weights {after_s:.2f} s after '
-                    f'version {change.version} was published'
+                    f'began on version {execution.version} of the weights {began - change.at:.2f} '
+                    f's after version {change.version} was published'
                 )
-                yield Violation(Promise.new_weights, change.at + after_s, execution.id, detail)
+                yield Violation(Promise.new_weights, began, execution.id, detail)
+
+
+def _was_calm_since(record: Record, since: float, execution: Execution) -> bool:
+    """Return whether nothing was disturbed from some time on until an execution began."""
+    began = execution.began or 0
+    targets = {disturbance.target for disturbance in record.disturbances}
+    attempt = record.attempts.get(execution.id)
+    entry_slowed = attempt is not None and not record.was_undisturbed(
+        (attempt.entry,), attempt.began, began
+    )
+    return not entry_slowed and record.was_undisturbed({SOAK, *targets}, since, began)
 
 
 CHECKS: tuple[Check, ...] = (
--- a/src/cassiahitch/soak/events.py
+++ b/src/cassiahitch/soak/events.py
@@ -22,6 +22,7 @@
     overload = 'overload'
     limits = 'limits'
     prompts = 'prompts'
+    silences = 'silences'
 
 
 class BackendFailure(StrEnum):
@@ -29,8 +30,9 @@
 
     ``refuse`` rejects requests, ``lose`` resets the connection instead of sending a response,
     ``cut`` resets it in the middle of one, ``pause`` requests a pause, ``limit`` names a rate limit
-    for a longer time, ``endless`` sends endless invalid bytes, ``trickle`` nearly stops in the
-    middle of a response, and ``double`` sends it twice.
+    for a longer time, ``silent`` reads and writes nothing and then continues, ``endless`` sends
+    endless invalid bytes, ``trickle`` nearly stops in the middle of a response, and ``double``
+    sends it twice.
     """
 
     crash = 'crash'
@@ -40,6 +42,7 @@
     cut = 'cut'
     pause = 'pause'
     limit = 'limit'
+    silent = 'silent'
     endless = 'endless'
     trickle = 'trickle'
     double = 'double'
@@ -153,6 +156,14 @@
     seconds: float
 
 
+@dataclass(frozen=True, slots=True)
+class RollOutLate:
+    """Publish new weights as the operator, whose origin serves nothing for ``seconds``."""
+
+    at: float
+    seconds: float
+
+
 Event = (
     Terminate
     | Kill
@@ -164,6 +175,7 @@
     | Declare
     | Overload
     | CrashByPrompts
+    | RollOutLate
 )
 
 
@@ -181,6 +193,7 @@
     'Overload',
     'Pause',
     'Reload',
+    'RollOutLate',
     'StoreFailure',
     'Terminate',
 )
--- a/src/cassiahitch/soak/faults.py
+++ b/src/cassiahitch/soak/faults.py
@@ -23,6 +23,7 @@
     Overload,
     Pause,
     Reload,
+    RollOutLate,
     StoreFailure,
     Terminate,
 )
@@ -130,6 +131,8 @@
                 effect = self.apply_load(self.run_overload, event.seconds)
             case CrashByPrompts():
                 effect = self.apply_load(self.run_crashing_prompts, event.seconds)
+            case RollOutLate():
+                effect = self.roll_out_late(event)
         return await effect
 
     async def apply_load(
@@ -209,6 +212,9 @@
             await backend.restart(event.seconds)
         elif event.failure is BackendFailure.limit:
             return await self.limit_backend(backend, event.seconds * LIMIT_DURATION_FACTOR)
+        elif event.failure is BackendFailure.silent:
+            await backend.fall_silent(event.seconds)
+            return ()
         elif event.failure is BackendFailure.slow:
             backend.slowness = SLOWNESS
             await asyncio.sleep(event.seconds)
@@ -286,6 +292,18 @@
         self.site.store.put(names.OPERATOR_TABLE, f'{names.VERSION_PREFIX}{MODEL}', document)
         self.site.record.changes.append(WeightsNamed(self.now(), version))
 
+    async def roll_out_late(self, event: RollOutLate) -> tuple[str, ...]:
+        """Publish new weights that no engine can load for some seconds.
+
+        :param event: the event.
+        :return: no targets, since engines may load weights at any time.
+        """
+        self.site.weights.down = True
+        self.publish_weights()
+        await asyncio.sleep(event.seconds)
+        self.site.weights.down = False
+        return ()
+
     async def replace_replica(self, name: str) -> tuple[str, ...]:
         """Drain a replica, remove it, and register it again under a new id.
 
--- a/src/cassiahitch/soak/plan.py
+++ b/src/cassiahitch/soak/plan.py
@@ -21,10 +21,12 @@
     Overload,
     Pause,
     Reload,
+    RollOutLate,
     StoreFailure,
     Terminate,
 )
 from cassiahitch.soak.proxy import LinkFault
+from cassiahitch.soak.records import Bounds
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,8 +52,14 @@
 
         :return: names of the backend servers.
         """
-        engines = [f'm-{number}' for number in range(self.agents)]
-        return engines + [f'p-{number}' for number in range(self.plain)]
+        return self.engines() + [f'p-{number}' for number in range(self.plain)]
+
+    def engines(self) -> list[str]:
+        """Return the names of the model engines.
+
+        :return: names of the engines.
+        """
+        return [f'm-{number}' for number in range(self.agents)]
 
 
 #: Earliest fault of a run, in seconds after the start of the load.
@@ -69,6 +77,15 @@
 MIN_PROMPTS_START_S = 5.0
 MAX_PROMPTS_START_S = 6.0
 MAX_PROMPTS_S = 14.0
+#: Latest start of a rollout whose weights can be loaded only after the bound, in seconds.
+MAX_ROLLOUT_START_S = 2.0
+#: Seconds by which such weights miss the bound.
+ROLLOUT_DELAY_S = 1.5
+#: Shortest and longest silence of a backend server, in seconds.
+MIN_SILENCE_S = 0.8
+MAX_SILENCE_S = 1.5
+#: Smallest part of a silence around the bound of a rollout that lies before the bound.
+MIN_SILENCE_LEAD = 0.5
 #: Duration of an overload, as a fraction of the load for each second of the drawn duration.
 OVERLOAD_FRACTION = 0.13
 #: Faults of links from which a plan is drawn.
@@ -113,12 +130,35 @@
     return [CrashByPrompts(at, min(MAX_PROMPTS_S, max(0, size.seconds - at)))]
 
 
+def _draw_silences(rng: random.Random, size: Size) -> list[Event]:
+    at = rng.uniform(FIRST_FAULT_S, FIRST_FAULT_S + size.seconds * FAULT_FRACTION)
+    faults: list[Event] = [
+        _silence(at, rng.choice(size.backends()), rng.uniform(MIN_SILENCE_S, MAX_SILENCE_S))
+    ]
+    rollout_at = round(rng.uniform(FIRST_FAULT_S, MAX_ROLLOUT_START_S), 3)
+    bound_s = Bounds().weights_s
+    if rollout_at + bound_s + MAX_SILENCE_S > size.seconds:
+        return faults
+    faults.append(RollOutLate(rollout_at, bound_s + ROLLOUT_DELAY_S))
+    for engine in size.engines():
+        seconds = rng.uniform(MIN_SILENCE_S, MAX_SILENCE_S)
+        lead_s = seconds * rng.uniform(MIN_SILENCE_LEAD, 1)
+        faults.append(_silence(rollout_at + bound_s - lead_s, engine, seconds))
+    return faults
+
+
+def _silence(at: float, backend: str, seconds: float) -> FailBackend:
+    return FailBackend(round(at, 3), backend, BackendFailure.silent, round(seconds, 3))
+
+
 _DrawFaults = Callable[[random.Random, Size], list[Event]]
 
+#: Faults of backend servers that belong to such areas.
+SEPARATE_FAILURES = frozenset((BackendFailure.limit, BackendFailure.silent))
 #: Areas whose faults are drawn on their own, so that the other faults of a seed do not depend on
 #: them.
 SEPARATE_AREAS: Mapping[Area, _DrawFaults] = MappingProxyType(
-    {Area.limits: _draw_limits, Area.prompts: _draw_prompts}
+    {Area.limits: _draw_limits, Area.prompts: _draw_prompts, Area.silences: _draw_silences}
 )
 
 
@@ -139,7 +179,7 @@
         Area.backends: tuple(
             FailBackend(at, backend, failure, seconds)
             for failure in BackendFailure
-            if failure is not BackendFailure.limit
+            if failure not in SEPARATE_FAILURES
         ),
         Area.store: tuple(FailStore(at, failure, seconds) for failure in StoreFailure),
         Area.changes: (declaration,),
--- a/tests/soak/test_soak_backend.py
+++ b/tests/soak/test_soak_backend.py
@@ -83,6 +83,26 @@
     run(body)
 
 
+def test_silent_engine_begins_its_queue_once_it_goes_on() -> None:
+    async def body(backend: SoakBackend) -> None:
+        clock = asyncio.get_running_loop().time
+        since = clock()
+        stream = asyncio.create_task(call(backend, 's1', PromptChoice.common))
+        while not backend.executions:
+            await asyncio.sleep(0)
+        silence = asyncio.create_task(backend.fall_silent(0.3))
+        await asyncio.sleep(0)
+        queued = asyncio.create_task(call(backend, 's2', PromptChoice.common))
+        await silence
+        assert not stream.done()
+        for received in await asyncio.gather(stream, queued):
+            assert received.count(b'id: ') == 2
+        arrived, began = backend.executions[1].arrived, backend.executions[1].began
+        assert arrived < since + 0.3 <= (began or 0)
+
+    run(body)
+
+
 def test_engine_that_is_down_does_not_crash_again(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(soak_backend, 'CRASH_S', 0.2)
 
--- a/tests/soak/test_soak_checks.py
+++ b/tests/soak/test_soak_checks.py
@@ -171,6 +171,24 @@
     assert broken_promises(record) == []
 
 
+@pytest.mark.parametrize('target', [SOAK, 'entry-0'])
+def test_slow_down_excuses_a_start_on_old_weights_of_its_own_entry(target: str) -> None:
+    record = make_record(make_attempt(), make_execution(began=10.3))
+    record.changes.append(WeightsNamed(2.2, 2))
+    record.slow_downs.append(Disturbance(target, 7, 7.5))
+    assert not broken_promises(record)
+
+
+@pytest.mark.parametrize('target', ['entry-1', 'agent-0'])
+def test_slow_down_of_another_process_excuses_no_start_on_old_weights(target: str) -> None:
+    record = make_record(make_attempt(), make_execution(began=10.3))
+    record.changes.append(WeightsNamed(2.2, 2))
+    record.slow_downs.append(Disturbance(target, 7, 7.5))
+    assert broken_promises(record) == [Promise.new_weights]
+    record.disturbances.append(Disturbance(target, 7, 7.5))
+    assert not broken_promises(record)
+
+
 def test_end_without_an_order_is_seen() -> None:
     record = make_record(make_attempt(), make_execution())
     record.ends.append(ProcessEnd('entry-0', None, 30, 1))
--- a/tests/soak/test_soak_plan.py
+++ b/tests/soak/test_soak_plan.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from cassiahitch.soak.events import Area, Overload, Terminate
+from cassiahitch.soak.events import Area, FailBackend, Overload, RollOutLate, Terminate
 from cassiahitch.soak.plan import SEPARATE_AREAS, Size, make_plan
 
 
@@ -47,6 +47,20 @@
     assert times[-1] <= 11
 
 
+@pytest.mark.parametrize('seed', range(20))
+def test_every_engine_is_silent_when_the_bound_of_a_late_rollout_passes(seed: int) -> None:
+    size = Size(seconds=13, agents=3, areas=(Area.silences,))
+    plan = make_plan(seed, size)
+    bound_at = next(event.at for event in plan if isinstance(event, RollOutLate)) + 8
+    silences = [event for event in plan if isinstance(event, FailBackend)]
+    around = {
+        event.backend for event in silences if event.at <= bound_at <= event.at + event.seconds
+    }
+    assert around >= set(size.engines())
+    short = make_plan(seed, Size(seconds=8, areas=(Area.silences,)))
+    assert [type(event) for event in short] == [FailBackend]
+
+
 def test_only_chosen_areas_are_drawn() -> None:
     plans = [make_plan(seed, Size(areas=(Area.stops, Area.overload))) for seed in range(20)]
     assert {type(event) for plan in plans for event in plan} == {Terminate, Overload}
