Let responses of the soak's backend servers end in the ways that other operators reported

The responses have a module of their own. The promises `own_answer`, `once` and `not_run` stay as they are.

--- a/src/cassiahitch/cli/soaking.py
+++ b/src/cassiahitch/cli/soaking.py
@@ -40,7 +40,7 @@
     :param entries: number of entries.
     :param agents: number of agents, each with a model engine.
     :param areas: areas of faults: stops, signals, links, backends, store, changes, overload,
-        limits, prompts, silences; all if omitted.
+        limits, prompts, silences, endings; all if omitted.
     :param json: file to write the report to; standard output if omitted.
     :return: the exit code; 5 if a guarantee was violated.
     """
--- a/src/cassiahitch/soak/backend.py
+++ b/src/cassiahitch/soak/backend.py
@@ -10,15 +10,11 @@
 
 from cassiahitch.direct.api import header
 from cassiahitch.platform import names
-from cassiahitch.soak.faulty_responses import (
-    is_head_endless,
-    write_duplicate,
-    write_endless,
-    write_trickle,
-)
+from cassiahitch.soak.answers import AnswerWriter
+from cassiahitch.soak.faulty_responses import encode_refusal, is_head_endless, write_endless
 from cassiahitch.soak.prompts import Prompt
 from cassiahitch.soak.records import Disturbance, Execution
-from cassiahitch.soak.responses import WorkSpec, make_seal, plain_body, short_digest, stream_event
+from cassiahitch.soak.responses import make_seal, short_digest
 from cassiahitch.standins.backends import (
     REFUSALS,
     BackendStandin,
@@ -37,6 +33,8 @@
 READ_TOKENS_PER_S = 8000.0
 #: Seconds between two checks whether a connection has closed.
 CLOSE_POLL_INTERVAL_S = 0.02
+#: Faults that refuse a request.
+SOAK_REFUSALS = REFUSALS | {Fault.repeat_refusal}
 #: Seconds for which a prompt that crashes an engine puts it out of service.
 CRASH_S = 2.0
 #: Seconds of the pause that a backend server requests.
@@ -51,7 +49,8 @@
     new id. ``prompt_lock`` lets the engine process one prompt at a time. ``limited_since`` is when
     the backend server began to name its rate limit. ``crashes`` records when prompts had crashed
     it, and ``register`` writes its row in the store again. ``restart_lock`` is held while it is
-    down. ``awake`` is cleared while it is silent.
+    down. ``awake`` is cleared while it is silent. ``refusals`` holds the refusals to be
+    written once more, by their connections.
     """
 
     executions: list[Execution] = field(default_factory=list)
@@ -60,6 +59,7 @@
     restart_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     awake: asyncio.Event = field(default_factory=asyncio.Event)
     silence_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
+    refusals: dict[asyncio.StreamWriter, bytes] = field(default_factory=dict)
     restart_tasks: set[asyncio.Task[None]] = field(default_factory=set)
     slowness: float = 1
     limited_since: float = 0
@@ -105,8 +105,15 @@
         self.executions.append(execution)
         await self.awake.wait()
         fault = self.faults.pop(0) if self.faults else self.fault
+        repeated = self.refusals.pop(response.writer, b'')
+        if repeated:
+            execution.broke_off = True
+            fault = Fault.none
+            response.write_raw(repeated)
         refusal_status = self.refusal_status(headers)
-        if refusal_status is not None or fault in REFUSALS:
+        if fault is Fault.repeat_refusal:
+            self.refusals[response.writer] = encode_refusal(attempt_id)
+        if refusal_status is not None or fault in SOAK_REFUSALS:
             execution.refused = True
             status = refusal_status or HTTPStatus.SERVICE_UNAVAILABLE.value
             pause_s = REQUESTED_PAUSE_S if fault is Fault.ask_pause else None
@@ -170,10 +177,10 @@
             execution.broke_off = True
             execution.endless = True
             return await write_endless(response, head, in_head=is_head_endless(head))
-        if self.engine is not None:
-            after = int(header(headers, names.LAST_EVENT, '0'))
-            return await self.send_events(response, execution, head, after, fault)
-        return await self.send_body(response, execution, head, fault)
+        writer = AnswerWriter(response, execution, head, fault, self.work_for)
+        if self.engine is None:
+            return await writer.send_body()
+        return await writer.send_events(int(header(headers, names.LAST_EVENT, '0')))
 
     def crash(self, cause: Execution) -> None:
         """Go down, unless the backend server is down already, and come back as a new process.
@@ -228,71 +235,6 @@
             if as_new_process and self.register is not None:
                 self.register()
 
-    async def send_body(
-        self, response: ResponseWriter, execution: Execution, head: dict[str, str], fault: Fault
-    ) -> bool:
-        """Send a response that is no stream.
-
-        :param response: connection to write the response to.
-        :param execution: record of the request.
-        :param head: response headers.
-        :param fault: fault to apply.
-        :return: whether the connection can be reused.
-        """
-        work = WorkSpec.parse(execution.target)
-        await self.work_for(work.pause_s)
-        body = plain_body(execution.id, execution.digest, work)
-        if fault is Fault.cut:
-            execution.broke_off = True
-            response.send_head(HTTPStatus.OK, {**head, 'Content-Length': str(len(body))})
-            response.send_data(body[: len(body) // 2])
-            await response.drain()
-            response.reset()
-            return False
-        if fault is Fault.trickle:
-            execution.broke_off = True
-            response.send_head(HTTPStatus.OK, {**head, 'Content-Length': str(len(body))})
-            return await write_trickle(response, body)
-        await response.send_response(HTTPStatus.OK, head, body)
-        return fault is not Fault.double or await write_duplicate(response, head, body)
-
-    async def send_events(
-        self,
-        response: ResponseWriter,
-        execution: Execution,
-        head: dict[str, str],
-        after: int,
-        fault: Fault,
-    ) -> bool:
-        """Send the events of a stream.
-
-        :param response: connection to write the response to.
-        :param execution: record of the request.
-        :param head: response headers.
-        :param after: number of the last event that the caller has received.
-        :param fault: fault to apply.
-        :return: whether the connection can be reused.
-        """
-        work = WorkSpec.parse(execution.target)
-        response.send_head(HTTPStatus.OK, {**head, 'Content-Type': 'text/event-stream'})
-        content = b''
-        for number in range(after + 1, work.parts + 1):
-            await self.work_for(work.pause_s)
-            content = stream_event(execution.id, number, work)
-            if fault is Fault.cut and number == after + 3:
-                execution.broke_off = True
-                response.send_data(content[: len(content) // 2])
-                await response.drain()
-                response.reset()
-                return False
-            if fault is Fault.trickle:
-                execution.broke_off = True
-                return await write_trickle(response, content)
-            response.send_data(content)
-            await response.drain()
-        response.send_end()
-        return fault is not Fault.double or await write_duplicate(response, head, content)
-
 
 @contextmanager
 def _recording_close(response: ResponseWriter, execution: Execution) -> Iterator[None]:
--- a/src/cassiahitch/soak/events.py
+++ b/src/cassiahitch/soak/events.py
@@ -23,6 +23,7 @@
     limits = 'limits'
     prompts = 'prompts'
     silences = 'silences'
+    endings = 'endings'
 
 
 class BackendFailure(StrEnum):
@@ -32,7 +33,9 @@
     ``cut`` resets it in the middle of one, ``pause`` requests a pause, ``limit`` names a rate limit
     for a longer time, ``silent`` reads and writes nothing and then continues, ``endless`` sends
     endless invalid bytes, ``trickle`` nearly stops in the middle of a response, and ``double``
-    sends it twice.
+    sends it twice. ``unframed`` ends a response with its connection, ``half_event`` ends a stream
+    inside an event, ``repeat_refusal`` writes a refusal once more before the next response, and
+    ``fail_resumed`` breaks streams off and fails those that are resumed.
     """
 
     crash = 'crash'
@@ -46,6 +49,10 @@
     endless = 'endless'
     trickle = 'trickle'
     double = 'double'
+    unframed = 'unframed'
+    half_event = 'half_event'
+    repeat_refusal = 'repeat_refusal'
+    fail_resumed = 'fail_resumed'
 
 
 class StoreFailure(StrEnum):
--- a/src/cassiahitch/soak/faults.py
+++ b/src/cassiahitch/soak/faults.py
@@ -69,8 +69,14 @@
         BackendFailure.endless: Fault.endless,
         BackendFailure.trickle: Fault.trickle,
         BackendFailure.double: Fault.double,
+        BackendFailure.unframed: Fault.unframed,
+        BackendFailure.half_event: Fault.half_event,
+        BackendFailure.repeat_refusal: Fault.repeat_refusal,
+        BackendFailure.fail_resumed: Fault.fail_resumed,
     }
 )
+#: What a backend server may do without being disturbed.
+SOUND_FAILURES = frozenset((BackendFailure.limit, BackendFailure.silent, BackendFailure.unframed))
 
 
 @dataclass
@@ -208,35 +214,33 @@
         :param backend: the backend server.
         :return: targets that it disturbed.
         """
-        if event.failure is BackendFailure.crash:
-            await backend.restart(event.seconds)
-        elif event.failure is BackendFailure.limit:
-            return await self.limit_backend(backend, event.seconds * LIMIT_DURATION_FACTOR)
-        elif event.failure is BackendFailure.silent:
-            await backend.fall_silent(event.seconds)
-            return ()
-        elif event.failure is BackendFailure.slow:
-            backend.slowness = SLOWNESS
-            await asyncio.sleep(event.seconds)
-            backend.slowness = 1
-        else:
-            backend.fault = BACKEND_FAULTS[event.failure]
-            await asyncio.sleep(event.seconds)
-            backend.fault = Fault.none
-        return (event.backend,)
-
-    async def limit_backend(self, backend: SoakBackend, seconds: float) -> tuple[str, ...]:
+        match event.failure:
+            case BackendFailure.limit:
+                await self.limit_backend(backend, event.seconds * LIMIT_DURATION_FACTOR)
+            case BackendFailure.silent:
+                await backend.fall_silent(event.seconds)
+            case BackendFailure.crash:
+                await backend.restart(event.seconds)
+            case BackendFailure.slow:
+                backend.slowness = SLOWNESS
+                await asyncio.sleep(event.seconds)
+                backend.slowness = 1
+            case _:
+                backend.fault = BACKEND_FAULTS[event.failure]
+                await asyncio.sleep(event.seconds)
+                backend.fault = Fault.none
+        return () if event.failure in SOUND_FAILURES else (event.backend,)
+
+    async def limit_backend(self, backend: SoakBackend, seconds: float) -> None:
         """Let a backend server name a rate limit.
 
         :param backend: the backend server.
         :param seconds: how long it names the limit.
-        :return: no targets, since the backend server works as usual.
         """
         backend.limited_since = self.now()
         backend.limit_per_s = RATE_LIMIT_PER_S
         await asyncio.sleep(seconds)
         backend.limit_per_s = None
-        return ()
 
     async def apply_store_failure(self, event: FailStore) -> tuple[str, ...]:
         """Apply a fault to the store for some seconds.
--- a/src/cassiahitch/soak/faulty_responses.py
+++ b/src/cassiahitch/soak/faulty_responses.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from cassiahitch.platform import names
-from cassiahitch.standins.backends import encode_head
+from cassiahitch.standins.backends import encode_head, refusal_headers
 
 if TYPE_CHECKING:
     from cassiahitch.standins.backends import ResponseWriter
@@ -76,6 +76,18 @@
     return True
 
 
+def encode_refusal(attempt: str) -> bytes:
+    """Encode a refusal that is written once more; about half of them bear no id.
+
+    :param attempt: id of the attempt that was refused, which decides.
+    :return: the encoded response.
+    """
+    headers = {**refusal_headers(attempt), 'Content-Length': '0'}
+    if attempt.encode()[-1] % 2:
+        headers.pop(names.ATTEMPT_ID)
+    return encode_head(HTTPStatus.SERVICE_UNAVAILABLE, headers)
+
+
 def is_head_endless(head: dict[str, str]) -> bool:
     """Return whether an endless response is endless in its head, as about half of them are.
 
@@ -86,6 +98,7 @@
 
 
 __all__ = (
+    'encode_refusal',
     'is_head_endless',
     'write_duplicate',
     'write_endless',
--- a/src/cassiahitch/soak/plan.py
+++ b/src/cassiahitch/soak/plan.py
@@ -86,6 +86,11 @@
 MAX_SILENCE_S = 1.5
 #: Smallest part of a silence around the bound of a rollout that lies before the bound.
 MIN_SILENCE_LEAD = 0.5
+#: Mean number of faulty or unusual ends of responses per second.
+ENDINGS_PER_S = 0.3
+#: Faults of the area ``endings`` for any backend server, and those for streams.
+ANY_ENDINGS = (BackendFailure.unframed, BackendFailure.repeat_refusal)
+STREAM_ENDINGS = (BackendFailure.half_event, BackendFailure.fail_resumed)
 #: Duration of an overload, as a fraction of the load for each second of the drawn duration.
 OVERLOAD_FRACTION = 0.13
 #: Faults of links from which a plan is drawn.
@@ -151,14 +156,36 @@
     return FailBackend(round(at, 3), backend, BackendFailure.silent, round(seconds, 3))
 
 
+def _draw_endings(rng: random.Random, size: Size) -> list[Event]:
+    count = max(1, round(size.seconds * ENDINGS_PER_S))
+    return [fault for _ in range(count) for fault in _draw_ending(rng, size)]
+
+
+def _draw_ending(rng: random.Random, size: Size) -> list[Event]:
+    at = round(rng.uniform(FIRST_FAULT_S, FIRST_FAULT_S + size.seconds * FAULT_FRACTION), 3)
+    seconds = round(rng.uniform(MIN_FAULT_S, MAX_FAULT_S), 3)
+    failure = rng.choice((*ANY_ENDINGS, *STREAM_ENDINGS))
+    if failure is BackendFailure.fail_resumed:
+        return [FailBackend(at, engine, failure, seconds) for engine in size.engines()]
+    backends = size.engines() if failure in STREAM_ENDINGS else size.backends()
+    return [FailBackend(at, rng.choice(backends), failure, seconds)]
+
+
 _DrawFaults = Callable[[random.Random, Size], list[Event]]
 
 #: Faults of backend servers that belong to such areas.
-SEPARATE_FAILURES = frozenset((BackendFailure.limit, BackendFailure.silent))
+SEPARATE_FAILURES = frozenset(
+    (BackendFailure.limit, BackendFailure.silent, *ANY_ENDINGS, *STREAM_ENDINGS)
+)
 #: Areas whose faults are drawn on their own, so that the other faults of a seed do not depend on
 #: them.
 SEPARATE_AREAS: Mapping[Area, _DrawFaults] = MappingProxyType(
-    {Area.limits: _draw_limits, Area.prompts: _draw_prompts, Area.silences: _draw_silences}
+    {
+        Area.limits: _draw_limits,
+        Area.prompts: _draw_prompts,
+        Area.silences: _draw_silences,
+        Area.endings: _draw_endings,
+    }
 )
 
 
--- a/src/cassiahitch/standins/backends.py
+++ b/src/cassiahitch/standins/backends.py
@@ -38,8 +38,8 @@
     Retry-After header. ``lose`` resets the connection before the response, ``cut`` within it.
     ``extra`` adds a second response, ``foreign`` sends a response with the id of another attempt,
     ``unframed`` one without a length, ``unsealed`` one without the seal header, and ``fail`` an
-    error status. ``hang`` delays the response by a minute; ``endless``, ``trickle`` and ``double``
-    are left to subclasses.
+    error status. ``hang`` delays the response by a minute. ``endless``, ``trickle``, ``double`` and
+    the faults after them are left to subclasses.
     """
 
     none = 'none'
@@ -57,6 +57,9 @@
     endless = 'endless'
     trickle = 'trickle'
     double = 'double'
+    half_event = 'half_event'
+    repeat_refusal = 'repeat_refusal'
+    fail_resumed = 'fail_resumed'
 
 
 #: Faults that refuse a request which the backend server could run.
--- a/tests/soak/test_soak_plan.py
+++ b/tests/soak/test_soak_plan.py
@@ -4,7 +4,14 @@
 
 import pytest
 
-from cassiahitch.soak.events import Area, FailBackend, Overload, RollOutLate, Terminate
+from cassiahitch.soak.events import (
+    Area,
+    BackendFailure,
+    FailBackend,
+    Overload,
+    RollOutLate,
+    Terminate,
+)
 from cassiahitch.soak.plan import SEPARATE_AREAS, Size, make_plan
 
 
@@ -61,6 +68,15 @@
     assert [type(event) for event in short] == [FailBackend]
 
 
+def test_resumed_streams_fail_at_all_engines_at_once() -> None:
+    size = Size(seconds=40, agents=3, areas=(Area.endings,))
+    events = [event for event in make_plan(2, size) if isinstance(event, FailBackend)]
+    failing = [event for event in events if event.failure is BackendFailure.fail_resumed]
+    assert {event.backend for event in failing} == set(size.engines())
+    for first in failing:
+        assert sum(event.at == first.at for event in failing) == 3
+
+
 def test_only_chosen_areas_are_drawn() -> None:
     plans = [make_plan(seed, Size(areas=(Area.stops, Area.overload))) for seed in range(20)]
     assert {type(event) for plan in plans for event in plan} == {Terminate, Overload}
