Keep the service time of a replica above zero after a response that took no time

What callers saw: 'internal' with ran=unknown, 19 of 223 requests, when test_scenario.py was tried in virtual time, where a response may come within one tick of the clock. Clocks of real machines are coarse too.

Cause: the score of a replica divides the age of a report by the mean service time, which the first latency sets as it is, 0 included. Samples are now at least 0.1 ms.

--- a/src/cassiahitch/routing/replicas.py
+++ b/src/cassiahitch/routing/replicas.py
@@ -21,6 +21,8 @@
 INTERVAL_GAIN = 0.2
 #: Assumed service time in seconds before the first response.
 INITIAL_SERVICE_S = 0.5
+#: Minimum service time in seconds; a response may seem to take none, since clocks are coarse.
+MIN_SERVICE_S = 0.0001
 #: Weight of a new report in the mean number of requests of other entries.
 OTHER_REQUESTS_GAIN = 0.1
 #: Weight of a new sample in the mean service time.
@@ -128,7 +130,7 @@
         :param latency_s: seconds from dispatch to response.
         :param load: estimated number of requests at the replica.
         """
-        sample = latency_s / max(1, load / self.capacity)
+        sample = max(MIN_SERVICE_S, latency_s / max(1, load / self.capacity))
         if not self.has_latency:
             self.has_latency = True
             self.service_s = sample
