--- a/src/cassiahitch/cli/soaking.py
+++ b/src/cassiahitch/cli/soaking.py
@@ -13,7 +13,8 @@
 from cassiahitch.cli.printing import print_line, write_file
 from cassiahitch.codes import Code
 from cassiahitch.errors import CassiahitchError
-from cassiahitch.soak.plan import Area, Size
+from cassiahitch.soak.events import Area
+from cassiahitch.soak.plan import Size
 from cassiahitch.soak.report import SoakReport
 from cassiahitch.soak.run import SoakRun
 
@@ -38,8 +39,8 @@
     :param seconds: duration of the load in seconds.
     :param entries: number of entries.
     :param agents: number of agents, each with a model engine.
-    :param areas: areas of faults: stops, signals, links, backends, store, changes, overload; all
-        if omitted.
+    :param areas: areas of faults: stops, signals, links, backends, store, changes, overload,
+        limits, prompts, silences, endings; all if omitted.
     :param json: file to write the report to; standard output if omitted.
     :return: the exit code; 5 if a guarantee was violated.
     """
--- a/src/cassiahitch/soak/checks.py
+++ b/src/cassiahitch/soak/checks.py
@@ -10,6 +10,7 @@
     check_requested_pauses,
     check_stopping_replicas,
 )
+from cassiahitch.soak.crashsuspects import check_crash_suspects, check_sound_prompts
 from cassiahitch.soak.records import (
     SOAK,
     STORE,
@@ -67,6 +68,8 @@
         return 'no caller sent this request'
     if (execution.target, execution.digest) != (attempt.target, attempt.digest):
         return 'target or body differs from what the caller sent'
+    if execution.prompt != attempt.prompt:
+        return 'segments of the prompt differ from what the caller sent'
     if execution.key_passed:
         return 'the API key was forwarded'
     if execution.organisation != record.organisations.get(attempt.key):
@@ -140,23 +143,35 @@
 def check_weights(record: Record) -> Iterator[Violation]:
     """Check that no execution begins on old weights later than ``weights_s`` after new ones.
 
-    The time limit holds only if nothing was disturbed in the meantime.
+    The time limit holds only if nothing was disturbed in the meantime. Of the processes that were
+    slowed down, only the soak with its store counts, and the entry that sent the request.
 
     :param record: what was recorded in the run.
     :yield: violations.
     """
     changes = [candidate for candidate in record.changes if isinstance(candidate, WeightsNamed)]
-    targets = {disturbance.target for disturbance in (*record.disturbances, *record.slow_downs)}
     for change in changes:
         for execution in record.executions:
-            after_s = (execution.began or 0) - change.at
-            late = after_s > record.bounds.weights_s and 0 < execution.version < change.version
-            if late and record.was_undisturbed(targets, change.at, change.at + after_s):
+            began = execution.began or 0
+            late = began > change.at + record.bounds.weights_s
+            is_old = 0 < execution.version < change.version
+            if late and is_old and _was_calm_since(record, change.at, execution):
                 detail = (
-                    f'began on version {execution.version} of the weights {after_s:.2f} s after '
-                    f'version {change.version} was published'
+                    f'began on version {execution.version} of the weights {began - change.at:.2f} '
+                    f's after version {change.version} was published'
                 )
-                yield Violation(Promise.new_weights, change.at + after_s, execution.id, detail)
+                yield Violation(Promise.new_weights, began, execution.id, detail)
+
+
+def _was_calm_since(record: Record, since: float, execution: Execution) -> bool:
+    """Return whether nothing was disturbed from some time on until an execution began."""
+    began = execution.began or 0
+    targets = {disturbance.target for disturbance in record.disturbances}
+    attempt = record.attempts.get(execution.id)
+    entry_slowed = attempt is not None and not record.was_undisturbed(
+        (attempt.entry,), attempt.began, began
+    )
+    return not entry_slowed and record.was_undisturbed({SOAK, *targets}, since, began)
 
 
 CHECKS: tuple[Check, ...] = (
@@ -175,6 +190,8 @@
     check_stopping_replicas,
     check_requested_pauses,
     check_rate_limits,
+    check_crash_suspects,
+    check_sound_prompts,
 )
 
 
--- a/src/cassiahitch/soak/faults.py
+++ b/src/cassiahitch/soak/faults.py
@@ -10,9 +10,9 @@
 from typing import TYPE_CHECKING
 
 from cassiahitch.platform import names
-from cassiahitch.soak.exchange import MODEL
-from cassiahitch.soak.plan import (
+from cassiahitch.soak.events import (
     BackendFailure,
+    CrashByPrompts,
     Declaration,
     Declare,
     Event,
@@ -23,9 +23,11 @@
     Overload,
     Pause,
     Reload,
+    RollOutLate,
     StoreFailure,
     Terminate,
 )
+from cassiahitch.soak.exchange import MODEL
 from cassiahitch.soak.proxy import LinkFault
 from cassiahitch.soak.records import (
     STORE,
@@ -67,16 +69,27 @@
         BackendFailure.endless: Fault.endless,
         BackendFailure.trickle: Fault.trickle,
         BackendFailure.double: Fault.double,
+        BackendFailure.unframed: Fault.unframed,
+        BackendFailure.half_event: Fault.half_event,
+        BackendFailure.repeat_refusal: Fault.repeat_refusal,
+        BackendFailure.fail_resumed: Fault.fail_resumed,
     }
 )
+#: What a backend server may do without being disturbed.
+SOUND_FAILURES = frozenset((BackendFailure.limit, BackendFailure.silent, BackendFailure.unframed))
 
 
 @dataclass
 class FaultInjector:
-    """Applies events to a site; ``run_overload`` runs an overload for some seconds."""
+    """Applies events to a site.
+
+    ``run_overload`` runs an overload for some seconds, and ``run_crashing_prompts`` callers whose
+    prompts crash engines.
+    """
 
     site: SoakSite
     run_overload: Callable[[float], Awaitable[None]]
+    run_crashing_prompts: Callable[[float], Awaitable[None]]
 
     async def run(self, plan: tuple[Event, ...], began: float) -> None:
         """Apply the events of a plan and wait until the last one is over.
@@ -100,6 +113,8 @@
         for target in await self.apply(event):
             disturbance = Disturbance(target, since, clock())
             self.site.record.disturbances.append(disturbance)
+        if not isinstance(event, CrashByPrompts):
+            self.site.record.events.append(Disturbance(type(event).__name__, since, clock()))
 
     async def apply(self, event: Event) -> tuple[str, ...]:
         """Apply an event and wait until it is over.
@@ -119,16 +134,23 @@
             case Declare():
                 effect = self.apply_declaration(event)
             case Overload():
-                effect = self.apply_overload(event)
+                effect = self.apply_load(self.run_overload, event.seconds)
+            case CrashByPrompts():
+                effect = self.apply_load(self.run_crashing_prompts, event.seconds)
+            case RollOutLate():
+                effect = self.roll_out_late(event)
         return await effect
 
-    async def apply_overload(self, event: Overload) -> tuple[str, ...]:
-        """Run an overload.
+    async def apply_load(
+        self, run_load: Callable[[float], Awaitable[None]], seconds: float
+    ) -> tuple[str, ...]:
+        """Run additional callers.
 
-        :param event: the event.
-        :return: no targets, since an overload disturbs no host.
+        :param run_load: runs the callers for some seconds.
+        :param seconds: how long they run.
+        :return: no targets, since load disturbs no host by itself.
         """
-        await self.run_overload(event.seconds)
+        await run_load(seconds)
         return ()
 
     async def send_signal(self, event: Terminate | Kill | Pause | Reload) -> tuple[str, ...]:
@@ -192,42 +214,33 @@
         :param backend: the backend server.
         :return: targets that it disturbed.
         """
-        if event.failure is BackendFailure.crash:
-            await self.crash_backend(backend, event.seconds)
-        elif event.failure is BackendFailure.limit:
-            return await self.limit_backend(backend, event.seconds * LIMIT_DURATION_FACTOR)
-        elif event.failure is BackendFailure.slow:
-            backend.slowness = SLOWNESS
-            await asyncio.sleep(event.seconds)
-            backend.slowness = 1
-        else:
-            backend.fault = BACKEND_FAULTS[event.failure]
-            await asyncio.sleep(event.seconds)
-            backend.fault = Fault.none
-        return (event.backend,)
-
-    async def limit_backend(self, backend: SoakBackend, seconds: float) -> tuple[str, ...]:
+        match event.failure:
+            case BackendFailure.limit:
+                await self.limit_backend(backend, event.seconds * LIMIT_DURATION_FACTOR)
+            case BackendFailure.silent:
+                await backend.fall_silent(event.seconds)
+            case BackendFailure.crash:
+                await backend.restart(event.seconds)
+            case BackendFailure.slow:
+                backend.slowness = SLOWNESS
+                await asyncio.sleep(event.seconds)
+                backend.slowness = 1
+            case _:
+                backend.fault = BACKEND_FAULTS[event.failure]
+                await asyncio.sleep(event.seconds)
+                backend.fault = Fault.none
+        return () if event.failure in SOUND_FAILURES else (event.backend,)
+
+    async def limit_backend(self, backend: SoakBackend, seconds: float) -> None:
         """Let a backend server name a rate limit.
 
         :param backend: the backend server.
         :param seconds: how long it names the limit.
-        :return: no targets, since the backend server works as usual.
         """
         backend.limited_since = self.now()
         backend.limit_per_s = RATE_LIMIT_PER_S
         await asyncio.sleep(seconds)
         backend.limit_per_s = None
-        return ()
-
-    async def crash_backend(self, backend: SoakBackend, seconds: float) -> None:
-        """Stop a backend server abruptly and start it again on the same port.
-
-        :param backend: the backend server.
-        :param seconds: how long it is down.
-        """
-        await backend.stop()
-        await asyncio.sleep(seconds)
-        await backend.start(backend.address, backend.port)
 
     async def apply_store_failure(self, event: FailStore) -> tuple[str, ...]:
         """Apply a fault to the store for some seconds.
@@ -283,6 +296,18 @@
         self.site.store.put(names.OPERATOR_TABLE, f'{names.VERSION_PREFIX}{MODEL}', document)
         self.site.record.changes.append(WeightsNamed(self.now(), version))
 
+    async def roll_out_late(self, event: RollOutLate) -> tuple[str, ...]:
+        """Publish new weights that no engine can load for some seconds.
+
+        :param event: the event.
+        :return: no targets, since engines may load weights at any time.
+        """
+        self.site.weights.down = True
+        self.publish_weights()
+        await asyncio.sleep(event.seconds)
+        self.site.weights.down = False
+        return ()
+
     async def replace_replica(self, name: str) -> tuple[str, ...]:
         """Drain a replica, remove it, and register it again under a new id.
 
