Resume no stream after an event that has no id

Seen: a stream broke off, or fell silent, after an event without an id; it was resumed after the last id, or from its start, and the caller got the events in between twice. Cause: the position of a stream was the last id that it had named, also where events had been delivered since then. Change: a stream is resumable while the last event with data names an id that is not empty. Otherwise it stays where it is while its replica is silent, and is broken off when it ends. Comments do not count.

--- a/src/cassiahitch/direct/backends/events.py
+++ b/src/cassiahitch/direct/backends/events.py
@@ -23,12 +23,14 @@
     """Splits bytes at the ends of events and keeps the id of the last complete event.
 
     ``event_count`` counts the complete events that have data, ``partial_event`` is the start of an
-    event whose end has not been received.
+    event whose end has not been received. ``is_resumable`` is set unless the last event that has
+    data has no id, in which case no id tells another backend server where to go on.
     """
 
     partial_event: bytes = b''
     last_event_id: str = ''
     event_count: int = 0
+    is_resumable: bool = True
 
     @property
     def is_inside_event(self) -> bool:
@@ -45,7 +47,10 @@
         self.partial_event += data
         end = 0
         for match in EVENT_END.finditer(self.partial_event):
-            self.event_count += bool(DATA_LINE.search(self.partial_event, end, match.end()))
+            if DATA_LINE.search(self.partial_event, end, match.end()):
+                self.event_count += 1
+                ids = ID_LINE.findall(self.partial_event[end : match.end()])
+                self.is_resumable = bool(ids and ids[-1])
             end = match.end()
         complete = self.partial_event[:end]
         self.partial_event = self.partial_event[end:]
--- a/src/cassiahitch/direct/requests/runner.py
+++ b/src/cassiahitch/direct/requests/runner.py
@@ -205,6 +205,8 @@
         :param stream: the response so far; the new assignment is stored as ``reserved``.
         :return: whether the request can move.
         """
+        if not stream.splitter.is_resumable:
+            return False
         return await self.failover.reserve_alternative(
             call, assignment, stream, self.placement_request(call)
         )
@@ -368,7 +370,8 @@
         route = call.require_route()
         if not isinstance(outcome, NotRun):
             call.may_have_run = True
-            if route.runs_once or call.attempt_count >= route.max_attempts:
+            is_last = call.attempt_count >= route.max_attempts
+            if route.runs_once or is_last or not stream.splitter.is_resumable:
                 raise _incomplete_response_error(outcome, call.ran)
 
     async def prepare_retry(
