Date declarations by bounds that no delay makes later

A told age counted from when its message was read, however long that had been under way or had waited unread, and replaced an estimate that was right; a row of a long poll counted from its arrival, up to 1 s after the declaration, which was the whole margin. A doubled reply counts as none, and queries are numbered anew after each start.

That callers saw this was not reproduced; the tests are of the policy (a hypothesis property: for any delays of any exchanges no date is too late or gets earlier). Tests that demanded the old dates are replaced: the greatest told age, an arrival as exact date, and estimates that are not told; each successor checks the same case against the declaration itself. The date is up to 0.4 s earlier than before at the reader of a region.

--- a/src/cassiahitch/direct/members/gossip.py
+++ b/src/cassiahitch/direct/members/gossip.py
@@ -118,7 +118,11 @@
     probe_order: list[str] = field(default_factory=list)
     period_count: int = 0
     pushed_at: float = float('-inf')
-    message_numbers: itertools.count[int] = field(default_factory=lambda: itertools.count(1))
+    message_numbers: itertools.count[int] = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Number the messages, from another first number after each start."""
+        self.message_numbers = itertools.count(self.registry.own.incarnation + 1)
 
     def tick(self, now: float) -> list[OutgoingMessage]:
         """Start a period.
--- a/src/cassiahitch/direct/members/messaging.py
+++ b/src/cassiahitch/direct/members/messaging.py
@@ -4,10 +4,11 @@
 
 import asyncio
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from cassiahitch.direct.members.gossip import PROBE_PERIOD_S, OutgoingMessage
+from cassiahitch.direct.members.sentqueries import SentQueries
 from cassiahitch.direct.state.freshness import boot_time
 from cassiahitch.direct.state.ratelimits import observation_of
 from cassiahitch.util.endpoints import Endpoint
@@ -39,6 +40,7 @@
     socket: DatagramSocket | None = None
     relay: TableRelay | None = None
     push_timer: asyncio.TimerHandle | None = None
+    queries: SentQueries = field(default_factory=SentQueries)
 
     def __post_init__(self) -> None:
         """Log changes in the states of other entries."""
@@ -60,6 +62,7 @@
         port = self.entry_state.settings.peer_port
         for outgoing in messages:
             if self.socket is not None:
+                self.queries.record(outgoing.message, outgoing.address, boot_time())
                 self.socket.send(outgoing.message, Endpoint(outgoing.address, port))
 
     def push_soon(self) -> None:
@@ -118,7 +121,8 @@
         self.send(self.entry_state.members.receive(message, sender.address, now))
         self.push_soon()
         self.entry_state.crashes.merge_records(message.suspects, now)
-        self.entry_state.versions.merge_records(message.versions, boot_time())
+        asked_at = self.queries.sent_at(message, sender)
+        self.entry_state.versions.merge_records(message.versions, asked_at)
         self.receive_limits(message.limits, now)
 
     def receive_limits(self, records: tuple[LimitRecord, ...], now: float) -> None:
--- a/src/cassiahitch/direct/staging/agentupdater.py
+++ b/src/cassiahitch/direct/staging/agentupdater.py
@@ -132,7 +132,7 @@
 
         :param declared: the version.
         """
-        if self.versions.record_declared(declared, boot_time()):
+        if self.versions.record_stored(declared, boot_time()):
             self.repository.newest_version = max(self.repository.newest_version, declared.version)
             self.log.state_changed(
                 'weights declared', model=declared.model, weights=declared.version
--- a/src/cassiahitch/direct/state/updater.py
+++ b/src/cassiahitch/direct/state/updater.py
@@ -52,16 +52,18 @@
         """
         readable = True
         long_polled = isinstance(reply, TableChanges) and boot_time() - sent_at >= LONG_POLL_MIN_S
+        polled_at = sent_at if long_polled else float('-inf')
         for row in rows:
-            readable = self.apply_declaration(row, long_polled=long_polled) and readable
+            readable = self.apply_declaration(row, polled_at) and readable
         if readable and not isinstance(reply, UNCONFIRMED_REPLIES):
             self.entry_state.freshness.confirm(sent_at)
 
-    def apply_declaration(self, row: TableRow, *, long_polled: bool) -> bool:
+    def apply_declaration(self, row: TableRow, polled_at: float) -> bool:
         """Apply one row of the operator's declarations.
 
         :param row: the row.
-        :param long_polled: whether the store held the read open until the row changed.
+        :param polled_at: when the read was sent, in seconds of the boot clock, if the store held it
+            open until the row changed; minus infinity otherwise.
         :return: whether the row could be decoded.
         """
         if row.content is None:
@@ -75,7 +77,7 @@
             case Catalogue():
                 self.apply_configuration(declared)
             case DeclaredVersion():
-                self.record_version(declared, long_polled=long_polled)
+                self.record_version(declared, polled_at)
         return True
 
     def apply_configuration(self, catalogue: Catalogue) -> None:
@@ -94,21 +96,22 @@
             keys=len(catalogue.organisations),
         )
 
-    def record_version(self, declared: DeclaredVersion, *, long_polled: bool) -> None:
+    def record_version(self, declared: DeclaredVersion, polled_at: float) -> None:
         """Record a weight version that the operator declared.
 
         :param declared: the model and its version.
-        :param long_polled: whether the store held the read open until the row changed.
+        :param polled_at: when the read was sent, in seconds of the boot clock, if the store held it
+            open until the row changed; minus infinity otherwise.
         """
         versions = self.entry_state.versions
         now = boot_time()
         confirmed_at = self.entry_state.freshness.confirmed_at
-        if versions.record_stored(declared, confirmed_at, now, long_polled=long_polled):
+        if versions.record_stored(declared, confirmed_at, polled_at):
             self.telemetry.state_changed(
                 'weights declared',
                 model=declared.model,
                 weights=declared.version,
-                source='long poll' if long_polled else 'rows',
+                source='long poll' if polled_at > float('-inf') else 'rows',
                 confirmed_s_ago=now - confirmed_at,
                 bound_left_s=versions.left_s(declared.model, declared.version - 1, now),
             )
--- a/src/cassiahitch/direct/state/versions.py
+++ b/src/cassiahitch/direct/state/versions.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
-from math import inf
 
 from cassiahitch.wire.datagrammessages import VersionRecord
 
@@ -15,9 +15,9 @@
 #: Seconds before the end of the bound at which requests that have not begun on an older version are
 #: withdrawn, and from which none is sent there.
 BOUND_MARGIN_S = REPLICA_SILENCE_S + DELIVERY_S
-#: Longest time in seconds since the last reply of the store after which a version returned by a
-#: long poll counts as declared just now.
-MAX_REPLY_GAP_S = 1.0
+#: Longest time in seconds between the last confirmation of the cached versions and a long poll for
+#: which no version can have been declared in between without being noticed.
+MAX_POLL_GAP_S = 0.6
 MS_PER_S = 1000
 
 
@@ -34,86 +34,87 @@
     """Declared weight versions and when each of them was declared.
 
     No request may start on a version later than ``bound_s`` after a newer one was declared.
-    ``declared_at`` holds the time of each declaration, by model and version. A process that
-    had just started, or had no contact with the store, cannot determine that time: it assumes the
-    earliest possible one and adds the version to ``estimated``. An estimate is replaced by the time
-    that another process reports, and is not reported to others. All times are in seconds of the
-    boot clock, which goes on while the host is suspended.
+    ``declared_at`` holds, by model and version, a time before which the version had not been
+    declared: the latest one that is known, minus infinity if none is. The bound counts from it, so
+    that it never ends too late. ``stored`` holds the versions that were read from the store. All
+    times are in seconds of the boot clock, which goes on while the host is suspended.
     """
 
     bound_s: float
     declared_at: dict[str, dict[int, float]] = field(default_factory=dict)
-    estimated: set[DeclaredVersion] = field(default_factory=set)
+    stored: set[DeclaredVersion] = field(default_factory=set)
 
-    def record_declared(self, declared: DeclaredVersion, at: float) -> bool:
-        """Record a declaration whose time is known.
+    def record_declared(self, declared: DeclaredVersion, not_before: float) -> bool:
+        """Record a declaration.
 
         :param declared: the declared version.
-        :param at: when it was declared, in seconds; the earliest reported time is kept.
+        :param not_before: a time before which it had not been declared, in seconds.
         :return: whether it is newer than all other declared versions of the model.
         """
         times = self.declared_at.setdefault(declared.model, {})
         is_newer = declared.version > max(times, default=0)
-        if declared in self.estimated:
-            self.estimated.remove(declared)
-            times[declared.version] = at
-        else:
-            times[declared.version] = min(at, times.get(declared.version, at))
+        times[declared.version] = max(not_before, times.get(declared.version, -math.inf))
         return is_newer
 
     def record_stored(
-        self, declared: DeclaredVersion, confirmed_at: float, now: float, *, long_polled: bool
+        self, declared: DeclaredVersion, confirmed_at: float, polled_at: float = -math.inf
     ) -> bool:
         """Record a declaration that was read from the store, which does not contain its time.
 
+        Only the first read of a version tells something about that.
+
         :param declared: the declared version.
         :param confirmed_at: latest time at which the cached versions are known to have been
             current, in seconds; minus infinity if there was none.
-        :param now: current time in seconds.
-        :param long_polled: whether the store held the read open until the row changed.
+        :param polled_at: when the read was sent, in seconds, if the store held it open until the
+            row changed; minus infinity otherwise.
         :return: whether it is newer than all other declared versions of the model.
         """
-        if long_polled and confirmed_at + MAX_REPLY_GAP_S >= now:
-            return self.record_declared(declared, now)
-        times = self.declared_at.setdefault(declared.model, {})
-        is_newer = declared.version > max(times, default=0)
-        if declared.version not in times:
-            times[declared.version] = confirmed_at
-            self.estimated.add(declared)
-        return is_newer
+        if declared in self.stored:
+            return False
+        self.stored.add(declared)
+        if polled_at - confirmed_at <= MAX_POLL_GAP_S:
+            return self.record_declared(declared, max(confirmed_at, polled_at))
+        return self.record_declared(declared, confirmed_at)
 
-    def exact_declarations(self) -> tuple[tuple[DeclaredVersion, float], ...]:
-        """Return the declarations whose time is not an estimate.
+    def dated_declarations(self) -> tuple[tuple[DeclaredVersion, float], ...]:
+        """Return the declarations of which something about the time is known.
 
-        :return: versions and when they were declared, in seconds.
+        :return: versions and the times before which they had not been declared, in seconds.
         """
-        versions = (
+        return tuple(
             (DeclaredVersion(model, version), at)
             for model, times in self.declared_at.items()
             for version, at in times.items()
+            if at > -math.inf
         )
-        return tuple(dated for dated in versions if dated[0] not in self.estimated)
 
     def records(self, now: float) -> tuple[VersionRecord, ...]:
-        """Return the declarations whose time is not an estimate, as records of a message.
+        """Return the dated declarations as records of a message.
 
         :param now: current time in seconds.
         :return: versions and their ages.
         """
         return tuple(
-            VersionRecord(declared.model, declared.version, int((now - at) * MS_PER_S))
-            for declared, at in self.exact_declarations()
+            VersionRecord(declared.model, declared.version, math.ceil((now - at) * MS_PER_S))
+            for declared, at in self.dated_declarations()
         )
 
-    def merge_records(self, records: tuple[VersionRecord, ...], now: float) -> None:
-        """Record the declarations that another process reports.
+    def merge_records(self, records: tuple[VersionRecord, ...], asked_at: float | None) -> None:
+        """Record the declarations that another process reports in a reply.
+
+        The ages are as of when the message was built, and it may have been under way, or unread,
+        for any time. A reply was built after its query was sent; other messages are ignored.
 
         :param records: versions and their ages.
-        :param now: current time in seconds.
+        :param asked_at: when the query was sent that the message replies to, in seconds; None for
+            other messages.
         """
+        if asked_at is None:
+            return
         for record in records:
             declared = DeclaredVersion(record.model, record.version)
-            self.record_declared(declared, now - record.age_ms / MS_PER_S)
+            self.record_declared(declared, asked_at - record.age_ms / MS_PER_S)
 
     def newest(self, model: str) -> int:
         """Return the newest declared version of a model.
@@ -131,7 +132,7 @@
         :return: seconds, infinity if no newer version is declared.
         """
         times = self.declared_at.get(model, {})
-        return min((at for newer, at in times.items() if newer > version), default=inf)
+        return min((at for newer, at in times.items() if newer > version), default=math.inf)
 
     def left_s(self, model: str, version: int, at: float) -> float:
         """Return the time that was left until no request might begin on a version any more.
@@ -167,7 +168,7 @@
 
 __all__ = (
     'BOUND_MARGIN_S',
-    'MAX_REPLY_GAP_S',
+    'MAX_POLL_GAP_S',
     'DeclaredVersion',
     'VersionPolicy',
 )
--- a/tests/direct/state/test_replicas_and_versions.py
+++ b/tests/direct/state/test_replicas_and_versions.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from cassiahitch.direct.state.freshness import LEASE_FRACTION, Freshness
 from cassiahitch.direct.state.replicas import (
@@ -13,11 +15,12 @@
 )
 from cassiahitch.direct.state.versions import (
     BOUND_MARGIN_S,
-    MAX_REPLY_GAP_S,
+    MAX_POLL_GAP_S,
     DeclaredVersion,
     VersionPolicy,
 )
 from cassiahitch.util.endpoints import Endpoint
+from cassiahitch.wire.datagrammessages import VersionRecord
 
 
 def replica(name: str, *, draining: bool = False) -> Replica:
@@ -102,58 +105,101 @@
 
 def test_started_process_allows_no_older_version_until_an_age_is_reported() -> None:
     policy = VersionPolicy(8)
-    assert policy.record_stored(V2, NEVER, 100, long_polled=False)
+    assert policy.record_stored(V2, NEVER)
     assert policy.oldest_allowed('m', 100) == 2
     policy.record_declared(V2, 98)
     assert policy.oldest_allowed('m', 100) == 0
     assert policy.oldest_allowed('m', 98 + 8 - BOUND_MARGIN_S) == 2
 
 
-def test_started_process_reports_no_estimated_age() -> None:
+def test_started_process_reports_no_age_until_it_knows_one() -> None:
     policy = VersionPolicy(8)
-    policy.record_stored(V2, NEVER, 100, long_polled=False)
-    assert policy.exact_declarations() == ()
+    policy.record_stored(V2, NEVER)
+    assert policy.records(100) == ()
     policy.record_declared(V2, 98)
-    assert policy.exact_declarations() == ((V2, 98),)
+    assert policy.records(100) == (VersionRecord('m', 2, 2_000),)
 
 
 def test_age_reported_before_the_reply_of_the_store_is_kept() -> None:
     policy = VersionPolicy(8)
     policy.record_declared(V2, 98)
-    assert not policy.record_stored(V2, NEVER, 100, long_polled=False)
+    assert not policy.record_stored(V2, NEVER)
     assert policy.oldest_allowed('m', 100) == 0
     assert policy.oldest_allowed('m', 98 + 8 - BOUND_MARGIN_S) == 2
 
 
-def test_greatest_reported_age_is_kept() -> None:
+def test_latest_time_before_which_it_was_not_declared_is_kept() -> None:
     policy = VersionPolicy(8)
-    policy.record_declared(V2, 100)
-    policy.record_declared(V2, 95)
-    policy.record_declared(V2, 99)
-    assert policy.oldest_allowed('m', 95 + 8 - BOUND_MARGIN_S) == 2
+    for not_before in (95, 99, 97):
+        policy.record_declared(V2, not_before)
+    assert policy.replaced_at('m', 1) == 99
 
 
 def test_version_read_after_a_gap_counts_from_the_last_reply() -> None:
     policy = VersionPolicy(8)
     gap_s = 5
-    policy.record_stored(V2, 100 - gap_s, 100, long_polled=True)
+    policy.record_stored(V2, 100 - gap_s, 100)
     assert policy.oldest_allowed('m', 100) == 0
-    assert policy.oldest_allowed('m', 100 - gap_s + 8) == 2
-    assert policy.exact_declarations() == ()
+    assert policy.replaced_at('m', 1) == 100 - gap_s
 
 
-def test_version_returned_by_a_long_poll_counts_from_now() -> None:
+def test_version_returned_by_a_long_poll_counts_from_when_the_poll_was_sent() -> None:
     policy = VersionPolicy(8)
-    policy.record_stored(V2, 100 - MAX_REPLY_GAP_S, 100, long_polled=True)
-    assert policy.oldest_allowed('m', 100 + 8 - BOUND_MARGIN_S - 0.01) == 0
-    assert policy.exact_declarations() == ((V2, 100),)
+    policy.record_stored(V2, 100 - MAX_POLL_GAP_S, 100)
+    assert policy.replaced_at('m', 1) == 100
+
+
+def test_version_not_returned_by_a_long_poll_counts_from_the_last_reply() -> None:
+    policy = VersionPolicy(8)
+    policy.record_stored(V2, 100 - MAX_POLL_GAP_S)
+    assert policy.replaced_at('m', 1) == 100 - MAX_POLL_GAP_S
 
 
-def test_version_not_returned_by_a_long_poll_counts_from_the_last_reply_as_an_estimate() -> None:
+def test_version_that_is_read_again_is_not_dated_again() -> None:
     policy = VersionPolicy(8)
-    policy.record_stored(V2, 100 - MAX_REPLY_GAP_S, 100, long_polled=False)
-    assert policy.oldest_allowed('m', 100 - MAX_REPLY_GAP_S + 8 - BOUND_MARGIN_S) == 2
-    assert policy.exact_declarations() == ()
+    policy.record_stored(V2, 100)
+    assert not policy.record_stored(V2, 105)
+    assert policy.replaced_at('m', 1) == 100
+
+
+def test_age_in_a_message_that_is_no_reply_dates_nothing() -> None:
+    policy = VersionPolicy(8)
+    policy.record_stored(V2, 95)
+    policy.merge_records((VersionRecord('m', 2, 2_000),), None)
+    assert policy.replaced_at('m', 1) == 95
+
+
+def test_age_in_a_reply_counts_from_when_its_query_was_sent() -> None:
+    policy = VersionPolicy(8)
+    policy.record_stored(V2, 90)
+    policy.merge_records((VersionRecord('m', 2, 2_000),), 98)
+    assert policy.replaced_at('m', 1) == 96
+
+
+DELAY_S = st.floats(0, 3)
+EXCHANGES = st.lists(
+    st.tuples(st.integers(0, 3), st.integers(0, 3), DELAY_S, DELAY_S), min_size=1, max_size=40
+)
+
+
+@given(EXCHANGES, st.lists(DELAY_S, min_size=4, max_size=4))
+def test_no_delay_of_messages_dates_a_declaration_too_late_or_ever_earlier(
+    exchanges: list[tuple[int, int, float, float]], unconfirmed_s: list[float]
+) -> None:
+    declared_at = 1000.0
+    now = declared_at
+    policies = [VersionPolicy(8) for _ in unconfirmed_s]
+    for policy, seconds in zip(policies, unconfirmed_s, strict=True):
+        policy.record_stored(V2, declared_at - seconds)
+    for asker, other, there_s, back_s in exchanges:
+        before = [policy.replaced_at('m', 1) for policy in policies]
+        asked_at = now
+        records = policies[other].records(asked_at + there_s)
+        now = asked_at + there_s + back_s
+        policies[asker].merge_records(records, asked_at)
+        after = [policy.replaced_at('m', 1) for policy in policies]
+        assert max(after) <= declared_at
+        assert all(first <= second for first, second in zip(before, after, strict=True))
 
 
 @pytest.mark.parametrize(('age_s', 'valid'), [(0, True), (5 * LEASE_FRACTION, False), (60, False)])
--- a/tests/direct/state/test_updater.py
+++ b/tests/direct/state/test_updater.py
@@ -12,7 +12,7 @@
 from types import SimpleNamespace
 from typing import TYPE_CHECKING, Any
 
-from cassiahitch.direct.members.gossip import Gossip, Piggyback
+from cassiahitch.direct.members.gossip import Gossip, OutgoingMessage, Piggyback
 from cassiahitch.direct.members.memberregistry import MemberRegistry
 from cassiahitch.direct.members.messaging import EntryMessenger
 from cassiahitch.direct.members.regions import RegionRegistry
@@ -91,7 +91,10 @@
 
     def state_query(self) -> MemberNews:
         message: MemberNews = self.members.build_message(_now())
-        return replace(message, number=1, asks=True)
+        query = replace(message, number=1, asks=True)
+        for address in ('10.0.0.1', '10.0.0.2'):
+            self.messenger.send([OutgoingMessage(query, address)])
+        return query
 
     def last_reply(self) -> MemberNews:
         message = self.socket.messages[-1]
