Check waiting attempts at times, not with each request that is sent

Each send recomputed what was left of the bound for all waiting requests twice, so that the cost grew with the square of a queue, when queues are long.

--- a/src/cassiahitch/direct/backends/withdrawal.py
+++ b/src/cassiahitch/direct/backends/withdrawal.py
@@ -9,10 +9,10 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
-from math import inf
 from typing import TYPE_CHECKING
 
 from cassiahitch.direct.state.freshness import boot_time
@@ -114,22 +114,34 @@
         """
         if pending.version:
             self.pending.add(pending)
-            self.check()
+            self.schedule(self.left_s(pending))
 
-    def check(self) -> None:
-        """Withdraw the attempts that are due, and schedule the next check."""
+    def schedule(self, left_s: float) -> None:
+        """Schedule the next check, unless there is one that is early enough.
+
+        :param left_s: seconds until an attempt is withdrawn.
+        """
+        loop = asyncio.get_running_loop()
+        check_at = loop.time() + min(CHECK_INTERVAL_S, max(MIN_CHECK_INTERVAL_S, left_s))
         if self.timer is not None:
+            if self.timer.when() <= check_at:
+                return
             self.timer.cancel()
-            self.timer = None
-        self.pending = {pending for pending in self.pending if not pending.began}
-        left_s = min(map(self.left_s, self.pending), default=inf)
+        self.timer = loop.call_at(check_at, self.check)
+
+    def check(self) -> None:
+        """Withdraw the attempts that are due, and schedule the next check."""
+        self.timer = None
+        shortest_s = math.inf
         for pending in tuple(self.pending):
-            if self.left_s(pending) <= 0:
+            left_s = self.left_s(pending)
+            if pending.began or left_s <= 0:
                 pending.withdraw()
                 self.pending.discard(pending)
+            else:
+                shortest_s = min(shortest_s, left_s)
         if self.pending:
-            delay_s = min(CHECK_INTERVAL_S, max(MIN_CHECK_INTERVAL_S, left_s))
-            self.timer = asyncio.get_running_loop().call_later(delay_s, self.check)
+            self.schedule(shortest_s)
 
     def left_s(self, pending: PendingBegin) -> float:
         """Return the time until an attempt is withdrawn.
