Keep no bodies of requests that have ended for the detection of crashes

Requests stay tracked for 0.4 s after their end, since the crash of their engine may show only then. Since their segments are looked at, whole requests were kept for that, bodies and headers included, where only fingerprints had been. Keeps a copy without content. Found by reading; the test checks that neither body nor headers are kept.

--- a/src/cassiahitch/direct/api.py
+++ b/src/cassiahitch/direct/api.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING, Protocol
 
 from cassiahitch.codes import HasRun
@@ -195,6 +195,14 @@
         generation = self.request.generation
         return generation.shared_segments if generation else ()
 
+    def without_content(self) -> Call:
+        """Return a copy that can be kept after the request has ended.
+
+        :return: a copy without headers, body and failed response.
+        """
+        request = replace(self.request, headers=(), body=b'')
+        return replace(self, request=request, failed_response=None)
+
     def require_route(self) -> Route:
         """Return the route.
 
--- a/src/cassiahitch/direct/placement/crashdetector.py
+++ b/src/cassiahitch/direct/placement/crashdetector.py
@@ -61,6 +61,7 @@
         try:
             yield
         finally:
+            tracked.call = call.without_content()
             tracked.ended_at = asyncio.get_running_loop().time()
 
     def check(self, replica: Replica) -> None:
