Release the reserved assignment of a request that ends while it waits to move

A request at a stalled engine reserves an assignment at another one before it leaves. If it was refused because of a segment in between, nobody released that reservation, and the agent counted the request as waiting until the reservation expired. Found by reading; no test shows it, those of stalled replicas pass.

--- a/src/cassiahitch/direct/requests/runner.py
+++ b/src/cassiahitch/direct/requests/runner.py
@@ -137,6 +137,9 @@
             detail = 'no complete response before the deadline of the route or the caller'
             ran = HasRun.unknown if call.attempt_count else HasRun.no
             raise RequestError(Code.deadline_exceeded, detail, ran) from None
+        finally:
+            if stream.reserved is not None:
+                self.placement_search.release(stream.reserved)
 
     async def send_until_answered(
         self,
