Run the scenario of a rollout in virtual time

Cause: all hosts of the scenario live in the test's process, and its timeouts were in real time. A process that gets no processor stops all hosts at once, sessions time out, and no replica is left.

The checks are the same.

--- a/tests/standins/test_scenario.py
+++ b/tests/standins/test_scenario.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import asyncio
+from virtual_loop import virtual_time
 
 from cassiahitch.standins.scenario import CallerResults, Progress, Scenario
 from cassiahitch.standins.site import Site, SiteSize
@@ -16,7 +16,9 @@
 
 
 def test_rollout_completes_while_every_caller_is_answered_correctly() -> None:
-    results, progress, site = asyncio.run(roll_out())
+    # In real time, a busy machine may stop all hosts of the site at once for longer than a timeout.
+    with virtual_time() as runner:
+        results, progress, site = runner.run(roll_out())
     assert results.correct > 0
     assert results.wrong == 0
     assert not results.failures
