--- a/tests/direct/requests/test_responses_within_streams.py
+++ b/tests/direct/requests/test_responses_within_streams.py
@@ -17,6 +17,7 @@
     add_once_stream_route,
     chunk,
     event,
+    events,
     head,
     response,
     serve_script,
@@ -98,18 +99,14 @@
     await add_once_stream_route(site)
 
 
-def first_events(count: int) -> bytes:
-    return b''.join(event(number) for number in range(1, count + 1))
-
-
 def assert_complete(got: CallerResponse) -> None:
     assert (got.status, got.complete) == (200, True)
-    assert got.body == first_events(EVENTS)
+    assert got.body == events(1, EVENTS)
 
 
-def assert_broken_off(got: CallerResponse, events: int) -> None:
+def assert_broken_off(got: CallerResponse, event_count: int) -> None:
     assert (got.status, got.complete) == (200, False)
-    assert got.body == first_events(events)
+    assert got.body == events(1, event_count)
 
 
 @pytest.mark.parametrize('kind', OTHER_RESPONSES)
--- a/tests/direct/requests/test_streams_that_end_early.py
+++ b/tests/direct/requests/test_streams_that_end_early.py
@@ -17,6 +17,7 @@
     add_once_stream_route,
     chunk,
     event,
+    events,
     head,
     serve_script,
 )
@@ -62,7 +63,7 @@
 
 
 def events_after(request: ScriptedRequest) -> bytes:
-    return b''.join(event(number) for number in range(request.last_event_id + 1, EVENTS + 1))
+    return events(request.last_event_id + 1, EVENTS)
 
 
 def cut_first_stream(framing: Framing, body: bytes) -> Script:
@@ -85,10 +86,10 @@
 @pytest.mark.parametrize('whole_events', [0, 2])
 def test_stream_that_ends_inside_an_event_is_resumed(whole_events: int, framing: Framing) -> None:
     async def body(site: DirectSite) -> None:
-        cut = whole_bytes(whole_events) + event(whole_events + 1)[:-1]
+        cut = events(1, whole_events) + event(whole_events + 1)[:-1]
         got = await request_stream(site, RESUMABLE_PATH, cut_first_stream(framing, cut))
         assert (got.status, got.complete) == (200, True)
-        assert got.body == whole_bytes(EVENTS)
+        assert got.body == events(1, EVENTS)
 
     run_site_in_virtual_time(body)
 
@@ -99,21 +100,17 @@
     whole_events: int, framing: Framing
 ) -> None:
     async def body(site: DirectSite) -> None:
-        cut = whole_bytes(whole_events) + event(whole_events + 1)[:-1]
+        cut = events(1, whole_events) + event(whole_events + 1)[:-1]
         got = await request_stream(site, ONCE_PATH, cut_first_stream(framing, cut))
         if whole_events:
             assert (got.status, got.complete) == (200, False)
-            assert got.body == whole_bytes(whole_events)
+            assert got.body == events(1, whole_events)
         else:
             assert (got.status, got.complete) == (502, True)
 
     run_site_in_virtual_time(body)
 
 
-def whole_bytes(count: int) -> bytes:
-    return b''.join(event(number) for number in range(1, count + 1))
-
-
 @pytest.mark.parametrize('framing', list(Framing))
 @pytest.mark.parametrize('line_end', [b'\n', b'\r\n', b'\r'])
 @pytest.mark.parametrize('rest', [b'', b'\n', b'\r\n'], ids=['end', 'LF', 'CRLF'])
@@ -121,7 +118,7 @@
     rest: bytes, line_end: bytes, framing: Framing
 ) -> None:
     async def body(site: DirectSite) -> None:
-        content = whole_bytes(EVENTS).replace(b'\n', line_end) + rest
+        content = events(1, EVENTS).replace(b'\n', line_end) + rest
         got = await request_stream(site, ONCE_PATH, cut_first_stream(framing, content))
         assert (got.status, got.complete, got.body) == (200, True, content)
 
@@ -146,7 +143,7 @@
         if path == ONCE_PATH:
             assert (got.status, got.complete) == (502, True)
         else:
-            assert (got.status, got.complete, got.body) == (200, True, whole_bytes(EVENTS))
+            assert (got.status, got.complete, got.body) == (200, True, events(1, EVENTS))
 
     run_site_in_virtual_time(body)
 
@@ -168,7 +165,7 @@
     async def script(request: ScriptedRequest) -> None:
         lines = (request.attempt_line, SEAL, EVENT_TYPE)
         if request.sent_count == 1:
-            request.write(head('200 OK', *lines), whole_bytes(2))
+            request.write(head('200 OK', *lines), events(1, 2))
             await request.settle()
             request.reset()
         else:
@@ -178,7 +175,7 @@
         got = await request_stream(site, path, script)
         expected_events = 2 if path == ONCE_PATH else EVENTS
         assert (got.status, got.complete) == (200, path == RESUMABLE_PATH)
-        assert got.body == whole_bytes(expected_events)
+        assert got.body == events(1, expected_events)
 
     run_site_in_virtual_time(body)
 
@@ -214,7 +211,7 @@
 def test_stream_is_not_resumed_after_an_event_without_an_id(
     end: End, whole_events: int, last_event: bytes
 ) -> None:
-    content = whole_bytes(whole_events) + last_event
+    content = events(1, whole_events) + last_event
 
     async def script(request: ScriptedRequest) -> None:
         if request.sent_count > 1:
@@ -236,7 +233,7 @@
 
 def test_comment_without_an_id_does_not_prevent_that_a_stream_is_resumed() -> None:
     async def body(site: DirectSite) -> None:
-        content = whole_bytes(2) + COMMENT
+        content = events(1, 2) + COMMENT
         script = cut_first_stream(Framing.chunks, content + event(3)[:-1])
         got = await request_stream(site, RESUMABLE_PATH, script)
         assert (got.status, got.complete) == (200, True)
--- a/tests/support/scripted_replicas.py
+++ b/tests/support/scripted_replicas.py
@@ -65,6 +65,16 @@
     return b'id: %d\ndata: event %d\n\n' % (number, number)
 
 
+def events(first: int, last: int) -> bytes:
+    """Return consecutive events of a stream.
+
+    :param first: id of the first one.
+    :param last: id of the last one.
+    :return: the bytes.
+    """
+    return b''.join(event(number) for number in range(first, last + 1))
+
+
 @dataclass
 class ScriptedRequest:
     """A request at a scripted backend server.
@@ -221,6 +231,7 @@
     'add_once_stream_route',
     'chunk',
     'event',
+    'events',
     'head',
     'redirect_replicas',
     'response',
