--- a/tests/direct/state/test_updater.py
+++ b/tests/direct/state/test_updater.py
@@ -17,6 +17,8 @@
 from cassiahitch.direct.members.messaging import EntryMessenger
 from cassiahitch.direct.members.regions import RegionRegistry
 from cassiahitch.direct.placement.crashguard import CrashGuard
+from cassiahitch.direct.placement.segmentguard import SegmentGuard
+from cassiahitch.direct.placement.segmentsharing import SegmentSharing
 from cassiahitch.direct.state.feed import TableChanges, TableRow, TableSnapshot
 from cassiahitch.direct.state.freshness import Freshness, boot_time
 from cassiahitch.direct.state.updater import StateUpdater
@@ -60,6 +62,7 @@
             failure_domain='north-1',
         )
         self.versions = VersionPolicy(WEIGHTS_BOUND_S)
+        segment_sharing = SegmentSharing(SegmentGuard())
         entry_state: Any = SimpleNamespace(
             settings=settings,
             freshness=Freshness(5),
@@ -71,6 +74,8 @@
                 random.Random(1),
             ),
             crashes=CrashGuard(),
+            segments=segment_sharing.guard,
+            segment_sharing=segment_sharing,
             stopping=False,
             is_ready=lambda now: True,
         )
