Try refused segments soon, by entries in turn, and count engines that end together once

Only one entry might make the trial; where the callers of that segment did not come to it, nothing ended the refusal.

Cause: the wait counted engines lost instead of trials that failed, without a bound, and the choice of the entry was fixed.

Every 10 s another entry is chosen to make the trial. The end of an engine that had announced it speaks against no segment. The choice of an owner failed for names of tasks that contain a space; it does not depend on that any more.

--- a/src/cassiahitch/direct/members/ownership.py
+++ b/src/cassiahitch/direct/members/ownership.py
@@ -29,8 +29,8 @@
 
 
 def _first(task: str, names: list[str]) -> str:
-    order = rendezvous_order(0, (f'{task} {name}' for name in names))
-    return order[0].partition(' ')[2]
+    names_by_key = {f'{task} {name}': name for name in names}
+    return names_by_key[rendezvous_order(0, names_by_key)[0]]
 
 
 __all__ = ('is_owner',)
--- a/src/cassiahitch/direct/placement/crashdetector.py
+++ b/src/cassiahitch/direct/placement/crashdetector.py
@@ -108,7 +108,9 @@
         in_flight = tuple({call.fingerprint for call in calls if call.fingerprint is not None})
         self.entry_state.crashes.record_crash(replica.id, replica.born_ms, in_flight, now)
         self.telemetry.replica_crashed(replica, calls)
-        self.entry_state.segments.record_crash(replica, calls, now)
+        listed = self.entry_state.replicas.replicas.get(replica.id)
+        if listed is None or not listed.draining:
+            self.entry_state.segments.record_crash(replica, calls, now)
 
     def keep_only(self, keys: frozenset[str]) -> None:
         """Drop replicas that are no longer registered, and requests that ended long ago.
--- a/src/cassiahitch/direct/placement/segmentevidence.py
+++ b/src/cassiahitch/direct/placement/segmentevidence.py
@@ -13,9 +13,13 @@
 from collections import Counter
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
+from itertools import pairwise
 
 #: Crashes that a segment must explain to be refused.
 CRASHES_TO_REFUSE = 2
+#: Seconds between two crashes from which on they count as separate events. Several engines that end
+#: at the same time, such as those of one failure domain, may have another cause in common.
+SEPARATE_CRASHES_S = 1.0
 #: Seconds before a crash within which a request must have begun for its segments to be sound.
 SOUND_BEFORE_S = 10.0
 #: Maximum crashes that are kept, and segments of each.
@@ -65,12 +69,14 @@
 class RefusedGroup:
     """Segments that explain the same crashes, so that the crashes cannot tell them apart.
 
-    ``crashes`` is the number of crashes, the last one at ``last_at``, in seconds.
+    ``crashes`` is the number of crashes, the last one at ``last_at``, in seconds. ``events`` counts
+    crashes at the same time once.
     """
 
     segments: frozenset[str]
     crashes: int
     last_at: float
+    events: int = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -225,11 +231,21 @@
         explained = [crash for crash in unexplained if chosen in crash.segments]
         common = frozenset.intersection(*(crash.segments for crash in explained))
         alike = frozenset(segment for segment in common if counts[segment] == -most)
-        groups.append(RefusedGroup(alike, -most, max(crash.at for crash in explained)))
+        times = sorted(crash.at for crash in explained)
+        groups.append(RefusedGroup(alike, -most, times[-1], count_events(times)))
         unexplained = [crash for crash in unexplained if chosen not in crash.segments]
     return tuple(groups)
 
 
+def count_events(times: list[float]) -> int:
+    """Return the number of crashes, of which those at the same time count once.
+
+    :param times: times of the crashes in seconds, in ascending order, at least one.
+    :return: their number.
+    """
+    return 1 + sum(later - earlier >= SEPARATE_CRASHES_S for earlier, later in pairwise(times))
+
+
 def _age_order(crash: SegmentCrash) -> tuple[float, tuple[str, int]]:
     return crash.at, crash.key
 
@@ -241,9 +257,11 @@
     'MAX_CRASH_SEGMENTS',
     'MAX_SOUND_SEGMENTS',
     'RefusedGroup',
+    'SEPARATE_CRASHES_S',
     'SOUND_BEFORE_S',
     'Segment',
     'SegmentCrash',
     'SegmentEvidence',
+    'count_events',
     'explain',
 )
--- a/src/cassiahitch/direct/placement/segmentguard.py
+++ b/src/cassiahitch/direct/placement/segmentguard.py
@@ -15,7 +15,6 @@
 from typing import TYPE_CHECKING
 
 from cassiahitch.direct.placement.segmentevidence import (
-    CRASHES_TO_REFUSE,
     RefusedGroup,
     Segment,
     SegmentCrash,
@@ -28,11 +27,13 @@
 
 #: Segments that an entry reports of one crash, and of one request.
 MAX_REPORTED_SEGMENTS = 16
-#: Seconds after the last crash until a refused segment is tried, and the factor by which each
-#: further crash prolongs that time.
-FIRST_TRIAL_S = 30.0
-TRIAL_GROWTH = 3
-#: Seconds until another trial if one ended without a crash and without a begin.
+#: Seconds after the last crash until a refused segment is tried, the factor by which each further
+#: crash prolongs that time, and the longest such time.
+FIRST_TRIAL_S = 5.0
+TRIAL_GROWTH = 6
+MAX_TRIAL_DELAY_S = 600.0
+#: Seconds until another trial if one ended without a crash and without a begin, or if the entry
+#: that may make it has received no request with the segment.
 TRIAL_INTERVAL_S = 10.0
 
 
@@ -64,6 +65,17 @@
         """The segment by which the entry and the engine of a trial are chosen."""
         return Segment(self.service, min(self.group.segments))
 
+    def trial_name(self, now: float) -> str:
+        """Return the name of the current trial, by which all entries choose the one that makes it.
+
+        The requests with a segment may not reach every entry, so others are chosen in turn.
+
+        :param now: current time in seconds.
+        :return: the segment and the number of the trial.
+        """
+        number = math.floor((now - self.trial_at) / TRIAL_INTERVAL_S)
+        return f'{self.segment.id} {number}'
+
 
 Verdict = Sound | Suspected | Refused
 
@@ -241,12 +253,13 @@
     :param group: the segments.
     :return: seconds of the event loop's clock.
     """
-    growth = math.pow(TRIAL_GROWTH, group.crashes - CRASHES_TO_REFUSE)
-    return group.last_at + FIRST_TRIAL_S * growth
+    growth = math.pow(TRIAL_GROWTH, group.events - 1)
+    return group.last_at + min(FIRST_TRIAL_S * growth, MAX_TRIAL_DELAY_S)
 
 
 __all__ = (
     'FIRST_TRIAL_S',
+    'MAX_TRIAL_DELAY_S',
     'MAX_REPORTED_SEGMENTS',
     'Refused',
     'SegmentGuard',
--- a/src/cassiahitch/direct/requests/segmentcheck.py
+++ b/src/cassiahitch/direct/requests/segmentcheck.py
@@ -44,7 +44,7 @@
         if not isinstance(verdict, Refused) or call.is_trial:
             return
         now = asyncio.get_running_loop().time()
-        is_owner = self.entry_state.members.is_owner(verdict.segment.id, now)
+        is_owner = self.entry_state.members.is_owner(verdict.trial_name(now), now)
         if not is_owner or not self.entry_state.segments.start_trial(verdict, now):
             raise refusal(call, verdict.trial_at - now)
         call.is_trial = True
--- a/tests/direct/members/test_segment_gossip.py
+++ b/tests/direct/members/test_segment_gossip.py
@@ -5,6 +5,8 @@
 import pytest
 from segment_gossip import SEGMENT, SegmentGossip
 
+from cassiahitch.direct.placement.segmentevidence import RefusedGroup
+from cassiahitch.direct.placement.segmentguard import TRIAL_INTERVAL_S, Refused
 from cassiahitch.direct.placement.segmentsharing import SOUND_SENT_S
 
 #: Seconds within which all entries refuse a segment, without and with lost datagrams.
@@ -91,3 +93,15 @@
             if gossip.is_owner(task, simulation.now)
         ]
         assert len(owners) == 1
+
+
+def test_every_entry_is_chosen_for_some_trial_of_a_segment() -> None:
+    simulation = converged(9, regions=3)
+    verdict = Refused('drafts', RefusedGroup(frozenset((SEGMENT,)), 2, 0), 0)
+    owners = {
+        name
+        for number in range(200)
+        for name, gossip in simulation.members.items()
+        if gossip.is_owner(verdict.trial_name(number * TRIAL_INTERVAL_S), simulation.now)
+    }
+    assert owners == simulation.members.keys()
--- a/tests/direct/placement/test_crashdetector.py
+++ b/tests/direct/placement/test_crashdetector.py
@@ -6,6 +6,7 @@
 from dataclasses import replace
 from unittest import mock
 
+import pytest
 from judged_calls import make_call, make_engine
 
 from cassiahitch.direct.placement.crashdetector import CrashDetector
@@ -27,3 +28,17 @@
         assert kept.has_begun
 
     asyncio.run(body())
+
+
+@pytest.mark.parametrize('draining', [False, True])
+def test_end_of_a_draining_engine_speaks_against_no_segment(draining: bool) -> None:
+    async def body() -> None:
+        entry_state = mock.Mock()
+        detector = CrashDetector(entry_state, mock.Mock())
+        engine = make_engine('r1')
+        entry_state.replicas.replicas = {engine.id: replace(engine, draining=draining)}
+        with detector.track(make_call('x'), engine):
+            detector.record_crash(engine)
+        assert entry_state.segments.record_crash.called is not draining
+
+    asyncio.run(body())
--- a/tests/direct/placement/test_segmentguard.py
+++ b/tests/direct/placement/test_segmentguard.py
@@ -10,6 +10,7 @@
 from cassiahitch.direct.placement.segmentguard import (
     FIRST_TRIAL_S,
     MAX_REPORTED_SEGMENTS,
+    MAX_TRIAL_DELAY_S,
     TRIAL_INTERVAL_S,
     Refused,
     SegmentGuard,
@@ -89,6 +90,29 @@
     again = guard.verdict(make_call('x'))
     assert isinstance(again, Refused)
     assert again.trial_at - 200 > FIRST_TRIAL_S
+    guard.record_crash(make_engine('r4'), [make_call('x')], 300)
+    third = guard.verdict(make_call('x'))
+    assert isinstance(third, Refused)
+    assert third.trial_at - 300 > again.trial_at - 200
+
+
+def test_engines_that_end_together_do_not_delay_the_trial_of_a_sound_segment() -> None:
+    guard = guard_after(*[('x',)] * 6)
+    verdict = guard.verdict(make_call('x'))
+    assert isinstance(verdict, Refused)
+    assert verdict.trial_at == 100 + FIRST_TRIAL_S
+    guard.record_begin(make_call('x'), verdict.trial_at)
+    assert isinstance(guard.verdict(make_call('x')), Sound)
+
+
+def test_refused_segment_is_tried_again_within_a_bounded_time_after_any_number_of_crashes() -> None:
+    guard = SegmentGuard()
+    for number in range(40):
+        engine = make_engine(f'r{number}')
+        guard.record_crash(engine, [make_call('x')], 100 + number)
+    verdict = guard.verdict(make_call('x'))
+    assert isinstance(verdict, Refused)
+    assert verdict.trial_at == 139 + MAX_TRIAL_DELAY_S
 
 
 def test_flood_of_segments_of_one_organisation_does_not_displace_those_of_others() -> None:
