Send requests to plain replicas whatever versions are declared

A declared version of a model without a name (a malformed row) would have kept requests from all plain replicas, which have no model and version 0: fault of the withdrawal, found by test_malformed_rows_of_the_store_stop_no_task[version-0] and [version-1], 503 for each lookup, which pass with this change as they did before the withdrawal.

--- a/src/cassiahitch/direct/backends/withdrawal.py
+++ b/src/cassiahitch/direct/backends/withdrawal.py
@@ -80,8 +80,10 @@
 
         :param candidate: the engine with its loaded version.
         :param within_s: seconds within which the request is expected to begin.
-        :return: whether that is before the version has to be withdrawn.
+        :return: whether that is before the version has to be withdrawn; always for plain replicas.
         """
+        if not candidate.version:
+            return True
         at = boot_time() + within_s
         return self.versions.may_begin(candidate.model, candidate.version, at)
 
