Date a version by a long poll only if this process made it

What callers may see: a request that begins on replaced weights up to 0.6 s after the bound.

Cause: rows that were read from another entry were taken for the reply to a long poll that the store had held open, since the time at which that entry had last confirmed them lay some tenths of a second back. Nothing was held open there, and that time can be later than the declaration.

Change: the follower marks replies to its own long polls; other replies date a version by the last confirmation before them.

--- a/src/cassiahitch/direct/placement/segmentevidence.py
+++ b/src/cassiahitch/direct/placement/segmentevidence.py
@@ -231,12 +231,22 @@
         explained = [crash for crash in unexplained if chosen in crash.segments]
         common = frozenset.intersection(*(crash.segments for crash in explained))
         alike = frozenset(segment for segment in common if counts[segment] == -most)
-        times = sorted(crash.at for crash in explained)
-        groups.append(RefusedGroup(alike, -most, times[-1], count_events(times)))
+        groups.append(make_group(alike, explained))
         unexplained = [crash for crash in unexplained if chosen not in crash.segments]
     return tuple(groups)
 
 
+def make_group(segments: frozenset[str], crashes: list[SegmentCrash]) -> RefusedGroup:
+    """Return the group of the segments that explain some crashes.
+
+    :param segments: the segments.
+    :param crashes: the crashes, at least one.
+    :return: the group.
+    """
+    times = sorted(crash.at for crash in crashes)
+    return RefusedGroup(segments, len(crashes), times[-1], count_events(times))
+
+
 def count_events(times: list[float]) -> int:
     """Return the number of crashes, of which those at the same time count once.
 
@@ -264,4 +274,5 @@
     'SegmentEvidence',
     'count_events',
     'explain',
+    'make_group',
 )
--- a/src/cassiahitch/direct/state/feed.py
+++ b/src/cassiahitch/direct/state/feed.py
@@ -35,10 +35,14 @@
 
 @dataclass(frozen=True, slots=True)
 class TableChanges:
-    """Rows that changed since the requested version, as of a version of the store."""
+    """Rows that changed since the requested version, as of a version of the store.
+
+    ``long_polled`` is set if the store may have held the read open until there was a change.
+    """
 
     rows: tuple[TableRow, ...]
     version: int
+    long_polled: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cassiahitch/direct/state/follower.py
+++ b/src/cassiahitch/direct/state/follower.py
@@ -6,7 +6,7 @@
 import math
 from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 from cassiahitch.direct.state.feed import (
@@ -142,6 +142,8 @@
         before = self.feed.synced_version
         reply = await self.call_store(read, wait_s)
         self.log_reachability(reply)
+        if isinstance(reply, TableChanges):
+            reply = replace(reply, long_polled=wait_s > 0)
         rows = self.feed.handle(reply)
         self.apply(rows, reply, sent_at)
         if rows and self.relay is not None:
--- a/src/cassiahitch/direct/state/updater.py
+++ b/src/cassiahitch/direct/state/updater.py
@@ -51,7 +51,8 @@
         :param sent_at: when the read was sent, in seconds of the boot clock.
         """
         readable = True
-        long_polled = isinstance(reply, TableChanges) and boot_time() - sent_at >= LONG_POLL_MIN_S
+        may_be_held = isinstance(reply, TableChanges) and reply.long_polled
+        long_polled = may_be_held and boot_time() - sent_at >= LONG_POLL_MIN_S
         polled_at = sent_at if long_polled else float('-inf')
         for row in rows:
             readable = self.apply_declaration(row, polled_at) and readable
--- a/tests/direct/placement/test_segmentguard.py
+++ b/tests/direct/placement/test_segmentguard.py
@@ -97,7 +97,7 @@
 
 
 def test_engines_that_end_together_do_not_delay_the_trial_of_a_sound_segment() -> None:
-    guard = guard_after(*[('x',)] * 6)
+    guard = guard_after(*(('x',) for _ in range(6)))
     verdict = guard.verdict(make_call('x'))
     assert isinstance(verdict, Refused)
     assert verdict.trial_at == 100 + FIRST_TRIAL_S
--- a/tests/direct/state/test_updater.py
+++ b/tests/direct/state/test_updater.py
@@ -12,6 +12,8 @@
 from types import SimpleNamespace
 from typing import TYPE_CHECKING, Any
 
+import pytest
+
 from cassiahitch.direct.members.gossip import Gossip, OutgoingMessage, Piggyback
 from cassiahitch.direct.members.memberregistry import MemberRegistry
 from cassiahitch.direct.members.messaging import EntryMessenger
@@ -130,6 +132,22 @@
     asyncio.run(body())
 
 
+@pytest.mark.parametrize('long_polled', [False, True])
+def test_version_read_from_another_entry_counts_from_the_last_confirmation(
+    long_polled: bool,
+) -> None:
+    async def body() -> None:
+        entry = Entry('entry-1', 1)
+        now = boot_time()
+        entry.updater.apply_declarations((), TableSnapshot((), 6), now - 0.5)
+        reply = TableChanges((ROW,), 7, long_polled=long_polled)
+        entry.updater.apply_declarations((ROW,), reply, now - 0.2)
+        age_s = 0.2 if long_polled else 0.5
+        assert entry.versions.declared_at[MODEL][2] == now - age_s
+
+    asyncio.run(body())
+
+
 def test_started_entry_receives_the_age_of_a_version_with_the_first_reply() -> None:
     async def body() -> None:
         running, started = Entry('entry-1', 1), Entry('entry-2', 2)
