--- a/src/cassiahitch/direct/backends/attempt.py
+++ b/src/cassiahitch/direct/backends/attempt.py
@@ -13,14 +13,22 @@
 from cassiahitch.direct.backends.continuation import continues_stream
 from cassiahitch.direct.backends.events import EventSplitter, EventTooLarge
 from cassiahitch.direct.backends.exchange import Exchange, ResponseLost
+from cassiahitch.direct.backends.outcomes import (
+    Delivered,
+    Lost,
+    NotRun,
+    NotSent,
+    Withdrawn,
+    Withheld,
+)
 from cassiahitch.direct.backends.stalls import ReplicaStalled, StallDetector
-from cassiahitch.direct.backends.withdrawal import AttemptWithdrawn, WithdrawalWatch, Withdrawn
-from cassiahitch.direct.callers.responsewriter import CallerDisconnected
+from cassiahitch.direct.backends.withdrawal import AttemptWithdrawn, WithdrawalWatch
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
     from cassiahitch.direct.api import Call, RequestCodec
+    from cassiahitch.direct.backends.outcomes import Outcome
     from cassiahitch.direct.backends.pool import ConnectionPool
     from cassiahitch.direct.backends.replicasignals import ReplicaSignals
     from cassiahitch.direct.backends.responserelay import ResponseRelay
@@ -33,49 +41,6 @@
 SUCCESS_STATUSES = range(200, 300)
 
 
-@dataclass(frozen=True, slots=True)
-class Delivered:
-    """The response was forwarded to the caller part by part, up to its regular end."""
-
-
-@dataclass(frozen=True, slots=True)
-class NotSent:
-    """No byte of the request was sent; ``refused`` if the connection was refused."""
-
-    detail: str
-    refused: bool
-
-
-@dataclass(frozen=True, slots=True)
-class Withheld:
-    """No byte of the request was sent.
-
-    The backend server is stopping or paused, it names a rate limit and no permit is valid, or its
-    weights have been replaced in the meantime.
-    """
-
-
-@dataclass(frozen=True, slots=True)
-class NotRun:
-    """The backend server reported that it did not run the request and never will."""
-
-    status: int
-
-
-@dataclass(frozen=True, slots=True)
-class Lost:
-    """The request was sent and no complete response was received.
-
-    ``stalled`` if the backend server made no progress until the progress timeout.
-    """
-
-    detail: str
-    stalled: bool = False
-
-
-Outcome = Answered | Delivered | NotSent | Withheld | NotRun | Lost | Withdrawn
-
-
 @dataclass(slots=True)
 class StreamState:
     """What the caller has received of a stream, across all backend servers that sent parts of it.
@@ -392,16 +357,8 @@
 
 
 __all__ = (
-    'Answered',
+    'SUCCESS_STATUSES',
     'AttemptSender',
-    'CallerDisconnected',
-    'Delivered',
-    'Lost',
-    'NotRun',
-    'NotSent',
-    'Outcome',
     'ProgressTimeouts',
-    'SUCCESS_STATUSES',
     'StreamState',
-    'Withheld',
 )
--- a/src/cassiahitch/direct/backends/withdrawal.py
+++ b/src/cassiahitch/direct/backends/withdrawal.py
@@ -29,16 +29,6 @@
 MIN_CHECK_INTERVAL_S = 0.001
 
 
-@dataclass(frozen=True, slots=True)
-class Withdrawn:
-    """The request was sent and had not begun when its weights could soon not be used any more.
-
-    Its connection is reset, so that the backend server drops it; it may have run nevertheless.
-    """
-
-    detail: str = 'the weights of the backend server were replaced before the request began'
-
-
 class AttemptWithdrawn(Exception):
     """The attempt was ended since its request had not begun in time."""
 
@@ -160,5 +150,4 @@
     'CHECK_INTERVAL_S',
     'PendingBegin',
     'WithdrawalWatch',
-    'Withdrawn',
 )
--- a/src/cassiahitch/direct/entrystate.py
+++ b/src/cassiahitch/direct/entrystate.py
@@ -6,7 +6,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from cassiahitch.direct.members.gossip import Gossip, Piggyback
+from cassiahitch.direct.members.gossip import Gossip
+from cassiahitch.direct.members.gossipmessages import Piggyback
 from cassiahitch.direct.members.memberregistry import MemberRegistry
 from cassiahitch.direct.members.regions import RegionRegistry
 from cassiahitch.direct.placement.crashguard import CrashGuard
--- a/src/cassiahitch/direct/members/gossip.py
+++ b/src/cassiahitch/direct/members/gossip.py
@@ -16,18 +16,19 @@
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
+from cassiahitch.direct.members.gossipmessages import (
+    IndirectProbe,
+    OutgoingMessage,
+    Piggyback,
+    Probe,
+)
 from cassiahitch.direct.members.ownership import is_owner
 from cassiahitch.direct.members.regions import RegionRegistry, parse_endpoints, summarize_region
 from cassiahitch.util.endpoints import Endpoint
 from cassiahitch.weights.tree import rendezvous_order
 from cassiahitch.wire.datagrammessages import (
-    LimitRecord,
     MemberNews,
     RegionState,
-    SegmentCrashRecord,
-    SegmentRecord,
-    SuspectRecord,
-    VersionRecord,
 )
 
 if TYPE_CHECKING:
@@ -61,48 +62,6 @@
 PERIODS_PER_REGION_REPORT = 2
 
 
-@dataclass(frozen=True, slots=True)
-class OutgoingMessage:
-    """A message and its destination address."""
-
-    message: MemberNews
-    address: str
-
-
-@dataclass(slots=True)
-class Probe:
-    """A probe whose reply is outstanding; ``sent_at`` is in seconds."""
-
-    name: str
-    address: str
-    sent_at: float
-    indirect_requested: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class IndirectProbe:
-    """A probe on behalf of another entry.
-
-    The reply is forwarded to ``requester`` under the ``number`` of its request; ``sent_at`` is in
-    seconds.
-    """
-
-    number: int
-    requester: str
-    sent_at: float
-
-
-@dataclass(slots=True)
-class Piggyback:
-    """Sources of the records that messages carry in addition, as of a time in seconds."""
-
-    suspects: Callable[[float], tuple[SuspectRecord, ...]] = lambda _: ()
-    versions: Callable[[float], tuple[VersionRecord, ...]] = lambda _: ()
-    limits: Callable[[float], tuple[LimitRecord, ...]] = lambda _: ()
-    segment_crashes: Callable[[float], tuple[SegmentCrashRecord, ...]] = lambda _: ()
-    sound_segments: Callable[[float], tuple[SegmentRecord, ...]] = lambda _: ()
-
-
 @dataclass(slots=True)
 class Gossip:
     """State machine of the protocol: decides which messages are sent to whom.
@@ -547,8 +506,4 @@
         return 1 + len(self.registry.live_members()) + self.regions.live_count(now)
 
 
-__all__ = (
-    'Gossip',
-    'OutgoingMessage',
-    'Piggyback',
-)
+__all__ = ('Gossip',)
--- a/src/cassiahitch/direct/members/messaging.py
+++ b/src/cassiahitch/direct/members/messaging.py
@@ -7,7 +7,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from cassiahitch.direct.members.gossip import PROBE_PERIOD_S, OutgoingMessage
+from cassiahitch.direct.members.gossip import PROBE_PERIOD_S
+from cassiahitch.direct.members.gossipmessages import OutgoingMessage
 from cassiahitch.direct.members.sentqueries import SentQueries
 from cassiahitch.direct.state.freshness import boot_time
 from cassiahitch.direct.state.ratelimits import observation_of
--- a/src/cassiahitch/direct/requests/runner.py
+++ b/src/cassiahitch/direct/requests/runner.py
@@ -9,24 +9,26 @@
 from typing import TYPE_CHECKING
 
 from cassiahitch.codes import Code, HasRun
+from cassiahitch.direct.api import Answered
 from cassiahitch.direct.backends.attempt import (
     SUCCESS_STATUSES,
-    Answered,
     AttemptSender,
-    CallerDisconnected,
+    ProgressTimeouts,
+    StreamState,
+)
+from cassiahitch.direct.backends.outcomes import (
     Delivered,
     Lost,
     NotRun,
     NotSent,
     Outcome,
-    ProgressTimeouts,
-    StreamState,
+    Withdrawn,
     Withheld,
 )
 from cassiahitch.direct.backends.responserelay import is_forwardable
-from cassiahitch.direct.backends.withdrawal import Withdrawn
 from cassiahitch.direct.callers.errorresponder import ErrorResponder
 from cassiahitch.direct.callers.progress import Phase
+from cassiahitch.direct.callers.responsewriter import CallerDisconnected
 from cassiahitch.direct.placement.candidates import CandidateFilter
 from cassiahitch.direct.placement.placement import Assignment, NoCapacity, PlacementRequest
 from cassiahitch.direct.placement.search import PlacementSearch
--- a/src/cassiahitch/direct/telemetry.py
+++ b/src/cassiahitch/direct/telemetry.py
@@ -13,14 +13,14 @@
 from typing import TYPE_CHECKING, Any
 
 from cassiahitch.codes import Code
-from cassiahitch.direct.api import Call, CallerRequest
-from cassiahitch.direct.backends.attempt import Answered, Delivered
+from cassiahitch.direct.api import Answered, Call, CallerRequest
+from cassiahitch.direct.backends.outcomes import Delivered
 from cassiahitch.direct.placement.sizes import SizeTracker
 from cassiahitch.direct.state.freshness import boot_time
 from cassiahitch.metrics.names import CounterName, GaugeName, LatencyName
 
 if TYPE_CHECKING:
-    from cassiahitch.direct.backends.attempt import Outcome
+    from cassiahitch.direct.backends.outcomes import Outcome
     from cassiahitch.direct.callers.progress import Progress
     from cassiahitch.direct.entrystate import EntryState
     from cassiahitch.direct.placement.availability import ExpiredAnnouncement
--- a/tests/direct/requests/test_stalled_replica.py
+++ b/tests/direct/requests/test_stalled_replica.py
@@ -9,7 +9,7 @@
 from sent_requests import EVENT, STALL_TIMEOUT_S, ScriptedBackend, run_test
 
 from cassiahitch.direct.api import Answered
-from cassiahitch.direct.backends.attempt import Delivered, Lost
+from cassiahitch.direct.backends.outcomes import Delivered, Lost
 
 
 def test_stalled_attempt_ends_when_another_assignment_is_available() -> None:
--- a/tests/direct/requests/test_trickling_replica.py
+++ b/tests/direct/requests/test_trickling_replica.py
@@ -13,7 +13,7 @@
 from virtual_loop import virtual_time
 
 from cassiahitch.direct.api import Answered
-from cassiahitch.direct.backends.attempt import Delivered, Lost, Outcome
+from cassiahitch.direct.backends.outcomes import Delivered, Lost, Outcome
 
 STREAM = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
 END = b'0\r\n\r\n'
--- a/tests/direct/state/test_updater.py
+++ b/tests/direct/state/test_updater.py
@@ -14,7 +14,8 @@
 
 import pytest
 
-from cassiahitch.direct.members.gossip import Gossip, OutgoingMessage, Piggyback
+from cassiahitch.direct.members.gossip import Gossip
+from cassiahitch.direct.members.gossipmessages import OutgoingMessage, Piggyback
 from cassiahitch.direct.members.memberregistry import MemberRegistry
 from cassiahitch.direct.members.messaging import EntryMessenger
 from cassiahitch.direct.members.regions import RegionRegistry
--- a/tests/support/member_wire.py
+++ b/tests/support/member_wire.py
@@ -10,7 +10,8 @@
 from dataclasses import dataclass, field
 from functools import partial
 
-from cassiahitch.direct.members.gossip import PROBE_PERIOD_S, Gossip, OutgoingMessage, Piggyback
+from cassiahitch.direct.members.gossip import PROBE_PERIOD_S, Gossip
+from cassiahitch.direct.members.gossipmessages import OutgoingMessage, Piggyback
 from cassiahitch.direct.members.memberregistry import MemberRegistry
 from cassiahitch.direct.members.regions import RegionRegistry
 from cassiahitch.util.endpoints import Endpoint
--- a/tests/support/sent_requests.py
+++ b/tests/support/sent_requests.py
@@ -13,13 +13,13 @@
 from cassiahitch.direct.api import ResponseHead
 from cassiahitch.direct.backends.attempt import (
     AttemptSender,
-    Outcome,
     ProgressTimeouts,
     StreamState,
 )
 from cassiahitch.direct.backends.buffering import BufferBudget
 from cassiahitch.direct.backends.connection import BackendConnection
 from cassiahitch.direct.backends.exchange import Exchange
+from cassiahitch.direct.backends.outcomes import Outcome
 from cassiahitch.direct.backends.responserelay import ResponseRelay
 from cassiahitch.direct.backends.stalls import StallDetector
 from cassiahitch.direct.state.versions import VersionPolicy
