--- a/src/cassiahitch/direct/backends/attempt.py
+++ b/src/cassiahitch/direct/backends/attempt.py
@@ -10,9 +10,11 @@
 
 from cassiahitch.direct.api import Answered, Destination, ResponseHead
 from cassiahitch.direct.backends.connection import BackendConnection, ConnectFailed
+from cassiahitch.direct.backends.continuation import continues_stream
 from cassiahitch.direct.backends.events import EventSplitter, EventTooLarge
 from cassiahitch.direct.backends.exchange import Exchange, ResponseLost
 from cassiahitch.direct.backends.stalls import ReplicaStalled, StallDetector
+from cassiahitch.direct.backends.withdrawal import AttemptWithdrawn, WithdrawalWatch, Withdrawn
 from cassiahitch.direct.callers.responsewriter import CallerDisconnected
 
 if TYPE_CHECKING:
@@ -26,6 +28,7 @@
     from cassiahitch.direct.placement.placement import Assignment, Placement
     from cassiahitch.direct.placement.reservation import ReservationClient
     from cassiahitch.direct.requests.filters import RequestFilters
+    from cassiahitch.direct.state.versions import VersionPolicy
 
 SUCCESS_STATUSES = range(200, 300)
 
@@ -47,7 +50,8 @@
 class Withheld:
     """No byte of the request was sent.
 
-    The backend server is stopping or paused, or it names a rate limit and no permit is valid.
+    The backend server is stopping or paused, it names a rate limit and no permit is valid, or its
+    weights have been replaced in the meantime.
     """
 
 
@@ -69,28 +73,42 @@
     stalled: bool = False
 
 
-Outcome = Answered | Delivered | NotSent | Withheld | NotRun | Lost
+Outcome = Answered | Delivered | NotSent | Withheld | NotRun | Lost | Withdrawn
 
 
 @dataclass(slots=True)
 class StreamState:
     """What the caller has received of a stream, across all backend servers that sent parts of it.
 
-    ``reserved`` is the assignment at which the request continues after the current backend server;
-    its retry is already spent. ``stalled_key`` is the stalled backend server at which the request
-    stayed because no other one, or no retry, was available. ``reserve`` tries to set ``reserved``
-    and returns whether it could; ``on_first_event`` is called with the time of the first event.
+    ``head`` is the head with which it began, None before its first event. ``reserved`` is the
+    assignment at which the request continues after the current backend server; its retry is already
+    spent. ``stalled_key`` is the stalled backend server at which the request stayed because no
+    other one, or no retry, was available. ``reserve`` tries to set ``reserved`` and returns whether
+    it could; ``on_first_event`` is called with the time of the first event.
     """
 
     caller: CallerExchange
     splitter: EventSplitter = field(default_factory=EventSplitter)
-    started: bool = False
+    head: ResponseHead | None = None
     first_event_at: float | None = None
     on_first_event: Callable[[float], None] | None = None
     reserve: Callable[[], Awaitable[bool]] | None = None
     reserved: Assignment | None = None
     stalled_key: str = ''
 
+    @property
+    def started(self) -> bool:
+        """Whether the caller has received the head of the response."""
+        return self.head is not None
+
+    def is_continued_by(self, head: ResponseHead) -> bool:
+        """Return whether a response can follow what the caller has received.
+
+        :param head: the head of the response.
+        :return: true before the start of the stream.
+        """
+        return self.head is None or continues_stream(self.head, head)
+
     async def reserve_alternative(self) -> bool:
         """Reserve another assignment for a request whose backend server is stalled.
 
@@ -122,6 +140,12 @@
     signals: ReplicaSignals
     response_relay: ResponseRelay
     reservations: ReservationClient
+    versions: VersionPolicy
+    withdrawals: WithdrawalWatch = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Create the watch of attempts that have not begun."""
+        self.withdrawals = WithdrawalWatch(self.versions)
 
     async def send(
         self,
@@ -150,14 +174,19 @@
                 return Withheld()
             try:
                 connection = await self.pool.acquire(
-                    replica, limit, at_most_once=call.require_route().runs_once
+                    replica,
+                    limit,
+                    at_most_once=call.require_route().runs_once,
+                    attempt_id=call.request.attempt_id,
                 )
             except ConnectFailed as error:
                 return NotSent(str(error), error.refused)
             stall_detector = StallDetector(stream.reserve_alternative)
             exchange = Exchange(connection, self.codec, stall_detector, self.signals.receive_head)
             stack.callback(self.release, connection, exchange)
-            if not self.signals.may_send(assignment):
+            if not self.signals.may_send(assignment) or not self.withdrawals.may_begin(
+                assignment.candidate, assignment.expected_s
+            ):
                 return Withheld()
             self.filters.require_valid_key(call)
             stream.caller.require_connected()
@@ -251,9 +280,13 @@
         headers = self.codec.write_headers(call.request, destination)
         exchange.stall_detector.restart(timeouts.first_s)
         try:
-            head = await exchange.send(call.request, headers)
-            exchange.stall_detector.restart(timeouts.first_s)
-            return await self.relay_response(call, exchange, head, stream, timeouts)
+            async with self.withdrawals.watch(assignment) as pending:
+                exchange.on_begin = pending.begin
+                head = await exchange.send(call.request, headers)
+                exchange.stall_detector.restart(timeouts.first_s)
+                return await self.relay_response(call, exchange, head, stream, timeouts)
+        except AttemptWithdrawn:
+            return Withdrawn()
         except ResponseLost as error:
             return Lost(str(error))
         except ReplicaStalled:
@@ -277,10 +310,11 @@
         :return: how the attempt ended.
         :raises ResponseLost: if the response breaks off.
         """
-        if head.not_run:
+        if head.not_run or not stream.is_continued_by(head):
             with suppress(ResponseLost):
                 await exchange.discard_body()
-            return NotRun(head.status)
+            detail = f'a response with status {head.status} does not continue the stream'
+            return NotRun(head.status) if head.not_run else Lost(detail)
         if head.status in SUCCESS_STATUSES and call.require_route().repeat_policy == 'stream':
             return await self.forward_stream(exchange, head, stream, timeouts)
         body = await self.response_relay.relay(exchange, head, stream.caller)
@@ -306,6 +340,7 @@
             return Lost('the response is not signed, or is encoded')
         if stream.started:
             exchange.stall_detector.restart(timeouts.next_s)
+        count_before = stream.splitter.event_count
         async with aclosing(exchange.parts()) as parts:
             async for part in parts:
                 event_count = stream.splitter.event_count
@@ -316,6 +351,9 @@
                 exchange.stall_detector.add_bytes(
                     min(len(part), len(stream.splitter.partial_event))
                 )
+        has_events = stream.splitter.event_count > count_before
+        if stream.splitter.is_inside_event or (exchange.ended_with_connection and not has_events):
+            return Lost('the stream ended inside an event, or with its connection before any event')
         await self.write_events(head, stream, stream.splitter.partial_event, last=True)
         stream.caller.end_response()
         return Delivered()
@@ -337,7 +375,7 @@
         :raises CallerDisconnected: if the caller has disconnected.
         """
         if not stream.started and (data or last):
-            stream.started = True
+            stream.head = head
             stream.first_event_at = asyncio.get_running_loop().time()
             if stream.on_first_event is not None:
                 stream.on_first_event(stream.first_event_at)
--- a/src/cassiahitch/direct/backends/exchange.py
+++ b/src/cassiahitch/direct/backends/exchange.py
@@ -41,6 +41,10 @@
     """Ignore the head of a response; the default without a listener."""
 
 
+def _ignore_begin() -> None:
+    """Ignore the first byte of a body; the default without a listener."""
+
+
 class ResponseLost(Exception):
     """Bytes of the request were sent and no complete response was received; it may have run."""
 
@@ -49,7 +53,9 @@
     """Sends one request and reads the response that carries its attempt id.
 
     The creator releases the connection afterwards; ``reusable`` is whether the connection may
-    carry another request.
+    carry another request, ``ended_with_connection`` whether only the end of the connection showed
+    that the response was complete. ``on_begin`` is called with each part of the body of the own
+    response.
     """
 
     def __init__(
@@ -70,10 +76,12 @@
         self.codec = codec
         self.stall_detector = stall_detector
         self.on_head = on_head
+        self.on_begin: Callable[[], None] = _ignore_begin
         self.machine = _new_machine()
         self.written: asyncio.Future[None] | None = None
         self.complete = False
         self.reusable = False
+        self.ended_with_connection = False
         self.head: ResponseHead | None = None
         self.sent_at = -math.inf
 
@@ -88,18 +96,21 @@
         :param request: the request.
         :param headers: the headers for the backend server.
         :return: the head of the response.
-        :raises ResponseLost: if no response to this request is received.
+        :raises ResponseLost: if no response to this request is received. A refusal that cannot be
+            attributed to it is skipped, since the request may run.
         :raises RequestError: ``bad_request`` if the request is not valid HTTP; nothing was sent.
         """
         content = _request_bytes(self.machine, request, headers)
         self.connection.requests += 1
         self.sent_at = asyncio.get_running_loop().time()
         self.written = self.connection.write(content)
-        for _ in range(MAX_FOREIGN_RESPONSES):
+        for skipped in range(MAX_FOREIGN_RESPONSES):
             head = await self._read_head()
-            if head.attempt_id == request.attempt_id or (head.not_run and not head.attempt_id):
+            if self._is_own(request, head, skipped):
                 self.on_head(self.connection.replica, head, self.sent_at)
                 self.head = head
+                if head.not_run:
+                    self.connection.refused_ids.add(request.attempt_id)
                 return head
             self.on_head(self.connection.replica, head, -math.inf)
             await self._skip_response(request, headers)
@@ -114,6 +125,8 @@
         while not self.complete:
             event = await self._next_event()
             if isinstance(event, h11.Data):
+                if self.head is not None:
+                    self.on_begin()
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 self._finish()
@@ -137,6 +150,12 @@
         except TimeoutError:
             raise ResponseLost('a discarded response did not end in time') from None
 
+    def _is_own(self, request: CallerRequest, head: ResponseHead, skipped: int) -> bool:
+        # A refusal without an id may be that of an earlier request, so it counts only as the first
+        # response on a connection that has carried no other request.
+        unambiguous = head.not_run and self.connection.requests == 1 and not skipped
+        return head.attempt_id == request.attempt_id or (not head.attempt_id and unambiguous)
+
     async def _read_head(self) -> ResponseHead:
         event = await self._next_event()
         for _ in range(MAX_INTERIM_RESPONSES):
@@ -154,9 +173,9 @@
     async def _skip_response(self, request: CallerRequest, headers: Headers) -> None:
         # A late or duplicate response to an earlier request precedes the one to this request.
         await self.discard_body()
-        if not self.reusable and not self.machine.trailing_data[0]:
-            raise ResponseLost('the connection ended with a response to another request')
         trailing, _ = self.machine.trailing_data
+        if self.machine.their_state is not h11.DONE and not trailing:
+            raise ResponseLost('the connection ended with a response to another request')
         self.machine = _new_machine()
         _request_bytes(self.machine, request, headers)
         self.complete = False
@@ -179,9 +198,11 @@
 
     def _finish(self) -> None:
         self.complete = True
+        trailing, connection_ended = self.machine.trailing_data
+        self.ended_with_connection = connection_ended
         keep_alive = self.machine.their_state is h11.DONE and self.machine.our_state is h11.DONE
         written = self.written is not None and self.written.done()
-        nothing_left = written and not self.machine.trailing_data[0]
+        nothing_left = written and not trailing
         self.reusable = keep_alive and nothing_left and self.connection.can_reuse()
 
 
--- a/src/cassiahitch/direct/telemetry.py
+++ b/src/cassiahitch/direct/telemetry.py
@@ -36,6 +36,8 @@
 LOGGED_DIGITS = 4
 #: Prompt segments of requests that had not begun at a crash that its log line contains.
 MAX_LOGGED_SEGMENTS = 16
+#: Maximum characters of a field in a log line about a change of state.
+MAX_LOGGED_CHARS = 300
 #: Innermost stack frames of an unexpected exception that its log line contains.
 LOGGED_FRAMES = 4
 
@@ -47,9 +49,11 @@
         """Log a change of the state that this process has cached.
 
         :param message: the kind of change.
-        :param fields: extra fields of the log line; floats are rounded, infinite ones become null.
+        :param fields: extra fields of the log line; floats are rounded, infinite ones become null,
+            and long values are cut off, since other processes choose their length.
         """
-        STATE_LOGGER.info(message, extra=_rounded(fields))
+        bounded = {name: _bounded(value) for name, value in fields.items()}
+        STATE_LOGGER.info(message, extra=_rounded(bounded))
 
 
 @dataclass(slots=True)
@@ -111,6 +115,7 @@
             'took_s': now - started_at,
         }
         fields |= self.limit_fields(assignment.candidate.replica)
+        fields |= self.version_fields(assignment, started_at, first_event_at)
         if first_event_at is not None:
             fields['first_event_s'] = first_event_at - call.arrived_at
             self.metrics.latency(LatencyName.first_part, first_event_at - call.arrived_at)
@@ -136,6 +141,26 @@
         now = asyncio.get_running_loop().time()
         return {'limit_per_s': limit.per_s, 'limit_named_s_ago': now - limit.received_at}
 
+    def version_fields(
+        self, assignment: Assignment, started_at: float, first_event_at: float | None
+    ) -> dict[str, Any]:
+        """Return the fields of a log line that tell how long a request might begin on its version.
+
+        :param assignment: the replica that it was assigned to.
+        :param started_at: when it was assigned, in seconds of the event loop's clock.
+        :param first_event_at: when the first event was sent to the caller, None if none was.
+        :return: seconds left at both times; empty if no newer version is declared.
+        """
+        candidate = assignment.candidate
+        now = asyncio.get_running_loop().time()
+        left_s = self.entry_state.versions.left_s(candidate.model, candidate.version, boot_time())
+        if left_s == math.inf:
+            return {}
+        fields = {'bound_left_s': left_s + now - started_at}
+        if first_event_at is not None:
+            fields['bound_left_first_s'] = left_s + now - first_event_at
+        return fields
+
     def no_capacity(self, call: Call, no_capacity: NoCapacity) -> None:
         """Record that no replica has capacity to start a request in time.
 
@@ -374,6 +399,13 @@
     }
 
 
+def _bounded(value: Any) -> Any:
+    if isinstance(value, float | int | None):
+        return value
+    text = str(value)
+    return value if len(text) <= MAX_LOGGED_CHARS else f'{text[:MAX_LOGGED_CHARS]}...'
+
+
 def _rounded_number(value: float) -> float | None:
     # JSON has no infinity.
     return round(value, LOGGED_DIGITS) if math.isfinite(value) else None
--- a/src/cassiahitch/soak/backend.py
+++ b/src/cassiahitch/soak/backend.py
@@ -10,24 +10,22 @@
 
 from cassiahitch.direct.api import header
 from cassiahitch.platform import names
-from cassiahitch.soak.faulty_responses import (
-    is_head_endless,
-    write_duplicate,
-    write_endless,
-    write_trickle,
-)
-from cassiahitch.soak.records import Execution
-from cassiahitch.soak.responses import WorkSpec, make_seal, plain_body, short_digest, stream_event
+from cassiahitch.soak.answers import AnswerWriter
+from cassiahitch.soak.faulty_responses import encode_refusal, is_head_endless, write_endless
+from cassiahitch.soak.prompts import Prompt
+from cassiahitch.soak.records import Disturbance, Execution
+from cassiahitch.soak.responses import make_seal, short_digest
 from cassiahitch.standins.backends import (
     REFUSALS,
     BackendStandin,
+    EngineWeights,
     Fault,
     ResponseWriter,
     refusal_headers,
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
     from cassiahitch.direct.api import Headers
 
@@ -35,6 +33,10 @@
 READ_TOKENS_PER_S = 8000.0
 #: Seconds between two checks whether a connection has closed.
 CLOSE_POLL_INTERVAL_S = 0.02
+#: Faults that refuse a request.
+SOAK_REFUSALS = REFUSALS | {Fault.repeat_refusal}
+#: Seconds for which a prompt that crashes an engine puts it out of service.
+CRASH_S = 2.0
 #: Seconds of the pause that a backend server requests.
 REQUESTED_PAUSE_S = 1.5
 
@@ -45,10 +47,20 @@
 
     ``slowness`` multiplies all delays. ``host`` stays the same when the replica restarts under a
     new id. ``prompt_lock`` lets the engine process one prompt at a time. ``limited_since`` is when
-    the backend server began to name its rate limit.
+    the backend server began to name its rate limit. ``crashes`` records when prompts had crashed
+    it, and ``register`` writes its row in the store again. ``restart_lock`` is held while it is
+    down. ``awake`` is cleared while it is silent. ``refusals`` holds the refusals to be
+    written once more, by their connections.
     """
 
     executions: list[Execution] = field(default_factory=list)
+    crashes: list[Disturbance] = field(default_factory=list)
+    register: Callable[[], None] | None = None
+    restart_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
+    awake: asyncio.Event = field(default_factory=asyncio.Event)
+    silence_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
+    refusals: dict[asyncio.StreamWriter, bytes] = field(default_factory=dict)
+    restart_tasks: set[asyncio.Task[None]] = field(default_factory=set)
     slowness: float = 1
     limited_since: float = 0
     host: str = ''
@@ -58,6 +70,7 @@
     def __post_init__(self) -> None:
         """Create the semaphore of the slots."""
         self.free_slots = asyncio.Semaphore(self.slots)
+        self.awake.set()
 
     async def answer(
         self, response: ResponseWriter, method: str, target: str, headers: Headers, body: bytes
@@ -73,6 +86,7 @@
         """
         attempt_id = header(headers, names.ATTEMPT_ID)
         if not attempt_id:
+            await self.awake.wait()
             return await super().answer(response, method, target, headers, body)
         execution = Execution(
             attempt_id,
@@ -83,14 +97,23 @@
             header(headers, names.ORGANISATION),
             asyncio.get_running_loop().time(),
             key_passed=bool(header(headers, names.API_KEY)),
+            prompt=header(headers, names.PROMPT_SEGMENTS),
             said_leaving=self.stopping,
             limit_per_s=self.limit_per_s,
             limited_since=self.limited_since,
         )
         self.executions.append(execution)
+        await self.awake.wait()
         fault = self.faults.pop(0) if self.faults else self.fault
+        repeated = self.refusals.pop(response.writer, b'')
+        if repeated:
+            execution.broke_off = True
+            fault = Fault.none
+            response.write_raw(repeated)
         refusal_status = self.refusal_status(headers)
-        if refusal_status is not None or fault in REFUSALS:
+        if fault is Fault.repeat_refusal:
+            self.refusals[response.writer] = encode_refusal(attempt_id)
+        if refusal_status is not None or fault in SOAK_REFUSALS:
             execution.refused = True
             status = refusal_status or HTTPStatus.SERVICE_UNAVAILABLE.value
             pause_s = REQUESTED_PAUSE_S if fault is Fault.ask_pause else None
@@ -134,7 +157,12 @@
         if self.engine is not None:
             tokens = int(header(headers, names.TOKEN_COUNTS, '0').partition(',')[0])
             async with self.prompt_lock:
-                await asyncio.sleep(self.slowness * tokens / READ_TOKENS_PER_S)
+                await self.work_for(tokens / READ_TOKENS_PER_S)
+            if response.writer.is_closing():
+                return False
+            if Prompt.parse(execution.prompt).crashes:
+                self.crash(execution)
+                return False
             execution.version = self.engine.version
         execution.began = asyncio.get_running_loop().time()
         if fault is Fault.lose:
@@ -149,75 +177,63 @@
             execution.broke_off = True
             execution.endless = True
             return await write_endless(response, head, in_head=is_head_endless(head))
-        if self.engine is not None:
-            after = int(header(headers, names.LAST_EVENT, '0'))
-            return await self.send_events(response, execution, head, after, fault)
-        return await self.send_body(response, execution, head, fault)
+        writer = AnswerWriter(response, execution, head, fault, self.work_for)
+        if self.engine is None:
+            return await writer.send_body()
+        return await writer.send_events(int(header(headers, names.LAST_EVENT, '0')))
 
-    async def send_body(
-        self, response: ResponseWriter, execution: Execution, head: dict[str, str], fault: Fault
-    ) -> bool:
-        """Send a response that is no stream.
+    def crash(self, cause: Execution) -> None:
+        """Go down, unless the backend server is down already, and come back as a new process.
 
-        :param response: connection to write the response to.
-        :param execution: record of the request.
-        :param head: response headers.
-        :param fault: fault to apply.
-        :return: whether the connection can be reused.
+        :param cause: the request that crashes the backend server.
         """
-        work = WorkSpec.parse(execution.target)
-        await asyncio.sleep(self.slowness * work.pause_s)
-        body = plain_body(execution.id, execution.digest, work)
-        if fault is Fault.cut:
-            execution.broke_off = True
-            response.send_head(HTTPStatus.OK, {**head, 'Content-Length': str(len(body))})
-            response.send_data(body[: len(body) // 2])
-            await response.drain()
-            response.reset()
-            return False
-        if fault is Fault.trickle:
-            execution.broke_off = True
-            response.send_head(HTTPStatus.OK, {**head, 'Content-Length': str(len(body))})
-            return await write_trickle(response, body)
-        await response.send_response(HTTPStatus.OK, head, body)
-        return fault is not Fault.double or await write_duplicate(response, head, body)
-
-    async def send_events(
-        self,
-        response: ResponseWriter,
-        execution: Execution,
-        head: dict[str, str],
-        after: int,
-        fault: Fault,
-    ) -> bool:
-        """Send the events of a stream.
+        cause.broke_off = True
+        if self.restart_lock.locked():
+            return
+        cause.crashed = True
+        now = asyncio.get_running_loop().time()
+        self.crashes.append(Disturbance(self.host, now, now + CRASH_S))
+        task = asyncio.create_task(self.restart(CRASH_S, as_new_process=True))
+        self.restart_tasks.add(task)
+        task.add_done_callback(self.restart_tasks.discard)
 
-        :param response: connection to write the response to.
-        :param execution: record of the request.
-        :param head: response headers.
-        :param after: number of the last event that the caller has received.
-        :param fault: fault to apply.
-        :return: whether the connection can be reused.
+    async def work_for(self, seconds: float) -> None:
+        """Wait as long as some work takes, and until the backend server is not silent.
+
+        :param seconds: duration of the work at the usual speed.
         """
-        work = WorkSpec.parse(execution.target)
-        response.send_head(HTTPStatus.OK, {**head, 'Content-Type': 'text/event-stream'})
-        content = b''
-        for number in range(after + 1, work.parts + 1):
-            await asyncio.sleep(self.slowness * work.pause_s)
-            content = stream_event(execution.id, number, work)
-            if fault is Fault.cut and number == after + 3:
-                execution.broke_off = True
-                response.send_data(content[: len(content) // 2])
-                await response.drain()
-                response.reset()
-                return False
-            if fault is Fault.trickle:
-                execution.broke_off = True
-                return await write_trickle(response, content)
-            response.send_data(content)
-            await response.drain()
-        response.send_end()
-        return fault is not Fault.double or await write_duplicate(response, head, content)
+        await asyncio.sleep(self.slowness * seconds)
+        await self.awake.wait()
+
+    async def fall_silent(self, seconds: float) -> None:
+        """Read and write nothing for some seconds, and then continue with the queue.
+
+        :param seconds: how long.
+        """
+        async with self.silence_lock:
+            self.awake.clear()
+            await asyncio.sleep(seconds)
+            self.awake.set()
+
+    async def restart(self, seconds: float, *, as_new_process: bool = False) -> None:
+        """Stop abruptly and start again on the same port.
+
+        :param seconds: how long the backend server is down.
+        :param as_new_process: whether it registers as a new process that has loaded no weights; the
+            staged ones survive.
+        """
+        async with self.restart_lock:
+            await self.stop()
+            if as_new_process and self.engine is not None:
+                self.started_at_ms += 1
+                engine = self.engine
+                self.engine = EngineWeights(
+                    engine.model, load_s=engine.load_s, staged=engine.staged
+                )
+            await asyncio.sleep(seconds)
+            await self.start(self.address, self.port)
+            if as_new_process and self.register is not None:
+                self.register()
 
 
 @contextmanager
--- a/src/cassiahitch/soak/plan.py
+++ b/src/cassiahitch/soak/plan.py
@@ -3,147 +3,30 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
-from enum import StrEnum
-
+from types import MappingProxyType
+
+from cassiahitch.soak.events import (
+    Area,
+    BackendFailure,
+    CrashByPrompts,
+    Declaration,
+    Declare,
+    Event,
+    FailBackend,
+    FailStore,
+    HarmLink,
+    Kill,
+    Overload,
+    Pause,
+    Reload,
+    RollOutLate,
+    StoreFailure,
+    Terminate,
+)
 from cassiahitch.soak.proxy import LinkFault
-
-
-class Area(StrEnum):
-    """Areas of faults to which a run may be restricted."""
-
-    stops = 'stops'
-    signals = 'signals'
-    links = 'links'
-    backends = 'backends'
-    store = 'store'
-    changes = 'changes'
-    overload = 'overload'
-    limits = 'limits'
-
-
-class BackendFailure(StrEnum):
-    """Faults of a backend server.
-
-    ``refuse`` rejects requests, ``lose`` resets the connection instead of sending a response,
-    ``cut`` resets it in the middle of one, ``pause`` requests a pause, ``limit`` names a rate limit
-    for a longer time, ``endless`` sends endless invalid bytes, ``trickle`` nearly stops in the
-    middle of a response, and ``double`` sends it twice.
-    """
-
-    crash = 'crash'
-    slow = 'slow'
-    refuse = 'refuse'
-    lose = 'lose'
-    cut = 'cut'
-    pause = 'pause'
-    limit = 'limit'
-    endless = 'endless'
-    trickle = 'trickle'
-    double = 'double'
-
-
-class StoreFailure(StrEnum):
-    """Faults of the store: ``down`` fails calls, ``lost`` applies writes without responding."""
-
-    down = 'down'
-    lost = 'lost'
-
-
-class Declaration(StrEnum):
-    """Changes by the operator.
-
-    ``key`` revokes a key, ``route`` writes a new version of the configuration, ``weights``
-    publishes new weights, and ``drain`` replaces a replica.
-    """
-
-    key = 'key'
-    route = 'route'
-    weights = 'weights'
-    drain = 'drain'
-
-
-@dataclass(frozen=True, slots=True)
-class Terminate:
-    """Send SIGTERM to a process, and start it again after its end."""
-
-    at: float
-    process: str
-
-
-@dataclass(frozen=True, slots=True)
-class Kill:
-    """Send SIGKILL to a process, and start it again after ``seconds``."""
-
-    at: float
-    process: str
-    seconds: float
-
-
-@dataclass(frozen=True, slots=True)
-class Pause:
-    """Send SIGSTOP to a process, and SIGCONT after ``seconds``."""
-
-    at: float
-    process: str
-    seconds: float
-
-
-@dataclass(frozen=True, slots=True)
-class Reload:
-    """Change the settings of a process and send it SIGHUP."""
-
-    at: float
-    process: str
-
-
-@dataclass(frozen=True, slots=True)
-class HarmLink:
-    """Apply a fault to the link from a process to the store, or from all entries to a backend."""
-
-    at: float
-    link: str
-    harm: LinkFault
-    seconds: float
-
-
-@dataclass(frozen=True, slots=True)
-class FailBackend:
-    """Apply a fault to a backend server."""
-
-    at: float
-    backend: str
-    failure: BackendFailure
-    seconds: float
-
-
-@dataclass(frozen=True, slots=True)
-class FailStore:
-    """Apply a fault to the store."""
-
-    at: float
-    failure: StoreFailure
-    seconds: float
-
-
-@dataclass(frozen=True, slots=True)
-class Declare:
-    """Make a change as the operator; ``number`` selects the replica to drain."""
-
-    at: float
-    declaration: Declaration
-    number: int
-
-
-@dataclass(frozen=True, slots=True)
-class Overload:
-    """Add many callers for ``seconds``."""
-
-    at: float
-    seconds: float
-
-
-Event = Terminate | Kill | Pause | Reload | HarmLink | FailBackend | FailStore | Declare | Overload
+from cassiahitch.soak.records import Bounds
 
 
 @dataclass(frozen=True, slots=True)
@@ -169,8 +52,14 @@
 
         :return: names of the backend servers.
         """
-        engines = [f'm-{number}' for number in range(self.agents)]
-        return engines + [f'p-{number}' for number in range(self.plain)]
+        return self.engines() + [f'p-{number}' for number in range(self.plain)]
+
+    def engines(self) -> list[str]:
+        """Return the names of the model engines.
+
+        :return: names of the engines.
+        """
+        return [f'm-{number}' for number in range(self.agents)]
 
 
 #: Earliest fault of a run, in seconds after the start of the load.
@@ -184,6 +73,24 @@
 MAX_FAULT_S = 3.0
 #: Mean number of rate limits per second.
 LIMITS_PER_S = 0.1
+#: Earliest and latest start of prompts that crash engines, and their longest duration, in seconds.
+MIN_PROMPTS_START_S = 5.0
+MAX_PROMPTS_START_S = 6.0
+MAX_PROMPTS_S = 14.0
+#: Latest start of a rollout whose weights can be loaded only after the bound, in seconds.
+MAX_ROLLOUT_START_S = 2.0
+#: Seconds by which such weights miss the bound.
+ROLLOUT_DELAY_S = 1.5
+#: Shortest and longest silence of a backend server, in seconds.
+MIN_SILENCE_S = 0.8
+MAX_SILENCE_S = 1.5
+#: Smallest part of a silence around the bound of a rollout that lies before the bound.
+MIN_SILENCE_LEAD = 0.5
+#: Mean number of faulty or unusual ends of responses per second.
+ENDINGS_PER_S = 0.3
+#: Faults of the area ``endings`` for any backend server, and those for streams.
+ANY_ENDINGS = (BackendFailure.unframed, BackendFailure.repeat_refusal)
+STREAM_ENDINGS = (BackendFailure.half_event, BackendFailure.fail_resumed)
 #: Duration of an overload, as a fraction of the load for each second of the drawn duration.
 OVERLOAD_FRACTION = 0.13
 #: Faults of links from which a plan is drawn.
@@ -201,16 +108,15 @@
     latest_s = FIRST_FAULT_S + size.seconds * FAULT_FRACTION
     count = max(1, round((latest_s - FIRST_FAULT_S) * FAULTS_PER_S))
     times = sorted(round(rng.uniform(FIRST_FAULT_S, latest_s), 3) for _ in range(count))
-    areas = tuple(area for area in size.areas if area is not Area.limits)
+    areas = tuple(area for area in size.areas if area not in SEPARATE_AREAS)
     faults = [_draw(rng, size, areas, at) for at in times] if areas else []
-    if Area.limits in size.areas:
-        faults += _draw_limits(seed, size)
+    for area, draw in SEPARATE_AREAS.items():
+        if area in size.areas:
+            faults.extend(draw(random.Random(f'{area} {seed}'), size))
     return tuple(sorted(faults, key=lambda fault: fault.at))
 
 
-def _draw_limits(seed: int, size: Size) -> list[Event]:
-    # Drawn on their own, so that the other faults of a seed do not depend on them.
-    rng = random.Random(f'limits {seed}')
+def _draw_limits(rng: random.Random, size: Size) -> list[Event]:
     count = max(1, round(size.seconds * LIMITS_PER_S))
     return [
         FailBackend(
@@ -223,6 +129,66 @@
     ]
 
 
+def _draw_prompts(rng: random.Random, size: Size) -> list[Event]:
+    at = round(rng.uniform(MIN_PROMPTS_START_S, MAX_PROMPTS_START_S), 3)
+    at = min(at, FIRST_FAULT_S + size.seconds * FAULT_FRACTION)
+    return [CrashByPrompts(at, min(MAX_PROMPTS_S, max(0, size.seconds - at)))]
+
+
+def _draw_silences(rng: random.Random, size: Size) -> list[Event]:
+    at = rng.uniform(FIRST_FAULT_S, FIRST_FAULT_S + size.seconds * FAULT_FRACTION)
+    faults: list[Event] = [
+        _silence(at, rng.choice(size.backends()), rng.uniform(MIN_SILENCE_S, MAX_SILENCE_S))
+    ]
+    rollout_at = round(rng.uniform(FIRST_FAULT_S, MAX_ROLLOUT_START_S), 3)
+    bound_s = Bounds().weights_s
+    if rollout_at + bound_s + MAX_SILENCE_S > size.seconds:
+        return faults
+    faults.append(RollOutLate(rollout_at, bound_s + ROLLOUT_DELAY_S))
+    for engine in size.engines():
+        seconds = rng.uniform(MIN_SILENCE_S, MAX_SILENCE_S)
+        lead_s = seconds * rng.uniform(MIN_SILENCE_LEAD, 1)
+        faults.append(_silence(rollout_at + bound_s - lead_s, engine, seconds))
+    return faults
+
+
+def _silence(at: float, backend: str, seconds: float) -> FailBackend:
+    return FailBackend(round(at, 3), backend, BackendFailure.silent, round(seconds, 3))
+
+
+def _draw_endings(rng: random.Random, size: Size) -> list[Event]:
+    count = max(1, round(size.seconds * ENDINGS_PER_S))
+    return [fault for _ in range(count) for fault in _draw_ending(rng, size)]
+
+
+def _draw_ending(rng: random.Random, size: Size) -> list[Event]:
+    at = round(rng.uniform(FIRST_FAULT_S, FIRST_FAULT_S + size.seconds * FAULT_FRACTION), 3)
+    seconds = round(rng.uniform(MIN_FAULT_S, MAX_FAULT_S), 3)
+    failure = rng.choice((*ANY_ENDINGS, *STREAM_ENDINGS))
+    if failure is BackendFailure.fail_resumed:
+        return [FailBackend(at, engine, failure, seconds) for engine in size.engines()]
+    backends = size.engines() if failure in STREAM_ENDINGS else size.backends()
+    return [FailBackend(at, rng.choice(backends), failure, seconds)]
+
+
+_DrawFaults = Callable[[random.Random, Size], list[Event]]
+
+#: Faults of backend servers that belong to such areas.
+SEPARATE_FAILURES = frozenset(
+    (BackendFailure.limit, BackendFailure.silent, *ANY_ENDINGS, *STREAM_ENDINGS)
+)
+#: Areas whose faults are drawn on their own, so that the other faults of a seed do not depend on
+#: them.
+SEPARATE_AREAS: Mapping[Area, _DrawFaults] = MappingProxyType(
+    {
+        Area.limits: _draw_limits,
+        Area.prompts: _draw_prompts,
+        Area.silences: _draw_silences,
+        Area.endings: _draw_endings,
+    }
+)
+
+
 def _draw(rng: random.Random, size: Size, areas: tuple[Area, ...], at: float) -> Event:
     seconds = round(rng.uniform(MIN_FAULT_S, MAX_FAULT_S), 3)
     process = rng.choice(size.processes())
@@ -240,7 +206,7 @@
         Area.backends: tuple(
             FailBackend(at, backend, failure, seconds)
             for failure in BackendFailure
-            if failure is not BackendFailure.limit
+            if failure not in SEPARATE_FAILURES
         ),
         Area.store: tuple(FailStore(at, failure, seconds) for failure in StoreFailure),
         Area.changes: (declaration,),
@@ -250,20 +216,7 @@
 
 
 __all__ = (
-    'Area',
-    'BackendFailure',
-    'Declaration',
-    'Declare',
-    'Event',
-    'FailBackend',
-    'FailStore',
-    'HarmLink',
-    'Kill',
-    'Overload',
-    'Pause',
-    'Reload',
+    'SEPARATE_AREAS',
     'Size',
-    'StoreFailure',
-    'Terminate',
     'make_plan',
 )
--- a/src/cassiahitch/standins/backends.py
+++ b/src/cassiahitch/standins/backends.py
@@ -40,8 +40,8 @@
     Retry-After header. ``lose`` resets the connection before the response, ``cut`` within it.
     ``extra`` adds a second response, ``foreign`` sends a response with the id of another attempt,
     ``unframed`` one without a length, ``unsealed`` one without the seal header, and ``fail`` an
-    error status. ``hang`` delays the response by a minute; ``endless``, ``trickle`` and ``double``
-    are left to subclasses.
+    error status. ``hang`` delays the response by a minute. ``endless``, ``trickle``, ``double`` and
+    the faults after them are left to subclasses.
     """
 
     none = 'none'
@@ -59,6 +59,9 @@
     endless = 'endless'
     trickle = 'trickle'
     double = 'double'
+    half_event = 'half_event'
+    repeat_refusal = 'repeat_refusal'
+    fail_resumed = 'fail_resumed'
 
 
 #: Faults that refuse a request which the backend server could run.
@@ -76,6 +79,15 @@
     last_event_id: int
 
 
+@dataclass(frozen=True, slots=True)
+class BegunRequest:
+    """A request whose first event an engine made, ``at`` in seconds of the event loop's clock."""
+
+    attempt_id: str
+    version: int
+    at: float
+
+
 @dataclass(slots=True)
 class EngineWeights:
     """The weights of a model engine: staged chunks and the loaded version.
@@ -113,6 +125,8 @@
     response names it as the rate limit, those to the agent only with ``reports_limit``. Every
     response has ``extra_headers``. ``arrivals`` holds the times of all requests except the calls of
     the agent, in seconds of the event loop's clock.
+    A stream begins ``queue_s`` after its request. Until ``silent_until``, an engine begins nothing
+    and notices no closed connection. ``begun`` holds the streams that have begun.
     ``pause_s`` delays each body and each event, ``events`` is the number of events of a stream, and
     ``padding`` the number of bytes added to each plain body. Requests with the segment of
     ``segment_crashes`` in their prompts crash the replica.
@@ -138,6 +152,9 @@
     runs: list[ExecutedRequest] = field(default_factory=list)
     refused: Counter[str] = field(default_factory=Counter)
     arrivals: list[float] = field(default_factory=list)
+    queue_s: float = 0
+    silent_until: float = 0
+    begun: list[BegunRequest] = field(default_factory=list)
     running: int = 0
     address: str = ''
     port: int = 0
@@ -409,6 +426,10 @@
         if fault is Fault.lose:
             response.reset()
             return False
+        if not await self.wait_in_queue(response):
+            return False
+        version = self.engine.version if self.engine else 0
+        self.begun.append(BegunRequest(attempt, version, asyncio.get_running_loop().time()))
         response.send_head(HTTPStatus.OK, head)
         for number in range(after + 1, self.events + 1):
             await asyncio.sleep(self.pause_s)
@@ -423,6 +444,21 @@
         response.send_end()
         return True
 
+    async def wait_in_queue(self, response: ResponseWriter) -> bool:
+        """Wait until a stream can begin.
+
+        :param response: writes the response.
+        :return: whether it begins; not if the caller has closed the connection in time.
+        """
+        clock = asyncio.get_running_loop().time
+        await asyncio.sleep(self.queue_s)
+        silent_s = self.silent_until - clock()
+        if silent_s <= 0:
+            return not response.writer.is_closing()
+        # The close is read only after the silence, when the waiting requests begin.
+        await asyncio.sleep(silent_s)
+        return True
+
     async def handle_agent_call(
         self, engine: EngineWeights, method: str, target: str, body: bytes
     ) -> ResponseParts | None:
@@ -598,6 +634,7 @@
 
 __all__ = (
     'BackendStandin',
+    'BegunRequest',
     'EngineWeights',
     'Fault',
     'ExecutedRequest',
--- a/tests/support/endless.py
+++ b/tests/support/endless.py
@@ -3,15 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import ctypes
+import gc
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager, suppress
-from dataclasses import dataclass, field, replace
+from contextlib import asynccontextmanager, closing, suppress
+from dataclasses import dataclass, field
 from enum import StrEnum
 
+from scripted_replicas import ADDRESS, redirect_replicas
+
 from cassiahitch.direct.entry import DirectEntry
-from cassiahitch.util.endpoints import Endpoint
 
-ADDRESS = '127.0.0.1'
 FILLER = b'x' * 65_536
 SEAL_HEADER = 'X-Cassiahitch-Response-Seal: s\r\n'
 
@@ -72,7 +74,7 @@
 
     async def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.tasks.add(asyncio.current_task())
-        with suppress(ConnectionError, asyncio.IncompleteReadError):
+        with closing(writer), suppress(ConnectionError, asyncio.IncompleteReadError):
             head = await reader.readuntil(b'\r\n\r\n')
             self.requests += 1
             _, _, rest = head.decode().partition('X-Cassiahitch-Attempt-Id: ')
@@ -83,7 +85,6 @@
                 await writer.drain()
                 self.sent += len(repeated)
                 await asyncio.sleep(0)
-        writer.close()
 
 
 @asynccontextmanager
@@ -92,9 +93,7 @@
     endless_server = EndlessServer(kind)
     server = await asyncio.start_server(endless_server.accept, ADDRESS, 0)
     port = server.sockets[0].getsockname()[1]
-    registry = entry.parts.entry_state.replicas
-    for key, replica in tuple(registry.replicas.items()):
-        registry.replicas[key] = replace(replica, endpoint=Endpoint(ADDRESS, port))
+    redirect_replicas(entry, port)
     try:
         yield endless_server
     finally:
@@ -104,6 +103,14 @@
                 task.cancel()
 
 
+def release_free_memory() -> None:
+    """Return free memory to the system, so that what earlier tests freed does not hide a growth."""
+    gc.collect()
+    trim = getattr(ctypes.CDLL(None), 'malloc_trim', None)
+    if trim is not None:
+        trim(0)
+
+
 def resident_bytes() -> int:
     """Return the resident memory of this process in bytes."""
     with open('/proc/self/statm', encoding='ascii') as file:
