--- a/tests/direct/state/test_updater.py
+++ b/tests/direct/state/test_updater.py
@@ -12,11 +12,15 @@
 from types import SimpleNamespace
 from typing import TYPE_CHECKING, Any
 
-from cassiahitch.direct.members.gossip import Gossip, Piggyback
+import pytest
+
+from cassiahitch.direct.members.gossip import Gossip, OutgoingMessage, Piggyback
 from cassiahitch.direct.members.memberregistry import MemberRegistry
 from cassiahitch.direct.members.messaging import EntryMessenger
 from cassiahitch.direct.members.regions import RegionRegistry
 from cassiahitch.direct.placement.crashguard import CrashGuard
+from cassiahitch.direct.placement.segmentguard import SegmentGuard
+from cassiahitch.direct.placement.segmentsharing import SegmentSharing
 from cassiahitch.direct.state.feed import TableChanges, TableRow, TableSnapshot
 from cassiahitch.direct.state.freshness import Freshness, boot_time
 from cassiahitch.direct.state.updater import StateUpdater
@@ -60,6 +64,7 @@
             failure_domain='north-1',
         )
         self.versions = VersionPolicy(WEIGHTS_BOUND_S)
+        segment_sharing = SegmentSharing(SegmentGuard())
         entry_state: Any = SimpleNamespace(
             settings=settings,
             freshness=Freshness(5),
@@ -71,6 +76,8 @@
                 random.Random(1),
             ),
             crashes=CrashGuard(),
+            segments=segment_sharing.guard,
+            segment_sharing=segment_sharing,
             stopping=False,
             is_ready=lambda now: True,
         )
@@ -91,7 +98,10 @@
 
     def state_query(self) -> MemberNews:
         message: MemberNews = self.members.build_message(_now())
-        return replace(message, number=1, asks=True)
+        query = replace(message, number=1, asks=True)
+        for address in ('10.0.0.1', '10.0.0.2'):
+            self.messenger.send([OutgoingMessage(query, address)])
+        return query
 
     def last_reply(self) -> MemberNews:
         message = self.socket.messages[-1]
@@ -122,6 +132,22 @@
     asyncio.run(body())
 
 
+@pytest.mark.parametrize('long_polled', [False, True])
+def test_version_read_from_another_entry_counts_from_the_last_confirmation(
+    long_polled: bool,
+) -> None:
+    async def body() -> None:
+        entry = Entry('entry-1', 1)
+        now = boot_time()
+        entry.updater.apply_declarations((), TableSnapshot((), 6), now - 0.5)
+        reply = TableChanges((ROW,), 7, long_polled=long_polled)
+        entry.updater.apply_declarations((ROW,), reply, now - 0.2)
+        age_s = 0.2 if long_polled else 0.5
+        assert entry.versions.declared_at[MODEL][2] == now - age_s
+
+    asyncio.run(body())
+
+
 def test_started_entry_receives_the_age_of_a_version_with_the_first_reply() -> None:
     async def body() -> None:
         running, started = Entry('entry-1', 1), Entry('entry-2', 2)
