Draw no more copies from the origin because entries leave a version sooner

Cause: agents took that margin for the moment at which they need a version, became urgent sooner and fetched a copy for each region, which compete for the links.

Change: they count 1.0 s, as before the margin grew.

--- a/src/cassiahitch/direct/staging/loading.py
+++ b/src/cassiahitch/direct/staging/loading.py
@@ -14,7 +14,11 @@
 from cassiahitch.direct.staging.fetching import VersionFetch
 from cassiahitch.direct.staging.staging import Stager
 from cassiahitch.direct.staging.uploads import HOST_UTILISATION
-from cassiahitch.direct.staging.urgency import FetchUrgency, origin_region_capacity
+from cassiahitch.direct.staging.urgency import (
+    URGENCY_MARGIN_S,
+    FetchUrgency,
+    origin_region_capacity,
+)
 from cassiahitch.direct.state.freshness import boot_time
 from cassiahitch.direct.state.versions import BOUND_MARGIN_S
 from cassiahitch.errors import PlatformError
@@ -288,7 +292,7 @@
         :param missing_share: the share of its chunks that this host lacks.
         :return: whether it is to be fetched as fast as possible, with more copies from the origin.
         """
-        remaining_s = self.updater.remaining_s(target, boot_time()) - BOUND_MARGIN_S
+        remaining_s = self.updater.remaining_s(target, boot_time()) - URGENCY_MARGIN_S
         fetch_s = FIRST_CHUNKS_S + missing_share * (self.expected_fetch_s() - FIRST_CHUNKS_S)
         return FetchUrgency(self.is_serving(target.model), remaining_s, fetch_s).is_urgent
 
--- a/src/cassiahitch/direct/staging/urgency.py
+++ b/src/cassiahitch/direct/staging/urgency.py
@@ -11,6 +11,9 @@
 
 #: Seconds from the end of a fetch until the engine takes its first request, for the order and load.
 LOAD_DURATION_S = 0.5
+#: Seconds before the end of the bound on the loaded version at which more copies from the origin still
+#: help. Entries leave that version sooner, but then the copies compete for the links.
+URGENCY_MARGIN_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,6 +48,7 @@
 
 
 __all__ = (
+    'URGENCY_MARGIN_S',
     'FetchUrgency',
     'origin_region_capacity',
 )
