--- a/src/cassiahitch/direct/staging/urgency.py
+++ b/src/cassiahitch/direct/staging/urgency.py
@@ -11,8 +11,8 @@
 
 #: Seconds from the end of a fetch until the engine takes its first request, for the order and load.
 LOAD_DURATION_S = 0.5
-#: Seconds before the end of the bound on the loaded version at which more copies from the origin still
-#: help. Entries leave that version sooner, but then the copies compete for the links.
+#: Seconds before the end of the bound on the loaded version at which more copies from the origin
+#: still help. Entries leave that version sooner, but more copies would compete for the links.
 URGENCY_MARGIN_S = 1.0
 
 
