--- a/src/cassiahitch/direct/placement/segmentguard.py
+++ b/src/cassiahitch/direct/placement/segmentguard.py
@@ -29,7 +29,7 @@
 MAX_REPORTED_SEGMENTS = 16
 #: Seconds after the last crash until a refused segment is tried, the factor by which each further
 #: crash prolongs that time, and the longest such time.
-FIRST_TRIAL_S = 5.0
+FIRST_TRIAL_S = 30.0
 TRIAL_GROWTH = 6
 MAX_TRIAL_DELAY_S = 600.0
 #: Seconds until another trial if one ended without a crash and without a begin, or if the entry
