--- a/review/harness/engine.py
+++ b/review/harness/engine.py
@@ -12,11 +12,18 @@
 from cassiahitch.platform import names
 from cassiahitch.standins.backends import BackendStandin, EngineWeights, ResponseParts
 
+#: Seconds between two checks whether all requests have ended before a load.
+POLL_S = 0.005
+
 
 def _ignore_read(_index: int) -> None:
     """Do nothing when a piece is read."""
 
 
+def _ignore_load() -> None:
+    """Do nothing when a load has ended."""
+
+
 def _ignore_order(_version: int, _status: int) -> None:
     """Do nothing when an order arrives."""
 
@@ -32,6 +39,7 @@
 
     on_read: Callable[[int], None] = _ignore_read
     on_order: Callable[[int, int], None] = _ignore_order
+    on_loaded: Callable[[], None] = _ignore_load
     bad_since: dict[int, float] = field(default_factory=dict)
     taken: dict[int, bytes] = field(default_factory=dict)
     taken_bad_for: dict[int, float] = field(default_factory=dict)
@@ -66,3 +74,14 @@
             self.taken_bad_for = {index: now - at for index, at in self.bad_since.items()}
         self.on_order(order['version'], int(status))
         return status
+
+    async def load(self, engine: EngineWeights, version: int) -> None:
+        """Load what was taken; a crash meanwhile ends the load."""
+        born = self.started_at_ms
+        while self.running and born == self.started_at_ms:
+            await asyncio.sleep(POLL_S)
+        await asyncio.sleep(engine.load_s)
+        if born == self.started_at_ms:
+            engine.version = version
+            engine.loading = False
+            self.on_loaded()
