--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 python3 -m compileall -q src review
-PYTHONPATH=target/deps:src:review/harness python3 -c 'import client, deployfile, processes, record, site_parts, verdict'
+PYTHONPATH=target/deps:src:review/harness python3 -c 'import client, deployfile, engine, origin, parts, processes, record, site_parts, verdict'
--- a/review/harness/verdict.py
+++ b/review/harness/verdict.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import traceback
 from collections.abc import Awaitable, Callable
@@ -25,6 +26,8 @@
 
 def main(case: Callable[[Record], Awaitable[bool]], folder: Path) -> None:
     """Run a case, which returns whether its rule was broken, and exit."""
+    # Ends the processes of the case also if it is stopped from outside.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     record = Record(folder / 'record.txt')
     try:
         broken = asyncio.run(asyncio.wait_for(case(record), LIMIT_S))
