--- a/review/harness/parts.py
+++ b/review/harness/parts.py
@@ -45,10 +45,15 @@
             self.arrivals.append(asyncio.get_running_loop().time())
 
     async def crash(self, replica: BackendStandin) -> None:
+        """End the process of a replica because of a request with the part."""
+        if isinstance(replica, ReviewEngine):
+            self.crashes.append(asyncio.get_running_loop().time())
+            await self.end(replica)
+
+    async def end(self, replica: ReviewEngine) -> None:
         """End the process of a replica; its staged pieces stay."""
-        if not isinstance(replica, ReviewEngine) or replica.engine is None:
+        if replica.engine is None:
             return
-        self.crashes.append(asyncio.get_running_loop().time())
         replica.started_at_ms = max(replica.started_at_ms + 1, int(time.time() * MS_PER_S))
         engine = replica.engine
         engine.version, engine.load_sequence, engine.loading = 0, 0, False
