Serve no weights that the engine took long after they were verified

Callers got whole, successful answers that an engine made with corrupt chunks: its host was suspended for 4 s within the last verification of the staged chunks, chunks that were verified already turned corrupt, and the order went out 3.8 s later.

Cause: the result of a verification had no age. It was used whenever the order reached the engine, also after a suspension behind the last look at the clock, by an order without a response that was executed late, and by an agent that restarted while its engine was loading.

Change: chunks have the time of their verification on the boot clock; old ones are verified again before the order, in at most three passes.

--- a/src/cassiahitch/direct/staging/loading.py
+++ b/src/cassiahitch/direct/staging/loading.py
@@ -12,6 +12,7 @@
 from cassiahitch.direct.staging.chunks import WeightsId
 from cassiahitch.direct.staging.enginestate import EngineReport, LoadOutcome
 from cassiahitch.direct.staging.fetching import VersionFetch
+from cassiahitch.direct.staging.loadtrust import LoadTrust
 from cassiahitch.direct.staging.staging import Stager
 from cassiahitch.direct.staging.uploads import HOST_UTILISATION
 from cassiahitch.direct.staging.urgency import (
@@ -39,6 +40,8 @@
 POLL_INTERVAL_S = 0.1
 #: Seconds after a failure until the next attempt.
 RETRY_DELAY_S = 0.3
+#: Seconds from an order until the same version is ordered again if corrupt chunks were loaded.
+RELOAD_DELAY_S = 5.0
 #: Longest time over which the loads of all engines are spread, in seconds.
 MAX_LOAD_SPREAD_S = 2.5
 #: Seconds between two reads of the list of participants during a fetch.
@@ -93,7 +96,8 @@
 class Loader:
     """Fetches versions, stages their chunks at the engine, orders loads and awaits their end.
 
-    ``report`` is the last report of the engine, which :class:`LoadReporter` sets as well.
+    ``report`` is the last report of the engine, which :class:`LoadReporter` sets as well. Weights
+    that the engine loaded with corrupt chunks are ordered again from ``reload_at`` on.
     """
 
     engine: StagingEngine
@@ -105,11 +109,13 @@
     rng: random.Random
     map_exchange: ChunkMapExchange
     report: EngineReport | None = None
+    trust: LoadTrust = field(default_factory=LoadTrust)
     stager: Stager = field(init=False)
+    reload_at: float = float('-inf')
 
     def __post_init__(self) -> None:
         """Create the stager."""
-        self.stager = Stager(self.engine, self.repository)
+        self.stager = Stager(self.engine, self.repository, self.trust)
 
     async def work(self) -> None:
         """Keep the engine at the newest version until cancelled.
@@ -172,26 +178,90 @@
         :raises PlatformError: if staging or loading failed.
         """
         target = self.updater.target_weights()
-        if target is None or self.report is None or self.report.stopping or self.is_loaded(target):
+        if target is None or self.report is None:
+            return
+        await self.verify_unproven(target)
+        if self.report.stopping or self.is_loaded(target):
             return
-        loaded_version = self.report.loaded_version(target.model)
         complete = [
             weights
             for weights, chunks in self.repository.cache.versions.items()
-            if chunks.complete and loaded_version < weights.version <= target.version
+            if chunks.complete and self.may_load(weights, target)
         ]
         if complete:
             newest = max(complete)
             await self.stage_and_load(newest, self.repository.cache.versions[newest])
 
+    def may_load(self, weights: WeightsId, target: WeightsId) -> bool:
+        """Return whether a load of a complete version may be ordered now.
+
+        :param weights: the version.
+        :param target: the newest version.
+        :return: whether it is newer than the engine's, or the engine has it with corrupt chunks.
+        """
+        if weights == self.trust.unsound:
+            return weights == target and asyncio.get_running_loop().time() >= self.reload_at
+        loaded_version = self.report.loaded_version(target.model) if self.report else 0
+        return loaded_version < weights.version <= target.version
+
+    async def verify_unproven(self, target: WeightsId) -> None:
+        """Verify the staged chunks of weights that the engine may have taken in a corrupt state.
+
+        Load pattern: an agent restarts while its engine loads what the agent had ordered before.
+
+        :param target: the newest version, which the engine loads if its agent ordered no load.
+        :raises PlatformError: ``engine_unavailable``, or if there is no manifest.
+        """
+        if not self.trust.has_unproven_load and self.trust.ordered is None:
+            return
+        async with self.stager.lock:
+            await self.read_report()
+            if self.trust.has_unproven_load:
+                await self.prove(self.trust.ordered or target)
+                await self.wait_until_loaded(target)
+
+    async def read_report(self) -> EngineReport:
+        """Read and apply the report of the engine.
+
+        :return: the report.
+        :raises PlatformError: ``engine_unavailable``.
+        """
+        report = await self.engine.report()
+        self.report = report
+        self.trust.observe(report)
+        return report
+
+    async def prove(self, weights: WeightsId) -> None:
+        """Verify the staged chunks after the engine accepted an order, and record the result.
+
+        :param weights: the version that the engine loads or has loaded.
+        :raises PlatformError: ``engine_unavailable``, or if there is no manifest.
+        """
+        self.trust.record_order(weights)
+        corrupt = await self.stager.corrupt_chunks(weights)
+        if self.trust.ordered != weights:
+            # The engine has restarted, and the weights are gone.
+            return
+        replaced = self.trust.replaced_chunks
+        proven = self.trust.record_verification(sound=not corrupt)
+        self.log.state_changed(
+            'load proven' if proven else 'load unsound',
+            model=weights.model,
+            weights=weights.version,
+            corrupt=corrupt,
+            replaced=replaced,
+        )
+
     def is_loaded(self, target: WeightsId) -> bool:
         """Return whether the engine has loaded a version, and record that it is staged if so.
 
         :param target: the version.
-        :return: whether the engine's last report names the version.
+        :return: whether the engine's last report names the version and it may serve requests.
         """
         if self.report is None or self.report.loaded_version(target.model) != target.version:
             return False
+        if self.trust.is_withheld(target.model, target.version):
+            return False
         self.repository.staged_weights = target
         return True
 
@@ -209,6 +279,7 @@
             if self.is_serving(target.model):
                 await self.wait_load_delay(target, remaining_s)
                 await self.stager.stage_all(target, chunks)
+            await self.stager.verify_outdated(target, chunks)
             outcome = await self.order_load(target)
         self.log.state_changed(
             'load ordered',
@@ -304,6 +375,8 @@
         """
         now = boot_time()
         loaded_version = self.report.loaded_version(model) if self.report else 0
+        if self.trust.is_withheld(model, loaded_version):
+            return False
         return loaded_version > 0 and loaded_version >= self.updater.versions.oldest_allowed(
             model, now
         )
@@ -318,18 +391,44 @@
         :return: the outcome of the order.
         :raises PlatformError: ``engine_unavailable``.
         """
-        report = await self.engine.report()
-        self.report = report
+        report = await self.read_report()
         if report.loading or self.is_loaded(target):
             return LoadOutcome.in_effect
         if report.stopping:
             return LoadOutcome.refused
+        self.trust.record_order(target)
+        self.reload_at = asyncio.get_running_loop().time() + RELOAD_DELAY_S
         outcome = await self.engine.load(target.model, target.version, report.load_orders)
-        if outcome is LoadOutcome.unknown:
-            self.stager.hold_version()
+        await self.apply_outcome(target, outcome, report.load_orders)
         await self.wait_until_loaded(target)
         return outcome
 
+    async def apply_outcome(
+        self, target: WeightsId, outcome: LoadOutcome, loads_before: int
+    ) -> None:
+        """Record the outcome of an order, and verify what the engine took if that may be corrupt.
+
+        :param target: the version.
+        :param outcome: the outcome of the order.
+        :param loads_before: number of loads that the engine had begun before.
+        :raises PlatformError: ``engine_unavailable``, or if there is no manifest.
+        """
+        taken_after_s = self.stager.oldest_verification_s(boot_time())
+        self.trust.record_outcome(outcome, loads_before, taken_after_s)
+        if outcome is LoadOutcome.unknown:
+            self.stager.hold_version()
+        if self.trust.ordered is None:
+            return
+        self.log.state_changed(
+            'load unproven',
+            model=target.model,
+            weights=target.version,
+            outcome=outcome.value,
+            taken_after_s=taken_after_s,
+        )
+        if self.trust.has_unproven_load:
+            await self.prove(target)
+
     async def wait_until_loaded(self, target: WeightsId) -> None:
         """Poll the engine until it has loaded a version or is no longer loading.
 
@@ -338,8 +437,7 @@
         """
         while True:
             await asyncio.sleep(POLL_INTERVAL_S)
-            report = await self.engine.report()
-            self.report = report
+            report = await self.read_report()
             if self.is_loaded(target) or not report.loading:
                 return
 
--- a/src/cassiahitch/direct/staging/reporting.py
+++ b/src/cassiahitch/direct/staging/reporting.py
@@ -16,6 +16,7 @@
 from typing import TYPE_CHECKING
 
 from cassiahitch.direct.staging.enginelimit import EngineRateLimit
+from cassiahitch.direct.staging.loadtrust import LoadTrust
 from cassiahitch.direct.staging.permits import refusal_records
 from cassiahitch.errors import PlatformError
 from cassiahitch.wire.datagrammessages import EngineLoad, LimitNotice, PlaceQuery, PlaceReturn
@@ -98,6 +99,7 @@
     log: StateLog
     incarnation: int
     rng: random.Random
+    trust: LoadTrust = field(default_factory=LoadTrust)
     pending: PendingRequests = field(default_factory=PendingRequests)
     entries: dict[Endpoint, float] = field(default_factory=dict)
     last_report: EngineReport | None = None
@@ -146,6 +148,7 @@
             self.log.state_changed('engine reached', born_ms=report.born_ms)
         self.is_engine_reachable = True
         self.loader.report = report
+        self.trust.observe(report)
         now = asyncio.get_running_loop().time()
         self.rate_limit.apply_report(report, sent_at, now)
         self.apply_report(report, now)
@@ -178,6 +181,8 @@
     def engine_load(self, number: int) -> EngineLoad | None:
         """Return the load of the engine as it is sent to entries.
 
+        An engine whose weights may not serve is reported as loading, so that entries avoid it.
+
         :param number: number of the query, 0 for a message that is no reply.
         :return: the load, or None if the engine is unreachable or its target version unknown.
         """
@@ -185,6 +190,7 @@
         report = self.last_report
         if report is None or target is None:
             return None
+        version = report.loaded_version(target.model)
         return EngineLoad(
             number=number,
             incarnation=self.incarnation,
@@ -192,9 +198,9 @@
             running=report.running,
             waiting=report.waiting,
             slowness_percent=int(report.pace * PERCENT) - PERCENT,
-            loading=report.loading,
+            loading=report.loading or self.trust.is_withheld(target.model, version),
             model=target.model,
-            version=report.loaded_version(target.model),
+            version=version,
             leaving=report.stopping,
             limits=self.rate_limit.records(asyncio.get_running_loop().time()),
         )
--- a/src/cassiahitch/direct/staging/staging.py
+++ b/src/cassiahitch/direct/staging/staging.py
@@ -4,8 +4,11 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from operator import itemgetter
 from typing import TYPE_CHECKING
 
+from cassiahitch.direct.staging.loadtrust import LoadTrust
+from cassiahitch.direct.state.freshness import boot_time
 from cassiahitch.weights.manifest import verify_chunk
 
 if TYPE_CHECKING:
@@ -15,6 +18,12 @@
 
 #: Seconds for which an engine may still execute a load order that it has not acknowledged.
 UNACKNOWLEDGED_ORDER_S = 10.0
+#: Age of the verification of a chunk, in seconds, from which on it is verified again before an
+#: order.
+VERIFY_AGAIN_AFTER_S = 1.0
+#: Most passes over the chunks whose verification is old. On a host on which even they take longer,
+#: the order is sent nevertheless, and the chunks are verified after it.
+MAX_VERIFY_PASSES = 3
 
 
 @dataclass(slots=True)
@@ -23,11 +32,14 @@
 
     Whoever orders a load holds ``lock`` from before the chunks are verified until the order is
     accepted, so that no chunks of a newer version are stored among them. ``stored`` holds the
-    positions of the stored chunks of ``weights``.
+    positions of the stored chunks of ``weights``, and ``verified_at`` since when each of them is
+    known to be sound, in seconds of the boot clock.
     """
 
     engine: StagingEngine
     repository: ChunkRepository
+    trust: LoadTrust = field(default_factory=LoadTrust)
+    verified_at: dict[int, float] = field(default_factory=dict)
     lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     weights: WeightsId | None = None
     stored: set[int] = field(default_factory=set)
@@ -46,6 +58,8 @@
         if weights == self.weights and self.stored.issuperset(chunks.contents):
             return
         async with self.lock:
+            if self.trust.has_unproven_load or weights == self.trust.ordered:
+                return
             if weights != self.weights and asyncio.get_running_loop().time() < self.hold_until:
                 return
             self.select_version(weights)
@@ -63,14 +77,82 @@
         :raises PlatformError: ``engine_unavailable``.
         """
         self.select_version(weights)
-        for index, content in sorted(chunks.contents.items()):
-            staged = await self.engine.read_staged(weights.model, index)
-            if staged is None or not verify_chunk(chunks.manifest, index, staged):
-                await self.engine.stage(weights.model, index, content)
-            self.stored.add(index)
+        for index in sorted(chunks.contents):
+            await self.verify_or_store(weights, chunks, index)
         self.repository.staged_weights = weights
         self.repository.corrupt_staged.clear()
 
+    async def verify_outdated(self, weights: WeightsId, chunks: VersionChunks) -> None:
+        """Verify the chunks again whose verification is too old for an order, the oldest first.
+
+        The caller holds the lock and has called :meth:`stage_all`.
+
+        :param weights: the version.
+        :param chunks: its chunks.
+        :raises PlatformError: ``engine_unavailable``.
+        """
+        for _ in range(MAX_VERIFY_PASSES):
+            outdated = self.outdated_chunks(boot_time())
+            if not outdated:
+                return
+            for index in outdated:
+                await self.verify_or_store(weights, chunks, index)
+
+    def outdated_chunks(self, now: float) -> list[int]:
+        """Return the chunks to verify again before an order.
+
+        :param now: current time of the boot clock in seconds.
+        :return: their positions, the oldest verification first.
+        """
+        return [
+            index
+            for index, verified_at in sorted(self.verified_at.items(), key=itemgetter(1))
+            if now - verified_at > VERIFY_AGAIN_AFTER_S
+        ]
+
+    def oldest_verification_s(self, now: float) -> float:
+        """Return the time since the oldest verification of a chunk.
+
+        :param now: current time of the boot clock in seconds.
+        :return: seconds.
+        """
+        return now - min(self.verified_at.values(), default=float('-inf'))
+
+    async def verify_or_store(self, weights: WeightsId, chunks: VersionChunks, index: int) -> None:
+        """Verify a chunk at the engine, and store it if it is missing or corrupt there.
+
+        :param weights: the version.
+        :param chunks: its chunks.
+        :param index: position of the chunk.
+        :raises PlatformError: ``engine_unavailable``.
+        """
+        # The engine reads the chunk some time after the call began, and it may change from then on.
+        began_at = boot_time()
+        staged = await self.engine.read_staged(weights.model, index)
+        if staged is None or not verify_chunk(chunks.manifest, index, staged):
+            self.trust.record_replaced_chunk(weights)
+            began_at = boot_time()
+            await self.engine.stage(weights.model, index, chunks.contents[index])
+        self.stored.add(index)
+        self.verified_at[index] = began_at
+
+    async def corrupt_chunks(self, weights: WeightsId) -> list[int]:
+        """Return which staged chunks are missing or corrupt, without replacing them.
+
+        The caller holds the lock.
+
+        :param weights: the version.
+        :return: their positions.
+        :raises PlatformError: ``engine_unavailable``, or if there is no manifest.
+        """
+        manifest = (await self.repository.open_version(weights)).manifest
+        corrupt: list[int] = []
+        for index, _ in enumerate(manifest.chunks):
+            staged = await self.engine.read_staged(weights.model, index)
+            if staged is None or not verify_chunk(manifest, index, staged):
+                corrupt.append(index)
+        return corrupt
+
     def hold_version(self) -> None:
         """Keep received chunks of other versions from replacing the staged one for some seconds.
 
@@ -88,6 +170,7 @@
         if weights != self.weights:
             self.weights = weights
             self.stored.clear()
+            self.verified_at.clear()
             if self.repository.staged_weights != weights:
                 self.repository.staged_weights = None
 
--- a/src/cassiahitch/standins/backends.py
+++ b/src/cassiahitch/standins/backends.py
@@ -92,7 +92,8 @@
 class EngineWeights:
     """The weights of a model engine: staged chunks and the loaded version.
 
-    ``load_sequence`` counts the accepted orders to load; ``load_s`` is how long a load takes."""
+    ``load_sequence`` counts the accepted orders to load; ``load_s`` is how long a load takes, and
+    ``taken_digest`` the digest of the staged chunks as they were when the last one was accepted."""
 
     model: str = ''
     version: int = 0
@@ -100,6 +101,7 @@
     loading: bool = False
     load_s: float = 0
     staged: dict[int, bytes] = field(default_factory=dict)
+    taken_digest: str = ''
     loaded_digest: str = ''
 
     def layers(self) -> list[dict[str, int]]:
@@ -502,7 +504,7 @@
         }
 
     def order(self, engine: EngineWeights, order: dict[str, Any]) -> int:
-        """Start to load the staged chunks.
+        """Start to load the staged chunks as they are now.
 
         :param engine: the weights.
         :param order: the order, with the version and the sequence number that it expects.
@@ -513,6 +515,10 @@
             or order.get('precondition', engine.load_sequence) != engine.load_sequence
         ):
             return HTTPStatus.CONFLICT
+        if engine.version == order['version']:
+            return HTTPStatus.OK
+        content = b''.join(content for _, content in sorted(engine.staged.items()))
+        engine.taken_digest = hashlib.sha256(content).hexdigest()
         engine.load_sequence += 1
         engine.loading = True
         task = asyncio.create_task(self.load(engine, order['version']))
@@ -520,7 +526,7 @@
         return HTTPStatus.ACCEPTED
 
     async def load(self, engine: EngineWeights, version: int) -> None:
-        """Load the staged chunks once all running requests have ended.
+        """Load the chunks of the accepted order once all running requests have ended.
 
         :param engine: the weights.
         :param version: the version to load.
@@ -528,8 +534,7 @@
         while self.running:
             await asyncio.sleep(0.005)
         await asyncio.sleep(engine.load_s)
-        content = b''.join(content for _, content in sorted(engine.staged.items()))
-        engine.loaded_digest = hashlib.sha256(content).hexdigest()
+        engine.loaded_digest = engine.taken_digest
         engine.version = version
         engine.loading = False
 
--- /dev/null
+++ b/tests/direct/staging/test_loads_of_sound_chunks.py
@@ -0,0 +1,242 @@
+"""Tests that an engine serves no weights that it took while one of their chunks was corrupt.
+
+They guard against a verification of staged chunks whose result is used after a suspension of the
+host, or after an order that its engine executed late.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+import pytest
+from direct_callers import run_site_in_virtual_time, send_request, wait_until
+
+from cassiahitch.direct.staging.enginestate import EngineReport, LoadOutcome, StagingEngine
+from cassiahitch.direct.staging.loading import RELOAD_DELAY_S
+from cassiahitch.standins.configurations import CHUNK_COUNT
+from cassiahitch.standins.directsite import DirectSite, DirectSiteSize
+
+if TYPE_CHECKING:
+    from cassiahitch.direct.agent import DirectAgent
+    from cassiahitch.standins.backends import EngineWeights
+
+#: Longer than a corrupt chunk is excused, in seconds.
+SUSPENSION_S = 4.0
+SITE = DirectSiteSize(entries=1, models=1, plain=0)
+#: Positions of the chunks that turn corrupt, which are verified before the others.
+CORRUPT = (2, 5)
+#: Numbers of the reads after which the host is suspended, one in each of the first two passes.
+SUSPENDED_READS = (9, 9 + CHUNK_COUNT)
+
+
+async def do_nothing() -> None:
+    """Let the calls of the agent through as they are."""
+
+
+@dataclass
+class DisturbedEngine:
+    """Passes calls of an agent on to its engine, and disturbs some of them.
+
+    The engine has ``weights``. ``reads`` are the positions of the staged chunks that were read.
+    """
+
+    engine: StagingEngine
+    weights: EngineWeights
+    on_read: Callable[[int], Awaitable[None]] | None = None
+    before_order: Callable[[], Awaitable[None]] = do_nothing
+    after_order: Callable[[], Awaitable[None]] = do_nothing
+    loses_response: bool = False
+    orders: int = 0
+    reads: list[int] = field(default_factory=list)
+
+    async def report(self) -> EngineReport:
+        return await self.engine.report()
+
+    async def stage(self, model: str, index: int, content: bytes) -> None:
+        await self.engine.stage(model, index, content)
+
+    async def read_staged(self, model: str, index: int) -> bytes | None:
+        content = await self.engine.read_staged(model, index)
+        self.reads.append(index)
+        if self.on_read is not None:
+            await self.on_read(len(self.reads))
+        return content
+
+    async def load(self, model: str, version: int, load_orders: int) -> LoadOutcome:
+        self.orders += 1
+        await self.before_order()
+        outcome = await self.engine.load(model, version, load_orders)
+        await self.after_order()
+        return LoadOutcome.unknown if self.loses_response else outcome
+
+    def corrupt_chunks(self) -> None:
+        for index in CORRUPT:
+            self.weights.staged[index] = b'corrupt'
+
+
+def suspend_host() -> None:
+    loop: Any = asyncio.get_running_loop()
+    loop.clock.suspended_s += SUSPENSION_S
+
+
+def disturb(agent: DirectAgent, weights: EngineWeights) -> DisturbedEngine:
+    """Put a :class:`DisturbedEngine` between an agent and its engine."""
+    loader = agent.parts.loader
+    engine = DisturbedEngine(loader.engine, weights)
+    loader.engine = engine
+    loader.stager.engine = engine
+    agent.reporter.engine = engine
+    return engine
+
+
+def engine_of(site: DirectSite) -> EngineWeights:
+    engine = site.models[0].engine
+    assert engine is not None
+    return engine
+
+
+async def serves(site: DirectSite) -> bool:
+    """Return whether a request is served by the new version once the entry has new reports."""
+    await asyncio.sleep(2)
+    site.register(site.models[0])
+    await asyncio.sleep(2)
+    return (await send_request(site.entries[0], '/draft/1', deadline_ms=1000)).status == 200
+
+
+def test_chunks_that_turn_corrupt_during_a_suspension_within_the_verification_are_replaced() -> (
+    None
+):
+    async def body(site: DirectSite) -> None:
+        weights = engine_of(site)
+        engine = disturb(site.agents[0], weights)
+
+        async def suspend(reads: int) -> None:
+            if reads in SUSPENDED_READS:
+                suspend_host()
+                engine.corrupt_chunks()
+
+        engine.on_read = suspend
+        site.publish_version(2)
+        await wait_until(lambda: weights.version == 2)
+        assert weights.loaded_digest == site.weights.content_digest(2)
+        assert await serves(site)
+
+    run_site_in_virtual_time(body, SITE)
+
+
+def test_weights_taken_after_a_suspension_right_before_the_order_are_not_served() -> None:
+    async def body(site: DirectSite) -> None:
+        weights = engine_of(site)
+        engine = disturb(site.agents[0], weights)
+
+        async def suspend() -> None:
+            if engine.orders == 1:
+                suspend_host()
+                engine.corrupt_chunks()
+
+        engine.before_order = suspend
+        site.publish_version(2)
+        await wait_until(lambda: weights.version == 2)
+        assert weights.loaded_digest != site.weights.content_digest(2)
+        assert not await serves(site)
+        await asyncio.sleep(2 * RELOAD_DELAY_S)
+        assert engine.orders <= 3
+        assert not await serves(site)
+        site.publish_version(3)
+        await wait_until(lambda: weights.version == 3)
+        assert await serves(site)
+
+    run_site_in_virtual_time(body, SITE)
+
+
+@pytest.mark.parametrize('is_before', [True, False], ids=['order', 'response'])
+def test_sound_weights_serve_although_the_order_or_its_response_was_late(
+    *, is_before: bool
+) -> None:
+    async def body(site: DirectSite) -> None:
+        weights = engine_of(site)
+        engine = disturb(site.agents[0], weights)
+
+        async def suspend() -> None:
+            suspend_host()
+
+        if is_before:
+            engine.before_order = suspend
+        else:
+            engine.after_order = suspend
+        site.publish_version(2)
+        await wait_until(lambda: weights.version == 2)
+        assert weights.loaded_digest == site.weights.content_digest(2)
+        assert await serves(site)
+        assert engine.orders == 1
+
+    run_site_in_virtual_time(body, SITE)
+
+
+def test_verification_that_always_takes_too_long_ends_in_a_load_that_serves() -> None:
+    async def body(site: DirectSite) -> None:
+        weights = engine_of(site)
+        engine = disturb(site.agents[0], weights)
+
+        async def slow_down(_reads: int) -> None:
+            await asyncio.sleep(SUSPENSION_S / CHUNK_COUNT)
+
+        engine.on_read = slow_down
+        site.publish_version(2)
+        await asyncio.sleep(6 * SUSPENSION_S)
+        assert weights.version == 2
+        assert await serves(site)
+
+    run_site_in_virtual_time(body, SITE)
+
+
+@pytest.mark.parametrize('turns_corrupt', [True, False])
+def test_order_without_response_that_is_executed_late_serves_only_sound_weights(
+    *, turns_corrupt: bool
+) -> None:
+    async def body(site: DirectSite) -> None:
+        weights = engine_of(site)
+        engine = disturb(site.agents[0], weights)
+        engine.loses_response = True
+
+        async def delay() -> None:
+            suspend_host()
+            if turns_corrupt:
+                engine.corrupt_chunks()
+
+        engine.before_order = delay
+        site.publish_version(2)
+        await wait_until(lambda: weights.version == 2)
+        assert await serves(site) is not turns_corrupt
+
+    run_site_in_virtual_time(body, SITE)
+
+
+@pytest.mark.parametrize('is_corrupt', [True, False])
+def test_restarted_agent_verifies_what_its_engine_is_loading(*, is_corrupt: bool) -> None:
+    async def body(site: DirectSite) -> None:
+        weights = engine_of(site)
+        weights.load_s = 5
+        engine = disturb(site.agents[0], weights)
+        ordered = asyncio.Event()
+
+        async def stop_here() -> None:
+            if is_corrupt:
+                engine.corrupt_chunks()
+
+        async def wait_for_restart() -> None:
+            ordered.set()
+            await asyncio.sleep(1)
+
+        engine.before_order = stop_here
+        engine.after_order = wait_for_restart
+        site.publish_version(2)
+        await ordered.wait()
+        await site.restart_agent(0)
+        await wait_until(lambda: weights.version == 2)
+        assert await serves(site) is not is_corrupt
+
+    run_site_in_virtual_time(body, SITE)
