Refuse all keys once no organisation has one

After the last keys of all organisations were revoked, every request ran: with a revoked key, with one that no one ever held, and with none.

Cause: organisations are kept by key, so those without keys vanished in the decoder, and the filter took the empty mapping for a configuration without organisations, which demands no key. The check before each attempt had no organisation to check then.

Change: the mapping is None only if the configuration has no such field. An empty key, and one of two organisations, belong to no one. The key is resolved again before each attempt, so that a request that was placed under one organisation does not run under it after its key has moved.

--- a/src/cassiahitch/direct/requests/filters.py
+++ b/src/cassiahitch/direct/requests/filters.py
@@ -93,12 +93,13 @@
         :raises RequestError: ``unauthorised`` if no organisation has the key, or
             ``configuration_stale``.
         """
-        if not catalogue.organisations or call.require_route().public:
+        call.organisation = None
+        if catalogue.organisations is None or call.require_route().public:
             return
-        self.require_fresh_configuration()
+        self.require_fresh_configuration(call.ran)
         call.organisation = catalogue.organisations.get(call.request.key)
         if call.organisation is None:
-            raise RequestError(Code.unauthorised, 'the key belongs to no organisation', HasRun.no)
+            raise RequestError(Code.unauthorised, 'the key belongs to no organisation', call.ran)
 
     def choose_service(self, call: Call) -> None:
         """Choose one of the services of the route at random by weight.
@@ -128,16 +129,15 @@
             raise RequestError(Code.poison_refused, detail, call.ran, SUSPECT_RETRY_AFTER_S)
 
     def require_valid_key(self, call: Call) -> None:
-        """Check right before an attempt that the key of a request has not been revoked.
+        """Check right before an attempt which organisation has the key of a request now.
 
-        :param call: the request.
+        Load pattern: a request waits or is retried while its key is revoked, or moves to another
+        organisation, or while keys become necessary.
+
+        :param call: the request; its organisation is set.
         :raises RequestError: ``unauthorised`` or ``configuration_stale``.
         """
-        if call.organisation is None:
-            return
-        self.require_fresh_configuration(call.ran)
-        if call.request.key not in self.require_catalogue().organisations:
-            raise RequestError(Code.unauthorised, 'the key was revoked', call.ran)
+        self.resolve_organisation(call, self.require_catalogue())
 
     def require_fresh_configuration(self, ran: HasRun = HasRun.no) -> None:
         """Require that the configuration was verified to be the newest one recently enough.
--- a/src/cassiahitch/direct/state/catalogue.py
+++ b/src/cassiahitch/direct/state/catalogue.py
@@ -139,14 +139,15 @@
 class Catalogue:
     """One version of the configuration.
 
-    ``organisations`` is keyed by API key. ``mean_objectives_s`` holds the mean objective
+    ``organisations`` is keyed by API key; it is empty if no organisation has one, and None if
+    requests need no key. ``mean_objectives_s`` holds the mean objective
     of the routes of each service.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: Mapping[str, Service]
-    organisations: Mapping[str, Organisation] = field(default_factory=dict)
+    organisations: Mapping[str, Organisation] | None = None
     limits: CallerLimits = CallerLimits()
     routes_by_host: dict[str, dict[str, Route]] = field(init=False, default_factory=dict)
     mean_objectives_s: dict[str, float] = field(init=False, default_factory=dict)
--- a/src/cassiahitch/direct/state/updater.py
+++ b/src/cassiahitch/direct/state/updater.py
@@ -94,7 +94,7 @@
             version=catalogue.version,
             before=before.version if before else None,
             routes=len(catalogue.routes),
-            keys=len(catalogue.organisations),
+            keys=None if catalogue.organisations is None else len(catalogue.organisations),
         )
 
     def record_version(self, declared: DeclaredVersion, polled_at: float) -> None:
--- a/src/cassiahitch/platform/documents.py
+++ b/src/cassiahitch/platform/documents.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from typing import Annotated, Literal, TypeVar
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, alias_generators
@@ -165,7 +166,7 @@
     version: _NonNegativeInt64
     routes: tuple[_RouteModel, ...]
     services: tuple[_ServiceModel, ...]
-    tenants: tuple[_OrganisationModel, ...] = ()
+    tenants: tuple[_OrganisationModel, ...] | None = None
     limits: _LimitsModel = _LimitsModel()
 
 
@@ -244,16 +245,13 @@
     :raises PlatformError: ``configuration_row_corrupt``.
     """
     model = _validated(_ConfigurationModel, content, Code.configuration_row_corrupt)
-    organisations = {
-        key: catalogue.Organisation(tenant.name, tenant.priority)
-        for tenant in model.tenants
-        for key in tenant.api_keys
-    }
+    if model.tenants is None and 'tenants' in model.model_fields_set:
+        raise PlatformError(Code.configuration_row_corrupt, 'tenants: null is not a list')
     return catalogue.Catalogue(
         version=model.version,
         routes=tuple(route.decoded() for route in model.routes),
         services={service.name: service.decoded() for service in model.services},
-        organisations=organisations,
+        organisations=None if model.tenants is None else _organisations(model.tenants),
         limits=catalogue.CallerLimits(
             model.limits.max_header_bytes,
             model.limits.max_body_bytes,
@@ -262,6 +260,26 @@
     )
 
 
+def _organisations(
+    tenants: tuple[_OrganisationModel, ...],
+) -> dict[str, catalogue.Organisation]:
+    """Return the organisations by API key.
+
+    An empty key would admit callers without a key, and a key of two organisations does not say
+    whose requests they are: neither is accepted.
+    """
+    owners: defaultdict[str, set[str]] = defaultdict(set)
+    for owner in tenants:
+        for owned_key in owner.api_keys:
+            owners[owned_key].add(owner.name)
+    return {
+        key: catalogue.Organisation(tenant.name, tenant.priority)
+        for tenant in tenants
+        for key in tenant.api_keys
+        if key and len(owners[key]) == 1
+    }
+
+
 def decode_replica(replica_id: str, content: bytes) -> Replica:
     """Decode the row of a backend server.
 
--- a/tests/direct/test_direct_path.py
+++ b/tests/direct/test_direct_path.py
@@ -6,26 +6,19 @@
 import json
 
 import pytest
-from direct_callers import SMALL_SITE, run, send_request, wait_until
+from direct_callers import SMALL_SITE, run, run_count, send_request, wait_until
 
 from cassiahitch.codes import Code
 from cassiahitch.direct.staging.chunks import WeightsId
 from cassiahitch.direct.state.feed import CallFailure, Reply
 from cassiahitch.direct.state.freshness import boot_time
 from cassiahitch.errors import PlatformError
-from cassiahitch.standins.backends import BackendStandin, Fault
+from cassiahitch.standins.backends import Fault
 from cassiahitch.standins.configurations import CALLER_API_KEY, PLAIN_SERVICE
 from cassiahitch.standins.directsite import DirectSite, DirectSiteSize
 from cassiahitch.stores.api import CommitConflict, CommitSuccess, Condition, Write
 
 
-def run_count(backends: list[BackendStandin], attempt: str = '') -> int:
-    return sum(
-        len([execution for execution in backend.runs if attempt in execution.attempt_id])
-        for backend in backends
-    )
-
-
 def expected_events(site: DirectSite, attempt: str) -> bytes:
     return b''.join(
         f'id: {number}\ndata: {attempt} {number}\n\n'.encode()
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -57,7 +57,8 @@
     assert catalogue.routes[0].timeout_s == 4
     assert catalogue.services['origin'].origin == '10.0.0.1:8006'
     assert catalogue.limits.body_bytes == 100_000
-    assert [organisation.name for organisation in catalogue.organisations.values()] == ['caterers']
+    organisations = catalogue.organisations or {}
+    assert [organisation.name for organisation in organisations.values()] == ['caterers']
 
 
 def test_replica_is_read_with_its_weights_and_start() -> None:
--- a/tests/support/direct_callers.py
+++ b/tests/support/direct_callers.py
@@ -49,6 +49,13 @@
             await asyncio.sleep(0.02)
 
 
+def run_count(backends: list[BackendStandin], attempt: str = '') -> int:
+    return sum(
+        len([execution for execution in backend.runs if attempt in execution.attempt_id])
+        for backend in backends
+    )
+
+
 def reported_queue_length(site: DirectSite, model: BackendStandin) -> int:
     """Return the queue length of an engine in the last report that its agent has read."""
     report = site.agents[site.models.index(model)].reporter.last_report
