Confirm no older configuration while the newest one is unreadable

Callers could use keys without an end that the newest configuration had revoked, if an entry could not decode that configuration.

Cause: the reply with the unreadable row confirmed nothing, but the next read, without rows, confirmed the configuration in force as the newest one.

Change: the entry remembers that the newest configuration is unreadable, and reads confirm nothing until a readable one has come. Keyed requests get 503 once the bound on revoked keys has passed.

--- a/src/cassiahitch/direct/state/updater.py
+++ b/src/cassiahitch/direct/state/updater.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from cassiahitch.codes import Code
 from cassiahitch.direct.state.catalogue import Catalogue
 from cassiahitch.direct.state.feed import (
     UNCONFIRMED_REPLIES,
@@ -31,12 +32,14 @@
 class StateUpdater:
     """Decodes rows and applies them to the cached state.
 
-    An unreadable declaration changes nothing; an unreadable replica row removes the replica.
+    An unreadable declaration changes nothing; an unreadable replica row removes the replica. While
+    ``is_configuration_unreadable`` is set, the store has a configuration that is not in force here.
     """
 
     entry_state: EntryState
     platform: EntryPlatform
     telemetry: Telemetry
+    is_configuration_unreadable: bool = False
 
     def apply_declarations(
         self,
@@ -46,6 +49,9 @@
     ) -> None:
         """Apply changed rows of the operator's declarations.
 
+        Reads confirm the configuration in force only if the newest one could be decoded, since that
+        may have revoked keys.
+
         :param rows: new, changed and removed rows.
         :param reply: the reply that contained them.
         :param sent_at: when the read was sent, in seconds of the boot clock.
@@ -56,7 +62,8 @@
         polled_at = sent_at if long_polled else float('-inf')
         for row in rows:
             readable = self.apply_declaration(row, polled_at) and readable
-        if readable and not isinstance(reply, UNCONFIRMED_REPLIES):
+        is_confirmed = readable and not self.is_configuration_unreadable
+        if is_confirmed and not isinstance(reply, UNCONFIRMED_REPLIES):
             self.entry_state.freshness.confirm(sent_at)
 
     def apply_declaration(self, row: TableRow, polled_at: float) -> bool:
@@ -73,9 +80,12 @@
             declared = self.platform.read_declaration(row)
         except PlatformError as error:
             self.log_unreadable(row, error)
+            if error.code is Code.configuration_row_corrupt:
+                self.is_configuration_unreadable = True
             return False
         match declared:
             case Catalogue():
+                self.is_configuration_unreadable = False
                 self.apply_configuration(declared)
             case DeclaredVersion():
                 self.record_version(declared, polled_at)
--- a/tests/direct/requests/test_revoked_keys.py
+++ b/tests/direct/requests/test_revoked_keys.py
@@ -85,6 +85,24 @@
     run_site_in_virtual_time(body)
 
 
+def test_previous_keys_are_refused_once_a_newer_configuration_was_unreadable_for_the_bound() -> (
+    None
+):
+    async def body(site: DirectSite) -> None:
+        readable = site.configuration
+        site.configure({**readable, 'version': 2, 'tenants': None})
+        await asyncio.sleep(1)
+        assert await statuses(site, 'never-held') == [401, 401, 401]
+        assert await statuses(site, CALLER_API_KEY) == [200, 200, 200]
+        await asyncio.sleep(6)
+        assert await statuses(site, CALLER_API_KEY) == [503, 503, 503]
+        site.configuration = {**readable, 'version': 2}
+        await apply_organisations(site, [organisation('caterers', CALLER_API_KEY)])
+        assert await statuses(site, CALLER_API_KEY) == [200, 200, 200]
+
+    run_site_in_virtual_time(body)
+
+
 def test_configuration_without_organisations_needs_no_keys() -> None:
     async def body(site: DirectSite) -> None:
         configuration = {**site.configuration, 'version': 9}
