Bound suspect segments after the sound ones are left out

Cause: the guard looked at the first 16 segments of a request, and the reader of the header kept 64, before segments that are known to be sound were left out. All 16 were sound, so the crash had no suspect.

Change: sound segments are left out first; the rest of a crash is bounded by 256, those that were suspect before first, then by organisations in turn. All segments that a head of 16 KiB can name are kept. The test of the flood checks the new bound of a crash, the test of the header the new number.

--- a/src/cassiahitch/direct/placement/segmentevidence.py
+++ b/src/cassiahitch/direct/placement/segmentevidence.py
@@ -26,7 +26,7 @@
 MAX_CRASHES = 64
 MAX_CRASH_SEGMENTS = 256
 #: Maximum sound segments that are kept; those that were least recently seen are dropped.
-MAX_SOUND_SEGMENTS = 8_192
+MAX_SOUND_SEGMENTS = 32_768
 #: Seconds for which a crash is kept, and for which one is that a refused segment explains.
 SUSPICION_S = 600.0
 REFUSAL_RETENTION_S = 86_400.0
--- a/src/cassiahitch/direct/placement/segmentguard.py
+++ b/src/cassiahitch/direct/placement/segmentguard.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
@@ -15,6 +16,7 @@
 from typing import TYPE_CHECKING
 
 from cassiahitch.direct.placement.segmentevidence import (
+    MAX_CRASH_SEGMENTS,
     RefusedGroup,
     Segment,
     SegmentCrash,
@@ -25,7 +27,7 @@
     from cassiahitch.direct.api import Call
     from cassiahitch.direct.state.replicas import Replica
 
-#: Segments that an entry reports of one crash, and of one request.
+#: Segments of one crash in a message to another entry.
 MAX_REPORTED_SEGMENTS = 16
 #: Seconds after the last crash until a refused segment is tried, the factor by which each further
 #: crash prolongs that time, and the longest such time.
@@ -172,13 +174,19 @@
     def suspect_segments(self, calls: list[Call], now: float) -> frozenset[str]:
         """Return the segments that may have caused a crash.
 
-        Requests of different organisations are considered in turn, so that none of them displaces
-        the segments of the others.
+        The number of segments is bounded only after those that are known to be sound are left out:
+        a prompt may have any number of them before the one that crashes engines. Those that were
+        suspect before come first. Requests of different organisations are considered in turn, so
+        that none of them displaces the segments of the others.
 
         :param calls: requests that were in flight.
         :param now: time of the crash in seconds.
-        :return: some of the segments of those that had not begun.
+        :return: the segments of those that had not begun, at most ``MAX_CRASH_SEGMENTS``.
         """
+        crashes: Counter[str] = Counter()
+        services = {call.service for call in calls}
+        for service in services:
+            crashes.update(self.evidence.conclude(service).suspects)
         by_organisation: dict[str, dict[str, None]] = {}
         for call in calls:
             organisation = call.organisation.name if call.organisation else ''
@@ -186,12 +194,13 @@
             if not call.has_begun:
                 suspects |= dict.fromkeys(
                     segment
-                    for segment in call.shared_segments[:MAX_REPORTED_SEGMENTS]
+                    for segment in call.shared_segments
                     if not self.evidence.is_sound(Segment(call.service, segment), now)
                 )
         in_turn = chain.from_iterable(zip_longest(*by_organisation.values()))
         unique = dict.fromkeys(segment for segment in in_turn if segment is not None)
-        return frozenset(list(unique)[:MAX_REPORTED_SEGMENTS])
+        known_first = sorted(unique, key=crashes.__getitem__, reverse=True)
+        return frozenset(known_first[:MAX_CRASH_SEGMENTS])
 
     def apply_crash(self, crash: SegmentCrash, now: float) -> bool:
         """Merge an observation of a crash.
--- a/src/cassiahitch/platform/requests.py
+++ b/src/cassiahitch/platform/requests.py
@@ -30,8 +30,8 @@
 DECIMAL_PATTERN = re.compile(r'[0-9]{1,9}(\.[0-9]{1,9})?')
 #: Accepted entries of the header that lists the segments of a prompt.
 SEGMENT_PATTERN = re.compile(r'([0-9a-fA-F]{1,64}):[0-9]{1,9}')
-#: Shared segments of a prompt that are kept; further ones are ignored.
-MAX_SHARED_SEGMENTS = 64
+#: Shared segments of a prompt that are kept, which is more than a head of 16 KiB can name.
+MAX_SHARED_SEGMENTS = 4_096
 #: Hop-by-hop headers, which are not forwarded, in lower case.
 HOP_BY_HOP_HEADERS = frozenset(
     (
--- a/tests/direct/placement/test_segmentguard.py
+++ b/tests/direct/placement/test_segmentguard.py
@@ -6,7 +6,7 @@
 from judged_calls import SERVICE, make_call, make_engine
 
 from cassiahitch.direct.placement.isolation import isolate
-from cassiahitch.direct.placement.segmentevidence import Segment
+from cassiahitch.direct.placement.segmentevidence import MAX_CRASH_SEGMENTS, Segment
 from cassiahitch.direct.placement.segmentguard import (
     FIRST_TRIAL_S,
     MAX_REPORTED_SEGMENTS,
@@ -125,7 +125,37 @@
     guard.record_crash(make_engine('r1'), calls, 100)
     crash = next(iter(guard.evidence.crashes.values()))
     assert 'x' in crash.segments
-    assert len(crash.segments) == MAX_REPORTED_SEGMENTS
+    assert len(crash.segments) == MAX_CRASH_SEGMENTS
+
+
+@pytest.mark.parametrize('before', [15, 16, 40, 70, 1000])
+def test_segment_behind_any_number_of_sound_ones_is_refused(before: int) -> None:
+    guard = SegmentGuard()
+    sound = tuple(f'{number:x}' for number in range(before))
+    guard.record_begin(make_call(*sound), 99)
+    guard.record_crash(make_engine('r1'), [make_call(*sound, 'x')], 100)
+    guard.record_crash(make_engine('r2'), [make_call(*sound, 'x')], 102)
+    assert isinstance(guard.verdict(make_call(*sound, 'x')), Refused)
+    assert isinstance(guard.verdict(make_call(*sound)), Sound)
+
+
+def test_segment_behind_many_that_no_other_request_has_is_refused_at_all_entries() -> None:
+    first, second = SegmentSharing(SegmentGuard()), SegmentSharing(SegmentGuard())
+    for number, sharing in enumerate((first, second)):
+        own = tuple(f'{number:x}{part:03x}' for part in range(60))
+        sharing.guard.record_crash(make_engine(f'r{number}'), [make_call(*own, 'x')], 100)
+    for _ in range(20):
+        exchange(first, second, 100.1)
+        exchange(second, first, 100.1)
+    for sharing in (first, second):
+        assert isinstance(sharing.guard.verdict(make_call('x')), Refused)
+
+
+def test_segment_that_was_suspect_before_is_not_displaced_by_new_ones() -> None:
+    guard = guard_after(('x',))
+    flood = [make_call(*(f'{number:x}-{part:x}' for part in range(90))) for number in range(9)]
+    guard.record_crash(make_engine('r9'), [*flood, make_call('y', 'x')], 100)
+    assert isinstance(guard.verdict(make_call('x')), Refused)
 
 
 def test_segment_that_is_named_only_to_have_it_refused_is_cleared_by_ordinary_requests() -> None:
--- a/tests/direct/requests/test_crashing_segments.py
+++ b/tests/direct/requests/test_crashing_segments.py
@@ -53,6 +53,23 @@
     run_site_in_virtual_time(body, NINE_ENTRIES)
 
 
+@pytest.mark.parametrize('common', [16, 70])
+def test_segment_behind_many_sound_ones_reaches_few_engines(common: int) -> None:
+    async def body(site: DirectSite) -> None:
+        crashes = prepare_engines(site)
+        load = SegmentLoad(site, crashing_share=0, common=common)
+        await load.run(QUIET_S)
+        quiet = load.begun_share(0)
+        load.crashing_share = 0.08
+        began = asyncio.get_running_loop().time()
+        await load.run(LOAD_S)
+        assert 1 <= len(crashes.crashes) <= MAX_CRASHES
+        assert late_sends(crashes) <= ALLOWED_SENDS
+        assert load.begun_share(began + 2 * STABLE_S) >= 0.5 * quiet
+
+    run_site_in_virtual_time(body, NINE_ENTRIES)
+
+
 @pytest.mark.parametrize('seed', range(1, 5))
 def test_sound_requests_begin_beside_a_segment_that_crashes_engines(seed: int) -> None:
     async def body(site: DirectSite) -> None:
--- a/tests/platform/test_prompt_segments.py
+++ b/tests/platform/test_prompt_segments.py
@@ -8,6 +8,8 @@
 
 NAME = 'X-Cassiahitch-Prompt-Prefix'
 LONG_ID = 'f' * 65
+#: Longest head of a request that the configurations of the sites allow.
+MAX_HEAD_BYTES = 16_384
 
 
 @pytest.mark.parametrize(
@@ -36,8 +38,17 @@
     assert (NAME, text) in request.headers
 
 
+def test_all_segments_of_the_longest_head_are_kept() -> None:
+    text = ','.join(f'{number:x}:1' for number in range(0x800))
+    headers = (('X-Cassiahitch-Attempt-Id', 'a1'), ('X-Cassiahitch-Model', 'm1'), (NAME, text))
+    assert len(text) < MAX_HEAD_BYTES
+    request = PlatformRequests().read_request('POST', '/', headers, b'')
+    assert request.generation is not None
+    assert len(request.generation.shared_segments) == 0x800 - 1
+
+
 def test_number_of_kept_segments_is_bounded() -> None:
-    text = ','.join(f'{number:x}:1' for number in range(1000))
+    text = ','.join(f'{number:x}:1' for number in range(MAX_SHARED_SEGMENTS + 1000))
     headers = (('X-Cassiahitch-Attempt-Id', 'a1'), ('X-Cassiahitch-Model', 'm1'), (NAME, text))
     request = PlatformRequests().read_request('POST', '/', headers, b'')
     assert request.generation is not None
--- a/tests/support/segment_load.py
+++ b/tests/support/segment_load.py
@@ -41,13 +41,15 @@
 class SegmentLoad:
     """Sends requests at random times to random entries; a share of them crashes engines.
 
-    ``firsts`` are the first segments of the requests, each with the same probability.
+    All prompts begin with ``common`` segments. ``firsts`` are the next segments of the requests,
+    each with the same probability.
     """
 
     site: DirectSite
     per_s: float = 30.0
     crashing_share: float = 0.05
     firsts: tuple[str, ...] = FIRST_SEGMENTS
+    common: int = 0
     rng: random.Random = field(default_factory=lambda: random.Random(1))
     sent: list[SentRequest] = field(default_factory=list)
     numbers: count[int] = field(default_factory=count)
@@ -68,7 +70,8 @@
         number = next(self.numbers)
         first = self.rng.choice(self.firsts)
         middle = f',{CRASHING_SEGMENT}:20' if crashing else ''
-        segments = f'{first}:40{middle},ffff{number:06x}:40'
+        common = ''.join(f'cc{position:02x}:1,' for position in range(self.common))
+        segments = f'{common}{first}:40{middle},ffff{number:06x}:40'
         response = await send_request(
             entry,
             f'/draft/{number}',
