Take a stream that ends within the CRLF after an event as broken off

Cause: a CR at the end of the bytes counted as a line end of its own, so that CR LF CR ended the event.

Change: after CRLF, a CR ends an event only if another byte than LF follows.

--- a/src/cassiahitch/direct/backends/events.py
+++ b/src/cassiahitch/direct/backends/events.py
@@ -5,8 +5,9 @@
 import re
 from dataclasses import dataclass
 
-#: A blank line ends an event; the format allows three kinds of line ends, also mixed.
-EVENT_END = re.compile(rb'(?:\r\n|\r(?!\n)|\n){2}')
+#: A blank line ends an event; the format allows three kinds of line ends, also mixed. After CRLF, a
+#: CR at the end of the bytes is not a blank line yet, but the first half of the next CRLF.
+EVENT_END = re.compile(rb'\r\n(?:\r\n|\r(?=[^\n])|\n)|(?:\r(?!\n)|(?<!\r)\n)(?:\r\n|\r(?!\n)|\n)')
 #: Readers of a stream ignore an event without a data line, such as a comment.
 DATA_LINE = re.compile(rb'(?<![^\r\n])data(?=[:\r\n])')
 ID_LINE = re.compile(rb'(?:^|[\r\n])id:[ ]?([^\r\n]*)')
--- a/tests/direct/requests/test_streams_that_end_early.py
+++ b/tests/direct/requests/test_streams_that_end_early.py
@@ -111,6 +111,31 @@
     run_site_in_virtual_time(body)
 
 
+@pytest.mark.parametrize('framing', list(Framing))
+@pytest.mark.parametrize('path', [RESUMABLE_PATH, ONCE_PATH])
+@pytest.mark.parametrize('cut', [1, 2, 3])
+def test_stream_that_ends_within_the_line_ends_after_an_event_is_broken_off(
+    cut: int, path: str, framing: Framing
+) -> None:
+    content = events(1, EVENTS).replace(b'\n', b'\r\n')
+    kept = events(1, 2).replace(b'\n', b'\r\n')
+
+    async def script(request: ScriptedRequest) -> None:
+        if request.sent_count == 1:
+            rest = events(1, 3).replace(b'\n', b'\r\n')[:-cut]
+        else:
+            rest = events_after(request).replace(b'\n', b'\r\n')
+        write_stream(request, rest, framing)
+
+    async def body(site: DirectSite) -> None:
+        got = await request_stream(site, path, script)
+        expected_body = content if path == RESUMABLE_PATH else kept
+        assert (got.status, got.complete) == (200, path == RESUMABLE_PATH)
+        assert got.body == expected_body
+
+    run_site_in_virtual_time(body)
+
+
 @pytest.mark.parametrize('framing', list(Framing))
 @pytest.mark.parametrize('line_end', [b'\n', b'\r\n', b'\r'])
 @pytest.mark.parametrize('rest', [b'', b'\n', b'\r\n'], ids=['end', 'LF', 'CRLF'])
