Take a response that ends because its replica crashed as broken off

Cause: the end of the connection was the only evidence that was looked at, and it is the same for a whole answer and for a crash.

Change: when a response has ended with its connection, the entry opens the next connection to that replica at once. If it is refused, the response was broken off: streams are resumed, repeatable requests are sent again, the others fail. Otherwise the connection goes to the pool. Replicas that have announced their stop are not asked.

A replica that always ends its answers so gets no more connections than before but one.

--- a/src/cassiahitch/direct/backends/attempt.py
+++ b/src/cassiahitch/direct/backends/attempt.py
@@ -11,6 +11,7 @@
 from cassiahitch.direct.api import Answered, Destination, ResponseHead
 from cassiahitch.direct.backends.connection import BackendConnection, ConnectFailed
 from cassiahitch.direct.backends.continuation import continues_stream
+from cassiahitch.direct.backends.endings import EndVerifier
 from cassiahitch.direct.backends.events import EventSplitter, EventTooLarge
 from cassiahitch.direct.backends.exchange import Exchange, ResponseLost
 from cassiahitch.direct.backends.outcomes import (
@@ -107,10 +108,12 @@
     reservations: ReservationClient
     versions: VersionPolicy
     withdrawals: WithdrawalWatch = field(init=False)
+    end_verifier: EndVerifier = field(init=False)
 
     def __post_init__(self) -> None:
-        """Create the watch of attempts that have not begun."""
+        """Create the parts that depend on the other fields."""
         self.withdrawals = WithdrawalWatch(self.versions)
+        self.end_verifier = EndVerifier(self.pool, self.signals)
 
     async def send(
         self,
@@ -147,7 +150,13 @@
             except ConnectFailed as error:
                 return NotSent(str(error), error.refused)
             stall_detector = StallDetector(stream.reserve_alternative)
-            exchange = Exchange(connection, self.codec, stall_detector, self.signals.receive_head)
+            exchange = Exchange(
+                connection,
+                self.codec,
+                stall_detector,
+                self.signals.receive_head,
+                self.end_verifier.require_complete,
+            )
             stack.callback(self.release, connection, exchange)
             if not self.signals.may_send(assignment) or not self.withdrawals.may_begin(
                 assignment.candidate, assignment.expected_s
--- a/src/cassiahitch/direct/backends/exchange.py
+++ b/src/cassiahitch/direct/backends/exchange.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import math
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from contextlib import aclosing
 from typing import TYPE_CHECKING
 
@@ -35,6 +35,8 @@
 #: Handles the head of a response of a replica. The third argument is when its request was sent, in
 #: seconds of the event loop's clock; minus infinity if the response belongs to another request.
 OnHead = Callable[['Replica', 'ResponseHead', float], None]
+#: Checks the end of a response that ended with its connection.
+VerifyEnd = Callable[[BackendConnection], Awaitable[None]]
 
 
 def _ignore_head(_: Replica, _head: ResponseHead, _sent_at: float) -> None:
@@ -45,6 +47,10 @@
     """Ignore the first byte of a body; the default without a listener."""
 
 
+async def _accept_end(_: BackendConnection) -> None:
+    """Take a response that ended with its connection for complete; the default without a check."""
+
+
 class ResponseLost(Exception):
     """Bytes of the request were sent and no complete response was received; it may have run."""
 
@@ -54,7 +60,8 @@
 
     The creator releases the connection afterwards; ``reusable`` is whether the connection may
     carry another request, ``ended_with_connection`` whether only the end of the connection showed
-    that the response was complete. ``on_begin`` is called with each part of the body of the own
+    that the response was complete. ``verify_end`` is called then, and raises :class:`ResponseLost`
+    if it was broken off. ``on_begin`` is called with each part of the body of the own
     response.
     """
 
@@ -64,6 +71,7 @@
         codec: RequestCodec,
         stall_detector: StallDetector,
         on_head: OnHead = _ignore_head,
+        verify_end: VerifyEnd = _accept_end,
     ) -> None:
         """Prepare an exchange on an idle connection.
 
@@ -71,11 +79,13 @@
         :param codec: reads the headers of responses.
         :param stall_detector: bounds each wait for bytes.
         :param on_head: called with the head of each response, also those to other requests.
+        :param verify_end: checks the end of the own response if its connection ended with it.
         """
         self.connection = connection
         self.codec = codec
         self.stall_detector = stall_detector
         self.on_head = on_head
+        self.verify_end = verify_end
         self.on_begin: Callable[[], None] = _ignore_begin
         self.machine = _new_machine()
         self.written: asyncio.Future[None] | None = None
@@ -129,7 +139,7 @@
                     self.on_begin()
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
-                self._finish()
+                await self._finish()
 
     async def body(self) -> bytes:
         """Return the complete body.
@@ -196,7 +206,7 @@
             raise ResponseLost('the connection was closed before the response was complete')
         return event
 
-    def _finish(self) -> None:
+    async def _finish(self) -> None:
         self.complete = True
         trailing, connection_ended = self.machine.trailing_data
         self.ended_with_connection = connection_ended
@@ -204,6 +214,8 @@
         written = self.written is not None and self.written.done()
         nothing_left = written and not trailing
         self.reusable = keep_alive and nothing_left and self.connection.can_reuse()
+        if connection_ended and self.head is not None:
+            await self.verify_end(self.connection)
 
 
 async def _discard(parts: AsyncGenerator[bytes, None]) -> None:
--- a/src/cassiahitch/direct/backends/pool.py
+++ b/src/cassiahitch/direct/backends/pool.py
@@ -55,6 +55,21 @@
             self._count_closed(replica)
             raise
 
+    async def replace(self, ended: BackendConnection) -> None:
+        """Open a connection in place of one that its server closed, for a later request.
+
+        :param ended: the connection, which is still to be released.
+        :raises ConnectFailed: if none could be opened.
+        """
+        replica = ended.replica
+        self.open_counts[replica.key] += 1
+        try:
+            connection = await connect(replica, CONNECT_TIMEOUT_S)
+        except BaseException:
+            self._count_closed(replica)
+            raise
+        self.release(connection, reusable=True, idle_timeout_s=None)
+
     def release(
         self, connection: BackendConnection, *, reusable: bool, idle_timeout_s: float | None
     ) -> None:
