--- a/tests/stores/test_calls_without_end.py
+++ b/tests/stores/test_calls_without_end.py
@@ -19,6 +19,9 @@
     EndlessPart.head,
     EndlessPart.header_line,
     EndlessPart.interim_heads,
+    EndlessPart.interim_line,
+    EndlessPart.chunk_size,
+    EndlessPart.trailers,
 )
 
 
--- a/tests/support/endless.py
+++ b/tests/support/endless.py
@@ -32,6 +32,8 @@
     event = 'event'
     unsealed_body = 'unsealed_body'
     chunk_size = 'chunk_size'
+    trailers = 'trailers'
+    interim_line = 'interim_line'
 
 
 def response_parts(kind: EndlessPart, attempt: str) -> tuple[bytes, bytes]:
@@ -60,6 +62,11 @@
             start = f'HTTP/1.1 200 OK\r\n{attempt_header}\r\n'
         case EndlessPart.chunk_size:
             return f'{ok}Transfer-Encoding: chunked\r\n\r\n'.encode(), b'0' * 65_536
+        case EndlessPart.trailers:
+            last_chunk = f'{ok}Transfer-Encoding: chunked\r\n\r\n0\r\n'
+            return last_chunk.encode(), b'X-Other: 1\r\n' * 999
+        case EndlessPart.interim_line:
+            start = 'HTTP/1.1 102 Processing\r\nX-Long: '
     return start.encode(), FILLER
 
 
