Read a manifest again whose digest the same content does not match twice

After a loss of power one wrong character in one manifest kept an agent from a version for good: it refused a sound chunk again and again, and no stream was served.

Cause: each mismatch was taken for a fault of the chunk, and the digests were kept as they came for as long as the version was cached.

Change: content that is refused twice makes the agent read the manifest again, at most once a second. Digests that a content has matched are kept.

--- a/src/cassiahitch/direct/staging/chunks.py
+++ b/src/cassiahitch/direct/staging/chunks.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from cassiahitch.weights.manifest import Manifest, verify_chunk
 
@@ -47,6 +47,23 @@
         """Whether all chunks of the version are in memory."""
         return len(self.contents) == len(self.manifest.chunks)
 
+    def replace_digests(self, digests: tuple[str, ...]) -> bool:
+        """Replace the digests of all chunks that no content has matched yet.
+
+        :param digests: SHA-256 digests of all chunks.
+        :return: whether one of them was another one before.
+        """
+        if len(digests) != len(self.manifest.chunks):
+            return False
+        replaced = tuple(
+            known if index in self.contents else digest
+            for index, (known, digest) in enumerate(zip(self.manifest.chunks, digests, strict=True))
+        )
+        if replaced == self.manifest.chunks:
+            return False
+        self.manifest = replace(self.manifest, chunks=replaced)
+        return True
+
 
 @dataclass(slots=True)
 class ChunkCache:
--- a/src/cassiahitch/direct/staging/fetching.py
+++ b/src/cassiahitch/direct/staging/fetching.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import hashlib
 import math
 import random
 from collections import Counter
@@ -14,7 +15,7 @@
 from cassiahitch.direct.staging.fleet import Fleet, FromOrigin, FromPeer, FromRegion
 from cassiahitch.direct.staging.peerclient import ChunkDownload, TransferState
 from cassiahitch.direct.staging.scheduler import ChunkScheduler
-from cassiahitch.errors import CassiahitchError
+from cassiahitch.errors import CassiahitchError, PlatformError
 from cassiahitch.metrics.names import CounterName, LatencyName
 from cassiahitch.util.rates import bytes_per_s
 from cassiahitch.weights.tree import Tier
@@ -36,6 +37,8 @@
 #: Time between two chunk maps sent to the region, in seconds: after a change, and without one.
 MAP_INTERVAL_S = 0.08
 MAP_REPEAT_INTERVAL_S = 0.4
+#: Least time between two reads of the manifest during a fetch, in seconds.
+MANIFEST_INTERVAL_S = 1.0
 
 
 @dataclass(slots=True)
@@ -44,7 +47,8 @@
 
     ``map_sent_at`` and ``sent_bitmap`` are the time and the content of the last chunk map that was
     sent to the region. ``received`` counts chunks by the kind of their source, and ``slowest_s``
-    is the longest time that a chunk took, in seconds.
+    is the longest time that a chunk took, in seconds. ``refused`` has the digests of contents that
+    did not match the manifest, which was last read again at ``manifest_read_at``.
     """
 
     repository: ChunkRepository
@@ -63,6 +67,8 @@
     sent_bitmap: int = -1
     received: Counter[str] = field(default_factory=Counter)
     slowest_s: float = 0
+    refused: set[tuple[int, bytes]] = field(default_factory=set)
+    manifest_read_at: float = float('-inf')
 
     async def run(self, participants: tuple[Participant, ...]) -> None:
         """Fetch until all chunks of the version are in memory.
@@ -178,19 +184,39 @@
             scheduler.record_failure(fetch, self._now())
         else:
             self._record_duration(fetch, self._now() - started_at)
-            self._add_chunk(fetch, content, scheduler)
+            if not self._add_chunk(fetch, content, scheduler):
+                await self._doubt_manifest(fetch.index, content or b'')
         self.changed.set()
 
     def _record_duration(self, fetch: ChunkFetch, took_s: float) -> None:
         self.slowest_s = max(self.slowest_s, took_s)
         self.metrics.latency(LatencyName.chunk_fetch, took_s, type(fetch).__name__)
 
+    async def _doubt_manifest(self, index: int, content: bytes) -> None:
+        """Read the manifest again if the same content has been refused before.
+
+        Load pattern: the origin sent a corrupt manifest. Each source then sends the same sound
+        content of a chunk again and again.
+        """
+        refused = index, hashlib.sha256(content).digest()
+        is_repeated = refused in self.refused
+        self.refused.add(refused)
+        if not is_repeated or self._now() - self.manifest_read_at < MANIFEST_INTERVAL_S:
+            return
+        self.manifest_read_at = self._now()
+        with suppress(PlatformError):
+            changed = await self.repository.refresh_manifest(self.weights)
+            self.log.state_changed(
+                'manifest read again', weights=self.weights.version, index=index, changed=changed
+            )
+
     def _add_chunk(
         self, fetch: ChunkFetch, content: bytes | None, scheduler: ChunkScheduler
-    ) -> None:
+    ) -> bool:
+        """Add a chunk to those in memory, unless it does not match the manifest."""
         if content is None:
             scheduler.record_refusal(fetch, self._now())
-            return
+            return True
         verified = self.repository.cache.add_chunk(self.weights, fetch.index, content)
         counter = CounterName.chunk_bytes_received if verified else CounterName.chunks_refused
         label = 'origin' if isinstance(fetch, FromOrigin) else 'agent'
@@ -198,9 +224,10 @@
         if verified:
             self.received[type(fetch).__name__] += 1
             scheduler.record_arrival(fetch.index, self._now())
-            return
+            return True
         scheduler.record_failure(fetch, self._now())
         self.log.state_changed('chunk refused', index=fetch.index, source=source_name(fetch))
+        return False
 
     async def _fetch_content(self, fetch: ChunkFetch) -> bytes | None:
         repository = self.repository
--- a/src/cassiahitch/direct/staging/repository.py
+++ b/src/cassiahitch/direct/staging/repository.py
@@ -80,6 +80,17 @@
         sizes = (self.chunk_bytes,) * len(digests)
         return self.cache.add_version(weights, make_manifest(weights, digests, sizes))
 
+    async def refresh_manifest(self, weights: WeightsId) -> bool:
+        """Fetch the digests of a cached version again.
+
+        :param weights: the version.
+        :return: whether the digest of a chunk that was not verified yet was another one before.
+        :raises PlatformError: if neither the origin nor another agent sends the manifest.
+        """
+        digests = await self.fetch_digests(weights)
+        chunks = self.cache.versions.get(weights)
+        return chunks is not None and chunks.replace_digests(digests)
+
     async def fetch_digests(self, weights: WeightsId) -> tuple[str, ...]:
         """Fetch the digests of a version from the origin, or else from other agents.
 
--- a/src/cassiahitch/direct/staging/staging.py
+++ b/src/cassiahitch/direct/staging/staging.py
@@ -145,11 +145,28 @@
         :return: their positions.
         :raises PlatformError: ``engine_unavailable``, or if there is no manifest.
         """
-        manifest = (await self.repository.open_version(weights)).manifest
+        chunks = await self.repository.open_version(weights)
+        positions = [index for index, _ in enumerate(chunks.manifest.chunks)]
+        corrupt = await self.find_corrupt(weights, chunks, positions)
+        if corrupt and await self.repository.refresh_manifest(weights):
+            return await self.find_corrupt(weights, chunks, corrupt)
+        return corrupt
+
+    async def find_corrupt(
+        self, weights: WeightsId, chunks: VersionChunks, positions: list[int]
+    ) -> list[int]:
+        """Return which of some staged chunks are missing or corrupt.
+
+        :param weights: the version.
+        :param chunks: its chunks.
+        :param positions: the chunks to read.
+        :return: their positions.
+        :raises PlatformError: ``engine_unavailable``.
+        """
         corrupt: list[int] = []
-        for index, _ in enumerate(manifest.chunks):
+        for index in positions:
             staged = await self.engine.read_staged(weights.model, index)
-            if staged is None or not verify_chunk(manifest, index, staged):
+            if staged is None or not verify_chunk(chunks.manifest, index, staged):
                 corrupt.append(index)
         return corrupt
 
--- a/src/cassiahitch/standins/weightservice.py
+++ b/src/cassiahitch/standins/weightservice.py
@@ -22,7 +22,8 @@
     """The chunks of each published version of one model.
 
     ``sent`` counts the sent chunks by version, ``missing_version_requests`` the requests for
-    versions that are not available. The next ``corrupt`` chunks are sent as zeros.
+    versions that are not available. The next ``corrupt`` chunks are sent as zeros, and the next
+    ``corrupt_manifests`` manifests with one wrong digest.
     """
 
     model: str
@@ -31,6 +32,7 @@
     sent: Counter[int] = field(default_factory=Counter)
     missing_version_requests: Counter[int] = field(default_factory=Counter)
     corrupt: int = 0
+    corrupt_manifests: int = 0
     down: bool = False
 
     def publish(self, version: int, chunks: int) -> None:
@@ -98,12 +100,16 @@
         :param model: name of the model.
         """
         version = self.version()
+        digests = self.weights.digests(version)
+        if self.weights.corrupt_manifests > 0:
+            self.weights.corrupt_manifests -= 1
+            digests[len(digests) // 2] = hashlib.sha256(b'corrupt').hexdigest()
         self.finish(
             {
                 'model': model,
                 'version': version,
                 'chunkBytes': self.weights.chunk_bytes,
-                'chunkDigests': self.weights.digests(version),
+                'chunkDigests': digests,
             }
         )
 
