End the soak although two replacements of one replica overlap

Cause: its plan drains one replica twice, 1.7 s apart. The first replacement registers the replica again, requests come back, and the second one waits for their end, while the load waits for the end of the faults.

Change: a replica that is being replaced is not drained again.

--- a/src/cassiahitch/soak/faults.py
+++ b/src/cassiahitch/soak/faults.py
@@ -5,7 +5,8 @@
 import asyncio
 import signal
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from contextlib import ExitStack
+from dataclasses import dataclass, field
 from types import MappingProxyType
 from typing import TYPE_CHECKING
 
@@ -84,12 +85,13 @@
     """Applies events to a site.
 
     ``run_overload`` runs an overload for some seconds, and ``run_crashing_prompts`` callers whose
-    prompts crash engines.
+    prompts crash engines. ``replaced`` has the names of the replicas that are being replaced.
     """
 
     site: SoakSite
     run_overload: Callable[[float], Awaitable[None]]
     run_crashing_prompts: Callable[[float], Awaitable[None]]
+    replaced: set[str] = field(default_factory=set)
 
     async def run(self, plan: tuple[Event, ...], began: float) -> None:
         """Apply the events of a plan and wait until the last one is over.
@@ -269,7 +271,7 @@
             case Declaration.weights:
                 self.publish_weights()
             case Declaration.drain:
-                return await self.replace_replica(f'm-{event.number}')
+                await self.replace_replica_once(f'm-{event.number}')
         return ()
 
     def revoke_key(self) -> None:
@@ -308,11 +310,25 @@
         self.site.weights.down = False
         return ()
 
-    async def replace_replica(self, name: str) -> tuple[str, ...]:
+    async def replace_replica_once(self, name: str) -> None:
+        """Replace a replica, unless it is being replaced already.
+
+        The first of two replacements would end with new requests at the replica, and the second one
+        would wait for their end as long as the load runs.
+
+        :param name: name of the replica.
+        """
+        if name in self.replaced:
+            return
+        with ExitStack() as stack:
+            self.replaced.add(name)
+            stack.callback(self.replaced.discard, name)
+            await self.replace_replica(name)
+
+    async def replace_replica(self, name: str) -> None:
         """Drain a replica, remove it, and register it again under a new id.
 
         :param name: name of the replica, which is its id at the start of the run.
-        :return: targets that it disturbed.
         """
         backend = self.site.backends[name]
         replica_id = backend.id
@@ -330,7 +346,6 @@
         backend.stopping = False
         backend.limit_per_s = None
         self.site.register(name)
-        return ()
 
     def now(self) -> float:
         """Return the time of the event loop.
