Verify a load against the version that the engine reports after it

Cause: the verification after an unacknowledged order used the version that was ordered last, whose chunks were staged and sound.

Change: all weights are withheld while the engine has begun a load that is not proven. Once it has ended, the staged chunks are verified against the version that the engine reports. A report from before an order, which counts fewer loads, is no longer taken for another load, and an engine that states no time of its start is treated like one at its first report.

--- a/src/cassiahitch/direct/staging/loading.py
+++ b/src/cassiahitch/direct/staging/loading.py
@@ -207,18 +207,21 @@
     async def verify_unproven(self, target: WeightsId) -> None:
         """Verify the staged chunks of weights that the engine may have taken in a corrupt state.
 
-        Load pattern: an agent restarts while its engine loads what the agent had ordered before.
+        Load pattern: an agent restarts while its engine loads what the agent had ordered before, or
+        an engine executes an order without a response after chunks of a newer version were staged.
+        Which version the engine has taken them for is known once the load has ended.
 
-        :param target: the newest version, which the engine loads if its agent ordered no load.
+        :param target: the newest version.
         :raises PlatformError: ``engine_unavailable``, or if there is no manifest.
         """
         if not self.trust.has_unproven_load and self.trust.ordered is None:
             return
         async with self.stager.lock:
-            await self.read_report()
+            report = await self.read_report()
+            if self.trust.has_unproven_load and report.loading:
+                report = await self.wait_until_loaded(target)
             if self.trust.has_unproven_load:
-                await self.prove(self.trust.ordered or target)
-                await self.wait_until_loaded(target)
+                await self.prove(WeightsId(report.loaded_version(target.model), target.model))
 
     async def read_report(self) -> EngineReport:
         """Read and apply the report of the engine.
@@ -234,9 +237,12 @@
     async def prove(self, weights: WeightsId) -> None:
         """Verify the staged chunks after the engine accepted an order, and record the result.
 
-        :param weights: the version that the engine loads or has loaded.
+        :param weights: the version that the engine loads or has loaded; version 0 if it has none.
         :raises PlatformError: ``engine_unavailable``, or if there is no manifest.
         """
+        if not weights.version:
+            self.trust.accept()
+            return
         self.trust.record_order(weights)
         corrupt = await self.stager.corrupt_chunks(weights)
         if self.trust.ordered != weights:
@@ -429,17 +435,18 @@
         if self.trust.has_unproven_load:
             await self.prove(target)
 
-    async def wait_until_loaded(self, target: WeightsId) -> None:
+    async def wait_until_loaded(self, target: WeightsId) -> EngineReport:
         """Poll the engine until it has loaded a version or is no longer loading.
 
         :param target: the version.
+        :return: the last report of the engine.
         :raises PlatformError: ``engine_unavailable``.
         """
         while True:
             await asyncio.sleep(POLL_INTERVAL_S)
             report = await self.read_report()
             if self.is_loaded(target) or not report.loading:
-                return
+                return report
 
 
 __all__ = (
--- a/src/cassiahitch/direct/staging/loadtrust.py
+++ b/src/cassiahitch/direct/staging/loadtrust.py
@@ -31,10 +31,10 @@
     proves nothing any more. ``unsound`` are weights that the engine loaded and of which a chunk was
     corrupt afterwards. ``loads`` is how many loads the engine had begun at its last report, and
     ``proven_loads`` how many it had begun when the last of them was known to be sound. The
-    incarnation started at ``born_ms``.
+    incarnation started at ``born_ms``, None before the first report.
     """
 
-    born_ms: int = 0
+    born_ms: int | None = None
     loads: int = 0
     proven_loads: int = 0
     ordered: WeightsId | None = None
@@ -45,7 +45,7 @@
     @property
     def has_unproven_load(self) -> bool:
         """Whether the engine has begun a load that may have taken corrupt chunks."""
-        return self.loads != self.proven_loads
+        return self.loads > self.proven_loads
 
     def observe(self, report: EngineReport) -> None:
         """Apply a report of the engine.
@@ -70,7 +70,7 @@
         :param version: the version that the engine reports as loaded.
         :return: whether it may have been loaded with corrupt chunks.
         """
-        return any(
+        return self.has_unproven_load or any(
             weights is not None and (weights.model, weights.version) == (model, version)
             for weights in (self.ordered, self.unsound)
         )
--- a/tests/direct/staging/test_loads_of_sound_chunks.py
+++ b/tests/direct/staging/test_loads_of_sound_chunks.py
@@ -28,6 +28,9 @@
 SITE = DirectSiteSize(entries=1, models=1, plain=0)
 #: Positions of the chunks that turn corrupt, which are verified before the others.
 CORRUPT = (2, 5)
+#: Requests that are sent after a load, and the time between them in seconds.
+REQUESTS_AFTER_LOAD = 60
+REQUEST_INTERVAL_S = 0.02
 #: Numbers of the reads after which the host is suspended, one in each of the first two passes.
 SUSPENDED_READS = (9, 9 + CHUNK_COUNT)
 
@@ -40,7 +43,9 @@
 class DisturbedEngine:
     """Passes calls of an agent on to its engine, and disturbs some of them.
 
-    The engine has ``weights``. ``reads`` are the positions of the staged chunks that were read.
+    The engine has ``weights``. It executes orders of ``lost_version`` only right before the first
+    order of another version, and no response to them is received. ``reads`` are the positions of
+    the staged chunks that were read.
     """
 
     engine: StagingEngine
@@ -49,6 +54,8 @@
     before_order: Callable[[], Awaitable[None]] = do_nothing
     after_order: Callable[[], Awaitable[None]] = do_nothing
     loses_response: bool = False
+    lost_version: int = 0
+    lost_orders: list[tuple[str, int, int]] = field(default_factory=list)
     orders: int = 0
     reads: list[int] = field(default_factory=list)
 
@@ -67,6 +74,11 @@
 
     async def load(self, model: str, version: int, load_orders: int) -> LoadOutcome:
         self.orders += 1
+        if version == self.lost_version:
+            self.lost_orders.append((model, version, load_orders))
+            return LoadOutcome.unknown
+        if self.lost_orders:
+            await self.engine.load(*self.lost_orders.pop(0))
         await self.before_order()
         outcome = await self.engine.load(model, version, load_orders)
         await self.after_order()
@@ -215,6 +227,29 @@
     run_site_in_virtual_time(body, SITE)
 
 
+def test_order_without_response_that_takes_chunks_of_a_newer_version_is_not_served() -> None:
+    async def body(site: DirectSite) -> None:
+        weights = engine_of(site)
+        weights.load_s = 1
+        engine = disturb(site.agents[0], weights)
+        engine.lost_version = 2
+        site.publish_version(2)
+        await wait_until(lambda: bool(engine.orders))
+        site.publish_version(3)
+        await wait_until(lambda: weights.version == 2)
+        assert weights.loaded_digest == site.weights.content_digest(3)
+        site.register(site.models[0])
+        for _ in range(REQUESTS_AFTER_LOAD):
+            await send_request(site.entries[0], '/draft/1', deadline_ms=300)
+            await asyncio.sleep(REQUEST_INTERVAL_S)
+        assert 2 not in {run.version for run in site.models[0].runs}
+        await wait_until(lambda: weights.version == 3)
+        assert weights.loaded_digest == site.weights.content_digest(3)
+        assert await serves(site)
+
+    run_site_in_virtual_time(body, SITE)
+
+
 @pytest.mark.parametrize('is_corrupt', [True, False])
 def test_restarted_agent_verifies_what_its_engine_is_loading(*, is_corrupt: bool) -> None:
     async def body(site: DirectSite) -> None:
--- a/tests/direct/staging/test_loadtrust.py
+++ b/tests/direct/staging/test_loadtrust.py
@@ -128,6 +128,14 @@
     assert trust.has_unproven_load
 
 
+def test_report_from_before_the_order_shows_no_unproven_load() -> None:
+    trust = make_trust()
+    trust.record_order(NEW)
+    trust.record_outcome(LoadOutcome.begun, 0, IN_TIME_S)
+    trust.observe(report(1, 0))
+    assert not trust.has_unproven_load
+
+
 def test_weights_loaded_before_the_first_report_may_serve() -> None:
     trust = LoadTrust()
     trust.observe(report(2, 3))
