--- a/tests/direct/requests/test_streams_and_budgets.py
+++ b/tests/direct/requests/test_streams_and_budgets.py
@@ -9,7 +9,7 @@
 
 from cassiahitch.direct.backends.events import EventSplitter
 from cassiahitch.direct.requests.budget import USABLE_FRACTION, RetryBudget
-from cassiahitch.direct.staging.loading import load_delay_s
+from cassiahitch.direct.staging.loadtiming import load_delay_s
 from cassiahitch.direct.staging.uploads import PrioritySemaphore
 from cassiahitch.direct.state.versions import BOUND_MARGIN_S
 
--- a/tests/direct/staging/test_loading.py
+++ b/tests/direct/staging/test_loadtiming.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from cassiahitch.direct.staging.loading import is_worth_finishing, load_delay_s
+from cassiahitch.direct.staging.loadtiming import is_worth_finishing, load_delay_s
 
 EXPECTED_S = 5.4
 
