--- a/src/cassiahitch/soak/faults.py
+++ b/src/cassiahitch/soak/faults.py
@@ -4,8 +4,8 @@
 
 import asyncio
 import signal
+from collections import defaultdict
 from collections.abc import Awaitable, Callable
-from contextlib import ExitStack
 from dataclasses import dataclass, field
 from types import MappingProxyType
 from typing import TYPE_CHECKING
@@ -85,13 +85,15 @@
     """Applies events to a site.
 
     ``run_overload`` runs an overload for some seconds, and ``run_crashing_prompts`` callers whose
-    prompts crash engines. ``replaced`` has the names of the replicas that are being replaced.
+    prompts crash engines. ``replacements`` has a lock for each replica, held while it is replaced.
     """
 
     site: SoakSite
     run_overload: Callable[[float], Awaitable[None]]
     run_crashing_prompts: Callable[[float], Awaitable[None]]
-    replaced: set[str] = field(default_factory=set)
+    replacements: defaultdict[str, asyncio.Lock] = field(
+        default_factory=lambda: defaultdict(asyncio.Lock)
+    )
 
     async def run(self, plan: tuple[Event, ...], began: float) -> None:
         """Apply the events of a plan and wait until the last one is over.
@@ -318,11 +320,9 @@
 
         :param name: name of the replica.
         """
-        if name in self.replaced:
+        if self.replacements[name].locked():
             return
-        with ExitStack() as stack:
-            self.replaced.add(name)
-            stack.callback(self.replaced.discard, name)
+        async with self.replacements[name]:
             await self.replace_replica(name)
 
     async def replace_replica(self, name: str) -> None:
