--- a/src/cassiahitch/direct/backends/pool.py
+++ b/src/cassiahitch/direct/backends/pool.py
@@ -48,12 +48,7 @@
             raise ConnectFailed(
                 'the limit of connections to the backend server is reached', refused=False
             )
-        self.open_counts[replica.key] += 1
-        try:
-            return await connect(replica, CONNECT_TIMEOUT_S)
-        except BaseException:
-            self._count_closed(replica)
-            raise
+        return await self._open(replica)
 
     async def replace(self, ended: BackendConnection) -> None:
         """Open a connection in place of one that its server closed, for a later request.
@@ -61,13 +56,7 @@
         :param ended: the connection, which is still to be released.
         :raises ConnectFailed: if none could be opened.
         """
-        replica = ended.replica
-        self.open_counts[replica.key] += 1
-        try:
-            connection = await connect(replica, CONNECT_TIMEOUT_S)
-        except BaseException:
-            self._count_closed(replica)
-            raise
+        connection = await self._open(ended.replica)
         self.release(connection, reusable=True, idle_timeout_s=None)
 
     def release(
@@ -127,6 +116,14 @@
         """Close all idle connections."""
         self.keep_only(frozenset())
 
+    async def _open(self, replica: Replica) -> BackendConnection:
+        self.open_counts[replica.key] += 1
+        try:
+            return await connect(replica, CONNECT_TIMEOUT_S)
+        except BaseException:
+            self._count_closed(replica)
+            raise
+
     def _take_idle(
         self, replica: Replica, attempt_id: str, *, at_most_once: bool
     ) -> BackendConnection | None:
--- a/src/cassiahitch/direct/placement/segmentguard.py
+++ b/src/cassiahitch/direct/placement/segmentguard.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import math
-from collections import Counter
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
@@ -166,12 +165,12 @@
         :param calls: requests of this entry that were in flight there.
         :param now: current time in seconds.
         """
-        segments = self.suspect_segments(calls, now)
+        segments = self.suspect_segments(replica.service, calls, now)
         crash = SegmentCrash(replica.id, replica.born_ms, replica.service, now, segments)
         if self.apply_crash(crash, now):
             self.after_change(local=True)
 
-    def suspect_segments(self, calls: list[Call], now: float) -> frozenset[str]:
+    def suspect_segments(self, service: str, calls: list[Call], now: float) -> frozenset[str]:
         """Return the segments that may have caused a crash.
 
         The number of segments is bounded only after those that are known to be sound are left out:
@@ -179,14 +178,12 @@
         suspect before come first. Requests of different organisations are considered in turn, so
         that none of them displaces the segments of the others.
 
+        :param service: the service of the engine that crashed.
         :param calls: requests that were in flight.
         :param now: time of the crash in seconds.
         :return: the segments of those that had not begun, at most ``MAX_CRASH_SEGMENTS``.
         """
-        crashes: Counter[str] = Counter()
-        services = {call.service for call in calls}
-        for service in services:
-            crashes.update(self.evidence.conclude(service).suspects)
+        crash_counts = self.evidence.conclude(service).suspects
         by_organisation: dict[str, dict[str, None]] = {}
         for call in calls:
             organisation = call.organisation.name if call.organisation else ''
@@ -199,7 +196,7 @@
                 )
         in_turn = chain.from_iterable(zip_longest(*by_organisation.values()))
         unique = dict.fromkeys(segment for segment in in_turn if segment is not None)
-        known_first = sorted(unique, key=crashes.__getitem__, reverse=True)
+        known_first = sorted(unique, key=lambda segment: -crash_counts.get(segment, 0))
         return frozenset(known_first[:MAX_CRASH_SEGMENTS])
 
     def apply_crash(self, crash: SegmentCrash, now: float) -> bool:
--- a/src/cassiahitch/direct/staging/fetching.py
+++ b/src/cassiahitch/direct/staging/fetching.py
@@ -184,8 +184,10 @@
             scheduler.record_failure(fetch, self._now())
         else:
             self._record_duration(fetch, self._now() - started_at)
-            if not self._add_chunk(fetch, content, scheduler):
-                await self._doubt_manifest(fetch.index, content or b'')
+            if content is None:
+                scheduler.record_refusal(fetch, self._now())
+            elif not self._add_chunk(fetch, content, scheduler):
+                await self._doubt_manifest(fetch.index, content)
         self.changed.set()
 
     def _record_duration(self, fetch: ChunkFetch, took_s: float) -> None:
@@ -210,13 +212,8 @@
                 'manifest read again', weights=self.weights.version, index=index, changed=changed
             )
 
-    def _add_chunk(
-        self, fetch: ChunkFetch, content: bytes | None, scheduler: ChunkScheduler
-    ) -> bool:
+    def _add_chunk(self, fetch: ChunkFetch, content: bytes, scheduler: ChunkScheduler) -> bool:
         """Add a chunk to those in memory, unless it does not match the manifest."""
-        if content is None:
-            scheduler.record_refusal(fetch, self._now())
-            return True
         verified = self.repository.cache.add_chunk(self.weights, fetch.index, content)
         counter = CounterName.chunk_bytes_received if verified else CounterName.chunks_refused
         label = 'origin' if isinstance(fetch, FromOrigin) else 'agent'
--- a/src/cassiahitch/direct/staging/staging.py
+++ b/src/cassiahitch/direct/staging/staging.py
@@ -128,8 +128,7 @@
         """
         # The engine reads the chunk some time after the call began, and it may change from then on.
         began_at = boot_time()
-        staged = await self.engine.read_staged(weights.model, index)
-        if staged is None or not verify_chunk(chunks.manifest, index, staged):
+        if not await self.is_sound(weights, chunks, index):
             self.trust.record_replaced_chunk(weights)
             began_at = boot_time()
             await self.engine.stage(weights.model, index, chunks.contents[index])
@@ -163,12 +162,19 @@
         :return: their positions.
         :raises PlatformError: ``engine_unavailable``.
         """
-        corrupt: list[int] = []
-        for index in positions:
-            staged = await self.engine.read_staged(weights.model, index)
-            if staged is None or not verify_chunk(chunks.manifest, index, staged):
-                corrupt.append(index)
-        return corrupt
+        return [index for index in positions if not await self.is_sound(weights, chunks, index)]
+
+    async def is_sound(self, weights: WeightsId, chunks: VersionChunks, index: int) -> bool:
+        """Return whether a chunk that the engine has staged matches its digest.
+
+        :param weights: the version.
+        :param chunks: its chunks.
+        :param index: position of the chunk.
+        :return: False also if the chunk is missing.
+        :raises PlatformError: ``engine_unavailable``.
+        """
+        staged = await self.engine.read_staged(weights.model, index)
+        return staged is not None and verify_chunk(chunks.manifest, index, staged)
 
     def hold_version(self) -> None:
         """Keep received chunks of other versions from replacing the staged one for some seconds.
--- a/src/cassiahitch/platform/documents.py
+++ b/src/cassiahitch/platform/documents.py
@@ -166,7 +166,7 @@
     version: _NonNegativeInt64
     routes: tuple[_RouteModel, ...]
     services: tuple[_ServiceModel, ...]
-    tenants: tuple[_OrganisationModel, ...] | None = None
+    tenants: tuple[_OrganisationModel, ...] = ()
     limits: _LimitsModel = _LimitsModel()
 
 
@@ -245,13 +245,12 @@
     :raises PlatformError: ``configuration_row_corrupt``.
     """
     model = _validated(_ConfigurationModel, content, Code.configuration_row_corrupt)
-    if model.tenants is None and 'tenants' in model.model_fields_set:
-        raise PlatformError(Code.configuration_row_corrupt, 'tenants: null is not a list')
+    requires_keys = 'tenants' in model.model_fields_set
     return catalogue.Catalogue(
         version=model.version,
         routes=tuple(route.decoded() for route in model.routes),
         services={service.name: service.decoded() for service in model.services},
-        organisations=None if model.tenants is None else _organisations(model.tenants),
+        organisations=_organisations(model.tenants) if requires_keys else None,
         limits=catalogue.CallerLimits(
             model.limits.max_header_bytes,
             model.limits.max_body_bytes,
