--- a/src/cassiahitch/direct/backends/attempt.py
+++ b/src/cassiahitch/direct/backends/attempt.py
@@ -377,19 +377,40 @@
         """
         is_empty = exchange.ended_with_connection and not has_events
         if stream.splitter.is_inside_event or (is_empty and not stream.presumed_complete):
+            self.log_end(exchange, stream, 'broken off: inside or before an event')
             return Lost('the stream ended inside an event, or with its connection before any event')
         is_doubtful = self.end_verifier.is_doubtful(
             exchange.connection.replica, ended_with_connection=exchange.ended_with_connection
         )
         if is_doubtful and stream.begin_confirmation():
+            self.log_end(exchange, stream, 'asked on')
             return Unconfirmed()
         if stream.presumed_complete:
+            self.log_end(exchange, stream, 'complete: the rest was empty')
             await stream.end_presumed()
             return Delivered()
+        reason = 'may not be asked on' if is_doubtful else 'the replica shows no ends'
+        self.log_end(exchange, stream, f'complete: {reason}')
         await self.write_events(head, stream, stream.splitter.partial_event, last=True)
         stream.caller.end_response()
         return Delivered()
 
+    def log_end(self, exchange: Exchange, stream: StreamState, verdict: str) -> None:
+        """Log what is made of a stream that ended with its connection.
+
+        :param exchange: the exchange, whose response has ended.
+        :param stream: what the caller has received.
+        :param verdict: whether the stream counts as complete, and why.
+        """
+        if exchange.ended_with_connection or stream.presumed_complete:
+            self.signals.telemetry.stream_end_judged(
+                stream.caller.progress.id,
+                exchange.connection.replica,
+                stream.splitter.event_count,
+                stream.splitter.last_event_id,
+                verdict,
+            )
+
     async def write_events(
         self,
         head: ResponseHead,
--- a/src/cassiahitch/direct/telemetry.py
+++ b/src/cassiahitch/direct/telemetry.py
@@ -267,6 +267,26 @@
             'response ended with its connection', service=replica.service, took_s=took_s, **fields
         )
 
+    def stream_end_judged(
+        self, request: str, replica: Replica, events: int, last_event_id: str, verdict: str
+    ) -> None:
+        """Record what was made of a stream that ended with its connection.
+
+        :param request: id of the attempt of the caller.
+        :param replica: the backend server.
+        :param events: number of the events that the caller has received.
+        :param last_event_id: id of the last one.
+        :param verdict: whether the stream counts as complete, and why.
+        """
+        self.state_changed(
+            'end of a stream judged',
+            request=request,
+            replica=replica.id,
+            events=events,
+            last_event_id=last_event_id,
+            verdict=verdict,
+        )
+
     def announcement_expired(self, expired: ExpiredAnnouncement) -> None:
         """Record that the announcement of a shutdown or of a pause has expired.
 
