--- a/tests/support/direct_callers.py
+++ b/tests/support/direct_callers.py
@@ -28,6 +28,8 @@
     """The response that a caller received; ``complete`` is set once its proper end was received.
 
     ``received`` counts the bytes of the body, which a caller that does not keep it drops.
+    ``closed`` is set if the connection ended regularly before such an end, ``reset`` if it was
+    reset.
     """
 
     attempt: str = ''
@@ -37,11 +39,23 @@
     received: int = 0
     keeps_body: bool = True
     complete: bool = False
+    closed: bool = False
+    reset: bool = False
 
     @property
     def code(self) -> int:
         return int(json.loads(self.body)['code'])
 
+    @property
+    def shows_end(self) -> bool:
+        """Whether the response has chunks or a length, which show its end."""
+        return bool(self.headers.keys() & {'transfer-encoding', 'content-length'})
+
+    @property
+    def ended_as_replica_did(self) -> bool:
+        """Whether it shows no end, as that of its replica, and the connection ended regularly."""
+        return not self.shows_end and self.closed and not self.reset
+
 
 async def wait_until(condition: Callable[[], bool]) -> None:
     async with asyncio.timeout(WAIT_TIMEOUT_S):
@@ -120,7 +134,10 @@
     response = CallerResponse(attempt, keeps_body=keeps_body)
     with closing(writer), suppress(TimeoutError):
         async with asyncio.timeout(disconnect_after_s):
-            await read_response(machine, reader, response)
+            try:
+                await read_response(machine, reader, response)
+            except ConnectionResetError:
+                response.reset = True
     return response
 
 
@@ -133,6 +150,7 @@
             case h11.NEED_DATA:
                 data = await reader.read(65536)
                 if not data and response.status and not response.complete:
+                    response.closed = True
                     return
                 machine.receive_data(data)
             case h11.Response():
