--- a/src/cassiahitch/direct/api.py
+++ b/src/cassiahitch/direct/api.py
@@ -91,7 +91,8 @@
     this response. ``stopping`` is set if the backend server announces its shutdown. ``pause_s`` is
     the time for which it asks for no new requests. ``limit_per_s`` is the rate of requests that it
     accepts from all entries together, infinity if it names no limit and None if that is unknown.
-    ``invalid_headers`` names headers that could not be parsed.
+    ``invalid_headers`` names headers that could not be parsed. ``close_delimited`` is set if the
+    body has neither chunks nor a length, so that it ends with its connection.
     """
 
     status: int
@@ -108,6 +109,7 @@
     pause_s: float | None = None
     limit_per_s: float | None = math.inf
     invalid_headers: tuple[str, ...] = ()
+    close_delimited: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cassiahitch/direct/backends/endings.py
+++ b/src/cassiahitch/direct/backends/endings.py
@@ -12,16 +12,18 @@
 from typing import TYPE_CHECKING
 
 from cassiahitch.direct.backends.connection import ConnectFailed
+from cassiahitch.direct.backends.endhistory import EndHistory
 from cassiahitch.direct.backends.exchange import ResponseLost
 
 if TYPE_CHECKING:
     from cassiahitch.direct.backends.connection import BackendConnection
+    from cassiahitch.direct.backends.exchange import Exchange
     from cassiahitch.direct.backends.pool import ConnectionPool
     from cassiahitch.direct.backends.replicasignals import ReplicaSignals
     from cassiahitch.direct.state.replicas import Replica
 
 
-class EndEvidence(StrEnum):
+class PortEvidence(StrEnum):
     """What is known about a backend server when a response has ended with its connection."""
 
     stopping = 'stopping'
@@ -31,7 +33,7 @@
 
 
 #: Evidence that the process which sent a response may not have ended it.
-BROKEN_OFF = frozenset((EndEvidence.refused, EndEvidence.unanswered))
+BROKEN_OFF = frozenset((PortEvidence.refused, PortEvidence.unanswered))
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,14 +44,13 @@
     one. A backend server that has announced its stop is not checked: it closes its port first, and
     then ends the responses that it still sends.
 
-    A backend server that accepts connections may have broken the response off nevertheless.
-    ``framed`` holds the keys of those that have sent a whole stream with chunks or a length, for
-    which a stream without them is unusual.
+    A backend server that accepts connections may have broken the response off nevertheless;
+    ``history`` remembers those that did.
     """
 
     pool: ConnectionPool
     signals: ReplicaSignals
-    framed: set[str] = field(default_factory=set)
+    history: EndHistory = field(default_factory=EndHistory)
 
     async def require_complete(self, ended: BackendConnection) -> None:
         """Check a response whose last byte was received.
@@ -69,53 +70,50 @@
                 f'another one: {evidence.value}'
             )
 
-    async def find_evidence(self, ended: BackendConnection) -> EndEvidence:
+    async def find_evidence(self, ended: BackendConnection) -> PortEvidence:
         """Find out whether a backend server still accepts connections.
 
         :param ended: the connection that ended with a response.
         :return: what is known about the backend server.
         """
         if self.is_stopping(ended.replica):
-            return EndEvidence.stopping
+            return PortEvidence.stopping
         try:
             await self.pool.replace(ended)
         except ConnectFailed as error:
             if error.refused:
-                return EndEvidence.refused
+                return PortEvidence.refused
             if not error.reset:
-                return EndEvidence.unanswered
-        return EndEvidence.accepted
+                return PortEvidence.unanswered
+        return PortEvidence.accepted
 
-    def is_doubtful(self, replica: Replica, *, ended_with_connection: bool) -> bool:
-        """Return whether a stream may be incomplete although it ended after an event.
+    def record_broken_off(self, exchange: Exchange) -> None:
+        """Remember a lost response that had neither chunks nor a length.
 
-        :param replica: the backend server that sent it.
-        :param ended_with_connection: whether it had neither a length nor chunks.
-        :return: whether nothing but the end of its connection shows its end, and the backend server
-            is stopping or usually shows the end of its streams.
+        :param exchange: the exchange; any other response is passed over.
         """
-        if not ended_with_connection:
-            self.framed.add(replica.key)
-            return False
-        return self.is_stopping(replica) or replica.key in self.framed
+        if exchange.head is not None and exchange.head.close_delimited:
+            now = asyncio.get_running_loop().time()
+            self.history.record_broken_off(exchange.connection.replica, now)
 
-    def is_stopping(self, replica: Replica) -> bool:
-        """Return whether a backend server has announced its stop.
+    def is_suspected(self, replica: Replica) -> bool:
+        """Return whether a backend server has recently broken off a response without a length.
 
         :param replica: the backend server.
         :return: whether it has.
         """
-        return self.signals.availability.is_stopping(replica.key)
+        return self.history.is_suspected(replica, asyncio.get_running_loop().time())
 
-    def keep_only(self, listed: frozenset[str]) -> None:
-        """Drop what is known about backend servers that are no longer listed.
+    def is_stopping(self, replica: Replica) -> bool:
+        """Return whether a backend server has announced its stop.
 
-        :param listed: keys of the listed replicas (incarnations).
+        :param replica: the backend server.
+        :return: whether it has.
         """
-        self.framed.intersection_update(listed)
+        return self.signals.availability.is_stopping(replica.key)
 
 
 __all__ = (
-    'EndEvidence',
+    'PortEvidence',
     'EndVerifier',
 )
--- a/src/cassiahitch/direct/backends/exchange.py
+++ b/src/cassiahitch/direct/backends/exchange.py
@@ -6,6 +6,8 @@
 import math
 from collections.abc import Awaitable, Callable
 from contextlib import aclosing
+from dataclasses import replace
+from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 import h11
@@ -30,6 +32,11 @@
 DISCARD_TIMEOUT_S = 0.5
 #: Maximum bytes of the headers of a response.
 MAX_HEADER_BYTES = 65_536
+#: Headers of which one shows the end of a body, as the parser of HTTP names them.
+FRAMING_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
+#: Responses that never have a body.
+HEAD_METHOD = 'HEAD'
+BODILESS_STATUSES = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 
 
 #: Handles the head of a response of a replica. The third argument is when its request was sent, in
@@ -94,6 +101,7 @@
         self.ended_with_connection = False
         self.head: ResponseHead | None = None
         self.sent_at = -math.inf
+        self.method = ''
 
     @property
     def is_open(self) -> bool:
@@ -112,6 +120,7 @@
         """
         content = _request_bytes(self.machine, request, headers)
         self.connection.requests += 1
+        self.method = request.method
         self.sent_at = asyncio.get_running_loop().time()
         self.written = self.connection.write(content)
         for skipped in range(MAX_FOREIGN_RESPONSES):
@@ -178,7 +187,13 @@
             (name.decode('latin1'), text.decode('latin1'))
             for name, text in event.headers.raw_items()
         )
-        return self.codec.read_response(event.status_code, event.reason.decode('latin1'), headers)
+        head = self.codec.read_response(event.status_code, event.reason.decode('latin1'), headers)
+        return replace(head, close_delimited=self._is_close_delimited(event))
+
+    def _is_close_delimited(self, event: h11.Response) -> bool:
+        names = {name for name, _ in event.headers}
+        has_body = self.method != HEAD_METHOD and event.status_code not in BODILESS_STATUSES
+        return has_body and not names & FRAMING_HEADERS
 
     async def _skip_response(self, request: CallerRequest, headers: Headers) -> None:
         # A late or duplicate response to an earlier request precedes the one to this request.
--- a/src/cassiahitch/direct/backends/outcomes.py
+++ b/src/cassiahitch/direct/backends/outcomes.py
@@ -51,7 +51,8 @@
 class Unconfirmed:
     """A stream ended after an event, and it is doubtful whether that was its last one.
 
-    Another backend server is asked for the rest; if it cannot be, the stream counts as complete.
+    Another backend server is asked for the rest; if it does not show an end, the response to the
+    caller is broken off.
     """
 
     detail: str = 'only the end of its connection showed the end of the stream'
--- a/src/cassiahitch/direct/backends/responserelay.py
+++ b/src/cassiahitch/direct/backends/responserelay.py
@@ -126,7 +126,12 @@
         :raises RequestError: if the response breaks off or exceeds the maximum size.
         """
         length = () if head.length is None else (('Content-Length', str(head.length)),)
-        await caller.start_response(head.status, head.reason, (*head.headers, *length))
+        await caller.start_response(
+            head.status,
+            head.reason,
+            (*head.headers, *length),
+            close_delimited=head.close_delimited,
+        )
         progress = RelayProgress(
             self.buffer_budget.limits, caller, states_length=head.length is not None
         )
--- a/src/cassiahitch/direct/callers/errorresponder.py
+++ b/src/cassiahitch/direct/callers/errorresponder.py
@@ -87,8 +87,7 @@
         if call is not None and call.failed_response is not None:
             # The error response of a backend server says more about the request than that there
             # was no other backend server to retry it at.
-            head = call.failed_response.head
-            await caller.respond(head.status, head.reason, head.headers, call.failed_response.body)
+            await caller.forward(call.failed_response)
             return
         status, reason, headers, body = error_response(error)
         await caller.respond(status, reason, headers, body)
--- a/src/cassiahitch/direct/callers/exchange.py
+++ b/src/cassiahitch/direct/callers/exchange.py
@@ -37,7 +37,7 @@
 from cassiahitch.util.sockets import reset_on_close
 
 if TYPE_CHECKING:
-    from cassiahitch.direct.api import Headers
+    from cassiahitch.direct.api import Answered, Headers
     from cassiahitch.direct.callers.frontend import Frontend
 
 #: Time for which the rest of a refused body is read and dropped, in seconds, so that the caller can
@@ -69,7 +69,8 @@
     last byte of the response was written, or the connection was aborted; ``response_finished``
     when tornado may read the next request. ``outlives_caller`` is set while the request continues
     at a replica even if its caller disconnects. ``abandoned`` is set if the shutdown of the entry
-    cancelled the request before its response started.
+    cancelled the request before its response started. ``close_delimited`` is set if the response
+    has neither chunks nor a length.
     """
 
     def __init__(self, connection: HTTP1Connection, frontend: Frontend) -> None:
@@ -91,6 +92,7 @@
         self.outlives_caller = False
         self.timer: asyncio.Timeout | None = None
         self.closes_connection = False
+        self.close_delimited = False
         self.abandoned = False
         self.serve_started = False
         self.response_finished = False
@@ -254,19 +256,44 @@
         )
         self.end_response()
 
-    async def start_response(self, status: int, reason: str, headers: Headers) -> None:
+    async def start_response(
+        self, status: int, reason: str, headers: Headers, *, close_delimited: bool = False
+    ) -> None:
         """Send the head of a response whose body follows in parts.
 
         :param status: HTTP status.
         :param reason: reason phrase.
         :param headers: headers, without those of the connection.
+        :param close_delimited: whether the body ends with the connection.
         :raises CallerDisconnected: if the connection is closed.
         :raises SecondResponse: if a response has been started.
         """
         self._require_no_response()
         self.response_started = True
+        self.close_delimited = close_delimited
         start_line = ResponseStartLine('HTTP/1.1', status, reason)
-        await self.writer.start(start_line, self._make_headers(headers))
+        http_headers = self._make_headers(headers)
+        if close_delimited:
+            await self.writer.start_close_delimited(start_line, http_headers)
+        else:
+            await self.writer.start(start_line, http_headers)
+
+    async def forward(self, answered: Answered) -> None:
+        """Send a complete response of a backend server.
+
+        It shows no end if that of the backend server does not.
+
+        :param answered: the response.
+        :raises CallerDisconnected: if the connection is closed.
+        :raises SecondResponse: if a response has been started.
+        """
+        head = answered.head
+        if not head.close_delimited:
+            await self.respond(head.status, head.reason, head.headers, answered.body)
+            return
+        await self.start_response(head.status, head.reason, head.headers, close_delimited=True)
+        await self.write_body(answered.body)
+        self.end_response()
 
     async def write_body(self, data: bytes) -> None:
         """Send a part of the body.
@@ -335,9 +362,12 @@
         self.stop_tracking()
         if self.connection.stream is None:
             return
-        if self.incoming.version == CLOSE_DELIMITED_VERSION and not self.stream.closed():
-            # The end of the connection marks the end of the response in this version, so only a
-            # reset shows that it is incomplete.
+        is_close_delimited = (
+            self.close_delimited or self.incoming.version == CLOSE_DELIMITED_VERSION
+        )
+        if is_close_delimited and not self.stream.closed():
+            # The end of the connection marks the end of such a response, so only a reset shows that
+            # it is incomplete.
             reset_on_close(self.stream.socket)
         self.connection.stream.close()
 
@@ -348,7 +378,9 @@
     def _make_headers(self, headers: Headers) -> HTTPHeaders:
         http_headers = make_http_headers(headers)
         self.closes_connection = (
-            self.frontend.shutdown_schedule is not None or self.refusal is not None
+            self.close_delimited
+            or self.frontend.shutdown_schedule is not None
+            or self.refusal is not None
         )
         if self.closes_connection:
             http_headers['Connection'] = 'close'
--- a/src/cassiahitch/direct/callers/responsewriter.py
+++ b/src/cassiahitch/direct/callers/responsewriter.py
@@ -60,6 +60,20 @@
             self._submit(self.connection.write_headers(start_line, http_headers, None))
         )
 
+    async def start_close_delimited(
+        self, start_line: ResponseStartLine, http_headers: HTTPHeaders
+    ) -> None:
+        """Write the head of a response whose body ends with the connection.
+
+        :param start_line: status line.
+        :param http_headers: the headers, with one that announces the close.
+        :raises CallerDisconnected: if the connection is closed.
+        """
+        # Tornado's own function for a head would add chunks.
+        lines = [f'{start_line.version} {start_line.code} {start_line.reason}']
+        lines.extend(f'{name}: {text}' for name, text in http_headers.get_all())
+        await _await_written(self.connection.write('\r\n'.join((*lines, '', '')).encode('latin1')))
+
     async def write(self, data: bytes) -> None:
         """Write a part of the body and wait until it is sent.
 
--- a/src/cassiahitch/direct/entry.py
+++ b/src/cassiahitch/direct/entry.py
@@ -219,9 +219,10 @@
             self.parts.entry_state.replicas.expire(now)
             self.parts.entry_state.choose_limiters(boot_time())
             keys = frozenset(self.parts.entry_state.replicas.by_key())
-            self.parts.runner.attempts.pool.keep_only(keys)
-            self.parts.runner.attempts.signals.prune(keys)
-            self.parts.runner.attempts.end_verifier.keep_only(keys)
+            attempts = self.parts.runner.attempts
+            attempts.pool.keep_only(keys)
+            attempts.signals.prune(keys)
+            attempts.end_verifier.history.keep_only(keys)
             self.parts.candidates.keep_only(keys)
             self.parts.runner.crash_detector.keep_only(keys)
             self.parts.entry_state.segments.expire(now)
--- a/src/cassiahitch/direct/requests/failover.py
+++ b/src/cassiahitch/direct/requests/failover.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
-from contextlib import suppress
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager, suppress
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -14,7 +14,7 @@
 
 if TYPE_CHECKING:
     from cassiahitch.direct.api import Call
-    from cassiahitch.direct.backends.attempt import StreamState
+    from cassiahitch.direct.backends.streamstate import StreamState
     from cassiahitch.direct.entrystate import EntryState
     from cassiahitch.direct.placement.crashdetector import CrashDetector
     from cassiahitch.direct.placement.search import PlacementSearch
@@ -72,6 +72,19 @@
         stream.reserved = alternative
         return True
 
+    @contextmanager
+    def releasing_reserved(self, stream: StreamState) -> Iterator[None]:
+        """Release the reserved assignment of a request that does not use it.
+
+        :param stream: the response so far.
+        :yield: while the request is served.
+        """
+        try:
+            yield
+        finally:
+            if stream.reserved is not None:
+                self.placement_search.release(stream.reserved)
+
     async def find_other_replica(
         self, call: Call, key: str, placement_request: PlacementRequest
     ) -> Assignment:
--- a/src/cassiahitch/direct/requests/runner.py
+++ b/src/cassiahitch/direct/requests/runner.py
@@ -10,12 +10,7 @@
 
 from cassiahitch.codes import Code, HasRun
 from cassiahitch.direct.api import Answered
-from cassiahitch.direct.backends.attempt import (
-    SUCCESS_STATUSES,
-    AttemptSender,
-    ProgressTimeouts,
-    StreamState,
-)
+from cassiahitch.direct.backends.attempt import SUCCESS_STATUSES, AttemptSender
 from cassiahitch.direct.backends.outcomes import (
     Delivered,
     Lost,
@@ -27,6 +22,7 @@
     Withheld,
 )
 from cassiahitch.direct.backends.responserelay import is_forwardable
+from cassiahitch.direct.backends.streamstate import ProgressTimeouts, StreamState
 from cassiahitch.direct.callers.errorresponder import ErrorResponder
 from cassiahitch.direct.callers.progress import Phase
 from cassiahitch.direct.callers.responsewriter import CallerDisconnected
@@ -61,11 +57,9 @@
 RESPONSE_PROGRESS_TIMEOUT_S = 0.4
 FIRST_EVENT_TIMEOUT_S = 1.3
 NEXT_EVENT_TIMEOUT_S = 1.1
-#: Longest time that another backend server is asked for the rest of a stream that is probably
-#: complete, in seconds; callers wait longer than that for an event.
-CONFIRMATION_TIMEOUT_S = 0.8
-#: Retries that must be left in the budget of a service after such a question.
-CONFIRMATION_RESERVE = 1
+#: Longest time that another backend server is asked for the rest of a stream that may be complete,
+#: in seconds; callers wait longer than that for an event.
+REST_TIMEOUT_S = 0.8
 
 
 @dataclass(slots=True)
@@ -138,15 +132,8 @@
         if call.request.caller_timeout_s is not None:
             self.caller_timeouts.record(call.require_route().name, call.request.caller_timeout_s)
         stream = StreamState(caller, deadline=call.deadline)
-        try:
+        with self.failover.releasing_reserved(stream):
             await self.run_in_time(call, caller, stream)
-        except RequestError:
-            if not stream.presumed_complete:
-                raise
-            await stream.end_presumed()
-        finally:
-            if stream.reserved is not None:
-                self.placement_search.release(stream.reserved)
 
     async def run_in_time(self, call: Call, caller: CallerExchange, stream: StreamState) -> None:
         """Send a request until its caller has a response or its deadline passes.
@@ -161,6 +148,8 @@
                 caller.timer = timer
                 await self.send_until_answered(call, caller, stream)
         except TimeoutError:
+            if stream.asks_rest:
+                raise _incomplete_response_error(Unconfirmed(), call.ran) from None
             detail = 'no complete response before the deadline of the route or the caller'
             ran = HasRun.unknown if call.attempt_count else HasRun.no
             raise RequestError(Code.deadline_exceeded, detail, ran) from None
@@ -189,7 +178,6 @@
             progress_timeouts = self.progress_timeouts(call)
             stream.on_first_event = partial(self.record_begin, call, assignment, started_at)
             stream.reserve = partial(self.reserve_alternative, call, assignment, stream)
-            stream.may_confirm = partial(self.may_confirm, call, stream)
             async with self.segment_check.withdraw_if_refused(call):
                 with self.crash_detector.track(call, assignment.candidate.replica):
                     outcome = await self.attempts.send(
@@ -203,7 +191,7 @@
             self.record_outcome(call, assignment, outcome)
             if await self.deliver(call, caller, outcome):
                 return
-            self.limit_confirmation(call, caller, outcome)
+            self.limit_question(caller, outcome)
             self.require_retry_allowed(call, assignment, outcome, stream)
             if isinstance(outcome, Lost):
                 await self.segment_check.wait_for_evidence(call, assignment.candidate.replica)
@@ -262,31 +250,15 @@
             call, assignment, stream, self.placement_request(call)
         )
 
-    def may_confirm(self, call: Call, stream: StreamState) -> bool:
-        """Return whether another replica may be asked for the rest of a stream that has ended.
-
-        :param call: the request.
-        :param stream: what the caller has received.
-        :return: whether the stream may be resumed, and a retry is left that no other one needs.
-        """
-        route = call.require_route()
-        return (
-            route.may_resume
-            and stream.splitter.is_resumable
-            and call.attempt_count < route.max_attempts
-            and self.remaining_retries(call) >= 1 + CONFIRMATION_RESERVE
-        )
-
-    def limit_confirmation(self, call: Call, caller: CallerExchange, outcome: Outcome) -> None:
-        """Set the time within which another replica must send further events of a stream.
+    def limit_question(self, caller: CallerExchange, outcome: Outcome) -> None:
+        """Set the time within which another replica must send the rest of a stream.
 
-        :param call: the request.
         :param caller: the exchange with its caller.
         :param outcome: how the attempt ended; others than ``Unconfirmed`` set no limit.
         """
         if isinstance(outcome, Unconfirmed) and caller.timer is not None:
-            until = asyncio.get_running_loop().time() + CONFIRMATION_TIMEOUT_S
-            caller.timer.reschedule(min(call.deadline, until))
+            until = asyncio.get_running_loop().time() + REST_TIMEOUT_S
+            caller.timer.reschedule(min(until, caller.timer.when() or until))
 
     def no_capacity_error(self, call: Call, no_capacity: NoCapacity) -> RequestError:
         """Record and return the refusal of a request that no replica has capacity for.
@@ -419,8 +391,8 @@
             case Answered(head=head) if self.is_worth_retrying(call, head):
                 call.failed_response = outcome
                 return False
-            case Answered(head=head, body=body) if is_forwardable(head):
-                await caller.respond(head.status, head.reason, head.headers, body)
+            case Answered(head=head) if is_forwardable(head):
+                await caller.forward(outcome)
                 return True
         return False
 
@@ -506,7 +478,7 @@
 
 def _incomplete_response_error(outcome: Outcome, ran: HasRun) -> RequestError:
     detail = 'the backend server did not send a complete response'
-    if isinstance(outcome, Lost | Withdrawn):
+    if isinstance(outcome, Lost | Unconfirmed | Withdrawn):
         detail = f'{detail}: {outcome.detail}'
     return RequestError(Code.outcome_unknown, detail, ran)
 
--- a/src/cassiahitch/direct/telemetry.py
+++ b/src/cassiahitch/direct/telemetry.py
@@ -7,7 +7,7 @@
 import math
 import traceback
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 from http import HTTPStatus
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
@@ -21,6 +21,8 @@
 
 if TYPE_CHECKING:
     from cassiahitch.direct.backends.outcomes import Outcome
+    from cassiahitch.direct.backends.streamends import EndEvidence, Verdict
+    from cassiahitch.direct.backends.streamstate import StreamState
     from cassiahitch.direct.callers.progress import Progress
     from cassiahitch.direct.entrystate import EntryState
     from cassiahitch.direct.placement.availability import ExpiredAnnouncement
@@ -268,23 +270,24 @@
         )
 
     def stream_end_judged(
-        self, request: str, replica: Replica, events: int, last_event_id: str, verdict: str
+        self, stream: StreamState, replica: Replica, verdict: Verdict, evidence: EndEvidence
     ) -> None:
         """Record what was made of a stream that ended with its connection.
 
-        :param request: id of the attempt of the caller.
-        :param replica: the backend server.
-        :param events: number of the events that the caller has received.
-        :param last_event_id: id of the last one.
-        :param verdict: whether the stream counts as complete, and why.
+        :param stream: what the caller has received.
+        :param replica: the backend server that ended it.
+        :param verdict: whether the stream counts as complete.
+        :param evidence: what is known beside the response.
         """
         self.state_changed(
             'end of a stream judged',
-            request=request,
+            request=stream.caller.progress.id,
             replica=replica.id,
-            events=events,
-            last_event_id=last_event_id,
-            verdict=verdict,
+            events=stream.splitter.event_count,
+            last_event_id=stream.splitter.last_event_id,
+            asked=stream.asks_rest,
+            verdict=verdict.value,
+            **asdict(evidence),
         )
 
     def announcement_expired(self, expired: ExpiredAnnouncement) -> None:
--- a/tests/direct/requests/test_responses_within_streams.py
+++ b/tests/direct/requests/test_responses_within_streams.py
@@ -25,8 +25,9 @@
 from sent_requests import HEAD
 
 from cassiahitch.direct.api import Answered, Call
-from cassiahitch.direct.backends.attempt import AttemptSender, StreamState
+from cassiahitch.direct.backends.attempt import AttemptSender
 from cassiahitch.direct.backends.events import EventSplitter
+from cassiahitch.direct.backends.streamstate import StreamState
 from cassiahitch.direct.placement.placement import Assignment
 from cassiahitch.standins.directsite import DirectSite, DirectSiteSize
 
