--- a/src/cassiahitch/cli/soaking.py
+++ b/src/cassiahitch/cli/soaking.py
@@ -46,7 +46,7 @@
     :param entries: number of entries.
     :param agents: number of agents, each with a model engine.
     :param areas: areas of faults: stops, signals, links, backends, store, changes, overload,
-        limits, prompts, silences, endings, weights; all if omitted.
+        limits, prompts, silences, endings, weights, broken_ends; all if omitted.
     :param chunks: number of chunks of each version of the weights.
     :param chunk_bytes: bytes of each chunk.
     :param json: file to write the report to; standard output if omitted.
--- a/src/cassiahitch/soak/answers.py
+++ b/src/cassiahitch/soak/answers.py
@@ -7,6 +7,7 @@
 from http import HTTPStatus
 
 from cassiahitch.platform import names
+from cassiahitch.soak.brokenstreams import StreamEnding, choose_ending, kept_parts
 from cassiahitch.soak.faulty_responses import write_duplicate, write_trickle
 from cassiahitch.soak.records import Execution
 from cassiahitch.soak.responses import WorkSpec, plain_body, stream_event
@@ -68,14 +69,26 @@
                 await self.response.send_response(HTTPStatus.OK, self.head, body)
                 return await self.finish(body)
 
+    async def send_stream(self, after: int) -> bool:
+        """Send a stream, or what the fault leaves of it.
+
+        :param after: number of the last event that the caller has received.
+        :return: whether the connection can be reused.
+        """
+        match self.fault:
+            case Fault.fail_resumed if after:
+                return await self.fail_resumed()
+            case Fault.break_off:
+                return await self.send_broken_off(after, choose_ending(self.execution.id, after))
+            case _:
+                return await self.send_events(after)
+
     async def send_events(self, after: int) -> bool:
         """Send the events of a stream.
 
         :param after: number of the last event that the caller has received.
         :return: whether the connection can be reused.
         """
-        if self.fault is Fault.fail_resumed and after:
-            return await self.fail_resumed()
         work = WorkSpec.parse(self.execution.target)
         content_type = {'Content-Type': 'text/event-stream'}
         is_unframed = self.fault is Fault.unframed or (
@@ -148,6 +161,34 @@
         await self.response.send_response(status, head, body)
         return True
 
+    async def send_broken_off(self, after: int, ending: StreamEnding) -> bool:
+        """Send a stream that may be broken off.
+
+        :param after: number of the last event that the caller has received.
+        :param ending: how it ends.
+        :return: whether the connection can be reused.
+        """
+        match ending:
+            case StreamEnding.shown:
+                return await self.send_events(after)
+            case StreamEnding.error:
+                return await self.fail_resumed()
+            case StreamEnding.reset:
+                return await self.break_off()
+        work = WorkSpec.parse(self.execution.target)
+        events = [
+            stream_event(self.execution.id, number, work)
+            for number in range(after + 1, work.parts + 1)
+        ]
+        parts = kept_parts(events, ending)
+        self.execution.broke_off = parts != events
+        self.write_unframed_head({'Content-Type': 'text/event-stream'})
+        for part in parts:
+            await self.work_for(work.pause_s)
+            self.response.write_raw(part)
+            await self.response.drain()
+        return False
+
     async def break_off(self) -> bool:
         """Reset the connection in the middle of the response.
 
--- a/src/cassiahitch/soak/backend.py
+++ b/src/cassiahitch/soak/backend.py
@@ -250,7 +250,7 @@
         writer = AnswerWriter(response, execution, head, fault, self.work_for)
         if self.engine is None:
             return await writer.send_body()
-        return await writer.send_events(int(header(headers, names.LAST_EVENT, '0')))
+        return await writer.send_stream(int(header(headers, names.LAST_EVENT, '0')))
 
     def crash(self, cause: Execution) -> None:
         """Go down, unless the backend server is down already, and come back as a new process.
--- a/src/cassiahitch/soak/events.py
+++ b/src/cassiahitch/soak/events.py
@@ -25,6 +25,7 @@
     silences = 'silences'
     endings = 'endings'
     weights = 'weights'
+    broken_ends = 'broken_ends'
 
 
 class BackendFailure(StrEnum):
@@ -36,7 +37,8 @@
     endless invalid bytes, ``trickle`` nearly stops in the middle of a response, and ``double``
     sends it twice. ``unframed`` ends a response with its connection, ``half_event`` ends a stream
     inside an event, ``repeat_refusal`` writes a refusal once more before the next response, and
-    ``fail_resumed`` breaks streams off and fails those that are resumed.
+    ``fail_resumed`` breaks streams off and fails those that are resumed. ``break_off`` ends streams
+    without a length after an event, inside one or when they are whole, also those that are resumed.
     """
 
     crash = 'crash'
@@ -54,6 +56,7 @@
     half_event = 'half_event'
     repeat_refusal = 'repeat_refusal'
     fail_resumed = 'fail_resumed'
+    break_off = 'break_off'
 
 
 class StoreFailure(StrEnum):
--- a/src/cassiahitch/soak/faults.py
+++ b/src/cassiahitch/soak/faults.py
@@ -77,6 +77,7 @@
         BackendFailure.half_event: Fault.half_event,
         BackendFailure.repeat_refusal: Fault.repeat_refusal,
         BackendFailure.fail_resumed: Fault.fail_resumed,
+        BackendFailure.break_off: Fault.break_off,
     }
 )
 #: What a backend server may do without being disturbed.
--- a/src/cassiahitch/soak/plan.py
+++ b/src/cassiahitch/soak/plan.py
@@ -95,6 +95,8 @@
 MIN_SILENCE_LEAD = 0.5
 #: Mean number of faulty or unusual ends of responses per second.
 ENDINGS_PER_S = 0.3
+#: Mean number of times per second that all engines break streams off.
+BROKEN_ENDS_PER_S = 0.2
 #: Faults of the area ``endings`` for any backend server, and those for streams.
 ANY_ENDINGS = (BackendFailure.unframed, BackendFailure.repeat_refusal)
 STREAM_ENDINGS = (BackendFailure.half_event, BackendFailure.fail_resumed)
@@ -184,11 +186,30 @@
     return [FailBackend(at, rng.choice(backends), failure, seconds)]
 
 
+def _draw_broken_ends(rng: random.Random, size: Size) -> list[Event]:
+    count = max(1, round(size.seconds * BROKEN_ENDS_PER_S))
+    latest_s = FIRST_FAULT_S + size.seconds * FAULT_FRACTION
+    faults: list[Event] = []
+    for _ in range(count):
+        at = round(rng.uniform(FIRST_FAULT_S, latest_s), 3)
+        seconds = round(rng.uniform(MIN_FAULT_S, MAX_FAULT_S), 3)
+        faults += [
+            FailBackend(at, engine, BackendFailure.break_off, seconds) for engine in size.engines()
+        ]
+    return faults
+
+
 _DrawFaults = Callable[[random.Random, Size], list[Event]]
 
 #: Faults of backend servers that belong to such areas.
 SEPARATE_FAILURES = frozenset(
-    (BackendFailure.limit, BackendFailure.silent, *ANY_ENDINGS, *STREAM_ENDINGS)
+    (
+        BackendFailure.limit,
+        BackendFailure.silent,
+        BackendFailure.break_off,
+        *ANY_ENDINGS,
+        *STREAM_ENDINGS,
+    )
 )
 #: Areas whose faults are drawn on their own, so that the other faults of a seed do not depend on
 #: them.
@@ -199,6 +220,7 @@
         Area.silences: _draw_silences,
         Area.endings: _draw_endings,
         Area.weights: _draw_weights,
+        Area.broken_ends: _draw_broken_ends,
     }
 )
 
--- a/src/cassiahitch/standins/backends.py
+++ b/src/cassiahitch/standins/backends.py
@@ -62,6 +62,7 @@
     half_event = 'half_event'
     repeat_refusal = 'repeat_refusal'
     fail_resumed = 'fail_resumed'
+    break_off = 'break_off'
 
 
 #: Faults that refuse a request which the backend server could run.
--- a/tests/soak/test_soak_answers.py
+++ b/tests/soak/test_soak_answers.py
@@ -126,3 +126,19 @@
         assert [one.refused for one in backend.executions] == [True, False]
 
     run(body)
+
+
+@pytest.mark.parametrize('attempt', [f's{number}' for number in range(8)])
+def test_stream_that_is_broken_off_is_no_whole_one_and_the_engine_goes_on(attempt: str) -> None:
+    async def body(backend: SoakBackend) -> None:
+        backend.fault = Fault.break_off
+        received, closed = await exchange(backend, request(attempt))
+        assert closed
+        whole = b''.join(stream_event(attempt, number, WORK) for number in range(1, 6))
+        content = received.partition(b'\r\n\r\n')[2]
+        assert whole.startswith(content)
+        assert backend.executions[0].broke_off == (content != whole)
+        backend.fault = Fault.none
+        assert (await exchange(backend, request(attempt)))[0].endswith(b'0\r\n\r\n')
+
+    run(body)
--- a/tests/soak/test_soak_plan.py
+++ b/tests/soak/test_soak_plan.py
@@ -77,6 +77,15 @@
         assert sum(event.at == first.at for event in failing) == 3
 
 
+def test_streams_are_broken_off_at_all_engines_at_once() -> None:
+    size = Size(seconds=20, agents=3, areas=(Area.broken_ends,))
+    events = [event for event in make_plan(1, size) if isinstance(event, FailBackend)]
+    assert {event.failure for event in events} == {BackendFailure.break_off}
+    for first in events:
+        at_once = {event.backend for event in events if event.at == first.at}
+        assert at_once == set(size.engines())
+
+
 def test_only_chosen_areas_are_drawn() -> None:
     plans = [make_plan(seed, Size(areas=(Area.stops, Area.overload))) for seed in range(20)]
     assert {type(event) for plan in plans for event in plan} == {Terminate, Overload}
