--- a/src/cassiahitch/direct/callers/exchange.py
+++ b/src/cassiahitch/direct/callers/exchange.py
@@ -34,7 +34,7 @@
     make_http_headers,
 )
 from cassiahitch.errors import RequestError
-from cassiahitch.util.sockets import reset_on_close
+from cassiahitch.util.sockets import finish_on_close, reset_on_close
 
 if TYPE_CHECKING:
     from cassiahitch.direct.api import Answered, Headers
@@ -270,10 +270,13 @@
         """
         self._require_no_response()
         self.response_started = True
-        self.close_delimited = close_delimited
+        self.close_delimited = self._ends_with_connection(headers, close_delimited=close_delimited)
+        if self.close_delimited:
+            # Also if this process is killed, the caller must not take the close for the end.
+            reset_on_close(self.stream.socket)
         start_line = ResponseStartLine('HTTP/1.1', status, reason)
         http_headers = self._make_headers(headers)
-        if close_delimited:
+        if self.close_delimited:
             await self.writer.start_close_delimited(start_line, http_headers)
         else:
             await self.writer.start(start_line, http_headers)
@@ -333,6 +336,16 @@
         if self.disconnected or self.response_finished:
             return
         self.response_finished = True
+        if self.close_delimited and self.stream.writing():
+            self.writer.call_when_sent(lambda _: self._finish_written_response())
+            return
+        self._finish_written_response()
+
+    def _finish_written_response(self) -> None:
+        if self.disconnected:
+            return
+        if self.close_delimited and not self.stream.closed():
+            finish_on_close(self.stream.socket)
         self.connection.finish()
         if self.connection.stream.closed() or not self.connection.stream.writing():
             self._on_response_sent()
@@ -362,15 +375,13 @@
         self.stop_tracking()
         if self.connection.stream is None:
             return
-        is_close_delimited = (
-            self.close_delimited or self.incoming.version == CLOSE_DELIMITED_VERSION
-        )
-        if is_close_delimited and not self.stream.closed():
-            # The end of the connection marks the end of such a response, so only a reset shows that
-            # it is incomplete.
-            reset_on_close(self.stream.socket)
         self.connection.stream.close()
 
+    def _ends_with_connection(self, headers: Headers, *, close_delimited: bool) -> bool:
+        has_length = any(name.lower() == 'content-length' for name, _ in headers)
+        is_old = self.incoming.version == CLOSE_DELIMITED_VERSION and not has_length
+        return close_delimited or is_old
+
     def _require_no_response(self) -> None:
         if self.response_started:
             raise SecondResponse('a response to the request has been started')
