--- a/src/cassiahitch/direct/requests/runner.py
+++ b/src/cassiahitch/direct/requests/runner.py
@@ -59,7 +59,7 @@
 NEXT_EVENT_TIMEOUT_S = 1.1
 #: Longest time that another backend server is asked for the rest of a stream that may be complete,
 #: in seconds; callers wait longer than that for an event.
-REST_TIMEOUT_S = 0.8
+REST_TIMEOUT_S = 1.6
 
 
 @dataclass(slots=True)
