Give the responses of the stand-in backend servers a module of their own

The writer of responses, their heads and the reset of a connection need nothing of the server; what used them imports them from standins/responses.py. No change of logic.

--- a/src/cassiahitch/soak/backend.py
+++ b/src/cassiahitch/soak/backend.py
@@ -18,14 +18,9 @@
 from cassiahitch.soak.prompts import Prompt
 from cassiahitch.soak.records import Disturbance, Execution
 from cassiahitch.soak.responses import make_seal, short_digest
-from cassiahitch.standins.backends import (
-    REFUSALS,
-    BackendStandin,
-    Fault,
-    ResponseWriter,
-    refusal_headers,
-)
+from cassiahitch.standins.backends import REFUSALS, BackendStandin, Fault
 from cassiahitch.standins.engineweights import LAYERS, EngineWeights
+from cassiahitch.standins.responses import ResponseWriter, refusal_headers
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
--- a/src/cassiahitch/soak/faulty_responses.py
+++ b/src/cassiahitch/soak/faulty_responses.py
@@ -7,10 +7,10 @@
 from typing import TYPE_CHECKING
 
 from cassiahitch.platform import names
-from cassiahitch.standins.backends import encode_head, refusal_headers
+from cassiahitch.standins.responses import encode_head, refusal_headers
 
 if TYPE_CHECKING:
-    from cassiahitch.standins.backends import ResponseWriter
+    from cassiahitch.standins.responses import ResponseWriter
 
 #: Bytes of each write of an endless response, and seconds between two writes.
 ENDLESS_WRITE_BYTES = 16_384
--- a/src/cassiahitch/soak/proxy.py
+++ b/src/cassiahitch/soak/proxy.py
@@ -8,7 +8,7 @@
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
-from cassiahitch.standins.backends import reset
+from cassiahitch.standins.responses import reset
 from cassiahitch.util.listening import bound_port, listen
 
 if TYPE_CHECKING:
--- a/tests/direct/backends/test_exchange.py
+++ b/tests/direct/backends/test_exchange.py
@@ -21,7 +21,7 @@
 from cassiahitch.direct.backends.stalls import StallDetector
 from cassiahitch.direct.state.replicas import Replica
 from cassiahitch.platform.requests import PlatformRequests
-from cassiahitch.standins.backends import reset
+from cassiahitch.standins.responses import reset
 from cassiahitch.util.endpoints import Endpoint
 
 ADDRESS = '127.0.0.1'
--- a/tests/soak/test_soak_faulty_responses.py
+++ b/tests/soak/test_soak_faulty_responses.py
@@ -15,7 +15,7 @@
     write_endless,
     write_trickle,
 )
-from cassiahitch.standins.backends import ResponseWriter
+from cassiahitch.standins.responses import ResponseWriter
 
 LOOPBACK = '127.0.0.1'
 HEAD = {names.ATTEMPT_ID: 's1'}
--- a/tests/support/scripted_replicas.py
+++ b/tests/support/scripted_replicas.py
@@ -10,8 +10,8 @@
 from typing import Any
 
 from cassiahitch.direct.entry import DirectEntry
-from cassiahitch.standins.backends import reset
 from cassiahitch.standins.directsite import DirectSite
+from cassiahitch.standins.responses import reset
 from cassiahitch.util.endpoints import Endpoint
 
 ADDRESS = '127.0.0.1'
