--- a/src/cassiahitch/direct/requests/runner.py
+++ b/src/cassiahitch/direct/requests/runner.py
@@ -10,7 +10,7 @@
 
 from cassiahitch.codes import Code, HasRun
 from cassiahitch.direct.api import Answered
-from cassiahitch.direct.backends.attempt import SUCCESS_STATUSES, AttemptSender
+from cassiahitch.direct.backends.attempt import AttemptSender
 from cassiahitch.direct.backends.outcomes import (
     Delivered,
     Lost,
@@ -31,9 +31,9 @@
 from cassiahitch.direct.placement.search import PlacementSearch
 from cassiahitch.direct.requests.callertimeouts import CallerTimeouts
 from cassiahitch.direct.requests.failover import Failover
+from cassiahitch.direct.requests.outcomerecorder import OutcomeRecorder
 from cassiahitch.direct.requests.segmentcheck import SegmentCheck
 from cassiahitch.errors import RequestError
-from cassiahitch.routing.api import Outcome as HealthOutcome
 
 if TYPE_CHECKING:
     from cassiahitch.direct.api import Call, RequestCodec, ResponseHead
@@ -79,10 +79,12 @@
     failover: Failover = field(init=False)
     segment_check: SegmentCheck = field(init=False)
     error_responder: ErrorResponder = field(init=False)
+    recorder: OutcomeRecorder = field(init=False)
 
     def __post_init__(self) -> None:
         """Create the parts that depend on the other fields."""
         self.error_responder = ErrorResponder(self.codec, self.telemetry)
+        self.recorder = OutcomeRecorder(self.entry_state, self.candidates, self.crash_detector)
         self.segment_check = SegmentCheck(self.entry_state, self.crash_detector)
         self.failover = Failover(
             entry_state=self.entry_state,
@@ -176,7 +178,9 @@
             caller.progress.record_attempt(assignment.candidate.replica.id, started_at)
             limit = self.candidates.connection_limit(call)
             progress_timeouts = self.progress_timeouts(call)
-            stream.on_first_event = partial(self.record_begin, call, assignment, started_at)
+            stream.on_first_event = partial(
+                self.recorder.record_begin, call, assignment, started_at
+            )
             stream.reserve = partial(self.reserve_alternative, call, assignment, stream)
             async with self.segment_check.withdraw_if_refused(call):
                 with self.crash_detector.track(call, assignment.candidate.replica):
@@ -187,8 +191,9 @@
                 call, assignment, outcome, started_at, stream.first_event_at
             )
             if isinstance(outcome, Lost) and outcome.stalled:
-                self.record_start_delay(assignment, started_at, asyncio.get_running_loop().time())
-            self.record_outcome(call, assignment, outcome)
+                now = asyncio.get_running_loop().time()
+                self.recorder.record_start_delay(assignment, started_at, now)
+            self.recorder.record_outcome(call, assignment, outcome)
             if await self.deliver(call, caller, outcome):
                 return
             self.limit_question(caller, outcome)
@@ -313,70 +318,6 @@
             return ProgressTimeouts(max(RESPONSE_PROGRESS_TIMEOUT_S, route.objective_s), None)
         return ProgressTimeouts()
 
-    def record_outcome(self, call: Call, assignment: Assignment, outcome: Outcome) -> None:
-        """Update the health of a replica by the outcome of an attempt.
-
-        :param call: the request.
-        :param assignment: the assignment that was tried.
-        :param outcome: how the attempt ended.
-        """
-        replica = assignment.candidate.replica
-        now = asyncio.get_running_loop().time()
-        ejection = self.candidates.ejection(replica)
-        match outcome:
-            case NotSent(refused=refused):
-                health_outcome = HealthOutcome.crashed if refused else HealthOutcome.timed_out
-            case Lost(stalled=stalled):
-                health_outcome = HealthOutcome.timed_out if stalled else HealthOutcome.failed
-                self.crash_detector.check(replica)
-            case Answered(head=head) if head.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
-                health_outcome = HealthOutcome.failed
-            case NotRun() | Withheld():
-                health_outcome = HealthOutcome.refused
-            case Withdrawn():
-                health_outcome = HealthOutcome.cancelled
-            case _:
-                health_outcome = HealthOutcome.success
-                self.record_success(call, outcome, now)
-        ejection.record_outcome(replica.key, health_outcome, now)
-
-    def record_success(self, call: Call, outcome: Outcome, now: float) -> None:
-        """Clear a request from suspicion, since a backend server has responded to it.
-
-        :param call: the request.
-        :param outcome: how the attempt ended.
-        :param now: current time in seconds.
-        """
-        if call.fingerprint is not None:
-            self.entry_state.crashes.record_completion(call.fingerprint, now)
-        is_error = isinstance(outcome, Answered) and outcome.head.status not in SUCCESS_STATUSES
-        if not is_error:
-            self.entry_state.segments.record_begin(call, now)
-
-    def record_begin(
-        self, call: Call, assignment: Assignment, started_at: float, now: float
-    ) -> None:
-        """Record the first event of a stream.
-
-        :param call: the request.
-        :param assignment: the assignment of the request.
-        :param started_at: when it was assigned, in seconds of the event loop's clock.
-        :param now: when the first event was received.
-        """
-        self.entry_state.segments.record_begin(call, now)
-        self.record_start_delay(assignment, started_at, now)
-
-    def record_start_delay(self, assignment: Assignment, started_at: float, now: float) -> None:
-        """Correct the load estimate of an engine by how late the first event of a stream was.
-
-        :param assignment: the assignment of the request.
-        :param started_at: when it was assigned, in seconds of the event loop's clock.
-        :param now: when the first event was received, or the attempt was given up.
-        """
-        if assignment.rank is not None:
-            load = self.candidates.placement.engine_load(assignment.candidate.replica.key)
-            load.record_first_event(assignment.expected_s, now - started_at, now)
-
     async def deliver(self, call: Call, caller: CallerExchange, outcome: Outcome) -> bool:
         """Send the caller the response of an attempt, unless there is none or a retry is better.
 
