--- a/src/cassiahitch/direct/backends/endings.py
+++ b/src/cassiahitch/direct/backends/endings.py
@@ -1,4 +1,4 @@
-"""Decides whether a response that ended with its connection is complete.
+"""Checks that a response which ended with its connection is not that of a crashed backend server.
 
 Load pattern: a backend server crashes while it sends responses without a length. They all end at
 the same moment, between two events or bytes, and nothing in them shows that they were broken off.
