--- a/tests/direct/callers/test_responses_cut_by_a_close.py
+++ b/tests/direct/callers/test_responses_cut_by_a_close.py
@@ -11,6 +11,7 @@
 from direct_callers import run_site_in_virtual_time, send_request
 from scripted_replicas import (
     CHUNKED,
+    EVENT_TYPE,
     ONCE_STREAM_PREFIX,
     SEAL,
     ScriptedRequest,
@@ -24,7 +25,6 @@
 from cassiahitch.standins.configurations import CALLER_API_KEY
 from cassiahitch.standins.directsite import DirectSite
 
-EVENT_TYPE = 'Content-Type: text/event-stream'
 ONCE_PATH = f'{ONCE_STREAM_PREFIX}1'
 LARGE_BODY = bytes(2_000_000)
 #: Longer than the test keeps a stream open, in seconds.
--- a/tests/direct/requests/test_broken_off_streams_framed_as_complete.py
+++ b/tests/direct/requests/test_broken_off_streams_framed_as_complete.py
@@ -12,21 +12,20 @@
 import pytest
 from direct_callers import CallerResponse, run_site_in_virtual_time, send_request
 from scripted_replicas import (
-    CHUNKED,
-    LAST_CHUNK,
+    EVENT_TYPE,
     NOT_RUN,
     SEAL,
+    Framing,
     ScriptedRequest,
-    chunk,
     events,
     head,
     serve_script,
+    write_stream,
 )
 
 from cassiahitch.standins.directsite import DirectSite
 
 PATH = '/draft/1'
-EVENT_TYPE = 'Content-Type: text/event-stream'
 EVENTS = 6
 KEPT = 2
 WHOLE = events(1, EVENTS)
@@ -64,11 +63,9 @@
     """Respond to a request for the events after the last one of a stream, and prove nothing."""
     match rest:
         case Rest.part:
-            request.write(head('200 OK', *lines(request)), events(request.last_event_id + 1, 4))
-            request.close()
+            write_stream(request, events(request.last_event_id + 1, 4), Framing.connection)
         case Rest.connection:
-            request.write(head('200 OK', *lines(request)))
-            request.close()
+            write_stream(request, b'', Framing.connection)
         case Rest.error:
             request.write(head('500 Internal Server Error', *lines(request), 'Content-Length: 0'))
         case Rest.refusal:
@@ -80,20 +77,13 @@
             request.reset()
 
 
-def write_whole(request: ScriptedRequest, *, framed: bool) -> None:
+def write_whole(request: ScriptedRequest, framing: Framing) -> None:
     """Send all events after those that the caller has."""
-    rest = events(request.last_event_id + 1, EVENTS)
-    if not framed:
-        request.write(head('200 OK', *lines(request)), rest)
-        request.close()
-        return
-    chunks = chunk(rest) if rest else b''
-    request.write(head('200 OK', *lines(request), CHUNKED), chunks, LAST_CHUNK)
+    write_stream(request, events(request.last_event_id + 1, EVENTS), framing)
 
 
 def break_off(request: ScriptedRequest) -> None:
-    request.write(head('200 OK', *lines(request)), events(1, KEPT))
-    request.close()
+    write_stream(request, events(1, KEPT), Framing.connection)
 
 
 def request_streams(history: History, rest: Rest | None, count: int = 1) -> list[CallerResponse]:
@@ -108,11 +98,12 @@
 
         async def script(request: ScriptedRequest) -> None:
             if is_earlier:
-                write_whole(request, framed=history is History.framed)
+                is_framed = history is History.framed
+                write_whole(request, Framing.chunks if is_framed else Framing.connection)
             elif request.sent_count == 1:
                 break_off(request)
             elif rest is None:
-                write_whole(request, framed=True)
+                write_whole(request, Framing.chunks)
             else:
                 await write_rest(request, rest)
 
@@ -184,11 +175,11 @@
             sent.add(request.attempt)
             is_broken_off = int(request.attempt[1:]) % 2 == 1
             if request.sent_count > 1:
-                write_whole(request, framed=True)
+                write_whole(request, Framing.chunks)
             elif is_broken_off:
                 break_off(request)
             else:
-                write_whole(request, framed=False)
+                write_whole(request, Framing.connection)
 
         async with serve_script(site.entries[0], script):
             requests = (send_request(site.entries[0], PATH) for _ in range(AT_ONCE))
--- a/tests/direct/requests/test_crashes_at_ends.py
+++ b/tests/direct/requests/test_crashes_at_ends.py
@@ -16,6 +16,7 @@
 from scripted_replicas import (
     ADDRESS,
     CHUNKED,
+    EVENT_TYPE,
     LAST_CHUNK,
     ONCE_STREAM_PREFIX,
     SEAL,
@@ -34,7 +35,6 @@
 
 RESUMABLE_PATH = '/draft/1'
 ONCE_PATH = f'{ONCE_STREAM_PREFIX}1'
-EVENT_TYPE = 'Content-Type: text/event-stream'
 EVENTS = 4
 BLANK_LINE = b'\n'
 WHOLE_BODY = b'whole body'
--- a/tests/direct/requests/test_cut_heads.py
+++ b/tests/direct/requests/test_cut_heads.py
@@ -13,6 +13,7 @@
 from direct_callers import CallerResponse, run_site_in_virtual_time, send_request
 from scripted_replicas import (
     CHUNKED,
+    EVENT_TYPE,
     LAST_CHUNK,
     ONCE_STREAM_PREFIX,
     SEAL,
@@ -26,7 +27,6 @@
 
 from cassiahitch.standins.directsite import DirectSite
 
-EVENT_TYPE = 'Content-Type: text/event-stream'
 CONTENT = events(1, 3)
 #: Headers that frame the body, and the bytes of the framed body.
 FRAMINGS = {
--- a/tests/direct/requests/test_responses_within_streams.py
+++ b/tests/direct/requests/test_responses_within_streams.py
@@ -9,6 +9,7 @@
 from direct_callers import CallerResponse, run_site_in_virtual_time, send_request
 from scripted_replicas import (
     CHUNKED,
+    EVENT_TYPE,
     LAST_CHUNK,
     ONCE_STREAM_PREFIX,
     SEAL,
@@ -36,7 +37,6 @@
 MS_PER_S = 1000
 DEADLINE_MS = 1600
 RESUMABLE_PATH = '/draft/1'
-EVENT_TYPE = 'Content-Type: text/event-stream'
 #: Events of a complete stream, and those before it breaks off.
 EVENTS = 5
 FIRST_EVENTS = 2
--- a/tests/direct/requests/test_streams_broken_off_by_live_replicas.py
+++ b/tests/direct/requests/test_streams_broken_off_by_live_replicas.py
@@ -8,22 +8,22 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import StrEnum
 
 import pytest
 from direct_callers import CallerResponse, run_site_in_virtual_time, send_request
 from scripted_replicas import (
-    CHUNKED,
-    LAST_CHUNK,
+    EVENT_TYPE,
     ONCE_STREAM_PREFIX,
     SEAL,
+    Framing,
     ScriptedRequest,
     add_once_stream_route,
-    chunk,
     events,
     head,
     serve_script,
+    write_stream,
 )
 
 from cassiahitch.direct.backends.endhistory import MIN_EMPTY_RESTS, MIN_OBSERVATION_S, SUSPICION_S
@@ -31,7 +31,6 @@
 
 RESUMABLE_PATH = '/draft/1'
 ONCE_PATH = f'{ONCE_STREAM_PREFIX}1'
-EVENT_TYPE = 'Content-Type: text/event-stream'
 EVENTS = 4
 KEPT = 2
 #: Streams of the same entry that show their end, so that each replica has sent one.
@@ -57,16 +56,15 @@
     further = events(request.last_event_id + 1, EVENTS)
     match rest:
         case Rest.events:
-            request.write(head('200 OK', *lines, CHUNKED), chunk(further), LAST_CHUNK)
+            write_stream(request, further, Framing.chunks)
         case Rest.part:
             request.write(head('200 OK', *lines), further[:5])
             await request.settle()
             request.reset()
         case Rest.chunks:
-            request.write(head('200 OK', *lines, CHUNKED), LAST_CHUNK)
+            write_stream(request, b'', Framing.chunks)
         case Rest.connection:
-            request.write(head('200 OK', *lines))
-            request.close()
+            write_stream(request, b'', Framing.connection)
         case Rest.error:
             request.write(head('404 Not Found', *lines, 'Content-Length: 0'))
         case Rest.silence:
@@ -86,14 +84,12 @@
 
         async def script(request: ScriptedRequest) -> None:
             nonlocal sent
-            lines = (request.attempt_line, SEAL, EVENT_TYPE)
             if is_framed:
-                request.write(head('200 OK', *lines, CHUNKED), chunk(events(1, EVENTS)), LAST_CHUNK)
+                write_stream(request, events(1, EVENTS), Framing.chunks)
                 return
             sent += 1
             if sent == 1:
-                request.write(head('200 OK', *lines), events(1, KEPT))
-                request.close()
+                write_stream(request, events(1, KEPT), Framing.connection)
             else:
                 await write_rest(request, rest)
 
@@ -146,15 +142,12 @@
 
     sent: int = 0
     cut: bytes = b''
-    attempts: list[str] = field(default_factory=list)
 
     async def respond(self, request: ScriptedRequest) -> None:
         self.sent += 1
-        self.attempts.append(request.attempt)
         body = self.cut or events(request.last_event_id + 1, EVENTS)
         self.cut = b''
-        request.write(head('200 OK', request.attempt_line, SEAL, EVENT_TYPE), body)
-        request.close()
+        write_stream(request, body, Framing.connection)
 
 
 async def observe(site: DirectSite) -> list[CallerResponse]:
--- a/tests/direct/requests/test_streams_that_end_early.py
+++ b/tests/direct/requests/test_streams_that_end_early.py
@@ -8,39 +8,30 @@
 import pytest
 from direct_callers import CallerResponse, run_site_in_virtual_time, send_request
 from scripted_replicas import (
-    CHUNKED,
-    LAST_CHUNK,
+    EVENT_TYPE,
     ONCE_STREAM_PREFIX,
     SEAL,
+    Framing,
     Script,
     ScriptedRequest,
     add_once_stream_route,
-    chunk,
     event,
     events,
     head,
     serve_script,
+    write_stream,
 )
 
 from cassiahitch.standins.directsite import DirectSite
 
 RESUMABLE_PATH = '/draft/1'
 ONCE_PATH = f'{ONCE_STREAM_PREFIX}1'
-EVENT_TYPE = 'Content-Type: text/event-stream'
 EVENTS = 4
 COMMENT = b': still here\n\n'
 #: Longer than an engine may be silent before the stream is resumed elsewhere, in seconds.
 STALL_S = 10
 
 
-class Framing(StrEnum):
-    """How a response shows where it ends."""
-
-    connection = 'connection'
-    chunks = 'chunks'
-    length = 'length'
-
-
 class End(StrEnum):
     """How a stream is interrupted."""
 
@@ -48,20 +39,6 @@
     silence = 'silence'
 
 
-def write_stream(request: ScriptedRequest, body: bytes, framing: Framing) -> None:
-    """Write a whole response; it ends regularly as far as its framing shows."""
-    lines = [request.attempt_line, SEAL, EVENT_TYPE]
-    match framing:
-        case Framing.connection:
-            request.write(head('200 OK', *lines), body)
-            request.close()
-        case Framing.chunks:
-            body_chunk = chunk(body) if body else b''
-            request.write(head('200 OK', *lines, CHUNKED), body_chunk, LAST_CHUNK)
-        case Framing.length:
-            request.write(head('200 OK', *lines, f'Content-Length: {len(body)}'), body)
-
-
 def shown(framing: Framing) -> Framing:
     """Return a framing that shows the end of a response, the given one if it does."""
     return Framing.chunks if framing is Framing.connection else framing
--- a/tests/support/scripted_replicas.py
+++ b/tests/support/scripted_replicas.py
@@ -7,6 +7,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field, replace
+from enum import StrEnum
 from typing import Any
 
 from cassiahitch.direct.entry import DirectEntry
@@ -19,6 +20,7 @@
 SEAL = 'X-Cassiahitch-Response-Seal: seal'
 NOT_RUN = 'X-Cassiahitch-Not-Executed: 1'
 CHUNKED = 'Transfer-Encoding: chunked'
+EVENT_TYPE = 'Content-Type: text/event-stream'
 #: Time until written bytes are received, in seconds.
 SETTLE_S = 0.02
 LAST_CHUNK = b'0\r\n\r\n'
@@ -166,6 +168,33 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
+class Framing(StrEnum):
+    """How a response shows where it ends."""
+
+    connection = 'connection'
+    chunks = 'chunks'
+    length = 'length'
+
+
+def write_stream(request: ScriptedRequest, body: bytes, framing: Framing) -> None:
+    """Write a whole response with events; it ends regularly as far as its framing shows.
+
+    :param request: the request to respond to.
+    :param body: the events.
+    :param framing: how the response shows where it ends.
+    """
+    lines = (request.attempt_line, SEAL, EVENT_TYPE)
+    match framing:
+        case Framing.connection:
+            request.write(head('200 OK', *lines), body)
+            request.close()
+        case Framing.chunks:
+            body_chunk = chunk(body) if body else b''
+            request.write(head('200 OK', *lines, CHUNKED), body_chunk, LAST_CHUNK)
+        case Framing.length:
+            request.write(head('200 OK', *lines, f'Content-Length: {len(body)}'), body)
+
+
 def redirect_replicas(entry: DirectEntry, port: int) -> None:
     """Replace the endpoints of all replicas in the registry of an entry.
 
@@ -222,10 +251,12 @@
     'ADDRESS',
     'ATTEMPT_HEADER',
     'CHUNKED',
+    'EVENT_TYPE',
     'LAST_CHUNK',
     'NOT_RUN',
     'ONCE_STREAM_PREFIX',
     'SEAL',
+    'Framing',
     'ScriptedRequest',
     'ScriptedServer',
     'add_once_stream_route',
@@ -236,4 +267,5 @@
     'redirect_replicas',
     'response',
     'serve_script',
+    'write_stream',
 )
