--- a/src/cassiahitch/direct/backends/exchange.py
+++ b/src/cassiahitch/direct/backends/exchange.py
@@ -66,10 +66,9 @@
     """Sends one request and reads the response that carries its attempt id.
 
     The creator releases the connection afterwards; ``reusable`` is whether the connection may
-    carry another request, ``ended_with_connection`` whether only the end of the connection showed
-    that the response was complete. ``verify_end`` is called then, and raises :class:`ResponseLost`
-    if it was broken off. ``on_begin`` is called with each part of the body of the own
-    response.
+    carry another request. ``verify_end`` is called if only the end of the connection showed that
+    the response was complete, and raises :class:`ResponseLost` if it was broken off. ``on_begin``
+    is called with each part of the body of the own response.
     """
 
     def __init__(
@@ -98,7 +97,6 @@
         self.written: asyncio.Future[None] | None = None
         self.complete = False
         self.reusable = False
-        self.ended_with_connection = False
         self.head: ResponseHead | None = None
         self.sent_at = -math.inf
         self.method = ''
@@ -223,13 +221,12 @@
 
     async def _finish(self) -> None:
         self.complete = True
-        trailing, connection_ended = self.machine.trailing_data
-        self.ended_with_connection = connection_ended
+        trailing, _ = self.machine.trailing_data
         keep_alive = self.machine.their_state is h11.DONE and self.machine.our_state is h11.DONE
         written = self.written is not None and self.written.done()
         nothing_left = written and not trailing
         self.reusable = keep_alive and nothing_left and self.connection.can_reuse()
-        if connection_ended and self.head is not None:
+        if self.head is not None and self.head.close_delimited:
             await self.verify_end(self.connection)
 
 
--- a/src/cassiahitch/direct/backends/streamrelay.py
+++ b/src/cassiahitch/direct/backends/streamrelay.py
@@ -81,7 +81,7 @@
         :param has_events: whether the response had complete events.
         :return: how the attempt ended.
         """
-        match self.judge(has_events=has_events):
+        match self.judge(head, has_events=has_events):
             case Verdict.complete:
                 await self.complete(head)
                 return Delivered()
@@ -91,22 +91,22 @@
                 self.stream.ask_rest(self.replica)
                 return Unconfirmed()
 
-    def judge(self, *, has_events: bool) -> Verdict:
+    def judge(self, head: ResponseHead, *, has_events: bool) -> Verdict:
         """Judge the end of the response, and remember it as evidence for others.
 
+        :param head: the head of the response.
         :param has_events: whether the response had complete events.
         :return: the verdict.
         """
         now = asyncio.get_running_loop().time()
         replica = self.replica
-        closed = self.exchange.ended_with_connection
         end = StreamEnd(
-            is_shown=not closed,
+            is_shown=not head.close_delimited,
             is_inside_event=self.stream.splitter.is_inside_event,
             has_events=has_events,
             is_rest=self.stream.asks_rest,
         )
-        if not closed:
+        if end.is_shown:
             self.history.record_shown_end(replica)
         elif end.is_rest:
             self.history.record_empty_rest(replica, now)
@@ -117,9 +117,9 @@
             is_mirrored=self.stream.head is not None and self.stream.head.close_delimited,
         )
         verdict = judge_end(end, evidence)
-        if closed and end.is_cut:
+        if end.is_cut and not end.is_shown:
             self.history.record_broken_off(replica, now)
-        if closed or end.is_rest:
+        if end.is_rest or not end.is_shown:
             self.telemetry.stream_end_judged(self.stream, replica, verdict, evidence)
         return verdict
 
