Serve requests only in the regions that their route and organisation allow

Change: CandidateFilter, by which first sends, retries and resumed streams choose a replica, leaves out the replicas of other regions; a request for which none is left is refused at once with region_unavailable. The directory names entries of allowed regions to callers whose region has too few of them.

--- a/src/cassiahitch/codes.py
+++ b/src/cassiahitch/codes.py
@@ -42,6 +42,7 @@
     method_not_allowed = 1020
     header_too_large = 1021
     configuration_stale = 1022
+    region_unavailable = 1023
 
     # 1100: requests that run at most once
     key_reused = 1100
--- a/src/cassiahitch/direct/entry.py
+++ b/src/cassiahitch/direct/entry.py
@@ -196,17 +196,17 @@
     def _is_ready(self) -> bool:
         return self.parts.entry_state.is_ready(boot_time())
 
-    def _choose_addresses(self, region: str) -> AddressResponse:
+    def _choose_addresses(self, host: str, region: str) -> AddressResponse:
         now = asyncio.get_running_loop().time()
         self.parts.messenger.refresh_own_state()
-        members = self.parts.entry_state.members
-        own = weight_by_capacity(members.registry.usable_members())
-        others = list(members.regions.endpoints(now))
-        if region == self.settings.region:
-            chosen = choose_addresses(own, others, self.rng)
-        else:
-            in_region = list(members.regions.endpoints(now, region))
-            chosen = choose_addresses(in_region, [*own, *others], self.rng)
+        entry_state = self.parts.entry_state
+        members = entry_state.members
+        by_region = {
+            self.settings.region: weight_by_capacity(members.registry.usable_members()),
+            **members.regions.endpoints_by_region(now),
+        }
+        allowed = entry_state.catalogue.host_regions(host) if entry_state.catalogue else frozenset()
+        chosen = choose_addresses(by_region, region, allowed, self.rng)
         return AddressResponse(chosen, self._lifetime_s())
 
     def _lifetime_s(self) -> float:
--- a/src/cassiahitch/direct/members/addresses.py
+++ b/src/cassiahitch/direct/members/addresses.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -28,18 +29,35 @@
 
 
 def choose_addresses(
-    near: list[Endpoint], others: list[Endpoint], rng: random.Random
+    by_region: Mapping[str, list[Endpoint]],
+    region: str,
+    allowed_regions: frozenset[str],
+    rng: random.Random,
 ) -> tuple[Endpoint, ...]:
     """Choose the entries that a caller may use.
 
-    Callers of a region use its entries if it has enough of them, and all entries otherwise.
+    Callers of a region use its entries if it has enough of them, and otherwise also those of other
+    regions, as far as the routes of their host allow these. Without any entry in such a region,
+    all entries are used, since each of them forwards requests to allowed regions only.
 
-    :param near: endpoints of ready entries of the caller's region.
-    :param others: those of other regions.
+    :param by_region: endpoints of ready entries by region.
+    :param region: region of the caller.
+    :param allowed_regions: regions that the routes of the requested host allow, empty for all.
     :param rng: shuffles the endpoints.
     :return: the endpoints.
     """
-    chosen = near.copy() if len(set(near)) >= MIN_LOCAL_ENTRIES else [*near, *others]
+    near = by_region.get(region, [])
+    if len(set(near)) >= MIN_LOCAL_ENTRIES:
+        chosen = near.copy()
+    else:
+        others = {name: found for name, found in by_region.items() if name != region}
+        allowed = [
+            endpoint
+            for name, found in others.items()
+            if not allowed_regions or name in allowed_regions
+            for endpoint in found
+        ]
+        chosen = [*near, *allowed] or [endpoint for found in others.values() for endpoint in found]
     rng.shuffle(chosen)
     return tuple(chosen[:MAX_ADDRESSES])
 
--- a/src/cassiahitch/direct/members/regions.py
+++ b/src/cassiahitch/direct/members/regions.py
@@ -69,6 +69,18 @@
             if now - snapshot.seen_at < ENDPOINTS_EXPIRY_S
         )
 
+    def endpoints_by_region(self, now: float) -> dict[str, list[Endpoint]]:
+        """Return endpoints of entries of other regions that callers can use.
+
+        :param now: current time in seconds.
+        :return: the endpoints by region.
+        """
+        return {
+            name: list(snapshot.endpoints)
+            for name, snapshot in self.snapshots.items()
+            if now - snapshot.seen_at < ENDPOINTS_EXPIRY_S
+        }
+
     def endpoints(self, now: float, region: str = '') -> tuple[Endpoint, ...]:
         """Return endpoints of entries of other regions that callers can use.
 
@@ -78,9 +90,9 @@
         """
         return tuple(
             endpoint
-            for name, snapshot in self.snapshots.items()
-            if now - snapshot.seen_at < ENDPOINTS_EXPIRY_S and region in {'', name}
-            for endpoint in snapshot.endpoints
+            for name, found in self.endpoints_by_region(now).items()
+            if region in {'', name}
+            for endpoint in found
         )
 
     def live_regions(self, now: float) -> tuple[str, ...]:
--- a/src/cassiahitch/direct/placement/candidates.py
+++ b/src/cassiahitch/direct/placement/candidates.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from cassiahitch.direct.placement.regionpolicy import region_policy
 from cassiahitch.routing.ejection import OutlierEjection
 
 if TYPE_CHECKING:
@@ -83,9 +84,31 @@
         :return: number of replicas that are neither draining, stopping nor paused.
         """
         now = asyncio.get_running_loop().time()
-        registered = self.entry_state.replicas.usable(call.service)
+        registered = self.allowed(call)
         return sum(self.availability.may_send(replica.key, now) for replica in registered)
 
+    def allowed(self, call: Call) -> tuple[Replica, ...]:
+        """Return the replicas of a service that the regions of a request allow.
+
+        :param call: a request to the service.
+        :return: replicas that are not draining, in any state of health.
+        """
+        policy = region_policy(call)
+        regions = self.entry_state.settings.regions
+        return tuple(
+            replica
+            for replica in self.entry_state.replicas.usable(call.service)
+            if policy.allows(regions.get(replica.failure_domain, ''))
+        )
+
+    def is_excluded_by_region(self, call: Call) -> bool:
+        """Return whether a service has replicas, but none in a region that the request allows.
+
+        :param call: a request to the service.
+        :return: whether no replica may serve it because of its region.
+        """
+        return bool(self.entry_state.replicas.usable(call.service)) and not self.allowed(call)
+
     def mean_objective_s(self, call: Call) -> float:
         """Return the mean objective of the routes of a service.
 
@@ -108,7 +131,7 @@
         """
         accepting = [
             replica
-            for replica in self.entry_state.replicas.usable(call.service)
+            for replica in self.allowed(call)
             if self.availability.may_send(replica.key, now)
         ]
         usable = [replica for replica in accepting if replica.key not in call.avoided_replicas]
@@ -127,7 +150,7 @@
         :param now: current time in seconds.
         :return: seconds, or None if no replica is paused or one accepts requests now.
         """
-        registered = self.entry_state.replicas.usable(call.service)
+        registered = self.allowed(call)
         return (
             self.availability.available_in_s((replica.key for replica in registered), now) or None
         )
--- a/src/cassiahitch/direct/placement/search.py
+++ b/src/cassiahitch/direct/placement/search.py
@@ -166,6 +166,11 @@
         :param call: the request.
         :return: the error.
         """
+        if self.candidates.is_excluded_by_region(call):
+            detail = f'no replica of {call.service} is in a region that the request allows'
+            return RequestError(
+                Code.region_unavailable, detail, call.ran, self.rng.uniform(*RETRY_AFTER_RANGE_S)
+            )
         available_in_s = self.candidates.available_in_s(call, asyncio.get_running_loop().time())
         if available_in_s is not None:
             detail = f'all replicas of {call.service} are paused at their own request'
--- a/src/cassiahitch/direct/platformapi.py
+++ b/src/cassiahitch/direct/platformapi.py
@@ -21,8 +21,8 @@
 
 #: Returns whether the process is ready.
 IsReady = Callable[[], bool]
-#: Returns addresses of entries for a caller in a region.
-FindAddresses = Callable[[str], AddressResponse]
+#: Returns addresses of entries for requests to a host by a caller in a region.
+FindAddresses = Callable[[str, str], AddressResponse]
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cassiahitch/direct/state/catalogue.py
+++ b/src/cassiahitch/direct/state/catalogue.py
@@ -37,6 +37,7 @@
 
     ``objective_s`` is the target time until the first byte of a stream, or until a complete
     response. ``max_event_gap_s`` is the target for the longest gap between events of a stream.
+    ``allowed_regions`` are the regions whose replicas may serve it; all if there is none.
     """
 
     name: str
@@ -51,6 +52,7 @@
     public: bool = False
     resumable: bool = False
     max_event_gap_s: float = 0
+    allowed_regions: frozenset[str] = frozenset()
 
     @property
     def repeatable(self) -> bool:
@@ -122,10 +124,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Organisation:
-    """An organisation; its priority, if set, overrides that of the route."""
+    """An organisation; its priority, if set, overrides that of the route.
+
+    ``allowed_regions`` are the regions whose replicas may serve it; all if there is none.
+    """
 
     name: str
     priority: int | None = None
+    allowed_regions: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -184,6 +190,21 @@
             prefix = prefix[:-1]
         return None
 
+    def host_regions(self, host: str) -> frozenset[str]:
+        """Return the regions that all restricted routes of a host allow.
+
+        :param host: value of the Host header, with or without a port.
+        :return: the regions, empty if no route of the host is restricted, or if its routes have no
+            allowed region in common.
+        """
+        name = host.rpartition(':')[0].lower() or host.lower()
+        restrictions = [
+            route.allowed_regions
+            for route in self.routes_by_host.get(name, {}).values()
+            if route.allowed_regions
+        ]
+        return frozenset.intersection(*restrictions) if restrictions else frozenset()
+
     def services_by_model(self) -> Mapping[str, Service]:
         """Return the services that run model engines, by model name.
 
--- a/src/cassiahitch/platform/documents.py
+++ b/src/cassiahitch/platform/documents.py
@@ -66,6 +66,7 @@
     public: bool = False
     stream_resume: bool = False
     gap_aim_ms: float = 0
+    allowed_regions: tuple[str, ...] = ()
 
     def decoded(self) -> catalogue.Route:
         """Convert the document to a route."""
@@ -83,6 +84,7 @@
             public=self.public,
             resumable=self.stream_resume,
             max_event_gap_s=self.gap_aim_ms / MS_PER_S,
+            allowed_regions=frozenset(self.allowed_regions),
         )
 
 
@@ -157,6 +159,7 @@
     name: str
     api_keys: tuple[str, ...] = ()
     priority: _Priority | None = None
+    allowed_regions: tuple[str, ...] = ()
 
 
 class _LimitsModel(CamelModel):
@@ -284,7 +287,7 @@
         for owned_key in owner.api_keys:
             owners[owned_key].add(owner.name)
     return {
-        key: catalogue.Organisation(tenant.name, tenant.priority)
+        key: catalogue.Organisation(tenant.name, tenant.priority, frozenset(tenant.allowed_regions))
         for tenant in tenants
         for key in tenant.api_keys
         if key and len(owners[key]) == 1
--- a/src/cassiahitch/platform/services.py
+++ b/src/cassiahitch/platform/services.py
@@ -43,7 +43,8 @@
 
     def get(self) -> None:
         """Respond with addresses, or with status 503 if there are none."""
-        selected = self.find(self.get_query_argument('region', ''))
+        host = self.get_query_argument('name', '')
+        selected = self.find(host, self.get_query_argument('region', ''))
         if not selected.endpoints:
             self.set_status(HTTPStatus.SERVICE_UNAVAILABLE)
         addresses = [str(endpoint) for endpoint in selected.endpoints]
--- a/tests/direct/members/test_memberregistry.py
+++ b/tests/direct/members/test_memberregistry.py
@@ -129,9 +129,30 @@
     rng = random.Random(1)
     own = weight_by_capacity((state(1), state(2)))
     others = [Endpoint('10.1.0.1', 80), Endpoint('10.1.0.2', 80)]
-    assert set(choose_addresses(own, others, rng)) == set(own)
-    assert set(choose_addresses(own[:1], others, rng)) == {own[0], *others}
-    assert set(choose_addresses([], [*own, *others], rng)) == {*own, *others}
+
+    def chosen(*own_endpoints: Endpoint) -> set[Endpoint]:
+        by_region = {'north': list(own_endpoints), 'south': others}
+        return set(choose_addresses(by_region, 'north', frozenset(), rng))
+
+    assert chosen(*own) == set(own)
+    assert chosen(own[0]) == {own[0], *others}
+    assert chosen() == set(others)
+
+
+def test_callers_of_restricted_routes_use_entries_of_allowed_regions() -> None:
+    """Guards against requests that the directory sends to regions that their routes exclude."""
+    by_region = {
+        name: [Endpoint(f'10.{number}.0.1', 80), Endpoint(f'10.{number}.0.2', 80)]
+        for number, name in enumerate(('north', 'east', 'south'))
+    }
+    rng = random.Random(1)
+
+    def chosen(region: str, *allowed: str) -> set[Endpoint]:
+        return set(choose_addresses(by_region, region, frozenset(allowed), rng))
+
+    assert chosen('north', 'east') == set(by_region['north'])
+    assert chosen('west', 'east') == set(by_region['east'])
+    assert chosen('west', 'nowhere') == {host for hosts in by_region.values() for host in hosts}
 
 
 def test_larger_host_has_a_larger_weight() -> None:
--- a/tests/direct/test_direct_path.py
+++ b/tests/direct/test_direct_path.py
@@ -222,7 +222,7 @@
         await wait_until(lambda: not entry._is_ready())
         refused = await send_request(entry, '/order/1')
         assert (refused.status, refused.code) == (503, 1022)
-        assert not entry._choose_addresses('north').endpoints
+        assert not entry._choose_addresses('', 'north').endpoints
         site.store.faults.down = False
         await wait_until(entry._is_ready)
         assert (await send_request(entry, '/order/1')).status == 200
@@ -337,9 +337,9 @@
 def test_entries_discover_each_other_and_drop_a_stopping_one() -> None:
     async def body(site: DirectSite) -> None:
         first, second = site.entries
-        await wait_until(lambda: len(first._choose_addresses('north').endpoints) == 2)
+        await wait_until(lambda: len(first._choose_addresses('', 'north').endpoints) == 2)
         stop_task = asyncio.create_task(second.stop())
-        await wait_until(lambda: len(first._choose_addresses('north').endpoints) == 1)
+        await wait_until(lambda: len(first._choose_addresses('', 'north').endpoints) == 1)
         await stop_task
 
     run(body, DirectSiteSize(entries=2, models=1, plain=1), grace_s=1)
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -61,6 +61,21 @@
     assert [organisation.name for organisation in organisations.values()] == ['caterers']
 
 
+def test_allowed_regions_of_routes_and_organisations_are_read() -> None:
+    """Guards against requests that are served in regions which the configuration excludes."""
+    document = initial_configuration('10.0.0.1:8006')
+    document['routes'][0]['allowedRegions'] = ['lagos']
+    document['tenants'][0]['allowedRegions'] = ['abuja', 'lagos']
+    catalogue = decode_catalogue(encode_json(document))
+    restricted, *others = catalogue.routes
+    assert restricted.allowed_regions == {'lagos'}
+    assert not any(route.allowed_regions for route in others)
+    assert catalogue.host_regions(f'{restricted.host}:80') == {'lagos'}
+    assert not catalogue.host_regions('unknown.example')
+    owners = (catalogue.organisations or {}).values()
+    assert {owner.allowed_regions for owner in owners} == {frozenset(('abuja', 'lagos'))}
+
+
 def test_replica_is_read_with_its_weights_and_start() -> None:
     replica = decode_replica('i-1', encode_json(REPLICA))
     assert (replica.key, replica.version('daka'), replica.draining) == ('i-1@17', 3, False)
