Take a response with a status above 599 for no answer

Cause: the parser refuses statuses below 100 and those that are not three digits, but accepts any three digits above 199, so that 600 to 999 of a replica reached the caller as the status of its request. Change: the exchange ends as one without a response; the caller gets 502, or the request goes on where it may be repeated. Result: 9 of 37 cases of the new test failed before (600, 700 and 999 on three routes); 000, 099, 20, 2000, -20, +200, 101 and 199 reached no caller before either. All pass now.

--- a/src/cassiahitch/direct/backends/exchange.py
+++ b/src/cassiahitch/direct/backends/exchange.py
@@ -26,6 +26,8 @@
 
 #: Maximum responses to other requests that are skipped before the response to this one.
 MAX_FOREIGN_RESPONSES = 4
+#: Highest valid status of a response. The parser accepts any three digits above 199.
+MAX_STATUS = 599
 #: Maximum interim responses (1xx) before the final one.
 MAX_INTERIM_RESPONSES = 8
 #: Seconds for which a body is read and discarded, so that the connection can be used again.
@@ -181,6 +183,8 @@
             event = await self._next_event()
         if not isinstance(event, h11.Response):
             raise ResponseLost('received no final HTTP response')
+        if event.status_code > MAX_STATUS:
+            raise ResponseLost(f'received the invalid status {event.status_code}')
         headers = tuple(
             (name.decode('latin1'), text.decode('latin1'))
             for name, text in event.headers.raw_items()
