Send no requests to failure domains that the operator evacuates

Cause: rows evacuate/ZONE of the operator's table were not read, so that all entries kept sending to the replicas of an evacuated failure domain. Change: the adapter decodes these rows by their keys alone, removed ones too. EvacuationRegistry keeps the set, CandidateFilter leaves the replicas out for first sends, retries and resumed streams, and ReplicaSignals.may_send checks again right before a send. If all replicas are evacuated, the request is refused at once with no_replica and Retry-After. After the end of an evacuation, the share of the failure domain increases over 2 s, with one draw for each request. The stand-in site can write and remove the rows.

--- a/src/cassiahitch/direct/assembly.py
+++ b/src/cassiahitch/direct/assembly.py
@@ -73,6 +73,7 @@
         telemetry,
         settings.longest_pause_s,
         entry_state.rate_limits,
+        entry_state.evacuations,
     )
     candidates = CandidateFilter(entry_state, Placement(rng), signals.availability)
     # An earlier incarnation used other numbers, so that late replies to it match no query.
--- a/src/cassiahitch/direct/backends/replicasignals.py
+++ b/src/cassiahitch/direct/backends/replicasignals.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from cassiahitch.direct.state.evacuations import EvacuationRegistry
 from cassiahitch.direct.state.freshness import boot_time
 from cassiahitch.direct.state.ratelimits import LimitObservation
 
@@ -28,6 +29,7 @@
     telemetry: Telemetry
     longest_pause_s: float
     rate_limits: RateLimitRegistry
+    evacuations: EvacuationRegistry = field(default_factory=EvacuationRegistry)
 
     def receive_head(self, replica: Replica, head: ResponseHead, sent_at: float) -> None:
         """Apply the signals in the head of a response, whichever request it belongs to.
@@ -71,10 +73,13 @@
         """Return whether a request may be sent to its assigned replica now.
 
         :param assignment: the assignment.
-        :return: false while the replica is stopping or paused, and without a valid permit while it
-            names a rate limit.
+        :return: false while the replica is evacuated, stopping or paused, and without a valid
+            permit while it names a rate limit.
         """
-        key = assignment.candidate.replica.key
+        replica = assignment.candidate.replica
+        if self.evacuations.is_evacuated(replica.failure_domain):
+            return False
+        key = replica.key
         if not self.availability.may_send(key, asyncio.get_running_loop().time()):
             return False
         reservation = assignment.reservation
--- a/src/cassiahitch/direct/entrystate.py
+++ b/src/cassiahitch/direct/entrystate.py
@@ -14,6 +14,7 @@
 from cassiahitch.direct.placement.limiterchoice import LimiterDirectory
 from cassiahitch.direct.placement.segmentguard import SegmentGuard
 from cassiahitch.direct.placement.segmentsharing import SegmentSharing
+from cassiahitch.direct.state.evacuations import EvacuationRegistry
 from cassiahitch.direct.state.freshness import Freshness, boot_time
 from cassiahitch.direct.state.ratelimits import RateLimitRegistry
 from cassiahitch.direct.state.replicas import ReplicaRegistry
@@ -37,6 +38,7 @@
     requests that crashed backend servers, ``segments`` the evidence on prompt segments that crash
     engines, and ``segment_sharing`` exchanges it. ``rate_limits`` keeps the limits that replicas
     named, and ``limiters`` the agents that grant permits for limited plain replicas.
+    ``evacuations`` keeps the failure domains to whose replicas no request may be sent.
     ``replicas_loaded`` is set once the list of replicas was read, ``stopping`` once the shutdown of
     this entry has begun.
     """
@@ -50,6 +52,7 @@
     replicas: ReplicaRegistry = field(default_factory=ReplicaRegistry)
     crashes: CrashGuard = field(default_factory=CrashGuard)
     rate_limits: RateLimitRegistry = field(default_factory=RateLimitRegistry)
+    evacuations: EvacuationRegistry = field(default_factory=EvacuationRegistry)
     catalogue: Catalogue | None = None
     replicas_loaded: bool = False
     stopping: bool = False
--- a/src/cassiahitch/direct/placement/candidates.py
+++ b/src/cassiahitch/direct/placement/candidates.py
@@ -88,6 +88,20 @@
         return sum(self.availability.may_send(replica.key, now) for replica in registered)
 
     def allowed(self, call: Call) -> tuple[Replica, ...]:
+        """Return the replicas of a service to which the operator allows to send a request.
+
+        :param call: a request to the service.
+        :return: replicas in allowed regions that are neither draining nor evacuated, in any state
+            of health.
+        """
+        evacuations = self.entry_state.evacuations
+        return tuple(
+            replica
+            for replica in self.in_allowed_regions(call)
+            if not evacuations.is_evacuated(replica.failure_domain)
+        )
+
+    def in_allowed_regions(self, call: Call) -> tuple[Replica, ...]:
         """Return the replicas of a service that the regions of a request allow.
 
         :param call: a request to the service.
@@ -107,7 +121,16 @@
         :param call: a request to the service.
         :return: whether no replica may serve it because of its region.
         """
-        return bool(self.entry_state.replicas.usable(call.service)) and not self.allowed(call)
+        usable = self.entry_state.replicas.usable(call.service)
+        return bool(usable) and not self.in_allowed_regions(call)
+
+    def is_evacuated(self, call: Call) -> bool:
+        """Return whether all replicas that a request may use are in evacuated failure domains.
+
+        :param call: a request to the service.
+        :return: whether the evacuation is why no replica may serve it.
+        """
+        return bool(self.in_allowed_regions(call)) and not self.allowed(call)
 
     def mean_objective_s(self, call: Call) -> float:
         """Return the mean objective of the routes of a service.
@@ -121,9 +144,9 @@
     def replicas(self, call: Call, now: float) -> tuple[Replica, ...]:
         """Return the replicas to which a request may be sent.
 
-        Replicas that ramp up after a pause are included at random if there are others, and ejected
-        ones only if there are none. A replica that the request avoids is included only if no other
-        is left and the request may return to it.
+        Replicas that ramp up after a pause or an evacuation are included at random if there are
+        others, and ejected ones only if there are none. A replica that the request avoids is
+        included only if no other is left and the request may return to it.
 
         :param call: the request.
         :param now: current time in seconds.
@@ -138,11 +161,32 @@
         if not usable and call.may_reuse_replica:
             usable = accepting
         healthy = tuple(replica for replica in usable if self.is_healthy(replica, now))
+        held_back = self.held_back_domains(healthy, now)
         ramped_up = tuple(
-            replica for replica in healthy if self.availability.passes_ramp_up(replica.key, now)
+            replica
+            for replica in healthy
+            if replica.failure_domain not in held_back
+            and self.availability.passes_ramp_up(replica.key, now)
         )
         return ramped_up or healthy or tuple(usable)
 
+    def held_back_domains(self, replicas: tuple[Replica, ...], now: float) -> frozenset[str]:
+        """Return the failure domains that a request leaves out while they return to service.
+
+        One draw counts for all replicas of a failure domain: with one for each of them, most
+        requests would find some that are included.
+
+        :param replicas: replicas to which requests may be sent.
+        :param now: current time in seconds.
+        :return: failure domains that were evacuated until recently, chosen at random.
+        """
+        evacuations = self.entry_state.evacuations
+        return frozenset(
+            domain
+            for domain in sorted({replica.failure_domain for replica in replicas})
+            if not evacuations.passes_ramp_up(domain, now, self.availability.rng)
+        )
+
     def available_in_s(self, call: Call, now: float) -> float | None:
         """Return the time until the first paused replica accepts requests again.
 
--- a/src/cassiahitch/direct/placement/search.py
+++ b/src/cassiahitch/direct/placement/search.py
@@ -171,6 +171,11 @@
             return RequestError(
                 Code.region_unavailable, detail, call.ran, self.rng.uniform(*RETRY_AFTER_RANGE_S)
             )
+        if self.candidates.is_evacuated(call):
+            detail = f'all replicas of {call.service} are in evacuated failure domains'
+            return RequestError(
+                Code.no_replica, detail, call.ran, self.rng.uniform(*RETRY_AFTER_RANGE_S)
+            )
         available_in_s = self.candidates.available_in_s(call, asyncio.get_running_loop().time())
         if available_in_s is not None:
             detail = f'all replicas of {call.service} are paused at their own request'
--- a/src/cassiahitch/direct/platformapi.py
+++ b/src/cassiahitch/direct/platformapi.py
@@ -7,18 +7,21 @@
 from typing import TYPE_CHECKING, Protocol
 
 from cassiahitch.direct.members.addresses import AddressResponse
+from cassiahitch.direct.state.catalogue import Catalogue
+from cassiahitch.direct.state.evacuations import Evacuation
+from cassiahitch.direct.state.versions import DeclaredVersion
 
 if TYPE_CHECKING:
     from tornado.web import Application
 
     from cassiahitch.direct.api import RequestCodec, TableStore
     from cassiahitch.direct.staging.enginestate import StagingEngine
-    from cassiahitch.direct.state.catalogue import Catalogue
     from cassiahitch.direct.state.feed import TableRow
     from cassiahitch.direct.state.replicas import Replica
-    from cassiahitch.direct.state.versions import DeclaredVersion
     from cassiahitch.util.endpoints import Endpoint
 
+#: What a row of the operator's table declares.
+Declaration = Catalogue | DeclaredVersion | Evacuation
 #: Returns whether the process is ready.
 IsReady = Callable[[], bool]
 #: Returns addresses of entries for requests to a host by a caller in a region.
@@ -46,8 +49,8 @@
     codec: RequestCodec
     tables: TableNames
 
-    def read_declaration(self, row: TableRow) -> Catalogue | DeclaredVersion | None:
-        """Decode a row of the operator's table; None for rows of other kinds."""
+    def read_declaration(self, row: TableRow) -> Declaration | None:
+        """Decode a row of the operator's table, also a removed one; None for other kinds."""
 
     def read_replica(self, row: TableRow) -> Replica:
         """Decode the row of a backend server."""
@@ -79,8 +82,8 @@
     def engine(self, endpoint: Endpoint) -> StagingEngine:
         """Return a client for the engine of this host."""
 
-    def read_declaration(self, row: TableRow) -> Catalogue | DeclaredVersion | None:
-        """Decode a row of the operator's table; None for rows of other kinds."""
+    def read_declaration(self, row: TableRow) -> Declaration | None:
+        """Decode a row of the operator's table, also a removed one; None for other kinds."""
 
     def read_replica(self, row: TableRow) -> Replica:
         """Decode the row of a backend server."""
@@ -88,6 +91,7 @@
 
 __all__ = (
     'AgentPlatform',
+    'Declaration',
     'EntryPlatform',
     'FindAddresses',
     'IsReady',
--- a/src/cassiahitch/direct/state/updater.py
+++ b/src/cassiahitch/direct/state/updater.py
@@ -8,6 +8,7 @@
 
 from cassiahitch.codes import Code
 from cassiahitch.direct.state.catalogue import Catalogue
+from cassiahitch.direct.state.evacuations import Evacuation
 from cassiahitch.direct.state.feed import (
     UNCONFIRMED_REPLIES,
     Reply,
@@ -74,8 +75,6 @@
             open until the row changed; minus infinity otherwise.
         :return: whether the row could be decoded.
         """
-        if row.content is None:
-            return True
         try:
             declared = self.platform.read_declaration(row)
         except PlatformError as error:
@@ -89,8 +88,29 @@
                 self.apply_configuration(declared)
             case DeclaredVersion():
                 self.record_version(declared, polled_at)
+            case Evacuation():
+                self.apply_evacuation(declared, row)
         return True
 
+    def apply_evacuation(self, evacuation: Evacuation, row: TableRow) -> None:
+        """Apply the begin or the end of the evacuation of a failure domain.
+
+        :param evacuation: the declaration.
+        :param row: its row.
+        """
+        now = asyncio.get_running_loop().time()
+        if not self.entry_state.evacuations.apply(evacuation, now):
+            return
+        domain = evacuation.failure_domain
+        replicas = self.entry_state.replicas.replicas.values()
+        self.telemetry.state_changed(
+            'failure domain evacuated' if evacuation.active else 'failure domain in service again',
+            failure_domain=domain,
+            replicas=sum(replica.failure_domain == domain for replica in replicas),
+            row=row.version,
+            confirmed_s_ago=boot_time() - self.entry_state.freshness.confirmed_at,
+        )
+
     def apply_configuration(self, catalogue: Catalogue) -> None:
         """Replace the configuration in force unless the given one is older.
 
--- a/src/cassiahitch/direct/telemetry.py
+++ b/src/cassiahitch/direct/telemetry.py
@@ -375,6 +375,8 @@
         self.metrics.gauge(GaugeName.replicas, len(self.entry_state.replicas.replicas))
         limited = self.entry_state.rate_limits.limited_replicas()
         self.metrics.gauge(GaugeName.limited_replicas, len(limited))
+        evacuated = len(self.entry_state.evacuations.evacuated_at)
+        self.metrics.gauge(GaugeName.evacuated_domains, evacuated)
 
     def log_request(
         self,
--- a/src/cassiahitch/metrics/names.py
+++ b/src/cassiahitch/metrics/names.py
@@ -71,6 +71,7 @@
     leases_held = 'leases_held'
     replicas = 'replicas'
     limited_replicas = 'limited_replicas'
+    evacuated_domains = 'evacuated_domains'
     configuration_age_s = 'configuration_age_s'
 
 
--- a/src/cassiahitch/platform/adapter.py
+++ b/src/cassiahitch/platform/adapter.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from cassiahitch.direct.platformapi import TableNames
+from cassiahitch.direct.state.evacuations import Evacuation
 from cassiahitch.platform import names
 from cassiahitch.platform.documents import decode_catalogue, decode_replica, decode_version
 from cassiahitch.platform.engine import PlatformEngine, PlatformOrigin
@@ -16,11 +17,9 @@
     from tornado.web import Application
 
     from cassiahitch.direct.api import RequestCodec, TableStore
-    from cassiahitch.direct.platformapi import FindAddresses, IsReady, Origin
-    from cassiahitch.direct.state.catalogue import Catalogue
+    from cassiahitch.direct.platformapi import Declaration, FindAddresses, IsReady, Origin
     from cassiahitch.direct.state.feed import TableRow
     from cassiahitch.direct.state.replicas import Replica
-    from cassiahitch.direct.state.versions import DeclaredVersion
     from cassiahitch.stores.http_client import HttpClient
     from cassiahitch.util.endpoints import Endpoint
 
@@ -53,14 +52,22 @@
         """
         return PlatformEngine(self.caller, f'http://{endpoint}')
 
-    def read_declaration(self, row: TableRow) -> Catalogue | DeclaredVersion | None:
+    def read_declaration(self, row: TableRow) -> Declaration | None:
         """Decode a row of the operator's table.
 
-        :param row: a row with content.
-        :return: a configuration or a declared version, ``None`` for rows of another kind.
+        The key alone tells an evacuated failure domain, so that a row with invalid content counts.
+
+        :param row: a row; without content, it was removed.
+        :return: the declaration, ``None`` for rows of another kind and for removed rows, except
+            that the removal of an evacuation declares its end.
         :raises PlatformError: if the content is invalid.
         """
-        content = row.content or b''
+        if row.key.startswith(names.EVACUATION_PREFIX):
+            failure_domain = row.key.removeprefix(names.EVACUATION_PREFIX)
+            return Evacuation(failure_domain, active=row.content is not None)
+        if row.content is None:
+            return None
+        content = row.content
         if row.key == names.CONFIGURATION_KEY:
             return decode_catalogue(content)
         if row.key.startswith(names.VERSION_PREFIX):
--- a/src/cassiahitch/platform/names.py
+++ b/src/cassiahitch/platform/names.py
@@ -63,6 +63,8 @@
 CONFIGURATION_KEY = 'config'
 #: Prefix of the keys of declared versions of weights.
 VERSION_PREFIX = 'version/'
+#: Prefix of the keys of evacuated failure domains; the row exists while one is evacuated.
+EVACUATION_PREFIX = 'evacuate/'
 
 #: Repeat policy of each of the platform's kinds of route.
 REPEAT_POLICIES = MappingProxyType(
@@ -77,6 +79,7 @@
     'COMMIT_PATH',
     'CONFIGURATION_KEY',
     'DEADLINE_MS',
+    'EVACUATION_PREFIX',
     'EXPECTED_REPLICA',
     'EXPECTED_TOKENS',
     'EXPECTED_VERSION',
--- a/src/cassiahitch/standins/directsite.py
+++ b/src/cassiahitch/standins/directsite.py
@@ -133,6 +133,20 @@
         document = {'model': MODEL, 'version': version}
         self.store.put(names.OPERATOR_TABLE, f'{names.VERSION_PREFIX}{MODEL}', document)
 
+    def evacuate(self, failure_domain: str) -> None:
+        """Store the row that evacuates a failure domain, as the operator does.
+
+        :param failure_domain: name of the failure domain.
+        """
+        self.store.put(names.OPERATOR_TABLE, f'{names.EVACUATION_PREFIX}{failure_domain}', {})
+
+    def end_evacuation(self, failure_domain: str) -> None:
+        """Remove the row that evacuates a failure domain.
+
+        :param failure_domain: name of the failure domain.
+        """
+        self.store.remove(names.OPERATOR_TABLE, f'{names.EVACUATION_PREFIX}{failure_domain}')
+
     def register(self, backend: BackendStandin, state: str = 'ready') -> None:
         """Store the row that registers a backend server.
 
