--- a/src/cassiahitch/direct/agent.py
+++ b/src/cassiahitch/direct/agent.py
@@ -95,6 +95,7 @@
             time.time_ns(),
             self.rng,
             self.parts.loader.orders.trust,
+            cold_rate=self.parts.updater.cold_rate,
         )
         self.permits = PermitService(self.parts.log)
 
--- a/src/cassiahitch/direct/api.py
+++ b/src/cassiahitch/direct/api.py
@@ -91,6 +91,7 @@
     this response. ``stopping`` is set if the backend server announces its shutdown. ``pause_s`` is
     the time for which it asks for no new requests. ``limit_per_s`` is the rate of requests that it
     accepts from all entries together, infinity if it names no limit and None if that is unknown.
+    ``cold_s`` is the time for which it stays cold.
     ``invalid_headers`` names headers that could not be parsed. ``close_delimited`` is set if the
     body has neither chunks nor a length, so that it ends with its connection.
     """
@@ -108,6 +109,7 @@
     stopping: bool = False
     pause_s: float | None = None
     limit_per_s: float | None = math.inf
+    cold_s: float = 0
     invalid_headers: tuple[str, ...] = ()
     close_delimited: bool = False
 
--- a/src/cassiahitch/direct/assembly.py
+++ b/src/cassiahitch/direct/assembly.py
@@ -86,6 +86,7 @@
     )
     reservations.on_stopping = partial(signals.mark_stopping, source='agent')
     permits = PermitClient(entry_state, reservations.query_numbers)
+    entry_state.rate_limits.cold.on_cold = telemetry.replica_cold
     entry_state.rate_limits.on_change = partial(publish_limit, telemetry, permits)
     runner = make_runner(platform, candidates, signals, reservations, permits)
     messenger = EntryMessenger(entry_state, reservations, permits, telemetry, rng)
--- a/src/cassiahitch/direct/backends/replicasignals.py
+++ b/src/cassiahitch/direct/backends/replicasignals.py
@@ -49,6 +49,9 @@
             now = asyncio.get_running_loop().time()
             observation = LimitObservation.named(head.limit_per_s, sent_at, now)
             self.rate_limits.observe(replica, observation, 'answer')
+        if head.cold_s:
+            now = asyncio.get_running_loop().time()
+            self.rate_limits.cold.observe(replica, head.cold_s, now, 'answer')
 
     def mark_stopping(self, replica: Replica, source: str) -> None:
         """Record that a replica is stopping, and close the idle connections to it.
@@ -74,16 +77,17 @@
 
         :param assignment: the assignment.
         :return: false while the replica is evacuated, stopping or paused, and without a valid
-            permit while it names a rate limit.
+            permit while it names a rate limit or is cold.
         """
         replica = assignment.candidate.replica
         if self.evacuations.is_evacuated(replica.failure_domain):
             return False
         key = replica.key
-        if not self.availability.may_send(key, asyncio.get_running_loop().time()):
+        now = asyncio.get_running_loop().time()
+        if not self.availability.may_send(key, now):
             return False
         reservation = assignment.reservation
-        return not self.rate_limits.is_limited(key) or (
+        return not self.rate_limits.needs_permit(key, now) or (
             reservation is not None and boot_time() < reservation.permit_until
         )
 
--- a/src/cassiahitch/direct/entry.py
+++ b/src/cassiahitch/direct/entry.py
@@ -218,6 +218,7 @@
             now = asyncio.get_running_loop().time()
             self.parts.entry_state.replicas.expire(now)
             self.parts.entry_state.choose_limiters(boot_time())
+            self.parts.entry_state.record_entry_count(now)
             keys = frozenset(self.parts.entry_state.replicas.by_key())
             attempts = self.parts.runner.attempts
             attempts.pool.keep_only(keys)
--- a/src/cassiahitch/direct/entrystate.py
+++ b/src/cassiahitch/direct/entrystate.py
@@ -14,6 +14,7 @@
 from cassiahitch.direct.placement.limiterchoice import LimiterDirectory
 from cassiahitch.direct.placement.segmentguard import SegmentGuard
 from cassiahitch.direct.placement.segmentsharing import SegmentSharing
+from cassiahitch.direct.state.coldshares import ColdShares
 from cassiahitch.direct.state.evacuations import EvacuationRegistry
 from cassiahitch.direct.state.freshness import Freshness, boot_time
 from cassiahitch.direct.state.ratelimits import RateLimitRegistry
@@ -66,6 +67,7 @@
         if self.catalogue is not None and catalogue.version <= self.catalogue.version:
             return False
         self.catalogue = catalogue
+        self.rate_limits.cold.rates = catalogue.cold_rates()
         return True
 
     def is_ready(self, boot_now: float) -> bool:
@@ -103,6 +105,13 @@
         names = [service.name for service in services]
         self.limiters.update(self.replicas.replicas.values(), names, boot_now)
 
+    def record_entry_count(self, now: float) -> None:
+        """Record the number of live entries, by which the share of a cold rate is computed.
+
+        :param now: current time in seconds.
+        """
+        self.rate_limits.shares.counts.record(self.live_entries(now), now)
+
     @property
     def segments(self) -> SegmentGuard:
         """The evidence on prompt segments that crash engines."""
@@ -137,7 +146,7 @@
     )
     versions = VersionPolicy(settings.bounds.weights_s)
     crashes = CrashGuard()
-    rate_limits = RateLimitRegistry(rng)
+    rate_limits = RateLimitRegistry(rng, shares=ColdShares(rng))
     segment_sharing = SegmentSharing(SegmentGuard())
     records_to_send = Piggyback(
         crashes.records_to_send,
--- a/src/cassiahitch/direct/placement/enginegroups.py
+++ b/src/cassiahitch/direct/placement/enginegroups.py
@@ -24,10 +24,10 @@
 
     Engines of ``available`` may have a free slot, or have listed weights of which only their agents
     can tell whether they may serve; those of ``full`` have none. The agents of
-    ``unresponsive`` recently did not reply. Engines of ``limited`` name a rate limit, and their
-    agents may have a permit left; those whose limit may have ended are in ``available``. The cached
-    versions of ``version_unknown`` are not allowed, but the engines may have loaded newer weights
-    since.
+    ``unresponsive`` recently did not reply. Engines of ``limited`` name a rate limit or are cold,
+    and their agents may have a permit left; those whose limit may have ended are in ``available``.
+    The cached versions of ``version_unknown`` are not allowed, but the engines may have loaded
+    newer weights since.
     """
 
     available: list[Candidate] = field(default_factory=list)
@@ -105,7 +105,10 @@
         )
         may_query = self.candidates.availability.may_send(replica.key, now)
         is_limited = self.rate_limits.is_limited(replica.key)
-        if may_query and not is_limited and self.is_allowed(replica, engine):
+        is_allowed = may_query and not is_limited and self.is_allowed(replica, engine)
+        if is_allowed and self.rate_limits.cold.is_cold(replica.key, now):
+            self.add_limited(candidate, groups, now)
+        elif is_allowed:
             groups.available.append(candidate)
         else:
             groups.version_unknown.append(candidate)
@@ -134,18 +137,31 @@
         now = asyncio.get_running_loop().time()
         key = candidate.replica.key
         is_unresponsive = self.placement.engine_load(key).is_unresponsive(now)
-        if self.rate_limits.is_limited(key):
-            # Without a permit of its agent, no request may be sent.
-            if not is_unresponsive and not self.rate_limits.permit_wait_s(key, now):
-                needs_check = self.rate_limits.needs_check(key, now)
-                (groups.available if needs_check else groups.limited).append(candidate)
-        elif is_unresponsive:
-            groups.unresponsive.append(candidate)
+        if is_unresponsive:
+            if not self.rate_limits.is_limited(key):
+                groups.unresponsive.append(candidate)
+        elif self.rate_limits.needs_permit(key, now):
+            self.add_limited(candidate, groups, now)
         elif self.placement.is_full(engine, request, candidate, now):
             groups.full.append(candidate)
         else:
             groups.available.append(candidate)
 
+    def add_limited(self, candidate: Candidate, groups: EngineGroups, now: float) -> None:
+        """Add an engine that names a rate limit or is cold, unless no permit is left.
+
+        :param candidate: the engine.
+        :param groups: the groups.
+        :param now: current time in seconds.
+        """
+        key = candidate.replica.key
+        if self.rate_limits.permit_wait_s(key, now):
+            return
+        if self.rate_limits.needs_check(key, now):
+            groups.available.append(candidate)
+        else:
+            groups.limited.append(candidate)
+
     def may_have_newer_weights(self, replica: Replica, now: float) -> bool:
         """Return whether an engine may have loaded newer weights than the list contains.
 
--- a/src/cassiahitch/direct/placement/permits.py
+++ b/src/cassiahitch/direct/placement/permits.py
@@ -1,16 +1,17 @@
-"""Requests permits for plain replicas that name a rate limit, and passes on observed limits."""
+"""Requests permits for plain replicas that are limited or cold, and passes on observed limits."""
 
 from __future__ import annotations
 
 import asyncio
 import itertools
+import math
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from cassiahitch.direct.placement.limiterchoice import PERMIT_LIFETIME_S
 from cassiahitch.direct.placement.placement import Reservation
+from cassiahitch.direct.placement.reservation import UNGRANTED
 from cassiahitch.direct.state.freshness import boot_time
-from cassiahitch.direct.state.ratelimits import observation_of
 from cassiahitch.util.endpoints import Endpoint
 from cassiahitch.wire.datagrammessages import LimitNotice, PermitQuery, PermitReply, PlaceReturn
 
@@ -30,38 +31,62 @@
 class PermitClient:
     """Requests permits at the agents that limit the rates of plain replicas.
 
-    ``pending`` holds the queries without a reply by number.
+    ``pending`` holds the queries without a reply by number, ``silent_until`` the times until which
+    no agent is queried for a replica after a query without a reply, by its key.
     """
 
     entry_state: EntryState
     query_numbers: itertools.count[int]
     socket: DatagramSocket | None = None
     pending: dict[int, asyncio.Future[PermitReply]] = field(default_factory=dict)
+    silent_until: dict[str, float] = field(default_factory=dict)
 
     async def request(self, replica: Replica) -> Reservation | None:
         """Request a permit to send one request to a plain replica.
 
-        :param replica: the replica, which names a rate limit.
+        :param replica: the replica, which names a rate limit or is cold.
         :return: the permit, or None if none is granted; the registry of limits then holds when one
             may be available.
         """
-        agent = self.limiter(replica)
         clock = asyncio.get_running_loop().time
         rate_limits = self.entry_state.rate_limits
+        agent = self.limiter(replica)
+        if clock() < self.silent_until.get(replica.key, -math.inf):
+            agent = None
         queried_at = boot_time()
         reply = None if agent is None else await self.query(replica, agent)
-        if agent is None or reply is None:
-            rate_limits.record_refusal(replica.key, NO_REPLY_BACKOFF_S, clock())
-            return None
         now = clock()
-        for record in reply.limits:
-            rate_limits.observe(replica, observation_of(record, now), 'agent')
+        if agent is None or reply is None:
+            if agent is not None:
+                self.silent_until[replica.key] = now + NO_REPLY_BACKOFF_S
+            return self.use_share(replica, now)
+        rate_limits.apply_report(replica, reply.limits, now)
         if reply.refusals:
             available_s = reply.refusals[0].available_ms / MS_PER_S
             rate_limits.record_refusal(replica.key, available_s, now)
             return None
         return Reservation(reply.number, agent, queried_at + PERMIT_LIFETIME_S)
 
+    def use_share(self, replica: Replica, now: float) -> Reservation | None:
+        """Use the share of this entry of the cold rate, since no agent grants permits.
+
+        :param replica: the replica.
+        :param now: current time in seconds.
+        :return: the permit; None if the replica names a limit, or at other times than those of the
+            share of this entry.
+        """
+        rate_limits = self.entry_state.rate_limits
+        per_s = rate_limits.cold.per_s(replica.service)
+        if rate_limits.is_limited(replica.key) or not per_s:
+            rate_limits.record_refusal(replica.key, NO_REPLY_BACKOFF_S, now)
+            return None
+        if not rate_limits.shares.take(replica.key, per_s, now):
+            wait_s = rate_limits.shares.wait_s(replica.key, per_s, now)
+            rate_limits.record_refusal(replica.key, wait_s, now)
+            return None
+        host = Endpoint(replica.endpoint.address, self.entry_state.settings.peer_port)
+        return Reservation(UNGRANTED, host, boot_time() + PERMIT_LIFETIME_S)
+
     async def query(self, replica: Replica, agent: Endpoint) -> PermitReply | None:
         """Send a query and wait for the reply; a permit that is granted too late is returned.
 
@@ -105,12 +130,8 @@
         if agent is None or self.socket is None:
             return
         now = asyncio.get_running_loop().time()
-        tracker = self.entry_state.rate_limits.tracker(replica.key)
-        records = (
-            tracker.records(now, born_ms=replica.born_ms)
-            if self.entry_state.is_engine(replica)
-            else tracker.records(now, replica.id, replica.born_ms)
-        )
+        name = '' if self.entry_state.is_engine(replica) else replica.id
+        records = self.entry_state.rate_limits.records_named(replica, name, now)
         self.socket.send(LimitNotice(records), agent)
 
     def limiter(self, replica: Replica) -> Endpoint | None:
--- a/src/cassiahitch/direct/placement/plainsearch.py
+++ b/src/cassiahitch/direct/placement/plainsearch.py
@@ -1,7 +1,7 @@
 """Search for the replica of a request to a plain service.
 
-Load pattern: a replica that names a rate limit has the shortest queue, since it gets few requests.
-By its expected response time alone, it would be chosen for nearly all of them.
+Load pattern: a replica that names a rate limit, or is cold, has the shortest queue, since it gets
+few requests. By its expected response time alone, it would be chosen for nearly all of them.
 """
 
 from __future__ import annotations
@@ -53,7 +53,7 @@
         limited = [
             candidate
             for candidate in candidates
-            if self.rate_limits.is_limited(candidate.replica.key)
+            if self.rate_limits.needs_permit(candidate.replica.key, now)
         ]
         unchecked = [
             candidate
--- a/src/cassiahitch/direct/placement/reservation.py
+++ b/src/cassiahitch/direct/placement/reservation.py
@@ -17,7 +17,7 @@
 from cassiahitch.direct.placement.load import LoadReport
 from cassiahitch.direct.placement.placement import Reservation
 from cassiahitch.direct.state.freshness import boot_time
-from cassiahitch.direct.state.ratelimits import RateLimitRegistry, observation_of
+from cassiahitch.direct.state.ratelimits import RateLimitRegistry
 from cassiahitch.util.endpoints import Endpoint
 from cassiahitch.wire.datagrammessages import PlaceQuery, PlaceReturn
 
@@ -35,6 +35,8 @@
 MS_PER_S = 1000
 #: Seconds for which an agent that grants no permits is not queried for a limited engine again.
 NO_PERMITS_BACKOFF_S = 1.0
+#: Number of a reservation that no agent has granted, since numbers of queries start at 1.
+UNGRANTED = 0
 
 
 @dataclass(slots=True)
@@ -109,10 +111,10 @@
         """Return the observed rate limit of an engine for a message to its agent.
 
         :param replica: the replica of the engine.
-        :return: one record, or none if the engine has never named a limit.
+        :return: one record, or none if the engine has never named a limit and is not cold.
         """
         now = asyncio.get_running_loop().time()
-        return self.rate_limits.tracker(replica.key).records(now, born_ms=replica.born_ms)
+        return self.rate_limits.records_named(replica, '', now)
 
     def cancel(self, query_round: QueryRound) -> None:
         """Cancel a round and release the slots at all its agents.
@@ -146,7 +148,7 @@
 
         :param reservation: the reservation.
         """
-        if self.socket is not None:
+        if self.socket is not None and reservation.number != UNGRANTED:
             self.socket.send(PlaceReturn(reservation.number), reservation.agent)
 
     def handle_load(self, load: EngineLoad, replicas: Iterable[Replica], sender: Endpoint) -> None:
@@ -183,7 +185,7 @@
         elif load.limits:
             permit_until = query_round.sent_at + PERMIT_LIFETIME_S
             query_round.reservations[key] = Reservation(load.number, agent, permit_until)
-        elif self.rate_limits.is_limited(key):
+        elif self.rate_limits.needs_permit(key, now):
             # The agent runs a version that grants no permits.
             query_round.refused.add(key)
             self.rate_limits.record_refusal(key, NO_PERMITS_BACKOFF_S, now)
@@ -203,8 +205,7 @@
         if replica.endpoint.address != sender.address or not is_same_incarnation:
             return False
         now = asyncio.get_running_loop().time()
-        for record in load.limits:
-            self.rate_limits.observe(replica, observation_of(record, now), 'agent')
+        self.rate_limits.apply_report(replica, load.limits, now)
         if load.leaving:
             self.on_stopping(replica)
         if load.refusals:
@@ -231,4 +232,7 @@
         return Endpoint(replica.endpoint.address, self.peer_port)
 
 
-__all__ = ('ReservationClient',)
+__all__ = (
+    'UNGRANTED',
+    'ReservationClient',
+)
--- a/src/cassiahitch/direct/placement/search.py
+++ b/src/cassiahitch/direct/placement/search.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from cassiahitch.codes import Code
+from cassiahitch.direct.placement.coldengines import UngrantedSends
 from cassiahitch.direct.placement.enginegroups import EngineGrouping, EngineGroups
 from cassiahitch.direct.placement.isolation import isolate
 from cassiahitch.direct.placement.placement import (
@@ -81,10 +82,12 @@
     plain: PlainSearch
     rng: random.Random
     grouping: EngineGrouping = field(init=False)
+    ungranted: UngrantedSends = field(init=False)
 
     def __post_init__(self) -> None:
-        """Create the grouping of engines."""
+        """Create the grouping of engines, and the limit of requests without permits."""
         self.grouping = EngineGrouping(self.candidates, self.placement, self.rate_limits, self.rng)
+        self.ungranted = UngrantedSends(self.placement, self.reservations)
 
     @property
     def rate_limits(self) -> RateLimitRegistry:
@@ -148,17 +151,18 @@
 
         :param search: state of the completed search.
         :param replicas: the replicas of the service.
-        :return: the result; a refusal if there is none and some replicas are limited.
+        :return: the result; a refusal if there is none and some replicas are limited or cold.
         """
-        limited = [replica.key for replica in replicas if self.rate_limits.is_limited(replica.key)]
-        if not limited or isinstance(search.result, Assignment):
+        if isinstance(search.result, Assignment):
+            return search.result
+        is_unplaced = search.result is None
+        waits_s = self.ungranted.permit_waits_s(replicas, with_silent=is_unplaced)
+        if not waits_s:
             return search.result
-        now = asyncio.get_running_loop().time()
-        wait_s = min(self.rate_limits.permit_wait_s(key, now) for key in limited)
         if search.result is None:
-            return self.placement.no_permit(search.request, wait_s, len(limited))
-        available_in_s = min(wait_s, search.result.available_in_s)
-        return replace(search.result, available_in_s=available_in_s, limited=len(limited))
+            return self.placement.no_permit(search.request, min(waits_s), len(waits_s))
+        available_in_s = min(*waits_s, search.result.available_in_s)
+        return replace(search.result, available_in_s=available_in_s, limited=len(waits_s))
 
     def no_replica_error(self, call: Call) -> RequestError:
         """Return the error for a request that no replica accepts.
@@ -200,7 +204,8 @@
             self.release_unused(search)
         if isinstance(search.result, Assignment):
             key = search.result.candidate.replica.key
-            search.result = replace(search.result, reservation=search.reservations.get(key))
+            assignment = replace(search.result, reservation=search.reservations.get(key))
+            search.result = self.ungranted.granted(search.request, assignment)
 
     async def query_rounds(self, search: SearchState) -> None:
         """Query engines in rounds until one can start the request soon.
@@ -221,7 +226,7 @@
         if search.result is None and groups.full:
             self.decide(search, tuple(groups.full))
         if search.result is None and groups.unresponsive:
-            self.decide(search, tuple(groups.unresponsive))
+            self.decide(search, self.ungranted.sendable(groups.unresponsive))
 
     async def query_limited(self, search: SearchState) -> None:
         """Query limited engines if no other engine can start the request soon.
--- a/src/cassiahitch/direct/staging/agentupdater.py
+++ b/src/cassiahitch/direct/staging/agentupdater.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from cassiahitch.direct.staging.chunks import WeightsId
+from cassiahitch.direct.staging.enginelimit import ColdRate
 from cassiahitch.direct.state.catalogue import Catalogue
 from cassiahitch.direct.state.feed import (
     CallFailure,
@@ -65,6 +66,14 @@
         model = service.engine.model
         return WeightsId(self.versions.newest(model) or FIRST_VERSION, model)
 
+    def cold_rate(self) -> ColdRate:
+        """Return how long the engine is cold after its start, and its rate meanwhile.
+
+        :return: the rate of the service of this agent, 0 if there is no limit or it is unknown.
+        """
+        service = self.catalogue.services.get(self.settings.service) if self.catalogue else None
+        return ColdRate(service.cold_per_s, service.cold_s) if service else ColdRate()
+
     def remaining_s(self, target: WeightsId, now: float) -> float:
         """Return the time until versions older than the target may no longer be used.
 
--- a/src/cassiahitch/direct/staging/enginestate.py
+++ b/src/cassiahitch/direct/staging/enginestate.py
@@ -22,7 +22,7 @@
     than its configuration says. ``born_ms`` is the time at which the engine's process started,
     and ``stopping`` says whether it is shutting down. ``limit_per_s`` is the rate of requests that
     it accepts from all entries together, infinity if the report names no limit and None if that is
-    unknown.
+    unknown. ``cold_s`` is the time for which it stays cold.
     """
 
     weights: tuple[tuple[str, int], ...] = ()
@@ -35,6 +35,7 @@
     born_ms: int = 0
     stopping: bool = False
     limit_per_s: float | None = math.inf
+    cold_s: float = 0
 
     def loaded_version(self, model: str) -> int:
         """Return the version of a model that is loaded.
--- a/src/cassiahitch/direct/staging/permits.py
+++ b/src/cassiahitch/direct/staging/permits.py
@@ -1,4 +1,4 @@
-"""Grants permits for requests to plain replicas that name a rate limit.
+"""Grants permits for requests to plain replicas that name a rate limit or are cold.
 
 A plain replica has no agent of its own. The entries choose the agent of an engine for each of them,
 see :mod:`cassiahitch.direct.placement.limiterchoice`.
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from cassiahitch.direct.staging.ratelimiter import RateLimiter
+from cassiahitch.direct.state.coldness import MAX_COLD_S, MILLI, MS_PER_S
 from cassiahitch.direct.state.ratelimits import observation_of
 from cassiahitch.wire.datagrammessages import (
     LimitNotice,
@@ -28,7 +29,6 @@
     from cassiahitch.wire.datagrammessages import DatagramMessage, LimitRecord
     from cassiahitch.wire.datagrams import DatagramSocket
 
-MS_PER_S = 1000
 #: Seconds without queries and notices after which the limiter of a replica is removed.
 IDLE_EXPIRY_S = 60.0
 
@@ -88,7 +88,7 @@
         refusal = limiter.request(entry, number, now)
         reply = PermitReply(
             number,
-            limiter.tracker.records(now, record.replica, record.born_ms),
+            limiter.records(now, record.replica, record.born_ms),
             refusal_records(refusal),
         )
         if self.socket is not None:
@@ -115,8 +115,32 @@
                 before_per_s=before.per_s,
                 source=str(entry),
             )
+        self.mark_cold(permits.limiter, record, entry, now)
         return permits.limiter
 
+    def mark_cold(
+        self, limiter: RateLimiter, record: LimitRecord, entry: Endpoint, now: float
+    ) -> None:
+        """Record how long a replica stays cold, and log it if it has become cold.
+
+        :param limiter: the limiter of the replica.
+        :param record: the observation.
+        :param entry: the entry.
+        :param now: current time in seconds.
+        """
+        for cold in record.cold:
+            left_s = min(MAX_COLD_S, cold.left_ms / MS_PER_S)
+            per_s = cold.milli_per_s / MILLI
+            if left_s > 0 and limiter.mark_cold(per_s, now + left_s, now):
+                self.log.state_changed(
+                    'cold rate in force',
+                    replica=record.replica,
+                    born_ms=record.born_ms,
+                    per_s=per_s,
+                    cold_s=left_s,
+                    source=str(entry),
+                )
+
     def expire(self, now: float) -> None:
         """Remove the limiters that no entry has used for long.
 
--- a/src/cassiahitch/direct/staging/reporting.py
+++ b/src/cassiahitch/direct/staging/reporting.py
@@ -11,11 +11,12 @@
 import asyncio
 import math
 import random
+from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
-from cassiahitch.direct.staging.enginelimit import EngineRateLimit
+from cassiahitch.direct.staging.enginelimit import ColdRate, EngineRateLimit
 from cassiahitch.direct.staging.loadtrust import LoadTrust
 from cassiahitch.direct.staging.permits import refusal_records
 from cassiahitch.errors import PlatformError
@@ -90,7 +91,7 @@
 
     ``entries`` holds until when each entry that sent a query is sent changes. ``sent_state`` is
     the state that was sent last: whether the engine is loading, its version, whether it is
-    stopping, and its rate limit.
+    stopping, and its rate limit. ``cold_rate`` returns the cold rate of the engine's service.
     """
 
     engine: StagingEngine
@@ -108,10 +109,11 @@
     socket: DatagramSocket | None = None
     is_engine_reachable: bool = True
     query_received: asyncio.Event = field(default_factory=asyncio.Event)
+    cold_rate: Callable[[], ColdRate] = ColdRate
 
     def __post_init__(self) -> None:
         """Create the rate limit, which is unknown until the first report."""
-        self.rate_limit = EngineRateLimit(self.log)
+        self.rate_limit = EngineRateLimit(self.log, cold_rate=self.cold_rate)
 
     async def work(self) -> None:
         """Poll the engine until cancelled, less often while it is idle."""
@@ -170,7 +172,8 @@
         load = self.engine_load(0)
         if load is None:
             return
-        state = (load.loading, load.version, load.leaving, self.rate_limit.per_s)
+        per_s = min(self.rate_limit.per_s, self.rate_limit.limiter.cold_per_s(now))
+        state = (load.loading, load.version, load.leaving, per_s)
         if state == self.sent_state:
             return
         self.sent_state = state
--- a/src/cassiahitch/direct/state/catalogue.py
+++ b/src/cassiahitch/direct/state/catalogue.py
@@ -111,7 +111,9 @@
 
     ``max_connections`` is the limit of one replica for all entries together. The service that is
     the origin of weights has its address in ``origin``, its ``failure_domain``, and the bandwidth
-    of its link in ``link_mbit_s``, 0 if unknown.
+    of its link in ``link_mbit_s``, 0 if unknown. Its replicas are cold for ``cold_s`` after they
+    start, and then accept ``cold_per_s`` requests per second from all entries together; 0 means
+    that there is no such limit.
     """
 
     name: str
@@ -120,6 +122,8 @@
     origin: str = ''
     failure_domain: str = ''
     link_mbit_s: float = 0
+    cold_s: float = 0
+    cold_per_s: float = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -205,6 +209,17 @@
         ]
         return frozenset.intersection(*restrictions) if restrictions else frozenset()
 
+    def cold_rates(self) -> Mapping[str, float]:
+        """Return the cold rates of the services that have one.
+
+        :return: requests per second by service.
+        """
+        return {
+            service.name: service.cold_per_s
+            for service in self.services.values()
+            if service.cold_per_s > 0
+        }
+
     def services_by_model(self) -> Mapping[str, Service]:
         """Return the services that run model engines, by model name.
 
--- a/src/cassiahitch/direct/state/ratelimits.py
+++ b/src/cassiahitch/direct/state/ratelimits.py
@@ -1,8 +1,9 @@
-"""Rate limits that replicas name in their responses.
+"""Rate limits of replicas: those that they name in their responses, and those of cold replicas.
 
 Load pattern: an overloaded replica names the rate of requests that it accepts from all entries
 together. Responses overtake each other, and processes exchange what they have observed. A response
-to a request that was sent before the limit was lowered must not raise it again.
+to a request that was sent before the limit was lowered must not raise it again. A replica that is
+cold accepts no more than the cold rate of its service, whether it names a limit or not.
 """
 
 from __future__ import annotations
@@ -10,9 +11,11 @@
 import math
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING, Self
 
+from cassiahitch.direct.state.coldness import ColdRegistry
+from cassiahitch.direct.state.coldshares import ColdShares
 from cassiahitch.wire.datagrammessages import LimitRecord
 
 if TYPE_CHECKING:
@@ -150,7 +153,8 @@
 
     ``named`` holds the replicas that have named a limit, ``permits_at`` the times in seconds at
     which their next permits are available, by the last refusals. ``on_change`` is called with the
-    replica, its limit before, and the source of the observation.
+    replica, its limit before, and the source of the observation. ``cold`` holds the replicas that
+    are cold, ``shares`` what this entry may send without a permit.
     """
 
     rng: random.Random = field(default_factory=random.Random)
@@ -158,6 +162,8 @@
     named: dict[str, Replica] = field(default_factory=dict)
     permits_at: dict[str, float] = field(default_factory=dict)
     on_change: Callable[[Replica, LimitObservation, str], None] = _ignore_change
+    cold: ColdRegistry = field(default_factory=ColdRegistry)
+    shares: ColdShares = field(default_factory=ColdShares)
 
     def tracker(self, key: str) -> RateLimitTracker:
         """Return the tracker of a replica, which is created if needed.
@@ -175,6 +181,15 @@
         """
         return self.tracker(key).is_limited
 
+    def needs_permit(self, key: str, now: float) -> bool:
+        """Return whether a request to a replica needs a permit.
+
+        :param key: key of the replica.
+        :param now: current time in seconds.
+        :return: whether the replica names a rate limit or is cold, as far as this process knows.
+        """
+        return self.is_limited(key) or self.cold.is_cold(key, now)
+
     def needs_check(self, key: str, now: float) -> bool:
         """Return whether the limit of a replica was not confirmed for some time.
 
@@ -198,6 +213,17 @@
             self.named[replica.key] = replica
             self.on_change(replica, before, source)
 
+    def apply_report(self, replica: Replica, records: tuple[LimitRecord, ...], now: float) -> None:
+        """Apply the limits that an agent has reported for a replica.
+
+        :param replica: the replica.
+        :param records: one record, or none.
+        :param now: current time in seconds.
+        """
+        for record in records:
+            self.observe(replica, observation_of(record, now), 'agent')
+            self.cold.apply_report(replica, record.cold, now, 'agent')
+
     def record_refusal(self, key: str, available_s: float, now: float) -> None:
         """Record that no permit is available for a replica.
 
@@ -221,9 +247,23 @@
 
         :param replica: the replica.
         :param now: current time in seconds.
-        :return: one record, or none if the replica has never named a limit.
+        :return: one record, or none if the replica has never named a limit and is not cold.
+        """
+        return self.records_named(replica, replica.id, now)
+
+    def records_named(self, replica: Replica, name: str, now: float) -> tuple[LimitRecord, ...]:
+        """Return the limits of a replica under a name for a message to an agent.
+
+        :param replica: the replica.
+        :param name: its id, empty for the engine of that agent.
+        :param now: current time in seconds.
+        :return: one record, or none if the replica has never named a limit and is not cold.
         """
-        return self.tracker(replica.key).records(now, replica.id, replica.born_ms)
+        tracker = self.tracker(replica.key)
+        cold = self.cold.records(replica.key, now)
+        if not cold:
+            return tracker.records(now, name, replica.born_ms)
+        return (replace(tracker.current.record(now, name, replica.born_ms), cold=cold),)
 
     def limited_replicas(self) -> list[Replica]:
         """Return the replicas that name a rate limit.
@@ -250,6 +290,8 @@
         self.trackers = {key: tracker for key, tracker in self.trackers.items() if key in keys}
         self.named = {key: replica for key, replica in self.named.items() if key in keys}
         self.permits_at = {key: at for key, at in self.permits_at.items() if key in keys}
+        self.cold.keep_only(keys)
+        self.shares.keep_only(keys)
 
 
 __all__ = (
--- a/src/cassiahitch/direct/state/replicas.py
+++ b/src/cassiahitch/direct/state/replicas.py
@@ -24,7 +24,8 @@
 
     ``weights`` holds each loaded model and its version, and ``layers`` which of its layers are
     loaded, None if the list does not name one range. ``born_ms`` is the Unix time of the start of
-    its process, 0 if the list does not contain it.
+    its process, 0 if the list does not contain it. ``cold_ms`` is the time for which it stays
+    cold; it changes with each heartbeat and does not tell replicas apart.
     """
 
     id: str
@@ -36,6 +37,7 @@
     born_ms: int = 0
     weights: tuple[tuple[str, int], ...] = ()
     layers: LayerRange | None = None
+    cold_ms: float = field(default=0, compare=False)
 
     @property
     def key(self) -> str:
--- a/src/cassiahitch/direct/state/updater.py
+++ b/src/cassiahitch/direct/state/updater.py
@@ -190,6 +190,7 @@
             return
         before = registry.replicas.get(replica.id)
         registry.update(replica)
+        self.entry_state.rate_limits.cold.observe_row(replica, row.version, now)
         if before != replica:
             self.telemetry.state_changed(
                 'replica listed',
--- a/src/cassiahitch/direct/telemetry.py
+++ b/src/cassiahitch/direct/telemetry.py
@@ -112,7 +112,7 @@
             'expected_s': assignment.expected_s,
             'version': assignment.candidate.version,
             'rank': assignment.rank,
-            'reserved': assignment.reservation is not None,
+            'reserved': bool(assignment.reservation and assignment.reservation.number),
             'waited_s': started_at - call.arrived_at,
             'took_s': now - started_at,
         }
@@ -322,6 +322,25 @@
         self.metrics.count(CounterName.rate_limits_named, replica.service)
         self.state_changed('replica names a rate limit', per_s=current.per_s, **fields)
 
+    def replica_cold(self, replica: Replica, left_s: float, source: str) -> None:
+        """Record that a backend server has become cold, so that each request needs a permit.
+
+        :param replica: the backend server.
+        :param left_s: seconds for which it stays cold.
+        :param source: where it was observed, such as in its row or by its agent.
+        """
+        self.metrics.count(CounterName.replicas_cold, replica.service)
+        self.state_changed(
+            'replica is cold',
+            replica=replica.id,
+            born_ms=replica.born_ms,
+            service=replica.service,
+            cold_s=left_s,
+            per_s=self.entry_state.rate_limits.cold.per_s(replica.service),
+            entries=self.entry_state.rate_limits.shares.counts.highest(),
+            source=source,
+        )
+
     def header_ignored(self, replica: Replica, name: str) -> None:
         """Record that an invalid header of a response was ignored.
 
@@ -375,6 +394,8 @@
         self.metrics.gauge(GaugeName.replicas, len(self.entry_state.replicas.replicas))
         limited = self.entry_state.rate_limits.limited_replicas()
         self.metrics.gauge(GaugeName.limited_replicas, len(limited))
+        cold = self.entry_state.rate_limits.cold.cold_count(now)
+        self.metrics.gauge(GaugeName.cold_replicas, cold)
         evacuated = len(self.entry_state.evacuations.evacuated_at)
         self.metrics.gauge(GaugeName.evacuated_domains, evacuated)
 
--- a/src/cassiahitch/metrics/names.py
+++ b/src/cassiahitch/metrics/names.py
@@ -32,6 +32,7 @@
     replicas_leaving = 'replicas_leaving'
     replica_pauses = 'replica_pauses'
     rate_limits_named = 'rate_limits_named'
+    replicas_cold = 'replicas_cold'
     headers_unreadable = 'headers_unreadable'
     cache_hits = 'cache_hits'
     origin_bytes = 'origin_bytes'
@@ -71,6 +72,7 @@
     leases_held = 'leases_held'
     replicas = 'replicas'
     limited_replicas = 'limited_replicas'
+    cold_replicas = 'cold_replicas'
     evacuated_domains = 'evacuated_domains'
     configuration_age_s = 'configuration_age_s'
 
--- a/src/cassiahitch/platform/documents.py
+++ b/src/cassiahitch/platform/documents.py
@@ -3,9 +3,16 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from typing import Annotated, Literal, TypeVar
-
-from pydantic import BaseModel, ConfigDict, Field, ValidationError, alias_generators
+from typing import Annotated, Any, Literal, TypeVar
+
+from pydantic import (
+    BaseModel,
+    BeforeValidator,
+    ConfigDict,
+    Field,
+    ValidationError,
+    alias_generators,
+)
 
 from cassiahitch.codes import Code
 from cassiahitch.direct.staging.enginestate import EngineReport
@@ -28,8 +35,16 @@
 #: Highest accepted pace of an engine; a higher number means a slower engine.
 MAX_PACE = 1e6
 
+
+def _time_or_none(number: Any) -> float:
+    """Return a duration in milliseconds, 0 if a row contains anything else instead."""
+    is_number = isinstance(number, int | float) and not isinstance(number, bool)
+    return min(number, MAX_TIME_MS) if is_number and number > 0 else 0
+
+
 _NonNegativeInt64 = Annotated[int, Field(ge=0, le=MAX_INT64)]
 _NonNegativeInt32 = Annotated[int, Field(ge=0, le=MAX_INT32)]
+_OptionalTime = Annotated[float, BeforeValidator(_time_or_none)]
 _PositiveNumber = Annotated[float, Field(gt=0, le=MAX_TIME_MS)]
 _PositiveInt32 = Annotated[int, Field(ge=1, le=MAX_INT32)]
 _Priority = Annotated[int, Field(ge=-MAX_INT32, le=MAX_INT32)]
@@ -141,6 +156,8 @@
     origin: str = ''
     zone: str = ''
     link_mbps: Annotated[float, Field(ge=0)] = 0
+    cold_s: Annotated[float, Field(ge=0, le=MAX_TIME_MS)] = 0
+    cold_per_s: Annotated[float, Field(ge=0, le=MAX_TIME_MS)] = 0
 
     def decoded(self) -> catalogue.Service:
         """Convert the document to a service."""
@@ -152,6 +169,8 @@
             self.origin,
             self.zone,
             self.link_mbps,
+            self.cold_s,
+            self.cold_per_s,
         )
 
 
@@ -198,6 +217,7 @@
     born: _NonNegativeInt64 = 0
     models: tuple[_ModelVersionModel, ...] = ()
     layers: _LayerRangeModel | tuple[_LayerRangeModel, ...] | None = None
+    cold_ms: _OptionalTime = 0
 
 
 class _VersionModel(CamelModel):
@@ -317,6 +337,7 @@
         born_ms=model.born,
         weights=_loaded_weights(model.models, model.layers),
         layers=_loaded_layers(model.layers),
+        cold_ms=model.cold_ms,
     )
 
 
--- a/src/cassiahitch/platform/engine.py
+++ b/src/cassiahitch/platform/engine.py
@@ -14,7 +14,7 @@
 from cassiahitch.errors import PlatformError
 from cassiahitch.platform import names
 from cassiahitch.platform.documents import decode_manifest, decode_report
-from cassiahitch.platform.requests import read_server_leaving, read_server_limit
+from cassiahitch.platform.requests import read_cold_s, read_server_leaving, read_server_limit
 from cassiahitch.stores.http_client import HttpCall, HttpCallError, HttpClient, HttpResponse
 
 #: Timeout of a call to the engine on this host, in seconds.
@@ -40,7 +40,12 @@
         _require_ok(response, Code.engine_unavailable)
         stopping = bool(read_server_leaving(response.headers))
         limit_per_s = read_server_limit(response.headers)
-        return replace(decode_report(response.body), stopping=stopping, limit_per_s=limit_per_s)
+        return replace(
+            decode_report(response.body),
+            stopping=stopping,
+            limit_per_s=limit_per_s,
+            cold_s=read_cold_s(response.headers) or 0,
+        )
 
     async def stage(self, model: str, index: int, content: bytes) -> None:
         """Upload a chunk of weights to the engine.
--- a/src/cassiahitch/platform/names.py
+++ b/src/cassiahitch/platform/names.py
@@ -21,6 +21,8 @@
 #: Requests per second that a backend server accepts from all hosts together; it is in all responses
 #: of the backend server while the limit applies.
 SERVER_LIMIT = 'Server-Limit'
+#: Time for which a backend server stays cold, in milliseconds.
+COLD_MS = 'X-Cassiahitch-Cold-Ms'
 #: Identifier of the replica that the request is for; any other one refuses the request.
 EXPECTED_REPLICA = 'X-Cassiahitch-Expect-Instance'
 #: Required version of the weights; a replica with another one refuses the request.
@@ -76,6 +78,7 @@
     'API_KEY',
     'ATTEMPT_ID',
     'CHUNK_INDEX',
+    'COLD_MS',
     'COMMIT_PATH',
     'CONFIGURATION_KEY',
     'DEADLINE_MS',
--- a/src/cassiahitch/platform/requests.py
+++ b/src/cassiahitch/platform/requests.py
@@ -146,10 +146,12 @@
             else 0
         )
         limit_per_s = read_server_limit(headers)
+        cold_s = read_cold_s(headers)
         invalid_headers = (
             (names.SERVER_LEAVING, stopping is None),
             (RETRY_AFTER, pause_s is None),
             (names.SERVER_LIMIT, limit_per_s is None),
+            (names.COLD_MS, cold_s is None),
         )
         return ResponseHead(
             status=status,
@@ -165,6 +167,7 @@
             stopping=bool(stopping),
             pause_s=pause_s or None,
             limit_per_s=limit_per_s,
+            cold_s=cold_s or 0,
             invalid_headers=tuple(name for name, is_invalid in invalid_headers if is_invalid),
         )
 
@@ -188,6 +191,16 @@
     return _parse_decimal(headers, names.SERVER_LIMIT, math.inf)
 
 
+def read_cold_s(headers: Headers) -> float | None:
+    """Return how long a backend server stays cold.
+
+    :param headers: headers of any response of the backend server.
+    :return: seconds, 0 if it reports none, ``None`` if the value of the header is invalid.
+    """
+    cold_ms = _parse_decimal(headers, names.COLD_MS, 0)
+    return None if cold_ms is None else cold_ms / MS_PER_S
+
+
 def _parse_decimal(headers: Headers, name: str, default: float) -> float | None:
     values = _values(headers, name)
     if not values:
--- a/src/cassiahitch/standins/backends.py
+++ b/src/cassiahitch/standins/backends.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import math
 from collections import Counter
 from contextlib import contextmanager, suppress
 from dataclasses import dataclass, field
@@ -94,7 +95,9 @@
     """One replica; each request takes the next of ``faults``, or ``fault`` if there is none left.
 
     While ``stopping`` is set, every response announces it, and while ``limit_per_s`` is set, every
-    response names it as the rate limit, those to the agent only with ``reports_limit``. Every
+    response names it as the rate limit, those to the agent only with ``reports_limit``. Until
+    ``cold_until``, in seconds of the event loop's clock, the replica is cold: its row says so, and
+    its responses to the agent, all others only with ``reports_cold``. Every
     response has ``extra_headers``. ``arrivals`` holds the times of all requests except the calls of
     the agent, in seconds of the event loop's clock.
     A stream begins ``queue_s`` after its request. Until ``silent_until``, an engine begins nothing
@@ -115,6 +118,8 @@
     stopping: bool = False
     limit_per_s: float | None = None
     reports_limit: bool = True
+    cold_until: float = 0
+    reports_cold: bool = False
     extra_headers: dict[str, str] = field(default_factory=dict)
     refusal_retry_after_s: float = 1
     fault: Fault = Fault.none
@@ -147,7 +152,7 @@
             'version': 'v1',
             'slots': self.slots,
             'state': state,
-            'coldMs': 0,
+            'coldMs': self.cold_ms(),
             'models': engine.models(),
             'layers': engine.layers(),
             'seq': engine.load_sequence,
@@ -219,8 +224,19 @@
         names_limit = self.reports_limit or not target.startswith(names.REPORT_PATH)
         if self.limit_per_s is not None and names_limit:
             headers[names.SERVER_LIMIT] = str(self.limit_per_s)
+        cold_ms = self.cold_ms()
+        if cold_ms and (self.reports_cold or target.startswith(names.REPORT_PATH)):
+            headers[names.COLD_MS] = str(cold_ms)
         return headers
 
+    def cold_ms(self) -> int:
+        """Return the time for which the replica stays cold.
+
+        :return: milliseconds.
+        """
+        left_s = self.cold_until - asyncio.get_running_loop().time()
+        return math.ceil(max(0, left_s) * MS_PER_S)
+
     async def answer(
         self,
         response: ResponseWriter,
--- a/src/cassiahitch/standins/configurations.py
+++ b/src/cassiahitch/standins/configurations.py
@@ -100,6 +100,23 @@
     }
 
 
+def with_cold_rate(
+    configuration: Mapping[str, Any], cold_s: float, cold_per_s: float
+) -> dict[str, Any]:
+    """Return a configuration whose services limit the rate of their cold replicas.
+
+    :param configuration: JSON values.
+    :param cold_s: seconds for which a replica is cold after its start.
+    :param cold_per_s: requests per second that a cold replica accepts.
+    :return: JSON values.
+    """
+    rate = {'coldS': cold_s, 'coldPerS': cold_per_s}
+    return {
+        **configuration,
+        'services': [{**service, **rate} for service in configuration['services']],
+    }
+
+
 def with_organisations(
     configuration: Mapping[str, Any], organisations: Mapping[str, str]
 ) -> dict[str, Any]:
@@ -136,5 +153,6 @@
     'initial_configuration',
     'organisations_by_key',
     'with_request_limits',
+    'with_cold_rate',
     'with_organisations',
 )
--- a/src/cassiahitch/wire/datagrammessages.py
+++ b/src/cassiahitch/wire/datagrammessages.py
@@ -33,13 +33,25 @@
     age_ms: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class ColdRecord:
+    """A service has a cold rate of ``milli_per_s``, in thousandths of a request per second.
+
+    Its replica stays cold for another ``left_ms``, 0 if it is not cold.
+    """
+
+    left_ms: int = 0
+    milli_per_s: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class LimitRecord:
     """The rate limit of a replica, as named in a response.
 
     ``milli_per_s`` is in thousandths of a request per second, -1 if the response named no limit.
     Its request was sent ``sent_age_ms`` ago, and it was received ``received_age_ms`` ago. An empty
-    ``replica`` stands for the engine of the agent that sends or receives the message.
+    ``replica`` stands for the engine of the agent that sends or receives the message. ``cold``
+    holds one record if the service of the replica has a cold rate.
     """
 
     replica: str = ''
@@ -47,6 +59,7 @@
     milli_per_s: int = -1
     sent_age_ms: int = 0
     received_age_ms: int = 0
+    cold: tuple[ColdRecord, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -286,6 +299,7 @@
 )
 
 __all__ = (
+    'ColdRecord',
     'DatagramMessage',
     'ChunkMap',
     'CrashRecord',
--- a/src/cassiahitch/wire/datagrams.thrift
+++ b/src/cassiahitch/wire/datagrams.thrift
@@ -41,12 +41,18 @@
   4: list<string> endpoints
 }
 
+struct ColdRecord {
+  1: i64 left_ms
+  2: i64 milli_per_s
+}
+
 struct LimitRecord {
   1: string replica
   2: i64 born_ms
   3: i64 milli_per_s
   4: i64 sent_age_ms
   5: i64 received_age_ms
+  6: list<ColdRecord> cold
 }
 
 struct SegmentCrashRecord {
--- a/src/cassiahitch/wire/gen/datagrams/ttypes.py
+++ b/src/cassiahitch/wire/gen/datagrams/ttypes.py
@@ -601,6 +601,86 @@
         return not (self == other)
 
 
+class ColdRecord(object):
+    """
+    Attributes:
+     - left_ms
+     - milli_per_s
+
+    """
+
+    __slots__ = (
+        'left_ms',
+        'milli_per_s',
+    )
+
+
+    def __init__(self, left_ms=None, milli_per_s=None,):
+        self.left_ms = left_ms
+        self.milli_per_s = milli_per_s
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.left_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.milli_per_s = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ColdRecord')
+        if self.left_ms is not None:
+            oprot.writeFieldBegin('left_ms', TType.I64, 1)
+            oprot.writeI64(self.left_ms)
+            oprot.writeFieldEnd()
+        if self.milli_per_s is not None:
+            oprot.writeFieldBegin('milli_per_s', TType.I64, 2)
+            oprot.writeI64(self.milli_per_s)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class LimitRecord(object):
     """
     Attributes:
@@ -609,6 +689,7 @@
      - milli_per_s
      - sent_age_ms
      - received_age_ms
+     - cold
 
     """
 
@@ -618,15 +699,17 @@
         'milli_per_s',
         'sent_age_ms',
         'received_age_ms',
+        'cold',
     )
 
 
-    def __init__(self, replica=None, born_ms=None, milli_per_s=None, sent_age_ms=None, received_age_ms=None,):
+    def __init__(self, replica=None, born_ms=None, milli_per_s=None, sent_age_ms=None, received_age_ms=None, cold=None,):
         self.replica = replica
         self.born_ms = born_ms
         self.milli_per_s = milli_per_s
         self.sent_age_ms = sent_age_ms
         self.received_age_ms = received_age_ms
+        self.cold = cold
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -662,6 +745,17 @@
                     self.received_age_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.cold = []
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = ColdRecord()
+                        _elem19.read(iprot)
+                        self.cold.append(_elem19)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -692,6 +786,13 @@
             oprot.writeFieldBegin('received_age_ms', TType.I64, 5)
             oprot.writeI64(self.received_age_ms)
             oprot.writeFieldEnd()
+        if self.cold is not None:
+            oprot.writeFieldBegin('cold', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.cold))
+            for iter20 in self.cold:
+                iter20.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -776,10 +877,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.segments = []
-                    (_etype503, _size500) = iprot.readListBegin()
-                    for _i504 in range(_size500):
-                        _elem505 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.segments.append(_elem505)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.segments.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -812,8 +913,8 @@
         if self.segments is not None:
             oprot.writeFieldBegin('segments', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.segments))
-            for iter506 in self.segments:
-                oprot.writeString(iter506.encode('utf-8') if sys.version_info[0] == 2 else iter506)
+            for iter27 in self.segments:
+                oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1002,77 +1103,77 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = MemberState()
-                        _elem19.read(iprot)
-                        self.members.append(_elem19)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = MemberState()
+                        _elem33.read(iprot)
+                        self.members.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.regions = []
-                    (_etype23, _size20) = iprot.readListBegin()
-                    for _i24 in range(_size20):
-                        _elem25 = RegionState()
-                        _elem25.read(iprot)
-                        self.regions.append(_elem25)
+                    (_etype37, _size34) = iprot.readListBegin()
+                    for _i38 in range(_size34):
+                        _elem39 = RegionState()
+                        _elem39.read(iprot)
+                        self.regions.append(_elem39)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype29, _size26) = iprot.readListBegin()
-                    for _i30 in range(_size26):
-                        _elem31 = SuspectRecord()
-                        _elem31.read(iprot)
-                        self.suspects.append(_elem31)
+                    (_etype43, _size40) = iprot.readListBegin()
+                    for _i44 in range(_size40):
+                        _elem45 = SuspectRecord()
+                        _elem45.read(iprot)
+                        self.suspects.append(_elem45)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.versions = []
-                    (_etype35, _size32) = iprot.readListBegin()
-                    for _i36 in range(_size32):
-                        _elem37 = VersionRecord()
-                        _elem37.read(iprot)
-                        self.versions.append(_elem37)
+                    (_etype49, _size46) = iprot.readListBegin()
+                    for _i50 in range(_size46):
+                        _elem51 = VersionRecord()
+                        _elem51.read(iprot)
+                        self.versions.append(_elem51)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype41, _size38) = iprot.readListBegin()
-                    for _i42 in range(_size38):
-                        _elem43 = LimitRecord()
-                        _elem43.read(iprot)
-                        self.limits.append(_elem43)
+                    (_etype55, _size52) = iprot.readListBegin()
+                    for _i56 in range(_size52):
+                        _elem57 = LimitRecord()
+                        _elem57.read(iprot)
+                        self.limits.append(_elem57)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.segment_crashes = []
-                    (_etype513, _size510) = iprot.readListBegin()
-                    for _i514 in range(_size510):
-                        _elem515 = SegmentCrashRecord()
-                        _elem515.read(iprot)
-                        self.segment_crashes.append(_elem515)
+                    (_etype61, _size58) = iprot.readListBegin()
+                    for _i62 in range(_size58):
+                        _elem63 = SegmentCrashRecord()
+                        _elem63.read(iprot)
+                        self.segment_crashes.append(_elem63)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.sound_segments = []
-                    (_etype523, _size520) = iprot.readListBegin()
-                    for _i524 in range(_size520):
-                        _elem525 = SegmentRecord()
-                        _elem525.read(iprot)
-                        self.sound_segments.append(_elem525)
+                    (_etype67, _size64) = iprot.readListBegin()
+                    for _i68 in range(_size64):
+                        _elem69 = SegmentRecord()
+                        _elem69.read(iprot)
+                        self.sound_segments.append(_elem69)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1101,50 +1202,50 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter44 in self.members:
-                iter44.write(oprot)
+            for iter70 in self.members:
+                iter70.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.regions is not None:
             oprot.writeFieldBegin('regions', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.regions))
-            for iter45 in self.regions:
-                iter45.write(oprot)
+            for iter71 in self.regions:
+                iter71.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter46 in self.suspects:
-                iter46.write(oprot)
+            for iter72 in self.suspects:
+                iter72.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.versions is not None:
             oprot.writeFieldBegin('versions', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.versions))
-            for iter47 in self.versions:
-                iter47.write(oprot)
+            for iter73 in self.versions:
+                iter73.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter48 in self.limits:
-                iter48.write(oprot)
+            for iter74 in self.limits:
+                iter74.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.segment_crashes is not None:
             oprot.writeFieldBegin('segment_crashes', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.segment_crashes))
-            for iter516 in self.segment_crashes:
-                iter516.write(oprot)
+            for iter75 in self.segment_crashes:
+                iter75.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sound_segments is not None:
             oprot.writeFieldBegin('sound_segments', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.sound_segments))
-            for iter526 in self.sound_segments:
-                iter526.write(oprot)
+            for iter76 in self.sound_segments:
+                iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1215,11 +1316,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = LimitRecord()
-                        _elem54.read(iprot)
-                        self.limits.append(_elem54)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = LimitRecord()
+                        _elem82.read(iprot)
+                        self.limits.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1244,8 +1345,8 @@
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter55 in self.limits:
-                iter55.write(oprot)
+            for iter83 in self.limits:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1444,11 +1545,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = LimitRecord()
-                        _elem61.read(iprot)
-                        self.limits.append(_elem61)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = LimitRecord()
+                        _elem89.read(iprot)
+                        self.limits.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1469,8 +1570,8 @@
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter62 in self.limits:
-                iter62.write(oprot)
+            for iter90 in self.limits:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1536,22 +1637,22 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = LimitRecord()
-                        _elem68.read(iprot)
-                        self.limits.append(_elem68)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = LimitRecord()
+                        _elem96.read(iprot)
+                        self.limits.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.refusals = []
-                    (_etype72, _size69) = iprot.readListBegin()
-                    for _i73 in range(_size69):
-                        _elem74 = PermitRefusal()
-                        _elem74.read(iprot)
-                        self.refusals.append(_elem74)
+                    (_etype100, _size97) = iprot.readListBegin()
+                    for _i101 in range(_size97):
+                        _elem102 = PermitRefusal()
+                        _elem102.read(iprot)
+                        self.refusals.append(_elem102)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1572,15 +1673,15 @@
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter75 in self.limits:
-                iter75.write(oprot)
+            for iter103 in self.limits:
+                iter103.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refusals is not None:
             oprot.writeFieldBegin('refusals', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.refusals))
-            for iter76 in self.refusals:
-                iter76.write(oprot)
+            for iter104 in self.refusals:
+                iter104.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1635,11 +1736,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = LimitRecord()
-                        _elem82.read(iprot)
-                        self.limits.append(_elem82)
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = LimitRecord()
+                        _elem110.read(iprot)
+                        self.limits.append(_elem110)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1656,8 +1757,8 @@
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter83 in self.limits:
-                iter83.write(oprot)
+            for iter111 in self.limits:
+                iter111.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1795,22 +1896,22 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = LimitRecord()
-                        _elem89.read(iprot)
-                        self.limits.append(_elem89)
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = LimitRecord()
+                        _elem117.read(iprot)
+                        self.limits.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.refusals = []
-                    (_etype93, _size90) = iprot.readListBegin()
-                    for _i94 in range(_size90):
-                        _elem95 = PermitRefusal()
-                        _elem95.read(iprot)
-                        self.refusals.append(_elem95)
+                    (_etype121, _size118) = iprot.readListBegin()
+                    for _i122 in range(_size118):
+                        _elem123 = PermitRefusal()
+                        _elem123.read(iprot)
+                        self.refusals.append(_elem123)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1867,15 +1968,15 @@
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter96 in self.limits:
-                iter96.write(oprot)
+            for iter124 in self.limits:
+                iter124.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refusals is not None:
             oprot.writeFieldBegin('refusals', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.refusals))
-            for iter97 in self.refusals:
-                iter97.write(oprot)
+            for iter125 in self.refusals:
+                iter125.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2406,11 +2507,11 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype101, _size98) = iprot.readListBegin()
-                    for _i102 in range(_size98):
-                        _elem103 = RowRecord()
-                        _elem103.read(iprot)
-                        self.rows.append(_elem103)
+                    (_etype129, _size126) = iprot.readListBegin()
+                    for _i130 in range(_size126):
+                        _elem131 = RowRecord()
+                        _elem131.read(iprot)
+                        self.rows.append(_elem131)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2451,8 +2552,8 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter104 in self.rows:
-                iter104.write(oprot)
+            for iter132 in self.rows:
+                iter132.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2721,6 +2822,12 @@
     (3, TType.I32, 'live', None, None, ),  # 3
     (4, TType.LIST, 'endpoints', (TType.STRING, 'UTF8', False), None, ),  # 4
 )
+all_structs.append(ColdRecord)
+ColdRecord.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'left_ms', None, None, ),  # 1
+    (2, TType.I64, 'milli_per_s', None, None, ),  # 2
+)
 all_structs.append(LimitRecord)
 LimitRecord.thrift_spec = (
     None,  # 0
@@ -2729,6 +2836,7 @@
     (3, TType.I64, 'milli_per_s', None, None, ),  # 3
     (4, TType.I64, 'sent_age_ms', None, None, ),  # 4
     (5, TType.I64, 'received_age_ms', None, None, ),  # 5
+    (6, TType.LIST, 'cold', (TType.STRUCT, [ColdRecord, None], False), None, ),  # 6
 )
 all_structs.append(SegmentCrashRecord)
 SegmentCrashRecord.thrift_spec = (
