Report the outstanding work of an engine with its load

Cause: agents report the number of requests at an engine, which tells neither when a slot becomes free nor how long the waiting prompts are. Change: an entry that places by cost names the expected output with its query. The agent keeps the announced requests, derives from the numbers in the engine's report which of them run and have ended, and replies with the output that a running request has left and the prompt tokens that wait. Fields are lists that are left out when empty, so that processes of both versions work together.

--- a/src/cassiahitch/direct/placement/load.py
+++ b/src/cassiahitch/direct/placement/load.py
@@ -29,12 +29,25 @@
 LATENESS_HALF_LIFE_S = 1.5
 
 
+@dataclass(frozen=True, slots=True)
+class OutstandingWork:
+    """Work of the requests at an engine, as its agent knows it from all entries.
+
+    ``remaining_tokens`` is the output that a running request is expected to have left, 0 if that is
+    unknown, and ``prompt_tokens`` the length of the prompts of all waiting requests together.
+    """
+
+    remaining_tokens: float
+    prompt_tokens: float
+
+
 @dataclass(frozen=True, slots=True)
 class LoadReport:
     """Load of an engine as reported by its agent.
 
     ``slowdown`` is the factor by which the engine is slower than configured. ``model`` and
-    ``version`` are the loaded weights, and ``incarnation`` is that of the agent.
+    ``version`` are the loaded weights, and ``incarnation`` is that of the agent. ``work`` is None
+    if the agent does not know the work of most requests.
     """
 
     running: int
@@ -44,6 +57,7 @@
     model: str = ''
     version: int = 0
     incarnation: int = 0
+    work: OutstandingWork | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -215,20 +229,33 @@
     return (tokens / engine.prefill_tokens_per_s + pairs * engine.attention_pair_s) * slowdown
 
 
-def slot_occupancy_s(engine: Engine, slowdown: float) -> float:
-    """Return the mean time for which a request occupies a slot of a fully loaded engine.
+def slot_occupancy_s(engine: Engine, slowdown: float, running: int | None = None) -> float:
+    """Return the mean time for which a request occupies a slot of an engine.
 
     :param engine: speed of the engine.
     :param slowdown: factor by which the engine is slower than configured.
+    :param running: number of running requests, None if all slots are taken.
     :return: seconds.
     """
+    running = engine.slots if running is None else running
     passes = max(1, engine.mean_output_tokens / engine.pass_steps)
-    decode_s = passes * pass_duration_s(engine, engine.slots, slowdown)
+    decode_s = passes * pass_duration_s(engine, running, slowdown)
     # Prefills are interleaved with the decode steps of other requests: the longer of both counts.
-    prefills_s = engine.slots * prefill_s(engine, engine.mean_prompt_tokens, slowdown)
+    prefills_s = running * prefill_s(engine, engine.mean_prompt_tokens, slowdown)
     return max(decode_s, prefills_s) + prefill_s(engine, engine.mean_prompt_tokens, slowdown)
 
 
+def output_tokens_per_s(engine: Engine, running: int, slowdown: float) -> float:
+    """Return how many tokens one request generates per second, its prefill included.
+
+    :param engine: speed of the engine.
+    :param running: number of running requests.
+    :param slowdown: factor by which the engine is slower than configured.
+    :return: tokens per second.
+    """
+    return engine.mean_output_tokens / slot_occupancy_s(engine, slowdown, running)
+
+
 def first_event_s(
     engine: Engine, queue: QueueEstimate, prompt_tokens: float, slowdown: float
 ) -> float:
@@ -268,8 +295,10 @@
     'LoadChange',
     'LoadTracker',
     'LoadReport',
+    'OutstandingWork',
     'QueueEstimate',
     'first_event_s',
+    'output_tokens_per_s',
     'pass_duration_s',
     'prefill_s',
     'slot_occupancy_s',
--- a/src/cassiahitch/direct/placement/placement.py
+++ b/src/cassiahitch/direct/placement/placement.py
@@ -16,6 +16,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from cassiahitch.direct.placement.costs import RequestCosts
 from cassiahitch.direct.placement.load import LoadTracker, prefill_s, queue_delay_s
 
 if TYPE_CHECKING:
@@ -78,7 +79,8 @@
 
     ``elapsed_s`` is the time since the caller first sent it, retries included, and ``remaining_s``
     the time until its deadline. ``mean_objective_s`` is the mean objective of the routes of the
-    service, 0 if unknown.
+    service, 0 if unknown. ``output_tokens`` is its expected output length, 0 if it is not placed by
+    cost.
     """
 
     route: Route
@@ -87,6 +89,7 @@
     priority: int = 0
     remaining_s: float = math.inf
     mean_objective_s: float = 0
+    output_tokens: float = 0
 
     @property
     def admission_objective_s(self) -> float:
@@ -130,7 +133,8 @@
 
     ``expected_s`` is the predicted time to its first byte, and ``rank`` its rank in the queue of
     the engine. ``near_capacity`` is set if another replica may start it considerably earlier.
-    ``reservation`` is None if no agent was queried or none replied.
+    ``reservation`` is None if no agent was queried or none replied. ``output_tokens`` is the
+    expected output length, 0 if unknown.
     """
 
     candidate: Candidate
@@ -138,6 +142,7 @@
     rank: int | None = None
     near_capacity: bool = True
     reservation: Reservation | None = None
+    output_tokens: float = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -205,12 +210,14 @@
 class Placement:
     """Assigns requests to replicas by the load that this entry tracks.
 
-    ``engines`` and ``plain`` hold the load trackers of the replicas by key.
+    ``engines`` and ``plain`` hold the load trackers of the replicas by key, and ``costs`` what
+    requests are expected to cost.
     """
 
     rng: random.Random
     engines: dict[str, LoadTracker] = field(default_factory=dict)
     plain: dict[str, PlainLoadTracker] = field(default_factory=dict)
+    costs: RequestCosts = field(default_factory=RequestCosts)
 
     def engine_load(self, key: str) -> LoadTracker:
         """Return the load tracker of an engine, which is created if needed.
--- a/src/cassiahitch/direct/placement/reservation.py
+++ b/src/cassiahitch/direct/placement/reservation.py
@@ -14,12 +14,12 @@
 from typing import TYPE_CHECKING
 
 from cassiahitch.direct.placement.limiterchoice import PERMIT_LIFETIME_S
-from cassiahitch.direct.placement.load import LoadReport
+from cassiahitch.direct.placement.load import LoadReport, OutstandingWork
 from cassiahitch.direct.placement.placement import Reservation
 from cassiahitch.direct.state.freshness import boot_time
 from cassiahitch.direct.state.ratelimits import RateLimitRegistry, observation_of
 from cassiahitch.util.endpoints import Endpoint
-from cassiahitch.wire.datagrammessages import PlaceQuery, PlaceReturn
+from cassiahitch.wire.datagrammessages import PlaceQuery, PlaceReturn, RequestCost
 
 if TYPE_CHECKING:
     from cassiahitch.direct.placement.placement import Placement
@@ -78,20 +78,24 @@
     rate_limits: RateLimitRegistry = field(default_factory=RateLimitRegistry)
     on_stopping: Callable[[Replica], None] = _ignore_stopping
 
-    async def reserve(self, replicas: Iterable[Replica], prompt_tokens: int) -> QueryRound:
+    async def reserve(
+        self, replicas: Iterable[Replica], prompt_tokens: int, output_tokens: float = 0
+    ) -> QueryRound:
         """Query the agents of some engines, each of which reserves a slot for a short time.
 
         :param replicas: the replicas to query.
         :param prompt_tokens: length of the prompt of the request.
+        :param output_tokens: expected output length of the request, 0 if unknown.
         :return: the queries, with the reservations of the agents that replied in time.
         """
         queried = {next(self.query_numbers): replica for replica in replicas}
         query_round = QueryRound(queried, boot_time())
         if self.socket is None:
             return query_round
+        costs = (RequestCost(round(output_tokens)),) if output_tokens else ()
         for number, replica in query_round.unanswered.items():
             self.pending[number] = query_round
-            query = PlaceQuery(number, prompt_tokens, self.limit_records(replica))
+            query = PlaceQuery(number, prompt_tokens, self.limit_records(replica), costs)
             self.socket.send(query, self.agent_endpoint(replica))
         try:
             await self.wait(query_round)
@@ -218,6 +222,7 @@
             model=load.model,
             version=load.version,
             incarnation=load.incarnation,
+            work=_outstanding_work(load),
         )
         self.placement.engine_load(replica.key).apply_report(report, now)
         return True
@@ -231,4 +236,11 @@
         return Endpoint(replica.endpoint.address, self.peer_port)
 
 
+def _outstanding_work(load: EngineLoad) -> OutstandingWork | None:
+    if not load.work:
+        return None
+    work = load.work[0]
+    return OutstandingWork(max(0, work.remaining_tokens), max(0, work.prompt_tokens))
+
+
 __all__ = ('ReservationClient',)
--- a/src/cassiahitch/direct/placement/search.py
+++ b/src/cassiahitch/direct/placement/search.py
@@ -112,7 +112,10 @@
             return await self.plain.find(request, plain)
         replicas = self.isolate_suspect(call, replicas, service.engine, now)
         mean_objective_s = self.candidates.mean_objective_s(call)
-        adjusted = replace(request, mean_objective_s=mean_objective_s)
+        output_tokens = self.placement.costs.output_tokens(
+            request.route.name, call.request.generation, service.engine, now
+        )
+        adjusted = replace(request, mean_objective_s=mean_objective_s, output_tokens=output_tokens)
         search = SearchState(
             service.engine, adjusted, self.grouping.group(replicas, service.engine, adjusted, now)
         )
@@ -195,7 +198,11 @@
             self.release_unused(search)
         if isinstance(search.result, Assignment):
             key = search.result.candidate.replica.key
-            search.result = replace(search.result, reservation=search.reservations.get(key))
+            search.result = replace(
+                search.result,
+                reservation=search.reservations.get(key),
+                output_tokens=search.request.output_tokens,
+            )
 
     async def query_rounds(self, search: SearchState) -> None:
         """Query engines in rounds until one can start the request soon.
@@ -237,8 +244,10 @@
         """
         if not queried:
             return
-        tokens = search.request.prompt_tokens
-        queries = await self.reservations.reserve((engine.replica for engine in queried), tokens)
+        request = search.request
+        queries = await self.reservations.reserve(
+            (engine.replica for engine in queried), request.prompt_tokens, request.output_tokens
+        )
         search.reservations |= queries.reservations
         now = asyncio.get_running_loop().time()
         for candidate in queried:
--- a/src/cassiahitch/direct/staging/agentupdater.py
+++ b/src/cassiahitch/direct/staging/agentupdater.py
@@ -25,6 +25,7 @@
     from cassiahitch.direct.platformapi import AgentPlatform
     from cassiahitch.direct.staging.repository import ChunkRepository
     from cassiahitch.direct.staging.uploads import UploadLimiter
+    from cassiahitch.direct.state.catalogue import Engine
     from cassiahitch.direct.telemetry import StateLog
     from cassiahitch.settings.direct import DirectAgentSettings
 
@@ -52,17 +53,23 @@
     participants_read_at: float = field(default=float('-inf'))
     declarations_read: bool = False
 
+    def own_engine(self) -> Engine | None:
+        """Return the performance model of the engine on this host.
+
+        :return: the model, None before the configuration was read.
+        """
+        service = self.catalogue.services.get(self.settings.service) if self.catalogue else None
+        return service.engine if service else None
+
     def target_weights(self) -> WeightsId | None:
         """Return the version that the engine should serve.
 
         :return: the version, None before the configuration and the declarations were read.
         """
-        if self.catalogue is None or not self.declarations_read:
-            return None
-        service = self.catalogue.services.get(self.settings.service)
-        if service is None or service.engine is None:
+        engine = self.own_engine()
+        if engine is None or not self.declarations_read:
             return None
-        model = service.engine.model
+        model = engine.model
         return WeightsId(self.versions.newest(model) or FIRST_VERSION, model)
 
     def remaining_s(self, target: WeightsId, now: float) -> float:
--- a/src/cassiahitch/direct/staging/reporting.py
+++ b/src/cassiahitch/direct/staging/reporting.py
@@ -18,6 +18,7 @@
 from cassiahitch.direct.staging.enginelimit import EngineRateLimit
 from cassiahitch.direct.staging.loadtrust import LoadTrust
 from cassiahitch.direct.staging.permits import refusal_records
+from cassiahitch.direct.staging.workledger import WorkLedger
 from cassiahitch.errors import PlatformError
 from cassiahitch.wire.datagrammessages import EngineLoad, LimitNotice, PlaceQuery, PlaceReturn
 
@@ -101,6 +102,7 @@
     rng: random.Random
     trust: LoadTrust = field(default_factory=LoadTrust)
     pending: PendingRequests = field(default_factory=PendingRequests)
+    ledger: WorkLedger = field(default_factory=WorkLedger)
     entries: dict[Endpoint, float] = field(default_factory=dict)
     last_report: EngineReport | None = None
     rate_limit: EngineRateLimit = field(init=False)
@@ -160,6 +162,8 @@
         :param now: current time in seconds.
         """
         self.last_report = report
+        engine = self.updater.own_engine() if self.ledger.requests else None
+        self.ledger.apply_report(engine, report.running, report.waiting, report.pace, now)
         self.send_changes(now)
 
     def send_changes(self, now: float) -> None:
@@ -214,41 +218,48 @@
         """
         now = asyncio.get_running_loop().time()
         match message:
-            case PlaceQuery(number=number, limits=limits):
+            case PlaceQuery(limits=limits):
                 self.entries[sender] = now + SUBSCRIPTION_S
                 self.query_received.set()
                 self.rate_limit.apply_records(limits, sender, now)
-                self.reply(number, sender, now)
+                self.reply(message, sender, now)
                 self.send_changes(now)
             case PlaceReturn(number=number):
                 self.pending.release(sender, number)
+                self.ledger.release(sender, number)
                 self.rate_limit.limiter.release(sender, number)
             case LimitNotice(limits=limits):
                 self.rate_limit.apply_records(limits, sender, now)
                 self.send_changes(now)
 
-    def reply(self, number: int, entry: Endpoint, now: float) -> None:
+    def reply(self, query: PlaceQuery, entry: Endpoint, now: float) -> None:
         """Reply to a query of an entry.
 
         No reply is sent without a report of the engine: the entry then treats the engine
         as unreachable.
 
-        :param number: number of the query.
+        :param query: the query.
         :param entry: the entry.
         :param now: current time in seconds.
         """
-        load = self.engine_load(number)
+        load = self.engine_load(query.number)
         if load is None:
             return
-        refusal = self.rate_limit.limiter.request(entry, number, now)
-        self.send(self.answer(load, refusal, entry, now), entry)
+        refusal = self.rate_limit.limiter.request(entry, query.number, now)
+        self.send(self.answer(load, query, refusal, entry, now), entry)
 
     def answer(
-        self, load: EngineLoad, refusal: Refusal | None, entry: Endpoint, now: float
+        self,
+        load: EngineLoad,
+        query: PlaceQuery,
+        refusal: Refusal | None,
+        entry: Endpoint,
+        now: float,
     ) -> EngineLoad:
         """Return the reply to a query, which reserves a slot unless no permit is granted.
 
         :param load: the load of the engine without pending requests.
+        :param query: the query.
         :param refusal: set if no permit is granted.
         :param entry: the entry that sent the query.
         :param now: current time in seconds.
@@ -256,8 +267,10 @@
         """
         if refusal is not None:
             return replace(load, waiting=REFUSED_WAITING, refusals=refusal_records(refusal))
-        pending = self.pending.add(entry, load.number, now)
-        return replace(load, waiting=load.waiting + pending)
+        waiting = load.waiting + self.pending.add(entry, load.number, now)
+        work = self.ledger.work(waiting) if query.costs else ()
+        self.ledger.announce(entry, query, now)
+        return replace(load, waiting=waiting, work=work)
 
     def send(self, load: EngineLoad, entry: Endpoint) -> None:
         """Send the load to an entry.
--- a/src/cassiahitch/wire/datagrammessages.py
+++ b/src/cassiahitch/wire/datagrammessages.py
@@ -123,18 +123,39 @@
     sound_segments: tuple[SegmentRecord, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class RequestCost:
+    """Output length that is expected of a request."""
+
+    output_tokens: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class EngineWork:
+    """Outstanding work of the requests at an engine, as far as entries announced it.
+
+    ``remaining_tokens`` is the output length that a running request is expected to have left, and
+    ``prompt_tokens`` the length of the prompts of all waiting requests together.
+    """
+
+    remaining_tokens: int = 0
+    prompt_tokens: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class PlaceQuery:
     """Query of an entry to an agent for the load of its engine.
 
     The agent counts the request as waiting for a short time, unless a :class:`PlaceReturn`
     releases it. If the engine names a rate limit, the agent grants or refuses a permit as well.
-    ``limits`` holds the limit of the engine if the entry has observed one.
+    ``limits`` holds the limit of the engine if the entry has observed one, and ``costs`` the
+    expected cost of the request if the entry places by cost.
     """
 
     number: int = 0
     prompt_tokens: int = 0
     limits: tuple[LimitRecord, ...] = ()
+    costs: tuple[RequestCost, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -188,6 +209,7 @@
     ``waiting`` includes the requests of recent queries that have not arrived yet. ``leaving`` is
     set if the engine reports that it is stopping. ``limits`` holds the rate limit of the engine if
     it has named one, and ``refusals`` is set if no permit is granted for the request of the query.
+    ``work`` is set in the reply to a query with a cost if most of the work is known.
     """
 
     number: int = 0
@@ -202,6 +224,7 @@
     leaving: bool = False
     limits: tuple[LimitRecord, ...] = ()
     refusals: tuple[PermitRefusal, ...] = ()
+    work: tuple[EngineWork, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -290,6 +313,7 @@
     'ChunkMap',
     'CrashRecord',
     'EngineLoad',
+    'EngineWork',
     'LimitNotice',
     'LimitRecord',
     'MemberNews',
@@ -300,6 +324,7 @@
     'PlaceQuery',
     'PlaceReturn',
     'RegionState',
+    'RequestCost',
     'RowRecord',
     'SegmentCrashRecord',
     'SegmentRecord',
--- a/src/cassiahitch/wire/datagrams.thrift
+++ b/src/cassiahitch/wire/datagrams.thrift
@@ -76,10 +76,20 @@
   10: list<SegmentRecord> sound_segments
 }
 
+struct RequestCost {
+  1: i32 output_tokens
+}
+
+struct EngineWork {
+  1: i32 remaining_tokens
+  2: i32 prompt_tokens
+}
+
 struct PlaceQuery {
   1: i64 number
   2: i32 prompt_tokens
   3: list<LimitRecord> limits
+  4: list<RequestCost> costs
 }
 
 struct PlaceReturn {
@@ -118,6 +128,7 @@
   10: bool leaving
   11: list<LimitRecord> limits
   12: list<PermitRefusal> refusals
+  13: list<EngineWork> work
 }
 
 struct ChunkMap {
--- a/src/cassiahitch/wire/gen/datagrams/ttypes.py
+++ b/src/cassiahitch/wire/gen/datagrams/ttypes.py
@@ -776,10 +776,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.segments = []
-                    (_etype503, _size500) = iprot.readListBegin()
-                    for _i504 in range(_size500):
-                        _elem505 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.segments.append(_elem505)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.segments.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -812,8 +812,8 @@
         if self.segments is not None:
             oprot.writeFieldBegin('segments', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.segments))
-            for iter506 in self.segments:
-                oprot.writeString(iter506.encode('utf-8') if sys.version_info[0] == 2 else iter506)
+            for iter20 in self.segments:
+                oprot.writeString(iter20.encode('utf-8') if sys.version_info[0] == 2 else iter20)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1002,77 +1002,77 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = MemberState()
-                        _elem19.read(iprot)
-                        self.members.append(_elem19)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = MemberState()
+                        _elem26.read(iprot)
+                        self.members.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.regions = []
-                    (_etype23, _size20) = iprot.readListBegin()
-                    for _i24 in range(_size20):
-                        _elem25 = RegionState()
-                        _elem25.read(iprot)
-                        self.regions.append(_elem25)
+                    (_etype30, _size27) = iprot.readListBegin()
+                    for _i31 in range(_size27):
+                        _elem32 = RegionState()
+                        _elem32.read(iprot)
+                        self.regions.append(_elem32)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype29, _size26) = iprot.readListBegin()
-                    for _i30 in range(_size26):
-                        _elem31 = SuspectRecord()
-                        _elem31.read(iprot)
-                        self.suspects.append(_elem31)
+                    (_etype36, _size33) = iprot.readListBegin()
+                    for _i37 in range(_size33):
+                        _elem38 = SuspectRecord()
+                        _elem38.read(iprot)
+                        self.suspects.append(_elem38)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.versions = []
-                    (_etype35, _size32) = iprot.readListBegin()
-                    for _i36 in range(_size32):
-                        _elem37 = VersionRecord()
-                        _elem37.read(iprot)
-                        self.versions.append(_elem37)
+                    (_etype42, _size39) = iprot.readListBegin()
+                    for _i43 in range(_size39):
+                        _elem44 = VersionRecord()
+                        _elem44.read(iprot)
+                        self.versions.append(_elem44)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype41, _size38) = iprot.readListBegin()
-                    for _i42 in range(_size38):
-                        _elem43 = LimitRecord()
-                        _elem43.read(iprot)
-                        self.limits.append(_elem43)
+                    (_etype48, _size45) = iprot.readListBegin()
+                    for _i49 in range(_size45):
+                        _elem50 = LimitRecord()
+                        _elem50.read(iprot)
+                        self.limits.append(_elem50)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.segment_crashes = []
-                    (_etype513, _size510) = iprot.readListBegin()
-                    for _i514 in range(_size510):
-                        _elem515 = SegmentCrashRecord()
-                        _elem515.read(iprot)
-                        self.segment_crashes.append(_elem515)
+                    (_etype54, _size51) = iprot.readListBegin()
+                    for _i55 in range(_size51):
+                        _elem56 = SegmentCrashRecord()
+                        _elem56.read(iprot)
+                        self.segment_crashes.append(_elem56)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.sound_segments = []
-                    (_etype523, _size520) = iprot.readListBegin()
-                    for _i524 in range(_size520):
-                        _elem525 = SegmentRecord()
-                        _elem525.read(iprot)
-                        self.sound_segments.append(_elem525)
+                    (_etype60, _size57) = iprot.readListBegin()
+                    for _i61 in range(_size57):
+                        _elem62 = SegmentRecord()
+                        _elem62.read(iprot)
+                        self.sound_segments.append(_elem62)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1101,50 +1101,50 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter44 in self.members:
-                iter44.write(oprot)
+            for iter63 in self.members:
+                iter63.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.regions is not None:
             oprot.writeFieldBegin('regions', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.regions))
-            for iter45 in self.regions:
-                iter45.write(oprot)
+            for iter64 in self.regions:
+                iter64.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter46 in self.suspects:
-                iter46.write(oprot)
+            for iter65 in self.suspects:
+                iter65.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.versions is not None:
             oprot.writeFieldBegin('versions', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.versions))
-            for iter47 in self.versions:
-                iter47.write(oprot)
+            for iter66 in self.versions:
+                iter66.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter48 in self.limits:
-                iter48.write(oprot)
+            for iter67 in self.limits:
+                iter67.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.segment_crashes is not None:
             oprot.writeFieldBegin('segment_crashes', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.segment_crashes))
-            for iter516 in self.segment_crashes:
-                iter516.write(oprot)
+            for iter68 in self.segment_crashes:
+                iter68.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sound_segments is not None:
             oprot.writeFieldBegin('sound_segments', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.sound_segments))
-            for iter526 in self.sound_segments:
-                iter526.write(oprot)
+            for iter69 in self.sound_segments:
+                iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1172,12 +1172,161 @@
         return not (self == other)
 
 
+class RequestCost(object):
+    """
+    Attributes:
+     - output_tokens
+
+    """
+
+    __slots__ = (
+        'output_tokens',
+    )
+
+
+    def __init__(self, output_tokens=None,):
+        self.output_tokens = output_tokens
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.output_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RequestCost')
+        if self.output_tokens is not None:
+            oprot.writeFieldBegin('output_tokens', TType.I32, 1)
+            oprot.writeI32(self.output_tokens)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class EngineWork(object):
+    """
+    Attributes:
+     - remaining_tokens
+     - prompt_tokens
+
+    """
+
+    __slots__ = (
+        'remaining_tokens',
+        'prompt_tokens',
+    )
+
+
+    def __init__(self, remaining_tokens=None, prompt_tokens=None,):
+        self.remaining_tokens = remaining_tokens
+        self.prompt_tokens = prompt_tokens
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.remaining_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.prompt_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EngineWork')
+        if self.remaining_tokens is not None:
+            oprot.writeFieldBegin('remaining_tokens', TType.I32, 1)
+            oprot.writeI32(self.remaining_tokens)
+            oprot.writeFieldEnd()
+        if self.prompt_tokens is not None:
+            oprot.writeFieldBegin('prompt_tokens', TType.I32, 2)
+            oprot.writeI32(self.prompt_tokens)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class PlaceQuery(object):
     """
     Attributes:
      - number
      - prompt_tokens
      - limits
+     - costs
 
     """
 
@@ -1185,13 +1334,15 @@
         'number',
         'prompt_tokens',
         'limits',
+        'costs',
     )
 
 
-    def __init__(self, number=None, prompt_tokens=None, limits=None,):
+    def __init__(self, number=None, prompt_tokens=None, limits=None, costs=None,):
         self.number = number
         self.prompt_tokens = prompt_tokens
         self.limits = limits
+        self.costs = costs
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1215,11 +1366,22 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = LimitRecord()
-                        _elem54.read(iprot)
-                        self.limits.append(_elem54)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = LimitRecord()
+                        _elem75.read(iprot)
+                        self.limits.append(_elem75)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.costs = []
+                    (_etype79, _size76) = iprot.readListBegin()
+                    for _i80 in range(_size76):
+                        _elem81 = RequestCost()
+                        _elem81.read(iprot)
+                        self.costs.append(_elem81)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1244,8 +1406,15 @@
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter55 in self.limits:
-                iter55.write(oprot)
+            for iter82 in self.limits:
+                iter82.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.costs is not None:
+            oprot.writeFieldBegin('costs', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.costs))
+            for iter83 in self.costs:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1444,11 +1613,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = LimitRecord()
-                        _elem61.read(iprot)
-                        self.limits.append(_elem61)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = LimitRecord()
+                        _elem89.read(iprot)
+                        self.limits.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1469,8 +1638,8 @@
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter62 in self.limits:
-                iter62.write(oprot)
+            for iter90 in self.limits:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1536,22 +1705,22 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = LimitRecord()
-                        _elem68.read(iprot)
-                        self.limits.append(_elem68)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = LimitRecord()
+                        _elem96.read(iprot)
+                        self.limits.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.refusals = []
-                    (_etype72, _size69) = iprot.readListBegin()
-                    for _i73 in range(_size69):
-                        _elem74 = PermitRefusal()
-                        _elem74.read(iprot)
-                        self.refusals.append(_elem74)
+                    (_etype100, _size97) = iprot.readListBegin()
+                    for _i101 in range(_size97):
+                        _elem102 = PermitRefusal()
+                        _elem102.read(iprot)
+                        self.refusals.append(_elem102)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1572,15 +1741,15 @@
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter75 in self.limits:
-                iter75.write(oprot)
+            for iter103 in self.limits:
+                iter103.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refusals is not None:
             oprot.writeFieldBegin('refusals', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.refusals))
-            for iter76 in self.refusals:
-                iter76.write(oprot)
+            for iter104 in self.refusals:
+                iter104.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1635,11 +1804,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = LimitRecord()
-                        _elem82.read(iprot)
-                        self.limits.append(_elem82)
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = LimitRecord()
+                        _elem110.read(iprot)
+                        self.limits.append(_elem110)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1656,8 +1825,8 @@
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter83 in self.limits:
-                iter83.write(oprot)
+            for iter111 in self.limits:
+                iter111.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1700,6 +1869,7 @@
      - leaving
      - limits
      - refusals
+     - work
 
     """
 
@@ -1716,10 +1886,11 @@
         'leaving',
         'limits',
         'refusals',
+        'work',
     )
 
 
-    def __init__(self, number=None, incarnation=None, born_ms=None, running=None, waiting=None, slowness_percent=None, loading=None, model=None, version=None, leaving=None, limits=None, refusals=None,):
+    def __init__(self, number=None, incarnation=None, born_ms=None, running=None, waiting=None, slowness_percent=None, loading=None, model=None, version=None, leaving=None, limits=None, refusals=None, work=None,):
         self.number = number
         self.incarnation = incarnation
         self.born_ms = born_ms
@@ -1732,6 +1903,7 @@
         self.leaving = leaving
         self.limits = limits
         self.refusals = refusals
+        self.work = work
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1795,22 +1967,33 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = LimitRecord()
-                        _elem89.read(iprot)
-                        self.limits.append(_elem89)
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = LimitRecord()
+                        _elem117.read(iprot)
+                        self.limits.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.refusals = []
-                    (_etype93, _size90) = iprot.readListBegin()
-                    for _i94 in range(_size90):
-                        _elem95 = PermitRefusal()
-                        _elem95.read(iprot)
-                        self.refusals.append(_elem95)
+                    (_etype121, _size118) = iprot.readListBegin()
+                    for _i122 in range(_size118):
+                        _elem123 = PermitRefusal()
+                        _elem123.read(iprot)
+                        self.refusals.append(_elem123)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.LIST:
+                    self.work = []
+                    (_etype127, _size124) = iprot.readListBegin()
+                    for _i128 in range(_size124):
+                        _elem129 = EngineWork()
+                        _elem129.read(iprot)
+                        self.work.append(_elem129)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1867,15 +2050,22 @@
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter96 in self.limits:
-                iter96.write(oprot)
+            for iter130 in self.limits:
+                iter130.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refusals is not None:
             oprot.writeFieldBegin('refusals', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.refusals))
-            for iter97 in self.refusals:
-                iter97.write(oprot)
+            for iter131 in self.refusals:
+                iter131.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.work is not None:
+            oprot.writeFieldBegin('work', TType.LIST, 13)
+            oprot.writeListBegin(TType.STRUCT, len(self.work))
+            for iter132 in self.work:
+                iter132.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2406,11 +2596,11 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype101, _size98) = iprot.readListBegin()
-                    for _i102 in range(_size98):
-                        _elem103 = RowRecord()
-                        _elem103.read(iprot)
-                        self.rows.append(_elem103)
+                    (_etype136, _size133) = iprot.readListBegin()
+                    for _i137 in range(_size133):
+                        _elem138 = RowRecord()
+                        _elem138.read(iprot)
+                        self.rows.append(_elem138)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2451,8 +2641,8 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter104 in self.rows:
-                iter104.write(oprot)
+            for iter139 in self.rows:
+                iter139.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2760,12 +2950,24 @@
     (9, TType.LIST, 'segment_crashes', (TType.STRUCT, [SegmentCrashRecord, None], False), None, ),  # 9
     (10, TType.LIST, 'sound_segments', (TType.STRUCT, [SegmentRecord, None], False), None, ),  # 10
 )
+all_structs.append(RequestCost)
+RequestCost.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'output_tokens', None, None, ),  # 1
+)
+all_structs.append(EngineWork)
+EngineWork.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'remaining_tokens', None, None, ),  # 1
+    (2, TType.I32, 'prompt_tokens', None, None, ),  # 2
+)
 all_structs.append(PlaceQuery)
 PlaceQuery.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'number', None, None, ),  # 1
     (2, TType.I32, 'prompt_tokens', None, None, ),  # 2
     (3, TType.LIST, 'limits', (TType.STRUCT, [LimitRecord, None], False), None, ),  # 3
+    (4, TType.LIST, 'costs', (TType.STRUCT, [RequestCost, None], False), None, ),  # 4
 )
 all_structs.append(PlaceReturn)
 PlaceReturn.thrift_spec = (
@@ -2810,6 +3012,7 @@
     (10, TType.BOOL, 'leaving', None, None, ),  # 10
     (11, TType.LIST, 'limits', (TType.STRUCT, [LimitRecord, None], False), None, ),  # 11
     (12, TType.LIST, 'refusals', (TType.STRUCT, [PermitRefusal, None], False), None, ),  # 12
+    (13, TType.LIST, 'work', (TType.STRUCT, [EngineWork, None], False), None, ),  # 13
 )
 all_structs.append(ChunkMap)
 ChunkMap.thrift_spec = (
--- a/tests/direct/staging/test_reporting.py
+++ b/tests/direct/staging/test_reporting.py
@@ -8,6 +8,7 @@
 from types import SimpleNamespace
 from typing import TYPE_CHECKING, Any
 
+from modelled_engine import ENGINE
 from virtual_loop import virtual_time
 
 from cassiahitch.direct.staging.chunks import WeightsId
@@ -18,6 +19,7 @@
     SUBSCRIPTION_S,
     LoadReporter,
 )
+from cassiahitch.direct.staging.workledger import ARRIVAL_S
 from cassiahitch.direct.state.ratelimits import LimitObservation
 from cassiahitch.direct.telemetry import StateLog
 from cassiahitch.util.endpoints import Endpoint
@@ -27,6 +29,7 @@
     LimitRecord,
     PlaceQuery,
     PlaceReturn,
+    RequestCost,
 )
 
 if TYPE_CHECKING:
@@ -57,7 +60,9 @@
 def run_in_virtual_time(body: Callable[[LoadReporter, RecordingSocket], Awaitable[None]]) -> None:
     async def run_body() -> None:
         recorder = RecordingSocket()
-        updater: Any = SimpleNamespace(target_weights=lambda: WeightsId(1, 'm1'))
+        updater: Any = SimpleNamespace(
+            target_weights=lambda: WeightsId(1, 'm1'), own_engine=lambda: ENGINE
+        )
         engine: Any = None
         orders = SimpleNamespace(is_withheld=lambda model, report: False)
         loader: Any = SimpleNamespace(orders=orders)
@@ -101,6 +106,27 @@
     run_in_virtual_time(body)
 
 
+def test_reply_to_a_query_with_a_cost_holds_the_work_of_the_requests_of_all_entries() -> None:
+    async def body(reporter: LoadReporter, recorder: RecordingSocket) -> None:
+        costs = (RequestCost(120),)
+        reporter.apply_report(make_report(0), now())
+        for number in range(4):
+            reporter.receive(PlaceQuery(number, 500, costs=costs), FIRST)
+        reporter.receive(PlaceReturn(3), FIRST)
+        await asyncio.sleep(2 * ARRIVAL_S)
+        reporter.apply_report(make_report(3), now())
+        recorder.sent.clear()
+        reporter.receive(PlaceQuery(1, 700, costs=costs), SECOND)
+        reporter.receive(PlaceQuery(2, 700), SECOND)
+        reporter.receive(PlaceQuery(3, 700, costs=costs), SECOND)
+        replies = [load.work for _, load in recorder.sent]
+        assert [bool(work) for work in replies] == [True, False, True]
+        assert replies[0][0].remaining_tokens > 100
+        assert replies[2][0].prompt_tokens > replies[0][0].prompt_tokens
+
+    run_in_virtual_time(body)
+
+
 def test_entries_that_sent_queries_are_sent_changes_of_weights_at_once() -> None:
     async def body(reporter: LoadReporter, recorder: RecordingSocket) -> None:
         reporter.apply_report(make_report(4), now())
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -14,10 +14,23 @@
 from cassiahitch.errors import WireError
 from cassiahitch.wire import messages
 from cassiahitch.wire.codec import Envelope, decode, encode
-from cassiahitch.wire.datagrammessages import PlaceQuery
+from cassiahitch.wire.datagrammessages import EngineLoad, EngineWork, PlaceQuery, RequestCost
 from cassiahitch.wire.datagrams import decode_datagram, encode_datagram
 from cassiahitch.wire.gen.datagrams import ttypes
 
+#: The load that an agent sends which knows no work.
+EARLIER_LOAD = {
+    'number': 1,
+    'incarnation': 0,
+    'born_ms': 0,
+    'running': 0,
+    'waiting': 0,
+    'slowness_percent': 0,
+    'loading': False,
+    'model': '',
+    'version': 0,
+    'leaving': False,
+}
 INT32 = st.integers(min_value=-(2**31), max_value=2**31 - 1)
 st.register_type_strategy(int, INT32)
 
@@ -64,3 +77,14 @@
     content = serialize(earlier, TCompactProtocolAcceleratedFactory())
     assert encode_datagram(PlaceQuery(1, 2)) == content
     assert decode_datagram(content) == PlaceQuery(1, 2)
+
+
+def test_load_without_work_is_that_of_an_earlier_version() -> None:
+    query = PlaceQuery(1, 2, costs=(RequestCost(120),))
+    load = EngineLoad(number=1, work=(EngineWork(60, 900),))
+    assert decode_datagram(encode_datagram(query)) == query
+    assert decode_datagram(encode_datagram(load)) == load
+    without = ttypes.Datagram(load=ttypes.EngineLoad(**EARLIER_LOAD))
+    content = serialize(without, TCompactProtocolAcceleratedFactory())
+    assert encode_datagram(EngineLoad(number=1)) == content
+    assert decode_datagram(content) == EngineLoad(number=1)
