Place requests by the work that they are expected to cost

Cause: at an engine whose slots are all taken, the wait was predicted from the mean output length, although some engines run requests that are about to end. A plain replica that had answered a long read counted as slow, and one with a long read in flight as free as one with a short write. Change: with the new setting place_by_cost, an entry learns costs from completed requests and sends them with its queries; the predicted wait for a slot scales with the output that running requests have left, and prompts that wait count with their lengths. Plain replicas are chosen by the work in flight, by a slowness relative to the expected service time, and near ones are preferred by up to 10 and 20 ms. Without the setting, with agents that report no work and without measurements, the predictions are those of before. Metrics hold the errors of both by route.

--- a/src/cassiahitch/direct/assembly.py
+++ b/src/cassiahitch/direct/assembly.py
@@ -75,6 +75,7 @@
         entry_state.rate_limits,
     )
     candidates = CandidateFilter(entry_state, Placement(rng), signals.availability)
+    candidates.placement.costs.learns = settings.place_by_cost
     # An earlier incarnation used other numbers, so that late replies to it match no query.
     first_number = rng.randrange(1, MAX_FIRST_QUERY_NUMBER)
     reservations = ReservationClient(
--- a/src/cassiahitch/direct/backends/attempt.py
+++ b/src/cassiahitch/direct/backends/attempt.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import ExitStack, contextmanager, suppress
+from contextlib import ExitStack, suppress
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from cassiahitch.direct.api import Answered, Destination, ResponseHead
 from cassiahitch.direct.backends.connection import BackendConnection, ConnectFailed
+from cassiahitch.direct.backends.costrecorder import CostRecorder
 from cassiahitch.direct.backends.endings import EndVerifier
 from cassiahitch.direct.backends.exchange import Exchange, ResponseLost
 from cassiahitch.direct.backends.outcomes import (
@@ -24,8 +25,6 @@
 from cassiahitch.direct.backends.withdrawal import AttemptWithdrawn, WithdrawalWatch
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
-
     from cassiahitch.direct.api import Call, RequestCodec
     from cassiahitch.direct.backends.outcomes import Outcome
     from cassiahitch.direct.backends.pool import ConnectionPool
@@ -53,11 +52,13 @@
     reservations: ReservationClient
     versions: VersionPolicy
     withdrawals: WithdrawalWatch = field(init=False)
+    costs: CostRecorder = field(init=False)
     end_verifier: EndVerifier = field(init=False)
 
     def __post_init__(self) -> None:
         """Create the parts that depend on the other fields."""
         self.withdrawals = WithdrawalWatch(self.versions)
+        self.costs = CostRecorder(self.placement, self.signals.telemetry)
         self.end_verifier = EndVerifier(self.pool, self.signals)
 
     async def send(
@@ -112,9 +113,12 @@
             stack.enter_context(
                 stream.caller.allow_outliving(outlives=call.require_route().runs_without_caller)
             )
-            stack.enter_context(self.count_in_flight(call, assignment))
+            stack.enter_context(self.costs.count_in_flight(call, assignment))
             unsent.pop_all()
-            return await self.run_exchange(call, assignment, exchange, stream, timeouts)
+            started_at = asyncio.get_running_loop().time()
+            outcome = await self.run_exchange(call, assignment, exchange, stream, timeouts)
+            self.costs.learn(call, assignment, stream, outcome, started_at)
+            return outcome
 
     def release_reservation(self, assignment: Assignment) -> None:
         """Release the reservation of a request that is not sent.
@@ -142,35 +146,6 @@
         reusable = (unused or kept_alive) and not stopping
         self.pool.release(connection, reusable=reusable, idle_timeout_s=idle_timeout_s)
 
-    @contextmanager
-    def count_in_flight(self, call: Call, assignment: Assignment) -> Iterator[None]:
-        """Count a request as in flight in the load of its backend server.
-
-        :param call: the request.
-        :param assignment: its assignment.
-        :yield: while it is in flight.
-        """
-        clock = asyncio.get_running_loop().time
-        started_at = clock()
-        key = assignment.candidate.replica.key
-        call.attempt_count += 1
-        if assignment.rank is None:
-            plain = self.placement.plain_load(key)
-            plain.in_flight += 1
-            try:
-                yield
-            finally:
-                plain.record_ended(clock() - started_at, clock())
-            return
-        load = self.placement.engine_load(key)
-        generation = call.request.generation
-        prompt_tokens = generation.prompt_tokens if generation else 0
-        load.record_sent(prompt_tokens, started_at)
-        try:
-            yield
-        finally:
-            load.record_ended(clock())
-
     async def run_exchange(
         self,
         call: Call,
--- a/src/cassiahitch/direct/placement/candidates.py
+++ b/src/cassiahitch/direct/placement/candidates.py
@@ -163,6 +163,14 @@
         """
         return self.entry_state.is_in_own_region(replica.failure_domain)
 
+    def is_in_own_domain(self, replica: Replica) -> bool:
+        """Return whether a replica is in the failure domain of this entry.
+
+        :param replica: the replica.
+        :return: whether it is.
+        """
+        return replica.failure_domain == self.entry_state.settings.failure_domain
+
     def is_healthy(self, replica: Replica, now: float) -> bool:
         """Return whether a replica is not ejected because of failures.
 
--- a/src/cassiahitch/direct/placement/load.py
+++ b/src/cassiahitch/direct/placement/load.py
@@ -23,6 +23,8 @@
 REPORT_DELAY_S = 0.004
 #: Seconds for which an agent that did not reply is not queried again.
 NO_REPLY_BACKOFF_S = 1.0
+#: Shortest time for which a request occupies a slot, in seconds; a configuration may give none.
+MIN_OCCUPANCY_S = 0.001
 #: Weight of the newest lateness in the moving average.
 NEWEST_WEIGHT = 0.3
 #: Half-life of the lateness without new measurements, in seconds.
@@ -74,10 +76,15 @@
 
 @dataclass(frozen=True, slots=True)
 class QueueEstimate:
-    """Running and waiting requests of an engine, and the prompt tokens of pending prefills."""
+    """Running and waiting requests of an engine, and the prompt tokens of pending prefills.
+
+    ``remaining_tokens`` is the output that a running request is expected to have left, 0 if only
+    the configured mean is known.
+    """
 
     requests: int
     prefill_tokens: float
+    remaining_tokens: float = 0
 
 
 @dataclass(slots=True)
@@ -187,9 +194,13 @@
             return QueueEstimate(self.in_flight * entries, 0)
         requests = self.report.running + self.report.waiting
         requests += sum(change.requests for change in self.changes)
-        prefill_tokens = self.report.waiting * engine.mean_prompt_tokens
-        prefill_tokens += sum(change.prompt_tokens for change in self.changes)
-        return QueueEstimate(max(self.in_flight, requests, 0), prefill_tokens)
+        work = self.report.work or OutstandingWork(
+            remaining_tokens=0, prompt_tokens=self.report.waiting * engine.mean_prompt_tokens
+        )
+        prefill_tokens = work.prompt_tokens + sum(change.prompt_tokens for change in self.changes)
+        return QueueEstimate(
+            max(self.in_flight, requests, 0), prefill_tokens, work.remaining_tokens
+        )
 
     def current_slowdown(self, now: float) -> float:
         """Return how much slower than configured the engine currently is.
@@ -253,7 +264,8 @@
     :param slowdown: factor by which the engine is slower than configured.
     :return: tokens per second.
     """
-    return engine.mean_output_tokens / slot_occupancy_s(engine, slowdown, running)
+    occupancy_s = max(MIN_OCCUPANCY_S, slot_occupancy_s(engine, slowdown, running))
+    return max(1, engine.mean_output_tokens) / occupancy_s
 
 
 def first_event_s(
@@ -274,7 +286,8 @@
     """Predict the time to the first event of a further request, without its own prefill.
 
     The engine finishes the current pass, does the pending prefills, and runs a first pass of the
-    request. If all slots are occupied, one has to become free before.
+    request. If all slots are occupied, one has to become free before: slots become free the sooner,
+    the less output the running requests have left.
 
     :param engine: speed of the engine.
     :param queue: requests and prefills ahead of it.
@@ -287,7 +300,10 @@
     ahead = queue.requests + 1 - engine.slots
     if ahead > 0:
         # The slot occupancy includes the prefills of the requests that wait for a slot.
-        return start_s + ahead * slot_occupancy_s(engine, slowdown) / engine.slots
+        free_slot_s = slot_occupancy_s(engine, slowdown) / engine.slots
+        if queue.remaining_tokens:
+            free_slot_s *= queue.remaining_tokens / max(1, engine.mean_output_tokens)
+        return start_s + ahead * free_slot_s
     return start_s + queue.prefill_tokens / engine.prefill_tokens_per_s * slowdown
 
 
--- a/src/cassiahitch/direct/placement/placement.py
+++ b/src/cassiahitch/direct/placement/placement.py
@@ -16,8 +16,13 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from cassiahitch.direct.placement.costs import RequestCosts
+from cassiahitch.direct.placement.costs import INITIAL_SERVICE_S, RequestCosts
 from cassiahitch.direct.placement.load import LoadTracker, prefill_s, queue_delay_s
+from cassiahitch.direct.placement.plainload import (
+    OTHER_DOMAIN_COST_S,
+    OTHER_REGION_COST_S,
+    PlainLoadTracker,
+)
 
 if TYPE_CHECKING:
     from cassiahitch.direct.state.catalogue import Engine, Route
@@ -45,12 +50,6 @@
 PERMIT_SPREAD_S = 1.0
 #: Fraction of its remaining time up to which a caller honours the retry time.
 HONOURED_FRACTION = 1 / 3
-#: Weight of the newest response time in the moving average of a plain replica.
-NEWEST_WEIGHT = 0.3
-#: Half-life of the mean response time of an idle plain replica, in seconds.
-MEAN_HALF_LIFE_S = 4.0
-#: Mean response time that is assumed for a plain replica without measurements, in seconds.
-INITIAL_MEAN_S = 0.02
 #: Seconds after a report of a full engine for which it is not queried again.
 FULL_REPORT_EXPIRY_S = 0.3
 #: Slots of an engine that are reserved for requests which can still meet their objective.
@@ -65,12 +64,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
-    """A replica that may receive the request, and its loaded model and the version of that."""
+    """A replica that may receive the request, and its loaded model and the version of that.
+
+    ``in_own_domain`` is whether it is in the failure domain of this entry.
+    """
 
     replica: Replica
     in_own_region: bool
     version: int = 0
     model: str = ''
+    in_own_domain: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,7 +137,8 @@
     ``expected_s`` is the predicted time to its first byte, and ``rank`` its rank in the queue of
     the engine. ``near_capacity`` is set if another replica may start it considerably earlier.
     ``reservation`` is None if no agent was queried or none replied. ``output_tokens`` is the
-    expected output length, 0 if unknown.
+    expected output length, 0 if unknown, and ``cost_s`` the expected service time of a plain
+    request.
     """
 
     candidate: Candidate
@@ -143,6 +147,7 @@
     near_capacity: bool = True
     reservation: Reservation | None = None
     output_tokens: float = 0
+    cost_s: float = INITIAL_SERVICE_S
 
 
 @dataclass(frozen=True, slots=True)
@@ -173,39 +178,6 @@
     mean_prompt_s: float
 
 
-@dataclass(slots=True)
-class PlainLoadTracker:
-    """Tracks the requests of this entry at a plain replica and their mean response time.
-
-    A plain replica does not report its load. Times in seconds.
-    """
-
-    in_flight: int = 0
-    mean_s: float = INITIAL_MEAN_S
-    updated_at: float = 0
-
-    def record_ended(self, seconds: float, now: float) -> None:
-        """Record the end of a request.
-
-        :param seconds: response time.
-        :param now: current time in seconds.
-        """
-        self.in_flight -= 1
-        self.mean_s += NEWEST_WEIGHT * (seconds - self.mean_s)
-        self.updated_at = now
-
-    def expected_s(self, slots: int, now: float) -> float:
-        """Return the expected response time of a further request.
-
-        :param slots: requests that the replica runs concurrently.
-        :param now: current time in seconds.
-        :return: seconds.
-        """
-        decay = math.exp2((self.updated_at - now) / MEAN_HALF_LIFE_S)
-        mean_s = INITIAL_MEAN_S + (self.mean_s - INITIAL_MEAN_S) * decay
-        return mean_s * (1 + self.in_flight / slots)
-
-
 @dataclass(slots=True)
 class Placement:
     """Assigns requests to replicas by the load that this entry tracks.
@@ -243,23 +215,40 @@
         self.engines = {key: load for key, load in self.engines.items() if key in keys}
         self.plain = {key: load for key, load in self.plain.items() if key in keys}
 
-    def place_plain(self, candidates: tuple[Candidate, ...], now: float) -> Assignment:
+    def place_plain(
+        self, request: PlacementRequest, candidates: tuple[Candidate, ...], now: float
+    ) -> Assignment:
         """Assign a request to a replica of a plain service.
 
+        :param request: the request.
         :param candidates: replicas to choose from, at least one.
         :param now: current time in seconds.
         :return: the assignment.
         """
+        cost_s = self.costs.service_s(request.route.name, now)
         expected_s = {
             candidate: self.plain_load(candidate.replica.key).expected_s(
-                candidate.replica.slots, now
+                cost_s, candidate.replica.slots, now
             )
             for candidate in candidates
         }
         chosen = min(
-            candidates, key=lambda candidate: expected_s[candidate] * self.rng.uniform(1, 1.2)
+            candidates,
+            key=lambda candidate: (
+                expected_s[candidate] * self.rng.uniform(1, 1.2) + self.distance_s(candidate)
+            ),
         )
-        return Assignment(chosen, expected_s[chosen])
+        return Assignment(chosen, expected_s[chosen], cost_s=cost_s)
+
+    def distance_s(self, candidate: Candidate) -> float:
+        """Return the seconds by which a plain replica has to be faster than one that is near.
+
+        :param candidate: the replica.
+        :return: seconds, 0 unless requests are placed by cost.
+        """
+        if not self.costs.learns or candidate.in_own_domain:
+            return 0
+        return OTHER_DOMAIN_COST_S if candidate.in_own_region else OTHER_REGION_COST_S
 
     def place_engine(
         self,
@@ -439,6 +428,5 @@
     'Assignment',
     'Placement',
     'Reservation',
-    'PlainLoadTracker',
     'FirstEventEstimate',
 )
--- a/src/cassiahitch/direct/placement/plainsearch.py
+++ b/src/cassiahitch/direct/placement/plainsearch.py
@@ -60,19 +60,22 @@
             for candidate in limited
             if self.rate_limits.needs_check(candidate.replica.key, now)
         ]
-        permitted = await self.find_permit(unchecked)
+        permitted = await self.find_permit(request, unchecked)
         if permitted is not None:
             return permitted
         others = tuple(candidate for candidate in candidates if candidate not in limited)
-        assignment = self.placement.place_plain(others, now) if others else None
+        assignment = self.placement.place_plain(request, others, now) if others else None
         if assignment is not None and (not limited or _is_in_time(request, assignment)):
             return assignment
-        permitted = await self.find_permit(limited)
+        permitted = await self.find_permit(request, limited)
         return permitted or assignment or self.no_permit(request, limited)
 
-    async def find_permit(self, limited: list[Candidate]) -> Assignment | None:
+    async def find_permit(
+        self, request: PlacementRequest, limited: list[Candidate]
+    ) -> Assignment | None:
         """Request a permit for some limited replicas, one after the other.
 
+        :param request: the request.
         :param limited: the limited replicas.
         :return: the assignment, or None if no permit is granted.
         """
@@ -86,7 +89,7 @@
         for candidate in chosen:
             permit = await self.permits.request(candidate.replica)
             if permit is not None:
-                assignment = self.placement.place_plain((candidate,), now)
+                assignment = self.placement.place_plain(request, (candidate,), now)
                 return replace(assignment, reservation=permit)
         return None
 
--- a/src/cassiahitch/direct/placement/search.py
+++ b/src/cassiahitch/direct/placement/search.py
@@ -106,7 +106,11 @@
             raise self.no_replica_error(call)
         if service.engine is None:
             plain = tuple(
-                Candidate(replica, self.candidates.is_in_own_region(replica))
+                Candidate(
+                    replica,
+                    self.candidates.is_in_own_region(replica),
+                    in_own_domain=self.candidates.is_in_own_domain(replica),
+                )
                 for replica in replicas
             )
             return await self.plain.find(request, plain)
--- a/src/cassiahitch/settings/direct.py
+++ b/src/cassiahitch/settings/direct.py
@@ -110,6 +110,11 @@
         description='Maximum pause, in seconds, that a backend server can request; a longer one '
         'is taken for a mistake and cut, since it would exclude the server forever.',
     )
+    place_by_cost: bool = Field(
+        default=False,
+        description='Whether requests are placed by the work that they and those in progress are '
+        'expected to cost, as learned from completed ones, instead of by the number of requests.',
+    )
     seeds: tuple[EndpointText, ...] = Field(
         default=(),
         max_length=64,
