--- a/src/cassiahitch/direct/placement/load.py
+++ b/src/cassiahitch/direct/placement/load.py
@@ -25,6 +25,9 @@
 NO_REPLY_BACKOFF_S = 1.0
 #: Shortest time for which a request occupies a slot, in seconds; a configuration may give none.
 MIN_OCCUPANCY_S = 0.001
+#: Weight of the output that requests have left against the configured mean. Expectations of single
+#: requests are uncertain, and where a few very long ones run, slots become free by the short ones.
+REMAINING_WEIGHT = 0.5
 #: Weight of the newest lateness in the moving average.
 NEWEST_WEIGHT = 0.3
 #: Half-life of the lateness without new measurements, in seconds.
@@ -35,8 +38,9 @@
 class OutstandingWork:
     """Work of the requests at an engine, as its agent knows it from all entries.
 
-    ``remaining_tokens`` is the output that a running request is expected to have left, 0 if that is
-    unknown, and ``prompt_tokens`` the length of the prompts of all waiting requests together.
+    ``remaining_tokens`` is the output that a request is expected to have left which keeps a further
+    one waiting for its slot, 0 if that is unknown, and ``prompt_tokens`` the length of the prompts
+    of all waiting requests together.
     """
 
     remaining_tokens: float
@@ -302,7 +306,8 @@
         # The slot occupancy includes the prefills of the requests that wait for a slot.
         free_slot_s = slot_occupancy_s(engine, slowdown) / engine.slots
         if queue.remaining_tokens:
-            free_slot_s *= queue.remaining_tokens / max(1, engine.mean_output_tokens)
+            ratio = queue.remaining_tokens / max(1, engine.mean_output_tokens)
+            free_slot_s *= 1 + REMAINING_WEIGHT * (ratio - 1)
         return start_s + ahead * free_slot_s
     return start_s + queue.prefill_tokens / engine.prefill_tokens_per_s * slowdown
 
--- a/src/cassiahitch/direct/staging/workledger.py
+++ b/src/cassiahitch/direct/staging/workledger.py
@@ -16,6 +16,8 @@
 from cassiahitch.wire.structs import MAX_INT32
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from cassiahitch.direct.state.catalogue import Engine
     from cassiahitch.util.endpoints import Endpoint
     from cassiahitch.wire.datagrammessages import PlaceQuery
@@ -25,8 +27,8 @@
 #: Longest output of a request in multiples of its expectation, and the shortest rest of one that
 #: still runs. Output lengths are skewed and the expectations uncertain, so that a request which has
 #: reached its expectation is not about to end. With these, slots become free as often as predicted.
-LONGEST_OUTPUT_FACTOR = 1.5
-SHORTEST_REST_FACTOR = 0.7
+LONGEST_OUTPUT_FACTOR = 1.7
+SHORTEST_REST_FACTOR = 0.9
 #: Share of the requests at an engine whose work has to be known for a report on it.
 MIN_KNOWN_SHARE = 0.5
 #: Announced requests that are kept; more than an engine runs and queues between two reports.
@@ -137,10 +139,9 @@
 
         :return: tokens, 0 if no running request is known.
         """
-        rates = [
-            1 / request.rest_tokens for request in islice(self.requests.values(), self.running)
-        ]
-        return len(rates) / sum(rates) if rates else 0
+        running = islice(self.requests.values(), self.running)
+        rate = mean_of(1 / request.rest_tokens for request in running)
+        return 1 / rate if rate else 0
 
     def work(self, queued: int) -> tuple[EngineWork, ...]:
         """Return the outstanding work for a report to an entry.
@@ -154,10 +155,25 @@
         known = len(self.requests)
         if not count or known < MIN_KNOWN_SHARE * count:
             return ()
-        newest = islice(reversed(self.requests.values()), queued)
-        prompts = [request.prompt_tokens for request in newest]
-        prompt_tokens = sum(prompts) * queued / len(prompts) if prompts else 0
-        return (EngineWork(round(self.remaining_tokens), min(round(prompt_tokens), MAX_INT32)),)
+        waiting = tuple(islice(reversed(self.requests.values()), queued))
+        prompt_tokens = mean_of(request.prompt_tokens for request in waiting) * queued
+        remaining_tokens = self.remaining_tokens
+        if waiting and remaining_tokens:
+            # Each slot that becomes free before that of a further request goes to a waiting one.
+            share = min(1, queued / (2 * self.running))
+            output_tokens = mean_of(request.output_tokens for request in waiting)
+            remaining_tokens += share * (output_tokens - remaining_tokens)
+        return (EngineWork(round(remaining_tokens), min(round(prompt_tokens), MAX_INT32)),)
+
+
+def mean_of(lengths: Iterable[float]) -> float:
+    """Return the mean of some lengths.
+
+    :param lengths: the lengths.
+    :return: the mean, 0 if there are none.
+    """
+    known = tuple(lengths)
+    return sum(known) / max(1, len(known))
 
 
 __all__ = (
--- a/src/cassiahitch/wire/datagrammessages.py
+++ b/src/cassiahitch/wire/datagrammessages.py
@@ -134,8 +134,9 @@
 class EngineWork:
     """Outstanding work of the requests at an engine, as far as entries announced it.
 
-    ``remaining_tokens`` is the output length that a running request is expected to have left, and
-    ``prompt_tokens`` the length of the prompts of all waiting requests together.
+    ``remaining_tokens`` is the output that a request is expected to have left which keeps a further
+    one waiting for its slot, and ``prompt_tokens`` the length of the prompts of all waiting
+    requests together.
     """
 
     remaining_tokens: int = 0
