--- a/src/cassiahitch/direct/placement/load.py
+++ b/src/cassiahitch/direct/placement/load.py
@@ -23,18 +23,37 @@
 REPORT_DELAY_S = 0.004
 #: Seconds for which an agent that did not reply is not queried again.
 NO_REPLY_BACKOFF_S = 1.0
+#: Shortest time for which a request occupies a slot, in seconds; a configuration may give none.
+MIN_OCCUPANCY_S = 0.001
+#: Weight of the output that requests have left against the configured mean. Expectations of single
+#: requests are uncertain, and where a few very long ones run, slots become free by the short ones.
+REMAINING_WEIGHT = 0.5
 #: Weight of the newest lateness in the moving average.
 NEWEST_WEIGHT = 0.3
 #: Half-life of the lateness without new measurements, in seconds.
 LATENESS_HALF_LIFE_S = 1.5
 
 
+@dataclass(frozen=True, slots=True)
+class OutstandingWork:
+    """Work of the requests at an engine, as its agent knows it from all entries.
+
+    ``remaining_tokens`` is the output that a request is expected to have left which keeps a further
+    one waiting for its slot, 0 if that is unknown, and ``prompt_tokens`` the length of the prompts
+    of all waiting requests together.
+    """
+
+    remaining_tokens: float
+    prompt_tokens: float
+
+
 @dataclass(frozen=True, slots=True)
 class LoadReport:
     """Load of an engine as reported by its agent.
 
     ``slowdown`` is the factor by which the engine is slower than configured. ``model`` and
-    ``version`` are the loaded weights, and ``incarnation`` is that of the agent.
+    ``version`` are the loaded weights, and ``incarnation`` is that of the agent. ``work`` is None
+    if the agent does not know the work of most requests.
     """
 
     running: int
@@ -44,6 +63,7 @@
     model: str = ''
     version: int = 0
     incarnation: int = 0
+    work: OutstandingWork | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,10 +80,15 @@
 
 @dataclass(frozen=True, slots=True)
 class QueueEstimate:
-    """Running and waiting requests of an engine, and the prompt tokens of pending prefills."""
+    """Running and waiting requests of an engine, and the prompt tokens of pending prefills.
+
+    ``remaining_tokens`` is the output that a running request is expected to have left, 0 if only
+    the configured mean is known.
+    """
 
     requests: int
     prefill_tokens: float
+    remaining_tokens: float = 0
 
 
 @dataclass(slots=True)
@@ -173,9 +198,13 @@
             return QueueEstimate(self.in_flight * entries, 0)
         requests = self.report.running + self.report.waiting
         requests += sum(change.requests for change in self.changes)
-        prefill_tokens = self.report.waiting * engine.mean_prompt_tokens
-        prefill_tokens += sum(change.prompt_tokens for change in self.changes)
-        return QueueEstimate(max(self.in_flight, requests, 0), prefill_tokens)
+        work = self.report.work or OutstandingWork(
+            remaining_tokens=0, prompt_tokens=self.report.waiting * engine.mean_prompt_tokens
+        )
+        prefill_tokens = work.prompt_tokens + sum(change.prompt_tokens for change in self.changes)
+        return QueueEstimate(
+            max(self.in_flight, requests, 0), prefill_tokens, work.remaining_tokens
+        )
 
     def current_slowdown(self, now: float) -> float:
         """Return how much slower than configured the engine currently is.
@@ -215,20 +244,34 @@
     return (tokens / engine.prefill_tokens_per_s + pairs * engine.attention_pair_s) * slowdown
 
 
-def slot_occupancy_s(engine: Engine, slowdown: float) -> float:
-    """Return the mean time for which a request occupies a slot of a fully loaded engine.
+def slot_occupancy_s(engine: Engine, slowdown: float, running: int | None = None) -> float:
+    """Return the mean time for which a request occupies a slot of an engine.
 
     :param engine: speed of the engine.
     :param slowdown: factor by which the engine is slower than configured.
+    :param running: number of running requests, None if all slots are taken.
     :return: seconds.
     """
+    running = engine.slots if running is None else running
     passes = max(1, engine.mean_output_tokens / engine.pass_steps)
-    decode_s = passes * pass_duration_s(engine, engine.slots, slowdown)
+    decode_s = passes * pass_duration_s(engine, running, slowdown)
     # Prefills are interleaved with the decode steps of other requests: the longer of both counts.
-    prefills_s = engine.slots * prefill_s(engine, engine.mean_prompt_tokens, slowdown)
+    prefills_s = running * prefill_s(engine, engine.mean_prompt_tokens, slowdown)
     return max(decode_s, prefills_s) + prefill_s(engine, engine.mean_prompt_tokens, slowdown)
 
 
+def output_tokens_per_s(engine: Engine, running: int, slowdown: float) -> float:
+    """Return how many tokens one request generates per second, its prefill included.
+
+    :param engine: speed of the engine.
+    :param running: number of running requests.
+    :param slowdown: factor by which the engine is slower than configured.
+    :return: tokens per second.
+    """
+    occupancy_s = max(MIN_OCCUPANCY_S, slot_occupancy_s(engine, slowdown, running))
+    return max(1, engine.mean_output_tokens) / occupancy_s
+
+
 def first_event_s(
     engine: Engine, queue: QueueEstimate, prompt_tokens: float, slowdown: float
 ) -> float:
@@ -247,7 +290,8 @@
     """Predict the time to the first event of a further request, without its own prefill.
 
     The engine finishes the current pass, does the pending prefills, and runs a first pass of the
-    request. If all slots are occupied, one has to become free before.
+    request. If all slots are occupied, one has to become free before: slots become free the sooner,
+    the less output the running requests have left.
 
     :param engine: speed of the engine.
     :param queue: requests and prefills ahead of it.
@@ -260,7 +304,11 @@
     ahead = queue.requests + 1 - engine.slots
     if ahead > 0:
         # The slot occupancy includes the prefills of the requests that wait for a slot.
-        return start_s + ahead * slot_occupancy_s(engine, slowdown) / engine.slots
+        free_slot_s = slot_occupancy_s(engine, slowdown) / engine.slots
+        if queue.remaining_tokens:
+            ratio = queue.remaining_tokens / max(1, engine.mean_output_tokens)
+            free_slot_s *= 1 + REMAINING_WEIGHT * (ratio - 1)
+        return start_s + ahead * free_slot_s
     return start_s + queue.prefill_tokens / engine.prefill_tokens_per_s * slowdown
 
 
@@ -268,8 +316,10 @@
     'LoadChange',
     'LoadTracker',
     'LoadReport',
+    'OutstandingWork',
     'QueueEstimate',
     'first_event_s',
+    'output_tokens_per_s',
     'pass_duration_s',
     'prefill_s',
     'slot_occupancy_s',
--- a/src/cassiahitch/wire/gen/datagrams/ttypes.py
+++ b/src/cassiahitch/wire/gen/datagrams/ttypes.py
@@ -1273,12 +1273,161 @@
         return not (self == other)
 
 
+class RequestCost(object):
+    """
+    Attributes:
+     - output_tokens
+
+    """
+
+    __slots__ = (
+        'output_tokens',
+    )
+
+
+    def __init__(self, output_tokens=None,):
+        self.output_tokens = output_tokens
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.output_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RequestCost')
+        if self.output_tokens is not None:
+            oprot.writeFieldBegin('output_tokens', TType.I32, 1)
+            oprot.writeI32(self.output_tokens)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class EngineWork(object):
+    """
+    Attributes:
+     - remaining_tokens
+     - prompt_tokens
+
+    """
+
+    __slots__ = (
+        'remaining_tokens',
+        'prompt_tokens',
+    )
+
+
+    def __init__(self, remaining_tokens=None, prompt_tokens=None,):
+        self.remaining_tokens = remaining_tokens
+        self.prompt_tokens = prompt_tokens
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.remaining_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.prompt_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EngineWork')
+        if self.remaining_tokens is not None:
+            oprot.writeFieldBegin('remaining_tokens', TType.I32, 1)
+            oprot.writeI32(self.remaining_tokens)
+            oprot.writeFieldEnd()
+        if self.prompt_tokens is not None:
+            oprot.writeFieldBegin('prompt_tokens', TType.I32, 2)
+            oprot.writeI32(self.prompt_tokens)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class PlaceQuery(object):
     """
     Attributes:
      - number
      - prompt_tokens
      - limits
+     - costs
 
     """
 
@@ -1286,13 +1435,15 @@
         'number',
         'prompt_tokens',
         'limits',
+        'costs',
     )
 
 
-    def __init__(self, number=None, prompt_tokens=None, limits=None,):
+    def __init__(self, number=None, prompt_tokens=None, limits=None, costs=None,):
         self.number = number
         self.prompt_tokens = prompt_tokens
         self.limits = limits
+        self.costs = costs
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1324,6 +1475,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.costs = []
+                    (_etype86, _size83) = iprot.readListBegin()
+                    for _i87 in range(_size83):
+                        _elem88 = RequestCost()
+                        _elem88.read(iprot)
+                        self.costs.append(_elem88)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1345,8 +1507,15 @@
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter83 in self.limits:
-                iter83.write(oprot)
+            for iter89 in self.limits:
+                iter89.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.costs is not None:
+            oprot.writeFieldBegin('costs', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.costs))
+            for iter90 in self.costs:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1545,11 +1714,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = LimitRecord()
-                        _elem89.read(iprot)
-                        self.limits.append(_elem89)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = LimitRecord()
+                        _elem96.read(iprot)
+                        self.limits.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1570,8 +1739,8 @@
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter90 in self.limits:
-                iter90.write(oprot)
+            for iter97 in self.limits:
+                iter97.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1637,22 +1806,22 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype94, _size91) = iprot.readListBegin()
-                    for _i95 in range(_size91):
-                        _elem96 = LimitRecord()
-                        _elem96.read(iprot)
-                        self.limits.append(_elem96)
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = LimitRecord()
+                        _elem103.read(iprot)
+                        self.limits.append(_elem103)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.refusals = []
-                    (_etype100, _size97) = iprot.readListBegin()
-                    for _i101 in range(_size97):
-                        _elem102 = PermitRefusal()
-                        _elem102.read(iprot)
-                        self.refusals.append(_elem102)
+                    (_etype107, _size104) = iprot.readListBegin()
+                    for _i108 in range(_size104):
+                        _elem109 = PermitRefusal()
+                        _elem109.read(iprot)
+                        self.refusals.append(_elem109)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1673,15 +1842,15 @@
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter103 in self.limits:
-                iter103.write(oprot)
+            for iter110 in self.limits:
+                iter110.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refusals is not None:
             oprot.writeFieldBegin('refusals', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.refusals))
-            for iter104 in self.refusals:
-                iter104.write(oprot)
+            for iter111 in self.refusals:
+                iter111.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1736,11 +1905,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype108, _size105) = iprot.readListBegin()
-                    for _i109 in range(_size105):
-                        _elem110 = LimitRecord()
-                        _elem110.read(iprot)
-                        self.limits.append(_elem110)
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = LimitRecord()
+                        _elem117.read(iprot)
+                        self.limits.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1757,8 +1926,8 @@
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter111 in self.limits:
-                iter111.write(oprot)
+            for iter118 in self.limits:
+                iter118.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1801,6 +1970,7 @@
      - leaving
      - limits
      - refusals
+     - work
 
     """
 
@@ -1817,10 +1987,11 @@
         'leaving',
         'limits',
         'refusals',
+        'work',
     )
 
 
-    def __init__(self, number=None, incarnation=None, born_ms=None, running=None, waiting=None, slowness_percent=None, loading=None, model=None, version=None, leaving=None, limits=None, refusals=None,):
+    def __init__(self, number=None, incarnation=None, born_ms=None, running=None, waiting=None, slowness_percent=None, loading=None, model=None, version=None, leaving=None, limits=None, refusals=None, work=None,):
         self.number = number
         self.incarnation = incarnation
         self.born_ms = born_ms
@@ -1833,6 +2004,7 @@
         self.leaving = leaving
         self.limits = limits
         self.refusals = refusals
+        self.work = work
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1896,22 +2068,33 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype115, _size112) = iprot.readListBegin()
-                    for _i116 in range(_size112):
-                        _elem117 = LimitRecord()
-                        _elem117.read(iprot)
-                        self.limits.append(_elem117)
+                    (_etype122, _size119) = iprot.readListBegin()
+                    for _i123 in range(_size119):
+                        _elem124 = LimitRecord()
+                        _elem124.read(iprot)
+                        self.limits.append(_elem124)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.refusals = []
-                    (_etype121, _size118) = iprot.readListBegin()
-                    for _i122 in range(_size118):
-                        _elem123 = PermitRefusal()
-                        _elem123.read(iprot)
-                        self.refusals.append(_elem123)
+                    (_etype128, _size125) = iprot.readListBegin()
+                    for _i129 in range(_size125):
+                        _elem130 = PermitRefusal()
+                        _elem130.read(iprot)
+                        self.refusals.append(_elem130)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.LIST:
+                    self.work = []
+                    (_etype134, _size131) = iprot.readListBegin()
+                    for _i135 in range(_size131):
+                        _elem136 = EngineWork()
+                        _elem136.read(iprot)
+                        self.work.append(_elem136)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1968,15 +2151,22 @@
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter124 in self.limits:
-                iter124.write(oprot)
+            for iter137 in self.limits:
+                iter137.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refusals is not None:
             oprot.writeFieldBegin('refusals', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.refusals))
-            for iter125 in self.refusals:
-                iter125.write(oprot)
+            for iter138 in self.refusals:
+                iter138.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.work is not None:
+            oprot.writeFieldBegin('work', TType.LIST, 13)
+            oprot.writeListBegin(TType.STRUCT, len(self.work))
+            for iter139 in self.work:
+                iter139.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2507,11 +2697,11 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype129, _size126) = iprot.readListBegin()
-                    for _i130 in range(_size126):
-                        _elem131 = RowRecord()
-                        _elem131.read(iprot)
-                        self.rows.append(_elem131)
+                    (_etype143, _size140) = iprot.readListBegin()
+                    for _i144 in range(_size140):
+                        _elem145 = RowRecord()
+                        _elem145.read(iprot)
+                        self.rows.append(_elem145)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2552,8 +2742,8 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter132 in self.rows:
-                iter132.write(oprot)
+            for iter146 in self.rows:
+                iter146.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2868,12 +3058,24 @@
     (9, TType.LIST, 'segment_crashes', (TType.STRUCT, [SegmentCrashRecord, None], False), None, ),  # 9
     (10, TType.LIST, 'sound_segments', (TType.STRUCT, [SegmentRecord, None], False), None, ),  # 10
 )
+all_structs.append(RequestCost)
+RequestCost.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'output_tokens', None, None, ),  # 1
+)
+all_structs.append(EngineWork)
+EngineWork.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'remaining_tokens', None, None, ),  # 1
+    (2, TType.I32, 'prompt_tokens', None, None, ),  # 2
+)
 all_structs.append(PlaceQuery)
 PlaceQuery.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'number', None, None, ),  # 1
     (2, TType.I32, 'prompt_tokens', None, None, ),  # 2
     (3, TType.LIST, 'limits', (TType.STRUCT, [LimitRecord, None], False), None, ),  # 3
+    (4, TType.LIST, 'costs', (TType.STRUCT, [RequestCost, None], False), None, ),  # 4
 )
 all_structs.append(PlaceReturn)
 PlaceReturn.thrift_spec = (
@@ -2918,6 +3120,7 @@
     (10, TType.BOOL, 'leaving', None, None, ),  # 10
     (11, TType.LIST, 'limits', (TType.STRUCT, [LimitRecord, None], False), None, ),  # 11
     (12, TType.LIST, 'refusals', (TType.STRUCT, [PermitRefusal, None], False), None, ),  # 12
+    (13, TType.LIST, 'work', (TType.STRUCT, [EngineWork, None], False), None, ),  # 13
 )
 all_structs.append(ChunkMap)
 ChunkMap.thrift_spec = (
