Admit requests by their own objective, and urgent ones into longer queues

All routes of a service were admitted by its mean objective, so that requests with a shorter one were started late, and urgent routes were served as often as others. Where the recent requests of a service differ in objective, each is now late by its own objective, and the shortest one bounds the queues of the engines. While requests are refused for capacity, more urgent ones may queue behind more others, until a less urgent class is served much less often than the mean. Without recent requests, and where objectives and priorities are equal, nothing changes.

The model of overload takes loads of single routes; the draws of its other loads are as before. The tests of tests/direct/placement pass.

--- a/src/cassiahitch/direct/placement/placement.py
+++ b/src/cassiahitch/direct/placement/placement.py
@@ -4,9 +4,10 @@
 can still meet their objective have priority. A late request is queued behind them at engines that
 would start it soon, and one that cannot be started is refused at once with a retry time.
 
-Admission at an engine depends neither on the length of the prompt nor on the objective of the
-route. Otherwise the engines would fill up until only the shortest prompts and the longest
-objectives were admitted. Requests with less slack than the average are queued first instead.
+Admission at an engine depends neither on the length of the prompt nor on how long the objective of
+the route is. Otherwise the engines would fill up until only the shortest prompts and the longest
+objectives were admitted. Requests with less slack than the average are queued first instead. Where
+the routes of a service differ, ``AdmissionTerms`` bound the queue for all of them alike.
 """
 
 from __future__ import annotations
@@ -19,6 +20,7 @@
 from cassiahitch.direct.placement.load import LoadTracker, prefill_s, queue_delay_s
 
 if TYPE_CHECKING:
+    from cassiahitch.direct.placement.admission import AdmissionTerms
     from cassiahitch.direct.state.catalogue import Engine, Route
     from cassiahitch.direct.state.replicas import Replica
     from cassiahitch.util.endpoints import Endpoint
@@ -78,7 +80,7 @@
 
     ``elapsed_s`` is the time since the caller first sent it, retries included, and ``remaining_s``
     the time until its deadline. ``mean_objective_s`` is the mean objective of the routes of the
-    service, 0 if unknown.
+    service, 0 if unknown. ``terms`` are None if all requests of the service are admitted alike.
     """
 
     route: Route
@@ -87,12 +89,23 @@
     priority: int = 0
     remaining_s: float = math.inf
     mean_objective_s: float = 0
+    terms: AdmissionTerms | None = None
 
     @property
-    def admission_objective_s(self) -> float:
-        """The objective that decides on admission, the same for all routes of a service."""
+    def mean_or_own_objective_s(self) -> float:
+        """The mean objective of the routes of the service, or its own if that is unknown."""
         return self.mean_objective_s or self.route.objective_s
 
+    @property
+    def admission_objective_s(self) -> float:
+        """The objective that decides on admission, from the first attempt of the caller."""
+        return self.terms.objective_s if self.terms else self.mean_or_own_objective_s
+
+    @property
+    def queue_objective_s(self) -> float:
+        """The objective that bounds the queue of an engine, the same for all routes."""
+        return self.terms.queue_objective_s if self.terms else self.mean_or_own_objective_s
+
     @property
     def is_late(self) -> bool:
         """Whether its objective has passed already, for example for a retried request."""
@@ -104,7 +117,7 @@
         :param engine: speed of the engines.
         :return: whether the prefill takes more additional time than its objective allows.
         """
-        additional_objective_s = self.route.objective_s - self.admission_objective_s
+        additional_objective_s = self.route.objective_s - self.mean_or_own_objective_s
         additional_prefill_s = prefill_s(engine, self.prompt_tokens, 1) - prefill_s(
             engine, engine.mean_prompt_tokens, 1
         )
@@ -400,9 +413,11 @@
 
 def _time_limit_s(request: PlacementRequest, fraction: float = ADMISSION_FRACTION) -> float:
     """Return the maximum time to the first event for admission, in seconds."""
+    queue_limit_s = request.queue_objective_s * fraction
     if request.is_late:
-        return request.admission_objective_s * min(fraction, LATE_FRACTION)
-    return request.admission_objective_s * fraction - request.elapsed_s
+        return min(queue_limit_s, request.queue_objective_s * LATE_FRACTION)
+    limit_s = min(queue_limit_s, request.admission_objective_s * fraction - request.elapsed_s)
+    return limit_s * (1 + request.terms.advance) if request.terms else limit_s
 
 
 def _is_within_limit(
--- a/src/cassiahitch/direct/placement/search.py
+++ b/src/cassiahitch/direct/placement/search.py
@@ -14,6 +14,7 @@
 from cassiahitch.codes import Code
 from cassiahitch.direct.placement.enginegroups import EngineGrouping, EngineGroups
 from cassiahitch.direct.placement.isolation import isolate
+from cassiahitch.direct.placement.overload import OverloadControl
 from cassiahitch.direct.placement.placement import (
     Assignment,
     Candidate,
@@ -80,6 +81,7 @@
     reservations: ReservationClient
     plain: PlainSearch
     rng: random.Random
+    overload: OverloadControl = field(default_factory=OverloadControl)
     grouping: EngineGrouping = field(init=False)
 
     def __post_init__(self) -> None:
@@ -111,8 +113,11 @@
             )
             return await self.plain.find(request, plain)
         replicas = self.isolate_suspect(call, replicas, service.engine, now)
-        mean_objective_s = self.candidates.mean_objective_s(call)
-        adjusted = replace(request, mean_objective_s=mean_objective_s)
+        adjusted = replace(
+            request,
+            mean_objective_s=self.candidates.mean_objective_s(call),
+            terms=self.overload.terms(call.service, request, now),
+        )
         search = SearchState(
             service.engine, adjusted, self.grouping.group(replicas, service.engine, adjusted, now)
         )
--- a/src/cassiahitch/direct/requests/runner.py
+++ b/src/cassiahitch/direct/requests/runner.py
@@ -217,12 +217,16 @@
         """
         clock = asyncio.get_running_loop().time
         wait_until = call.arrived_at + call.require_route().objective_s * QUEUE_WAIT_FRACTION
+        overload = self.placement_search.overload
         while True:
-            result = await self.placement_search.find(call, self.placement_request(call))
+            request = self.placement_request(call)
+            result = await self.placement_search.find(call, request)
             if isinstance(result, Assignment):
+                overload.record(call.service, request, clock(), begun=True)
                 self.require_allowed(call, result)
                 return result
             if clock() + result.available_in_s >= wait_until:
+                overload.record(call.service, request, clock(), begun=False)
                 raise self.no_capacity_error(call, result)
             await asyncio.sleep(max(PLACEMENT_RETRY_INTERVAL_S, result.available_in_s))
 
--- a/tests/support/overload_model.py
+++ b/tests/support/overload_model.py
@@ -12,7 +12,7 @@
 import random
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 from statistics import fmean
 from types import SimpleNamespace
@@ -76,6 +76,7 @@
 #: Bytes of the IP and UDP headers of a datagram.
 HEADER_BYTES = 28
 PEER_PORT = 7700
+SERVICE = 'drafts'
 
 
 @dataclass(frozen=True, repr=False)
@@ -132,6 +133,16 @@
         return earned / total
 
 
+@dataclass(frozen=True)
+class RouteLoad:
+    """The requests of one route: rate per engine and second, and lengths as in ``PROMPT``."""
+
+    route: Route
+    per_engine_s: float
+    prompt: tuple[float, float, int] = PROMPT
+    answer: tuple[float, float, int] = ANSWER
+
+
 @dataclass(repr=False)
 class Entry:
     """An entry: the real placement search on a simulated socket."""
@@ -204,6 +215,8 @@
 
     async def search(self, demand: PlacementRequest) -> Assignment | NoCapacity:
         """Search for an engine once."""
+        overload = self.placement_search.overload
+        demand = replace(demand, terms=overload.terms(SERVICE, demand, self.simulation.now))
         replicas = self.simulation.replicas
         engine = self.simulation.engine
         engine_groups = self.placement_search.grouping.group(
@@ -221,6 +234,7 @@
     """One simulation; ``load`` is the rate of new requests relative to the capacity of the engines.
 
     A refused caller retries ``retries`` times at most. ``load_factor`` changes the load over time.
+    With a ``mix``, ``load`` is the factor of its rates instead.
     ``limits_per_s`` holds the rate limits that engines name, by their numbers, and ``arrivals`` the
     times of the requests that each of them received. ``refusal_delays_s`` holds how long refused
     attempts waited for the refusal.
@@ -237,22 +251,27 @@
     make_placement: Callable[[random.Random], Placement] = Placement
     load_factor: Callable[[float], float] = lambda _: 1
     routes: tuple[Route, ...] = (ROUTE,)
+    mix: tuple[RouteLoad, ...] = ()
     limits_per_s: dict[int, float] = field(default_factory=dict)
     arrivals: dict[int, list[float]] = field(default_factory=dict)
     refusal_delays_s: list[float] = field(default_factory=list)
     rng: random.Random = field(init=False)
+    arrival_rng: random.Random = field(init=False)
     requests: list[SimulatedRequest] = field(default_factory=list)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
     sent: Counter[str] = field(default_factory=Counter)
 
     def __post_init__(self) -> None:
         """Create the engines, their agents and the entries."""
+        if self.mix:
+            self.routes = tuple(part.route for part in self.mix)
         self.rng = random.Random(self.seed)
+        self.arrival_rng = random.Random(self.seed) if self.mix else self.rng
         self.models = [ModelledEngine(self.engine) for _ in range(self.engines)]
         self.replicas = tuple(
             Replica(
                 f'm-{number}',
-                'drafts',
+                SERVICE,
                 Endpoint(f'10.0.0.{number + 1}', 80),
                 f'd-{number % self.regions}',
                 self.engine.slots,
@@ -311,17 +330,32 @@
             )
         while self.now - began < self.seconds:
             self.arrive()
-            rate = self.engines * requests_begun_per_s(self.engine) * self.load
-            rate *= self.load_factor(self.now - began)
-            await asyncio.sleep(self.rng.expovariate(rate))
+            rate = self.rate_per_s * self.load_factor(self.now - began)
+            await asyncio.sleep(self.arrival_rng.expovariate(rate))
         await asyncio.sleep(DEADLINE_S)
 
+    @property
+    def rate_per_s(self) -> float:
+        """The rate of new requests without the factor for the time."""
+        if self.mix:
+            return self.load * sum(part.per_engine_s for part in self.mix) * self.engines
+        return self.load * requests_begun_per_s(self.engine) * self.engines
+
+    def draw(self) -> SimulatedRequest:
+        """Draw a new request."""
+        if self.mix:
+            weights = [part.per_engine_s for part in self.mix]
+            part = self.arrival_rng.choices(self.mix, weights)[0]
+            lengths = part.prompt, part.answer
+        else:
+            lengths = PROMPT, ANSWER
+        prompt, answer = (draw_length(self.arrival_rng, *length) for length in lengths)
+        route = part.route if self.mix else self.rng.choice(self.routes)
+        return SimulatedRequest(route, self.now, prompt, answer, self.retries)
+
     def arrive(self) -> None:
         """Send the first attempt of a new request."""
-        prompt, answer = draw_length(self.rng, *PROMPT), draw_length(self.rng, *ANSWER)
-        request = SimulatedRequest(
-            self.rng.choice(self.routes), self.now, prompt, answer, self.retries
-        )
+        request = self.draw()
         self.requests.append(request)
         self.ask(request)
 
@@ -338,6 +372,7 @@
 
     async def place(self, request: SimulatedRequest, entry: Entry) -> None:
         """Place a request; poll while there is no capacity, and refuse it once the wait is over."""
+        overload = entry.placement_search.overload
         while True:
             elapsed_s = self.now - request.first
             mean_objective_s = fmean(route.objective_s for route in self.routes)
@@ -350,9 +385,11 @@
             if isinstance(result, Assignment) and not entry.may_send(result):
                 continue
             if isinstance(result, Assignment):
+                overload.record(SERVICE, demand, self.now, begun=True)
                 self.send(request, entry, result)
                 return
             if self.now + result.available_in_s >= request.search_until:
+                overload.record(SERVICE, demand, self.now, begun=False)
                 self.refuse(request, result.retry_after_s)
                 return
             await asyncio.sleep(max(CAPACITY_POLL_INTERVAL_S, result.available_in_s))
@@ -435,4 +472,4 @@
         )
 
 
-__all__ = ('OverloadSimulation', 'OverloadResult')
+__all__ = ('OverloadSimulation', 'OverloadResult', 'RouteLoad')
