--- a/src/cassiahitch/direct/placement/search.py
+++ b/src/cassiahitch/direct/placement/search.py
@@ -15,6 +15,7 @@
 from cassiahitch.direct.placement.coldengines import UngrantedSends
 from cassiahitch.direct.placement.enginegroups import EngineGrouping, EngineGroups
 from cassiahitch.direct.placement.isolation import isolate
+from cassiahitch.direct.placement.overload import OverloadControl
 from cassiahitch.direct.placement.placement import (
     Assignment,
     Candidate,
@@ -81,6 +82,7 @@
     reservations: ReservationClient
     plain: PlainSearch
     rng: random.Random
+    overload: OverloadControl = field(default_factory=OverloadControl)
     grouping: EngineGrouping = field(init=False)
     ungranted: UngrantedSends = field(init=False)
 
@@ -118,11 +120,14 @@
             )
             return await self.plain.find(request, plain)
         replicas = self.isolate_suspect(call, replicas, service.engine, now)
-        mean_objective_s = self.candidates.mean_objective_s(call)
-        output_tokens = self.placement.costs.output_tokens(
-            request.route.name, call.request.generation, service.engine, now
+        adjusted = replace(
+            request,
+            mean_objective_s=self.candidates.mean_objective_s(call),
+            terms=self.overload.terms(call.service, request, now),
+            output_tokens=self.placement.costs.output_tokens(
+                request.route.name, call.request.generation, service.engine, now
+            ),
         )
-        adjusted = replace(request, mean_objective_s=mean_objective_s, output_tokens=output_tokens)
         search = SearchState(
             service.engine, adjusted, self.grouping.group(replicas, service.engine, adjusted, now)
         )
