Keep newer state in force and write own rows again after a restore

Cause: a store that comes back from an older copy confirmed its older configuration, so that an entry that was suspended meanwhile or had just started accepted keys that were revoked since. Rows of entries and of loads that the restore lost were not written again. Change: reads of a new era confirm the configuration only once the operator had ERA_SETTLE_S to write again or has written it. States of replicas that certainly precede the known one are ignored until the era is settled.

--- a/src/cassiahitch/direct/entry.py
+++ b/src/cassiahitch/direct/entry.py
@@ -21,7 +21,6 @@
     weight_by_capacity,
 )
 from cassiahitch.direct.members.discovery import Discovery
-from cassiahitch.direct.members.rowservice import row_service
 from cassiahitch.direct.reloading import SettingsWatch
 from cassiahitch.direct.serving import serve
 from cassiahitch.direct.state.freshness import boot_time
@@ -113,12 +112,13 @@
         relay = self.table_followers.make_relay(self.http_client)
         relay.socket = datagrams
         messenger.relay = relay
-        rows = row_service(relay.followers)
+        rows = self.table_followers.row_service(relay)
         serve(rows, Endpoint(settings.address, settings.peer_port), self.stack)
         tasks = (
             *(follower.work() for follower in relay.followers.values()),
             messenger.send_heartbeats(),
             self.discovery.work(),
+            self.table_followers.make_start_check(relay).work(),
             self._expire_stale_state(),
             close_disconnected(self.frontend.running),
             *((self.watch.work(),) if self.watch.path.is_file() else ()),
--- a/src/cassiahitch/direct/members/discovery.py
+++ b/src/cassiahitch/direct/members/discovery.py
@@ -9,9 +9,10 @@
 
 from pydantic import BaseModel, ValidationError
 
+from cassiahitch.direct.state.eras import REWRITE_JITTER_S
 from cassiahitch.direct.state.feed import TableSnapshot
 from cassiahitch.errors import PlatformError
-from cassiahitch.stores.api import Write
+from cassiahitch.stores.api import CommitSuccess, Write
 
 if TYPE_CHECKING:
     from cassiahitch.direct.entrystate import EntryState
@@ -31,24 +32,45 @@
 
 @dataclass(slots=True)
 class Discovery:
-    """Writes the row of this entry once, and polls those of other entries.
+    """Writes the row of this entry once in each era of the store, and polls those of other entries.
 
     The rows only give addresses to contact; heartbeats show which entries are alive.
+    ``registered_era`` is the era in which the row was written, None before the first time.
     """
 
     platform: EntryPlatform
     entry_state: EntryState
     settings: DirectEntrySettings
     rng: random.Random
+    registered_era: int | None = None
 
     async def work(self) -> None:
         """Register this entry and poll the table until cancelled."""
-        registered = False
         while True:
-            registered = registered or await self.register()
+            registered = self.is_registered() or await self.register()
             updated = await self.read_addresses()
             pause_s = POLL_INTERVAL_S if registered and updated else RETRY_INTERVAL_S
-            await asyncio.sleep(pause_s * self.rng.uniform(0.8, 1.2))
+            await self.pause(pause_s * self.rng.uniform(0.8, 1.2), is_registered=registered)
+
+    async def pause(self, pause_s: float, *, is_registered: bool) -> None:
+        """Wait until the next poll, at most until a short time after a restore of the store.
+
+        :param pause_s: seconds until the next poll.
+        :param is_registered: whether the row of this entry was written.
+        """
+        era = self.registered_era
+        if not is_registered or era is None:
+            await asyncio.sleep(pause_s)
+        elif await self.platform.store.era.wait_newer(era, pause_s):
+            await asyncio.sleep(self.rng.uniform(0, REWRITE_JITTER_S))
+
+    def is_registered(self) -> bool:
+        """Return whether the row of this entry was written in the latest era of the store.
+
+        :return: False if a restore may have lost it.
+        """
+        era = self.registered_era
+        return era is not None and era >= self.platform.store.era.latest
 
     async def register(self) -> bool:
         """Write the row of this entry.
@@ -57,12 +79,15 @@
         """
         content = EntryRow(region=self.settings.region).model_dump_json().encode()
         write = Write(self.platform.tables.entries, self.settings.address, content)
+        era = self.platform.store.era.latest
         try:
-            await self.platform.store.commit((), (write,))
+            outcome = await self.platform.store.commit((), (write,))
         except PlatformError:
             # Retried later; until then, other entries discover this one by its heartbeats to seeds.
             return False
-        return True
+        if isinstance(outcome, CommitSuccess):
+            self.registered_era = max(era, outcome.era)
+        return self.is_registered()
 
     async def read_addresses(self) -> bool:
         """Read the addresses of other entries.
--- a/src/cassiahitch/direct/members/rowservice.py
+++ b/src/cassiahitch/direct/members/rowservice.py
@@ -2,21 +2,23 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from http import HTTPStatus
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from tornado.web import Application, RequestHandler
 
 from cassiahitch.direct.state.freshness import boot_time
 from cassiahitch.stores.api import NO_ERA
 from cassiahitch.util.accesslog import no_access_log
+from cassiahitch.wire.datagrammessages import TableRows
 from cassiahitch.wire.datagrams import encode_datagram
 
 if TYPE_CHECKING:
     from cassiahitch.direct.state.follower import TableFollower
 
 ROWS_ROUTE = r'/rows/([A-Za-z0-9_-]+)/after/([0-9]{1,18})'
+DECLARATIONS_ROUTE = r'/declarations/after/([0-9]{1,18})'
 ERA_ROWS_ROUTE = r'/rows/([A-Za-z0-9_-]+)/after/([0-9]{1,18})/era/([0-9]{1,18})'
 
 
@@ -32,6 +34,15 @@
     return path if era == NO_ERA else f'{path}/era/{era}'
 
 
+def declarations_path(version: int) -> str:
+    """Return the path of the declarations in effect.
+
+    :param version: version of the configuration that the client has.
+    :return: the path of the URL.
+    """
+    return f'/declarations/after/{version}'
+
+
 class RowsHandler(RequestHandler):
     """Serves the rows of a table that changed after a version of the store."""
 
@@ -59,18 +70,49 @@
         self.finish(encode_datagram(rows))
 
 
-def row_service(followers: Mapping[str, TableFollower]) -> Application:
+#: Returns the declarations in effect for a client that has a version of the configuration.
+BuildDeclarations = Callable[[int], TableRows]
+
+
+class DeclarationsHandler(RequestHandler):
+    """Serves the declarations in effect in this process, whatever the store has."""
+
+    def initialize(self, build: BuildDeclarations) -> None:
+        """Store the source of the declarations.
+
+        :param build: returns the declarations.
+        """
+        self.build = build
+
+    def get(self, version: str) -> None:
+        """Respond with the declarations.
+
+        :param version: version of the configuration that the client has.
+        """
+        self.set_header('Content-Type', 'application/octet-stream')
+        self.finish(encode_datagram(self.build(int(version))))
+
+
+def row_service(
+    followers: Mapping[str, TableFollower], build_declarations: BuildDeclarations
+) -> Application:
     """Create the HTTP service for rows.
 
     :param followers: followers by the names of their tables.
+    :param build_declarations: returns the declarations in effect.
     :return: the application.
     """
     arguments = {'followers': followers}
-    routes = [(pattern, RowsHandler, arguments) for pattern in (ROWS_ROUTE, ERA_ROWS_ROUTE)]
+    routes: list[Any] = [
+        (ROWS_ROUTE, RowsHandler, arguments),
+        (ERA_ROWS_ROUTE, RowsHandler, arguments),
+        (DECLARATIONS_ROUTE, DeclarationsHandler, {'build': build_declarations}),
+    ]
     return Application(routes, log_function=no_access_log)
 
 
 __all__ = (
+    'declarations_path',
     'row_service',
     'rows_path',
 )
--- a/src/cassiahitch/direct/staging/loadrecords.py
+++ b/src/cassiahitch/direct/staging/loadrecords.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
+import random
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from pydantic import BaseModel, NonNegativeInt, ValidationError
 
 from cassiahitch.direct.staging.loadtrust import ProvenLoad
+from cassiahitch.direct.state.eras import REWRITE_JITTER_S
 from cassiahitch.errors import PlatformError
-from cassiahitch.stores.api import Write
+from cassiahitch.stores.api import NO_ERA, CommitSuccess, Write
 
 if TYPE_CHECKING:
     from cassiahitch.direct.api import TableStore
@@ -35,7 +37,7 @@
 
     A load stays sound for as long as the engine runs, so that a row that is written late or by an
     agent that was replaced meanwhile is never wrong. ``recorded`` is the content of the row as far
-    as this agent knows it.
+    as this agent knows it, and ``recorded_era`` the era of the store in which the row had it.
     """
 
     store: TableStore
@@ -44,6 +46,8 @@
     trust: LoadTrust
     log: StateLog
     recorded: ProvenLoad | None = None
+    recorded_era: int = NO_ERA
+    rng: random.Random = field(default_factory=random.Random)
 
     async def read(self) -> ProvenLoad | None:
         """Read the row.
@@ -53,6 +57,7 @@
         """
         row = await self.store.read(self.table, self.host)
         self.recorded = _proven_load(row.content if row else b'')
+        self.recorded_era = row.era if row else NO_ERA
         return self.recorded
 
     async def work(self) -> None:
@@ -60,7 +65,13 @@
         while True:
             await asyncio.sleep(POLL_INTERVAL_S)
             proven = self.trust.proven_load()
-            if proven is not None and proven != self.recorded:
+            if proven is None:
+                continue
+            if proven != self.recorded:
+                await self.write(proven)
+            elif self.store.era.latest > self.recorded_era:
+                # A restore may have lost the row.
+                await asyncio.sleep(self.rng.uniform(0, REWRITE_JITTER_S))
                 await self.write(proven)
 
     async def write(self, proven: ProvenLoad) -> None:
@@ -69,8 +80,9 @@
         :param proven: the load.
         """
         content = LoadRow(born_ms=proven.born_ms, loads=proven.loads).model_dump_json().encode()
+        era = self.store.era.latest
         try:
-            await self.store.commit((), (Write(self.table, self.host, content),))
+            outcome = await self.store.commit((), (Write(self.table, self.host, content),))
         except PlatformError as error:
             self.log.state_changed(
                 'load not recorded', code=error.code.value, detail=error.detail, loads=proven.loads
@@ -78,6 +90,8 @@
             await asyncio.sleep(RETRY_DELAY_S)
         else:
             self.recorded = proven
+            if isinstance(outcome, CommitSuccess):
+                self.recorded_era = max(era, outcome.era)
             self.log.state_changed('load recorded', born_ms=proven.born_ms, loads=proven.loads)
 
 
--- a/src/cassiahitch/direct/state/follower.py
+++ b/src/cassiahitch/direct/state/follower.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from contextlib import suppress
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
@@ -203,6 +203,14 @@
                 'store restored', table=self.table, era=era, before=before, version=version
             )
 
+    def expect_rows(self, keys: Iterable[str]) -> None:
+        """Drop rows that another process gave to this one unless the store has them in time.
+
+        :param keys: keys of the rows.
+        """
+        self.feed.unconfirmed.update(key for key in keys if key not in self.feed.versions)
+        self.settles_at = min(self.settles_at, boot_time() + ERA_SETTLE_S)
+
     def drop_unconfirmed(self) -> None:
         """Drop rows of earlier eras once their owners have had the time to write them again."""
         if self.confirmed_at < self.settles_at or self.feed.synced_version is None:
--- a/src/cassiahitch/direct/state/replicas.py
+++ b/src/cassiahitch/direct/state/replicas.py
@@ -50,6 +50,16 @@
         """
         return dict(self.weights).get(model, 0)
 
+    def is_older_than(self, other: Replica) -> bool:
+        """Return whether this state of a replica certainly precedes another one.
+
+        :param other: another state of the replica with the same id.
+        :return: whether it is of an earlier incarnation, or of the same one before it drained.
+        """
+        if self.born_ms == other.born_ms:
+            return other.draining and not self.draining
+        return self.born_ms < other.born_ms
+
 
 @dataclass(slots=True)
 class ReplicaRegistry:
--- a/src/cassiahitch/direct/state/updater.py
+++ b/src/cassiahitch/direct/state/updater.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 from cassiahitch.codes import Code
 from cassiahitch.direct.state.catalogue import Catalogue
+from cassiahitch.direct.state.declarations import DeclarationsInForce, StartHold
+from cassiahitch.direct.state.eras import EraSettlement
 from cassiahitch.direct.state.feed import (
     UNCONFIRMED_REPLIES,
     Reply,
@@ -34,12 +36,17 @@
 
     An unreadable declaration changes nothing; an unreadable replica row removes the replica. While
     ``is_configuration_unreadable`` is set, the store has a configuration that is not in force here.
+    ``settlement`` decides which reads count after a restore of the store, ``in_force`` keeps the
+    rows in effect, and ``hold`` holds the first configuration back.
     """
 
     entry_state: EntryState
     platform: EntryPlatform
     telemetry: Telemetry
     is_configuration_unreadable: bool = False
+    settlement: EraSettlement = field(default_factory=EraSettlement)
+    in_force: DeclarationsInForce = field(default_factory=DeclarationsInForce)
+    hold: StartHold = field(default_factory=StartHold)
 
     def apply_declarations(
         self,
@@ -57,12 +64,15 @@
         :param sent_at: when the read was sent, in seconds of the boot clock.
         """
         readable = True
+        self.settlement.observe_declarations(reply, boot_time())
+        self.hold.decide(reply)
         may_be_held = isinstance(reply, TableChanges) and reply.long_polled
         long_polled = may_be_held and boot_time() - sent_at >= LONG_POLL_MIN_S
         polled_at = sent_at if long_polled else float('-inf')
         for row in rows:
             readable = self.apply_declaration(row, polled_at) and readable
-        is_confirmed = readable and not self.is_configuration_unreadable
+        is_newest = readable and not self.is_configuration_unreadable
+        is_confirmed = is_newest and self.settlement.is_settled(sent_at)
         if is_confirmed and not isinstance(reply, UNCONFIRMED_REPLIES):
             self.entry_state.freshness.confirm(sent_at)
 
@@ -75,6 +85,7 @@
         :return: whether the row could be decoded.
         """
         if row.content is None:
+            self.in_force.remove(row.key)
             return True
         try:
             declared = self.platform.read_declaration(row)
@@ -83,9 +94,12 @@
             if error.code is Code.configuration_row_corrupt:
                 self.is_configuration_unreadable = True
             return False
+        self.in_force.record(row, declared)
         match declared:
             case Catalogue():
                 self.is_configuration_unreadable = False
+                if declared.version >= self.in_force.configuration_version:
+                    self.settlement.record_configuration(row.version)
                 self.apply_configuration(declared)
             case DeclaredVersion():
                 self.record_version(declared, polled_at)
@@ -96,6 +110,9 @@
 
         :param catalogue: the new configuration.
         """
+        if self.hold.is_active:
+            self.hold.keep(catalogue)
+            return
         before = self.entry_state.catalogue
         applied = self.entry_state.apply_configuration(catalogue)
         self.entry_state.choose_limiters(boot_time())
@@ -107,6 +124,34 @@
             keys=None if catalogue.organisations is None else len(catalogue.organisations),
         )
 
+    def apply_peer_rows(self, rows: tuple[TableRow, ...]) -> bool:
+        """Apply declarations in effect in another entry, unless newer ones are in effect here.
+
+        :param rows: the rows.
+        :return: whether all of them could be decoded.
+        """
+        was_unreadable = self.is_configuration_unreadable
+        # Their versions may be those of another era, so they say nothing about the own one.
+        unversioned = tuple(replace(row, version=0) for row in rows)
+        readable = [self.apply_declaration(row, float('-inf')) for row in unversioned]
+        self.is_configuration_unreadable = was_unreadable
+        return all(readable)
+
+    def confirm_by_peer(self, confirmed_at: float) -> bool:
+        """Record a confirmation of an entry whose declarations were applied.
+
+        :param confirmed_at: when it had confirmed them, in seconds of the boot clock.
+        :return: whether the configuration may decide now which keys are accepted.
+        """
+        self.entry_state.freshness.confirm(confirmed_at)
+        return self.entry_state.freshness.is_valid(boot_time())
+
+    def release_hold(self) -> None:
+        """Bring the newest configuration that was held back into force."""
+        held = self.hold.release()
+        if held is not None:
+            self.apply_configuration(held)
+
     def record_version(self, declared: DeclaredVersion, polled_at: float) -> None:
         """Record a weight version that the operator declared.
 
@@ -140,6 +185,7 @@
         :param sent_at: when the read was sent, in seconds of the boot clock.
         """
         now = asyncio.get_running_loop().time()
+        self.settlement.observe(reply.era, boot_time())
         if not isinstance(reply, UNCONFIRMED_REPLIES):
             self.entry_state.replicas.record_reply(now - (boot_time() - sent_at), now)
             self.entry_state.limiters.confirm(sent_at, boot_time())
@@ -169,6 +215,9 @@
             self.log_unreadable(row, error)
             return
         before = registry.replicas.get(replica.id)
+        if before and not self.settlement.is_settled(boot_time()) and replica.is_older_than(before):
+            # The replica writes its row again; until then, what it wrote before the restore counts.
+            return
         registry.update(replica)
         if before != replica:
             self.telemetry.state_changed(
--- a/src/cassiahitch/direct/tablefollowers.py
+++ b/src/cassiahitch/direct/tablefollowers.py
@@ -4,19 +4,26 @@
 
 import random
 from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING
 
+from cassiahitch.direct.members.rowservice import row_service
+from cassiahitch.direct.members.startcheck import StartCheck, build_declarations, choose_peers
 from cassiahitch.direct.members.tablerelay import TableRelay, choose_readers
 from cassiahitch.direct.state.feed import TableFeed
 from cassiahitch.direct.state.follower import TableFollower
+from cassiahitch.direct.state.freshness import boot_time
 from cassiahitch.direct.state.updater import StateUpdater
 from cassiahitch.util.endpoints import Endpoint
 
 if TYPE_CHECKING:
+    from tornado.web import Application
+
     from cassiahitch.direct.assembly import EntryParts
     from cassiahitch.direct.platformapi import EntryPlatform
     from cassiahitch.settings.direct import DirectEntrySettings
     from cassiahitch.stores.http_client import HttpClient
+    from cassiahitch.wire.datagrammessages import TableRows
 
 #: Longest wait for a change of the declarations, as a fraction of the bound on revoked keys.
 DECLARATION_WAIT_FRACTION = 0.38
@@ -55,6 +62,41 @@
         relay.followers.update({follower.table: follower for follower in followers})
         return relay
 
+    def row_service(self, relay: TableRelay) -> Application:
+        """Create the HTTP service that gives rows and declarations to other processes.
+
+        :param relay: has the followers of the tables.
+        :return: the service.
+        """
+        return row_service(relay.followers, partial(self.build_declarations, relay))
+
+    def build_declarations(self, relay: TableRelay, version: int) -> TableRows:
+        """Return the declarations in effect as a message to a process that starts.
+
+        :param relay: has the followers of the tables.
+        :param version: version of the configuration that the process has.
+        :return: the message.
+        """
+        follower = relay.followers[self.platform.tables.operator]
+        age_s = self.parts.entry_state.freshness.age_s(boot_time())
+        return build_declarations(self.updater.in_force, follower, version, age_s)
+
+    def make_start_check(self, relay: TableRelay) -> StartCheck:
+        """Create the check that asks other entries for newer declarations at the start.
+
+        :param relay: reads from other entries.
+        :return: the check.
+        """
+        registry = self.parts.entry_state.members.registry
+        return StartCheck(
+            self.updater,
+            relay.followers[self.platform.tables.operator],
+            relay,
+            lambda: choose_peers(registry, self.rng),
+            self.settings.peer_port,
+            self.parts.telemetry,
+        )
+
     def readers(self) -> tuple[Endpoint, ...]:
         """Return the entries of the region that read the store for this one.
 
