--- a/src/cassiahitch/direct/agent.py
+++ b/src/cassiahitch/direct/agent.py
@@ -9,10 +9,12 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
+from cassiahitch.direct.members.startcheck import StartCheck
 from cassiahitch.direct.members.tablerelay import TableRelay
 from cassiahitch.direct.reloading import SettingsWatch
 from cassiahitch.direct.serving import serve
 from cassiahitch.direct.staging.agentparts import make_agent_parts
+from cassiahitch.direct.staging.agentpeers import AgentPeers
 from cassiahitch.direct.staging.chunkservice import make_chunk_service
 from cassiahitch.direct.staging.permits import PermitService
 from cassiahitch.direct.staging.reporting import SUBSCRIPTION_S, LoadReporter
@@ -116,6 +118,7 @@
         self.parts.map_exchange.socket = datagrams
         tasks = (
             self.declarations.work(),
+            self._start_check().work(),
             self.reporter.work(),
             self.parts.loader.work(),
             *((self.watch.work(),) if self.watch.path.is_file() else ()),
@@ -160,6 +163,20 @@
             return ()
         return (latest,)
 
+    def _start_check(self) -> StartCheck:
+        platform = self.platform
+        peers = AgentPeers(
+            platform.store, platform.tables.entries, lambda: self.reporter.entries, self.rng
+        )
+        return StartCheck(
+            self.parts.updater,
+            self.declarations,
+            self.relay,
+            peers.choose,
+            self.settings.peer_port,
+            self.parts.log,
+        )
+
     def _apply_bounds(self, bounds: BoundSettings) -> None:
         self.parts.updater.versions.bound_s = bounds.weights_s
 
--- a/src/cassiahitch/direct/entry.py
+++ b/src/cassiahitch/direct/entry.py
@@ -27,6 +27,7 @@
 from cassiahitch.direct.state.updater import StateUpdater
 from cassiahitch.direct.tablefollowers import EntryTableFollowers
 from cassiahitch.metrics.exposition import metrics_service
+from cassiahitch.metrics.names import GaugeName
 from cassiahitch.util.endpoints import Endpoint
 from cassiahitch.util.listening import listen
 from cassiahitch.wire.datagrams import DatagramSocket
@@ -227,6 +228,7 @@
             self.parts.runner.crash_detector.keep_only(keys)
             self.parts.entry_state.segments.expire(now)
             self.parts.telemetry.update_gauges()
+            self.parts.telemetry.metrics.gauge(GaugeName.store_era, self.platform.store.era.latest)
 
 
 __all__ = ('DirectEntry',)
--- a/src/cassiahitch/direct/members/startcheck.py
+++ b/src/cassiahitch/direct/members/startcheck.py
@@ -10,7 +10,7 @@
 import asyncio
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
@@ -44,6 +44,10 @@
 MS_PER_S = 1000
 
 
+#: Returns the IP addresses of entries to ask.
+Peers = Callable[[], Awaitable[tuple[str, ...]]]
+
+
 class PeerRowsReceiver(Protocol):
     """Applies the declarations of other entries to the state of this process."""
 
@@ -62,15 +66,12 @@
 
 @dataclass(slots=True)
 class StartCheck:
-    """Holds a start until live entries were asked for newer declarations.
-
-    ``peers`` returns the addresses of entries that may be alive.
-    """
+    """Holds a start until live entries were asked for newer declarations."""
 
     receiver: PeerRowsReceiver
     follower: TableFollower
     relay: TableRelay
-    peers: Callable[[], tuple[str, ...]]
+    peers: Peers
     peer_port: int
     log: StateLog
 
@@ -102,8 +103,9 @@
             a recent confirmation that they are the newest.
         """
         version = self.receiver.in_force.configuration_version
+        peers = await self.peers()
         asked_at = boot_time()
-        replies = await asyncio.gather(*(self.read(peer, version) for peer in self.peers()))
+        replies = await asyncio.gather(*(self.read(peer, version) for peer in peers))
         table = self.follower.table
         messages = [message for message in replies if message and message.table == table]
         if not messages:
--- a/src/cassiahitch/direct/staging/agentupdater.py
+++ b/src/cassiahitch/direct/staging/agentupdater.py
@@ -9,6 +9,7 @@
 
 from cassiahitch.direct.staging.chunks import WeightsId
 from cassiahitch.direct.state.catalogue import Catalogue
+from cassiahitch.direct.state.declarations import DeclarationsInForce, StartHold
 from cassiahitch.direct.state.feed import (
     CallFailure,
     HistoryUnavailable,
@@ -37,7 +38,10 @@
     """Applies the declarations of the operator and reads the list of replicas on demand.
 
     ``declarations_read`` is set once the store has sent the declarations. ``participants`` are
-    the agents that fetch the same versions, as they were read at ``participants_read_at``.
+    the agents that fetch the same versions, as they were read at ``participants_read_at``. ``hold``
+    tells whether to ask entries for newer declarations at the start; none are held back, since the
+    agent checks no keys and its engine loads no older weights than it has. ``in_force`` keeps the
+    rows in effect.
     """
 
     settings: DirectAgentSettings
@@ -51,6 +55,8 @@
     participants: tuple[Participant, ...] = ()
     participants_read_at: float = field(default=float('-inf'))
     declarations_read: bool = False
+    hold: StartHold = field(default_factory=StartHold)
+    in_force: DeclarationsInForce = field(default_factory=DeclarationsInForce)
 
     def target_weights(self) -> WeightsId | None:
         """Return the version that the engine should serve.
@@ -87,27 +93,51 @@
         :param reply: the reply of the store that contained them.
         :param sent_at: when the read was sent to the store, in seconds of the boot clock.
         """
+        self.hold.decide(reply)
         for row in rows:
             if row.content is not None:
                 self.apply_row(row)
         if not isinstance(reply, CallFailure | HistoryUnavailable):
             self.declarations_read = True
 
-    def apply_row(self, row: TableRow) -> None:
+    def apply_peer_rows(self, rows: tuple[TableRow, ...]) -> bool:
+        """Apply declarations in effect in an entry, unless newer ones are in effect here.
+
+        :param rows: the rows.
+        :return: whether all of them could be decoded.
+        """
+        return all([self.apply_row(row) for row in rows])
+
+    def confirm_by_peer(self, confirmed_at: float) -> bool:
+        """Accept the declarations of an entry whatever their age, since an agent checks no keys.
+
+        :param confirmed_at: when the entry had confirmed them, in seconds of the boot clock.
+        :return: that the declarations may be used.
+        """
+        return confirmed_at > float('-inf')
+
+    def release_hold(self) -> None:
+        """Ask no entries any more; no configuration was held back."""
+        self.hold.release()
+
+    def apply_row(self, row: TableRow) -> bool:
         """Apply one row of the operator's table.
 
         :param row: the row.
+        :return: whether it could be decoded.
         """
         try:
             declared = self.platform.read_declaration(row)
         except PlatformError as error:
             self.log.state_changed('row unreadable', key=row.key, code=error.code.value)
-            return
+            return False
+        self.in_force.record(row, declared)
         match declared:
             case Catalogue() if self.catalogue is None or declared.version > self.catalogue.version:
                 self.apply_configuration(declared)
             case DeclaredVersion():
                 self.declare_version(declared)
+        return True
 
     def apply_configuration(self, catalogue: Catalogue) -> None:
         """Apply a configuration and pass its origin and chunk sizes on to the repository.
--- a/src/cassiahitch/direct/tablefollowers.py
+++ b/src/cassiahitch/direct/tablefollowers.py
@@ -87,16 +87,22 @@
         :param relay: reads from other entries.
         :return: the check.
         """
-        registry = self.parts.entry_state.members.registry
         return StartCheck(
             self.updater,
             relay.followers[self.platform.tables.operator],
             relay,
-            lambda: choose_peers(registry, self.rng),
+            self.peers,
             self.settings.peer_port,
             self.parts.telemetry,
         )
 
+    async def peers(self) -> tuple[str, ...]:
+        """Return entries to ask for newer declarations at the start.
+
+        :return: their IP addresses.
+        """
+        return choose_peers(self.parts.entry_state.members.registry, self.rng)
+
     def readers(self) -> tuple[Endpoint, ...]:
         """Return the entries of the region that read the store for this one.
 
--- a/src/cassiahitch/metrics/names.py
+++ b/src/cassiahitch/metrics/names.py
@@ -72,6 +72,7 @@
     replicas = 'replicas'
     limited_replicas = 'limited_replicas'
     configuration_age_s = 'configuration_age_s'
+    store_era = 'store_era'
 
 
 class LatencyName(StrEnum):
--- a/tests/direct/test_restored_store.py
+++ b/tests/direct/test_restored_store.py
@@ -253,6 +253,28 @@
     run_restored(body)
 
 
+def test_agent_that_starts_after_the_restore_takes_declarations_of_entries() -> None:
+    async def body(site: DirectSite) -> None:
+        copy = site.store.copy()
+        revoke_key(site)
+        site.publish_version(2)
+        version = site.configuration['version']
+        await wait_for_version(site.entries, version)
+        await wait_until(
+            lambda: all(model.engine and model.engine.version == 2 for model in site.models)
+        )
+        await restore(site, copy)
+        started = await site.restart_agent(0)
+        updater = started.parts.updater
+        await asyncio.sleep(DETECTION_S)
+        assert updater.catalogue is not None
+        assert updater.catalogue.version == version
+        assert updater.versions.newest(MODEL) == 2
+        assert {model.engine.version for model in site.models if model.engine} == {2}
+
+    run_restored(body)
+
+
 @pytest.mark.parametrize('era', [None, 0])
 def test_entry_starts_at_once_if_the_store_was_never_restored(era: int | None) -> None:
     async def body(site: DirectSite) -> None:
