--- a/src/cassiahitch/metrics/names.py
+++ b/src/cassiahitch/metrics/names.py
@@ -78,6 +78,7 @@
     cold_replicas = 'cold_replicas'
     evacuated_domains = 'evacuated_domains'
     configuration_age_s = 'configuration_age_s'
+    store_era = 'store_era'
 
 
 class LatencyName(StrEnum):
--- a/src/cassiahitch/wire/gen/datagrams/ttypes.py
+++ b/src/cassiahitch/wire/gen/datagrams/ttypes.py
@@ -2388,6 +2388,7 @@
      - since
      - changed
      - age_ms
+     - era
 
     """
 
@@ -2399,10 +2400,11 @@
         'since',
         'changed',
         'age_ms',
+        'era',
     )
 
 
-    def __init__(self, table=None, number=None, unasked=None, known=None, since=None, changed=None, age_ms=None,):
+    def __init__(self, table=None, number=None, unasked=None, known=None, since=None, changed=None, age_ms=None, era=-1,):
         self.table = table
         self.number = number
         self.unasked = unasked
@@ -2410,6 +2412,7 @@
         self.since = since
         self.changed = changed
         self.age_ms = age_ms
+        self.era = era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2455,6 +2458,11 @@
                     self.age_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2493,6 +2501,10 @@
             oprot.writeFieldBegin('age_ms', TType.I64, 7)
             oprot.writeI64(self.age_ms)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 8)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2632,6 +2644,7 @@
      - changed
      - age_ms
      - rows
+     - era
 
     """
 
@@ -2643,10 +2656,11 @@
         'changed',
         'age_ms',
         'rows',
+        'era',
     )
 
 
-    def __init__(self, table=None, whole=None, after=None, since=None, changed=None, age_ms=None, rows=None,):
+    def __init__(self, table=None, whole=None, after=None, since=None, changed=None, age_ms=None, rows=None, era=-1,):
         self.table = table
         self.whole = whole
         self.after = after
@@ -2654,6 +2668,7 @@
         self.changed = changed
         self.age_ms = age_ms
         self.rows = rows
+        self.era = era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2705,6 +2720,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2746,6 +2766,10 @@
                 iter146.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 8)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3146,6 +3170,7 @@
     (5, TType.I64, 'since', None, None, ),  # 5
     (6, TType.I64, 'changed', None, None, ),  # 6
     (7, TType.I64, 'age_ms', None, None, ),  # 7
+    (8, TType.I64, 'era', None, -1, ),  # 8
 )
 all_structs.append(RowRecord)
 RowRecord.thrift_spec = (
@@ -3165,6 +3190,7 @@
     (5, TType.I64, 'changed', None, None, ),  # 5
     (6, TType.I64, 'age_ms', None, None, ),  # 6
     (7, TType.LIST, 'rows', (TType.STRUCT, [RowRecord, None], False), None, ),  # 7
+    (8, TType.I64, 'era', None, -1, ),  # 8
 )
 all_structs.append(Datagram)
 Datagram.thrift_spec = (
