Keep plain requests near, and judge plain replicas by learned service times only

Cause: a replica whose first request was measured against the assumed service time looked ten times as slow as one that was not used yet, and the jitter of long requests exceeded the cost of the distance, so that most requests went to other regions. All of it holds with place_by_cost only.

--- a/src/cassiahitch/direct/backends/costrecorder.py
+++ b/src/cassiahitch/direct/backends/costrecorder.py
@@ -47,7 +47,7 @@
             try:
                 yield
             finally:
-                plain.record_ended(assignment.cost_s, clock() - started_at, clock())
+                self.record_plain_ended(call, assignment, started_at)
             return
         load = self.placement.engine_load(key)
         generation = call.request.generation
@@ -58,6 +58,18 @@
         finally:
             load.record_ended(clock())
 
+    def record_plain_ended(self, call: Call, assignment: Assignment, started_at: float) -> None:
+        """Record the end of a request in the load of its plain replica.
+
+        :param call: the request.
+        :param assignment: its assignment.
+        :param started_at: when it was sent, in seconds of the event loop's clock.
+        """
+        now = asyncio.get_running_loop().time()
+        service_s = self.placement.costs.service_s(call.require_route().name, now)
+        plain = self.placement.plain_load(assignment.candidate.replica.key)
+        plain.record_ended(assignment.cost_s, (now - started_at) / service_s, now)
+
     def learn(
         self,
         call: Call,
--- a/src/cassiahitch/direct/placement/costs.py
+++ b/src/cassiahitch/direct/placement/costs.py
@@ -24,6 +24,8 @@
 PRIOR_REQUESTS = 4.0
 #: Service time that is assumed for a plain request without measurements, in seconds.
 INITIAL_SERVICE_S = 0.02
+#: Measurements that this counts for; with more, replicas that are in use would look slow.
+INITIAL_SERVICE_WEIGHT = 0.05
 #: Shortest service time in seconds, so that ratios to it stay finite.
 MIN_SERVICE_S = 0.001
 #: Routes that are learned separately; all others are learned together.
@@ -206,7 +208,8 @@
         service = self.services.get(route) or self.services.get(OTHER_ROUTES)
         if service is None:
             return INITIAL_SERVICE_S
-        return max(MIN_SERVICE_S, service.estimate(INITIAL_SERVICE_S, now, prior_weight=1))
+        estimate_s = service.estimate(INITIAL_SERVICE_S, now, prior_weight=INITIAL_SERVICE_WEIGHT)
+        return max(MIN_SERVICE_S, estimate_s)
 
     def record_service(self, route: str, seconds: float, now: float) -> None:
         """Learn the service time of a completed plain request.
--- a/src/cassiahitch/direct/placement/placement.py
+++ b/src/cassiahitch/direct/placement/placement.py
@@ -18,11 +18,7 @@
 
 from cassiahitch.direct.placement.costs import INITIAL_SERVICE_S, RequestCosts
 from cassiahitch.direct.placement.load import LoadTracker, prefill_s, queue_delay_s
-from cassiahitch.direct.placement.plainload import (
-    OTHER_DOMAIN_COST_S,
-    OTHER_REGION_COST_S,
-    PlainLoadTracker,
-)
+from cassiahitch.direct.placement.plainload import PlainLoadTracker, distance_s
 
 if TYPE_CHECKING:
     from cassiahitch.direct.state.catalogue import Engine, Route
@@ -205,7 +201,7 @@
         :param key: key of the replica.
         :return: the load tracker.
         """
-        return self.plain.setdefault(key, PlainLoadTracker())
+        return self.plain.setdefault(key, PlainLoadTracker(forgets=self.costs.learns))
 
     def keep_only(self, keys: frozenset[str]) -> None:
         """Drop the load of replicas that are no longer registered.
@@ -233,22 +229,22 @@
             for candidate in candidates
         }
         chosen = min(
-            candidates,
-            key=lambda candidate: (
-                expected_s[candidate] * self.rng.uniform(1, 1.2) + self.distance_s(candidate)
-            ),
+            candidates, key=lambda candidate: self.plain_cost_s(candidate, expected_s[candidate])
         )
         return Assignment(chosen, expected_s[chosen], cost_s=cost_s)
 
-    def distance_s(self, candidate: Candidate) -> float:
-        """Return the seconds by which a plain replica has to be faster than one that is near.
+    def plain_cost_s(self, candidate: Candidate, expected_s: float) -> float:
+        """Return the cost of a plain replica: the predicted time with jitter, and its distance.
+
+        Without learned costs, the distance does not count.
 
         :param candidate: the replica.
-        :return: seconds, 0 unless requests are placed by cost.
+        :param expected_s: expected response time in seconds.
+        :return: seconds.
         """
-        if not self.costs.learns or candidate.in_own_domain:
-            return 0
-        return OTHER_DOMAIN_COST_S if candidate.in_own_region else OTHER_REGION_COST_S
+        if not self.costs.learns:
+            return expected_s * self.rng.uniform(1, 1.2)
+        return expected_s + distance_s(candidate) + self.rng.uniform(0, COST_JITTER_S)
 
     def place_engine(
         self,
--- a/src/cassiahitch/direct/placement/plainload.py
+++ b/src/cassiahitch/direct/placement/plainload.py
@@ -9,8 +9,10 @@
 
 import math
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
-from cassiahitch.direct.placement.costs import MIN_SERVICE_S
+if TYPE_CHECKING:
+    from cassiahitch.direct.placement.placement import Candidate
 
 #: Weight of the newest response time in the moving average of a replica.
 NEWEST_WEIGHT = 0.3
@@ -29,13 +31,16 @@
 
     A plain replica does not report its load. ``in_flight`` counts the requests, ``work_s`` is the
     sum of their expected service times, and ``slowness`` the mean ratio of response times to
-    expected service times, as of ``updated_at``. Times in seconds.
+    expected service times, as of ``updated_at``. If ``forgets`` is set, a new measurement counts
+    against the slowness that is left by then, so that a replica which was slow once returns to use
+    with its first quick response. Times in seconds.
     """
 
     in_flight: int = 0
     work_s: float = 0
     slowness: float = 1
     updated_at: float = 0
+    forgets: bool = False
 
     def record_sent(self, cost_s: float) -> None:
         """Record that a request was sent.
@@ -45,18 +50,28 @@
         self.in_flight += 1
         self.work_s += cost_s
 
-    def record_ended(self, cost_s: float, seconds: float, now: float) -> None:
+    def record_ended(self, cost_s: float, ratio: float, now: float) -> None:
         """Record the end of a request.
 
         :param cost_s: its expected service time when it was sent.
-        :param seconds: response time.
+        :param ratio: its response time relative to the service time that is expected by now.
         :param now: current time in seconds.
         """
         self.in_flight -= 1
         self.work_s = max(0, self.work_s - cost_s) if self.in_flight else 0
-        self.slowness += NEWEST_WEIGHT * (seconds / max(MIN_SERVICE_S, cost_s) - self.slowness)
+        before = self.current_slowness(now) if self.forgets else self.slowness
+        self.slowness = before + NEWEST_WEIGHT * (ratio - before)
         self.updated_at = now
 
+    def current_slowness(self, now: float) -> float:
+        """Return the slowness, which approaches 1 without measurements.
+
+        :param now: current time in seconds.
+        :return: a ratio of times.
+        """
+        decay = math.exp2((self.updated_at - now) / SLOWNESS_HALF_LIFE_S)
+        return 1 + (self.slowness - 1) * decay
+
     def expected_s(self, cost_s: float, slots: int, now: float) -> float:
         """Return the expected response time of a further request.
 
@@ -65,13 +80,21 @@
         :param now: current time in seconds.
         :return: seconds.
         """
-        decay = math.exp2((self.updated_at - now) / SLOWNESS_HALF_LIFE_S)
-        slowness = 1 + (self.slowness - 1) * decay
-        return slowness * (cost_s + self.work_s / slots)
+        return self.current_slowness(now) * (cost_s + self.work_s / slots)
+
+
+def distance_s(candidate: Candidate) -> float:
+    """Return the seconds by which a replica has to be faster than one that is near.
+
+    :param candidate: the replica.
+    :return: seconds, 0 for a replica in the failure domain of this entry.
+    """
+    if candidate.in_own_domain:
+        return 0
+    return OTHER_DOMAIN_COST_S if candidate.in_own_region else OTHER_REGION_COST_S
 
 
 __all__ = (
-    'OTHER_DOMAIN_COST_S',
-    'OTHER_REGION_COST_S',
     'PlainLoadTracker',
+    'distance_s',
 )
