Log how long a replica stays cold with each request sent to it

Cause: `request sent` told the inputs of Server-Limit, but not those of the cold rate, so that a crash of a cold replica could not be traced to a decision. Change: the field cold_left_s, and tests of the header and of the configuration. Requests draw for the return of failure domains only while one returns.

--- a/src/cassiahitch/direct/placement/candidates.py
+++ b/src/cassiahitch/direct/placement/candidates.py
@@ -181,6 +181,8 @@
         :return: failure domains that were evacuated until recently, chosen at random.
         """
         evacuations = self.entry_state.evacuations
+        if not evacuations.returned_at:
+            return frozenset()
         return frozenset(
             domain
             for domain in sorted({replica.failure_domain for replica in replicas})
--- a/src/cassiahitch/direct/telemetry.py
+++ b/src/cassiahitch/direct/telemetry.py
@@ -132,16 +132,21 @@
         self.log_request(logging.INFO, 'request sent', call, fields | _size_fields(call))
 
     def limit_fields(self, replica: Replica) -> dict[str, Any]:
-        """Return the fields of a log line that tell the rate limit of a replica.
+        """Return the fields of a log line that tell the rate limits of a replica.
 
         :param replica: the replica.
-        :return: the limit and how long ago it was last named; empty if it names none.
+        :return: the limit and how long ago it was last named, if it names one, and how long it
+            stays cold, if it is.
         """
-        limit = self.entry_state.rate_limits.tracker(replica.key).current
-        if limit.per_s == math.inf:
-            return {}
+        fields: dict[str, Any] = {}
         now = asyncio.get_running_loop().time()
-        return {'limit_per_s': limit.per_s, 'limit_named_s_ago': now - limit.received_at}
+        rate_limits = self.entry_state.rate_limits
+        limit = rate_limits.tracker(replica.key).current
+        if limit.per_s < math.inf:
+            fields = {'limit_per_s': limit.per_s, 'limit_named_s_ago': now - limit.received_at}
+        if rate_limits.cold.is_cold(replica.key, now):
+            fields['cold_left_s'] = rate_limits.cold.periods[replica.key].until - now
+        return fields
 
     def version_fields(
         self, assignment: Assignment, started_at: float, first_event_at: float | None
--- a/src/cassiahitch/platform/requests.py
+++ b/src/cassiahitch/platform/requests.py
@@ -280,6 +280,7 @@
 
 __all__ = (
     'PlatformRequests',
+    'read_cold_s',
     'read_server_leaving',
     'read_server_limit',
 )
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -76,6 +76,15 @@
     assert {owner.allowed_regions for owner in owners} == {frozenset(('abuja', 'lagos'))}
 
 
+def test_cold_rates_of_services_are_read() -> None:
+    document = initial_configuration('127.0.0.1:1')
+    assert not decode_catalogue(encode_json(document)).cold_rates()
+    document['services'][0] |= {'coldS': 3.0, 'coldPerS': 14.0}
+    catalogue = decode_catalogue(encode_json(document))
+    assert catalogue.cold_rates() == {'drafts': 14}
+    assert catalogue.services['drafts'].cold_s == 3
+
+
 def test_replica_is_read_with_its_weights_and_start() -> None:
     replica = decode_replica('i-1', encode_json(REPLICA))
     assert (replica.key, replica.version('daka'), replica.draining) == ('i-1@17', 3, False)
--- a/tests/platform/test_leaving_and_pauses.py
+++ b/tests/platform/test_leaving_and_pauses.py
@@ -1,4 +1,4 @@
-"""Tests of the headers by which backend servers report a shutdown, a pause or a rate limit."""
+"""Tests of the headers by which backend servers report a shutdown, a pause, a limit or coldness."""
 
 from __future__ import annotations
 
@@ -86,3 +86,15 @@
 def test_two_rate_limits_are_unknown() -> None:
     head = read_head(200, ('Server-Limit', '2'), ('server-limit', '2'))
     assert (head.limit_per_s, head.invalid_headers) == (None, ('Server-Limit',))
+
+
+@pytest.mark.parametrize('status', [200, 421, 503])
+def test_time_for_which_a_replica_stays_cold_is_read_in_all_responses(status: int) -> None:
+    assert read_head(status, ('x-cassiahitch-cold-ms', ' 3000 ')).cold_s == 3
+    assert not read_head(status).cold_s
+
+
+@pytest.mark.parametrize('value', ['', '-1', 'nan', 'inf', '1e3', '1,5', 'soon', '1' * 400])
+def test_cold_time_that_cannot_be_read_is_ignored(value: str) -> None:
+    head = read_head(200, ('X-Cassiahitch-Cold-Ms', value))
+    assert (head.cold_s, head.invalid_headers) == (0, ('X-Cassiahitch-Cold-Ms',))
