Test replicas around a restore and messages of earlier versions

Cause: no test showed that a draining replica stays draining, and that one which the copy lacks stays listed until the era is settled, or that a message without an era decodes. Change: two tests.

--- a/tests/direct/state/test_follower_eras.py
+++ b/tests/direct/state/test_follower_eras.py
@@ -12,6 +12,8 @@
 from dataclasses import dataclass, field, replace
 
 import pytest
+from thrift.protocol.TCompactProtocol import TCompactProtocolFactory
+from thrift.TSerialization import serialize
 
 from cassiahitch.direct.members.tablerelay import RelayedState
 from cassiahitch.direct.state.eras import StoreEra
@@ -29,7 +31,9 @@
 from cassiahitch.direct.state.freshness import boot_time
 from cassiahitch.direct.telemetry import StateLog
 from cassiahitch.stores.api import NO_ERA
-from cassiahitch.wire.datagrammessages import RowRecord, TableRows
+from cassiahitch.wire.datagrammessages import RowRecord, TableRows, TableState
+from cassiahitch.wire.datagrams import decode_datagram
+from cassiahitch.wire.gen.datagrams import ttypes
 
 TABLE = 'declarations'
 ROW = TableRow('a', b'1', 8)
@@ -233,3 +237,14 @@
         assert followed.rows == [OLD_ROW, TableRow('evacuation', None, 6)]
 
     run(body())
+
+
+def test_message_of_a_process_of_an_earlier_version_names_no_era() -> None:
+    message = ttypes.TableState(
+        table=TABLE, number=1, unasked=False, known=True, since=5, changed=3, age_ms=9
+    )
+    message.era = None
+    datagram = serialize(ttypes.Datagram(table_state=message), TCompactProtocolFactory())
+    state = decode_datagram(datagram)
+    assert isinstance(state, TableState)
+    assert state.era == NO_ERA
--- a/tests/direct/test_restored_store.py
+++ b/tests/direct/test_restored_store.py
@@ -131,6 +131,29 @@
     run_restored(body)
 
 
+def test_draining_replica_and_one_that_the_copy_lacks_stay_as_they_were() -> None:
+    async def body(site: DirectSite) -> None:
+        draining, other = site.models
+        copy = site.store.copy()
+        rows = {name: row for name, row in copy.rows.items() if row.key != other.id}
+        site.register(draining, 'draining')
+        registries = [entry.parts.entry_state.replicas for entry in site.entries]
+        await wait_until(
+            lambda: all(registry.replicas[draining.id].draining for registry in registries)
+        )
+        await restore(site, replace(copy, rows=rows))
+        restored_at = asyncio.get_running_loop().time()
+        while asyncio.get_running_loop().time() < restored_at + OPERATOR_DELAY_S:
+            assert all(registry.replicas[draining.id].draining for registry in registries)
+            assert all(other.id in registry.replicas for registry in registries)
+            await asyncio.sleep(0.05)
+        assert {entry_era(entry) for entry in site.entries} == {1}
+        await asyncio.sleep(ERA_SETTLE_S + DETECTION_S)
+        assert not any(other.id in registry.replicas for registry in registries)
+
+    run_restored(body)
+
+
 def test_rows_of_entries_and_of_loads_are_written_again_and_not_all_at_once() -> None:
     async def body(site: DirectSite) -> None:
         copy = site.store.copy()
