Give refused callers retry times by a schedule of the entry

Refused callers returned at random times and found the same queues. Under pressure an entry now gives each a slot at a fraction of the rate at which requests recently began, within the third of the remaining time that callers honour; without a free slot, they return as late as they are willing to. A caller whose objective is longer returns while it can still be served in time. For a share of 0.03 of the begun requests, returning callers are admitted and ranked like new requests in time. The log line of a refusal has the inputs, and a counter the kind of retry time.

--- a/src/cassiahitch/direct/placement/placement.py
+++ b/src/cassiahitch/direct/placement/placement.py
@@ -21,6 +21,7 @@
 
 if TYPE_CHECKING:
     from cassiahitch.direct.placement.admission import AdmissionTerms
+    from cassiahitch.direct.placement.returns import RefusalInputs
     from cassiahitch.direct.state.catalogue import Engine, Route
     from cassiahitch.direct.state.replicas import Replica
     from cassiahitch.util.endpoints import Endpoint
@@ -81,6 +82,8 @@
     ``elapsed_s`` is the time since the caller first sent it, retries included, and ``remaining_s``
     the time until its deadline. ``mean_objective_s`` is the mean objective of the routes of the
     service, 0 if unknown. ``terms`` are None if all requests of the service are admitted alike.
+    ``is_return`` is set if the caller was refused before, and ``is_preferred`` if it therefore
+    comes before new requests of the same priority.
     """
 
     route: Route
@@ -90,6 +93,8 @@
     remaining_s: float = math.inf
     mean_objective_s: float = 0
     terms: AdmissionTerms | None = None
+    is_return: bool = False
+    is_preferred: bool = False
 
     @property
     def mean_or_own_objective_s(self) -> float:
@@ -159,13 +164,15 @@
 
     ``best_expected_s`` is the predicted time to the first event at the best replica, and
     ``available_in_s`` the time after which that replica may be able to admit the request.
-    ``limited`` is the number of replicas that name a rate limit and have no permit left.
+    ``limited`` is the number of replicas that name a rate limit and have no permit left, and
+    ``inputs`` what decided under pressure.
     """
 
     retry_after_s: float
     best_expected_s: float
     available_in_s: float
     limited: int = 0
+    inputs: RefusalInputs | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -414,6 +421,8 @@
 def _time_limit_s(request: PlacementRequest, fraction: float = ADMISSION_FRACTION) -> float:
     """Return the maximum time to the first event for admission, in seconds."""
     queue_limit_s = request.queue_objective_s * fraction
+    if request.is_preferred:
+        return queue_limit_s
     if request.is_late:
         return min(queue_limit_s, request.queue_objective_s * LATE_FRACTION)
     limit_s = min(queue_limit_s, request.admission_objective_s * fraction - request.elapsed_s)
@@ -429,13 +438,15 @@
 
 def _can_meet_objective(request: PlacementRequest, estimate: FirstEventEstimate) -> bool:
     """Return whether the first event of a mean prompt is expected within the objective."""
-    return not request.is_late and _is_within_limit(request, estimate, 1)
+    return not (request.is_late and not request.is_preferred) and _is_within_limit(
+        request, estimate, 1
+    )
 
 
 def _rank(engine: Engine, request: PlacementRequest) -> int:
     """Return the rank of a request in the queue of an engine, by priority and slack."""
     rank = RANKS_PER_PRIORITY * max(0, request.priority)
-    if not request.has_low_slack(engine):
+    if not (request.is_preferred or request.has_low_slack(engine)):
         rank += 1
     return min(MAX_RANK_IN_TIME, rank)
 
--- a/src/cassiahitch/direct/placement/pressure.py
+++ b/src/cassiahitch/direct/placement/pressure.py
@@ -55,6 +55,14 @@
             return 0
         return self.count * math.exp2((self.updated_at - now) / COUNT_HALF_LIFE_S)
 
+    def per_s(self, now: float) -> float:
+        """Return the recent rate.
+
+        :param now: current time in seconds.
+        :return: rate per second.
+        """
+        return self.at(now) * math.log(2) / COUNT_HALF_LIFE_S
+
 
 @dataclass(slots=True)
 class ClassOutcomes:
--- a/src/cassiahitch/direct/placement/search.py
+++ b/src/cassiahitch/direct/placement/search.py
@@ -113,11 +113,9 @@
             )
             return await self.plain.find(request, plain)
         replicas = self.isolate_suspect(call, replicas, service.engine, now)
-        adjusted = replace(
-            request,
-            mean_objective_s=self.candidates.mean_objective_s(call),
-            terms=self.overload.terms(call.service, request, now),
-        )
+        mean_objective_s = self.candidates.mean_objective_s(call)
+        adjusted = replace(request, mean_objective_s=mean_objective_s)
+        adjusted = self.overload.adjust(call.service, adjusted, now)
         search = SearchState(
             service.engine, adjusted, self.grouping.group(replicas, service.engine, adjusted, now)
         )
--- a/src/cassiahitch/direct/requests/runner.py
+++ b/src/cassiahitch/direct/requests/runner.py
@@ -48,6 +48,8 @@
 QUEUE_WAIT_FRACTION = 0.12
 #: Shortest time between two searches for capacity, in seconds.
 PLACEMENT_RETRY_INTERVAL_S = 0.02
+#: Seconds by which the timeout of a caller that repeats its request is shorter than the usual one.
+MIN_RETURN_S = 0.1
 #: Retry-After, in seconds, when no backend server could be reached.
 UNREACHABLE_RETRY_AFTER_S = 0.6
 #: Most assignments of a request, including those after which nothing was sent.
@@ -227,7 +229,8 @@
                 return result
             if clock() + result.available_in_s >= wait_until:
                 overload.record(call.service, request, clock(), begun=False)
-                raise self.no_capacity_error(call, result)
+                refusal = overload.scheduled(call.service, request, result, clock())
+                raise self.no_capacity_error(call, refusal)
             await asyncio.sleep(max(PLACEMENT_RETRY_INTERVAL_S, result.available_in_s))
 
     def require_allowed(self, call: Call, assignment: Assignment) -> None:
@@ -297,14 +300,19 @@
             else call.request.caller_timeout_s
         )
         now = asyncio.get_running_loop().time()
-        elapsed_s = now - call.arrived_at + max(0, usual_timeout_s - caller_timeout_s)
+        before_s = max(0, usual_timeout_s - caller_timeout_s)
         generation = call.request.generation
         priority = route.priority
         if call.organisation is not None and call.organisation.priority is not None:
             priority = call.organisation.priority
         prompt_tokens = generation.prompt_tokens if generation else 0
         return PlacementRequest(
-            route, elapsed_s, prompt_tokens, priority, remaining_s=call.deadline - now
+            route,
+            now - call.arrived_at + before_s,
+            prompt_tokens,
+            priority,
+            remaining_s=call.deadline - now,
+            is_return=before_s >= MIN_RETURN_S,
         )
 
     def progress_timeouts(self, call: Call) -> ProgressTimeouts:
--- a/src/cassiahitch/direct/telemetry.py
+++ b/src/cassiahitch/direct/telemetry.py
@@ -15,6 +15,7 @@
 from cassiahitch.codes import Code
 from cassiahitch.direct.api import Answered, Call, CallerRequest
 from cassiahitch.direct.backends.outcomes import Delivered
+from cassiahitch.direct.placement.refusals import refusal_fields, return_label
 from cassiahitch.direct.placement.sizes import SizeTracker
 from cassiahitch.direct.state.freshness import boot_time
 from cassiahitch.metrics.names import CounterName, GaugeName, LatencyName
@@ -171,13 +172,9 @@
         """
         if call.size_rank is not None:
             self.metrics.count(CounterName.refused_by_size, call.size_rank.label)
-        fields = {
-            'best_s': no_capacity.best_expected_s,
-            'available_s': no_capacity.available_in_s,
-            'limited': no_capacity.limited,
-            'retry_after_s': no_capacity.retry_after_s,
-        }
-        self.log_request(logging.INFO, 'request found no place', call, fields | _size_fields(call))
+        self.metrics.count(CounterName.returns_scheduled, return_label(no_capacity))
+        fields = refusal_fields(no_capacity) | _size_fields(call)
+        self.log_request(logging.INFO, 'request found no place', call, fields)
 
     def failover_refused(self, call: Call, assignment: Assignment, error: RequestError) -> None:
         """Record that a request stays at a stalled backend server.
--- a/src/cassiahitch/metrics/names.py
+++ b/src/cassiahitch/metrics/names.py
@@ -20,6 +20,7 @@
     offered_by_size = 'offered_by_size'
     refused_by_size = 'refused_by_size'
     served_by_size = 'served_by_size'
+    returns_scheduled = 'returns_scheduled'
     runs_started = 'runs_started'
     runs_finished = 'runs_finished'
     answers_dropped = 'answers_dropped'
--- a/tests/direct/placement/test_admission.py
+++ b/tests/direct/placement/test_admission.py
@@ -141,6 +141,6 @@
     for number in range(2 * MAX_SERVICES):
         for _ in range(4):
             control.record(f'service {number}', PlacementRequest(URGENT, 0), 0, begun=True)
-    assert len(control.pressures) == MAX_SERVICES
+    assert len(control.services) == MAX_SERVICES
     control.record('new', PlacementRequest(URGENT, 0), 20 * COUNT_HALF_LIFE_S, begun=True)
-    assert list(control.pressures) == ['new']
+    assert list(control.services) == ['new']
--- a/tests/support/overload_model.py
+++ b/tests/support/overload_model.py
@@ -12,7 +12,7 @@
 import random
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from functools import partial
 from statistics import fmean
 from types import SimpleNamespace
@@ -216,7 +216,7 @@
     async def search(self, demand: PlacementRequest) -> Assignment | NoCapacity:
         """Search for an engine once."""
         overload = self.placement_search.overload
-        demand = replace(demand, terms=overload.terms(SERVICE, demand, self.simulation.now))
+        demand = overload.adjust(SERVICE, demand, self.simulation.now)
         replicas = self.simulation.replicas
         engine = self.simulation.engine
         engine_groups = self.placement_search.grouping.group(
@@ -379,7 +379,13 @@
             left_s = DEADLINE_S - elapsed_s
             priority = request.route.priority
             demand = PlacementRequest(
-                request.route, elapsed_s, request.prompt, priority, left_s, mean_objective_s
+                request.route,
+                elapsed_s,
+                request.prompt,
+                priority,
+                left_s,
+                mean_objective_s,
+                is_return=request.attempts > 1,
             )
             result = await entry.search(demand)
             if isinstance(result, Assignment) and not entry.may_send(result):
@@ -390,7 +396,8 @@
                 return
             if self.now + result.available_in_s >= request.search_until:
                 overload.record(SERVICE, demand, self.now, begun=False)
-                self.refuse(request, result.retry_after_s)
+                refusal = overload.scheduled(SERVICE, demand, result, self.now)
+                self.refuse(request, refusal.retry_after_s)
                 return
             await asyncio.sleep(max(CAPACITY_POLL_INTERVAL_S, result.available_in_s))
 
