--- a/src/cassiahitch/direct/placement/search.py
+++ b/src/cassiahitch/direct/placement/search.py
@@ -123,11 +123,11 @@
         adjusted = replace(
             request,
             mean_objective_s=self.candidates.mean_objective_s(call),
-            terms=self.overload.terms(call.service, request, now),
             output_tokens=self.placement.costs.output_tokens(
                 request.route.name, call.request.generation, service.engine, now
             ),
         )
+        adjusted = self.overload.adjust(call.service, adjusted, now)
         search = SearchState(
             service.engine, adjusted, self.grouping.group(replicas, service.engine, adjusted, now)
         )
--- a/src/cassiahitch/metrics/names.py
+++ b/src/cassiahitch/metrics/names.py
@@ -23,6 +23,7 @@
     output_tokens_expected = 'output_tokens_expected'
     output_tokens_counted = 'output_tokens_counted'
     output_tokens_off = 'output_tokens_off'
+    returns_scheduled = 'returns_scheduled'
     runs_started = 'runs_started'
     runs_finished = 'runs_finished'
     answers_dropped = 'answers_dropped'
