Restrict organisations above their share while a service is overloaded

All organisations lost the same share of their requests, also those that did not cause the overload. Without pressure, or without organisations, nothing changes.

--- a/src/cassiahitch/direct/placement/overload.py
+++ b/src/cassiahitch/direct/placement/overload.py
@@ -21,6 +21,7 @@
     ServicePressure,
 )
 from cassiahitch.direct.placement.returns import RefusalInputs, ReturnSchedule, ReturnTime
+from cassiahitch.direct.placement.shares import FairShares
 
 #: Services whose requests are counted; others are treated as not overloaded.
 MAX_SERVICES = 64
@@ -37,6 +38,7 @@
     pressure: ServicePressure = field(default_factory=ServicePressure)
     returns: ReturnSchedule = field(default_factory=ReturnSchedule)
     returned: DecayingCount = field(default_factory=DecayingCount)
+    shares: FairShares = field(default_factory=FairShares)
 
     def prefers_returns(self, now: float) -> bool:
         """Return whether returning callers come before new ones.
@@ -76,8 +78,22 @@
         if state is None:
             return request
         terms = admission_terms(request.route, request.priority, state.pressure, now)
-        is_preferred = request.is_return and state.prefers_returns(now)
-        return replace(request, terms=terms, is_preferred=is_preferred)
+        is_restricted = self.exceeds_share(state, request, now)
+        is_preferred = request.is_return and not is_restricted and state.prefers_returns(now)
+        return replace(request, terms=terms, is_preferred=is_preferred, is_restricted=is_restricted)
+
+    def exceeds_share(self, state: ServiceState, request: PlacementRequest, now: float) -> bool:
+        """Return whether a request is restricted since its organisation is above its share.
+
+        :param state: state of the service of the request.
+        :param request: the request.
+        :param now: current time in seconds.
+        :return: whether it is restricted; never without pressure.
+        """
+        if not state.pressure.refused_share(now):
+            return False
+        restricted_share = state.shares.restricted_share(request.organisation, now)
+        return restricted_share > 0 and self.rng.random() < restricted_share
 
     def record(self, service: str, request: PlacementRequest, now: float, *, begun: bool) -> None:
         """Record the outcome of the placement of a request.
@@ -93,6 +109,7 @@
         route = request.route
         request_class = RequestClass(route.name, request.priority, route.objective_s)
         state.pressure.record(request_class, now, begun=begun)
+        state.shares.record(request.organisation, request.prompt_tokens, now, begun=begun)
         if begun and request.is_return:
             state.returned.add(1, now)
 
@@ -129,6 +146,7 @@
             state.pressure.refused_share(now),
             state.returned_share(now),
             state.pressure.all_classes.begun.per_s(now),
+            state.shares.excess(request.organisation, now),
             returns.has_slot,
         )
         return replace(refusal, retry_after_s=returns.after_s, inputs=inputs)
--- a/src/cassiahitch/direct/placement/placement.py
+++ b/src/cassiahitch/direct/placement/placement.py
@@ -34,6 +34,9 @@
 OWN_REGION_FRACTION = 0.5
 #: Fraction of the objective within which an engine has to start a late request.
 LATE_FRACTION = 0.5
+#: Fraction of the objective within which an engine has to start a request of an organisation that
+#: has more than its share. Engines with a free slot and few pending prefills are that fast.
+RESTRICTED_FRACTION = 0.3
 #: Seconds by which a replica of another region has to be faster than one of the own region.
 CROSS_REGION_COST_S = 0.02
 #: Maximum jitter of the cost of a replica in seconds, so that entries with the same reports choose
@@ -83,7 +86,8 @@
     the time until its deadline. ``mean_objective_s`` is the mean objective of the routes of the
     service, 0 if unknown. ``terms`` are None if all requests of the service are admitted alike.
     ``is_return`` is set if the caller was refused before, and ``is_preferred`` if it therefore
-    comes before new requests of the same priority.
+    comes before new requests of the same priority. ``organisation`` is its name, empty if there is
+    none, and ``is_restricted`` is set if it has more than its share.
     """
 
     route: Route
@@ -95,6 +99,8 @@
     terms: AdmissionTerms | None = None
     is_return: bool = False
     is_preferred: bool = False
+    organisation: str = ''
+    is_restricted: bool = False
 
     @property
     def mean_or_own_objective_s(self) -> float:
@@ -420,6 +426,8 @@
 
 def _time_limit_s(request: PlacementRequest, fraction: float = ADMISSION_FRACTION) -> float:
     """Return the maximum time to the first event for admission, in seconds."""
+    if request.is_restricted:
+        fraction = min(fraction, RESTRICTED_FRACTION)
     queue_limit_s = request.queue_objective_s * fraction
     if request.is_preferred:
         return queue_limit_s
--- a/src/cassiahitch/direct/placement/returns.py
+++ b/src/cassiahitch/direct/placement/returns.py
@@ -40,12 +40,14 @@
 
     ``pressure`` is the share of the recent requests of the service that found no capacity,
     ``returned_share`` that of returning callers among those that began, and ``begun_per_s`` the
-    rate at which these began. ``has_slot`` is set if the caller was given a slot.
+    rate at which these began. ``excess`` is the begun work of the organisation relative to its
+    fair share, and ``has_slot`` is set if the caller was given a slot.
     """
 
     pressure: float
     returned_share: float
     begun_per_s: float
+    excess: float
     has_slot: bool
 
 
--- a/src/cassiahitch/direct/requests/runner.py
+++ b/src/cassiahitch/direct/requests/runner.py
@@ -313,6 +313,7 @@
             priority,
             remaining_s=call.deadline - now,
             is_return=before_s >= MIN_RETURN_S,
+            organisation=call.organisation.name if call.organisation else '',
         )
 
     def progress_timeouts(self, call: Call) -> ProgressTimeouts:
--- a/tests/support/modelled_engine.py
+++ b/tests/support/modelled_engine.py
@@ -49,6 +49,7 @@
     prompt: int
     answer: int
     retries_left: int
+    organisation: str = ''
     attempts: int = 0
     search_until: float = 0
     asked_at: float = 0
--- a/tests/support/overload_model.py
+++ b/tests/support/overload_model.py
@@ -92,6 +92,12 @@
         count = len(self.requests)
         return OverloadResult(self.requests[int(count * first) : int(count * last)])
 
+    def for_organisation(self, name: str) -> OverloadResult:
+        """Return the requests of one organisation."""
+        return OverloadResult(
+            tuple(request for request in self.requests if request.organisation == name)
+        )
+
     def for_route(self, route: Route) -> OverloadResult:
         """Return the requests of one route."""
         return OverloadResult(tuple(request for request in self.requests if request.route is route))
@@ -234,7 +240,8 @@
     """One simulation; ``load`` is the rate of new requests relative to the capacity of the engines.
 
     A refused caller retries ``retries`` times at most. ``load_factor`` changes the load over time.
-    With a ``mix``, ``load`` is the factor of its rates instead.
+    With a ``mix``, ``load`` is the factor of its rates instead. ``organisations`` holds the shares
+    of organisations in the requests.
     ``limits_per_s`` holds the rate limits that engines name, by their numbers, and ``arrivals`` the
     times of the requests that each of them received. ``refusal_delays_s`` holds how long refused
     attempts waited for the refusal.
@@ -252,6 +259,7 @@
     load_factor: Callable[[float], float] = lambda _: 1
     routes: tuple[Route, ...] = (ROUTE,)
     mix: tuple[RouteLoad, ...] = ()
+    organisations: dict[str, float] = field(default_factory=dict)
     limits_per_s: dict[int, float] = field(default_factory=dict)
     arrivals: dict[int, list[float]] = field(default_factory=dict)
     refusal_delays_s: list[float] = field(default_factory=list)
@@ -351,7 +359,11 @@
             lengths = PROMPT, ANSWER
         prompt, answer = (draw_length(self.arrival_rng, *length) for length in lengths)
         route = part.route if self.mix else self.rng.choice(self.routes)
-        return SimulatedRequest(route, self.now, prompt, answer, self.retries)
+        request = SimulatedRequest(route, self.now, prompt, answer, self.retries)
+        if self.organisations:
+            names, shares = tuple(self.organisations), tuple(self.organisations.values())
+            request.organisation = self.arrival_rng.choices(names, shares)[0]
+        return request
 
     def arrive(self) -> None:
         """Send the first attempt of a new request."""
@@ -386,6 +398,7 @@
                 left_s,
                 mean_objective_s,
                 is_return=request.attempts > 1,
+                organisation=request.organisation,
             )
             result = await entry.search(demand)
             if isinstance(result, Assignment) and not entry.may_send(result):
