--- a/src/cassiahitch/direct/telemetry.py
+++ b/src/cassiahitch/direct/telemetry.py
@@ -116,6 +116,8 @@
             'waited_s': started_at - call.arrived_at,
             'took_s': now - started_at,
         }
+        if assignment.output_tokens:
+            fields['output_tokens'] = assignment.output_tokens
         fields |= self.limit_fields(assignment.candidate.replica)
         fields |= self.version_fields(assignment, started_at, first_event_at)
         if first_event_at is not None:
