--- a/src/cassiahitch/metrics/exposition.py
+++ b/src/cassiahitch/metrics/exposition.py
@@ -106,4 +106,7 @@
     yield from families.values()
 
 
-__all__ = ('metrics_service',)
+__all__ = (
+    'METRICS_PATH',
+    'metrics_service',
+)
--- a/src/cassiahitch/settings/direct.py
+++ b/src/cassiahitch/settings/direct.py
@@ -54,6 +54,24 @@
     store: EndpointText = Field(description='Table store of the platform.')
     bounds: BoundSettings = Field(description='Limits of the deployment.')
     metrics_port: Port = Field(default=0, description='Port for metrics; 0 selects any free port.')
+    memory_mib: float | None = Field(
+        default=None,
+        gt=0,
+        description='Memory of the host that the process may use, in MiB; by default the physical '
+        'memory of the machine.',
+    )
+    max_descriptors: int | None = Field(
+        default=None,
+        ge=64,
+        description='Maximum number of open file descriptors of the process; by default its '
+        'resource limit.',
+    )
+    caller_memory_mib: float | None = Field(
+        default=None,
+        gt=0,
+        description='MiB that are held for all connections to the HTTP ports together; by default '
+        'a quarter of memory_mib at an entry and a sixteenth at an agent.',
+    )
     log_level: LogLevel = Field(
         default=LogLevel.info, description='Lowest level of the log lines that are written.'
     )
