Limit what entries and agents hold for connections

Cause: header bytes, unfinished bodies, header fields and unread responses were limited for each connection at most, so that many connections exhausted memory and descriptors.

Change: one budget for all connections to the HTTP ports of a process (direct/connections): bytes are counted as they are read and written, and above the limit the connections with the least progress are closed first.

--- a/src/cassiahitch/direct/agent.py
+++ b/src/cassiahitch/direct/agent.py
@@ -9,6 +9,8 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
+from cassiahitch.direct.connections.budget import ConnectionLimits
+from cassiahitch.direct.connections.guard import ConnectionGuard
 from cassiahitch.direct.members.tablerelay import TableRelay
 from cassiahitch.direct.reloading import SettingsWatch
 from cassiahitch.direct.serving import serve
@@ -97,6 +99,12 @@
             self.parts.loader.orders.trust,
         )
         self.permits = PermitService(self.parts.log)
+        self.guard = ConnectionGuard(
+            self._connection_limits,
+            self.parts.loader.metrics,
+            self.parts.log.state_changed,
+            self.rng,
+        )
 
     async def start(self) -> None:
         """Open the sockets and start the background tasks."""
@@ -117,6 +125,7 @@
             self.declarations.work(),
             self.reporter.work(),
             self.parts.loader.work(),
+            self.guard.work(),
             *((self.watch.work(),) if self.watch.path.is_file() else ()),
         )
         self.tasks.start(tasks, self.stack)
@@ -162,8 +171,11 @@
     def _apply_bounds(self, bounds: BoundSettings) -> None:
         self.parts.updater.versions.bound_s = bounds.weights_s
 
+    def _connection_limits(self) -> ConnectionLimits:
+        return ConnectionLimits(self.settings.connection_bytes, self.settings.max_connections)
+
     def _serve(self, application: Application, port: int) -> None:
-        serve(application, Endpoint(self.settings.address, port), self.stack)
+        serve(application, Endpoint(self.settings.address, port), self.guard, self.stack)
 
 
 __all__ = ('DirectAgent',)
--- a/src/cassiahitch/direct/callers/exchange.py
+++ b/src/cassiahitch/direct/callers/exchange.py
@@ -22,9 +22,12 @@
 from cassiahitch.codes import Code, HasRun
 from cassiahitch.direct.callers.disconnects import find_disconnected
 from cassiahitch.direct.callers.limits import (
+    ALWAYS_READ_BODY_BYTES,
     OTHER_ENTRY_RETRY_AFTER_S,
     body_refusal,
+    buffer_full,
     header_refusal,
+    stated_length,
     total_body_refusal,
 )
 from cassiahitch.direct.callers.progress import Phase, Progress
@@ -39,6 +42,7 @@
 if TYPE_CHECKING:
     from cassiahitch.direct.api import Answered, Headers
     from cassiahitch.direct.callers.frontend import Frontend
+    from cassiahitch.direct.connections.stream import GuardedStream
 
 #: Time for which the rest of a refused body is read and dropped, in seconds, so that the caller can
 #: read the response before the connection closes.
@@ -73,16 +77,20 @@
     has neither chunks nor a length.
     """
 
-    def __init__(self, connection: HTTP1Connection, frontend: Frontend) -> None:
+    def __init__(
+        self, connection: HTTP1Connection, stream: GuardedStream, frontend: Frontend
+    ) -> None:
         """Create the exchange for the next request of a connection.
 
         :param connection: the connection of the caller.
+        :param stream: its stream, which counts what is held for it.
         :param frontend: serves the request and keeps track of it.
         """
         self.connection = connection
+        self.guarded = stream
         self.frontend = frontend
         self.incoming = IncomingRequest()
-        self.body_parts: list[bytes] = []
+        self.body = bytearray()
         self.body_bytes = 0
         self.refusal: RequestError | None = None
         self.disconnected = False
@@ -119,9 +127,7 @@
         self.frontend.open.add(self)
         # Tornado must not check the size of the body: it would close without an error response.
         self.connection.set_max_body_size(sys.maxsize)
-        refusal = header_refusal(
-            self.incoming.target, self.incoming.headers, self.frontend.max_body_bytes
-        )
+        refusal = self._header_refusal()
         if refusal is None:
             return None
         self._refuse(refusal)
@@ -136,10 +142,11 @@
         if self.refusal is not None:
             return
         self.progress.phase = Phase.body
-        self.body_parts.append(chunk)
+        # Joined at once, since an object for each part would cost far more than a short part.
+        self.body += chunk
         self.body_bytes += len(chunk)
         self.frontend.body_bytes += len(chunk)
-        refusal = body_refusal(self.body_bytes, self.frontend.max_body_bytes) or total_body_refusal(
+        refusal = body_refusal(self.body_bytes, self.frontend.body_limit) or total_body_refusal(
             self.body_bytes, self.frontend.body_bytes, self.frontend.request_buffer_bytes
         )
         if refusal is not None:
@@ -153,7 +160,8 @@
             if self.response_ended:
                 self._finish_response()
             return
-        self.incoming.body = b''.join(self.body_parts)
+        self.incoming.body = bytes(self.body)
+        self.body.clear()
         self.progress.phase = Phase.place
         self._start_serving()
 
@@ -329,7 +337,7 @@
     def _discard_body(self) -> None:
         self.frontend.body_bytes -= self.body_bytes
         self.body_bytes = 0
-        self.body_parts.clear()
+        self.body.clear()
 
     def _finish_response(self) -> None:
         self.frontend.lingering.discard(self)
@@ -352,12 +360,26 @@
             return
         self.writer.call_when_sent(lambda _: self._on_response_sent())
 
+    def _header_refusal(self) -> RequestError | None:
+        headers = self.incoming.headers
+        refusal = header_refusal(
+            self.incoming.target,
+            headers,
+            self.frontend.body_limit,
+            too_many_fields=self.guarded.too_many_fields,
+        )
+        length = stated_length(headers)
+        if refusal is not None or length <= ALWAYS_READ_BODY_BYTES:
+            return refusal
+        return None if self.frontend.guard.budget.admits(length) else buffer_full()
+
     def _expects_continue(self) -> bool:
         return any(name.lower() == 'expect' for name, _ in self.incoming.headers)
 
     def _refuse(self, refusal: RequestError) -> None:
         self.refusal = refusal
         self._discard_body()
+        self.guarded.discard_body()
         self._start_serving()
 
     def _start_serving(self) -> None:
--- a/src/cassiahitch/direct/callers/frontend.py
+++ b/src/cassiahitch/direct/callers/frontend.py
@@ -13,8 +13,10 @@
 
 from cassiahitch.direct.callers.exchange import CallerExchange
 from cassiahitch.direct.callers.httpserver import CallerHttpServer
-from cassiahitch.direct.callers.limits import MAX_BODY_BYTES, READ_HEADER_BYTES
+from cassiahitch.direct.callers.limits import BODY_MARGIN_BYTES, MAX_BODY_BYTES
 from cassiahitch.direct.callers.shutdown import ShutdownSchedule
+from cassiahitch.direct.connections.guard import ConnectionGuard
+from cassiahitch.direct.connections.stream import GuardedStream
 
 #: Time after which a connection without a request is closed, in seconds.
 IDLE_TIMEOUT_S = 60.0
@@ -25,6 +27,8 @@
 HandleError = Callable[[CallerExchange, Exception], Awaitable[None]]
 #: Returns the response to bytes that are not an HTTP request.
 RejectMalformed = Callable[[], bytes]
+#: Returns the size of the largest body that the configuration allows, None while there is none.
+FindBodyLimit = Callable[[], int | None]
 
 
 class Frontend(HTTPServerConnectionDelegate):
@@ -42,6 +46,8 @@
         fail: HandleError,
         reject_malformed: RejectMalformed,
         request_buffer_bytes: int,
+        guard: ConnectionGuard,
+        find_body_limit: FindBodyLimit,
     ) -> None:
         """Create the frontend; it does not listen yet.
 
@@ -49,7 +55,11 @@
         :param fail: responds to a request whose ``serve`` raised an unexpected exception.
         :param reject_malformed: returns the response to bytes that are not an HTTP request.
         :param request_buffer_bytes: maximum number of buffered bytes of all request bodies.
+        :param guard: limits what is held for all connections.
+        :param find_body_limit: returns the size of the largest body that the configuration allows.
         """
+        self.guard = guard
+        self.find_body_limit = find_body_limit
         self.serve = serve
         self.fail = fail
         self.running: set[CallerExchange] = set()
@@ -64,7 +74,7 @@
         self.server = CallerHttpServer(
             self,
             reject_malformed,
-            max_header_size=READ_HEADER_BYTES,
+            guard,
             idle_connection_timeout=IDLE_TIMEOUT_S,
         )
 
@@ -80,8 +90,11 @@
         """
         if not isinstance(request_conn, HTTP1Connection):
             raise TypeError('not an HTTP/1 connection')
+        stream = request_conn.stream
+        if not isinstance(stream, GuardedStream):
+            raise TypeError('not a connection of this server')
         self.connections.add(server_conn)
-        return CallerExchange(request_conn, self)
+        return CallerExchange(request_conn, stream, self)
 
     def on_close(self, server_conn: object) -> None:
         """Remove a closed connection.
@@ -90,6 +103,18 @@
         """
         self.connections.discard(server_conn)
 
+    @property
+    def body_limit(self) -> int:
+        """Size of the largest body that is read, in bytes.
+
+        Bodies slightly above the limit of the configuration are read, so that other reasons to
+        refuse the request take precedence.
+        """
+        configured = self.find_body_limit()
+        if configured is None:
+            return self.max_body_bytes
+        return min(self.max_body_bytes, configured + BODY_MARGIN_BYTES)
+
     def is_busy(self, before: float) -> bool:
         """Return whether a request is running or its response is not sent completely.
 
--- a/src/cassiahitch/direct/callers/httpserver.py
+++ b/src/cassiahitch/direct/callers/httpserver.py
@@ -4,12 +4,17 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
-from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPServerConnectionDelegate
 from tornado.iostream import IOStream
 
+from cassiahitch.direct.connections.server import GuardedServer
+from cassiahitch.direct.connections.stream import GuardedStream
+
+if TYPE_CHECKING:
+    from cassiahitch.direct.connections.guard import ConnectionGuard
+
 #: Response that tornado writes to bytes that are not an HTTP request, before it closes.
 TORNADO_BAD_REQUEST = b'HTTP/1.1 400 Bad Request\r\n\r\n'
 
@@ -17,7 +22,7 @@
 RejectMalformed = Callable[[], bytes]
 
 
-class CallerStream(IOStream):
+class CallerStream(GuardedStream):
     """A connection that replaces tornado's refusal by a response with an error code."""
 
     def __init__(self, reject_malformed: RejectMalformed, *arguments: Any, **options: Any) -> None:
@@ -46,38 +51,40 @@
         return super().write(self.reject_malformed() if data == TORNADO_BAD_REQUEST else data)
 
 
-class CallerHttpServer(HTTPServer):
+class CallerHttpServer(GuardedServer):
     """HTTP server that reports the end of each connection to its delegate."""
 
     def initialize(  # type: ignore[override]
         self,
         request_callback: HTTPServerConnectionDelegate,
         reject_malformed: RejectMalformed,
+        guard: ConnectionGuard,
         **options: Any,
     ) -> None:
         """Set up the server; tornado calls this with the arguments of the constructor.
 
         :param request_callback: delegate for requests and for the end of connections.
         :param reject_malformed: returns the response to bytes that are not an HTTP request.
+        :param guard: limits what is held for all connections.
         :param options: keyword arguments of the base class.
         """
         self.reject_malformed = reject_malformed
         self.delegate = request_callback
-        super().initialize(request_callback, **options)
+        super().initialize(request_callback, guard, **options)
 
-    def handle_stream(self, stream: IOStream, address: tuple[Any, ...]) -> None:
-        """Serve a new connection.
+    def make_stream(self, stream: IOStream) -> GuardedStream:
+        """Return the stream of a new connection.
 
-        :param stream: the connection.
-        :param address: address of the caller.
+        :param stream: the connection as it was accepted.
+        :return: the stream that replaces it.
         """
-        caller_stream = CallerStream(
+        return CallerStream(
             self.reject_malformed,
+            self.guard,
             stream.socket,
             max_buffer_size=self.max_buffer_size,
             read_chunk_size=self.read_chunk_size,
         )
-        super().handle_stream(caller_stream, address)
 
     def on_close(self, server_conn: object) -> None:
         """Report the end of a connection to the delegate.
--- a/src/cassiahitch/direct/callers/limits.py
+++ b/src/cassiahitch/direct/callers/limits.py
@@ -10,12 +10,14 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from cassiahitch.direct.api import Headers
+
 #: Largest header that is served, in bytes; the configuration may set a lower limit.
 MAX_HEADER_BYTES = 131_072
-#: Largest header that is read, in bytes; above it the connection closes without a response.
-READ_HEADER_BYTES = 1_048_576
 #: Largest body that is read, in bytes; the configuration may set a lower limit.
 MAX_BODY_BYTES = 67_108_864
+#: Size of a body beyond the configured one up to which it is read, in bytes.
+BODY_MARGIN_BYTES = 65_536
 #: Largest body that is read however many bytes of other bodies are buffered.
 ALWAYS_READ_BODY_BYTES = 65_536
 #: Retry-After, in seconds, when the caller should try another entry.
@@ -24,27 +26,34 @@
 HEADER_LINE_OVERHEAD_BYTES = 4
 
 
+def stated_length(headers: Iterable[tuple[str, str]]) -> int:
+    """Return the length that a request states for its body.
+
+    :param headers: headers of the request.
+    :return: the length in bytes, 0 if it states none.
+    """
+    lengths = (text for name, text in headers if name.lower() == 'content-length')
+    return max((int(text) for text in lengths if text.isascii() and text.isdigit()), default=0)
+
+
 def header_refusal(
-    target: str, headers: Iterable[tuple[str, str]], max_body_bytes: int
+    target: str, headers: Headers, max_body_bytes: int, *, too_many_fields: bool = False
 ) -> RequestError | None:
     """Return the refusal of a request whose header, or the body that it states, is too large.
 
     :param target: target of the request.
     :param headers: headers of the request.
     :param max_body_bytes: size of the largest body that is read, in bytes.
+    :param too_many_fields: whether the header had more fields than are parsed.
     :return: the refusal, None if the request may be read further.
     """
-    size = len(target)
-    length = 0
-    for name, text in headers:
-        size += len(name) + len(text) + HEADER_LINE_OVERHEAD_BYTES
-        if name.lower() == 'content-length' and text.isascii() and text.isdigit():
-            length = max(length, int(text))
-    if size > MAX_HEADER_BYTES:
+    lines = sum(len(name) + len(text) + HEADER_LINE_OVERHEAD_BYTES for name, text in headers)
+    size = len(target) + lines
+    if too_many_fields or size > MAX_HEADER_BYTES:
         return RequestError(
             Code.header_too_large, 'the header of the request is too large', HasRun.no
         )
-    return body_refusal(length, max_body_bytes)
+    return body_refusal(stated_length(headers), max_body_bytes)
 
 
 def body_refusal(length: int, max_body_bytes: int) -> RequestError | None:
@@ -73,6 +82,14 @@
     """
     if length <= ALWAYS_READ_BODY_BYTES or buffered <= max(length, limit):
         return None
+    return buffer_full()
+
+
+def buffer_full() -> RequestError:
+    """Return the refusal of a body for which there is no room beside the requests being served.
+
+    :return: the refusal.
+    """
     return RequestError(
         Code.overloaded,
         'the buffer for request bodies is full',
@@ -83,11 +100,13 @@
 
 __all__ = (
     'ALWAYS_READ_BODY_BYTES',
+    'BODY_MARGIN_BYTES',
     'MAX_BODY_BYTES',
     'MAX_HEADER_BYTES',
-    'READ_HEADER_BYTES',
     'OTHER_ENTRY_RETRY_AFTER_S',
     'body_refusal',
+    'buffer_full',
     'header_refusal',
+    'stated_length',
     'total_body_refusal',
 )
--- a/src/cassiahitch/direct/entry.py
+++ b/src/cassiahitch/direct/entry.py
@@ -12,9 +12,9 @@
 
 from cassiahitch.direct.assembly import EntryParts, make_parts
 from cassiahitch.direct.callers.disconnects import close_disconnected
-from cassiahitch.direct.callers.frontend import Frontend
 from cassiahitch.direct.callers.shutdown import ShutdownSchedule
 from cassiahitch.direct.callers.shutdownlog import ShutdownLog
+from cassiahitch.direct.callersport import make_frontend
 from cassiahitch.direct.members.addresses import (
     AddressResponse,
     choose_addresses,
@@ -78,13 +78,7 @@
         self.table_followers = EntryTableFollowers(
             settings, platform, self.parts, updater, self.rng
         )
-        runner = self.parts.runner
-        self.frontend = Frontend(
-            runner.serve,
-            runner.error_responder.fail,
-            runner.error_responder.reject_malformed,
-            settings.request_buffer_bytes,
-        )
+        self.frontend = make_frontend(settings, self.parts.runner, self.rng)
         self.shutdown_log = ShutdownLog(self.parts.telemetry.metrics, platform.codec)
         self.watch = SettingsWatch(
             path or Path(), settings, self.parts.telemetry, self._apply_bounds
@@ -95,10 +89,25 @@
         """Open the sockets and start the background tasks."""
         settings = self.settings
         self.frontend.server.add_socket(listen(settings.callers.address, settings.callers.port))
-        serve(self.platform.readiness(self._is_ready), settings.readiness, self.stack)
-        serve(self.platform.directory(self._choose_addresses), settings.directory, self.stack)
+        serve(
+            self.platform.readiness(self._is_ready),
+            settings.readiness,
+            self.frontend.guard,
+            self.stack,
+        )
+        serve(
+            self.platform.directory(self._choose_addresses),
+            settings.directory,
+            self.frontend.guard,
+            self.stack,
+        )
         metrics = metrics_service(self.parts.telemetry.metrics)
-        serve(metrics, Endpoint(settings.address, settings.metrics_port), self.stack)
+        serve(
+            metrics,
+            Endpoint(settings.address, settings.metrics_port),
+            self.frontend.guard,
+            self.stack,
+        )
         messenger = self.parts.messenger
         datagrams = DatagramSocket(messenger.receive, messenger.log_refused)
         await datagrams.open(settings.address, settings.peer_port)
@@ -114,13 +123,14 @@
         relay.socket = datagrams
         messenger.relay = relay
         rows = row_service(relay.followers)
-        serve(rows, Endpoint(settings.address, settings.peer_port), self.stack)
+        serve(rows, Endpoint(settings.address, settings.peer_port), self.frontend.guard, self.stack)
         tasks = (
             *(follower.work() for follower in relay.followers.values()),
             messenger.send_heartbeats(),
             self.discovery.work(),
             self._expire_stale_state(),
             close_disconnected(self.frontend.running),
+            self.frontend.guard.work(),
             *((self.watch.work(),) if self.watch.path.is_file() else ()),
         )
         self.tasks.start(tasks, self.stack)
--- a/src/cassiahitch/direct/state/catalogue.py
+++ b/src/cassiahitch/direct/state/catalogue.py
@@ -136,11 +136,15 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerLimits:
-    """Size limits of a request in bytes, and the idle timeout of a caller's connection."""
+    """Size limits of a request in bytes, and times in seconds.
+
+    ``idle_s`` is the idle timeout of a caller's connection, ``header_s`` the time for a header.
+    """
 
     header_bytes: int = 65_536
     body_bytes: int = 16_777_216
     idle_s: float = 60
+    header_s: float = 60
 
 
 @dataclass(frozen=True)
--- a/src/cassiahitch/metrics/names.py
+++ b/src/cassiahitch/metrics/names.py
@@ -47,6 +47,7 @@
     connections_opened = 'connections_opened'
     connections_silent = 'connections_silent'
     connections_refused = 'connections_refused'
+    connections_closed = 'connections_closed'
     frames_sent = 'frames_sent'
     frames_received = 'frames_received'
     frame_bytes_sent = 'frame_bytes_sent'
@@ -72,6 +73,8 @@
     replicas = 'replicas'
     limited_replicas = 'limited_replicas'
     configuration_age_s = 'configuration_age_s'
+    connections = 'connections'
+    connection_bytes = 'connection_bytes'
 
 
 class LatencyName(StrEnum):
--- a/src/cassiahitch/platform/documents.py
+++ b/src/cassiahitch/platform/documents.py
@@ -166,6 +166,7 @@
     max_header_bytes: _NonNegativeInt64 = 65_536
     max_body_bytes: _NonNegativeInt64 = 16_777_216
     idle_timeout_ms: _PositiveNumber = 60_000
+    header_timeout_ms: _PositiveNumber = 60_000
 
 
 class _ConfigurationModel(CamelModel):
@@ -270,6 +271,7 @@
             model.limits.max_header_bytes,
             model.limits.max_body_bytes,
             model.limits.idle_timeout_ms / MS_PER_S,
+            model.limits.header_timeout_ms / MS_PER_S,
         ),
     )
 
--- a/src/cassiahitch/settings/direct.py
+++ b/src/cassiahitch/settings/direct.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from typing import Literal
+import os
+import resource
+from typing import ClassVar, Literal
 
 from pydantic import Field
 
@@ -11,6 +13,11 @@
 from cassiahitch.settings.limits import KIB, MIB, ResponseLimits
 from cassiahitch.settings.models import LogLevel, Role, SettingsModel
 
+#: Largest fraction of the memory that responses may use before they are forwarded.
+RESPONSE_MEMORY_SHARE = 0.125
+#: Fraction of the descriptors of a process that connections to its HTTP ports may use.
+CONNECTION_DESCRIPTOR_SHARE = 0.75
+
 
 class BoundSettings(SettingsModel):
     """Limits that the deployment guarantees or requires."""
@@ -66,7 +73,7 @@
         description='Maximum number of open file descriptors of the process; by default its '
         'resource limit.',
     )
-    caller_memory_mib: float | None = Field(
+    connection_memory_mib: float | None = Field(
         default=None,
         gt=0,
         description='MiB that are held for all connections to the HTTP ports together; by default '
@@ -76,10 +83,37 @@
         default=LogLevel.info, description='Lowest level of the log lines that are written.'
     )
 
+    #: Fraction of the memory that is held for connections unless the settings name it.
+    connection_memory_share: ClassVar[float]
+
+    @property
+    def connection_bytes(self) -> int:
+        """Maximum number of bytes that are held for all connections."""
+        if self.connection_memory_mib is not None:
+            return round(self.connection_memory_mib * MIB)
+        return round(self.connection_memory_share * self.memory_bytes)
+
+    @property
+    def memory_bytes(self) -> float:
+        """Memory of the host that the process may use, in bytes."""
+        if self.memory_mib is not None:
+            return self.memory_mib * MIB
+        return os.sysconf('SC_PHYS_PAGES') * os.sysconf('SC_PAGE_SIZE')
+
+    @property
+    def max_connections(self) -> int:
+        """Maximum number of open connections to all HTTP ports; the rest is for other sockets."""
+        descriptors = self.max_descriptors
+        if descriptors is None:
+            descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        return int(CONNECTION_DESCRIPTOR_SHARE * descriptors)
+
 
 class DirectEntrySettings(DirectSettings):
     """Settings of an entry that connects to backend servers directly."""
 
+    connection_memory_share = 0.25
+
     role: Literal[Role.entry] = Field(
         default=Role.entry, description='Role of the process; may be omitted.'
     )
@@ -144,7 +178,9 @@
         """Limits of the responses that are forwarded, in bytes."""
         return ResponseLimits(
             buffer_bytes=self.held_answer_kib * KIB,
-            total_buffer_bytes=self.held_answers_mib * MIB,
+            total_buffer_bytes=min(
+                self.held_answers_mib * MIB, round(RESPONSE_MEMORY_SHARE * self.memory_bytes)
+            ),
             max_response_bytes=self.largest_answer_mib * MIB,
         )
 
@@ -152,6 +188,8 @@
 class DirectAgentSettings(DirectSettings):
     """Settings of an agent whose engine receives requests directly from entries."""
 
+    connection_memory_share = 0.0625
+
     role: Literal[Role.agent] = Field(
         default=Role.agent, description='Role of the process; may be omitted.'
     )
