Parse long headers and decode many chunks in turn

Cause: parsing 1,600 header fields takes tens of milliseconds and the buffers of closed connections stayed in reference cycles, so that 900 such requests stopped the event loop and exceeded the memory; a request was taken for pipelined late and in step with others.

Change: long headers wait for their turn, one in each iteration of the event loop; the objects of a header are counted before it is parsed; buffers are freed at the close; a request counts as pipelined only if it was received before the response to the one before it.

--- a/src/cassiahitch/direct/callers/exchange.py
+++ b/src/cassiahitch/direct/callers/exchange.py
@@ -170,6 +170,9 @@
         self.disconnected = True
         self.frontend.lingering.discard(self)
         self.stop_tracking()
+        if self.task is None:
+            # Frees the headers before the reference cycles of the exchange are collected.
+            self.incoming = IncomingRequest()
         if self.task is not None and not self.outlives_caller:
             self.task.cancel()
 
--- a/src/cassiahitch/direct/connections/budget.py
+++ b/src/cassiahitch/direct/connections/budget.py
@@ -19,6 +19,8 @@
 CONNECTION_COST_BYTES = 16_384
 #: Bytes that are counted for the objects of a header field besides its text.
 FIELD_COST_BYTES = 320
+#: Memory of a buffer that grows, for each of its bytes: it has spare room, and is moved at times.
+BUFFER_OVERHEAD = 1.25
 #: Bytes up to which a connection is small: the objects, and a header of the usual limit. Larger
 #: connections are closed first, so that a reserve remains for small requests.
 SMALL_BYTES = 2 * CONNECTION_COST_BYTES
@@ -188,11 +190,20 @@
         holding.request_bytes = request_bytes
         holding.unread_bytes = unread_bytes
 
-    def may_read(self, holding: Holding) -> bool:
-        """Return whether more bytes of a connection may be read before others are closed.
+    def readable_bytes(self, holding: Holding) -> int:
+        """Return how many bytes of a connection may be read before others are closed.
 
         :param holding: the connection.
-        :return: whether there is room, as there is for small requests.
+        :return: the number; small requests have a reserve.
+        """
+        free = self.limits.total_bytes - self.used_bytes
+        return max(free, SMALL_BYTES - holding.size)
+
+    def has_room(self, holding: Holding) -> bool:
+        """Return whether what a connection holds is within the limit or the reserve.
+
+        :param holding: the connection.
+        :return: whether it may be kept.
         """
         return self.used_bytes <= self.limits.total_bytes or holding.size <= SMALL_BYTES
 
@@ -269,6 +280,7 @@
 
 
 __all__ = (
+    'BUFFER_OVERHEAD',
     'CONNECTION_COST_BYTES',
     'CloseReason',
     'ConnectionBudget',
--- a/src/cassiahitch/direct/connections/guard.py
+++ b/src/cassiahitch/direct/connections/guard.py
@@ -12,7 +12,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable
+    from collections.abc import Callable, Coroutine
 
     from cassiahitch.direct.connections.budget import ConnectionLimits
     from cassiahitch.metrics.registry import Metrics
@@ -47,7 +47,8 @@
 class ConnectionGuard:
     """Keeps the connections to all HTTP ports of a process within their limits.
 
-    ``turns`` is held while one step of a body in many chunks is decoded.
+    Work that takes long, such as decoding a body in many chunks, is done in turns, one in each
+    iteration of the event loop.
     """
 
     def __init__(
@@ -70,7 +71,8 @@
         self.metrics = metrics
         self.log = log
         self.streams: dict[Holding, ClosableStream] = {}
-        self.turns = asyncio.Lock()
+        self._turns = asyncio.Lock()
+        self._tasks: set[asyncio.Task[None]] = set()
         self.closed: Counter[CloseReason] = Counter()
         self.logged_at: float = 0
         self._is_scheduled = False
@@ -115,6 +117,22 @@
         self._is_scheduled = False
         self._close_all(self.budget.excess(self.now()))
 
+    async def wait_for_turn(self) -> None:
+        """Wait until work may be done that takes long, at once after this function returns."""
+        async with self._turns:
+            # The work of the previous turn is done, and other tasks have run since.
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+
+    def run(self, work: Coroutine[None, None, None]) -> None:
+        """Run a short task of a connection.
+
+        :param work: the task.
+        """
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     async def work(self) -> None:
         """Check the times of all connections, until cancelled."""
         while True:
--- a/src/cassiahitch/direct/connections/server.py
+++ b/src/cassiahitch/direct/connections/server.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Awaitable
 from typing import TYPE_CHECKING, Any
 
@@ -44,6 +43,7 @@
         self.delegate = delegate
         self.stream = stream
         self.is_cut = False
+        self.headers = HTTPHeaders()
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
@@ -55,6 +55,7 @@
         :return: done when the body may be read; None if it may be at once.
         """
         self.stream.holding.enter(Stage.body, self.stream.guard.now())
+        self.headers = headers
         checked = self.delegate.headers_received(start_line, headers)
         is_chunked = is_transfer_encoding_chunked(headers)
         return self._read_chunks(headers, checked) if is_chunked else checked
@@ -79,6 +80,9 @@
 
     def on_connection_close(self) -> None:
         """Pass the end of the connection on."""
+        # The server keeps the headers in reference cycles, which are freed much later.
+        for name in tuple(self.headers):
+            del self.headers[name]  # noqa: WPS420 (frees the field)
         self.delegate.on_connection_close()
 
     async def _read_chunks(self, headers: HTTPHeaders, checked: Awaitable[None] | None) -> None:
@@ -105,12 +109,11 @@
                 await self._decode_step(decoder)
                 continue
             self.stream.holding.waits_for_turn = True
-            async with self.stream.guard.turns:
-                await self._decode_step(decoder)
-                await asyncio.sleep(0)
+            await self.stream.guard.wait_for_turn()
             self.stream.holding.waits_for_turn = False
             if self.stream.closed():
                 raise StreamClosedError
+            await self._decode_step(decoder)
         self.stream.unread(bytes(decoder.received))
 
     async def _decode_step(self, decoder: ChunkDecoder) -> None:
--- a/src/cassiahitch/direct/connections/stream.py
+++ b/src/cassiahitch/direct/connections/stream.py
@@ -4,11 +4,12 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
-from tornado.iostream import IOStream, UnsatisfiableReadError
+from tornado.iostream import IOStream, StreamClosedError, UnsatisfiableReadError
 
-from cassiahitch.direct.connections.budget import FIELD_COST_BYTES, Stage
+from cassiahitch.direct.connections.budget import BUFFER_OVERHEAD, FIELD_COST_BYTES, Stage
 from cassiahitch.util.sockets import reset_on_close
 
 if TYPE_CHECKING:
@@ -16,17 +17,16 @@
 
 #: Bytes that are read of the requests behind one that is being served.
 READ_AHEAD_BYTES = 4096
-#: Requests that a client may send before it has read the responses to earlier ones, without delay.
-FREE_PIPELINED_REQUESTS = 1
-#: Shortest and longest delay of each further request, in seconds; spread, so that the requests of
-#: many connections do not arrive together.
+#: Shortest and longest delay of a request that was sent before the response to the one before it,
+#: in seconds; spread, so that the requests of many connections do not arrive together.
 PIPELINE_DELAY_S = (0.25, 0.75)
 #: Bytes of the end of a header, less one: those that are searched again when more have arrived.
 SEARCH_OVERLAP_BYTES = 3
+#: Fields up to which a header is parsed at once; longer ones are parsed in turn with others, since
+#: parsing them takes milliseconds.
+FREE_FIELDS = 128
 #: Header lines that are kept of a header with too many.
 KEPT_LINES = 64
-#: Reads up to the end of a header.
-ReadHeader = Callable[[bytes, int], Awaitable[bytes]]
 LINE_END = b'\r\n'
 CLOSE_FIELD = b'\r\nConnection: close\r\n\r\n'
 
@@ -35,8 +35,7 @@
     """A connection that counts its bytes and reads no more than the guard allows.
 
     ``too_many_fields`` is set if the current header has more fields than are parsed; it is cut
-    then, and the connection must be closed after its response. ``pipelined`` counts the requests
-    that were received before the response to the one before them was written.
+    then, and the connection must be closed after its response.
     """
 
     def __init__(self, guard: ConnectionGuard, *arguments: Any, **options: Any) -> None:
@@ -49,10 +48,11 @@
         super().__init__(*arguments, **options)
         self.guard = guard
         self.too_many_fields = False
-        self.pipelined = 0
         self.holding = guard.open(self)
+        self._is_pipelined = False
         self._reads_header = False
         self._searched_bytes = 0
+        self._fields = 0
         self._discards_body = False
 
     def read_until_regex(self, regex: bytes, max_bytes: int | None = None) -> Awaitable[bytes]:
@@ -65,18 +65,19 @@
         max_bytes = self.guard.budget.limits.read_header_bytes
         self._discards_body = False
         self.too_many_fields = False
-        self._reads_header = True
-        self._searched_bytes = 0
         ahead = self._read_buffer_size
         self.holding.enter(Stage.header if ahead else Stage.idle, self.guard.now())
         self._hold(request_bytes=ahead)
-        if not ahead:
-            self.pipelined = 0
-            return super().read_until_regex(regex, max_bytes)
-        self.pipelined += 1
-        if self.pipelined <= FREE_PIPELINED_REQUESTS:
-            return super().read_until_regex(regex, max_bytes)
-        return self._read_delayed(super().read_until_regex, regex, max_bytes)
+        read_header = partial(super().read_until_regex, regex, max_bytes)
+        if self._is_pipelined:
+            self._is_pipelined = False
+            return self._read_delayed(read_header)
+        header = self._start_header(read_header)
+        if header.done() and self._fields <= FREE_FIELDS:
+            return header
+        in_turn: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
+        header.add_done_callback(partial(self._pass_on, in_turn))
+        return in_turn
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Read bytes, as many as the guard allows.
@@ -84,15 +85,14 @@
         :param buf: buffer for the bytes.
         :return: number of bytes, None if there are none or the guard allows none, 0 at the end.
         """
-        if not self.guard.budget.may_read(self.holding):
+        room = self.guard.budget.readable_bytes(self.holding)
+        if room <= 0:
             return None
-        if self.reading():
-            count = super().read_from_fd(buf)
-        else:
-            with memoryview(buf) as view, view[:READ_AHEAD_BYTES] as part:
-                count = super().read_from_fd(part)
+        room = min(room, len(buf) if self.reading() else READ_AHEAD_BYTES)
+        with memoryview(buf) as view, view[:room] as part:
+            count = super().read_from_fd(part)
         if count:
-            self._received(count)
+            self._count_received(count)
         return count
 
     def write(self, data: bytes | memoryview) -> asyncio.Future[None]:
@@ -101,6 +101,8 @@
         :param data: the bytes.
         :return: done when they are written to the socket.
         """
+        if data and self._read_buffer_size and self.holding.stage is Stage.served:
+            self._is_pipelined = True
         if not self.holding.unread_bytes:
             self.holding.progress_at = self.guard.now()
         # Counted before, since the base class may write them at once.
@@ -131,6 +133,16 @@
         if self.holding.stage is not Stage.idle:
             reset_on_close(self.socket)
         self.close()
+        self._drop_buffer()
+
+    def close(self, exc_info: Any = False) -> None:  # noqa: FBT002 (as in the base class)
+        """Close the connection.
+
+        :param exc_info: error that is the reason.
+        """
+        super().close(exc_info)
+        if isinstance(exc_info, UnsatisfiableReadError):
+            self._drop_buffer()
 
     def discard_body(self) -> None:
         """Stop counting the current request, the rest of whose body is dropped."""
@@ -145,13 +157,60 @@
         self._read_buffer = bytearray(data) + self._read_buffer
         self._read_buffer_size += len(data)
 
-    def _received(self, count: int) -> None:
+    def _drop_buffer(self) -> None:
+        # The stream is part of reference cycles, which are freed much later.
+        self._read_buffer = bytearray()
+        self._read_buffer_size = 0
+
+    def _start_header(self, read_header: Callable[[], Awaitable[bytes]]) -> asyncio.Future[bytes]:
+        self._reads_header = True
+        self._searched_bytes = 0
+        self._fields = 0
+        return asyncio.ensure_future(read_header())
+
+    async def _read_delayed(self, read_header: Callable[[], Awaitable[bytes]]) -> bytes:
+        self.holding.waits_for_turn = True
+        await asyncio.sleep(self.guard.rng.uniform(*PIPELINE_DELAY_S))
+        self.holding.waits_for_turn = False
+        header = await self._start_header(read_header)
+        if self._fields > FREE_FIELDS:
+            await self._wait_for_turn()
+        return header
+
+    def _pass_on(self, in_turn: asyncio.Future[bytes], header: asyncio.Future[bytes]) -> None:
+        error = header.exception()
+        if in_turn.done():
+            return
+        if error:
+            _fail(in_turn, error)
+        elif self._fields <= FREE_FIELDS:
+            in_turn.set_result(header.result())
+        else:
+            self.guard.run(self._pass_on_in_turn(in_turn, header.result()))
+
+    async def _pass_on_in_turn(self, in_turn: asyncio.Future[bytes], header: bytes) -> None:
+        await self._wait_for_turn()
+        if in_turn.done():
+            return
+        if self.closed():
+            _fail(in_turn, StreamClosedError())
+            return
+        in_turn.set_result(header)
+
+    async def _wait_for_turn(self) -> None:
+        self.holding.waits_for_turn = True
+        await self.guard.wait_for_turn()
+        self.holding.waits_for_turn = False
+
+    def _count_received(self, count: int) -> None:
         if self.holding.stage is Stage.idle:
             self.holding.enter(Stage.header, self.guard.now())
         if self.holding.stage is not Stage.served:
             self.holding.move(count, self.guard.now())
-        if not self._discards_body:
-            self._hold(request_bytes=self.holding.request_bytes + count)
+        if self._discards_body:
+            return
+        cost = round(count * BUFFER_OVERHEAD)
+        self._hold(request_bytes=self.holding.request_bytes + cost)
 
     def _hold(self, *, request_bytes: int | None = None, unread_bytes: int | None = None) -> None:
         self.guard.hold(
@@ -160,12 +219,6 @@
             self.holding.unread_bytes if unread_bytes is None else unread_bytes,
         )
 
-    async def _read_delayed(self, read_header: ReadHeader, regex: bytes, max_bytes: int) -> bytes:
-        self.holding.waits_for_turn = True
-        await asyncio.sleep(self.guard.rng.uniform(*PIPELINE_DELAY_S))
-        self.holding.waits_for_turn = False
-        return await read_header(regex, max_bytes)
-
     def _find_read_pos(self) -> int | None:
         if not self._reads_header or self._read_regex is None:
             return super()._find_read_pos()
@@ -173,23 +226,21 @@
         start = max(0, self._searched_bytes - SEARCH_OVERLAP_BYTES)
         found = self._read_regex.search(self._read_buffer, start)
         self._searched_bytes = self._read_buffer_size
-        self._check_max_bytes(
-            self._read_regex, self._read_buffer_size if found is None else found.end()
-        )
-        if found is None:
-            return None
-        self._require_room(found.end())
-        return found.end()
+        end = found.end() if found else None
+        self._check_max_bytes(self._read_regex, end or self._read_buffer_size)
+        if end:
+            self._require_room(end)
+        return end
 
     def _require_room(self, header_bytes: int) -> None:
         """Count the objects of a header before it is parsed."""
         lines = self._read_buffer.count(b'\n', 0, header_bytes)
         fields = min(lines, self.guard.budget.limits.max_fields)
         self._hold(request_bytes=self.holding.request_bytes + fields * FIELD_COST_BYTES)
-        if self.guard.budget.may_read(self.holding):
+        if self.guard.budget.has_room(self.holding):
             return
         self.guard.close_excess()
-        if self.closed() or not self.guard.budget.may_read(self.holding):
+        if self.closed() or not self.guard.budget.has_room(self.holding):
             raise UnsatisfiableReadError('no room for the header')
 
     def _consume(self, loc: int) -> bytes:
@@ -197,11 +248,19 @@
         if not self._reads_header:
             return data
         self._reads_header = False
-        if data.count(b'\n') <= self.guard.budget.limits.max_fields:
+        self._fields = data.count(b'\n')
+        if self._fields <= self.guard.budget.limits.max_fields:
             return data
+        self._fields = KEPT_LINES
         self.too_many_fields = True
         lines = data.lstrip(LINE_END).split(LINE_END, KEPT_LINES)[:-1]
         return LINE_END.join(lines) + CLOSE_FIELD
 
 
+def _fail(header: asyncio.Future[bytes], error: BaseException) -> None:
+    header.set_exception(error)
+    # Retrieved here, since the server does not await a header after its own timeout.
+    header.exception()
+
+
 __all__ = ('GuardedStream',)
--- a/src/cassiahitch/settings/direct.py
+++ b/src/cassiahitch/settings/direct.py
@@ -15,6 +15,8 @@
 
 #: Largest fraction of the memory that responses may use before they are forwarded.
 RESPONSE_MEMORY_SHARE = 0.125
+#: Descriptors that are assumed if the process has no limit on them.
+UNLIMITED_DESCRIPTORS = 1_048_576
 #: Fraction of the descriptors of a process that connections to its HTTP ports may use.
 CONNECTION_DESCRIPTOR_SHARE = 0.75
 
@@ -106,6 +108,8 @@
         descriptors = self.max_descriptors
         if descriptors is None:
             descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if descriptors == resource.RLIM_INFINITY:
+            descriptors = UNLIMITED_DESCRIPTORS
         return int(CONNECTION_DESCRIPTOR_SHARE * descriptors)
 
 
