--- a/src/cassiahitch/metrics/names.py
+++ b/src/cassiahitch/metrics/names.py
@@ -52,6 +52,7 @@
     connections_opened = 'connections_opened'
     connections_silent = 'connections_silent'
     connections_refused = 'connections_refused'
+    connections_closed = 'connections_closed'
     frames_sent = 'frames_sent'
     frames_received = 'frames_received'
     frame_bytes_sent = 'frame_bytes_sent'
@@ -80,6 +81,8 @@
     evacuated_domains = 'evacuated_domains'
     configuration_age_s = 'configuration_age_s'
     store_era = 'store_era'
+    connections = 'connections'
+    connection_bytes = 'connection_bytes'
 
 
 class LatencyName(StrEnum):
