Refuse requests at once that would begin after their deadline

A request that found no capacity went on searching for it for a part of its objective, also if the best engine would start it only after its deadline. It is refused at once now.

All tests of tests/direct/placement pass.

--- a/src/cassiahitch/direct/placement/overload.py
+++ b/src/cassiahitch/direct/placement/overload.py
@@ -22,6 +22,7 @@
 )
 from cassiahitch.direct.placement.returns import RefusalInputs, ReturnSchedule, ReturnTime
 from cassiahitch.direct.placement.shares import FairShares
+from cassiahitch.direct.placement.waiting import may_still_be_served
 
 #: Services whose requests are counted; others are treated as not overloaded.
 MAX_SERVICES = 64
@@ -127,6 +128,15 @@
             }
         return len(self.services) < MAX_SERVICES
 
+    def may_wait(self, request: PlacementRequest, refusal: NoCapacity) -> bool:
+        """Return whether a request that found no capacity may wait for it in the entry.
+
+        :param request: the request.
+        :param refusal: the result of its last search.
+        :return: whether it can still be served then.
+        """
+        return may_still_be_served(request, refusal)
+
     def scheduled(
         self, service: str, request: PlacementRequest, refusal: NoCapacity, now: float
     ) -> NoCapacity:
--- a/src/cassiahitch/direct/requests/runner.py
+++ b/src/cassiahitch/direct/requests/runner.py
@@ -227,7 +227,8 @@
                 overload.record(call.service, request, clock(), begun=True)
                 self.require_allowed(call, result)
                 return result
-            if clock() + result.available_in_s >= wait_until:
+            is_over = clock() + result.available_in_s >= wait_until
+            if is_over or not overload.may_wait(request, result):
                 overload.record(call.service, request, clock(), begun=False)
                 refusal = overload.scheduled(call.service, request, result, clock())
                 raise self.no_capacity_error(call, refusal)
--- a/tests/support/overload_model.py
+++ b/tests/support/overload_model.py
@@ -407,7 +407,8 @@
                 overload.record(SERVICE, demand, self.now, begun=True)
                 self.send(request, entry, result)
                 return
-            if self.now + result.available_in_s >= request.search_until:
+            is_over = self.now + result.available_in_s >= request.search_until
+            if is_over or not overload.may_wait(demand, result):
                 overload.record(SERVICE, demand, self.now, begun=False)
                 refusal = overload.scheduled(SERVICE, demand, result, self.now)
                 self.refuse(request, refusal.retry_after_s)
