Mend what a first reading of the change found

Cause: a fresh reader found faults in the merged parts: an agent without a configuration erased the cold rate that an entry had told it, chunked bodies at the ports that are not for callers had no limit of their own, a stated length of thousands of digits raised an exception, a failed query kept a start held back, state of removed replicas and routes was never dropped, and a share of 0 was divided by. Change: each is mended; some names and comments say what they mean.

--- a/src/cassiahitch/direct/callers/limits.py
+++ b/src/cassiahitch/direct/callers/limits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 from typing import TYPE_CHECKING
 
 from cassiahitch.codes import Code, HasRun
@@ -24,6 +25,8 @@
 OTHER_ENTRY_RETRY_AFTER_S = 0.05
 #: Bytes of a header line besides its name and value: colon, space and line end.
 HEADER_LINE_OVERHEAD_BYTES = 4
+#: Digits of a stated length; a longer number exceeds every limit.
+MAX_LENGTH_DIGITS = 18
 
 
 def stated_length(headers: Iterable[tuple[str, str]]) -> int:
@@ -33,7 +36,12 @@
     :return: the length in bytes, 0 if it states none.
     """
     lengths = (text for name, text in headers if name.lower() == 'content-length')
-    return max((int(text) for text in lengths if text.isascii() and text.isdigit()), default=0)
+    numbers = (text for text in lengths if text.isascii() and text.isdigit())
+    # Python refuses to convert very long numbers.
+    return max(
+        (int(text) if len(text) <= MAX_LENGTH_DIGITS else sys.maxsize for text in numbers),
+        default=0,
+    )
 
 
 def header_refusal(
--- a/src/cassiahitch/direct/connections/budget.py
+++ b/src/cassiahitch/direct/connections/budget.py
@@ -28,11 +28,11 @@
 #: links send or read something in it.
 STALL_S = 1.0
 #: Least time over which a rate of progress is computed, in seconds.
-MIN_RATE_S = 0.25
+MIN_RATE_INTERVAL_S = 0.25
 #: Fraction of the limit down to which connections are closed, so that few decisions are needed.
 LOW_WATERMARK = 0.875
 #: Fraction of the limit above which unread responses are cut after the idle timeout.
-SHORT_WATERMARK = 0.5
+UNREAD_RESPONSE_WATERMARK = 0.5
 #: Fraction of the limit that large bodies leave to small requests.
 LARGE_BODY_SHARE = 0.75
 #: Time for a header beyond the configured one, in seconds.
@@ -144,7 +144,7 @@
         :return: the rank.
         """
         moving = now - self.progress_at < STALL_S
-        rate = self.moved_bytes / max(MIN_RATE_S, now - self.stage_at)
+        rate = self.moved_bytes / max(MIN_RATE_INTERVAL_S, now - self.stage_at)
         used = self.stage is Stage.idle and self.requests > 0
         return self.size <= SMALL_BYTES, moving, used, rate if moving else self.progress_at
 
@@ -230,22 +230,22 @@
         :return: connections and reasons, those with the least progress first.
         """
         limits = self.limits
-        spare = len(self.holdings) - limits.max_connections
-        surplus = self.used_bytes - LOW_WATERMARK * limits.total_bytes
+        excess_connections = len(self.holdings) - limits.max_connections
+        excess_bytes = self.used_bytes - LOW_WATERMARK * limits.total_bytes
         if self.used_bytes <= limits.total_bytes:
-            surplus = 0
-        if spare <= 0 and surplus <= 0:
+            excess_bytes = 0
+        if excess_connections <= 0 and excess_bytes <= 0:
             return []
         ranked = [(one.rank(now), one) for one in self.holdings if one.closable]
         ranked.sort(key=itemgetter(0))
         chosen: list[tuple[Holding, CloseReason]] = []
         for _, holding in ranked:
-            if spare <= 0 and surplus <= 0:
+            if excess_connections <= 0 and excess_bytes <= 0:
                 break
-            reason = CloseReason.memory if surplus > 0 else CloseReason.connections
+            reason = CloseReason.memory if excess_bytes > 0 else CloseReason.connections
             chosen.append((holding, reason))
-            spare -= 1
-            surplus -= holding.size
+            excess_connections -= 1
+            excess_bytes -= holding.size
         return chosen
 
     def expired(self, now: float) -> Iterable[tuple[Holding, CloseReason]]:
@@ -255,7 +255,7 @@
         :return: connections and reasons.
         """
         limits = self.limits
-        short = self.used_bytes > SHORT_WATERMARK * limits.total_bytes
+        short = self.used_bytes > UNREAD_RESPONSE_WATERMARK * limits.total_bytes
         found = ((one, _expiry(one, limits, now, short=short)) for one in self.holdings)
         return [(holding, reason) for holding, reason in found if reason is not None]
 
--- a/src/cassiahitch/direct/connections/server.py
+++ b/src/cassiahitch/direct/connections/server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 from collections.abc import Awaitable
 from typing import TYPE_CHECKING, Any
 
@@ -27,19 +28,24 @@
 #: Bytes of a chunked body that are read at a time.
 READ_BYTES = 65_536
 #: Chunks, or runs of equal ones, that a body may have before it is decoded in turn with others.
-FREE_CHUNKS = 1024
+MAX_IMMEDIATE_CHUNKS = 1024
 CONTINUE = b'HTTP/1.1 100 (Continue)\r\n\r\n'
 
 
 class GuardedDelegate(HTTPMessageDelegate):
     """Passes a request on, reads its body if it is chunked, and records its stage."""
 
-    def __init__(self, delegate: HTTPMessageDelegate, stream: GuardedStream) -> None:
+    def __init__(
+        self, delegate: HTTPMessageDelegate, stream: GuardedStream, max_body_bytes: int
+    ) -> None:
         """Create the delegate for one request.
 
         :param delegate: receives the request.
         :param stream: the connection.
+        :param max_body_bytes: size of the largest chunked body that is passed on, in bytes.
         """
+        self.max_body_bytes = max_body_bytes
+        self.body_bytes = 0
         self.delegate = delegate
         self.stream = stream
         self.is_cut = False
@@ -105,7 +111,7 @@
         while not decoder.done:
             if decoder.needs_more:
                 decoder.feed(await self.stream.read_bytes(READ_BYTES, partial=True))
-            if decoder.chunks <= FREE_CHUNKS:
+            if decoder.chunks <= MAX_IMMEDIATE_CHUNKS:
                 await self._decode_step(decoder)
                 continue
             self.stream.holding.waits_for_turn = True
@@ -118,6 +124,9 @@
 
     async def _decode_step(self, decoder: ChunkDecoder) -> None:
         body = decoder.step()
+        self.body_bytes += len(body)
+        if self.body_bytes > self.max_body_bytes:
+            raise HTTPInputError('the body is too large')
         delivered = self.delegate.data_received(body) if body else None
         if delivered is not None:
             await delivered
@@ -173,7 +182,8 @@
         stream = request_conn.stream if isinstance(request_conn, HTTP1Connection) else None
         if not isinstance(stream, GuardedStream):
             raise TypeError('not a connection of this server')
-        return GuardedDelegate(delegate, stream)
+        max_body_bytes = self.conn_params.max_body_size or sys.maxsize
+        return GuardedDelegate(delegate, stream, max_body_bytes)
 
 
 __all__ = (
--- a/src/cassiahitch/direct/connections/stream.py
+++ b/src/cassiahitch/direct/connections/stream.py
@@ -24,7 +24,7 @@
 SEARCH_OVERLAP_BYTES = 3
 #: Fields up to which a header is parsed at once; longer ones are parsed in turn with others, since
 #: parsing them takes milliseconds.
-FREE_FIELDS = 128
+MAX_IMMEDIATE_FIELDS = 128
 #: Header lines that are kept of a header with too many.
 KEPT_LINES = 64
 LINE_END = b'\r\n'
@@ -73,7 +73,7 @@
             self._is_pipelined = False
             return self._read_delayed(read_header)
         header = self._start_header(read_header)
-        if header.done() and self._fields <= FREE_FIELDS:
+        if header.done() and self._fields <= MAX_IMMEDIATE_FIELDS:
             return header
         in_turn: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
         header.add_done_callback(partial(self._pass_on, in_turn))
@@ -173,7 +173,7 @@
         await asyncio.sleep(self.guard.rng.uniform(*PIPELINE_DELAY_S))
         self.holding.waits_for_turn = False
         header = await self._start_header(read_header)
-        if self._fields > FREE_FIELDS:
+        if self._fields > MAX_IMMEDIATE_FIELDS:
             await self._wait_for_turn()
         return header
 
@@ -183,7 +183,7 @@
             return
         if error:
             _fail(in_turn, error)
-        elif self._fields <= FREE_FIELDS:
+        elif self._fields <= MAX_IMMEDIATE_FIELDS:
             in_turn.set_result(header.result())
         else:
             self.guard.run(self._pass_on_in_turn(in_turn, header.result()))
--- a/src/cassiahitch/direct/entry.py
+++ b/src/cassiahitch/direct/entry.py
@@ -236,6 +236,7 @@
             attempts.signals.prune(keys)
             attempts.end_verifier.history.keep_only(keys)
             self.parts.candidates.keep_only(keys)
+            self.parts.messenger.permits.keep_only(keys)
             self.parts.runner.crash_detector.keep_only(keys)
             self.parts.entry_state.segments.expire(now)
             self.parts.telemetry.update_gauges()
--- a/src/cassiahitch/direct/members/startcheck.py
+++ b/src/cassiahitch/direct/members/startcheck.py
@@ -11,7 +11,6 @@
 import math
 import random
 from collections.abc import Awaitable, Callable
-from contextlib import suppress
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
@@ -36,7 +35,7 @@
 #: Longest time in seconds for which a start waits for entries. By then the operator has written
 #: again what the restore lost.
 START_CHECK_S = ERA_SETTLE_S
-#: Seconds between two rounds of queries while no entry has vouched for its configuration.
+#: Seconds between two rounds of queries while no entry has confirmed its configuration.
 ROUND_INTERVAL_S = 0.2
 #: Entries that are asked in a round in the own region and in other ones.
 OWN_REGION_PEERS = 4
@@ -81,16 +80,20 @@
         if not self.receiver.hold.is_active:
             return
         started_at = boot_time()
-        is_vouched = False
-        with suppress(TimeoutError):
+        is_confirmed = False
+        try:
             async with asyncio.timeout(START_CHECK_S):
-                while not is_vouched:
-                    is_vouched = await self.ask()
-                    await asyncio.sleep(0 if is_vouched else ROUND_INTERVAL_S)
-        self.receiver.release_hold()
+                while not await self.ask():
+                    await asyncio.sleep(ROUND_INTERVAL_S)
+            is_confirmed = True
+        except TimeoutError:
+            # The state of the store is used, as without entries that reply.
+            is_confirmed = False
+        finally:
+            self.receiver.release_hold()
         self.log.state_changed(
             'peers asked for declarations',
-            vouched=is_vouched,
+            confirmed=is_confirmed,
             configuration=self.receiver.in_force.configuration_version,
             waited_s=boot_time() - started_at,
             era=self.follower.feed.era,
@@ -112,7 +115,7 @@
             return False
         # All are applied, whether or not an earlier one could be decoded.
         is_readable = [self.apply(message) for message in messages]
-        age_s = min(message.age_ms for message in messages) / MS_PER_S
+        age_s = max(0, min(message.age_ms for message in messages)) / MS_PER_S
         return all(is_readable) and self.receiver.confirm_by_peer(asked_at - age_s)
 
     def apply(self, message: TableRows) -> bool:
@@ -166,7 +169,7 @@
 
     :param in_force: the declarations.
     :param follower: follower of their table.
-    :param version: version of the configuration that this process has.
+    :param version: version of the configuration that the requesting process has.
     :param age_s: age of the last confirmation that they are the newest, in seconds.
     :return: the message.
     """
--- a/src/cassiahitch/direct/placement/costs.py
+++ b/src/cassiahitch/direct/placement/costs.py
@@ -31,6 +31,8 @@
 #: Routes that are learned separately; all others are learned together.
 MAX_ROUTES = 64
 OTHER_ROUTES = ''
+#: Decayed number of measurements below which a route is dropped to make room for another.
+MIN_KEPT_WEIGHT = 0.1
 
 
 @dataclass(slots=True)
@@ -73,6 +75,14 @@
         total = self.total * remaining + prior * prior_weight
         return total / (self.weight * remaining + prior_weight)
 
+    def is_significant(self, now: float) -> bool:
+        """Return whether measurements still have a weight worth keeping.
+
+        :param now: current time in seconds.
+        :return: whether the decayed weight is at least ``MIN_KEPT_WEIGHT``.
+        """
+        return self.weight * self.remaining_fraction(now) >= MIN_KEPT_WEIGHT
+
     def confidence(self, now: float) -> float:
         """Return how much of an estimate rests on measurements.
 
@@ -194,7 +204,10 @@
         if not self.learns:
             return
         if route not in self.outputs and len(self.outputs) >= MAX_ROUTES:
-            route = OTHER_ROUTES
+            self.outputs = {
+                name: kept for name, kept in self.outputs.items() if kept.mean.is_significant(now)
+            }
+            route = route if len(self.outputs) < MAX_ROUTES else OTHER_ROUTES
         outputs = self.outputs.setdefault(route, RouteOutputs())
         outputs.record(_bounded_hint(generation), tokens, engine.mean_output_tokens, now)
 
@@ -221,7 +234,10 @@
         if not self.learns:
             return
         if route not in self.services and len(self.services) >= MAX_ROUTES:
-            route = OTHER_ROUTES
+            self.services = {
+                name: kept for name, kept in self.services.items() if kept.is_significant(now)
+            }
+            route = route if len(self.services) < MAX_ROUTES else OTHER_ROUTES
         service = self.services.setdefault(route, DecayingMean(SERVICE_HALF_LIFE_S))
         service.add(seconds, now)
 
--- a/src/cassiahitch/direct/placement/overload.py
+++ b/src/cassiahitch/direct/placement/overload.py
@@ -26,8 +26,6 @@
 
 #: Services whose requests are counted; others are treated as not overloaded.
 MAX_SERVICES = 64
-
-
 #: Share of the recently begun requests up to which returning callers come before new ones.
 RETURN_SHARE = 0.03
 
--- a/src/cassiahitch/direct/placement/permits.py
+++ b/src/cassiahitch/direct/placement/permits.py
@@ -41,6 +41,13 @@
     pending: dict[int, asyncio.Future[PermitReply]] = field(default_factory=dict)
     silent_until: dict[str, float] = field(default_factory=dict)
 
+    def keep_only(self, keys: frozenset[str]) -> None:
+        """Drop the state of replicas that are no longer registered.
+
+        :param keys: keys of the registered replicas.
+        """
+        self.silent_until = {key: at for key, at in self.silent_until.items() if key in keys}
+
     async def request(self, replica: Replica) -> Reservation | None:
         """Request a permit to send one request to a plain replica.
 
--- a/src/cassiahitch/direct/placement/shares.py
+++ b/src/cassiahitch/direct/placement/shares.py
@@ -103,7 +103,8 @@
         if counted is None:
             return 0
         begun = counted.begun.at(now)
-        return begun / self.current_share(now) if begun >= MIN_WORK else 0
+        share = self.current_share(now)
+        return begun / share if share and begun >= MIN_WORK else 0
 
     def restricted_share(self, organisation: str, now: float) -> float:
         """Return which share of the requests of an organisation is restricted.
--- a/src/cassiahitch/direct/staging/agentupdater.py
+++ b/src/cassiahitch/direct/staging/agentupdater.py
@@ -147,7 +147,10 @@
         except PlatformError as error:
             self.log.state_changed('row unreadable', key=row.key, code=error.code.value)
             return False
-        self.in_force.record(row, declared)
+        if row.content is None:
+            self.in_force.remove(row.key)
+        else:
+            self.in_force.record(row, declared)
         match declared:
             case Catalogue() if self.catalogue is None or declared.version > self.catalogue.version:
                 self.apply_configuration(declared)
--- a/src/cassiahitch/direct/staging/ratelimiter.py
+++ b/src/cassiahitch/direct/staging/ratelimiter.py
@@ -84,7 +84,7 @@
     def mark_cold(self, per_s: float, until: float, now: float) -> bool:
         """Record that the replica is cold; of several ends, the latest counts.
 
-        :param per_s: cold rate of its service, 0 if there is none.
+        :param per_s: cold rate of its service, 0 if it is unknown, which keeps the previous rate.
         :param until: when it stops being cold.
         :param now: current time in seconds.
         :return: whether the cold rate did not apply before.
@@ -92,7 +92,8 @@
         was_cold = self.is_cold(now)
         if was_cold or self.tracker.is_limited:
             self.fill(now)
-        self.cold_rate_per_s = per_s
+        if per_s > 0:
+            self.cold_rate_per_s = per_s
         self.cold_until = max(self.cold_until, until)
         if was_cold or not self.is_cold(now):
             return False
--- a/src/cassiahitch/direct/state/coldshares.py
+++ b/src/cassiahitch/direct/state/coldshares.py
@@ -74,7 +74,7 @@
         return self.counts.highest() / per_s / USED_FRACTION
 
     def wait_s(self, key: str, per_s: float, now: float) -> float:
-        """Return the time until the next turn, which skips expired ones.
+        """Skip expired turns and return the time until the next one.
 
         :param key: key of the replica.
         :param per_s: cold rate of its service, above 0.
@@ -87,9 +87,9 @@
             first_at = now if self.counts.first_at is None else self.counts.first_at
             ready_at = max(now, first_at + JOIN_DELAY_S)
             next_at = ready_at + self.rng.uniform(0, interval_s)
-        expired = max(0, now - next_at - TURN_S) // interval_s
-        if now - next_at - TURN_S > 0:
-            next_at += (expired + 1) * interval_s
+        late_s = now - next_at - TURN_S
+        if late_s > 0:
+            next_at += (late_s // interval_s + 1) * interval_s
         self.next_at[key] = next_at
         return max(0, next_at - now)
 
--- a/src/cassiahitch/platform/documents.py
+++ b/src/cassiahitch/platform/documents.py
@@ -32,11 +32,14 @@
 ModelT = TypeVar('ModelT', bound=BaseModel)
 #: Longest accepted duration, in milliseconds.
 MAX_TIME_MS = 1e12
+#: Longest accepted duration in seconds, and highest rate; finite, so that sums stay finite.
+MAX_COLD_S = MAX_TIME_MS / MS_PER_S
+MAX_RATE_PER_S = 1e9
 #: Highest accepted pace of an engine; a higher number means a slower engine.
 MAX_PACE = 1e6
 
 
-def _time_or_none(number: Any) -> float:
+def _time_or_zero(number: Any) -> float:
     """Return a duration in milliseconds, 0 if a row contains anything else instead."""
     is_number = isinstance(number, int | float) and not isinstance(number, bool)
     return min(number, MAX_TIME_MS) if is_number and number > 0 else 0
@@ -44,7 +47,7 @@
 
 _NonNegativeInt64 = Annotated[int, Field(ge=0, le=MAX_INT64)]
 _NonNegativeInt32 = Annotated[int, Field(ge=0, le=MAX_INT32)]
-_OptionalTime = Annotated[float, BeforeValidator(_time_or_none)]
+_OptionalTime = Annotated[float, BeforeValidator(_time_or_zero)]
 _PositiveNumber = Annotated[float, Field(gt=0, le=MAX_TIME_MS)]
 _PositiveInt32 = Annotated[int, Field(ge=1, le=MAX_INT32)]
 _Priority = Annotated[int, Field(ge=-MAX_INT32, le=MAX_INT32)]
@@ -156,8 +159,8 @@
     origin: str = ''
     zone: str = ''
     link_mbps: Annotated[float, Field(ge=0)] = 0
-    cold_s: Annotated[float, Field(ge=0, le=MAX_TIME_MS)] = 0
-    cold_per_s: Annotated[float, Field(ge=0, le=MAX_TIME_MS)] = 0
+    cold_s: Annotated[float, Field(ge=0, le=MAX_COLD_S)] = 0
+    cold_per_s: Annotated[float, Field(ge=0, le=MAX_RATE_PER_S)] = 0
 
     def decoded(self) -> catalogue.Service:
         """Convert the document to a service."""
--- a/src/cassiahitch/platform/rows.py
+++ b/src/cassiahitch/platform/rows.py
@@ -236,7 +236,7 @@
 
 def _response_era(response: HttpResponse) -> int:
     text = header(response.headers, names.STORE_ERA).strip()
-    # Of other text than a number it is unknown whether it names an era.
+    # A header that is not a number counts as absent.
     is_number = text.isascii() and text.isdigit() and len(text) <= MAX_ERA_DIGITS
     return int(text) if is_number else NO_ERA
 
--- a/src/cassiahitch/settings/direct.py
+++ b/src/cassiahitch/settings/direct.py
@@ -144,7 +144,8 @@
         default=32,
         gt=0,
         le=65_536,
-        description='MiB that are buffered of all responses together; a fraction of the memory.',
+        description='MiB that are buffered of all responses together, at most an eighth of '
+        'memory_mib.',
     )
     largest_answer_mib: int = Field(
         default=64,
