--- a/tests/direct/connections/test_guarded_server.py
+++ b/tests/direct/connections/test_guarded_server.py
@@ -55,6 +55,36 @@
     run(body, ONE_OF_EACH)
 
 
+@pytest.mark.parametrize('digits', [19, 5000])
+def test_stated_length_of_many_digits_is_refused(digits: int) -> None:
+    """Guards against an exception of the conversion, which would end without a response."""
+
+    async def body(site: DirectSite) -> None:
+        length = '9' * digits
+        reader, writer = await send(
+            site, request('/order/1', 'k1', f'Content-Length: {length}\r\n')
+        )
+        assert await read_status(reader) in {400, 413}
+        writer.close()
+        assert run_count(site.plain) == 0
+
+    run(body, ONE_OF_EACH)
+
+
+def test_chunked_body_at_a_port_that_is_not_for_callers_is_limited() -> None:
+    """Guards against chunked bodies that only the memory of all connections would limit."""
+
+    async def body(site: DirectSite) -> None:
+        readiness = site.entries[0].settings.readiness
+        reader, writer = await asyncio.open_connection(readiness.address, readiness.port)
+        writer.write(b'GET /unknown HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n')
+        writer.write(b'8000\r\n%b\r\n' % (b'x' * 0x8000) * 3)
+        assert b' 400 ' in await reader.readline()
+        writer.close()
+
+    run(body, ONE_OF_EACH)
+
+
 def test_chunked_body_waits_for_continue() -> None:
     async def body(site: DirectSite) -> None:
         fields = 'Transfer-Encoding: chunked\r\nExpect: 100-continue\r\n'
--- a/tests/direct/placement/test_costs.py
+++ b/tests/direct/placement/test_costs.py
@@ -150,3 +150,14 @@
         costs.record_service(f'r{number}', 1, 0)
     assert len(costs.outputs) == len(costs.services) == MAX_ROUTES + 1
     assert costs.service_s('unknown', 0) > 10 * INITIAL_SERVICE_S
+
+
+def test_routes_without_recent_requests_make_room_for_new_ones() -> None:
+    """Guards against new routes that are learned together for as long as the process runs."""
+    costs = RequestCosts(learns=True)
+    for number in range(MAX_ROUTES):
+        costs.record_service(f'old-{number}', 0.5, 0)
+    later = 3600
+    for _ in range(20):
+        costs.record_service('new', 0.1, later)
+    assert costs.service_s('new', later) == pytest.approx(0.1, rel=0.2)
--- a/tests/direct/staging/test_cold_engines.py
+++ b/tests/direct/staging/test_cold_engines.py
@@ -49,6 +49,14 @@
     assert len(granted) >= PER_S * 9
 
 
+def test_agent_without_a_configuration_keeps_the_rate_that_an_entry_told_it() -> None:
+    """Guards against permits without a limit after the next report of the engine."""
+    limiter = RateLimiter()
+    limiter.mark_cold(PER_S, 100, 0)
+    limiter.mark_cold(0, -1, 1)
+    assert _most_in_one_second(_grants(limiter, 1, 11)) <= PER_S + 2
+
+
 def test_permits_are_not_saved_up() -> None:
     limiter = RateLimiter()
     limiter.mark_cold(PER_S, 100, 0)
