Apply the overload control only to services whose routes differ in priority

Change: the control counts and decides only for ranked services; all others are admitted and called back as before.

--- a/src/cassiahitch/direct/assembly.py
+++ b/src/cassiahitch/direct/assembly.py
@@ -137,14 +137,16 @@
     filters = RequestFilters(entry_state, budget, placement.rng)
     plain_search = PlainSearch(placement, entry_state.rate_limits, permits, placement.rng)
     response_relay = ResponseRelay(BufferBudget(entry_state.settings.response_limits))
+    placement_search = PlacementSearch(
+        candidates, placement, reservations, plain_search, placement.rng
+    )
+    placement_search.overload.applies_to = entry_state.is_ranked
     return RequestRunner(
         entry_state=entry_state,
         codec=platform.codec,
         filters=filters,
         candidates=candidates,
-        placement_search=PlacementSearch(
-            candidates, placement, reservations, plain_search, placement.rng
-        ),
+        placement_search=placement_search,
         attempts=AttemptSender(
             signals.pool,
             platform.codec,
--- a/src/cassiahitch/direct/entrystate.py
+++ b/src/cassiahitch/direct/entrystate.py
@@ -87,6 +87,14 @@
         """
         return self.settings.regions.get(failure_domain) == self.settings.region
 
+    def is_ranked(self, service: str) -> bool:
+        """Return whether the routes of a service differ in priority.
+
+        :param service: name of the service.
+        :return: whether the configuration says which of its requests come first.
+        """
+        return self.catalogue is not None and service in self.catalogue.ranked_services
+
     def is_engine(self, replica: Replica) -> bool:
         """Return whether a replica is a model engine, so that an agent runs on its host.
 
--- a/src/cassiahitch/direct/placement/overload.py
+++ b/src/cassiahitch/direct/placement/overload.py
@@ -1,12 +1,14 @@
 """What an entry knows about the overload of each service, and its decisions under pressure.
 
 The state is that of this entry only, it is kept in memory, and it decays within seconds. Without
-recent requests, all decisions are those of a service that is not overloaded.
+recent requests, all decisions are those of a service that is not overloaded. So are they for all
+services to which the control does not apply.
 """
 
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
 from cassiahitch.direct.placement.admission import admission_terms
@@ -58,12 +60,21 @@
         return self.returned.at(now) / begun if begun else 0
 
 
+def _applies_to_all(_: str) -> bool:
+    """Return that the requests of a service are controlled; the default."""
+    return True
+
+
 @dataclass(slots=True)
 class OverloadControl:
-    """Decisions for the requests of each service, by what it experienced recently."""
+    """Decisions for the requests of each service, by what it experienced recently.
+
+    ``applies_to`` returns whether the requests of a service are controlled.
+    """
 
     rng: random.Random = field(default_factory=random.Random)
     services: dict[str, ServiceState] = field(default_factory=dict)
+    applies_to: Callable[[str], bool] = _applies_to_all
 
     def adjust(self, service: str, request: PlacementRequest, now: float) -> PlacementRequest:
         """Return a request with the terms on which it is admitted.
@@ -102,6 +113,9 @@
         :param now: current time in seconds.
         :param begun: whether it found capacity.
         """
+        if not self.applies_to(service):
+            self.services.pop(service, None)
+            return
         if service not in self.services and not self.has_room(now):
             return
         state = self.services.setdefault(service, ServiceState())
--- a/src/cassiahitch/direct/state/catalogue.py
+++ b/src/cassiahitch/direct/state/catalogue.py
@@ -156,8 +156,8 @@
     """One version of the configuration.
 
     ``organisations`` is keyed by API key; it is empty if no organisation has one, and None if
-    requests need no key. ``mean_objectives_s`` holds the mean objective
-    of the routes of each service.
+    requests need no key. ``mean_objectives_s`` holds the mean objective of the routes of each
+    service, and ``ranked_services`` are the services whose routes differ in priority.
     """
 
     version: int
@@ -167,17 +167,21 @@
     limits: CallerLimits = CallerLimits()
     routes_by_host: dict[str, dict[str, Route]] = field(init=False, default_factory=dict)
     mean_objectives_s: dict[str, float] = field(init=False, default_factory=dict)
+    ranked_services: set[str] = field(init=False, default_factory=set)
 
     def __post_init__(self) -> None:
         """Index the routes by host and prefix, and compute the mean objective of each service."""
         objectives: dict[str, list[float]] = {}
+        priorities: dict[str, set[int]] = {}
         for route in self.routes:
             self.routes_by_host.setdefault(route.host, {})[route.prefix] = route
             for share in route.shares:
                 if share.weight > 0:
                     objectives.setdefault(share.service, []).append(route.objective_s)
+                    priorities.setdefault(share.service, set()).add(route.priority)
         for service, values in objectives.items():
             self.mean_objectives_s[service] = fmean(values)
+        self.ranked_services.update(name for name, found in priorities.items() if len(found) > 1)
 
     def route(self, host: str, path: str) -> Route | None:
         """Return the route of a request, which has the longest matching path prefix.
--- a/tests/direct/placement/test_admission.py
+++ b/tests/direct/placement/test_admission.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 from deployment_loads import EQUAL, EQUAL_ENGINE, MIXED, MIXED_ENGINE
 from overload_model import OverloadResult, OverloadSimulation, RouteLoad
@@ -23,6 +25,7 @@
     RequestClass,
     ServicePressure,
 )
+from cassiahitch.direct.state.catalogue import Catalogue, ServiceShare
 
 PATIENT, URGENT, MIDDLE = (part.route for part in MIXED)
 PATIENT_CLASS = RequestClass('patient', 2, PATIENT.objective_s)
@@ -144,3 +147,29 @@
     assert len(control.services) == MAX_SERVICES
     control.record('new', PlacementRequest(URGENT, 0), 20 * COUNT_HALF_LIFE_S, begun=True)
     assert list(control.services) == ['new']
+
+
+def test_services_without_ranked_routes_are_served_as_without_the_control() -> None:
+    """Guards against changes for deployments whose routes all have one priority."""
+    ranked = {'essays'}
+    control = OverloadControl(applies_to=ranked.__contains__)
+    request = PlacementRequest(URGENT, 0, priority=0)
+    for service in ('essays', 'ledger'):
+        for _ in range(20):
+            control.record(service, request, 0, begun=False)
+    assert set(control.services) == ranked
+    assert control.adjust('ledger', request, 0) is request
+    ranked.clear()
+    control.record('essays', request, 0, begun=False)
+    assert not control.services
+
+
+def test_services_are_ranked_if_their_routes_differ_in_priority() -> None:
+    shares = (ServiceShare('essays', 1),)
+    routes = tuple(
+        replace(part.route, shares=shares, prefix=f'/{number}/')
+        for number, part in enumerate(MIXED)
+    )
+    assert Catalogue(1, routes, {}).ranked_services == {'essays'}
+    equal = tuple(replace(route, priority=1) for route in routes)
+    assert not Catalogue(1, equal, {}).ranked_services
