--- a/review/harness2/kit.py
+++ b/review/harness2/kit.py
@@ -23,6 +23,8 @@
 METRICS_PORT = 9464
 READY_TIMEOUT_S = 20.0
 HEARTBEAT_S = 1.2
+#: Exit code of a case that could not run.
+CANNOT_RUN = 2
 HOST = 'menus.example'
 REGIONS = {'west-a': 'west', 'east-a': 'east'}
 #: Bounds of the small sites of the users' pages.
@@ -67,6 +69,8 @@
     configuration: dict[str, Any] = field(default_factory=dict)
     servers: dict[str, dict[str, Any]] = field(default_factory=dict)
     tasks: list[asyncio.Task[None]] = field(default_factory=list)
+    starting: asyncio.Lock = field(default_factory=asyncio.Lock)
+    closed: bool = False
 
     def say(self, text: str) -> None:
         """Add a line to the record."""
@@ -142,7 +146,12 @@
         )
 
     async def start(self, program: Program) -> None:
-        """Start a program with the command of the deploy file."""
+        """Start a program with the command of the deploy file, unless the run has ended."""
+        async with self.starting:
+            if not self.closed:
+                await self._start(program)
+
+    async def _start(self, program: Program) -> None:
         path = self.work / f'{program.name}.yaml'
         path.write_text(json.dumps(program.settings))
         log = (self.work / f'{program.name}.log').open('ab')
@@ -194,6 +203,8 @@
 
     async def close(self) -> None:
         """End all programs that this test has started."""
+        async with self.starting:
+            self.closed = True
         for task in self.tasks:
             task.cancel()
         for program in self.programs.values():
@@ -392,11 +403,11 @@
     work = Path(tempfile.mkdtemp(prefix='cassiahitch-review-'))
     site = Site(folder, trouble, work)
     server, site.store_port = serve_store(site.store, loopback_address(STORE_HOST, 0))
-    status = 2
+    status = CANNOT_RUN
     try:
         async with asyncio.timeout(limit_s):
             status = 1 if await case(site) else 0
-    except (CannotRun, TimeoutError) as error:
+    except Exception as error:  # any error means that the case could not run
         site.say(f'the case could not run: {error!r}')
     finally:
         await site.close()
