--- a/review/harness2/kit.py
+++ b/review/harness2/kit.py
@@ -413,7 +413,8 @@
         await site.close()
         server.stop()
         site.say(f'exit code {status}')
-        (folder / 'record.txt').write_text('\n'.join(site.lines) + '\n')
+        record = ROOT / os.environ.get('RECORD', str(folder / 'record.txt'))
+        record.write_text('\n'.join(site.lines) + '\n')
         if os.environ.get('KEEP'):
             print(work, file=sys.stderr)
         else:
