--- a/review/harness2/kit.py
+++ b/review/harness2/kit.py
@@ -404,10 +404,14 @@
     site = Site(folder, trouble, work)
     server, site.store_port = serve_store(site.store, loopback_address(STORE_HOST, 0))
     status = CANNOT_RUN
+    own = asyncio.current_task()
+    if own is not None:
+        # A run that is ended from outside ends its programs as well.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, own.cancel)
     try:
         async with asyncio.timeout(limit_s):
             status = 1 if await case(site) else 0
-    except Exception as error:  # any error means that the case could not run
+    except (Exception, asyncio.CancelledError) as error:  # the case could not run
         site.say(f'the case could not run: {error!r}')
     finally:
         await site.close()
