Use a manifest only if it lists what the configuration declares

A manifest without digests ended each agent that read it.

Cause: the length of the manifest alone decided what is complete, for the fetch, the staging, the order and the verification after it. Nobody compared it with the configuration.

Change: WeightsLayout, which is taken from the configuration, alone decides which manifest may be used, and ManifestReader is the only way to one, from the origin and from other agents, which may be of an earlier release. A refused manifest counts as not sent; the origin is asked again at a pace of its own. Versions that were cached for another layout are dropped. New: the line "manifest refused" and the counter manifests_refused.

It works since all readers count to the length of a manifest that has the declared length.

--- a/src/cassiahitch/direct/platformapi.py
+++ b/src/cassiahitch/direct/platformapi.py
@@ -16,6 +16,7 @@
 
     from cassiahitch.direct.api import RequestCodec, TableStore
     from cassiahitch.direct.staging.enginestate import StagingEngine
+    from cassiahitch.direct.staging.layout import ManifestDocument
     from cassiahitch.direct.state.feed import TableRow
     from cassiahitch.direct.state.replicas import Replica
     from cassiahitch.util.endpoints import Endpoint
@@ -65,8 +66,8 @@
 class Origin(Protocol):
     """The origin server of weights."""
 
-    async def manifest(self, url: str, model: str, version: int) -> tuple[int, tuple[str, ...]]:
-        """Return the version and its chunk digests; raises ``origin_unavailable``."""
+    async def manifest(self, url: str, model: str, version: int) -> ManifestDocument:
+        """Return a manifest, unchecked; raises ``origin_unavailable`` or ``manifest_corrupt``."""
 
     async def chunk(self, url: str, model: str, version: int, index: int) -> bytes:
         """Return a chunk without verifying it; raises ``origin_unavailable``."""
--- a/src/cassiahitch/direct/staging/agentparts.py
+++ b/src/cassiahitch/direct/staging/agentparts.py
@@ -12,6 +12,7 @@
 from cassiahitch.direct.staging.loadorders import LoadOrders
 from cassiahitch.direct.staging.loadrecords import LoadRecords
 from cassiahitch.direct.staging.loadtrust import LoadTrust
+from cassiahitch.direct.staging.manifests import ManifestReader
 from cassiahitch.direct.staging.peerclient import PeerClient
 from cassiahitch.direct.staging.receiving import ReceiveWindow
 from cassiahitch.direct.staging.repository import ChunkRepository
@@ -57,14 +58,11 @@
     :return: the components.
     """
     log = StateLog()
-    engine = platform.engine(settings.engine)
-    peers = PeerClient(
-        http_client,
-        settings.peer_port,
-        settings.region,
-        ReceiveWindow.of_link(settings.link_mbit_s),
+    metrics = Metrics(settings.name)
+    manifests = ManifestReader(
+        platform.origin, make_peer_client(settings, http_client), log, metrics, rng
     )
-    repository = ChunkRepository(engine, platform.origin, peers)
+    repository = ChunkRepository(platform.engine(settings.engine), manifests)
     upload_limiter = UploadLimiter(LinkRates(settings.link_mbit_s, settings.region_link_mbit_s))
     versions = VersionPolicy(settings.bounds.weights_s)
     updater = AgentStateUpdater(settings, platform, repository, upload_limiter, log, versions, rng)
@@ -74,14 +72,27 @@
     loader = Loader(
         repository,
         updater,
-        Metrics(settings.name),
+        metrics,
         log,
         local_agent,
         rng,
         map_exchange,
         make_load_orders(settings, platform, repository, log),
     )
-    return AgentParts(engine, log, repository, upload_limiter, updater, map_exchange, loader)
+    return AgentParts(
+        repository.engine, log, repository, upload_limiter, updater, map_exchange, loader
+    )
+
+
+def make_peer_client(settings: DirectAgentSettings, http_client: HttpClient) -> PeerClient:
+    """Build the client of the other agents.
+
+    :param settings: settings of the agent.
+    :param http_client: HTTP client for the calls.
+    :return: the client, which knows no other agent yet.
+    """
+    window = ReceiveWindow.of_link(settings.link_mbit_s)
+    return PeerClient(http_client, settings.peer_port, settings.region, window)
 
 
 def make_load_orders(
--- a/src/cassiahitch/direct/staging/agentupdater.py
+++ b/src/cassiahitch/direct/staging/agentupdater.py
@@ -9,6 +9,7 @@
 
 from cassiahitch.direct.staging.chunks import WeightsId
 from cassiahitch.direct.staging.enginelimit import ColdRate
+from cassiahitch.direct.staging.layout import declared_layout
 from cassiahitch.direct.state.catalogue import Catalogue
 from cassiahitch.direct.state.declarations import DeclarationsInForce, StartHold
 from cassiahitch.direct.state.feed import (
@@ -167,15 +168,13 @@
         self.log.state_changed('configuration in force', version=catalogue.version)
         for service in catalogue.services.values():
             if service.origin:
-                self.repository.origin_url = f'http://{service.origin}'
+                self.repository.manifests.origin_url = f'http://{service.origin}'
                 self.repository.origin_mbit_s = service.link_mbit_s
                 self.repository.origin_region = self.settings.regions.get(
                     service.failure_domain, ''
                 )
             if service.name == self.settings.service and service.engine is not None:
-                self.repository.chunk_bytes = service.engine.chunk_bytes
-                self.repository.chunk_count = service.engine.chunk_count
-                self.repository.layer_count = service.engine.layers
+                self.repository.apply_layout(declared_layout(service.engine))
 
     def declare_version(self, declared: DeclaredVersion) -> None:
         """Record a declared version of weights.
--- a/src/cassiahitch/direct/staging/fetching.py
+++ b/src/cassiahitch/direct/staging/fetching.py
@@ -12,6 +12,7 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
+from cassiahitch.codes import Code
 from cassiahitch.direct.staging.fleet import Fleet, FromOrigin, FromPeer, FromRegion
 from cassiahitch.direct.staging.peerclient import ChunkDownload, TransferState
 from cassiahitch.direct.staging.scheduler import ChunkScheduler
@@ -25,6 +26,7 @@
 
     from cassiahitch.direct.staging.chunks import VersionChunks, WeightsId
     from cassiahitch.direct.staging.fleet import ChunkFetch
+    from cassiahitch.direct.staging.layout import WeightsLayout
     from cassiahitch.direct.staging.repository import ChunkRepository
     from cassiahitch.direct.telemetry import StateLog
     from cassiahitch.metrics.registry import Metrics
@@ -37,6 +39,8 @@
 #: Time between two chunk maps sent to the region, in seconds: after a change, and without one.
 MAP_INTERVAL_S = 0.08
 MAP_REPEAT_INTERVAL_S = 0.4
+#: Seconds between two reads of a manifest that nobody has sent in a sound form.
+MANIFEST_RETRY_S = 0.3
 #: Least time between two reads of the manifest during a fetch, in seconds.
 MANIFEST_INTERVAL_S = 1.0
 
@@ -46,9 +50,10 @@
     """Runs the fetches of a chunk scheduler until all chunks of a version are in memory.
 
     ``map_sent_at`` and ``sent_bitmap`` are the time and the content of the last chunk map that was
-    sent to the region. ``received`` counts chunks by the kind of their source, and ``slowest_s``
-    is the longest time that a chunk took, in seconds. ``refused`` has the digests of contents that
-    did not match the manifest, which was last read again at ``manifest_read_at``.
+    sent to the region. ``layout`` is the one that was declared when the fetch began. ``received``
+    counts chunks by the kind of their source, and ``slowest_s`` is the longest time that a chunk
+    took, in seconds. ``refused`` has the digests of contents that did not match the manifest, which
+    was last read again at ``manifest_read_at``.
     """
 
     repository: ChunkRepository
@@ -69,6 +74,11 @@
     slowest_s: float = 0
     refused: set[tuple[int, bytes]] = field(default_factory=set)
     manifest_read_at: float = float('-inf')
+    layout: WeightsLayout = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Note the layout of the version."""
+        self.layout = self.repository.layout
 
     async def run(self, participants: tuple[Participant, ...]) -> None:
         """Fetch until all chunks of the version are in memory.
@@ -76,7 +86,7 @@
         :param participants: the agents that fetch the same version.
         :raises PlatformError: if the manifest is unavailable.
         """
-        chunks = await self.repository.open_version(self.weights)
+        chunks = await self._open_version()
         if self.repository.staged_weights in {None, self.weights}:
             await self._restore_staged(chunks)
         if chunks.complete:
@@ -120,6 +130,16 @@
             self.scheduler.update_holder(host, held, uploads, self._now())
             self.changed.set()
 
+    async def _open_version(self) -> VersionChunks:
+        """Wait for a sound manifest; that of another agent may come before the origin's."""
+        while True:
+            try:
+                return await self.repository.open_version(self.weights)
+            except PlatformError as error:
+                if error.code is not Code.manifest_corrupt:
+                    raise
+            await asyncio.sleep(MANIFEST_RETRY_S)
+
     def _make_scheduler(
         self, chunks: VersionChunks, participants: tuple[Participant, ...]
     ) -> ChunkScheduler:
@@ -232,14 +252,17 @@
         download = ChunkDownload(
             self.weights,
             fetch.index,
-            repository.chunk_bytes,
+            repository.layout.chunk_bytes,
             partial(self._record_progress, fetch),
         )
         match fetch:
             case FromOrigin(index=index):
                 async with peers.window.receive(download.size, Tier.region):
                     return await repository.origin.chunk(
-                        repository.origin_url, self.weights.model, self.weights.version, index
+                        repository.manifests.origin_url,
+                        self.weights.model,
+                        self.weights.version,
+                        index,
                     )
             case FromRegion(host=host):
                 return await peers.fetch_chunk_when_available(host, download, Tier.region)
@@ -267,7 +290,8 @@
     """
     if not repository.origin_mbit_s:
         return 0
-    return ORIGIN_INTERVAL_FACTOR * repository.chunk_bytes / bytes_per_s(repository.origin_mbit_s)
+    chunk_bytes = repository.layout.chunk_bytes
+    return ORIGIN_INTERVAL_FACTOR * chunk_bytes / bytes_per_s(repository.origin_mbit_s)
 
 
 def source_name(fetch: ChunkFetch) -> str:
--- a/src/cassiahitch/direct/staging/loading.py
+++ b/src/cassiahitch/direct/staging/loading.py
@@ -254,6 +254,8 @@
         :param fetch: the fetch of the version.
         :return: whether it is the target version, or is expected to be complete soon.
         """
+        if fetch.layout != self.repository.layout:
+            return False
         target = self.updater.target_weights()
         if target is None or target == fetch.weights:
             return True
@@ -270,7 +272,9 @@
 
         :return: seconds.
         """
-        link_s = self.repository.version_bytes / bytes_per_s(self.updater.settings.link_mbit_s)
+        link_s = self.repository.layout.version_bytes / bytes_per_s(
+            self.updater.settings.link_mbit_s
+        )
         return link_s / HOST_UTILISATION + FIRST_CHUNKS_S
 
     def is_urgent(self, target: WeightsId, missing_share: float) -> bool:
--- a/src/cassiahitch/direct/staging/loadorders.py
+++ b/src/cassiahitch/direct/staging/loadorders.py
@@ -25,8 +25,6 @@
 POLL_INTERVAL_S = 0.1
 #: Errors of calls to the engine, after which a verification is repeated.
 ENGINE_ERRORS = frozenset((Code.engine_unavailable, Code.engine_answer_corrupt))
-#: Errors after which the manifest of an older version will not be had any more.
-MANIFEST_GONE_ERRORS = frozenset((Code.object_missing, Code.manifest_changed))
 #: Outcomes after which an engine has the layers that were ordered.
 HAS_LAYERS = frozenset((LoadOutcome.begun, LoadOutcome.in_effect))
 #: The layers that an engine keeps while it drops all others.
@@ -89,7 +87,8 @@
         except PlatformError as error:
             if error.code in ENGINE_ERRORS:
                 raise
-            if error.code in MANIFEST_GONE_ERRORS:
+            if error.code is Code.object_missing:
+                # The manifest of an older version will not be had any more.
                 self.trust.give_up()
             self.log.state_changed(
                 'load not verified',
@@ -200,7 +199,7 @@
         :param report: the report of the engine.
         :return: whether its load is unproven, or some of the layers are missing.
         """
-        if not are_all_layers(report.layers, self.repository.layer_count):
+        if not are_all_layers(report.layers, self.repository.layout.layer_count):
             return True
         return self.trust.is_withheld(model, report.loaded_version(model))
 
@@ -211,7 +210,7 @@
         """
         if self.report is None or asyncio.get_running_loop().time() < self.reload_at:
             return False
-        is_whole = are_all_layers(self.report.layers, self.repository.layer_count)
+        is_whole = are_all_layers(self.report.layers, self.repository.layout.layer_count)
         return self.trust.needs_reload or not (is_whole or self.trust.has_unproven_load)
 
     async def replace_layers(self, target: WeightsId) -> bool:
@@ -231,7 +230,7 @@
         self.reload_at = asyncio.get_running_loop().time() + RELOAD_DELAY_S
         report = await self.read_report()
         kept = report.layers
-        count = self.repository.layer_count
+        count = self.repository.layout.layer_count
         if not count and kept is not None:
             count = kept.end
         if count <= FIRST_LAYER.end:
--- a/src/cassiahitch/direct/staging/peerclient.py
+++ b/src/cassiahitch/direct/staging/peerclient.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections.abc import Callable
-from contextlib import suppress
 from dataclasses import dataclass, field
 from enum import Enum, auto
 from http import HTTPStatus
@@ -14,6 +13,7 @@
 from pydantic import BaseModel, ValidationError
 
 from cassiahitch.codes import Code
+from cassiahitch.direct.staging.layout import ManifestDocument
 from cassiahitch.direct.staging.receiving import PART_BYTES, ReceiveWindow
 from cassiahitch.errors import PlatformError
 from cassiahitch.stores.http_client import HttpCall, HttpCallError, HttpClient, HttpResponse
@@ -27,8 +27,6 @@
 #: Chunks that are received from other regions at the same time. Bytes of more chunks would queue
 #: on the link in front of requests.
 MAX_REGION_DOWNLOADS = 2
-#: Other agents that are queried for a manifest.
-MAX_MANIFEST_PEERS = 3
 
 
 Headers = tuple[tuple[str, str], ...]
@@ -122,20 +120,33 @@
         async with self.region_downloads:
             return await self.fetch_chunk(host, download, tier)
 
-    async def fetch_digests(self, weights: WeightsId) -> tuple[str, ...]:
-        """Fetch the digests of a version from the first agent that has them.
+    def next_addresses(self, count: int) -> tuple[str, ...]:
+        """Return the agents to query for a manifest, other ones with each call.
 
+        :param count: most agents to return.
+        :return: their IP addresses.
+        """
+        chosen = self.addresses[:count]
+        self.addresses = self.addresses[count:] + chosen
+        return chosen
+
+    async def fetch_manifest(self, host: str, weights: WeightsId) -> ManifestDocument:
+        """Fetch the manifest of a version from another agent.
+
+        :param host: the agent.
         :param weights: the version.
-        :return: SHA-256 digests of the chunks.
-        :raises PlatformError: ``origin_unavailable`` if no agent sends them.
+        :return: its digests, unchecked.
+        :raises PlatformError: ``chunk_stalled``, ``object_missing`` if the agent does not have it,
+            or ``manifest_corrupt``.
         """
-        for address in self.addresses[:MAX_MANIFEST_PEERS]:
-            with suppress(PlatformError, ValidationError):
-                response = await self._get(address, f'manifests/{weights.model}/{weights.version}')
-                return _DigestsModel.model_validate_json(response.body).chunks
-        raise PlatformError(
-            Code.origin_unavailable, 'neither the origin nor another agent sent the manifest'
-        )
+        response = await self._get(host, f'manifests/{weights.model}/{weights.version}')
+        if response.status != HTTPStatus.OK:
+            raise PlatformError(Code.object_missing, 'the agent does not have the manifest')
+        try:
+            model = _DigestsModel.model_validate_json(response.body)
+        except ValidationError as error:
+            raise PlatformError(Code.manifest_corrupt, 'not a list of digests') from error
+        return ManifestDocument(model.chunks)
 
     async def _get(self, address: str, path: str, headers: Headers = ()) -> HttpResponse:
         url = f'http://{address}:{self.port}/{path}'
--- a/src/cassiahitch/direct/staging/repository.py
+++ b/src/cassiahitch/direct/staging/repository.py
@@ -6,18 +6,14 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from cassiahitch.codes import Code
-from cassiahitch.direct.staging.chunks import (
-    ChunkCache,
-    VersionChunks,
-    WeightsId,
-    make_manifest,
-)
+from cassiahitch.direct.staging.chunks import ChunkCache, VersionChunks, WeightsId
 from cassiahitch.errors import PlatformError
 
 if TYPE_CHECKING:
     from cassiahitch.direct.platformapi import Origin
     from cassiahitch.direct.staging.enginestate import StagingEngine
+    from cassiahitch.direct.staging.layout import WeightsLayout
+    from cassiahitch.direct.staging.manifests import ManifestReader
     from cassiahitch.direct.staging.peerclient import PeerClient
 
 
@@ -31,24 +27,42 @@
     """
 
     engine: StagingEngine
-    origin: Origin
-    peers: PeerClient
+    manifests: ManifestReader
     cache: ChunkCache = field(default_factory=ChunkCache)
     staged_weights: WeightsId | None = None
     newest_version: int = 0
     on_newer_version: Callable[[WeightsId], None] | None = None
-    origin_url: str = ''
     origin_region: str = ''
     origin_mbit_s: float = 0
-    chunk_bytes: int = 0
-    chunk_count: int = 0
-    layer_count: int = 0
     corrupt_staged: set[tuple[WeightsId, int]] = field(default_factory=set)
 
     @property
-    def version_bytes(self) -> int:
-        """Size of one version in bytes."""
-        return self.chunk_count * self.chunk_bytes
+    def origin(self) -> Origin:
+        """The origin of weights."""
+        return self.manifests.origin
+
+    @property
+    def peers(self) -> PeerClient:
+        """The other agents."""
+        return self.manifests.peers
+
+    @property
+    def layout(self) -> WeightsLayout:
+        """How each version is split, as the configuration declares it."""
+        return self.manifests.layout
+
+    def apply_layout(self, layout: WeightsLayout) -> None:
+        """Apply the layout of a configuration; versions of another layout are not used any more.
+
+        :param layout: the layout.
+        """
+        if layout == self.layout:
+            return
+        self.manifests.layout = layout
+        self.staged_weights = None
+        for weights, chunks in tuple(self.cache.versions.items()):
+            if not layout.fits(chunks):
+                self.cache.versions.pop(weights)
 
     def is_expected(self, weights: WeightsId) -> bool:
         """Return whether this host holds a version or will fetch it.
@@ -72,46 +86,23 @@
 
         :param weights: the version.
         :return: its chunks in memory, to which new ones are added.
-        :raises PlatformError: if neither the origin nor another agent sends the manifest.
+        :raises PlatformError: if neither the origin nor another agent sends a sound manifest.
         """
         chunks = self.cache.versions.get(weights)
         if chunks is not None:
             return chunks
-        digests = await self.fetch_digests(weights)
-        sizes = (self.chunk_bytes,) * len(digests)
-        return self.cache.add_version(weights, make_manifest(weights, digests, sizes))
+        return self.cache.add_version(weights, await self.manifests.read(weights))
 
     async def refresh_manifest(self, weights: WeightsId) -> bool:
         """Fetch the digests of a cached version again.
 
         :param weights: the version.
         :return: whether the digest of a chunk that was not verified yet was another one before.
-        :raises PlatformError: if neither the origin nor another agent sends the manifest.
+        :raises PlatformError: if neither the origin nor another agent sends a sound manifest.
         """
-        digests = await self.fetch_digests(weights)
+        manifest = await self.manifests.read(weights)
         chunks = self.cache.versions.get(weights)
-        return chunks is not None and chunks.replace_digests(digests)
-
-    async def fetch_digests(self, weights: WeightsId) -> tuple[str, ...]:
-        """Fetch the digests of a version from the origin, or else from other agents.
-
-        :param weights: the version.
-        :return: SHA-256 digests of the chunks.
-        :raises PlatformError: ``manifest_changed`` if the origin has another version,
-            ``origin_unavailable`` if neither the origin nor an agent sends the digests.
-        """
-        try:
-            version, digests = await self.origin.manifest(
-                self.origin_url, weights.model, weights.version
-            )
-        except PlatformError:
-            return await self.peers.fetch_digests(weights)
-        if version != weights.version:
-            raise PlatformError(
-                Code.manifest_changed,
-                f'the origin sent the manifest of a version that was not requested: {version}',
-            )
-        return digests
+        return chunks is not None and chunks.replace_digests(manifest.chunks)
 
     def held_bitmap(self, weights: WeightsId) -> int:
         """Return which chunks of a version are in memory.
@@ -134,7 +125,7 @@
         if weights != self.staged_weights:
             return self.held_bitmap(weights)
         corrupt = sum(1 << index for owner, index in self.corrupt_staged if owner == weights)
-        return self.held_bitmap(weights) | ((1 << self.chunk_count) - 1) & ~corrupt
+        return self.held_bitmap(weights) | self.layout.all_chunks & ~corrupt
 
     async def read_chunk(self, weights: WeightsId, index: int, timeout_s: float) -> bytes | None:
         """Return a chunk from memory or from the engine.
--- a/src/cassiahitch/direct/staging/staging.py
+++ b/src/cassiahitch/direct/staging/staging.py
@@ -101,10 +101,13 @@
 
         :param weights: the version.
         :param chunks: its chunks.
-        :raises PlatformError: ``engine_unavailable``.
+        :raises PlatformError: ``engine_unavailable``, or ``manifest_changed`` if the configuration
+            declares another layout by now.
         """
         await self.wait_for_given_up()
         await self.verify_outdated(weights, chunks)
+        if not self.repository.layout.fits(chunks):
+            raise PlatformError(Code.manifest_changed, 'another layout is declared')
 
     async def verify_outdated(self, weights: WeightsId, chunks: VersionChunks) -> None:
         """Verify the chunks again whose verification is too old for an order, the oldest first.
--- a/src/cassiahitch/metrics/names.py
+++ b/src/cassiahitch/metrics/names.py
@@ -44,6 +44,7 @@
     chunk_bytes_received = 'chunk_bytes_received'
     chunk_bytes_sent = 'chunk_bytes_sent'
     chunks_refused = 'chunks_refused'
+    manifests_refused = 'manifests_refused'
     loads_finished = 'loads_finished'
     loads_failed = 'loads_failed'
     revisions_applied = 'revisions_applied'
--- a/src/cassiahitch/platform/documents.py
+++ b/src/cassiahitch/platform/documents.py
@@ -16,6 +16,7 @@
 
 from cassiahitch.codes import Code
 from cassiahitch.direct.staging.enginestate import EngineReport
+from cassiahitch.direct.staging.layout import ManifestDocument
 from cassiahitch.direct.state import catalogue
 from cassiahitch.direct.state.layers import LayerRange
 from cassiahitch.direct.state.replicas import Replica
@@ -243,6 +244,8 @@
 class _ManifestModel(CamelModel):
     model: str
     version: _NonNegativeInt32
+    chunk_bytes: _NonNegativeInt32 | None = None
+    layers: _NonNegativeInt32 | None = None
     chunk_digests: tuple[str, ...]
 
 
@@ -377,15 +380,21 @@
     )
 
 
-def decode_manifest(content: bytes) -> tuple[int, tuple[str, ...]]:
+def decode_manifest(content: bytes) -> ManifestDocument:
     """Decode the manifest of a version of weights.
 
     :param content: body of the response, in JSON.
-    :return: the version and the SHA-256 digests of its chunks, in order.
+    :return: the manifest, not yet compared with the configuration.
     :raises PlatformError: ``manifest_corrupt``.
     """
     model = _validated(_ManifestModel, content, Code.manifest_corrupt)
-    return model.version, model.chunk_digests
+    return ManifestDocument(
+        digests=model.chunk_digests,
+        model=model.model,
+        version=model.version,
+        chunk_bytes=model.chunk_bytes,
+        layer_count=model.layers,
+    )
 
 
 __all__ = (
--- a/src/cassiahitch/platform/engine.py
+++ b/src/cassiahitch/platform/engine.py
@@ -10,6 +10,7 @@
 
 from cassiahitch.codes import Code
 from cassiahitch.direct.staging.enginestate import EngineReport, LoadOutcome
+from cassiahitch.direct.staging.layout import ManifestDocument
 from cassiahitch.direct.state.layers import LayerRange
 from cassiahitch.errors import PlatformError
 from cassiahitch.platform import names
@@ -123,13 +124,13 @@
 
     caller: HttpClient
 
-    async def manifest(self, url: str, model: str, version: int) -> tuple[int, tuple[str, ...]]:
-        """Return the digests of the chunks of a version.
+    async def manifest(self, url: str, model: str, version: int) -> ManifestDocument:
+        """Return the manifest of a version without checking it.
 
         :param url: base address of the origin.
         :param model: name of the model.
         :param version: version of the weights.
-        :return: the version and the SHA-256 digests of its chunks, in order.
+        :return: what the origin sent.
         :raises PlatformError: ``origin_unavailable``, ``object_missing`` or ``manifest_corrupt``.
         """
         query = urlencode({'version': version})
--- a/src/cassiahitch/standins/weightservice.py
+++ b/src/cassiahitch/standins/weightservice.py
@@ -5,6 +5,7 @@
 import hashlib
 from collections import Counter
 from dataclasses import dataclass, field
+from enum import StrEnum
 from http import HTTPStatus
 from typing import Any
 
@@ -13,17 +14,33 @@
 
 from cassiahitch.direct.serving import start_server
 from cassiahitch.platform import names
+from cassiahitch.standins.engineweights import LAYERS
 from cassiahitch.util.accesslog import no_access_log
 from cassiahitch.util.endpoints import Endpoint
 
 
+class ManifestFault(StrEnum):
+    """What is wrong with a manifest that parses nevertheless."""
+
+    wrong_digest = 'wrong_digest'
+    malformed_digest = 'malformed_digest'
+    short = 'short'
+    long = 'long'
+    empty = 'empty'
+    other_model = 'other_model'
+    other_version = 'other_version'
+    other_chunk_size = 'other_chunk_size'
+    other_layers = 'other_layers'
+
+
 @dataclass(slots=True)
 class WeightService:
     """The chunks of each published version of one model.
 
-    ``sent`` counts the sent chunks by version, ``missing_version_requests`` the requests for
-    versions that are not available. The next ``corrupt`` chunks are sent as zeros, and the next
-    ``corrupt_manifests`` manifests with one wrong digest.
+    ``sent`` counts the sent chunks by version, ``manifests_sent`` the sent manifests by version,
+    ``missing_version_requests`` the requests for versions that are not available. The next
+    ``corrupt`` chunks are sent as zeros, and the next ``corrupt_manifests`` manifests with
+    ``manifest_fault``.
     """
 
     model: str
@@ -33,6 +50,8 @@
     missing_version_requests: Counter[int] = field(default_factory=Counter)
     corrupt: int = 0
     corrupt_manifests: int = 0
+    manifest_fault: ManifestFault = ManifestFault.wrong_digest
+    manifests_sent: Counter[int] = field(default_factory=Counter)
     down: bool = False
 
     def publish(self, version: int, chunks: int) -> None:
@@ -100,18 +119,43 @@
         :param model: name of the model.
         """
         version = self.version()
-        digests = self.weights.digests(version)
+        self.weights.manifests_sent[version] += 1
+        manifest = {
+            'model': model,
+            'version': version,
+            'chunkBytes': self.weights.chunk_bytes,
+            'layers': LAYERS,
+            'chunkDigests': self.weights.digests(version),
+        }
         if self.weights.corrupt_manifests > 0:
             self.weights.corrupt_manifests -= 1
-            digests[len(digests) // 2] = hashlib.sha256(b'corrupt').hexdigest()
-        self.finish(
-            {
-                'model': model,
-                'version': version,
-                'chunkBytes': self.weights.chunk_bytes,
-                'chunkDigests': digests,
-            }
-        )
+            manifest |= faulty_fields(manifest, self.weights.manifest_fault)
+        self.finish(manifest)
+
+
+def faulty_fields(manifest: dict[str, Any], fault: ManifestFault) -> dict[str, Any]:
+    """Return the fields of a manifest that a fault changes.
+
+    :param manifest: the sound manifest.
+    :param fault: the fault.
+    :return: the changed fields.
+    """
+    digests: list[str] = manifest['chunkDigests']
+    middle = len(digests) // 2
+    before, after = digests[:middle], digests[middle + 1 :]
+    wrong = hashlib.sha256(b'corrupt').hexdigest()
+    changes: dict[ManifestFault, dict[str, Any]] = {
+        ManifestFault.wrong_digest: {'chunkDigests': [*before, wrong, *after]},
+        ManifestFault.malformed_digest: {'chunkDigests': [*before, wrong[:-1], *after]},
+        ManifestFault.short: {'chunkDigests': digests[:-1]},
+        ManifestFault.long: {'chunkDigests': [*digests, wrong]},
+        ManifestFault.empty: {'chunkDigests': []},
+        ManifestFault.other_model: {'model': f'{manifest["model"]}-old'},
+        ManifestFault.other_version: {'version': manifest['version'] + 1},
+        ManifestFault.other_chunk_size: {'chunkBytes': manifest['chunkBytes'] + 1},
+        ManifestFault.other_layers: {'layers': manifest['layers'] + 1},
+    }
+    return changes[fault]
 
 
 class ChunkHandler(_WeightHandler):
@@ -148,6 +192,7 @@
 
 
 __all__ = (
+    'ManifestFault',
     'WeightService',
     'serve_weights',
 )
--- a/tests/direct/staging/test_chunkservice.py
+++ b/tests/direct/staging/test_chunkservice.py
@@ -6,13 +6,13 @@
 from typing import Any
 
 import pytest
+from repositories import make_repository
 from tornado.httpserver import HTTPServer
 
 from cassiahitch.direct.staging.chunks import WeightsId, make_manifest
 from cassiahitch.direct.staging.chunkservice import FULL_CHUNK, make_chunk_service, parse_range
 from cassiahitch.direct.staging.peerclient import ChunkDownload, PeerClient, TransferState
 from cassiahitch.direct.staging.receiving import PART_BYTES, ReceiveWindow
-from cassiahitch.direct.staging.repository import ChunkRepository
 from cassiahitch.direct.staging.uploads import LinkRates, UploadLimiter
 from cassiahitch.standins.networks import loopback_address
 from cassiahitch.standins.weightservice import WeightService
@@ -35,7 +35,7 @@
             address = loopback_address(0, 0)
             listener = listen(address, 0)
             peers = PeerClient(http_client, bound_port(listener), REGION, window)
-            repository = ChunkRepository(unused, unused, peers)
+            repository = make_repository(unused, unused, peers)
             manifest = make_manifest(WEIGHTS, tuple(weights.digests(1)), (CHUNK_BYTES,) * 2)
             repository.cache.add_version(WEIGHTS, manifest).contents = dict(
                 enumerate(weights.chunks[1])
--- a/tests/direct/staging/test_staging.py
+++ b/tests/direct/staging/test_staging.py
@@ -10,12 +10,13 @@
 from dataclasses import dataclass, field
 
 from direct_callers import run, wait_until
+from repositories import make_repository
 
 from cassiahitch.direct.staging.chunks import VersionChunks, WeightsId, make_manifest
 from cassiahitch.direct.staging.enginestate import EngineReport, LoadOutcome
+from cassiahitch.direct.staging.layout import ManifestDocument, WeightsLayout
 from cassiahitch.direct.staging.peerclient import PeerClient
 from cassiahitch.direct.staging.receiving import ReceiveWindow
-from cassiahitch.direct.staging.repository import ChunkRepository
 from cassiahitch.direct.staging.staging import Stager
 from cassiahitch.direct.state.layers import LayerRange
 from cassiahitch.standins.directsite import DirectSite, DirectSiteSize
@@ -53,7 +54,7 @@
 class NoOrigin:
     """Fails the test if it is called."""
 
-    async def manifest(self, url: str, model: str, version: int) -> tuple[int, tuple[str, ...]]:
+    async def manifest(self, url: str, model: str, version: int) -> ManifestDocument:
         raise AssertionError
 
     async def chunk(self, url: str, model: str, version: int, index: int) -> bytes:
@@ -71,7 +72,8 @@
 
 def make_stager(engine: SlowEngine, http_client: HttpClient) -> Stager:
     peers = PeerClient(http_client, 1, 'r', ReceiveWindow.of_link(1))
-    return Stager(engine, ChunkRepository(engine, NoOrigin(), peers))
+    layout = WeightsLayout('m', CHUNKS, 64)
+    return Stager(engine, make_repository(engine, NoOrigin(), peers, layout))
 
 
 def test_chunks_of_a_newer_version_are_not_stored_among_those_being_loaded() -> None:
--- a/tests/support/slow_link.py
+++ b/tests/support/slow_link.py
@@ -11,11 +11,13 @@
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
+from repositories import make_repository
+
 from cassiahitch.direct.staging.chunks import WeightsId
 from cassiahitch.direct.staging.fetching import VersionFetch
+from cassiahitch.direct.staging.layout import ManifestDocument, WeightsLayout
 from cassiahitch.direct.staging.peerclient import PeerClient
 from cassiahitch.direct.staging.receiving import ReceiveWindow
-from cassiahitch.direct.staging.repository import ChunkRepository
 from cassiahitch.direct.telemetry import StateLog
 from cassiahitch.metrics.registry import Metrics
 from cassiahitch.standins.weightservice import WeightService
@@ -122,8 +124,8 @@
             HTTPStatus.OK if byte_range is None else HTTPStatus.PARTIAL_CONTENT, content
         )
 
-    async def manifest(self, _url: str, _model: str, version: int) -> tuple[int, tuple[str, ...]]:
-        return version, tuple(self.weights.digests(version))
+    async def manifest(self, _url: str, _model: str, version: int) -> ManifestDocument:
+        return ManifestDocument(tuple(self.weights.digests(version)), version=version)
 
     async def chunk(self, _url: str, _model: str, version: int, index: int) -> bytes:
         content = self.weights.chunks[version][index]
@@ -187,9 +189,8 @@
         engine: Any = None
         window = ReceiveWindow.of_link(HOST_MBIT_S)
         peers = PeerClient(peers_and_origin, 7700, LOCAL_AGENT.region, window)
-        repository = ChunkRepository(
-            engine, peers_and_origin, peers, chunk_bytes=CHUNK_BYTES, chunk_count=CHUNKS
-        )
+        layout = WeightsLayout(WEIGHTS.model, CHUNKS, CHUNK_BYTES)
+        repository = make_repository(engine, peers_and_origin, peers, layout)
         repository.origin_mbit_s = ORIGIN_MBIT_S
         repository.staged_weights = WeightsId(WEIGHTS.version - 1, WEIGHTS.model)
         return VersionFetch(
