Verify a recorded load again unless all declared chunks were verified

Cause: the row names a load, not by how many chunks it was proven.

Change: the row says how many chunks were verified. If that is not the declared number, the staged chunks are verified before the engine serves. The release before never stored a chunk that its manifest did not list, so that chunks which are all sound now were so when the engine took them; otherwise the version is loaded again. A sound load isn't loaded again, also if its row has no number.

Tests: test_load_recorded_by_a_release_that_missed_chunks_serves_no_requests fails on the commit before (requests begin on version 2 with a chunk of version 1) and passes now.

--- a/src/cassiahitch/direct/staging/loadorders.py
+++ b/src/cassiahitch/direct/staging/loadorders.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 from cassiahitch.codes import Code
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from cassiahitch.direct.staging.enginestate import EngineReport, StagingEngine
     from cassiahitch.direct.staging.loadrecords import LoadRecords
-    from cassiahitch.direct.staging.loadtrust import LoadTrust
+    from cassiahitch.direct.staging.loadtrust import LoadTrust, ProvenLoad
     from cassiahitch.direct.staging.repository import ChunkRepository
     from cassiahitch.direct.staging.staging import Stager
     from cassiahitch.direct.telemetry import StateLog
@@ -109,8 +109,9 @@
         :raises PlatformError: ``engine_unavailable``.
         """
         report = await self.read_report()
+        loaded = WeightsId(report.loaded_version(target.model), target.model)
         try:
-            record = await self.records.read()
+            record = await self.read_record(loaded)
         except PlatformError as error:
             self.record_due_at = asyncio.get_running_loop().time() + RECORD_RETRY_S
             self.log.state_changed(
@@ -128,6 +129,32 @@
         if not proven and report.loading:
             await self.verify_load_in_progress(target)
 
+    async def read_record(self, loaded: WeightsId) -> ProvenLoad | None:
+        """Read which load was sound, and verify it again unless all declared chunks were verified.
+
+        Load pattern: an agent is upgraded from a release that used manifests which lacked chunks.
+        That release never stored a chunk that its manifest did not list, so that chunks which are
+        all sound now were so when the engine took them.
+
+        :param loaded: the version that the engine has.
+        :return: the load, None if there is none.
+        :raises PlatformError: ``store_unavailable`` or ``engine_unavailable``, or if there is no
+            manifest.
+        """
+        record = await self.records.read()
+        declared = self.repository.layout.chunk_count
+        if record is None or record.chunks == declared or not loaded.version:
+            return record
+        if record.loads < self.trust.loads:
+            # The engine has begun another load since.
+            return record
+        async with self.stager.lock:
+            corrupt = await self.stager.corrupt_chunks(loaded)
+        self.log.state_changed(
+            'recorded load verified', weights=loaded.version, chunks=record.chunks, corrupt=corrupt
+        )
+        return None if corrupt else replace(record, chunks=declared)
+
     async def verify_load_in_progress(self, target: WeightsId) -> None:
         """Verify the chunks of a load that was in progress when this agent started.
 
@@ -162,7 +189,7 @@
         :raises PlatformError: ``engine_unavailable``, or if there is no manifest.
         """
         if not weights.version:
-            self.trust.accept()
+            self.trust.accept(0)
             return
         ordered = self.trust.ordered
         corrupt = await self.stager.corrupt_chunks(weights)
@@ -170,7 +197,9 @@
             # The engine has restarted, and the weights are gone.
             return
         replaced = self.trust.replaced_chunks
-        proven = self.trust.record_verification(sound=not corrupt)
+        proven = self.trust.record_verification(
+            sound=not corrupt, chunks=self.repository.layout.chunk_count
+        )
         self.log.state_changed(
             'load proven' if proven else 'load unsound',
             model=weights.model,
--- a/src/cassiahitch/direct/staging/loadrecords.py
+++ b/src/cassiahitch/direct/staging/loadrecords.py
@@ -25,10 +25,15 @@
 
 
 class LoadRow(BaseModel):
-    """Content of the row of an engine: when it started, and its last load that was sound."""
+    """Content of the row of an engine: when it started, and its last load that was sound.
+
+    ``chunks`` is how many chunks were verified; releases that did not compare manifests with the
+    configuration left it out.
+    """
 
     born_ms: NonNegativeInt
     loads: NonNegativeInt
+    chunks: NonNegativeInt = 0
 
 
 @dataclass(slots=True)
@@ -79,10 +84,12 @@
 
         :param proven: the load.
         """
-        content = LoadRow(born_ms=proven.born_ms, loads=proven.loads).model_dump_json().encode()
+        row = LoadRow(born_ms=proven.born_ms, loads=proven.loads, chunks=proven.chunks)
         era = self.store.era.latest
         try:
-            outcome = await self.store.commit((), (Write(self.table, self.host, content),))
+            outcome = await self.store.commit(
+                (), (Write(self.table, self.host, row.model_dump_json().encode()),)
+            )
         except PlatformError as error:
             self.log.state_changed(
                 'load not recorded', code=error.code.value, detail=error.detail, loads=proven.loads
@@ -101,7 +108,7 @@
     except ValidationError:
         # Such a row proves nothing, and the next load that is proven replaces it.
         return None
-    return ProvenLoad(row.born_ms, row.loads)
+    return ProvenLoad(row.born_ms, row.loads, row.chunks)
 
 
 __all__ = (
--- a/src/cassiahitch/direct/staging/loadtrust.py
+++ b/src/cassiahitch/direct/staging/loadtrust.py
@@ -23,11 +23,12 @@
 class ProvenLoad:
     """A load that was sound: its number among those of an incarnation of an engine.
 
-    The incarnation started at ``born_ms``.
+    The incarnation started at ``born_ms``. ``chunks`` is how many chunks were verified.
     """
 
     born_ms: int
     loads: int
+    chunks: int = 0
 
 
 @dataclass(slots=True)
@@ -35,7 +36,8 @@
     """Tells which weights of the current incarnation of an engine may not serve requests.
 
     ``loads`` is how many loads the engine had begun at its last report, and ``proven_loads`` how
-    many it had begun when the last of them was known to be sound. ``ordered`` are weights whose
+    many it had begun when the last of them was known to be sound, by ``proven_chunks`` chunks that
+    were verified. ``ordered`` are weights whose
     order the engine may have executed or may still execute, unless it had begun more loads than
     ``loads_before`` already, and ``unacknowledged`` is set if that order got no response.
     ``replaced_chunks`` is set if staged chunks of them were replaced since, so that a verification
@@ -47,6 +49,7 @@
     born_ms: int | None = None
     loads: int = 0
     proven_loads: int = 0
+    proven_chunks: int = 0
     ordered: WeightsId | None = None
     loads_before: int = 0
     unacknowledged: bool = False
@@ -89,6 +92,7 @@
         self.born_ms = report.born_ms
         self.loads = report.load_orders
         self.proven_loads = 0
+        self.proven_chunks = 0
         self.ordered = None
         self.unacknowledged = False
         self.replaced_chunks = False
@@ -146,15 +150,16 @@
             case _ if not self.unacknowledged:
                 self.ordered = None
 
-    def record_verification(self, *, sound: bool) -> bool:
+    def record_verification(self, *, sound: bool, chunks: int = 0) -> bool:
         """Record the verification of the staged chunks after the engine accepted the order.
 
         :param sound: whether all chunks are as they were before the order.
+        :param chunks: how many chunks were verified.
         :return: whether the engine took sound chunks and has not begun another load since.
         """
         proven = sound and self.has_ordered_load and not self.replaced_chunks
         if proven:
-            self.accept()
+            self.accept(chunks)
         else:
             self.give_up()
         return proven
@@ -168,11 +173,16 @@
         self.record_read = True
         if record is not None and record.born_ms == self.born_ms:
             self.proven_loads = max(self.proven_loads, min(record.loads, self.loads))
+            self.proven_chunks = record.chunks
         return not self.has_unproven_load
 
-    def accept(self) -> None:
-        """Take the last load that the engine has begun for sound."""
+    def accept(self, chunks: int) -> None:
+        """Take the last load that the engine has begun for sound.
+
+        :param chunks: how many chunks were verified.
+        """
         self.proven_loads = self.loads
+        self.proven_chunks = chunks
         self._forget_order()
 
     def give_up(self) -> None:
@@ -187,7 +197,7 @@
         """
         if self.born_ms is None or not self.loads or self.has_unproven_load:
             return None
-        return ProvenLoad(self.born_ms, self.loads)
+        return ProvenLoad(self.born_ms, self.loads, self.proven_chunks)
 
     def _forget_order(self) -> None:
         self.ordered = None
--- a/tests/direct/staging/test_loads_across_restarts.py
+++ b/tests/direct/staging/test_loads_across_restarts.py
@@ -13,6 +13,7 @@
 from direct_callers import run_site_in_virtual_time, send_request, wait_until
 from disturbed_engine import disturb, engine_of
 
+from cassiahitch.standins.configurations import CHUNK_COUNT
 from cassiahitch.standins.directsite import DirectSite, DirectSiteSize
 
 if TYPE_CHECKING:
@@ -195,3 +196,62 @@
         assert weights.version == 2
 
     run_site_in_virtual_time(body, SITE)
+
+
+def replace_record(site: DirectSite, **fields: int) -> None:
+    """Write the row of the engine's load as another release of the agent does."""
+    agent = site.agents[0]
+    row = {'born_ms': site.models[0].started_at_ms, 'loads': engine_of(site).load_sequence}
+    site.store.put(agent.parts.loader.orders.records.table, agent.settings.address, row | fields)
+
+
+@pytest.mark.parametrize('fields', [{}, {'chunks': CHUNK_COUNT - 1}])
+def test_load_recorded_by_a_release_that_missed_chunks_serves_no_requests(
+    fields: dict[str, int],
+) -> None:
+    async def body(site: DirectSite) -> None:
+        weights = engine_of(site)
+        engine = disturb(site.agents[0], weights)
+        engine.lost_version = 2
+        site.publish_version(2)
+        await wait_until(lambda: bool(engine.lost_orders))
+        await site.agents[0].stop()
+        weights.staged[CHUNK_COUNT - 1] = site.weights.chunks[1][CHUNK_COUNT - 1]
+        await engine.engine.load(*engine.lost_orders.pop())
+        await wait_until(lambda: weights.version == 2)
+        assert weights.loaded_digest != site.weights.content_digest(2)
+        replace_record(site, **fields)
+        site.register(site.models[0])
+        await site.restart_agent(0)
+        for _ in range(REQUESTS):
+            is_whole = weights.loaded_digest == site.weights.content_digest(2)
+            await send_request(site.entries[0], '/draft/1', deadline_ms=300)
+            assert is_whole or 2 not in served_versions(site)
+            await asyncio.sleep(REQUEST_INTERVAL_S)
+        await wait_until(lambda: weights.loaded_digest == site.weights.content_digest(2))
+        await wait_until(lambda: not site.agents[0].parts.loader.orders.trust.has_unproven_load)
+
+    run_site_in_virtual_time(body, SITE)
+
+
+@pytest.mark.parametrize('fields', [{}, {'chunks': CHUNK_COUNT}])
+def test_sound_load_recorded_by_another_release_is_not_loaded_again(
+    fields: dict[str, int],
+) -> None:
+    async def body(site: DirectSite) -> None:
+        weights = engine_of(site)
+        site.publish_version(2)
+        trust = site.agents[0].parts.loader.orders.trust
+        await wait_until(lambda: weights.version == 2 and trust.proven_load() is not None)
+        await site.agents[0].stop()
+        loads = weights.load_sequence
+        replace_record(site, **fields)
+        site.weights.down = bool(fields)
+        await site.restart_agent(0)
+        restarted = site.agents[0].parts.loader.orders
+        await wait_until(lambda: restarted.trust.proven_chunks == CHUNK_COUNT)
+        await asyncio.sleep(1)
+        assert weights.load_sequence == loads
+        assert restarted.records.recorded == restarted.trust.proven_load()
+
+    run_site_in_virtual_time(body, SITE)
