Refuse requests for chunks that cannot exist

A request for another model raised the newest version of the own one, so that requests for it were answered 404.

Change: requests and chunk maps for another model or a position beyond the declared number are refused, as are numbers of more than ten digits.

Tests: six cases of test_request_for_a_chunk_that_cannot_exist_changes_nothing fail without the change and pass with it.

--- a/src/cassiahitch/direct/staging/chunkmaps.py
+++ b/src/cassiahitch/direct/staging/chunkmaps.py
@@ -57,7 +57,8 @@
         """
         weights = WeightsId(message.version, message.model)
         held = _parse_bitmap(message.held)
-        if not self.repository.is_expected(weights):
+        layout = self.repository.layout
+        if not layout.has_chunk(weights.model, 0) or not self.repository.is_expected(weights):
             return
         fetch = self.fetches.get(weights)
         if fetch is not None:
--- a/src/cassiahitch/direct/staging/chunkservice.py
+++ b/src/cassiahitch/direct/staging/chunkservice.py
@@ -24,15 +24,15 @@
 CHUNK_WAIT_S = 0.6
 CLOSED_RANGE = re.compile('bytes=([0-9]{1,9})-([0-9]{1,9})')
 FULL_CHUNK = slice(0, None)
-CHUNK_ROUTE = r'/chunks/([^/]+)/([0-9]+)/([0-9]+)'
-MANIFEST_ROUTE = r'/manifests/([^/]+)/([0-9]+)'
+CHUNK_ROUTE = r'/chunks/([^/]+)/([0-9]{1,10})/([0-9]{1,10})'
+MANIFEST_ROUTE = r'/manifests/([^/]+)/([0-9]{1,10})'
 
 
 class ChunkHandler(RequestHandler):
     """Serves one chunk.
 
     Status 503 means that this host does not hold the chunk yet or is sending too many chunks,
-    status 404 that it does not expect the version. With ``look`` in the query, the response has no
+    status 404 that it does not expect the version or that there is no such chunk. With ``look`` in the query, the response has no
     body: it is 204 once this host holds the chunk, or 503 after ``CHUNK_WAIT_S``.
     """
 
@@ -57,7 +57,8 @@
         :param index: the position of the chunk.
         """
         weights = WeightsId(int(version), model)
-        if not self.repository.is_expected(weights):
+        is_declared = self.repository.layout.has_chunk(weights.model, int(index))
+        if not is_declared or not self.repository.is_expected(weights):
             self.set_status(HTTPStatus.NOT_FOUND)
             return
         if self.get_query_argument('look', ''):
--- a/src/cassiahitch/direct/staging/layout.py
+++ b/src/cassiahitch/direct/staging/layout.py
@@ -79,6 +79,16 @@
                 raise PlatformError(Code.manifest_corrupt, f'digest {index} is malformed')
         return make_manifest(weights, document.digests, (self.chunk_bytes,) * count)
 
+    def has_chunk(self, model: str, index: int) -> bool:
+        """Return whether a chunk that another agent names can exist.
+
+        :param model: the model.
+        :param index: position of the chunk.
+        :return: False if the configuration declares another model or fewer chunks.
+        """
+        is_model = model == self.model or not self.model
+        return is_model and (index < self.chunk_count or not self.chunk_count)
+
     def fits(self, chunks: VersionChunks) -> bool:
         """Return whether the cached chunks of a version are split in this way.
 
--- a/tests/direct/staging/test_chunkservice.py
+++ b/tests/direct/staging/test_chunkservice.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+from http import HTTPStatus
 from typing import Any
 
 import pytest
+from direct_callers import run_site_in_virtual_time, wait_until
 from repositories import make_repository
 from tornado.httpserver import HTTPServer
 
@@ -14,9 +16,11 @@
 from cassiahitch.direct.staging.peerclient import ChunkDownload, PeerClient, TransferState
 from cassiahitch.direct.staging.receiving import PART_BYTES, ReceiveWindow
 from cassiahitch.direct.staging.uploads import LinkRates, UploadLimiter
+from cassiahitch.standins.configurations import CHUNK_COUNT, MODEL
+from cassiahitch.standins.directsite import PEER_PORT, DirectSite, DirectSiteSize
 from cassiahitch.standins.networks import loopback_address
 from cassiahitch.standins.weightservice import WeightService
-from cassiahitch.stores.http_client import HttpClient
+from cassiahitch.stores.http_client import HttpCall, HttpClient
 from cassiahitch.util.listening import bound_port, listen
 from cassiahitch.weights.tree import Tier
 
@@ -58,6 +62,34 @@
     asyncio.run(body())
 
 
+@pytest.mark.parametrize(
+    'path',
+    [
+        f'chunks/{MODEL}/1/{CHUNK_COUNT}',
+        f'chunks/{MODEL}/1/999999999',
+        f'chunks/{MODEL}/1/{"9" * 40}',
+        f'chunks/{MODEL}/{"9" * 40}/1',
+        'chunks/m2/1/1',
+        'chunks/m2/99/1',
+    ],
+)
+def test_request_for_a_chunk_that_cannot_exist_changes_nothing(path: str) -> None:
+    """Guards against a position that an agent adds to its bitmap of corrupt chunks."""
+
+    async def body(site: DirectSite) -> None:
+        repository = site.agents[0].parts.repository
+        await wait_until(lambda: repository.staged_weights is not None)
+        newest = repository.newest_version
+        async with HttpClient() as http_client:
+            url = f'http://{site.agents[0].settings.address}:{PEER_PORT}/{path}'
+            response = await http_client.call(HttpCall('GET', url, None, 3))
+        assert response.status == HTTPStatus.NOT_FOUND
+        assert (repository.corrupt_staged, repository.newest_version) == (set(), newest)
+        assert repository.offered_bitmap(WeightsId(1, MODEL)) == (1 << CHUNK_COUNT) - 1
+
+    run_site_in_virtual_time(body, DirectSiteSize(entries=1, models=1, plain=0))
+
+
 @pytest.mark.parametrize(
     ('header', 'span'),
     [
