Look for no header in a connection that is being closed

Cause: a head without room makes the guard close the largest connections, mostly the one that asks. The base class looks for the end of a pending read before it closes; that asked for room again, and the guard chose the same connection, which wasn't closed yet. RecursionError ended this, but left the connection open and readable, so that the next iteration of the event loop began anew. A single client is enough.

Change: a connection that is being closed looks for no header, so that a close never asks for room and costs one step.

--- a/src/cassiahitch/direct/connections/stream.py
+++ b/src/cassiahitch/direct/connections/stream.py
@@ -54,6 +54,7 @@
         self._searched_bytes = 0
         self._fields = 0
         self._discards_body = False
+        self._is_closing = False
 
     def read_until_regex(self, regex: bytes, max_bytes: int | None = None) -> Awaitable[bytes]:
         """Read the header of the next request.
@@ -138,8 +139,12 @@
     def close(self, exc_info: Any = False) -> None:  # noqa: FBT002 (as in the base class)
         """Close the connection.
 
+        The base class looks for the end of a pending read first. A header that was not parsed by
+        now is dropped: looking for room for it would close connections, this one among them.
+
         :param exc_info: error that is the reason.
         """
+        self._is_closing = True
         super().close(exc_info)
         if isinstance(exc_info, UnsatisfiableReadError):
             self._drop_buffer()
@@ -222,6 +227,8 @@
     def _find_read_pos(self) -> int | None:
         if not self._reads_header or self._read_regex is None:
             return super()._find_read_pos()
+        if self._is_closing:
+            return None
         # The base class searches all bytes again whenever some arrive.
         start = max(0, self._searched_bytes - SEARCH_OVERLAP_BYTES)
         found = self._read_regex.search(self._read_buffer, start)
