Use only rows that have all fields of a replica

Cause: the model of the row had defaults for missing fields, did not know others, and converted other types.

Change: each field that a replica writes is required, with its own type.

test_any_cold_time_in_a_row_leaves_the_replica_usable asked for the contrary where coldMs is no number. It is replaced by test_any_number_is_a_cold_time and test_row_with_a_cold_time_that_is_no_number_names_no_replica.

--- a/src/cassiahitch/platform/documents.py
+++ b/src/cassiahitch/platform/documents.py
@@ -40,15 +40,15 @@
 MAX_PACE = 1e6
 
 
-def _time_or_zero(number: Any) -> float:
-    """Return a duration in milliseconds, 0 if a row contains anything else instead."""
-    is_number = isinstance(number, int | float) and not isinstance(number, bool)
-    return min(number, MAX_TIME_MS) if is_number and number > 0 else 0
+def _bounded_time(milliseconds: Any) -> Any:
+    """Return a duration within bounds; anything but a number is left for the validation."""
+    is_number = isinstance(milliseconds, int | float) and not isinstance(milliseconds, bool)
+    return max(0, min(milliseconds, MAX_TIME_MS)) if is_number else milliseconds
 
 
 _NonNegativeInt64 = Annotated[int, Field(ge=0, le=MAX_INT64)]
 _NonNegativeInt32 = Annotated[int, Field(ge=0, le=MAX_INT32)]
-_OptionalTime = Annotated[float, BeforeValidator(_time_or_zero)]
+_BoundedTime = Annotated[float, BeforeValidator(_bounded_time)]
 _PositiveNumber = Annotated[float, Field(gt=0, le=MAX_TIME_MS)]
 _PositiveInt32 = Annotated[int, Field(ge=1, le=MAX_INT32)]
 _Priority = Annotated[int, Field(ge=-MAX_INT32, le=MAX_INT32)]
@@ -214,15 +214,25 @@
 
 
 class _ReplicaModel(CamelModel):
+    """A row that a replica wrote itself, which has all of these fields.
+
+    Other writers may leave rows that lack some, or have others in their place; conversions such as
+    that of text to a number would accept them.
+    """
+
+    model_config = ConfigDict(strict=True)
+
     service: str
     address: str
     zone: str
+    version: str
     state: Literal['ready', 'draining']
-    slots: Annotated[int, Field(le=MAX_INT32)] = 1
-    born: _NonNegativeInt64 = 0
+    slots: Annotated[int, Field(le=MAX_INT32)]
+    seq: _NonNegativeInt64
+    born: _NonNegativeInt64
+    cold_ms: _BoundedTime
     models: tuple[_ModelVersionModel, ...] = ()
     layers: _LayerRangeModel | tuple[_LayerRangeModel, ...] | None = None
-    cold_ms: _OptionalTime = 0
 
 
 class _VersionModel(CamelModel):
--- a/tests/direct/state/test_coldness.py
+++ b/tests/direct/state/test_coldness.py
@@ -12,10 +12,12 @@
 
 import pytest
 
+from cassiahitch.codes import Code
 from cassiahitch.direct.staging.ratelimiter import RateLimiter
 from cassiahitch.direct.state.coldness import MAX_COLD_S, ColdRegistry, cold_record
 from cassiahitch.direct.state.coldshares import JOIN_DELAY_S, TURN_S, USED_FRACTION, ColdShares
 from cassiahitch.direct.state.replicas import Replica
+from cassiahitch.errors import PlatformError
 from cassiahitch.platform.documents import decode_replica
 from cassiahitch.util.endpoints import Endpoint
 from cassiahitch.wire.datagrammessages import ColdRecord
@@ -96,14 +98,26 @@
     assert hash(_replica(3000)) == hash(_replica(0))
 
 
-@pytest.mark.parametrize('value', ['"3000"', 'null', '-5', 'true', '[1]', '{}', '1e999', '3000'])
-def test_any_cold_time_in_a_row_leaves_the_replica_usable(value: str) -> None:
+def row_with_cold_time(text: str) -> bytes:
     row = (
-        '{"service": "drafts", "address": "10.0.0.1:80", "zone": "north-1", "state": "ready", '
-        f'"coldMs": {value}}}'
+        '{"service": "drafts", "address": "10.0.0.1:80", "zone": "north-1", "version": "v1", '
+        f'"state": "ready", "slots": 4, "seq": 1, "born": 1, "coldMs": {text}}}'
     )
-    replica = decode_replica('m-0', row.encode())
-    assert replica.cold_ms == {'3000': 3000, '1e999': 1e12}.get(value, 0)
+    return row.encode()
+
+
+@pytest.mark.parametrize(
+    ('text', 'cold_ms'), [('3000', 3000), ('0.5', 0.5), ('-5', 0), ('1e999', 1e12)]
+)
+def test_any_number_is_a_cold_time(text: str, cold_ms: float) -> None:
+    assert decode_replica('m-0', row_with_cold_time(text)).cold_ms == cold_ms
+
+
+@pytest.mark.parametrize('text', ['"3000"', 'null', 'true', '[1]', '{}'])
+def test_row_with_a_cold_time_that_is_no_number_names_no_replica(text: str) -> None:
+    with pytest.raises(PlatformError) as caught:
+        decode_replica('m-0', row_with_cold_time(text))
+    assert caught.value.code is Code.store_row_corrupt
 
 
 class Fleet:
--- a/tests/direct/test_odd_rows.py
+++ b/tests/direct/test_odd_rows.py
@@ -23,6 +23,8 @@
 ODD_KEY = 'odd'
 #: Time in which a change of the store reaches all entries, in seconds.
 PROPAGATION_S = 1.2
+#: Requests of which a listed server would get a share.
+ORDERS = 30
 PATHS = ('/lookup/1', '/order/1', '/draft/1')
 #: Largest log line, in characters.
 MAX_LINE_CHARS = 4096
@@ -181,3 +183,19 @@
 
     monkeypatch.setattr(StoredRow, 'document', odd_document)
     run_beside_odd_row(write, line_lengths)
+
+
+@pytest.mark.parametrize('name', ['version', 'slots', 'coldMs', 'seq', 'born'])
+def test_server_whose_row_lacks_a_field_gets_no_requests(name: str) -> None:
+    """Guards against orders that run at a server which is no replica of their service."""
+
+    async def body(site: DirectSite) -> None:
+        stranger = await site.add_plain_replica(len(site.plain))
+        row = {key: field for key, field in stranger.row().items() if key != name}
+        site.store.put(names.REPLICA_TABLE, stranger.id, row)
+        await asyncio.sleep(PROPAGATION_S)
+        for _ in range(ORDERS):
+            assert (await send_request(site.entries[0], '/order/1')).status == 200
+        assert not stranger.runs
+
+    run_site_in_virtual_time(body, DirectSiteSize(entries=1, models=0, plain=2))
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -103,6 +103,16 @@
         {'address': 'nowhere'},
         {'service': None},
         {'slots': 'many'},
+        {'slots': '16'},
+        {'slots': 16.5},
+        {'slots': True},
+        {'address': 7},
+        {'version': 1},
+        {'seq': '4'},
+        {'seq': -1},
+        {'born': '17'},
+        {'born': 17.5},
+        {'coldMs': '0'},
         {'models': 3},
     ],
 )
@@ -112,6 +122,16 @@
     assert raised.value.code is Code.store_row_corrupt
 
 
+@pytest.mark.parametrize('name', sorted(REPLICA.keys() - {'models', 'layers'}))
+@pytest.mark.parametrize('is_null', [False, True])
+def test_replica_row_that_lacks_a_field_names_no_replica(name: str, *, is_null: bool) -> None:
+    """Guards against requests to the address in a row that no replica wrote."""
+    row = {key: field for key, field in REPLICA.items() if key != name}
+    with pytest.raises(PlatformError) as raised:
+        decode_replica('i-1', encode_json(row | {name: None} if is_null else row))
+    assert raised.value.code is Code.store_row_corrupt
+
+
 @given(st.binary(max_size=60) | JSON_VALUES.map(encode_json))
 def test_any_content_is_read_or_refused_with_a_code(content: bytes) -> None:
     for decode in (decode_catalogue, decode_version, decode_report, decode_manifest):
