--- a/src/cassiahitch/soak/events.py
+++ b/src/cassiahitch/soak/events.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from cassiahitch.soak.proxy import LinkFault
+    from cassiahitch.standins.weightservice import ManifestFault
 
 
 class Area(StrEnum):
@@ -205,6 +206,15 @@
     positions: tuple[int, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class SpoilManifests:
+    """Let the next ``count`` manifests that the origin sends have a fault."""
+
+    at: float
+    count: int
+    fault: ManifestFault
+
+
 @dataclass(frozen=True, slots=True)
 class ExecuteLate:
     """Let all engines execute some calls of their agents late; ``seed`` selects the calls."""
@@ -229,6 +239,7 @@
     | KillAtCall
     | CorruptChunks
     | ExecuteLate
+    | SpoilManifests
 )
 
 
@@ -251,6 +262,7 @@
     'Pause',
     'Reload',
     'RollOutLate',
+    'SpoilManifests',
     'StoreFailure',
     'Terminate',
 )
--- a/src/cassiahitch/soak/faults.py
+++ b/src/cassiahitch/soak/faults.py
@@ -28,6 +28,7 @@
     Pause,
     Reload,
     RollOutLate,
+    SpoilManifests,
     StoreFailure,
     Terminate,
 )
@@ -41,7 +42,12 @@
     WeightsNamed,
     stop_target,
 )
-from cassiahitch.soak.weightfaults import corrupt_chunks, execute_late, kill_at_call
+from cassiahitch.soak.weightfaults import (
+    corrupt_chunks,
+    execute_late,
+    kill_at_call,
+    spoil_manifests,
+)
 from cassiahitch.standins.backends import Fault
 from cassiahitch.standins.configurations import (
     organisations_by_key,
@@ -153,6 +159,8 @@
                 effect = corrupt_chunks(self.site, event)
             case ExecuteLate():
                 effect = execute_late(self.site, event)
+            case SpoilManifests():
+                effect = spoil_manifests(self.site, event)
         return await effect
 
     async def apply_load(
--- a/src/cassiahitch/soak/weightfaults.py
+++ b/src/cassiahitch/soak/weightfaults.py
@@ -12,7 +12,13 @@
 
 if TYPE_CHECKING:
     from cassiahitch.soak.backend import SoakBackend
-    from cassiahitch.soak.events import AgentCall, CorruptChunks, ExecuteLate, KillAtCall
+    from cassiahitch.soak.events import (
+        AgentCall,
+        CorruptChunks,
+        ExecuteLate,
+        KillAtCall,
+        SpoilManifests,
+    )
     from cassiahitch.soak.site import SoakSite
 
 POLL_INTERVAL_S = 0.005
@@ -68,6 +74,18 @@
     return (event.engine,)
 
 
+async def spoil_manifests(site: SoakSite, event: SpoilManifests) -> tuple[str, ...]:
+    """Let the origin send faulty manifests.
+
+    :param site: the site.
+    :param event: the event.
+    :return: no targets, since agents ask again.
+    """
+    site.weights.manifest_fault = event.fault
+    site.weights.corrupt_manifests = event.count
+    return ()
+
+
 async def execute_late(site: SoakSite, event: ExecuteLate) -> tuple[str, ...]:
     """Let all engines execute some calls of their agents late.
 
@@ -88,5 +106,6 @@
     'corrupt_chunks',
     'execute_late',
     'kill_at_call',
+    'spoil_manifests',
     'wait_for_call',
 )
--- a/src/cassiahitch/soak/weightplan.py
+++ b/src/cassiahitch/soak/weightplan.py
@@ -17,7 +17,9 @@
     FailBackend,
     KillAtCall,
     Pause,
+    SpoilManifests,
 )
+from cassiahitch.standins.weightservice import ManifestFault
 
 #: Shortest and longest time between two versions, in seconds.
 MIN_VERSION_INTERVAL_S = 2.0
@@ -47,6 +49,9 @@
 MAX_SILENCE_S = 1.0
 #: Most chunks that turn corrupt at a time.
 MAX_CORRUPT_CHUNKS = 3
+#: Mean seconds between two series of faulty manifests, and the most manifests of a series.
+SPOILT_INTERVAL_S = 6.0
+MAX_SPOILT_MANIFESTS = 6
 
 
 def draw_weights(
@@ -72,9 +77,19 @@
             count = rng.randint(1, min(MAX_CORRUPT_CHUNKS, chunks))
             positions = tuple(sorted(rng.sample(range(chunks), count)))
             events.append(CorruptChunks(at, f'm-{number}', positions))
+    events.extend(_draw_spoilt_manifests(rng, first_s, latest_s))
     return events
 
 
+def _draw_spoilt_manifests(rng: random.Random, first_s: float, latest_s: float) -> Iterator[Event]:
+    # Drawn from a copy, so that the other events of a seed stay as they were without these.
+    copy = random.Random()
+    copy.setstate(rng.getstate())
+    for at in _times(copy, SPOILT_INTERVAL_S, first_s, latest_s):
+        count = copy.randint(1, MAX_SPOILT_MANIFESTS)
+        yield SpoilManifests(at, count, copy.choice(tuple(ManifestFault)))
+
+
 def _draw_kills(
     rng: random.Random, first_s: float, latest_s: float, number: int
 ) -> Iterator[Event]:
--- a/tests/soak/test_soak_weightplan.py
+++ b/tests/soak/test_soak_weightplan.py
@@ -12,6 +12,7 @@
     FailBackend,
     KillAtCall,
     Pause,
+    SpoilManifests,
 )
 from cassiahitch.soak.plan import Size, make_plan
 from cassiahitch.soak.weightplan import (
@@ -26,7 +27,15 @@
 
 def test_plan_has_each_kind_of_fault() -> None:
     kinds = {type(event) for event in make_plan(1, SIZE)}
-    assert kinds == {CorruptChunks, Declare, ExecuteLate, FailBackend, KillAtCall, Pause}
+    assert kinds == {
+        CorruptChunks,
+        Declare,
+        ExecuteLate,
+        FailBackend,
+        KillAtCall,
+        Pause,
+        SpoilManifests,
+    }
 
 
 def test_versions_are_named_in_quick_and_in_slow_succession() -> None:
