Take layers with a gap or of two versions for no whole model

Cause: several ranges were read as unknown, which passes every check, and the version of a range was not read.

Change: ranges without a gap and of the version that is reported count as one; anything else as no layers, so that the engine is withheld and loaded again.

Tests: four cases of test_layers_of_two_versions_or_with_a_gap_are_no_whole_model fail before and pass now.

--- a/src/cassiahitch/direct/staging/loadorders.py
+++ b/src/cassiahitch/direct/staging/loadorders.py
@@ -10,7 +10,7 @@
 from cassiahitch.direct.staging.chunks import WeightsId
 from cassiahitch.direct.staging.enginestate import LoadOutcome
 from cassiahitch.direct.state.freshness import boot_time
-from cassiahitch.direct.state.layers import LayerRange, are_all_layers
+from cassiahitch.direct.state.layers import NO_LAYERS, LayerRange, are_all_layers
 from cassiahitch.errors import PlatformError
 
 if TYPE_CHECKING:
@@ -264,7 +264,7 @@
             count = kept.end
         if count <= FIRST_LAYER.end:
             return False
-        if kept is None or kept == LayerRange(0, count):
+        if kept in {None, NO_LAYERS, LayerRange(0, count)}:
             kept = FIRST_LAYER
             if await self.order_layers(target, kept) not in HAS_LAYERS:
                 return False
--- a/src/cassiahitch/direct/state/layers.py
+++ b/src/cassiahitch/direct/state/layers.py
@@ -21,6 +21,10 @@
         return LayerRange(self.end, count) if self.end < count else LayerRange(0, self.first)
 
 
+#: Layers of an engine that has no usable range of them.
+NO_LAYERS = LayerRange(0, 0)
+
+
 def are_all_layers(layers: LayerRange | None, count: int) -> bool:
     """Return whether loaded layers are all layers of a model.
 
@@ -32,6 +36,7 @@
 
 
 __all__ = (
+    'NO_LAYERS',
     'LayerRange',
     'are_all_layers',
 )
--- a/src/cassiahitch/platform/documents.py
+++ b/src/cassiahitch/platform/documents.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from itertools import pairwise
+from operator import attrgetter
 from typing import Annotated, Any, Literal, TypeVar
 
 from pydantic import (
@@ -18,7 +20,7 @@
 from cassiahitch.direct.staging.enginestate import EngineReport
 from cassiahitch.direct.staging.layout import ManifestDocument
 from cassiahitch.direct.state import catalogue
-from cassiahitch.direct.state.layers import LayerRange
+from cassiahitch.direct.state.layers import NO_LAYERS, LayerRange
 from cassiahitch.direct.state.replicas import Replica
 from cassiahitch.direct.state.versions import DeclaredVersion
 from cassiahitch.errors import PlatformError
@@ -281,12 +283,24 @@
 
 
 def _loaded_layers(
+    models: tuple[_ModelVersionModel, ...],
     layers: _LayerRangeModel | tuple[_LayerRangeModel, ...] | None,
 ) -> LayerRange | None:
+    """Return the loaded layers, None if none are reported.
+
+    Ranges with a gap, or not all of the version that is reported as loaded, are no whole model: the
+    result is empty then.
+    """
     ranges = (layers,) if isinstance(layers, _LayerRangeModel) else layers
-    if ranges is None or len(ranges) != 1:
+    if not ranges:
         return None
-    return LayerRange(ranges[0].first, ranges[0].end)
+    ordered = sorted(ranges, key=attrgetter('first'))
+    versions = {layer_range.version for layer_range in ordered}
+    is_gapless = all(before.end == after.first for before, after in pairwise(ordered))
+    is_one_version = len(versions) == 1 and versions <= {model.version for model in models}
+    if is_gapless and is_one_version:
+        return LayerRange(ordered[0].first, ordered[-1].end)
+    return NO_LAYERS
 
 
 def decode_catalogue(content: bytes) -> catalogue.Catalogue:
@@ -354,7 +368,7 @@
         draining=model.state == 'draining',
         born_ms=model.born,
         weights=_loaded_weights(model.models, model.layers),
-        layers=_loaded_layers(model.layers),
+        layers=_loaded_layers(model.models, model.layers),
         cold_ms=model.cold_ms,
     )
 
@@ -380,7 +394,7 @@
     model = _validated(_ReportModel, content, Code.engine_answer_corrupt)
     return EngineReport(
         weights=_loaded_weights(model.models, model.layers),
-        layers=_loaded_layers(model.layers),
+        layers=_loaded_layers(model.models, model.layers),
         loading=model.busy,
         load_orders=model.seq,
         waiting=model.waiting,
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -11,6 +11,7 @@
 
 from cassiahitch.codes import Code
 from cassiahitch.direct.state.catalogue import RepeatPolicy
+from cassiahitch.direct.state.layers import are_all_layers
 from cassiahitch.errors import PlatformError, RequestError
 from cassiahitch.platform.documents import (
     decode_catalogue,
@@ -96,6 +97,32 @@
     assert replica.version('daka') == 0
 
 
+def layer_range(first: int, end: int, version: int = 3) -> dict[str, int]:
+    return {'from': first, 'to': end, 'version': version}
+
+
+@pytest.mark.parametrize(
+    ('layers', 'is_whole'),
+    [
+        ([layer_range(0, 16)], True),
+        ([layer_range(8, 16), layer_range(0, 8)], True),
+        (None, True),
+        ([layer_range(0, 8)], False),
+        ([layer_range(0, 16, version=2)], False),
+        ([layer_range(0, 8, version=2), layer_range(8, 16)], False),
+        ([layer_range(0, 7), layer_range(8, 16)], False),
+        ([layer_range(0, 9), layer_range(8, 16)], False),
+    ],
+)
+def test_layers_of_two_versions_or_with_a_gap_are_no_whole_model(
+    layers: list[dict[str, int]] | None, *, is_whole: bool
+) -> None:
+    """Guards against engines that get requests with layers of the version before."""
+    row = encode_json(REPLICA | {'layers': layers})
+    assert are_all_layers(decode_replica('i-1', row).layers, 16) is is_whole
+    assert are_all_layers(decode_report(row).layers, 16) is is_whole
+
+
 @pytest.mark.parametrize(
     'change',
     [
