Split the decoder of configurations and the take-over of loads from grown modules

The decoder of the operator's configuration and the models that all documents share are modules of their own now, as is the decision on a load that an earlier incarnation of the agent ordered. Only moves and names: behaviour and tests stay as they are.

--- a/src/cassiahitch/direct/staging/chunkservice.py
+++ b/src/cassiahitch/direct/staging/chunkservice.py
@@ -32,8 +32,9 @@
     """Serves one chunk.
 
     Status 503 means that this host does not hold the chunk yet or is sending too many chunks,
-    status 404 that it does not expect the version or that there is no such chunk. With ``look`` in the query, the response has no
-    body: it is 204 once this host holds the chunk, or 503 after ``CHUNK_WAIT_S``.
+    status 404 that it does not expect the version or that there is no such chunk. With ``look`` in
+    the query, the response has no body: it is 204 once this host holds the chunk, or 503 after
+    ``CHUNK_WAIT_S``.
     """
 
     def initialize(
--- a/src/cassiahitch/direct/staging/loading.py
+++ b/src/cassiahitch/direct/staging/loading.py
@@ -6,12 +6,13 @@
 import random
 from collections.abc import Awaitable, Callable
 from contextlib import ExitStack
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from cassiahitch.direct.staging.chunks import WeightsId
 from cassiahitch.direct.staging.fetching import VersionFetch
 from cassiahitch.direct.staging.loadtiming import is_worth_finishing, load_delay_s
+from cassiahitch.direct.staging.takeover import LoadTakeover
 from cassiahitch.direct.staging.uploads import HOST_UTILISATION
 from cassiahitch.direct.staging.urgency import (
     URGENCY_MARGIN_S,
@@ -56,6 +57,11 @@
     rng: random.Random
     map_exchange: ChunkMapExchange
     orders: LoadOrders
+    takeover: LoadTakeover = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Create the decision on loads of an earlier incarnation of the agent."""
+        self.takeover = LoadTakeover(self.orders)
 
     @property
     def report(self) -> EngineReport | None:
@@ -133,6 +139,7 @@
         target = self.updater.target_weights()
         if target is None or self.report is None:
             return
+        await self.takeover.decide(target)
         await self.orders.verify_unproven(target)
         if self.report.stopping or self.orders.is_loaded(target):
             return
--- a/src/cassiahitch/direct/staging/loadorders.py
+++ b/src/cassiahitch/direct/staging/loadorders.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from cassiahitch.codes import Code
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from cassiahitch.direct.staging.enginestate import EngineReport, StagingEngine
     from cassiahitch.direct.staging.loadrecords import LoadRecords
-    from cassiahitch.direct.staging.loadtrust import LoadTrust, ProvenLoad
+    from cassiahitch.direct.staging.loadtrust import LoadTrust
     from cassiahitch.direct.staging.repository import ChunkRepository
     from cassiahitch.direct.staging.staging import Stager
     from cassiahitch.direct.telemetry import StateLog
@@ -29,8 +29,6 @@
 HAS_LAYERS = frozenset((LoadOutcome.begun, LoadOutcome.in_effect))
 #: The layers that an engine keeps while it drops all others.
 FIRST_LAYER = LayerRange(0, 1)
-#: Seconds between two reads of the record of loads while the store is unavailable.
-RECORD_RETRY_S = 1.0
 #: Seconds from an order until the same version is ordered again if corrupt chunks were loaded.
 RELOAD_DELAY_S = 5.0
 
@@ -40,8 +38,8 @@
     """Orders loads, one at a time, and decides which of them may serve.
 
     ``report`` is the last report of the engine, which :class:`LoadReporter` sets as well. Weights
-    that the engine loaded with corrupt chunks are ordered again from ``reload_at`` on. The record
-    of loads is read at ``record_due_at`` or later. Both are in seconds of the event loop's clock.
+    that the engine loaded with corrupt chunks are ordered again from ``reload_at`` on, in seconds
+    of the event loop's clock.
     """
 
     engine: StagingEngine
@@ -52,7 +50,6 @@
     log: StateLog
     report: EngineReport | None = None
     reload_at: float = float('-inf')
-    record_due_at: float = float('-inf')
 
     async def verify_unproven(self, target: WeightsId) -> None:
         """Verify the staged chunks of weights that the engine may have taken in a corrupt state.
@@ -63,8 +60,6 @@
         :param target: the newest version.
         :raises PlatformError: ``engine_unavailable``.
         """
-        if self.trust.awaits_record and asyncio.get_running_loop().time() >= self.record_due_at:
-            await self.take_over(target)
         if self.trust.ordered is None:
             return
         async with self.stager.lock:
@@ -98,79 +93,6 @@
                 detail=error.detail,
             )
 
-    async def take_over(self, target: WeightsId) -> None:
-        """Decide whether the load that an earlier incarnation of this agent ordered is sound.
-
-        Load pattern: an agent is killed while its engine executes an order, and the one started
-        after it finds weights of which it has not seen the order. While the store is unavailable, a
-        newer version may still be loaded.
-
-        :param target: the newest version.
-        :raises PlatformError: ``engine_unavailable``.
-        """
-        report = await self.read_report()
-        loaded = WeightsId(report.loaded_version(target.model), target.model)
-        try:
-            record = await self.read_record(loaded)
-        except PlatformError as error:
-            self.record_due_at = asyncio.get_running_loop().time() + RECORD_RETRY_S
-            self.log.state_changed(
-                'record of loads not read', code=error.code.value, detail=error.detail
-            )
-            return
-        proven = self.trust.apply_record(record)
-        self.log.state_changed(
-            'load taken over' if proven else 'load without record',
-            born_ms=report.born_ms,
-            loads=report.load_orders,
-            recorded=record.loads if record else 0,
-            loading=report.loading,
-        )
-        if not proven and report.loading:
-            await self.verify_load_in_progress(target)
-
-    async def read_record(self, loaded: WeightsId) -> ProvenLoad | None:
-        """Read which load was sound, and verify it again unless all declared chunks were verified.
-
-        Load pattern: an agent is upgraded from a release that used manifests which lacked chunks.
-        That release never stored a chunk that its manifest did not list, so that chunks which are
-        all sound now were so when the engine took them.
-
-        :param loaded: the version that the engine has.
-        :return: the load, None if there is none.
-        :raises PlatformError: ``store_unavailable`` or ``engine_unavailable``, or if there is no
-            manifest.
-        """
-        record = await self.records.read()
-        declared = self.repository.layout.chunk_count
-        if record is None or record.chunks == declared or not loaded.version:
-            return record
-        if record.loads < self.trust.loads:
-            # The engine has begun another load since.
-            return record
-        async with self.stager.lock:
-            corrupt = await self.stager.corrupt_chunks(loaded)
-        self.log.state_changed(
-            'recorded load verified', weights=loaded.version, chunks=record.chunks, corrupt=corrupt
-        )
-        return None if corrupt else replace(record, chunks=declared)
-
-    async def verify_load_in_progress(self, target: WeightsId) -> None:
-        """Verify the chunks of a load that was in progress when this agent started.
-
-        They are as the engine took them unless this agent has stored others meanwhile.
-
-        :param target: the newest version.
-        :raises PlatformError: ``engine_unavailable``.
-        """
-        async with self.stager.lock:
-            if self.stager.has_stored:
-                return
-            report = await self.wait_until_loaded(target)
-            weights = WeightsId(report.loaded_version(target.model), target.model)
-            self.trust.record_order(weights, report.load_orders - 1)
-            await self.try_to_prove(weights)
-
     async def read_report(self) -> EngineReport:
         """Read and apply the report of the engine.
 
--- a/src/cassiahitch/platform/adapter.py
+++ b/src/cassiahitch/platform/adapter.py
@@ -7,7 +7,8 @@
 from cassiahitch.direct.platformapi import TableNames
 from cassiahitch.direct.state.evacuations import Evacuation
 from cassiahitch.platform import names
-from cassiahitch.platform.documents import decode_catalogue, decode_replica, decode_version
+from cassiahitch.platform.configurations import decode_catalogue
+from cassiahitch.platform.documents import decode_replica, decode_version
 from cassiahitch.platform.engine import PlatformEngine, PlatformOrigin
 from cassiahitch.platform.requests import PlatformRequests
 from cassiahitch.platform.rows import PlatformTableStore
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -13,8 +13,8 @@
 from cassiahitch.direct.state.catalogue import RepeatPolicy
 from cassiahitch.direct.state.layers import are_all_layers
 from cassiahitch.errors import PlatformError, RequestError
+from cassiahitch.platform.configurations import decode_catalogue
 from cassiahitch.platform.documents import (
-    decode_catalogue,
     decode_manifest,
     decode_replica,
     decode_report,
