Compare a manifest with the layout that is declared when it arrives

If a configuration declared another layout while a manifest was under way, the manifest was compared with the layout before, and then cached beside the new one: Python looks up the method before it awaits its argument. The number of chunks that a verification is recorded with is now that from before it.

--- a/src/cassiahitch/direct/staging/loadorders.py
+++ b/src/cassiahitch/direct/staging/loadorders.py
@@ -114,14 +114,13 @@
             self.trust.accept(0)
             return
         ordered = self.trust.ordered
+        declared = self.repository.layout.chunk_count
         corrupt = await self.stager.corrupt_chunks(weights)
         if ordered is None or self.trust.ordered != ordered:
             # The engine has restarted, and the weights are gone.
             return
         replaced = self.trust.replaced_chunks
-        proven = self.trust.record_verification(
-            sound=not corrupt, chunks=self.repository.layout.chunk_count
-        )
+        proven = self.trust.record_verification(sound=not corrupt, chunks=declared)
         self.log.state_changed(
             'load proven' if proven else 'load unsound',
             model=weights.model,
--- a/src/cassiahitch/direct/staging/manifests.py
+++ b/src/cassiahitch/direct/staging/manifests.py
@@ -149,7 +149,9 @@
         :raises PlatformError: of the request, or ``manifest_corrupt``.
         """
         try:
-            return self.layout.accept(weights, await request)
+            document = await request
+            # Another layout may have been declared meanwhile.
+            return self.layout.accept(weights, document)
         except PlatformError as error:
             if error.code is Code.manifest_corrupt:
                 self.log.state_changed(
