--- a/tests/direct/staging/test_loads_across_restarts.py
+++ b/tests/direct/staging/test_loads_across_restarts.py
@@ -11,7 +11,7 @@
 
 import pytest
 from direct_callers import run_site_in_virtual_time, send_request, wait_until
-from disturbed_engine import disturb, engine_of
+from disturbed_engine import engine_of, lose_order
 
 from cassiahitch.standins.configurations import CHUNK_COUNT
 from cassiahitch.standins.directsite import DirectSite, DirectSiteSize
@@ -41,10 +41,7 @@
 async def load_without_agent(site: DirectSite, version: int) -> EngineWeights:
     """Let the engine execute an order while its agent is dead, and list the loaded version."""
     weights = engine_of(site)
-    engine = disturb(site.agents[0], weights)
-    engine.lost_version = version
-    site.publish_version(version)
-    await wait_until(lambda: bool(engine.lost_orders))
+    engine = await lose_order(site, version)
     await site.agents[0].stop()
     order = engine.lost_orders.pop()
     engine.lost_version = 0
@@ -57,10 +54,7 @@
 def test_restarted_agent_lets_no_load_serve_that_took_chunks_of_two_versions() -> None:
     async def body(site: DirectSite) -> None:
         weights = engine_of(site)
-        engine = disturb(site.agents[0], weights)
-        engine.lost_version = 2
-        site.publish_version(2)
-        await wait_until(lambda: bool(engine.lost_orders))
+        engine = await lose_order(site, 2)
         await site.agents[0].stop()
         weights.staged[3] = site.weights.chunks[1][3]
         await engine.engine.load(*engine.lost_orders.pop())
@@ -78,10 +72,7 @@
 def test_restarted_agent_lets_no_load_serve_whose_chunks_were_repaired_since() -> None:
     async def body(site: DirectSite) -> None:
         weights = engine_of(site)
-        engine = disturb(site.agents[0], weights)
-        engine.lost_version = 2
-        site.publish_version(2)
-        await wait_until(lambda: bool(engine.lost_orders))
+        engine = await lose_order(site, 2)
         await site.agents[0].stop()
         sound = weights.staged[3]
         weights.staged[3] = b'corrupt'
@@ -101,10 +92,7 @@
 def test_order_of_a_dead_agent_takes_no_chunks_that_the_next_one_staged() -> None:
     async def body(site: DirectSite) -> None:
         weights = engine_of(site)
-        engine = disturb(site.agents[0], weights)
-        engine.lost_version = 2
-        site.publish_version(2)
-        await wait_until(lambda: bool(engine.lost_orders))
+        engine = await lose_order(site, 2)
         site.publish_version(3)
         await site.restart_agent(0)
         await asyncio.sleep(LATE_ORDER_S)
@@ -178,10 +166,7 @@
 def test_weights_that_cannot_be_proven_are_loaded_again_and_serve() -> None:
     async def body(site: DirectSite) -> None:
         weights = engine_of(site)
-        engine = disturb(site.agents[0], weights)
-        engine.lost_version = 2
-        site.publish_version(2)
-        await wait_until(lambda: bool(engine.lost_orders))
+        engine = await lose_order(site, 2)
         await site.agents[0].stop()
         engine.corrupt_chunks()
         await engine.engine.load(*engine.lost_orders.pop())
@@ -211,10 +196,7 @@
 ) -> None:
     async def body(site: DirectSite) -> None:
         weights = engine_of(site)
-        engine = disturb(site.agents[0], weights)
-        engine.lost_version = 2
-        site.publish_version(2)
-        await wait_until(lambda: bool(engine.lost_orders))
+        engine = await lose_order(site, 2)
         await site.agents[0].stop()
         weights.staged[CHUNK_COUNT - 1] = site.weights.chunks[1][CHUNK_COUNT - 1]
         await engine.engine.load(*engine.lost_orders.pop())
--- a/tests/direct/staging/test_withheld_engines.py
+++ b/tests/direct/staging/test_withheld_engines.py
@@ -11,7 +11,7 @@
 
 import pytest
 from direct_callers import run_site_in_virtual_time, send_request, wait_until
-from disturbed_engine import DisturbedEngine, disturb, engine_of
+from disturbed_engine import DisturbedEngine, disturb, engine_of, lose_order
 
 from cassiahitch.codes import Code
 from cassiahitch.direct.staging.enginestate import EngineReport
@@ -45,10 +45,7 @@
 
 async def load_without_agent(site: DirectSite, *, corrupt: bool) -> EngineWeights:
     weights = engine_of(site)
-    engine = disturb(site.agents[0], weights)
-    engine.lost_version = 2
-    site.publish_version(2)
-    await wait_until(lambda: bool(engine.lost_orders))
+    engine = await lose_order(site, 2)
     await site.agents[0].stop()
     if corrupt:
         engine.corrupt_chunks()
--- a/tests/support/disturbed_engine.py
+++ b/tests/support/disturbed_engine.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from direct_callers import wait_until
+
 from cassiahitch.direct.staging.enginestate import (
     EngineReport,
     LoadOutcome,
@@ -91,6 +93,15 @@
     return engine
 
 
+async def lose_order(site: DirectSite, version: int) -> DisturbedEngine:
+    """Name a version, and wait until the order of its load has been lost."""
+    engine = disturb(site.agents[0], engine_of(site))
+    engine.lost_version = version
+    site.publish_version(version)
+    await wait_until(lambda: bool(engine.lost_orders))
+    return engine
+
+
 def engine_of(site: DirectSite) -> EngineWeights:
     engine = site.models[0].engine
     assert engine is not None
