Free the body of a request when the request has ended

Cause: a body is part of two reference cycles, that of the exchange with its caller and that of a stream's state whose callbacks refer to the request and to that state.

Change: the body is released, and the callbacks are dropped, when the request has ended.

--- a/src/cassiahitch/direct/backends/streamstate.py
+++ b/src/cassiahitch/direct/backends/streamstate.py
@@ -88,6 +88,11 @@
         if self.caller.timer is not None:
             self.caller.timer.reschedule(self.deadline)
 
+    def end(self) -> None:
+        """Drop the callbacks, which refer to the request and to this state."""
+        self.on_first_event = None
+        self.reserve = None
+
     async def reserve_alternative(self) -> bool:
         """Reserve another assignment for a request whose backend server is stalled.
 
--- a/src/cassiahitch/direct/callers/exchange.py
+++ b/src/cassiahitch/direct/callers/exchange.py
@@ -430,6 +430,7 @@
     async def _run(self) -> None:
         self.serve_started = True
         with ExitStack() as stack:
+            stack.callback(self._release_body)
             stack.callback(self._abort_unless_complete)
             try:
                 await self.frontend.serve(self)
@@ -438,6 +439,10 @@
             except Exception as error:  # noqa: BLE001 (any unexpected error gets a response)
                 await self.frontend.fail(self, error)
 
+    def _release_body(self) -> None:
+        # The exchange is part of reference cycles, which are freed much later.
+        self.incoming.body = b''
+
     def _abort_unless_complete(self) -> None:
         if not self.response_ended:
             self.abort()
--- a/src/cassiahitch/direct/requests/failover.py
+++ b/src/cassiahitch/direct/requests/failover.py
@@ -84,6 +84,7 @@
         finally:
             if stream.reserved is not None:
                 self.placement_search.release(stream.reserved)
+            stream.end()
 
     async def find_other_replica(
         self, call: Call, key: str, placement_request: PlacementRequest
--- a/tests/support/direct_callers.py
+++ b/tests/support/direct_callers.py
@@ -104,6 +104,7 @@
     disconnect_after_s: float | None = None,
     replaced_headers: dict[str, bytes] | None = None,
     keeps_body: bool = True,
+    body: bytes | None = None,
 ) -> CallerResponse:
     method = 'GET' if path.startswith('/lookup') else 'POST'
     attempt = f'a{next(ATTEMPT_NUMBERS)}'
@@ -118,7 +119,8 @@
             ('X-Cassiahitch-Model', 'm1'),
             ('X-Cassiahitch-Token-Count', '100,30'),
         ]
-    body = b'' if method == 'GET' else b'{}'
+    if body is None:
+        body = b'' if method == 'GET' else b'{}'
     machine = h11.Connection(h11.CLIENT)
     if body:
         headers.append(('Content-Length', str(len(body))))
