Count a request that outlives its caller until it has ended

The request is now counted until its end, so that further large bodies are refused before they are read.

Tests: test_body_of_a_request_that_outlives_its_caller_is_counted_until_its_end fails before and passes now.

--- a/src/cassiahitch/direct/callers/exchange.py
+++ b/src/cassiahitch/direct/callers/exchange.py
@@ -42,6 +42,7 @@
 if TYPE_CHECKING:
     from cassiahitch.direct.api import Answered, Headers
     from cassiahitch.direct.callers.frontend import Frontend
+    from cassiahitch.direct.connections.budget import Holding
     from cassiahitch.direct.connections.stream import GuardedStream
 
 #: Time for which the rest of a refused body is read and dropped, in seconds, so that the caller can
@@ -72,9 +73,9 @@
     ``refusal`` is why the request is refused while it is read. ``response_ended`` is set when the
     last byte of the response was written, or the connection was aborted; ``response_finished``
     when tornado may read the next request. ``outlives_caller`` is set while the request continues
-    at a replica even if its caller disconnects. ``abandoned`` is set if the shutdown of the entry
-    cancelled the request before its response started. ``close_delimited`` is set if the response
-    has neither chunks nor a length.
+    at a replica even if its caller disconnects; ``holding`` counts it from then on. ``abandoned``
+    is set if the shutdown of the entry cancelled the request before its response started.
+    ``close_delimited`` is set if the response has neither chunks nor a length.
     """
 
     def __init__(
@@ -98,6 +99,7 @@
         self.response_ended = False
         self.task: asyncio.Task[None] | None = None
         self.outlives_caller = False
+        self.holding: Holding | None = None
         self.timer: asyncio.Timeout | None = None
         self.closes_connection = False
         self.close_delimited = False
@@ -173,8 +175,10 @@
         if self.task is None:
             # Frees the headers before the reference cycles of the exchange are collected.
             self.incoming = IncomingRequest()
-        if self.task is not None and not self.outlives_caller:
+        elif not self.outlives_caller:
             self.task.cancel()
+        elif self.holding is None:
+            self.holding = self.frontend.guard.hold_served(len(self.incoming.body))
 
     @property
     def stream(self) -> IOStream:
@@ -442,6 +446,8 @@
     def _release_body(self) -> None:
         # The exchange is part of reference cycles, which are freed much later.
         self.incoming.body = b''
+        if self.holding is not None:
+            self.frontend.guard.close(self.holding)
 
     def _abort_unless_complete(self) -> None:
         if not self.response_ended:
--- a/src/cassiahitch/direct/connections/guard.py
+++ b/src/cassiahitch/direct/connections/guard.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable
 from typing import TYPE_CHECKING, Protocol
 
-from cassiahitch.direct.connections.budget import CloseReason, ConnectionBudget, Holding
+from cassiahitch.direct.connections.budget import CloseReason, ConnectionBudget, Holding, Stage
 from cassiahitch.metrics.names import CounterName, GaugeName
 
 if TYPE_CHECKING:
@@ -96,6 +96,17 @@
         self.budget.close(holding)
         self.streams.pop(holding, None)
 
+    def hold_served(self, request_bytes: int) -> Holding:
+        """Count a request that is served on although its connection has been closed.
+
+        :param request_bytes: bytes of the request.
+        :return: what is held for it, to be passed to :meth:`close` when it has ended.
+        """
+        holding = self.budget.open(self.now())
+        holding.enter(Stage.served, self.now())
+        self.hold(holding, request_bytes, 0)
+        return holding
+
     def hold(self, holding: Holding, request_bytes: int, unread_bytes: int) -> None:
         """Change what is held for a connection, and close others if that is too much.
 
--- a/tests/direct/callers/test_held_bodies.py
+++ b/tests/direct/callers/test_held_bodies.py
@@ -11,10 +11,11 @@
 from contextlib import ExitStack
 
 import pytest
-from direct_callers import run_site_in_virtual_time, send_request
+from direct_callers import run_count, run_site_in_virtual_time, send_request
 
 from cassiahitch.direct.api import CallerRequest
 from cassiahitch.direct.callers.exchange import IncomingRequest
+from cassiahitch.direct.connections.budget import LARGE_BODY_SHARE
 from cassiahitch.standins.directsite import DirectSite, DirectSiteSize
 
 BODY = b'x' * 50_000
@@ -42,3 +43,19 @@
             assert not held_bodies()
 
     run_site_in_virtual_time(body, SITE)
+
+
+def test_body_of_a_request_that_outlives_its_caller_is_counted_until_its_end() -> None:
+    async def body(site: DirectSite) -> None:
+        budget = site.entries[0].frontend.guard.budget
+        site.plain[0].pause_s = 2
+        await send_request(site.entries[0], '/order/1', body=BODY, disconnect_after_s=0.5)
+        await asyncio.sleep(0.5)
+        assert budget.used_bytes > len(BODY)
+        assert not budget.admits(round(LARGE_BODY_SHARE * budget.limits.total_bytes) - len(BODY))
+        await asyncio.sleep(3)
+        assert run_count(site.plain) == 1
+        assert not budget.used_bytes
+        assert not budget.holdings
+
+    run_site_in_virtual_time(body, SITE)
