Log which rules allowed the region of a replica, and how large rows cross the links

Lines could tell neither whether an older configuration matched a wider route nor why a configuration was old: `request sent` named no prefix and no regions, and nothing said who sent rows to whom.

--- a/src/cassiahitch/direct/placement/regionpolicy.py
+++ b/src/cassiahitch/direct/placement/regionpolicy.py
@@ -26,6 +26,14 @@
         """
         return all(region in allowed for allowed in self.restrictions if allowed)
 
+    def allowed_regions(self) -> list[str] | None:
+        """Return the regions that no restriction excludes.
+
+        :return: their names in order, None if there is no restriction.
+        """
+        restrictions = [allowed for allowed in self.restrictions if allowed]
+        return sorted(frozenset.intersection(*restrictions)) if restrictions else None
+
 
 def region_policy(call: Call) -> RegionPolicy:
     """Return the restrictions of a request by its route and its organisation.
--- a/src/cassiahitch/direct/state/feed.py
+++ b/src/cassiahitch/direct/state/feed.py
@@ -299,4 +299,5 @@
     'TableFeed',
     'TableRow',
     'TableSnapshot',
+    'content_bytes',
 )
--- a/src/cassiahitch/direct/state/follower.py
+++ b/src/cassiahitch/direct/state/follower.py
@@ -11,6 +11,7 @@
 
 from cassiahitch.direct.state.eras import ERA_SETTLE_S, StoreEra
 from cassiahitch.direct.state.feed import (
+    LARGE_CHANGE_BYTES,
     UNCONFIRMED_REPLIES,
     CallFailure,
     HistoryUnavailable,
@@ -22,6 +23,7 @@
     TableFeed,
     TableRow,
     TableSnapshot,
+    content_bytes,
 )
 from cassiahitch.direct.state.freshness import boot_time
 from cassiahitch.direct.state.tablecache import TableCache, reply_from_message, rows_from_message
@@ -120,11 +122,14 @@
         sent_at = boot_time()
         message = await self.relay.read_rows(self.table, self.feed.synced_version, self.feed.era)
         if message is None or not self.is_usable(message):
+            self.log_refused_rows(message, sent_at)
             return False
         confirmed_at = sent_at - message.age_ms / MS_PER_S
+        reply = reply_from_message(message)
+        self.log_large_read(reply, 'entry', sent_at)
         if boot_time() - confirmed_at > self.max_relayed_age_s:
+            self.log_refused_rows(message, sent_at)
             return False
-        reply = reply_from_message(message)
         self.start_era(message.era)
         self.apply(self.feed.handle(reply), reply, confirmed_at)
         return True
@@ -177,6 +182,7 @@
             self.start_era(max(reply.era, self.era.latest))
         reply = self.feed.screen(reply)
         self.log_reachability(reply)
+        self.log_large_read(reply, 'store', sent_at)
         if isinstance(reply, TableChanges):
             reply = replace(reply, long_polled=wait_s > 0)
         rows = self.feed.handle(reply)
@@ -307,6 +313,38 @@
             case _:
                 return await self.store.read_all(self.table)
 
+    def log_large_read(self, reply: Reply, source: str, sent_at: float) -> None:
+        """Log how long rows took that are large enough to fill a link.
+
+        :param reply: the reply to a read.
+        :param source: who sent the rows.
+        :param sent_at: when the read was sent, in seconds of the boot clock.
+        """
+        rows = reply.rows if isinstance(reply, TableSnapshot | TableChanges) else ()
+        size = content_bytes(rows)
+        if size >= LARGE_CHANGE_BYTES:
+            self.state_log.state_changed(
+                'rows read',
+                table=self.table,
+                source=source,
+                content_bytes=size,
+                took_s=boot_time() - sent_at,
+            )
+
+    def log_refused_rows(self, message: TableRows | None, sent_at: float) -> None:
+        """Log that other entries did not send rows that this process can use.
+
+        :param message: the rows, None if none came in time.
+        :param sent_at: when they were requested, in seconds of the boot clock.
+        """
+        self.state_log.state_changed(
+            'no rows from entries',
+            table=self.table,
+            received=message is not None,
+            age_s=message.age_ms / MS_PER_S if message else None,
+            took_s=boot_time() - sent_at,
+        )
+
     def log_reachability(self, reply: Reply) -> None:
         """Log when the store becomes unreachable or reachable, and each read of a snapshot.
 
--- a/src/cassiahitch/direct/telemetry.py
+++ b/src/cassiahitch/direct/telemetry.py
@@ -16,6 +16,7 @@
 from cassiahitch.direct.api import Answered, Call, CallerRequest
 from cassiahitch.direct.backends.outcomes import Delivered
 from cassiahitch.direct.placement.refusals import refusal_fields, return_label
+from cassiahitch.direct.placement.regionpolicy import region_policy
 from cassiahitch.direct.placement.sizes import SizeTracker
 from cassiahitch.direct.state.freshness import boot_time
 from cassiahitch.metrics.names import CounterName, GaugeName, LatencyName
@@ -119,6 +120,7 @@
         }
         if assignment.output_tokens:
             fields['output_tokens'] = assignment.output_tokens
+        fields |= self.region_fields(call, assignment.candidate.replica)
         fields |= self.limit_fields(assignment.candidate.replica)
         fields |= self.version_fields(assignment, started_at, first_event_at)
         if first_event_at is not None:
@@ -134,6 +136,21 @@
             self.metrics.count(CounterName.served_by_size, call.size_rank.label)
         self.log_request(logging.INFO, 'request sent', call, fields | _size_fields(call))
 
+    def region_fields(self, call: Call, replica: Replica) -> dict[str, Any]:
+        """Return the fields of a log line that tell which rules allowed the region of a replica.
+
+        :param call: a request that was sent to it.
+        :param replica: the replica.
+        :return: the prefix of the route, the organisation, the region of the replica, and the
+            regions that the route and the organisation allow, None if they allow all.
+        """
+        return {
+            'prefix': call.require_route().prefix,
+            'organisation': call.organisation.name if call.organisation else None,
+            'region': self.entry_state.settings.regions.get(replica.failure_domain, ''),
+            'allowed_regions': region_policy(call).allowed_regions(),
+        }
+
     def limit_fields(self, replica: Replica) -> dict[str, Any]:
         """Return the fields of a log line that tell the rate limits of a replica.
 
