Let no old configuration choose the region of a request

Cause: missing evidence counted as permission. The age of the configuration was asked for only where a key is needed or no route matches; a public route that does match, though it may be a wider and older one, decided at any age, and keyed requests did so for the bound on revoked keys, 5 s, although a configuration counts within 3 s of its acknowledgement.

Change: where the configuration in force excludes a region for any request, all requests need one that was confirmed within the bound of the configuration, when they arrive and right before each attempt; else 503 `configuration_stale` with Retry-After, which promises that nothing ran. An entry that refuses so is not ready, so that the directory doesn't name it. Where no region is restricted, public requests go on through an outage as before.

--- a/src/cassiahitch/direct/entrystate.py
+++ b/src/cassiahitch/direct/entrystate.py
@@ -77,7 +77,20 @@
         :return: whether callers may be directed to it.
         """
         loaded = self.catalogue is not None and self.replicas_loaded
-        return loaded and not self.stopping and self.freshness.is_valid(boot_now)
+        return loaded and not self.stopping and self.is_configuration_fresh(boot_now)
+
+    def is_configuration_fresh(self, boot_now: float) -> bool:
+        """Return whether the configuration is recent enough for what it decides.
+
+        :param boot_now: current time of the boot clock, in seconds.
+        :return: whether it may decide which keys are accepted, and which regions are excluded.
+        """
+        return self.freshness.is_valid(boot_now, restricts_regions=self.restricts_regions)
+
+    @property
+    def restricts_regions(self) -> bool:
+        """Whether the configuration excludes regions for some requests."""
+        return self.catalogue is not None and self.catalogue.restricts_regions
 
     def is_in_own_region(self, failure_domain: str) -> bool:
         """Return whether a failure domain is in the region of this entry.
@@ -165,7 +178,7 @@
     )
     return EntryState(
         settings,
-        Freshness(settings.bounds.revoked_key_s),
+        Freshness(settings.bounds.revoked_key_s, settings.bounds.configuration_s),
         versions,
         Gossip(MemberRegistry(own_state), RegionRegistry(settings.region), records_to_send, rng),
         LimiterDirectory(lambda domain: settings.regions.get(domain, '')),
--- a/src/cassiahitch/direct/requests/filters.py
+++ b/src/cassiahitch/direct/requests/filters.py
@@ -77,6 +77,7 @@
             raise RequestError(
                 Code.body_too_large, 'the body is larger than the configuration allows', HasRun.no
             )
+        self.require_current_regions()
         call.route = route
         caller_timeout_s = (
             DEFAULT_CALLER_TIMEOUT_S
@@ -137,15 +138,27 @@
         :param call: the request; its organisation is set.
         :raises RequestError: ``unauthorised`` or ``configuration_stale``.
         """
+        self.require_current_regions(call.ran)
         self.resolve_organisation(call, self.require_catalogue())
 
+    def require_current_regions(self, ran: HasRun = HasRun.no) -> None:
+        """Require a fresh configuration if the one in force excludes regions for some requests.
+
+        A newer one may exclude regions for a request that has no key, too.
+
+        :param ran: whether the request has run, which the error states.
+        :raises RequestError: ``configuration_stale``.
+        """
+        if self.entry_state.restricts_regions:
+            self.require_fresh_configuration(ran)
+
     def require_fresh_configuration(self, ran: HasRun = HasRun.no) -> None:
         """Require that the configuration was verified to be the newest one recently enough.
 
         :param ran: whether the request has run, which the error states.
         :raises RequestError: ``configuration_stale``.
         """
-        if not self.entry_state.freshness.is_valid(boot_time()):
+        if not self.entry_state.is_configuration_fresh(boot_time()):
             detail = 'the configuration is stale: this entry has not reached the store for too long'
             raise RequestError(Code.configuration_stale, detail, ran, UNREADY_RETRY_AFTER_S)
 
--- a/src/cassiahitch/direct/state/catalogue.py
+++ b/src/cassiahitch/direct/state/catalogue.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 from enum import StrEnum
+from functools import cached_property
 from statistics import fmean
 from typing import TYPE_CHECKING
 
@@ -183,6 +184,14 @@
             self.mean_objectives_s[service] = fmean(values)
         self.ranked_services.update(name for name, found in priorities.items() if len(found) > 1)
 
+    @cached_property
+    def restricts_regions(self) -> bool:
+        """Whether a route or an organisation has allowed regions."""
+        organisations = (self.organisations or {}).values()
+        return any(route.allowed_regions for route in self.routes) or any(
+            organisation.allowed_regions for organisation in organisations
+        )
+
     def route(self, host: str, path: str) -> Route | None:
         """Return the route of a request, which has the longest matching path prefix.
 
--- a/src/cassiahitch/direct/state/freshness.py
+++ b/src/cassiahitch/direct/state/freshness.py
@@ -5,7 +5,7 @@
 import time
 from dataclasses import dataclass
 
-#: Fraction of the bound on revoked keys for which a confirmation is valid.
+#: Fraction of a bound for which a confirmation is valid.
 LEASE_FRACTION = 0.92
 
 
@@ -22,10 +22,12 @@
     """A lease on the cached configuration, renewed by each read that confirms it.
 
     The lease starts when the read was sent, since the reply may reflect the state of the store at
-    any time after that. ``bound_s`` is the longest time for which a revoked key may still be used.
+    any time after that. ``bound_s`` is the longest time for which a revoked key may still be used,
+    ``region_bound_s`` that for which a request may run in a region that is excluded since.
     """
 
     bound_s: float
+    region_bound_s: float = float('inf')
     confirmed_at: float = float('-inf')
 
     def confirm(self, sent_at: float) -> None:
@@ -43,13 +45,16 @@
         """
         return now - self.confirmed_at
 
-    def is_valid(self, now: float) -> bool:
-        """Return whether the cached configuration may decide which keys are accepted.
+    def is_valid(self, now: float, *, restricts_regions: bool = False) -> bool:
+        """Return whether the cached configuration may decide which keys are accepted, and where.
 
         :param now: current time of the boot clock in seconds.
-        :return: False if keys may have been added or revoked longer than the bound ago.
+        :param restricts_regions: whether it excludes regions for some requests.
+        :return: False if keys may have been added or revoked, or regions excluded, longer than the
+            bound ago.
         """
-        return self.age_s(now) < self.bound_s * LEASE_FRACTION
+        bound_s = min(self.bound_s, self.region_bound_s) if restricts_regions else self.bound_s
+        return self.age_s(now) < bound_s * LEASE_FRACTION
 
 
 __all__ = (
