Retry in no region that was excluded since the request arrived

What callers saw: a retry ran in a region that a newer configuration, in force at the same entry, excluded for its route.

Cause: the allowed regions were those of the route that was resolved at the arrival; before each attempt only the organisation was resolved again, and its regions weren't compared with those of the replica that had been chosen before.

Change: right before each attempt the regions of the route are taken from the configuration in force, and an attempt at a replica outside the regions of route and organisation is withheld: nothing is sent, and the request is placed again. This holds for first sends, retries, resumed streams and reserved alternatives, which all pass there.

The tests of placement, keys and evacuations pass.

--- a/src/cassiahitch/direct/backends/attempt.py
+++ b/src/cassiahitch/direct/backends/attempt.py
@@ -108,7 +108,9 @@
                 assignment.candidate, assignment.expected_s
             ):
                 return Withheld()
-            self.filters.require_valid_key(call)
+            self.filters.resolve_again(call)
+            if not self.filters.allows_region(call, replica):
+                return Withheld()
             stream.caller.require_connected()
             stack.enter_context(
                 stream.caller.allow_outliving(outlives=call.require_route().runs_without_caller)
--- a/src/cassiahitch/direct/backends/outcomes.py
+++ b/src/cassiahitch/direct/backends/outcomes.py
@@ -24,8 +24,8 @@
 class Withheld:
     """No byte of the request was sent.
 
-    The backend server is stopping or paused, it names a rate limit and no permit is valid, or its
-    weights have been replaced in the meantime.
+    The backend server is stopping or paused, it names a rate limit and no permit is valid, its
+    weights have been replaced in the meantime, or its region has been excluded.
     """
 
 
--- a/src/cassiahitch/direct/entrystate.py
+++ b/src/cassiahitch/direct/entrystate.py
@@ -98,7 +98,15 @@
         :param failure_domain: name of the failure domain.
         :return: whether it is.
         """
-        return self.settings.regions.get(failure_domain) == self.settings.region
+        return self.region_of(failure_domain) == self.settings.region
+
+    def region_of(self, failure_domain: str) -> str:
+        """Return the region of a failure domain.
+
+        :param failure_domain: name of the failure domain.
+        :return: name of the region, empty if it is unknown.
+        """
+        return self.settings.regions.get(failure_domain, '')
 
     def is_ranked(self, service: str) -> bool:
         """Return whether the routes of a service differ in priority.
--- a/src/cassiahitch/direct/placement/candidates.py
+++ b/src/cassiahitch/direct/placement/candidates.py
@@ -108,11 +108,10 @@
         :return: replicas that are not draining, in any state of health.
         """
         policy = region_policy(call)
-        regions = self.entry_state.settings.regions
         return tuple(
             replica
             for replica in self.entry_state.replicas.usable(call.service)
-            if policy.allows(regions.get(replica.failure_domain, ''))
+            if policy.allows(self.entry_state.region_of(replica.failure_domain))
         )
 
     def is_excluded_by_region(self, call: Call) -> bool:
--- a/src/cassiahitch/direct/requests/failover.py
+++ b/src/cassiahitch/direct/requests/failover.py
@@ -60,7 +60,7 @@
         previously_avoided = call.avoided_replicas.copy()
         call.avoided_replicas.add(key)
         try:
-            self.filters.require_valid_key(call)
+            self.filters.resolve_again(call)
             alternative = await self.assign_other_replica(call, key, placement_request, sent=True)
         except RequestError as error:
             call.avoided_replicas = previously_avoided
--- a/src/cassiahitch/direct/requests/filters.py
+++ b/src/cassiahitch/direct/requests/filters.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 from cassiahitch.codes import Code, HasRun
 from cassiahitch.direct.placement.crashguard import fingerprint_of
+from cassiahitch.direct.placement.regionpolicy import region_policy
 from cassiahitch.direct.state.freshness import boot_time
 from cassiahitch.errors import RequestError
 
@@ -16,6 +17,7 @@
     from cassiahitch.direct.entrystate import EntryState
     from cassiahitch.direct.requests.budget import RetryBudget
     from cassiahitch.direct.state.catalogue import Catalogue
+    from cassiahitch.direct.state.replicas import Replica
 
 #: Retry-After, in seconds, of an entry that has no configuration or only a stale one.
 UNREADY_RETRY_AFTER_S = 0.5
@@ -129,17 +131,41 @@
             detail = 'this request crashed the backend servers that ran it'
             raise RequestError(Code.poison_refused, detail, call.ran, SUSPECT_RETRY_AFTER_S)
 
-    def require_valid_key(self, call: Call) -> None:
-        """Check right before an attempt which organisation has the key of a request now.
+    def resolve_again(self, call: Call) -> None:
+        """Check right before an attempt who has the key of a request now, and where it may run.
 
         Load pattern: a request waits or is retried while its key is revoked, or moves to another
-        organisation, or while keys become necessary.
+        organisation, or while keys become necessary, or while regions are excluded.
 
-        :param call: the request; its organisation is set.
+        :param call: the request; its organisation and the allowed regions of its route are set.
         :raises RequestError: ``unauthorised`` or ``configuration_stale``.
         """
         self.require_current_regions(call.ran)
-        self.resolve_organisation(call, self.require_catalogue())
+        catalogue = self.require_catalogue()
+        self.resolve_regions(call, catalogue)
+        self.resolve_organisation(call, catalogue)
+
+    def resolve_regions(self, call: Call, catalogue: Catalogue) -> None:
+        """Set the allowed regions of a request to those of its route in a configuration.
+
+        All else remains as it was at the arrival, also for a request whose route was removed since.
+
+        :param call: the request; its route is set.
+        :param catalogue: the configuration in force.
+        """
+        route = call.require_route()
+        current = catalogue.route(call.request.host, call.request.path)
+        if current is not None and current.allowed_regions != route.allowed_regions:
+            call.route = replace(route, allowed_regions=current.allowed_regions)
+
+    def allows_region(self, call: Call, replica: Replica) -> bool:
+        """Return whether a request may run in the region of a replica.
+
+        :param call: the request; its organisation and route are set.
+        :param replica: the replica.
+        :return: whether neither its route nor its organisation excludes the region.
+        """
+        return region_policy(call).allows(self.entry_state.region_of(replica.failure_domain))
 
     def require_current_regions(self, ran: HasRun = HasRun.no) -> None:
         """Require a fresh configuration if the one in force excludes regions for some requests.
--- a/src/cassiahitch/direct/telemetry.py
+++ b/src/cassiahitch/direct/telemetry.py
@@ -147,7 +147,7 @@
         return {
             'prefix': call.require_route().prefix,
             'organisation': call.organisation.name if call.organisation else None,
-            'region': self.entry_state.settings.regions.get(replica.failure_domain, ''),
+            'region': self.entry_state.region_of(replica.failure_domain),
             'allowed_regions': region_policy(call).allowed_regions(),
         }
 
