Use rows that another entry sent although they took long to arrive

The age of a confirmation was taken for an age of the rows.

Change: rows of another entry that lead to a later state are applied with the confirmation that they have, however old; freshness is unaffected. The store is asked only if an old confirmation brings nothing new, and then for what came after.

--- a/src/cassiahitch/direct/state/follower.py
+++ b/src/cassiahitch/direct/state/follower.py
@@ -115,7 +115,11 @@
     async def read_from_relay(self) -> bool:
         """Read the changed rows from another entry.
 
-        :return: whether it returned them, and they were confirmed recently enough.
+        Load pattern: large rows cross a narrow link to many processes at once, so that they arrive
+        long after they were confirmed. They are used nevertheless: reading them again from the
+        store would fill its links with what is already here. Their confirmation keeps its age.
+
+        :return: whether it returned new rows, or confirmed recently that there are none.
         """
         if self.relay is None or self.feed.synced_version is None:
             return False
@@ -127,12 +131,13 @@
         confirmed_at = sent_at - message.age_ms / MS_PER_S
         reply = reply_from_message(message)
         self.log_large_read(reply, 'entry', sent_at)
-        if boot_time() - confirmed_at > self.max_relayed_age_s:
-            self.log_refused_rows(message, sent_at)
-            return False
         self.start_era(message.era)
-        self.apply(self.feed.handle(reply), reply, confirmed_at)
-        return True
+        rows = self.feed.handle(reply)
+        self.apply(rows, reply, confirmed_at)
+        is_recent = boot_time() - confirmed_at <= self.max_relayed_age_s
+        if not rows and not is_recent:
+            self.log_refused_rows(message, sent_at)
+        return bool(rows) or is_recent
 
     def is_usable(self, message: TableRows) -> bool:
         """Return whether rows of another entry lead from the cached table to a later state.
