Compress the rows that processes send to each other

Change: responses of 1 KiB and more are compressed at the fastest level where the client accepts it, as the HTTP client of all our processes does; others get them as before, so that releases can be mixed.

--- a/src/cassiahitch/direct/members/rowservice.py
+++ b/src/cassiahitch/direct/members/rowservice.py
@@ -1,7 +1,12 @@
-"""HTTP service for the rows of tables, for other processes."""
+"""HTTP service for the rows of tables, for other processes.
+
+Load pattern: a large configuration changes, and all processes of a region read it from one entry
+over its link at once. Responses are compressed, since a configuration repeats itself much.
+"""
 
 from __future__ import annotations
 
+import gzip
 from collections.abc import Callable, Mapping
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
@@ -19,6 +24,9 @@
 
 ROWS_ROUTE = r'/rows/([A-Za-z0-9_-]+)/after/([0-9]{1,18})'
 DECLARATIONS_ROUTE = r'/declarations/after/([0-9]{1,18})'
+#: Bytes from which on a response is compressed, and the compression level, the fastest one.
+MIN_COMPRESSED_BYTES = 1024
+COMPRESSION_LEVEL = 1
 ERA_ROWS_ROUTE = r'/rows/([A-Za-z0-9_-]+)/after/([0-9]{1,18})/era/([0-9]{1,18})'
 
 
@@ -43,7 +51,24 @@
     return f'/declarations/after/{version}'
 
 
-class RowsHandler(RequestHandler):
+class MessageHandler(RequestHandler):
+    """Responds with a message of the protocol between processes."""
+
+    def send_message(self, message: TableRows) -> None:
+        """Respond with a message; a large one is compressed if the client accepts that.
+
+        :param message: the message.
+        """
+        body = encode_datagram(message)
+        self.set_header('Content-Type', 'application/octet-stream')
+        accepted = self.request.headers.get('Accept-Encoding', '')
+        if len(body) >= MIN_COMPRESSED_BYTES and 'gzip' in accepted:
+            self.set_header('Content-Encoding', 'gzip')
+            body = gzip.compress(body, COMPRESSION_LEVEL)
+        self.finish(body)
+
+
+class RowsHandler(MessageHandler):
     """Serves the rows of a table that changed after a version of the store."""
 
     def initialize(self, followers: Mapping[str, TableFollower]) -> None:
@@ -66,15 +91,14 @@
         if rows is None:
             self.set_status(HTTPStatus.NOT_FOUND)
             return
-        self.set_header('Content-Type', 'application/octet-stream')
-        self.finish(encode_datagram(rows))
+        self.send_message(rows)
 
 
 #: Returns the declarations in effect for a client that has a version of the configuration.
 BuildDeclarations = Callable[[int], TableRows]
 
 
-class DeclarationsHandler(RequestHandler):
+class DeclarationsHandler(MessageHandler):
     """Serves the declarations in effect in this process, whatever the store has."""
 
     def initialize(self, build: BuildDeclarations) -> None:
@@ -89,8 +113,7 @@
 
         :param version: version of the configuration that the client has.
         """
-        self.set_header('Content-Type', 'application/octet-stream')
-        self.finish(encode_datagram(self.build(int(version))))
+        self.send_message(self.build(int(version)))
 
 
 def row_service(
