Read tables from an entry of the region at the start of a process

A process that starts has no copy yet and read the store, whatever other entries had; all processes of a region that start together read the same large rows over the one link to the region of the store, stall, give up and begin anew.

Change: an entry waits up to 0.3 s for news of a ready entry of its region and reads the complete tables from it, or else from the entry that reads the store for the region, as soon as that one has them; after 2 s it reads the store. An agent asks entries of its region that are registered. What is read so has the age of its sender's confirmation, so that no process is ready, or accepts keys, by it for longer than its sender would.

--- a/src/cassiahitch/direct/agent.py
+++ b/src/cassiahitch/direct/agent.py
@@ -79,7 +79,14 @@
         self.stack = AsyncExitStack()
         self.parts = make_agent_parts(settings, platform, http_client, self.rng)
         self.watch = SettingsWatch(path or Path(), settings, self.parts.log, self._apply_bounds)
-        self.relay = TableRelay(self._readers, tuple, http_client)
+        self.peers = AgentPeers(
+            platform.store,
+            platform.tables.entries,
+            settings,
+            lambda: self.reporter.entries,
+            self.rng,
+        )
+        self.relay = TableRelay(self._readers, tuple, http_client, self.peers.start_readers)
         self.declarations = TableFollower(
             platform.store,
             platform.tables.operator,
@@ -174,15 +181,11 @@
         return (latest,)
 
     def _start_check(self) -> StartCheck:
-        platform = self.platform
-        peers = AgentPeers(
-            platform.store, platform.tables.entries, lambda: self.reporter.entries, self.rng
-        )
         return StartCheck(
             self.parts.updater,
             self.declarations,
             self.relay,
-            peers.choose,
+            self.peers.choose,
             self.settings.peer_port,
             self.parts.log,
         )
--- a/src/cassiahitch/direct/members/discovery.py
+++ b/src/cassiahitch/direct/members/discovery.py
@@ -97,14 +97,19 @@
         reply = await self.platform.store.read_all(self.platform.tables.entries)
         if not isinstance(reply, TableSnapshot):
             return False
-        addresses = {row.key: _region(row.content) for row in reply.rows}
+        addresses = {row.key: region_of_entry(row.content) for row in reply.rows}
         self.entry_state.members.registry.add_addresses(
             addresses, asyncio.get_running_loop().time()
         )
         return True
 
 
-def _region(content: bytes | None) -> str:
+def region_of_entry(content: bytes | None) -> str:
+    """Return the region of an entry.
+
+    :param content: content of its row.
+    :return: the region, empty if the row cannot be decoded.
+    """
     try:
         return EntryRow.model_validate_json(content or b'').region
     except ValidationError:
@@ -112,4 +117,4 @@
         return ''
 
 
-__all__ = ('Discovery',)
+__all__ = ('Discovery', 'region_of_entry')
--- a/src/cassiahitch/direct/members/tablerelay.py
+++ b/src/cassiahitch/direct/members/tablerelay.py
@@ -10,7 +10,7 @@
 
 import asyncio
 import itertools
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import TYPE_CHECKING
@@ -71,6 +71,16 @@
 
 #: Returns the endpoints of processes.
 Endpoints = Callable[[], 'tuple[Endpoint, ...]']
+#: Returns the endpoints of processes once they are known.
+AwaitedEndpoints = Callable[[], Awaitable['tuple[Endpoint, ...]']]
+
+
+async def no_processes() -> tuple[Endpoint, ...]:
+    """Return no processes.
+
+    :return: nothing.
+    """
+    return ()
 
 
 @dataclass(slots=True)
@@ -78,13 +88,15 @@
     """Queries the readers, or serves other processes as a reader.
 
     ``readers`` returns the readers to query, none if this process reads the store itself;
-    ``subscribers`` those that receive its announcements in that case. ``pending_queries`` holds the
-    queries that wait for a reply, by number.
+    ``subscribers`` those that receive its announcements in that case, and ``start_readers`` those
+    that this process reads complete tables from at its start. ``pending_queries`` holds the queries
+    that wait for a reply, by number.
     """
 
     readers: Endpoints
     subscribers: Endpoints
     http_client: HttpClient
+    start_readers: AwaitedEndpoints = no_processes
     socket: DatagramSocket | None = None
     followers: dict[str, TableFollower] = field(default_factory=dict)
     pending_queries: dict[int, asyncio.Future[TableState]] = field(default_factory=dict)
@@ -129,15 +141,18 @@
         confirmed_at = queried_at - state.age_ms / MS_PER_S
         return RelayedState(state.since, state.changed, confirmed_at, state.era)
 
-    async def read_rows(self, table: str, since: int, era: int) -> TableRows | None:
+    async def read_rows(
+        self, readers: tuple[Endpoint, ...], table: str, since: int, era: int
+    ) -> TableRows | None:
         """Read the rows that changed from the first reader that has them.
 
+        :param readers: the readers to ask, in this order.
         :param table: name of the table.
         :param since: version of the store as of which this process has the table.
         :param era: era of the store of that version.
         :return: the rows, or None if no reader has them.
         """
-        for reader in self.readers():
+        for reader in readers:
             url = f'http://{reader}{rows_path(table, since, era)}'
             message = await self.fetch_rows(
                 HttpCall(
@@ -241,7 +256,9 @@
 
 
 __all__ = (
+    'AwaitedEndpoints',
     'RelayedState',
     'TableRelay',
     'choose_readers',
+    'no_processes',
 )
--- a/src/cassiahitch/direct/state/follower.py
+++ b/src/cassiahitch/direct/state/follower.py
@@ -34,9 +34,13 @@
     from cassiahitch.direct.api import TableStore
     from cassiahitch.direct.members.tablerelay import TableRelay
     from cassiahitch.direct.telemetry import StateLog
+    from cassiahitch.util.endpoints import Endpoint
 
 #: Seconds between two queries to other entries for the state of the table.
 RELAY_QUERY_INTERVAL_S = 0.5
+#: Seconds for which a process that starts asks other entries for the table, and between two rounds.
+START_RELAY_S = 2.0
+START_ROUND_INTERVAL_S = 0.1
 MS_PER_S = 1000
 #: Applies changed rows and the reply that contained them; the third argument is the boot time in
 #: seconds at which the read was sent.
@@ -72,15 +76,36 @@
 
     async def work(self) -> None:
         """Keep the cached table up to date until cancelled."""
+        await self.read_at_start()
         while True:
-            read = self.feed.next_read()
-            await asyncio.sleep(read.delay_s)
-            self.drop_unconfirmed()
-            relayed = self.feed.synced_version is not None and self.is_relayed()
-            if not relayed:
-                await self.read_from_store(read, self.wait_s)
-            elif not await self.poll_relay(read.delay_s) and not await self.read_from_relay():
-                await self.read_from_store(read, 0)
+            await self.update(self.feed.next_read())
+
+    async def update(self, read: ReadSnapshot | ReadChanges) -> None:
+        """Bring the cached table up to date once, by other entries or by the store.
+
+        :param read: the next read at the store, with the delay before it.
+        """
+        await asyncio.sleep(read.delay_s)
+        self.drop_unconfirmed()
+        relayed = self.feed.synced_version is not None and self.is_relayed()
+        if not relayed:
+            await self.read_from_store(read, self.wait_s)
+        elif not await self.poll_relay(read.delay_s) and not await self.read_from_relay():
+            await self.read_from_store(read, 0)
+
+    async def read_at_start(self) -> None:
+        """Read the complete table from another entry, if one of the region has it in time.
+
+        Load pattern: all processes of a region start at the same time, after a loss of power, and
+        would all read a large table over the one link to the region of the store.
+        """
+        if self.relay is None:
+            return
+        until = boot_time() + START_RELAY_S
+        readers = await self.relay.start_readers()
+        while readers and boot_time() < until and not await self.read_from(readers):
+            await asyncio.sleep(START_ROUND_INTERVAL_S)
+            readers = await self.relay.start_readers()
 
     def is_relayed(self) -> bool:
         """Return whether other entries read the table from the store for this one."""
@@ -113,18 +138,27 @@
         return True
 
     async def read_from_relay(self) -> bool:
-        """Read the changed rows from another entry.
+        """Read the changed rows from the entries that read the table for this one.
+
+        :return: whether they returned new rows, or confirmed recently that there are none.
+        """
+        return self.relay is not None and await self.read_from(self.relay.readers())
+
+    async def read_from(self, readers: tuple[Endpoint, ...]) -> bool:
+        """Read the changed rows, or all rows at the start, from other entries.
 
         Load pattern: large rows cross a narrow link to many processes at once, so that they arrive
         long after they were confirmed. They are used nevertheless: reading them again from the
         store would fill its links with what is already here. Their confirmation keeps its age.
 
-        :return: whether it returned new rows, or confirmed recently that there are none.
+        :param readers: the entries to ask, in this order.
+        :return: whether one returned new rows, or confirmed recently that there are none.
         """
-        if self.relay is None or self.feed.synced_version is None:
+        if self.relay is None:
             return False
         sent_at = boot_time()
-        message = await self.relay.read_rows(self.table, self.feed.synced_version, self.feed.era)
+        since = self.feed.synced_version or 0
+        message = await self.relay.read_rows(readers, self.table, since, self.feed.era)
         if message is None or not self.is_usable(message):
             self.log_refused_rows(message, sent_at)
             return False
@@ -145,11 +179,11 @@
         :param message: the rows.
         :return: False if they are older or of an older era, or only a part of a newer era.
         """
-        if message.era != self.feed.era:
+        if message.era != self.feed.era or self.feed.synced_version is None:
             return message.whole and message.era >= self.latest_era()
         if message.era < self.latest_era():
             return False
-        return message.since >= (self.feed.synced_version or 0)
+        return message.since >= self.feed.synced_version
 
     def latest_era(self) -> int:
         """Return the latest era of the store that this process knows.
--- a/src/cassiahitch/direct/tablefollowers.py
+++ b/src/cassiahitch/direct/tablefollowers.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -36,6 +37,11 @@
 CONFIGURATION_WAIT_FRACTION = 0.2
 #: Least time between two reads of the declarations after a large change, in seconds.
 DECLARATION_INTERVAL_S = 0.95
+#: Seconds after its start within which an entry hears of others, and between two looks for them.
+START_PEERS_S = 0.3
+START_PEERS_INTERVAL_S = 0.02
+#: Entries that are asked for a complete table in a round at the start, one after the other.
+START_READERS = 2
 #: Maximum age of a state that is accepted from another entry, as a fraction of the bound on the age
 #: of the configuration, or of the bound on draining replicas.
 RELAYED_AGE_FRACTION = 0.5
@@ -43,13 +49,17 @@
 
 @dataclass(slots=True)
 class EntryTableFollowers:
-    """Creates the table followers of an entry and the relay that shares their state."""
+    """Creates the table followers of an entry and the relay that shares their state.
+
+    ``started_at`` is the start of the entry in seconds of the boot clock.
+    """
 
     settings: DirectEntrySettings
     platform: EntryPlatform
     parts: EntryParts
     updater: StateUpdater
     rng: random.Random
+    started_at: float = field(default_factory=boot_time)
 
     def make_relay(self, http_client: HttpClient) -> TableRelay:
         """Create the relay between this entry and others, with the followers that it serves.
@@ -57,7 +67,7 @@
         :param http_client: sends requests to other entries.
         :return: the relay.
         """
-        relay = TableRelay(self.readers, self.subscribers, http_client)
+        relay = TableRelay(self.readers, self.subscribers, http_client, self.start_readers)
         followers = (self.make_declaration_follower(relay), self.make_replica_follower(relay))
         relay.followers.update({follower.table: follower for follower in followers})
         return relay
@@ -118,6 +128,27 @@
             return ()
         return tuple(Endpoint(addresses[name], self.settings.peer_port) for name in names)
 
+    async def start_readers(self) -> tuple[Endpoint, ...]:
+        """Return entries that have the tables, or else those that read the store for this one.
+
+        :return: their endpoints; none if this entry is to read the store itself.
+        """
+        while not self.ready_addresses() and boot_time() - self.started_at < START_PEERS_S:
+            await asyncio.sleep(START_PEERS_INTERVAL_S)
+        ready = self.ready_addresses()
+        chosen = self.rng.sample(ready, min(START_READERS, len(ready)))
+        return tuple(Endpoint(address, self.settings.peer_port) for address in chosen) or (
+            self.readers()
+        )
+
+    def ready_addresses(self) -> list[str]:
+        """Return the other entries of the region that have the tables.
+
+        :return: their IP addresses.
+        """
+        members = self.parts.entry_state.members.registry.live_members()
+        return [member.address for member in members if member.ready and not member.leaving]
+
     def subscribers(self) -> tuple[Endpoint, ...]:
         """Return the processes of the region that a reader sends changes to.
 
--- a/tests/direct/members/test_tablerelay.py
+++ b/tests/direct/members/test_tablerelay.py
@@ -80,7 +80,12 @@
         self.queries += 1
         return self.reply()
 
-    async def read_rows(self, table: str, since: int, era: int) -> TableRows | None:
+    async def start_readers(self) -> tuple[str, ...]:
+        return ()
+
+    async def read_rows(
+        self, readers: tuple[str, ...], table: str, since: int, era: int
+    ) -> TableRows | None:
         return self.rows(since)
 
     def announce(self, table: str, before: int | None, rows: tuple[TableRow, ...]) -> None:
@@ -331,6 +336,30 @@
     run_site_in_virtual_time(body, DirectSiteSize(entries=6, models=2, plain=1))
 
 
+def test_processes_that_start_read_large_tables_from_an_entry_of_their_region() -> None:
+    async def body(site: DirectSite) -> None:
+        site.update_configuration(padding='x' * 20_000)
+        version = site.configuration['version']
+        running = [entry.parts.entry_state for entry in site.entries]
+        await until(lambda: all(_version_of(state) == version for state in running))
+        await asyncio.sleep(1)
+        rows_sent = site.store.rows_sent['op']
+        started = [await site.add_entry(2), await site.add_entry(3)]
+        agent = await site.restart_agent(0)
+        states: list[EntryState | AgentStateUpdater] = [
+            *(entry.parts.entry_state for entry in started),
+            agent.parts.updater,
+        ]
+        await until(lambda: all(_version_of(state) == version for state in states))
+        assert site.store.rows_sent['op'] == rows_sent
+
+    run_site_in_virtual_time(body, DirectSiteSize(entries=2, models=2, plain=1))
+
+
+def _version_of(state: EntryState | AgentStateUpdater) -> int:
+    return state.catalogue.version if state.catalogue else 0
+
+
 def test_entry_that_cannot_reach_the_store_takes_freshness_from_a_reader() -> None:
     relay = FakeRelay(lambda: RelayedState(9, 5, boot_time()))
     follower_run = FollowerRun(FakeStore(), relay)
