Confirm a large change at once where others read the table from this entry

Cause, by its `no rows from entries`: after a large change the reader of a region waits 0.95 s and then reads the whole table again, lest it reads each version of a row that changes all the time. Its confirmation is from before the change, 1.74 s old when it is next asked, so that ten entries turned to the store at once and, taking the change for the first of many too, read 308,338 bytes each.

Change: the reader asks for later changes right after a large one. Where there are none, which takes a few bytes, its confirmation is new and reading goes on as usual; where there are, the table is read at intervals as before. Processes for which nobody else reads don't ask.

Measured: both cases of test_reader_confirms_a_large_change_at_once_unless_the_row_changes_ continuously fail without the second read, and pass.

--- a/src/cassiahitch/direct/state/follower.py
+++ b/src/cassiahitch/direct/state/follower.py
@@ -89,7 +89,7 @@
         self.drop_unconfirmed()
         relayed = self.feed.synced_version is not None and self.is_relayed()
         if not relayed:
-            await self.read_from_store(read, self.wait_s)
+            await self.read_as_reader(read)
         elif not await self.poll_relay(read.delay_s) and not await self.read_from_relay():
             await self.read_from_store(read, 0)
 
@@ -207,6 +207,22 @@
         reply = PushedRows(rows_from_message(message), message.since, message.era)
         self.apply(self.feed.handle(reply), reply, float('-inf'))
 
+    async def read_as_reader(self, read: ReadSnapshot | ReadChanges) -> None:
+        """Read from the store, and confirm at once that a large change was the last one.
+
+        Load pattern: the rows of a large change leave the store long before they are here, so that
+        their confirmation would be too old for the processes that read from this one; they would
+        all turn to the store. The second read is small unless the row changes continuously.
+
+        :param read: the read to make.
+        """
+        was_in_burst = self.feed.in_burst
+        await self.read_from_store(read, self.wait_s)
+        is_large = self.feed.in_burst and not was_in_burst
+        version = self.feed.synced_version
+        if is_large and version is not None and self.relay is not None and self.relay.subscribers():
+            await self.read_from_store(ReadChanges(version), 0)
+
     async def read_from_store(self, read: ReadSnapshot | ReadChanges, wait_s: float) -> None:
         """Read from the store and apply the reply.
 
--- a/tests/direct/members/test_tablerelay.py
+++ b/tests/direct/members/test_tablerelay.py
@@ -92,6 +92,16 @@
         self.announced.append(table)
 
 
+class OwnReads(FakeRelay):
+    """The relay of an entry that reads the table for others."""
+
+    def readers(self) -> tuple[str, ...]:
+        return ()
+
+    def subscribers(self) -> tuple[str, ...]:
+        return ('entry', 'agent')
+
+
 @dataclass
 class FollowerRun:
     """A follower, and the rows and confirmation times that it passed on."""
@@ -392,6 +402,35 @@
     assert not follower_run.follower.feed.in_burst
 
 
+@pytest.mark.parametrize(
+    ('later', 'snapshots'), [([], 1), ([7], 2)], ids=['one change', 'continuous changes']
+)
+def test_reader_confirms_a_large_change_at_once_unless_the_row_changes_continuously(
+    later: list[int], snapshots: int
+) -> None:
+    follower_run = FollowerRun(FakeStore(), OwnReads(lambda: None))
+    follower_run.follower.feed.large_change_interval_s = 0.1
+    store = follower_run.store
+
+    def change(version: int) -> None:
+        store.rows = (TableRow('a', bytes(LARGE_CHANGE_BYTES), version),)
+        store.version = version
+
+    async def body() -> None:
+        await until(lambda: len(store.since) == 1)
+        change(6)
+        await until(lambda: 6 in store.since)
+        for version in later:
+            change(version)
+        await until(lambda: len(store.since) >= 6 and store.since[-1] == store.version)
+
+    run(follower_run, body)
+    first = store.since.index(6)
+    assert set(store.since[:first]) == {5}
+    assert store.reads - len(store.since) == snapshots
+    assert follower_run.follower.feed.synced_version == store.version
+
+
 def test_all_entries_choose_the_same_few_readers_while_others_come_and_go() -> None:
     names = tuple(f'entry-{number}' for number in range(12))
     chosen = choose_readers(names)
