Refuse no request for good by a configuration that may be replaced

That no route matched, or that no organisation had a key, was believed for the bound on revoked keys, 5 s, although a newer configuration counts 3 s after its acknowledgement at most.

Change: both verdicts need a configuration that was confirmed within its own bound, else 503 `configuration_stale`, which promises that nothing ran and asks to come back. What the configuration allows is still served until the bound on revoked keys. The tests of what old configurations decide are in test_old_configurations.py, renamed.

Measured: both cases of test_request_that_a_newer_configuration_may_allow_is_not_refused_for_ good_by_an_old_one failed before and pass.

--- a/src/cassiahitch/direct/entry.py
+++ b/src/cassiahitch/direct/entry.py
@@ -198,7 +198,7 @@
     def _apply_bounds(self, bounds: BoundSettings) -> None:
         entry_state = self.parts.entry_state
         entry_state.freshness.bound_s = bounds.revoked_key_s
-        entry_state.freshness.region_bound_s = bounds.configuration_s
+        entry_state.freshness.configuration_bound_s = bounds.configuration_s
         entry_state.versions.bound_s = bounds.weights_s
         budget = self.parts.runner.budget
         budget.ratio = bounds.retry_ratio
--- a/src/cassiahitch/direct/entrystate.py
+++ b/src/cassiahitch/direct/entrystate.py
@@ -85,7 +85,9 @@
         :param boot_now: current time of the boot clock, in seconds.
         :return: whether it may decide which keys are accepted, and which regions are excluded.
         """
-        return self.freshness.is_valid(boot_now, restricts_regions=self.restricts_regions)
+        if self.restricts_regions:
+            return self.freshness.is_current(boot_now)
+        return self.freshness.is_valid(boot_now)
 
     @property
     def restricts_regions(self) -> bool:
--- a/src/cassiahitch/direct/requests/filters.py
+++ b/src/cassiahitch/direct/requests/filters.py
@@ -71,7 +71,7 @@
         request = call.request
         route = catalogue.route(request.host, request.path)
         if route is None:
-            self.require_fresh_configuration()
+            self.require_current_configuration()
             raise RequestError(
                 Code.not_found, 'no route matches the host and path of the request', HasRun.no
             )
@@ -102,6 +102,7 @@
         self.require_fresh_configuration(call.ran)
         call.organisation = catalogue.organisations.get(call.request.key)
         if call.organisation is None:
+            self.require_current_configuration(call.ran)
             raise RequestError(Code.unauthorised, 'the key belongs to no organisation', call.ran)
 
     def choose_service(self, call: Call) -> None:
@@ -185,8 +186,24 @@
         :raises RequestError: ``configuration_stale``.
         """
         if not self.entry_state.is_configuration_fresh(boot_time()):
-            detail = 'the configuration is stale: this entry has not reached the store for too long'
-            raise RequestError(Code.configuration_stale, detail, ran, UNREADY_RETRY_AFTER_S)
+            raise _stale_configuration_error(ran)
+
+    def require_current_configuration(self, ran: HasRun = HasRun.no) -> None:
+        """Require that no newer configuration can be in force, before a request is refused by it.
+
+        Callers do not repeat a request that no route or no key allows, so that it would be lost if
+        a newer configuration allows it.
+
+        :param ran: whether the request has run, which the error states.
+        :raises RequestError: ``configuration_stale``.
+        """
+        if not self.entry_state.freshness.is_current(boot_time()):
+            raise _stale_configuration_error(ran)
+
+
+def _stale_configuration_error(ran: HasRun) -> RequestError:
+    detail = 'the configuration is stale: this entry has not reached the store for too long'
+    return RequestError(Code.configuration_stale, detail, ran, UNREADY_RETRY_AFTER_S)
 
 
 __all__ = ('RequestFilters',)
--- a/src/cassiahitch/direct/state/freshness.py
+++ b/src/cassiahitch/direct/state/freshness.py
@@ -23,11 +23,11 @@
 
     The lease starts when the read was sent, since the reply may reflect the state of the store at
     any time after that. ``bound_s`` is the longest time for which a revoked key may still be used,
-    ``region_bound_s`` that for which a request may run in a region that is excluded since.
+    ``configuration_bound_s`` that for which an older configuration may decide anything else.
     """
 
     bound_s: float
-    region_bound_s: float = float('inf')
+    configuration_bound_s: float = float('inf')
     confirmed_at: float = float('-inf')
 
     def confirm(self, sent_at: float) -> None:
@@ -45,15 +45,21 @@
         """
         return now - self.confirmed_at
 
-    def is_valid(self, now: float, *, restricts_regions: bool = False) -> bool:
-        """Return whether the cached configuration may decide which keys are accepted, and where.
+    def is_valid(self, now: float) -> bool:
+        """Return whether the cached configuration may decide which keys are accepted.
 
         :param now: current time of the boot clock in seconds.
-        :param restricts_regions: whether it excludes regions for some requests.
-        :return: False if keys may have been added or revoked, or regions excluded, longer than the
-            bound ago.
+        :return: False if keys may have been added or revoked longer than the bound ago.
         """
-        bound_s = min(self.bound_s, self.region_bound_s) if restricts_regions else self.bound_s
+        return self.age_s(now) < self.bound_s * LEASE_FRACTION
+
+    def is_current(self, now: float) -> bool:
+        """Return whether the cached configuration may decide what no newer one may contradict.
+
+        :param now: current time of the boot clock in seconds.
+        :return: False if a newer configuration may be in force for longer than its bound.
+        """
+        bound_s = min(self.bound_s, self.configuration_bound_s)
         return self.age_s(now) < bound_s * LEASE_FRACTION
 
 
--- a/tests/direct/requests/test_regions_by_old_configurations.py
+++ b/tests/direct/requests/test_old_configurations.py
@@ -1,7 +1,8 @@
-"""Requests run in no region that the configuration in force excludes, however old the one here is.
+"""What an entry decides by a configuration that may not be the newest one.
 
 Guards against an entry that lacks a newer, restricted route, and sends the request by a wider one
-to a region that the newer route excludes.
+to a region that the newer route excludes; and against one that refuses a request for good, by a
+status that callers don't retry, though a newer configuration may allow it.
 """
 
 from __future__ import annotations
@@ -17,7 +18,7 @@
 from cassiahitch.direct.entry import DirectEntry
 from cassiahitch.direct.state.freshness import boot_time
 from cassiahitch.standins.backends import BackendStandin, Fault
-from cassiahitch.standins.configurations import FAILURE_DOMAINS
+from cassiahitch.standins.configurations import CALLER_API_KEY, FAILURE_DOMAINS
 from cassiahitch.standins.directsite import DirectSite, DirectSiteSize
 
 #: Bound in seconds on the time for which an older configuration may decide.
@@ -113,6 +114,24 @@
     run_site_in_virtual_time(body, TWO_REGIONS, configuration_s=CONFIGURATION_S)
 
 
+@pytest.mark.parametrize(
+    ('path', 'key'), [('/unknown/1', CALLER_API_KEY), ('/order/1', 'never-held')]
+)
+def test_request_that_a_newer_configuration_may_allow_is_not_refused_for_good_by_an_old_one(
+    path: str, key: str
+) -> None:
+    async def body(site: DirectSite) -> None:
+        refused = await send_request(site.entries[0], path, key=key)
+        assert refused.status in {401, 404}
+        site.store.faults.down = True
+        await asyncio.sleep(CONFIGURATION_S)
+        responses = await send_several(site.entries[0], path, key)
+        assert {got.code for got in responses} == {Code.configuration_stale}
+        assert (await send_request(site.entries[0], '/order/1')).status == 200
+
+    run_site_in_virtual_time(body, TWO_REGIONS, configuration_s=CONFIGURATION_S)
+
+
 @pytest.mark.parametrize('path', ['/lookup/1', '/order/1', '/draft/1'])
 def test_retry_runs_in_no_region_that_was_excluded_after_the_first_attempt(path: str) -> None:
     async def body(site: DirectSite) -> None:
