Read no storm of changes twice, and start in time by a recent table only

Cause 1: the read by which a reader confirms a large change ended the protection against a row that changes all the time if it fell between two changes: 72 versions were read instead of 8 (12 changes a second for 6 s, round trip 2 and 30 ms). Change: it is made only for a change before which none of that size came for twice the interval between reads.

Cause 2: the time for which a process asks others at its start was checked between rounds only (5.1 s instead of 2 s with two entries that hang), and a first table was taken at any age. Change: one timeout ends all rounds, and a first table must have been confirmed recently.

--- a/src/cassiahitch/direct/state/follower.py
+++ b/src/cassiahitch/direct/state/follower.py
@@ -41,6 +41,8 @@
 #: Seconds for which a process that starts asks other entries for the table, and between two rounds.
 START_RELAY_S = 2.0
 START_ROUND_INTERVAL_S = 0.1
+#: Intervals between reads in a burst without a large change before one that counts as single.
+CALM_INTERVALS = 2
 MS_PER_S = 1000
 #: Applies changed rows and the reply that contained them; the third argument is the boot time in
 #: seconds at which the read was sent.
@@ -55,8 +57,9 @@
     is older than ``max_relayed_age_s``. Reads of changes at the store wait up to ``wait_s`` for a
     change. ``confirmed_at`` is the latest time, in seconds of the boot clock, at which the cached
     rows are known to have been current. ``era`` is the latest era of the store that the process
-    knows. ``settles_at`` is when rows of earlier eras are dropped unless they were read again, in
-    seconds of the boot clock.
+    knows. ``settles_at`` is when rows of earlier eras are dropped unless they were read again, and
+    ``large_change_at`` when the last large change was read from the store, in seconds of the boot
+    clock.
     """
 
     store: TableStore
@@ -73,6 +76,7 @@
     cache: TableCache = field(default_factory=TableCache)
     era: StoreEra = field(default_factory=StoreEra)
     settles_at: float = float('inf')
+    large_change_at: float = float('-inf')
 
     async def work(self) -> None:
         """Keep the cached table up to date until cancelled."""
@@ -101,11 +105,13 @@
         """
         if self.relay is None:
             return
-        until = boot_time() + START_RELAY_S
-        readers = await self.relay.start_readers()
-        while readers and boot_time() < until and not await self.read_from(readers):
-            await asyncio.sleep(START_ROUND_INTERVAL_S)
-            readers = await self.relay.start_readers()
+        # If no entry has it in time, nothing is read here, and the store is read next.
+        with suppress(TimeoutError):
+            async with asyncio.timeout(START_RELAY_S):
+                readers = await self.relay.start_readers()
+                while readers and not await self.read_from(readers):
+                    await asyncio.sleep(START_ROUND_INTERVAL_S)
+                    readers = await self.relay.start_readers()
 
     def is_relayed(self) -> bool:
         """Return whether other entries read the table from the store for this one."""
@@ -149,7 +155,8 @@
 
         Load pattern: large rows cross a narrow link to many processes at once, so that they arrive
         long after they were confirmed. They are used nevertheless: reading them again from the
-        store would fill its links with what is already here. Their confirmation keeps its age.
+        store would fill its links with what is already here. Their confirmation keeps its age. Only
+        a first table must be recent.
 
         :param readers: the entries to ask, in this order.
         :return: whether one returned new rows, or confirmed recently that there are none.
@@ -163,12 +170,15 @@
             self.log_refused_rows(message, sent_at)
             return False
         confirmed_at = sent_at - message.age_ms / MS_PER_S
+        is_recent = boot_time() - confirmed_at <= self.max_relayed_age_s
+        if not is_recent and self.feed.synced_version is None:
+            self.log_refused_rows(message, sent_at)
+            return False
         reply = reply_from_message(message)
         self.log_large_read(reply, 'entry', sent_at)
         self.start_era(message.era)
         rows = self.feed.handle(reply)
         self.apply(rows, reply, confirmed_at)
-        is_recent = boot_time() - confirmed_at <= self.max_relayed_age_s
         if not rows and not is_recent:
             self.log_refused_rows(message, sent_at)
         return bool(rows) or is_recent
@@ -212,16 +222,19 @@
 
         Load pattern: the rows of a large change leave the store long before they are here, so that
         their confirmation would be too old for the processes that read from this one; they would
-        all turn to the store. The second read is small unless the row changes continuously.
+        all turn to the store. The second read is small unless the row goes on changing.
 
         :param read: the read to make.
         """
         was_in_burst = self.feed.in_burst
+        calm_s = boot_time() - self.large_change_at
         await self.read_from_store(read, self.wait_s)
-        is_large = self.feed.in_burst and not was_in_burst
-        version = self.feed.synced_version
-        if is_large and version is not None and self.relay is not None and self.relay.subscribers():
-            await self.read_from_store(ReadChanges(version), 0)
+        if not self.feed.in_burst:
+            return
+        self.large_change_at = boot_time()
+        is_single = not was_in_burst and calm_s > CALM_INTERVALS * self.feed.large_change_interval_s
+        if is_single and self.relay is not None and self.relay.subscribers():
+            await self.read_from_store(ReadChanges(self.feed.synced_version or 0), 0)
 
     async def read_from_store(self, read: ReadSnapshot | ReadChanges, wait_s: float) -> None:
         """Read from the store and apply the reply.
--- a/tests/direct/state/test_follower_eras.py
+++ b/tests/direct/state/test_follower_eras.py
@@ -70,7 +70,9 @@
     async def query(self, table: str) -> RelayedState | None:
         return self.state
 
-    async def read_rows(self, table: str, since: int, era: int) -> TableRows | None:
+    async def read_rows(
+        self, readers: tuple[str, ...], table: str, since: int, era: int
+    ) -> TableRows | None:
         return self.rows
 
     def announce(self, table: str, before: int | None, rows: tuple[TableRow, ...]) -> None:
