Take an old reply that another entry passed on for no reply of the list now

A review showed that since old replies hide an outage of the list of backend servers: each one counted as received now, so that replicas whose rows had lapsed meanwhile would be dropped at once after the outage.

Change: a reply that shows the list as it was longer than the bound of an outage ago is no sign that the list replies.

Measured: test_old_replies_that_other_entries_pass_on_do_not_hide_an_outage_of_the_list fails before and passes.

--- a/src/cassiahitch/direct/state/replicas.py
+++ b/src/cassiahitch/direct/state/replicas.py
@@ -86,6 +86,9 @@
         :param sent_at: when the read was sent, in seconds of the event loop.
         :param now: current time of the event loop in seconds.
         """
+        if now - sent_at > LIST_OUTAGE_AFTER_S:
+            # An old reply, passed on by another entry, does not show that the list replies now.
+            return
         if self.is_outage(sent_at):
             self.recovered_at = now
         self.replied_at = now
--- a/tests/direct/state/test_replicas_and_versions.py
+++ b/tests/direct/state/test_replicas_and_versions.py
@@ -93,6 +93,18 @@
     assert usable_ids(registry) == {'b'}
 
 
+def test_old_replies_that_other_entries_pass_on_do_not_hide_an_outage_of_the_list() -> None:
+    registry = make_registry()
+    age_s = LIST_OUTAGE_AFTER_S + 0.1
+    for number in range(6):
+        registry.record_reply(10 + number - age_s, 10 + number)
+    recovered_at = float(16)
+    assert registry.is_outage(recovered_at - 0.1)
+    registry.record_reply(recovered_at - 0.1, recovered_at)
+    registry.remove('a', recovered_at)
+    assert usable_ids(registry) == {'a', 'b'}
+
+
 def test_replica_that_registers_again_stays() -> None:
     registry = make_registry()
     recovered_at = 10 + LIST_OUTAGE_AFTER_S + 3
