Resolve again whether a route is public, and start by no old confirmation

Two paths on which older knowledge still decided where a request runs, found by a review; no caller has seen them. A request on a route that stopped being public while it was served went on without the organisation of its key, and so without that organisation's regions. And a process that starts beside a restored store took the confirmation of a peer that was itself too old to choose regions by its configuration.

Change: `public` is resolved again before each attempt, as the regions are; a peer confirms only within the bound of the configuration.

--- a/src/cassiahitch/direct/requests/filters.py
+++ b/src/cassiahitch/direct/requests/filters.py
@@ -147,7 +147,7 @@
         self.resolve_organisation(call, catalogue)
 
     def resolve_regions(self, call: Call, catalogue: Catalogue) -> None:
-        """Set the allowed regions of a request to those of its route in a configuration.
+        """Set where a request may run, and whether without a key, by its route in a configuration.
 
         All else remains as it was at the arrival, also for a request whose route was removed since.
 
@@ -156,8 +156,10 @@
         """
         route = call.require_route()
         current = catalogue.route(call.request.host, call.request.path)
-        if current is not None and current.allowed_regions != route.allowed_regions:
-            call.route = replace(route, allowed_regions=current.allowed_regions)
+        if current is not None and current is not route:
+            call.route = replace(
+                route, allowed_regions=current.allowed_regions, public=current.public
+            )
 
     def allows_region(self, call: Call, replica: Replica) -> bool:
         """Return whether a request may run in the region of a replica.
@@ -202,7 +204,7 @@
 
 
 def _stale_configuration_error(ran: HasRun) -> RequestError:
-    detail = 'the configuration is stale: this entry has not reached the store for too long'
+    detail = 'the configuration is stale: this entry has not confirmed it for too long'
     return RequestError(Code.configuration_stale, detail, ran, UNREADY_RETRY_AFTER_S)
 
 
--- a/src/cassiahitch/direct/state/updater.py
+++ b/src/cassiahitch/direct/state/updater.py
@@ -166,7 +166,7 @@
         :return: whether the configuration may decide now which keys are accepted.
         """
         self.entry_state.freshness.confirm(confirmed_at)
-        return self.entry_state.freshness.is_valid(boot_time())
+        return self.entry_state.freshness.is_current(boot_time())
 
     def release_hold(self) -> None:
         """Bring the newest configuration that was held back into force."""
--- a/tests/direct/requests/test_old_configurations.py
+++ b/tests/direct/requests/test_old_configurations.py
@@ -132,6 +132,40 @@
     run_site_in_virtual_time(body, TWO_REGIONS, configuration_s=CONFIGURATION_S)
 
 
+def test_peer_with_an_old_configuration_does_not_confirm_that_of_an_entry_that_starts() -> None:
+    async def body(site: DirectSite) -> None:
+        updater = site.entries[0].table_followers.updater
+        site.store.faults.down = True
+        await asyncio.sleep(CONFIGURATION_S)
+        assert not updater.confirm_by_peer(boot_time() - CONFIGURATION_S)
+
+    run_site_in_virtual_time(body, TWO_REGIONS, configuration_s=CONFIGURATION_S)
+
+
+def test_retry_on_a_route_that_is_no_longer_public_stays_in_the_regions_of_the_key() -> None:
+    async def body(site: DirectSite) -> None:
+        lookup = route_of(site, 'lookup')
+        await apply_routes(site, [{**lookup, 'public': True}])
+        for backend in site.plain:
+            backend.pause_s = REFUSED_AFTER_S
+            backend.faults = [Fault.refuse_late]
+        sending = asyncio.create_task(send_request(site.entries[0], '/lookup/1'))
+        await asyncio.sleep(REFUSED_AFTER_S / 5)
+        first = next(backend for backend in site.plain if backend.arrivals)
+        allowed = first.failure_domain.partition('-')[0]
+        site.configuration['tenants'] = [
+            restricted(organisation, allowed) for organisation in site.configuration['tenants']
+        ]
+        await apply_routes(site, [lookup])
+        for backend in site.plain:
+            backend.faults.clear()
+        await sending
+        excluded = [backend for backend in site.plain if backend is not first]
+        assert sum(len(backend.arrivals) for backend in excluded) == 0
+
+    run_site_in_virtual_time(body, TWO_REGIONS)
+
+
 @pytest.mark.parametrize('path', ['/lookup/1', '/order/1', '/draft/1'])
 def test_retry_runs_in_no_region_that_was_excluded_after_the_first_attempt(path: str) -> None:
     async def body(site: DirectSite) -> None:
