Name no excluded regions for a host whose routes have none in common

Found by a review; no caller has seen it.

Change: the regions that some route of the host allows are named then.

Measured: the case `nothing in common` of test_host_is_open_to_all_regions_only_if_no_route_is_ restricted failed before and passes.

--- a/src/cassiahitch/direct/state/catalogue.py
+++ b/src/cassiahitch/direct/state/catalogue.py
@@ -215,8 +215,8 @@
         """Return the regions that all restricted routes of a host allow.
 
         :param host: value of the Host header, with or without a port.
-        :return: the regions, empty if no route of the host is restricted, or if its routes have no
-            allowed region in common.
+        :return: the regions, or those that some route allows if the routes have none in common;
+            empty if no route of the host is restricted.
         """
         name = host.rpartition(':')[0].lower() or host.lower()
         restrictions = [
@@ -224,7 +224,9 @@
             for route in self.routes_by_host.get(name, {}).values()
             if route.allowed_regions
         ]
-        return frozenset.intersection(*restrictions) if restrictions else frozenset()
+        if not restrictions:
+            return frozenset()
+        return frozenset.intersection(*restrictions) or frozenset.union(*restrictions)
 
     def cold_rates(self) -> Mapping[str, float]:
         """Return the cold rates of the services that have one.
--- a/tests/direct/state/test_direct_catalogue.py
+++ b/tests/direct/state/test_direct_catalogue.py
@@ -53,6 +53,26 @@
     assert (match and match.prefix) == max(matching, key=len, default=None)
 
 
+@pytest.mark.parametrize(
+    ('regions', 'named'),
+    [
+        ([(), ()], ''),
+        ([('n',), ()], 'n'),
+        ([('n', 'e'), ('e', 's')], 'e'),
+        ([('n',), ('e',)], 'en'),
+    ],
+    ids=['none', 'one route', 'in common', 'nothing in common'],
+)
+def test_host_is_open_to_all_regions_only_if_no_route_is_restricted(
+    regions: list[tuple[str, ...]], named: str
+) -> None:
+    routes = tuple(
+        replace(route(f'/{number}/', 'h'), allowed_regions=frozenset(allowed))
+        for number, allowed in enumerate(regions)
+    )
+    assert Catalogue(1, routes, {}).host_regions('h') == set(named)
+
+
 def test_mean_objective_of_a_service_covers_all_its_routes() -> None:
     routes = (route('/a/'), replace(route('/b/'), objective_s=0.4))
     config = Catalogue(1, routes, {})
