Log the reads of a table in a module of its own, and lost help once

The follower of a table had grown to 436 lines, and `no rows from entries` was written in each cycle of an outage. ReadLog holds these lines; `no rows from entries` is written at the first read that brings nothing, as `store lost` is.

--- a/src/cassiahitch/direct/state/follower.py
+++ b/src/cassiahitch/direct/state/follower.py
@@ -11,10 +11,7 @@
 
 from cassiahitch.direct.state.eras import ERA_SETTLE_S, StoreEra
 from cassiahitch.direct.state.feed import (
-    LARGE_CHANGE_BYTES,
     UNCONFIRMED_REPLIES,
-    CallFailure,
-    HistoryUnavailable,
     PushedRows,
     ReadChanges,
     ReadSnapshot,
@@ -22,10 +19,9 @@
     TableChanges,
     TableFeed,
     TableRow,
-    TableSnapshot,
-    content_bytes,
 )
 from cassiahitch.direct.state.freshness import boot_time
+from cassiahitch.direct.state.readlog import ReadLog, ReadSource
 from cassiahitch.direct.state.tablecache import TableCache, reply_from_message, rows_from_message
 from cassiahitch.stores.api import NO_ERA
 from cassiahitch.wire.datagrammessages import TableRows, TableState
@@ -70,13 +66,17 @@
     wait_s: float
     relay: TableRelay | None = None
     max_relayed_age_s: float = 0
-    store_reachable: bool = True
     confirmed_at: float = float('-inf')
     change_hint: asyncio.Event = field(default_factory=asyncio.Event)
     cache: TableCache = field(default_factory=TableCache)
     era: StoreEra = field(default_factory=StoreEra)
     settles_at: float = float('inf')
     large_change_at: float = float('-inf')
+    log: ReadLog = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Create the log of reads of the table."""
+        self.log = ReadLog(self.table, self.state_log)
 
     async def work(self) -> None:
         """Keep the cached table up to date until cancelled."""
@@ -141,6 +141,7 @@
         if not self.feed.apply_relayed_state(state.since, state.changed):
             return False
         self.apply((), TableChanges((), state.since, era=state.era), state.confirmed_at)
+        self.log.rows_from_entries()
         return True
 
     async def read_from_relay(self) -> bool:
@@ -167,21 +168,23 @@
         since = self.feed.synced_version or 0
         message = await self.relay.read_rows(readers, self.table, since, self.feed.era)
         if message is None or not self.is_usable(message):
-            self.log_refused_rows(message, sent_at)
+            self.log.no_rows(message, sent_at)
             return False
         confirmed_at = sent_at - message.age_ms / MS_PER_S
         is_recent = boot_time() - confirmed_at <= self.max_relayed_age_s
         if not is_recent and self.feed.synced_version is None:
-            self.log_refused_rows(message, sent_at)
+            self.log.no_rows(message, sent_at)
             return False
         reply = reply_from_message(message)
-        self.log_large_read(reply, 'entry', sent_at)
+        self.log.large_read(reply, ReadSource.entry, sent_at)
         self.start_era(message.era)
         rows = self.feed.handle(reply)
         self.apply(rows, reply, confirmed_at)
         if not rows and not is_recent:
-            self.log_refused_rows(message, sent_at)
-        return bool(rows) or is_recent
+            self.log.no_rows(message, sent_at)
+            return False
+        self.log.rows_from_entries()
+        return True
 
     def is_usable(self, message: TableRows) -> bool:
         """Return whether rows of another entry lead from the cached table to a later state.
@@ -249,8 +252,8 @@
             before = None
             self.start_era(max(reply.era, self.era.latest))
         reply = self.feed.screen(reply)
-        self.log_reachability(reply)
-        self.log_large_read(reply, 'store', sent_at)
+        self.log.store_replied(reply, self.feed.synced_version)
+        self.log.large_read(reply, ReadSource.store, sent_at)
         if isinstance(reply, TableChanges):
             reply = replace(reply, long_polled=wait_s > 0)
         rows = self.feed.handle(reply)
@@ -381,56 +384,5 @@
             case _:
                 return await self.store.read_all(self.table)
 
-    def log_large_read(self, reply: Reply, source: str, sent_at: float) -> None:
-        """Log how long rows took that are large enough to fill a link.
-
-        :param reply: the reply to a read.
-        :param source: who sent the rows.
-        :param sent_at: when the read was sent, in seconds of the boot clock.
-        """
-        rows = reply.rows if isinstance(reply, TableSnapshot | TableChanges) else ()
-        size = content_bytes(rows)
-        if size >= LARGE_CHANGE_BYTES:
-            self.state_log.state_changed(
-                'rows read',
-                table=self.table,
-                source=source,
-                content_bytes=size,
-                took_s=boot_time() - sent_at,
-            )
-
-    def log_refused_rows(self, message: TableRows | None, sent_at: float) -> None:
-        """Log that other entries did not send rows that this process can use.
-
-        :param message: the rows, None if none came in time.
-        :param sent_at: when they were requested, in seconds of the boot clock.
-        """
-        self.state_log.state_changed(
-            'no rows from entries',
-            table=self.table,
-            received=message is not None,
-            age_s=message.age_ms / MS_PER_S if message else None,
-            took_s=boot_time() - sent_at,
-        )
-
-    def log_reachability(self, reply: Reply) -> None:
-        """Log when the store becomes unreachable or reachable, and each read of a snapshot.
-
-        :param reply: the reply to a read.
-        """
-        match reply:
-            case CallFailure(reason=reason) if self.store_reachable:
-                self.store_reachable = False
-                self.state_log.state_changed('store lost', table=self.table, reason=reason)
-            case CallFailure():
-                return
-            case HistoryUnavailable():
-                self.state_log.state_changed('history gone', table=self.table)
-            case _ if not self.store_reachable or isinstance(reply, TableSnapshot):
-                self.store_reachable = True
-                self.state_log.state_changed(
-                    'store reached', table=self.table, version=self.feed.synced_version
-                )
-
 
 __all__ = ('TableFollower',)
--- a/tests/direct/test_direct_path.py
+++ b/tests/direct/test_direct_path.py
@@ -419,7 +419,7 @@
         site.agents[0].platform.store = UnreachableStore()
         follower = site.agents[0].declarations
         follower.store = site.agents[0].platform.store
-        await wait_until(lambda: not follower.store_reachable)
+        await wait_until(lambda: not follower.log.store_reachable)
         site.publish_version(2)
         await wait_until(
             lambda: all(model.engine and model.engine.version == 2 for model in site.models)
