Split the gossip protocol by job

The detection of silent entries by probes is now failuredetector.py, the contents and numbers of messages are messagebuilder.py, and the reports to other regions regionreports.py. Gossip keeps the order of a period, pushes and replies. All parts share the registries, the counts of pending pushes and the source of random numbers, and use them in the same order as before.

tests/direct/members and tests/direct/state: 283 passed.

--- a/src/cassiahitch/direct/members/gossip.py
+++ b/src/cassiahitch/direct/members/gossip.py
@@ -10,26 +10,19 @@
 
 from __future__ import annotations
 
-import itertools
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
-from cassiahitch.direct.members.gossipmessages import (
-    IndirectProbe,
-    OutgoingMessage,
-    Piggyback,
-    Probe,
-)
+from cassiahitch.direct.members.failuredetector import FailureDetector
+from cassiahitch.direct.members.gossipmessages import OutgoingMessage, Piggyback
+from cassiahitch.direct.members.messagebuilder import MAX_CHANGED_STATES, MessageBuilder
 from cassiahitch.direct.members.ownership import is_owner
-from cassiahitch.direct.members.regions import RegionRegistry, parse_endpoints, summarize_region
+from cassiahitch.direct.members.regionreports import RegionReporter
+from cassiahitch.direct.members.regions import RegionRegistry, parse_endpoints
 from cassiahitch.util.endpoints import Endpoint
-from cassiahitch.weights.tree import rendezvous_order
-from cassiahitch.wire.datagrammessages import (
-    MemberNews,
-    RegionState,
-)
+from cassiahitch.wire.datagrammessages import MemberNews, RegionState
 
 if TYPE_CHECKING:
     from cassiahitch.direct.members.memberregistry import MemberRegistry
@@ -37,11 +30,6 @@
 
 #: Seconds between two probes by an entry.
 PROBE_PERIOD_S = 0.2
-#: Seconds without a reply after which other entries are asked to probe too, and their number.
-INDIRECT_PROBE_AFTER_S = 0.2
-INDIRECT_PROBERS = 2
-#: Seconds without a reply to a probe after which an entry counts as silent.
-SILENT_AFTER_S = 0.7
 #: Additional probes for each entry that just became silent: others may have failed along with it.
 EXTRA_PROBES_PER_SILENT = 2
 #: Entries that receive a push, and the number of times that a changed state is pushed.
@@ -50,15 +38,9 @@
 #: Seconds for which changes are gathered into one push, and least time between two pushes.
 PUSH_DELAY_S = 0.005
 MIN_PUSH_INTERVAL_S = 0.1
-#: States of other entries in a message: changed ones, and random ones that are repeated.
-MAX_CHANGED_STATES = 16
-REPEATED_STATES = 2
-#: States of other regions in a message: the most recent ones, and a random one in addition.
-LATEST_REGIONS = 1
 #: Unconfirmed addresses that an entry contacts in a period, or names in a message.
 MAX_CONTACTED = 2
-#: Entries of a region that report to other regions, and the periods between their reports.
-GATEWAYS = 2
+#: Periods between two reports of a gateway to the other regions.
 PERIODS_PER_REGION_REPORT = 2
 
 
@@ -79,16 +61,19 @@
     on_change: Callable[[str, MemberState], None] = lambda _what, _state: None
     pending_pushes: dict[str, int] = field(default_factory=dict)
     remote_pushes: int = 0
-    probes: dict[int, Probe] = field(default_factory=dict)
-    indirect_probes: dict[int, IndirectProbe] = field(default_factory=dict)
-    probe_order: list[str] = field(default_factory=list)
     period_count: int = 0
     pushed_at: float = float('-inf')
-    message_numbers: itertools.count[int] = field(init=False)
+    builder: MessageBuilder = field(init=False)
+    detector: FailureDetector = field(init=False)
+    reporter: RegionReporter = field(init=False)
 
     def __post_init__(self) -> None:
-        """Number the messages, from another first number after each start."""
-        self.message_numbers = itertools.count(self.registry.own.incarnation + 1)
+        """Create the parts of the protocol, which share the registries and the random numbers."""
+        self.builder = MessageBuilder(
+            self.registry, self.regions, self.piggyback, self.rng, self.pending_pushes
+        )
+        self.detector = FailureDetector(self.registry, self.builder, self.rng, self.mark_silent)
+        self.reporter = RegionReporter(self.registry, self.regions, self.builder, self.rng)
 
     def tick(self, now: float) -> list[OutgoingMessage]:
         """Start a period.
@@ -98,12 +83,12 @@
         """
         self.period_count += 1
         self.registry.expire(now)
-        messages, silent_count = self.check_probes(now)
+        messages, silent_count = self.detector.check_probes(now)
         for _ in range(1 + silent_count * EXTRA_PROBES_PER_SILENT):
-            messages.extend(self.probe_next(now))
+            messages.extend(self.detector.probe_next(now))
         messages += self.contact_addresses(now)
         if self.period_count % PERIODS_PER_REGION_REPORT == 0:
-            messages += self.report_to_regions(now)
+            messages += self.reporter.report(now)
         return messages
 
     def update_own_state(self, *, ready: bool, leaving: bool) -> bool:
@@ -125,7 +110,7 @@
             pushed to other regions only if it is a gateway.
         """
         self.pending_pushes[self.registry.own.name] = PUSHES_PER_CHANGE
-        if local or self.is_gateway():
+        if local or self.reporter.is_gateway():
             self.remote_pushes = PUSHES_PER_CHANGE
 
     def is_owner(self, task: str, now: float) -> bool:
@@ -163,11 +148,11 @@
                 self.pending_pushes.pop(name)
         live = self.registry.live_members()
         receivers = live if len(live) <= 2 * FANOUT else self.rng.sample(live, FANOUT)
-        message = self.build_message(now, self.peer_states(names))
+        message = self.builder.build(now, self.builder.peer_states(names))
         messages = [OutgoingMessage(message, state.address) for state in receivers]
         if self.remote_pushes:
             self.remote_pushes -= 1
-            messages += self.remote_messages(now, asks=False)
+            messages += self.reporter.messages(now, asks=False)
         return messages
 
     def receive(self, received: MemberNews, address: str, now: float) -> list[OutgoingMessage]:
@@ -183,9 +168,12 @@
         for region in received.regions:
             self.apply_region(region, now)
         if received.members:
-            self.confirm_alive(received.members[0].name)
+            self.detector.confirm_alive(received.members[0].name)
             self.registry.add_addresses({address: received.members[0].region}, now)
-        return [*self.reply_to(received, address, now), *self.forward_probe_reply(received, now)]
+        return [
+            *self.reply_to(received, address, now),
+            *self.detector.forward_probe_reply(received, now),
+        ]
 
     def apply(self, state: MemberState, now: float) -> None:
         """Apply the state of an entry, and push it if it is newer than the stored one.
@@ -218,15 +206,6 @@
         else:
             self.regions.apply(region, now)
 
-    def confirm_alive(self, name: str) -> None:
-        """Remove the outstanding probes of an entry that has sent a message.
-
-        :param name: the entry.
-        """
-        for number, probe in tuple(self.probes.items()):
-            if probe.name == name:
-                self.probes.pop(number)
-
     def reply_to(self, received: MemberNews, address: str, now: float) -> list[OutgoingMessage]:
         """Reply to a message if that is requested, or if its sender counts as silent.
 
@@ -238,14 +217,14 @@
         :return: what to send.
         """
         if received.target:
-            return [self.probe_on_behalf(received, address, now)]
+            return [self.detector.probe_on_behalf(received, address, now)]
         sender = received.members[0].name if received.members else ''
         sender_state = self.registry.peers.get(sender)
         silent_state = (sender_state,) if sender_state is not None and sender_state.silent else ()
         if not received.asks and not silent_state:
             return []
         remote = not received.members or self.is_remote(received.members[0])
-        message = self.build_message(now, silent_state, remote=remote)
+        message = self.builder.build(now, silent_state, remote=remote)
         number = received.number if received.asks else 0
         regions = (*message.regions, *self.region_peers(received, address))
         return [OutgoingMessage(replace(message, number=number, regions=regions), address)]
@@ -267,77 +246,13 @@
             RegionState(region, endpoints=tuple(str(Endpoint(other, port)) for other in chosen)),
         )
 
-    def forward_probe_reply(self, received: MemberNews, now: float) -> list[OutgoingMessage]:
-        """Forward the reply to an indirect probe to the entry that requested it.
-
-        :param received: the reply.
-        :param now: current time in seconds.
-        :return: what to send.
-        """
-        indirect_probe = None if received.asks else self.indirect_probes.pop(received.number, None)
-        if indirect_probe is None or not received.members:
-            return []
-        # The newer state of the probed entry proves to the requester that it is alive.
-        message = self.build_message(now, received.members[:1])
-        return [
-            OutgoingMessage(
-                replace(message, number=indirect_probe.number), indirect_probe.requester
-            )
-        ]
-
-    def probe_on_behalf(self, received: MemberNews, requester: str, now: float) -> OutgoingMessage:
-        """Probe an entry on behalf of another one.
-
-        :param received: the request.
-        :param requester: address of the entry that requested it.
-        :param now: current time in seconds.
-        :return: the probe.
-        """
-        number = next(self.message_numbers)
-        self.indirect_probes[number] = IndirectProbe(received.number, requester, now)
-        return OutgoingMessage(
-            replace(self.build_message(now), number=number, asks=True), received.target
-        )
-
-    def check_probes(self, now: float) -> tuple[list[OutgoingMessage], int]:
-        """Repeat probes without a reply, and mark entries as silent once they time out.
+    def is_remote(self, state: MemberState) -> bool:
+        """Return whether an entry is in another region.
 
-        :param now: current time in seconds.
-        :return: what to send, and how many entries became silent.
-        """
-        messages: list[OutgoingMessage] = []
-        silent_count = 0
-        for number, probe in tuple(self.probes.items()):
-            age_s = now - probe.sent_at
-            if age_s >= SILENT_AFTER_S:
-                self.probes.pop(number)
-                silent_count += self.mark_silent(probe.name, now)
-            elif age_s >= INDIRECT_PROBE_AFTER_S and not probe.indirect_requested:
-                probe.indirect_requested = True
-                repeated = replace(self.build_message(now), number=number, asks=True)
-                messages += [
-                    OutgoingMessage(repeated, probe.address),
-                    *self.request_indirect_probes(number, probe, now),
-                ]
-        for number, indirect_probe in tuple(self.indirect_probes.items()):
-            if now - indirect_probe.sent_at >= SILENT_AFTER_S:
-                self.indirect_probes.pop(number)
-        return messages, silent_count
-
-    def request_indirect_probes(
-        self, number: int, probe: Probe, now: float
-    ) -> list[OutgoingMessage]:
-        """Ask other entries to probe one that may be unreachable only from this entry.
-
-        :param number: number of the probe.
-        :param probe: the probe without a reply.
-        :param now: current time in seconds.
-        :return: what to send.
+        :param state: the entry.
+        :return: whether it is.
         """
-        others = [other for other in self.registry.live_members() if other.name != probe.name]
-        probers = self.rng.sample(others, min(INDIRECT_PROBERS, len(others)))
-        message = replace(self.build_message(now), number=number, target=probe.address)
-        return [OutgoingMessage(message, prober.address) for prober in probers]
+        return state.region != self.registry.own.region
 
     def mark_silent(self, name: str, now: float) -> bool:
         """Mark an entry as silent, and push that state.
@@ -352,25 +267,6 @@
         self.on_change('entry silent', self.registry.peers[name])
         return True
 
-    def probe_next(self, now: float) -> list[OutgoingMessage]:
-        """Probe the next entry; each round covers all entries in random order.
-
-        :param now: current time in seconds.
-        :return: what to send.
-        """
-        live = {state.name: state for state in self.registry.live_members()}
-        if not any(name in live for name in self.probe_order):
-            self.probe_order = list(live)
-            self.rng.shuffle(self.probe_order)
-        while self.probe_order:
-            state = live.get(self.probe_order.pop())
-            if state is not None:
-                number = next(self.message_numbers)
-                self.probes[number] = Probe(state.name, state.address, now)
-                message = replace(self.build_message(now), number=number, asks=True)
-                return [OutgoingMessage(message, state.address)]
-        return []
-
     def contact_addresses(self, now: float) -> list[OutgoingMessage]:
         """Send a message that requests a reply to a few unconfirmed addresses.
 
@@ -380,123 +276,10 @@
         addresses = self.registry.unconfirmed_addresses()
         receivers = self.rng.sample(addresses, min(MAX_CONTACTED, len(addresses)))
         message = replace(
-            self.build_message(now, remote=True), number=next(self.message_numbers), asks=True
+            self.builder.build(now, remote=True), number=next(self.builder.numbers), asks=True
         )
         return [OutgoingMessage(message, address) for address in receivers]
 
-    def report_to_regions(self, now: float) -> list[OutgoingMessage]:
-        """Report this region to an entry of each other region, if this entry is a gateway.
-
-        :param now: current time in seconds.
-        :return: what to send.
-        """
-        if not self.is_gateway():
-            return []
-        # Without a live entry in its own region, the gateway requests a reply that names some.
-        return self.remote_messages(now, asks=not self.registry.live_members())
-
-    def is_gateway(self) -> bool:
-        """Return whether this entry reports its region to the other ones.
-
-        :return: whether it is one of the first live entries of its region.
-        """
-        own = self.registry.own
-        names = rendezvous_order(
-            0, tuple(other.name for other in (own, *self.registry.live_members()))
-        )
-        return own.name in names[:GATEWAYS]
-
-    def remote_messages(self, now: float, *, asks: bool) -> list[OutgoingMessage]:
-        """Return a message to an entry of each other region.
-
-        :param now: current time in seconds.
-        :param asks: whether the receivers are to reply.
-        :return: what to send.
-        """
-        message = replace(
-            self.build_message(now, remote=True), number=next(self.message_numbers), asks=asks
-        )
-        addresses = (self.choose_address(region, now) for region in self.other_regions())
-        return [OutgoingMessage(message, address) for address in addresses if address]
-
-    def other_regions(self) -> tuple[str, ...]:
-        """Return the other regions that may have entries.
-
-        :return: their names, sorted.
-        """
-        names = {
-            candidate.region for candidate in self.registry.addresses.values()
-        } | self.regions.snapshots.keys()
-        return tuple(sorted(names - {'', self.registry.own.region}))
-
-    def choose_address(self, region: str, now: float) -> str:
-        """Choose an entry of another region at random.
-
-        :param region: the region.
-        :param now: current time in seconds.
-        :return: its address, empty if there is none.
-        """
-        live = tuple(endpoint.address for endpoint in self.regions.endpoints(now, region))
-        addresses = live or self.registry.addresses_of(region)
-        return self.rng.choice(addresses) if addresses else ''
-
-    def is_remote(self, state: MemberState) -> bool:
-        """Return whether an entry is in another region.
-
-        :param state: the entry.
-        :return: whether it is.
-        """
-        return state.region != self.registry.own.region
-
-    def build_message(
-        self, now: float, changed: Iterable[MemberState] = (), *, remote: bool = False
-    ) -> MemberNews:
-        """Return a message with the current states.
-
-        :param now: current time in seconds.
-        :param changed: states that it must contain.
-        :param remote: whether the receiver may be in another region.
-        :return: the message; it requests no reply.
-        """
-        peers = tuple(self.registry.peers.values())
-        repeated = self.rng.sample(peers, min(REPEATED_STATES, len(peers)))
-        pending = self.peer_states(self.pending_pushes)
-        changed = itertools.islice(itertools.chain(changed, pending), MAX_CHANGED_STATES)
-        members = dict.fromkeys((self.registry.own, *changed, *repeated))
-        return MemberNews(
-            members=tuple(members),
-            regions=self.region_states(now, remote=remote),
-            suspects=self.piggyback.suspects(now),
-            versions=self.piggyback.versions(now),
-            limits=self.piggyback.limits(now),
-            segment_crashes=self.piggyback.segment_crashes(now),
-            sound_segments=self.piggyback.sound_segments(now),
-        )
-
-    def peer_states(self, names: Iterable[str]) -> tuple[MemberState, ...]:
-        """Return the states of other entries.
-
-        :param names: names of entries.
-        :return: the states of those that are in the registry.
-        """
-        return tuple(self.registry.peers[name] for name in names if name in self.registry.peers)
-
-    def region_states(self, now: float, *, remote: bool) -> tuple[RegionState, ...]:
-        """Return the states of regions for a message.
-
-        :param now: current time in seconds.
-        :param remote: whether the receiver may be in another region.
-        :return: states of other regions, and of the own one for a remote receiver.
-        """
-        states = self.regions.current_states(now)
-        latest = sorted(states, key=lambda state: state.age_ms)[:LATEST_REGIONS]
-        others = tuple(dict.fromkeys((*latest, *self.rng.sample(states, min(1, len(states))))))
-        if not remote:
-            return others
-        live = [self.registry.own, *self.registry.live_members()]
-        self.rng.shuffle(live)
-        return (summarize_region(self.registry.own.region, tuple(live)), *others)
-
     def entry_count(self, now: float) -> int:
         """Return how many entries may be alive in all regions.
 
--- a/tests/direct/state/test_updater.py
+++ b/tests/direct/state/test_updater.py
@@ -98,7 +98,7 @@
         return self.versions.oldest_allowed(MODEL, boot_time())
 
     def state_query(self) -> MemberNews:
-        message: MemberNews = self.members.build_message(_now())
+        message: MemberNews = self.members.builder.build(_now())
         query = replace(message, number=1, asks=True)
         for address in ('10.0.0.1', '10.0.0.2'):
             self.messenger.send([OutgoingMessage(query, address)])
