Split the telemetry of an entry into three modules

The log of changes of the cached state, which agents use too, is now statelog.py, and what an entry logs and counts about backend servers replicalog.py; Telemetry keeps the requests and the gauges. Log lines, fields and counters are as before. telemetry.py goes on to offer StateLog, since direct/state/follower.py and three test files import it from there.

--- a/src/cassiahitch/direct/members/startcheck.py
+++ b/src/cassiahitch/direct/members/startcheck.py
@@ -30,7 +30,7 @@
     from cassiahitch.direct.state.declarations import DeclarationsInForce, StartHold
     from cassiahitch.direct.state.feed import TableRow
     from cassiahitch.direct.state.follower import TableFollower
-    from cassiahitch.direct.telemetry import StateLog
+    from cassiahitch.direct.statelog import StateLog
 
 #: Longest time in seconds for which a start waits for entries. By then the operator has written
 #: again what the restore lost.
--- a/src/cassiahitch/direct/reloading.py
+++ b/src/cassiahitch/direct/reloading.py
@@ -13,7 +13,7 @@
 from cassiahitch.settings.loader import load_model
 
 if TYPE_CHECKING:
-    from cassiahitch.direct.telemetry import StateLog
+    from cassiahitch.direct.statelog import StateLog
 
 #: Time between two checks whether the file has changed, in seconds.
 SETTINGS_POLL_INTERVAL_S = 1.0
--- a/src/cassiahitch/direct/staging/agentparts.py
+++ b/src/cassiahitch/direct/staging/agentparts.py
@@ -19,7 +19,7 @@
 from cassiahitch.direct.staging.staging import Stager
 from cassiahitch.direct.staging.uploads import LinkRates, UploadLimiter
 from cassiahitch.direct.state.versions import VersionPolicy
-from cassiahitch.direct.telemetry import StateLog
+from cassiahitch.direct.statelog import StateLog
 from cassiahitch.metrics.registry import Metrics
 from cassiahitch.weights.plan import Participant
 
--- a/src/cassiahitch/direct/staging/agentupdater.py
+++ b/src/cassiahitch/direct/staging/agentupdater.py
@@ -29,7 +29,7 @@
     from cassiahitch.direct.staging.repository import ChunkRepository
     from cassiahitch.direct.staging.uploads import UploadLimiter
     from cassiahitch.direct.state.catalogue import Engine
-    from cassiahitch.direct.telemetry import StateLog
+    from cassiahitch.direct.statelog import StateLog
     from cassiahitch.settings.direct import DirectAgentSettings
 
 #: Version that an engine should load before any is declared.
--- a/src/cassiahitch/direct/staging/enginelimit.py
+++ b/src/cassiahitch/direct/staging/enginelimit.py
@@ -17,7 +17,7 @@
 
 if TYPE_CHECKING:
     from cassiahitch.direct.staging.enginestate import EngineReport
-    from cassiahitch.direct.telemetry import StateLog
+    from cassiahitch.direct.statelog import StateLog
     from cassiahitch.util.endpoints import Endpoint
     from cassiahitch.wire.datagrammessages import ColdRecord, LimitRecord
 
--- a/src/cassiahitch/direct/staging/fetching.py
+++ b/src/cassiahitch/direct/staging/fetching.py
@@ -28,7 +28,7 @@
     from cassiahitch.direct.staging.fleet import ChunkFetch
     from cassiahitch.direct.staging.layout import WeightsLayout
     from cassiahitch.direct.staging.repository import ChunkRepository
-    from cassiahitch.direct.telemetry import StateLog
+    from cassiahitch.direct.statelog import StateLog
     from cassiahitch.metrics.registry import Metrics
     from cassiahitch.weights.plan import Participant
 
--- a/src/cassiahitch/direct/staging/loading.py
+++ b/src/cassiahitch/direct/staging/loading.py
@@ -31,7 +31,7 @@
     from cassiahitch.direct.staging.loadorders import LoadOrders
     from cassiahitch.direct.staging.repository import ChunkRepository
     from cassiahitch.direct.staging.staging import Stager
-    from cassiahitch.direct.telemetry import StateLog
+    from cassiahitch.direct.statelog import StateLog
     from cassiahitch.metrics.registry import Metrics
     from cassiahitch.weights.plan import Participant
 
--- a/src/cassiahitch/direct/staging/loadorders.py
+++ b/src/cassiahitch/direct/staging/loadorders.py
@@ -19,7 +19,7 @@
     from cassiahitch.direct.staging.loadtrust import LoadTrust
     from cassiahitch.direct.staging.repository import ChunkRepository
     from cassiahitch.direct.staging.staging import Stager
-    from cassiahitch.direct.telemetry import StateLog
+    from cassiahitch.direct.statelog import StateLog
 
 #: Seconds between two reads of the report of an engine that is loading.
 POLL_INTERVAL_S = 0.1
--- a/src/cassiahitch/direct/staging/loadrecords.py
+++ b/src/cassiahitch/direct/staging/loadrecords.py
@@ -17,7 +17,7 @@
 if TYPE_CHECKING:
     from cassiahitch.direct.api import TableStore
     from cassiahitch.direct.staging.loadtrust import LoadTrust
-    from cassiahitch.direct.telemetry import StateLog
+    from cassiahitch.direct.statelog import StateLog
 
 #: Seconds between two checks whether a load is to be recorded, and after a failure to do so.
 POLL_INTERVAL_S = 0.05
--- a/src/cassiahitch/direct/staging/manifests.py
+++ b/src/cassiahitch/direct/staging/manifests.py
@@ -20,7 +20,7 @@
     from cassiahitch.direct.staging.chunks import WeightsId
     from cassiahitch.direct.staging.layout import ManifestDocument
     from cassiahitch.direct.staging.peerclient import PeerClient
-    from cassiahitch.direct.telemetry import StateLog
+    from cassiahitch.direct.statelog import StateLog
     from cassiahitch.metrics.registry import Metrics
     from cassiahitch.weights.manifest import Manifest
 
--- a/src/cassiahitch/direct/staging/permits.py
+++ b/src/cassiahitch/direct/staging/permits.py
@@ -24,7 +24,7 @@
 
 if TYPE_CHECKING:
     from cassiahitch.direct.staging.ratelimiter import Refusal
-    from cassiahitch.direct.telemetry import StateLog
+    from cassiahitch.direct.statelog import StateLog
     from cassiahitch.util.endpoints import Endpoint
     from cassiahitch.wire.datagrammessages import DatagramMessage, LimitRecord
     from cassiahitch.wire.datagrams import DatagramSocket
--- a/src/cassiahitch/direct/staging/reporting.py
+++ b/src/cassiahitch/direct/staging/reporting.py
@@ -28,7 +28,7 @@
     from cassiahitch.direct.staging.enginestate import EngineReport, StagingEngine
     from cassiahitch.direct.staging.loading import Loader
     from cassiahitch.direct.staging.ratelimiter import Refusal
-    from cassiahitch.direct.telemetry import StateLog
+    from cassiahitch.direct.statelog import StateLog
     from cassiahitch.errors import WireError
     from cassiahitch.util.endpoints import Endpoint
     from cassiahitch.wire.datagrammessages import DatagramMessage
--- a/tests/direct/members/test_startcheck.py
+++ b/tests/direct/members/test_startcheck.py
@@ -29,7 +29,7 @@
 from cassiahitch.direct.state.feed import TableFeed, TableRow, TableSnapshot
 from cassiahitch.direct.state.follower import TableFollower
 from cassiahitch.direct.state.versions import DeclaredVersion
-from cassiahitch.direct.telemetry import StateLog
+from cassiahitch.direct.statelog import StateLog
 from cassiahitch.stores.http_client import HttpCall
 from cassiahitch.wire.datagrammessages import MemberState, RowRecord, TableRows
 from cassiahitch.wire.datagrams import decode_datagram, encode_datagram
--- a/tests/direct/staging/test_cold_engines.py
+++ b/tests/direct/staging/test_cold_engines.py
@@ -14,7 +14,7 @@
 from cassiahitch.direct.staging.permits import PermitService
 from cassiahitch.direct.staging.ratelimiter import RateLimiter
 from cassiahitch.direct.state.ratelimits import LimitObservation
-from cassiahitch.direct.telemetry import StateLog
+from cassiahitch.direct.statelog import StateLog
 from cassiahitch.util.endpoints import Endpoint
 from cassiahitch.wire.datagrammessages import ColdRecord, LimitRecord
 
--- a/tests/direct/staging/test_enginelimit.py
+++ b/tests/direct/staging/test_enginelimit.py
@@ -7,7 +7,7 @@
 from cassiahitch.direct.staging.enginelimit import EngineRateLimit
 from cassiahitch.direct.staging.enginestate import EngineReport
 from cassiahitch.direct.state.ratelimits import LimitObservation
-from cassiahitch.direct.telemetry import StateLog
+from cassiahitch.direct.statelog import StateLog
 from cassiahitch.util.endpoints import Endpoint
 from cassiahitch.wire.datagrammessages import LimitRecord
 
--- a/tests/direct/staging/test_reporting.py
+++ b/tests/direct/staging/test_reporting.py
@@ -21,7 +21,7 @@
 )
 from cassiahitch.direct.staging.workledger import ARRIVAL_S
 from cassiahitch.direct.state.ratelimits import LimitObservation
-from cassiahitch.direct.telemetry import StateLog
+from cassiahitch.direct.statelog import StateLog
 from cassiahitch.util.endpoints import Endpoint
 from cassiahitch.wire.datagrammessages import (
     EngineLoad,
--- a/tests/direct/test_reloading.py
+++ b/tests/direct/test_reloading.py
@@ -12,7 +12,7 @@
 import pytest
 
 from cassiahitch.direct.reloading import SettingsWatch
-from cassiahitch.direct.telemetry import StateLog
+from cassiahitch.direct.statelog import StateLog
 from cassiahitch.settings.direct import BoundSettings, DirectAgentSettings
 from cassiahitch.settings.loader import load_model
 
--- a/tests/support/modelled_agent.py
+++ b/tests/support/modelled_agent.py
@@ -9,7 +9,7 @@
 from cassiahitch.direct.staging.enginelimit import EngineRateLimit
 from cassiahitch.direct.staging.permits import refusal_records
 from cassiahitch.direct.staging.reporting import PendingRequests
-from cassiahitch.direct.telemetry import StateLog
+from cassiahitch.direct.statelog import StateLog
 from cassiahitch.wire.datagrammessages import EngineLoad
 
 if TYPE_CHECKING:
--- a/tests/support/repositories.py
+++ b/tests/support/repositories.py
@@ -8,7 +8,7 @@
 from cassiahitch.direct.staging.manifests import ManifestReader
 from cassiahitch.direct.staging.peerclient import PeerClient
 from cassiahitch.direct.staging.repository import ChunkRepository
-from cassiahitch.direct.telemetry import StateLog
+from cassiahitch.direct.statelog import StateLog
 from cassiahitch.metrics.registry import Metrics
 
 
--- a/tests/support/slow_link.py
+++ b/tests/support/slow_link.py
@@ -18,7 +18,7 @@
 from cassiahitch.direct.staging.layout import ManifestDocument, WeightsLayout
 from cassiahitch.direct.staging.peerclient import PeerClient
 from cassiahitch.direct.staging.receiving import ReceiveWindow
-from cassiahitch.direct.telemetry import StateLog
+from cassiahitch.direct.statelog import StateLog
 from cassiahitch.metrics.registry import Metrics
 from cassiahitch.standins.weightservice import WeightService
 from cassiahitch.stores.http_client import HttpCall, HttpCallError, HttpResponse
