Split the placement of requests by job

What a request is assigned to, or why it is refused, is now assignments.py, together with the request as the placement sees it. The time limits on queues for the admission of a request, and its rank there, are timelimits.py; their functions have lost the underscore, and _is_within_limit is is_in_time, since a local variable has the other name. Placement keeps the loads and the choice. No constant, formula or random draw has changed. placement.py goes on to offer Assignment, since direct/backends/attempt.py imports it from there.

--- a/src/cassiahitch/direct/backends/costrecorder.py
+++ b/src/cassiahitch/direct/backends/costrecorder.py
@@ -17,7 +17,8 @@
     from cassiahitch.direct.api import Call
     from cassiahitch.direct.backends.outcomes import Outcome
     from cassiahitch.direct.backends.streamstate import StreamState
-    from cassiahitch.direct.placement.placement import Assignment, Placement
+    from cassiahitch.direct.placement.assignments import Assignment
+    from cassiahitch.direct.placement.placement import Placement
     from cassiahitch.direct.state.catalogue import Engine
     from cassiahitch.direct.telemetry import Telemetry
 
--- a/src/cassiahitch/direct/backends/replicasignals.py
+++ b/src/cassiahitch/direct/backends/replicasignals.py
@@ -13,8 +13,8 @@
 if TYPE_CHECKING:
     from cassiahitch.direct.api import ResponseHead
     from cassiahitch.direct.backends.pool import ConnectionPool
+    from cassiahitch.direct.placement.assignments import Assignment
     from cassiahitch.direct.placement.availability import ReplicaAvailability
-    from cassiahitch.direct.placement.placement import Assignment
     from cassiahitch.direct.state.ratelimits import RateLimitRegistry
     from cassiahitch.direct.state.replicas import Replica
     from cassiahitch.direct.telemetry import Telemetry
--- a/src/cassiahitch/direct/backends/streamstate.py
+++ b/src/cassiahitch/direct/backends/streamstate.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from cassiahitch.direct.api import ResponseHead
     from cassiahitch.direct.callers.exchange import CallerExchange
-    from cassiahitch.direct.placement.placement import Assignment
+    from cassiahitch.direct.placement.assignments import Assignment
     from cassiahitch.direct.state.replicas import Replica
 
 
--- a/src/cassiahitch/direct/backends/withdrawal.py
+++ b/src/cassiahitch/direct/backends/withdrawal.py
@@ -19,7 +19,7 @@
 from cassiahitch.direct.state.versions import BOUND_MARGIN_S
 
 if TYPE_CHECKING:
-    from cassiahitch.direct.placement.placement import Assignment, Candidate
+    from cassiahitch.direct.placement.assignments import Assignment, Candidate
     from cassiahitch.direct.state.versions import VersionPolicy
 
 #: Longest time between two checks in seconds: a version may be declared while a request waits, and
--- a/src/cassiahitch/direct/placement/coldengines.py
+++ b/src/cassiahitch/direct/placement/coldengines.py
@@ -11,15 +11,15 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
-from cassiahitch.direct.placement.limiterchoice import PERMIT_LIFETIME_S
-from cassiahitch.direct.placement.placement import (
+from cassiahitch.direct.placement.assignments import (
     Assignment,
     Candidate,
     NoCapacity,
-    Placement,
     PlacementRequest,
     Reservation,
 )
+from cassiahitch.direct.placement.limiterchoice import PERMIT_LIFETIME_S
+from cassiahitch.direct.placement.placement import Placement
 from cassiahitch.direct.placement.reservation import UNGRANTED, ReservationClient
 from cassiahitch.direct.state.freshness import boot_time
 
--- a/src/cassiahitch/direct/placement/enginegroups.py
+++ b/src/cassiahitch/direct/placement/enginegroups.py
@@ -7,7 +7,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from cassiahitch.direct.placement.placement import Candidate, Placement, PlacementRequest
+from cassiahitch.direct.placement.assignments import Candidate, PlacementRequest
+from cassiahitch.direct.placement.placement import Placement
 from cassiahitch.direct.state.freshness import boot_time
 from cassiahitch.direct.state.layers import are_all_layers
 
--- a/src/cassiahitch/direct/placement/overload.py
+++ b/src/cassiahitch/direct/placement/overload.py
@@ -12,11 +12,7 @@
 from dataclasses import dataclass, field, replace
 
 from cassiahitch.direct.placement.admission import admission_terms
-from cassiahitch.direct.placement.placement import (
-    ADMISSION_FRACTION,
-    NoCapacity,
-    PlacementRequest,
-)
+from cassiahitch.direct.placement.assignments import NoCapacity, PlacementRequest
 from cassiahitch.direct.placement.pressure import (
     DecayingCount,
     RequestClass,
@@ -24,6 +20,7 @@
 )
 from cassiahitch.direct.placement.returns import RefusalInputs, ReturnSchedule, ReturnTime
 from cassiahitch.direct.placement.shares import FairShares
+from cassiahitch.direct.placement.timelimits import ADMISSION_FRACTION
 from cassiahitch.direct.placement.waiting import may_still_be_served
 
 #: Services whose requests are counted; others are treated as not overloaded.
--- a/src/cassiahitch/direct/placement/permits.py
+++ b/src/cassiahitch/direct/placement/permits.py
@@ -8,8 +8,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from cassiahitch.direct.placement.assignments import Reservation
 from cassiahitch.direct.placement.limiterchoice import PERMIT_LIFETIME_S
-from cassiahitch.direct.placement.placement import Reservation
 from cassiahitch.direct.placement.reservation import UNGRANTED
 from cassiahitch.direct.state.freshness import boot_time
 from cassiahitch.util.endpoints import Endpoint
--- a/src/cassiahitch/direct/placement/placement.py
+++ b/src/cassiahitch/direct/placement/placement.py
@@ -17,28 +17,24 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from cassiahitch.direct.placement.costs import INITIAL_SERVICE_S, RequestCosts
+from cassiahitch.direct.placement.assignments import Assignment, NoCapacity
+from cassiahitch.direct.placement.costs import RequestCosts
 from cassiahitch.direct.placement.load import LoadTracker, prefill_s, queue_delay_s
 from cassiahitch.direct.placement.plainload import PlainLoadTracker, distance_s
+from cassiahitch.direct.placement.timelimits import (
+    LATE_RANK,
+    OWN_REGION_FRACTION,
+    FirstEventEstimate,
+    can_meet_objective,
+    is_in_time,
+    queue_rank,
+    time_limit_s,
+)
 
 if TYPE_CHECKING:
-    from cassiahitch.direct.placement.admission import AdmissionTerms
-    from cassiahitch.direct.placement.returns import RefusalInputs
-    from cassiahitch.direct.state.catalogue import Engine, Route
-    from cassiahitch.direct.state.replicas import Replica
-    from cassiahitch.util.endpoints import Endpoint
-
-#: Fraction of the objective within which the first event of a mean prompt has to be expected. The
-#: rest is a reserve for the prefill of longer prompts and for prediction errors.
-ADMISSION_FRACTION = 0.7
-#: Fraction of the objective up to which only replicas of the own region are used, so that those of
-#: other regions stay free for the callers there.
-OWN_REGION_FRACTION = 0.5
-#: Fraction of the objective within which an engine has to start a late request.
-LATE_FRACTION = 0.5
-#: Fraction of the objective within which an engine has to start a request of an organisation that
-#: has more than its share. Engines with a free slot and few pending prefills are that fast.
-RESTRICTED_FRACTION = 0.3
+    from cassiahitch.direct.placement.assignments import Candidate, PlacementRequest
+    from cassiahitch.direct.state.catalogue import Engine
+
 #: Seconds by which a replica of another region has to be faster than one of the own region.
 CROSS_REGION_COST_S = 0.02
 #: Maximum jitter of the cost of a replica in seconds, so that entries with the same reports choose
@@ -56,148 +52,6 @@
 FULL_REPORT_EXPIRY_S = 0.3
 #: Slots of an engine that are reserved for requests which can still meet their objective.
 RESERVED_SLOTS = 1
-#: Rank of late requests in the queue of an engine, which processes low ranks first.
-LATE_RANK = 8
-#: Highest rank of other requests.
-MAX_RANK_IN_TIME = 7
-#: Ranks of each priority: requests with low slack, and all others.
-RANKS_PER_PRIORITY = 2
-
-
-@dataclass(frozen=True, slots=True)
-class Candidate:
-    """A replica that may receive the request, and its loaded model and the version of that.
-
-    ``in_own_domain`` is whether it is in the failure domain of this entry.
-    """
-
-    replica: Replica
-    in_own_region: bool
-    version: int = 0
-    model: str = ''
-    in_own_domain: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class PlacementRequest:
-    """A request that is to be placed.
-
-    ``elapsed_s`` is the time since the caller first sent it, retries included, and ``remaining_s``
-    the time until its deadline. ``mean_objective_s`` is the mean objective of the routes of the
-    service, 0 if unknown. ``terms`` are None if all requests of the service are admitted alike.
-    ``output_tokens`` is its expected output length, 0 if it is not placed by cost.
-    ``is_return`` is set if the caller was refused before, and ``is_preferred`` if it therefore
-    comes before new requests of the same priority. ``organisation`` is its name, empty if there is
-    none, and ``is_restricted`` is set if it has more than its share.
-    """
-
-    route: Route
-    elapsed_s: float
-    prompt_tokens: int = 0
-    priority: int = 0
-    remaining_s: float = math.inf
-    mean_objective_s: float = 0
-    output_tokens: float = 0
-    terms: AdmissionTerms | None = None
-    is_return: bool = False
-    is_preferred: bool = False
-    organisation: str = ''
-    is_restricted: bool = False
-
-    @property
-    def mean_or_own_objective_s(self) -> float:
-        """The mean objective of the routes of the service, or its own if that is unknown."""
-        return self.mean_objective_s or self.route.objective_s
-
-    @property
-    def admission_objective_s(self) -> float:
-        """The objective that decides on admission, from the first attempt of the caller."""
-        return self.terms.objective_s if self.terms else self.mean_or_own_objective_s
-
-    @property
-    def queue_objective_s(self) -> float:
-        """The objective that bounds the queue of an engine, the same for all routes."""
-        return self.terms.queue_objective_s if self.terms else self.mean_or_own_objective_s
-
-    @property
-    def is_late(self) -> bool:
-        """Whether its objective has passed already, for example for a retried request."""
-        return self.elapsed_s >= self.admission_objective_s
-
-    def has_low_slack(self, engine: Engine) -> bool:
-        """Return whether it can wait less long than a mean request of the service.
-
-        :param engine: speed of the engines.
-        :return: whether the prefill takes more additional time than its objective allows.
-        """
-        additional_objective_s = self.route.objective_s - self.mean_or_own_objective_s
-        additional_prefill_s = prefill_s(engine, self.prompt_tokens, 1) - prefill_s(
-            engine, engine.mean_prompt_tokens, 1
-        )
-        return additional_prefill_s > additional_objective_s
-
-
-@dataclass(frozen=True, slots=True)
-class Reservation:
-    """A slot of an engine, or a permit for a limited replica, that an agent reserved.
-
-    ``number`` is that of the query to ``agent``. ``permit_until`` is when the permit ends, in
-    seconds of the boot clock; minus infinity if the replica names no rate limit.
-    """
-
-    number: int
-    agent: Endpoint
-    permit_until: float = -math.inf
-
-
-@dataclass(frozen=True, slots=True)
-class Assignment:
-    """The assignment of a request to a replica.
-
-    ``expected_s`` is the predicted time to its first byte, and ``rank`` its rank in the queue of
-    the engine. ``near_capacity`` is set if another replica may start it considerably earlier.
-    ``reservation`` is None if no agent was queried or none replied. ``output_tokens`` is the
-    expected output length, 0 if unknown, and ``cost_s`` the expected service time of a plain
-    request.
-    """
-
-    candidate: Candidate
-    expected_s: float
-    rank: int | None = None
-    near_capacity: bool = True
-    reservation: Reservation | None = None
-    output_tokens: float = 0
-    cost_s: float = INITIAL_SERVICE_S
-
-
-@dataclass(frozen=True, slots=True)
-class NoCapacity:
-    """The refusal of a request that no replica can start in time.
-
-    ``best_expected_s`` is the predicted time to the first event at the best replica, and
-    ``available_in_s`` the time after which that replica may be able to admit the request.
-    ``limited`` is the number of replicas that name a rate limit and have no permit left, and
-    ``inputs`` what decided under pressure.
-    """
-
-    retry_after_s: float
-    best_expected_s: float
-    available_in_s: float
-    limited: int = 0
-    inputs: RefusalInputs | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class FirstEventEstimate:
-    """Requests of an engine, and the predicted time to the first event of a further request.
-
-    ``expected_s`` is the prediction for the request itself, ``mean_prompt_s`` for a request with a
-    prompt of mean length.
-    """
-
-    requests: int
-    expected_s: float
-    mean_prompt_s: float
 
 
 @dataclass(slots=True)
@@ -296,24 +150,24 @@
         local = tuple(candidate for candidate in candidates if candidate.in_own_region)
         prefers_own_region = len(local) >= SAMPLE_SIZE
         chosen = self.best_of_sample(local if prefers_own_region else candidates, estimates)
-        if prefers_own_region and not _is_within_limit(
-            request, estimates[chosen], OWN_REGION_FRACTION
-        ):
+        if prefers_own_region and not is_in_time(request, estimates[chosen], OWN_REGION_FRACTION):
             chosen = self.best_of_sample(candidates, estimates)
-        if not _is_within_limit(request, estimates[chosen]):
+        if not is_in_time(request, estimates[chosen]):
             chosen = min(
                 candidates, key=lambda candidate: self.cost_s(candidate, estimates[candidate])
             )
         estimate = estimates[chosen]
-        is_within_limit = _is_within_limit(request, estimate)
+        is_within_limit = is_in_time(request, estimate)
         starts_before_deadline = estimate.expected_s <= request.remaining_s
         if starts_before_deadline and (
             is_within_limit or estimate.requests <= engine.slots - RESERVED_SLOTS
         ):
-            rank = _rank(engine, request) if _can_meet_objective(request, estimate) else LATE_RANK
-            near_capacity = not _is_within_limit(request, estimate, OWN_REGION_FRACTION)
+            rank = (
+                queue_rank(engine, request) if can_meet_objective(request, estimate) else LATE_RANK
+            )
+            near_capacity = not is_in_time(request, estimate, OWN_REGION_FRACTION)
             return Assignment(chosen, estimate.expected_s, rank, near_capacity)
-        available_in_s = max(0, estimate.mean_prompt_s - _time_limit_s(request))
+        available_in_s = max(0, estimate.mean_prompt_s - time_limit_s(request))
         return NoCapacity(self.retry_after_s(request), estimate.expected_s, available_in_s)
 
     def is_full(
@@ -333,7 +187,7 @@
         if now - load.reported_at > FULL_REPORT_EXPIRY_S:
             return False
         estimate = self.estimate(engine, request, candidate, 1, now)
-        return estimate.mean_prompt_s - (now - load.reported_at) > _time_limit_s(request)
+        return estimate.mean_prompt_s - (now - load.reported_at) > time_limit_s(request)
 
     def retry_after_s(self, request: PlacementRequest) -> float:
         """Return the time after which a refused caller may retry.
@@ -416,47 +270,7 @@
         return estimate.expected_s + cross_region_s + self.rng.uniform(0, COST_JITTER_S)
 
 
-def _time_limit_s(request: PlacementRequest, fraction: float = ADMISSION_FRACTION) -> float:
-    """Return the maximum time to the first event for admission, in seconds."""
-    if request.is_restricted:
-        fraction = min(fraction, RESTRICTED_FRACTION)
-    queue_limit_s = request.queue_objective_s * fraction
-    if request.is_preferred:
-        return queue_limit_s
-    if request.is_late:
-        return min(queue_limit_s, request.queue_objective_s * LATE_FRACTION)
-    limit_s = min(queue_limit_s, request.admission_objective_s * fraction - request.elapsed_s)
-    return limit_s * (1 + request.terms.advance) if request.terms else limit_s
-
-
-def _is_within_limit(
-    request: PlacementRequest, estimate: FirstEventEstimate, fraction: float = ADMISSION_FRACTION
-) -> bool:
-    """Return whether the first event of a mean prompt is expected within the time limit."""
-    return estimate.mean_prompt_s <= _time_limit_s(request, fraction)
-
-
-def _can_meet_objective(request: PlacementRequest, estimate: FirstEventEstimate) -> bool:
-    """Return whether the first event of a mean prompt is expected within the objective."""
-    return not (request.is_late and not request.is_preferred) and _is_within_limit(
-        request, estimate, 1
-    )
-
-
-def _rank(engine: Engine, request: PlacementRequest) -> int:
-    """Return the rank of a request in the queue of an engine, by priority and slack."""
-    rank = RANKS_PER_PRIORITY * max(0, request.priority)
-    if not (request.is_preferred or request.has_low_slack(engine)):
-        rank += 1
-    return min(MAX_RANK_IN_TIME, rank)
-
-
 __all__ = (
-    'Candidate',
-    'NoCapacity',
-    'PlacementRequest',
     'Assignment',
     'Placement',
-    'Reservation',
-    'FirstEventEstimate',
 )
--- a/src/cassiahitch/direct/placement/plainload.py
+++ b/src/cassiahitch/direct/placement/plainload.py
@@ -12,7 +12,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from cassiahitch.direct.placement.placement import Candidate
+    from cassiahitch.direct.placement.assignments import Candidate
 
 #: Weight of the newest response time in the moving average of a replica.
 NEWEST_WEIGHT = 0.3
--- a/src/cassiahitch/direct/placement/plainsearch.py
+++ b/src/cassiahitch/direct/placement/plainsearch.py
@@ -11,14 +11,14 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
-from cassiahitch.direct.placement.placement import (
-    ADMISSION_FRACTION,
+from cassiahitch.direct.placement.assignments import (
     Assignment,
     Candidate,
     NoCapacity,
-    Placement,
     PlacementRequest,
 )
+from cassiahitch.direct.placement.placement import Placement
+from cassiahitch.direct.placement.timelimits import ADMISSION_FRACTION
 
 if TYPE_CHECKING:
     from cassiahitch.direct.placement.permits import PermitClient
--- a/src/cassiahitch/direct/placement/refusals.py
+++ b/src/cassiahitch/direct/placement/refusals.py
@@ -8,7 +8,7 @@
 from cassiahitch.direct.placement.returns import RefusalInputs
 
 if TYPE_CHECKING:
-    from cassiahitch.direct.placement.placement import NoCapacity
+    from cassiahitch.direct.placement.assignments import NoCapacity
 
 
 def refusal_fields(no_capacity: NoCapacity) -> dict[str, Any]:
--- a/src/cassiahitch/direct/placement/reservation.py
+++ b/src/cassiahitch/direct/placement/reservation.py
@@ -13,9 +13,9 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from cassiahitch.direct.placement.assignments import Reservation
 from cassiahitch.direct.placement.limiterchoice import PERMIT_LIFETIME_S
 from cassiahitch.direct.placement.load import LoadReport, OutstandingWork
-from cassiahitch.direct.placement.placement import Reservation
 from cassiahitch.direct.state.freshness import boot_time
 from cassiahitch.direct.state.ratelimits import RateLimitRegistry
 from cassiahitch.util.endpoints import Endpoint
--- a/src/cassiahitch/direct/placement/search.py
+++ b/src/cassiahitch/direct/placement/search.py
@@ -12,18 +12,18 @@
 from typing import TYPE_CHECKING
 
 from cassiahitch.codes import Code
-from cassiahitch.direct.placement.coldengines import UngrantedSends
-from cassiahitch.direct.placement.enginegroups import EngineGrouping, EngineGroups
-from cassiahitch.direct.placement.isolation import isolate
-from cassiahitch.direct.placement.overload import OverloadControl
-from cassiahitch.direct.placement.placement import (
+from cassiahitch.direct.placement.assignments import (
     Assignment,
     Candidate,
     NoCapacity,
-    Placement,
     PlacementRequest,
     Reservation,
 )
+from cassiahitch.direct.placement.coldengines import UngrantedSends
+from cassiahitch.direct.placement.enginegroups import EngineGrouping, EngineGroups
+from cassiahitch.direct.placement.isolation import isolate
+from cassiahitch.direct.placement.overload import OverloadControl
+from cassiahitch.direct.placement.placement import Placement
 from cassiahitch.direct.state.freshness import boot_time
 from cassiahitch.errors import RequestError
 
--- a/src/cassiahitch/direct/placement/waiting.py
+++ b/src/cassiahitch/direct/placement/waiting.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from cassiahitch.direct.placement.placement import NoCapacity, PlacementRequest
+    from cassiahitch.direct.placement.assignments import NoCapacity, PlacementRequest
 
 
 def may_still_be_served(request: PlacementRequest, refusal: NoCapacity) -> bool:
--- a/src/cassiahitch/direct/requests/failover.py
+++ b/src/cassiahitch/direct/requests/failover.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from cassiahitch.codes import Code
-from cassiahitch.direct.placement.placement import Assignment, NoCapacity, PlacementRequest
+from cassiahitch.direct.placement.assignments import Assignment, NoCapacity, PlacementRequest
 from cassiahitch.errors import RequestError
 
 if TYPE_CHECKING:
--- a/src/cassiahitch/direct/requests/outcomerecorder.py
+++ b/src/cassiahitch/direct/requests/outcomerecorder.py
@@ -22,9 +22,9 @@
 if TYPE_CHECKING:
     from cassiahitch.direct.api import Call
     from cassiahitch.direct.entrystate import EntryState
+    from cassiahitch.direct.placement.assignments import Assignment
     from cassiahitch.direct.placement.candidates import CandidateFilter
     from cassiahitch.direct.placement.crashdetector import CrashDetector
-    from cassiahitch.direct.placement.placement import Assignment
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cassiahitch/direct/requests/runner.py
+++ b/src/cassiahitch/direct/requests/runner.py
@@ -26,8 +26,8 @@
 from cassiahitch.direct.callers.errorresponder import ErrorResponder
 from cassiahitch.direct.callers.progress import Phase
 from cassiahitch.direct.callers.responsewriter import CallerDisconnected
+from cassiahitch.direct.placement.assignments import Assignment, NoCapacity, PlacementRequest
 from cassiahitch.direct.placement.candidates import CandidateFilter
-from cassiahitch.direct.placement.placement import Assignment, NoCapacity, PlacementRequest
 from cassiahitch.direct.placement.search import PlacementSearch
 from cassiahitch.direct.requests.callertimeouts import CallerTimeouts
 from cassiahitch.direct.requests.failover import Failover
--- a/src/cassiahitch/direct/telemetry.py
+++ b/src/cassiahitch/direct/telemetry.py
@@ -25,7 +25,7 @@
 if TYPE_CHECKING:
     from cassiahitch.direct.backends.outcomes import Outcome
     from cassiahitch.direct.callers.progress import Progress
-    from cassiahitch.direct.placement.placement import Assignment, NoCapacity
+    from cassiahitch.direct.placement.assignments import Assignment, NoCapacity
     from cassiahitch.direct.state.replicas import Replica
     from cassiahitch.errors import RequestError
 
--- a/tests/direct/backends/test_withdrawal.py
+++ b/tests/direct/backends/test_withdrawal.py
@@ -17,7 +17,7 @@
     AttemptWithdrawn,
     WithdrawalWatch,
 )
-from cassiahitch.direct.placement.placement import Assignment, Candidate
+from cassiahitch.direct.placement.assignments import Assignment, Candidate
 from cassiahitch.direct.state.freshness import boot_time
 from cassiahitch.direct.state.replicas import Replica
 from cassiahitch.direct.state.versions import BOUND_MARGIN_S, DeclaredVersion, VersionPolicy
--- a/tests/direct/placement/test_admission.py
+++ b/tests/direct/placement/test_admission.py
@@ -17,8 +17,8 @@
     admission_terms,
     urgency_advance,
 )
+from cassiahitch.direct.placement.assignments import PlacementRequest
 from cassiahitch.direct.placement.overload import MAX_SERVICES, OverloadControl
-from cassiahitch.direct.placement.placement import PlacementRequest
 from cassiahitch.direct.placement.pressure import (
     COUNT_HALF_LIFE_S,
     MAX_CLASSES,
--- a/tests/direct/placement/test_placement.py
+++ b/tests/direct/placement/test_placement.py
@@ -12,6 +12,12 @@
 
 import pytest
 
+from cassiahitch.direct.placement.assignments import (
+    Assignment,
+    Candidate,
+    NoCapacity,
+    PlacementRequest,
+)
 from cassiahitch.direct.placement.load import (
     LoadReport,
     LoadTracker,
@@ -20,17 +26,8 @@
     pass_duration_s,
     slot_occupancy_s,
 )
-from cassiahitch.direct.placement.placement import (
-    ADMISSION_FRACTION,
-    HONOURED_FRACTION,
-    LATE_RANK,
-    RETRY_AFTER_RANGE_S,
-    Assignment,
-    Candidate,
-    NoCapacity,
-    Placement,
-    PlacementRequest,
-)
+from cassiahitch.direct.placement.placement import HONOURED_FRACTION, RETRY_AFTER_RANGE_S, Placement
+from cassiahitch.direct.placement.timelimits import ADMISSION_FRACTION, LATE_RANK
 from cassiahitch.direct.state.catalogue import Engine, RepeatPolicy, Route, ServiceShare
 from cassiahitch.direct.state.replicas import Replica
 from cassiahitch.util.endpoints import Endpoint
--- a/tests/direct/placement/test_placement_by_cost.py
+++ b/tests/direct/placement/test_placement_by_cost.py
@@ -15,6 +15,7 @@
 from cost_model import BY_COST, BY_COUNT, OLD_AGENTS, CostPolicy, CostSimulation
 from modelled_engine import ENGINE, ROUTE
 
+from cassiahitch.direct.placement.assignments import Assignment, Candidate, PlacementRequest
 from cassiahitch.direct.placement.load import (
     LoadReport,
     LoadTracker,
@@ -22,12 +23,7 @@
     QueueEstimate,
     first_event_s,
 )
-from cassiahitch.direct.placement.placement import (
-    Assignment,
-    Candidate,
-    Placement,
-    PlacementRequest,
-)
+from cassiahitch.direct.placement.placement import Placement
 from cassiahitch.direct.state.replicas import Replica
 from cassiahitch.util.endpoints import Endpoint
 
--- a/tests/direct/placement/test_plainload.py
+++ b/tests/direct/placement/test_plainload.py
@@ -12,8 +12,9 @@
 import pytest
 from plain_model import READ, SERVICE_S, WRITE, PlainSimulation
 
+from cassiahitch.direct.placement.assignments import Candidate, PlacementRequest
 from cassiahitch.direct.placement.costs import INITIAL_SERVICE_S, RequestCosts
-from cassiahitch.direct.placement.placement import Candidate, Placement, PlacementRequest
+from cassiahitch.direct.placement.placement import Placement
 from cassiahitch.direct.placement.plainload import PlainLoadTracker
 from cassiahitch.direct.state.replicas import Replica
 from cassiahitch.util.endpoints import Endpoint
--- a/tests/direct/placement/test_regionpolicy.py
+++ b/tests/direct/placement/test_regionpolicy.py
@@ -16,9 +16,10 @@
 from cassiahitch.direct.api import Call, CallerRequest
 from cassiahitch.direct.callers.errorresponses import error_response
 from cassiahitch.direct.entrystate import EntryState, make_entry_state
+from cassiahitch.direct.placement.assignments import Assignment, PlacementRequest
 from cassiahitch.direct.placement.availability import ReplicaAvailability
 from cassiahitch.direct.placement.candidates import CandidateFilter
-from cassiahitch.direct.placement.placement import Assignment, Placement, PlacementRequest
+from cassiahitch.direct.placement.placement import Placement
 from cassiahitch.direct.placement.plainsearch import PlainSearch
 from cassiahitch.direct.placement.regionpolicy import RegionPolicy
 from cassiahitch.direct.placement.reservation import ReservationClient
--- a/tests/direct/placement/test_returns.py
+++ b/tests/direct/placement/test_returns.py
@@ -13,12 +13,9 @@
 from deployment_loads import EQUAL, EQUAL_ENGINE, MIXED
 from overload_model import OverloadResult, OverloadSimulation
 
+from cassiahitch.direct.placement.assignments import NoCapacity, PlacementRequest
 from cassiahitch.direct.placement.overload import RETURN_SHARE, OverloadControl
-from cassiahitch.direct.placement.placement import (
-    HONOURED_FRACTION,
-    NoCapacity,
-    PlacementRequest,
-)
+from cassiahitch.direct.placement.placement import HONOURED_FRACTION
 from cassiahitch.direct.placement.refusals import refusal_fields, return_label
 from cassiahitch.direct.placement.returns import (
     MAX_SLOTS,
--- a/tests/direct/placement/test_search.py
+++ b/tests/direct/placement/test_search.py
@@ -19,16 +19,12 @@
 from cassiahitch.codes import Code
 from cassiahitch.direct.api import Call, CallerRequest
 from cassiahitch.direct.entrystate import make_entry_state
+from cassiahitch.direct.placement.assignments import Assignment, NoCapacity, PlacementRequest
 from cassiahitch.direct.placement.availability import ReplicaAvailability
 from cassiahitch.direct.placement.candidates import CandidateFilter
 from cassiahitch.direct.placement.limiterchoice import PERMIT_LIFETIME_S
 from cassiahitch.direct.placement.load import NO_REPLY_BACKOFF_S
-from cassiahitch.direct.placement.placement import (
-    Assignment,
-    NoCapacity,
-    Placement,
-    PlacementRequest,
-)
+from cassiahitch.direct.placement.placement import Placement
 from cassiahitch.direct.placement.reservation import REPLY_TIMEOUT_S, ReservationClient
 from cassiahitch.direct.placement.search import MAX_VERSION_QUERIES, PlacementSearch
 from cassiahitch.direct.state.catalogue import (
--- a/tests/direct/placement/test_shares.py
+++ b/tests/direct/placement/test_shares.py
@@ -13,8 +13,8 @@
 from deployment_loads import EQUAL, EQUAL_ENGINE, MIXED
 from overload_model import OverloadResult, OverloadSimulation
 
+from cassiahitch.direct.placement.assignments import PlacementRequest
 from cassiahitch.direct.placement.overload import OverloadControl
-from cassiahitch.direct.placement.placement import PlacementRequest
 from cassiahitch.direct.placement.pressure import COUNT_HALF_LIFE_S
 from cassiahitch.direct.placement.shares import (
     MAX_ORGANISATIONS,
--- a/tests/direct/placement/test_waiting.py
+++ b/tests/direct/placement/test_waiting.py
@@ -8,7 +8,7 @@
 import pytest
 from deployment_loads import MIXED
 
-from cassiahitch.direct.placement.placement import NoCapacity, PlacementRequest
+from cassiahitch.direct.placement.assignments import NoCapacity, PlacementRequest
 from cassiahitch.direct.placement.waiting import may_still_be_served
 
 ROUTE = MIXED[1].route
--- a/tests/direct/requests/test_responses_within_streams.py
+++ b/tests/direct/requests/test_responses_within_streams.py
@@ -29,7 +29,7 @@
 from cassiahitch.direct.backends.attempt import AttemptSender
 from cassiahitch.direct.backends.events import EventSplitter
 from cassiahitch.direct.backends.streamstate import StreamState
-from cassiahitch.direct.placement.placement import Assignment
+from cassiahitch.direct.placement.assignments import Assignment
 from cassiahitch.standins.directsite import DirectSite, DirectSiteSize
 
 ONE_ENGINE = DirectSiteSize(entries=1, models=1, plain=1)
--- a/tests/support/cost_model.py
+++ b/tests/support/cost_model.py
@@ -26,14 +26,10 @@
 )
 
 from cassiahitch.direct.api import Generation
+from cassiahitch.direct.placement.assignments import Assignment, Candidate, PlacementRequest
 from cassiahitch.direct.placement.costs import RequestCosts
 from cassiahitch.direct.placement.load import LoadReport, OutstandingWork
-from cassiahitch.direct.placement.placement import (
-    Assignment,
-    Candidate,
-    Placement,
-    PlacementRequest,
-)
+from cassiahitch.direct.placement.placement import Placement
 from cassiahitch.direct.staging.reporting import REPORT_POLL_INTERVAL_S, PendingRequests
 from cassiahitch.direct.staging.workledger import WorkLedger
 from cassiahitch.direct.state.catalogue import Engine, Route
--- a/tests/support/overload_model.py
+++ b/tests/support/overload_model.py
@@ -33,13 +33,9 @@
 )
 from virtual_loop import virtual_time
 
+from cassiahitch.direct.placement.assignments import Assignment, NoCapacity, PlacementRequest
 from cassiahitch.direct.placement.availability import ReplicaAvailability
-from cassiahitch.direct.placement.placement import (
-    Assignment,
-    NoCapacity,
-    Placement,
-    PlacementRequest,
-)
+from cassiahitch.direct.placement.placement import Placement
 from cassiahitch.direct.placement.reservation import ReservationClient
 from cassiahitch.direct.placement.search import PlacementSearch, SearchState
 from cassiahitch.direct.requests.runner import (
--- a/tests/support/plain_model.py
+++ b/tests/support/plain_model.py
@@ -15,8 +15,9 @@
 from itertools import count
 from statistics import fmean
 
+from cassiahitch.direct.placement.assignments import Candidate, PlacementRequest
 from cassiahitch.direct.placement.costs import RequestCosts
-from cassiahitch.direct.placement.placement import Candidate, Placement, PlacementRequest
+from cassiahitch.direct.placement.placement import Placement
 from cassiahitch.direct.state.catalogue import RepeatPolicy, Route, ServiceShare
 from cassiahitch.direct.state.replicas import Replica
 from cassiahitch.util.endpoints import Endpoint
