Split the stand-ins of backend servers by job

The faults are now faults.py, the execution of requests with their records executions.py, the interface to the agent agentcalls.py, and the reading of requests requestreader.py. BackendStandin keeps its state, the connections and the refusals, and the methods that its subclasses replace.

--- a/src/cassiahitch/bench/direct.py
+++ b/src/cassiahitch/bench/direct.py
@@ -14,9 +14,9 @@
 from cassiahitch.errors import PlatformError
 from cassiahitch.metrics.histograms import Histogram
 from cassiahitch.platform import names
-from cassiahitch.standins.backends import Fault
 from cassiahitch.standins.configurations import CALLER_API_KEY, MODEL
 from cassiahitch.standins.directsite import DirectSite, DirectSiteSize
+from cassiahitch.standins.faults import Fault
 from cassiahitch.stores.http_client import HttpCall, HttpCallError, HttpClient, HttpResponse
 
 #: Numbers of model engines.
--- a/src/cassiahitch/soak/answers.py
+++ b/src/cassiahitch/soak/answers.py
@@ -11,7 +11,7 @@
 from cassiahitch.soak.faulty_responses import write_duplicate, write_trickle
 from cassiahitch.soak.records import Execution
 from cassiahitch.soak.responses import WorkSpec, plain_body, stream_event
-from cassiahitch.standins.backends import Fault
+from cassiahitch.standins.faults import Fault
 from cassiahitch.standins.responses import ResponseWriter, encode_head
 
 #: Event of a stream, counted from its start, that a fault affects.
--- a/src/cassiahitch/soak/backend.py
+++ b/src/cassiahitch/soak/backend.py
@@ -18,8 +18,9 @@
 from cassiahitch.soak.prompts import Prompt
 from cassiahitch.soak.records import Disturbance, Execution
 from cassiahitch.soak.responses import make_seal, short_digest
-from cassiahitch.standins.backends import REFUSALS, BackendStandin, Fault
+from cassiahitch.standins.backends import BackendStandin
 from cassiahitch.standins.engineweights import LAYERS, EngineWeights
+from cassiahitch.standins.faults import REFUSALS, Fault
 from cassiahitch.standins.responses import ResponseWriter, refusal_headers
 
 if TYPE_CHECKING:
--- a/src/cassiahitch/soak/faults.py
+++ b/src/cassiahitch/soak/faults.py
@@ -48,11 +48,11 @@
     kill_at_call,
     spoil_manifests,
 )
-from cassiahitch.standins.backends import Fault
 from cassiahitch.standins.configurations import (
     organisations_by_key,
     with_organisations,
 )
+from cassiahitch.standins.faults import Fault
 from cassiahitch.standins.rowstore import StoreFaults
 
 if TYPE_CHECKING:
--- a/src/cassiahitch/standins/backends.py
+++ b/src/cassiahitch/standins/backends.py
@@ -1,24 +1,30 @@
-"""Stand-ins of the platform's backend servers, plain and model engines, with injected faults."""
+"""Stand-ins of the platform's backend servers, plain and model engines."""
 
 from __future__ import annotations
 
 import asyncio
-import json
 import math
 from collections import Counter
 from contextlib import contextmanager, suppress
 from dataclasses import dataclass, field
-from enum import StrEnum
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
-from urllib.parse import parse_qs, urlsplit
 
 import h11
 
 from cassiahitch.direct.api import header
 from cassiahitch.platform import names
+from cassiahitch.standins.agentcalls import answer_agent_call
 from cassiahitch.standins.engineweights import EngineWeights
-from cassiahitch.standins.responses import ResponseWriter, encode_head, refusal_headers, reset
+from cassiahitch.standins.executions import (
+    BegunRequest,
+    ExecutedRequest,
+    respond_plain,
+    respond_stream,
+)
+from cassiahitch.standins.faults import REFUSALS, Fault
+from cassiahitch.standins.requestreader import read_request
+from cassiahitch.standins.responses import ResponseWriter, refusal_headers, reset
 from cassiahitch.util.listening import bound_port, listen
 
 if TYPE_CHECKING:
@@ -26,69 +32,10 @@
 
     from cassiahitch.standins.segmentcrashes import SegmentCrashes
 
-READ_BYTES = 65_536
 MS_PER_S = 1000
 #: Maximum number of requests that wait for a free slot.
 MAX_QUEUED_REQUESTS = 32
 
-ResponseParts = tuple[int, dict[str, str], bytes]
-
-
-class Fault(StrEnum):
-    """A fault that a stand-in injects into one request.
-
-    ``refuse``, ``refuse_late`` and ``ask_pause`` refuse it: at once, after ``pause_s``, or with a
-    Retry-After header. ``lose`` resets the connection before the response, ``cut`` within it.
-    ``extra`` adds a second response, ``foreign`` sends a response with the id of another attempt,
-    ``unframed`` one without a length, ``unsealed`` one without the seal header, and ``fail`` an
-    error status. ``hang`` delays the response by a minute. ``endless``, ``trickle``, ``double`` and
-    the faults after them are left to subclasses.
-    """
-
-    none = 'none'
-    refuse = 'refuse'
-    refuse_late = 'refuse_late'
-    ask_pause = 'ask_pause'
-    lose = 'lose'
-    cut = 'cut'
-    extra = 'extra'
-    foreign = 'foreign'
-    unframed = 'unframed'
-    unsealed = 'unsealed'
-    fail = 'fail'
-    hang = 'hang'
-    endless = 'endless'
-    trickle = 'trickle'
-    double = 'double'
-    half_event = 'half_event'
-    repeat_refusal = 'repeat_refusal'
-    fail_resumed = 'fail_resumed'
-    break_off = 'break_off'
-
-
-#: Faults that refuse a request which the backend server could run.
-REFUSALS = frozenset((Fault.refuse, Fault.refuse_late, Fault.ask_pause))
-
-
-@dataclass(frozen=True, slots=True)
-class ExecutedRequest:
-    """A request that the backend server started to execute."""
-
-    attempt_id: str
-    target: str
-    organisation: str
-    version: int
-    last_event_id: int
-
-
-@dataclass(frozen=True, slots=True)
-class BegunRequest:
-    """A request whose first event an engine made, ``at`` in seconds of the event loop's clock."""
-
-    attempt_id: str
-    version: int
-    at: float
-
 
 @dataclass(slots=True)
 class BackendStandin:
@@ -199,7 +146,7 @@
         """
         machine = h11.Connection(h11.SERVER)
         while True:
-            request, body = await _request(machine, reader)
+            request, body = await read_request(machine, reader)
             if request is None:
                 return
             target = request.target.decode('latin1')
@@ -255,7 +202,7 @@
         :return: whether the connection can serve another request.
         """
         if self.engine is not None:
-            management_response = await self.handle_agent_call(self.engine, method, target, body)
+            management_response = answer_agent_call(self, self.engine, method, target, body)
             if management_response is not None:
                 await response.send_response(*management_response)
                 return True
@@ -315,8 +262,8 @@
             if await self.crashes_by(headers, response):
                 return False
             if self.engine is None:
-                return await self.respond_plain(response, attempt, fault)
-            return await self.respond_stream(response, attempt, after, fault)
+                return await respond_plain(self, response, attempt, fault)
+            return await respond_stream(self, response, attempt, after, fault)
 
     async def crashes_by(
         self, headers: tuple[tuple[str, str], ...], response: ResponseWriter
@@ -346,132 +293,6 @@
         finally:
             self.running -= 1
 
-    async def respond_plain(self, response: ResponseWriter, attempt: str, fault: Fault) -> bool:
-        """Respond with a single body.
-
-        :param response: writes the response.
-        :param attempt: id of the attempt.
-        :param fault: the fault to inject.
-        :return: whether the connection can serve another request.
-        """
-        await asyncio.sleep(self.pause_s)
-        head = {names.ATTEMPT_ID: attempt, names.RESPONSE_SEAL: f'seal-{self.id}'}
-        body = f'{self.id} {attempt}'.encode() + b'-' * self.padding
-        match fault:
-            case Fault.hang:
-                await asyncio.sleep(60)
-            case Fault.lose:
-                response.reset()
-                return False
-            case Fault.cut:
-                response.write_raw(
-                    encode_head(HTTPStatus.OK, {**head, 'Content-Length': '999'}), body
-                )
-                response.reset()
-                return False
-            case Fault.unframed:
-                response.write_raw(
-                    encode_head(HTTPStatus.OK, {**head, 'Connection': 'close'}), body
-                )
-                return False
-            case Fault.foreign:
-                foreign_head = {
-                    names.ATTEMPT_ID: 'stranger',
-                    names.RESPONSE_SEAL: 'x',
-                    'Content-Length': '2',
-                }
-                response.write_raw(encode_head(HTTPStatus.OK, foreign_head), b'no')
-            case Fault.unsealed:
-                head.pop(names.RESPONSE_SEAL)
-            case Fault.fail:
-                await response.send_response(HTTPStatus.INTERNAL_SERVER_ERROR, head, b'failed')
-                return True
-            case _:
-                pass
-        await response.send_response(HTTPStatus.OK, head, body)
-        if fault is Fault.extra:
-            response.write_raw(
-                encode_head(HTTPStatus.OK, {**head, 'Content-Length': '5'}), b'again'
-            )
-        return True
-
-    async def respond_stream(
-        self, response: ResponseWriter, attempt: str, after: int, fault: Fault
-    ) -> bool:
-        """Respond with a stream of events.
-
-        :param response: writes the response.
-        :param attempt: id of the attempt.
-        :param after: id of the last event that the caller has received.
-        :param fault: the fault to inject.
-        :return: whether the connection can serve another request.
-        """
-        head = {
-            names.ATTEMPT_ID: attempt,
-            names.RESPONSE_SEAL: f'seal-{self.id}',
-            'Content-Type': 'text/event-stream',
-        }
-        if fault is Fault.lose:
-            response.reset()
-            return False
-        if not await self.wait_in_queue(response):
-            return False
-        version = self.engine.version if self.engine else 0
-        self.begun.append(BegunRequest(attempt, version, asyncio.get_running_loop().time()))
-        response.send_head(HTTPStatus.OK, head)
-        for number in range(after + 1, self.events + 1):
-            await asyncio.sleep(self.pause_s)
-            event = f'id: {number}\ndata: {attempt} {number}\n\n'.encode()
-            if fault is Fault.cut and number == after + 3:
-                response.send_data(event[: len(event) // 2])
-                await response.drain()
-                response.reset()
-                return False
-            response.send_data(event)
-            await response.drain()
-        response.send_end()
-        return True
-
-    async def wait_in_queue(self, response: ResponseWriter) -> bool:
-        """Wait until a stream can begin.
-
-        :param response: writes the response.
-        :return: whether it begins; not if the caller has closed the connection in time.
-        """
-        clock = asyncio.get_running_loop().time
-        await asyncio.sleep(self.queue_s)
-        silent_s = self.silent_until - clock()
-        if silent_s <= 0:
-            return not response.writer.is_closing()
-        # The close is read only after the silence, when the waiting requests begin.
-        await asyncio.sleep(silent_s)
-        return True
-
-    async def handle_agent_call(
-        self, engine: EngineWeights, method: str, target: str, body: bytes
-    ) -> ResponseParts | None:
-        """Respond to a call of the agent, which manages the weights.
-
-        :param engine: the weights.
-        :param method: HTTP method.
-        :param target: path and query.
-        :param body: body of the request.
-        :return: status, headers and body, or None if the request is not for the agent interface.
-        """
-        parts = urlsplit(target)
-        index = int(parse_qs(parts.query).get(names.CHUNK_INDEX, ['-1'])[0])
-        if parts.path == names.REPORT_PATH:
-            return HTTPStatus.OK, {}, json.dumps(self.report(engine)).encode()
-        if parts.path.startswith(names.STORE_CHUNK_PATH):
-            engine.staged[index] = body
-            return HTTPStatus.OK, {}, b''
-        if parts.path.startswith(names.READ_CHUNK_PATH):
-            chunk = engine.staged.get(index)
-            return (HTTPStatus.NOT_FOUND if chunk is None else HTTPStatus.OK), {}, chunk or b''
-        if parts.path == names.ORDER_PATH and method == 'POST':
-            return self.order(engine, json.loads(body)), {}, b''
-        return None
-
     def report(self, engine: EngineWeights) -> dict[str, Any]:
         """Return the load report of the engine.
 
@@ -514,29 +335,4 @@
         engine.finish_load(version)
 
 
-async def _request(
-    machine: h11.Connection, reader: asyncio.StreamReader
-) -> tuple[h11.Request | None, bytes]:
-    request: h11.Request | None = None
-    parts: list[bytes] = []
-    while True:
-        event = machine.next_event()
-        match event:
-            case h11.NEED_DATA:
-                machine.receive_data(await reader.read(READ_BYTES))
-            case h11.Request():
-                request = event
-            case h11.Data(data=data):
-                parts.append(bytes(data))
-            case h11.EndOfMessage():
-                return request, b''.join(parts)
-            case _:
-                return None, b''
-
-
-__all__ = (
-    'BackendStandin',
-    'BegunRequest',
-    'ExecutedRequest',
-    'Fault',
-)
+__all__ = ('BackendStandin',)
--- a/tests/direct/callers/test_caller_disconnects.py
+++ b/tests/direct/callers/test_caller_disconnects.py
@@ -15,9 +15,10 @@
 from cassiahitch.direct.callers.progress import Phase
 from cassiahitch.metrics.names import CounterName
 from cassiahitch.metrics.snapshots import Series
-from cassiahitch.standins.backends import BackendStandin, Fault
+from cassiahitch.standins.backends import BackendStandin
 from cassiahitch.standins.configurations import CALLER_API_KEY
 from cassiahitch.standins.directsite import DirectSite
+from cassiahitch.standins.faults import Fault
 
 #: Longest time from the disconnect of a caller to the end of its request, in seconds.
 REACTION_BOUND_S = 0.5
--- a/tests/direct/requests/test_evacuated_domains.py
+++ b/tests/direct/requests/test_evacuated_domains.py
@@ -15,9 +15,10 @@
 
 from cassiahitch.codes import Code
 from cassiahitch.direct.state.evacuations import RETURN_RAMP_UP_S
-from cassiahitch.standins.backends import BackendStandin, Fault
+from cassiahitch.standins.backends import BackendStandin
 from cassiahitch.standins.configurations import FAILURE_DOMAINS
 from cassiahitch.standins.directsite import DirectSite, DirectSiteSize
+from cassiahitch.standins.faults import Fault
 
 #: Seconds after the operator's write within which the evacuation is in effect.
 EVACUATION_S = 5.0
--- a/tests/direct/requests/test_learned_costs.py
+++ b/tests/direct/requests/test_learned_costs.py
@@ -17,8 +17,8 @@
 from cassiahitch.metrics.names import CounterName, LatencyName
 from cassiahitch.metrics.snapshots import Series
 from cassiahitch.settings.direct import DirectEntrySettings
-from cassiahitch.standins.backends import Fault
 from cassiahitch.standins.directsite import DirectSite
+from cassiahitch.standins.faults import Fault
 
 #: Tokens of a stream of 5 events, each with the tokens of a pass of 6 and the last with half of it.
 STREAM_TOKENS = 27.5
--- a/tests/direct/requests/test_limited_replicas_under_faults.py
+++ b/tests/direct/requests/test_limited_replicas_under_faults.py
@@ -17,8 +17,9 @@
     most_in_window,
 )
 
-from cassiahitch.standins.backends import BackendStandin, Fault
+from cassiahitch.standins.backends import BackendStandin
 from cassiahitch.standins.directsite import DirectSite, DirectSiteSize
+from cassiahitch.standins.faults import Fault
 from cassiahitch.util.endpoints import Endpoint
 from cassiahitch.wire.datagrammessages import DatagramMessage
 from cassiahitch.wire.datagrams import DatagramSocket
--- a/tests/direct/requests/test_regions_by_old_configurations.py
+++ b/tests/direct/requests/test_regions_by_old_configurations.py
@@ -16,9 +16,10 @@
 from cassiahitch.codes import Code
 from cassiahitch.direct.entry import DirectEntry
 from cassiahitch.direct.state.freshness import boot_time
-from cassiahitch.standins.backends import BackendStandin, Fault
+from cassiahitch.standins.backends import BackendStandin
 from cassiahitch.standins.configurations import FAILURE_DOMAINS
 from cassiahitch.standins.directsite import DirectSite, DirectSiteSize
+from cassiahitch.standins.faults import Fault
 
 #: Bound in seconds on the time for which an older configuration may decide.
 CONFIGURATION_S = 2.0
--- a/tests/direct/requests/test_replica_signals.py
+++ b/tests/direct/requests/test_replica_signals.py
@@ -18,8 +18,9 @@
 from cassiahitch.metrics.names import CounterName
 from cassiahitch.metrics.snapshots import Series
 from cassiahitch.settings.direct import DirectEntrySettings
-from cassiahitch.standins.backends import BackendStandin, Fault
+from cassiahitch.standins.backends import BackendStandin
 from cassiahitch.standins.directsite import DirectSite, DirectSiteSize
+from cassiahitch.standins.faults import Fault
 
 PAUSE_S = 2.0
 LONG_PAUSE_S = 45.0
--- a/tests/direct/requests/test_revoked_keys.py
+++ b/tests/direct/requests/test_revoked_keys.py
@@ -11,9 +11,9 @@
 import pytest
 from direct_callers import run_count, run_site_in_virtual_time, send_request, wait_until
 
-from cassiahitch.standins.backends import Fault
 from cassiahitch.standins.configurations import CALLER_API_KEY
 from cassiahitch.standins.directsite import DirectSite
+from cassiahitch.standins.faults import Fault
 
 PATHS = ('/draft/1', '/lookup/1', '/order/1')
 OTHER_KEY = 'key-of-bakers'
--- a/tests/direct/test_direct_path.py
+++ b/tests/direct/test_direct_path.py
@@ -14,9 +14,9 @@
 from cassiahitch.direct.state.feed import CallFailure, Reply
 from cassiahitch.direct.state.freshness import boot_time
 from cassiahitch.errors import PlatformError
-from cassiahitch.standins.backends import Fault
 from cassiahitch.standins.configurations import CALLER_API_KEY, PLAIN_SERVICE
 from cassiahitch.standins.directsite import DirectSite, DirectSiteSize
+from cassiahitch.standins.faults import Fault
 from cassiahitch.stores.api import CommitConflict, CommitSuccess, Condition, Row, Write
 
 
--- a/tests/direct/test_operations_lines.py
+++ b/tests/direct/test_operations_lines.py
@@ -9,8 +9,8 @@
 import pytest
 from direct_callers import CallerResponse, reported_queue_length, run, send_request, wait_until
 
-from cassiahitch.standins.backends import Fault
 from cassiahitch.standins.directsite import DirectSite, DirectSiteSize
+from cassiahitch.standins.faults import Fault
 
 PAGE = Path(__file__).parents[2] / 'docs' / 'OPERATIONS.md'
 ONE_OF_EACH = DirectSiteSize(entries=1, models=1, plain=1)
--- a/tests/soak/test_soak_answers.py
+++ b/tests/soak/test_soak_answers.py
@@ -11,8 +11,8 @@
 from cassiahitch.soak.answers import FAILED_BODY
 from cassiahitch.soak.backend import SoakBackend
 from cassiahitch.soak.responses import WorkSpec, stream_event
-from cassiahitch.standins.backends import Fault
 from cassiahitch.standins.engineweights import EngineWeights
+from cassiahitch.standins.faults import Fault
 
 LOOPBACK = '127.0.0.1'
 #: Seconds after which no more bytes are expected on a connection that stays open.
