Decide in one place whether an attempt succeeded

_is_complete of costrecorder.py and _is_success of telemetry.py were the same function to the letter. It now stands beside the outcomes, as is_success.

--- a/src/cassiahitch/direct/backends/costrecorder.py
+++ b/src/cassiahitch/direct/backends/costrecorder.py
@@ -6,11 +6,9 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
-from http import HTTPStatus
 from typing import TYPE_CHECKING
 
-from cassiahitch.direct.api import Answered
-from cassiahitch.direct.backends.outcomes import Delivered
+from cassiahitch.direct.backends.outcomes import is_success
 from cassiahitch.metrics.names import CounterName, LatencyName
 
 if TYPE_CHECKING:
@@ -87,7 +85,7 @@
         :param outcome: how the attempt ended; only complete responses tell the cost.
         :param started_at: when it was sent, in seconds of the event loop's clock.
         """
-        if not self.placement.costs.learns or not _is_complete(outcome):
+        if not self.placement.costs.learns or not is_success(outcome):
             return
         if assignment.rank is None:
             self.learn_service(call, assignment, started_at)
@@ -154,13 +152,4 @@
         return service.engine if service else None
 
 
-def _is_complete(outcome: Outcome) -> bool:
-    match outcome:
-        case Delivered():
-            return True
-        case Answered(head=head):
-            return head.status < HTTPStatus.BAD_REQUEST
-    return False
-
-
 __all__ = ('CostRecorder',)
--- a/src/cassiahitch/direct/backends/outcomes.py
+++ b/src/cassiahitch/direct/backends/outcomes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from http import HTTPStatus
 
 from cassiahitch.direct.api import Answered
 
@@ -71,6 +72,20 @@
 Outcome = Answered | Delivered | NotSent | Withheld | NotRun | Lost | Unconfirmed | Withdrawn
 
 
+def is_success(outcome: Outcome) -> bool:
+    """Return whether the caller received a complete response which is not an error.
+
+    :param outcome: how the attempt ended.
+    :return: whether it did.
+    """
+    match outcome:
+        case Delivered():
+            return True
+        case Answered(head=head):
+            return head.status < HTTPStatus.BAD_REQUEST
+    return False
+
+
 __all__ = (
     'Delivered',
     'Lost',
@@ -80,4 +95,5 @@
     'Unconfirmed',
     'Withdrawn',
     'Withheld',
+    'is_success',
 )
--- a/src/cassiahitch/direct/telemetry.py
+++ b/src/cassiahitch/direct/telemetry.py
@@ -7,13 +7,12 @@
 import math
 import traceback
 from dataclasses import dataclass, field
-from http import HTTPStatus
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
 from cassiahitch.codes import Code
-from cassiahitch.direct.api import Answered, Call, CallerRequest
-from cassiahitch.direct.backends.outcomes import Delivered
+from cassiahitch.direct.api import Call, CallerRequest
+from cassiahitch.direct.backends.outcomes import is_success
 from cassiahitch.direct.placement.refusals import refusal_fields, return_label
 from cassiahitch.direct.placement.regionpolicy import region_policy
 from cassiahitch.direct.placement.sizes import SizeTracker
@@ -104,7 +103,7 @@
         head = getattr(outcome, 'head', None)
         if head is not None:
             fields['status'] = head.status
-        if call.size_rank is not None and _is_success(outcome):
+        if call.size_rank is not None and is_success(outcome):
             self.metrics.count(CounterName.served_by_size, call.size_rank.label)
         self.log_request(logging.INFO, 'request sent', call, fields | _size_fields(call))
 
@@ -276,15 +275,6 @@
         REQUEST_LOGGER.log(level, message, extra=rounded(base | fields))
 
 
-def _is_success(outcome: Outcome) -> bool:
-    match outcome:
-        case Delivered():
-            return True
-        case Answered(head=head):
-            return head.status < HTTPStatus.BAD_REQUEST
-    return False
-
-
 def _size_fields(call: Call) -> dict[str, Any]:
     if call.size_rank is None:
         return {}
