Write the log lines of enforced rates in one place

permits.py and enginelimit.py of an agent built the same two lines, "rate limit in force" and "cold rate in force". Both are now in limitlog.py; the caller adds the fields that tell the replica. Names, order and values of the fields are as before.

--- a/src/cassiahitch/direct/staging/enginelimit.py
+++ b/src/cassiahitch/direct/staging/enginelimit.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from cassiahitch.direct.staging.limitlog import log_cold_rate, log_rate_limit
 from cassiahitch.direct.staging.ratelimiter import RateLimiter
 from cassiahitch.direct.state.coldness import MAX_COLD_S, MILLI, MS_PER_S
 from cassiahitch.direct.state.ratelimits import LimitObservation, observation_of
@@ -94,13 +95,7 @@
         :param now: current time in seconds.
         """
         if self.limiter.mark_cold(per_s, now + left_s, now):
-            self.log.state_changed(
-                'cold rate in force',
-                born_ms=self.born_ms,
-                per_s=per_s,
-                cold_s=left_s,
-                source=source,
-            )
+            log_cold_rate(self.log, per_s, left_s, source, born_ms=self.born_ms)
 
     def apply_records(self, records: tuple[LimitRecord, ...], entry: Endpoint, now: float) -> None:
         """Apply what an entry has observed; records of other replicas are ignored.
@@ -136,13 +131,7 @@
         """
         before = self.per_s
         if self.limiter.observe(observation, now):
-            self.log.state_changed(
-                'rate limit in force',
-                born_ms=self.born_ms,
-                per_s=self.per_s,
-                before_per_s=before,
-                source=source,
-            )
+            log_rate_limit(self.log, self.per_s, before, source, born_ms=self.born_ms)
 
     def records(self, now: float) -> tuple[LimitRecord, ...]:
         """Return the limit as it is sent to entries.
--- a/src/cassiahitch/direct/staging/permits.py
+++ b/src/cassiahitch/direct/staging/permits.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from cassiahitch.direct.staging.limitlog import log_cold_rate, log_rate_limit
 from cassiahitch.direct.staging.ratelimiter import RateLimiter
 from cassiahitch.direct.state.coldness import MAX_COLD_S, MILLI, MS_PER_S
 from cassiahitch.direct.state.ratelimits import observation_of
@@ -107,13 +108,13 @@
         permits.used_at = now
         before = permits.limiter.tracker.current
         if permits.limiter.observe(observation_of(record, now), now):
-            self.log.state_changed(
-                'rate limit in force',
+            log_rate_limit(
+                self.log,
+                permits.limiter.tracker.current.per_s,
+                before.per_s,
+                str(entry),
                 replica=record.replica,
                 born_ms=record.born_ms,
-                per_s=permits.limiter.tracker.current.per_s,
-                before_per_s=before.per_s,
-                source=str(entry),
             )
         self.mark_cold(permits.limiter, record, entry, now)
         return permits.limiter
@@ -132,13 +133,13 @@
             left_s = min(MAX_COLD_S, cold.left_ms / MS_PER_S)
             per_s = cold.milli_per_s / MILLI
             if left_s > 0 and limiter.mark_cold(per_s, now + left_s, now):
-                self.log.state_changed(
-                    'cold rate in force',
+                log_cold_rate(
+                    self.log,
+                    per_s,
+                    left_s,
+                    str(entry),
                     replica=record.replica,
                     born_ms=record.born_ms,
-                    per_s=per_s,
-                    cold_s=left_s,
-                    source=str(entry),
                 )
 
     def expire(self, now: float) -> None:
