Build permits from the share of an entry in one place

use_share of placement/permits.py and granted of coldengines.py built the same reservation, which no agent has granted. ungranted_permit stands beside the number that marks it.

Ten files of tests of permits, cold and limited replicas, the agents' rates and the operators' log lines: 72 passed.

--- a/src/cassiahitch/direct/placement/coldengines.py
+++ b/src/cassiahitch/direct/placement/coldengines.py
@@ -16,12 +16,9 @@
     Candidate,
     NoCapacity,
     PlacementRequest,
-    Reservation,
 )
-from cassiahitch.direct.placement.limiterchoice import PERMIT_LIFETIME_S
 from cassiahitch.direct.placement.placement import Placement
-from cassiahitch.direct.placement.reservation import UNGRANTED, ReservationClient
-from cassiahitch.direct.state.freshness import boot_time
+from cassiahitch.direct.placement.reservation import ReservationClient, ungranted_permit
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -79,8 +76,7 @@
             wait_s = self.rate_limits.shares.wait_s(replica.key, per_s, now)
             return self.placement.no_permit(request, wait_s, 1)
         agent = self.reservations.agent_endpoint(replica)
-        permit = Reservation(UNGRANTED, agent, boot_time() + PERMIT_LIFETIME_S)
-        return replace(assignment, reservation=permit)
+        return replace(assignment, reservation=ungranted_permit(agent))
 
     def permit_waits_s(self, replicas: Iterable[Replica], *, with_silent: bool) -> list[float]:
         """Return when the engines that need permits may accept a request again.
--- a/src/cassiahitch/direct/placement/permits.py
+++ b/src/cassiahitch/direct/placement/permits.py
@@ -10,7 +10,7 @@
 
 from cassiahitch.direct.placement.assignments import Reservation
 from cassiahitch.direct.placement.limiterchoice import PERMIT_LIFETIME_S
-from cassiahitch.direct.placement.reservation import UNGRANTED
+from cassiahitch.direct.placement.reservation import ungranted_permit
 from cassiahitch.direct.state.freshness import boot_time
 from cassiahitch.util.endpoints import Endpoint
 from cassiahitch.wire.datagrammessages import LimitNotice, PermitQuery, PermitReply, PlaceReturn
@@ -92,7 +92,7 @@
             rate_limits.record_refusal(replica.key, wait_s, now)
             return None
         host = Endpoint(replica.endpoint.address, self.entry_state.settings.peer_port)
-        return Reservation(UNGRANTED, host, boot_time() + PERMIT_LIFETIME_S)
+        return ungranted_permit(host)
 
     async def query(self, replica: Replica, agent: Endpoint) -> PermitReply | None:
         """Send a query and wait for the reply; a permit that is granted too late is returned.
--- a/src/cassiahitch/direct/placement/reservation.py
+++ b/src/cassiahitch/direct/placement/reservation.py
@@ -237,6 +237,15 @@
         return Endpoint(replica.endpoint.address, self.peer_port)
 
 
+def ungranted_permit(agent: Endpoint) -> Reservation:
+    """Return a permit from the share of this entry, which no agent has granted.
+
+    :param agent: endpoint of the agent on the host of the replica.
+    :return: the permit, which ends as soon as a granted one.
+    """
+    return Reservation(UNGRANTED, agent, boot_time() + PERMIT_LIFETIME_S)
+
+
 def _outstanding_work(load: EngineLoad) -> OutstandingWork | None:
     if not load.work:
         return None
@@ -245,6 +254,6 @@
 
 
 __all__ = (
-    'UNGRANTED',
     'ReservationClient',
+    'ungranted_permit',
 )
