--- a/src/cassiahitch/direct/staging/layout.py
+++ b/src/cassiahitch/direct/staging/layout.py
@@ -9,13 +9,14 @@
 from cassiahitch.codes import Code
 from cassiahitch.direct.staging.chunks import make_manifest
 from cassiahitch.errors import PlatformError
+from cassiahitch.util.digests import SHA256_PATTERN
 
 if TYPE_CHECKING:
     from cassiahitch.direct.staging.chunks import VersionChunks, WeightsId
     from cassiahitch.direct.state.catalogue import Engine
     from cassiahitch.weights.manifest import Manifest
 
-SHA256_DIGEST = re.compile('[0-9a-f]{64}')
+SHA256_DIGEST = re.compile(SHA256_PATTERN)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cassiahitch/resources/models.py
+++ b/src/cassiahitch/resources/models.py
@@ -7,6 +7,8 @@
 
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field
 
+from cassiahitch.util.digests import SHA256_PATTERN
+
 #: Maximum number of names in one list of a resource.
 MAX_NAMES = 1024
 
@@ -26,7 +28,7 @@
 #: Name of a resource: lower-case letters, digits, hyphens and dots.
 Name = Annotated[str, Field(pattern=r'^[a-z0-9][a-z0-9.-]{0,62}$')]
 #: Hexadecimal SHA-256 digest.
-Digest = Annotated[str, Field(pattern=r'^[0-9a-f]{64}$')]
+Digest = Annotated[str, Field(pattern=f'^{SHA256_PATTERN}$')]
 
 #: List of distinct names.
 Names = Annotated[tuple[Name, ...], Field(max_length=MAX_NAMES), AfterValidator(check_unique)]
