Require the number of verified chunks

The default of record_verification, no chunks, served tests only. The tests now pass it; what they assert is unchanged.

--- a/src/cassiahitch/direct/staging/loadtrust.py
+++ b/src/cassiahitch/direct/staging/loadtrust.py
@@ -150,7 +150,7 @@
             case _ if not self.unacknowledged:
                 self.ordered = None
 
-    def record_verification(self, *, sound: bool, chunks: int = 0) -> bool:
+    def record_verification(self, *, sound: bool, chunks: int) -> bool:
         """Record the verification of the staged chunks after the engine accepted the order.
 
         :param sound: whether all chunks are as they were before the order.
--- a/tests/direct/staging/test_loadtrust.py
+++ b/tests/direct/staging/test_loadtrust.py
@@ -37,7 +37,7 @@
     trust.observe(report(1, 1, loading=True))
     assert trust.has_unproven_load
     assert is_withheld(trust, NEW)
-    assert trust.record_verification(sound=True)
+    assert trust.record_verification(sound=True, chunks=0)
     assert not trust.has_unproven_load
     assert not is_withheld(trust, NEW)
     assert trust.proven_load() == ProvenLoad(1, 1)
@@ -50,7 +50,7 @@
     trust.record_outcome(LoadOutcome.begun)
     assert trust.has_unproven_load
     assert is_withheld(trust, NEW)
-    assert trust.record_verification(sound=sound) is sound
+    assert trust.record_verification(sound=sound, chunks=0) is sound
     assert trust.needs_reload is not sound
     assert is_withheld(trust, NEW) is not sound
 
@@ -76,7 +76,7 @@
     trust.record_order(NEW, 0)
     trust.record_outcome(LoadOutcome.refused)
     trust.observe(report(1, 1, loading=True))
-    assert not trust.record_verification(sound=True)
+    assert not trust.record_verification(sound=True, chunks=0)
     assert is_withheld(trust, NEW)
 
 
@@ -88,7 +88,7 @@
     trust.record_order(NEW, 0)
     trust.record_outcome(LoadOutcome.begun)
     trust.observe(report(1, 1, loading=True))
-    assert trust.record_verification(sound=True)
+    assert trust.record_verification(sound=True, chunks=0)
     assert not is_withheld(trust, NEW)
 
 
@@ -105,14 +105,14 @@
     trust = make_trust()
     trust.record_order(NEW, 0)
     trust.record_outcome(LoadOutcome.begun)
-    trust.record_verification(sound=False)
+    trust.record_verification(sound=False, chunks=0)
     trust.record_order(NEW, 1)
     trust.record_outcome(LoadOutcome.in_effect)
     assert is_withheld(trust, NEW)
     trust.record_order(NEW, 1)
     trust.record_outcome(LoadOutcome.begun)
     assert is_withheld(trust, NEW)
-    assert trust.record_verification(sound=True)
+    assert trust.record_verification(sound=True, chunks=0)
     assert not is_withheld(trust, NEW)
 
 
@@ -120,7 +120,7 @@
     trust = make_trust()
     trust.record_order(NEW, 0)
     trust.record_outcome(LoadOutcome.begun)
-    trust.record_verification(sound=False)
+    trust.record_verification(sound=False, chunks=0)
     trust.observe(report(0, 0, born_ms=2))
     assert not is_withheld(trust, NEW)
     assert not trust.has_unproven_load
@@ -132,7 +132,7 @@
     trust.record_outcome(LoadOutcome.begun)
     trust.observe(report(1, 0))
     assert trust.has_unproven_load
-    assert trust.record_verification(sound=True)
+    assert trust.record_verification(sound=True, chunks=0)
     trust.observe(report(2, 1))
     assert not is_withheld(trust, NEW)
 
@@ -185,7 +185,7 @@
     trust.record_outcome(LoadOutcome.unknown)
     assert not trust.has_ordered_load
     assert trust.needs_reload
-    assert not trust.record_verification(sound=True)
+    assert not trust.record_verification(sound=True, chunks=0)
 
 
 def test_load_that_begins_during_a_verification_is_not_proven_by_it() -> None:
@@ -193,5 +193,5 @@
     trust.record_order(NEW, 0)
     trust.record_outcome(LoadOutcome.begun)
     trust.observe(report(2, 2))
-    assert not trust.record_verification(sound=True)
+    assert not trust.record_verification(sound=True, chunks=0)
     assert is_withheld(trust, NEW)
