Name the error of an origin that is not asked

ManifestReader.read began with manifest_corrupt as if a manifest had been read. It stands for the refusal of an earlier one, after which the origin is not asked for some time.

--- a/src/cassiahitch/direct/staging/manifests.py
+++ b/src/cassiahitch/direct/staging/manifests.py
@@ -32,6 +32,8 @@
 #: Other agents that are queried for a manifest at a time.
 MAX_MANIFEST_PEERS = 3
 ORIGIN = 'origin'
+#: Error of the origin while it is not asked, since it sent a manifest that was refused.
+NOT_ASKED = Code.manifest_corrupt
 #: Errors of the origin that say more than that it is unavailable.
 SPECIFIC_ERRORS = frozenset((Code.manifest_corrupt, Code.object_missing))
 
@@ -90,7 +92,7 @@
             that has the declared layout, ``object_missing`` if it no longer has the version,
             otherwise ``origin_unavailable``.
         """
-        code = Code.manifest_corrupt
+        code = NOT_ASKED
         if asyncio.get_running_loop().time() >= self.pace.due_at:
             try:
                 manifest = await self.read_from_origin(weights)
