Return all usable replicas at once without restrictions

Cause: each request walks the replicas of its service several times with a region policy of its own and the list of evacuated failure domains, also where no region is restricted and nothing is evacuated, as in deployments that declare neither. Change: in_allowed_regions and allowed then return the usable replicas as they are; the result is the same.

--- a/src/cassiahitch/direct/placement/candidates.py
+++ b/src/cassiahitch/direct/placement/candidates.py
@@ -94,11 +94,12 @@
         :return: replicas in allowed regions that are neither draining nor evacuated, in any state
             of health.
         """
+        replicas = self.in_allowed_regions(call)
         evacuations = self.entry_state.evacuations
+        if not evacuations.evacuated_at:
+            return replicas
         return tuple(
-            replica
-            for replica in self.in_allowed_regions(call)
-            if not evacuations.is_evacuated(replica.failure_domain)
+            replica for replica in replicas if not evacuations.is_evacuated(replica.failure_domain)
         )
 
     def in_allowed_regions(self, call: Call) -> tuple[Replica, ...]:
@@ -107,10 +108,13 @@
         :param call: a request to the service.
         :return: replicas that are not draining, in any state of health.
         """
+        usable = self.entry_state.replicas.usable(call.service)
         policy = region_policy(call)
+        if not policy.is_restricted:
+            return usable
         return tuple(
             replica
-            for replica in self.entry_state.replicas.usable(call.service)
+            for replica in usable
             if policy.allows(self.entry_state.region_of(replica.failure_domain))
         )
 
--- a/src/cassiahitch/direct/placement/regionpolicy.py
+++ b/src/cassiahitch/direct/placement/regionpolicy.py
@@ -18,6 +18,11 @@
 
     restrictions: tuple[frozenset[str], ...] = ()
 
+    @property
+    def is_restricted(self) -> bool:
+        """Whether a restriction names any region."""
+        return any(self.restrictions)
+
     def allows(self, region: str) -> bool:
         """Return whether replicas of a region may serve the request.
 
