Remove the pressure from the terms of admission

Only a test read it. The test now asserts the same share where it is computed, at the recent requests of the service.

--- a/src/cassiahitch/direct/placement/admission.py
+++ b/src/cassiahitch/direct/placement/admission.py
@@ -35,14 +35,12 @@
     """The terms on which a request is admitted.
 
     ``objective_s`` decides whether it is late. ``queue_objective_s`` is the objective that bounds
-    the queue of an engine. ``advance`` is the extension of that bound for urgent requests, 0 to 1,
-    and ``pressure`` the share of the recent requests of the service that found no capacity.
+    the queue of an engine. ``advance`` is the extension of that bound for urgent requests, 0 to 1.
     """
 
     objective_s: float
     queue_objective_s: float
     advance: float = 0
-    pressure: float = 0
 
 
 def admission_terms(
@@ -58,14 +56,13 @@
     """
     if pressure is None:
         return None
-    refused_share = pressure.refused_share(now)
-    advance = urgency_advance(pressure, priority, now) if refused_share else 0
+    advance = urgency_advance(pressure, priority, now) if pressure.refused_share(now) else 0
     shortest_s, longest_s = pressure.objective_range_s(now)
     shortest_s = min(shortest_s, route.objective_s)
     is_mixed = longest_s > EQUAL_OBJECTIVES_RATIO * shortest_s
     if not is_mixed and not advance:
         return None
-    return AdmissionTerms(route.objective_s, shortest_s, advance, refused_share)
+    return AdmissionTerms(route.objective_s, shortest_s, advance)
 
 
 def urgency_advance(pressure: ServicePressure, priority: int, now: float) -> float:
--- a/tests/direct/placement/test_admission.py
+++ b/tests/direct/placement/test_admission.py
@@ -103,14 +103,15 @@
 
 def test_urgent_requests_have_an_advance_only_under_pressure() -> None:
     idle = admission_terms(URGENT, 0, pressure(9, 0, 'patient', 'urgent'), 0)
-    busy = admission_terms(URGENT, 0, pressure(9, 3, 'patient', 'urgent'), 0)
+    under_pressure = pressure(9, 3, 'patient', 'urgent')
+    busy = admission_terms(URGENT, 0, under_pressure, 0)
     last = admission_terms(PATIENT, 2, pressure(9, 3, 'patient', 'urgent'), 0)
     assert idle is not None
     assert busy is not None
     assert last is not None
     assert not idle.advance
     assert busy.advance == pytest.approx(MAX_ADVANCE / 2)
-    assert busy.pressure == pytest.approx(0.25)
+    assert under_pressure.refused_share(0) == pytest.approx(0.25)
     assert not last.advance
 
 
