--- a/src/cassiahitch/direct/members/startcheck.py
+++ b/src/cassiahitch/direct/members/startcheck.py
@@ -80,15 +80,15 @@
         if not self.receiver.hold.is_active:
             return
         started_at = boot_time()
-        is_confirmed = False
         try:
             async with asyncio.timeout(START_CHECK_S):
                 while not await self.ask():
                     await asyncio.sleep(ROUND_INTERVAL_S)
-            is_confirmed = True
         except TimeoutError:
             # The state of the store is used, as without entries that reply.
             is_confirmed = False
+        else:
+            is_confirmed = True
         finally:
             self.receiver.release_hold()
         self.log.state_changed(
