Call the announced requests of an engine what they are

WorkLedger had to be asked about: the ledger of this project is that of requests which run at most once, and this one holds the requests that entries announced to the agent of an engine. The class is AnnouncedRequests in announcedrequests.py, the attribute of the reporter announced. Its tests keep their assertions; test_work_ledgers_hold_about_as_many_requests_as_their_engines is test_agents_keep_about_as_many_requests_as_their_engines.

--- a/src/cassiahitch/direct/staging/workledger.py
+++ b/src/cassiahitch/direct/staging/announcedrequests.py
@@ -59,7 +59,7 @@
 
 
 @dataclass(slots=True)
-class WorkLedger:
+class AnnouncedRequests:
     """The announced requests by their queries, the oldest first.
 
     Of these, the oldest run, as many as the engine has reported, and all others wait. Times in
@@ -178,5 +178,5 @@
 
 __all__ = (
     'AnnouncedRequest',
-    'WorkLedger',
+    'AnnouncedRequests',
 )
--- a/src/cassiahitch/direct/staging/reporting.py
+++ b/src/cassiahitch/direct/staging/reporting.py
@@ -16,10 +16,10 @@
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
+from cassiahitch.direct.staging.announcedrequests import AnnouncedRequests
 from cassiahitch.direct.staging.enginelimit import ColdRate, EngineRateLimit
 from cassiahitch.direct.staging.loadtrust import LoadTrust
 from cassiahitch.direct.staging.permits import refusal_records
-from cassiahitch.direct.staging.workledger import WorkLedger
 from cassiahitch.errors import PlatformError
 from cassiahitch.wire.datagrammessages import EngineLoad, LimitNotice, PlaceQuery, PlaceReturn
 
@@ -103,7 +103,7 @@
     rng: random.Random
     trust: LoadTrust = field(default_factory=LoadTrust)
     pending: PendingRequests = field(default_factory=PendingRequests)
-    ledger: WorkLedger = field(default_factory=WorkLedger)
+    announced: AnnouncedRequests = field(default_factory=AnnouncedRequests)
     entries: dict[Endpoint, float] = field(default_factory=dict)
     last_report: EngineReport | None = None
     rate_limit: EngineRateLimit = field(init=False)
@@ -164,8 +164,8 @@
         :param now: current time in seconds.
         """
         self.last_report = report
-        engine = self.updater.own_engine() if self.ledger.requests else None
-        self.ledger.apply_report(engine, report.running, report.waiting, report.pace, now)
+        engine = self.updater.own_engine() if self.announced.requests else None
+        self.announced.apply_report(engine, report.running, report.waiting, report.pace, now)
         self.send_changes(now)
 
     def send_changes(self, now: float) -> None:
@@ -229,7 +229,7 @@
                 self.send_changes(now)
             case PlaceReturn(number=number):
                 self.pending.release(sender, number)
-                self.ledger.release(sender, number)
+                self.announced.release(sender, number)
                 self.rate_limit.limiter.release(sender, number)
             case LimitNotice(limits=limits):
                 self.rate_limit.apply_records(limits, sender, now)
@@ -271,8 +271,8 @@
         if refusal is not None:
             return replace(load, waiting=REFUSED_WAITING, refusals=refusal_records(refusal))
         waiting = load.waiting + self.pending.add(entry, load.number, now)
-        work = self.ledger.work(waiting) if query.costs else ()
-        self.ledger.announce(entry, query, now)
+        work = self.announced.work(waiting) if query.costs else ()
+        self.announced.announce(entry, query, now)
         return replace(load, waiting=waiting, work=work)
 
     def send(self, load: EngineLoad, entry: Endpoint) -> None:
--- a/tests/direct/placement/test_placement_by_cost.py
+++ b/tests/direct/placement/test_placement_by_cost.py
@@ -76,11 +76,11 @@
         assert one.first_event_times_s == other.first_event_times_s
 
 
-def test_work_ledgers_hold_about_as_many_requests_as_their_engines() -> None:
+def test_agents_keep_about_as_many_requests_as_their_engines() -> None:
     for simulation in replay(BY_COST, 0.9, 0.3):
         for agent in simulation.agents:
             count = len(agent.model.running) + len(agent.model.waiting)
-            assert len(agent.ledger.requests) == pytest.approx(count, abs=4)
+            assert len(agent.announced.requests) == pytest.approx(count, abs=4)
 
 
 def test_full_engine_with_the_least_left_to_do_is_chosen() -> None:
--- a/tests/direct/requests/test_learned_costs.py
+++ b/tests/direct/requests/test_learned_costs.py
@@ -81,10 +81,10 @@
             model.pause_s = 0.1
         sending = asyncio.create_task(send_many(entry, '/draft/1'))
         await asyncio.sleep(0.05)
-        assert sum(len(agent.reporter.ledger.requests) for agent in site.agents) == 6
+        assert sum(len(agent.reporter.announced.requests) for agent in site.agents) == 6
         assert await sending == {200}
         await asyncio.sleep(REPORT_S)
-        assert not any(agent.reporter.ledger.requests for agent in site.agents)
+        assert not any(agent.reporter.announced.requests for agent in site.agents)
 
     run_site_in_virtual_time(body)
 
@@ -111,6 +111,6 @@
         costs = costs_of(entry)
         assert not costs.outputs
         assert not costs.services
-        assert not any(agent.reporter.ledger.requests for agent in site.agents)
+        assert not any(agent.reporter.announced.requests for agent in site.agents)
 
     run_site_in_virtual_time(body)
--- a/tests/direct/staging/test_reporting.py
+++ b/tests/direct/staging/test_reporting.py
@@ -11,6 +11,7 @@
 from modelled_engine import ENGINE
 from virtual_loop import virtual_time
 
+from cassiahitch.direct.staging.announcedrequests import ARRIVAL_S
 from cassiahitch.direct.staging.chunks import WeightsId
 from cassiahitch.direct.staging.enginestate import EngineReport
 from cassiahitch.direct.staging.reporting import (
@@ -19,7 +20,6 @@
     SUBSCRIPTION_S,
     LoadReporter,
 )
-from cassiahitch.direct.staging.workledger import ARRIVAL_S
 from cassiahitch.direct.state.ratelimits import LimitObservation
 from cassiahitch.direct.statelog import StateLog
 from cassiahitch.util.endpoints import Endpoint
--- a/tests/support/cost_model.py
+++ b/tests/support/cost_model.py
@@ -1,8 +1,8 @@
 """A simulation of model engines and of entries that place requests at them, by cost or by count.
 
 Load pattern: requests whose lengths differ by a factor of ten keep the slots of the engines almost
-always taken, and no request is refused. The placement, the work ledgers and the learned costs are
-the real code; the network has no delay.
+always taken, and no request is refused. The placement, the announced requests and the learned costs
+are the real code; the network has no delay.
 """
 
 from __future__ import annotations
@@ -30,8 +30,8 @@
 from cassiahitch.direct.placement.costs import RequestCosts
 from cassiahitch.direct.placement.load import LoadReport, OutstandingWork
 from cassiahitch.direct.placement.placement import Placement
+from cassiahitch.direct.staging.announcedrequests import AnnouncedRequests
 from cassiahitch.direct.staging.reporting import REPORT_POLL_INTERVAL_S, PendingRequests
-from cassiahitch.direct.staging.workledger import WorkLedger
 from cassiahitch.direct.state.catalogue import Engine, Route
 from cassiahitch.direct.state.replicas import Replica
 from cassiahitch.util.endpoints import Endpoint
@@ -74,27 +74,27 @@
     model: ModelledEngine
     candidate: Candidate
     pending: PendingRequests = field(default_factory=PendingRequests)
-    ledger: WorkLedger = field(default_factory=WorkLedger)
+    announced: AnnouncedRequests = field(default_factory=AnnouncedRequests)
     report: LoadReport = field(default_factory=lambda: LoadReport(0, 0))
 
     def read_report(self, now: float) -> None:
         """Read the report of the engine."""
         self.report = self.model.report()
         engine = self.model.engine
-        self.ledger.apply_report(engine, self.report.running, self.report.waiting, 1, now)
+        self.announced.apply_report(engine, self.report.running, self.report.waiting, 1, now)
 
     def reply(self, entry: Endpoint, query: PlaceQuery, now: float) -> LoadReport:
         """Return the load for a query, and count its request."""
         waiting = self.report.waiting + self.pending.add(entry, query.number, now)
-        records = self.ledger.work(waiting) if query.costs else ()
-        self.ledger.announce(entry, query, now)
+        records = self.announced.work(waiting) if query.costs else ()
+        self.announced.announce(entry, query, now)
         work = [OutstandingWork(one.remaining_tokens, one.prompt_tokens) for one in records]
         return LoadReport(self.report.running, waiting, work=work[0] if work else None)
 
     def release(self, entry: Endpoint, number: int) -> None:
         """Release the request of a query."""
         self.pending.release(entry, number)
-        self.ledger.release(entry, number)
+        self.announced.release(entry, number)
 
 
 @dataclass(repr=False)
