--- a/src/cassiahitch/direct/callers/shutdownlog.py
+++ b/src/cassiahitch/direct/callers/shutdownlog.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING, Any
 
 from cassiahitch.direct.callers.errorresponses import request_id_of
+from cassiahitch.direct.statelog import LOGGED_DIGITS
 from cassiahitch.metrics.names import CounterName
 
 if TYPE_CHECKING:
@@ -19,7 +20,6 @@
 LOGGER = logging.getLogger('cassiahitch.stop')
 #: Maximum number of lines for single requests in one shutdown; the summary counts all of them.
 MAX_CUT_LINES = 100
-LOGGED_DIGITS = 4
 
 
 @dataclass(slots=True)
