--- a/src/cassiahitch/direct/members/startcheck.py
+++ b/src/cassiahitch/direct/members/startcheck.py
@@ -30,7 +30,7 @@
     from cassiahitch.direct.state.declarations import DeclarationsInForce, StartHold
     from cassiahitch.direct.state.feed import TableRow
     from cassiahitch.direct.state.follower import TableFollower
-    from cassiahitch.direct.telemetry import StateLog
+    from cassiahitch.direct.statelog import StateLog
 
 #: Longest time in seconds for which a start waits for entries. By then the operator has written
 #: again what the restore lost.
@@ -80,15 +80,15 @@
         if not self.receiver.hold.is_active:
             return
         started_at = boot_time()
-        is_confirmed = False
         try:
             async with asyncio.timeout(START_CHECK_S):
                 while not await self.ask():
                     await asyncio.sleep(ROUND_INTERVAL_S)
-            is_confirmed = True
         except TimeoutError:
             # The state of the store is used, as without entries that reply.
             is_confirmed = False
+        else:
+            is_confirmed = True
         finally:
             self.receiver.release_hold()
         self.log.state_changed(
--- a/src/cassiahitch/direct/state/follower.py
+++ b/src/cassiahitch/direct/state/follower.py
@@ -29,7 +29,7 @@
 if TYPE_CHECKING:
     from cassiahitch.direct.api import TableStore
     from cassiahitch.direct.members.tablerelay import TableRelay
-    from cassiahitch.direct.telemetry import StateLog
+    from cassiahitch.direct.statelog import StateLog
     from cassiahitch.util.endpoints import Endpoint
 
 #: Seconds between two queries to other entries for the state of the table.
--- a/src/cassiahitch/direct/state/readlog.py
+++ b/src/cassiahitch/direct/state/readlog.py
@@ -18,7 +18,7 @@
 from cassiahitch.direct.state.freshness import boot_time
 
 if TYPE_CHECKING:
-    from cassiahitch.direct.telemetry import StateLog
+    from cassiahitch.direct.statelog import StateLog
     from cassiahitch.wire.datagrammessages import TableRows
 
 MS_PER_S = 1000
--- a/tests/direct/members/test_rowservice.py
+++ b/tests/direct/members/test_rowservice.py
@@ -23,7 +23,7 @@
 from cassiahitch.direct.members.tablerelay import TableRelay
 from cassiahitch.direct.state.feed import TableFeed, TableRow, TableSnapshot
 from cassiahitch.direct.state.follower import TableFollower
-from cassiahitch.direct.telemetry import StateLog
+from cassiahitch.direct.statelog import StateLog
 from cassiahitch.stores.http_client import HttpCall, HttpClient
 from cassiahitch.wire.datagrammessages import RowRecord, TableRows
 
--- a/tests/direct/members/test_tablerelay.py
+++ b/tests/direct/members/test_tablerelay.py
@@ -34,7 +34,7 @@
 from cassiahitch.direct.state.follower import RELAY_QUERY_INTERVAL_S, TableFollower
 from cassiahitch.direct.state.freshness import boot_time
 from cassiahitch.direct.state.tablecache import MAX_REMOVED_ROWS, TableCache
-from cassiahitch.direct.telemetry import StateLog
+from cassiahitch.direct.statelog import StateLog
 from cassiahitch.standins.directsite import DirectSite, DirectSiteSize
 from cassiahitch.wire.datagrammessages import RowRecord, TableRows
 
--- a/tests/direct/placement/test_placement_by_cost.py
+++ b/tests/direct/placement/test_placement_by_cost.py
@@ -15,6 +15,7 @@
 from cost_model import BY_COST, BY_COUNT, OLD_AGENTS, CostPolicy, CostSimulation
 from modelled_engine import ENGINE, ROUTE
 
+from cassiahitch.direct.placement.assignments import Assignment, Candidate, PlacementRequest
 from cassiahitch.direct.placement.load import (
     LoadReport,
     LoadTracker,
@@ -22,12 +23,7 @@
     QueueEstimate,
     first_event_s,
 )
-from cassiahitch.direct.placement.placement import (
-    Assignment,
-    Candidate,
-    Placement,
-    PlacementRequest,
-)
+from cassiahitch.direct.placement.placement import Placement
 from cassiahitch.direct.state.replicas import Replica
 from cassiahitch.util.endpoints import Endpoint
 
@@ -80,11 +76,11 @@
         assert one.first_event_times_s == other.first_event_times_s
 
 
-def test_work_ledgers_hold_about_as_many_requests_as_their_engines() -> None:
+def test_agents_keep_about_as_many_requests_as_their_engines() -> None:
     for simulation in replay(BY_COST, 0.9, 0.3):
         for agent in simulation.agents:
             count = len(agent.model.running) + len(agent.model.waiting)
-            assert len(agent.ledger.requests) == pytest.approx(count, abs=4)
+            assert len(agent.announced.requests) == pytest.approx(count, abs=4)
 
 
 def test_full_engine_with_the_least_left_to_do_is_chosen() -> None:
--- a/tests/direct/state/test_follower.py
+++ b/tests/direct/state/test_follower.py
@@ -23,7 +23,7 @@
     TableSnapshot,
 )
 from cassiahitch.direct.state.follower import START_RELAY_S, TableFollower
-from cassiahitch.direct.telemetry import StateLog
+from cassiahitch.direct.statelog import StateLog
 from cassiahitch.wire.datagrammessages import RowRecord, TableRows
 
 TABLE = 'op'
--- a/tests/direct/state/test_follower_eras.py
+++ b/tests/direct/state/test_follower_eras.py
@@ -29,7 +29,7 @@
 )
 from cassiahitch.direct.state.follower import TableFollower
 from cassiahitch.direct.state.freshness import boot_time
-from cassiahitch.direct.telemetry import StateLog
+from cassiahitch.direct.statelog import StateLog
 from cassiahitch.stores.api import NO_ERA
 from cassiahitch.wire.datagrammessages import RowRecord, TableRows, TableState
 from cassiahitch.wire.datagrams import decode_datagram
