Ask the origin of weights again once another host has reached it

Version 2 is named at 18.0 s, and half of the agents that load it before the loss of power at 34.2 s do so by 33.2 s.

Its region is complete at 30.1 to 30.8 s, the others at 31.9 to 33.4 s; each load takes 0.3 s after that. Neither the waves of the loads nor the verification nor running requests bind.

Cause: each agent doubles its own delay with each failure of the origin, up to 1.9 s, and asks again only when that is over, although the chunk maps of its region show that another agent has received a new chunk meanwhile.

Change: a chunk that is new in the region ends the delay of all agents there.

test_agent_asks_the_origin_again_once_another_agent_has_received_a_chunk_from_it failed before.

--- a/src/cassiahitch/direct/staging/scheduler.py
+++ b/src/cassiahitch/direct/staging/scheduler.py
@@ -81,7 +81,8 @@
 
     ``in_flight`` holds the fetch of each requested chunk and ``requested_at`` its time.
     ``region_failures`` and ``region_refusals`` count failures and refusals of other regions by
-    chunk. ``progress_at`` is when a chunk last arrived at this host or at another one of the
+    chunk. ``region_held`` is the bitmap of the chunks that other hosts of the region have held, and
+    ``progress_at`` is when a chunk last arrived at this host or at another one of the
     region.
     """
 
@@ -101,6 +102,7 @@
     peer_fetch_limit: int = MAX_PEER_FETCHES
     origin_failures: int = 0
     origin_retry_at: float = float('-inf')
+    region_held: int = 0
     progress_at: float = field(init=False)
 
     def __post_init__(self) -> None:
@@ -125,10 +127,24 @@
         holder = self.holders.setdefault(host, Holder())
         if held & ~holder.held:
             self.progress_at = now
+        if held & ~(self.region_held | self.held):
+            self.record_origin_recovery(now)
+        self.region_held |= held
         holder.held = held
         holder.uploads = uploads
         holder.received_at = now
 
+    def record_origin_recovery(self, now: float) -> None:
+        """Allow requests to the origin at once, since it has sent a chunk to the region.
+
+        Load pattern: the origin returns after some seconds. By then its agents have failed so often
+        that each asks it again only after a long delay, while another one has reached it already.
+
+        :param now: current time in seconds.
+        """
+        self.origin_failures = 0
+        self.origin_retry_at = min(self.origin_retry_at, now)
+
     def record_arrival(self, index: int, now: float) -> None:
         """Record that a chunk has arrived at this host.
 
