Let new connections outlive those that make no progress

Cause: above the limit on connections, the one with the lowest rank was closed. A byte within a second counted as progress, and among connections with progress the lowest rate went first. A new connection has a rate of 0, so that it went before each slow one. One connection was closed for each new one.

Change: 256 bytes or the end of a stage count as progress, a byte does not. Unfinished requests and responses without it for a second go first, longest first, then idle connections, then slow progress, then new connections and those just used. Too many connections are closed down to seven eighths of the limit, those beyond it only if they have stalled. For the number of connections their size does not count any more. A response that starts to wait for its client after a long run is not taken for stalled.

--- a/src/cassiahitch/direct/connections/budget.py
+++ b/src/cassiahitch/direct/connections/budget.py
@@ -1,12 +1,15 @@
 """Decides which connections are closed to keep what a process holds for them within its limits.
 
 Load pattern: many clients each send or read less than any limit of one connection, very slowly or
-not to the end, and together hold more memory and descriptors than the host has. Ordinary requests
-arrive complete and within milliseconds, so that they are never among those that make no progress.
+not to the end, and together hold more memory and descriptors than the host has. They come back at
+once when they are closed. Ordinary requests arrive complete and within milliseconds, so that a
+connection has time to send one before it is closed for the next one, and bytes that arrive now and
+then don't count as progress.
 """
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from enum import IntEnum, StrEnum
 from operator import itemgetter
@@ -27,9 +30,9 @@
 #: Time without progress after which a connection counts as stalled, in seconds; callers on slow
 #: links send or read something in it.
 STALL_S = 1.0
-#: Least time over which a rate of progress is computed, in seconds.
-MIN_RATE_INTERVAL_S = 0.25
-#: Fraction of the limit down to which connections are closed, so that few decisions are needed.
+#: Bytes that count as progress; fewer do once the request or response is complete.
+STEP_BYTES = 256
+#: Fraction of a limit down to which connections are closed, so that few decisions are needed.
 LOW_WATERMARK = 0.875
 #: Fraction of the limit above which unread responses are cut after the idle timeout.
 UNREAD_RESPONSE_WATERMARK = 0.5
@@ -64,6 +67,25 @@
     served = 3
 
 
+class Order(IntEnum):
+    """Groups of connections in the order in which they are closed."""
+
+    #: A request or a response is not complete and makes no progress, the longest stall first.
+    stalled = 0
+    #: Idle since an earlier request, the longest first.
+    idle = 1
+    #: Progress toward a complete request or response, the lowest rate first.
+    slow = 2
+    #: New, or with a new request, the oldest first.
+    new = 3
+    #: Idle since a request that has just ended, the oldest first.
+    used = 4
+
+
+#: Place of a connection in the order in which they are closed; the lowest is closed first.
+Rank = tuple[Order, float]
+
+
 @dataclass(frozen=True, slots=True)
 class ConnectionLimits:
     """Limits of all connections, bytes and number; of each, times in seconds and header bytes."""
@@ -91,8 +113,9 @@
 
     ``request_bytes`` are those of the request that is read or served, with its objects, and
     ``unread_bytes`` those of its response that the client has not read. ``moved_bytes`` counts
-    bytes in both directions since ``stage_at``. ``waits_for_turn`` is set while the process delays
-    the client, which then makes no progress. Times are in seconds.
+    bytes in both directions since ``stage_at``, and ``step_bytes`` those of them until ``step_at``,
+    when the last ``STEP_BYTES`` or the stage were complete. ``waits_for_turn`` is set while the
+    process delays the client, which then makes no progress. Times are in seconds.
     """
 
     stage_at: float
@@ -103,6 +126,12 @@
     moved_bytes: int = 0
     waits_for_turn: bool = False
     requests: int = 0
+    step_at: float = field(init=False)
+    step_bytes: int = 0
+
+    def __post_init__(self) -> None:
+        """Count the start as progress."""
+        self.step_at = self.progress_at
 
     @property
     def size(self) -> int:
@@ -122,8 +151,17 @@
         """
         self.stage = stage
         self.stage_at = now
-        self.progress_at = now
         self.moved_bytes = 0
+        self.restart(now)
+
+    def restart(self, now: float) -> None:
+        """Start to wait for the client, which had nothing to send or read before.
+
+        :param now: current time, in seconds.
+        """
+        self.progress_at = now
+        self.step_at = now
+        self.step_bytes = self.moved_bytes
 
     def move(self, count: int, now: float) -> None:
         """Record bytes that were received or that the client has read.
@@ -133,20 +171,23 @@
         """
         self.moved_bytes += count
         self.progress_at = now
+        if self.moved_bytes - self.step_bytes >= STEP_BYTES:
+            self.step_at = now
+            self.step_bytes = self.moved_bytes
 
-    def rank(self, now: float) -> tuple[bool, bool, bool, float]:
-        """Return the order in which connections are closed; the lowest first.
-
-        Larger ones go before small ones, stalled ones before others, unfinished requests before
-        idle connections that have been used, the longest stall and the lowest rate first.
+    def rank(self, now: float) -> Rank:
+        """Return the place in the order in which connections are closed.
 
         :param now: current time, in seconds.
         :return: the rank.
         """
-        moving = now - self.progress_at < STALL_S
-        rate = self.moved_bytes / max(MIN_RATE_INTERVAL_S, now - self.stage_at)
-        used = self.stage is Stage.idle and self.requests > 0
-        return self.size <= SMALL_BYTES, moving, used, rate if moving else self.progress_at
+        is_used = self.stage is Stage.idle and self.requests > 0
+        if now - self.step_at >= STALL_S:
+            return Order.idle if is_used else Order.stalled, self.step_at
+        age_s = now - self.stage_at
+        if age_s >= STALL_S:
+            return Order.slow, self.moved_bytes / age_s
+        return Order.used if is_used else Order.new, self.stage_at
 
 
 @dataclass(slots=True)
@@ -229,24 +270,17 @@
         :param now: current time, in seconds.
         :return: connections and reasons, those with the least progress first.
         """
-        limits = self.limits
-        excess_connections = len(self.holdings) - limits.max_connections
-        excess_bytes = self.used_bytes - LOW_WATERMARK * limits.total_bytes
-        if self.used_bytes <= limits.total_bytes:
-            excess_bytes = 0
-        if excess_connections <= 0 and excess_bytes <= 0:
+        if not self.exceeded:
             return []
         ranked = [(one.rank(now), one) for one in self.holdings if one.closable]
         ranked.sort(key=itemgetter(0))
-        chosen: list[tuple[Holding, CloseReason]] = []
-        for _, holding in ranked:
-            if excess_connections <= 0 and excess_bytes <= 0:
-                break
-            reason = CloseReason.memory if excess_bytes > 0 else CloseReason.connections
-            chosen.append((holding, reason))
-            excess_connections -= 1
-            excess_bytes -= holding.size
-        return chosen
+        for_memory = self._excess_memory([one for _, one in ranked])
+        kept = [item for item in ranked if item[1] not in for_memory]
+        for_number = self._excess_connections(kept, len(self.holdings) - len(for_memory))
+        return [
+            *((one, CloseReason.memory) for one in for_memory),
+            *((one, CloseReason.connections) for one in for_number),
+        ]
 
     def expired(self, now: float) -> Iterable[tuple[Holding, CloseReason]]:
         """Choose the connections to close because a time has passed.
@@ -259,6 +293,32 @@
         found = ((one, _expiry(one, limits, now, short=short)) for one in self.holdings)
         return [(holding, reason) for holding, reason in found if reason is not None]
 
+    def _excess_memory(self, ranked: list[Holding]) -> dict[Holding, None]:
+        """Choose, in order, the connections that hold too much; large ones before small ones."""
+        if self.used_bytes <= self.limits.total_bytes:
+            return {}
+        excess_bytes = self.used_bytes - LOW_WATERMARK * self.limits.total_bytes
+        chosen: dict[Holding, None] = {}
+        large_first = sorted(ranked, key=lambda one: one.size <= SMALL_BYTES)
+        for holding in large_first:
+            if excess_bytes <= 0:
+                break
+            chosen[holding] = None
+            excess_bytes -= holding.size
+        return chosen
+
+    def _excess_connections(self, ranked: list[tuple[Rank, Holding]], number: int) -> list[Holding]:
+        """Choose from too many connections, more than necessary only of those that have stalled."""
+        limit = self.limits.max_connections
+        if number <= limit:
+            return []
+        necessary = number - limit
+        useful = number - math.ceil(LOW_WATERMARK * limit)
+        return [
+            *(holding for _, holding in ranked[:necessary]),
+            *(one for rank, one in ranked[necessary:useful] if rank[0] is Order.stalled),
+        ]
+
 
 def _expiry(
     holding: Holding, limits: ConnectionLimits, now: float, *, short: bool
--- a/src/cassiahitch/direct/connections/stream.py
+++ b/src/cassiahitch/direct/connections/stream.py
@@ -105,7 +105,7 @@
         if data and self._read_buffer_size and self.holding.stage is Stage.served:
             self._is_pipelined = True
         if not self.holding.unread_bytes:
-            self.holding.progress_at = self.guard.now()
+            self.holding.restart(self.guard.now())
         # Counted before, since the base class may write them at once.
         self._hold(unread_bytes=self.holding.unread_bytes + len(data))
         return super().write(data)
