Drop a header that waits for its turn when its connection closes

Cause: a header of more than 128 fields is parsed in a turn. The task that waited for the turn stayed when its connection was closed, with the header and the objects of the connection, and was in no account: up to 14,490 such tasks beside 80 to 100 open connections. New clients came faster than turns.

Change: a turn is a future in a queue. Closing the connection takes it out and fails it, so that only open connections, which are counted, wait for turns. Chunked bodies use the same.

--- a/src/cassiahitch/direct/connections/guard.py
+++ b/src/cassiahitch/direct/connections/guard.py
@@ -8,11 +8,12 @@
 from typing import TYPE_CHECKING, Protocol
 
 from cassiahitch.direct.connections.budget import CloseReason, ConnectionBudget, Holding, Stage
+from cassiahitch.direct.connections.turns import Turns
 from cassiahitch.metrics.names import CounterName, GaugeName
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable, Coroutine
+    from collections.abc import Callable
 
     from cassiahitch.direct.connections.budget import ConnectionLimits
     from cassiahitch.metrics.registry import Metrics
@@ -71,8 +72,7 @@
         self.metrics = metrics
         self.log = log
         self.streams: dict[Holding, ClosableStream] = {}
-        self._turns = asyncio.Lock()
-        self._tasks: set[asyncio.Task[None]] = set()
+        self.turns = Turns()
         self.closed: Counter[CloseReason] = Counter()
         self.logged_at: float = 0
         self._is_scheduled = False
@@ -128,22 +128,6 @@
         self._is_scheduled = False
         self._close_all(self.budget.excess(self.now()))
 
-    async def wait_for_turn(self) -> None:
-        """Wait until work may be done that takes long, at once after this function returns."""
-        async with self._turns:
-            # The work of the previous turn is done, and other tasks have run since.
-            await asyncio.sleep(0)
-            await asyncio.sleep(0)
-
-    def run(self, work: Coroutine[None, None, None]) -> None:
-        """Run a short task of a connection.
-
-        :param work: the task.
-        """
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     async def work(self) -> None:
         """Check the times of all connections, until cancelled."""
         while True:
--- a/src/cassiahitch/direct/connections/server.py
+++ b/src/cassiahitch/direct/connections/server.py
@@ -114,9 +114,7 @@
             if decoder.chunks <= MAX_IMMEDIATE_CHUNKS:
                 await self._decode_step(decoder)
                 continue
-            self.stream.holding.waits_for_turn = True
-            await self.stream.guard.wait_for_turn()
-            self.stream.holding.waits_for_turn = False
+            await self.stream.wait_for_turn()
             if self.stream.closed():
                 raise StreamClosedError
             await self._decode_step(decoder)
--- a/src/cassiahitch/direct/connections/stream.py
+++ b/src/cassiahitch/direct/connections/stream.py
@@ -49,6 +49,7 @@
         self.guard = guard
         self.too_many_fields = False
         self.holding = guard.open(self)
+        self._turn: asyncio.Future[None] | None = None
         self._is_pipelined = False
         self._reads_header = False
         self._searched_bytes = 0
@@ -126,6 +127,23 @@
         """Close the socket."""
         super().close_fd()
         self.guard.close(self.holding)
+        if self._turn is not None:
+            self.guard.turns.drop(self._turn, StreamClosedError())
+
+    def wait_for_turn(self) -> asyncio.Future[None]:
+        """Wait until work of this connection may be done that takes long.
+
+        :return: done when it may, at once after it is awaited; fails with ``StreamClosedError``
+            when the connection closes.
+        """
+        turn = self.guard.turns.wait()
+        if self.closed():
+            self.guard.turns.drop(turn, StreamClosedError())
+            return turn
+        self._turn = turn
+        self.holding.waits_for_turn = True
+        turn.add_done_callback(self._end_turn)
+        return turn
 
     def cut(self) -> None:
         """Close the connection, so that its client takes no response for complete."""
@@ -179,7 +197,7 @@
         self.holding.waits_for_turn = False
         header = await self._start_header(read_header)
         if self._fields > MAX_IMMEDIATE_FIELDS:
-            await self._wait_for_turn()
+            await self.wait_for_turn()
         return header
 
     def _pass_on(self, in_turn: asyncio.Future[bytes], header: asyncio.Future[bytes]) -> None:
@@ -191,20 +209,22 @@
         elif self._fields <= MAX_IMMEDIATE_FIELDS:
             in_turn.set_result(header.result())
         else:
-            self.guard.run(self._pass_on_in_turn(in_turn, header.result()))
+            turn = self.wait_for_turn()
+            turn.add_done_callback(partial(self._pass_on_in_turn, in_turn, header.result()))
 
-    async def _pass_on_in_turn(self, in_turn: asyncio.Future[bytes], header: bytes) -> None:
-        await self._wait_for_turn()
+    def _pass_on_in_turn(
+        self, in_turn: asyncio.Future[bytes], header: bytes, turn: asyncio.Future[None]
+    ) -> None:
+        error = turn.exception()
         if in_turn.done():
             return
-        if self.closed():
-            _fail(in_turn, StreamClosedError())
+        if error or self.closed():
+            _fail(in_turn, error or StreamClosedError())
             return
         in_turn.set_result(header)
 
-    async def _wait_for_turn(self) -> None:
-        self.holding.waits_for_turn = True
-        await self.guard.wait_for_turn()
+    def _end_turn(self, _: asyncio.Future[None]) -> None:
+        self._turn = None
         self.holding.waits_for_turn = False
 
     def _count_received(self, count: int) -> None:
--- a/tests/direct/connections/test_stream.py
+++ b/tests/direct/connections/test_stream.py
@@ -22,6 +22,7 @@
 )
 from cassiahitch.direct.connections.guard import ConnectionGuard
 from cassiahitch.direct.connections.server import GuardedServer
+from cassiahitch.direct.connections.turns import Turns
 from cassiahitch.metrics.registry import Metrics
 from cassiahitch.standins.networks import loopback_address
 from cassiahitch.util.listening import bound_port, listen
@@ -30,6 +31,9 @@
 LIMITS = ConnectionLimits(total_bytes=400_000, max_connections=100, header_bytes=16_384)
 FIELDS = 4000
 ORDINARY = b'GET / HTTP/1.1\r\nHost: h\r\n\r\n'
+#: Clients that together hold far more than the limits, each with a header that is parsed in turn.
+CROWD = 20
+FIELDS_IN_TURN = 200
 TIMEOUT_S = 5
 MAX_SEARCHES = 100
 
@@ -56,6 +60,13 @@
         return found
 
 
+class HeldTurns(Turns):
+    """Turns that are never given, as at a process whose other work takes all of its time."""
+
+    async def _run(self) -> None:
+        """Give no turn."""
+
+
 def ignore(message: str, **fields: object) -> None:
     """Log nothing."""
 
@@ -103,6 +114,34 @@
     asyncio.run(body())
 
 
+def test_header_of_a_closed_connection_is_not_kept_for_its_turn() -> None:
+    """Guards against memory of closed connections, which no limit on open ones bounds."""
+
+    async def body() -> None:
+        guard = ConnectionGuard(lambda: LIMITS, Metrics('entry'), ignore, random.Random(1))
+        guard.turns = HeldTurns()
+        server = GuardedServer(Application([('/', OkHandler)]), guard=guard)
+        listener = listen(loopback_address(0, 0), 0)
+        server.add_sockets([listener])
+        data = head(FIELDS_IN_TURN, b'\r\n')
+        crowd = [asyncio.create_task(read_all(bound_port(listener), data)) for _ in range(CROWD)]
+        async with asyncio.timeout(TIMEOUT_S):
+            while not guard.turns.waiting:
+                await asyncio.sleep(0)
+            # The limits leave room for few of them.
+            while len(guard.budget.holdings) + sum(task.done() for task in crowd) < CROWD:
+                await asyncio.sleep(0)
+            assert len(guard.turns.waiting) <= len(guard.budget.holdings)
+            for stream in tuple(guard.streams.values()):
+                stream.cut()
+            while asyncio.all_tasks() != {asyncio.current_task()}:
+                await asyncio.sleep(0)
+        assert not guard.turns.waiting
+        server.stop()
+
+    asyncio.run(body())
+
+
 async def read_response(port: int) -> bytes:
     reader, writer = await asyncio.open_connection(loopback_address(0, 0), port)
     with closing(writer):
