Use the turn of a request that expires while a silent agent is queried

What callers saw: while no agent grants permits and plain replicas are cold, entries used about 60 % of the turns of their shares of the cold rate, and refused callers that a replica could have served. In one of about twenty runs, test_plain_replicas_get_shares_if_no_agent_grants_permits found less than half of the cold rate used.

Cause: a turn lasts 0.2 s. A request that arrives within it queries the agent first, since the last vain query was longer ago than the backoff of 0.5 s (turns are 2.1 s apart), and waits 0.06 s in vain; the turn was then judged by the time after the wait. So only requests of the first 0.14 s of a turn could use it: at 6.7 requests/s and entry, 1 - exp(-6.7 * 0.14) = 0.61 of the 67 turns, where 0.74 are possible. The random numbers of the entries had no seed, so that the test's bound of 33.6 requests was met or not by chance.

Change: a turn may be used if it was current at some moment of the wait, which counts at most as the timeout of a query. It is still used once, and the next one begins one interval later.

--- a/src/cassiahitch/direct/placement/permits.py
+++ b/src/cassiahitch/direct/placement/permits.py
@@ -58,7 +58,8 @@
         clock = asyncio.get_running_loop().time
         rate_limits = self.entry_state.rate_limits
         agent = self.limiter(replica)
-        if clock() < self.silent_until.get(replica.key, -math.inf):
+        began = clock()
+        if began < self.silent_until.get(replica.key, -math.inf):
             agent = None
         queried_at = boot_time()
         reply = None if agent is None else await self.query(replica, agent)
@@ -66,7 +67,8 @@
         if agent is None or reply is None:
             if agent is not None:
                 self.silent_until[replica.key] = now + NO_REPLY_BACKOFF_S
-            return self.use_share(replica, now)
+            waited_s = min(now - began, REPLY_TIMEOUT_S)
+            return self.use_share(replica, now, waited_s)
         rate_limits.apply_report(replica, reply.limits, now)
         if reply.refusals:
             available_s = reply.refusals[0].available_ms / MS_PER_S
@@ -74,11 +76,12 @@
             return None
         return Reservation(reply.number, agent, queried_at + PERMIT_LIFETIME_S)
 
-    def use_share(self, replica: Replica, now: float) -> Reservation | None:
+    def use_share(self, replica: Replica, now: float, waited_s: float) -> Reservation | None:
         """Use the share of this entry of the cold rate, since no agent grants permits.
 
         :param replica: the replica.
         :param now: current time in seconds.
+        :param waited_s: seconds for which the reply of an agent was awaited.
         :return: the permit; None if the replica names a limit, or at other times than those of the
             share of this entry.
         """
@@ -87,7 +90,7 @@
         if rate_limits.is_limited(replica.key) or not per_s:
             rate_limits.record_refusal(replica.key, NO_REPLY_BACKOFF_S, now)
             return None
-        if not rate_limits.shares.take(replica.key, per_s, now):
+        if not rate_limits.shares.take(replica.key, per_s, now, waited_s):
             wait_s = rate_limits.shares.wait_s(replica.key, per_s, now)
             rate_limits.record_refusal(replica.key, wait_s, now)
             return None
@@ -156,4 +159,4 @@
         return Endpoint(address, self.entry_state.settings.peer_port) if address else None
 
 
-__all__ = ('PermitClient',)
+__all__ = ('PermitClient', 'REPLY_TIMEOUT_S')
--- a/src/cassiahitch/direct/state/coldshares.py
+++ b/src/cassiahitch/direct/state/coldshares.py
@@ -4,7 +4,8 @@
 entries would send to the replica at once. Each entry may then send one request in every interval
 of a little more than ``entries / rate``. If unused turns were kept, all entries could use theirs in
 the same second, more than the replica survives. Therefore a turn begins at a random time in the
-interval of each entry, and expires shortly afterwards.
+interval of each entry, and expires shortly afterwards. A request that arrives within a turn may
+wait for the reply of a silent agent until the turn has expired; it may still use that turn.
 
 Entries learn at different times that another one has joined or left. A share is computed from the
 highest count of the last minute, so that an entry that loses contact with the others keeps its
@@ -93,15 +94,16 @@
         self.next_at[key] = next_at
         return max(0, next_at - now)
 
-    def take(self, key: str, per_s: float, now: float) -> bool:
-        """Use the current turn, if there is one.
+    def take(self, key: str, per_s: float, now: float, waited_s: float = 0) -> bool:
+        """Use the current turn, or one that has expired while the request waited.
 
         :param key: key of the replica.
         :param per_s: cold rate of its service, above 0.
         :param now: current time in seconds.
+        :param waited_s: seconds for which the request waited for the reply of an agent.
         :return: whether a request may be sent now.
         """
-        if self.wait_s(key, per_s, now) > 0:
+        if self.wait_s(key, per_s, now - waited_s) > waited_s:
             return False
         self.next_at[key] += self.interval_s(per_s)
         return True
--- a/src/cassiahitch/standins/directsite.py
+++ b/src/cassiahitch/standins/directsite.py
@@ -56,7 +56,10 @@
 
 @dataclass(slots=True)
 class DirectSite:
-    """Starts and stops the entries, the agents and the stand-ins of a site."""
+    """Starts and stops the entries, the agents and the stand-ins of a site.
+
+    The random decisions of the entries follow from ``seed``, unless it is None.
+    """
 
     size: DirectSiteSize = field(default_factory=DirectSiteSize)
     bounds: dict[str, float] = field(default_factory=dict)
@@ -69,6 +72,7 @@
     plain: list[BackendStandin] = field(default_factory=list)
     store_port: int = 0
     configuration: dict[str, Any] = field(default_factory=dict)
+    seed: int | None = None
 
     async def __aenter__(self) -> Self:
         """Start the stand-ins, the entries and the agents.
@@ -241,6 +245,8 @@
         )
         caller = await self.stack.enter_async_context(HttpClient())
         entry = DirectEntry(settings, self.platform(caller), caller)
+        if self.seed is not None:
+            entry.rng.seed(f'{self.seed} {number}')
         await entry.start()
         self.entries.append(entry)
         return entry
