Serve few pipelined requests at a time

What callers saw: an ordinary request was refused with 503 (no_replica) while 60 callers sent requests ahead on their connections without reading the responses.

Cause: each such request was delayed by 0.25 to 0.75 s, whatever the number of connections. 60 of them send about 92 requests/s that take 0.13 s each, which keeps the entry's 12 connections to the two replicas (6 to each of 20, for one entry and two spare ones) in use much of the time; a request that finds them all in use is refused at once.

Change: of the requests that were sent before the response to the one before them, 4 at a time are served in a process; the others wait with their headers read, and don't run if their callers leave meanwhile. The first request of a connection and requests of callers that wait for each response are served as before.

--- a/src/cassiahitch/direct/connections/guard.py
+++ b/src/cassiahitch/direct/connections/guard.py
@@ -24,6 +24,9 @@
 LATE_CHECK_S = 0.5
 #: Least time between two log lines about closed connections, in seconds.
 LOG_INTERVAL_S = 1.0
+#: Requests that are served at a time of those that were sent before the response to the one before
+#: them. Many connections that send ahead would take all connections to backend servers.
+MAX_PIPELINED_REQUESTS = 4
 
 
 class ClosableStream(Protocol):
@@ -66,6 +69,7 @@
         :param rng: source of random delays.
         """
         self.rng = rng
+        self.pipeline_slots = asyncio.Semaphore(MAX_PIPELINED_REQUESTS)
         self.budget = ConnectionBudget(find_limits())
         self.find_limits = find_limits
         self.metrics = metrics
--- a/src/cassiahitch/direct/connections/stream.py
+++ b/src/cassiahitch/direct/connections/stream.py
@@ -50,6 +50,7 @@
         self.too_many_fields = False
         self.holding = guard.open(self)
         self._is_pipelined = False
+        self._has_pipeline_slot = False
         self._reads_header = False
         self._searched_bytes = 0
         self._fields = 0
@@ -64,6 +65,7 @@
         :return: the header.
         """
         max_bytes = self.guard.budget.limits.read_header_bytes
+        self._release_pipeline_slot()
         self._discards_body = False
         self.too_many_fields = False
         ahead = self._read_buffer_size
@@ -125,6 +127,7 @@
     def close_fd(self) -> None:
         """Close the socket."""
         super().close_fd()
+        self._release_pipeline_slot()
         self.guard.close(self.holding)
 
     def cut(self) -> None:
@@ -178,10 +181,25 @@
         await asyncio.sleep(self.guard.rng.uniform(*PIPELINE_DELAY_S))
         self.holding.waits_for_turn = False
         header = await self._start_header(read_header)
+        await self._take_pipeline_slot()
         if self._fields > MAX_IMMEDIATE_FIELDS:
             await self._wait_for_turn()
         return header
 
+    async def _take_pipeline_slot(self) -> None:
+        self.holding.waits_for_turn = True
+        await self.guard.pipeline_slots.acquire()
+        self.holding.waits_for_turn = False
+        self._has_pipeline_slot = True
+        if self.closed():
+            self._release_pipeline_slot()
+            raise StreamClosedError
+
+    def _release_pipeline_slot(self) -> None:
+        if self._has_pipeline_slot:
+            self._has_pipeline_slot = False
+            self.guard.pipeline_slots.release()
+
     def _pass_on(self, in_turn: asyncio.Future[bytes], header: asyncio.Future[bytes]) -> None:
         error = header.exception()
         if in_turn.done():
--- a/tests/direct/connections/test_guarded_server.py
+++ b/tests/direct/connections/test_guarded_server.py
@@ -9,15 +9,23 @@
 import logging
 
 import pytest
-from direct_callers import run, run_count, wait_until
+from direct_callers import run, run_count, run_site_in_virtual_time, wait_until
 from slow_callers import connect
 
 from cassiahitch.codes import Code
+from cassiahitch.direct.connections.guard import MAX_PIPELINED_REQUESTS
 from cassiahitch.metrics.names import CounterName
 from cassiahitch.standins.configurations import CALLER_API_KEY
 from cassiahitch.standins.directsite import DirectSite, DirectSiteSize
 
 ONE_OF_EACH = DirectSiteSize(entries=1, models=1, plain=1)
+#: Callers that send requests ahead, more than the entry opens connections to backend servers.
+PIPELINING_CALLERS = 60
+#: Seconds after which the first requests of such callers have ended.
+PIPELINED_S = 2.0
+#: Seconds between two counts of the requests under way, and the number of counts.
+PIPELINED_SAMPLE_S = 0.1
+PIPELINED_SAMPLES = 20
 HEAD = f'Host: menus.example\r\nX-Cassiahitch-Key: {CALLER_API_KEY}\r\n'
 
 
@@ -161,6 +169,44 @@
     run(body, ONE_OF_EACH)
 
 
+def test_many_callers_that_pipeline_take_few_connections_to_backend_servers() -> None:
+    async def body(site: DirectSite) -> None:
+        for backend in site.plain:
+            backend.pause_s = 1
+        path = '/lookup/1'
+        data = b''.join(request(path, f'k{number}', method='GET') for number in range(20))
+        crowd = [await send(site, data) for _ in range(PIPELINING_CALLERS)]
+        # The first requests have ended by then, and those behind them have been delayed.
+        await asyncio.sleep(PIPELINED_S)
+        pool = site.entries[0].parts.runner.attempts.pool
+        for _ in range(PIPELINED_SAMPLES):
+            await asyncio.sleep(PIPELINED_SAMPLE_S)
+            running = pool.open_counts.total() - sum(map(len, pool.idle.values()))
+            assert 0 < running <= MAX_PIPELINED_REQUESTS
+        for _, writer in crowd:
+            writer.close()
+
+    run_site_in_virtual_time(body, ONE_OF_EACH)
+
+
+def test_pipelined_requests_whose_callers_left_do_not_run_and_make_room_for_others() -> None:
+    async def body(site: DirectSite) -> None:
+        data = request('/lookup/1', 'k1', method='GET') + request('/lookup/1', 'k2', method='GET')
+        site.plain[0].pause_s = PIPELINED_S / 2
+        crowd = [await send(site, data) for _ in range(2 * MAX_PIPELINED_REQUESTS)]
+        await asyncio.sleep(PIPELINED_S)
+        for _, writer in crowd:
+            writer.close()
+        await asyncio.sleep(PIPELINED_S)
+        assert run_count(site.plain, 'k2') <= MAX_PIPELINED_REQUESTS
+        site.plain[0].pause_s = 0
+        reader, _ = await send(site, data)
+        async with asyncio.timeout(PIPELINED_S):
+            assert {await read_status(reader) for _ in range(2)} == {200}
+
+    run_site_in_virtual_time(body, ONE_OF_EACH)
+
+
 def test_header_that_stays_unfinished_is_closed_and_counted(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
