Ask the agent again that fetches a chunk for another region

Cause: while the origin is away, the agents of the next region refuse each request for a missing chunk, after 0.6 s each, since they don't hold it yet. Three refusals counted as a failure of the agent, and the next one in rank was asked. When the origin returned, most requests waited at agents that get the chunk last, from hosts of their own region, and not at the first in rank, which is the one that fetches it. This happened once per region that a chunk passes through.

Change: refusals exclude no agent. After three of them, each second request goes to the first in rank again, the others to the following ones in turn, as the first may wait in vain. Failures still exclude agents, and as many refusals as before lead to the origin.

The simulation of the swarm now has outages of the origin and agents of other regions that wait 0.6 s for a chunk before they refuse it; before, it forgot their refusals.

--- a/src/cassiahitch/direct/staging/scheduler.py
+++ b/src/cassiahitch/direct/staging/scheduler.py
@@ -48,7 +48,8 @@
 OVERLOADED_HOLDER_CHUNKS = 8
 #: Failures of the origin in a row after which a region fetches from the previous one in the chain.
 MAX_ORIGIN_FAILURES = 3
-#: Refusals of a chunk by agents of another region that together count as one failure.
+#: Refusals of a chunk by agents of another region that together count as one failure, and after
+#: which not only the first of them is asked.
 MAX_REGION_REFUSALS = 3
 #: First delay after a failure of the origin, in seconds, and how often it is doubled at most.
 ORIGIN_RETRY_DELAY_S = 0.06
@@ -222,9 +223,7 @@
                 holder.uploads = max(holder.uploads, MAX_QUEUED_UPLOADS)
             case _:
                 refusals = self.region_refusals.get(fetch.index, 0) + 1
-                self.region_refusals[fetch.index] = refusals % MAX_REGION_REFUSALS
-                if refusals == MAX_REGION_REFUSALS:
-                    self.record_failure(fetch, now)
+                self.region_refusals[fetch.index] = refusals
 
     def schedule(self, now: float) -> tuple[ChunkFetch, ...]:
         """Return the fetches to start now, and count them as in flight.
@@ -374,10 +373,12 @@
         chain = self.fleet.region_chain(index)
         position = chain.index(self.fleet.local_agent.region)
         failures = self.region_failures.get(index, 0)
-        if position < self.origin_copies or failures >= MAX_REGION_FAILURES:
+        refusals = self.region_refusals.get(index, 0)
+        total_failures = failures + refusals // MAX_REGION_REFUSALS
+        if position < self.origin_copies or total_failures >= MAX_REGION_FAILURES:
             return FromOrigin(index)
         hosts = rendezvous_order(index, self.fleet.hosts_in(chain[position - 1]))
-        return FromRegion(index, hosts[failures % len(hosts)])
+        return FromRegion(index, hosts[source_rank(failures, refusals) % len(hosts)])
 
     def has_capacity(self, fetch: ChunkFetch) -> bool:
         """Return whether one more fetch of the same kind of source may be in flight."""
@@ -391,4 +392,21 @@
                 return same_kind < self.peer_fetch_limit
 
 
+def source_rank(failures: int, refusals: int) -> int:
+    """Return which agent of another region is asked for a chunk.
+
+    Load pattern: the origin is unavailable for some seconds, and no agent of the other region holds
+    the chunk. The first one in rank will be the one that fetches it, and the others get it later
+    from there. But it may also wait in vain, so that each second request goes to another agent.
+
+    :param failures: failures to fetch the chunk from an agent of the region.
+    :param refusals: how often agents of the region did not hold the chunk yet.
+    :return: rank of the agent; each failure excludes one more of the first agents.
+    """
+    tries = max(0, refusals - MAX_REGION_REFUSALS + 1)
+    if tries % 2:
+        return failures + tries // 2 + 1
+    return failures
+
+
 __all__ = ('ChunkScheduler',)
--- a/tests/support/swarm_play.py
+++ b/tests/support/swarm_play.py
@@ -10,6 +10,7 @@
 from enum import Enum, auto
 from typing import TYPE_CHECKING
 
+from cassiahitch.direct.staging.chunkservice import CHUNK_WAIT_S
 from cassiahitch.direct.staging.fleet import Fleet, FromOrigin, FromPeer, FromRegion
 from cassiahitch.direct.staging.scheduler import ChunkScheduler
 from cassiahitch.direct.staging.uploads import MAX_QUEUED_UPLOADS
@@ -26,6 +27,8 @@
 STEP_S = 0.02
 #: Seconds between two chunk maps of an agent.
 MAP_INTERVAL_S = 0.08
+#: Start and end of the time in which the origin refuses connections, in seconds.
+NO_OUTAGE = (float('inf'), float('inf'))
 
 
 @dataclass(frozen=True)
@@ -79,7 +82,7 @@
 
     chunk = auto()
     refused = auto()
-    timed_out = auto()
+    failed = auto()
 
 
 @dataclass
@@ -102,7 +105,8 @@
     """Simulates the fetch of a version by all agents; those in ``dead`` never run.
 
     ``held`` has the chunks of each agent at the start as a bit map, ``urgent`` the agents whose
-    engines can serve nothing.
+    engines can serve nothing, and ``outage`` is when the origin refuses connections. ``waiting``
+    has the requests that wait until an agent of another region holds their chunk.
     """
 
     participants: tuple[Participant, ...]
@@ -110,11 +114,13 @@
     rates: TransferTimes = RATES
     held: Mapping[str, int] = field(default_factory=dict)
     urgent: frozenset[str] = frozenset()
+    outage: tuple[float, float] = NO_OUTAGE
     origin_chunks: int = 0
     cross_region_transfers: int = 0
     events: list[tuple[float, int, str, ChunkFetch, Outcome]] = field(default_factory=list)
     done_at: dict[str, float] = field(default_factory=dict)
     numbers: itertools.count[int] = field(default_factory=itertools.count)
+    waiting: dict[tuple[str, ChunkFetch], float] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self.swarms = {
@@ -163,17 +169,22 @@
 
     def start_fetch(self, host: str, fetch: ChunkFetch, now: float) -> None:
         match fetch:
+            case FromOrigin() if self.is_origin_down(now):
+                self.schedule_outcome(now + self.rates.step_s, host, fetch, Outcome.failed)
             case FromOrigin():
                 self.origin_chunks += 1
                 sent = self.cross_region_arrival(
                     self.rates.first_region, host, self.origin.send(now)
                 )
                 arrives = max(sent, self.downlinks[host].send(now))
-                self.schedule_outcome(arrives, host, fetch, Outcome.chunk)
+                if self.is_origin_down(arrives):
+                    self.schedule_outcome(self.outage[0], host, fetch, Outcome.failed)
+                else:
+                    self.schedule_outcome(arrives, host, fetch, Outcome.chunk)
             case FromRegion(host=source) | FromPeer(host=source):
                 sender = self.swarms.get(source)
                 if sender is None:
-                    self.schedule_outcome(now + 1, host, fetch, Outcome.timed_out)
+                    self.schedule_outcome(now + 1, host, fetch, Outcome.failed)
                 else:
                     self.request_chunk(host, fetch, sender, now)
 
@@ -181,16 +192,27 @@
         self, host: str, fetch: ChunkFetch, sender: ChunkScheduler, now: float
     ) -> None:
         uplink = self.uplinks[sender.fleet.local_agent.host]
+        is_held = sender.held >> fetch.index & 1
+        if isinstance(fetch, FromRegion) and not is_held:
+            self.waiting[host, fetch] = now + CHUNK_WAIT_S
+            self.schedule_outcome(now + CHUNK_WAIT_S, host, fetch, Outcome.refused)
+            return
         busy = isinstance(fetch, FromPeer) and uplink.queue_length(now) >= MAX_QUEUED_UPLOADS
-        if busy or not sender.held >> fetch.index & 1:
+        if busy or not is_held:
             self.schedule_outcome(now + self.rates.step_s, host, fetch, Outcome.refused)
             return
-        sent = uplink.send(now)
+        self.send_chunk(host, fetch, sender, now)
+
+    def send_chunk(self, host: str, fetch: ChunkFetch, sender: ChunkScheduler, now: float) -> None:
+        sent = self.uplinks[sender.fleet.local_agent.host].send(now)
         if isinstance(fetch, FromRegion):
             self.cross_region_transfers += 1
             sent = max(sent, self.crossing[sender.fleet.local_agent.host].send(now))
         sent = self.cross_region_arrival(sender.fleet.local_agent.region, host, sent)
         arrives = max(sent, self.downlinks[host].send(now))
+        if isinstance(fetch, FromRegion):
+            # Its parts arrive until then.
+            self.swarms[host].record_progress(fetch.index, arrives)
         self.schedule_outcome(arrives, host, fetch, Outcome.chunk)
 
     def cross_region_arrival(self, region: str, host: str, sent: float) -> float:
@@ -210,12 +232,29 @@
             match outcome:
                 case Outcome.chunk:
                     swarm.record_arrival(fetch.index, now)
+                    self.serve_waiting(swarm, fetch.index, now)
                 case Outcome.refused:
                     self.refuse(swarm, fetch, now)
-                case Outcome.timed_out:
+                case Outcome.failed:
                     swarm.record_failure(fetch, now)
 
     def refuse(self, swarm: ChunkScheduler, fetch: ChunkFetch, now: float) -> None:
+        if isinstance(fetch, FromRegion):
+            waiting = swarm.fleet.local_agent.host, fetch
+            if self.waiting.get(waiting, float('inf')) > now:
+                # The chunk arrived in the meantime and has been sent.
+                return
+            self.waiting.pop(waiting)
         swarm.record_refusal(fetch, now)
-        # An agent of another region waits for the chunk before it refuses: record no refusal.
-        swarm.region_refusals.pop(fetch.index, None)
+
+    def serve_waiting(self, sender: ChunkScheduler, index: int, now: float) -> None:
+        """Send a chunk that has arrived to the agents of other regions that wait for it."""
+        wanted = FromRegion(index, sender.fleet.local_agent.host)
+        for host, fetch in tuple(self.waiting):
+            if fetch == wanted:
+                self.waiting.pop((host, fetch))
+                self.send_chunk(host, fetch, sender, now)
+
+    def is_origin_down(self, now: float) -> bool:
+        start, end = self.outage
+        return start <= now < end
