Say more plainly what the follower and its log do

Names: `update_route_rules` (it also sets whether a route is public), `entries_replied` and `entries_gave_nothing`. No change of behaviour.

--- a/src/cassiahitch/direct/members/rowservice.py
+++ b/src/cassiahitch/direct/members/rowservice.py
@@ -1,7 +1,7 @@
 """HTTP service for the rows of tables, for other processes.
 
 Load pattern: a large configuration changes, and all processes of a region read it from one entry
-over its link at once. Responses are compressed, since a configuration repeats itself much.
+over its link at once. Responses are compressed, as the routes of a configuration are much alike.
 """
 
 from __future__ import annotations
--- a/src/cassiahitch/direct/requests/filters.py
+++ b/src/cassiahitch/direct/requests/filters.py
@@ -143,10 +143,10 @@
         """
         self.require_current_regions(call.ran)
         catalogue = self.require_catalogue()
-        self.resolve_regions(call, catalogue)
+        self.update_route_rules(call, catalogue)
         self.resolve_organisation(call, catalogue)
 
-    def resolve_regions(self, call: Call, catalogue: Catalogue) -> None:
+    def update_route_rules(self, call: Call, catalogue: Catalogue) -> None:
         """Set where a request may run, and whether without a key, by its route in a configuration.
 
         All else remains as it was at the arrival, also for a request whose route was removed since.
--- a/src/cassiahitch/direct/staging/agentpeers.py
+++ b/src/cassiahitch/direct/staging/agentpeers.py
@@ -1,4 +1,4 @@
-"""Entries that an agent asks for declarations at its start."""
+"""Entries that an agent reads from, and asks for newer declarations, at its start."""
 
 from __future__ import annotations
 
--- a/src/cassiahitch/direct/state/catalogue.py
+++ b/src/cassiahitch/direct/state/catalogue.py
@@ -212,11 +212,11 @@
         return None
 
     def host_regions(self, host: str) -> frozenset[str]:
-        """Return the regions that all restricted routes of a host allow.
+        """Return the regions whose entries may be named to callers of a host.
 
         :param host: value of the Host header, with or without a port.
-        :return: the regions, or those that some route allows if the routes have none in common;
-            empty if no route of the host is restricted.
+        :return: the regions that all restricted routes of the host allow, or, if they have none in
+            common, those that one of them allows; empty if no route is restricted.
         """
         name = host.rpartition(':')[0].lower() or host.lower()
         restrictions = [
--- a/src/cassiahitch/direct/state/follower.py
+++ b/src/cassiahitch/direct/state/follower.py
@@ -34,10 +34,11 @@
 
 #: Seconds between two queries to other entries for the state of the table.
 RELAY_QUERY_INTERVAL_S = 0.5
-#: Seconds for which a process that starts asks other entries for the table, and between two rounds.
+#: Seconds for which a process that starts asks other entries for the table.
 START_RELAY_S = 2.0
+#: Seconds between two rounds of these requests.
 START_ROUND_INTERVAL_S = 0.1
-#: Intervals between reads in a burst without a large change before one that counts as single.
+#: Read intervals without a large change after which the next one counts as single.
 CALM_INTERVALS = 2
 MS_PER_S = 1000
 #: Applies changed rows and the reply that contained them; the third argument is the boot time in
@@ -49,13 +50,13 @@
 class TableFollower:
     """Reads a table repeatedly and passes its changes to ``apply_rows``.
 
-    With a ``relay``, it reads from other entries first and falls back to the store if their state
-    is older than ``max_relayed_age_s``. Reads of changes at the store wait up to ``wait_s`` for a
-    change. ``confirmed_at`` is the latest time, in seconds of the boot clock, at which the cached
-    rows are known to have been current. ``era`` is the latest era of the store that the process
-    knows. ``settles_at`` is when rows of earlier eras are dropped unless they were read again, and
-    ``large_change_at`` when the last large change was read from the store, in seconds of the boot
-    clock.
+    With a ``relay``, it reads from other entries first and falls back to the store if they have no
+    new rows and confirmed that longer than ``max_relayed_age_s`` ago. Reads of changes at the store
+    wait up to ``wait_s`` for a change. ``confirmed_at`` is the latest time, in seconds of the boot
+    clock, at which the cached rows are known to have been current. ``era`` is the latest era of the
+    store that the process knows. ``settles_at`` is when rows of earlier eras are dropped unless
+    they were read again, and ``large_change_at`` when the last large change was read from the
+    store, in seconds of the boot clock.
     """
 
     store: TableStore
@@ -141,7 +142,7 @@
         if not self.feed.apply_relayed_state(state.since, state.changed):
             return False
         self.apply((), TableChanges((), state.since, era=state.era), state.confirmed_at)
-        self.log.rows_from_entries()
+        self.log.entries_replied()
         return True
 
     async def read_from_relay(self) -> bool:
@@ -168,12 +169,12 @@
         since = self.feed.synced_version or 0
         message = await self.relay.read_rows(readers, self.table, since, self.feed.era)
         if message is None or not self.is_usable(message):
-            self.log.no_rows(message, sent_at)
+            self.log.entries_gave_nothing(message, sent_at)
             return False
         confirmed_at = sent_at - message.age_ms / MS_PER_S
         is_recent = boot_time() - confirmed_at <= self.max_relayed_age_s
         if not is_recent and self.feed.synced_version is None:
-            self.log.no_rows(message, sent_at)
+            self.log.entries_gave_nothing(message, sent_at)
             return False
         reply = reply_from_message(message)
         self.log.large_read(reply, ReadSource.entry, sent_at)
@@ -181,9 +182,9 @@
         rows = self.feed.handle(reply)
         self.apply(rows, reply, confirmed_at)
         if not rows and not is_recent:
-            self.log.no_rows(message, sent_at)
+            self.log.entries_gave_nothing(message, sent_at)
             return False
-        self.log.rows_from_entries()
+        self.log.entries_replied()
         return True
 
     def is_usable(self, message: TableRows) -> bool:
--- a/src/cassiahitch/direct/state/readlog.py
+++ b/src/cassiahitch/direct/state/readlog.py
@@ -33,10 +33,10 @@
 
 @dataclass(slots=True)
 class ReadLog:
-    """Logs large reads of a table, and when the store or other entries cease to help.
+    """Logs large reads of a table, and failed reads from the store or from other entries.
 
-    ``store_reachable`` is unset from the first failed read of the store on, ``entries_help`` from
-    the first read on that brought nothing of other entries.
+    ``store_reachable`` is False after a failed read of the store, ``entries_help`` after a read
+    from other entries that returned nothing usable.
     """
 
     table: str
@@ -62,11 +62,11 @@
                 took_s=boot_time() - sent_at,
             )
 
-    def rows_from_entries(self) -> None:
+    def entries_replied(self) -> None:
         """Record that other entries sent rows, or confirmed that there are no newer ones."""
         self.entries_help = True
 
-    def no_rows(self, message: TableRows | None, sent_at: float) -> None:
+    def entries_gave_nothing(self, message: TableRows | None, sent_at: float) -> None:
         """Log the first time that other entries sent no rows that this process can use.
 
         :param message: the rows, None if none came in time.
--- a/src/cassiahitch/direct/state/updater.py
+++ b/src/cassiahitch/direct/state/updater.py
@@ -163,7 +163,7 @@
         """Record a confirmation of an entry whose declarations were applied.
 
         :param confirmed_at: when it had confirmed them, in seconds of the boot clock.
-        :return: whether the configuration may decide now which keys are accepted.
+        :return: whether it was recent enough for all that the configuration decides.
         """
         self.entry_state.freshness.confirm(confirmed_at)
         return self.entry_state.freshness.is_current(boot_time())
--- a/src/cassiahitch/direct/tablefollowers.py
+++ b/src/cassiahitch/direct/tablefollowers.py
@@ -37,8 +37,9 @@
 CONFIGURATION_WAIT_FRACTION = 0.2
 #: Least time between two reads of the declarations after a large change, in seconds.
 DECLARATION_INTERVAL_S = 0.95
-#: Seconds after its start within which an entry hears of others, and between two looks for them.
+#: Seconds for which an entry that starts waits until it knows of other entries.
 START_PEERS_S = 0.3
+#: Seconds between two checks whether it does.
 START_PEERS_INTERVAL_S = 0.02
 #: Entries that are asked for a complete table in a round at the start, one after the other.
 START_READERS = 2
--- a/tests/direct/members/test_rowservice.py
+++ b/tests/direct/members/test_rowservice.py
@@ -29,7 +29,7 @@
 
 TABLE = 'op'
 ROUTES = 1400
-#: Sizes of a message whose content is not compressed.
+#: A row that is too small to be compressed.
 SMALL = RowRecord('k', b'x', version=7)
 
 
--- a/tests/direct/requests/test_old_configurations.py
+++ b/tests/direct/requests/test_old_configurations.py
@@ -66,8 +66,8 @@
 
 def add_restricted_route(site: DirectSite) -> None:
     """Let the operator add a route that is nested in the public one, and restricted."""
-    nested = restricted({**route_of(site, 'lookup'), 'name': 'near', 'prefix': '/lookup/near/'})
-    nested['allowedRegions'] = [ALLOWED]
+    near = {**route_of(site, 'lookup'), 'name': 'near', 'prefix': '/lookup/near/'}
+    nested = restricted(near, ALLOWED)
     site.update_configuration(routes=[*site.configuration['routes'], nested])
 
 
