--- a/tests/direct/requests/test_old_configurations.py
+++ b/tests/direct/requests/test_old_configurations.py
@@ -12,7 +12,13 @@
 from typing import Any
 
 import pytest
-from direct_callers import run_count, run_site_in_virtual_time, send_request, wait_until
+from direct_callers import (
+    run_count,
+    run_site_in_virtual_time,
+    send_request,
+    wait_until,
+    wait_until_configured,
+)
 
 from cassiahitch.codes import Code
 from cassiahitch.direct.entry import DirectEntry
@@ -46,14 +52,7 @@
 async def apply_routes(site: DirectSite, routes: list[dict[str, Any]]) -> None:
     """Put routes into force at all entries."""
     site.update_configuration(routes=routes)
-    version = site.configuration['version']
-    await wait_until(
-        lambda: all(
-            entry.parts.entry_state.catalogue is not None
-            and entry.parts.entry_state.catalogue.version == version
-            for entry in site.entries
-        )
-    )
+    await wait_until_configured(site)
 
 
 async def allow_all_regions_but_for_one_route(site: DirectSite) -> None:
--- a/tests/direct/requests/test_revoked_keys.py
+++ b/tests/direct/requests/test_revoked_keys.py
@@ -9,7 +9,13 @@
 from typing import Any
 
 import pytest
-from direct_callers import run_count, run_site_in_virtual_time, send_request, wait_until
+from direct_callers import (
+    run_count,
+    run_site_in_virtual_time,
+    send_request,
+    wait_until,
+    wait_until_configured,
+)
 
 from cassiahitch.standins.configurations import CALLER_API_KEY
 from cassiahitch.standins.directsite import DirectSite
@@ -27,14 +33,7 @@
 
 async def apply_organisations(site: DirectSite, organisations: list[dict[str, Any]]) -> None:
     site.update_configuration(tenants=organisations)
-    version = site.configuration['version']
-    await wait_until(
-        lambda: all(
-            entry.parts.entry_state.catalogue is not None
-            and entry.parts.entry_state.catalogue.version == version
-            for entry in site.entries
-        )
-    )
+    await wait_until_configured(site)
 
 
 async def statuses(site: DirectSite, key: str) -> list[int]:
--- a/tests/support/direct_callers.py
+++ b/tests/support/direct_callers.py
@@ -63,6 +63,15 @@
             await asyncio.sleep(0.02)
 
 
+async def wait_until_configured(site: DirectSite) -> None:
+    """Wait until the operator's newest configuration is in force at all entries."""
+    version = site.configuration['version']
+    states = [entry.parts.entry_state for entry in site.entries]
+    await wait_until(
+        lambda: all(state.catalogue and state.catalogue.version == version for state in states)
+    )
+
+
 def run_count(backends: list[BackendStandin], attempt: str = '') -> int:
     return sum(
         len([execution for execution in backend.runs if attempt in execution.attempt_id])
